--- /dev/null
+++ b/src/base/clock.c
@@ -0,0 +1,30 @@
+#include "base/clock.h"
+
+#include <time.h>
+
+static int64_t
+read_microseconds(clockid_t id)
+{
+    struct timespec now;
+
+    clock_gettime(id, &now);
+    return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+ClockMs
+Clock_Now(void)
+{
+    return read_microseconds(CLOCK_BOOTTIME) / 1000;
+}
+
+int64_t
+Clock_NowMicroseconds(void)
+{
+    return read_microseconds(CLOCK_BOOTTIME);
+}
+
+ClockMs
+Clock_WallMs(void)
+{
+    return read_microseconds(CLOCK_REALTIME) / 1000;
+}
--- /dev/null
+++ b/src/base/counter_list.h
@@ -0,0 +1,67 @@
+/* The list of counters: COUNTER(name, help).
+ *
+ * Every counter only rises. Refusals by result code are counted apart, one
+ * counter for each code (Counter_Refusal()), and so are retries by reason.
+ */
+#ifndef BASE_COUNTER_LIST_H
+#define BASE_COUNTER_LIST_H
+
+/* clang-format off */
+#define COUNTER_LIST(COUNTER) \
+    /* base */ \
+    COUNTER(LOG_SUPPRESSED, "log events not written because they repeat") \
+    \
+    \
+    /* store */ \
+    COUNTER(STORE_READS, "read calls on the store") \
+    COUNTER(STORE_WRITES, "write calls on the store") \
+    COUNTER(STORE_FAILURES, "calls on the store that failed") \
+    \
+    \
+    /* config */ \
+    COUNTER(CONFIG_TICKETS, "tickets put in force") \
+    \
+    \
+    /* key */ \
+    COUNTER(KEY_LOOKUPS, "keys looked up") \
+    \
+    \
+    /* rate */ \
+    COUNTER(RATE_DRAWS, "draws sent to holders") \
+    \
+    \
+    /* rpc */ \
+    COUNTER(RPC_SENT, "control messages sent") \
+    COUNTER(RPC_RECEIVED, "control messages received") \
+    COUNTER(RPC_BYTES_SENT, "bytes of control messages sent") \
+    COUNTER(RPC_BYTES_RECEIVED, "bytes of control messages received") \
+    COUNTER(RPC_REFUSED, "control messages refused") \
+    \
+    \
+    /* member */ \
+    COUNTER(MEMBER_SUSPECTED, "hosts suspected") \
+    COUNTER(MEMBER_DIED, "hosts declared dead") \
+    \
+    \
+    /* route */ \
+    COUNTER(ROUTE_CROSS_REGION, "requests sent to another region") \
+    \
+    \
+    /* health */ \
+    COUNTER(HEALTH_EJECTIONS, "backend servers ejected") \
+    COUNTER(HEALTH_PERMITS_REFUSED, "ejections refused by the floor") \
+    \
+    \
+    /* issue */ \
+    COUNTER(ISSUE_TOKENS, "run tokens minted") \
+    COUNTER(ISSUE_REPEATS, "issuances answered from the run table") \
+    \
+    \
+    /* http, entry, owner */ \
+    COUNTER(ENTRY_REQUESTS, "requests received from callers") \
+    COUNTER(ENTRY_ANSWERS, "requests answered by a backend server") \
+    COUNTER(OWNER_REQUESTS, "requests received from entries") \
+    COUNTER(OWNER_SENT, "requests sent to backend servers")
+/* clang-format on */
+
+#endif
--- /dev/null
+++ b/src/base/log_list.h
@@ -0,0 +1,66 @@
+/* The list of log events: LOG(name, number, level, text).
+ *
+ * docs/events.md is generated from this list (see test_base.c).
+ */
+#ifndef BASE_LOG_LIST_H
+#define BASE_LOG_LIST_H
+
+/* clang-format off */
+#define LOG_LIST(LOG) \
+    /* daemon and settings 100-199 */ \
+    LOG(STARTED, 100, INFO, "daemon started") \
+    LOG(STOPPING, 101, INFO, "daemon is stopping") \
+    LOG(STOPPED, 102, INFO, "daemon stopped") \
+    LOG(START_FAILED, 103, ERROR, "daemon cannot start") \
+    LOG(SETTINGS_REJECTED, 104, ERROR, "settings are invalid") \
+    LOG(SETTINGS_RELOADED, 105, INFO, "settings were read again") \
+    \
+    \
+    /* store 200-219 */ \
+    LOG(STORE_FAILED, 200, WARNING, "call on the store failed") \
+    LOG(STORE_BACK, 201, INFO, "the store answers again") \
+    \
+    \
+    /* config 220-249 */ \
+    LOG(TICKET_IN_FORCE, 220, INFO, "ticket is in force") \
+    LOG(TICKET_REJECTED, 221, ERROR, "ticket in the store is invalid") \
+    \
+    \
+    /* key 250-269 */ \
+    LOG(KEY_WITHDRAWAL, 250, INFO, "key withdrawal received") \
+    \
+    \
+    /* rate 270-299 */ \
+    LOG(SLOT_TAKEN, 270, INFO, "rate slot taken") \
+    LOG(SLOT_LOST, 271, WARNING, "rate slot lost") \
+    LOG(SLOT_RELEASED, 272, INFO, "rate slot released") \
+    \
+    \
+    /* rpc 300-319 */ \
+    LOG(RPC_REFUSED, 300, WARNING, "control message refused") \
+    \
+    \
+    /* member 320-349 */ \
+    LOG(MEMBER_JOINED, 320, INFO, "host joined") \
+    LOG(MEMBER_SUSPECTED, 321, INFO, "host suspected") \
+    LOG(MEMBER_DEAD, 322, WARNING, "host declared dead") \
+    LOG(MEMBER_LEFT, 323, INFO, "host left") \
+    \
+    \
+    /* health 350-379 */ \
+    LOG(HEALTH_CHANGED, 350, WARNING, "backend server changed its state") \
+    LOG(PERMIT_REFUSED, 351, WARNING, "ejection refused by the floor") \
+    \
+    \
+    /* issue 380-399 */ \
+    LOG(RUNS_HANDED_OVER, 380, INFO, "run table handed over") \
+    LOG(RUNS_TAKEN_OVER, 381, INFO, "run table taken over") \
+    \
+    \
+    /* http, entry, owner 400-449 */ \
+    LOG(REQUEST_FAILED, 400, WARNING, "request failed") \
+    LOG(BACKEND_SERVER_ANNOUNCED, 401, INFO, "backend server announced") \
+    LOG(BACKEND_SERVER_GONE, 402, INFO, "backend server is gone")
+/* clang-format on */
+
+#endif
--- /dev/null
+++ b/src/base/test_base.c
@@ -0,0 +1,124 @@
+/* Tests of base: lists, pool, counters, generator; docs match the lists. */
+#include <glib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "base/pool.h"
+#include "base/result.h"
+#include "base/rng.h"
+
+/* Guards against a handle that reaches the record of a later user. */
+static void
+test_pool_stale_handle(void)
+{
+    Pool *pool = Pool_Create(sizeof(int), 2);
+    void *record;
+    PoolHandle first = Pool_Add(pool, &record);
+    PoolHandle second;
+
+    g_assert_cmpuint(first, !=, POOL_NONE);
+    Pool_Remove(pool, first);
+    second = Pool_Add(pool, &record);
+    g_assert_null(Pool_Get(pool, first));
+    g_assert_true(Pool_Get(pool, second) == record);
+    Pool_Remove(pool, first);
+    g_assert_cmpuint(Pool_Count(pool), ==, 1);
+    g_assert_cmpuint(Pool_Add(pool, &record), !=, POOL_NONE);
+    g_assert_cmpuint(Pool_Add(pool, &record), ==, POOL_NONE);
+    Pool_Destroy(pool);
+}
+
+/* Guards against quantiles that are off by more than a bucket. */
+static void
+test_histogram(void)
+{
+    for (int i = 1; i <= 1000; i++) {
+        Counter_Observe(HISTOGRAM_ENTRY_TOTAL, i);
+    }
+    g_assert_cmpint(Counter_Quantile(HISTOGRAM_ENTRY_TOTAL, 0.5), >=, 500);
+    g_assert_cmpint(Counter_Quantile(HISTOGRAM_ENTRY_TOTAL, 0.5), <=, 563);
+    g_assert_cmpint(Counter_Quantile(HISTOGRAM_ENTRY_TOTAL, 0.99), >=, 990);
+    g_assert_cmpint(Counter_Quantile(HISTOGRAM_ENTRY_TOTAL, 0.99), <=, 1114);
+}
+
+static void
+collect_result(void *context, Result result, const char *name, int http_status,
+               const char *text)
+{
+    g_string_append_printf(context, "| %d | `%s` | %d | %s |\n", (int)result,
+                           name, http_status, text);
+}
+
+static void
+collect_event(void *context, LogEvent event, const char *name,
+              const char *level, const char *text)
+{
+    g_string_append_printf(context, "| %d | `%s` | %s | %s |\n", (int)event,
+                           name, level, text);
+}
+
+/* Guards against a docs table that lags behind its list. With the environment
+ * variable RADISHKNOT_WRITE_DOCS set, the page is written anew. */
+static void
+check_page(const char *file, const char *head, GString *rows)
+{
+    char *path = g_build_filename(SOURCE_DIRECTORY, "docs", file, NULL);
+    char *expected = g_strconcat(head, rows->str, NULL);
+    char *found = NULL;
+
+    if (g_getenv("RADISHKNOT_WRITE_DOCS") != NULL) {
+        g_assert_true(g_file_set_contents(path, expected, -1, NULL));
+    }
+    g_assert_true(g_file_get_contents(path, &found, NULL, NULL));
+    g_assert_cmpstr(found, ==, expected);
+    g_free(found);
+    g_free(expected);
+    g_free(path);
+}
+
+static void
+test_docs(void)
+{
+    GString *rows = g_string_new(NULL);
+
+    Result_ForEach(collect_result, rows);
+    check_page("results.md",
+               "# Result codes\n\nGenerated from `src/base/result_list.h` by "
+               "`make docs`.\n\n| number | name | HTTP status | meaning |\n"
+               "|---|---|---|---|\n",
+               rows);
+    g_string_truncate(rows, 0);
+    Log_ForEach(collect_event, rows);
+    check_page("events.md",
+               "# Log events\n\nGenerated from `src/base/log_list.h` by "
+               "`make docs`.\n\n| number | name | level | meaning |\n"
+               "|---|---|---|---|\n",
+               rows);
+    g_string_free(rows, TRUE);
+}
+
+static void
+test_result_numbers(void)
+{
+    Result result;
+
+    g_assert_true(Result_FromNumber(170, &result));
+    g_assert_cmpstr(Result_Name(result), ==, "KEY_MISSING");
+    g_assert_false(Result_FromNumber(99, &result));
+    g_assert_cmpint(Result_ExitCode(RESULT_OK), ==, 0);
+    g_assert_cmpint(Result_ExitCode(RESULT_INTERNAL), ==, 1);
+    g_assert_cmpint(Result_RunFromName("no"), ==, RUN_NO);
+    g_assert_cmpint(Result_RunFromName("nonsense"), ==, RUN_UNKNOWN);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/base/pool/stale-handle", test_pool_stale_handle);
+    g_test_add_func("/base/counter/histogram", test_histogram);
+    g_test_add_func("/base/result/numbers", test_result_numbers);
+    g_test_add_func("/base/docs", test_docs);
+    return g_test_run();
+}
