Add http and settings slices

Cause: the request path needs to know whether bytes were sent, to end calls on the millisecond and to reach a socket to cancel a call; neon's request layer hides its socket and counts time-outs in seconds. Change: client on neon's socket layer with pooled connections, TCP_USER_TIMEOUT and a watcher for deadlines; server on libmicrohttpd with suspended connections and a bounded executor; settings from one list with a generated docs page. Ruled out: ne_request with its notifier, which gives no socket.

--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,8 @@
 
 # Writes the docs tables that are generated from lists in the code.
 docs: build
-	RADISHKNOT_WRITE_DOCS=1 build/src/base/test_base
+	RADISHKNOT_WRITE_DOCS=1 build/src/base/test_base >/dev/null
+	RADISHKNOT_WRITE_DOCS=1 build/src/settings/test_settings >/dev/null
 
 demo: setup build
 	tests/demo
--- /dev/null
+++ b/src/http/http_message.h
@@ -0,0 +1,76 @@
+/* HttpMessage: header lists, answers and numeric addresses.
+ *
+ * Use: zero-initialise HttpHeaders or HttpAnswer, fill it, free what it holds
+ * with HttpHeaders_Clear() or HttpAnswer_Clear(). Names are compared without
+ * regard to case; the order of headers is kept.
+ */
+#ifndef HTTP_HTTP_MESSAGE_H
+#define HTTP_HTTP_MESSAGE_H
+
+#include <glib.h>
+#include <netinet/in.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/result.h"
+
+typedef struct HttpHeader {
+    char *name;
+    char *value;
+} HttpHeader;
+
+typedef struct HttpHeaders {
+    HttpHeader *items;
+    size_t count;
+    size_t capacity;
+} HttpHeaders;
+
+typedef struct HttpAnswer {
+    int status;
+    HttpHeaders headers;
+    char *body; /* NUL-terminated for convenience */
+    size_t body_bytes;
+} HttpAnswer;
+
+void
+HttpHeaders_Add(HttpHeaders *headers, const char *name, const char *value);
+void
+HttpHeaders_AddNumber(HttpHeaders *headers, const char *name, int64_t value);
+
+/* First value with this name, or NULL. */
+const char *
+HttpHeaders_Get(const HttpHeaders *headers, const char *name);
+
+/* Value as a decimal number, or the fallback if it is missing or malformed. */
+int64_t
+HttpHeaders_GetNumber(const HttpHeaders *headers, const char *name,
+                      int64_t fallback);
+void
+HttpHeaders_Remove(HttpHeaders *headers, const char *name);
+void
+HttpHeaders_Clear(HttpHeaders *headers);
+
+/* Copies the body. */
+void
+HttpAnswer_SetBody(HttpAnswer *answer, const void *body, size_t bytes);
+
+/* Sets status and a JSON body; takes ownership of the text. */
+void
+HttpAnswer_SetJson(HttpAnswer *answer, int status, char *json_text);
+
+/* Moves everything from one answer to another, which must be clear. */
+void
+HttpAnswer_Move(HttpAnswer *to, HttpAnswer *from);
+void
+HttpAnswer_Clear(HttpAnswer *answer);
+
+/* Parses "a.b.c.d:port" or a bare address with a separate port. */
+gboolean
+HttpAddress_Parse(const char *text, struct sockaddr_in *address);
+
+/* Writes "a.b.c.d:port" (at most 22 bytes with the end). */
+void
+HttpAddress_Format(const struct sockaddr_in *address, char *text,
+                   size_t bytes);
+
+#endif
--- /dev/null
+++ b/src/http/http_server.c
@@ -0,0 +1,654 @@
+#include "http/http_server.h"
+
+#include <errno.h>
+#include <jansson.h>
+#include <microhttpd.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/http_executor.h"
+
+/* How often deadlines and hang-ups of suspended requests are looked at. */
+#define WATCH_PERIOD_MS 20
+
+#define DEFAULT_EVENT_THREADS 2
+#define DEFAULT_WORKER_THREADS 32
+#define DEFAULT_MAX_BODY_BYTES (1024 * 1024)
+#define DEFAULT_IDLE_TIMEOUT_S 120
+
+/* Bytes of a connection's memory, which bounds the size of all headers. */
+#define CONNECTION_MEMORY_BYTES (64 * 1024)
+
+struct HttpRequest {
+    HttpServer *server;
+    struct MHD_Connection *connection;
+    _Atomic int references; /* connection, handler */
+    char *method;
+    char *target; /* path, NUL, query */
+    char *query;
+    HttpHeaders headers;
+    GByteArray *body;
+    gboolean too_large;
+    ClockMs arrived;
+
+    /* Under the server's lock. */
+    gboolean suspended;
+    gboolean answered;
+    gboolean ended; /* the connection no longer needs the request */
+    gboolean hung_up;
+    ClockMs deadline;
+    HttpHangUp hang_up;
+    void *hang_up_context;
+    void *data;
+    GDestroyNotify data_end;
+    HttpAnswer answer;
+    unsigned in_flight_index;
+};
+
+struct HttpServer {
+    HttpServer_desc desc;
+    struct MHD_Daemon *daemon;
+    HttpExecutor *executor;
+    uint16_t port;
+    pthread_mutex_t lock;
+    GPtrArray *in_flight; /* HttpRequest *, those that a handler may hold */
+    atomic_uint connections;
+    atomic_bool draining;
+    pthread_t watcher;
+    atomic_bool stopping;
+};
+
+static void
+release_request(HttpRequest *request)
+{
+    if (atomic_fetch_sub(&request->references, 1) > 1) {
+        return;
+    }
+    if (request->data_end != NULL) {
+        request->data_end(request->data);
+    }
+    HttpHeaders_Clear(&request->headers);
+    HttpAnswer_Clear(&request->answer);
+    if (request->body != NULL) {
+        g_byte_array_free(request->body, TRUE);
+    }
+    g_free(request->method);
+    g_free(request->target);
+    g_free(request);
+}
+
+static void
+remove_in_flight(HttpServer *server, HttpRequest *request)
+{
+    HttpRequest *moved;
+    unsigned index = request->in_flight_index;
+
+    if (index == UINT_MAX) {
+        return;
+    }
+    g_ptr_array_remove_index_fast(server->in_flight, index);
+    if (index < server->in_flight->len) {
+        moved = g_ptr_array_index(server->in_flight, index);
+        moved->in_flight_index = index;
+    }
+    request->in_flight_index = UINT_MAX;
+}
+
+void
+HttpAnswer_SetRefusal(HttpAnswer *answer, Result result, RunState run,
+                      const char *request_id, const char *message)
+{
+    json_t *body = json_pack("{s:i, s:s, s:s, s:s, s:s}", "code", (int)result,
+                             "name", Result_Name(result), "message",
+                             message ? message : Result_Text(result), "run",
+                             Result_RunName(run), "request_id",
+                             request_id ? request_id : "");
+    char *text = json_dumps(body, JSON_COMPACT);
+
+    HttpAnswer_SetJson(answer, Result_HttpStatus(result), g_strdup(text));
+    free(text);
+    json_decref(body);
+    HttpHeaders_AddNumber(&answer->headers, "Radishknot-Result", (int)result);
+    HttpHeaders_Add(&answer->headers, "Radishknot-Run", Result_RunName(run));
+    if (request_id != NULL) {
+        HttpHeaders_Add(&answer->headers, "Radishknot-Request-Id", request_id);
+    }
+}
+
+static enum MHD_Result
+queue_answer(HttpRequest *request)
+{
+    HttpAnswer *answer = &request->answer;
+    struct MHD_Response *response;
+    enum MHD_Result queued;
+
+    response = MHD_create_response_from_buffer(
+        answer->body_bytes, answer->body, MHD_RESPMEM_MUST_FREE);
+    if (response == NULL) {
+        return MHD_NO;
+    }
+    answer->body = NULL;
+    for (size_t i = 0; i < answer->headers.count; i++) {
+        (void)MHD_add_response_header(response, answer->headers.items[i].name,
+                                      answer->headers.items[i].value);
+    }
+    if (atomic_load(&request->server->draining)) {
+        (void)MHD_add_response_header(response, "Connection", "close");
+    }
+    queued = MHD_queue_response(request->connection, (unsigned)answer->status,
+                                response);
+    MHD_destroy_response(response);
+    return queued;
+}
+
+/* Fills the answer of a request that no handler answers. */
+static void
+refuse(HttpRequest *request, Result result)
+{
+    HttpServer_desc *desc = &request->server->desc;
+
+    if (desc->refuser != NULL) {
+        desc->refuser(desc->context, request, result, &request->answer);
+    }
+    else {
+        HttpAnswer_SetRefusal(&request->answer, result, RUN_NO, NULL, NULL);
+    }
+}
+
+static void
+run_handler(void *context)
+{
+    HttpRequest *request = context;
+    HttpServer *server = request->server;
+
+    server->desc.handler(server->desc.context, request);
+    pthread_mutex_lock(&server->lock);
+    request->hang_up = NULL;
+    remove_in_flight(server, request);
+    pthread_mutex_unlock(&server->lock);
+    release_request(request);
+}
+
+static enum MHD_Result
+add_header(void *context, enum MHD_ValueKind kind, const char *name,
+           const char *value)
+{
+    (void)kind;
+    HttpHeaders_Add(context, name, value);
+    return MHD_YES;
+}
+
+/* Hands a whole request to the executor, or answers it at once. */
+static enum MHD_Result
+dispatch(HttpServer *server, HttpRequest *request)
+{
+    Result refusal = RESULT_OK;
+
+    MHD_get_connection_values(request->connection, MHD_HEADER_KIND, add_header,
+                              &request->headers);
+    if (request->too_large) {
+        refusal = RESULT_REQUEST_TOO_LARGE;
+    }
+    pthread_mutex_lock(&server->lock);
+    if (refusal == RESULT_OK &&
+        server->in_flight->len >= server->desc.max_in_flight) {
+        refusal = RESULT_OVERLOADED;
+    }
+    if (refusal == RESULT_OK) {
+        request->suspended = TRUE;
+        request->in_flight_index = server->in_flight->len;
+        g_ptr_array_add(server->in_flight, request);
+        atomic_fetch_add(&request->references, 1);
+        MHD_suspend_connection(request->connection);
+        if (!HttpExecutor_Submit(server->executor, run_handler, request)) {
+            /* Cannot happen: the queue holds max_in_flight tasks. */
+            atomic_fetch_sub(&request->references, 1);
+            remove_in_flight(server, request);
+            request->suspended = FALSE;
+            MHD_resume_connection(request->connection);
+            refusal = RESULT_OVERLOADED;
+        }
+    }
+    if (refusal != RESULT_OK) {
+        request->answered = TRUE;
+    }
+    pthread_mutex_unlock(&server->lock);
+    if (refusal == RESULT_OK) {
+        return MHD_YES;
+    }
+    refuse(request, refusal);
+    return queue_answer(request);
+}
+
+static HttpRequest *
+create_request(HttpServer *server, struct MHD_Connection *connection,
+               char *target)
+{
+    HttpRequest *request = g_new0(HttpRequest, 1);
+    char *mark = strchr(target, '?');
+
+    request->server = server;
+    request->connection = connection;
+    atomic_store(&request->references, 1);
+    request->target = target;
+    request->query = mark ? mark + 1 : target + strlen(target);
+    if (mark != NULL) {
+        *mark = '\0';
+    }
+    request->body = g_byte_array_new();
+    request->arrived = Clock_Now();
+    request->deadline = CLOCK_NEVER;
+    request->in_flight_index = UINT_MAX;
+    return request;
+}
+
+/* Called by libmicrohttpd with the raw request target; what it returns is the
+ * connection's context at the first call of on_access. */
+static void *
+on_target(void *context, const char *target, struct MHD_Connection *connection)
+{
+    return create_request(context, connection, g_strdup(target));
+}
+
+static enum MHD_Result
+on_access(void *context, struct MHD_Connection *connection, const char *url,
+          const char *method, const char *version, const char *upload,
+          size_t *upload_bytes, void **connection_context)
+{
+    HttpServer *server = context;
+    HttpRequest *request = *connection_context;
+    gboolean answered;
+
+    (void)connection;
+    (void)url;
+    (void)version;
+    if (request == NULL) {
+        return MHD_NO;
+    }
+    if (request->method == NULL) {
+        request->method = g_strdup(method);
+        return MHD_YES;
+    }
+    if (*upload_bytes > 0) {
+        if (request->body->len + *upload_bytes > server->desc.max_body_bytes) {
+            request->too_large = TRUE;
+        }
+        else {
+            g_byte_array_append(request->body, (const guint8 *)upload,
+                                (guint)*upload_bytes);
+        }
+        *upload_bytes = 0;
+        return MHD_YES;
+    }
+    pthread_mutex_lock(&server->lock);
+    answered = request->answered;
+    pthread_mutex_unlock(&server->lock);
+    return answered ? queue_answer(request) : dispatch(server, request);
+}
+
+static void
+on_completed(void *context, struct MHD_Connection *connection,
+             void **connection_context, enum MHD_RequestTerminationCode code)
+{
+    HttpServer *server = context;
+    HttpRequest *request = *connection_context;
+
+    (void)connection;
+    (void)code;
+    if (request == NULL) {
+        return;
+    }
+    pthread_mutex_lock(&server->lock);
+    request->ended = TRUE;
+    request->answered = TRUE;
+    pthread_mutex_unlock(&server->lock);
+    release_request(request);
+    *connection_context = NULL;
+}
+
+static void
+on_connection(void *context, struct MHD_Connection *connection,
+              void **socket_context, enum MHD_ConnectionNotificationCode code)
+{
+    HttpServer *server = context;
+
+    (void)connection;
+    (void)socket_context;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        atomic_fetch_add(&server->connections, 1);
+    }
+    else {
+        atomic_fetch_sub(&server->connections, 1);
+    }
+}
+
+/* Called with the lock held: the answer is set, the connection goes on. */
+static void
+resume(HttpRequest *request)
+{
+    request->answered = TRUE;
+    request->suspended = FALSE;
+    MHD_resume_connection(request->connection);
+}
+
+gboolean
+HttpRequest_Respond(HttpRequest *request, HttpAnswer *answer)
+{
+    HttpServer *server = request->server;
+    gboolean taken = FALSE;
+
+    pthread_mutex_lock(&server->lock);
+    if (!request->answered) {
+        HttpAnswer_Move(&request->answer, answer);
+        resume(request);
+        taken = TRUE;
+    }
+    pthread_mutex_unlock(&server->lock);
+    if (!taken) {
+        HttpAnswer_Clear(answer);
+    }
+    return taken;
+}
+
+static gboolean
+has_hung_up(HttpRequest *request)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    struct pollfd poll_fd = {.events = POLLRDHUP};
+
+    if (info == NULL) {
+        return FALSE;
+    }
+    poll_fd.fd = info->connect_fd;
+    return poll(&poll_fd, 1, 0) > 0 &&
+           (poll_fd.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+/* Called with the lock held. */
+static void
+watch_request(HttpRequest *request, ClockMs now)
+{
+    if (request->answered || !request->suspended) {
+        return;
+    }
+    if (now >= request->deadline) {
+        refuse(request, RESULT_DEADLINE_EXPIRED);
+        resume(request);
+        return;
+    }
+    if (!request->hung_up && has_hung_up(request)) {
+        request->hung_up = TRUE;
+        if (request->hang_up != NULL) {
+            request->hang_up(request->hang_up_context);
+        }
+    }
+}
+
+static void *
+watch_requests(void *context)
+{
+    HttpServer *server = context;
+    ClockMs now;
+
+    while (!atomic_load(&server->stopping)) {
+        (void)poll(NULL, 0, WATCH_PERIOD_MS);
+        now = Clock_Now();
+        pthread_mutex_lock(&server->lock);
+        for (unsigned i = 0; i < server->in_flight->len; i++) {
+            watch_request(g_ptr_array_index(server->in_flight, i), now);
+        }
+        pthread_mutex_unlock(&server->lock);
+    }
+    return NULL;
+}
+
+static void
+apply_defaults(HttpServer_desc *desc)
+{
+    if (desc->event_threads == 0) {
+        desc->event_threads = DEFAULT_EVENT_THREADS;
+    }
+    if (desc->worker_threads == 0) {
+        desc->worker_threads = DEFAULT_WORKER_THREADS;
+    }
+    if (desc->max_in_flight == 0) {
+        desc->max_in_flight = 4 * desc->worker_threads;
+    }
+    if (desc->max_body_bytes == 0) {
+        desc->max_body_bytes = DEFAULT_MAX_BODY_BYTES;
+    }
+    if (desc->idle_timeout_s == 0) {
+        desc->idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S;
+    }
+}
+
+static struct MHD_Daemon *
+start_daemon(HttpServer *server)
+{
+    HttpServer_desc *desc = &server->desc;
+    unsigned flags =
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+    struct MHD_OptionItem tls[] = {
+        {MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)desc->tls_certificate_pem},
+        {MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)desc->tls_key_pem},
+        {MHD_OPTION_END, 0, NULL},
+    };
+
+    if (desc->tls_certificate_pem != NULL) {
+        flags |= MHD_USE_TLS;
+    }
+    else {
+        tls[0].option = MHD_OPTION_END;
+    }
+    return MHD_start_daemon(
+        flags, 0, NULL, NULL, on_access, server, MHD_OPTION_SOCK_ADDR,
+        (struct sockaddr *)&desc->address, MHD_OPTION_THREAD_POOL_SIZE,
+        desc->event_threads, MHD_OPTION_CONNECTION_TIMEOUT,
+        desc->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_URI_LOG_CALLBACK,
+        on_target, server, MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+        MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_ARRAY,
+        tls, MHD_OPTION_END);
+}
+
+HttpServer *
+HttpServer_Create(const HttpServer_desc *desc, GError **error)
+{
+    HttpServer *server = g_new0(HttpServer, 1);
+    char address[32];
+
+    server->desc = *desc;
+    apply_defaults(&server->desc);
+    pthread_mutex_init(&server->lock, NULL);
+    server->in_flight = g_ptr_array_new();
+    server->executor = HttpExecutor_Create(server->desc.worker_threads,
+                                           server->desc.max_in_flight);
+    server->daemon = start_daemon(server);
+    if (server->daemon == NULL) {
+        HttpAddress_Format(&desc->address, address, sizeof(address));
+        Result_SetError(error, RESULT_IO, "cannot listen on %s: %s", address,
+                        g_strerror(errno));
+        HttpExecutor_Destroy(server->executor);
+        g_ptr_array_free(server->in_flight, TRUE);
+        pthread_mutex_destroy(&server->lock);
+        g_free(server);
+        return NULL;
+    }
+    server->port =
+        MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+    pthread_create(&server->watcher, NULL, watch_requests, server);
+    return server;
+}
+
+uint16_t
+HttpServer_Port(const HttpServer *server)
+{
+    return server->port;
+}
+
+unsigned
+HttpServer_InFlight(const HttpServer *server)
+{
+    HttpServer *unlocked = (HttpServer *)server;
+    unsigned count;
+
+    pthread_mutex_lock(&unlocked->lock);
+    count = server->in_flight->len;
+    pthread_mutex_unlock(&unlocked->lock);
+    return count;
+}
+
+/* Connections that the kernel accepted before the listening socket closes
+ * are served too; otherwise their callers would see a reset. */
+static void
+adopt_waiting_connections(HttpServer *server, int listen_fd)
+{
+    struct sockaddr_in peer;
+    socklen_t bytes = sizeof(peer);
+    int fd;
+
+    while ((fd = accept4(listen_fd, (struct sockaddr *)&peer, &bytes,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+        if (MHD_add_connection(server->daemon, fd, (struct sockaddr *)&peer,
+                               bytes) != MHD_YES) {
+            close(fd);
+        }
+        bytes = sizeof(peer);
+    }
+    close(listen_fd);
+}
+
+gboolean
+HttpServer_Drain(HttpServer *server, ClockMs until)
+{
+    int listen_fd;
+
+    if (!atomic_exchange(&server->draining, TRUE)) {
+        listen_fd = MHD_quiesce_daemon(server->daemon);
+        if (listen_fd >= 0) {
+            adopt_waiting_connections(server, listen_fd);
+        }
+    }
+    while (Clock_Now() < until && (HttpServer_InFlight(server) > 0 ||
+                                   atomic_load(&server->connections) > 0)) {
+        (void)poll(NULL, 0, WATCH_PERIOD_MS);
+    }
+    return HttpServer_InFlight(server) == 0;
+}
+
+void
+HttpServer_Destroy(HttpServer *server)
+{
+    if (server == NULL) {
+        return;
+    }
+    /* Handlers end first, since each of them resumes its connection. */
+    HttpExecutor_Destroy(server->executor);
+    atomic_store(&server->stopping, TRUE);
+    pthread_join(server->watcher, NULL);
+    MHD_stop_daemon(server->daemon);
+    g_ptr_array_free(server->in_flight, TRUE);
+    pthread_mutex_destroy(&server->lock);
+    g_free(server);
+}
+
+const char *
+HttpRequest_Method(const HttpRequest *request)
+{
+    return request->method;
+}
+
+const char *
+HttpRequest_Path(const HttpRequest *request)
+{
+    return request->target;
+}
+
+const char *
+HttpRequest_Query(const HttpRequest *request)
+{
+    return request->query;
+}
+
+const HttpHeaders *
+HttpRequest_Headers(const HttpRequest *request)
+{
+    return &request->headers;
+}
+
+const char *
+HttpRequest_Body(const HttpRequest *request, size_t *bytes)
+{
+    *bytes = request->body->len;
+    return request->body->data ? (const char *)request->body->data : "";
+}
+
+ClockMs
+HttpRequest_Arrived(const HttpRequest *request)
+{
+    return request->arrived;
+}
+
+char *
+HttpRequest_Argument(const HttpRequest *request, const char *name)
+{
+    char **parts = g_strsplit(request->query, "&", 0);
+    size_t length = strlen(name);
+    char *value = NULL;
+
+    for (char **part = parts; *part != NULL && value == NULL; part++) {
+        if (strncmp(*part, name, length) == 0 && (*part)[length] == '=') {
+            value = g_uri_unescape_string(*part + length + 1, NULL);
+        }
+    }
+    g_strfreev(parts);
+    return value;
+}
+
+void
+HttpRequest_SetData(HttpRequest *request, void *data, GDestroyNotify end)
+{
+    pthread_mutex_lock(&request->server->lock);
+    request->data = data;
+    request->data_end = end;
+    pthread_mutex_unlock(&request->server->lock);
+}
+
+void *
+HttpRequest_Data(const HttpRequest *request)
+{
+    return request->data;
+}
+
+void
+HttpRequest_SetDeadline(HttpRequest *request, ClockMs deadline)
+{
+    pthread_mutex_lock(&request->server->lock);
+    request->deadline = deadline;
+    pthread_mutex_unlock(&request->server->lock);
+}
+
+gboolean
+HttpRequest_IsOver(const HttpRequest *request)
+{
+    gboolean over;
+
+    pthread_mutex_lock(&request->server->lock);
+    over = request->answered || request->hung_up;
+    pthread_mutex_unlock(&request->server->lock);
+    return over;
+}
+
+void
+HttpRequest_OnHangUp(HttpRequest *request, HttpHangUp callback, void *context)
+{
+    pthread_mutex_lock(&request->server->lock);
+    request->hang_up = callback;
+    request->hang_up_context = context;
+    pthread_mutex_unlock(&request->server->lock);
+}
--- /dev/null
+++ b/src/http/test_http.c
@@ -0,0 +1,268 @@
+/* Tests of the HTTP server and client against each other and against a raw
+ * socket that misbehaves. */
+#include <glib.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/http_client.h"
+#include "http/http_server.h"
+
+static struct sockaddr_in
+loopback(uint16_t port)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons(port)};
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+/* Echoes method, path, query, one header and the body; /hang waits until the
+ * request is over. */
+static void
+echo(void *context, HttpRequest *request)
+{
+    HttpAnswer answer = {.status = 200};
+    const char *mark = HttpHeaders_Get(HttpRequest_Headers(request), "x-mark");
+    GString *text = g_string_new(NULL);
+    const char *body;
+    size_t bytes;
+
+    (void)context;
+    if (strcmp(HttpRequest_Path(request), "/hang") == 0) {
+        HttpRequest_SetDeadline(request, Clock_Now() + 100);
+        while (!HttpRequest_IsOver(request)) {
+            g_usleep(1000);
+        }
+    }
+    body = HttpRequest_Body(request, &bytes);
+    g_string_printf(text, "%s %s?%s %s ", HttpRequest_Method(request),
+                    HttpRequest_Path(request), HttpRequest_Query(request),
+                    mark ? mark : "-");
+    g_string_append_len(text, body, (gssize)bytes);
+    HttpAnswer_SetBody(&answer, text->str, text->len);
+    g_string_free(text, TRUE);
+    HttpRequest_Respond(request, &answer);
+}
+
+static HttpServer *
+start_echo(void)
+{
+    HttpServer_desc desc = {.address = loopback(0),
+                            .handler = echo,
+                            .worker_threads = 4,
+                            .max_body_bytes = 1000};
+    HttpServer *server = HttpServer_Create(&desc, NULL);
+
+    g_assert_nonnull(server);
+    return server;
+}
+
+/* Guards against lost parts of a request and against wrong reuse of
+ * connections. */
+static void
+test_round_trip(void)
+{
+    static const struct {
+        const char *method;
+        const char *target;
+        const char *body;
+        int status;
+        const char *expected;
+    } cases[] = {
+        {"GET", "/a?x=%2F", "", 200, "GET /a?x=%2F m "},
+        {"POST", "/b", "hello", 200, "POST /b? m hello"},
+        {"PUT", "/c%20d?", "", 200, "PUT /c%20d? m "},
+    };
+    HttpServer *server = start_echo();
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+    HttpHeaders headers = {0};
+
+    HttpHeaders_Add(&headers, "X-Mark", "m");
+    for (size_t i = 0; i < 3 * G_N_ELEMENTS(cases); i++) {
+        size_t n = i % G_N_ELEMENTS(cases);
+        HttpAnswer answer = {0};
+        gboolean sent;
+        HttpCall call = {.address = loopback(HttpServer_Port(server)),
+                         .method = cases[n].method,
+                         .target = cases[n].target,
+                         .headers = &headers,
+                         .body = cases[n].body,
+                         .body_bytes = strlen(cases[n].body),
+                         .fresh_connection = i < 3,
+                         .deadline = Clock_Now() + 5000};
+
+        g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                        RESULT_OK);
+        g_assert_cmpint(answer.status, ==, cases[n].status);
+        g_assert_cmpstr(answer.body, ==, cases[n].expected);
+        HttpAnswer_Clear(&answer);
+    }
+    HttpHeaders_Clear(&headers);
+    HttpClient_Destroy(client);
+    HttpServer_Destroy(server);
+}
+
+/* Guards against bodies above the limit that reach the handler. */
+static void
+test_body_limit(void)
+{
+    HttpServer *server = start_echo();
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+    char *large = g_strnfill(2000, 'x');
+    HttpAnswer answer = {0};
+    gboolean sent;
+    HttpCall call = {.address = loopback(HttpServer_Port(server)),
+                     .method = "POST",
+                     .target = "/",
+                     .body = large,
+                     .body_bytes = 2000,
+                     .deadline = Clock_Now() + 5000};
+
+    g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                    RESULT_OK);
+    g_assert_cmpint(answer.status, ==, 413);
+    HttpAnswer_Clear(&answer);
+    g_free(large);
+    HttpClient_Destroy(client);
+    HttpServer_Destroy(server);
+}
+
+/* Guards against answers that come after the deadline and calls that do not
+ * end at their own deadline or when cancelled. */
+static void
+test_deadlines(void)
+{
+    HttpServer *server = start_echo();
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+    HttpCancel *cancel = HttpCancel_Create();
+    HttpAnswer answer = {0};
+    gboolean sent;
+    HttpCall call = {.address = loopback(HttpServer_Port(server)),
+                     .method = "GET",
+                     .target = "/hang",
+                     .deadline = Clock_Now() + 5000};
+
+    g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                    RESULT_OK);
+    g_assert_cmpint(answer.status, ==, 504);
+    HttpAnswer_Clear(&answer);
+
+    call.deadline = Clock_Now() + 30;
+    g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                    RESULT_DEADLINE_EXPIRED);
+    g_assert_true(sent);
+
+    call.deadline = Clock_Now() + 5000;
+    call.cancel = cancel;
+    HttpCancel_Trigger(cancel);
+    g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                    RESULT_CANCELLED);
+    g_assert_false(sent);
+    HttpCancel_Destroy(cancel);
+    HttpClient_Destroy(client);
+    HttpServer_Destroy(server);
+}
+
+typedef struct RawServer {
+    int listener;
+    const char *answer;
+} RawServer;
+
+static void *
+serve_raw(void *context)
+{
+    RawServer *server = context;
+    char buffer[1000];
+    int fd = accept(server->listener, NULL, NULL);
+
+    g_assert_cmpint(recv(fd, buffer, sizeof(buffer), 0), >, 0);
+    if (server->answer[0] != '\0') {
+        g_assert_cmpint(
+            send(fd, server->answer, strlen(server->answer), MSG_NOSIGNAL), >,
+            0);
+    }
+    shutdown(fd, SHUT_WR);
+    while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
+    }
+    close(fd);
+    return NULL;
+}
+
+/* Guards against half answers that pass for whole ones. */
+static void
+test_broken_answers(void)
+{
+    static const struct {
+        const char *answer;
+        Result result;
+    } cases[] = {
+        {"", RESULT_ANSWER_LOST},
+        {"nonsense\r\n\r\n", RESULT_ANSWER_LOST},
+        {"HTTP/1.1 200 OK\r\nContent-Le", RESULT_ANSWER_LOST},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+         RESULT_ANSWER_TRUNCATED},
+        {"HTTP/1.1 200 OK\r\n\r\nabc", RESULT_ANSWER_TRUNCATED},
+        {"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nabc",
+         RESULT_ANSWER_TRUNCATED},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+         RESULT_TOO_LARGE},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+         RESULT_ANSWER_TRUNCATED},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "3\r\nabc\r\n0\r\n\r\n",
+         RESULT_OK},
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+         "Content-Length: 3\r\n\r\nabc",
+         RESULT_OK},
+    };
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct sockaddr_in address = loopback(0);
+        socklen_t bytes = sizeof(address);
+        RawServer server = {.answer = cases[i].answer};
+        HttpAnswer answer = {0};
+        pthread_t thread;
+        gboolean sent;
+        HttpCall call = {.method = "GET",
+                         .target = "/",
+                         .fresh_connection = TRUE,
+                         .deadline = Clock_Now() + 5000};
+
+        server.listener = socket(AF_INET, SOCK_STREAM, 0);
+        g_assert_cmpint(bind(server.listener, (struct sockaddr *)&address,
+                             sizeof(address)),
+                        ==, 0);
+        g_assert_cmpint(listen(server.listener, 1), ==, 0);
+        getsockname(server.listener, (struct sockaddr *)&address, &bytes);
+        call.address = address;
+        pthread_create(&thread, NULL, serve_raw, &server);
+        g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                        cases[i].result);
+        if (cases[i].result == RESULT_OK) {
+            g_assert_cmpstr(answer.body, ==, "abc");
+        }
+        HttpAnswer_Clear(&answer);
+        HttpClient_Forget(client, &address);
+        pthread_join(thread, NULL);
+        close(server.listener);
+        g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                        RESULT_CONNECT_FAILED);
+        g_assert_false(sent);
+    }
+    HttpClient_Destroy(client);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/http/round-trip", test_round_trip);
+    g_test_add_func("/http/body-limit", test_body_limit);
+    g_test_add_func("/http/deadlines", test_deadlines);
+    g_test_add_func("/http/broken-answers", test_broken_answers);
+    return g_test_run();
+}
--- /dev/null
+++ b/src/settings/settings.c
@@ -0,0 +1,347 @@
+#include "settings/settings.h"
+
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <stddef.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "base/result.h"
+#include "http/http_message.h"
+
+typedef enum SettingKind {
+    SETTING_TEXT,
+    SETTING_LIST,
+    SETTING_NUMBER
+} SettingKind;
+
+typedef struct SettingRow {
+    const char *name;
+    SettingKind kind;
+    size_t offset;
+    const char *form; /* or unit */
+    const char *text;
+    const char *text_default;
+    int64_t least;
+    int64_t most;
+    int64_t number_default;
+    gboolean required;
+    gboolean reload;
+} SettingRow;
+
+#define TEXT_ROW(name, required, fallback, form, text) \
+    {#name,                                            \
+     SETTING_TEXT,                                     \
+     offsetof(Settings, name),                         \
+     form,                                             \
+     text,                                             \
+     fallback,                                         \
+     0,                                                \
+     0,                                                \
+     0,                                                \
+     required,                                         \
+     FALSE},
+#define LIST_ROW(name, form, text)                                           \
+    {#name, SETTING_LIST, offsetof(Settings, name), form, text, "", 0, 0, 0, \
+     FALSE, FALSE},
+#define NUMBER_ROW(name, unit, least, most, fallback, reload, text) \
+    {#name, SETTING_NUMBER, offsetof(Settings, name),               \
+     unit,  text,           "",                                     \
+     least, most,           fallback,                               \
+     FALSE, reload},
+static const SettingRow rows[] = {
+    SETTINGS_LIST(TEXT_ROW, LIST_ROW, NUMBER_ROW)};
+
+static const SettingRow *
+find_row(const char *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        if (strcmp(rows[i].name, name) == 0) {
+            return &rows[i];
+        }
+    }
+    return NULL;
+}
+
+static void *
+field_of(const Settings *settings, const SettingRow *row)
+{
+    return (char *)settings + row->offset;
+}
+
+/* Letters, digits, dots and dashes. */
+static gboolean
+is_name(const char *text, size_t most)
+{
+    size_t length = strlen(text);
+
+    return length >= 1 && length <= most &&
+           strspn(text, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                        "0123456789.-") == length;
+}
+
+static gboolean
+is_text_valid(const SettingRow *row, const char *value)
+{
+    struct in_addr address;
+    LogLevel level;
+
+    if (strcmp(row->name, "host") == 0) {
+        return is_name(value, 63);
+    }
+    if (strcmp(row->name, "region") == 0 ||
+        strcmp(row->name, "data_centre") == 0) {
+        return is_name(value, 31);
+    }
+    if (strcmp(row->name, "address") == 0) {
+        return inet_pton(AF_INET, value, &address) == 1;
+    }
+    if (strcmp(row->name, "fleet_secret") == 0) {
+        return strlen(value) >= 16 && strlen(value) <= 255;
+    }
+    if (strcmp(row->name, "log_level") == 0) {
+        return Log_LevelFromName(value, &level);
+    }
+    if (strcmp(row->name, "log_format") == 0) {
+        return strcmp(value, "text") == 0 || strcmp(value, "json") == 0;
+    }
+    return TRUE;
+}
+
+static gboolean
+read_list(SettingsAddresses *list, const json_t *value)
+{
+    const json_t *item;
+    size_t index;
+
+    if (!json_is_array(value) ||
+        json_array_size(value) > SETTINGS_MAX_ADDRESSES) {
+        return FALSE;
+    }
+    json_array_foreach(value, index, item)
+    {
+        if (!json_is_string(item) ||
+            !HttpAddress_Parse(json_string_value(item),
+                               &list->items[list->count])) {
+            return FALSE;
+        }
+        list->count++;
+    }
+    return TRUE;
+}
+
+static void
+read_value(Settings *settings, const SettingRow *row, const json_t *value,
+           GString *errors)
+{
+    char **text = field_of(settings, row);
+    int64_t *number = field_of(settings, row);
+
+    switch (row->kind) {
+    case SETTING_TEXT:
+        if (json_is_string(value) &&
+            is_text_valid(row, json_string_value(value))) {
+            g_free(*text);
+            *text = g_strdup(json_string_value(value));
+            return;
+        }
+        g_string_append_printf(errors, "\n  $.%s: expected %s", row->name,
+                               row->form);
+        return;
+    case SETTING_LIST:
+        if (!read_list(field_of(settings, row), value)) {
+            g_string_append_printf(
+                errors, "\n  $.%s: expected a list of at most %d of \"%s\"",
+                row->name, SETTINGS_MAX_ADDRESSES, row->form);
+        }
+        return;
+    case SETTING_NUMBER:
+        if (json_is_integer(value) &&
+            json_integer_value(value) >= row->least &&
+            json_integer_value(value) <= row->most) {
+            *number = json_integer_value(value);
+            return;
+        }
+        g_string_append_printf(errors,
+                               "\n  $.%s: expected a whole number of %s from "
+                               "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
+                               row->name, row->form, row->least, row->most);
+        return;
+    }
+}
+
+static void
+set_defaults(Settings *settings)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        if (rows[i].kind == SETTING_TEXT) {
+            *(char **)field_of(settings, &rows[i]) =
+                g_strdup(rows[i].text_default);
+        }
+        else if (rows[i].kind == SETTING_NUMBER) {
+            *(int64_t *)field_of(settings, &rows[i]) = rows[i].number_default;
+        }
+    }
+}
+
+static void
+read_object(Settings *settings, json_t *root, GString *errors)
+{
+    const SettingRow *row;
+    const char *name;
+    json_t *value;
+
+    json_object_foreach(root, name, value)
+    {
+        row = find_row(name);
+        if (row == NULL) {
+            g_string_append_printf(errors, "\n  $.%s: unknown field", name);
+        }
+        else {
+            read_value(settings, row, value, errors);
+        }
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        if (rows[i].required && json_object_get(root, rows[i].name) == NULL) {
+            g_string_append_printf(errors, "\n  $.%s: missing, expected %s",
+                                   rows[i].name, rows[i].form);
+        }
+    }
+    if ((settings->tls_certificate_file[0] == '\0') !=
+        (settings->tls_key_file[0] == '\0')) {
+        g_string_append(errors, "\n  $.tls_key_file: certificate and key must "
+                                "be given together");
+    }
+}
+
+Settings *
+Settings_Parse(const char *text, const char *name, GError **error)
+{
+    Settings *settings = g_new0(Settings, 1);
+    GString *errors = g_string_new(NULL);
+    json_error_t json_error;
+    json_t *root = json_loads(text, JSON_REJECT_DUPLICATES, &json_error);
+
+    set_defaults(settings);
+    if (root == NULL) {
+        g_string_append_printf(errors, "\n  line %d: %s", json_error.line,
+                               json_error.text);
+    }
+    else if (!json_is_object(root)) {
+        g_string_append(errors, "\n  $: expected an object");
+    }
+    else {
+        read_object(settings, root, errors);
+    }
+    if (errors->len > 0) {
+        Result_SetError(error, RESULT_SETTINGS_INVALID,
+                        "%s: settings are invalid:%s", name, errors->str);
+        Settings_Destroy(settings);
+        settings = NULL;
+    }
+    json_decref(root);
+    g_string_free(errors, TRUE);
+    return settings;
+}
+
+Settings *
+Settings_Load(const char *path, GError **error)
+{
+    GError *cause = NULL;
+    Settings *settings;
+    char *text;
+
+    if (!g_file_get_contents(path, &text, NULL, &cause)) {
+        Result_SetError(error, RESULT_IO, "%s", cause->message);
+        g_error_free(cause);
+        return NULL;
+    }
+    settings = Settings_Parse(text, path, error);
+    g_free(text);
+    return settings;
+}
+
+void
+Settings_Destroy(Settings *settings)
+{
+    if (settings == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        if (rows[i].kind == SETTING_TEXT) {
+            g_free(*(char **)field_of(settings, &rows[i]));
+        }
+    }
+    g_free(settings);
+}
+
+static gboolean
+is_equal(const Settings *a, const Settings *b, const SettingRow *row)
+{
+    switch (row->kind) {
+    case SETTING_TEXT:
+        return strcmp(*(char **)field_of(a, row),
+                      *(char **)field_of(b, row)) == 0;
+    case SETTING_LIST:
+        return memcmp(field_of(a, row), field_of(b, row),
+                      sizeof(SettingsAddresses)) == 0;
+    default:
+        return *(int64_t *)field_of(a, row) == *(int64_t *)field_of(b, row);
+    }
+}
+
+int
+Settings_Reload(Settings *settings, const Settings *from, GString *unchanged)
+{
+    int count = 0;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        if (rows[i].reload) {
+            __atomic_store_n((int64_t *)field_of(settings, &rows[i]),
+                             *(int64_t *)field_of(from, &rows[i]),
+                             __ATOMIC_RELAXED);
+        }
+        else if (!is_equal(settings, from, &rows[i])) {
+            g_string_append_printf(unchanged, "%s%s", count ? ", " : "",
+                                   rows[i].name);
+            count++;
+        }
+    }
+    return count;
+}
+
+int64_t
+Settings_Read(const int64_t *number)
+{
+    return __atomic_load_n(number, __ATOMIC_RELAXED);
+}
+
+void
+Settings_WriteTable(GString *out)
+{
+    g_string_append(out, "| name | form or unit | range | default | SIGHUP | "
+                         "meaning |\n|---|---|---|---|---|---|\n");
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        const SettingRow *row = &rows[i];
+
+        g_string_append_printf(out, "| `%s` | %s | ", row->name, row->form);
+        if (row->kind == SETTING_NUMBER) {
+            g_string_append_printf(out,
+                                   "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
+                                   " | %" G_GINT64_FORMAT " | ",
+                                   row->least, row->most, row->number_default);
+        }
+        else if (row->kind == SETTING_LIST) {
+            g_string_append_printf(out, "0 to %d items | empty | ",
+                                   SETTINGS_MAX_ADDRESSES);
+        }
+        else {
+            g_string_append_printf(out, "| %s | ",
+                                   row->required          ? "required"
+                                   : row->text_default[0] ? row->text_default
+                                                          : "empty");
+        }
+        g_string_append_printf(out, "%s | %s |\n", row->reload ? "yes" : "no",
+                               row->text);
+    }
+}
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,64 @@
+/* Settings: the daemon's settings, read from a JSON file and checked whole.
+ *
+ * Use:
+ *  1. Settings_Load() reads and checks a file; all errors are listed at once
+ * in the GError's message, one a line, each with the JSON path and the
+ *     expected form.
+ *  2. Read the fields.
+ *  3. On SIGHUP, Settings_Reload() takes over the values that may change while
+ *     the daemon runs and names the others that differ.
+ *  4. Settings_Destroy().
+ *
+ * Errors: SETTINGS_INVALID, IO. Unknown fields are refused.
+ */
+#ifndef SETTINGS_SETTINGS_H
+#define SETTINGS_SETTINGS_H
+
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdint.h>
+
+#include "settings/settings_list.h"
+
+#define SETTINGS_MAX_ADDRESSES 16
+
+typedef struct SettingsAddresses {
+    struct sockaddr_in items[SETTINGS_MAX_ADDRESSES];
+    unsigned count;
+} SettingsAddresses;
+
+#define _SETTINGS_TEXT(name, required, fallback, form, text) char *name;
+#define _SETTINGS_LIST(name, form, text) SettingsAddresses name;
+#define _SETTINGS_NUMBER(name, unit, least, most, fallback, reload, text) \
+    int64_t name;
+typedef struct Settings {
+    SETTINGS_LIST(_SETTINGS_TEXT, _SETTINGS_LIST, _SETTINGS_NUMBER)
+} Settings;
+#undef _SETTINGS_TEXT
+#undef _SETTINGS_LIST
+#undef _SETTINGS_NUMBER
+
+Settings *
+Settings_Load(const char *path, GError **error);
+
+/* Parses JSON text; the name stands for the file in messages. */
+Settings *
+Settings_Parse(const char *text, const char *name, GError **error);
+void
+Settings_Destroy(Settings *settings);
+
+/* Copies the reloadable numbers of `from`. Returns the number of other values
+ * that differ and appends their names to `unchanged`. Reloadable numbers are
+ * read by running threads, so they are written as single atomic stores. */
+int
+Settings_Reload(Settings *settings, const Settings *from, GString *unchanged);
+
+/* Reads a reloadable number while another thread may reload it. */
+int64_t
+Settings_Read(const int64_t *number);
+
+/* Appends the documentation table. */
+void
+Settings_WriteTable(GString *out);
+
+#endif
--- /dev/null
+++ b/src/settings/settings_list.h
@@ -0,0 +1,79 @@
+/* The list of settings of the daemon. docs/settings.md is generated from it.
+ *
+ * TEXT(name, required, default, form, text)
+ * LIST(name, form, text)
+ * NUMBER(name, unit, least, most, default, reload, text)
+ * reload is 1 where SIGHUP puts a new value in force.
+ */
+#ifndef SETTINGS_SETTINGS_LIST_H
+#define SETTINGS_SETTINGS_LIST_H
+
+/* clang-format off */
+#define SETTINGS_LIST(TEXT, LIST, NUMBER) \
+    TEXT(host, 1, "", "1 to 63 letters, digits, dots or dashes", \
+         "name of this host, unique in the fleet") \
+    TEXT(region, 1, "", "1 to 31 letters, digits or dashes", "region") \
+    TEXT(data_centre, 1, "", "1 to 31 letters, digits or dashes", \
+         "data centre") \
+    TEXT(address, 1, "", "numeric IPv4 address", \
+         "address on which all ports listen and that other hosts dial") \
+    TEXT(fleet_secret, 1, "", "16 to 255 characters", \
+         "secret shared by all daemons and the tool") \
+    TEXT(log_level, 0, "info", "error, warning, info or debug", \
+         "lowest level of events written") \
+    TEXT(log_format, 0, "text", "text or json", "form of log lines") \
+    TEXT(tls_certificate_file, 0, "", "path of a PEM file", \
+         "certificate of the entry port; empty: no TLS") \
+    TEXT(tls_key_file, 0, "", "path of a PEM file", \
+         "private key of the certificate") \
+    LIST(store, "numeric address:port", "addresses of the platform's store") \
+    LIST(seeds, "numeric address:port", \
+         "RPC addresses of hosts through which this host joins the fleet") \
+    NUMBER(entry_port, "port", 0, 65535, 0, 0, \
+           "port for callers; 0: the kernel chooses") \
+    NUMBER(owner_port, "port", 0, 65535, 0, 0, \
+           "port for other daemons' requests") \
+    NUMBER(rpc_port, "port", 0, 65535, 0, 0, "UDP port for control messages") \
+    NUMBER(admin_port, "port", 0, 65535, 0, 0, \
+           "port for announcements, the tool and metrics") \
+    NUMBER(entry_threads, "threads", 1, 512, 64, 0, \
+           "requests of callers that may block at once") \
+    NUMBER(owner_threads, "threads", 1, 512, 64, 0, \
+           "requests to backend servers that may block at once") \
+    NUMBER(max_body_bytes, "bytes", 1, 16777216, 1048576, 0, \
+           "largest body of a request") \
+    NUMBER(default_deadline_ms, "ms", 1, 600000, 10000, 1, \
+           "deadline of a request when neither caller nor route gives one") \
+    NUMBER(queue_per_server, "requests", 0, 1000, 20, 1, \
+           "requests that wait for a slot of one backend server") \
+    NUMBER(silence_ms, "ms", 50, 60000, 500, 1, \
+           "time without an answer after which the owner is asked by RPC " \
+           "whether it still has the request") \
+    NUMBER(drain_ms, "ms", 0, 600000, 30000, 1, \
+           "longest wait for requests in flight at a graceful stop") \
+    NUMBER(gossip_period_ms, "ms", 50, 60000, 1000, 0, \
+           "time between two pings") \
+    NUMBER(rate_hold_ms, "ms", 1000, 604800000, 43200000, 0, \
+           "how long a rate slot is held without renewal") \
+    NUMBER(rate_grant_ms, "ms", 50, 10000, 1000, 0, \
+           "life of a grant of rate tokens") \
+    NUMBER(rate_slots, "slots", 3, 4096, 512, 0, \
+           "rate slots of the fleet, the same on all hosts") \
+    NUMBER(isolation_limit_ms, "ms", 0, 604800000, 0, 1, \
+           "time without contact to the store, through any peer, after which " \
+           "requests are refused; 0: never") \
+    NUMBER(retry_budget_percent, "percent", 0, 100, 10, 1, \
+           "retries allowed as a share of recent requests") \
+    NUMBER(token_validity_ms, "ms", 10000, 3600000, 600000, 0, \
+           "validity of run tokens") \
+    NUMBER(run_table_entries, "entries", 100, 1000000, 20000, 0, \
+           "issuances whose outcome is kept at once") \
+    NUMBER(health_slow_percent, "percent", 150, 5000, 300, 1, \
+           "latency against the service's median that counts as slow") \
+    NUMBER(health_window_ms, "ms", 200, 60000, 1000, 1, \
+           "window of samples on which an ejection is decided") \
+    NUMBER(announce_timeout_ms, "ms", 500, 60000, 3000, 1, \
+           "time without announcement after which a backend server is dropped")
+/* clang-format on */
+
+#endif
