--- a/src/base/result_list.h
+++ b/src/base/result_list.h
@@ -63,6 +63,7 @@
     \
     /* member 230-249 */ \
     RESULT(MEMBER_UNKNOWN, 230, 404, "no such host") \
+    RESULT(HOST_ALIVE, 231, 409, "the host is alive") \
     \
     \
     /* route 250-269 */ \
@@ -109,7 +110,17 @@
     RESULT(CANCELLED, 350, 499, "the caller hung up") \
     RESULT(SHUTTING_DOWN, 351, 503, "the daemon is shutting down") \
     RESULT(PEER_UNAUTHENTICATED, 352, 403, \
-           "the request does not come from a daemon of the fleet")
+           "the request does not come from a daemon of the fleet") \
+    RESULT(BACKEND_SERVER_EJECTED, 353, 503, \
+           "the backend server is ejected because it is sick") \
+    RESULT(BACKEND_SERVER_SHED, 354, 503, \
+           "the backend server shed the request") \
+    RESULT(BACKEND_SERVER_ERROR, 355, 502, \
+           "the backend server answered with an error") \
+    RESULT(REQUEST_ID_VOID, 356, 409, \
+           "this copy of the request was voided before it arrived") \
+    RESULT(CONNECTION_SILENT, 357, 502, \
+           "the connection to the owner went silent")
 /* clang-format on */
 
 #endif
--- /dev/null
+++ b/src/entry/entry.c
@@ -0,0 +1,458 @@
+#include "entry/entry.h"
+
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "entry/entry_internal.h"
+#include "owner/owner_wire.h"
+
+/* An owner that refuses a request because its backend server is leaving, gone
+ * or ejected costs next to nothing, so such refusals are not charged to the
+ * retry budget, but their number is limited. */
+#define MAX_REDIRECTS 4
+
+/* Adds a line to the ring of explanations; takes ownership. */
+static void
+keep_record(Entry *entry, char *line)
+{
+    pthread_mutex_lock(&entry->lock);
+    g_free(entry->records[entry->next_record]);
+    entry->records[entry->next_record] = line;
+    entry->next_record = (entry->next_record + 1) % ENTRY_RECORDS;
+    pthread_mutex_unlock(&entry->lock);
+}
+
+void
+Entry_ExplainMatching(Entry *entry, const char *text, unsigned max,
+                      GString *out)
+{
+    unsigned found = 0;
+    unsigned index;
+
+    pthread_mutex_lock(&entry->lock);
+    for (unsigned i = 1; i <= ENTRY_RECORDS && found < max; i++) {
+        index = (entry->next_record + ENTRY_RECORDS - i) % ENTRY_RECORDS;
+        if (entry->records[index] != NULL &&
+            strstr(entry->records[index], text) != NULL) {
+            g_string_append_printf(out, "%s\n", entry->records[index]);
+            found++;
+        }
+    }
+    pthread_mutex_unlock(&entry->lock);
+}
+
+char *
+Entry_Explain(Entry *entry, const char *request_id)
+{
+    GString *out = g_string_new(NULL);
+
+    Entry_ExplainMatching(entry, request_id, 1, out);
+    return out->len > 0 ? g_string_free(out, FALSE)
+                        : (g_string_free(out, TRUE), NULL);
+}
+
+/* Finds or adds the service's record; with the lock held. */
+static EntryService *
+service_record(Entry *entry, uint64_t service)
+{
+    Retry_desc retry = {.budget_percent = (uint32_t)Settings_Read(
+                            &entry->desc.settings->retry_budget_percent)};
+    EntryService *record = g_hash_table_lookup(entry->services, &service);
+
+    if (record == NULL) {
+        record = g_new0(EntryService, 1);
+        record->service = service;
+        RetryBudget_Init(&record->budget, &retry, Clock_Now());
+        g_hash_table_insert(entry->services, &record->service, record);
+    }
+    return record;
+}
+
+/* Takes one of the service's threads. */
+static Result
+enter_service(EntryRequest *request)
+{
+    Entry *entry = request->entry;
+    unsigned limit = (unsigned)entry->desc.settings->entry_threads / 2;
+    Result result = RESULT_OK;
+    EntryService *record;
+
+    pthread_mutex_lock(&entry->lock);
+    record = service_record(entry, request->service);
+    if (record->in_flight >= MAX(limit, 1)) {
+        result = RESULT_OVERLOADED;
+    }
+    else {
+        record->in_flight++;
+        RetryBudget_Request(&record->budget, Clock_Now());
+    }
+    pthread_mutex_unlock(&entry->lock);
+    return result;
+}
+
+static void
+leave_service(EntryRequest *request)
+{
+    Entry *entry = request->entry;
+
+    pthread_mutex_lock(&entry->lock);
+    service_record(entry, request->service)->in_flight--;
+    pthread_mutex_unlock(&entry->lock);
+}
+
+static Result
+take_rate_token(EntryRequest *request)
+{
+    int64_t started = Clock_NowMicroseconds();
+    Result result = RateService_TakeToken(
+        request->entry->desc.rate, request->team_hash, &request->limit,
+        request->deadline, &request->rate_token);
+
+    Counter_Observe(HISTOGRAM_ENTRY_RATE, Clock_NowMicroseconds() - started);
+    request->has_rate_token = result == RESULT_OK;
+    return result;
+}
+
+/* Confirms the token right before the first attempt leaves; a process that
+ * was paused since the token was taken takes another one. */
+static Result
+use_rate_token(EntryRequest *request)
+{
+    Result result = RESULT_OK;
+
+    while (request->has_rate_token) {
+        request->has_rate_token = FALSE;
+        result = RateService_UseToken(request->entry->desc.rate,
+                                      &request->rate_token);
+        if (result == RESULT_OK) {
+            return RESULT_OK;
+        }
+        result = take_rate_token(request);
+    }
+    return result;
+}
+
+static gboolean
+is_redirect(const OwnerReply *reply)
+{
+    return reply->run == RUN_NO &&
+           (reply->result == RESULT_BACKEND_SERVER_LEAVING ||
+            reply->result == RESULT_BACKEND_SERVER_EJECTED ||
+            reply->result == RESULT_NO_BACKEND_SERVER ||
+            reply->result == RESULT_SHUTTING_DOWN ||
+            reply->result == RESULT_CONNECTION_SILENT);
+}
+
+/* Decides whether to try again, and waits if overload asks for it. */
+static gboolean
+tries_again(EntryRequest *request, const OwnerReply *reply)
+{
+    Entry *entry = request->entry;
+    RetryInput input = {
+        .result = reply->result,
+        .run = (RunState)atomic_load(&request->run),
+        .idempotent = request->idempotent,
+        .issuance = request->issuance,
+        .other_place = TRUE,
+        .attempts = request->attempts - request->redirects,
+        .route_retries = request->retries,
+        .time_left_ms = request->deadline - Clock_Now(),
+    };
+    RetryDecision decision;
+
+    if (reply->result == RESULT_OK || HttpRequest_IsOver(request->http) ||
+        (request->is_caller_token && request->issuance)) {
+        return FALSE;
+    }
+    if (is_redirect(reply) && request->redirects < MAX_REDIRECTS &&
+        input.time_left_ms > 0) {
+        request->redirects++;
+        return TRUE;
+    }
+    pthread_mutex_lock(&entry->lock);
+    decision =
+        Retry_Decide(&service_record(entry, request->service)->budget, NULL,
+                     &input, Clock_Now(), &entry->rng);
+    pthread_mutex_unlock(&entry->lock);
+    if (decision.reason != RETRY_AGAIN) {
+        _Entry_Trace(request, "; final %s", Retry_ReasonName(decision.reason));
+        return FALSE;
+    }
+    Counter_Retry(reply->result);
+    if (decision.backoff_ms > 0) {
+        g_usleep((gulong)decision.backoff_ms * 1000);
+    }
+    return TRUE;
+}
+
+static void
+run_lookup(EntryRequest *request, OwnerReply *reply)
+{
+    EntryTarget target;
+
+    reply->result = _Entry_ChooseTarget(request, &target);
+    if (reply->result != RESULT_OK) {
+        return;
+    }
+    _Entry_Attempt(request, &target, reply);
+    if (reply->result != RESULT_OK &&
+        request->failed_count < ENTRY_MAX_FAILED) {
+        request->failed[request->failed_count++] = target.backend_server;
+    }
+}
+
+/* Makes attempts until one is final. The reply keeps the last answer, unless
+ * no place was left for another try. */
+static void
+run_request(EntryRequest *request, OwnerReply *reply)
+{
+    OwnerReply next;
+
+    memset(reply, 0, sizeof(*reply));
+    reply->result = use_rate_token(request);
+    if (reply->result != RESULT_OK) {
+        return;
+    }
+    do {
+        memset(&next, 0, sizeof(next));
+        if (request->issuance) {
+            _Entry_RunIssuance(request, &next);
+        }
+        else {
+            run_lookup(request, &next);
+        }
+        if (next.result == RESULT_NO_BACKEND_SERVER && request->attempts > 0 &&
+            reply->result != RESULT_OK) {
+            HttpAnswer_Clear(&next.answer);
+            return;
+        }
+        HttpAnswer_Clear(&reply->answer);
+        *reply = next;
+    } while (tries_again(request, reply));
+}
+
+static void
+add_token(EntryRequest *request, HttpAnswer *answer)
+{
+    const char *token = atomic_load(&request->token_text);
+
+    if (token != NULL) {
+        HttpHeaders_Add(&answer->headers, "Radishknot-Run-Token", token);
+    }
+}
+
+/* The caller's answer: the backend server's, or a refusal. */
+static void
+fill_answer(EntryRequest *request, OwnerReply *reply, HttpAnswer *answer)
+{
+    RunState run = reply->result == RESULT_OK
+                       ? reply->run
+                       : (RunState)atomic_load(&request->run);
+
+    if (reply->result == RESULT_OK ||
+        reply->result == RESULT_BACKEND_SERVER_ERROR) {
+        answer->status = reply->answer.status;
+        for (size_t i = 0; i < reply->answer.headers.count; i++) {
+            const HttpHeader *header = &reply->answer.headers.items[i];
+
+            if (!OwnerWire_IsOwnHeader(header->name)) {
+                HttpHeaders_Add(&answer->headers, header->name, header->value);
+            }
+        }
+        answer->body = g_steal_pointer(&reply->answer.body);
+        answer->body_bytes = reply->answer.body_bytes;
+        HttpHeaders_Add(&answer->headers, "Radishknot-Request-Id",
+                        request->id);
+        HttpHeaders_AddNumber(&answer->headers, "Radishknot-Result",
+                              (int)reply->result);
+        HttpHeaders_Add(&answer->headers, "Radishknot-Run",
+                        Result_RunName(run));
+    }
+    else {
+        HttpAnswer_SetRefusal(answer, reply->result, run, request->id, NULL);
+        if (answer->status == 503 || answer->status == 429) {
+            HttpHeaders_Add(&answer->headers, "Retry-After", "1");
+        }
+    }
+    add_token(request, answer);
+}
+
+static void
+explain(EntryRequest *request, const OwnerReply *reply)
+{
+    char *time;
+    GDateTime *date;
+
+    if (reply->result == RESULT_OK && request->attempts <= 1) {
+        return;
+    }
+    date = g_date_time_new_now_utc();
+    time = g_date_time_format(date, "%Y-%m-%dT%H:%M:%SZ");
+    keep_record(request->entry,
+                g_strdup_printf("%s %s team=%s route=%s %s run=%s%s", time,
+                                request->id, request->team, request->route,
+                                Result_Name(reply->result),
+                                Result_RunName((RunState)atomic_load(
+                                    &request->run)),
+                                request->trace));
+    g_free(time);
+    g_date_time_unref(date);
+}
+
+static void
+respond(EntryRequest *request, OwnerReply *reply)
+{
+    HttpAnswer answer = {0};
+
+    if (request->has_rate_token) {
+        RateService_ReturnToken(request->entry->desc.rate,
+                                &request->rate_token);
+        request->has_rate_token = FALSE;
+    }
+    explain(request, reply);
+    if (reply->result == RESULT_OK) {
+        Counter_Add(COUNTER_ENTRY_ANSWERS, 1);
+    }
+    else {
+        Counter_Refusal(reply->result);
+    }
+    fill_answer(request, reply, &answer);
+    HttpAnswer_Clear(&reply->answer);
+    HttpRequest_Respond(request->http, &answer);
+}
+
+static void
+serve_request(EntryRequest *request)
+{
+    OwnerReply reply = {0};
+
+    reply.result = _Entry_ReadRequest(request);
+    if (reply.result == RESULT_OK &&
+        strncmp(HttpRequest_Path(request->http), "/radishknot/", 12) == 0) {
+        if (strcmp(HttpRequest_Path(request->http),
+                   "/radishknot/v1/run-tokens") == 0) {
+            _Entry_ServeRunTokens(request);
+            return;
+        }
+        reply.result = RESULT_ROUTE_UNKNOWN;
+    }
+    if (reply.result == RESULT_OK) {
+        reply.result = take_rate_token(request);
+    }
+    if (reply.result == RESULT_OK) {
+        reply.result = enter_service(request);
+        if (reply.result == RESULT_OK) {
+            run_request(request, &reply);
+            leave_service(request);
+        }
+    }
+    respond(request, &reply);
+}
+
+static void
+free_request(gpointer data)
+{
+    _Entry_ClearRequest(data);
+}
+
+static void
+handle(void *context, HttpRequest *http)
+{
+    Entry *entry = context;
+    EntryRequest *request = g_new0(EntryRequest, 1);
+    int64_t started = Clock_NowMicroseconds();
+
+    Counter_Add(COUNTER_ENTRY_REQUESTS, 1);
+    request->entry = entry;
+    request->http = http;
+    atomic_store(&request->run, RUN_NO);
+    pthread_mutex_lock(&entry->lock);
+    g_snprintf(request->id, sizeof(request->id),
+               "%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x",
+               entry->desc.host, Rng_Next(&entry->rng));
+    pthread_mutex_unlock(&entry->lock);
+    HttpRequest_SetData(http, request, free_request);
+    serve_request(request);
+    Counter_Observe(HISTOGRAM_ENTRY_TOTAL, Clock_NowMicroseconds() - started);
+}
+
+/* Answers at the deadline, while the handler may still run. */
+static void
+refuse(void *context, HttpRequest *http, Result result, HttpAnswer *answer)
+{
+    EntryRequest *request = HttpRequest_Data(http);
+    RunState run = RUN_NO;
+
+    (void)context;
+    Counter_Refusal(result);
+    if (request != NULL) {
+        run = (RunState)atomic_load(&request->run);
+    }
+    HttpAnswer_SetRefusal(answer, result, run, request ? request->id : NULL,
+                          NULL);
+    if (request != NULL) {
+        add_token(request, answer);
+    }
+}
+
+Entry *
+Entry_Create(const Entry_desc *desc, GError **error)
+{
+    Entry *entry = g_new0(Entry, 1);
+    const Settings *settings = desc->settings;
+    Route_desc route = {.seed = Rng_ProcessSeed()};
+    HttpServer_desc server = {
+        .address = desc->address,
+        .worker_threads = (unsigned)settings->entry_threads,
+        .max_body_bytes = (size_t)settings->max_body_bytes,
+        .tls_certificate_pem = desc->tls_certificate_pem,
+        .tls_key_pem = desc->tls_key_pem,
+        .handler = handle,
+        .refuser = refuse,
+        .context = entry,
+    };
+
+    entry->desc = *desc;
+    pthread_mutex_init(&entry->lock, NULL);
+    Rng_Seed(&entry->rng, Rng_ProcessSeed());
+    entry->services =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    entry->route = Route_Create(&route);
+    entry->watch = EntryWatch_Create(desc->rpc, &settings->silence_ms);
+    entry->server = HttpServer_Create(&server, error);
+    if (entry->server == NULL) {
+        Entry_Destroy(entry);
+        return NULL;
+    }
+    return entry;
+}
+
+uint16_t
+Entry_Port(const Entry *entry)
+{
+    return HttpServer_Port(entry->server);
+}
+
+gboolean
+Entry_Drain(Entry *entry, ClockMs until)
+{
+    return HttpServer_Drain(entry->server, until);
+}
+
+void
+Entry_Destroy(Entry *entry)
+{
+    if (entry == NULL) {
+        return;
+    }
+    HttpServer_Destroy(entry->server);
+    EntryWatch_Destroy(entry->watch);
+    Route_Destroy(entry->route);
+    g_hash_table_destroy(entry->services);
+    for (unsigned i = 0; i < ENTRY_RECORDS; i++) {
+        g_free(entry->records[i]);
+    }
+    pthread_mutex_destroy(&entry->lock);
+    g_free(entry);
+}
--- /dev/null
+++ b/src/entry/entry_internal.h
@@ -0,0 +1,117 @@
+/* Types shared by the files of the entry slice. */
+#ifndef ENTRY_ENTRY_INTERNAL_H
+#define ENTRY_ENTRY_INTERNAL_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "base/rng.h"
+#include "entry/entry.h"
+#include "entry/entry_watch.h"
+#include "issue/run_token.h"
+
+#define ENTRY_MAX_FAILED 8
+#define ENTRY_MAX_TOKENS 16
+#define ENTRY_ID_BYTES 33
+#define ENTRY_RECORDS 2048
+#define ENTRY_TRACE_BYTES 400
+
+/* Budget and threads in use of one service. */
+typedef struct EntryService {
+    uint64_t service;
+    RetryBudget budget;
+    unsigned in_flight;
+} EntryService;
+
+struct Entry {
+    Entry_desc desc;
+    HttpServer *server;
+    EntryWatch *watch;
+    pthread_mutex_t lock; /* for everything below */
+    Route *route;
+    GHashTable *services; /* &EntryService.service -> EntryService */
+    Rng rng;
+    char *records[ENTRY_RECORDS]; /* explanations, a ring */
+    unsigned next_record;
+};
+
+/* A place where a request can run. */
+typedef struct EntryTarget {
+    uint64_t backend_server;
+    uint64_t host;
+    uint64_t incarnation;
+    struct sockaddr_in owner_address;
+    RpcPeer rpc;
+    gboolean is_local;
+    RouteTier tier;
+} EntryTarget;
+
+typedef struct EntryRequest {
+    Entry *entry;
+    HttpRequest *http;
+    char id[ENTRY_ID_BYTES];
+    char *target; /* path and query */
+    const char *body;
+    size_t body_bytes;
+    HttpHeaders forwarded;
+    ClockMs deadline;
+
+    /* From the configuration. */
+    char team[TICKET_MAX_NAME + 1];
+    uint64_t team_hash;
+    RateLimit limit;
+    uint64_t service;
+    char route[TICKET_MAX_PATH + 1];
+    uint64_t route_hash;
+    gboolean issuance;
+    gboolean idempotent;
+    uint32_t retries;
+    RoutePool pools[CONFIG_MAX_SPLITS];
+    uint32_t pool_count;
+    uint32_t pool; /* hash of the chosen pool, if pool_count > 0 */
+
+    RateToken rate_token;
+    gboolean has_rate_token;
+
+    RunToken token;
+    /* Texts of all tokens of the request; the last one goes into the answer,
+     * which another thread may write at the deadline. */
+    char *token_texts[ENTRY_MAX_TOKENS];
+    uint32_t token_count;
+    _Atomic(const char *) token_text;
+    gboolean is_caller_token;
+
+    uint64_t failed[ENTRY_MAX_FAILED]; /* backend servers */
+    uint32_t failed_count;
+    uint32_t attempts;
+    uint32_t redirects;
+    _Atomic int run; /* RunState if the request ended now */
+    char trace[ENTRY_TRACE_BYTES];
+} EntryRequest;
+
+/* entry_request.c: reads the request, finds team and route. */
+Result _Entry_ReadRequest(EntryRequest *request);
+void _Entry_ClearRequest(EntryRequest *request);
+
+/* Makes the text the one in use; FALSE after ENTRY_MAX_TOKENS tokens. */
+gboolean _Entry_SetToken(EntryRequest *request, const char *text);
+void _Entry_Trace(EntryRequest *request, const char *format, ...)
+    G_GNUC_PRINTF(2, 3);
+
+/* entry_target.c: chooses places and makes attempts. */
+Result _Entry_ChooseTarget(EntryRequest *request, EntryTarget *target);
+
+/* The owner that a run token names, or the n-th host that may answer for it;
+ * FALSE if there is none. */
+gboolean _Entry_TokenTarget(EntryRequest *request, unsigned n,
+                            EntryTarget *target);
+void _Entry_Attempt(EntryRequest *request, const EntryTarget *target,
+                    OwnerReply *reply);
+
+/* entry_issue.c */
+Result _Entry_Mint(EntryRequest *request, const EntryTarget *target,
+                   uint32_t count, RunToken *first, uint32_t *minted);
+void _Entry_RunIssuance(EntryRequest *request, OwnerReply *reply);
+void _Entry_ServeRunTokens(EntryRequest *request);
+
+#endif
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -650,5 +650,8 @@
     pthread_mutex_lock(&request->server->lock);
     request->hang_up = callback;
     request->hang_up_context = context;
+    if (request->hung_up && callback != NULL) {
+        callback(context);
+    }
     pthread_mutex_unlock(&request->server->lock);
 }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -31,7 +31,8 @@
 typedef void (*HttpHandler)(void *context, HttpRequest *request);
 
 /* Answers a request whose deadline passed or that was refused before the
- * handler ran. Must not block. */
+ * handler ran. Must not block; of the HttpRequest functions it may call only
+ * HttpRequest_Data(). */
 typedef void (*HttpRefuser)(void *context, HttpRequest *request, Result result,
                             HttpAnswer *answer);
 
@@ -99,7 +100,8 @@
 gboolean
 HttpRequest_IsOver(const HttpRequest *request);
 
-/* Called at most once, from another thread, when the caller hangs up. */
+/* Called when the caller hangs up, from another thread, or at once if it has.
+ * Must not block or call HttpRequest functions. */
 typedef void (*HttpHangUp)(void *context);
 void
 HttpRequest_OnHangUp(HttpRequest *request, HttpHangUp callback, void *context);
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -12,6 +12,7 @@
 typedef enum SettingKind {
     SETTING_TEXT,
     SETTING_LIST,
+    SETTING_NAMES,
     SETTING_NUMBER
 } SettingKind;
 
@@ -44,13 +45,16 @@
 #define LIST_ROW(name, form, text)                                           \
     {#name, SETTING_LIST, offsetof(Settings, name), form, text, "", 0, 0, 0, \
      FALSE, FALSE},
+#define NAMES_ROW(name, form, text)                                           \
+    {#name, SETTING_NAMES, offsetof(Settings, name), form, text, "", 0, 0, 0, \
+     FALSE, FALSE},
 #define NUMBER_ROW(name, unit, least, most, fallback, reload, text) \
     {#name, SETTING_NUMBER, offsetof(Settings, name),               \
      unit,  text,           "",                                     \
      least, most,           fallback,                               \
      FALSE, reload},
 static const SettingRow rows[] = {
-    SETTINGS_LIST(TEXT_ROW, LIST_ROW, NUMBER_ROW)};
+    SETTINGS_LIST(TEXT_ROW, LIST_ROW, NAMES_ROW, NUMBER_ROW)};
 
 static const SettingRow *
 find_row(const char *name)
@@ -130,6 +134,29 @@
     return TRUE;
 }
 
+static gboolean
+read_names(SettingsNames *names, const json_t *value)
+{
+    const json_t *item;
+    size_t index;
+
+    if (!json_is_array(value) ||
+        json_array_size(value) > SETTINGS_MAX_NAMES) {
+        return FALSE;
+    }
+    json_array_foreach(value, index, item)
+    {
+        if (!json_is_string(item) ||
+            !is_name(json_string_value(item), SETTINGS_NAME_BYTES - 1) ||
+            Settings_IndexOf(names, json_string_value(item)) >= 0) {
+            return FALSE;
+        }
+        g_strlcpy(names->items[names->count++], json_string_value(item),
+                  SETTINGS_NAME_BYTES);
+    }
+    return TRUE;
+}
+
 static void
 read_value(Settings *settings, const SettingRow *row, const json_t *value,
            GString *errors)
@@ -155,6 +182,15 @@
                 row->name, SETTINGS_MAX_ADDRESSES, row->form);
         }
         return;
+    case SETTING_NAMES:
+        if (!read_names(field_of(settings, row), value)) {
+            g_string_append_printf(
+                errors,
+                "\n  $.%s: expected a list of at most %d different names of "
+                "%s",
+                row->name, SETTINGS_MAX_NAMES, row->form);
+        }
+        return;
     case SETTING_NUMBER:
         if (json_is_integer(value) &&
             json_integer_value(value) >= row->least &&
@@ -184,6 +220,22 @@
     }
 }
 
+/* A list that is left out holds only the host's own name. */
+static void
+check_membership(SettingsNames *names, const char *list, const char *name,
+                 GString *errors)
+{
+    if (names->count == 0) {
+        g_strlcpy(names->items[names->count++], name, SETTINGS_NAME_BYTES);
+    }
+    if (Settings_IndexOf(names, name) < 0) {
+        g_string_append_printf(errors,
+                               "\n  $.%s: expected to hold this host's own "
+                               "\"%s\"",
+                               list, name);
+    }
+}
+
 static void
 read_object(Settings *settings, json_t *root, GString *errors)
 {
@@ -207,6 +259,9 @@
                                    rows[i].name, rows[i].form);
         }
     }
+    check_membership(&settings->regions, "regions", settings->region, errors);
+    check_membership(&settings->data_centres, "data_centres",
+                     settings->data_centre, errors);
     if ((settings->tls_certificate_file[0] == '\0') !=
         (settings->tls_key_file[0] == '\0')) {
         g_string_append(errors, "\n  $.tls_key_file: certificate and key must "
@@ -214,6 +269,17 @@
     }
 }
 
+int
+Settings_IndexOf(const SettingsNames *names, const char *name)
+{
+    for (unsigned i = 0; i < names->count; i++) {
+        if (strcmp(names->items[i], name) == 0) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
 Settings *
 Settings_Parse(const char *text, const char *name, GError **error)
 {
@@ -285,6 +351,9 @@
     case SETTING_LIST:
         return memcmp(field_of(a, row), field_of(b, row),
                       sizeof(SettingsAddresses)) == 0;
+    case SETTING_NAMES:
+        return memcmp(field_of(a, row), field_of(b, row),
+                      sizeof(SettingsNames)) == 0;
     default:
         return *(int64_t *)field_of(a, row) == *(int64_t *)field_of(b, row);
     }
@@ -335,6 +404,10 @@
             g_string_append_printf(out, "0 to %d items | empty | ",
                                    SETTINGS_MAX_ADDRESSES);
         }
+        else if (row->kind == SETTING_NAMES) {
+            g_string_append_printf(out, "0 to %d items | the own name | ",
+                                   SETTINGS_MAX_NAMES);
+        }
         else {
             g_string_append_printf(out, "| %s | ",
                                    row->required          ? "required"
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -27,15 +27,26 @@
     unsigned count;
 } SettingsAddresses;
 
+#define SETTINGS_MAX_NAMES 63
+#define SETTINGS_NAME_BYTES 32
+
+typedef struct SettingsNames {
+    char items[SETTINGS_MAX_NAMES][SETTINGS_NAME_BYTES];
+    unsigned count;
+} SettingsNames;
+
 #define _SETTINGS_TEXT(name, required, fallback, form, text) char *name;
 #define _SETTINGS_LIST(name, form, text) SettingsAddresses name;
+#define _SETTINGS_NAMES(name, form, text) SettingsNames name;
 #define _SETTINGS_NUMBER(name, unit, least, most, fallback, reload, text) \
     int64_t name;
 typedef struct Settings {
-    SETTINGS_LIST(_SETTINGS_TEXT, _SETTINGS_LIST, _SETTINGS_NUMBER)
+    SETTINGS_LIST(_SETTINGS_TEXT, _SETTINGS_LIST, _SETTINGS_NAMES,
+                  _SETTINGS_NUMBER)
 } Settings;
 #undef _SETTINGS_TEXT
 #undef _SETTINGS_LIST
+#undef _SETTINGS_NAMES
 #undef _SETTINGS_NUMBER
 
 Settings *
@@ -47,6 +58,9 @@
 void
 Settings_Destroy(Settings *settings);
 
+/* Position of a name in a list, -1 if it is not there. */
+int Settings_IndexOf(const SettingsNames *names, const char *name);
+
 /* Copies the reloadable numbers of `from`. Returns the number of other values
  * that differ and appends their names to `unchanged`. Reloadable numbers are
  * read by running threads, so they are written as single atomic stores. */
--- a/src/settings/settings_list.h
+++ b/src/settings/settings_list.h
@@ -1,7 +1,8 @@
 /* The list of settings of the daemon. docs/settings.md is generated from it.
  *
  * TEXT(name, required, default, form, text)
- * LIST(name, form, text)
+ * LIST(name, form, text)            numeric addresses
+ * NAMES(name, form, text)           names, the first one has number 0
  * NUMBER(name, unit, least, most, default, reload, text)
  * reload is 1 where SIGHUP puts a new value in force.
  */
@@ -9,7 +10,7 @@
 #define SETTINGS_SETTINGS_LIST_H
 
 /* clang-format off */
-#define SETTINGS_LIST(TEXT, LIST, NUMBER) \
+#define SETTINGS_LIST(TEXT, LIST, NAMES, NUMBER) \
     TEXT(host, 1, "", "1 to 63 letters, digits, dots or dashes", \
          "name of this host, unique in the fleet") \
     TEXT(region, 1, "", "1 to 31 letters, digits or dashes", "region") \
@@ -26,6 +27,10 @@
          "certificate of the entry port; empty: no TLS") \
     TEXT(tls_key_file, 0, "", "path of a PEM file", \
          "private key of the certificate") \
+    NAMES(regions, "1 to 31 letters, digits or dashes", \
+          "all regions of the fleet, in the same order on all hosts") \
+    NAMES(data_centres, "1 to 31 letters, digits or dashes", \
+          "all data centres of the fleet, in the same order on all hosts") \
     LIST(store, "numeric address:port", "addresses of the platform's store") \
     LIST(seeds, "numeric address:port", \
          "RPC addresses of hosts through which this host joins the fleet") \
@@ -68,10 +73,12 @@
            "validity of run tokens") \
     NUMBER(run_table_entries, "entries", 100, 1000000, 20000, 0, \
            "issuances whose outcome is kept at once") \
-    NUMBER(health_slow_percent, "percent", 150, 5000, 300, 1, \
-           "latency against the service's median that counts as slow") \
-    NUMBER(health_window_ms, "ms", 200, 60000, 1000, 1, \
-           "window of samples on which an ejection is decided") \
+    NUMBER(health_threshold_nats, "nats", 0, 1000, 0, 0, \
+           "evidence of sickness (logarithm of a likelihood ratio) for an " \
+           "ejection; 0: the default of the health slice") \
+    NUMBER(health_stall_ms, "ms", 0, 60000, 0, 0, \
+           "age from which a request in flight counts as evidence; 0: the " \
+           "default of the health slice") \
     NUMBER(announce_timeout_ms, "ms", 500, 60000, 3000, 1, \
            "time without announcement after which a backend server is dropped")
 /* clang-format on */
