--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -36,11 +36,13 @@
     COUNTER(RPC_BYTES_SENT, "bytes of control messages sent") \
     COUNTER(RPC_BYTES_RECEIVED, "bytes of control messages received") \
     COUNTER(RPC_REFUSED, "control messages refused") \
+    COUNTER(RPC_REPEATS, "repeated control messages answered from the cache") \
     \
     \
     /* member */ \
     COUNTER(MEMBER_SUSPECTED, "hosts suspected") \
     COUNTER(MEMBER_DIED, "hosts declared dead") \
+    COUNTER(MEMBER_REFUTED, "suspicions refuted by their hosts") \
     \
     \
     /* route */ \
--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -45,6 +45,12 @@
     LOG(MEMBER_SUSPECTED, 321, INFO, "host suspected") \
     LOG(MEMBER_DEAD, 322, WARNING, "host declared dead") \
     LOG(MEMBER_LEFT, 323, INFO, "host left") \
+    LOG(MEMBER_REFUTED, 324, INFO, "host refuted the suspicion") \
+    LOG(MEMBER_ONE_WAY, 325, WARNING, \
+        "host is up, but pings from here get no ack") \
+    LOG(MEMBER_REACHED, 326, INFO, "host acks pings from here again") \
+    LOG(MEMBER_SUPERSEDED, 327, ERROR, \
+        "a later incarnation of this host is in the fleet") \
     \
     \
     /* health 350-379 */ \
--- a/src/base/result_list.h
+++ b/src/base/result_list.h
@@ -59,6 +59,8 @@
            "the message comes from an earlier incarnation of the sender") \
     RESULT(RPC_REPLAYED, 213, 409, "the message was received before") \
     RESULT(RPC_UNKNOWN_KIND, 214, 400, "no handler for this kind of message") \
+    RESULT(RPC_WRONG_RECEIVER, 215, 409, \
+           "the message is for another host or incarnation") \
     \
     \
     /* member 230-249 */ \
