--- a/src/rpc/rpc.h
+++ b/src/rpc/rpc.h
@@ -37,14 +37,18 @@
 #define RPC_RPC_H
 
 #include <glib.h>
-#include <rpc/rpc.h>
 #include <stdint.h>
+#include <tirpc/rpc/rpc.h>
 
 #include "base/result.h"
 
 #define RPC_MAX_BODY_BYTES 7936
 #define RPC_FIRST_WORKER_KIND 10
 
+/* <rpc/rpc.h>, which rpcgen's output includes, finds this file in place of
+ * libtirpc's header of the same name; both are therefore included by this one.
+ */
+
 /* Kinds of messages. Numbers never change their meaning. */
 enum {
     RPC_KIND_PING = 1,
