issue, key: add the public headers

Two new result codes: KEY_MALFORMED, and ANSWER_NOT_KEPT for the repeat of an issuance whose answer was too large.

--- a/src/base/result_list.h
+++ b/src/base/result_list.h
@@ -43,6 +43,8 @@
     RESULT(KEY_WITHDRAWN, 172, 401, "this key was withdrawn") \
     RESULT(KEY_MISPLACED, 173, 400, \
            "the key stands outside the key header, or more than once") \
+    RESULT(KEY_MALFORMED, 174, 401, \
+           "the key has a wrong length or characters that no key has") \
     \
     \
     /* rate 190-209 */ \
@@ -90,6 +92,8 @@
     RESULT(STILL_RUNNING, 314, 409, "the issuance is still running") \
     RESULT(OUTCOME_UNKNOWN, 315, 502, \
            "the issuance may or may not have run") \
+    RESULT(ANSWER_NOT_KEPT, 316, 410, \
+           "the issuance ran, but its answer was too large to keep") \
     \
     \
     /* http, entry, owner 340-399 */ \
