--- /dev/null
+++ b/src/health/health.h
@@ -0,0 +1,160 @@
+/* Health: detects gray failures of one local backend server.
+ *
+ * Use, at the owner, one Health for each backend server of the host:
+ *  1. Health_Create(); Health_ColdStart() when a session of the backend server
+ *     begins.
+ *  2. For each request that is sent to the backend server, Health_Start(), and
+ *     Health_End() with the outcome and the time that the backend server took.
+ *     Time in the owner's queue and on the way to the entry must not be in it.
+ *  3. Every HEALTH_TICK_MS, Health_Update() with the service's baseline and
+ *     with what PermitClaim_IsHeld() says. The verdict has the weight, whether
+ *     a permit is wanted, and the latency class for the member record.
+ * The baseline is Health_ClassMedian() over the classes in the member records
+ * of the service's ready backend servers, the ejected ones left out.
+ *
+ * How it decides: every finished request adds evidence in nats (logarithm of
+ * how much likelier the sample is from a sick backend server than from a
+ * healthy one), in one sum for outcomes and one for latency relative to the
+ * baseline; a sum never falls below 0. Requests in flight that are older than
+ * `stall_ms` add to the latency sum, so a hanging backend server is found
+ * without samples. At `threshold_nats`, ejection is wanted. Probes are not an
+ * input.
+ *
+ * Locking: none inside. The caller holds one mutex for each Health; every call
+ * is short, does no I/O and allocates nothing after Health_Create().
+ *
+ * Limits: `max_in_flight` requests are tracked; more are served, but their
+ * age is not seen. Errors of a whole service are told from those of one
+ * backend server only by the permit keepers (health/permit.h).
+ */
+#ifndef HEALTH_HEALTH_H
+#define HEALTH_HEALTH_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+
+#define HEALTH_TICK_MS 100
+#define HEALTH_WEIGHT_FULL 100
+
+/* Latency class: 1 + quarter octaves above one microsecond. */
+#define HEALTH_CLASS_UNKNOWN 0
+#define HEALTH_CLASS_MAX 127
+
+typedef enum HealthOutcome {
+    HEALTH_OK,
+    HEALTH_WRONG_ANSWER, /* mismatched, truncated or malformed answer */
+    HEALTH_ERROR,        /* 5xx without Retry-After, or a broken connection */
+    HEALTH_TIMED_OUT,    /* the deadline passed first */
+    HEALTH_SHED,         /* 503 with Retry-After */
+    HEALTH_CANCELLED     /* the caller hung up first */
+} HealthOutcome;
+
+typedef enum HealthState {
+    HEALTH_STATE_HEALTHY,
+    HEALTH_STATE_DEGRADED, /* lower weight, also when a permit is refused */
+    HEALTH_STATE_EJECTED,  /* weight 0 under a permit */
+    HEALTH_STATE_PROBATION /* weight rises in steps after an ejection */
+} HealthState;
+
+typedef enum HealthReason {
+    HEALTH_REASON_NONE,
+    HEALTH_REASON_SLOW,
+    HEALTH_REASON_STALLED, /* requests in flight are far too old */
+    HEALTH_REASON_FAILING, /* wrong answers, errors, timeouts */
+    HEALTH_REASON_COLD     /* cold start */
+} HealthReason;
+
+/* Settings; zero means the default in brackets. */
+typedef struct Health_desc {
+    double threshold_nats;      /* evidence for an ejection */
+    double slow_factor;         /* latency, in baselines, that counts neither
+                                   for nor against health */
+    double slow_cap_nats;       /* most evidence from one slow answer */
+    double failure_share;       /* share of errors that is normal */
+    double wrong_share;         /* share of wrong answers that is normal */
+    double sick_share;          /* share of bad answers of a sick server */
+    ClockMs stall_ms;           /* age from which a request in flight counts */
+    ClockMs ejection_ms;        /* first ejection */
+    ClockMs ejection_max_ms;    /* limit of the doubling */
+    ClockMs forgive_ms;         /* healthy time that halves the next one */
+    ClockMs probation_step_ms;  /* time without a bad answer for a step up */
+    ClockMs cold_start_ms;      /* time in which the weight rises */
+    uint32_t probation_answers; /* good answers for a step up, if sooner */
+    uint32_t min_weight;        /* weight of a sick server without a permit */
+    uint32_t max_in_flight;     /* requests tracked */
+} Health_desc;
+
+typedef struct HealthInput {
+    ClockMs now;
+    int baseline_class;   /* HEALTH_CLASS_UNKNOWN: use the own history */
+    gboolean permit_held; /* PermitClaim_IsHeld() at `now` */
+} HealthInput;
+
+typedef struct HealthVerdict {
+    HealthState state;
+    HealthReason reason;
+    uint32_t weight;        /* 0 to HEALTH_WEIGHT_FULL; 0 only if EJECTED */
+    uint32_t max_in_flight; /* trial requests at once; 0 = no limit */
+    gboolean permit_wanted; /* ask for or keep a permit */
+    int latency_class;      /* for the member record */
+    double evidence_nats;   /* the larger of the two sums */
+    ClockMs ejected_until;  /* 0 unless EJECTED */
+} HealthVerdict;
+
+typedef struct Health Health;
+
+/* Names a started request until its Health_End(); 0 = not tracked. */
+typedef uint32_t HealthRequest;
+
+/* NULL stands for all defaults. */
+Health *
+Health_Create(const Health_desc *desc, ClockMs now);
+void
+Health_Destroy(Health *health);
+
+/* A new session of the backend server: forgets samples and requests in flight
+ * of the former one (their HealthRequest becomes stale and is ignored). The
+ * length of the next ejection is kept. */
+void
+Health_ColdStart(Health *health, ClockMs now);
+
+HealthRequest
+Health_Start(Health *health, ClockMs now);
+
+/* latency_us is the time since the request was sent to the backend server. */
+void
+Health_End(Health *health, HealthRequest request, HealthOutcome outcome,
+           int64_t latency_us, ClockMs now);
+
+void
+Health_Update(Health *health, const HealthInput *input,
+              HealthVerdict *verdict);
+
+/* Class of a latency. The previous class is kept while the latency is within
+ * 0.75 steps of its centre, so that a class at a boundary does not flap. */
+int
+Health_ClassOf(int64_t latency_us, int previous_class);
+/* Latency at the centre of a class; 0 for HEALTH_CLASS_UNKNOWN. */
+int64_t
+Health_ClassLatencyUs(int latency_class);
+
+/* Median (the lower one of an even count) of the classes that are known.
+ * HEALTH_CLASS_UNKNOWN with fewer than 3, because the median of two is one of
+ * them. */
+int
+Health_ClassMedian(const int *classes, size_t count);
+
+/* "healthy", "degraded", "ejected", "probation". */
+const char *
+Health_StateName(HealthState state);
+const char *
+Health_ReasonName(HealthReason reason);
+
+/* Presets, to be copied and changed: HEALTH_PRESET_FAST weighs detection time
+ * most, HEALTH_PRESET_CAUTIOUS weighs false ejections most. */
+extern const Health_desc HEALTH_PRESET_FAST;
+extern const Health_desc HEALTH_PRESET_CAUTIOUS;
+
+#endif
