--- a/src/health/health.h
+++ b/src/health/health.h
@@ -152,9 +152,12 @@
 const char *
 Health_ReasonName(HealthReason reason);
 
-/* Presets, to be copied and changed: HEALTH_PRESET_FAST weighs detection time
- * most, HEALTH_PRESET_CAUTIOUS weighs false ejections most. */
-extern const Health_desc HEALTH_PRESET_FAST;
-extern const Health_desc HEALTH_PRESET_CAUTIOUS;
+/* Presets: HEALTH_PRESET_FAST weighs detection time most,
+ * HEALTH_PRESET_CAUTIOUS weighs false ejections most; the measurements are in
+ * docs/decisions/health.md. */
+#define HEALTH_PRESET_FAST \
+    ((const Health_desc){.threshold_nats = 16, .stall_ms = 300})
+#define HEALTH_PRESET_CAUTIOUS \
+    ((const Health_desc){.threshold_nats = 30, .stall_ms = 1000})
 
 #endif
