--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,224 @@
+/* Config: the configuration in force, in compact tables published by RCU.
+ *
+ * Use:
+ *  1. Config_Create(). There is an empty table of version 0.
+ *  2. Readers (threads registered with rcu_register_thread() of <urcu.h>):
+ *         const ConfigTable *table = Config_ReadLock(config);
+ *         ... Config_Find*(), Config_Get*() ...
+ *         Config_ReadUnlock(config);
+ *     Lock and unlock wrap rcu_read_lock() and rcu_read_unlock(); they never
+ *     block and may be nested. Strings and tables are valid until the unlock.
+ *  3. Config_ApplyTicket() puts the next ticket in force, Config_WithdrawKey()
+ *     withdraws a key at once. Both may be called from any thread that is not
+ *     between lock and unlock.
+ *
+ * Handles stay valid across tables as long as the service, team or route
+ * exists, also when it is changed. A handle of something that was removed is
+ * recognised (the Get function returns FALSE) until its slot was used 4,095
+ * times more.
+ *
+ * Versions only rise: Config_ApplyTicket() takes only the ticket of the
+ * version after the one in force. Withdrawn keys form a grow-only set outside
+ * the tables, so no ticket brings a withdrawn key back.
+ *
+ * Limits: 1,048,575 each of keys, teams, routes, services and withdrawn keys.
+ * A ticket copies only the pages of the tables that it changes.
+ */
+#ifndef CONFIG_CONFIG_H
+#define CONFIG_CONFIG_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdint.h>
+
+#include "base/result.h"
+
+#define CONFIG_KEY_HASH_BYTES 32
+#define CONFIG_MAX_SPLITS 16
+#define CONFIG_NONE 0u
+
+/* Handles of slot (upper 20 bits) and generation (lower 12 bits). */
+typedef uint32_t ConfigService;
+typedef uint32_t ConfigTeam;
+typedef uint32_t ConfigRoute;
+
+typedef struct Config Config;
+typedef struct ConfigTable ConfigTable;
+struct Ticket;
+
+/* SHA-256 of a key. */
+typedef struct ConfigKeyHash {
+    uint8_t bytes[CONFIG_KEY_HASH_BYTES];
+} ConfigKeyHash;
+
+/* Settings of the whole fleet: FLEET(name, JSON name, least, most, default).
+ * isolation_limit_ms 0 means without limit. */
+#define CONFIG_FLEET_LIST(FLEET)                        \
+    FLEET(RATE_SLOTS, "rate_slots", 3, 4096, 512)       \
+    FLEET(GRANT_MS, "grant_ms", 100, 60000, 1000)       \
+    FLEET(HOLD_MS, "hold_ms", 1000, 86400000, 43200000) \
+    FLEET(ISOLATION_LIMIT_MS, "isolation_limit_ms", 0, 604800000, 0)
+#define _CONFIG_FLEET_ENUM(name, text, least, most, value) CONFIG_FLEET_##name,
+typedef enum ConfigFleet {
+    CONFIG_FLEET_LIST(_CONFIG_FLEET_ENUM) CONFIG_FLEET_COUNT
+} ConfigFleet;
+#undef _CONFIG_FLEET_ENUM
+
+typedef struct ConfigServiceInfo {
+    ConfigService service;
+    const char *name;
+    uint32_t floor_percent; /* 0 to 100 */
+    uint32_t total;         /* number of backend servers */
+} ConfigServiceInfo;
+
+typedef struct ConfigTeamInfo {
+    ConfigTeam team;
+    const char *name;
+    int64_t rate_micro;  /* micro-tokens per second */
+    int64_t burst_micro; /* micro-tokens */
+} ConfigTeamInfo;
+
+typedef struct ConfigSplit {
+    const char *pool;
+    uint32_t share_percent;
+} ConfigSplit;
+
+typedef struct ConfigRouteInfo {
+    ConfigRoute route;
+    const char *path;
+    const char *service_name;
+    ConfigService service; /* CONFIG_NONE if there is no such service */
+    gboolean issuance;
+    uint32_t deadline_ms;
+    uint32_t retries;
+    uint32_t
+        split_count; /* 0 = without split, else the shares add up to 100 */
+    ConfigSplit splits[CONFIG_MAX_SPLITS];
+} ConfigRouteInfo;
+
+typedef struct ConfigStats {
+    int64_t version;
+    uint32_t services;
+    uint32_t teams;
+    uint32_t keys;
+    uint32_t routes;
+    uint32_t withdrawn;
+    size_t bytes; /* memory of the tables, directories and strings */
+} ConfigStats;
+
+Config *
+Config_Create(void);
+
+/* No reader may be inside a read section any more. */
+void
+Config_Destroy(Config *config);
+
+const ConfigTable *
+Config_ReadLock(Config *config);
+void
+Config_ReadUnlock(Config *config);
+
+/* Number of the last ticket in the table, 0 if there is none. */
+int64_t
+Config_GetVersion(const ConfigTable *table);
+
+/* The same without a read section; for counters and messages to peers. */
+int64_t
+Config_PeekVersion(Config *config);
+
+int64_t
+Config_GetFleet(const ConfigTable *table, ConfigFleet setting);
+
+ConfigService
+Config_FindService(const ConfigTable *table, const char *name);
+gboolean
+Config_GetService(const ConfigTable *table, ConfigService service,
+                  ConfigServiceInfo *info);
+
+ConfigTeam
+Config_FindTeam(const ConfigTable *table, const char *name);
+gboolean
+Config_GetTeam(const ConfigTable *table, ConfigTeam team,
+               ConfigTeamInfo *info);
+
+/* SHA-256 of the key's bytes. */
+void
+Config_HashKey(const char *key, size_t length, ConfigKeyHash *hash);
+
+/* Reads 64 lower-case or upper-case hex digits. */
+gboolean
+Config_HashFromHex(const char *hex, ConfigKeyHash *hash);
+
+/* Writes 64 lower-case hex digits and a NUL. */
+void
+Config_HashToHex(const ConfigKeyHash *hash, char hex[65]);
+
+/* RESULT_OK with the team, RESULT_KEY_UNKNOWN or RESULT_KEY_WITHDRAWN. The
+ * withdrawn set is consulted as it is now, not as of the table. */
+Result
+Config_FindTeamByKeyHash(const ConfigTable *table, const ConfigKeyHash *hash,
+                         ConfigTeam *team);
+
+/* Finds the route with the longest path that is the path itself or a prefix of
+ * it that ends at a '/' ("/a" and "/a/" match "/a/b", not "/ab"). The caller
+ * passes the path without query and without "." and ".." segments. */
+ConfigRoute
+Config_FindRoute(const ConfigTable *table, const char *path);
+
+/* Finds the route with exactly this path. */
+ConfigRoute
+Config_FindRouteExact(const ConfigTable *table, const char *path);
+gboolean
+Config_GetRoute(const ConfigTable *table, ConfigRoute route,
+                ConfigRouteInfo *info);
+
+/* TRUE if the route lists no teams or lists this one. A route whose listed
+ * teams were all removed allows none. */
+gboolean
+Config_RouteAllows(const ConfigTable *table, ConfigRoute route,
+                   ConfigTeam team);
+
+/* Calls the callback for each record. */
+void
+Config_ForEachService(const ConfigTable *table,
+                      void (*callback)(void *context,
+                                       const ConfigServiceInfo *info),
+                      void *context);
+void
+Config_ForEachTeam(const ConfigTable *table,
+                   void (*callback)(void *context, const ConfigTeamInfo *info),
+                   void *context);
+void
+Config_ForEachRoute(const ConfigTable *table,
+                    void (*callback)(void *context,
+                                     const ConfigRouteInfo *info),
+                    void *context);
+
+/* Puts a ticket in force. Returns
+ *  RESULT_OK              the version is now the ticket's
+ *  RESULT_TICKET_INVALID  a key belongs to another team, or a table is full;
+ *                         the version is now the ticket's, with nothing else
+ *                         changed (every daemon decides alike, because the
+ *                         table before the ticket is the same everywhere)
+ *  RESULT_NOT_FOUND       a ticket before this one is missing; no change
+ *  RESULT_OK with *applied FALSE: this version or a later one is in force */
+Result
+Config_ApplyTicket(Config *config, const struct Ticket *ticket,
+                   gboolean *applied, GError **error);
+
+/* Adds a key to the withdrawn set; TRUE if it was not in it. Takes effect for
+ * all look-ups that start after the return. Never blocks on readers. */
+gboolean
+Config_WithdrawKey(Config *config, const ConfigKeyHash *hash);
+gboolean
+Config_IsWithdrawn(Config *config, const ConfigKeyHash *hash);
+
+/* Digest of the withdrawn set: equal sets have equal digests; 0 for the empty
+ * set. Peers compare it to find out whether they lack withdrawals. */
+uint64_t
+Config_GetWithdrawals(Config *config);
+
+void
+Config_GetStats(Config *config, ConfigStats *stats);
+
+#endif
