Add tickets and configuration tables

Tables are arrays of records in pages that a ticket copies only where it changes them, so that neither memory nor time depends on the size of the table. Withdrawn keys are a grow-only set outside the tables.

--- /dev/null
+++ b/src/config/config_table.h
@@ -0,0 +1,215 @@
+/* ConfigTable: layout of the tables and the drafts that make a new one.
+ *
+ * Private to config. A draft is a copy of the table in force that shares all
+ * pages until they are written:
+ *  1. _Config_BeginDraft() locks out other drafts.
+ *  2. _Config_ApplySets() or _Config_ApplyPart().
+ *  3. _Config_CommitDraft() publishes it, _Config_AbortDraft() discards it.
+ */
+#ifndef CONFIG_CONFIG_TABLE_H
+#define CONFIG_CONFIG_TABLE_H
+
+#include <pthread.h>
+
+#include "config/config.h"
+#include "config/config_arena.h"
+#include "config/config_pages.h"
+#include "config/config_withdrawn.h"
+
+#define CONFIG_SLOT_BITS 20
+#define CONFIG_GENERATION_BITS 12
+#define CONFIG_MAX_SLOT ((1u << CONFIG_SLOT_BITS) - 1)
+
+typedef enum ConfigKind {
+    CONFIG_KIND_SERVICE,
+    CONFIG_KIND_TEAM,
+    CONFIG_KIND_ROUTE,
+    CONFIG_KIND_KEY,
+    CONFIG_KINDS
+} ConfigKind;
+
+/* Start of service, team and route records. A free record has name 0 and is
+ * linked by next. */
+typedef struct ConfigRecord {
+    uint32_t name;                                /* arena; 0 = free */
+    uint32_t next : CONFIG_SLOT_BITS;             /* in the bucket */
+    uint32_t generation : CONFIG_GENERATION_BITS; /* of the handle */
+} ConfigRecord;
+
+typedef struct ConfigServiceRecord {
+    ConfigRecord base;
+    uint32_t floor_percent;
+    uint32_t total;
+} ConfigServiceRecord;
+
+/* 20 bytes. Rates and bursts are in thousandths: exact for the three decimals
+ * that a ticket may have, and half the size of micro-tokens. */
+typedef struct ConfigTeamRecord {
+    ConfigRecord base;
+    uint32_t rate_milli;
+    uint32_t burst_milli;
+    uint32_t first_key;
+} ConfigTeamRecord;
+
+typedef struct ConfigRouteRecord {
+    ConfigRecord base;
+    uint32_t detail; /* ConfigRouteDetail in the arena */
+    uint32_t deadline_ms;
+    uint16_t retries;
+    uint16_t issuance;
+} ConfigRouteRecord;
+
+/* Variable part of a route. `data` holds the service's name with NUL, then for
+ * each split one byte of percent and the pool's name with NUL, then for each
+ * team one byte of length and the name with NUL. */
+typedef struct ConfigRouteDetail {
+    uint16_t bytes; /* of the whole detail */
+    uint8_t split_count;
+    uint8_t team_count;
+    char data[];
+} ConfigRouteDetail;
+
+/* 40 bytes. */
+typedef struct ConfigKeyRecord {
+    ConfigKeyHash hash;
+    uint64_t team : CONFIG_SLOT_BITS;         /* 0 = free */
+    uint64_t next : CONFIG_SLOT_BITS;         /* in the bucket */
+    uint64_t next_of_team : CONFIG_SLOT_BITS; /* other key of the team */
+} ConfigKeyRecord;
+
+struct ConfigTable {
+    Config *config;
+    int64_t version;
+    uint64_t serial; /* of the draft that made it */
+    int64_t fleet[CONFIG_FLEET_COUNT];
+    ConfigPages records[CONFIG_KINDS];
+    ConfigPages heads[CONFIG_KINDS]; /* uint32_t slot for each bucket */
+    uint32_t high[CONFIG_KINDS];     /* highest slot that was ever used */
+    uint32_t first_free[CONFIG_KINDS];
+    uint32_t count[CONFIG_KINDS];
+};
+
+/* A block of the arena with its length. */
+typedef struct ConfigBlock {
+    uint32_t reference;
+    uint32_t length;
+} ConfigBlock;
+
+/* What a commit replaced; freed when no reader and no pin needs it. */
+typedef struct ConfigRetired {
+    ConfigTable *table;
+    GPtrArray *pages;
+    GArray *blocks; /* ConfigBlock */
+} ConfigRetired;
+
+typedef struct ConfigDraft {
+    Config *config;
+    ConfigTable *table;
+    GPtrArray *replaced; /* pages of the base table */
+    GArray *added;       /* ConfigBlock that an abort frees */
+    GArray *dropped;     /* ConfigBlock that a commit retires */
+} ConfigDraft;
+
+struct Config {
+    ConfigTable *current; /* RCU */
+    int64_t version;      /* atomic */
+    ConfigWithdrawn *withdrawn;
+    pthread_mutex_t draft_lock; /* held from begin to commit or abort */
+    ConfigArena arena;          /* written under draft_lock */
+    uint64_t serial;            /* under draft_lock */
+    pthread_mutex_t pin_lock;
+    const ConfigTable *pinned;
+    GArray *retired; /* ConfigRetired that wait for the unpin */
+};
+
+/* Buckets of a kind, as a power of two. The numbers fit the sizes of two years
+ * ahead; a larger table has longer chains. They are fixed, so that no ticket
+ * has to rebuild an index. */
+uint32_t
+_Config_BucketCount(ConfigKind kind);
+
+uint32_t
+_Config_NameBucket(ConfigKind kind, const char *name, size_t length);
+
+uint32_t
+_Config_KeyBucket(const ConfigKeyHash *hash);
+
+/* Slot of the record with this name; 0 if there is none. */
+uint32_t
+_Config_FindName(const ConfigTable *table, ConfigKind kind, const char *name,
+                 size_t length);
+uint32_t
+_Config_FindKey(const ConfigTable *table, const ConfigKeyHash *hash);
+
+static inline const void *
+_Config_Record(const ConfigTable *table, ConfigKind kind, uint32_t slot)
+{
+    return ConfigPages_Get(&table->records[kind], slot);
+}
+
+static inline uint32_t
+_Config_Head(const ConfigTable *table, ConfigKind kind, uint32_t bucket)
+{
+    const uint32_t *head = ConfigPages_Get(&table->heads[kind], bucket);
+
+    return head != NULL ? *head : 0;
+}
+
+static inline const char *
+_Config_Name(const ConfigTable *table, uint32_t reference)
+{
+    return ConfigArena_Get(&table->config->arena, reference);
+}
+
+/* First team of a route's detail. */
+const char *
+_Config_DetailTeams(const ConfigRouteDetail *detail);
+
+/* Complete state of a record as in a ticket; a new reference. */
+json_t *
+_Config_RecordToJson(const ConfigTable *table, ConfigKind kind, uint32_t slot);
+
+/* JSON name of a kind in `sets`. */
+const char *
+_Config_KindName(ConfigKind kind);
+
+void
+_Config_BeginDraft(Config *config, ConfigDraft *draft);
+
+/* Applies the checked `sets` of a ticket. A key that belongs to another team
+ * that the ticket does not take it from is an error. */
+Result
+_Config_ApplySets(ConfigDraft *draft, json_t *sets, GError **error);
+
+/* Makes one part of a table equal to the checked sets of a snapshot's part:
+ * what they lack in this part's buckets is removed. */
+Result
+_Config_ApplyPart(ConfigDraft *draft, json_t *sets, uint32_t part,
+                  uint32_t parts, GError **error);
+
+void
+_Config_CommitDraft(ConfigDraft *draft, int64_t version);
+void
+_Config_AbortDraft(ConfigDraft *draft);
+
+/* Buckets of a part: [first, end). */
+void
+_Config_PartBuckets(ConfigKind kind, uint32_t part, uint32_t parts,
+                    uint32_t *first, uint32_t *end);
+
+/* Number of parts of a snapshot, each of at most about part_bytes. */
+uint32_t
+_Config_PartCount(const ConfigTable *table, size_t part_bytes);
+
+/* The sets of one part as JSON text. */
+GString *
+_Config_DumpPart(const ConfigTable *table, uint32_t part, uint32_t parts);
+
+/* Keeps the table in force from being freed until _Config_Unpin(). There is
+ * one pin; a second call returns NULL. */
+const ConfigTable *
+_Config_Pin(Config *config);
+void
+_Config_Unpin(Config *config);
+
+#endif
--- a/src/store/test_store.c
+++ b/src/store/test_store.c
@@ -88,6 +88,19 @@
     g_assert_cmpint(object.now_ms, >=, object.modified_ms);
     StoreObject_Clear(&object);
     g_assert_cmpint(put_number(store, "a/1", 1, 3, NULL), ==, RESULT_OK);
+}
+
+/* Guards against a delete that ignores its condition, and against a version
+ * that starts again when an object is made anew. */
+static void
+test_delete(Fixture *fixture, gconstpointer data)
+{
+    Store *store = fixture->store;
+    StoreObject object;
+
+    (void)data;
+    put_number(store, "a/1", 0, 1, NULL);
+    put_number(store, "a/1", 1, 3, NULL);
     g_assert_cmpint(Store_Delete(store, "a/1", 1, NULL, NULL), ==,
                     RESULT_STORE_CONFLICT);
     g_assert_cmpint(get_number(store, "a/1"), ==, 3);
@@ -310,6 +323,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add("/store/conditions", Fixture, NULL, set_up, test_conditions,
                tear_down);
+    g_test_add("/store/delete", Fixture, NULL, set_up, test_delete, tear_down);
     g_test_add("/store/list", Fixture, NULL, set_up, test_list, tear_down);
     for (size_t i = 0; i < G_N_ELEMENTS(fault_cases); i++) {
         char *path = g_strconcat("/store/faults/", fault_cases[i].name, NULL);
