Add public headers of the rate slice

The headers fix the interface that the daemon programs against; the implementation follows. The generated names *_wire.h are excluded from the formatter and the linter.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 	libgnutls28-dev gnutls-bin rpcsvc-proto gnuplot-nox
 SUDO = $(shell [ "$$(id -u)" = 0 ] || echo sudo)
 JOBS ?= $(shell nproc)
-GENERATED = ! -name '*_xdr.c' ! -name '*_xdr.h'
+GENERATED = ! -name '*_xdr.c' ! -name '*_xdr.h' ! -name '*_wire.h'
 SOURCES = $(shell find src standin bench tests examples -name '*.[ch]' \
 	$(GENERATED) 2>/dev/null)
 C_SOURCES = $(filter %.c,$(SOURCES))
--- /dev/null
+++ b/src/rate/rate_share.h
@@ -0,0 +1,52 @@
+/* RateShare: how a team's rate and burst are divided over the rate slots.
+ *
+ * Use:
+ *  1. RateShare_Make() gives the number of slots K of a team and what each of
+ *     them has.
+ *  2. RateShare_Slots() gives the team's slots, nearest to the front of its
+ *     rendezvous order first. The slots of a smaller K are always the first
+ *     ones of a larger K.
+ *
+ * Amounts are integers in micro-tokens. Every share is rounded down, so the
+ * shares of all slots never add up to more than the team's rate and burst.
+ *
+ * Limits: rates up to 1,000,000 requests/s and bursts up to 10,000,000; larger
+ * values are cut to these.
+ */
+#ifndef RATE_RATE_SHARE_H
+#define RATE_RATE_SHARE_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#define RATE_MICRO 1000000    /* micro-tokens in one token */
+#define RATE_SLOTS_MAX 512    /* rate slots of a fleet */
+#define RATE_TEAM_SLOTS_MIN 3 /* smallest K */
+#define RATE_PER_S_MAX 1000000
+#define RATE_BURST_MAX 10000000
+
+/* A team's limit in requests per second and requests. */
+typedef struct RateLimit {
+    int64_t rate_per_s;
+    int64_t burst;
+} RateLimit;
+
+typedef struct RateShare {
+    int slots;                /* K */
+    int64_t micro_per_second; /* of one slot */
+    int64_t burst_micro;      /* of one slot */
+} RateShare;
+
+/* Divides a limit over at most `fleet_slots` slots. A slot gets about 8
+ * requests/s and at least 4 tokens of burst, except that K is at least 3. */
+RateShare
+RateShare_Make(const RateLimit *limit, int fleet_slots);
+
+/* Writes the first `count` slots of the team's order to `slots`. Slot n is in
+ * region n mod `regions`; successive slots are in different regions. Returns
+ * the number written. */
+int
+RateShare_Slots(uint64_t team, int count, int fleet_slots, int regions,
+                uint16_t *slots);
+
+#endif
