--- a/src/config/config.c
+++ b/src/config/config.c
@@ -136,10 +136,16 @@
     return 1u << bucket_bits[kind];
 }
 
+static uint32_t
+bucket_of(ConfigKind kind, uint64_t hash)
+{
+    return (uint32_t)(hash >> (64 - bucket_bits[kind]));
+}
+
 uint32_t
 _Config_NameBucket(ConfigKind kind, const char *name, size_t length)
 {
-    return (uint32_t)(Rng_Hash(name, length) >> (64 - bucket_bits[kind]));
+    return bucket_of(kind, Rng_Hash(name, length));
 }
 
 uint32_t
@@ -269,10 +275,29 @@
         .name = _Config_Name(table, record->base.name),
         .rate_micro = (int64_t)record->rate_milli * 1000,
         .burst_micro = (int64_t)record->burst_milli * 1000,
+        .limit_since = (ClockMs)record->limit_since_s * 1000,
     };
     return TRUE;
 }
 
+ConfigTeam
+Config_FindTeamByNameHash(const ConfigTable *table, uint64_t hash)
+{
+    uint32_t slot = _Config_Head(table, CONFIG_KIND_TEAM,
+                                 bucket_of(CONFIG_KIND_TEAM, hash));
+
+    while (slot != 0) {
+        const ConfigRecord *record =
+            _Config_Record(table, CONFIG_KIND_TEAM, slot);
+
+        if (Rng_HashString(_Config_Name(table, record->name)) == hash) {
+            return to_handle(table, CONFIG_KIND_TEAM, slot);
+        }
+        slot = record->next;
+    }
+    return CONFIG_NONE;
+}
+
 void
 Config_HashKey(const char *key, size_t length, ConfigKeyHash *hash)
 {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -31,6 +31,7 @@
 #include <jansson.h>
 #include <stdint.h>
 
+#include "base/clock.h"
 #include "base/result.h"
 
 #define CONFIG_KEY_HASH_BYTES 32
@@ -76,6 +77,7 @@
     const char *name;
     int64_t rate_micro;  /* micro-tokens per second */
     int64_t burst_micro; /* micro-tokens */
+    ClockMs limit_since; /* when rate or burst last changed on this host */
 } ConfigTeamInfo;
 
 typedef struct ConfigSplit {
@@ -137,6 +139,10 @@
 
 ConfigTeam
 Config_FindTeam(const ConfigTable *table, const char *name);
+
+/* The same by Rng_HashString() of the name, as it stands in messages. */
+ConfigTeam
+Config_FindTeamByNameHash(const ConfigTable *table, uint64_t hash);
 gboolean
 Config_GetTeam(const ConfigTable *table, ConfigTeam team,
                ConfigTeamInfo *info);
--- a/src/config/config_draft.c
+++ b/src/config/config_draft.c
@@ -278,6 +278,7 @@
     if (team->rate_milli != rate || team->burst_milli != burst) {
         edited = edit_record(draft, CONFIG_KIND_TEAM, slot);
         edited->rate_milli = rate;
+        edited->limit_since_s = (uint32_t)(Clock_Now() / 1000 + 1);
         edited->burst_milli = burst;
         team = edited;
     }
--- a/src/config/config_table.h
+++ b/src/config/config_table.h
@@ -42,12 +42,13 @@
     uint32_t total;
 } ConfigServiceRecord;
 
-/* 20 bytes. Rates and bursts are in thousandths: exact for the three decimals
+/* 24 bytes. Rates and bursts are in thousandths: exact for the three decimals
  * that a ticket may have, and half the size of micro-tokens. */
 typedef struct ConfigTeamRecord {
     ConfigRecord base;
     uint32_t rate_milli;
     uint32_t burst_milli;
+    uint32_t limit_since_s; /* Clock_Now() in seconds, rounded up */
     uint32_t first_key;
 } ConfigTeamRecord;
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -183,6 +183,12 @@
     return daemon->owner_port != NULL;
 }
 
+static uint16_t
+choose_port(int64_t advertised, uint16_t bound)
+{
+    return advertised > 0 ? (uint16_t)advertised : bound;
+}
+
 static gboolean
 join_fleet(Daemon *daemon, GError **error)
 {
@@ -212,8 +218,10 @@
         .incarnation = daemon->incarnation,
         .ip = ntohl(address.sin_addr.s_addr),
         .entry_port = (uint16_t)settings->entry_port,
-        .owner_port = OwnerPort_Number(daemon->owner_port),
-        .rpc_port = Rpc_GetPort(daemon->rpc),
+        .owner_port = choose_port(settings->advertised_owner_port,
+                                  OwnerPort_Number(daemon->owner_port)),
+        .rpc_port = choose_port(settings->advertised_rpc_port,
+                                Rpc_GetPort(daemon->rpc)),
         .region = (uint8_t)daemon->region,
         .data_centre = (uint8_t)daemon->data_centre,
     };
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -9,6 +9,7 @@
 #include "config/config_sync.h"
 #include "daemon/daemon.h"
 #include "entry/entry.h"
+#include "entry/entry_watch.h"
 #include "http/http_client.h"
 #include "http/http_executor.h"
 #include "http/http_server.h"
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -6,6 +6,7 @@
 #include <stdatomic.h>
 
 #include "base/rng.h"
+#include "config/ticket.h"
 #include "entry/entry.h"
 #include "entry/entry_watch.h"
 #include "issue/run_token.h"
--- a/src/entry/entry_target.c
+++ b/src/entry/entry_target.c
@@ -317,7 +317,7 @@
     request->attempts++;
     /* An earlier attempt of unknown outcome stays unknown. */
     atomic_store(&request->run,
-                 reply->run == RUN_NO ? before : (int)reply->run);
+                 (int)(reply->run == RUN_NO ? before : reply->run));
     report_to_route(entry, target, reply, Clock_NowMicroseconds() - started);
     _Entry_Trace(request, "; attempt host=%016" G_GINT64_MODIFIER
                           "x server=%016" G_GINT64_MODIFIER "x %s run=%s",
--- a/src/settings/settings_list.h
+++ b/src/settings/settings_list.h
@@ -41,6 +41,10 @@
     NUMBER(rpc_port, "port", 0, 65535, 0, 0, "UDP port for control messages") \
     NUMBER(admin_port, "port", 0, 65535, 0, 0, \
            "port for announcements, the tool and metrics") \
+    NUMBER(advertised_owner_port, "port", 0, 65535, 0, 0, \
+           "owner port that other hosts dial, if it is forwarded; 0: the same") \
+    NUMBER(advertised_rpc_port, "port", 0, 65535, 0, 0, \
+           "UDP port that other hosts dial, if it is forwarded; 0: the same") \
     NUMBER(entry_threads, "threads", 1, 512, 64, 0, \
            "requests of callers that may block at once") \
     NUMBER(owner_threads, "threads", 1, 512, 64, 0, \
