--- /dev/null
+++ b/src/rate/rate_holder.c
@@ -0,0 +1,846 @@
+#include "rate/rate_holder.h"
+
+#include <string.h>
+
+#include "base/rng.h"
+
+#define NO_INDEX UINT32_MAX
+/* Part of the free level that one draw may take beyond its need. A small part
+ * keeps tokens from lying idle at one entry while another one needs them. */
+#define AHEAD_DIVISOR 8
+/* Refused draws are told to come back one after the other, at most this much
+ * later, so that a team above its rate causes few draws. */
+#define RETRY_MAX_MS 1000
+#define RETRY_MIN_MS 2
+/* Buckets looked at for eviction in one tick. */
+#define EVICT_STEP 4096
+/* Slots with less burst grant fractions of a token. */
+#define SMALL_BURST (4 * (int64_t)RATE_MICRO)
+/* Places probed for an entry's incarnation. */
+#define ENTRY_PROBES 8
+
+typedef struct Slot {
+    uint64_t epoch;
+    ClockMs start_ms;
+    ClockMs end_ms; /* 0 = not held */
+} Slot;
+
+/* The parameters (rate, burst) hold from `last` until `valid_until`. */
+typedef struct Bucket {
+    uint64_t team; /* 0 = free */
+    int64_t level;
+    int64_t outstanding;
+    int64_t rate;      /* micro-tokens/s, less the clock drift */
+    int64_t burst;     /* micro-tokens */
+    int64_t remainder; /* of the refill, in 1/1000 micro-token */
+    ClockMs last;
+    ClockMs valid_until;
+    ClockMs queue_ms; /* when the last refused draw was told to come back */
+    /* Until this time the smaller of old and present share counts. */
+    ClockMs change_end_ms;
+    uint64_t version;
+    RateLimit limit;
+    RateShare share;
+    RateShare old_share;
+    uint32_t grants; /* records that refer to the bucket */
+    uint32_t next;
+} Bucket;
+
+typedef struct Grant {
+    uint64_t number;
+    uint64_t entry;
+    uint64_t incarnation;
+    uint64_t serial;
+    int64_t micro;
+    int64_t used;
+    ClockMs expires_ms;
+    uint32_t bucket;
+    uint32_t next;
+    gboolean closed;
+    gboolean settle_now;
+    int retry_ms;
+} Grant;
+
+typedef struct Entry {
+    uint64_t host;
+    uint64_t incarnation;
+} Entry;
+
+struct RateHolder {
+    RateHolder_desc desc;
+    ClockMs life_ms; /* of a grant by this clock, with the margin */
+    Slot slots[RATE_SLOTS_MAX];
+    uint64_t version; /* rises when slots open, extend or close */
+    Bucket *buckets;
+    uint32_t *bucket_heads;
+    uint32_t bucket_mask;
+    uint32_t free_bucket;
+    uint32_t bucket_high;
+    uint32_t evict_next;
+    /* Ring of grants; number n is at n % max_grants. Lives are equal, so the
+     * oldest grant lapses first. */
+    Grant *grants;
+    uint32_t *grant_heads;
+    uint32_t grant_mask;
+    uint64_t grant_first;
+    uint64_t grant_next;
+    Entry *entries;
+};
+
+static uint32_t
+power_of_two(uint32_t n)
+{
+    uint32_t power = 16;
+
+    while (power < n) {
+        power *= 2;
+    }
+    return power;
+}
+
+static uint32_t *
+new_heads(uint32_t count)
+{
+    uint32_t *heads = g_new(uint32_t, count);
+
+    memset(heads, 0xff, sizeof(*heads) * count);
+    return heads;
+}
+
+RateHolder *
+RateHolder_Create(const RateHolder_desc *desc)
+{
+    RateHolder *holder = g_new0(RateHolder, 1);
+    RateHolder_desc *d = &holder->desc;
+
+    *d = *desc;
+    d->fleet_slots = d->fleet_slots > 0 ? d->fleet_slots : RATE_SLOTS_MAX;
+    d->regions = d->regions > 0 ? d->regions : 1;
+    d->grant_life_ms = d->grant_life_ms > 0 ? d->grant_life_ms : 1000;
+    d->change_delay_ms = d->change_delay_ms > 0 ? d->change_delay_ms : 6000;
+    d->drift_ppm = d->drift_ppm > 0 ? d->drift_ppm : 2500;
+    d->max_buckets = d->max_buckets > 0 ? d->max_buckets : 65536;
+    d->max_grants = d->max_grants > 0 ? d->max_grants : 32768;
+    d->max_entries = d->max_entries > 0 ? d->max_entries : 16384;
+    d->max_entries = power_of_two(d->max_entries);
+    holder->life_ms = _RateHolder_Wait(d->grant_life_ms, d->drift_ppm);
+    holder->version = 1;
+    holder->buckets = g_new0(Bucket, d->max_buckets);
+    holder->bucket_mask = power_of_two(d->max_buckets) - 1;
+    holder->bucket_heads = new_heads(holder->bucket_mask + 1);
+    holder->free_bucket = NO_INDEX;
+    holder->grants = g_new0(Grant, d->max_grants);
+    holder->grant_mask = power_of_two(d->max_grants) - 1;
+    holder->grant_heads = new_heads(holder->grant_mask + 1);
+    holder->grant_first = 1;
+    holder->grant_next = 1;
+    holder->entries = g_new0(Entry, d->max_entries);
+    return holder;
+}
+
+void
+RateHolder_Destroy(RateHolder *holder)
+{
+    if (holder != NULL) {
+        g_free(holder->buckets);
+        g_free(holder->bucket_heads);
+        g_free(holder->grants);
+        g_free(holder->grant_heads);
+        g_free(holder->entries);
+        g_free(holder);
+    }
+}
+
+/* Two clocks differ by up to twice the drift; 2 ms cover the rounding of both
+ * to whole milliseconds. */
+ClockMs
+_RateHolder_Wait(ClockMs duration_ms, int drift_ppm)
+{
+    return duration_ms + duration_ms * 2 * drift_ppm / 1000000 + 2;
+}
+
+/* Share of the i-th slot of a team during a change: the smaller one. Hosts
+ * with the older configuration go on with the old share, so the sum stays
+ * within the larger of both limits. */
+static void
+slot_share(const Bucket *bucket, int i, gboolean changing, int64_t *rate,
+           int64_t *burst)
+{
+    const RateShare *share = &bucket->share;
+
+    *rate = share->micro_per_second + (i < share->rate_extra);
+    *burst = share->burst_micro + (i < share->burst_extra);
+    if (changing) {
+        const RateShare *old = &bucket->old_share;
+
+        if (i >= old->slots) {
+            *rate = 0;
+            *burst = 0;
+        }
+        else {
+            *rate = MIN(*rate, old->micro_per_second + (i < old->rate_extra));
+            *burst = MIN(*burst, old->burst_micro + (i < old->burst_extra));
+        }
+    }
+}
+
+/* Refill of the i-th slot by the clock of this host, which may run fast. */
+static int64_t
+slow_rate(const RateHolder *holder, int64_t rate)
+{
+    return rate - (rate * holder->desc.drift_ppm + 999999) / 1000000;
+}
+
+/* Sets rate, burst and valid_until for time t and cuts the level. */
+static void
+set_parameters(RateHolder *holder, Bucket *bucket, ClockMs t)
+{
+    uint16_t order[RATE_SLOTS_MAX];
+    gboolean changing = t < bucket->change_end_ms;
+    int count =
+        RateShare_Slots(bucket->team, bucket->share.slots,
+                        holder->desc.fleet_slots, holder->desc.regions, order);
+
+    bucket->version = holder->version;
+    bucket->valid_until = changing ? bucket->change_end_ms : CLOCK_NEVER;
+    bucket->rate = 0;
+    bucket->burst = 0;
+    for (int i = 0; i < count; i++) {
+        const Slot *slot = &holder->slots[order[i]];
+        int64_t rate;
+        int64_t burst;
+
+        if (slot->end_ms <= t) {
+            continue;
+        }
+        if (slot->start_ms > t) {
+            bucket->valid_until = MIN(bucket->valid_until, slot->start_ms);
+            continue;
+        }
+        bucket->valid_until = MIN(bucket->valid_until, slot->end_ms);
+        slot_share(bucket, i, changing, &rate, &burst);
+        bucket->rate += rate;
+        bucket->burst += burst;
+    }
+    bucket->rate = slow_rate(holder, bucket->rate);
+    bucket->level =
+        MAX(0, MIN(bucket->level, bucket->burst - bucket->outstanding));
+}
+
+/* Adds the refill of `elapsed` ms. Room and rate are at most 10^13 and 10^12,
+ * so the products stay below 2^63. */
+static void
+refill(Bucket *bucket, ClockMs elapsed)
+{
+    int64_t room = bucket->burst - bucket->outstanding - bucket->level;
+    int64_t amount;
+
+    if (room <= 0 || bucket->rate == 0 || elapsed <= 0) {
+        return;
+    }
+    if (elapsed > room * 1000 / bucket->rate) {
+        bucket->level += room;
+        bucket->remainder = 0;
+        return;
+    }
+    amount = bucket->rate * elapsed + bucket->remainder;
+    bucket->remainder = amount % 1000;
+    bucket->level += MIN(room, amount / 1000);
+}
+
+/* Brings the bucket to time `now`. A full bucket starts to refill with the
+ * next whole millisecond, since the present one has partly passed. */
+static void
+advance(RateHolder *holder, Bucket *bucket, ClockMs now)
+{
+    while (bucket->last < now) {
+        ClockMs to;
+
+        if (bucket->version != holder->version ||
+            bucket->last >= bucket->valid_until) {
+            set_parameters(holder, bucket, bucket->last);
+        }
+        to = MIN(now, bucket->valid_until);
+        refill(bucket, to - bucket->last);
+        bucket->last = to;
+    }
+    if (bucket->version != holder->version || now >= bucket->valid_until) {
+        set_parameters(holder, bucket, now);
+    }
+    if (bucket->last <= now &&
+        bucket->level + bucket->outstanding >= bucket->burst) {
+        bucket->remainder = 0;
+        bucket->last = now + 1;
+    }
+}
+
+static void
+advance_all(RateHolder *holder, ClockMs now)
+{
+    for (uint32_t i = 0; i < holder->bucket_high; i++) {
+        if (holder->buckets[i].team != 0) {
+            advance(holder, &holder->buckets[i], now);
+        }
+    }
+}
+
+static uint32_t
+grant_hash(const RateHolder *holder, uint64_t entry, uint64_t serial)
+{
+    return (uint32_t)Rng_Mix(entry, serial) & holder->grant_mask;
+}
+
+static Grant *
+grant_at(const RateHolder *holder, uint64_t number)
+{
+    return &holder->grants[number % holder->desc.max_grants];
+}
+
+static void
+unlink_grant(RateHolder *holder, const Grant *grant)
+{
+    uint32_t index = (uint32_t)(grant - holder->grants);
+    uint32_t *link =
+        &holder->grant_heads[grant_hash(holder, grant->entry, grant->serial)];
+
+    while (*link != index) {
+        link = &holder->grants[*link].next;
+    }
+    *link = grant->next;
+}
+
+/* Ends the grants whose life is over. What they held and was not returned is
+ * taken as used. */
+static void
+lapse(RateHolder *holder, ClockMs now)
+{
+    while (holder->grant_first < holder->grant_next) {
+        Grant *grant = grant_at(holder, holder->grant_first);
+        Bucket *bucket = &holder->buckets[grant->bucket];
+
+        if (grant->expires_ms > now) {
+            break;
+        }
+        if (!grant->closed) {
+            advance(holder, bucket, grant->expires_ms);
+            bucket->outstanding -= grant->micro - grant->used;
+        }
+        bucket->grants--;
+        unlink_grant(holder, grant);
+        holder->grant_first++;
+    }
+}
+
+void
+RateHolder_OpenSlot(RateHolder *holder, int slot, uint64_t epoch,
+                    ClockMs start_ms, ClockMs end_ms, ClockMs now)
+{
+    Slot *place = &holder->slots[slot];
+
+    /* Buckets must not lose the time during which the slot was not held. */
+    lapse(holder, now);
+    advance_all(holder, now);
+    place->epoch = epoch;
+    place->start_ms = MAX(start_ms, now + 1);
+    place->end_ms = end_ms;
+    holder->version++;
+}
+
+gboolean
+RateHolder_ExtendSlot(RateHolder *holder, int slot, uint64_t epoch,
+                      ClockMs end_ms, ClockMs now)
+{
+    Slot *place = &holder->slots[slot];
+
+    if (place->end_ms <= now || place->epoch != epoch) {
+        return FALSE;
+    }
+    if (end_ms > place->end_ms) {
+        place->end_ms = end_ms;
+        holder->version++;
+    }
+    return TRUE;
+}
+
+void
+RateHolder_CloseSlot(RateHolder *holder, int slot, ClockMs now)
+{
+    Slot *place = &holder->slots[slot];
+
+    place->end_ms = MIN(place->end_ms, now);
+    holder->version++;
+}
+
+gboolean
+RateHolder_Holds(const RateHolder *holder, int slot, ClockMs now)
+{
+    return holder->slots[slot].end_ms > now;
+}
+
+static uint32_t
+bucket_hash(const RateHolder *holder, uint64_t team)
+{
+    return (uint32_t)Rng_Mix(team, 0) & holder->bucket_mask;
+}
+
+static Bucket *
+find_bucket(const RateHolder *holder, uint64_t team)
+{
+    uint32_t i = holder->bucket_heads[bucket_hash(holder, team)];
+
+    while (i != NO_INDEX) {
+        if (holder->buckets[i].team == team) {
+            return &holder->buckets[i];
+        }
+        i = holder->buckets[i].next;
+    }
+    return NULL;
+}
+
+static void
+remove_bucket(RateHolder *holder, Bucket *bucket)
+{
+    uint32_t index = (uint32_t)(bucket - holder->buckets);
+    uint32_t *link = &holder->bucket_heads[bucket_hash(holder, bucket->team)];
+
+    while (*link != index) {
+        link = &holder->buckets[*link].next;
+    }
+    *link = bucket->next;
+    memset(bucket, 0, sizeof(*bucket));
+    bucket->next = holder->free_bucket;
+    holder->free_bucket = index;
+}
+
+/* Removes full buckets without grants: the level of a bucket that is created
+ * again is at most as high. Within the change delay the old share would be
+ * forgotten, but a new bucket is empty until its end. */
+static void
+evict(RateHolder *holder, ClockMs now)
+{
+    for (int i = 0; i < EVICT_STEP && holder->bucket_high > 0; i++) {
+        Bucket *bucket =
+            &holder->buckets[holder->evict_next % holder->bucket_high];
+
+        holder->evict_next++;
+        if (bucket->team == 0 || bucket->grants > 0) {
+            continue;
+        }
+        advance(holder, bucket, now);
+        if (bucket->level >= bucket->burst) {
+            remove_bucket(holder, bucket);
+        }
+    }
+}
+
+/* Level that the team's slots have reached since their holds started, or since
+ * the present limit was in force everywhere. */
+static int64_t
+first_level(const RateHolder *holder, const Bucket *bucket,
+            ClockMs in_force_everywhere, ClockMs now)
+{
+    uint16_t order[RATE_SLOTS_MAX];
+    int count =
+        RateShare_Slots(bucket->team, bucket->share.slots,
+                        holder->desc.fleet_slots, holder->desc.regions, order);
+    int64_t level = 0;
+
+    for (int i = 0; i < count; i++) {
+        const Slot *slot = &holder->slots[order[i]];
+        ClockMs start = MAX(slot->start_ms, in_force_everywhere);
+        int64_t rate;
+        int64_t burst;
+
+        if (slot->end_ms <= now || start >= now) {
+            continue;
+        }
+        slot_share(bucket, i, FALSE, &rate, &burst);
+        rate = slow_rate(holder, rate);
+        if (rate > 0 && now - start <= burst * 1000 / rate) {
+            burst = MIN(burst, rate * (now - start) / 1000);
+        }
+        level += rate > 0 ? burst : 0;
+    }
+    return level;
+}
+
+static Bucket *
+create_bucket(RateHolder *holder, uint64_t team, const RateLimit *limit,
+              ClockMs in_force_ms, ClockMs now)
+{
+    uint32_t index = holder->free_bucket;
+    Bucket *bucket;
+    uint32_t *head;
+
+    if (index == NO_INDEX && holder->bucket_high == holder->desc.max_buckets) {
+        evict(holder, now);
+        index = holder->free_bucket;
+        if (index == NO_INDEX) {
+            return NULL;
+        }
+    }
+    if (index != NO_INDEX) {
+        holder->free_bucket = holder->buckets[index].next;
+    }
+    else {
+        index = holder->bucket_high++;
+    }
+    bucket = &holder->buckets[index];
+    memset(bucket, 0, sizeof(*bucket));
+    bucket->team = team;
+    bucket->limit = *limit;
+    bucket->share = RateShare_Make(limit, holder->desc.fleet_slots);
+    bucket->change_end_ms = in_force_ms + holder->desc.change_delay_ms;
+    bucket->level = first_level(holder, bucket, bucket->change_end_ms, now);
+    bucket->last = now;
+    head = &holder->bucket_heads[bucket_hash(holder, team)];
+    bucket->next = *head;
+    *head = index;
+    return bucket;
+}
+
+/* Takes over a limit that differs from the bucket's. */
+static void
+change_limit(RateHolder *holder, Bucket *bucket, const RateLimit *limit,
+             ClockMs in_force_ms, ClockMs now)
+{
+    RateShare *old = &bucket->old_share;
+    ClockMs at = MIN(in_force_ms, now);
+
+    advance(holder, bucket, at);
+    if (at >= bucket->change_end_ms) {
+        *old = bucket->share;
+    }
+    else {
+        /* A second change within the delay: the smallest of all shares. */
+        old->slots = MIN(old->slots, bucket->share.slots);
+        old->micro_per_second =
+            MIN(old->micro_per_second, bucket->share.micro_per_second);
+        old->burst_micro = MIN(old->burst_micro, bucket->share.burst_micro);
+        old->rate_extra = 0;
+        old->burst_extra = 0;
+    }
+    bucket->limit = *limit;
+    bucket->share = RateShare_Make(limit, holder->desc.fleet_slots);
+    bucket->change_end_ms = in_force_ms + holder->desc.change_delay_ms;
+    set_parameters(holder, bucket, MAX(at, bucket->last));
+}
+
+static gboolean
+holds_any(const RateHolder *holder, uint64_t team, const RateLimit *limit,
+          ClockMs now, ClockMs *start_ms, ClockMs *end_ms)
+{
+    uint16_t order[RATE_SLOTS_MAX];
+    RateShare share = RateShare_Make(limit, holder->desc.fleet_slots);
+    int count = RateShare_Slots(team, share.slots, holder->desc.fleet_slots,
+                                holder->desc.regions, order);
+
+    *start_ms = CLOCK_NEVER;
+    *end_ms = CLOCK_NEVER;
+    for (int i = 0; i < count; i++) {
+        const Slot *slot = &holder->slots[order[i]];
+
+        if (slot->end_ms > now) {
+            *start_ms = MIN(*start_ms, slot->start_ms);
+            *end_ms = MIN(*end_ms, slot->end_ms);
+        }
+    }
+    return *end_ms != CLOCK_NEVER;
+}
+
+/* Keeps the highest incarnation of each entry; FALSE for an older one. The
+ * check saves tokens that a dead process could not use, the bound does not
+ * depend on it, so a full table forgets an entry. */
+static gboolean
+check_entry(RateHolder *holder, const RateDraw *draw)
+{
+    uint32_t mask = holder->desc.max_entries - 1;
+    uint32_t first = (uint32_t)Rng_Mix(draw->entry, 1);
+    Entry *place = &holder->entries[first & mask];
+
+    for (uint32_t i = 0; i < ENTRY_PROBES; i++) {
+        Entry *entry = &holder->entries[(first + i) & mask];
+
+        if (entry->host == draw->entry || entry->host == 0) {
+            place = entry;
+            break;
+        }
+    }
+    if (place->host != draw->entry) {
+        place->host = draw->entry;
+        place->incarnation = draw->entry_incarnation;
+    }
+    if (draw->entry_incarnation < place->incarnation) {
+        return FALSE;
+    }
+    place->incarnation = draw->entry_incarnation;
+    return TRUE;
+}
+
+static const Grant *
+find_grant(const RateHolder *holder, const RateDraw *draw)
+{
+    uint32_t i =
+        holder->grant_heads[grant_hash(holder, draw->entry, draw->serial)];
+
+    while (i != NO_INDEX) {
+        const Grant *grant = &holder->grants[i];
+
+        if (grant->entry == draw->entry && grant->serial == draw->serial &&
+            grant->incarnation == draw->entry_incarnation) {
+            return grant;
+        }
+        i = grant->next;
+    }
+    return NULL;
+}
+
+/* How much of the level a draw gets. Teams whose slots have less than four
+ * tokens of burst get fractions, which the entry adds up; for all others a
+ * fraction is left in the bucket until it is a whole token. */
+static int64_t
+amount_for(const Bucket *bucket, const RateDraw *draw)
+{
+    gboolean fractions = bucket->share.burst_micro < SMALL_BURST;
+    int64_t need = MAX(draw->need_micro, 0);
+    int64_t amount = MIN(need, bucket->level);
+    int64_t ahead = 0;
+
+    if (!fractions && amount < need) {
+        amount -= amount % RATE_MICRO;
+    }
+    if (amount == need && draw->want_micro > need) {
+        ahead = MIN(draw->want_micro - need,
+                    (bucket->level - need) / AHEAD_DIVISOR);
+        ahead -= ahead % RATE_MICRO;
+    }
+    return amount + ahead;
+}
+
+/* When the bucket will have another token that was not promised yet. */
+static int
+retry_after(Bucket *bucket, int64_t missing, int64_t left, ClockMs now)
+{
+    int64_t wait;
+    ClockMs base = MAX(bucket->queue_ms, now);
+
+    if (bucket->rate == 0) {
+        return RETRY_MAX_MS;
+    }
+    if (bucket->queue_ms <= now) {
+        missing -= left;
+    }
+    wait = MAX(missing, 1) * 1000 / bucket->rate + 1;
+    bucket->queue_ms = MIN(base + wait, now + RETRY_MAX_MS);
+    return (int)MAX(bucket->queue_ms - now, RETRY_MIN_MS);
+}
+
+static void
+record_grant(RateHolder *holder, Bucket *bucket, const RateDraw *draw,
+             const RateGrant *given, ClockMs now)
+{
+    uint64_t number = holder->grant_next++;
+    Grant *grant = grant_at(holder, number);
+    uint32_t *head =
+        &holder->grant_heads[grant_hash(holder, draw->entry, draw->serial)];
+
+    *grant = (Grant){.number = number,
+                     .entry = draw->entry,
+                     .incarnation = draw->entry_incarnation,
+                     .serial = draw->serial,
+                     .micro = given->micro,
+                     .expires_ms = now + holder->life_ms,
+                     .bucket = (uint32_t)(bucket - holder->buckets),
+                     .next = *head,
+                     .settle_now = given->settle_now,
+                     .retry_ms = given->retry_ms};
+    *head = (uint32_t)(grant - holder->grants);
+    bucket->level -= given->micro;
+    bucket->outstanding += given->micro;
+    bucket->grants++;
+}
+
+static Result
+draw_from(RateHolder *holder, Bucket *bucket, const RateDraw *draw,
+          ClockMs now, RateGrant *grant)
+{
+    int64_t need = MAX(draw->need_micro, 0);
+
+    grant->micro = amount_for(bucket, draw);
+    if (grant->micro < need) {
+        grant->retry_ms =
+            retry_after(bucket, MIN(need - grant->micro, (int64_t)RATE_MICRO),
+                        bucket->level - grant->micro, now);
+    }
+    if (grant->micro == 0) {
+        return RESULT_OK;
+    }
+    if (holder->grant_next - holder->grant_first >= holder->desc.max_grants) {
+        return RESULT_FULL;
+    }
+    /* Refill that outstanding grants hold back matters when the burst is used
+     * up soon or is small against the rate. */
+    grant->settle_now =
+        bucket->level - grant->micro < bucket->burst / 2 ||
+        bucket->burst < bucket->rate * holder->desc.grant_life_ms / 1000 ||
+        bucket->share.burst_micro < SMALL_BURST;
+    grant->number = holder->grant_next;
+    grant->life_ms = holder->desc.grant_life_ms;
+    record_grant(holder, bucket, draw, grant, now);
+    return RESULT_OK;
+}
+
+Result
+RateHolder_Draw(RateHolder *holder, const RateDraw *draw, ClockMs now,
+                RateGrant *grant)
+{
+    RateLimit limit;
+    ClockMs in_force_ms;
+    ClockMs start_ms;
+    Bucket *bucket;
+    const Grant *earlier;
+
+    memset(grant, 0, sizeof(*grant));
+    if (draw->team == 0) {
+        return RESULT_MALFORMED;
+    }
+    lapse(holder, now);
+    if (!check_entry(holder, draw)) {
+        return RESULT_RPC_OLD_SESSION;
+    }
+    if (!holder->desc.lookup(holder->desc.context, draw->team, &limit,
+                             &in_force_ms)) {
+        return RESULT_NOT_CONFIGURED;
+    }
+    if (!holds_any(holder, draw->team, &limit, now, &start_ms,
+                   &grant->hold_end_ms)) {
+        return RESULT_RATE_NOT_HELD;
+    }
+    earlier = find_grant(holder, draw);
+    if (earlier != NULL) {
+        grant->number = earlier->number;
+        grant->micro = earlier->micro;
+        grant->life_ms = holder->desc.grant_life_ms;
+        grant->retry_ms = earlier->retry_ms;
+        grant->settle_now = earlier->settle_now;
+        return RESULT_OK;
+    }
+    start_ms = MAX(start_ms, in_force_ms + holder->desc.change_delay_ms);
+    bucket = find_bucket(holder, draw->team);
+    if (bucket == NULL) {
+        if (start_ms >= now) {
+            grant->retry_ms =
+                (int)CLAMP(start_ms - now, RETRY_MIN_MS, RETRY_MAX_MS);
+            return RESULT_OK;
+        }
+        bucket = create_bucket(holder, draw->team, &limit, in_force_ms, now);
+    }
+    if (bucket == NULL) {
+        return RESULT_FULL;
+    }
+    if (bucket->limit.rate_per_s != limit.rate_per_s ||
+        bucket->limit.burst != limit.burst) {
+        change_limit(holder, bucket, &limit, in_force_ms, now);
+    }
+    advance(holder, bucket, now);
+    return draw_from(holder, bucket, draw, now, grant);
+}
+
+static void
+settle_one(RateHolder *holder, uint64_t entry, const RateUse *use, ClockMs now)
+{
+    Grant *grant;
+    Bucket *bucket;
+    int64_t used;
+
+    if (use->grant < holder->grant_first || use->grant >= holder->grant_next) {
+        return;
+    }
+    grant = grant_at(holder, use->grant);
+    if (grant->entry != entry || grant->closed) {
+        return;
+    }
+    bucket = &holder->buckets[grant->bucket];
+    advance(holder, bucket, now);
+    used = CLAMP(use->used_micro, grant->used, grant->micro);
+    bucket->outstanding -= used - grant->used;
+    grant->used = used;
+    if (use->closed) {
+        bucket->outstanding -= grant->micro - used;
+        bucket->level +=
+            MAX(0, MIN(grant->micro - used,
+                       bucket->burst - bucket->outstanding - bucket->level));
+        grant->closed = TRUE;
+    }
+}
+
+void
+RateHolder_Settle(RateHolder *holder, uint64_t entry, const RateUse *uses,
+                  int count, ClockMs now)
+{
+    lapse(holder, now);
+    for (int i = 0; i < count; i++) {
+        settle_one(holder, entry, &uses[i], now);
+    }
+}
+
+void
+RateHolder_Tick(RateHolder *holder, ClockMs now)
+{
+    lapse(holder, now);
+    evict(holder, now);
+}
+
+int
+RateHolder_Slots(const RateHolder *holder, RateSlotStatus *slots, int max)
+{
+    int count = 0;
+
+    for (int i = 0; i < holder->desc.fleet_slots; i++) {
+        const Slot *slot = &holder->slots[i];
+
+        if (slot->end_ms == 0) {
+            continue;
+        }
+        if (count < max) {
+            slots[count] =
+                (RateSlotStatus){i, slot->epoch, slot->start_ms, slot->end_ms};
+        }
+        count++;
+    }
+    return count;
+}
+
+int
+RateHolder_Buckets(const RateHolder *holder, RateBucketStatus *buckets,
+                   int max)
+{
+    int count = 0;
+
+    for (uint32_t i = 0; i < holder->bucket_high; i++) {
+        const Bucket *bucket = &holder->buckets[i];
+
+        if (bucket->team == 0) {
+            continue;
+        }
+        if (count < max) {
+            buckets[count] = (RateBucketStatus){bucket->team, bucket->level,
+                                                bucket->outstanding,
+                                                bucket->burst, bucket->rate};
+        }
+        count++;
+    }
+    return count;
+}
+
+size_t
+RateHolder_MemoryBytes(const RateHolder *holder)
+{
+    uint64_t live = holder->grant_next;
+
+    live = MIN(live, holder->desc.max_grants);
+    return sizeof(*holder) + holder->bucket_high * sizeof(Bucket) +
+           (holder->bucket_mask + 1) * sizeof(uint32_t) +
+           live * sizeof(Grant) + (holder->grant_mask + 1) * sizeof(uint32_t) +
+           holder->desc.max_entries * sizeof(Entry);
+}
--- a/src/rate/rate_holder.h
+++ b/src/rate/rate_holder.h
@@ -52,11 +52,11 @@
 
 typedef struct RateDraw {
     uint64_t team;
-    uint64_t entry;             /* host id of the entry */
-    uint64_t entry_incarnation; /* */
-    uint64_t serial;            /* rises with each draw of the incarnation */
-    int64_t need_micro;         /* for requests that wait now */
-    int64_t want_micro;         /* with demand to come; >= need */
+    uint64_t entry; /* host id of the entry */
+    uint64_t entry_incarnation;
+    uint64_t serial;    /* rises with each draw of the incarnation */
+    int64_t need_micro; /* for requests that wait now */
+    int64_t want_micro; /* with demand to come; >= need */
 } RateDraw;
 
 typedef struct RateGrant {
@@ -132,4 +132,9 @@
 size_t
 RateHolder_MemoryBytes(const RateHolder *holder);
 
+/* Private: the longest time, by this host's clock, that `duration_ms` by
+ * another host's clock can take. */
+ClockMs
+_RateHolder_Wait(ClockMs duration_ms, int drift_ppm);
+
 #endif
--- /dev/null
+++ b/src/rate/rate_share.c
@@ -0,0 +1,94 @@
+#include "rate/rate_share.h"
+
+#include "base/rng.h"
+
+/* Rate and burst that a slot of a larger team has at least. Fewer requests/s
+ * for each slot would cost more draws; with a smaller burst a slot would often
+ * hold less than one token. */
+#define SLOT_RATE 8
+#define SLOT_BURST 4
+
+RateShare
+RateShare_Make(const RateLimit *limit, int fleet_slots)
+{
+    int64_t rate = CLAMP(limit->rate_per_s, 0, RATE_PER_S_MAX);
+    int64_t burst = CLAMP(limit->burst, 0, RATE_BURST_MAX);
+    int64_t slots =
+        MIN((rate + SLOT_RATE - 1) / SLOT_RATE, burst / SLOT_BURST);
+    RateShare share;
+
+    slots = CLAMP(slots, RATE_TEAM_SLOTS_MIN, RATE_SLOTS_MAX);
+    slots = MIN(slots, fleet_slots);
+    share.slots = (int)slots;
+    share.micro_per_second = rate * RATE_MICRO / slots;
+    share.rate_extra = (int)(rate * RATE_MICRO % slots);
+    share.burst_micro = burst * RATE_MICRO / slots;
+    share.burst_extra = (int)(burst * RATE_MICRO % slots);
+    return share;
+}
+
+/* Writes the `count` slots of a region that come first, in order. */
+static int
+first_of_region(uint64_t team, int region, int fleet_slots, int regions,
+                int count, uint16_t *slots)
+{
+    uint64_t keys[RATE_SLOTS_MAX];
+    int found = 0;
+
+    for (int slot = region; slot < fleet_slots; slot += regions) {
+        uint64_t key = Rng_Mix(team, (uint64_t)slot);
+        int i = found;
+
+        if (found == count) {
+            if (count == 0 || key >= keys[count - 1]) {
+                continue;
+            }
+            i = count - 1;
+        }
+        else {
+            found++;
+        }
+        for (; i > 0 && keys[i - 1] > key; i--) {
+            keys[i] = keys[i - 1];
+            slots[i] = slots[i - 1];
+        }
+        keys[i] = key;
+        slots[i] = (uint16_t)slot;
+    }
+    return found;
+}
+
+int
+RateShare_Slots(uint64_t team, int count, int fleet_slots, int regions,
+                uint16_t *slots)
+{
+    uint16_t by_region[RATE_SLOTS_MAX];
+    int begin[RATE_SLOTS_MAX];
+    int length[RATE_SLOTS_MAX];
+    int written = 0;
+    int used = 0;
+    int first;
+
+    count = MIN(count, fleet_slots);
+    regions = CLAMP(regions, 1, fleet_slots);
+    first = (int)(Rng_Mix(team, UINT64_MAX - 1) % (uint64_t)regions);
+    for (int region = 0; region < regions; region++) {
+        int size = (fleet_slots - region + regions - 1) / regions;
+        int wanted = MIN((count + regions - 1) / regions + 1, size);
+
+        begin[region] = used;
+        length[region] = first_of_region(team, region, fleet_slots, regions,
+                                         wanted, by_region + used);
+        used += length[region];
+    }
+    for (int round = 0; written < count; round++) {
+        for (int i = 0; i < regions && written < count; i++) {
+            int region = (first + i) % regions;
+
+            if (round < length[region]) {
+                slots[written++] = by_region[begin[region] + round];
+            }
+        }
+    }
+    return written;
+}
--- a/src/rate/rate_share.h
+++ b/src/rate/rate_share.h
@@ -7,8 +7,9 @@
  *     rendezvous order first. The slots of a smaller K are always the first
  *     ones of a larger K.
  *
- * Amounts are integers in micro-tokens. Every share is rounded down, so the
- * shares of all slots never add up to more than the team's rate and burst.
+ * Amounts are integers in micro-tokens. The shares of all slots add up to
+ * exactly the team's rate and burst: what is left after division by K goes to
+ * the first slots, one micro-token each.
  *
  * Limits: rates up to 1,000,000 requests/s and bursts up to 10,000,000; larger
  * values are cut to these.
@@ -33,6 +34,8 @@
 
 typedef struct RateShare {
     int slots;                /* K */
+    int rate_extra;           /* slots that have one micro-token/s more */
+    int burst_extra;          /* slots that have one micro-token more */
     int64_t micro_per_second; /* of one slot */
     int64_t burst_micro;      /* of one slot */
 } RateShare;
