--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -209,9 +209,9 @@
     struct sockaddr_in address = listen_address(daemon, 0);
 
     for (unsigned i = 0; i < settings->seeds.count; i++) {
-        seeds[i] = (RpcPeer){
-            .ip = ntohl(settings->seeds.items[i].sin_addr.s_addr),
-            .port = ntohs(settings->seeds.items[i].sin_port)};
+        seeds[i] =
+            (RpcPeer){.ip = ntohl(settings->seeds.items[i].sin_addr.s_addr),
+                      .port = ntohs(settings->seeds.items[i].sin_port)};
     }
     desc.member.self = (MemberHost){
         .id = daemon->host,
@@ -285,8 +285,8 @@
         .client = daemon->client,
     };
 
-    if (!read_pem(settings->tls_certificate_file,
-                  &daemon->tls_certificate_pem, error) ||
+    if (!read_pem(settings->tls_certificate_file, &daemon->tls_certificate_pem,
+                  error) ||
         !read_pem(settings->tls_key_file, &daemon->tls_key_pem, error)) {
         return FALSE;
     }
@@ -342,8 +342,8 @@
 static gboolean
 start(Daemon *daemon, GError **error)
 {
-    daemon->client = HttpClient_Create(&(HttpClient_desc){
-        .silence_ms = daemon->settings->silence_ms});
+    daemon->client = HttpClient_Create(
+        &(HttpClient_desc){.silence_ms = daemon->settings->silence_ms});
     daemon->background =
         HttpExecutor_Create(BACKGROUND_THREADS, BACKGROUND_QUEUE);
     daemon->config = Config_Create();
@@ -418,8 +418,7 @@
 void
 Daemon_Stop(Daemon *daemon)
 {
-    ClockMs until =
-        Clock_Now() + Settings_Read(&daemon->settings->drain_ms);
+    ClockMs until = Clock_Now() + Settings_Read(&daemon->settings->drain_ms);
     uint64_t successor;
 
     Log_Event(LOG_STOPPING, "in_flight=%s", "draining");
--- a/src/daemon/daemon_admin.c
+++ b/src/daemon/daemon_admin.c
@@ -76,8 +76,7 @@
 {
     json_int_t slots = json_integer_value(json_object_get(body, "slots"));
     json_int_t port = json_integer_value(json_object_get(body, "port"));
-    const char *address =
-        json_string_value(json_object_get(body, "address"));
+    const char *address = json_string_value(json_object_get(body, "address"));
     char *text;
     gboolean parsed;
 
@@ -110,10 +109,9 @@
                        "draining or leaving}");
     }
     else {
-        respond_result(request,
-                       Owner_Announce(daemon->owner, &announcement,
-                                      Clock_Now()),
-                       NULL);
+        respond_result(
+            request, Owner_Announce(daemon->owner, &announcement, Clock_Now()),
+            NULL);
     }
     json_decref(body);
 }
@@ -152,8 +150,8 @@
     }
     else {
         respond_result(
-            request,
-            Owner_SetDrain(daemon->owner, name, json_is_true(drain)), NULL);
+            request, Owner_SetDrain(daemon->owner, name, json_is_true(drain)),
+            NULL);
     }
     json_decref(body);
 }
@@ -188,8 +186,7 @@
     if (daemon->store == NULL) {
         return RESULT_STORE_UNAVAILABLE;
     }
-    object_name =
-        g_strdup_printf("retired/%016" G_GINT64_MODIFIER "x", host);
+    object_name = g_strdup_printf("retired/%016" G_GINT64_MODIFIER "x", host);
     value = json_pack("{s:s, s:I}", "host", name, "incarnation",
                       (json_int_t)incarnation);
     pthread_mutex_lock(&daemon->store_lock);
@@ -212,8 +209,7 @@
     const char *name = json_string_value(json_object_get(body, "host"));
 
     if (name == NULL) {
-        respond_result(request, RESULT_MALFORMED,
-                       "expected {\"host\": name}");
+        respond_result(request, RESULT_MALFORMED, "expected {\"host\": name}");
     }
     else {
         respond_result(request, retire_host(daemon, name), NULL);
@@ -320,9 +316,8 @@
                             .event_threads = 1,
                             .handler = serve,
                             .context = daemon};
-    char *address =
-        g_strdup_printf("%s:%d", daemon->settings->address,
-                        (int)daemon->settings->admin_port);
+    char *address = g_strdup_printf("%s:%d", daemon->settings->address,
+                                    (int)daemon->settings->admin_port);
 
     HttpAddress_Parse(address, &desc.address);
     g_free(address);
--- a/src/daemon/daemon_peers.c
+++ b/src/daemon/daemon_peers.c
@@ -211,8 +211,8 @@
     gboolean is_watcher;
 
     rcu_read_lock();
-    list = Member_ListHosts(daemon->member, daemon->region,
-                            daemon->data_centre);
+    list =
+        Member_ListHosts(daemon->member, daemon->region, daemon->data_centre);
     is_watcher = Member_RankOf(list, WATCH_KEY, daemon->host) <
                  WATCHERS_PER_DATA_CENTRE;
     rcu_read_unlock();
@@ -299,9 +299,8 @@
         rcu_read_lock();
         found = _Daemon_FindPeer(daemon, ids[i], &peer);
         rcu_read_unlock();
-        if (found &&
-            Rpc_Call(daemon->rpc, &peer, RPC_KIND_VERSION_NOTICE, body, reply,
-                     NOTICE_TIMEOUT_MS) == RESULT_OK) {
+        if (found && Rpc_Call(daemon->rpc, &peer, RPC_KIND_VERSION_NOTICE,
+                              body, reply, NOTICE_TIMEOUT_MS) == RESULT_OK) {
             _Daemon_LearnVersion(daemon, &peer, reply);
         }
         g_byte_array_unref(reply);
@@ -344,8 +343,7 @@
 
         json_array_foreach(hosts, index, host)
         {
-            const char *rpc =
-                json_string_value(json_object_get(host, "rpc"));
+            const char *rpc = json_string_value(json_object_get(host, "rpc"));
 
             if (count < max && rpc != NULL &&
                 HttpAddress_Parse(rpc, &address)) {
@@ -372,9 +370,9 @@
     uint32_t count;
 
     rcu_read_lock();
-    count = Member_Rank(Member_ListHosts(daemon->member, daemon->region,
-                                         daemon->data_centre),
-                        WATCH_KEY, hosts, ROSTER_HOSTS);
+    count = Member_Rank(
+        Member_ListHosts(daemon->member, daemon->region, daemon->data_centre),
+        WATCH_KEY, hosts, ROSTER_HOSTS);
     for (uint32_t i = 0; i < count; i++) {
         address = (struct sockaddr_in){
             .sin_family = AF_INET,
@@ -383,8 +381,8 @@
         };
         HttpAddress_Format(&address, text, sizeof(text));
         g_snprintf(id, sizeof(id), "%016" G_GINT64_MODIFIER "x", hosts[i]->id);
-        json_array_append_new(
-            array, json_pack("{s:s, s:s}", "id", id, "rpc", text));
+        json_array_append_new(array,
+                              json_pack("{s:s, s:s}", "id", id, "rpc", text));
     }
     rcu_read_unlock();
     return json_pack("{s:o}", "hosts", array);
@@ -406,8 +404,8 @@
         return;
     }
     rcu_read_lock();
-    list = Member_ListHosts(daemon->member, daemon->region,
-                            daemon->data_centre);
+    list =
+        Member_ListHosts(daemon->member, daemon->region, daemon->data_centre);
     is_first = Member_RankOf(list, WATCH_KEY, daemon->host) == 0;
     rcu_read_unlock();
     if (!is_first) {
@@ -458,16 +456,15 @@
     unsigned count;
 
     rcu_read_lock();
-    count = Entry_Successors(daemon->member, daemon->host,
-                             daemon->incarnation, daemon->region,
-                             daemon->data_centre, hosts,
+    count = Entry_Successors(daemon->member, daemon->host, daemon->incarnation,
+                             daemon->region, daemon->data_centre, hosts,
                              G_N_ELEMENTS(hosts));
     for (unsigned i = 0; i < count; i++) {
         ids[i] = hosts[i]->id;
     }
     rcu_read_unlock();
-    chunks = RunTable_HandOver(daemon->runs, HAND_OVER_CHUNK_BYTES,
-                               Clock_Now());
+    chunks =
+        RunTable_HandOver(daemon->runs, HAND_OVER_CHUNK_BYTES, Clock_Now());
     for (unsigned i = 0; i < count && successor == 0; i++) {
         if (send_runs(daemon, ids[i], chunks)) {
             successor = ids[i];
--- a/src/daemon/daemon_permits.c
+++ b/src/daemon/daemon_permits.c
@@ -76,8 +76,8 @@
     const ConfigTable *table = Config_ReadLock(daemon->config);
     const MemberService *service;
     ConfigServiceInfo info;
-    gboolean found = Config_GetService(
-        table, Config_FindService(table, name), &info);
+    gboolean found =
+        Config_GetService(table, Config_FindService(table, name), &info);
 
     *view = (PermitView){0};
     if (found) {
--- a/src/daemon/daemon_rate.c
+++ b/src/daemon/daemon_rate.c
@@ -162,8 +162,8 @@
     rcu_read_lock();
     list = Member_ListHosts(daemon->member, MEMBER_ANY, MEMBER_ANY);
     for (uint32_t i = 0; i < list->count; i++) {
-        hash = Rng_Mix(hash, Rng_Mix(list->hosts[i]->id,
-                                     list->hosts[i]->incarnation));
+        hash = Rng_Mix(
+            hash, Rng_Mix(list->hosts[i]->id, list->hosts[i]->incarnation));
         if (each != NULL) {
             fill_host(list->hosts[i], &host);
             each(each_context, &host);
@@ -198,8 +198,8 @@
     until = g_hash_table_lookup(daemon->retired, &host);
     if (until == NULL || *until < Clock_Now()) {
         if (Store_Get(daemon->store, name, &object, NULL) == RESULT_OK) {
-            retired = json_integer_value(json_object_get(
-                          object.value, "incarnation")) >=
+            retired = json_integer_value(
+                          json_object_get(object.value, "incarnation")) >=
                       (json_int_t)incarnation;
         }
         else {
@@ -221,8 +221,8 @@
     Daemon *daemon = context;
     const ConfigTable *table = Config_ReadLock(daemon->config);
     ConfigTeamInfo info;
-    gboolean found = Config_GetTeam(
-        table, Config_FindTeamByNameHash(table, team), &info);
+    gboolean found =
+        Config_GetTeam(table, Config_FindTeamByNameHash(table, team), &info);
 
     if (found) {
         *limit = (RateLimit){.rate_per_s = info.rate_micro / RATE_MICRO,
@@ -260,9 +260,9 @@
 }
 
 typedef Result (*RateHandler)(RateService *service, uint64_t sender,
-                              uint64_t sender_incarnation,
-                              const uint8_t *body, size_t body_bytes,
-                              uint8_t *reply, size_t *reply_bytes);
+                              uint64_t sender_incarnation, const uint8_t *body,
+                              size_t body_bytes, uint8_t *reply,
+                              size_t *reply_bytes);
 
 static Result
 handle_with(Daemon *daemon, RateHandler handler, const RpcPeer *sender,
--- a/src/daemon/daemon_status.c
+++ b/src/daemon/daemon_status.c
@@ -86,8 +86,7 @@
 servers_status(const Daemon *daemon)
 {
     OwnerServerStatus servers[MEMBER_MAX_SERVERS];
-    unsigned count =
-        Owner_Status(daemon->owner, servers, MEMBER_MAX_SERVERS);
+    unsigned count = Owner_Status(daemon->owner, servers, MEMBER_MAX_SERVERS);
     json_t *array = json_array();
 
     for (unsigned i = 0; i < count; i++) {
@@ -95,24 +94,24 @@
 
         json_array_append_new(
             array,
-            json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, "
-                      "s:i, s:I, s:I}",
-                      "name", server->announcement.name, "service",
-                      server->announcement.service, "pool",
-                      server->announcement.pool, "announced",
-                      announced_state(server), "health",
-                      Health_StateName(server->verdict.state), "reason",
-                      Health_ReasonName(server->verdict.reason), "permit",
-                      Permit_StatusName(server->permit), "weight",
-                      (int)server->verdict.weight, "slots",
-                      (int)server->announcement.slots, "slots_in_use",
-                      (int)server->slots_in_use, "waiting",
-                      (int)server->waiting, "latency_us",
-                      (json_int_t)Health_ClassLatencyUs(
-                          server->verdict.latency_class),
-                      "service_median_us",
-                      (json_int_t)Health_ClassLatencyUs(
-                          server->baseline_class)));
+            json_pack(
+                "{s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, "
+                "s:i, s:I, s:I}",
+                "name", server->announcement.name, "service",
+                server->announcement.service, "pool",
+                server->announcement.pool, "announced",
+                announced_state(server), "health",
+                Health_StateName(server->verdict.state), "reason",
+                Health_ReasonName(server->verdict.reason), "permit",
+                Permit_StatusName(server->permit), "weight",
+                (int)server->verdict.weight, "slots",
+                (int)server->announcement.slots, "slots_in_use",
+                (int)server->slots_in_use, "waiting", (int)server->waiting,
+                "latency_us",
+                (json_int_t)Health_ClassLatencyUs(
+                    server->verdict.latency_class),
+                "service_median_us",
+                (json_int_t)Health_ClassLatencyUs(server->baseline_class)));
     }
     return array;
 }
@@ -132,9 +131,8 @@
     for (int i = 0; i < status->slots_held; i++) {
         json_array_append_new(slots, json_integer(status->slots[i].slot));
     }
-    for (int i = 0; i < (int)daemon->settings->rate_slots &&
-                    i < RATE_SLOTS_MAX;
-         i++) {
+    for (int i = 0;
+         i < (int)daemon->settings->rate_slots && i < RATE_SLOTS_MAX; i++) {
         known += status->holders[i].host != 0;
     }
     count = RateService_Buckets(daemon->rate, buckets, MAX_BUCKETS);
@@ -147,13 +145,13 @@
                       (double)buckets[i].outstanding_micro / RATE_MICRO,
                       "burst", (double)buckets[i].burst_micro / RATE_MICRO));
     }
-    result = json_pack(
-        "{s:o, s:i, s:i, s:I, s:I, s:I, s:o}", "slots_held", slots,
-        "slots_with_known_holder", known, "slots_total",
-        (int)daemon->settings->rate_slots, "draws_sent",
-        (json_int_t)status->draws_sent, "draws_failed",
-        (json_int_t)status->draws_failed, "refused_exceeded",
-        (json_int_t)status->refused_exceeded, "buckets", levels);
+    result =
+        json_pack("{s:o, s:i, s:i, s:I, s:I, s:I, s:o}", "slots_held", slots,
+                  "slots_with_known_holder", known, "slots_total",
+                  (int)daemon->settings->rate_slots, "draws_sent",
+                  (json_int_t)status->draws_sent, "draws_failed",
+                  (json_int_t)status->draws_failed, "refused_exceeded",
+                  (json_int_t)status->refused_exceeded, "buckets", levels);
     g_free(buckets);
     g_free(status);
     return result;
@@ -190,14 +188,14 @@
     ConfigStats stats;
 
     Config_GetStats(daemon->config, &stats);
-    return json_pack(
-        "{s:I, s:i, s:i, s:i, s:i, s:i, s:I, s:I, s:b}", "ticket",
-        (json_int_t)stats.version, "services", (int)stats.services, "teams",
-        (int)stats.teams, "keys", (int)stats.keys, "routes",
-        (int)stats.routes, "withdrawn_keys", (int)stats.withdrawn, "bytes",
-        (json_int_t)stats.bytes, "store_contact_age_ms",
-        (json_int_t)ConfigSync_ContactAgeMs(daemon->sync), "watcher",
-        (int)_Daemon_IsWatcher((void *)daemon));
+    return json_pack("{s:I, s:i, s:i, s:i, s:i, s:i, s:I, s:I, s:b}", "ticket",
+                     (json_int_t)stats.version, "services",
+                     (int)stats.services, "teams", (int)stats.teams, "keys",
+                     (int)stats.keys, "routes", (int)stats.routes,
+                     "withdrawn_keys", (int)stats.withdrawn, "bytes",
+                     (json_int_t)stats.bytes, "store_contact_age_ms",
+                     (json_int_t)ConfigSync_ContactAgeMs(daemon->sync),
+                     "watcher", (int)_Daemon_IsWatcher((void *)daemon));
 }
 
 char *
@@ -211,15 +209,13 @@
     Result_ForEach(add_nonzero, refusals);
     root = json_pack(
         "{s:s, s:o, s:I, s:s, s:s, s:i, s:o, s:o, s:o, s:o, s:o, s:o, s:o}",
-        "host", daemon->settings->host, "id", hex(daemon->host),
-        "incarnation", (json_int_t)daemon->incarnation, "region",
-        daemon->settings->region, "data_centre",
-        daemon->settings->data_centre, "entry_port",
+        "host", daemon->settings->host, "id", hex(daemon->host), "incarnation",
+        (json_int_t)daemon->incarnation, "region", daemon->settings->region,
+        "data_centre", daemon->settings->data_centre, "entry_port",
         (int)Entry_Port(daemon->entry), "config", config_status(daemon),
         "members", counts_status(daemon), "hosts", hosts_status(daemon),
-        "backend_servers", servers_status(daemon), "rate",
-        rate_status(daemon), "runs", runs_status(daemon), "refusals",
-        refusals);
+        "backend_servers", servers_status(daemon), "rate", rate_status(daemon),
+        "runs", runs_status(daemon), "refusals", refusals);
     text = json_dumps(root, JSON_COMPACT);
     copy = g_strdup(text);
     free(text);
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -97,8 +97,12 @@
     static const struct argp_option argp_options[] = {
         {"check", 'c', NULL, 0, "check the settings and exit", 0}, {0}};
     static const struct argp argp = {
-        argp_options, parse_option, "SETTINGS",
-        "Runs the radishknot daemon with the settings in a JSON file.", 0, 0,
+        argp_options,
+        parse_option,
+        "SETTINGS",
+        "Runs the radishknot daemon with the settings in a JSON file.",
+        0,
+        0,
         0};
     Options options = {0};
     GError *error = NULL;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -171,9 +171,8 @@
         return TRUE;
     }
     pthread_mutex_lock(&entry->lock);
-    decision =
-        Retry_Decide(&service_record(entry, request->service)->budget, NULL,
-                     &input, Clock_Now(), &entry->rng);
+    decision = Retry_Decide(&service_record(entry, request->service)->budget,
+                            NULL, &input, Clock_Now(), &entry->rng);
     pthread_mutex_unlock(&entry->lock);
     if (decision.reason != RETRY_AGAIN) {
         _Entry_Trace(request, "; final %s", Retry_ReasonName(decision.reason));
@@ -290,12 +289,11 @@
     date = g_date_time_new_now_utc();
     time = g_date_time_format(date, "%Y-%m-%dT%H:%M:%SZ");
     keep_record(request->entry,
-                g_strdup_printf("%s %s team=%s route=%s %s run=%s%s", time,
-                                request->id, request->team, request->route,
-                                Result_Name(reply->result),
-                                Result_RunName((RunState)atomic_load(
-                                    &request->run)),
-                                request->trace));
+                g_strdup_printf(
+                    "%s %s team=%s route=%s %s run=%s%s", time, request->id,
+                    request->team, request->route, Result_Name(reply->result),
+                    Result_RunName((RunState)atomic_load(&request->run)),
+                    request->trace));
     g_free(time);
     g_date_time_unref(date);
 }
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -167,8 +167,8 @@
 
     if (request->deadline == 0) {
         request->deadline =
-            arrived + Settings_Read(
-                          &request->entry->desc.settings->default_deadline_ms);
+            arrived +
+            Settings_Read(&request->entry->desc.settings->default_deadline_ms);
     }
     if (wanted >= 0 && wanted < request->deadline - arrived) {
         request->deadline = arrived + wanted;
@@ -185,13 +185,11 @@
     if (!request->issuance || text == NULL) {
         return RESULT_OK;
     }
-    result = RunToken_Verify(text, request->entry->desc.settings->fleet_secret,
-                             strlen(
-                                 request->entry->desc.settings->fleet_secret),
-                             &request->token);
-    if (result == RESULT_OK &&
-        (request->token.team != request->team_hash ||
-         request->token.route != request->route_hash)) {
+    result = RunToken_Verify(
+        text, request->entry->desc.settings->fleet_secret,
+        strlen(request->entry->desc.settings->fleet_secret), &request->token);
+    if (result == RESULT_OK && (request->token.team != request->team_hash ||
+                                request->token.route != request->route_hash)) {
         result = RESULT_TOKEN_OTHER_TEAM;
     }
     if (result == RESULT_OK) {
@@ -212,9 +210,9 @@
         return;
     }
     pthread_mutex_lock(&entry->lock);
-    index = Route_ChoosePool(request->pools, request->pool_count,
-                             subject ? Rng_HashString(subject) : 0,
-                             &entry->rng);
+    index =
+        Route_ChoosePool(request->pools, request->pool_count,
+                         subject ? Rng_HashString(subject) : 0, &entry->rng);
     pthread_mutex_unlock(&entry->lock);
     request->pool = (uint32_t)request->pools[MAX(index, 0)].pool;
 }
@@ -242,9 +240,9 @@
         result = RESULT_REQUEST_INVALID;
     }
     if (result == RESULT_OK) {
-        result = find_route(request, Config_ReadLock(request->entry->desc
-                                                         .config),
-                            &hash, path);
+        result =
+            find_route(request, Config_ReadLock(request->entry->desc.config),
+                       &hash, path);
         Config_ReadUnlock(request->entry->desc.config);
     }
     if (result == RESULT_OK && is_isolated(request->entry)) {
--- a/src/entry/entry_target.c
+++ b/src/entry/entry_target.c
@@ -112,8 +112,8 @@
     gboolean found = FALSE;
 
     rcu_read_lock();
-    service = Member_FindService(request->entry->desc.member,
-                                 request->service);
+    service =
+        Member_FindService(request->entry->desc.member, request->service);
     if (service != NULL) {
         if (service->count > STACK_CANDIDATES) {
             candidates = g_new(RouteCandidate, service->count);
@@ -145,8 +145,7 @@
                  unsigned max)
 {
     const MemberHostList *list = Member_ListHosts(member, region, data_centre);
-    uint32_t count =
-        Member_Rank(list, Rng_Mix(host, incarnation), hosts, max);
+    uint32_t count = Member_Rank(list, Rng_Mix(host, incarnation), hosts, max);
     unsigned kept = 0;
 
     for (uint32_t i = 0; i < count; i++) {
@@ -205,8 +204,8 @@
         .body_bytes = request->body_bytes,
         .deadline = request->deadline,
         .issuance = request->issuance,
-        .run_token = request->issuance ? atomic_load(&request->token_text)
- : NULL,
+        .run_token =
+            request->issuance ? atomic_load(&request->token_text) : NULL,
         .cancel = cancel,
     };
 }
@@ -224,8 +223,7 @@
         reply->result = RESULT_CONNECTION_SILENT;
     }
     if (verdict != ENTRY_VERDICT_NONE) {
-        HttpClient_Forget(request->entry->desc.client,
-                          &target->owner_address);
+        HttpClient_Forget(request->entry->desc.client, &target->owner_address);
     }
 }
 
@@ -319,8 +317,9 @@
     atomic_store(&request->run,
                  (int)(reply->run == RUN_NO ? before : reply->run));
     report_to_route(entry, target, reply, Clock_NowMicroseconds() - started);
-    _Entry_Trace(request, "; attempt host=%016" G_GINT64_MODIFIER
-                          "x server=%016" G_GINT64_MODIFIER "x %s run=%s",
+    _Entry_Trace(request,
+                 "; attempt host=%016" G_GINT64_MODIFIER
+                 "x server=%016" G_GINT64_MODIFIER "x %s run=%s",
                  target->host, target->backend_server,
                  Result_Name(reply->result), Result_RunName(reply->run));
 }
--- a/src/entry/entry_watch.c
+++ b/src/entry/entry_watch.c
@@ -51,11 +51,10 @@
     int32_t number = 0;
     gboolean answered;
 
-    answered =
-        Rpc_Encode(body, (xdrproc_t)xdr_uint64_t, &attempt) &&
-        Rpc_Call(watched->watch->rpc, &watched->owner, RPC_KIND_LOAD, body,
-                 reply, ASK_TIMEOUT_MS) == RESULT_OK &&
-        Rpc_Decode(reply, (xdrproc_t)xdr_int32_t, &number);
+    answered = Rpc_Encode(body, (xdrproc_t)xdr_uint64_t, &attempt) &&
+               Rpc_Call(watched->watch->rpc, &watched->owner, RPC_KIND_LOAD,
+                        body, reply, ASK_TIMEOUT_MS) == RESULT_OK &&
+               Rpc_Decode(reply, (xdrproc_t)xdr_int32_t, &number);
     *state = (OwnerAttemptState)number;
     g_byte_array_unref(body);
     g_byte_array_unref(reply);
@@ -72,9 +71,8 @@
         return RESULT_MALFORMED;
     }
     state = (int32_t)OwnerPort_AskAttempt(port, attempt, Clock_Now());
-    return Rpc_Encode(reply, (xdrproc_t)xdr_int32_t, &state)
-               ? RESULT_OK
-               : RESULT_INTERNAL;
+    return Rpc_Encode(reply, (xdrproc_t)xdr_int32_t, &state) ? RESULT_OK
+                                                             : RESULT_INTERNAL;
 }
 
 /* Called with the lock held. */
@@ -116,8 +114,7 @@
     }
     /* A sign of loss is checked again soon. */
     watched->next_ask =
-        Clock_Now() +
-        (watched->signs > 0 ? WATCH_PERIOD_MS : silence(watch));
+        Clock_Now() + (watched->signs > 0 ? WATCH_PERIOD_MS : silence(watch));
     unref_watched(watched);
     pthread_mutex_unlock(&watch->lock);
 }
--- a/src/entry/entry_watch.h
+++ b/src/entry/entry_watch.h
@@ -30,14 +30,19 @@
     ENTRY_VERDICT_LOST  /* the answer is lost or the owner out of reach */
 } EntryVerdict;
 
-EntryWatch *EntryWatch_Create(Rpc *rpc, const int64_t *silence_ms);
-void EntryWatch_Destroy(EntryWatch *watch);
-EntryWatched *EntryWatch_Begin(EntryWatch *watch, const RpcPeer *owner,
-                               OwnerAttempt attempt, HttpCancel *cancel);
-EntryVerdict EntryWatch_End(EntryWatch *watch, EntryWatched *watched);
+EntryWatch *
+EntryWatch_Create(Rpc *rpc, const int64_t *silence_ms);
+void
+EntryWatch_Destroy(EntryWatch *watch);
+EntryWatched *
+EntryWatch_Begin(EntryWatch *watch, const RpcPeer *owner, OwnerAttempt attempt,
+                 HttpCancel *cancel);
+EntryVerdict
+EntryWatch_End(EntryWatch *watch, EntryWatched *watched);
 
 /* Bodies of RPC kind 22: 8 bytes attempt, 4 bytes state, both in XDR. */
-Result EntryWatch_ServeAsk(OwnerPort *port, const GByteArray *body,
-                           GByteArray *reply);
+Result
+EntryWatch_ServeAsk(OwnerPort *port, const GByteArray *body,
+                    GByteArray *reply);
 
 #endif
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -455,8 +455,8 @@
 
     pthread_mutex_lock(&owner->lock);
     Health_End(server->health, health,
-               health_outcome(reply->result, &reply->answer),
-               reply->server_us, Clock_Now());
+               health_outcome(reply->result, &reply->answer), reply->server_us,
+               Clock_Now());
     server->in_use--;
     reply->slots_in_use = server->in_use;
     reply->queue = server->waiting;
@@ -526,11 +526,10 @@
     RunBegin begin;
 
     reply->run = RUN_NO;
-    reply->result =
-        call->run_token == NULL
-            ? RESULT_TOKEN_INVALID
-            : RunToken_Verify(call->run_token, owner->desc.secret,
-                              owner->desc.secret_bytes, &token);
+    reply->result = call->run_token == NULL
+                        ? RESULT_TOKEN_INVALID
+                        : RunToken_Verify(call->run_token, owner->desc.secret,
+                                          owner->desc.secret_bytes, &token);
     if (reply->result != RESULT_OK) {
         return;
     }
@@ -588,12 +587,11 @@
     input.permit_held = PermitClaim_IsHeld(server->claim, now);
     Health_Update(server->health, &input, &server->verdict);
     if (server->verdict.state != before) {
-        Log_Event(LOG_HEALTH_CHANGED,
-                  "name=%s service=%s from=%s to=%s reason=%s",
-                  server->announcement.name, server->announcement.service,
-                  Health_StateName(before),
-                  Health_StateName(server->verdict.state),
-                  Health_ReasonName(server->verdict.reason));
+        Log_Event(
+            LOG_HEALTH_CHANGED, "name=%s service=%s from=%s to=%s reason=%s",
+            server->announcement.name, server->announcement.service,
+            Health_StateName(before), Health_StateName(server->verdict.state),
+            Health_ReasonName(server->verdict.reason));
         if (server->verdict.state == HEALTH_STATE_EJECTED) {
             Counter_Add(COUNTER_HEALTH_EJECTIONS, 1);
         }
@@ -607,8 +605,8 @@
 Owner_Tick(Owner *owner, ClockMs now)
 {
     PermitRequest requests[MEMBER_MAX_SERVERS];
-    ClockMs timeout = __atomic_load_n(owner->desc.announce_timeout_ms,
-                                      __ATOMIC_RELAXED);
+    ClockMs timeout =
+        __atomic_load_n(owner->desc.announce_timeout_ms, __ATOMIC_RELAXED);
     unsigned wanted = 0;
 
     pthread_mutex_lock(&owner->lock);
--- a/src/owner/owner_wire.c
+++ b/src/owner/owner_wire.c
@@ -5,9 +5,9 @@
 
 /* The system's headers that the MAC covers, in this order. */
 static const char *const covered[] = {
-    "Radishknot-Request-Id",  "Radishknot-Attempt",  "Radishknot-Team",
-    "Radishknot-Route",       "Radishknot-Backend",  "Radishknot-Deadline-Ms",
-    "Radishknot-Issuance",    "Radishknot-Run-Token",
+    "Radishknot-Request-Id", "Radishknot-Attempt",   "Radishknot-Team",
+    "Radishknot-Route",      "Radishknot-Backend",   "Radishknot-Deadline-Ms",
+    "Radishknot-Issuance",   "Radishknot-Run-Token",
 };
 
 gboolean
@@ -43,9 +43,10 @@
 }
 
 char *
-_OwnerWire_ComputeMac(const char *method, const char *target, const HttpHeaders *headers,
-            const void *body, size_t body_bytes, const void *secret,
-            size_t secret_bytes)
+_OwnerWire_ComputeMac(const char *method, const char *target,
+                      const HttpHeaders *headers, const void *body,
+                      size_t body_bytes, const void *secret,
+                      size_t secret_bytes)
 {
     GHmac *hmac = g_hmac_new(G_CHECKSUM_SHA256, secret, secret_bytes);
     char *text;
@@ -114,8 +115,9 @@
     if (call->run_token != NULL) {
         HttpHeaders_Add(headers, "Radishknot-Run-Token", call->run_token);
     }
-    mac = _OwnerWire_ComputeMac(call->method, call->target, headers, call->body,
-                      call->body_bytes, secret, secret_bytes);
+    mac =
+        _OwnerWire_ComputeMac(call->method, call->target, headers, call->body,
+                              call->body_bytes, secret, secret_bytes);
     HttpHeaders_Add(headers, "Radishknot-Mac", mac);
     g_free(mac);
 }
@@ -140,7 +142,8 @@
 read_fields(const HttpHeaders *headers, ClockMs now, OwnerWireCall *decoded)
 {
     OwnerCall *call = &decoded->call;
-    int64_t left = HttpHeaders_GetNumber(headers, "Radishknot-Deadline-Ms", -1);
+    int64_t left =
+        HttpHeaders_GetNumber(headers, "Radishknot-Deadline-Ms", -1);
     const char *issuance = HttpHeaders_Get(headers, "Radishknot-Issuance");
 
     call->request_id = HttpHeaders_Get(headers, "Radishknot-Request-Id");
@@ -165,8 +168,8 @@
                      size_t body_bytes, const void *secret,
                      size_t secret_bytes, ClockMs now, OwnerWireCall *decoded)
 {
-    char *mac = _OwnerWire_ComputeMac(method, target, headers, body, body_bytes,
- secret, secret_bytes);
+    char *mac = _OwnerWire_ComputeMac(method, target, headers, body,
+                                      body_bytes, secret, secret_bytes);
     gboolean is_authentic =
         is_equal_mac(mac, HttpHeaders_Get(headers, "Radishknot-Mac"));
 
@@ -265,8 +268,8 @@
         HttpAnswer_Clear(answer);
         return RESULT_ANSWER_MISMATCH;
     }
-    reply->run = Result_RunFromName(HttpHeaders_Get(headers,
-                                                    "Radishknot-Run"));
+    reply->run =
+        Result_RunFromName(HttpHeaders_Get(headers, "Radishknot-Run"));
     reply->repeated =
         g_strcmp0(HttpHeaders_Get(headers, "Radishknot-Repeated"), "1") == 0;
     read_load(headers, reply);
--- a/src/owner/owner_wire.h
+++ b/src/owner/owner_wire.h
@@ -1,11 +1,10 @@
 /* OwnerWire: a request from an entry to an owner as an HTTP message.
  *
- * The message is the caller's own request (method, target, forwardable headers,
- * body) with the system's headers:
- *   Radishknot-Request-Id, -Attempt, -Team, -Route, -Backend, -Deadline-Ms
- *   (time left), -Issuance, -Run-Token, -Mac
- * The MAC is an HMAC-SHA256 with the fleet secret over the method, the target,
- * these headers, the forwarded ones and the body.
+ * The message is the caller's own request (method, target, forwardable
+ * headers, body) with the system's headers: Radishknot-Request-Id, -Attempt,
+ * -Team, -Route, -Backend, -Deadline-Ms (time left), -Issuance, -Run-Token,
+ * -Mac The MAC is an HMAC-SHA256 with the fleet secret over the method, the
+ * target, these headers, the forwarded ones and the body.
  *
  * The answer is the backend server's, with -Result, -Run, -Load ("slots in
  * use,queue,microseconds"), -Repeated, -Request-Id and -Attempt.
@@ -32,34 +31,40 @@
     HttpHeaders forwarded;
 } OwnerWireCall;
 
-void OwnerWire_EncodeCall(const OwnerCall *call, OwnerAttempt attempt,
-                          const void *secret, size_t secret_bytes,
-                          HttpHeaders *headers);
+void
+OwnerWire_EncodeCall(const OwnerCall *call, OwnerAttempt attempt,
+                     const void *secret, size_t secret_bytes,
+                     HttpHeaders *headers);
 
 /* `now` is when the request arrived. Release with OwnerWire_ClearCall(). */
-Result OwnerWire_DecodeCall(const char *method, const char *target,
-                            const HttpHeaders *headers, const void *body,
-                            size_t body_bytes, const void *secret,
-                            size_t secret_bytes, ClockMs now,
-                            OwnerWireCall *decoded);
-void OwnerWire_ClearCall(OwnerWireCall *decoded);
+Result
+OwnerWire_DecodeCall(const char *method, const char *target,
+                     const HttpHeaders *headers, const void *body,
+                     size_t body_bytes, const void *secret,
+                     size_t secret_bytes, ClockMs now, OwnerWireCall *decoded);
+void
+OwnerWire_ClearCall(OwnerWireCall *decoded);
 
 /* Turns a reply into an HTTP answer; the reply is cleared. */
-void OwnerWire_EncodeReply(OwnerReply *reply, const char *request_id,
-                           OwnerAttempt attempt, HttpAnswer *answer);
+void
+OwnerWire_EncodeReply(OwnerReply *reply, const char *request_id,
+                      OwnerAttempt attempt, HttpAnswer *answer);
 
 /* Takes over the answer. */
-Result OwnerWire_DecodeReply(HttpAnswer *answer, const char *request_id,
-                             OwnerAttempt attempt, OwnerReply *reply);
+Result
+OwnerWire_DecodeReply(HttpAnswer *answer, const char *request_id,
+                      OwnerAttempt attempt, OwnerReply *reply);
 
 /* TRUE if the header belongs to a connection or to the system and is neither
  * forwarded nor passed back. */
-gboolean OwnerWire_IsOwnHeader(const char *name);
+gboolean
+OwnerWire_IsOwnHeader(const char *name);
 
 /* Hexadecimal MAC of a message; free with g_free(). */
-char *_OwnerWire_ComputeMac(const char *method, const char *target,
-                            const HttpHeaders *headers, const void *body,
-                            size_t body_bytes, const void *secret,
-                            size_t secret_bytes);
+char *
+_OwnerWire_ComputeMac(const char *method, const char *target,
+                      const HttpHeaders *headers, const void *body,
+                      size_t body_bytes, const void *secret,
+                      size_t secret_bytes);
 
 #endif
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -140,8 +140,7 @@
     const json_t *item;
     size_t index;
 
-    if (!json_is_array(value) ||
-        json_array_size(value) > SETTINGS_MAX_NAMES) {
+    if (!json_is_array(value) || json_array_size(value) > SETTINGS_MAX_NAMES) {
         return FALSE;
     }
     json_array_foreach(value, index, item)
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -59,7 +59,8 @@
 Settings_Destroy(Settings *settings);
 
 /* Position of a name in a list, -1 if it is not there. */
-int Settings_IndexOf(const SettingsNames *names, const char *name);
+int
+Settings_IndexOf(const SettingsNames *names, const char *name);
 
 /* Copies the reloadable numbers of `from`. Returns the number of other values
  * that differ and appends their names to `unchanged`. Reloadable numbers are
--- a/src/tool/tool.c
+++ b/src/tool/tool.c
@@ -127,8 +127,7 @@
 {
     va_list arguments;
 
-    fprintf(stderr, "radishknot: %s (%d): ", Result_Name(result),
-            (int)result);
+    fprintf(stderr, "radishknot: %s (%d): ", Result_Name(result), (int)result);
     va_start(arguments, format);
     vfprintf(stderr, format, arguments);
     va_end(arguments);
@@ -185,10 +184,9 @@
 static void
 print_outcome(const char *admin, Result result, const HttpAnswer *answer)
 {
-    json_t *body =
-        result == RESULT_OK
-            ? json_loadb(answer->body, answer->body_bytes, 0, NULL)
-            : NULL;
+    json_t *body = result == RESULT_OK
+                       ? json_loadb(answer->body, answer->body_bytes, 0, NULL)
+                       : NULL;
     const char *name = json_string_value(json_object_get(body, "name"));
     const char *message = json_string_value(json_object_get(body, "message"));
 
@@ -222,8 +220,8 @@
     if (taken >= needed) {
         return 0;
     }
-    return _Tool_Fail(last, "%u of %u daemons took the call, needed %u",
-                      taken, tool->admin_count, needed);
+    return _Tool_Fail(last, "%u of %u daemons took the call, needed %u", taken,
+                      tool->admin_count, needed);
 }
 
 /* Number of words of the command's name that the words begin with; 0 if it is
--- a/src/tool/tool_fleet.c
+++ b/src/tool/tool_fleet.c
@@ -66,8 +66,8 @@
 
     json_array_foreach(all, index, status)
     {
-        newest = MAX(newest, number_of(json_object_get(status, "config"),
-                                       "ticket"));
+        newest = MAX(newest,
+                     number_of(json_object_get(status, "config"), "ticket"));
     }
     return newest;
 }
@@ -262,8 +262,8 @@
 
     for (unsigned i = 0; i < tool->admin_count; i++) {
         HttpAnswer answer = {0};
-        Result result = _Tool_Call(tool, tool->admins[i], "GET", target, NULL,
-                                   &answer);
+        Result result =
+            _Tool_Call(tool, tool->admins[i], "GET", target, NULL, &answer);
 
         if (result == RESULT_OK) {
             print(tool->admins[i], &answer);
@@ -329,8 +329,8 @@
 static int
 set_drain(Tool *tool, const char *name, gboolean drain)
 {
-    json_t *body = json_pack("{s:s, s:b}", "backend_server", name, "drain",
-                             (int)drain);
+    json_t *body =
+        json_pack("{s:s, s:b}", "backend_server", name, "drain", (int)drain);
     int code = require_admin(tool);
 
     if (code == 0) {
--- a/src/tool/tool_ticket.c
+++ b/src/tool/tool_ticket.c
@@ -25,8 +25,8 @@
     do {
         StoreList list = {0};
 
-        result = Store_List(store, "ticket/", after, 0, LIST_PAGE, &list,
-                            error);
+        result =
+            Store_List(store, "ticket/", after, 0, LIST_PAGE, &list, error);
         if (result != RESULT_OK) {
             return result;
         }
@@ -96,8 +96,9 @@
     if (!Ticket_CheckReferences(ticket, table, problems)) {
         char *lines = Ticket_FormatProblems(problems);
 
-        code = _Tool_Fail(RESULT_TICKET_INVALID, "the ticket does not fit the "
-                                                 "configuration:\n%s",
+        code = _Tool_Fail(RESULT_TICKET_INVALID,
+                          "the ticket does not fit the "
+                          "configuration:\n%s",
                           lines);
         g_free(lines);
     }
@@ -232,8 +233,7 @@
         return Result_ExitCode(RESULT_STORE_UNAVAILABLE);
     }
     printf("%6s  %-20s  %-16s  %s\n", "ticket", "when", "who", "why");
-    if (for_each_ticket(store, print_ticket_line, NULL, &error) !=
-        RESULT_OK) {
+    if (for_each_ticket(store, print_ticket_line, NULL, &error) != RESULT_OK) {
         code = _Tool_Fail((Result)error->code, "%s", error->message);
         g_error_free(error);
     }
@@ -349,8 +349,7 @@
 find_team(void *context, json_t *ticket)
 {
     TeamState *found = context;
-    json_t *teams =
-        json_object_get(json_object_get(ticket, "sets"), "teams");
+    json_t *teams = json_object_get(json_object_get(ticket, "sets"), "teams");
     json_t *state = json_object_get(teams, found->team);
 
     found->ticket = json_integer_value(json_object_get(ticket, "ticket"));
@@ -393,13 +392,12 @@
     GPtrArray *problems = Ticket_CreateProblems();
     GDateTime *now = g_date_time_new_now_utc();
     char *when = g_date_time_format(now, "%Y-%m-%dT%H:%M:%SZ");
-    json_t *value = json_pack(
-        "{s:I, s:s, s:s, s:s, s:{s:{s:O}}}", "ticket",
-        (json_int_t)(found->ticket + 1), "who", tool->who, "when", when,
-        "why", tool->why ? tool->why : why, "sets", "teams", found->team,
-        found->state);
-    Ticket *ticket =
-        Ticket_FromJson(value, TICKET_FROM_OPERATOR, problems);
+    json_t *value =
+        json_pack("{s:I, s:s, s:s, s:s, s:{s:{s:O}}}", "ticket",
+                  (json_int_t)(found->ticket + 1), "who", tool->who, "when",
+                  when, "why", tool->why ? tool->why : why, "sets", "teams",
+                  found->team, found->state);
+    Ticket *ticket = Ticket_FromJson(value, TICKET_FROM_OPERATOR, problems);
 
     if (ticket == NULL) {
         char *lines = Ticket_FormatProblems(problems);
@@ -438,8 +436,8 @@
         code = 0;
     }
     else {
-        ticket = make_ticket(tool, &found,
-                             add ? "grant a key" : "withdraw a key");
+        ticket =
+            make_ticket(tool, &found, add ? "grant a key" : "withdraw a key");
         code = Result_ExitCode(RESULT_TICKET_INVALID);
         if (ticket != NULL) {
             code = apply_ticket(tool, ticket);
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -38,10 +38,9 @@
     GError *error = NULL;
 
     g_assert_nonnull(output);
-    g_spawn_async_with_fds(NULL, process->arguments, NULL,
-                           G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL,
-                           &process->pid, -1, fileno(output), fileno(output),
-                           &error);
+    g_spawn_async_with_fds(
+        NULL, process->arguments, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL,
+        &process->pid, -1, fileno(output), fileno(output), &error);
     g_assert_no_error(error);
     fclose(output);
 }
@@ -95,10 +94,9 @@
     secret = g_build_filename(fleet->folder, "secret", NULL);
     g_assert_true(g_file_set_contents(secret, FLEET_SECRET, -1, NULL));
     g_free(secret);
-    fleet->store = start_process(fleet, "store",
-                                 g_strdupv((char *[]){program("standin",
-                                                              "rk-store"),
-                                                      NULL}));
+    fleet->store = start_process(
+        fleet, "store",
+        g_strdupv((char *[]){program("standin", "rk-store"), NULL}));
     spawn(fleet->store);
     fleet->store->port = read_number(fleet->store, "listening ", 0);
     return fleet;
@@ -154,10 +152,9 @@
 write_settings(Fleet *fleet, FleetProcess *process, int index,
                const FleetDaemon_desc *desc)
 {
-    char *seeds =
-        index == 0 ? g_strdup("")
-                   : g_strdup_printf("\"127.0.0.1:%d\"",
-                                     fleet->daemons[0]->rpc_port);
+    char *seeds = index == 0 ? g_strdup("")
+                             : g_strdup_printf("\"127.0.0.1:%d\"",
+                                               fleet->daemons[0]->rpc_port);
     char *text = g_strdup_printf(
         "{\"host\":\"%s\",\"region\":\"%s\",\"data_centre\":\"%s\","
         "\"regions\":[\"norte\",\"bajio\",\"sureste\"],"
@@ -196,8 +193,8 @@
     char *settings = g_build_filename(fleet->folder, file, NULL);
     FleetProcess *process = start_process(
         fleet, name,
-        g_strdupv((char *[]){program("src/daemon", "radishknotd"), settings,
-                             NULL}));
+        g_strdupv(
+            (char *[]){program("src/daemon", "radishknotd"), settings, NULL}));
 
     process->settings = settings;
     write_settings(fleet, process, index, desc ? desc : &defaults);
@@ -224,16 +221,15 @@
     desc = desc ? desc : &defaults;
     g_ptr_array_add(arguments, program("standin", "rk-backend"));
     g_ptr_array_add(arguments, g_strconcat("--name=", name, NULL));
-    g_ptr_array_add(arguments,
-                    g_strconcat("--service=",
-                                desc->service ? desc->service : "permits",
-                                NULL));
-    g_ptr_array_add(arguments,
-                    g_strconcat("--pool=", desc->pool ? desc->pool : "main",
-                                NULL));
-    g_ptr_array_add(arguments,
-                    g_strdup_printf("--slots=%d",
-                                    desc->slots ? desc->slots : 5));
+    g_ptr_array_add(
+        arguments,
+        g_strconcat("--service=", desc->service ? desc->service : "permits",
+                    NULL));
+    g_ptr_array_add(
+        arguments,
+        g_strconcat("--pool=", desc->pool ? desc->pool : "main", NULL));
+    g_ptr_array_add(arguments, g_strdup_printf("--slots=%d",
+                                               desc->slots ? desc->slots : 5));
     g_ptr_array_add(arguments,
                     g_strdup_printf("--service-ms=%d",
                                     desc->service_ms ? desc->service_ms : 1));
@@ -307,8 +303,8 @@
 void
 Fleet_ApplyDefault(Fleet *fleet, int servers)
 {
-    char *hash = g_compute_checksum_for_string(G_CHECKSUM_SHA256, FLEET_KEY,
-                                               -1);
+    char *hash =
+        g_compute_checksum_for_string(G_CHECKSUM_SHA256, FLEET_KEY, -1);
     char *sets = g_strdup_printf(
         "{\"services\":{\"permits\":{\"floor_percent\":50,\"total\":%d}},"
         "\"teams\":{\"crews\":{\"rate_per_s\":5000,\"burst\":5000,"
@@ -436,8 +432,8 @@
         json_t *status =
             fleet->daemons[i]->pid != 0 ? Fleet_Status(fleet, i) : NULL;
 
-        held += (json_int_t)json_array_size(json_object_get(
-            json_object_get(status, "rate"), "slots_held"));
+        held += (json_int_t)json_array_size(
+            json_object_get(json_object_get(status, "rate"), "slots_held"));
         json_decref(status);
     }
     return held;
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -86,49 +86,66 @@
     HttpClient *client;
 } Fleet;
 
-Fleet *Fleet_Create(void);
-void Fleet_Destroy(Fleet *fleet);
+Fleet *
+Fleet_Create(void);
+void
+Fleet_Destroy(Fleet *fleet);
 
 /* Both return the index. A server announces itself to the daemon. */
-int Fleet_AddDaemon(Fleet *fleet, const FleetDaemon_desc *desc);
-int Fleet_AddServer(Fleet *fleet, int daemon, const FleetServer_desc *desc);
+int
+Fleet_AddDaemon(Fleet *fleet, const FleetDaemon_desc *desc);
+int
+Fleet_AddServer(Fleet *fleet, int daemon, const FleetServer_desc *desc);
 
 /* Writes the next ticket and applies it with the tool; returns the tool's
  * exit code. */
-int Fleet_Apply(Fleet *fleet, const char *sets);
+int
+Fleet_Apply(Fleet *fleet, const char *sets);
 
 /* Applies the services and teams that most tests use: service "permits"
  * (route "/permits", issuances below "/issue"), team "crews" with FLEET_KEY
  * and a rate that tests do not reach. */
-void Fleet_ApplyDefault(Fleet *fleet, int servers);
+void
+Fleet_ApplyDefault(Fleet *fleet, int servers);
 
 /* Runs the tool; returns its exit code. `output` may be NULL. */
-int Fleet_Tool(Fleet *fleet, const char *const *words, char **output);
+int
+Fleet_Tool(Fleet *fleet, const char *const *words, char **output);
 
 /* Until every daemon is alive in the view of every other, has the newest
  * ticket in force, sees all backend servers, and all rate slots are held. */
-void Fleet_AwaitReady(Fleet *fleet);
+void
+Fleet_AwaitReady(Fleet *fleet);
 
 /* Until the test of a daemon's status is met. */
 typedef gboolean (*FleetTest)(void *context, json_t *status);
-void Fleet_Await(Fleet *fleet, int daemon, FleetTest test, void *context,
-                 const char *what);
-json_t *Fleet_Status(Fleet *fleet, int daemon);
-
-void Fleet_Request(Fleet *fleet, int daemon, const FleetRequest *request,
-                   FleetReply *reply);
-void FleetReply_Clear(FleetReply *reply);
+void
+Fleet_Await(Fleet *fleet, int daemon, FleetTest test, void *context,
+            const char *what);
+json_t *
+Fleet_Status(Fleet *fleet, int daemon);
+
+void
+Fleet_Request(Fleet *fleet, int daemon, const FleetRequest *request,
+              FleetReply *reply);
+void
+FleetReply_Clear(FleetReply *reply);
 
 /* JSON of a stand-in's admin port. */
-json_t *Fleet_Get(Fleet *fleet, int port, const char *target);
-void Fleet_Post(Fleet *fleet, int port, const char *target, const char *body);
+json_t *
+Fleet_Get(Fleet *fleet, int port, const char *target);
+void
+Fleet_Post(Fleet *fleet, int port, const char *target, const char *body);
 
-void Fleet_Signal(FleetProcess *process, int signal_number);
+void
+Fleet_Signal(FleetProcess *process, int signal_number);
 
 /* Ends the process and waits for it; returns its exit status. */
-int Fleet_End(FleetProcess *process, int signal_number);
+int
+Fleet_End(FleetProcess *process, int signal_number);
 
 /* Starts an ended daemon again on the ports that it had. */
-void Fleet_Restart(Fleet *fleet, int daemon);
+void
+Fleet_Restart(Fleet *fleet, int daemon);
 
 #endif
--- a/tests/process_path.c
+++ b/tests/process_path.c
@@ -11,8 +11,8 @@
 
     Fleet_AddDaemon(fleet, NULL);
     Fleet_AddDaemon(fleet, &(FleetDaemon_desc){.data_centre = "n2"});
-    Fleet_AddDaemon(fleet, &(FleetDaemon_desc){.region = "bajio",
-                                               .data_centre = "b1"});
+    Fleet_AddDaemon(
+        fleet, &(FleetDaemon_desc){.region = "bajio", .data_centre = "b1"});
     Fleet_AddServer(fleet, 1, NULL);
     Fleet_AddServer(fleet, 2, NULL);
     Fleet_ApplyDefault(fleet, 2);
