--- a/src/config/config.c
+++ b/src/config/config.c
@@ -71,6 +71,12 @@
     return config;
 }
 
+void
+Config_SetLive(Config *config)
+{
+    __atomic_store_n(&config->is_live, 1, __ATOMIC_RELEASE);
+}
+
 /* Frees a table with the pages of one draft; serial 0 means all pages. */
 static void
 free_table(ConfigTable *table, uint64_t serial)
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -77,7 +77,8 @@
     const char *name;
     int64_t rate_micro;  /* micro-tokens per second */
     int64_t burst_micro; /* micro-tokens */
-    ClockMs limit_since; /* when rate or burst last changed on this host */
+    ClockMs limit_since; /* when rate or burst last changed on this host; 0
+                            for a team that no host can have known before */
 } ConfigTeamInfo;
 
 typedef struct ConfigSplit {
@@ -212,6 +213,11 @@
 Config_ApplyTicket(Config *config, const struct Ticket *ticket,
                    gboolean *applied, GError **error);
 
+/* Says that the tickets that existed when this host started are in force. A
+ * team that is created from then on is new to the whole fleet. */
+void
+Config_SetLive(Config *config);
+
 /* Adds a key to the withdrawn set; TRUE if it was not in it. Takes effect for
  * all look-ups that start after the return. Never blocks on readers. */
 gboolean
--- a/src/config/config_draft.c
+++ b/src/config/config_draft.c
@@ -1,5 +1,7 @@
 #include <string.h>
 
+#include "base/clock.h"
+#include "base/rng.h"
 #include "config/config_table.h"
 #include "config/ticket.h"
 
@@ -179,6 +181,19 @@
     drop_block(draft, reference, detail->bytes);
 }
 
+/* Remembers the name of a team that is removed. */
+static void
+note_removed_team(ConfigDraft *draft, const char *name)
+{
+    Config *config = draft->config;
+
+    config->removed[config->removed_next] = (ConfigRemovedTeam){
+        .name = Rng_HashString(name),
+        .at_s = (uint32_t)(Clock_Now() / 1000 + 1),
+    };
+    config->removed_next = (config->removed_next + 1) % CONFIG_REMOVED_TEAMS;
+}
+
 static void
 remove_record(ConfigDraft *draft, ConfigKind kind, uint32_t slot)
 {
@@ -191,6 +206,7 @@
     if (kind == CONFIG_KIND_TEAM) {
         const ConfigTeamRecord *team;
 
+        note_removed_team(draft, name);
         while (team = _Config_Record(draft->table, kind, slot),
                team->first_key != 0) {
             remove_key(draft, team->first_key);
@@ -257,12 +273,35 @@
     return FALSE;
 }
 
+/* Since when a limit that is set now is in force. A host with an earlier
+ * configuration may still grant by another limit of the team, unless the team
+ * is new to the fleet. */
+static uint32_t
+limit_since(const ConfigDraft *draft, const char *name, gboolean is_new)
+{
+    const Config *config = draft->config;
+    uint32_t now_s = (uint32_t)(Clock_Now() / 1000 + 1);
+    uint64_t hash = Rng_HashString(name);
+
+    if (!is_new || !__atomic_load_n(&config->is_live, __ATOMIC_ACQUIRE)) {
+        return now_s;
+    }
+    for (int i = 0; i < CONFIG_REMOVED_TEAMS; i++) {
+        if (config->removed[i].name == hash) {
+            return now_s;
+        }
+    }
+    return 0;
+}
+
 /* Sets rate and burst, and takes away the keys that the team no longer has.
  * Keys are added in a second pass, so that a ticket can move a key between
  * teams whatever the order of the teams in it. */
 static Result
 set_team(ConfigDraft *draft, const char *name, json_t *state, GError **error)
 {
+    gboolean is_new = _Config_FindName(draft->table, CONFIG_KIND_TEAM, name,
+                                       strlen(name)) == 0;
     uint32_t slot = obtain_record(draft, CONFIG_KIND_TEAM, name);
     uint32_t rate = to_milli(json_object_get(state, "rate_per_s"));
     uint32_t burst = to_milli(json_object_get(state, "burst"));
@@ -275,10 +314,10 @@
         return refuse_full(error, CONFIG_KIND_TEAM);
     }
     team = _Config_Record(draft->table, CONFIG_KIND_TEAM, slot);
-    if (team->rate_milli != rate || team->burst_milli != burst) {
+    if (is_new || team->rate_milli != rate || team->burst_milli != burst) {
         edited = edit_record(draft, CONFIG_KIND_TEAM, slot);
         edited->rate_milli = rate;
-        edited->limit_since_s = (uint32_t)(Clock_Now() / 1000 + 1);
+        edited->limit_since_s = limit_since(draft, name, is_new);
         edited->burst_milli = burst;
         team = edited;
     }
--- a/src/config/config_table.h
+++ b/src/config/config_table.h
@@ -111,7 +111,18 @@
     GArray *dropped;     /* ConfigBlock that a commit retires */
 } ConfigDraft;
 
+/* A team that a ticket removed, and when, by Clock_Now() in seconds. */
+typedef struct ConfigRemovedTeam {
+    uint64_t name;
+    uint32_t at_s;
+} ConfigRemovedTeam;
+
+#define CONFIG_REMOVED_TEAMS 64
+
 struct Config {
+    int is_live;                                     /* atomic */
+    ConfigRemovedTeam removed[CONFIG_REMOVED_TEAMS]; /* under draft_lock */
+    uint32_t removed_next;
     ConfigTable *current; /* RCU */
     int64_t version;      /* atomic */
     ConfigWithdrawn *withdrawn;
