--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -55,6 +55,8 @@
     /* issue */ \
     COUNTER(ISSUE_TOKENS, "run tokens minted") \
     COUNTER(ISSUE_REPEATS, "issuances answered from the run table") \
+    COUNTER(ISSUE_RUNS, "issuances begun") \
+    COUNTER(ISSUE_VOIDED, "run tokens voided before they ran") \
     \
     \
     /* http, entry, owner */ \
--- a/src/issue/run_table.h
+++ b/src/issue/run_table.h
@@ -19,8 +19,9 @@
  * and at least for keep_ms after it ended.
  *
  * Run states in refusals: RUN_NO from this module is final, because the token
- * cannot run afterwards, with one exception: for RESULT_FULL the token stays
- * fresh, and RUN_NO is said of this presentation only.
+ * cannot run afterwards. There are two exceptions, in which RUN_NO is said of
+ * this presentation only: with RESULT_FULL the token stays fresh, and with
+ * RESULT_TOKEN_OTHER_TEAM it stays as it was for its own team and route.
  *
  * Limits: records and kept bytes are fixed. While either is used up, new runs
  * get RESULT_FULL (run no). An eighth of the records is reserved for void
@@ -175,8 +176,9 @@
 /* Takes one chunk. A repeated chunk is accepted and ignored. The successor
  * answers for the former incarnation once all chunks are there, and drops it
  * when all its tokens are past their validity. RESULT_MALFORMED, RESULT_FULL
- * (nothing of this incarnation is kept) or RESULT_NOT_FOUND (an earlier chunk
- * is missing: start again with the first). */
+ * (nothing of this incarnation is kept), RESULT_SHUTTING_DOWN (choose another
+ * successor) or RESULT_NOT_FOUND (an earlier chunk is missing: start again
+ * with the first). */
 Result
 RunTable_Adopt(RunTable *table, const void *chunk, size_t bytes, ClockMs now);
 
