--- /dev/null
+++ b/src/config/test_support.h
@@ -0,0 +1,59 @@
+/* Helpers of the config tests: tickets from short JSON texts. */
+#ifndef CONFIG_TEST_SUPPORT_H
+#define CONFIG_TEST_SUPPORT_H
+
+#include <glib.h>
+#include <string.h>
+
+#include "config/ticket.h"
+
+/* A ticket with the given sets; single quotes stand for double quotes. */
+static inline Ticket *
+make_ticket(int64_t number, const char *who, const char *sets)
+{
+    char *text = g_strdup_printf("{'ticket':%" G_GINT64_FORMAT ",'who':'%s',"
+                                 "'when':'2026-01-31T12:00:00Z','why':'test',"
+                                 "'sets':%s}",
+                                 number, who, sets);
+    GPtrArray *problems = Ticket_CreateProblems();
+    Ticket *ticket;
+    char *list;
+
+    g_strdelimit(text, "'", '"');
+    ticket = Ticket_Parse(text, strlen(text), TICKET_FROM_OPERATOR, problems);
+    if (ticket == NULL) {
+        list = Ticket_FormatProblems(problems);
+        g_error("%s: %s", text, list);
+    }
+    g_ptr_array_unref(problems);
+    g_free(text);
+    return ticket;
+}
+
+/* Puts a ticket with the next number in force. */
+static inline Result
+apply_sets(Config *config, const char *sets)
+{
+    Ticket *ticket = make_ticket(Config_PeekVersion(config) + 1, "ana", sets);
+    gboolean applied;
+    Result result = Config_ApplyTicket(config, ticket, &applied, NULL);
+
+    g_assert_true(applied);
+    Ticket_Free(ticket);
+    return result;
+}
+
+/* The hash of the key "key-<number>", as hex. */
+static inline const char *
+key_hex(int number, char hex[65])
+{
+    char key[32];
+    ConfigKeyHash hash;
+
+    g_snprintf(key, sizeof(key), "key-%d", number);
+    Config_HashKey(key, strlen(key), &hash);
+    Config_HashToHex(&hash, hex);
+    return hex;
+}
+
+#endif
