--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -195,9 +195,8 @@
         return;
     }
     _Entry_Attempt(request, &target, reply);
-    if (reply->result != RESULT_OK &&
-        request->failed_count < ENTRY_MAX_FAILED) {
-        request->failed[request->failed_count++] = target.backend_server;
+    if (reply->result != RESULT_OK) {
+        _Entry_Exclude(request, &target);
     }
 }
 
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -84,6 +84,9 @@
 
     uint64_t failed[ENTRY_MAX_FAILED]; /* backend servers */
     uint32_t failed_count;
+    /* The last attempt failed by its connection alone: the owner answers by
+     * RPC, so the place may be tried again. */
+    gboolean is_connection_fault;
     uint32_t attempts;
     uint32_t redirects;
     _Atomic int run; /* RunState if the request ended now */
@@ -115,6 +118,10 @@
 _Entry_Attempt(EntryRequest *request, const EntryTarget *target,
                OwnerReply *reply);
 
+/* Excludes the place of a failed attempt from further ones. */
+void
+_Entry_Exclude(EntryRequest *request, const EntryTarget *target);
+
 /* entry_issue.c */
 Result
 _Entry_Mint(EntryRequest *request, const EntryTarget *target, uint32_t count,
--- a/src/entry/entry_issue.c
+++ b/src/entry/entry_issue.c
@@ -199,8 +199,8 @@
             present_token(request, &target, reply);
         }
     }
-    if (reply->run == RUN_NO && request->failed_count < ENTRY_MAX_FAILED) {
-        request->failed[request->failed_count++] = target.backend_server;
+    if (reply->run == RUN_NO) {
+        _Entry_Exclude(request, &target);
     }
     atomic_store(&request->run, reply->run);
 }
--- a/src/entry/entry_target.c
+++ b/src/entry/entry_target.c
@@ -210,21 +210,20 @@
     };
 }
 
-/* Why a call ended that the watch or the caller cancelled. */
+/* Takes over why the watch ended a call. */
 static void
-explain_cancel(EntryVerdict verdict, const EntryTarget *target,
-               EntryRequest *request, OwnerReply *reply)
+explain_silence(EntryVerdict verdict, const EntryTarget *target,
+                EntryRequest *request, OwnerReply *reply)
 {
+    if (verdict == ENTRY_VERDICT_NONE) {
+        return;
+    }
+    reply->result = RESULT_CONNECTION_SILENT;
     if (verdict == ENTRY_VERDICT_VOID) {
-        reply->result = RESULT_CONNECTION_SILENT;
         reply->run = RUN_NO;
     }
-    else if (verdict == ENTRY_VERDICT_LOST) {
-        reply->result = RESULT_CONNECTION_SILENT;
-    }
-    if (verdict != ENTRY_VERDICT_NONE) {
-        HttpClient_Forget(request->entry->desc.client, &target->owner_address);
-    }
+    request->is_connection_fault = verdict != ENTRY_VERDICT_UNREACHABLE;
+    HttpClient_Forget(request->entry->desc.client, &target->owner_address);
 }
 
 static void
@@ -260,16 +259,26 @@
     }
     else {
         reply->run = sent ? RUN_UNKNOWN : RUN_NO;
-        explain_cancel(verdict, target, request, reply);
+        explain_silence(verdict, target, request, reply);
     }
     HttpAnswer_Clear(&answer);
     HttpHeaders_Clear(&headers);
 }
 
+void
+_Entry_Exclude(EntryRequest *request, const EntryTarget *target)
+{
+    if (!request->is_connection_fault &&
+        request->failed_count < ENTRY_MAX_FAILED) {
+        request->failed[request->failed_count++] = target->backend_server;
+    }
+}
+
 static void
-report_to_route(Entry *entry, const EntryTarget *target,
+report_to_route(const EntryRequest *request, const EntryTarget *target,
                 const OwnerReply *reply, int64_t latency_us)
 {
+    Entry *entry = request->entry;
     gboolean reached = reply->result != RESULT_CONNECT_FAILED &&
                        reply->result != RESULT_CONNECTION_SILENT;
     RouteLoad load = {.slots_in_use = reply->slots_in_use,
@@ -282,7 +291,7 @@
     if (reached) {
         Route_ConnectOk(entry->route, target->host);
     }
-    else if (!target->is_local) {
+    else if (!target->is_local && !request->is_connection_fault) {
         Route_ConnectFailed(entry->route, target->host, Clock_Now());
     }
     pthread_mutex_unlock(&entry->lock);
@@ -300,6 +309,7 @@
 
     memset(reply, 0, sizeof(*reply));
     fill_call(request, target, cancel, &call);
+    request->is_connection_fault = FALSE;
     atomic_store(&request->run, RUN_UNKNOWN);
     if (!request->issuance) {
         HttpRequest_OnHangUp(request->http, HttpCancel_Trigger, cancel);
@@ -316,7 +326,7 @@
     /* An earlier attempt of unknown outcome stays unknown. */
     atomic_store(&request->run,
                  (int)(reply->run == RUN_NO ? before : reply->run));
-    report_to_route(entry, target, reply, Clock_NowMicroseconds() - started);
+    report_to_route(request, target, reply, Clock_NowMicroseconds() - started);
     _Entry_Trace(request,
                  "; attempt host=%016" G_GINT64_MODIFIER
                  "x server=%016" G_GINT64_MODIFIER "x %s run=%s",
--- a/src/entry/entry_watch.c
+++ b/src/entry/entry_watch.c
@@ -110,7 +110,8 @@
         watched->signs = 0;
     }
     else if (++watched->signs >= SIGNS_OF_LOSS) {
-        end_call(watched, ENTRY_VERDICT_LOST);
+        end_call(watched, answered ? ENTRY_VERDICT_ANSWERED
+                                   : ENTRY_VERDICT_UNREACHABLE);
     }
     /* A sign of loss is checked again soon. */
     watched->next_ask =
--- a/src/entry/entry_watch.h
+++ b/src/entry/entry_watch.h
@@ -3,8 +3,9 @@
  * An attempt at another host that has no answer after silence_ms is asked for
  * by RPC, which takes another path than the connection. If the owner never got
  * it, the owner voids it, and the attempt ends as not run. If the owner has
- * answered and nothing came, or cannot be reached twice, the attempt ends with
- * run state unknown. An attempt that the owner is working on goes on.
+ * answered and nothing came, or cannot be reached, twice in a row, the attempt
+ * ends with run state unknown. An attempt that the owner is working on goes
+ * on.
  *
  * Use: EntryWatch_Begin() before the call, with the cancel object of the call;
  * EntryWatch_End() after it, which tells why the watch ended the call.
@@ -25,9 +26,10 @@
 typedef struct EntryWatched EntryWatched;
 
 typedef enum EntryVerdict {
-    ENTRY_VERDICT_NONE, /* the watch did not end the call */
-    ENTRY_VERDICT_VOID, /* the owner never got it, and never runs it */
-    ENTRY_VERDICT_LOST  /* the answer is lost or the owner out of reach */
+    ENTRY_VERDICT_NONE,       /* the watch did not end the call */
+    ENTRY_VERDICT_VOID,       /* the owner never got it, and never runs it */
+    ENTRY_VERDICT_ANSWERED,   /* the owner answered, the answer is lost */
+    ENTRY_VERDICT_UNREACHABLE /* the owner does not answer */
 } EntryVerdict;
 
 EntryWatch *
--- a/src/owner/test_owner.c
+++ b/src/owner/test_owner.c
@@ -40,8 +40,8 @@
 {
     Fixture *fixture = context;
     HttpAnswer answer = {.status = 200};
-    const char *id = HttpHeaders_Get(HttpRequest_Headers(request),
-                                     "Radishknot-Request-Id");
+    const char *id =
+        HttpHeaders_Get(HttpRequest_Headers(request), "Radishknot-Request-Id");
 
     atomic_fetch_add(&fixture->executions, 1);
     while (fixture->mode == MODE_HANG && !atomic_load(&fixture->released)) {
@@ -64,9 +64,8 @@
 set_up(Fixture *fixture, gconstpointer data)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
-    HttpServer_desc server = {.handler = serve,
-                              .context = fixture,
-                              .worker_threads = 4};
+    HttpServer_desc server = {
+        .handler = serve, .context = fixture, .worker_threads = 4};
     RunTable_desc runs = {.owner = 1, .incarnation = 2};
     Owner_desc owner = {.host = 1,
                         .incarnation = 2,
@@ -92,9 +91,9 @@
                                                 .address = address};
     fixture->announcement.address.sin_port =
         htons(HttpServer_Port(fixture->server));
-    g_assert_cmpint(Owner_Announce(fixture->owner, &fixture->announcement,
-                                   Clock_Now()),
-                    ==, RESULT_OK);
+    g_assert_cmpint(
+        Owner_Announce(fixture->owner, &fixture->announcement, Clock_Now()),
+        ==, RESULT_OK);
 }
 
 static void
@@ -139,8 +138,8 @@
         int executions;
     } cases[] = {
         {MODE_GOOD, OWNER_SERVER_READY, "s1", 5000, RESULT_OK, RUN_YES, 1},
-        {MODE_WRONG_ID, OWNER_SERVER_READY, "s1", 5000,
-         RESULT_ANSWER_MISMATCH, RUN_UNKNOWN, 1},
+        {MODE_WRONG_ID, OWNER_SERVER_READY, "s1", 5000, RESULT_ANSWER_MISMATCH,
+         RUN_UNKNOWN, 1},
         {MODE_ERROR, OWNER_SERVER_READY, "s1", 5000,
          RESULT_BACKEND_SERVER_ERROR, RUN_YES, 1},
         {MODE_SHED, OWNER_SERVER_READY, "s1", 5000, RESULT_BACKEND_SERVER_SHED,
@@ -465,7 +464,7 @@
     OwnerPort_Destroy(port);
 }
 
-#define ADD(path, function)                                                   \
+#define ADD(path, function) \
     g_test_add(path, Fixture, NULL, set_up, function, tear_down)
 
 int
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -528,6 +528,79 @@
     memset(reply, 0, sizeof(*reply));
 }
 
+FleetProcess *
+Fleet_StartCaller(Fleet *fleet, gboolean check, const char *const *arguments)
+{
+    GPtrArray *words = g_ptr_array_new();
+    FleetProcess *process;
+
+    g_ptr_array_add(words, program("standin", "rk-caller"));
+    g_ptr_array_add(words, g_strdup("--key=" FLEET_KEY));
+    for (int i = 0; i < fleet->daemon_count; i++) {
+        g_ptr_array_add(words, g_strdup_printf("--entry=127.0.0.1:%d",
+                                               fleet->daemons[i]->entry_port));
+    }
+    for (int i = 0; check && i < fleet->server_count; i++) {
+        g_ptr_array_add(words, g_strdup_printf("--check=127.0.0.1:%d",
+                                               fleet->servers[i]->admin_port));
+    }
+    for (; *arguments != NULL; arguments++) {
+        g_ptr_array_add(words, g_strdup(*arguments));
+    }
+    g_ptr_array_add(words, NULL);
+    process = start_process(fleet, "caller",
+                            (char **)g_ptr_array_free(words, FALSE));
+    g_unlink(process->output);
+    spawn(process);
+    return process;
+}
+
+gboolean
+Fleet_CallerRuns(FleetProcess *caller)
+{
+    int status;
+
+    if (caller->pid != 0 && waitpid(caller->pid, &status, WNOHANG) != 0) {
+        caller->pid = 0;
+    }
+    return caller->pid != 0;
+}
+
+json_t *
+Fleet_AwaitCaller(FleetProcess *caller)
+{
+    char *output = NULL;
+    const char *start;
+    json_t *json;
+
+    while (Fleet_CallerRuns(caller)) {
+        (void)poll(NULL, 0, POLL_MS);
+    }
+    g_assert_true(g_file_get_contents(caller->output, &output, NULL, NULL));
+    start = strchr(output, '{');
+    json =
+        start != NULL ? json_loads(start, JSON_DISABLE_EOF_CHECK, NULL) : NULL;
+    if (json == NULL) {
+        g_error("the caller printed no summary:\n%s", output);
+    }
+    g_test_message("%s", start);
+    g_free(output);
+    free_process(caller);
+    return json;
+}
+
+int
+Fleet_Number(json_t *json, const char *path)
+{
+    char **parts = g_strsplit(path, ".", 0);
+
+    for (char **part = parts; *part != NULL; part++) {
+        json = json_object_get(json, *part);
+    }
+    g_strfreev(parts);
+    return (int)json_integer_value(json);
+}
+
 void
 Fleet_Signal(FleetProcess *process, int signal_number)
 {
