--- a/src/member/member.h
+++ b/src/member/member.h
@@ -133,7 +133,7 @@
 
 /* What happened to a host, for logs. */
 typedef enum MemberEvent {
-    MEMBER_EVENT_JOINED,
+    MEMBER_EVENT_JOINED, /* new host, or a new incarnation of one */
     MEMBER_EVENT_SUSPECTED,
     MEMBER_EVENT_REFUTED,
     MEMBER_EVENT_DIED,
@@ -151,7 +151,7 @@
     uint32_t max_hosts;      /* 0 means 10,000 */
     uint32_t max_services;   /* 0 means 8,192 */
     int period_ms;           /* 0 means 1,000 */
-    int suspicion_periods;   /* 0 means 3; times log10(n), at least once */
+    int suspicion_periods;   /* 0 means 3; times log10(n) if that is above 1 */
     ClockMs forget_ms;       /* dead hosts are dropped; 0 means 2 h */
     int latency_interval_ms; /* between records that change only latency
                               * classes; 0 means 10 min */
@@ -212,6 +212,11 @@
 const MemberHost *
 Member_GetSelf(const Member *member);
 
+/* Highest incarnation of the own host that was seen in a record, 0 if none was
+ * above the own one. */
+uint64_t
+Member_GetSupersededBy(const Member *member);
+
 /* Replaces the own incarnation while joining. */
 void
 Member_SetIncarnation(Member *member, ClockMs now, uint64_t incarnation);
--- /dev/null
+++ b/src/member/merge.c
@@ -0,0 +1,289 @@
+/* Merge rule.
+ *
+ * Between incarnations the higher one wins. Within an incarnation the state is
+ * the highest by (refutation, rank of the state), and the backend servers are
+ * those with the highest serial. The two parts are merged each on its own, so
+ * that a change of backend servers is not lost while a host is suspected.
+ *
+ * A death that another host reports starts a suspicion only. Each host waits
+ * for the refutation itself; otherwise, after a partition has healed, the
+ * deaths declared on one side would take away live hosts on the other side.
+ *
+ * What a digest exchange brings is not queued as an update: it was gossiped
+ * before, and a new host would otherwise gossip the whole table.
+ */
+#include <string.h>
+
+#include "base/counter.h"
+#include "member/table.h"
+
+gboolean
+Member_IsTrusted(const Member *member, uint64_t sender)
+{
+    uint32_t slot = MemberTable_Find(member, sender);
+
+    return slot != MEMBER_NO_SLOT &&
+           member->slots[slot].host->state == MEMBER_ALIVE;
+}
+
+static gboolean
+is_valid(const MemberWireHost *wire)
+{
+    u_int region = wire->state_place >> 16 & 0xff;
+    u_int data_centre = wire->state_place >> 8 & 0xff;
+
+    if (wire->id == 0 || wire->state_place >> 24 > MEMBER_LEFT ||
+        region >= MEMBER_MAX_REGIONS ||
+        data_centre >= MEMBER_MAX_DATA_CENTRES || wire->rpc_port > 0xffff ||
+        wire->servers.servers_len > MEMBER_MAX_SERVERS) {
+        return FALSE;
+    }
+    for (u_int i = 0; i < wire->servers.servers_len; i++) {
+        u_int packed = wire->servers.servers_val[i].weight_state_class;
+
+        if (packed >> 16 > 100 ||
+            (packed >> 8 & 0xff) > MEMBER_SERVER_EJECTED) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+static void
+take_servers(const MemberWireHost *wire, MemberHost *host)
+{
+    for (u_int i = 0; i < wire->servers.servers_len; i++) {
+        const MemberWireServer *server = &wire->servers.servers_val[i];
+
+        host->servers[i] = (MemberServer){
+            .name = server->name,
+            .service = server->service,
+            .pool = server->pool,
+            .ip = server->ip,
+            .port = (uint16_t)(server->port_slots >> 16),
+            .slots = (uint16_t)server->port_slots,
+            .weight = (uint8_t)(server->weight_state_class >> 16),
+            .state = (uint8_t)(server->weight_state_class >> 8),
+            .latency_class = (uint8_t)server->weight_state_class};
+    }
+}
+
+/* A new record from the wire. Without servers the serial stays 0, so that a
+ * digest exchange fetches them. */
+static MemberHost *
+from_wire(const MemberWireHost *wire)
+{
+    gboolean has_servers = MemberUpdate_HasServers(wire);
+    u_int count = has_servers ? wire->servers.servers_len : 0;
+    MemberHost *host = g_malloc0(sizeof(*host) + count * sizeof(MemberServer));
+
+    *host = (MemberHost){.id = wire->id,
+                         .incarnation = wire->incarnation,
+                         .successor = wire->successor,
+                         .refutation = wire->refutation,
+                         .serial = has_servers ? wire->serial : 0,
+                         .ip = wire->ip,
+                         .entry_port = (uint16_t)(wire->entry_owner >> 16),
+                         .owner_port = (uint16_t)wire->entry_owner,
+                         .rpc_port = (uint16_t)wire->rpc_port,
+                         .state = (uint8_t)MemberUpdate_State(wire),
+                         .region = (uint8_t)(wire->state_place >> 16),
+                         .data_centre = (uint8_t)(wire->state_place >> 8),
+                         .server_count = (uint16_t)count};
+    if (has_servers) {
+        take_servers(wire, host);
+    }
+    return host;
+}
+
+/* A record about this host itself. */
+static Result
+merge_self(Member *member, ClockMs now, const MemberWireHost *wire)
+{
+    const MemberHost *self = member->slots[MEMBER_SELF_SLOT].host;
+    MemberState state = MemberUpdate_State(wire);
+
+    if (wire->incarnation > self->incarnation) {
+        member->superseded_by = MAX(member->superseded_by, wire->incarnation);
+        Member_Notify(member, MEMBER_EVENT_SUPERSEDED, self);
+        return RESULT_RPC_OLD_SESSION;
+    }
+    if (wire->incarnation < self->incarnation ||
+        wire->refutation < self->refutation) {
+        return RESULT_OK;
+    }
+    if (self->state == MEMBER_ALIVE &&
+        (state != MEMBER_ALIVE || wire->refutation > self->refutation)) {
+        Counter_Add(COUNTER_MEMBER_REFUTED, 1);
+        Member_SetState(member, MEMBER_SELF_SLOT, now, MEMBER_ALIVE,
+                        wire->refutation + 1);
+        MemberUpdate_Queue(member, MEMBER_SELF_SLOT, FALSE);
+        Member_Notify(member, MEMBER_EVENT_REFUTED,
+                      member->slots[MEMBER_SELF_SLOT].host);
+    }
+    return RESULT_OK;
+}
+
+/* Whether the record is of an earlier session than the one forgotten. */
+static gboolean
+is_buried(const Member *member, const MemberWireHost *wire)
+{
+    const MemberTombstone *tombstone;
+
+    if (member->desc._accept_old_sessions) {
+        return FALSE;
+    }
+    tombstone = MemberTable_FindTombstone(member, wire->id);
+    return tombstone != NULL &&
+           (wire->incarnation < tombstone->incarnation ||
+            (wire->incarnation == tombstone->incarnation &&
+             wire->refutation <= tombstone->refutation));
+}
+
+static Result
+merge_unknown(Member *member, ClockMs now, const MemberWireHost *wire,
+              MemberSource source)
+{
+    MemberState state = MemberUpdate_State(wire);
+    MemberHost *host;
+    uint32_t slot;
+
+    /* Hosts that are gone are not taken in again: each host forgets them at
+     * its own time. */
+    if (state == MEMBER_DEAD || state == MEMBER_LEFT) {
+        return RESULT_OK;
+    }
+    if (is_buried(member, wire)) {
+        return RESULT_RPC_OLD_SESSION;
+    }
+    host = from_wire(wire);
+    slot = MemberTable_Add(member, host);
+    if (slot == MEMBER_NO_SLOT) {
+        return RESULT_FULL;
+    }
+    Member_Notify(member, MEMBER_EVENT_JOINED, host);
+    if (state == MEMBER_SUSPECT) {
+        member->slots[slot].deadline = now + Member_SuspicionMs(member);
+    }
+    if (source != MEMBER_FROM_DIGEST) {
+        MemberUpdate_Queue(member, slot, MemberUpdate_HasServers(wire));
+    }
+    return RESULT_OK;
+}
+
+/* A later incarnation replaces the whole record. */
+static void
+merge_incarnation(Member *member, ClockMs now, uint32_t slot,
+                  const MemberWireHost *wire, MemberSource source)
+{
+    MemberState state = MemberUpdate_State(wire);
+    MemberSlot *entry = &member->slots[slot];
+    MemberHost *host;
+
+    if (state == MEMBER_DEAD) {
+        state = MEMBER_SUSPECT;
+    }
+    host = from_wire(wire);
+    host->state = (uint8_t)state;
+    MemberTable_Replace(member, slot, host);
+    entry->direct_fails = 0;
+    entry->deadline = state == MEMBER_SUSPECT
+                          ? now + Member_SuspicionMs(member)
+                      : state == MEMBER_LEFT ? now + member->desc.forget_ms
+                                             : CLOCK_NEVER;
+    if (source != MEMBER_FROM_DIGEST) {
+        MemberUpdate_Queue(member, slot, MemberUpdate_HasServers(wire));
+    }
+    if (MemberTable_IsLive(host)) {
+        Member_Notify(member, MEMBER_EVENT_JOINED, host);
+    }
+    if (state == MEMBER_LEFT) {
+        Member_Notify(member, MEMBER_EVENT_LEFT, host);
+    }
+}
+
+static void
+merge_state(Member *member, ClockMs now, uint32_t slot,
+            const MemberWireHost *wire, MemberSource source)
+{
+    const MemberHost *old = member->slots[slot].host;
+    MemberState told = MemberUpdate_State(wire);
+    MemberState state = told == MEMBER_DEAD ? MEMBER_SUSPECT : told;
+    MemberHost *host;
+
+    if (wire->refutation < old->refutation ||
+        (wire->refutation == old->refutation && state <= old->state)) {
+        return;
+    }
+    Member_SetState(member, slot, now, state, wire->refutation);
+    if (state == MEMBER_LEFT && wire->successor != 0) {
+        old = member->slots[slot].host;
+        host = MemberTable_CopyHost(old, old->server_count);
+        host->successor = wire->successor;
+        MemberTable_Replace(member, slot, host);
+    }
+    /* A suspicion that starts here, from a reported death, is gossiped so
+     * that the host learns of it in time. */
+    if (source != MEMBER_FROM_DIGEST || told != state) {
+        MemberUpdate_Queue(member, slot, FALSE);
+    }
+}
+
+static void
+merge_servers(Member *member, uint32_t slot, const MemberWireHost *wire,
+              MemberSource source)
+{
+    const MemberHost *old = member->slots[slot].host;
+    MemberHost *host;
+
+    if (!MemberUpdate_HasServers(wire) || wire->serial <= old->serial) {
+        return;
+    }
+    host = MemberTable_CopyHost(old, wire->servers.servers_len);
+    memset(host->servers, 0, wire->servers.servers_len * sizeof(MemberServer));
+    host->serial = wire->serial;
+    take_servers(wire, host);
+    MemberTable_Replace(member, slot, host);
+    if (source != MEMBER_FROM_DIGEST) {
+        MemberUpdate_Queue(member, slot, TRUE);
+    }
+}
+
+Result
+Member_Merge(Member *member, ClockMs now, const MemberWireHost *wire,
+             MemberSource source)
+{
+    uint32_t slot;
+    uint64_t known;
+
+    if (!is_valid(wire)) {
+        return RESULT_MALFORMED;
+    }
+    if (wire->id == member->desc.self.id) {
+        return merge_self(member, now, wire);
+    }
+    slot = MemberTable_Find(member, wire->id);
+    if (slot == MEMBER_NO_SLOT) {
+        Result result = merge_unknown(member, now, wire, source);
+
+        /* A host that was forgotten but lives gets an ack, which tells it to
+         * refute. */
+        return source == MEMBER_FROM_HOST &&
+                       result == RESULT_RPC_OLD_SESSION &&
+                       MemberTable_FindTombstone(member, wire->id)
+                               ->incarnation == wire->incarnation
+                   ? RESULT_OK
+                   : result;
+    }
+    known = member->slots[slot].host->incarnation;
+    if (wire->incarnation < known && !member->desc._accept_old_sessions) {
+        return RESULT_RPC_OLD_SESSION;
+    }
+    if (wire->incarnation > known) {
+        merge_incarnation(member, now, slot, wire, source);
+        return RESULT_OK;
+    }
+    merge_state(member, now, slot, wire, source);
+    merge_servers(member, slot, wire, source);
+    return RESULT_OK;
+}
--- a/src/rpc/rpc.c
+++ b/src/rpc/rpc.c
@@ -14,6 +14,10 @@
 #include "rpc/session.h"
 
 #define MAX_WORKERS 16
+#define DEFAULT_WORKERS 2
+/* A ping-request waits up to 300 ms. With half of the fleet cut off, a host
+ * gets 1.5 of them a second, which keep half of one thread busy. */
+#define RELAY_THREADS 2
 #define MAX_JOBS 1024
 /* Bytes that ONC RPC puts before the argument. */
 #define CALL_BYTES 40
@@ -27,6 +31,25 @@
     GByteArray *body;
 } Job;
 
+enum {
+    LANE_NONE = -1,
+    LANE_RELAYS,  /* ping-requests, which wait for another host */
+    LANE_WORKERS, /* kinds from RPC_FIRST_WORKER_KIND */
+    LANE_COUNT
+};
+
+/* Threads that run handlers, behind a bounded queue. */
+typedef struct Lane {
+    Rpc *rpc;
+    pthread_mutex_t lock;
+    pthread_cond_t added;
+    GQueue jobs;
+    gboolean is_ending;
+    uint32_t wanted_threads;
+    uint32_t thread_count;
+    pthread_t threads[MAX_WORKERS];
+} Lane;
+
 typedef struct Handler {
     RpcHandler function;
     void *context;
@@ -34,7 +57,6 @@
 
 struct Rpc {
     uint64_t host;
-    uint32_t worker_count;
     RpcSecret secret;
     RpcServer *server;
     RpcClient *client;
@@ -48,23 +70,20 @@
     pthread_mutex_t session_lock;
     RpcSession *session;
 
-    pthread_mutex_t job_lock;
-    pthread_cond_t job_added;
-    GQueue jobs;
-    gboolean is_ending;
-    uint32_t threads;
-    pthread_t workers[MAX_WORKERS];
+    Lane lanes[LANE_COUNT];
 };
 
 #ifdef __SANITIZE_THREAD__
 /* libtirpc reads the padding after opaque data into one static buffer that
- * nothing reads; the sanitizer reports these writes as races. */
+ * nothing reads; the sanitizer reports these writes as races. It does not see
+ * the order that liburcu makes between readers and the function that frees
+ * (the address sanitizer checks that one). */
 const char *
 __tsan_default_suppressions(void); /* NOLINT */
 const char *
 __tsan_default_suppressions(void) /* NOLINT */
 {
-    return "called_from_lib:libtirpc.so\n";
+    return "called_from_lib:libtirpc.so\nrace:member_free_garbage\n";
 }
 #endif
 
@@ -201,27 +220,37 @@
     answer(rpc, back, header, result, body);
 }
 
+/* LANE_NONE stands for the server thread itself. */
+static int
+lane_of(uint32_t kind)
+{
+    if (kind == RPC_KIND_PING_REQUEST) {
+        return LANE_RELAYS;
+    }
+    return kind >= RPC_FIRST_WORKER_KIND ? LANE_WORKERS : LANE_NONE;
+}
+
 static void
-enqueue(Rpc *rpc, const RpcReturn *back, const RpcSealed *message)
+enqueue(Lane *lane, const RpcReturn *back, const RpcSealed *message)
 {
     Job *job = g_new0(Job, 1);
 
     *job = (Job){
         .back = *back, .header = message->header, .body = copy_body(message)};
-    pthread_mutex_lock(&rpc->job_lock);
-    g_queue_push_tail(&rpc->jobs, job);
-    pthread_cond_signal(&rpc->job_added);
-    pthread_mutex_unlock(&rpc->job_lock);
+    pthread_mutex_lock(&lane->lock);
+    g_queue_push_tail(&lane->jobs, job);
+    pthread_cond_signal(&lane->added);
+    pthread_mutex_unlock(&lane->lock);
 }
 
 static gboolean
-is_queue_full(Rpc *rpc)
+is_queue_full(Lane *lane)
 {
     gboolean is_full;
 
-    pthread_mutex_lock(&rpc->job_lock);
-    is_full = g_queue_get_length(&rpc->jobs) >= MAX_JOBS;
-    pthread_mutex_unlock(&rpc->job_lock);
+    pthread_mutex_lock(&lane->lock);
+    is_full = g_queue_get_length(&lane->jobs) >= MAX_JOBS;
+    pthread_mutex_unlock(&lane->lock);
     return is_full;
 }
 
@@ -231,6 +260,7 @@
 {
     Rpc *rpc = context;
     const RpcHeader *header = &message->header;
+    int lane = lane_of(header->kind);
     GByteArray *body;
     Result result;
     RpcAcceptance acceptance;
@@ -244,7 +274,7 @@
     }
     /* Dropped before the session takes the sequence number, so that the
      * message can be sent again. */
-    if (header->kind >= RPC_FIRST_WORKER_KIND && is_queue_full(rpc)) {
+    if (lane != LANE_NONE && is_queue_full(&rpc->lanes[lane])) {
         refuse("queue", header);
         return;
     }
@@ -268,8 +298,8 @@
         answer(rpc, back, header, result, body);
     }
     else if (acceptance == RPC_ACCEPT_RUN) {
-        if (header->kind >= RPC_FIRST_WORKER_KIND) {
-            enqueue(rpc, back, message);
+        if (lane != LANE_NONE) {
+            enqueue(&rpc->lanes[lane], back, message);
         }
         else {
             g_byte_array_unref(body);
@@ -283,31 +313,78 @@
 static void *
 work(void *context)
 {
-    Rpc *rpc = context;
+    Lane *lane = context;
     Job *job;
 
     rcu_register_thread();
-    pthread_mutex_lock(&rpc->job_lock);
+    pthread_mutex_lock(&lane->lock);
     for (;;) {
-        job = g_queue_pop_head(&rpc->jobs);
-        if (job == NULL && rpc->is_ending) {
+        job = g_queue_pop_head(&lane->jobs);
+        if (job == NULL && lane->is_ending) {
             break;
         }
         if (job == NULL) {
-            pthread_cond_wait(&rpc->job_added, &rpc->job_lock);
+            pthread_cond_wait(&lane->added, &lane->lock);
             continue;
         }
-        pthread_mutex_unlock(&rpc->job_lock);
-        run_handler(rpc, &job->back, &job->header, job->body);
+        pthread_mutex_unlock(&lane->lock);
+        run_handler(lane->rpc, &job->back, &job->header, job->body);
         g_byte_array_unref(job->body);
         g_free(job);
-        pthread_mutex_lock(&rpc->job_lock);
+        pthread_mutex_lock(&lane->lock);
     }
-    pthread_mutex_unlock(&rpc->job_lock);
+    pthread_mutex_unlock(&lane->lock);
     rcu_unregister_thread();
     return NULL;
 }
 
+static void
+create_lane(Lane *lane, Rpc *rpc, uint32_t threads)
+{
+    lane->rpc = rpc;
+    lane->wanted_threads = MIN(threads, MAX_WORKERS);
+    pthread_mutex_init(&lane->lock, NULL);
+    pthread_cond_init(&lane->added, NULL);
+    g_queue_init(&lane->jobs);
+}
+
+static gboolean
+start_lane(Lane *lane, GError **error)
+{
+    while (lane->thread_count < lane->wanted_threads) {
+        int status = pthread_create(&lane->threads[lane->thread_count], NULL,
+                                    work, lane);
+
+        if (status != 0) {
+            return Result_SetError(error, RESULT_IO,
+                                   "cannot start a thread: %s",
+                                   strerror(status));
+        }
+        lane->thread_count++;
+    }
+    return TRUE;
+}
+
+/* Ends the threads after the jobs in the queue. */
+static void
+stop_lane(Lane *lane)
+{
+    pthread_mutex_lock(&lane->lock);
+    lane->is_ending = TRUE;
+    pthread_cond_broadcast(&lane->added);
+    pthread_mutex_unlock(&lane->lock);
+    while (lane->thread_count > 0) {
+        pthread_join(lane->threads[--lane->thread_count], NULL);
+    }
+}
+
+static void
+destroy_lane(Lane *lane)
+{
+    pthread_cond_destroy(&lane->added);
+    pthread_mutex_destroy(&lane->lock);
+}
+
 Rpc *
 Rpc_Create(const Rpc_desc *desc, GError **error)
 {
@@ -326,8 +403,9 @@
     rpc = g_new0(Rpc, 1);
     rpc->host = desc->host;
     rpc->incarnation = desc->incarnation;
-    rpc->worker_count =
-        desc->workers == 0 ? 2 : MIN(desc->workers, MAX_WORKERS);
+    create_lane(&rpc->lanes[LANE_RELAYS], rpc, RELAY_THREADS);
+    create_lane(&rpc->lanes[LANE_WORKERS], rpc,
+                desc->workers == 0 ? DEFAULT_WORKERS : desc->workers);
     rpc->secret.bytes = g_memdup2(desc->secret, desc->secret_bytes);
     rpc->secret.length = desc->secret_bytes;
     rpc->session =
@@ -337,9 +415,6 @@
         RpcClient_Create(desc->handles != 0 ? desc->handles : 64,
                          desc->retransmit_ms != 0 ? desc->retransmit_ms : 150);
     pthread_mutex_init(&rpc->session_lock, NULL);
-    pthread_mutex_init(&rpc->job_lock, NULL);
-    pthread_cond_init(&rpc->job_added, NULL);
-    g_queue_init(&rpc->jobs);
     server.context = rpc;
     rpc->server = RpcServer_Create(&server, error);
     if (rpc->server == NULL) {
@@ -365,18 +440,9 @@
 gboolean
 Rpc_Start(Rpc *rpc, GError **error)
 {
-    while (rpc->threads < rpc->worker_count) {
-        int status =
-            pthread_create(&rpc->workers[rpc->threads], NULL, work, rpc);
-
-        if (status != 0) {
-            return Result_SetError(error, RESULT_IO,
-                                   "cannot start a thread: %s",
-                                   strerror(status));
-        }
-        rpc->threads++;
-    }
-    return RpcServer_Start(rpc->server, error);
+    return start_lane(&rpc->lanes[LANE_RELAYS], error) &&
+           start_lane(&rpc->lanes[LANE_WORKERS], error) &&
+           RpcServer_Start(rpc->server, error);
 }
 
 void
@@ -384,13 +450,8 @@
 {
     __atomic_store_n(&rpc->is_stopped, TRUE, __ATOMIC_RELEASE);
     RpcServer_Stop(rpc->server);
-    pthread_mutex_lock(&rpc->job_lock);
-    rpc->is_ending = TRUE;
-    pthread_cond_broadcast(&rpc->job_added);
-    pthread_mutex_unlock(&rpc->job_lock);
-    while (rpc->threads > 0) {
-        pthread_join(rpc->workers[--rpc->threads], NULL);
-    }
+    stop_lane(&rpc->lanes[LANE_RELAYS]);
+    stop_lane(&rpc->lanes[LANE_WORKERS]);
 }
 
 void
@@ -405,8 +466,8 @@
     RpcServer_Destroy(rpc->server);
     RpcClient_Destroy(rpc->client);
     RpcSession_Destroy(rpc->session);
-    pthread_cond_destroy(&rpc->job_added);
-    pthread_mutex_destroy(&rpc->job_lock);
+    destroy_lane(&rpc->lanes[LANE_RELAYS]);
+    destroy_lane(&rpc->lanes[LANE_WORKERS]);
     pthread_mutex_destroy(&rpc->session_lock);
     memset(rpc->secret.bytes, 0, rpc->secret.length);
     g_free(rpc->secret.bytes);
--- a/src/rpc/rpc.h
+++ b/src/rpc/rpc.h
@@ -9,10 +9,13 @@
  *  4. Rpc_Stop() ends the server threads; calls fail from then on.
  *     Rpc_Destroy() once no thread makes a call any more.
  *
- * Threads: kinds below RPC_FIRST_WORKER_KIND (membership) run on the server
- * thread and must not block. All other kinds run on `workers` threads behind a
- * bounded queue, so a slow handler never delays a ping; when the queue is full
- * a message is dropped and the sender sends it again.
+ * Threads: pings and digests (kinds 1 and 3) run on the server thread and must
+ * not block. Ping-requests (kind 2) run on 2 threads of their own, all kinds
+ * from RPC_FIRST_WORKER_KIND on `workers` threads. Both stand behind bounded
+ * queues, so a slow handler never delays a ping; when a queue is full a
+ * message is dropped and the sender sends it again. These threads are
+ * registered with liburcu, so handlers may use rcu_read_lock(). A handler may
+ * make calls itself if it is not on the server thread.
  *
  * Sessions: a message names its sender, the sender's incarnation and a
  * sequence number, all covered by an HMAC-SHA256. For each sender the receiver
