--- a/src/member/gossip.c
+++ b/src/member/gossip.c
@@ -306,8 +306,8 @@
         return;
     }
     pthread_mutex_lock(&gossip->lock);
-    count =
-        Member_PingFailed(gossip->member, Clock_Now(), target->host, hosts);
+    count = Member_PingFailed(gossip->member, Clock_Now(), target->host,
+                              target->incarnation, hosts);
     for (uint32_t i = 0; i < count; i++) {
         helpers[i] = peer_of(hosts[i]);
     }
@@ -317,7 +317,8 @@
     }
     is_reached = ask_helpers(gossip, target, helpers, count);
     pthread_mutex_lock(&gossip->lock);
-    Member_IndirectDone(gossip->member, Clock_Now(), target->host, is_reached);
+    Member_IndirectDone(gossip->member, Clock_Now(), target->host,
+                        target->incarnation, is_reached);
     pthread_cond_broadcast(&gossip->changed);
     pthread_mutex_unlock(&gossip->lock);
 }
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -440,6 +440,8 @@
     return TRUE;
 }
 
+/* The next ping tells the host of the suspicion, so that it can refute it at
+ * once if it is up. */
 static void
 suspect(Member *member, ClockMs now, uint32_t slot)
 {
@@ -448,38 +450,55 @@
     if (host->state == MEMBER_ALIVE) {
         Member_SetState(member, slot, now, MEMBER_SUSPECT, host->refutation);
         MemberUpdate_Queue(member, slot, FALSE);
+        add_recheck(member, slot);
     }
 }
 
-uint32_t
-Member_PingFailed(Member *member, ClockMs now, uint64_t host,
-                  const MemberHost *helpers[MEMBER_HELPERS])
+/* Up to MEMBER_HELPERS different hosts other than the target. */
+static uint32_t
+choose_helpers(Member *member, uint32_t target,
+               const MemberHost *helpers[MEMBER_HELPERS])
 {
-    uint32_t slot = MemberTable_Find(member, host);
-    uint32_t chosen[MEMBER_HELPERS];
     uint32_t count = 0;
 
-    if (slot == MEMBER_NO_SLOT ||
-        member->slots[slot].host->state != MEMBER_ALIVE) {
-        if (slot != MEMBER_NO_SLOT &&
-            member->slots[slot].host->state == MEMBER_DEAD) {
-            member->is_healing = FALSE;
-        }
-        return 0;
-    }
     for (int tries = 0; tries < 4 * MEMBER_HELPERS && count < MEMBER_HELPERS;
          tries++) {
-        uint32_t helper = random_host(member, FALSE, slot);
-        gboolean is_new = helper != MEMBER_NO_SLOT;
+        uint32_t slot = random_host(member, FALSE, target);
+        gboolean is_new = slot != MEMBER_NO_SLOT;
 
-        for (uint32_t i = 0; i < count; i++) {
-            is_new = is_new && chosen[i] != helper;
+        for (uint32_t i = 0; is_new && i < count; i++) {
+            is_new = helpers[i] != member->slots[slot].host;
         }
         if (is_new) {
-            chosen[count] = helper;
-            helpers[count++] = member->slots[helper].host;
+            helpers[count++] = member->slots[slot].host;
         }
     }
+    return count;
+}
+
+uint32_t
+Member_PingFailed(Member *member, ClockMs now, uint64_t host,
+                  uint64_t incarnation,
+                  const MemberHost *helpers[MEMBER_HELPERS])
+{
+    uint32_t slot = MemberTable_Find(member, host);
+    const MemberHost *record;
+    uint32_t count;
+
+    if (slot == MEMBER_NO_SLOT) {
+        return 0;
+    }
+    record = member->slots[slot].host;
+    if (record->state == MEMBER_DEAD) {
+        member->is_healing = FALSE;
+    }
+    if (record->state == MEMBER_SUSPECT) {
+        add_recheck(member, slot);
+    }
+    if (record->state != MEMBER_ALIVE || record->incarnation != incarnation) {
+        return 0;
+    }
+    count = choose_helpers(member, slot, helpers);
     if (count == 0) {
         suspect(member, now, slot);
     }
@@ -488,13 +507,14 @@
 
 void
 Member_IndirectDone(Member *member, ClockMs now, uint64_t host,
-                    gboolean is_reached)
+                    uint64_t incarnation, gboolean is_reached)
 {
     uint32_t slot = MemberTable_Find(member, host);
     MemberSlot *entry;
     MemberHost *copy;
 
-    if (slot == MEMBER_NO_SLOT) {
+    if (slot == MEMBER_NO_SLOT ||
+        member->slots[slot].host->incarnation != incarnation) {
         return;
     }
     if (!is_reached) {
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -250,17 +250,20 @@
 Member_ReadAck(Member *member, ClockMs now, uint64_t sender,
                const GByteArray *ack, GByteArray *payload);
 
-/* No ack came for a ping. Returns how many helpers to ask for an indirect
- * ping; with 0 the outcome is already settled (call nothing further). */
+/* No ack came for a ping to the host's incarnation. Returns how many helpers
+ * to ask for an indirect ping; with 0 the outcome is already settled (call
+ * nothing further). A failed ping counts nothing against a later incarnation
+ * that became known meanwhile. */
 uint32_t
 Member_PingFailed(Member *member, ClockMs now, uint64_t host,
+                  uint64_t incarnation,
                   const MemberHost *helpers[MEMBER_HELPERS]);
 
 /* Outcome of the indirect pings. If one helper got an ack, the host is up and
  * only not reached from here (one-way); else it becomes suspect. */
 void
 Member_IndirectDone(Member *member, ClockMs now, uint64_t host,
-                    gboolean is_reached);
+                    uint64_t incarnation, gboolean is_reached);
 
 /* The three steps of a digest exchange with a peer: A sends the digest, B
  * answers with the versions in the buckets that differ, A sends records that
