--- a/src/member/member.h
+++ b/src/member/member.h
@@ -133,7 +133,7 @@
 
 /* What happened to a host, for logs. */
 typedef enum MemberEvent {
-    MEMBER_EVENT_JOINED,
+    MEMBER_EVENT_JOINED, /* new host, or a new incarnation of one */
     MEMBER_EVENT_SUSPECTED,
     MEMBER_EVENT_REFUTED,
     MEMBER_EVENT_DIED,
@@ -151,7 +151,7 @@
     uint32_t max_hosts;      /* 0 means 10,000 */
     uint32_t max_services;   /* 0 means 8,192 */
     int period_ms;           /* 0 means 1,000 */
-    int suspicion_periods;   /* 0 means 3; times log10(n), at least once */
+    int suspicion_periods;   /* 0 means 3; times log10(n) if that is above 1 */
     ClockMs forget_ms;       /* dead hosts are dropped; 0 means 2 h */
     int latency_interval_ms; /* between records that change only latency
                               * classes; 0 means 10 min */
@@ -212,6 +212,11 @@
 const MemberHost *
 Member_GetSelf(const Member *member);
 
+/* Highest incarnation of the own host that was seen in a record, 0 if none was
+ * above the own one. */
+uint64_t
+Member_GetSupersededBy(const Member *member);
+
 /* Replaces the own incarnation while joining. */
 void
 Member_SetIncarnation(Member *member, ClockMs now, uint64_t incarnation);
@@ -245,17 +250,20 @@
 Member_ReadAck(Member *member, ClockMs now, uint64_t sender,
                const GByteArray *ack, GByteArray *payload);
 
-/* No ack came for a ping. Returns how many helpers to ask for an indirect
- * ping; with 0 the outcome is already settled (call nothing further). */
+/* No ack came for a ping to the host's incarnation. Returns how many helpers
+ * to ask for an indirect ping; with 0 the outcome is already settled (call
+ * nothing further). A failed ping counts nothing against a later incarnation
+ * that became known meanwhile. */
 uint32_t
 Member_PingFailed(Member *member, ClockMs now, uint64_t host,
+                  uint64_t incarnation,
                   const MemberHost *helpers[MEMBER_HELPERS]);
 
 /* Outcome of the indirect pings. If one helper got an ack, the host is up and
  * only not reached from here (one-way); else it becomes suspect. */
 void
 Member_IndirectDone(Member *member, ClockMs now, uint64_t host,
-                    gboolean is_reached);
+                    uint64_t incarnation, gboolean is_reached);
 
 /* The three steps of a digest exchange with a peer: A sends the digest, B
  * answers with the versions in the buckets that differ, A sends records that
