--- a/src/issue/test_run_random.c
+++ b/src/issue/test_run_random.c
@@ -407,13 +407,12 @@
 static void
 do_event(World *world, Event *event)
 {
-    Host *host = &world->hosts[event->host];
+    Host *host;
 
-    if ((event->kind == KIND_REQUEST || event->kind == KIND_VOID) &&
-        event->host < 0) {
+    if (event->host < 0) {
         event->host = find_host(world, &world->issuances[event->issuance]);
-        host = &world->hosts[event->host];
     }
+    host = &world->hosts[event->host];
     if (event->process != 0 && event->process != host->process) {
         return;
     }
