--- a/src/health/test_permit.c
+++ b/src/health/test_permit.c
@@ -40,52 +40,58 @@
     return reply.status;
 }
 
+typedef struct KeeperStep {
+    const char *server;
+    uint64_t claim;
+    PermitAction action;
+    uint32_t ready;
+    ClockMs now;
+    PermitStatus status;
+    int32_t number;
+} KeeperStep;
+
 /* Guards against wrong rules of a single keeper: a grant too early, a repeat
  * that gets a second permit, a release by an old message, a lapse too early,
  * missing backend servers that are not counted. */
 static void
 test_keeper(void)
 {
+    static const KeeperStep steps[] = {
+        {"a", 1, PERMIT_ACQUIRE, 12, 9999, PERMIT_NEW_KEEPER, -1},
+        {"a", 1, PERMIT_ACQUIRE, 12, 10000, PERMIT_GRANTED, 0},
+        {"a", 1, PERMIT_ACQUIRE, 12, 10001, PERMIT_GRANTED, 0},
+        /* Place 0 keeps permit 0 of 3 only. */
+        {"b", 1, PERMIT_ACQUIRE, 12, 10002, PERMIT_FLOOR, -1},
+        /* A new claim of the same backend server goes on with its permit,
+         * and the late release of the former claim leaves it alone. */
+        {"a", 2, PERMIT_ACQUIRE, 12, 10003, PERMIT_GRANTED, 0},
+        {"a", 1, PERMIT_RELEASE, 12, 10004, PERMIT_RELEASED, -1},
+        {"b", 1, PERMIT_ACQUIRE, 12, 20002, PERMIT_FLOOR, -1},
+        /* Missing backend servers use up permits, for renewals too. */
+        {"a", 2, PERMIT_ACQUIRE, 9, 20002, PERMIT_FLOOR, -1},
+        {"b", 1, PERMIT_ACQUIRE, 9, 20003, PERMIT_FLOOR, -1},
+        {"b", 1, PERMIT_ACQUIRE, 12, 20003, PERMIT_GRANTED, 0},
+        /* A claim that was released gets nothing by a late request. */
+        {"b", 1, PERMIT_RELEASE, 12, 20004, PERMIT_RELEASED, -1},
+        {"b", 1, PERMIT_ACQUIRE, 12, 20005, PERMIT_RELEASED, -1},
+        {"c", 1, PERMIT_ACQUIRE, 12, 20006, PERMIT_GRANTED, 0},
+    };
     PermitKeeper *keeper =
         PermitKeeper_Create(&(PermitKeeper_desc){.place = 0}, 0);
-    PermitRequest a = make_request("a", 1, -1, PERMIT_ACQUIRE);
-    PermitRequest b = make_request("b", 1, -1, PERMIT_ACQUIRE);
-    PermitRequest release_a = make_request("a", 1, 0, PERMIT_RELEASE);
-    PermitView one_missing = {.total = 12, .floor_percent = 75, .ready = 9};
-    int32_t number;
 
-    g_assert_cmpint(ask(keeper, &a, &view12, 9999, NULL), ==,
-                    PERMIT_NEW_KEEPER);
-    g_assert_cmpint(ask(keeper, &a, &view12, 10000, &number), ==,
-                    PERMIT_GRANTED);
-    g_assert_cmpint(number, ==, 0);
-    g_assert_cmpint(ask(keeper, &a, &view12, 10001, &number), ==,
-                    PERMIT_GRANTED);
-    g_assert_cmpint(number, ==, 0);
-    /* Place 0 keeps permit 0 of 3 only. */
-    g_assert_cmpint(ask(keeper, &b, &view12, 10002, NULL), ==, PERMIT_FLOOR);
-    /* A new claim of the same backend server goes on with its permit, and
-     * the late release of the former claim leaves it alone. */
-    a.claim = 2;
-    g_assert_cmpint(ask(keeper, &a, &view12, 10003, &number), ==,
-                    PERMIT_GRANTED);
-    g_assert_cmpint(ask(keeper, &release_a, &view12, 10004, NULL), ==,
-                    PERMIT_RELEASED);
-    g_assert_cmpuint(PermitKeeper_InUse(keeper, 10004), ==, 1);
-    g_assert_cmpint(ask(keeper, &b, &view12, 20002, NULL), ==, PERMIT_FLOOR);
-    /* Missing backend servers use up permits, for renewals too. */
-    g_assert_cmpint(ask(keeper, &a, &one_missing, 20002, NULL), ==,
-                    PERMIT_FLOOR);
-    g_assert_cmpint(ask(keeper, &b, &view12, 20003, &number), ==,
-                    PERMIT_GRANTED);
-    /* A claim that was released gets nothing when its request comes late. */
-    b.action = PERMIT_RELEASE;
-    g_assert_cmpint(ask(keeper, &b, &view12, 20004, NULL), ==,
-                    PERMIT_RELEASED);
-    b.action = PERMIT_ACQUIRE;
-    g_assert_cmpint(ask(keeper, &b, &view12, 20005, NULL), ==,
-                    PERMIT_RELEASED);
-    g_assert_cmpuint(PermitKeeper_InUse(keeper, 20005), ==, 0);
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        const KeeperStep *step = &steps[i];
+        PermitRequest request =
+            make_request(step->server, step->claim, -1, step->action);
+        PermitView view = view12;
+        int32_t number;
+
+        view.ready = step->ready;
+        g_test_message("step %zu", i);
+        g_assert_cmpint(ask(keeper, &request, &view, step->now, &number), ==,
+                        step->status);
+        g_assert_cmpint(number, ==, step->number);
+    }
     PermitKeeper_Destroy(keeper);
 }
 
@@ -137,52 +143,80 @@
     PermitKeeper_Destroy(keeper);
 }
 
-/* Guards against bodies that change on the way or overrun a buffer. */
+/* Guards against request bodies that change on the way, or are accepted when
+ * cut. */
 static void
-test_wire(void)
+test_wire_request(void)
 {
     PermitRequest request = make_request("name", 7, 2, PERMIT_ACQUIRE);
-    PermitRequest request_back;
+    PermitRequest back;
+    unsigned char bytes[PERMIT_WIRE_BYTES];
+    unsigned char again[PERMIT_WIRE_BYTES];
+    size_t size;
+
+    memset(request.service, 'x', PERMIT_NAME_BYTES - 1);
+    memset(request.backend_server, 'y', PERMIT_NAME_BYTES - 1);
+    size = Permit_EncodeRequest(&request, bytes, sizeof(bytes));
+    g_assert_cmpuint(size, >, 0);
+    g_assert_true(Permit_DecodeRequest(bytes, size, &back));
+    g_assert_cmpuint(Permit_EncodeRequest(&back, again, sizeof(again)), ==,
+                     size);
+    g_assert_cmpmem(bytes, size, again, size);
+    for (size_t cut = 0; cut < size; cut++) {
+        g_assert_false(Permit_DecodeRequest(bytes, cut, &back));
+    }
+}
+
+/* The same for replies. */
+static void
+test_wire_reply(void)
+{
     PermitReply reply = {.claim = 1,
                          .sequence = UINT64_MAX,
                          .status = PERMIT_GRANTED,
                          .number = 4,
                          .retry_ms = 9};
-    PermitReply reply_back;
+    PermitReply back;
     unsigned char bytes[PERMIT_WIRE_BYTES];
     unsigned char again[PERMIT_WIRE_BYTES];
-    size_t size;
-    Rng rng;
+    size_t size = Permit_EncodeReply(&reply, bytes, sizeof(bytes));
 
-    memset(request.service, 'x', PERMIT_NAME_BYTES - 1);
-    memset(request.backend_server, 'y', PERMIT_NAME_BYTES - 1);
-    size = Permit_EncodeRequest(&request, bytes, sizeof(bytes));
     g_assert_cmpuint(size, >, 0);
-    g_assert_true(Permit_DecodeRequest(bytes, size, &request_back));
-    g_assert_cmpuint(Permit_EncodeRequest(&request_back, again, sizeof(again)),
-                     ==, size);
+    g_assert_true(Permit_DecodeReply(bytes, size, &back));
+    g_assert_cmpuint(Permit_EncodeReply(&back, again, sizeof(again)), ==,
+                     size);
     g_assert_cmpmem(bytes, size, again, size);
     for (size_t cut = 0; cut < size; cut++) {
-        g_assert_false(Permit_DecodeRequest(bytes, cut, &request_back));
+        g_assert_false(Permit_DecodeReply(bytes, cut, &back));
     }
+}
+
+/* Guards against decoders that overrun a buffer on malformed bodies; the
+ * sanitizer builds would stop here. */
+static void
+test_wire_malformed(void)
+{
+    PermitRequest request = make_request("name", 7, 2, PERMIT_ACQUIRE);
+    PermitReply reply;
+    unsigned char bytes[PERMIT_WIRE_BYTES];
+    size_t size = Permit_EncodeRequest(&request, bytes, sizeof(bytes));
+    Rng rng;
+
     Rng_Seed(&rng, 5);
     for (int i = 0; i < 20000; i++) {
         unsigned char changed[PERMIT_WIRE_BYTES];
+        PermitRequest back;
 
         memcpy(changed, bytes, size);
         for (int k = 0; k < 3; k++) {
             changed[Rng_Below(&rng, size)] = (unsigned char)Rng_Next(&rng);
         }
-        Permit_DecodeRequest(changed, size, &request_back);
-        Permit_DecodeReply(changed, size, &reply_back);
+        if (Permit_DecodeRequest(changed, size, &back)) {
+            g_assert_cmpuint(back.place, <, PERMIT_PLACES);
+            g_assert_cmpint(back.number, >=, PERMIT_NO_NUMBER);
+        }
+        Permit_DecodeReply(changed, size, &reply);
     }
-    size = Permit_EncodeReply(&reply, bytes, sizeof(bytes));
-    g_assert_cmpuint(size, >, 0);
-    g_assert_true(Permit_DecodeReply(bytes, size, &reply_back));
-    g_assert_cmpuint(Permit_EncodeReply(&reply_back, again, sizeof(again)), ==,
-                     size);
-    g_assert_cmpmem(bytes, size, again, size);
-    g_assert_false(Permit_DecodeReply(bytes, size - 1, &reply_back));
 }
 
 /* The random model: owners with one backend server each, three keepers, and a
@@ -481,48 +515,64 @@
     }
 }
 
+typedef struct ClaimStep {
+    ClockMs now;
+    gboolean wanted;
+    gboolean sends; /* Next() makes a request */
+    PermitAction action;
+    int32_t renews;     /* number in the request */
+    ClockMs answered;   /* 0 = the answer, permit 4, is lost */
+    ClockMs held_until; /* 0 = not held */
+} ClaimStep;
+
 /* Guards against a permit that is lost although its keeper and the path are
- * in order, and against readmission after the lapse. */
+ * in order, time that counts from the answer in place of the request, a late
+ * answer to a renewal that counts, and use after the release. */
 static void
 test_claim_times(void)
 {
+    static const ClaimStep steps[] = {
+        {0, FALSE, FALSE, 0, 0, 0, 0},
+        {1000, TRUE, TRUE, PERMIT_ACQUIRE, -1, 1400, 10500},
+        {1500, TRUE, FALSE, 0, 0, 0, 10500},
+        {3999, TRUE, FALSE, 0, 0, 0, 10500},
+        {4000, TRUE, TRUE, PERMIT_ACQUIRE, 4, 4251, 10500},
+        {4300, TRUE, TRUE, PERMIT_ACQUIRE, 4, 4310, 13800},
+        {7300, TRUE, TRUE, PERMIT_ACQUIRE, 4, 0, 13800},
+        {7799, TRUE, FALSE, 0, 0, 0, 13800},
+        {7800, TRUE, TRUE, PERMIT_ACQUIRE, 4, 7850, 17300},
+        {7900, FALSE, TRUE, PERMIT_RELEASE, 4, 0, 0},
+        {8000, FALSE, FALSE, 0, 0, 0, 0},
+        {8100, TRUE, TRUE, PERMIT_ACQUIRE, -1, 8110, 17600},
+        {17600, TRUE, TRUE, PERMIT_ACQUIRE, -1, 0, 0},
+    };
     PermitClaim_desc desc = {
         .service = "s", .backend_server = "b", .host = 1, .incarnation = 1};
     PermitClaim *claim = PermitClaim_Create(&desc);
-    PermitRequest request;
-    PermitReply reply;
-    ClockMs renewed = 0;
-
-    g_assert_false(PermitClaim_Next(claim, FALSE, 0, &request));
-    g_assert_true(PermitClaim_Next(claim, TRUE, 1000, &request));
-    g_assert_cmpuint(request.place, ==, 0);
-    /* The answer comes late; the time counts from the request. */
-    reply = (PermitReply){.claim = request.claim,
-                          .sequence = request.sequence,
-                          .status = PERMIT_GRANTED,
-                          .number = 4};
-    PermitClaim_Answer(claim, &reply, 1400);
-    g_assert_true(PermitClaim_IsHeld(claim, 1000 + PERMIT_USE_MS - 1));
-    g_assert_false(PermitClaim_IsHeld(claim, 1000 + PERMIT_USE_MS));
-    for (ClockMs now = 1500; now < 10000; now += 100) {
-        if (PermitClaim_Next(claim, TRUE, now, &request)) {
-            g_assert_cmpuint(request.place, ==, 1);
-            g_assert_cmpint(request.number, ==, 4);
-            renewed = now;
-            break;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        const ClaimStep *step = &steps[i];
+        PermitRequest request = {0};
+        gboolean sends =
+            PermitClaim_Next(claim, step->wanted, step->now, &request);
+
+        g_test_message("step %zu", i);
+        g_assert_cmpint(sends, ==, step->sends);
+        g_assert_true(!sends || request.action == step->action);
+        g_assert_true(!sends || request.number == step->renews);
+        g_assert_true(!sends || step->renews < 0 || request.place == 1);
+        if (step->answered) {
+            PermitReply reply = {.claim = request.claim,
+                                 .sequence = request.sequence,
+                                 .status = PERMIT_GRANTED,
+                                 .number = 4};
+
+            PermitClaim_Answer(claim, &reply, step->answered);
         }
+        g_assert_cmpint(PermitClaim_IsHeld(claim, step->held_until - 1), ==,
+                        step->held_until != 0);
+        g_assert_false(PermitClaim_IsHeld(claim, step->held_until));
     }
-    g_assert_cmpint(renewed, ==, 1000 + PERMIT_RENEW_MS);
-    reply.sequence = request.sequence;
-    PermitClaim_Answer(claim, &reply, renewed + PERMIT_RENEWAL_ANSWER_MS + 1);
-    g_assert_false(PermitClaim_IsHeld(claim, 1000 + PERMIT_USE_MS));
-    g_assert_true(PermitClaim_Next(claim, TRUE, renewed + 300, &request));
-    reply.sequence = request.sequence;
-    PermitClaim_Answer(claim, &reply, renewed + 310);
-    g_assert_true(PermitClaim_IsHeld(claim, 1000 + PERMIT_USE_MS));
-    g_assert_true(PermitClaim_Next(claim, FALSE, renewed + 400, &request));
-    g_assert_cmpint(request.action, ==, PERMIT_RELEASE);
-    g_assert_false(PermitClaim_IsHeld(claim, renewed + 400));
     PermitClaim_Destroy(claim);
 }
 
@@ -534,7 +584,9 @@
     g_test_add_func("/permit/new_keeper_goes_on", test_new_keeper_goes_on);
     g_test_add_func("/permit/service_wide", test_service_wide);
     g_test_add_func("/permit/claim_times", test_claim_times);
-    g_test_add_func("/permit/wire", test_wire);
+    g_test_add_func("/permit/wire_request", test_wire_request);
+    g_test_add_func("/permit/wire_reply", test_wire_reply);
+    g_test_add_func("/permit/wire_malformed", test_wire_malformed);
     g_test_add_func("/permit/bound", test_bound);
     return g_test_run();
 }
