--- a/src/rate/rate_wallet.c
+++ b/src/rate/rate_wallet.c
@@ -29,6 +29,7 @@
     uint64_t incarnation;
     RateDistance distance;
     int slots;
+    int grants; /* records that refer to it */
     int failures;
     ClockMs down_until;
     ClockMs due_ms; /* when reports are due; CLOCK_NEVER = none */
@@ -157,19 +158,16 @@
 add_peer(RateWallet *wallet, uint64_t host, uint64_t incarnation,
          RateDistance distance)
 {
-    uint16_t i = find_peer(wallet, host, incarnation);
+    uint16_t found = find_peer(wallet, host, incarnation);
+    int i = 0;
 
-    if (i != NO_PEER) {
-        wallet->peers[i].distance = distance;
-        return i;
+    if (found != NO_PEER) {
+        wallet->peers[found].distance = distance;
+        return found;
     }
-    for (i = 0; i < wallet->peer_high; i++) {
-        const Peer *peer = &wallet->peers[i];
-
-        if (peer->host == 0 || (peer->slots == 0 && peer->dirty == NULL &&
-                                peer->due_ms == CLOCK_NEVER)) {
-            break;
-        }
+    while (i < wallet->peer_high &&
+           (wallet->peers[i].slots > 0 || wallet->peers[i].grants > 0)) {
+        i++;
     }
     if (i == 2 * RATE_SLOTS_MAX) {
         return NO_PEER;
@@ -180,7 +178,22 @@
                               .distance = distance,
                               .due_ms = CLOCK_NEVER};
     wallet->peers[i].dirty_end = &wallet->peers[i].dirty;
-    return i;
+    return (uint16_t)i;
+}
+
+/* What was learnt about a former holder says nothing about the next. */
+static void
+forget_empty(RateWallet *wallet, int slot)
+{
+    for (uint32_t i = 0; i <= wallet->mask; i++) {
+        for (Team *team = wallet->heads[i]; team != NULL; team = team->next) {
+            for (int k = 0; k < team->share.slots; k++) {
+                if (team->slots[k].slot == slot) {
+                    team->slots[k].empty_until = 0;
+                }
+            }
+        }
+    }
 }
 
 void
@@ -198,21 +211,12 @@
     }
     if (old != NO_PEER) {
         wallet->peers[old].slots--;
+        forget_empty(wallet, slot);
     }
     if (now != NO_PEER) {
         wallet->peers[now].slots++;
     }
     wallet->slot_peer[slot] = now;
-    /* What was learnt about the former holder says nothing about this one. */
-    for (uint32_t i = 0; i <= wallet->mask; i++) {
-        for (Team *team = wallet->heads[i]; team != NULL; team = team->next) {
-            for (int k = 0; k < team->share.slots; k++) {
-                if (team->slots[k].slot == slot) {
-                    team->slots[k].empty_until = 0;
-                }
-            }
-        }
-    }
 }
 
 /* Orders a grant's report; it is sent at `due`. */
@@ -230,6 +234,13 @@
     }
 }
 
+static void
+free_grant(RateWallet *wallet, Grant *grant)
+{
+    wallet->peers[grant->peer].grants--;
+    Pool_Remove(wallet->grants, grant->handle);
+}
+
 /* Takes the grant out of its team's list; the record lives on until its report
  * was sent. */
 static void
@@ -240,7 +251,7 @@
     *link = grant->next;
     grant->ended = TRUE;
     if (!grant->is_dirty) {
-        Pool_Remove(wallet->grants, grant->handle);
+        free_grant(wallet, grant);
     }
 }
 
@@ -621,6 +632,7 @@
     }
     grant->next = *link;
     *link = grant;
+    wallet->peers[peer].grants++;
 }
 
 void
@@ -631,6 +643,8 @@
     uint16_t peer = add_peer(wallet, plan->holder, plan->holder_incarnation,
                              RATE_ELSEWHERE);
 
+    /* A holder that is no longer known gets its tokens back when they lapse.
+     */
     if (team == NULL || peer == NO_PEER) {
         return;
     }
@@ -725,7 +739,7 @@
             };
         }
         if (grant->ended) {
-            Pool_Remove(wallet->grants, grant->handle);
+            free_grant(wallet, grant);
         }
     }
     if (peer->dirty == NULL) {
