--- a/src/rate/rate_hold.c
+++ b/src/rate/rate_hold.c
@@ -21,6 +21,7 @@
     gboolean first;     /* this host is in first place */
     gboolean claimable; /* by what was read */
     gboolean asked;     /* a call is with the store */
+    gboolean must_read; /* a write may have taken effect, or a hint came */
     ClockMs end_ms;
     ClockMs due_ms; /* of the next call */
     int failures;
@@ -171,9 +172,10 @@
 concerns(const RateHold *hold, const Slot *slot)
 {
     if (hold->releasing) {
-        return slot->mine || (slot->known && is_own(hold, &slot->object));
+        return slot->mine || slot->must_read ||
+               (slot->known && is_own(hold, &slot->object));
     }
-    return slot->first || slot->mine ||
+    return slot->first || slot->mine || slot->must_read ||
            (slot->known && (is_own(hold, &slot->object) ||
                             is_former_self(hold, &slot->object)));
 }
@@ -306,6 +308,7 @@
     }
     place->object = *object;
     place->known = TRUE;
+    place->must_read = FALSE;
     if (is_own(hold, object)) {
         return own_slot(hold, slot, sent_ms, now);
     }
@@ -336,6 +339,7 @@
     }
     if (result == RESULT_STORE_UNCERTAIN) {
         slot->known = FALSE;
+        slot->must_read = TRUE;
         slot->due_ms = now + UNCERTAIN_MS + spread(hold, UNCERTAIN_MS);
         return (RateHoldEvent){.change = RATE_HOLD_NONE};
     }
@@ -349,6 +353,7 @@
 RateHold_Hint(RateHold *hold, int slot, ClockMs now)
 {
     hold->slots[slot].known = FALSE;
+    hold->slots[slot].must_read = TRUE;
     hold->slots[slot].due_ms = now;
     hold->slots[slot].failures = 0;
 }
--- a/src/rate/rate_wallet.h
+++ b/src/rate/rate_wallet.h
@@ -43,6 +43,9 @@
     } part[RATE_TOKEN_PARTS];
 } RateToken;
 
+/* A request waits at most this long for a token that is promised for later. */
+#define RATE_WAIT_MS 20
+
 typedef enum RateDistance {
     RATE_SELF,
     RATE_DATA_CENTRE,
