Tell a fault of the whole service from that of one backend server

Owners announce a suspicion to the permit keeper before they want a permit; a keeper that sees more than 34% of the service suspected refuses for 30 s. Mild slowness needs 5 s of confirmation, in which a new baseline arrives, and a rising baseline voids the evidence.

--- a/src/health/health.c
+++ b/src/health/health.c
@@ -17,9 +17,12 @@
 #define RECOVERED_SHARE (1.0 / 6)
 #define WANTED_SHARE 0.5
 #define PROBATION_SHARE 0.5
+/* A degraded backend server keeps this weight until the threshold: with less
+ * load the samples that decide would come too slowly. */
+#define DEGRADED_WEIGHT 50
 #define COLD_WEIGHT 10
-/* A service whose baseline rises by this many quarter octaves is slow as a
- * whole; evidence measured against the old baseline is void. */
+/* A service whose baseline rises by this many quarter octaves while evidence
+ * is collected is slow as a whole; the evidence so far is void. */
 #define BASELINE_STEP 2
 
 /* Weight in percent and trial requests at once in each step of probation;
@@ -48,11 +51,13 @@
     double latency_nats;
     double outcome_nats;
     int baseline_class;
+    int evidence_baseline; /* when the latency evidence began */
     int own_class;
 
     HealthState state;
     HealthReason reason;
     gboolean wanted;
+    ClockMs crossed;   /* when the threshold was reached, or CLOCK_NEVER */
     uint32_t level;    /* ejections so far, less the forgiven ones */
     int ejected_class; /* own class when ejected for slowness */
     ClockMs ejected_until;
@@ -94,6 +99,7 @@
     HealthScore_Reset(&health->score);
     health->healthy_since = now;
     health->cold_since = CLOCK_NEVER;
+    health->crossed = CLOCK_NEVER;
     health->sampled = now;
     health->updated = now;
     return health;
@@ -120,6 +126,7 @@
 {
     health->state = HEALTH_STATE_PROBATION;
     health->wanted = FALSE;
+    health->crossed = CLOCK_NEVER;
     health->latency_nats = 0;
     health->outcome_nats = 0;
     health->step = 0;
@@ -143,6 +150,7 @@
         health->state = HEALTH_STATE_HEALTHY;
         health->healthy_since = now;
         health->wanted = FALSE;
+        health->crossed = CLOCK_NEVER;
         health->latency_nats = 0;
         health->outcome_nats = 0;
     }
@@ -294,18 +302,35 @@
     }
 }
 
-/* Handles HEALTHY and DEGRADED. */
 static void
-step_serving(Health *health, double evidence, gboolean held, ClockMs now)
+decide_wanted(Health *health, double evidence, double stalled, ClockMs now)
 {
     double threshold = health->desc.threshold_nats;
+    gboolean mild = stalled == 0 && health->outcome_nats < threshold &&
+                    HealthScore_IsMild(&health->score);
 
-    if (evidence >= threshold) {
-        health->wanted = TRUE;
-    }
-    else if (evidence < threshold * WANTED_SHARE) {
+    if (evidence < threshold * WANTED_SHARE) {
         health->wanted = FALSE;
+        health->crossed = CLOCK_NEVER;
     }
+    else if (evidence >= threshold) {
+        if (health->crossed == CLOCK_NEVER) {
+            health->crossed = now;
+        }
+        if (!mild || now - health->crossed >= health->desc.confirm_ms) {
+            health->wanted = TRUE;
+        }
+    }
+}
+
+/* Handles HEALTHY and DEGRADED. */
+static void
+step_serving(Health *health, double evidence, double stalled, gboolean held,
+             ClockMs now)
+{
+    double threshold = health->desc.threshold_nats;
+
+    decide_wanted(health, evidence, stalled, now);
     if (health->wanted && held) {
         eject(health, now);
         return;
@@ -407,7 +432,8 @@
             (threshold - evidence) / (threshold - threshold * DEGRADED_SHARE);
 
         weight =
-            least + (uint32_t)(MAX(share, 0) * (HEALTH_WEIGHT_FULL - least));
+            DEGRADED_WEIGHT +
+            (uint32_t)(MAX(share, 0) * (HEALTH_WEIGHT_FULL - DEGRADED_WEIGHT));
     }
     if (is_cold(health, now)) {
         ClockMs age = now - health->cold_since;
@@ -423,9 +449,14 @@
 static void
 take_baseline(Health *health, int baseline_class)
 {
-    if (health->baseline_class != HEALTH_CLASS_UNKNOWN &&
-        baseline_class >= health->baseline_class + BASELINE_STEP) {
+    if (health->evidence_baseline == HEALTH_CLASS_UNKNOWN ||
+        health->latency_nats < health->desc.threshold_nats * RECOVERED_SHARE) {
+        health->evidence_baseline = baseline_class;
+    }
+    else if (baseline_class >= health->evidence_baseline + BASELINE_STEP) {
+        health->evidence_baseline = baseline_class;
         health->latency_nats = 0;
+        health->crossed = CLOCK_NEVER;
         if (health->state == HEALTH_STATE_DEGRADED) {
             health->wanted = FALSE;
         }
@@ -452,6 +483,16 @@
     return health->latency_nats > 0 ? HEALTH_REASON_SLOW : health->reason;
 }
 
+static HealthPermit
+permit_of(const Health *health)
+{
+    if (health->wanted || health->state == HEALTH_STATE_EJECTED) {
+        return HEALTH_PERMIT_NOW;
+    }
+    return health->state == HEALTH_STATE_DEGRADED ? HEALTH_PERMIT_SOON
+                                                  : HEALTH_PERMIT_NONE;
+}
+
 void
 Health_Update(Health *health, const HealthInput *input, HealthVerdict *verdict)
 {
@@ -474,7 +515,7 @@
         step_probation(health, evidence, stalled, input->permit_held, now);
     }
     else {
-        step_serving(health, evidence, input->permit_held, now);
+        step_serving(health, evidence, stalled, input->permit_held, now);
     }
     if (before != health->state) {
         health->reason = reason_of(health, stalled, now);
@@ -483,8 +524,7 @@
         .state = health->state,
         .reason = health->reason,
         .weight = weight_of(health, evidence, now),
-        .permit_wanted =
-            health->wanted || health->state == HEALTH_STATE_EJECTED,
+        .permit_wanted = permit_of(health),
         .latency_class = health->own_class,
         .evidence_nats = evidence,
         .ejected_until =
--- a/src/health/health.h
+++ b/src/health/health.h
@@ -17,8 +17,9 @@
  * healthy one), in one sum for outcomes and one for latency relative to the
  * baseline; a sum never falls below 0. Requests in flight that are older than
  * `stall_ms` add to the latency sum, so a hanging backend server is found
- * without samples. At `threshold_nats`, ejection is wanted. Probes are not an
- * input.
+ * without samples. At `threshold_nats`, ejection is wanted; if the recent
+ * answers are slow by less than 4, only after `confirm_ms`, because a baseline
+ * that is still on its way may explain them. Probes are not an input.
  *
  * Locking: none inside. The caller holds one mutex for each Health; every call
  * is short, does no I/O and allocates nothing after Health_Create().
@@ -66,7 +67,15 @@
     HEALTH_REASON_COLD     /* cold start */
 } HealthReason;
 
-/* Settings; zero means the default in brackets. */
+/* What the owner tells the permit keepers (health/permit.h). */
+typedef enum HealthPermit {
+    HEALTH_PERMIT_NONE,
+    HEALTH_PERMIT_SOON, /* suspicion: lets keepers see a fault of the whole
+                           service before the first permit is given */
+    HEALTH_PERMIT_NOW   /* ask for a permit, or keep it */
+} HealthPermit;
+
+/* Settings; zero means the default. */
 typedef struct Health_desc {
     double threshold_nats;      /* evidence for an ejection */
     double slow_factor;         /* latency, in baselines, that counts neither
@@ -76,6 +85,7 @@
     double wrong_share;         /* share of wrong answers that is normal */
     double sick_share;          /* share of bad answers of a sick server */
     ClockMs stall_ms;           /* age from which a request in flight counts */
+    ClockMs confirm_ms;         /* mild slowness must last this long */
     ClockMs ejection_ms;        /* first ejection */
     ClockMs ejection_max_ms;    /* limit of the doubling */
     ClockMs forgive_ms;         /* healthy time that halves the next one */
@@ -97,10 +107,10 @@
     HealthReason reason;
     uint32_t weight;        /* 0 to HEALTH_WEIGHT_FULL; 0 only if EJECTED */
     uint32_t max_in_flight; /* trial requests at once; 0 = no limit */
-    gboolean permit_wanted; /* ask for or keep a permit */
-    int latency_class;      /* for the member record */
-    double evidence_nats;   /* the larger of the two sums */
-    ClockMs ejected_until;  /* 0 unless EJECTED */
+    HealthPermit permit_wanted;
+    int latency_class;     /* for the member record */
+    double evidence_nats;  /* the larger of the two sums */
+    ClockMs ejected_until; /* 0 unless EJECTED */
 } HealthVerdict;
 
 typedef struct Health Health;
--- a/src/health/health_score.c
+++ b/src/health/health_score.c
@@ -31,6 +31,12 @@
 #define TAIL_SAMPLES 2000
 /* Share of tail answers that a sick backend server is taken to have. */
 #define TAIL_SICK 0.5
+/* Slowness below this is mild. The mean moves by a quarter of the way with
+ * each answer, so that six answers show slowness by 10. */
+#define MILD_OCTAVES 2.0
+#define FRESH_SHARE 0.25
+#define FRESH_LEAST (-2.0)
+#define FRESH_MOST 4.0
 #define HISTORY_STEP 0.02
 #define HISTORY_LEAST_SAMPLES 16
 /* Baseline of a service without samples or peers. */
@@ -44,6 +50,7 @@
     .wrong_share = 0.001,
     .sick_share = 0.1,
     .stall_ms = 600,
+    .confirm_ms = 5000,
     .ejection_ms = 5000,
     .ejection_max_ms = 300000,
     .forgive_ms = 120000,
@@ -70,6 +77,7 @@
     USE_DEFAULT(wrong_share)
     USE_DEFAULT(sick_share)
     USE_DEFAULT(stall_ms)
+    USE_DEFAULT(confirm_ms)
     USE_DEFAULT(ejection_ms)
     USE_DEFAULT(ejection_max_ms)
     USE_DEFAULT(forgive_ms)
@@ -159,6 +167,11 @@
     score->recent[score->recent_next] = octaves;
     score->recent_next = (score->recent_next + 1) % HEALTH_SCORE_RECENT;
     score->recent_count = MIN(score->recent_count + 1, HEALTH_SCORE_RECENT);
+    if (base > 0) {
+        double above = CLAMP(octaves - base, FRESH_LEAST, FRESH_MOST);
+
+        score->fresh += (above - score->fresh) * FRESH_SHARE;
+    }
     if (sample->learn && !sample->cold) {
         learn(score, octaves, base > 0 ? octaves - base : 0, margin);
     }
@@ -230,6 +243,12 @@
            margin_octaves(score, desc, FALSE) / 2;
 }
 
+gboolean
+HealthScore_IsMild(const HealthScore *score)
+{
+    return score->fresh < MILD_OCTAVES;
+}
+
 int
 HealthScore_Class(const HealthScore *score, int previous_class)
 {
--- a/src/health/health_score.h
+++ b/src/health/health_score.h
@@ -23,6 +23,7 @@
     uint32_t recent_next;
     double spread;  /* octaves, standard deviation */
     double tail;    /* share of answers in the tail */
+    double fresh;   /* octaves above the baseline of the last few answers */
     double history; /* slowly moving median, octaves above 1 us */
     uint32_t learned;
 } HealthScore;
@@ -56,6 +57,9 @@
 gboolean
 HealthScore_IsSlowClass(const HealthScore *score, const Health_desc *desc,
                         int latency_class, int baseline_class);
+/* Whether the last few answers were slow by less than 4. */
+gboolean
+HealthScore_IsMild(const HealthScore *score);
 /* Class of the recent median. */
 int
 HealthScore_Class(const HealthScore *score, int previous_class);
--- a/src/health/permit.h
+++ b/src/health/permit.h
@@ -28,11 +28,13 @@
  * Messages may be lost, repeated, reordered and late; a reply counts only for
  * the request that it answers, and a release only for the claim that it names.
  *
- * A keeper answers WAIT for `settle_ms` after the first request and then
- * refuses with SERVICE_WIDE if more than `service_wide_percent` of the
- * service's backend servers asked in the last `service_wide_ms`: a fault of
- * the whole service is load, and no ejection helps it. Owners ask place 0
- * first, so one keeper sees all of them.
+ * A fault of the whole service is load, and no ejection helps it. Owners
+ * announce a suspicion before they want a permit, and ask place 0 first, so
+ * one keeper sees all of them. It answers WAIT for `settle_ms` after the first
+ * message of a claim, and then refuses with SERVICE_WIDE if the backend
+ * servers that were suspected in the last `service_wide_ms` are more than
+ * `service_wide_percent` of the service and more than there are permits, and
+ * for 30 s after that.
  *
  * Locking: none inside; one mutex for each claim and for each keeper. No call
  * does I/O, and none but the create functions allocates.
@@ -47,6 +49,7 @@
 #include <stdint.h>
 
 #include "base/clock.h"
+#include "health/health.h"
 
 #define PERMIT_PLACES 3
 #define PERMIT_LAPSE_MS 10000
@@ -62,7 +65,8 @@
 #define PERMIT_NAME_BYTES 64
 
 typedef enum PermitAction {
-    PERMIT_ACQUIRE, /* grant or, with a number, renew */
+    PERMIT_ANNOUNCE, /* a permit may be wanted soon */
+    PERMIT_ACQUIRE,  /* grant or, with a number, renew */
     PERMIT_RELEASE
 } PermitAction;
 
@@ -117,7 +121,7 @@
 /* Returns TRUE if a request is to be sent at `now` and fills it in. When the
  * permit is no longer wanted, the request is its release, sent once. */
 gboolean
-PermitClaim_Next(PermitClaim *claim, gboolean wanted, ClockMs now,
+PermitClaim_Next(PermitClaim *claim, HealthPermit wanted, ClockMs now,
                  PermitRequest *request);
 void
 PermitClaim_Answer(PermitClaim *claim, const PermitReply *reply, ClockMs now);
--- a/src/health/permit_claim.c
+++ b/src/health/permit_claim.c
@@ -4,12 +4,15 @@
 
 /* Pause after every keeper has refused. */
 #define ROUND_MS 1000
+/* Announcements are repeated, so that a keeper counts them as long as the
+ * suspicion lasts. */
+#define ANNOUNCE_MS 2000
 
 struct PermitClaim {
     PermitRequest identity; /* names, host and incarnation */
     uint64_t claim;
     uint64_t sequence;
-    gboolean wanted;
+    HealthPermit wanted;
     int32_t number; /* PERMIT_NO_NUMBER: none held */
     ClockMs held_until;
     uint64_t pending; /* sequence of the request not yet answered, or 0 */
@@ -46,8 +49,8 @@
 gboolean
 PermitClaim_IsHeld(const PermitClaim *claim, ClockMs now)
 {
-    return claim->wanted && claim->number != PERMIT_NO_NUMBER &&
-           now < claim->held_until;
+    return claim->wanted == HEALTH_PERMIT_NOW &&
+           claim->number != PERMIT_NO_NUMBER && now < claim->held_until;
 }
 
 PermitStatus
@@ -78,32 +81,38 @@
     claim->next_send = claim->place == 0 ? now + ROUND_MS : now;
 }
 
-static gboolean
+static void
 give_up(PermitClaim *claim, PermitRequest *request)
 {
-    gboolean known = claim->number != PERMIT_NO_NUMBER || claim->pending != 0;
-
-    claim->wanted = FALSE;
+    claim->wanted = HEALTH_PERMIT_NONE;
     claim->pending = 0;
-    if (known) {
-        fill_request(claim, PERMIT_RELEASE, request);
-    }
+    fill_request(claim, PERMIT_RELEASE, request);
     claim->number = PERMIT_NO_NUMBER;
-    return known;
 }
 
 gboolean
-PermitClaim_Next(PermitClaim *claim, gboolean wanted, ClockMs now,
+PermitClaim_Next(PermitClaim *claim, HealthPermit wanted, ClockMs now,
                  PermitRequest *request)
 {
-    if (!wanted) {
-        return claim->wanted && give_up(claim, request);
+    /* A permit is released before a suspicion is announced again. */
+    if (wanted != HEALTH_PERMIT_NOW && claim->number != PERMIT_NO_NUMBER) {
+        wanted = HEALTH_PERMIT_NONE;
+    }
+    if (wanted == HEALTH_PERMIT_NONE) {
+        if (claim->wanted == HEALTH_PERMIT_NONE) {
+            return FALSE;
+        }
+        give_up(claim, request);
+        return TRUE;
     }
-    if (!claim->wanted) {
-        claim->wanted = TRUE;
+    if (claim->wanted == HEALTH_PERMIT_NONE) {
         claim->claim++;
         claim->place = 0;
         claim->settled = FALSE;
+    }
+    if (claim->wanted != wanted) {
+        claim->wanted = wanted;
+        claim->pending = 0;
         claim->next_send = now;
     }
     if (claim->number != PERMIT_NO_NUMBER && now >= claim->held_until) {
@@ -127,7 +136,9 @@
     if (now < claim->next_send) {
         return FALSE;
     }
-    fill_request(claim, PERMIT_ACQUIRE, request);
+    fill_request(
+        claim, wanted == HEALTH_PERMIT_NOW ? PERMIT_ACQUIRE : PERMIT_ANNOUNCE,
+        request);
     claim->pending = request->sequence;
     claim->pending_sent = now;
     claim->pending_renewal = request->number != PERMIT_NO_NUMBER;
@@ -154,11 +165,15 @@
 void
 PermitClaim_Answer(PermitClaim *claim, const PermitReply *reply, ClockMs now)
 {
-    if (!claim->wanted || claim->pending == 0 ||
+    if (claim->wanted == HEALTH_PERMIT_NONE || claim->pending == 0 ||
         reply->claim != claim->claim || reply->sequence != claim->pending) {
         return;
     }
     claim->pending = 0;
+    if (claim->wanted == HEALTH_PERMIT_SOON) {
+        claim->next_send = now + ANNOUNCE_MS;
+        return;
+    }
     claim->status = reply->status;
     switch (reply->status) {
     case PERMIT_GRANTED:
--- a/src/health/permit_keeper.c
+++ b/src/health/permit_keeper.c
@@ -5,7 +5,10 @@
 #define MAX_SERVERS 256
 #define SETTLE_MS 400
 #define SERVICE_WIDE_MS 5000
-#define SERVICE_WIDE_PERCENT 50
+#define SERVICE_WIDE_PERCENT 34
+/* Owners leave a fault of the whole service one after the other; the last of
+ * them must not look like a single fault. */
+#define SERVICE_WIDE_HOLD_MS 30000
 
 typedef struct Entry {
     gboolean used;
@@ -16,13 +19,14 @@
     uint64_t released_claim;
     int32_t number; /* PERMIT_NO_NUMBER: holds none */
     ClockMs renewed;
-    ClockMs first_asked; /* for this claim */
+    ClockMs first_asked; /* first message of this claim */
     ClockMs last_asked;
 } Entry;
 
 struct PermitKeeper {
     PermitKeeper_desc desc;
     ClockMs began;
+    ClockMs service_wide_until;
     Entry *entries;
 };
 
@@ -45,6 +49,7 @@
         keeper->desc.service_wide_percent = SERVICE_WIDE_PERCENT;
     }
     keeper->began = now;
+    keeper->service_wide_until = now;
     keeper->entries = g_new0(Entry, keeper->desc.max_servers);
     return keeper;
 }
@@ -141,10 +146,10 @@
     return FALSE;
 }
 
-/* Backend servers that are newly sick: those that ask in vain, and those that
- * got a permit a short time ago. */
+/* Backend servers that are suspected: those that announce it or ask in vain,
+ * and those that got a permit a short time ago. */
 static uint32_t
-count_asking(const PermitKeeper *keeper, ClockMs now)
+count_suspected(const PermitKeeper *keeper, ClockMs now)
 {
     uint32_t count = 0;
 
@@ -161,6 +166,18 @@
     return count;
 }
 
+static void
+notice_service_wide(PermitKeeper *keeper, const PermitView *view, ClockMs now)
+{
+    uint32_t suspected = count_suspected(keeper, now);
+
+    if (suspected > Permit_Total(view) &&
+        (uint64_t)suspected * 100 >
+            (uint64_t)view->total * keeper->desc.service_wide_percent) {
+        keeper->service_wide_until = now + SERVICE_WIDE_HOLD_MS;
+    }
+}
+
 static PermitStatus
 grant_new(PermitKeeper *keeper, Entry *entry, const PermitRequest *request,
           const PermitView *view, ClockMs now, PermitReply *reply)
@@ -174,8 +191,7 @@
         reply->retry_ms = (uint32_t)(keeper->desc.settle_ms - waited);
         return PERMIT_WAIT;
     }
-    if ((uint64_t)count_asking(keeper, now) * 100 >
-        (uint64_t)view->total * keeper->desc.service_wide_percent) {
+    if (now < keeper->service_wide_until) {
         return PERMIT_SERVICE_WIDE;
     }
     for (uint32_t i = keeper->desc.place; i < usable_permits(view);
@@ -196,14 +212,6 @@
     int64_t usable = usable_permits(view);
     gboolean is_new = now - keeper->began < PERMIT_LAPSE_MS;
 
-    if (request->claim <= entry->released_claim) {
-        return PERMIT_RELEASED;
-    }
-    if (request->claim > entry->claim) {
-        entry->claim = request->claim;
-        entry->first_asked = now;
-    }
-    entry->last_asked = now;
     if (entry->number != PERMIT_NO_NUMBER) {
         /* The permit may come from a renewal that was delayed until the
          * former keeper had given it to another owner. Only an owner that
@@ -255,6 +263,20 @@
         reply->status = PERMIT_RELEASED;
         return;
     }
+    if (request->claim <= entry->released_claim) {
+        reply->status = PERMIT_RELEASED;
+        return;
+    }
+    if (request->claim > entry->claim) {
+        entry->claim = request->claim;
+        entry->first_asked = now;
+    }
+    entry->last_asked = now;
+    notice_service_wide(keeper, view, now);
+    if (request->action == PERMIT_ANNOUNCE) {
+        reply->status = PERMIT_WAIT;
+        return;
+    }
     reply->status = acquire(keeper, entry, request, view, now, reply);
     if (reply->status == PERMIT_GRANTED) {
         reply->number = entry->number;
--- a/src/health/test_permit.c
+++ b/src/health/test_permit.c
@@ -133,7 +133,7 @@
         }
     }
     g_assert_cmpint(last, ==, PERMIT_SERVICE_WIDE);
-    for (int t = 40000; t <= 40500; t += 500) {
+    for (int t = 60000; t <= 60500; t += 500) {
         PermitRequest request = make_request("z", 1, -1, PERMIT_ACQUIRE);
 
         request.settled = FALSE;
@@ -236,7 +236,7 @@
 typedef struct Owner {
     PermitClaim *claim;
     uint64_t incarnation;
-    gboolean wanted;
+    HealthPermit wanted;
     ClockMs paused_until;
     ClockMs gone_until; /* crashed: missing in the member view */
     double speed;       /* of its clock */
@@ -332,7 +332,9 @@
         return;
     }
     if (chance(model, owner->wanted ? 0.004 : 0.02)) {
-        owner->wanted = !owner->wanted;
+        owner->wanted = owner->wanted        ? HEALTH_PERMIT_NONE
+                        : chance(model, 0.2) ? HEALTH_PERMIT_SOON
+                                             : HEALTH_PERMIT_NOW;
     }
     if (chance(model, 0.0003)) {
         start_owner(model, i);
@@ -517,7 +519,7 @@
 
 typedef struct ClaimStep {
     ClockMs now;
-    gboolean wanted;
+    HealthPermit wanted;
     gboolean sends; /* Next() makes a request */
     PermitAction action;
     int32_t renews;     /* number in the request */
@@ -532,19 +534,20 @@
 test_claim_times(void)
 {
     static const ClaimStep steps[] = {
-        {0, FALSE, FALSE, 0, 0, 0, 0},
-        {1000, TRUE, TRUE, PERMIT_ACQUIRE, -1, 1400, 10500},
-        {1500, TRUE, FALSE, 0, 0, 0, 10500},
-        {3999, TRUE, FALSE, 0, 0, 0, 10500},
-        {4000, TRUE, TRUE, PERMIT_ACQUIRE, 4, 4251, 10500},
-        {4300, TRUE, TRUE, PERMIT_ACQUIRE, 4, 4310, 13800},
-        {7300, TRUE, TRUE, PERMIT_ACQUIRE, 4, 0, 13800},
-        {7799, TRUE, FALSE, 0, 0, 0, 13800},
-        {7800, TRUE, TRUE, PERMIT_ACQUIRE, 4, 7850, 17300},
-        {7900, FALSE, TRUE, PERMIT_RELEASE, 4, 0, 0},
-        {8000, FALSE, FALSE, 0, 0, 0, 0},
-        {8100, TRUE, TRUE, PERMIT_ACQUIRE, -1, 8110, 17600},
-        {17600, TRUE, TRUE, PERMIT_ACQUIRE, -1, 0, 0},
+        {0, HEALTH_PERMIT_NONE, FALSE, 0, 0, 0, 0},
+        {900, HEALTH_PERMIT_SOON, TRUE, PERMIT_ANNOUNCE, -1, 0, 0},
+        {1000, HEALTH_PERMIT_NOW, TRUE, PERMIT_ACQUIRE, -1, 1400, 10500},
+        {1500, HEALTH_PERMIT_NOW, FALSE, 0, 0, 0, 10500},
+        {3999, HEALTH_PERMIT_NOW, FALSE, 0, 0, 0, 10500},
+        {4000, HEALTH_PERMIT_NOW, TRUE, PERMIT_ACQUIRE, 4, 4251, 10500},
+        {4300, HEALTH_PERMIT_NOW, TRUE, PERMIT_ACQUIRE, 4, 4310, 13800},
+        {7300, HEALTH_PERMIT_NOW, TRUE, PERMIT_ACQUIRE, 4, 0, 13800},
+        {7799, HEALTH_PERMIT_NOW, FALSE, 0, 0, 0, 13800},
+        {7800, HEALTH_PERMIT_NOW, TRUE, PERMIT_ACQUIRE, 4, 7850, 17300},
+        {7900, HEALTH_PERMIT_NONE, TRUE, PERMIT_RELEASE, 4, 0, 0},
+        {8000, HEALTH_PERMIT_NONE, FALSE, 0, 0, 0, 0},
+        {8100, HEALTH_PERMIT_NOW, TRUE, PERMIT_ACQUIRE, -1, 8110, 17600},
+        {17600, HEALTH_PERMIT_NOW, TRUE, PERMIT_ACQUIRE, -1, 0, 0},
     };
     PermitClaim_desc desc = {
         .service = "s", .backend_server = "b", .host = 1, .incarnation = 1};
