--- /dev/null
+++ b/src/retry/retry.c
@@ -0,0 +1,170 @@
+#include "retry/retry.h"
+
+#include <math.h>
+
+/* Memory of the rate of first attempts, which sizes the bucket. */
+#define RATE_MEMORY_S 5.0
+
+static const Retry_desc defaults = {
+    .budget_percent = 10,
+    .min_per_s = 1,
+    .burst_s = 5,
+    .max_attempts = 3,
+    .min_time_left_ms = 5,
+    .backoff_ms = 10,
+    .backoff_max_ms = 200,
+};
+
+#define USE_DEFAULT(field)               \
+    if (resolved.field == 0) {           \
+        resolved.field = defaults.field; \
+    }
+
+static Retry_desc
+resolve(const Retry_desc *desc)
+{
+    Retry_desc resolved = desc ? *desc : defaults;
+
+    USE_DEFAULT(budget_percent)
+    USE_DEFAULT(min_per_s)
+    USE_DEFAULT(burst_s)
+    USE_DEFAULT(max_attempts)
+    USE_DEFAULT(min_time_left_ms)
+    USE_DEFAULT(backoff_ms)
+    USE_DEFAULT(backoff_max_ms)
+    return resolved;
+}
+
+void
+RetryBudget_Init(RetryBudget *budget, const Retry_desc *desc, ClockMs now)
+{
+    *budget = (RetryBudget){.desc = resolve(desc), .updated = now};
+    budget->tokens = budget->desc.min_per_s;
+}
+
+static double
+bucket_size(const RetryBudget *budget)
+{
+    return budget->desc.burst_s *
+           (budget->desc.min_per_s +
+            budget->rate_per_s * budget->desc.budget_percent / 100);
+}
+
+static void
+refill(RetryBudget *budget, ClockMs now)
+{
+    double seconds = (double)MAX(now - budget->updated, 0) / 1000;
+
+    if (seconds > 0) {
+        budget->updated = now;
+        budget->rate_per_s *= exp(-seconds / RATE_MEMORY_S);
+        budget->tokens += seconds * budget->desc.min_per_s;
+    }
+    budget->tokens = MIN(budget->tokens, bucket_size(budget));
+}
+
+void
+RetryBudget_Request(RetryBudget *budget, ClockMs now)
+{
+    budget->rate_per_s += 1 / RATE_MEMORY_S;
+    budget->tokens += budget->desc.budget_percent / 100.0;
+    refill(budget, now);
+}
+
+/* Results of attempts that another place may answer better. All others say
+ * something about the request or the caller. */
+static gboolean
+is_place_fault(Result result)
+{
+    switch (result) {
+    case RESULT_IO:
+    case RESULT_OVERLOADED:
+    case RESULT_BACKEND_SERVER_BUSY:
+    case RESULT_BACKEND_SERVER_LEAVING:
+    case RESULT_CONNECT_FAILED:
+    case RESULT_ANSWER_LOST:
+    case RESULT_ANSWER_TRUNCATED:
+    case RESULT_ANSWER_MISMATCH:
+    case RESULT_SHUTTING_DOWN:
+        return TRUE;
+    default:
+        return FALSE;
+    }
+}
+
+static gboolean
+is_overload(Result result)
+{
+    return result == RESULT_OVERLOADED || result == RESULT_BACKEND_SERVER_BUSY;
+}
+
+/* Full jitter: uniform in [0, 2 * mean), the mean doubling with each attempt,
+ * so that the callers of one overloaded pool do not return together. */
+static ClockMs
+draw_backoff(const Retry_desc *desc, uint32_t attempts, Rng *rng)
+{
+    ClockMs mean = desc->backoff_ms;
+
+    for (uint32_t i = 1; i < attempts && mean < desc->backoff_max_ms; i++) {
+        mean *= 2;
+    }
+    mean = MIN(mean, desc->backoff_max_ms);
+    return (ClockMs)Rng_Below(rng, (uint64_t)(2 * mean));
+}
+
+static RetryReason
+check_rules(const Retry_desc *desc, const RetryInput *input)
+{
+    uint32_t most = MIN(desc->max_attempts, 1 + input->route_retries);
+
+    if (!is_place_fault(input->result)) {
+        return RETRY_FINAL_DONE;
+    }
+    if (input->run != RUN_NO && (input->issuance || !input->idempotent)) {
+        return RETRY_FINAL_MAY_RUN;
+    }
+    if (input->attempts >= most) {
+        return RETRY_FINAL_ATTEMPTS;
+    }
+    if (input->time_left_ms < desc->min_time_left_ms) {
+        return RETRY_FINAL_DEADLINE;
+    }
+    return input->other_place ? RETRY_AGAIN : RETRY_FINAL_NO_PLACE;
+}
+
+RetryDecision
+Retry_Decide(RetryBudget *budget, const Retry_desc *desc,
+             const RetryInput *input, ClockMs now, Rng *rng)
+{
+    Retry_desc settings = budget ? budget->desc : resolve(desc);
+    RetryDecision decision = {.reason = check_rules(&settings, input)};
+
+    if (decision.reason != RETRY_AGAIN) {
+        return decision;
+    }
+    if (is_overload(input->result)) {
+        decision.backoff_ms = draw_backoff(&settings, input->attempts, rng);
+        if (decision.backoff_ms + settings.min_time_left_ms >
+            input->time_left_ms) {
+            return (RetryDecision){.reason = RETRY_FINAL_DEADLINE};
+        }
+    }
+    if (budget) {
+        refill(budget, now);
+        if (budget->tokens < 1) {
+            return (RetryDecision){.reason = RETRY_FINAL_BUDGET};
+        }
+        budget->tokens -= 1;
+    }
+    return decision;
+}
+
+const char *
+Retry_ReasonName(RetryReason reason)
+{
+    static const char *const names[] = {"again",    "done",     "may_run",
+                                        "attempts", "deadline", "no_place",
+                                        "budget"};
+
+    return (size_t)reason < G_N_ELEMENTS(names) ? names[reason] : "?";
+}
