--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -137,6 +137,22 @@
 void
 Fleet_Post(Fleet *fleet, int port, const char *target, const char *body);
 
+/* Starts rk-caller against the entries of all daemons with FLEET_KEY and more
+ * arguments; `check` adds all backend servers for the comparison of outcomes
+ * with executions. The caller runs beside the test until Fleet_AwaitCaller(),
+ * which returns its JSON summary. */
+FleetProcess *
+Fleet_StartCaller(Fleet *fleet, gboolean check, const char *const *arguments);
+gboolean
+Fleet_CallerRuns(FleetProcess *caller);
+json_t *
+Fleet_AwaitCaller(FleetProcess *caller);
+
+/* A number in the JSON of a summary, such as "ok" or "check.duplicated"; 0 if
+ * it is missing. */
+int
+Fleet_Number(json_t *json, const char *path);
+
 void
 Fleet_Signal(FleetProcess *process, int signal_number);
 
