--- a/standin/rk_caller.c
+++ b/standin/rk_caller.c
@@ -326,8 +326,9 @@
         g_free(computed);
     }
     /* rk-backend puts the nonce into the body too. */
-    return is_own && memmem(reply->body->data, reply->body->len, nonce,
-                            strlen(nonce)) != NULL;
+    return is_own && reply->body->len > 0 &&
+           memmem(reply->body->data, reply->body->len, nonce, strlen(nonce)) !=
+               NULL;
 }
 
 static void
--- a/standin/rk_http.c
+++ b/standin/rk_http.c
@@ -205,11 +205,14 @@
 read_head(HttpConnection *connection, int64_t deadline_us, HttpReply *reply)
 {
     for (;;) {
-        const char *end = memmem(connection->input->data,
-                                 connection->input->len, "\r\n\r\n", 4);
+        const char *end = NULL;
         gboolean is_end;
         HttpOutcome outcome;
 
+        if (connection->input->len > 0) {
+            end = memmem(connection->input->data, connection->input->len,
+                         "\r\n\r\n", 4);
+        }
         if (end != NULL) {
             size_t length = (size_t)(end - (char *)connection->input->data);
             char *head = g_strndup((char *)connection->input->data, length);
@@ -261,8 +264,11 @@
         return HTTP_BROKEN;
     }
     length = MIN(length, connection->input->len);
-    g_byte_array_append(reply->body, connection->input->data, (guint)length);
-    g_byte_array_remove_range(connection->input, 0, (guint)length);
+    if (length > 0) {
+        g_byte_array_append(reply->body, connection->input->data,
+                            (guint)length);
+        g_byte_array_remove_range(connection->input, 0, (guint)length);
+    }
     if (is_end) {
         drop_socket(connection);
     }
