issue: raise the default size of the run table to 65,536 records

Cause: at 30 issuances/s a host has 18,031 records (bench_issue), so a successor with as many of its own could not adopt them into 32,768, of which 28,672 are for runs. Change: 65,536 records (5.0 MB when empty). bench_issue now measures the hand-over to a host that has 18,000 records of its own.

--- a/bench/bench_issue.c
+++ b/bench/bench_issue.c
@@ -17,6 +17,7 @@
 #define COUNT 20000
 #define TEAM 1
 #define ROUTE 2
+#define MUCH ((size_t)1 << 30)
 
 static const char secret[] = "0123456789abcdef0123456789abcdef";
 static RunToken tokens[COUNT];
@@ -24,10 +25,12 @@
 static char texts[COUNT][RUN_TOKEN_TEXT_BYTES];
 static size_t answer_bytes = 1024;
 
+/* 0 means the default bound of kept bytes. */
 static RunTable *
-create_table(void)
+create_table(uint64_t owner, size_t max_kept_bytes)
 {
-    return RunTable_Create(&(RunTable_desc){.owner = 1, .incarnation = 1});
+    return RunTable_Create(&(RunTable_desc){
+        .owner = owner, .incarnation = 1, .max_kept_bytes = max_kept_bytes});
 }
 
 static RunAnswer *
@@ -182,8 +185,8 @@
     RunAnswer **answers = g_new0(RunAnswer *, COUNT);
 
     for (int round = 0; round < ROUNDS; round++) {
-        RunTable *table = create_table();
-        RunTable *aborted = create_table();
+        RunTable *table = create_table(1, MUCH);
+        RunTable *aborted = create_table(1, MUCH);
         RunAnswer *answer = create_answer();
 
         for (Step step = MINT; step <= VERIFY; step++) {
@@ -224,7 +227,7 @@
 measure_memory(void)
 {
     size_t before = used_memory();
-    RunTable *table = create_table();
+    RunTable *table = create_table(1, MUCH);
     size_t empty = used_memory() - before;
     RunTableStats stats;
     size_t full;
@@ -252,7 +255,7 @@
 static void
 measure_size(double per_second)
 {
-    RunTable *table = create_table();
+    RunTable *table = create_table(1, 0);
     RunAnswer *answer = create_answer();
     RunTableStats stats;
     uint32_t most = 0;
@@ -292,9 +295,8 @@
 static void
 measure_hand_over(void)
 {
-    RunTable *from = create_table();
-    RunTable *to =
-        RunTable_Create(&(RunTable_desc){.owner = 2, .incarnation = 1});
+    RunTable *from = create_table(1, MUCH);
+    RunTable *to = create_table(2, MUCH);
     RunAnswer *answer = create_answer();
     GPtrArray *chunks;
     size_t bytes = 0;
@@ -302,6 +304,13 @@
     int64_t middle_us;
     int64_t end_us;
 
+    /* The successor has as many of its own. */
+    for (int i = 0; i < 18000; i++) {
+        RunTable_Mint(to, TEAM, ROUTE, 1, 1, &tokens[i]);
+        RunTable_Finish(to,
+                        RunTable_Begin(to, &tokens[i], TEAM, ROUTE, 2).handle,
+                        answer, 3);
+    }
     for (int i = 0; i < 18000; i++) {
         RunTable_Mint(from, TEAM, ROUTE, 1, 1, &tokens[i]);
         RunTable_Finish(
@@ -347,7 +356,7 @@
                           .header_count = G_N_ELEMENTS(headers),
                           .path = "/permits/2026/000123",
                           .query = "a=1&b=2"};
-    double rounds[3][ROUNDS];
+    static double rounds[3][ROUNDS];
 
     encoded[100] = '%';
     encoded[101] = '4';
@@ -382,8 +391,8 @@
     measure_steps();
     measure_memory();
     measure_size(30);
-    measure_size(47);
-    measure_size(60);
+    measure_size(85);
+    measure_size(100);
     measure_hand_over();
     measure_key();
     return 0;
--- a/src/issue/run_table.c
+++ b/src/issue/run_table.c
@@ -6,7 +6,7 @@
 #include "base/rng.h"
 #include "issue/run_table_private.h"
 
-#define DEFAULT_MAX_RUNS 32768u
+#define DEFAULT_MAX_RUNS 65536u
 #define DEFAULT_MAX_WAITERS 64u
 #define DEFAULT_ANSWER_BYTES ((size_t)64 << 10)
 #define DEFAULT_KEPT_BYTES ((size_t)64 << 20)
--- a/src/issue/run_table.h
+++ b/src/issue/run_table.h
@@ -47,7 +47,7 @@
 typedef struct RunTable_desc {
     uint64_t owner;
     uint64_t incarnation;
-    uint32_t max_runs;       /* records; 0 means 32,768 */
+    uint32_t max_runs;       /* records; 0 means 65,536 */
     uint32_t max_waiters;    /* threads in RunTable_Await(); 0 means 64 */
     size_t max_answer_bytes; /* headers and body of one answer; 0 means 64 KiB
                               */
