--- /dev/null
+++ b/src/route/route.c
@@ -0,0 +1,324 @@
+#include "route/route.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "route/route_load.h"
+
+/* Draws by weight before the whole tier is read. */
+#define DRAWS 8
+/* A latency that was measured longer ago says nothing about the present. */
+#define LATENCY_AGE_MS 10000
+/* Memory of the share of choices that met a full backend server. */
+#define SATURATION_SHARE (1.0 / 32)
+/* Most crossings that can be saved up. */
+#define CROSS_CREDIT_MOST 2.0
+
+/* One choice; shared by the steps below. */
+typedef struct Choice {
+    Route *route;
+    const RouteSet *set;
+    const uint64_t *excluded;
+    uint32_t excluded_count;
+    ClockMs now;
+} Choice;
+
+/* A candidate that was looked at. */
+typedef struct Offer {
+    int index; /* -1 = none */
+    double load;
+    double latency_us; /* 0 = unknown */
+    gboolean full;
+} Offer;
+
+static int
+distance(const RouteCandidate *candidate, uint64_t region,
+         uint64_t data_centre)
+{
+    if (candidate->region != region) {
+        return 2;
+    }
+    return candidate->data_centre != data_centre;
+}
+
+void
+Route_Order(uint64_t id, RouteCandidate *candidates, uint32_t count,
+            uint64_t own_region, uint64_t own_data_centre, RouteSet *set)
+{
+    uint32_t ends[3] = {0, 0, 0};
+    uint32_t next = 0;
+
+    for (int tier = 0; tier < 3; tier++) {
+        for (uint32_t i = next; i < count; i++) {
+            if (distance(&candidates[i], own_region, own_data_centre) ==
+                tier) {
+                RouteCandidate swapped = candidates[next];
+
+                candidates[next++] = candidates[i];
+                candidates[i] = swapped;
+            }
+        }
+        ends[tier] = next;
+    }
+    *set = (RouteSet){
+        .id = id,
+        .candidates = candidates,
+        .count = count,
+        .near_count = ends[0],
+        .region_count = ends[1],
+    };
+}
+
+int
+Route_ChoosePool(const RoutePool *pools, uint32_t count, uint64_t subject_hash,
+                 Rng *rng)
+{
+    uint64_t key = subject_hash ? subject_hash : Rng_Next(rng);
+    double best = INFINITY;
+    int chosen = -1;
+
+    /* Weighted rendezvous: a pool whose share changes only gains or only
+     * loses subjects, whatever their order. */
+    for (uint32_t i = 0; i < count; i++) {
+        uint64_t bits = Rng_Mix(key, pools[i].pool) >> 11;
+        double unit = ((double)bits + 0.5) * 0x1.0p-53;
+        double rank;
+
+        if (pools[i].share_percent == 0) {
+            continue;
+        }
+        rank = -log(unit) / pools[i].share_percent;
+        if (rank < best) {
+            best = rank;
+            chosen = (int)i;
+        }
+    }
+    return chosen;
+}
+
+static gboolean
+is_usable(const Choice *choice, const RouteCandidate *candidate)
+{
+    if (candidate->state != ROUTE_READY || candidate->weight == 0 ||
+        Route_IsAvoided(choice->route, candidate->host, choice->now)) {
+        return FALSE;
+    }
+    for (uint32_t i = 0; i < choice->excluded_count; i++) {
+        if (choice->excluded[i] == candidate->backend_server) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+/* Reads the whole range; used when draws keep meeting unusable candidates. */
+static int
+scan_by_weight(const Choice *choice, uint32_t from, uint32_t to)
+{
+    uint64_t total = 0;
+    uint64_t target;
+
+    for (uint32_t i = from; i < to; i++) {
+        if (is_usable(choice, &choice->set->candidates[i])) {
+            total += choice->set->candidates[i].weight;
+        }
+    }
+    if (total == 0) {
+        return -1;
+    }
+    target = Rng_Below(&choice->route->rng, total);
+    for (uint32_t i = from; i < to; i++) {
+        const RouteCandidate *candidate = &choice->set->candidates[i];
+
+        if (!is_usable(choice, candidate)) {
+            continue;
+        }
+        if (target < candidate->weight) {
+            return (int)i;
+        }
+        target -= candidate->weight;
+    }
+    return -1;
+}
+
+static int
+draw_by_weight(const Choice *choice, uint32_t from, uint32_t to)
+{
+    Rng *rng = &choice->route->rng;
+
+    if (from >= to) {
+        return -1;
+    }
+    for (int i = 0; i < DRAWS; i++) {
+        uint32_t index = from + (uint32_t)Rng_Below(rng, to - from);
+        const RouteCandidate *candidate = &choice->set->candidates[index];
+
+        if ((candidate->weight >= 100 ||
+             Rng_Below(rng, 100) < candidate->weight) &&
+            is_usable(choice, candidate)) {
+            return (int)index;
+        }
+    }
+    return scan_by_weight(choice, from, to);
+}
+
+static Offer
+look_at(const Choice *choice, int index)
+{
+    const RouteCandidate *candidate;
+    const RouteServer *server;
+    Offer offer = {.index = index};
+    double slots;
+
+    if (index < 0) {
+        return offer;
+    }
+    candidate = &choice->set->candidates[index];
+    server = RouteLoad_FindServer(choice->route, candidate->backend_server);
+    slots = MAX(candidate->slots, 1);
+    offer.load = RouteLoad_Expected(choice->route, server, choice->now);
+    offer.full = offer.load >= slots;
+    /* The weight has its effect in the draws; here it would count twice, and
+     * a backend server on probation would get no trials. */
+    offer.load = (offer.load + 1) / slots;
+    if (server && server->latency_us > 0 &&
+        choice->now - server->latency_at < LATENCY_AGE_MS) {
+        offer.latency_us = server->latency_us;
+    }
+    else if (candidate->latency_class > 0) {
+        offer.latency_us = exp2((candidate->latency_class - 1) / 4.0);
+    }
+    return offer;
+}
+
+/* The offer with the lower expected wait. */
+static Offer
+better(Offer a, Offer b)
+{
+    double wait_a = a.load;
+    double wait_b = b.load;
+
+    if (a.index < 0 || b.index < 0) {
+        return a.index < 0 ? b : a;
+    }
+    if (a.latency_us > 0 && b.latency_us > 0) {
+        wait_a *= a.latency_us;
+        wait_b *= b.latency_us;
+    }
+    return wait_b < wait_a ? b : a;
+}
+
+/* Power of two choices in a range of candidates. */
+static Offer
+choose_two(const Choice *choice, uint32_t from, uint32_t to)
+{
+    Offer first = look_at(choice, draw_by_weight(choice, from, to));
+    int second = first.index;
+
+    if (first.index < 0 || to - from < 2) {
+        return first;
+    }
+    for (int i = 0; i < 3 && second == first.index; i++) {
+        second = draw_by_weight(choice, from, to);
+    }
+    return second == first.index ? first
+                                 : better(first, look_at(choice, second));
+}
+
+/* Counts whether the best of a tier was full, and begins and ends spilling. */
+static void
+note_saturation(const Route_desc *desc, const Offer *offer, double *saturated,
+                gboolean *spills)
+{
+    double full = offer->index < 0 || offer->full ? 1 : 0;
+
+    *saturated += (full - *saturated) * SATURATION_SHARE;
+    if (*saturated * 100 > desc->saturated_percent) {
+        *spills = TRUE;
+    }
+    else if (*saturated * 100 < desc->relaxed_percent) {
+        *spills = FALSE;
+    }
+}
+
+/* The best of the own region: own data centre first. */
+static Offer
+choose_in_region(const Choice *choice, RouteSpill *spill)
+{
+    const RouteSet *set = choice->set;
+    const Route_desc *desc = &choice->route->desc;
+    Offer near = {.index = -1};
+    Offer rest = {.index = -1};
+
+    if (set->near_count > 0) {
+        near = choose_two(choice, 0, set->near_count);
+        note_saturation(desc, &near, &spill->near_saturated,
+                        &spill->near_spills);
+    }
+    if (near.index < 0 || (spill->near_spills && near.full)) {
+        rest = choose_two(choice, set->near_count, set->region_count);
+    }
+    return better(near, rest);
+}
+
+/* Whether a request of a saturated region may cross now. */
+static gboolean
+may_cross(const Route_desc *desc, RouteSpill *spill, const Offer *region)
+{
+    spill->cross_credit += desc->cross_region_percent / 100.0;
+    spill->cross_credit = MIN(spill->cross_credit, CROSS_CREDIT_MOST);
+    return spill->region_spills && region->full && spill->cross_credit >= 1;
+}
+
+static Offer
+choose_anywhere(const Choice *choice, RouteSpill *spill)
+{
+    const RouteSet *set = choice->set;
+    const Route_desc *desc = &choice->route->desc;
+    Offer best = choose_in_region(choice, spill);
+    Offer far;
+
+    if (best.index < 0) {
+        return choose_two(choice, set->region_count, set->count);
+    }
+    note_saturation(desc, &best, &spill->region_saturated,
+                    &spill->region_spills);
+    if (set->region_count == set->count || !may_cross(desc, spill, &best)) {
+        return best;
+    }
+    far = choose_two(choice, set->region_count, set->count);
+    if (far.index < 0 || far.full) {
+        return best;
+    }
+    spill->cross_credit -= 1;
+    return far;
+}
+
+int
+Route_Choose(Route *route, const RouteSet *set, const uint64_t *excluded,
+             uint32_t excluded_count, ClockMs now, RouteTier *tier)
+{
+    Choice choice = {.route = route,
+                     .set = set,
+                     .excluded = excluded,
+                     .excluded_count = excluded_count,
+                     .now = now};
+    Offer best =
+        choose_anywhere(&choice, RouteLoad_AddSpill(route, set->id, now));
+    RouteHost *host;
+
+    if (best.index < 0) {
+        return -1;
+    }
+    host = RouteLoad_FindHost(route, set->candidates[best.index].host);
+    if (host) {
+        host->trial_until = now + route->desc.avoid_ms;
+    }
+    if (tier) {
+        *tier = (uint32_t)best.index < set->near_count ? ROUTE_TIER_DATA_CENTRE
+                : (uint32_t)best.index < set->region_count
+                    ? ROUTE_TIER_REGION
+                    : ROUTE_TIER_OTHER_REGION;
+    }
+    return best.index;
+}
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -13,8 +13,8 @@
  *     Route_ConnectOk() tell whether the owner's host could be reached.
  *
  * How it chooses: two candidates are drawn by weight from the nearest tier
- * that is not saturated; the one with the lower expected wait (load by slots
- * and weight, times latency) is taken. The tier widens to the region when the
+ * that is not saturated; the one with the lower expected wait (load by slots,
+ * times latency) is taken. The tier widens to the region when the
  * own data centre is saturated or missing, and for at most
  * `cross_region_percent` of the requests to other regions when the own region
  * is saturated. Saturation begins and ends at different levels. When the own
@@ -77,8 +77,6 @@
     uint32_t max_servers;
     uint32_t max_hosts;
     uint32_t max_sets;
-    uint64_t region;      /* own */
-    uint64_t data_centre; /* own */
     uint64_t seed;
     uint32_t saturated_percent; /* choices that met a full server: spill */
     uint32_t relaxed_percent;   /* below this, spilling ends */
