--- a/bench/bench_health.c
+++ b/bench/bench_health.c
@@ -100,8 +100,9 @@
     GString *line = g_string_new(NULL);
     Health_desc desc = setting->desc;
 
-    g_string_append_printf(line, "%s,%g,%d", setting->name,
-                           desc.threshold_nats, (int)desc.stall_ms);
+    g_string_append_printf(line, "%s,%g,%d,%d", setting->name,
+                           desc.threshold_nats, (int)desc.stall_ms,
+                           (int)desc.confirm_ms);
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         for (int run = 0; run < bench->runs; run++) {
             times[run] = detect(setting, &cases[i], (uint64_t)run + 1);
@@ -157,7 +158,7 @@
     bench.settings[bench.count++] = (Setting){"fast", HEALTH_PRESET_FAST};
     bench.settings[bench.count++] =
         (Setting){"cautious", HEALTH_PRESET_CAUTIOUS};
-    printf("setting,threshold_nats,stall_ms");
+    printf("setting,threshold_nats,stall_ms,confirm_ms");
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         printf(",%s_median_ms,%s_slowest_ms", cases[i].name, cases[i].name);
     }
--- a/src/health/health.h
+++ b/src/health/health.h
@@ -166,8 +166,10 @@
  * HEALTH_PRESET_CAUTIOUS weighs false ejections most; the measurements are in
  * docs/decisions/health.md. */
 #define HEALTH_PRESET_FAST \
-    ((const Health_desc){.threshold_nats = 16, .stall_ms = 300})
+    ((const Health_desc){  \
+        .threshold_nats = 20, .stall_ms = 300, .confirm_ms = 3000})
 #define HEALTH_PRESET_CAUTIOUS \
-    ((const Health_desc){.threshold_nats = 30, .stall_ms = 1000})
+    ((const Health_desc){      \
+        .threshold_nats = 30, .stall_ms = 900, .confirm_ms = 8000})
 
 #endif
--- a/src/health/test_health.c
+++ b/src/health/test_health.c
@@ -72,6 +72,38 @@
     }
 }
 
+/* Guards against presets that miss the target for a backend server that hangs
+ * or is slow by 10, or that eject for a slowdown of the whole service. */
+static void
+test_presets(void)
+{
+    static const Fault faults[] = {{FAULT_HANG, 0, FAULT_AT, 0},
+                                   {FAULT_SLOW, 10, FAULT_AT, 0}};
+    Health_desc presets[] = {HEALTH_PRESET_FAST, HEALTH_PRESET_CAUTIOUS};
+
+    for (size_t i = 0; i < 2 * G_N_ELEMENTS(presets); i++) {
+        for (uint64_t seed = 1; seed <= 10; seed++) {
+            Model_desc desc = {.health = &presets[i / 2], .seed = seed};
+            ModelResult result;
+
+            desc.faults[0] = faults[i % 2];
+            Model_Run(&desc, &result);
+            g_test_message("preset %d fault %d seed %d: ejected at %d",
+                           (int)i / 2, (int)i % 2, (int)seed,
+                           (int)result.servers[0].first_ejected);
+            g_assert_cmpint(result.servers[0].first_ejected, >=, FAULT_AT);
+            g_assert_cmpint(result.servers[0].first_ejected, <=,
+                            FAULT_AT + 2000);
+            for (int k = 0; k < MODEL_SERVERS; k++) {
+                desc.faults[k] = (Fault){FAULT_SLOW, 3, FAULT_AT, 0};
+            }
+            desc.rate_per_s = 10;
+            Model_Run(&desc, &result);
+            g_assert_cmpuint(result.ejections, ==, 0);
+        }
+    }
+}
+
 /* Guards against a weight that is lowered for shedding or a slow path, which
  * would move load off a backend server that works. */
 static void
@@ -319,6 +351,7 @@
     g_test_add_func("/health/permit_lost", test_permit_lost);
     g_test_add_func("/health/cold_weight", test_cold_weight);
     g_test_add_func("/health/cases", test_cases);
+    g_test_add_func("/health/presets", test_presets);
     g_test_add_func("/health/full_weight", test_full_weight);
     g_test_add_func("/health/flapping", test_flapping);
     g_test_add_func("/health/service_slow", test_service_slow);
