--- /dev/null
+++ b/bench/bench_config.c
@@ -0,0 +1,281 @@
+/* bench_config: memory and time of the configuration tables.
+ *
+ *     bench_config [TEAMS [ROUTES]]
+ *
+ * Builds the tables by tickets, then applies small tickets, looks up keys and
+ * routes, writes a snapshot and reads it into a second, empty table. Prints
+ * one line for each figure. Times are CPU times of the one thread.
+ */
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <time.h>
+#include <unistd.h>
+#include <urcu.h>
+
+#include "base/rng.h"
+#include "config/config_table.h"
+#include "config/ticket_check.h"
+
+#define TEAMS_PER_TICKET 4000
+#define ROUTES_PER_TICKET 2000
+#define SMALL_TICKETS 500
+#define LOOKUPS 1000000
+#define PART_BYTES 700000
+
+static double
+cpu_ms(void)
+{
+    struct timespec time;
+
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return (double)time.tv_sec * 1e3 + (double)time.tv_nsec / 1e6;
+}
+
+static double
+rss_mb(void)
+{
+    long pages = 0;
+    FILE *file = fopen("/proc/self/statm", "r");
+
+    if (file == NULL || fscanf(file, "%*s %ld", &pages) != 1) {
+        pages = 0;
+    }
+    if (file != NULL) {
+        (void)fclose(file);
+    }
+    return (double)pages * (double)sysconf(_SC_PAGESIZE) / 1e6;
+}
+
+static double
+peak_mb(void)
+{
+    struct rusage usage;
+
+    getrusage(RUSAGE_SELF, &usage);
+    return (double)usage.ru_maxrss * 1024 / 1e6;
+}
+
+static void
+key_hash(int team, int key, ConfigKeyHash *hash)
+{
+    char text[40];
+
+    g_snprintf(text, sizeof(text), "key-%d-%d", team, key);
+    Config_HashKey(text, strlen(text), hash);
+}
+
+static void
+append_team(GString *out, int team, int key, int rate)
+{
+    ConfigKeyHash hash;
+    char hex[65];
+
+    key_hash(team, key, &hash);
+    Config_HashToHex(&hash, hex);
+    g_string_append_printf(out,
+                           "%s\"team-%06d\":{\"rate_per_s\":%d,\"burst\":20,"
+                           "\"keys\":[\"%s\"]}",
+                           out->str[out->len - 1] == '{' ? "" : ",", team,
+                           rate, hex);
+}
+
+static void
+append_route(GString *out, int route)
+{
+    g_string_append_printf(
+        out,
+        "%s\"/region-%d/service-%d/path-%d\":{\"service\":\"service-%04d\","
+        "\"teams\":[],\"issuance\":false,\"deadline_ms\":1000,\"retries\":1}",
+        out->str[out->len - 1] == '{' ? "" : ",", route % 5, route % 5300,
+        route, route % 5300);
+}
+
+/* Applies `"kind":{entries}` as the next ticket; frees entries. */
+static void
+apply(Config *config, const char *kind, GString *entries)
+{
+    GPtrArray *problems = Ticket_CreateProblems();
+    char *text = g_strdup_printf(
+        "{\"ticket\":%" G_GINT64_FORMAT ",\"who\":\"bench\","
+        "\"when\":\"2026-01-31T12:00:00Z\",\"why\":\"bench\",\"sets\":{\"%s\":"
+        "%s}}}",
+        Config_PeekVersion(config) + 1, kind, entries->str);
+    Ticket *ticket =
+        Ticket_Parse(text, strlen(text), TICKET_FROM_OPERATOR, problems);
+    gboolean applied = FALSE;
+
+    if (ticket == NULL ||
+        Config_ApplyTicket(config, ticket, &applied, NULL) != RESULT_OK ||
+        !applied) {
+        char *list = Ticket_FormatProblems(problems);
+
+        fprintf(stderr, "ticket refused: %s\n", list);
+        exit(1);
+    }
+    Ticket_Free(ticket);
+    g_ptr_array_unref(problems);
+    g_free(text);
+    g_string_free(entries, TRUE);
+}
+
+static void
+build(Config *config, int teams, int routes)
+{
+    int i = 0;
+
+    while (i < teams) {
+        GString *entries = g_string_new("{");
+
+        for (int n = 0; n < TEAMS_PER_TICKET && i < teams; n++, i++) {
+            append_team(entries, i, 0, 10);
+        }
+        apply(config, "teams", entries);
+    }
+    for (i = 0; i < routes;) {
+        GString *entries = g_string_new("{");
+
+        for (int n = 0; n < ROUTES_PER_TICKET && i < routes; n++, i++) {
+            append_route(entries, i);
+        }
+        apply(config, "routes", entries);
+    }
+}
+
+/* Tickets that change the rate and the key of `count` random teams. */
+static void
+apply_small(Config *config, int teams, int count)
+{
+    double start;
+    double total = 0;
+    Rng rng;
+
+    Rng_Seed(&rng, 1);
+    for (int i = 0; i < SMALL_TICKETS; i++) {
+        GString *entries = g_string_new("{");
+        uint64_t starts = (uint64_t)teams - (uint64_t)count + 1;
+        int first = (int)Rng_Below(&rng, starts);
+
+        for (int n = 0; n < count; n++) {
+            append_team(entries, first + n, i + 1, 11 + i);
+        }
+        start = cpu_ms();
+        apply(config, "teams", entries);
+        total += cpu_ms() - start;
+    }
+    printf("ticket of %d teams: %.3f ms\n", count, total / SMALL_TICKETS);
+}
+
+static void
+look_up(Config *config, int teams, int routes)
+{
+    const ConfigTable *table;
+    ConfigTeam team;
+    ConfigKeyHash *hashes = g_new(ConfigKeyHash, 10000);
+    char(*paths)[64] = g_malloc(10000 * sizeof(*paths));
+    double start;
+    int found = 0;
+
+    for (int i = 0; i < 10000; i++) {
+        int route = routes > 0 ? i * 7 % routes : 0;
+
+        key_hash(i * 31 % teams, 0, &hashes[i]);
+        g_snprintf(paths[i], sizeof(paths[i]),
+                   "/region-%d/service-%d/path-%d/x/y", route % 5,
+                   route % 5300, route);
+    }
+    table = Config_ReadLock(config);
+    start = cpu_ms();
+    for (int i = 0; i < LOOKUPS; i++) {
+        found += Config_FindTeamByKeyHash(table, &hashes[i % 10000], &team) ==
+                 RESULT_OK;
+    }
+    printf("key look-up: %.0f ns\n", (cpu_ms() - start) * 1e6 / LOOKUPS);
+    start = cpu_ms();
+    for (int i = 0; i < LOOKUPS; i++) {
+        found += Config_FindRoute(table, paths[i % 10000]) != CONFIG_NONE;
+    }
+    printf("route look-up: %.0f ns (%d found)\n",
+           (cpu_ms() - start) * 1e6 / LOOKUPS, found);
+    Config_ReadUnlock(config);
+    g_free(hashes);
+    g_free(paths);
+}
+
+static void
+copy_snapshot(Config *config)
+{
+    Config *copy = Config_Create();
+    const ConfigTable *table = _Config_Pin(config);
+    uint32_t parts = _Config_PartCount(table, PART_BYTES);
+    GPtrArray *problems = Ticket_CreateProblems();
+    double write_ms = 0;
+    double read_ms = 0;
+    size_t largest = 0;
+    ConfigDraft draft;
+
+    _Config_BeginDraft(copy, &draft);
+    for (uint32_t part = 0; part < parts; part++) {
+        double start = cpu_ms();
+        GString *text = _Config_DumpPart(table, part, parts);
+        json_t *sets;
+
+        write_ms += cpu_ms() - start;
+        largest = MAX(largest, text->len);
+        start = cpu_ms();
+        sets = json_loadb(text->str, text->len, 0, NULL);
+        if (!_Ticket_CheckSets(sets, problems) ||
+            _Config_ApplyPart(&draft, sets, part, parts, NULL) != RESULT_OK) {
+            fprintf(stderr, "part refused\n");
+            exit(1);
+        }
+        read_ms += cpu_ms() - start;
+        json_decref(sets);
+        g_string_free(text, TRUE);
+    }
+    _Config_CommitDraft(&draft, Config_GetVersion(table));
+    _Config_Unpin(config);
+    printf("snapshot: %u parts, largest %zu bytes, write %.0f ms, read %.0f "
+           "ms\n",
+           parts, largest, write_ms, read_ms);
+    g_ptr_array_unref(problems);
+    Config_Destroy(copy);
+}
+
+int
+main(int argc, char **argv)
+{
+    int teams = argc > 1 ? atoi(argv[1]) : 220000; /* NOLINT */
+    int routes = argc > 2 ? atoi(argv[2]) : 33000; /* NOLINT */
+    Config *config = Config_Create();
+    ConfigStats stats;
+    double before;
+    double start;
+
+    rcu_register_thread();
+    before = rss_mb();
+    start = cpu_ms();
+    build(config, teams, routes);
+    Config_GetStats(config, &stats);
+    printf("teams %u, keys %u, routes %u, version %" G_GINT64_FORMAT "\n",
+           stats.teams, stats.keys, stats.routes, stats.version);
+    printf("build: %.0f ms\n", cpu_ms() - start);
+    printf("tables: %.2f MB\n", (double)stats.bytes / 1e6);
+    printf("resident growth after build: %.2f MB, peak of process %.2f MB\n",
+           rss_mb() - before, peak_mb());
+    malloc_trim(0);
+    printf("resident growth after malloc_trim: %.2f MB\n", rss_mb() - before);
+    look_up(config, teams, routes);
+    apply_small(config, teams, 1);
+    apply_small(config, teams, MIN(10, teams));
+    apply_small(config, teams, MIN(100, teams));
+    Config_GetStats(config, &stats);
+    printf("tables after %d tickets: %.2f MB\n", 3 * SMALL_TICKETS,
+           (double)stats.bytes / 1e6);
+    copy_snapshot(config);
+    rcu_unregister_thread();
+    Config_Destroy(config);
+    return 0;
+}
--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -20,6 +20,13 @@
     \
     /* config */ \
     COUNTER(CONFIG_TICKETS, "tickets put in force") \
+    COUNTER(CONFIG_TICKETS_REFUSED, "invalid tickets passed over") \
+    COUNTER(CONFIG_SNAPSHOTS_LOADED, "configuration snapshots put in force") \
+    COUNTER(CONFIG_SNAPSHOTS_WRITTEN, "configuration snapshots written") \
+    COUNTER(CONFIG_BUNDLES_FETCHED, "bundles fetched from peers") \
+    COUNTER(CONFIG_BUNDLES_REFUSED, "bundles from peers that were invalid") \
+    COUNTER(CONFIG_BUNDLES_SENT, "bundles made for peers") \
+    COUNTER(CONFIG_BUNDLE_BYTES, "bytes of bundles made for peers") \
     \
     \
     /* key */ \
--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -24,6 +24,14 @@
     /* config 220-249 */ \
     LOG(TICKET_IN_FORCE, 220, INFO, "ticket is in force") \
     LOG(TICKET_REJECTED, 221, ERROR, "ticket in the store is invalid") \
+    LOG(SNAPSHOT_LOADED, 222, INFO, "configuration snapshot is in force") \
+    LOG(SNAPSHOT_WRITTEN, 223, INFO, "configuration snapshot was written") \
+    LOG(SNAPSHOT_REJECTED, 224, WARNING, \
+        "configuration snapshot is invalid or incomplete") \
+    LOG(BUNDLE_REJECTED, 225, WARNING, "configuration from a peer is invalid") \
+    LOG(CONFIG_MISSING, 226, WARNING, \
+        "neither the store nor a peer gave a configuration yet") \
+    LOG(TICKET_GAP, 227, WARNING, "the store lacks the next ticket") \
     \
     \
     /* key 250-269 */ \
--- a/src/config/config.c
+++ b/src/config/config.c
@@ -29,7 +29,7 @@
     [CONFIG_KIND_SERVICE] = 13,
     [CONFIG_KIND_TEAM] = 17,
     [CONFIG_KIND_ROUTE] = 15,
-    [CONFIG_KIND_KEY] = 18,
+    [CONFIG_KIND_KEY] = 17,
 };
 
 static const uint32_t record_bytes[CONFIG_KINDS] = {
--- a/src/config/config_sync.h
+++ b/src/config/config_sync.h
@@ -17,8 +17,11 @@
  * on them. Watchers write a snapshot every 100 tickets; a conditional create
  * of `snapshot/<n>/claim` chooses the one that does.
  *
- * Errors: failed calls are repeated with a growing delay of at most 5 s. A
- * bundle or snapshot that is malformed, incomplete or old changes nothing.
+ * Errors: failed calls on the store are repeated with a growing delay, at most
+ * 5 s by a watcher and 30 s by a host without configuration. A bundle or
+ * snapshot that is malformed, incomplete or old changes nothing. A ticket in
+ * the store that is invalid is passed over by every daemon alike: its number
+ * is counted, with no other effect.
  *
  * Limits: a withdrawal that comes from the store alone is noticed after at
  * most watch_ms; messages of peers wait up to watch_ms on a watcher. A bundle
@@ -40,12 +43,14 @@
 
 /* What a daemon asks of a peer. */
 typedef struct ConfigSyncRequest {
-    int64_t version;         /* version in force here */
-    uint64_t withdrawals;    /* digest here, Config_GetWithdrawals() */
-    int64_t snapshot;        /* snapshot being fetched; 0 = none */
-    uint32_t part;           /* part of that snapshot */
-    uint32_t withdrawn_from; /* position in the peer's list of withdrawals */
-    gboolean versions_only;  /* the peer sends its version only */
+    int64_t version;          /* version in force here */
+    uint64_t withdrawals;     /* digest here, Config_GetWithdrawals() */
+    int64_t snapshot;         /* snapshot being fetched; 0 = none */
+    uint32_t part;            /* part of that snapshot */
+    uint32_t withdrawn_from;  /* position in the peer's list of withdrawals */
+    gboolean versions_only;   /* the peer sends its version only */
+    gboolean accept_snapshot; /* a snapshot is wanted if the peer does not
+                                 keep the next ticket */
 } ConfigSyncRequest;
 
 typedef struct ConfigSync_desc {
@@ -55,6 +60,8 @@
     int store_timeout_ms;        /* zero means 2,000 ms */
     int watch_ms;                /* zero means 2,000 ms */
     int snapshot_every;          /* tickets; zero means 100 */
+    int sweep_ms; /* time between two looks of a watcher for withdrawals that
+                     the store lacks; zero means 10,000 ms */
 
     /* All callbacks but `changed` are called by ConfigSync's thread, which is
      * registered with RCU; `changed` also by the caller of
--- a/src/config/config_withdrawn.c
+++ b/src/config/config_withdrawn.c
@@ -137,7 +137,7 @@
     return &record_at(set, place)->hash;
 }
 
-uint32_t
+int64_t
 ConfigWithdrawn_Compare(ConfigWithdrawn *set, uint64_t digest, uint32_t reach)
 {
     uint32_t count;
@@ -153,7 +153,7 @@
         place--;
         older -= digest_part(ConfigWithdrawn_At(set, place));
     }
-    return older == digest ? place : 0;
+    return older == digest ? (int64_t)place : -1;
 }
 
 void
--- a/src/config/config_withdrawn.h
+++ b/src/config/config_withdrawn.h
@@ -35,10 +35,10 @@
 const ConfigKeyHash *
 ConfigWithdrawn_At(const ConfigWithdrawn *set, uint32_t place);
 
-/* The place from which a peer with this digest lacks hashes: the count if
- * the digests are equal, 0 if the peer's set is not this set without some of
- * its newest `reach` hashes. */
-uint32_t
+/* The place from which a peer with this digest lacks hashes: the count if the
+ * digests are equal; -1 if the peer's set is not this set without some of its
+ * newest `reach` hashes. */
+int64_t
 ConfigWithdrawn_Compare(ConfigWithdrawn *set, uint64_t digest, uint32_t reach);
 
 /* Whether `withdrawn/<hex>` is known to exist in the store. */
