--- a/src/config/config_sync.c
+++ b/src/config/config_sync.c
@@ -378,6 +378,7 @@
         }
         if (Config_PeekVersion(sync->config) > 0) {
             sync->loaded = TRUE;
+            Config_SetLive(sync->config);
         }
     }
 }
@@ -434,11 +435,13 @@
 {
     if (sync->store != NULL && _ConfigSync_LoadFromStore(sync)) {
         sync->loaded = TRUE;
+        Config_SetLive(sync->config);
         sync->store_delay_ms = 0;
         return;
     }
     if (load_from_peers(sync)) {
         sync->loaded = TRUE;
+        Config_SetLive(sync->config);
         return;
     }
     Log_Event(LOG_CONFIG_MISSING, "version=%" G_GINT64_FORMAT,
--- a/src/entry/entry_issue.c
+++ b/src/entry/entry_issue.c
@@ -130,6 +130,8 @@
             break;
         }
         if (state == RUN_TOKEN_VOID) {
+            reply->result =
+                request->is_caller_token ? RESULT_TOKEN_VOID : reply->result;
             reply->run = RUN_NO;
             return;
         }
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -134,10 +134,12 @@
     release_server(server);
 }
 
+/* A draining owner still runs what reaches it: entries that have not heard of
+ * the drain, and tokens that only this owner may run. */
 static gboolean
-takes_work(const Owner *owner, const Server *server)
+takes_work(const Server *server)
 {
-    return !owner->draining && !server->removed && !server->operator_drain &&
+    return !server->removed && !server->operator_drain &&
            server->announcement.state == OWNER_SERVER_READY;
 }
 
@@ -147,7 +149,7 @@
     if (server->announcement.state == OWNER_SERVER_LEAVING) {
         return MEMBER_SERVER_LEAVING;
     }
-    if (!takes_work(owner, server)) {
+    if (owner->draining || !takes_work(server)) {
         return MEMBER_SERVER_DRAINING;
     }
     return server->verdict.state == HEALTH_STATE_EJECTED
@@ -288,7 +290,7 @@
     }
     server->waiting++;
     while (result == RESULT_OK && server->in_use >= usable_slots(server)) {
-        if (!takes_work(owner, server)) {
+        if (!takes_work(server)) {
             result = RESULT_BACKEND_SERVER_LEAVING;
         }
         else if (server->verdict.state == HEALTH_STATE_EJECTED) {
@@ -314,7 +316,7 @@
     if (server == NULL) {
         return RESULT_NO_BACKEND_SERVER;
     }
-    if (!takes_work(owner, server)) {
+    if (!takes_work(server)) {
         return RESULT_BACKEND_SERVER_LEAVING;
     }
     if (server->verdict.state == HEALTH_STATE_EJECTED) {
--- a/src/retry/retry.c
+++ b/src/retry/retry.c
@@ -86,6 +86,11 @@
     case RESULT_ANSWER_TRUNCATED:
     case RESULT_ANSWER_MISMATCH:
     case RESULT_SHUTTING_DOWN:
+    case RESULT_BACKEND_SERVER_EJECTED:
+    case RESULT_BACKEND_SERVER_SHED:
+    case RESULT_BACKEND_SERVER_ERROR:
+    case RESULT_CONNECTION_SILENT:
+    case RESULT_REQUEST_ID_VOID:
         return TRUE;
     default:
         return FALSE;
--- a/standin/rk_caller.c
+++ b/standin/rk_caller.c
@@ -433,6 +433,16 @@
            (record->is_issuance && record->verdict == VERDICT_UNKNOWN);
 }
 
+/* A void token never runs, and one of a daemon that is shutting down has not
+ * run: the issuance is sent again with another token. */
+static gboolean
+needs_other_token(const Record *record)
+{
+    return record->is_issuance && record->verdict == VERDICT_REFUSED &&
+           (record->result == RESULT_TOKEN_VOID ||
+            (record->result == RESULT_SHUTTING_DOWN && !record->may_run));
+}
+
 static void
 send_request(Worker *worker, int64_t index)
 {
@@ -447,9 +457,15 @@
         token = take_token(worker);
     }
     outcome = send_once(worker, token, nonce, record);
-    for (int i = 0; i < caller->repeats &&
-                    may_repeat(record, token, outcome) && !is_stopped;
-         i++) {
+    for (int i = 0; i < caller->repeats && !is_stopped; i++) {
+        if (token != NULL && needs_other_token(record)) {
+            g_free(token);
+            token = take_token(worker);
+            record->may_run = FALSE;
+        }
+        else if (!may_repeat(record, token, outcome)) {
+            break;
+        }
         atomic_fetch_add(&caller->repeated, 1);
         next_entry(worker);
         if (record->verdict == VERDICT_UNKNOWN) {
