--- a/standin/rk_caller.c
+++ b/standin/rk_caller.c
@@ -459,6 +459,8 @@
     outcome = send_once(worker, token, nonce, record);
     for (int i = 0; i < caller->repeats && !is_stopped; i++) {
         if (token != NULL && needs_other_token(record)) {
+            /* Those fetched with it are of the same owner. */
+            g_queue_clear_full(&worker->tokens, g_free);
             g_free(token);
             token = take_token(worker);
             record->may_run = FALSE;
