Measure membership; free large arrays after a join

One table of 7,400 hosts and 99,000 backend servers took 10.8 MB by mallinfo2() and 6.4 MB by its own count: the array of changes kept its size after the first publication.

--- a/src/member/member.c
+++ b/src/member/member.c
@@ -56,7 +56,6 @@
     member->index_mask = places - 1;
     member->order = g_new0(uint32_t, member->max_hosts);
     member->dirty = g_new0(uint32_t, member->max_hosts);
-    member->tombstones = g_new0(MemberTombstone, MEMBER_MAX_TOMBSTONES);
     member->wanted = g_new0(uint64_t, MEMBER_WIRE_VERSIONS);
 }
 
@@ -99,10 +98,11 @@
     if (member == NULL) {
         return;
     }
-    Member_PublishNow(member, member->last_tick);
     for (uint32_t slot = 0; slot < member->slot_count; slot++) {
-        if (member->slots[slot].host != NULL) {
-            g_free(member->slots[slot].host);
+        MemberHost *host = member->slots[slot].host;
+
+        if (host != NULL && !MemberView_IsPublished(member, slot, host)) {
+            g_free(host);
         }
     }
     MemberView_Destroy(member);
@@ -555,7 +555,7 @@
             sizeof(*member) +
             member->max_hosts * (sizeof(MemberSlot) + 2 * sizeof(uint32_t)) +
             ((size_t)member->index_mask + 1) * sizeof(uint32_t) +
-            MEMBER_MAX_TOMBSTONES * sizeof(MemberTombstone) +
+            member->tombstone_size * sizeof(MemberTombstone) +
             MEMBER_WIRE_VERSIONS * sizeof(uint64_t) + member->record_bytes};
     if (member->view != NULL) {
         counts->bytes += MemberView_GetBytes(member->view);
--- a/src/member/table.c
+++ b/src/member/table.c
@@ -189,6 +189,11 @@
 static void
 add_tombstone(Member *member, const MemberHost *host)
 {
+    if (member->tombstone_next == member->tombstone_size) {
+        member->tombstone_size = MAX(64, member->tombstone_size * 2);
+        member->tombstones = g_renew(MemberTombstone, member->tombstones,
+                                     member->tombstone_size);
+    }
     member->tombstones[member->tombstone_next] =
         (MemberTombstone){.id = host->id,
                           .incarnation = host->incarnation,
--- a/src/member/table.h
+++ b/src/member/table.h
@@ -80,6 +80,7 @@
     uint32_t update_count;
 
     MemberTombstone *tombstones; /* ring */
+    uint32_t tombstone_size;     /* grows up to MEMBER_MAX_TOMBSTONES */
     uint32_t tombstone_count;
     uint32_t tombstone_next;
 
--- a/src/member/view.c
+++ b/src/member/view.c
@@ -15,8 +15,24 @@
 #include "member/table.h"
 
 #define PUBLISH_INTERVAL_MS 50
+/* A longer array of changes, as after a join, is given back. */
+#define MAX_KEPT_CHANGES 4096
 #define LIST_COUNT (1 + MEMBER_MAX_REGIONS + MEMBER_MAX_DATA_CENTRES)
 
+/* The thread sanitizer does not see the order that liburcu makes between
+ * call_rcu() and its callback. */
+#ifdef __SANITIZE_THREAD__
+void
+__tsan_acquire(void *address); /* NOLINT */
+void
+__tsan_release(void *address); /* NOLINT */
+#define ORDER_AFTER(address) __tsan_acquire(address)
+#define ORDER_BEFORE(address) __tsan_release(address)
+#else
+#define ORDER_AFTER(address) (void)(address)
+#define ORDER_BEFORE(address) (void)(address)
+#endif
+
 /* Hash table of pointers to structs whose first field is their id. */
 typedef struct Cells {
     uint32_t mask;
@@ -51,7 +67,6 @@
     uint32_t max_services;
     uint32_t max_hosts;
     size_t bytes; /* of lists and services */
-    gboolean has_called_rcu;
 };
 
 /* Fills the cell of a host that was forgotten. */
@@ -227,15 +242,15 @@
     if (view == NULL) {
         return;
     }
-    if (view->has_called_rcu) {
-        rcu_barrier();
-    }
     for (uint32_t i = 0; i <= view->services->mask; i++) {
         g_free(view->services->cells[i]);
     }
     for (int i = 0; i < LIST_COUNT; i++) {
         g_free(view->lists[i]);
     }
+    for (uint32_t slot = 0; slot < view->max_hosts; slot++) {
+        g_free(view->published[slot]);
+    }
     g_free(view->hosts);
     g_free(view->services);
     g_free(view->published);
@@ -275,6 +290,7 @@
 {
     Garbage *garbage = (Garbage *)head;
 
+    ORDER_AFTER(garbage);
     for (uint32_t i = 0; i < garbage->count; i++) {
         g_free(garbage->pointers[i]);
     }
@@ -293,8 +309,9 @@
     garbage = g_malloc(sizeof(*garbage) + count * sizeof(void *));
     garbage->count = count;
     memcpy(garbage->pointers, view->garbage->pdata, count * sizeof(void *));
-    g_ptr_array_set_size(view->garbage, 0);
-    view->has_called_rcu = TRUE;
+    g_ptr_array_free(view->garbage, TRUE);
+    view->garbage = g_ptr_array_new();
+    ORDER_BEFORE(garbage);
     call_rcu(&garbage->head, member_free_garbage);
 }
 
@@ -464,6 +481,10 @@
             first = i;
         }
     }
+    if (count > MAX_KEPT_CHANGES) {
+        g_array_free(view->changes, TRUE);
+        view->changes = g_array_new(FALSE, FALSE, sizeof(Change));
+    }
     g_array_set_size(view->changes, 0);
 }
 
