--- a/src/health/health_score.c
+++ b/src/health/health_score.c
@@ -143,6 +143,34 @@
     score->tail = CLAMP(score->tail, TAIL_LEAST, TAIL_MOST);
 }
 
+/* Adds a value to the ring of recent ones and keeps the sorted copy, so that
+ * the median costs nothing at each tick. */
+static void
+remember(HealthScore *score, double octaves)
+{
+    uint32_t count = score->recent_count;
+    uint32_t place = 0;
+
+    if (count == HEALTH_SCORE_RECENT) {
+        double oldest = score->recent[score->recent_next];
+
+        while (score->sorted[place] != oldest) {
+            place++;
+        }
+        count--;
+        memmove(&score->sorted[place], &score->sorted[place + 1],
+                (count - place) * sizeof(double));
+    }
+    for (place = count; place > 0 && score->sorted[place - 1] > octaves;
+         place--) {
+        score->sorted[place] = score->sorted[place - 1];
+    }
+    score->sorted[place] = octaves;
+    score->recent_count = count + 1;
+    score->recent[score->recent_next] = octaves;
+    score->recent_next = (score->recent_next + 1) % HEALTH_SCORE_RECENT;
+}
+
 static double
 latency_score(HealthScore *score, const Health_desc *desc,
               const HealthSample *sample)
@@ -164,9 +192,7 @@
         /* The latency has a lower bound only: it cannot show health. */
         return MAX(nats, 0);
     }
-    score->recent[score->recent_next] = octaves;
-    score->recent_next = (score->recent_next + 1) % HEALTH_SCORE_RECENT;
-    score->recent_count = MIN(score->recent_count + 1, HEALTH_SCORE_RECENT);
+    remember(score, octaves);
     if (base > 0) {
         double above = CLAMP(octaves - base, FRESH_LEAST, FRESH_MOST);
 
@@ -252,23 +278,12 @@
 int
 HealthScore_Class(const HealthScore *score, int previous_class)
 {
-    double sorted[HEALTH_SCORE_RECENT];
     uint32_t count = score->recent_count;
 
     if (count < HEALTH_SCORE_RECENT / 4) {
         return previous_class;
     }
-    for (uint32_t i = 0; i < count; i++) {
-        double value = score->recent[i];
-        uint32_t place = i;
-
-        while (place > 0 && sorted[place - 1] > value) {
-            sorted[place] = sorted[place - 1];
-            place--;
-        }
-        sorted[place] = value;
-    }
-    return Health_ClassOf((int64_t)exp2(sorted[(count - 1) / 2]),
+    return Health_ClassOf((int64_t)exp2(score->sorted[(count - 1) / 2]),
                           previous_class);
 }
 
--- a/src/health/health_score.h
+++ b/src/health/health_score.h
@@ -18,7 +18,8 @@
 #define HEALTH_SCORE_RECENT 32
 
 typedef struct HealthScore {
-    double recent[HEALTH_SCORE_RECENT]; /* octaves above 1 us */
+    double recent[HEALTH_SCORE_RECENT]; /* octaves above 1 us, a ring */
+    double sorted[HEALTH_SCORE_RECENT]; /* the same values in order */
     uint32_t recent_count;
     uint32_t recent_next;
     double spread;  /* octaves, standard deviation */
--- a/src/health/test_health.c
+++ b/src/health/test_health.c
@@ -228,7 +228,8 @@
     ModelResult result;
 
     Model_Run(&desc, &result);
-    g_test_message("%d ejections in %d samples", (int)result.ejections,
+    g_test_message("%d ejections, %d permit messages in %d samples",
+                   (int)result.ejections, (int)result.permit_messages,
                    (int)result.samples);
     g_assert_cmpuint(result.samples, >, 20000000);
     g_assert_cmpuint(result.ejections, <, 1);
--- a/src/health/test_health_model.c
+++ b/src/health/test_health_model.c
@@ -203,6 +203,7 @@
 
     if (PermitClaim_Next(server->claim, server->verdict.permit_wanted, now,
                          &request)) {
+        model->result->permit_messages++;
         PermitKeeper_Handle(model->keepers[request.place], &request, &view,
                             now, &reply);
         PermitClaim_Answer(server->claim, &reply, now);
--- a/src/health/test_health_model.h
+++ b/src/health/test_health_model.h
@@ -61,6 +61,7 @@
     uint32_t ejections;
     uint32_t most_ejected; /* at once */
     uint64_t samples;
+    uint64_t permit_messages; /* requests to keepers */
 } ModelResult;
 
 /* Zero fields of desc: 20 requests/s, 20 ms, sigma 0.5, 1% slow by 10, floor
