--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	$(GENERATED) 2>/dev/null)
 C_SOURCES = $(filter %.c,$(SOURCES))
 
-.PHONY: all setup build check test asan tsan lint format docs demo \
+.PHONY: all setup build check test asan tsan fuzz lint format docs demo \
 	install clean
 
 all: build
@@ -41,6 +41,17 @@
 	cmake -S . -B build-tsan -DRADISHKNOT_SANITIZE=thread >/dev/null
 	cmake --build build-tsan -j$(JOBS)
 
+# Runs the ticket decoder on FUZZ_RUNS inputs (about a minute).
+FUZZ_RUNS ?= 300000
+fuzz:
+	CC=clang cmake -S . -B build-fuzz -DRADISHKNOT_FUZZ=ON \
+	    -DRADISHKNOT_SANITIZE=address,undefined,fuzzer-no-link >/dev/null
+	cmake --build build-fuzz -j$(JOBS) --target fuzz_ticket
+	build-fuzz/src/config/fuzz_ticket -runs=$(FUZZ_RUNS) -seed=1 \
+	    -max_len=2048 -timeout=10 -rss_limit_mb=1024 -print_final_stats=1 \
+	    -dict=src/config/fuzz_ticket.dict \
+	    -seed_inputs=src/config/fuzz_ticket_seed.json
+
 lint: setup
 	cmake -S . -B build >/dev/null
 	clang-format --dry-run -Werror $(SOURCES)
@@ -61,4 +72,4 @@
 	cmake --install build
 
 clean:
-	rm -rf build build-asan build-tsan
+	rm -rf build build-asan build-tsan build-fuzz
--- a/bench/bench_config.c
+++ b/bench/bench_config.c
@@ -1,10 +1,12 @@
 /* bench_config: memory and time of the configuration tables.
  *
- *     bench_config [TEAMS [ROUTES]]
+ *     bench_config [TEAMS [ROUTES [FILE]]]
+ *     bench_config load FILE
  *
  * Builds the tables by tickets, then applies small tickets, looks up keys and
- * routes, writes a snapshot and reads it into a second, empty table. Prints
- * one line for each figure. Times are CPU times of the one thread.
+ * routes, and writes a snapshot (to FILE, one part a line, if it is given).
+ * With `load`, reads the parts from FILE into an empty table, as a new daemon
+ * does. Prints one line for each figure. Times are CPU times of the thread.
  */
 #include <malloc.h>
 #include <stdio.h>
@@ -205,76 +207,117 @@
 }
 
 static void
-copy_snapshot(Config *config)
+write_snapshot(Config *config, const char *path)
 {
-    Config *copy = Config_Create();
     const ConfigTable *table = _Config_Pin(config);
     uint32_t parts = _Config_PartCount(table, PART_BYTES);
-    GPtrArray *problems = Ticket_CreateProblems();
-    double write_ms = 0;
-    double read_ms = 0;
+    FILE *file = path != NULL ? fopen(path, "w") : NULL;
     size_t largest = 0;
-    ConfigDraft draft;
+    size_t total = 0;
+    double time = 0;
 
-    _Config_BeginDraft(copy, &draft);
     for (uint32_t part = 0; part < parts; part++) {
         double start = cpu_ms();
         GString *text = _Config_DumpPart(table, part, parts);
-        json_t *sets;
 
-        write_ms += cpu_ms() - start;
+        time += cpu_ms() - start;
         largest = MAX(largest, text->len);
-        start = cpu_ms();
-        sets = json_loadb(text->str, text->len, 0, NULL);
-        if (!_Ticket_CheckSets(sets, problems) ||
-            _Config_ApplyPart(&draft, sets, part, parts, NULL) != RESULT_OK) {
+        total += text->len;
+        if (file != NULL) {
+            fprintf(file, "%u %s\n", parts, text->str);
+        }
+        g_string_free(text, TRUE);
+    }
+    if (file != NULL) {
+        (void)fclose(file);
+    }
+    _Config_Unpin(config);
+    printf("snapshot: %u parts, largest %zu bytes, %.1f MB, %.0f ms\n", parts,
+           largest, (double)total / 1e6, time);
+}
+
+/* Reads a file that write_snapshot() wrote. */
+static void
+load_snapshot(Config *config, const char *path)
+{
+    GPtrArray *problems = Ticket_CreateProblems();
+    FILE *file = fopen(path, "r");
+    size_t capacity = 0;
+    char *line = NULL;
+    uint32_t part = 0;
+    double time = 0;
+    ConfigDraft draft;
+
+    if (file == NULL) {
+        fprintf(stderr, "cannot read %s\n", path);
+        exit(1);
+    }
+    _Config_BeginDraft(config, &draft);
+    while (getline(&line, &capacity, file) > 0) {
+        double start = cpu_ms();
+        char *text = NULL;
+        uint32_t parts = (uint32_t)strtoul(line, &text, 10);
+        json_t *sets = json_loads(text, 0, NULL);
+
+        if (sets == NULL || !_Ticket_CheckSets(sets, problems) ||
+            _Config_ApplyPart(&draft, sets, part++, parts, NULL) !=
+                RESULT_OK) {
             fprintf(stderr, "part refused\n");
             exit(1);
         }
-        read_ms += cpu_ms() - start;
         json_decref(sets);
-        g_string_free(text, TRUE);
+        time += cpu_ms() - start;
     }
-    _Config_CommitDraft(&draft, Config_GetVersion(table));
-    _Config_Unpin(config);
-    printf("snapshot: %u parts, largest %zu bytes, write %.0f ms, read %.0f "
-           "ms\n",
-           parts, largest, write_ms, read_ms);
+    _Config_CommitDraft(&draft, 1);
+    printf("snapshot loaded: %u parts, %.0f ms\n", part, time);
+    free(line);
+    (void)fclose(file);
     g_ptr_array_unref(problems);
-    Config_Destroy(copy);
+}
+
+static void
+print_memory(Config *config, double before)
+{
+    ConfigStats stats;
+
+    Config_GetStats(config, &stats);
+    printf("teams %u, keys %u, routes %u, version %" G_GINT64_FORMAT "\n",
+           stats.teams, stats.keys, stats.routes, stats.version);
+    printf("tables: %.2f MB\n", (double)stats.bytes / 1e6);
+    printf("resident growth %.2f MB, highest growth %.2f MB\n",
+           rss_mb() - before, peak_mb() - before);
+    malloc_trim(0);
+    printf("resident growth after malloc_trim %.2f MB\n", rss_mb() - before);
 }
 
 int
 main(int argc, char **argv)
 {
+    gboolean load = argc > 2 && strcmp(argv[1], "load") == 0;
     int teams = argc > 1 ? atoi(argv[1]) : 220000; /* NOLINT */
     int routes = argc > 2 ? atoi(argv[2]) : 33000; /* NOLINT */
     Config *config = Config_Create();
-    ConfigStats stats;
     double before;
     double start;
 
     rcu_register_thread();
     before = rss_mb();
-    start = cpu_ms();
-    build(config, teams, routes);
-    Config_GetStats(config, &stats);
-    printf("teams %u, keys %u, routes %u, version %" G_GINT64_FORMAT "\n",
-           stats.teams, stats.keys, stats.routes, stats.version);
-    printf("build: %.0f ms\n", cpu_ms() - start);
-    printf("tables: %.2f MB\n", (double)stats.bytes / 1e6);
-    printf("resident growth after build: %.2f MB, peak of process %.2f MB\n",
-           rss_mb() - before, peak_mb());
-    malloc_trim(0);
-    printf("resident growth after malloc_trim: %.2f MB\n", rss_mb() - before);
-    look_up(config, teams, routes);
-    apply_small(config, teams, 1);
-    apply_small(config, teams, MIN(10, teams));
-    apply_small(config, teams, MIN(100, teams));
-    Config_GetStats(config, &stats);
-    printf("tables after %d tickets: %.2f MB\n", 3 * SMALL_TICKETS,
-           (double)stats.bytes / 1e6);
-    copy_snapshot(config);
+    if (load) {
+        load_snapshot(config, argv[2]);
+        print_memory(config, before);
+    }
+    else {
+        start = cpu_ms();
+        build(config, teams, routes);
+        printf("build: %.0f ms\n", cpu_ms() - start);
+        print_memory(config, before);
+        look_up(config, teams, routes);
+        apply_small(config, teams, 1);
+        apply_small(config, teams, MIN(10, teams));
+        apply_small(config, teams, MIN(100, teams));
+        print_memory(config, before);
+        write_snapshot(config, argc > 3 ? argv[3] : NULL);
+    }
     rcu_unregister_thread();
     Config_Destroy(config);
     return 0;
--- a/src/config/config_sync.c
+++ b/src/config/config_sync.c
@@ -457,7 +457,7 @@
     return found;
 }
 
-/* One step of the thread. Returns TRUE if it waited at the store. */
+/* One step of the thread. Returns TRUE if the next one follows at once. */
 static gboolean
 run_step(ConfigSync *sync)
 {
@@ -472,7 +472,7 @@
         if (due) {
             load(sync);
         }
-        return FALSE;
+        return sync->loaded;
     }
     if (sync->store == NULL || !due || (!watcher && !has_queue(sync))) {
         return FALSE;
