--- a/src/store/test_store.c
+++ b/src/store/test_store.c
@@ -224,7 +224,8 @@
     g_clear_error(&error);
 }
 
-/* Guards against values over the limit at the client and at the store. */
+/* Guards against a limit that differs between the client and the store, and
+ * against a value over the limit that is sent. */
 static void
 test_sizes(Fixture *fixture, gconstpointer data)
 {
