--- a/tests/relay.c
+++ b/tests/relay.c
@@ -120,7 +120,7 @@
                 .fd = relay->connections[i].target, .events = POLLIN};
         }
         pthread_mutex_unlock(&relay->lock);
-        if (poll(fds, (nfds_t)(1 + 2 * count), POLL_MS) <= 0) {
+        if (poll(fds, 1 + 2 * (nfds_t)count, POLL_MS) <= 0) {
             continue;
         }
         pthread_mutex_lock(&relay->lock);
