--- a/src/rate/rate_holder.c
+++ b/src/rate/rate_holder.c
@@ -7,15 +7,13 @@
 #define NO_INDEX UINT32_MAX
 /* Part of the free level that one draw may take beyond its need. A small part
  * keeps tokens from lying idle at one entry while another one needs them. */
-#define AHEAD_DIVISOR 8
+#define AHEAD_DIVISOR 4
 /* Refused draws are told to come back one after the other, at most this much
  * later, so that a team above its rate causes few draws. */
-#define RETRY_MAX_MS 1000
+#define RETRY_MAX_MS 2000
 #define RETRY_MIN_MS 2
 /* Buckets looked at for eviction in one tick. */
 #define EVICT_STEP 4096
-/* Slots with less burst grant fractions of a token. */
-#define SMALL_BURST (4 * (int64_t)RATE_MICRO)
 /* Places probed for an entry's incarnation. */
 #define ENTRY_PROBES 8
 
@@ -595,26 +593,22 @@
     return NULL;
 }
 
-/* How much of the level a draw gets. Teams whose slots have less than four
- * tokens of burst get fractions, which the entry adds up; for all others a
- * fraction is left in the bucket until it is a whole token. */
+/* How much of the level a draw gets. If there is less than needed, it gets
+ * whole tokens: a fraction stays in the bucket until it is a token, and a draw
+ * for a fraction is granted in full or not at all, so that entries do not take
+ * parts that complete no token. */
 static int64_t
 amount_for(const Bucket *bucket, const RateDraw *draw)
 {
-    gboolean fractions = bucket->share.burst_micro < SMALL_BURST;
     int64_t need = MAX(draw->need_micro, 0);
-    int64_t amount = MIN(need, bucket->level);
-    int64_t ahead = 0;
+    int64_t ahead;
 
-    if (!fractions && amount < need) {
-        amount -= amount % RATE_MICRO;
+    if (bucket->level < need) {
+        return bucket->level - bucket->level % RATE_MICRO;
     }
-    if (amount == need && draw->want_micro > need) {
-        ahead = MIN(draw->want_micro - need,
-                    (bucket->level - need) / AHEAD_DIVISOR);
-        ahead -= ahead % RATE_MICRO;
-    }
-    return amount + ahead;
+    ahead =
+        MIN(draw->want_micro - need, (bucket->level - need) / AHEAD_DIVISOR);
+    return need + MAX(ahead - ahead % RATE_MICRO, 0);
 }
 
 /* When the bucket will have another token that was not promised yet. */
@@ -627,6 +621,10 @@
     if (bucket->rate == 0) {
         return RETRY_MAX_MS;
     }
+    if (missing < RATE_MICRO) {
+        wait = MAX(missing - left, 1) * 1000 / bucket->rate + 1;
+        return (int)CLAMP(wait, RETRY_MIN_MS, RETRY_MAX_MS);
+    }
     if (bucket->queue_ms <= now) {
         missing -= left;
     }
@@ -667,6 +665,7 @@
     int64_t need = MAX(draw->need_micro, 0);
 
     grant->micro = amount_for(bucket, draw);
+    grant->level_micro = bucket->level - grant->micro;
     if (grant->micro < need) {
         grant->retry_ms =
             retry_after(bucket, MIN(need - grant->micro, (int64_t)RATE_MICRO),
@@ -683,7 +682,7 @@
     grant->settle_now =
         bucket->level - grant->micro < bucket->burst / 2 ||
         bucket->burst < bucket->rate * holder->desc.grant_life_ms / 1000 ||
-        bucket->share.burst_micro < SMALL_BURST;
+        bucket->share.burst_micro < RATE_SMALL_BURST;
     grant->number = holder->grant_next;
     grant->life_ms = holder->desc.grant_life_ms;
     record_grant(holder, bucket, draw, grant, now);
--- a/src/rate/rate_holder.h
+++ b/src/rate/rate_holder.h
@@ -64,6 +64,7 @@
     int64_t micro;
     int life_ms;  /* counted by the entry from before it sent the draw */
     int retry_ms; /* if less than needed: when to ask again */
+    int64_t level_micro; /* left in the bucket */
     gboolean settle_now; /* report use at once, the refill is held back */
     ClockMs hold_end_ms; /* by the holder's clock; not sent */
 } RateGrant;
--- a/src/rate/rate_share.h
+++ b/src/rate/rate_share.h
@@ -26,6 +26,10 @@
 #define RATE_PER_S_MAX 1000000
 #define RATE_BURST_MAX 10000000
 
+/* Slots with less burst than this grant fractions of a token, which the entry
+ * adds up; all others grant whole tokens. */
+#define RATE_SMALL_BURST (4 * (int64_t)RATE_MICRO)
+
 /* A team's limit in requests per second and requests. */
 typedef struct RateLimit {
     int64_t rate_per_s;
--- a/src/rate/rate_sim.c
+++ b/src/rate/rate_sim.c
@@ -37,6 +37,7 @@
     int team;
     int64_t arrived_us;
     ClockMs deadline; /* by the entry's clock */
+    ClockMs patience; /* no wait for a promised token after it */
     gboolean ideal;
     struct Request *next;
 } Request;
@@ -97,6 +98,7 @@
     RateWallet *wallet;
     RateDirectory *directory;
     Request *waiting[RATE_SIM_TEAMS];
+    int64_t retry_us[RATE_SIM_TEAMS]; /* of the pending EV_RETRY; 0 = none */
     struct {
         RateSim *sim;
         int index;
@@ -404,6 +406,7 @@
     host->started_us = sim->now_us;
     host->paused_until_us = 0;
     host->at_store = FALSE;
+    memset(host->retry_us, 0, sizeof(host->retry_us));
     host->self.sim = sim;
     host->self.index = index;
     host->hold =
@@ -673,19 +676,27 @@
     return NO_HOST;
 }
 
+static int
+waiting_count(const Host *host, int team)
+{
+    int count = 0;
+
+    for (const Request *r = host->waiting[team]; r != NULL; r = r->next) {
+        count++;
+    }
+    return count;
+}
+
 static void
 plan_draws(RateSim *sim, int index, int team)
 {
     Host *host = &sim->hosts[index];
     RatePlan plans[4];
-    int waiting = 0;
     int count;
 
-    for (Request *r = host->waiting[team]; r != NULL; r = r->next) {
-        waiting++;
-    }
-    count = RateWallet_Plan(host->wallet, sim->teams[team].out.id, waiting,
-                            local_ms(sim, index), plans, 4);
+    count = RateWallet_Plan(host->wallet, sim->teams[team].out.id,
+                            waiting_count(host, team), local_ms(sim, index),
+                            plans, 4);
     for (int i = 0; i < count; i++) {
         Flight *flight;
         Event *event;
@@ -753,7 +764,8 @@
     }
     if (now >= request->deadline ||
         (result != RESULT_NOT_FOUND &&
-         (now + retry_ms > request->deadline || retry_ms > RATE_WAIT_MS))) {
+         (now + retry_ms > MIN(request->deadline, request->patience) ||
+          waiting_count(host, request->team) >= RATE_WAIT_MAX))) {
         gboolean last = host->waiting[request->team] == NULL;
 
         finish(sim, request, FALSE);
@@ -764,9 +776,17 @@
     }
     append(host, request);
     if (result != RESULT_NOT_FOUND) {
-        event = new_event(sim, EV_RETRY, index);
-        event->number = request->team;
-        push(sim, event, sim->now_us + (retry_ms + 1) * 1000);
+        int64_t at_us = sim->now_us + (retry_ms + 1) * 1000;
+        int64_t *retry_us = &host->retry_us[request->team];
+
+        /* Parts that wait here could complete a token elsewhere. */
+        RateWallet_GiveBack(host->wallet, team->out.id, now);
+        if (*retry_us <= sim->now_us || at_us < *retry_us) {
+            *retry_us = at_us;
+            event = new_event(sim, EV_RETRY, index);
+            event->number = request->team;
+            push(sim, event, at_us);
+        }
     }
 }
 
@@ -784,6 +804,13 @@
         request = next;
     }
     plan_draws(sim, index, team);
+    if (host->waiting[team] != NULL && host->retry_us[team] <= sim->now_us) {
+        Event *event = new_event(sim, EV_RETRY, index);
+
+        host->retry_us[team] = sim->now_us + WALLET_US;
+        event->number = team;
+        push(sim, event, host->retry_us[team]);
+    }
 }
 
 static void
@@ -854,6 +881,7 @@
     request->team = event->number;
     request->arrived_us = sim->now_us;
     request->deadline = local_ms(sim, index) + sim->desc.deadline_ms;
+    request->patience = local_ms(sim, index) + RATE_WAIT_MS;
     request->ideal = ideal;
     serve(sim, index, request);
     if (sim->hosts[index].waiting[event->number] != NULL) {
@@ -951,7 +979,6 @@
     event->request = NULL;
     if (result == RESULT_OK) {
         finish(sim, request, TRUE);
-        send_settlements(sim, event->host);
     }
     else {
         int team = request->team;
@@ -1126,6 +1153,8 @@
 static void
 on_host_event(RateSim *sim, Event *event)
 {
+    int index = event->host;
+
     switch (event->kind) {
     case EV_DRAW:
         on_draw(sim, event);
@@ -1150,6 +1179,7 @@
         on_use(sim, event);
         break;
     case EV_RETRY:
+        sim->hosts[event->host].retry_us[event->number] = 0;
         serve_waiting(sim, event->host, event->number);
         break;
     case EV_HINT:
@@ -1161,6 +1191,7 @@
         on_timer(sim, event);
         break;
     }
+    send_settlements(sim, index);
 }
 
 /* FALSE if the event was put back into the queue. */
--- a/src/rate/rate_wallet.c
+++ b/src/rate/rate_wallet.c
@@ -19,6 +19,19 @@
 #define NOT_HELD_REST_MS 1000
 #define FAILURE_MAX_MS 8000
 #define NO_PEER UINT16_MAX
+/* Holders refill a little slower than the rate (RateHolder_desc.drift_ppm); an
+ * estimate above their level would lead to draws that are refused. */
+#define SLOW_REFILL 0.99
+/* Parts are drawn in so many rounds for a token. If they do not add up to one,
+ * they are given back and the next round waits, for a time that differs
+ * between entries. Otherwise the entries end up with parts that complete no
+ * token. */
+#define ROUNDS_MAX 2
+#define PAUSE_MS 20
+/* Least time between two draws of a small team that are refused. */
+#define SMALL_RETRY_MS 5
+/* Draws planned at once. */
+#define PLANS_MAX 8
 
 typedef struct Team Team;
 typedef struct Grant Grant;
@@ -56,6 +69,8 @@
 
 typedef struct TeamSlot {
     uint16_t slot;
+    double fill; /* level by burst when the holder last answered */
+    ClockMs fill_ms;
     ClockMs empty_until;
 } TeamSlot;
 
@@ -67,7 +82,9 @@
     Grant *grants;
     int64_t in_flight; /* micro-tokens that draws on the way may bring */
     int flights;
-    double demand; /* tokens per second */
+    int rounds;          /* of parts that completed no token yet */
+    ClockMs pause_until; /* before parts are drawn again */
+    double demand;       /* tokens per second */
     ClockMs demand_ms;
     ClockMs used_ms;
     TeamSlot slots[];
@@ -287,7 +304,7 @@
     RateShare_Slots(team->id, team->share.slots, wallet->desc.fleet_slots,
                     wallet->desc.regions, order);
     for (int i = 0; i < team->share.slots; i++) {
-        team->slots[i] = (TeamSlot){.slot = order[i], .empty_until = 0};
+        team->slots[i] = (TeamSlot){.slot = order[i], .fill = 1.0};
     }
 }
 
@@ -365,36 +382,94 @@
     return sum;
 }
 
-/* Whether a holder of the team can be asked now; else says why not. */
+/* Level that the slot's bucket has by now if nobody else has drawn from it. */
+static double
+level_now(const Team *team, int i, ClockMs now)
+{
+    const TeamSlot *place = &team->slots[i];
+    double burst =
+        (double)(team->share.burst_micro + (i < team->share.burst_extra));
+    double refill = (double)team->share.micro_per_second * SLOW_REFILL /
+                    1000.0 * (double)(now - place->fill_ms);
+
+    return MIN(burst, place->fill * burst + refill);
+}
+
+static gboolean
+is_small(const Team *team)
+{
+    return team->share.burst_micro < RATE_SMALL_BURST;
+}
+
+/* The peer of the team's i-th slot if it can be asked now, else NO_PEER. */
+static uint16_t
+peer_to_ask(const RateWallet *wallet, const Team *team, int i, ClockMs now)
+{
+    uint16_t index = wallet->slot_peer[team->slots[i].slot];
+
+    if (index == NO_PEER || wallet->peers[index].down_until > now ||
+        team->slots[i].empty_until > now) {
+        return NO_PEER;
+    }
+    return index;
+}
+
+/* Sum of the levels of the buckets that can be asked now. */
+static double
+level_sum(const RateWallet *wallet, const Team *team, ClockMs now)
+{
+    double sum = 0.0;
+
+    for (int i = 0; i < team->share.slots; i++) {
+        if (peer_to_ask(wallet, team, i, now) != NO_PEER) {
+            sum += level_now(team, i, now);
+        }
+    }
+    return sum;
+}
+
+/* Whether a draw may bring a token now; else says why not. */
 static Result
 can_draw(const RateWallet *wallet, const Team *team, ClockMs now,
          int *retry_ms)
 {
     Result result = RESULT_RATE_UNREACHABLE;
     ClockMs next = now + NOT_HELD_REST_MS;
+    gboolean any = FALSE;
 
     for (int i = 0; i < team->share.slots; i++) {
         const TeamSlot *place = &team->slots[i];
         uint16_t index = wallet->slot_peer[place->slot];
-        const Peer *peer;
+        ClockMs down;
 
         if (index == NO_PEER) {
             continue;
         }
-        peer = &wallet->peers[index];
-        if (peer->down_until > now) {
-            next = MIN(next, peer->down_until);
-            continue;
-        }
-        if (place->empty_until <= now) {
-            *retry_ms = 0;
-            return RESULT_NOT_FOUND;
+        down = wallet->peers[index].down_until;
+        if (down <= now) {
+            result = RESULT_RATE_EXCEEDED;
+            any = any || place->empty_until <= now;
         }
-        result = RESULT_RATE_EXCEEDED;
-        next = MIN(next, place->empty_until);
+        next = MIN(next, MAX(down, place->empty_until));
     }
-    *retry_ms = (int)(next - now);
-    return result;
+    if (team->pause_until > now ||
+        (team->rounds >= ROUNDS_MAX && team->flights == 0)) {
+        any = FALSE;
+        next = MAX(team->pause_until, now + SMALL_RETRY_MS);
+    }
+    else if (any && is_small(team)) {
+        double missing = RATE_MICRO + 8.0 - (double)balance_of(team) -
+                         level_sum(wallet, team, now);
+
+        any = missing <= 0.0;
+        next = now + 1 +
+               (ClockMs)MIN(1000.0,
+                            missing / (double)team->limit.rate_per_s / 1000.0);
+    }
+    /* The draws on the way may bring it. */
+    any = any || team->flights > 0;
+    *retry_ms = any ? 0 : (int)MAX(next - now, 1);
+    return any ? RESULT_NOT_FOUND : result;
 }
 
 static void
@@ -446,6 +521,7 @@
         grant->left -= token->part[i].micro;
         grant->taken += token->part[i].micro;
     }
+    team->rounds = 0;
     count_demand(team, now);
     return RESULT_OK;
 }
@@ -491,41 +567,47 @@
     }
 }
 
-/* The nearest holder that can be asked. Entries of the same place prefer
- * different holders, by a hash of both. */
+/* The holder to ask next for at least `least` micro-tokens. The nearest ones
+ * come first until they are emptier than farther ones by the latter's
+ * handicap: an untouched bucket that stays full loses its refill, so all of
+ * them have to be used. The hash lets entries of one place prefer different
+ * holders. */
 static uint16_t
 choose_peer(const RateWallet *wallet, const Team *team, ClockMs now,
-            const uint16_t *skip, int skipped)
+            double least, const uint16_t *skip, int skipped)
 {
+    static const double handicap[] = {0.0, 0.02, 0.1, 0.4};
+    double burst = (double)MAX(team->share.burst_micro, 1);
     uint16_t best = NO_PEER;
-    uint64_t best_key = 0;
+    double best_score = 0.0;
 
     for (int i = 0; i < team->share.slots; i++) {
-        uint16_t index = wallet->slot_peer[team->slots[i].slot];
-        const Peer *peer;
-        uint64_t key;
-        gboolean seen = FALSE;
+        uint16_t index = peer_to_ask(wallet, team, i, now);
+        double level;
+        double score;
+        gboolean seen = index == NO_PEER;
 
-        if (index == NO_PEER || team->slots[i].empty_until > now) {
-            continue;
-        }
-        peer = &wallet->peers[index];
         for (int k = 0; k < skipped; k++) {
             seen = seen || skip[k] == index;
         }
-        if (seen || peer->down_until > now) {
+        level = level_now(team, i, now);
+        if (seen || level < least) {
             continue;
         }
-        key = ((uint64_t)peer->distance << 62) |
-              (Rng_Mix(wallet->desc.entry ^ team->id, peer->host) >> 2);
-        if (best == NO_PEER || key < best_key) {
+        score =
+            level / burst - handicap[wallet->peers[index].distance] +
+            (double)(Rng_Mix(wallet->desc.entry, wallet->peers[index].host) &
+                     0xff) /
+                2560.0;
+        if (best == NO_PEER || score > best_score) {
             best = index;
-            best_key = key;
+            best_score = score;
         }
     }
     return best;
 }
 
+/* Burst and level of all slots that the peer holds for the team. */
 static int64_t
 burst_at(const RateWallet *wallet, const Team *team, uint16_t peer)
 {
@@ -539,13 +621,146 @@
     return burst;
 }
 
+static double
+level_at(const RateWallet *wallet, const Team *team, uint16_t peer,
+         ClockMs now)
+{
+    double level = 0.0;
+
+    for (int i = 0; i < team->share.slots; i++) {
+        if (wallet->slot_peer[team->slots[i].slot] == peer) {
+            level += level_now(team, i, now);
+        }
+    }
+    return level;
+}
+
+static void
+set_level(RateWallet *wallet, Team *team, uint16_t peer, double level,
+          ClockMs now)
+{
+    double burst = (double)MAX(burst_at(wallet, team, peer), 1);
+
+    for (int i = 0; i < team->share.slots; i++) {
+        if (wallet->slot_peer[team->slots[i].slot] == peer) {
+            team->slots[i].fill = CLAMP(level / burst, 0.0, 1.0);
+            team->slots[i].fill_ms = now;
+        }
+    }
+}
+
+/* Draws of one call of RateWallet_Plan(). */
+typedef struct Planning {
+    Team *team;
+    ClockMs now;
+    RatePlan *plans;
+    int max;
+    int count;
+    uint16_t peers[PLANS_MAX];
+} Planning;
+
+static void
+add_plan(RateWallet *wallet, Planning *planning, uint16_t index, int64_t part)
+{
+    Team *team = planning->team;
+    Peer *peer = &wallet->peers[index];
+    int64_t ahead =
+        is_small(team)
+            ? 0
+            : (int64_t)(team->demand * AHEAD_MS / 1000.0) * RATE_MICRO;
+
+    planning->plans[planning->count] =
+        (RatePlan){.holder = peer->host,
+                   .holder_incarnation = peer->incarnation,
+                   .sent_ms = planning->now,
+                   .draw = {.team = team->id,
+                            .entry = wallet->desc.entry,
+                            .entry_incarnation = wallet->desc.incarnation,
+                            .serial = ++wallet->serial,
+                            .need_micro = part,
+                            .want_micro = part + ahead}};
+    planning->peers[planning->count++] = index;
+    team->in_flight += part;
+    team->flights++;
+    set_level(wallet, team, index,
+              level_at(wallet, team, index, planning->now) - (double)part,
+              planning->now);
+}
+
+/* Asks for whole tokens; returns what is still needed. */
+static int64_t
+plan_whole(RateWallet *wallet, Planning *planning, int64_t need)
+{
+    Team *team = planning->team;
+    double least = is_small(team) ? RATE_MICRO : 0.0;
+
+    while (need >= RATE_MICRO && planning->count < planning->max) {
+        uint16_t index = choose_peer(wallet, team, planning->now, least,
+                                     planning->peers, planning->count);
+        int64_t part;
+
+        if (index == NO_PEER) {
+            break;
+        }
+        part = burst_at(wallet, team, index);
+        if (is_small(team)) {
+            part = (int64_t)level_at(wallet, team, index, planning->now);
+        }
+        part = MIN(need, part);
+        part -= part % RATE_MICRO;
+        part = MAX(part, RATE_MICRO);
+        add_plan(wallet, planning, index, part);
+        need -= part;
+    }
+    return need;
+}
+
+/* Asks all holders for parts in proportion to their levels, which keeps the
+ * levels even, so that none is full and loses refill while another one is
+ * empty. Asks for nothing if the levels do not add up to a token. */
+static void
+plan_parts(RateWallet *wallet, Planning *planning, int64_t need)
+{
+    Team *team = planning->team;
+    double levels[RATE_TEAM_SLOTS_MIN];
+    double sum = 0.0;
+    int count = MIN(team->share.slots, RATE_TEAM_SLOTS_MIN);
+
+    for (int i = 0; i < count; i++) {
+        uint16_t index = peer_to_ask(wallet, team, i, planning->now);
+
+        levels[i] = 0.0;
+        if (index != NO_PEER) {
+            /* Less what rounding may add. */
+            levels[i] = MAX(level_now(team, i, planning->now) - 2.0, 0.0);
+            sum += levels[i];
+        }
+    }
+    while (need > 0 && (double)need > sum) {
+        need -= RATE_MICRO;
+    }
+    team->rounds++;
+    for (int i = 0, left = (int)MAX(need, 0); i < count && left > 0; i++) {
+        uint16_t index = peer_to_ask(wallet, team, i, planning->now);
+        int64_t part = (int64_t)((double)need * levels[i] / sum) + 1;
+
+        part = MIN(part, left);
+        if (index == NO_PEER || levels[i] <= 0.0 ||
+            planning->count == planning->max) {
+            continue;
+        }
+        add_plan(wallet, planning, index, part);
+        left -= (int)part;
+    }
+}
+
 int
 RateWallet_Plan(RateWallet *wallet, uint64_t id, int waiting, ClockMs now,
                 RatePlan *plans, int max)
 {
     Team *team = *team_link(wallet, id);
-    uint16_t chosen[8];
-    int count = 0;
+    Planning planning = {
+        .team = team, .now = now, .plans = plans, .max = MIN(max, PLANS_MAX)};
     int64_t need;
 
     if (team == NULL) {
@@ -553,33 +768,14 @@
     }
     drop_expired(wallet, team, now);
     need = (int64_t)waiting * RATE_MICRO - balance_of(team) - team->in_flight;
-    while (need > 0 && count < MIN(max, 8)) {
-        uint16_t index = choose_peer(wallet, team, now, chosen, count);
-        RatePlan *plan = &plans[count];
-        int64_t part;
-        int64_t ahead;
-
-        if (index == NO_PEER) {
-            break;
-        }
-        chosen[count++] = index;
-        part = MIN(need, MAX(burst_at(wallet, team, index), 1));
-        ahead = (int64_t)(team->demand * AHEAD_MS / 1000.0) * RATE_MICRO;
-        *plan =
-            (RatePlan){.holder = wallet->peers[index].host,
-                       .holder_incarnation = wallet->peers[index].incarnation,
-                       .sent_ms = now};
-        plan->draw = (RateDraw){.team = id,
-                                .entry = wallet->desc.entry,
-                                .entry_incarnation = wallet->desc.incarnation,
-                                .serial = ++wallet->serial,
-                                .need_micro = part,
-                                .want_micro = part + ahead};
-        team->in_flight += part;
-        team->flights++;
-        need -= part;
+    if (!is_small(team)) {
+        need = (need + RATE_MICRO - 1) / RATE_MICRO * RATE_MICRO;
     }
-    return count;
+    need = plan_whole(wallet, &planning, need);
+    if (need > 0 && planning.count == 0 && is_small(team)) {
+        plan_parts(wallet, &planning, need);
+    }
+    return planning.count;
 }
 
 static Team *
@@ -650,8 +846,13 @@
     }
     wallet->peers[peer].failures = 0;
     wallet->peers[peer].down_until = 0;
+    set_level(wallet, team, peer, (double)given->level_micro, now);
     if (given->micro < plan->draw.need_micro) {
-        set_empty(wallet, team, peer, now + MAX(given->retry_ms, 1));
+        int wait = MAX(given->retry_ms, 1);
+
+        /* The estimated levels say when to ask the holders of a small team. */
+        set_empty(wallet, team, peer,
+                  now + (is_small(team) ? MIN(wait, SMALL_RETRY_MS) : wait));
     }
     if (given->micro > 0 && now < plan->sent_ms + given->life_ms) {
         insert_grant(wallet, team, peer, plan, given);
@@ -700,9 +901,16 @@
     Team *team = *team_link(wallet, id);
     Grant *grant;
 
-    if (team == NULL || balance_of(team) >= RATE_MICRO) {
+    if (team == NULL || balance_of(team) >= RATE_MICRO || team->flights > 0) {
         return;
     }
+    if (team->rounds >= ROUNDS_MAX) {
+        team->pause_until =
+            now + PAUSE_MS +
+            (ClockMs)(Rng_Mix(wallet->desc.entry, wallet->serial) %
+                      (2 * PAUSE_MS));
+    }
+    team->rounds = 0;
     grant = team->grants;
     while (grant != NULL) {
         Grant *next = grant->next;
--- a/src/rate/rate_wallet.h
+++ b/src/rate/rate_wallet.h
@@ -43,8 +43,11 @@
     } part[RATE_TOKEN_PARTS];
 } RateToken;
 
-/* A request waits at most this long for a token that is promised for later. */
-#define RATE_WAIT_MS 20
+/* A request waits at most this long for a token that is promised for later,
+ * and no more than this many requests of a team wait at an entry: a team above
+ * its rate must not fill the entry with waiting requests. */
+#define RATE_WAIT_MS 250
+#define RATE_WAIT_MAX 8
 
 typedef enum RateDistance {
     RATE_SELF,
