--- a/src/rate/rate_holder.c
+++ b/src/rate/rate_holder.c
@@ -416,7 +416,7 @@
 static void
 evict(RateHolder *holder, ClockMs now)
 {
-    for (int i = 0; i < EVICT_STEP && holder->bucket_high > 0; i++) {
+    for (uint32_t i = 0; i < MIN(EVICT_STEP, holder->bucket_high); i++) {
         Bucket *bucket =
             &holder->buckets[holder->evict_next % holder->bucket_high];
 
--- /dev/null
+++ b/src/rate/rate_service.c
@@ -0,0 +1,932 @@
+#include "rate/rate_service.h"
+
+#include <pthread.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "rate/rate_codec.h"
+#include "rate/rate_directory.h"
+
+#define DRAW_TIMEOUT_MS 250
+#define PLANS_MAX 4
+#define DRAW_THREADS 8
+#define WALLET_TICK_MS 50
+#define HOLDER_TICK_MS 1000
+/* A view change costs a pass over all hosts and slots. */
+#define VIEW_MIN_MS 1000
+#define HOLDS_TICK_MS 500
+#define HINT_TIMEOUT_MS 100
+
+/* Locks are taken in the order hold, wallet; holder is taken alone. */
+struct RateService {
+    RateService_desc desc;
+    pthread_mutex_t hold_lock;
+    pthread_mutex_t wallet_lock;
+    pthread_mutex_t holder_lock;
+    pthread_cond_t answered;  /* with wallet_lock: a draw was answered */
+    pthread_cond_t settle;    /* with wallet_lock: reports are due */
+    pthread_cond_t hold_wake; /* with hold_lock */
+    RateHold *hold;
+    RateHolder *holder;
+    RateWallet *wallet;
+    RateDirectory *directory;
+    GThreadPool *draw_pool;
+    pthread_t hold_thread;
+    pthread_t wallet_thread;
+    gboolean started;
+    gboolean stop;     /* with both locks written, either read */
+    gboolean released; /* slots are being given up */
+    uint64_t view_number;
+    gboolean view_known;
+    ClockMs view_ms;
+    ClockMs holder_tick_ms;
+    RateServiceStatus status; /* counters only, with wallet_lock */
+};
+
+/* A draw for the thread pool. */
+typedef struct DrawJob {
+    RatePlan plan;
+    RateDrawMessage message;
+} DrawJob;
+
+static ClockMs
+now_of(const RateService *service)
+{
+    return service->desc.now != NULL ? service->desc.now(service->desc.context)
+                                     : Clock_Now();
+}
+
+static void
+wait_for(pthread_cond_t *condition, pthread_mutex_t *lock, int64_t ms)
+{
+    struct timespec until;
+
+    clock_gettime(CLOCK_MONOTONIC, &until);
+    until.tv_sec += ms / 1000;
+    until.tv_nsec += ms % 1000 * 1000000;
+    if (until.tv_nsec >= 1000000000) {
+        until.tv_nsec -= 1000000000;
+        until.tv_sec++;
+    }
+    pthread_cond_timedwait(condition, lock, &until);
+}
+
+static void
+run_draw_job(gpointer data, gpointer context);
+
+RateService *
+RateService_Create(const RateService_desc *desc)
+{
+    RateService *service = g_new0(RateService, 1);
+    RateService_desc *d = &service->desc;
+    pthread_condattr_t attributes;
+
+    *d = *desc;
+    d->fleet_slots = d->fleet_slots > 0 ? d->fleet_slots : RATE_SLOTS_MAX;
+    d->regions = d->regions > 0 ? d->regions : 1;
+    pthread_mutex_init(&service->hold_lock, NULL);
+    pthread_mutex_init(&service->wallet_lock, NULL);
+    pthread_mutex_init(&service->holder_lock, NULL);
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(&service->answered, &attributes);
+    pthread_cond_init(&service->settle, &attributes);
+    pthread_cond_init(&service->hold_wake, &attributes);
+    pthread_condattr_destroy(&attributes);
+    service->hold =
+        RateHold_Create(&(RateHold_desc){.self = d->self,
+                                         .fleet_slots = d->fleet_slots,
+                                         .regions = d->regions,
+                                         .hold_ms = d->hold_ms,
+                                         .grant_life_ms = d->grant_life_ms,
+                                         .drift_ppm = d->drift_ppm,
+                                         .seed = d->seed,
+                                         .is_retired = d->is_retired,
+                                         .context = d->context});
+    service->holder =
+        RateHolder_Create(&(RateHolder_desc){.lookup = d->lookup,
+                                             .context = d->context,
+                                             .fleet_slots = d->fleet_slots,
+                                             .regions = d->regions,
+                                             .grant_life_ms = d->grant_life_ms,
+                                             .drift_ppm = d->drift_ppm});
+    service->wallet = RateWallet_Create(
+        &(RateWallet_desc){.entry = d->self.host,
+                           .incarnation = d->self.incarnation,
+                           .fleet_slots = d->fleet_slots,
+                           .regions = d->regions});
+    service->directory =
+        RateDirectory_Create(service->wallet, &d->self, d->fleet_slots);
+    return service;
+}
+
+void
+RateService_Destroy(RateService *service)
+{
+    if (service == NULL) {
+        return;
+    }
+    RateHold_Destroy(service->hold);
+    RateHolder_Destroy(service->holder);
+    RateDirectory_Destroy(service->directory);
+    RateWallet_Destroy(service->wallet);
+    pthread_cond_destroy(&service->answered);
+    pthread_cond_destroy(&service->settle);
+    pthread_cond_destroy(&service->hold_wake);
+    pthread_mutex_destroy(&service->hold_lock);
+    pthread_mutex_destroy(&service->wallet_lock);
+    pthread_mutex_destroy(&service->holder_lock);
+    g_free(service);
+}
+
+static gboolean
+is_self(const RateService *service, uint64_t host, uint64_t incarnation)
+{
+    return host == service->desc.self.host &&
+           incarnation == service->desc.self.incarnation;
+}
+
+/* Fills in the places of the team's slots for which this host comes first and
+ * which it does not hold. */
+static void
+add_places(RateService *service, uint64_t team, RateGrantMessage *reply)
+{
+    uint16_t slots[RATE_SLOTS_MAX];
+    RateLimit limit;
+    ClockMs in_force;
+    uint64_t self = service->desc.self.host;
+    int fleet_slots = service->desc.fleet_slots;
+    int count;
+
+    if (!service->desc.lookup(service->desc.context, team, &limit,
+                              &in_force)) {
+        return;
+    }
+    count = RateShare_Slots(team, RateShare_Make(&limit, fleet_slots).slots,
+                            fleet_slots, service->desc.regions, slots);
+    pthread_mutex_lock(&service->hold_lock);
+    for (int i = 0; i < count && reply->place_count < RATE_WIRE_SLOTS; i++) {
+        RateHoldPlace known = RateHold_Known(service->hold, slots[i]);
+
+        if (RateHold_First(service->hold, slots[i]).host == self &&
+            known.host != self) {
+            reply->slots[reply->place_count] = slots[i];
+            reply->places[reply->place_count++] = known;
+        }
+    }
+    pthread_mutex_unlock(&service->hold_lock);
+}
+
+static void
+answer_draw(RateService *service, uint64_t sender, uint64_t sender_incarnation,
+            const RateDrawMessage *message, RateGrantMessage *reply)
+{
+    RateDraw draw = {.team = message->team,
+                     .entry = sender,
+                     .entry_incarnation = sender_incarnation,
+                     .serial = message->serial,
+                     .need_micro = message->need_micro,
+                     .want_micro = message->want_micro};
+    ClockMs now = now_of(service);
+
+    memset(reply, 0, sizeof(*reply));
+    pthread_mutex_lock(&service->holder_lock);
+    if (message->holder_incarnation == service->desc.self.incarnation) {
+        RateHolder_Settle(service->holder, sender, message->uses,
+                          message->use_count, now);
+    }
+    reply->result =
+        RateHolder_Draw(service->holder, &draw, now, &reply->grant);
+    pthread_mutex_unlock(&service->holder_lock);
+    add_places(service, message->team, reply);
+    /* The process may have been paused since the draw was decided. */
+    if (reply->result == RESULT_OK &&
+        now_of(service) >= reply->grant.hold_end_ms) {
+        reply->result = RESULT_RATE_NOT_HELD;
+        memset(&reply->grant, 0, sizeof(reply->grant));
+    }
+}
+
+Result
+RateService_HandleDraw(RateService *service, uint64_t sender,
+                       uint64_t sender_incarnation, const uint8_t *body,
+                       size_t body_bytes, uint8_t *reply, size_t *reply_bytes)
+{
+    RateDrawMessage message;
+    RateGrantMessage answer;
+
+    if (!_RateCodec_DecodeDraw(body, body_bytes, &message)) {
+        return RESULT_MALFORMED;
+    }
+    answer_draw(service, sender, sender_incarnation, &message, &answer);
+    return _RateCodec_EncodeGrant(&answer, reply, reply_bytes)
+               ? RESULT_OK
+               : RESULT_TOO_LARGE;
+}
+
+Result
+RateService_HandleSettle(RateService *service, uint64_t sender,
+                         uint64_t sender_incarnation, const uint8_t *body,
+                         size_t body_bytes, uint8_t *reply,
+                         size_t *reply_bytes)
+{
+    RateSettleMessage message;
+    ClockMs now = now_of(service);
+
+    (void)sender_incarnation;
+    (void)reply;
+    *reply_bytes = 0;
+    if (!_RateCodec_DecodeSettle(body, body_bytes, &message)) {
+        return RESULT_MALFORMED;
+    }
+    if (message.holder_incarnation == service->desc.self.incarnation) {
+        pthread_mutex_lock(&service->holder_lock);
+        RateHolder_Settle(service->holder, sender, message.uses,
+                          message.use_count, now);
+        pthread_mutex_unlock(&service->holder_lock);
+    }
+    pthread_mutex_lock(&service->hold_lock);
+    for (int i = 0; i < message.released_count; i++) {
+        if (message.released[i] >= 0 &&
+            message.released[i] < service->desc.fleet_slots) {
+            RateHold_Hint(service->hold, message.released[i], now);
+            pthread_cond_signal(&service->hold_wake);
+        }
+    }
+    pthread_mutex_unlock(&service->hold_lock);
+    return RESULT_OK;
+}
+
+/* Takes the outcome of a draw over into the wallet. Called with the lock. */
+static void
+take_reply(RateService *service, const RatePlan *plan, Result result,
+           const RateGrantMessage *reply)
+{
+    ClockMs now = now_of(service);
+
+    if (result == RESULT_OK) {
+        service->status.draws_answered++;
+        result = reply->result;
+        for (int i = 0; i < reply->place_count; i++) {
+            RateDirectory_Learn(service->directory, reply->slots[i],
+                                reply->places[i].host,
+                                reply->places[i].incarnation, now);
+        }
+    }
+    else {
+        service->status.draws_failed++;
+    }
+    if (result == RESULT_OK) {
+        RateWallet_Granted(service->wallet, plan, &reply->grant, now);
+    }
+    else {
+        RateWallet_Failed(service->wallet, plan, result, now);
+    }
+    if (result == RESULT_RATE_NOT_HELD) {
+        uint16_t slots[RATE_SLOTS_MAX];
+        RateLimit limit;
+        ClockMs in_force;
+        int fleet_slots = service->desc.fleet_slots;
+
+        if (service->desc.lookup(service->desc.context, plan->draw.team,
+                                 &limit, &in_force)) {
+            int count = RateShare_Slots(
+                plan->draw.team, RateShare_Make(&limit, fleet_slots).slots,
+                fleet_slots, service->desc.regions, slots);
+
+            RateDirectory_NotHeld(service->directory, plan->holder,
+                                  plan->holder_incarnation, slots, count, now);
+        }
+    }
+    pthread_cond_broadcast(&service->answered);
+}
+
+/* Sends a draw and waits for the answer. Called without a lock. */
+static void
+run_draw(RateService *service, const DrawJob *job)
+{
+    RateGrantMessage reply;
+    Result result = RESULT_OK;
+    const RatePlan *plan = &job->plan;
+
+    Counter_Add(COUNTER_RATE_DRAWS, 1);
+    if (is_self(service, plan->holder, plan->holder_incarnation)) {
+        answer_draw(service, plan->draw.entry, plan->draw.entry_incarnation,
+                    &job->message, &reply);
+    }
+    else {
+        uint8_t body[RATE_MESSAGE_MAX];
+        uint8_t answer[RATE_MESSAGE_MAX];
+        size_t bytes = sizeof(body);
+        size_t answer_bytes = sizeof(answer);
+
+        result = RESULT_TOO_LARGE;
+        if (_RateCodec_EncodeDraw(&job->message, body, &bytes)) {
+            result = service->desc.call(service->desc.context, plan->holder,
+                                        plan->holder_incarnation,
+                                        RATE_KIND_DRAW, body, bytes, answer,
+                                        &answer_bytes, DRAW_TIMEOUT_MS);
+        }
+        if (result == RESULT_OK &&
+            !_RateCodec_DecodeGrant(answer, answer_bytes, &reply)) {
+            result = RESULT_MALFORMED;
+        }
+    }
+    pthread_mutex_lock(&service->wallet_lock);
+    take_reply(service, plan, result, &reply);
+    pthread_mutex_unlock(&service->wallet_lock);
+}
+
+static void
+run_draw_job(gpointer data, gpointer context)
+{
+    run_draw(context, data);
+    g_free(data);
+}
+
+/* Plans draws and sends them: the first in this thread, others in the pool, so
+ * that a token from three holders takes one round trip. Called with the lock.
+ * Returns FALSE if nobody is to be asked. */
+static gboolean
+draw(RateService *service, uint64_t team, int waiting, ClockMs now)
+{
+    RatePlan plans[PLANS_MAX];
+    DrawJob jobs[PLANS_MAX];
+    int count =
+        RateWallet_Plan(service->wallet, team, waiting, now, plans, PLANS_MAX);
+
+    for (int i = 0; i < count; i++) {
+        RateDrawMessage *message = &jobs[i].message;
+
+        jobs[i].plan = plans[i];
+        message->team = plans[i].draw.team;
+        message->serial = plans[i].draw.serial;
+        message->need_micro = plans[i].draw.need_micro;
+        message->want_micro = plans[i].draw.want_micro;
+        message->holder_incarnation = plans[i].holder_incarnation;
+        message->use_count = RateWallet_Settle(
+            service->wallet, plans[i].holder, plans[i].holder_incarnation,
+            message->uses, RATE_WIRE_USES, now);
+        service->status.draws_sent++;
+    }
+    if (count == 0) {
+        return FALSE;
+    }
+    pthread_mutex_unlock(&service->wallet_lock);
+    for (int i = 1; i < count; i++) {
+        if (service->draw_pool != NULL) {
+            g_thread_pool_push(service->draw_pool,
+                               g_memdup2(&jobs[i], sizeof(jobs[i])), NULL);
+        }
+        else {
+            run_draw(service, &jobs[i]);
+        }
+    }
+    run_draw(service, &jobs[0]);
+    pthread_mutex_lock(&service->wallet_lock);
+    return TRUE;
+}
+
+/* Waits for a token that is promised in retry_ms; FALSE if that is too late or
+ * too many wait already. Called with the lock. */
+static gboolean
+wait_for_promise(RateService *service, uint64_t team, int retry_ms,
+                 int waiting, ClockMs now, ClockMs patience)
+{
+    if (now + retry_ms > patience || waiting > RATE_WAIT_MAX) {
+        return FALSE;
+    }
+    RateWallet_GiveBack(service->wallet, team, now);
+    wait_for(&service->answered, &service->wallet_lock, retry_ms + 1);
+    return TRUE;
+}
+
+Result
+RateService_TakeToken(RateService *service, uint64_t team,
+                      const RateLimit *limit, ClockMs deadline,
+                      RateToken *token)
+{
+    ClockMs now = now_of(service);
+    ClockMs patience = MIN(deadline, now + RATE_WAIT_MS);
+    gboolean is_waiting = FALSE;
+    int waiting = 0;
+    int retry_ms;
+    Result result;
+
+    pthread_mutex_lock(&service->wallet_lock);
+    for (;;) {
+        result = RateWallet_Take(service->wallet, team, limit, now, token,
+                                 &retry_ms);
+        if (result == RESULT_OK || result == RESULT_FULL || now >= deadline ||
+            service->stop) {
+            break;
+        }
+        waiting =
+            RateWallet_AddWaiting(service->wallet, team, is_waiting ? 0 : 1);
+        is_waiting = TRUE;
+        if (result != RESULT_NOT_FOUND) {
+            if (!wait_for_promise(service, team, retry_ms, waiting, now,
+                                  patience)) {
+                break;
+            }
+        }
+        else if (!draw(service, team, waiting, now)) {
+            wait_for(&service->answered, &service->wallet_lock,
+                     MIN(WALLET_TICK_MS, deadline - now));
+        }
+        now = now_of(service);
+    }
+    if (is_waiting) {
+        waiting = RateWallet_AddWaiting(service->wallet, team, -1);
+    }
+    if (result != RESULT_OK) {
+        if (waiting == 0) {
+            RateWallet_GiveBack(service->wallet, team, now);
+        }
+        result =
+            result == RESULT_RATE_EXCEEDED ? result : RESULT_RATE_UNREACHABLE;
+        service->status.refused_exceeded += result == RESULT_RATE_EXCEEDED;
+        service->status.refused_unreachable +=
+            result == RESULT_RATE_UNREACHABLE;
+    }
+    pthread_mutex_unlock(&service->wallet_lock);
+    return result;
+}
+
+Result
+RateService_UseToken(RateService *service, const RateToken *token)
+{
+    Result result;
+    uint64_t holder;
+    uint64_t incarnation;
+    ClockMs now;
+
+    pthread_mutex_lock(&service->wallet_lock);
+    /* The clock is read after the lock, for which the thread may have
+     * waited. */
+    now = now_of(service);
+    result = RateWallet_Use(service->wallet, token, now);
+    if (RateWallet_NextSettlement(service->wallet, now, &holder,
+                                  &incarnation)) {
+        pthread_cond_signal(&service->settle);
+    }
+    pthread_mutex_unlock(&service->wallet_lock);
+    return result;
+}
+
+void
+RateService_ReturnToken(RateService *service, const RateToken *token)
+{
+    pthread_mutex_lock(&service->wallet_lock);
+    RateWallet_Return(service->wallet, token, now_of(service));
+    pthread_mutex_unlock(&service->wallet_lock);
+}
+
+static void
+send_settlement(RateService *service, uint64_t holder, uint64_t incarnation,
+                const RateSettleMessage *message, int timeout_ms)
+{
+    uint8_t body[RATE_MESSAGE_MAX];
+    uint8_t reply[RATE_MESSAGE_MAX];
+    size_t bytes = sizeof(body);
+    size_t reply_bytes = sizeof(reply);
+
+    if (_RateCodec_EncodeSettle(message, body, &bytes)) {
+        service->desc.call(service->desc.context, holder, incarnation,
+                           RATE_KIND_SETTLE, body, bytes, reply, &reply_bytes,
+                           timeout_ms);
+    }
+}
+
+int
+RateService_TickWallet(RateService *service)
+{
+    ClockMs now = now_of(service);
+    RateSettleMessage message;
+    uint64_t holder;
+    uint64_t incarnation;
+
+    pthread_mutex_lock(&service->wallet_lock);
+    RateWallet_Tick(service->wallet, now);
+    RateDirectory_Tick(service->directory, now);
+    while (RateWallet_NextSettlement(service->wallet, now, &holder,
+                                     &incarnation)) {
+        message.holder_incarnation = incarnation;
+        message.released_count = 0;
+        message.use_count =
+            RateWallet_Settle(service->wallet, holder, incarnation,
+                              message.uses, RATE_WIRE_USES, now);
+        if (message.use_count == 0) {
+            continue;
+        }
+        service->status.settles_sent++;
+        pthread_mutex_unlock(&service->wallet_lock);
+        if (is_self(service, holder, incarnation)) {
+            pthread_mutex_lock(&service->holder_lock);
+            RateHolder_Settle(service->holder, holder, message.uses,
+                              message.use_count, now);
+            pthread_mutex_unlock(&service->holder_lock);
+        }
+        else {
+            send_settlement(service, holder, incarnation, &message, 0);
+        }
+        pthread_mutex_lock(&service->wallet_lock);
+    }
+    pthread_mutex_unlock(&service->wallet_lock);
+    if (now - service->holder_tick_ms >= HOLDER_TICK_MS) {
+        service->holder_tick_ms = now;
+        pthread_mutex_lock(&service->holder_lock);
+        RateHolder_Tick(service->holder, now);
+        pthread_mutex_unlock(&service->holder_lock);
+    }
+    return WALLET_TICK_MS;
+}
+
+static void
+collect_host(void *context, const RateHost *host)
+{
+    g_array_append_val((GArray *)context, *host);
+}
+
+/* Takes over the member view; without this host once it is stopping. */
+static void
+update_view(RateService *service, ClockMs now)
+{
+    uint64_t number = service->desc.view(service->desc.context, NULL, NULL);
+    GArray *hosts;
+
+    if (service->view_known && (number == service->view_number ||
+                                now - service->view_ms < VIEW_MIN_MS)) {
+        return;
+    }
+    hosts = g_array_new(FALSE, FALSE, sizeof(RateHost));
+    service->view_number =
+        service->desc.view(service->desc.context, collect_host, hosts);
+    service->view_known = TRUE;
+    service->view_ms = now;
+    for (guint i = 0; service->released && i < hosts->len; i++) {
+        if (g_array_index(hosts, RateHost, i).host ==
+            service->desc.self.host) {
+            g_array_remove_index_fast(hosts, i);
+            break;
+        }
+    }
+    pthread_mutex_lock(&service->hold_lock);
+    pthread_mutex_lock(&service->wallet_lock);
+    RateHold_SetView(service->hold, (const RateHost *)(void *)hosts->data,
+                     (int)hosts->len, now);
+    RateDirectory_SetView(service->directory, service->hold,
+                          (const RateHost *)(void *)hosts->data,
+                          (int)hosts->len);
+    pthread_mutex_unlock(&service->wallet_lock);
+    pthread_mutex_unlock(&service->hold_lock);
+    g_array_free(hosts, TRUE);
+}
+
+static void
+apply_event(RateService *service, const RateHoldEvent *event, ClockMs now)
+{
+    const RateHost *self = &service->desc.self;
+
+    if (event->change == RATE_HOLD_NONE) {
+        return;
+    }
+    pthread_mutex_lock(&service->holder_lock);
+    if (event->change == RATE_HOLD_OPEN) {
+        RateHolder_OpenSlot(service->holder, event->slot, event->epoch,
+                            event->start_ms, event->end_ms, now);
+    }
+    else if (event->change == RATE_HOLD_EXTEND) {
+        RateHolder_ExtendSlot(service->holder, event->slot, event->epoch,
+                              event->end_ms, now);
+    }
+    else {
+        RateHolder_CloseSlot(service->holder, event->slot, now);
+    }
+    pthread_mutex_unlock(&service->holder_lock);
+    if (event->change == RATE_HOLD_OPEN) {
+        Log_Event(LOG_SLOT_TAKEN, "slot=%d epoch=%" G_GUINT64_FORMAT,
+                  event->slot, event->epoch);
+        pthread_mutex_lock(&service->wallet_lock);
+        RateDirectory_Learn(service->directory, event->slot, self->host,
+                            self->incarnation, now);
+        pthread_mutex_unlock(&service->wallet_lock);
+    }
+    else if (event->change == RATE_HOLD_CLOSE) {
+        Log_Event(LOG_SLOT_LOST, "slot=%d", event->slot);
+    }
+}
+
+static void
+read_object(const RateStoreObject *stored, RateSlotObject *object)
+{
+    memset(object, 0, sizeof(*object));
+    _RateCodec_SlotFromJson(stored->value, object);
+    object->version = stored->version;
+    object->age_ms = stored->now_ms - stored->modified_ms;
+}
+
+/* Makes one call on the store; FALSE if it has no object to show. */
+static gboolean
+call_store(RateService *service, const RateHoldAction *action, Result *result,
+           RateSlotObject *object)
+{
+    RateStoreObject stored = {.version = 0};
+    char name[32];
+    gboolean has_object;
+
+    g_snprintf(name, sizeof(name), "slot/%d", action->slot);
+    if (action->call == RATE_HOLD_READ) {
+        *result =
+            service->desc.store_get(service->desc.context, name, &stored);
+    }
+    else {
+        char *value = _RateCodec_SlotToJson(&action->object);
+
+        *result =
+            service->desc.store_put(service->desc.context, name,
+                                    action->object.version, value, &stored);
+        g_free(value);
+    }
+    has_object = *result == RESULT_OK ||
+                 (*result == RESULT_STORE_CONFLICT && stored.value != NULL);
+    if (action->call != RATE_HOLD_READ && *result == RESULT_OK) {
+        *object = action->object;
+        object->version = stored.version;
+        object->age_ms = 0;
+    }
+    else if (has_object) {
+        read_object(&stored, object);
+    }
+    g_free(stored.value);
+    return has_object;
+}
+
+/* Tells the host that comes next that the slot is free. */
+static void
+send_hint(RateService *service, int slot)
+{
+    RateSettleMessage message = {.released_count = 1};
+    RateHoldPlace next;
+
+    pthread_mutex_lock(&service->hold_lock);
+    next = RateHold_First(service->hold, slot);
+    pthread_mutex_unlock(&service->hold_lock);
+    Log_Event(LOG_SLOT_RELEASED, "slot=%d", slot);
+    message.released[0] = slot;
+    if (next.host != 0 && next.host != service->desc.self.host) {
+        send_settlement(service, next.host, next.incarnation, &message,
+                        HINT_TIMEOUT_MS);
+    }
+}
+
+/* Gives all slots up: nothing more is granted from them. */
+static void
+release_all(RateService *service)
+{
+    ClockMs now = now_of(service);
+
+    pthread_mutex_lock(&service->hold_lock);
+    service->released = TRUE;
+    RateHold_ReleaseAll(service->hold, now);
+    pthread_mutex_unlock(&service->hold_lock);
+    pthread_mutex_lock(&service->holder_lock);
+    for (int i = 0; i < service->desc.fleet_slots; i++) {
+        RateHolder_CloseSlot(service->holder, i, now);
+    }
+    pthread_mutex_unlock(&service->holder_lock);
+    service->view_known = FALSE;
+}
+
+static gboolean
+is_retired(const RateService *service)
+{
+    const RateHost *self = &service->desc.self;
+
+    return service->desc.is_retired != NULL &&
+           service->desc.is_retired(service->desc.context, self->host,
+                                    self->incarnation);
+}
+
+int
+RateService_TickHolds(RateService *service)
+{
+    int wait_ms = HOLDS_TICK_MS;
+
+    if (!service->released && is_retired(service)) {
+        release_all(service);
+    }
+    update_view(service, now_of(service));
+    for (;;) {
+        RateHoldAction action;
+        RateSlotObject object;
+        RateHoldEvent event;
+        Result result;
+        ClockMs sent = now_of(service);
+        ClockMs now;
+        gboolean due;
+        gboolean has_object;
+
+        pthread_mutex_lock(&service->hold_lock);
+        due = RateHold_Next(service->hold, sent, &action, &wait_ms);
+        pthread_mutex_unlock(&service->hold_lock);
+        if (!due) {
+            return MIN(wait_ms, HOLDS_TICK_MS);
+        }
+        sent = now_of(service);
+        has_object = call_store(service, &action, &result, &object);
+        now = now_of(service);
+        pthread_mutex_lock(&service->hold_lock);
+        service->status.store_calls++;
+        event = RateHold_Done(service->hold, &action, result,
+                              has_object ? &object : NULL, sent, now);
+        pthread_mutex_unlock(&service->hold_lock);
+        apply_event(service, &event, now);
+        if (action.call == RATE_HOLD_RELEASE && result == RESULT_OK) {
+            send_hint(service, action.slot);
+        }
+        if (result != RESULT_OK && result != RESULT_NOT_FOUND) {
+            return MIN(wait_ms, HOLDS_TICK_MS);
+        }
+    }
+}
+
+static void
+observe_listed(void *context, const char *name, const RateStoreObject *stored)
+{
+    RateService *service = context;
+    RateSlotObject object;
+    RateHoldEvent event;
+    ClockMs now = now_of(service);
+    guint64 slot;
+
+    if (!g_str_has_prefix(name, "slot/") ||
+        !g_ascii_string_to_unsigned(name + 5, 10, 0,
+                                    (guint64)service->desc.fleet_slots - 1,
+                                    &slot, NULL)) {
+        return;
+    }
+    read_object(stored, &object);
+    pthread_mutex_lock(&service->hold_lock);
+    /* The list was sent before; an object of this new incarnation cannot be
+     * in it, so no hold's end depends on that time. */
+    event = RateHold_Observe(service->hold, (int)slot, &object, now, now);
+    pthread_mutex_unlock(&service->hold_lock);
+    apply_event(service, &event, now);
+}
+
+static void *
+run_holds(void *context)
+{
+    RateService *service = context;
+
+    if (service->desc.store_list != NULL) {
+        service->desc.store_list(service->desc.context, "slot/",
+                                 observe_listed, service);
+    }
+    for (;;) {
+        int wait_ms = RateService_TickHolds(service);
+
+        pthread_mutex_lock(&service->hold_lock);
+        if (!service->stop && wait_ms > 0) {
+            wait_for(&service->hold_wake, &service->hold_lock, wait_ms);
+        }
+        if (service->stop) {
+            pthread_mutex_unlock(&service->hold_lock);
+            return NULL;
+        }
+        pthread_mutex_unlock(&service->hold_lock);
+    }
+}
+
+static void *
+run_wallet(void *context)
+{
+    RateService *service = context;
+
+    for (;;) {
+        int wait_ms = RateService_TickWallet(service);
+
+        pthread_mutex_lock(&service->wallet_lock);
+        if (!service->stop) {
+            wait_for(&service->settle, &service->wallet_lock, wait_ms);
+        }
+        if (service->stop) {
+            pthread_mutex_unlock(&service->wallet_lock);
+            return NULL;
+        }
+        pthread_mutex_unlock(&service->wallet_lock);
+    }
+}
+
+void
+RateService_Start(RateService *service)
+{
+    service->draw_pool =
+        g_thread_pool_new(run_draw_job, service, DRAW_THREADS, FALSE, NULL);
+    pthread_create(&service->hold_thread, NULL, run_holds, service);
+    pthread_create(&service->wallet_thread, NULL, run_wallet, service);
+    service->started = TRUE;
+}
+
+int
+RateService_Stop(RateService *service, int timeout_ms)
+{
+    ClockMs until = now_of(service) + timeout_ms;
+    int left;
+
+    pthread_mutex_lock(&service->hold_lock);
+    pthread_mutex_lock(&service->wallet_lock);
+    service->stop = TRUE;
+    pthread_cond_broadcast(&service->answered);
+    pthread_cond_broadcast(&service->settle);
+    pthread_cond_broadcast(&service->hold_wake);
+    pthread_mutex_unlock(&service->wallet_lock);
+    pthread_mutex_unlock(&service->hold_lock);
+    if (service->started) {
+        pthread_join(service->hold_thread, NULL);
+        pthread_join(service->wallet_thread, NULL);
+        g_thread_pool_free(service->draw_pool, FALSE, TRUE);
+        service->draw_pool = NULL;
+        service->started = FALSE;
+    }
+    RateService_TickWallet(service);
+    release_all(service);
+    for (;;) {
+        int wait_ms = RateService_TickHolds(service);
+
+        pthread_mutex_lock(&service->hold_lock);
+        left = RateHold_Count(service->hold);
+        if (left > 0 && now_of(service) < until) {
+            wait_for(&service->hold_wake, &service->hold_lock,
+                     CLAMP(wait_ms, 1, 100));
+        }
+        pthread_mutex_unlock(&service->hold_lock);
+        if (left == 0 || now_of(service) >= until) {
+            return left;
+        }
+    }
+}
+
+gboolean
+RateService_HoldsSlot(RateService *service, int slot, ClockMs *start_ms)
+{
+    RateSlotStatus slots[RATE_SLOTS_MAX];
+    ClockMs now = now_of(service);
+    gboolean found = FALSE;
+    int count;
+
+    pthread_mutex_lock(&service->holder_lock);
+    count = RateHolder_Slots(service->holder, slots, RATE_SLOTS_MAX);
+    pthread_mutex_unlock(&service->holder_lock);
+    for (int i = 0; i < count; i++) {
+        if (slots[i].slot == slot && slots[i].end_ms > now) {
+            *start_ms = slots[i].start_ms;
+            found = TRUE;
+        }
+    }
+    return found;
+}
+
+RateHoldPlace
+RateService_SlotHolder(RateService *service, int slot)
+{
+    RateHoldPlace place;
+
+    pthread_mutex_lock(&service->wallet_lock);
+    place = RateDirectory_Get(service->directory, slot);
+    pthread_mutex_unlock(&service->wallet_lock);
+    return place;
+}
+
+void
+RateService_Status(RateService *service, RateServiceStatus *status)
+{
+    pthread_mutex_lock(&service->hold_lock);
+    pthread_mutex_lock(&service->wallet_lock);
+    *status = service->status;
+    for (int i = 0; i < service->desc.fleet_slots; i++) {
+        status->holders[i] = RateDirectory_Get(service->directory, i);
+    }
+    status->memory_bytes = RateWallet_MemoryBytes(service->wallet);
+    pthread_mutex_unlock(&service->wallet_lock);
+    pthread_mutex_unlock(&service->hold_lock);
+    pthread_mutex_lock(&service->holder_lock);
+    status->slots_held =
+        RateHolder_Slots(service->holder, status->slots, RATE_SLOTS_MAX);
+    status->memory_bytes += RateHolder_MemoryBytes(service->holder);
+    pthread_mutex_unlock(&service->holder_lock);
+}
+
+int
+RateService_Buckets(RateService *service, RateBucketStatus *buckets, int max)
+{
+    int count;
+
+    pthread_mutex_lock(&service->holder_lock);
+    count = RateHolder_Buckets(service->holder, buckets, max);
+    pthread_mutex_unlock(&service->holder_lock);
+    return count;
+}
--- a/src/rate/rate_service.h
+++ b/src/rate/rate_service.h
@@ -17,8 +17,10 @@
  * answered before the deadline or its slots are vacant).
  *
  * Limits: all functions are thread safe except Create, Start, Stop and
- * Destroy. The take path allocates only when a team is used for the first
- * time. Callbacks are called without a lock held, except `lookup` and `now`.
+ * Destroy. A token that is drawn from several holders uses up to 8 draw
+ * threads that Start creates on demand. The take path allocates only when a
+ * team is used for the first time. Callbacks are called without a lock held,
+ * except `lookup` and `now`.
  */
 #ifndef RATE_RATE_SERVICE_H
 #define RATE_RATE_SERVICE_H
@@ -70,7 +72,8 @@
                                       const RateStoreObject *object),
                          void *each_context);
     /* Sends body to a host and waits for the reply; *reply_bytes is the room
-     * on entry and the length on return. RPC_TIMEOUT or another error. */
+     * on entry and the length on return. RPC_TIMEOUT or another error. With
+     * timeout_ms 0 the body is sent once and no reply is awaited. */
     Result (*call)(void *context, uint64_t host, uint64_t incarnation,
                    int kind, const uint8_t *body, size_t body_bytes,
                    uint8_t *reply, size_t *reply_bytes, int timeout_ms);
--- a/src/rate/rate_wallet.c
+++ b/src/rate/rate_wallet.c
@@ -82,6 +82,7 @@
     Grant *grants;
     int64_t in_flight; /* micro-tokens that draws on the way may bring */
     int flights;
+    int waiting;         /* requests, by RateWallet_AddWaiting() */
     int rounds;          /* of parts that completed no token yet */
     ClockMs pause_until; /* before parts are drawn again */
     double demand;       /* tokens per second */
@@ -362,7 +363,7 @@
             team->share.slots) {
             set_limit(wallet, team, limit);
         }
-        else if (team->flights == 0) {
+        else if (team->flights == 0 && team->waiting == 0) {
             drop_team(wallet, link);
             link = team_link(wallet, id);
             team = add_team(wallet, link, id, limit);
@@ -754,6 +755,18 @@
     }
 }
 
+int
+RateWallet_AddWaiting(RateWallet *wallet, uint64_t id, int change)
+{
+    Team *team = *team_link(wallet, id);
+
+    if (team == NULL) {
+        return 0;
+    }
+    team->waiting += change;
+    return team->waiting;
+}
+
 int
 RateWallet_Plan(RateWallet *wallet, uint64_t id, int waiting, ClockMs now,
                 RatePlan *plans, int max)
@@ -1000,7 +1013,7 @@
 
         while (*link != NULL) {
             return_unused(wallet, *link, now);
-            if ((*link)->flights == 0 &&
+            if ((*link)->flights == 0 && (*link)->waiting == 0 &&
                 now - (*link)->used_ms > wallet->desc.idle_ms) {
                 drop_team(wallet, link);
             }
--- a/src/rate/rate_wallet.h
+++ b/src/rate/rate_wallet.h
@@ -94,6 +94,11 @@
 void
 RateWallet_Return(RateWallet *wallet, const RateToken *token, ClockMs now);
 
+/* Counts requests of the team that wait (+1, -1); returns how many do. A team
+ * with waiting requests keeps its record. */
+int
+RateWallet_AddWaiting(RateWallet *wallet, uint64_t team, int change);
+
 /* Plans up to `max` draws that may be sent at the same time for `waiting`
  * requests. Returns their number, 0 if there is nobody to ask. */
 int
--- a/src/rate/rate_wire.x
+++ b/src/rate/rate_wire.x
@@ -35,6 +35,7 @@
     hyper micro;
     int life_ms;
     int retry_ms;
+    hyper level_micro;
     bool settle_now;
     rate_wire_place places<RATE_WIRE_SLOTS>;
 };
