--- a/src/rate/rate_wallet.h
+++ b/src/rate/rate_wallet.h
@@ -43,8 +43,11 @@
     } part[RATE_TOKEN_PARTS];
 } RateToken;
 
-/* A request waits at most this long for a token that is promised for later. */
-#define RATE_WAIT_MS 20
+/* A request waits at most this long for a token that is promised for later,
+ * and no more than this many requests of a team wait at an entry: a team above
+ * its rate must not fill the entry with waiting requests. */
+#define RATE_WAIT_MS 250
+#define RATE_WAIT_MAX 8
 
 typedef enum RateDistance {
     RATE_SELF,
@@ -91,6 +94,11 @@
 void
 RateWallet_Return(RateWallet *wallet, const RateToken *token, ClockMs now);
 
+/* Counts requests of the team that wait (+1, -1); returns how many do. A team
+ * with waiting requests keeps its record. */
+int
+RateWallet_AddWaiting(RateWallet *wallet, uint64_t team, int change);
+
 /* Plans up to `max` draws that may be sent at the same time for `waiting`
  * requests. Returns their number, 0 if there is nobody to ask. */
 int
