--- a/src/config/config_store.c
+++ b/src/config/config_store.c
@@ -49,16 +49,16 @@
     return TRUE;
 }
 
-/* Creates an object. Returns its version if it now exists with this value's
- * id, else 0. */
+/* Creates an object from JSON text with this id. Returns its version if it now
+ * exists with the id, else 0. */
 static int64_t
-create_object(ConfigSync *sync, const char *name, json_t *value)
+create_object(ConfigSync *sync, const char *name, const char *id,
+              const char *text)
 {
-    const char *id = json_string_value(json_object_get(value, "id"));
     const char *found;
     StoreObject object;
     int64_t version = 0;
-    Result result = Store_Put(sync->store, name, 0, value, &object, NULL);
+    Result result = Store_PutText(sync->store, name, 0, text, &object, NULL);
 
     if (result == RESULT_STORE_UNCERTAIN) {
         StoreObject_Clear(&object);
@@ -176,6 +176,10 @@
             sync->withdrawn_after =
                 MAX(sync->withdrawn_after, object->version);
         }
+        if (list.version < sync->withdrawn_after) {
+            sync->withdrawn_after = list.version; /* as in read_tickets() */
+            count = 0;
+        }
         StoreList_Clear(&list);
     } while (count > 0);
     return TRUE;
@@ -300,9 +304,9 @@
             }
         }
         if (list.version < sync->tickets_after) {
-            /* A stale replica, or a store that was set back: look for the
-             * place again before the next call. */
-            sync->tickets_after = -1;
+            /* A stale replica, or a store that was set back: what is written
+             * next has a version above this one. */
+            sync->tickets_after = list.version;
             count = 0;
         }
         StoreList_Clear(&list);
@@ -313,6 +317,7 @@
 
 /* What `snapshot/newest` says. */
 typedef struct Newest {
+    gboolean answered;      /* the store answered */
     json_t *value;          /* NULL = there is none */
     int64_t object_version; /* of the object */
     const char *id;
@@ -341,7 +346,9 @@
     json_int_t old_ticket = 0;
     gboolean valid;
 
-    *newest = (Newest){0};
+    *newest = (Newest){
+        .answered = result == RESULT_OK || result == RESULT_NOT_FOUND,
+    };
     valid = result == RESULT_OK &&
             json_unpack(object.value, "{s:s,s:I,s:I,s:o,s:I,s:o}", "id",
                         &newest->id, "ticket", &ticket, "ticket_version",
@@ -379,7 +386,7 @@
         json_unpack(object.value, "{s:s,s:I,s:I,s:I,s:o}", "id", &id, "ticket",
                     &ticket, "part", &found, "parts", &parts, "sets",
                     &sets) == 0 &&
-        strcmp(id, newest->id) == 0 && ticket == newest->ticket &&
+        g_strcmp0(id, newest->id) == 0 && ticket == newest->ticket &&
         found == part && parts == (json_int_t)json_array_size(newest->parts)) {
         json_incref(sets);
     }
@@ -419,46 +426,58 @@
 _ConfigSync_LoadFromStore(ConfigSync *sync)
 {
     Newest newest;
+    gboolean answered;
 
     if (get_newest(sync, &newest) &&
         newest.ticket > Config_PeekVersion(sync->config) &&
         load_snapshot(sync, &newest)) {
         sync->tickets_after = newest.ticket_version;
     }
+    answered = newest.answered;
     clear_newest(&newest);
     /* Without a usable snapshot, the tickets are read from the first one on.
      */
-    return read_withdrawals(sync) && read_tickets(sync, 0);
+    return answered && read_withdrawals(sync) && read_tickets(sync, 0);
+}
+
+static int64_t
+write_part(ConfigSync *sync, const ConfigTable *table, uint32_t part,
+           uint32_t parts, const char *id)
+{
+    GString *sets = _Config_DumpPart(table, part, parts);
+    GString *text = g_string_new(NULL);
+    char *name = part_name(table->version, part);
+    int64_t version;
+
+    g_string_printf(text,
+                    "{\"id\":\"%s\",\"ticket\":%" G_GINT64_FORMAT
+                    ",\"part\":%u,\"parts\":%u,\"sets\":%s}",
+                    id, table->version, part, parts, sets->str);
+    version = create_object(sync, name, id, text->str);
+    g_free(name);
+    g_string_free(sets, TRUE);
+    g_string_free(text, TRUE);
+    return version;
 }
 
 /* Writes all parts of the pinned table. Returns the list of their versions,
- * NULL if one failed. */
+ * NULL if one failed. Between the parts it reads tickets, because writing a
+ * large table takes seconds. */
 static json_t *
 write_parts(ConfigSync *sync, const ConfigTable *table, uint32_t parts,
             const char *id)
 {
     json_t *versions = json_array();
 
-    for (uint32_t part = 0; versions != NULL && part < parts; part++) {
-        GString *text = _Config_DumpPart(table, part, parts);
-        json_t *sets = json_loadb(text->str, text->len, 0, NULL);
-        json_t *value =
-            json_pack("{s:s,s:I,s:I,s:I,s:o}", "id", id, "ticket",
-                      (json_int_t)table->version, "part", (json_int_t)part,
-                      "parts", (json_int_t)parts, "sets", sets);
-        char *name = part_name(table->version, part);
-        int64_t version = create_object(sync, name, value);
-
-        if (version > 0) {
-            json_array_append_new(versions, json_integer(version));
-        }
-        else {
+    for (uint32_t part = 0; part < parts; part++) {
+        int64_t version = write_part(sync, table, part, parts, id);
+
+        if (version == 0) {
             json_decref(versions);
-            versions = NULL;
+            return NULL;
         }
-        g_free(name);
-        json_decref(value);
-        g_string_free(text, TRUE);
+        json_array_append_new(versions, json_integer(version));
+        (void)read_tickets(sync, 0);
     }
     return versions;
 }
@@ -557,6 +576,7 @@
     int64_t version = Config_PeekVersion(sync->config);
     int64_t target = version - version % sync->desc.snapshot_every;
     char *name;
+    char *text;
     char *id;
     json_t *value;
 
@@ -567,9 +587,11 @@
     name = g_strdup_printf("snapshot/%" G_GINT64_FORMAT "/claim", target);
     id = g_uuid_string_random();
     value = json_pack("{s:s,s:s}", "id", id, "host", sync->host);
-    if (create_object(sync, name, value) > 0) {
+    text = json_dumps(value, JSON_COMPACT);
+    if (create_object(sync, name, id, text) > 0) {
         write_snapshot(sync, target, id);
     }
+    free(text);
     json_decref(value);
     g_free(id);
     g_free(name);
--- a/src/config/test_sync.c
+++ b/src/config/test_sync.c
@@ -577,6 +577,35 @@
     g_assert_cmpint(get_stats(host).teams, ==, 12);
 }
 
+/* Guards against a watcher that falls back, or takes nothing more, when the
+ * store was restored from an older copy and the operators write the lost
+ * tickets again. */
+static void
+test_store_set_back(Fleet *fleet, gconstpointer data)
+{
+    Host *host = start_host(fleet, 0, TRUE);
+    ConfigKeyHash hash = hash_of(1);
+    json_t *value = json_pack("{s:s}", "id", "x");
+    char hex[65];
+    char *name = g_strconcat("withdrawn/", key_hex(1, hex), NULL);
+
+    (void)data;
+    write_tickets(fleet, 1, 6);
+    wait_version(host, 6);
+    StoreStandin_Destroy(fleet->standin);
+    fleet->standin = StoreStandin_Create();
+    g_assert_cmpint(StoreStandin_Listen(fleet->standin, fleet->port), >, 0);
+    write_tickets(fleet, 1, 2);
+    g_assert_cmpint(Store_Put(fleet->store, name, 0, value, NULL, NULL), ==,
+                    RESULT_OK);
+    WAIT_UNTIL(Config_IsWithdrawn(host->config, &hash));
+    g_assert_cmpint(Config_PeekVersion(host->config), ==, 6);
+    write_tickets(fleet, 3, 7);
+    wait_version(host, 7);
+    json_decref(value);
+    g_free(name);
+}
+
 /* Guards against a withdrawal that does not reach the store, a watcher or a
  * peer. */
 static void
@@ -711,6 +740,7 @@
         add(path, &cut_cases[i], test_snapshot_cut);
         g_free(path);
     }
+    add("/sync/store-set-back", NULL, test_store_set_back);
     add("/sync/withdrawal", NULL, test_withdrawal);
     add("/sync/withdrawal-sweep", NULL, test_withdrawal_sweep);
     add("/sync/withdrawals-diverged", NULL, test_withdrawals_diverged);
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -400,30 +400,43 @@
 }
 
 Result
-Store_Put(Store *store, const char *name, int64_t if_version, json_t *value,
-          StoreObject *object, GError **error)
+Store_PutText(Store *store, const char *name, int64_t if_version,
+              const char *text, StoreObject *object, GError **error)
 {
-    char *body = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
-    Result result;
-
     if (object != NULL) {
         *object = (StoreObject){0};
     }
-    if (body == NULL || if_version < 0) {
-        free(body);
-        Result_SetError(error, RESULT_MALFORMED,
-                        "%s: value or version is invalid", name);
+    if (if_version < 0) {
+        Result_SetError(error, RESULT_MALFORMED, "%s: version is invalid",
+                        name);
         return RESULT_MALFORMED;
     }
-    if (strlen(body) > STORE_VALUE_BYTES) {
+    if (strlen(text) > STORE_VALUE_BYTES) {
         Result_SetError(error, RESULT_TOO_LARGE,
                         "%s: the value has %zu bytes, at most %d are allowed",
-                        name, strlen(body), STORE_VALUE_BYTES);
-        free(body);
+                        name, strlen(text), STORE_VALUE_BYTES);
         return RESULT_TOO_LARGE;
     }
-    result = call_object(store, "PUT", name, if_version, body, object, error);
-    free(body);
+    return call_object(store, "PUT", name, if_version, text, object, error);
+}
+
+Result
+Store_Put(Store *store, const char *name, int64_t if_version, json_t *value,
+          StoreObject *object, GError **error)
+{
+    char *text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+    Result result;
+
+    if (text == NULL) {
+        if (object != NULL) {
+            *object = (StoreObject){0};
+        }
+        Result_SetError(error, RESULT_MALFORMED, "%s: the value is invalid",
+                        name);
+        return RESULT_MALFORMED;
+    }
+    result = Store_PutText(store, name, if_version, text, object, error);
+    free(text);
     return result;
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -79,6 +79,11 @@
 Store_Put(Store *store, const char *name, int64_t if_version, json_t *value,
           StoreObject *object, GError **error);
 
+/* As Store_Put() with the value as JSON text, which is sent as it is. */
+Result
+Store_PutText(Store *store, const char *name, int64_t if_version,
+              const char *text, StoreObject *object, GError **error);
+
 /* Removes the object if its version is if_version; object as above. */
 Result
 Store_Delete(Store *store, const char *name, int64_t if_version,
