--- a/src/daemon/daemon_rate.c
+++ b/src/daemon/daemon_rate.c
@@ -9,6 +9,8 @@
 /* How long the answer "not retired" of the store is believed. */
 #define RETIRED_CACHE_MS 10000
 
+#define NOTICE_TIMEOUT_MS 300
+
 static void
 copy_object(const StoreObject *from, RateStoreObject *to)
 {
@@ -99,6 +101,42 @@
     return result;
 }
 
+/* A message whose reply nobody waits for. */
+typedef struct Notice {
+    Daemon *daemon;
+    RpcPeer peer;
+    uint32_t kind;
+    GByteArray *body;
+} Notice;
+
+static void
+send_notice(void *context)
+{
+    Notice *notice = context;
+
+    Rpc_Call(notice->daemon->rpc, &notice->peer, notice->kind, notice->body,
+             NULL, NOTICE_TIMEOUT_MS);
+    g_byte_array_unref(notice->body);
+    g_free(notice);
+}
+
+static void
+queue_notice(Daemon *daemon, const RpcPeer *peer, int kind,
+             const GByteArray *body)
+{
+    Notice *notice = g_new0(Notice, 1);
+
+    notice->daemon = daemon;
+    notice->peer = *peer;
+    notice->kind = (uint32_t)kind;
+    notice->body = g_byte_array_new();
+    g_byte_array_append(notice->body, body->data, body->len);
+    if (!HttpExecutor_Submit(daemon->background, send_notice, notice)) {
+        g_byte_array_unref(notice->body);
+        g_free(notice);
+    }
+}
+
 static Result
 call_peer(void *context, uint64_t host, uint64_t incarnation, int kind,
           const uint8_t *body, size_t body_bytes, uint8_t *reply,
@@ -121,6 +159,12 @@
     request = g_byte_array_new();
     answer = g_byte_array_new();
     g_byte_array_append(request, body, (guint)body_bytes);
+    if (timeout_ms == 0) {
+        queue_notice(daemon, &peer, kind, request);
+        g_byte_array_unref(request);
+        g_byte_array_unref(answer);
+        return RESULT_OK;
+    }
     result = Rpc_Call(daemon->rpc, &peer, (uint32_t)kind, request, answer,
                       timeout_ms);
     if (result == RESULT_OK && answer->len > *reply_bytes) {
