Test permits with missing backend servers and delayed renewals

The random model now also checks that ejected and long missing backend servers together stay within the permits; it fails when missing ones are not counted or their renewals are not refused.

--- a/src/health/test_permit.c
+++ b/src/health/test_permit.c
@@ -95,21 +95,29 @@
     PermitKeeper_Destroy(keeper);
 }
 
-/* Guards against a new keeper that drops the permits of the former one. */
+/* Guards against a new keeper that drops the permits of the former one, or
+ * that gives a permit to an owner that no longer holds it: the renewal may
+ * have been delayed until the former keeper gave the permit to another owner.
+ */
 static void
 test_new_keeper_goes_on(void)
 {
     PermitKeeper *keeper =
         PermitKeeper_Create(&(PermitKeeper_desc){.place = 1}, 0);
-    PermitRequest a = make_request("a", 3, 1, PERMIT_ACQUIRE);
-    PermitRequest b = make_request("b", 3, 1, PERMIT_ACQUIRE);
+    PermitRequest renewal = make_request("a", 3, 1, PERMIT_ACQUIRE);
+    PermitRequest lapsed = make_request("a", 3, -1, PERMIT_ACQUIRE);
+    PermitRequest other = make_request("b", 3, 1, PERMIT_ACQUIRE);
     int32_t number;
 
-    g_assert_cmpint(ask(keeper, &a, &view12, 100, &number), ==,
+    g_assert_cmpint(ask(keeper, &renewal, &view12, 100, &number), ==,
                     PERMIT_GRANTED);
     g_assert_cmpint(number, ==, 1);
-    g_assert_cmpint(ask(keeper, &b, &view12, 200, NULL), ==,
+    g_assert_cmpint(ask(keeper, &other, &view12, 200, NULL), ==,
                     PERMIT_NEW_KEEPER);
+    g_assert_cmpint(ask(keeper, &lapsed, &view12, 300, NULL), ==,
+                    PERMIT_NEW_KEEPER);
+    g_assert_cmpint(ask(keeper, &renewal, &view12, 400, NULL), ==,
+                    PERMIT_GRANTED);
     PermitKeeper_Destroy(keeper);
 }
 
@@ -223,6 +231,9 @@
  * network that loses, repeats, delays and reorders messages. */
 #define OWNERS 12
 #define MESSAGES 512
+#define STEP_MS 20
+/* Longer than a permit lives, by any clock. */
+#define MISSING_STEPS (10000 / STEP_MS)
 
 typedef struct Message {
     ClockMs due; /* 0 = free */
@@ -263,7 +274,9 @@
     int cut_from; /* owner whose messages one way are lost, or -1 */
     gboolean cut_replies;
     ClockMs cut_until;
+    uint32_t missing[MISSING_STEPS]; /* of the last steps, a ring */
     uint32_t most;
+    uint32_t least_usable; /* permits left by missing backend servers */
     uint64_t granted;
     uint64_t replaced;
 } Model;
@@ -425,11 +438,26 @@
     send_message(model, now, &answer);
 }
 
+/* Backend servers that were missing all the time that a permit can be held. */
+static uint32_t
+missing_long(Model *model, uint32_t gone, ClockMs now)
+{
+    uint32_t least = OWNERS;
+
+    model->missing[now / STEP_MS % MISSING_STEPS] = gone;
+    for (int i = 0; i < MISSING_STEPS; i++) {
+        least = MIN(least, model->missing[i]);
+    }
+    return least;
+}
+
 static void
 check_bound(Model *model, ClockMs now)
 {
+    uint32_t permits = Permit_Total(&model->view);
     uint32_t ejected = 0;
     uint32_t gone = 0;
+    uint32_t usable;
 
     for (uint32_t i = 0; i < OWNERS; i++) {
         Owner *owner = &model->owners[i];
@@ -444,7 +472,10 @@
     }
     model->view.ready = OWNERS - gone;
     model->most = MAX(model->most, ejected);
-    g_assert_cmpuint(ejected, <=, Permit_Total(&model->view));
+    g_assert_cmpuint(ejected, <=, permits);
+    usable = permits - MIN(permits, missing_long(model, gone, now));
+    model->least_usable = MIN(model->least_usable, usable);
+    g_assert_cmpuint(ejected, <=, usable);
 }
 
 static void
@@ -460,8 +491,9 @@
     for (uint32_t i = 0; i < OWNERS; i++) {
         start_owner(model, i);
     }
-    /* One hour in steps of 20 ms. */
-    for (ClockMs now = 20; now < 3600000; now += 20) {
+    model->least_usable = OWNERS;
+    /* One hour. */
+    for (ClockMs now = STEP_MS; now < 3600000; now += STEP_MS) {
         if (now >= model->cut_until && chance(model, 0.001)) {
             model->cut_from = (int)Rng_Below(&model->rng, OWNERS);
             model->cut_replies = chance(model, 0.5);
@@ -487,6 +519,9 @@
         PermitKeeper_Destroy(model->keepers[i].keeper);
     }
     *most = model->most;
+    /* Backend servers were missing for long enough to matter. */
+    g_assert_cmpuint(model->least_usable, <,
+                     MAX(Permit_Total(&model->view), 1));
     *granted += model->granted;
     *replaced += model->replaced;
     g_free(model);
@@ -494,8 +529,10 @@
 
 /* Guards against more ejected backend servers than total minus floor while
  * owners and keepers crash, pause and are replaced, and messages are lost one
- * way, repeated, late and reordered. The test is void if the failures keep the
- * permits from being used, so it demands that the bound is reached. */
+ * way, repeated, late and reordered; and against crashes that add up with
+ * ejections for longer than a permit lives. The test is void if the failures
+ * keep the permits from being used, so it demands that the bound is reached.
+ */
 static void
 test_bound(void)
 {
