--- a/src/config/config.h
+++ b/src/config/config.h
@@ -218,6 +218,7 @@
 uint64_t
 Config_GetWithdrawals(Config *config);
 
+/* Call from a thread registered with RCU. */
 void
 Config_GetStats(Config *config, ConfigStats *stats);
 
--- a/src/config/config_bundle.c
+++ b/src/config/config_bundle.c
@@ -338,7 +338,8 @@
 
     if (json_unpack(snapshot, "{s:I,s:I,s:I,s:o}", "ticket", &ticket, "part",
                     &part, "parts", &parts, "sets", &sets) != 0 ||
-        part < 0 || part >= parts || parts > CONFIG_SYNC_MAX_PARTS) {
+        ticket > TICKET_MAX_NUMBER || part < 0 || part >= parts ||
+        parts > CONFIG_SYNC_MAX_PARTS) {
         return FALSE;
     }
     if (pull->open && (ticket != request->snapshot || part != request->part)) {
@@ -403,7 +404,7 @@
         sync->pull_failed || Config_PeekVersion(sync->config) == 0;
     pull.request.withdrawn_from = full_list ? 0 : G_MAXUINT32;
     for (int round = 0; round < MAX_ROUNDS; round++) {
-        if (!pull_once(sync, peer, &pull)) {
+        if (_ConfigSync_IsStopping(sync) || !pull_once(sync, peer, &pull)) {
             break;
         }
     }
--- a/src/config/config_store.c
+++ b/src/config/config_store.c
@@ -181,7 +181,7 @@
             count = 0;
         }
         StoreList_Clear(&list);
-    } while (count > 0);
+    } while (count > 0 && !_ConfigSync_IsStopping(sync));
     return TRUE;
 }
 
@@ -311,7 +311,7 @@
         }
         StoreList_Clear(&list);
         wait_ms = 0;
-    } while (good && count > 0);
+    } while (good && count > 0 && !_ConfigSync_IsStopping(sync));
     return good;
 }
 
@@ -354,7 +354,8 @@
                         &newest->id, "ticket", &ticket, "ticket_version",
                         &version, "parts", &newest->parts, "old_ticket",
                         &old_ticket, "old_parts", &newest->old_parts) == 0 &&
-            ticket > 0 && version > 0 && json_array_size(newest->parts) > 0 &&
+            ticket > 0 && ticket <= TICKET_MAX_NUMBER && version > 0 &&
+            json_array_size(newest->parts) > 0 &&
             json_array_size(newest->parts) <= CONFIG_SYNC_MAX_PARTS;
     if (valid) {
         newest->value = json_incref(object.value);
@@ -411,7 +412,7 @@
     for (uint32_t part = 0; good && part < parts; part++) {
         json_t *sets = get_part(sync, newest, part);
 
-        good = sets != NULL &&
+        good = sets != NULL && !_ConfigSync_IsStopping(sync) &&
                _ConfigSync_TakePart(sync, &draft, &open, newest->ticket, part,
                                     parts, sets);
         json_decref(sets);
@@ -472,7 +473,7 @@
     for (uint32_t part = 0; part < parts; part++) {
         int64_t version = write_part(sync, table, part, parts, id);
 
-        if (version == 0) {
+        if (version == 0 || _ConfigSync_IsStopping(sync)) {
             json_decref(versions);
             return NULL;
         }
--- a/src/config/config_sync.c
+++ b/src/config/config_sync.c
@@ -94,6 +94,17 @@
     g_free(sync);
 }
 
+gboolean
+_ConfigSync_IsStopping(ConfigSync *sync)
+{
+    gboolean stopping;
+
+    pthread_mutex_lock(&sync->lock);
+    stopping = sync->stopping;
+    pthread_mutex_unlock(&sync->lock);
+    return stopping;
+}
+
 void
 _ConfigSync_Notify(ConfigSync *sync)
 {
@@ -514,24 +525,13 @@
     pthread_mutex_unlock(&sync->lock);
 }
 
-static gboolean
-is_stopping(ConfigSync *sync)
-{
-    gboolean stopping;
-
-    pthread_mutex_lock(&sync->lock);
-    stopping = sync->stopping;
-    pthread_mutex_unlock(&sync->lock);
-    return stopping;
-}
-
 static void *
 run_sync(void *context)
 {
     ConfigSync *sync = context;
 
     rcu_register_thread();
-    while (!is_stopping(sync)) {
+    while (!_ConfigSync_IsStopping(sync)) {
         if (!run_step(sync)) {
             wait_for_work(sync);
         }
--- a/src/config/config_sync.h
+++ b/src/config/config_sync.h
@@ -9,7 +9,8 @@
  *  3. The peer answers a fetch with ConfigSync_Bundle(). The request travels
  *     as text: ConfigSync_FormatRequest(), ConfigSync_ParseRequest().
  *  4. ConfigSync_Withdraw() for a withdrawal by the operator or by a peer.
- *  5. ConfigSync_Stop() wakes and joins the thread; ConfigSync_Destroy().
+ *  5. ConfigSync_Stop() wakes and joins the thread; ConfigSync_Destroy()
+ *     before Config_Destroy().
  *
  * A host for which `is_watcher` returns TRUE watches `ticket/` and
  * `withdrawn/` in the store. Other hosts call the store only at the start, as
--- a/src/config/config_sync_private.h
+++ b/src/config/config_sync_private.h
@@ -84,6 +84,10 @@
 gboolean
 _ConfigSync_TakeWithdrawal(ConfigSync *sync, const ConfigKeyHash *hash);
 
+/* ConfigSync_Stop() was called; long loops end early. */
+gboolean
+_ConfigSync_IsStopping(ConfigSync *sync);
+
 /* Calls the `changed` callback. */
 void
 _ConfigSync_Notify(ConfigSync *sync);
