Check for islands of hosts; let Member_desc build with clang

Groups of hosts that have forgotten each other, as after a cut of more than 2 h, had no way to meet again: every 30 min a host now pings one seed or roster entry. Member_desc held a struct with a flexible array member, which clang refuses; it now has MemberSelf with the same field names.

--- a/src/member/gossip.c
+++ b/src/member/gossip.c
@@ -15,6 +15,10 @@
 #define INDIRECT_FACTOR 2
 #define TICK_MS 250
 #define ALONE_RETRY_MS 5000
+/* A ping to a seed or roster entry joins groups of hosts that do not know each
+ * other, as after a partition that outlasted Member_desc.forget_ms. With 7,400
+ * hosts it costs the store 4 reads/s. */
+#define ISLAND_CHECK_MS (30 * 60 * 1000)
 #define MAX_ROSTER 64
 #define LEAVE_PINGS 8
 /* Requests of one digest exchange outside of a join. */
@@ -39,6 +43,8 @@
     pthread_t timer;
     ClockMs next_digest;
     ClockMs next_contact;
+    ClockMs next_island_check;
+    Rng rng; /* of the prober */
 };
 
 static RpcPeer
@@ -429,6 +435,33 @@
     return result;
 }
 
+/* Pings one random seed or roster entry. */
+static void
+check_island(Gossip *gossip)
+{
+    RpcPeer roster[MAX_ROSTER];
+    RpcPeer any = {.host = 0};
+    RpcPeer responder = {0};
+    uint32_t seeds = gossip->desc.seed_count;
+    uint32_t count = 0;
+    uint64_t chosen;
+
+    if (gossip->desc.read_roster != NULL) {
+        count =
+            gossip->desc.read_roster(gossip->desc.context, roster, MAX_ROSTER);
+        count = MIN(count, MAX_ROSTER);
+    }
+    if (seeds + count == 0) {
+        return;
+    }
+    chosen = Rng_Below(&gossip->rng, seeds + count);
+    any.ip =
+        chosen < seeds ? gossip->seeds[chosen].ip : roster[chosen - seeds].ip;
+    any.port = chosen < seeds ? gossip->seeds[chosen].port
+                              : roster[chosen - seeds].port;
+    (void)ping(gossip, &any, &responder);
+}
+
 static struct timespec
 monotonic_after(ClockMs milliseconds)
 {
@@ -511,6 +544,13 @@
             return TRUE;
         }
     }
+    if (now >= gossip->next_island_check) {
+        gossip->next_island_check = now + ISLAND_CHECK_MS;
+        pthread_mutex_unlock(&gossip->lock);
+        check_island(gossip);
+        pthread_mutex_lock(&gossip->lock);
+        return TRUE;
+    }
     Member_Count(gossip->member, &counts);
     if (counts.alive + counts.suspect <= 1 && now >= gossip->next_contact) {
         gossip->next_contact = now + ALONE_RETRY_MS;
@@ -569,6 +609,7 @@
     if (member.seed == 0) {
         member.seed = Rng_ProcessSeed();
     }
+    Rng_Seed(&gossip->rng, member.seed);
     gossip->member = Member_Create(&member, Clock_Now());
     Rpc_Handle(desc->rpc, RPC_KIND_PING, handle_ping, gossip);
     Rpc_Handle(desc->rpc, RPC_KIND_PING_REQUEST, handle_ping_request, gossip);
@@ -587,6 +628,8 @@
     gossip->has_joined = TRUE;
     gossip->next_digest = now + gossip->desc.digest_period_ms;
     gossip->next_contact = now + ALONE_RETRY_MS;
+    gossip->next_island_check =
+        now + (ClockMs)Rng_Below(&gossip->rng, ISLAND_CHECK_MS);
     Member_PublishNow(gossip->member, Clock_Now());
     pthread_mutex_unlock(&gossip->lock);
     if (pthread_create(&gossip->prober, NULL, run_prober, gossip) != 0 ||
--- a/src/member/gossip.h
+++ b/src/member/gossip.h
@@ -14,7 +14,8 @@
  *
  * Threads: one thread pings and exchanges digests. It waits for acks for at
  * most one period. Callbacks run on that thread or on the Rpc server thread,
- * without any lock held, and must not block.
+ * without any lock held, and must not block. Member_desc.notify alone is
+ * called with the lock held and must not call functions of this module.
  *
  * Errors: Gossip_Join() returns RESULT_RPC_TIMEOUT when no seed answered; the
  * thread goes on trying.
@@ -40,8 +41,8 @@
     const RpcPeer *seeds; /* host ids may be 0; copied */
     uint32_t seed_count;
     /* Reads up to `max` roster entries and returns how many; may be NULL.
-     * Called on the gossip thread when no peer is alive, at most once in 5 s;
-     * it may block. */
+     * Called on the gossip thread when no peer is alive, at most once in 5 s,
+     * and else every 30 min; it may block. */
     uint32_t (*read_roster)(void *context, RpcPeer *entries, uint32_t max);
     /* Fills the payload of a ping or an ack; may be NULL. */
     void (*describe)(void *context, GByteArray *payload);
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -79,13 +79,16 @@
         member->view =
             MemberView_Create(member->max_hosts, member->desc.max_services);
     }
-    *self = desc->self;
-    self->state = MEMBER_ALIVE;
-    self->refutation = 0;
-    self->serial = 1;
-    self->successor = 0;
-    self->server_count = 0;
-    self->is_one_way = 0;
+    *self = (MemberHost){.id = desc->self.id,
+                         .incarnation = desc->self.incarnation,
+                         .serial = 1,
+                         .ip = desc->self.ip,
+                         .entry_port = desc->self.entry_port,
+                         .owner_port = desc->self.owner_port,
+                         .rpc_port = desc->self.rpc_port,
+                         .state = MEMBER_ALIVE,
+                         .region = desc->self.region,
+                         .data_centre = desc->self.data_centre};
     (void)MemberTable_Add(member, self);
     MemberUpdate_Queue(member, MEMBER_SELF_SLOT, TRUE);
     Member_PublishNow(member, now);
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -143,10 +143,20 @@
     MEMBER_EVENT_SUPERSEDED /* a later incarnation of the own host exists */
 } MemberEvent;
 
+/* The own host. */
+typedef struct MemberSelf {
+    uint64_t id;
+    uint64_t incarnation;
+    uint32_t ip; /* IPv4 in host byte order */
+    uint16_t entry_port;
+    uint16_t owner_port;
+    uint16_t rpc_port;
+    uint8_t region;
+    uint8_t data_centre;
+} MemberSelf;
+
 typedef struct Member_desc {
-    /* Own record; `serial`, `refutation`, `state` and the servers are ignored.
-     */
-    MemberHost self;
+    MemberSelf self;
     uint64_t seed;
     uint32_t max_hosts;      /* 0 means 10,000 */
     uint32_t max_services;   /* 0 means 8,192 */
--- a/src/rpc/rpc.c
+++ b/src/rpc/rpc.c
@@ -19,6 +19,8 @@
  * gets 1.5 of them a second, which keep half of one thread busy. */
 #define RELAY_THREADS 2
 #define MAX_JOBS 1024
+/* Above the hosts of a fleet of 7,400 with its dead and replaced ones. */
+#define DEFAULT_PEERS 10240
 /* Bytes that ONC RPC puts before the argument. */
 #define CALL_BYTES 40
 /* Answers with a wrong seal that one call passes over before it gives up. */
@@ -409,9 +411,9 @@
                 desc->workers == 0 ? DEFAULT_WORKERS : desc->workers);
     rpc->secret.bytes = g_memdup2(desc->secret, desc->secret_bytes);
     rpc->secret.length = desc->secret_bytes;
-    rpc->session =
-        RpcSession_Create(desc->max_peers != 0 ? desc->max_peers : 8192,
-                          desc->_accept_old_sessions);
+    rpc->session = RpcSession_Create(desc->max_peers != 0 ? desc->max_peers
+                                                          : DEFAULT_PEERS,
+                                     desc->_accept_old_sessions);
     rpc->client =
         RpcClient_Create(desc->handles != 0 ? desc->handles : 64,
                          desc->retransmit_ms != 0 ? desc->retransmit_ms : 150);
--- a/src/rpc/rpc.h
+++ b/src/rpc/rpc.h
@@ -90,7 +90,7 @@
     uint16_t port;       /* 0 means the kernel's choice */
     const void *secret;  /* fleet secret, copied */
     size_t secret_bytes; /* at least 16 */
-    uint32_t max_peers;  /* 0 means 8,192 */
+    uint32_t max_peers;  /* 0 means 10,240 */
     uint32_t workers;    /* 0 means 2 */
     uint32_t handles;    /* cached client handles; 0 means 64 */
     int retransmit_ms;   /* first retransmission; 0 means 150; doubles */
