Close gaps in the tests of sessions and one-way hosts

Nine faults put in by hand showed three that no test saw: old records that replace newer ones during a replay, a replay below the window after it grew, and a host taken as one-way after two lost pings that were not in a row. Each now makes a test fail.

--- a/bench/bench_member.c
+++ b/bench/bench_member.c
@@ -420,6 +420,7 @@
 int
 main(int argc, char **argv)
 {
+    setvbuf(stdout, NULL, _IOLBF, 0);
     rcu_register_thread();
     if (argc > 2 && strcmp(argv[1], "fleet") == 0) {
         measure_fleet((int)strtol(argv[2], NULL, 10),
--- a/src/member/test_failure.c
+++ b/src/member/test_failure.c
@@ -20,12 +20,14 @@
     STEP_LOSS, /* percent in `first` */
     STEP_RECORD,
     STEP_REPLAY,
-    STEP_RESET,  /* of the counts of suspicions and deaths */
-    EXPECT_DEAD, /* in all other running nodes' tables */
+    STEP_SERVERS, /* the node changes its backend servers three times */
+    STEP_RESET,   /* of the counts of suspicions and deaths */
+    EXPECT_DEAD,  /* in all other running nodes' tables */
     EXPECT_LEFT,
     EXPECT_ALIVE,     /* and visible */
     EXPECT_ONE_WAY,   /* node first has host last as one-way */
     EXPECT_VISIBLE,   /* node first sees host last */
+    EXPECT_SAME,      /* record of host first is its own in all tables */
     EXPECT_NO_DEATHS, /* since the last reset, seen by nodes first to last */
     EXPECT_MAX_SUSPICIONS /* on all nodes, at most `first` */
 } StepKind;
@@ -137,11 +139,14 @@
      0,
      0,
      {{0, STEP_RECORD, 6, 6, 0},
+      {5000, STEP_SERVERS, 6, 6, 0},
+      {15000, EXPECT_SAME, 6, 6, 0},
       {20000, STEP_CRASH, 6, 6, 0},
       {20500, STEP_RESTART, 6, 6, 0},
       {30000, STEP_REPLAY, 0, 0, 0},
       {30000, STEP_RESET, 0, 0, 0},
       {34000, EXPECT_ALIVE, 0, 19, 0},
+      {34000, EXPECT_SAME, 6, 6, 0},
       {60000, EXPECT_ALIVE, 0, 19, 0},
       {60000, EXPECT_NO_DEATHS, 0, 19, 0}}},
     {"late-messages-of-a-dead-host",
@@ -244,6 +249,34 @@
     }
 }
 
+static void
+expect_same(TestNet *net, const FailureCase *test, int host)
+{
+    const MemberHost *own = Member_GetSelf(TestNet_Node(net, host)->member);
+
+    for (int i = 0; i < test->nodes; i++) {
+        const MemberHost *found =
+            Member_Peek(TestNet_Node(net, i)->member, TestNet_Id(host));
+
+        g_assert_cmpmem(found, MemberTable_HostBytes(found), own,
+                        MemberTable_HostBytes(own));
+    }
+}
+
+/* Each change raises the serial, so the node's later incarnation has a lower
+ * one at first. */
+static void
+change_servers(TestNet *net, int node)
+{
+    MemberServer server = {.name = 99, .service = 1};
+
+    for (int i = 1; i <= 3; i++) {
+        server.weight = (uint8_t)i;
+        (void)Member_SetServers(TestNet_Node(net, node)->member,
+                                TestNet_Now(net), &server, 1);
+    }
+}
+
 static void
 expect_counts(TestNet *net, const FailureCase *test, const Step *step)
 {
@@ -313,6 +346,9 @@
     case STEP_REPLAY:
         TestNet_Replay(net);
         break;
+    case STEP_SERVERS:
+        change_servers(net, step->first);
+        break;
     case STEP_RESET:
         for (int i = 0; i < test->nodes + test->spare; i++) {
             TestNet_Node(net, i)->suspected = 0;
@@ -349,6 +385,9 @@
         g_assert_cmpint(host->state, ==, MEMBER_ALIVE);
         g_assert_cmpint(host->is_one_way, ==, step->kind == EXPECT_ONE_WAY);
         break;
+    case EXPECT_SAME:
+        expect_same(net, test, step->first);
+        break;
     default:
         expect_counts(net, test, step);
     }
--- a/src/member/test_member.c
+++ b/src/member/test_member.c
@@ -213,6 +213,44 @@
     Member_Destroy(member);
 }
 
+/* Guards against a single lost ping that takes a host out of use, and against
+ * a host that stays out after it acks again. */
+static void
+test_one_way(void)
+{
+    static const struct {
+        gboolean is_acked; /* else helpers got an ack, this host did not */
+        gboolean is_one_way;
+    } cases[] = {{FALSE, FALSE}, {TRUE, FALSE}, {FALSE, FALSE},
+                 {FALSE, TRUE},  {FALSE, TRUE}, {TRUE, FALSE}};
+    Member *member = create_member(HOST_A, FALSE, 0);
+    Member *other = create_member(HOST_X, FALSE, 0);
+    MemberWireHost wire = wire_of(HOST_X, 1, 0, MEMBER_ALIVE, 1, NULL);
+
+    (void)Member_Merge(member, 0, &wire, MEMBER_FROM_GOSSIP);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GByteArray *ack = g_byte_array_new();
+
+        if (cases[i].is_acked) {
+            Member_WritePing(other, 0, HOST_A, NULL, ack);
+            g_assert_cmpint(Member_ReadAck(member, 0, HOST_X, ack, NULL), ==,
+                            RESULT_OK);
+        }
+        else {
+            Member_IndirectDone(member, 0, HOST_X, 1, TRUE);
+        }
+        g_assert_cmpint(Member_Peek(member, HOST_X)->is_one_way, ==,
+                        cases[i].is_one_way);
+        Member_PublishNow(member, 0);
+        g_assert_cmpuint(
+            Member_ListHosts(member, MEMBER_ANY, MEMBER_ANY)->count, ==,
+            cases[i].is_one_way ? 1 : 2);
+        g_byte_array_unref(ack);
+    }
+    Member_Destroy(member);
+    Member_Destroy(other);
+}
+
 /* Guards against updates that are repeated without end or not often enough. */
 static void
 test_repeats(void)
@@ -669,6 +707,7 @@
     g_test_add_func("/member/reported-death", test_reported_death);
     g_test_add_func("/member/own-pause", test_own_pause);
     g_test_add_func("/member/refutation", test_refutation);
+    g_test_add_func("/member/one-way", test_one_way);
     g_test_add_func("/member/repeats", test_repeats);
     g_test_add_func("/member/digest", test_digest);
     g_test_add_func("/member/malformed", test_malformed);
--- a/src/rpc/test_rpc.c
+++ b/src/rpc/test_rpc.c
@@ -708,6 +708,34 @@
     RpcSession_Destroy(session);
 }
 
+/* Guards against a replay from below the window once the window has grown: its
+ * free places must not take sequence numbers that were given up before. */
+static void
+test_session_floor(void)
+{
+    static const struct {
+        ClockMs now;
+        uint64_t sequence;
+        RpcAcceptance expected;
+    } cases[] = {{0, 1, RPC_ACCEPT_RUN},         {0, 2, RPC_ACCEPT_RUN},
+                 {10000, 3, RPC_ACCEPT_RUN}, /* in the place of 1 */
+                 {10000, 4, RPC_ACCEPT_RUN}, /* in the place of 2 */
+                 {10000, 5, RPC_ACCEPT_RUN}, /* the window grows */
+                 {10000, 1, RPC_ACCEPT_REFUSE},  {10000, 2, RPC_ACCEPT_REFUSE},
+                 {10000, 3, RPC_ACCEPT_RUNNING}, {10000, 6, RPC_ACCEPT_RUN}};
+    RpcSession *session = RpcSession_Create(4, FALSE);
+    GByteArray *reply = g_byte_array_new();
+    Result result;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_assert_cmpint(RpcSession_Accept(session, cases[i].now, 9, 1,
+                                          cases[i].sequence, &result, reply),
+                        ==, cases[i].expected);
+    }
+    g_byte_array_unref(reply);
+    RpcSession_Destroy(session);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -724,5 +752,6 @@
     g_test_add_func("/rpc/concurrent", test_concurrent);
     g_test_add_func("/rpc/timeout", test_timeout);
     g_test_add_func("/rpc/session-bounds", test_session_bounds);
+    g_test_add_func("/rpc/session-floor", test_session_floor);
     return g_test_run();
 }
