--- a/src/rate/rate_service.c
+++ b/src/rate/rate_service.c
@@ -426,6 +426,10 @@
         waiting =
             RateWallet_AddWaiting(service->wallet, team, is_waiting ? 0 : 1);
         is_waiting = TRUE;
+        if (waiting > RATE_QUEUE_MAX) {
+            result = RESULT_RATE_EXCEEDED;
+            break;
+        }
         if (result != RESULT_NOT_FOUND) {
             if (!wait_for_promise(service, team, retry_ms, waiting, now,
                                   patience)) {
--- a/src/rate/rate_sim.c
+++ b/src/rate/rate_sim.c
@@ -763,6 +763,7 @@
         return;
     }
     if (now >= request->deadline ||
+        waiting_count(host, request->team) >= RATE_QUEUE_MAX ||
         (result != RESULT_NOT_FOUND &&
          (now + retry_ms > MIN(request->deadline, request->patience) ||
           waiting_count(host, request->team) >= RATE_WAIT_MAX))) {
@@ -795,12 +796,25 @@
 {
     Host *host = &sim->hosts[index];
     Request *request = host->waiting[team];
+    Request **end = &host->waiting[team];
 
     host->waiting[team] = NULL;
     while (request != NULL) {
         Request *next = request->next;
 
-        serve(sim, index, request);
+        /* When one has to wait again, so have those behind it. */
+        if (host->waiting[team] != NULL &&
+            local_ms(sim, index) < request->patience) {
+            *end = request;
+            request->next = NULL;
+            end = &request->next;
+        }
+        else {
+            serve(sim, index, request);
+            while (*end != NULL) {
+                end = &(*end)->next;
+            }
+        }
         request = next;
     }
     plan_draws(sim, index, team);
--- a/src/rate/rate_wallet.h
+++ b/src/rate/rate_wallet.h
@@ -48,6 +48,8 @@
  * its rate must not fill the entry with waiting requests. */
 #define RATE_WAIT_MS 250
 #define RATE_WAIT_MAX 8
+/* Requests of a team that wait at an entry for draws on the way. */
+#define RATE_QUEUE_MAX 64
 
 typedef enum RateDistance {
     RATE_SELF,
