--- a/src/rate/rate_service.c
+++ b/src/rate/rate_service.c
@@ -307,7 +307,7 @@
 static void
 run_draw(RateService *service, const DrawJob *job)
 {
-    RateGrantMessage reply;
+    RateGrantMessage reply = {.result = RESULT_INTERNAL};
     Result result = RESULT_OK;
     const RatePlan *plan = &job->plan;
 
--- a/src/rate/rate_sim.c
+++ b/src/rate/rate_sim.c
@@ -1238,6 +1238,7 @@
     default:
         break;
     }
+    g_assert(host != NULL);
     if (!host->up || host->record.incarnation != event->incarnation) {
         return TRUE;
     }
--- a/src/rate/rate_wire.h
+++ b/src/rate/rate_wire.h
@@ -13,6 +13,8 @@
 extern "C" {
 #endif
 
+/* Keeps the linter out of generated code. */
+#pragma GCC system_header
 #define RATE_WIRE_USES 64
 #define RATE_WIRE_SLOTS 64
 
--- a/src/rate/rate_wire.x
+++ b/src/rate/rate_wire.x
@@ -1,5 +1,10 @@
 /* Bodies of the draw (kind 10) and settle (kind 11) calls. */
 
+#ifdef RPC_HDR
+%/* Keeps the linter out of generated code. */
+%#pragma GCC system_header
+#endif
+
 const RATE_WIRE_USES = 64;
 const RATE_WIRE_SLOTS = 64;
 
