--- a/src/rate/rate_service.c
+++ b/src/rate/rate_service.c
@@ -371,7 +371,7 @@
             message->uses, RATE_WIRE_USES, now);
         service->status.draws_sent++;
     }
-    if (count == 0) {
+    if (count <= 0) {
         return FALSE;
     }
     pthread_mutex_unlock(&service->wallet_lock);
--- a/src/rate/test_rate.c
+++ b/src/rate/test_rate.c
@@ -194,6 +194,29 @@
     RateHolder_Destroy(holder);
 }
 
+/* Guards against a slot that starts with tokens, and against a refill above
+ * the rate in true time when this host's clock runs 0.25% fast. */
+static void
+test_holder_refill(void)
+{
+    RateHolder *holder = open_holder(3);
+    RateGrant grant;
+    int64_t total = 0;
+    uint64_t serial = 0;
+
+    for (ClockMs now = 10; now < 100000; now += 10) {
+        int64_t true_us = (now - 1000) * 1000000 / 1002500 * 1000;
+        RateUse use;
+
+        total += draw_at(holder, ++serial, 24, now, &grant);
+        g_assert_cmpint(total * 1000000, <=, MAX(8 * true_us, 0));
+        use = (RateUse){grant.number, grant.micro, TRUE};
+        RateHolder_Settle(holder, 7, &use, 1, now);
+    }
+    g_assert_cmpint(total, >=, 8 * 98);
+    RateHolder_Destroy(holder);
+}
+
 /* Guards against evicting a bucket whose level would rise by it. */
 static void
 test_holder_eviction(void)
@@ -571,6 +594,7 @@
     g_test_add_func("/rate/holder/return", test_holder_return);
     g_test_add_func("/rate/holder/refusals", test_holder_refusals);
     g_test_add_func("/rate/holder/changed_limit", test_holder_changed_limit);
+    g_test_add_func("/rate/holder/refill", test_holder_refill);
     g_test_add_func("/rate/holder/eviction", test_holder_eviction);
     g_test_add_func("/rate/wallet/expiry", test_wallet_expiry);
     g_test_add_func("/rate/hold/claims", test_hold_claims);
