Send parallel draws by own threads, split the service

The thread sanitizer reported races inside GLib's array, whose allocator it does not see; a plain array and plain threads leave it without reports in test_rate.

--- a/src/rate/rate_service.c
+++ b/src/rate/rate_service.c
@@ -5,61 +5,22 @@
 #include <time.h>
 
 #include "base/counter.h"
-#include "base/log.h"
-#include "rate/rate_codec.h"
-#include "rate/rate_directory.h"
+#include "rate/rate_service_private.h"
 
 #define DRAW_TIMEOUT_MS 250
 #define PLANS_MAX 4
-#define DRAW_THREADS 8
 #define WALLET_TICK_MS 50
 #define HOLDER_TICK_MS 1000
-/* A view change costs a pass over all hosts and slots. */
-#define VIEW_MIN_MS 1000
-#define HOLDS_TICK_MS 500
-#define HINT_TIMEOUT_MS 100
-
-/* Locks are taken in the order hold, wallet; holder is taken alone. */
-struct RateService {
-    RateService_desc desc;
-    pthread_mutex_t hold_lock;
-    pthread_mutex_t wallet_lock;
-    pthread_mutex_t holder_lock;
-    pthread_cond_t answered;  /* with wallet_lock: a draw was answered */
-    pthread_cond_t settle;    /* with wallet_lock: reports are due */
-    pthread_cond_t hold_wake; /* with hold_lock */
-    RateHold *hold;
-    RateHolder *holder;
-    RateWallet *wallet;
-    RateDirectory *directory;
-    GThreadPool *draw_pool;
-    pthread_t hold_thread;
-    pthread_t wallet_thread;
-    gboolean started;
-    gboolean stop;     /* with both locks written, either read */
-    gboolean released; /* slots are being given up */
-    uint64_t view_number;
-    gboolean view_known;
-    ClockMs view_ms;
-    ClockMs holder_tick_ms;
-    RateServiceStatus status; /* counters only, with wallet_lock */
-};
-
-/* A draw for the thread pool. */
-typedef struct DrawJob {
-    RatePlan plan;
-    RateDrawMessage message;
-} DrawJob;
 
-static ClockMs
-now_of(const RateService *service)
+ClockMs
+_RateService_Now(const RateService *service)
 {
     return service->desc.now != NULL ? service->desc.now(service->desc.context)
                                      : Clock_Now();
 }
 
-static void
-wait_for(pthread_cond_t *condition, pthread_mutex_t *lock, int64_t ms)
+void
+_RateService_Wait(pthread_cond_t *condition, pthread_mutex_t *lock, int64_t ms)
 {
     struct timespec until;
 
@@ -73,9 +34,6 @@
     pthread_cond_timedwait(condition, lock, &until);
 }
 
-static void
-run_draw_job(gpointer data, gpointer context);
-
 RateService *
 RateService_Create(const RateService_desc *desc)
 {
@@ -93,6 +51,7 @@
     pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
     pthread_cond_init(&service->answered, &attributes);
     pthread_cond_init(&service->settle, &attributes);
+    pthread_cond_init(&service->draw_wake, &attributes);
     pthread_cond_init(&service->hold_wake, &attributes);
     pthread_condattr_destroy(&attributes);
     service->hold =
@@ -134,6 +93,7 @@
     RateWallet_Destroy(service->wallet);
     pthread_cond_destroy(&service->answered);
     pthread_cond_destroy(&service->settle);
+    pthread_cond_destroy(&service->draw_wake);
     pthread_cond_destroy(&service->hold_wake);
     pthread_mutex_destroy(&service->hold_lock);
     pthread_mutex_destroy(&service->wallet_lock);
@@ -141,8 +101,9 @@
     g_free(service);
 }
 
-static gboolean
-is_self(const RateService *service, uint64_t host, uint64_t incarnation)
+gboolean
+_RateService_IsSelf(const RateService *service, uint64_t host,
+                    uint64_t incarnation)
 {
     return host == service->desc.self.host &&
            incarnation == service->desc.self.incarnation;
@@ -189,7 +150,7 @@
                      .serial = message->serial,
                      .need_micro = message->need_micro,
                      .want_micro = message->want_micro};
-    ClockMs now = now_of(service);
+    ClockMs now = _RateService_Now(service);
 
     memset(reply, 0, sizeof(*reply));
     pthread_mutex_lock(&service->holder_lock);
@@ -203,7 +164,7 @@
     add_places(service, message->team, reply);
     /* The process may have been paused since the draw was decided. */
     if (reply->result == RESULT_OK &&
-        now_of(service) >= reply->grant.hold_end_ms) {
+        _RateService_Now(service) >= reply->grant.hold_end_ms) {
         reply->result = RESULT_RATE_NOT_HELD;
         memset(&reply->grant, 0, sizeof(reply->grant));
     }
@@ -233,7 +194,7 @@
                          size_t *reply_bytes)
 {
     RateSettleMessage message;
-    ClockMs now = now_of(service);
+    ClockMs now = _RateService_Now(service);
 
     (void)sender_incarnation;
     (void)reply;
@@ -264,7 +225,7 @@
 take_reply(RateService *service, const RatePlan *plan, Result result,
            const RateGrantMessage *reply)
 {
-    ClockMs now = now_of(service);
+    ClockMs now = _RateService_Now(service);
 
     if (result == RESULT_OK) {
         service->status.draws_answered++;
@@ -312,7 +273,7 @@
     const RatePlan *plan = &job->plan;
 
     Counter_Add(COUNTER_RATE_DRAWS, 1);
-    if (is_self(service, plan->holder, plan->holder_incarnation)) {
+    if (_RateService_IsSelf(service, plan->holder, plan->holder_incarnation)) {
         answer_draw(service, plan->draw.entry, plan->draw.entry_incarnation,
                     &job->message, &reply);
     }
@@ -339,21 +300,55 @@
     pthread_mutex_unlock(&service->wallet_lock);
 }
 
-static void
-run_draw_job(gpointer data, gpointer context)
+static void *
+run_draws(void *context)
 {
-    run_draw(context, data);
-    g_free(data);
+    RateService *service = context;
+
+    pthread_mutex_lock(&service->wallet_lock);
+    while (!service->stop || service->queue_count > 0) {
+        DrawJob job;
+
+        if (service->queue_count == 0) {
+            pthread_cond_wait(&service->draw_wake, &service->wallet_lock);
+            continue;
+        }
+        job = service->queue[service->queue_first];
+        service->queue_first = (service->queue_first + 1) % DRAW_QUEUE;
+        service->queue_count--;
+        pthread_mutex_unlock(&service->wallet_lock);
+        run_draw(service, &job);
+        pthread_mutex_lock(&service->wallet_lock);
+    }
+    pthread_mutex_unlock(&service->wallet_lock);
+    return NULL;
 }
 
-/* Plans draws and sends them: the first in this thread, others in the pool, so
- * that a token from three holders takes one round trip. Called with the lock.
- * Returns FALSE if nobody is to be asked. */
+/* Called with the lock; FALSE if there is no thread or no room. */
+static gboolean
+queue_draw(RateService *service, const DrawJob *job)
+{
+    int end = (service->queue_first + service->queue_count) % DRAW_QUEUE;
+
+    if (!service->started || service->stop ||
+        service->queue_count == DRAW_QUEUE) {
+        return FALSE;
+    }
+    service->queue[end] = *job;
+    service->queue_count++;
+    pthread_cond_signal(&service->draw_wake);
+    return TRUE;
+}
+
+/* Plans draws and sends them: the first in this thread, others in the draw
+ * threads, so that a token from three holders takes one round trip. Called
+ * with the lock. Returns FALSE if nobody is to be asked. */
 static gboolean
 draw(RateService *service, uint64_t team, int waiting, ClockMs now)
 {
     RatePlan plans[PLANS_MAX];
     DrawJob jobs[PLANS_MAX];
+    gboolean queued[PLANS_MAX];
     int count =
         RateWallet_Plan(service->wallet, team, waiting, now, plans, PLANS_MAX);
 
@@ -374,13 +369,12 @@
     if (count <= 0) {
         return FALSE;
     }
+    for (int i = 1; i < count; i++) {
+        queued[i] = queue_draw(service, &jobs[i]);
+    }
     pthread_mutex_unlock(&service->wallet_lock);
     for (int i = 1; i < count; i++) {
-        if (service->draw_pool != NULL) {
-            g_thread_pool_push(service->draw_pool,
-                               g_memdup2(&jobs[i], sizeof(jobs[i])), NULL);
-        }
-        else {
+        if (!queued[i]) {
             run_draw(service, &jobs[i]);
         }
     }
@@ -399,7 +393,7 @@
         return FALSE;
     }
     RateWallet_GiveBack(service->wallet, team, now);
-    wait_for(&service->answered, &service->wallet_lock, retry_ms + 1);
+    _RateService_Wait(&service->answered, &service->wallet_lock, retry_ms + 1);
     return TRUE;
 }
 
@@ -408,7 +402,7 @@
                       const RateLimit *limit, ClockMs deadline,
                       RateToken *token)
 {
-    ClockMs now = now_of(service);
+    ClockMs now = _RateService_Now(service);
     ClockMs patience = MIN(deadline, now + RATE_WAIT_MS);
     gboolean is_waiting = FALSE;
     int waiting = 0;
@@ -437,10 +431,10 @@
             }
         }
         else if (!draw(service, team, waiting, now)) {
-            wait_for(&service->answered, &service->wallet_lock,
-                     MIN(WALLET_TICK_MS, deadline - now));
+            _RateService_Wait(&service->answered, &service->wallet_lock,
+                              MIN(WALLET_TICK_MS, deadline - now));
         }
-        now = now_of(service);
+        now = _RateService_Now(service);
     }
     if (is_waiting) {
         waiting = RateWallet_AddWaiting(service->wallet, team, -1);
@@ -470,7 +464,7 @@
     pthread_mutex_lock(&service->wallet_lock);
     /* The clock is read after the lock, for which the thread may have
      * waited. */
-    now = now_of(service);
+    now = _RateService_Now(service);
     result = RateWallet_Use(service->wallet, token, now);
     if (RateWallet_NextSettlement(service->wallet, now, &holder,
                                   &incarnation)) {
@@ -484,13 +478,14 @@
 RateService_ReturnToken(RateService *service, const RateToken *token)
 {
     pthread_mutex_lock(&service->wallet_lock);
-    RateWallet_Return(service->wallet, token, now_of(service));
+    RateWallet_Return(service->wallet, token, _RateService_Now(service));
     pthread_mutex_unlock(&service->wallet_lock);
 }
 
-static void
-send_settlement(RateService *service, uint64_t holder, uint64_t incarnation,
-                const RateSettleMessage *message, int timeout_ms)
+void
+_RateService_SendSettlement(RateService *service, uint64_t holder,
+                            uint64_t incarnation,
+                            const RateSettleMessage *message, int timeout_ms)
 {
     uint8_t body[RATE_MESSAGE_MAX];
     uint8_t reply[RATE_MESSAGE_MAX];
@@ -507,7 +502,7 @@
 int
 RateService_TickWallet(RateService *service)
 {
-    ClockMs now = now_of(service);
+    ClockMs now = _RateService_Now(service);
     RateSettleMessage message;
     uint64_t holder;
     uint64_t incarnation;
@@ -527,14 +522,15 @@
         }
         service->status.settles_sent++;
         pthread_mutex_unlock(&service->wallet_lock);
-        if (is_self(service, holder, incarnation)) {
+        if (_RateService_IsSelf(service, holder, incarnation)) {
             pthread_mutex_lock(&service->holder_lock);
             RateHolder_Settle(service->holder, holder, message.uses,
                               message.use_count, now);
             pthread_mutex_unlock(&service->holder_lock);
         }
         else {
-            send_settlement(service, holder, incarnation, &message, 0);
+            _RateService_SendSettlement(service, holder, incarnation, &message,
+                                        0);
         }
         pthread_mutex_lock(&service->wallet_lock);
     }
@@ -548,263 +544,6 @@
     return WALLET_TICK_MS;
 }
 
-static void
-collect_host(void *context, const RateHost *host)
-{
-    g_array_append_val((GArray *)context, *host);
-}
-
-/* Takes over the member view; without this host once it is stopping. */
-static void
-update_view(RateService *service, ClockMs now)
-{
-    uint64_t number = service->desc.view(service->desc.context, NULL, NULL);
-    GArray *hosts;
-
-    if (service->view_known && (number == service->view_number ||
-                                now - service->view_ms < VIEW_MIN_MS)) {
-        return;
-    }
-    hosts = g_array_new(FALSE, FALSE, sizeof(RateHost));
-    service->view_number =
-        service->desc.view(service->desc.context, collect_host, hosts);
-    service->view_known = TRUE;
-    service->view_ms = now;
-    for (guint i = 0; service->released && i < hosts->len; i++) {
-        if (g_array_index(hosts, RateHost, i).host ==
-            service->desc.self.host) {
-            g_array_remove_index_fast(hosts, i);
-            break;
-        }
-    }
-    pthread_mutex_lock(&service->hold_lock);
-    pthread_mutex_lock(&service->wallet_lock);
-    RateHold_SetView(service->hold, (const RateHost *)(void *)hosts->data,
-                     (int)hosts->len, now);
-    RateDirectory_SetView(service->directory, service->hold,
-                          (const RateHost *)(void *)hosts->data,
-                          (int)hosts->len);
-    pthread_mutex_unlock(&service->wallet_lock);
-    pthread_mutex_unlock(&service->hold_lock);
-    g_array_free(hosts, TRUE);
-}
-
-static void
-apply_event(RateService *service, const RateHoldEvent *event, ClockMs now)
-{
-    const RateHost *self = &service->desc.self;
-
-    if (event->change == RATE_HOLD_NONE) {
-        return;
-    }
-    pthread_mutex_lock(&service->holder_lock);
-    if (event->change == RATE_HOLD_OPEN) {
-        RateHolder_OpenSlot(service->holder, event->slot, event->epoch,
-                            event->start_ms, event->end_ms, now);
-    }
-    else if (event->change == RATE_HOLD_EXTEND) {
-        RateHolder_ExtendSlot(service->holder, event->slot, event->epoch,
-                              event->end_ms, now);
-    }
-    else {
-        RateHolder_CloseSlot(service->holder, event->slot, now);
-    }
-    pthread_mutex_unlock(&service->holder_lock);
-    if (event->change == RATE_HOLD_OPEN) {
-        Log_Event(LOG_SLOT_TAKEN, "slot=%d epoch=%" G_GUINT64_FORMAT,
-                  event->slot, event->epoch);
-        pthread_mutex_lock(&service->wallet_lock);
-        RateDirectory_Learn(service->directory, event->slot, self->host,
-                            self->incarnation, now);
-        pthread_mutex_unlock(&service->wallet_lock);
-    }
-    else if (event->change == RATE_HOLD_CLOSE) {
-        Log_Event(LOG_SLOT_LOST, "slot=%d", event->slot);
-    }
-}
-
-static void
-read_object(const RateStoreObject *stored, RateSlotObject *object)
-{
-    memset(object, 0, sizeof(*object));
-    _RateCodec_SlotFromJson(stored->value, object);
-    object->version = stored->version;
-    object->age_ms = stored->now_ms - stored->modified_ms;
-}
-
-/* Makes one call on the store; FALSE if it has no object to show. */
-static gboolean
-call_store(RateService *service, const RateHoldAction *action, Result *result,
-           RateSlotObject *object)
-{
-    RateStoreObject stored = {.version = 0};
-    char name[32];
-    gboolean has_object;
-
-    g_snprintf(name, sizeof(name), "slot/%d", action->slot);
-    if (action->call == RATE_HOLD_READ) {
-        *result =
-            service->desc.store_get(service->desc.context, name, &stored);
-    }
-    else {
-        char *value = _RateCodec_SlotToJson(&action->object);
-
-        *result =
-            service->desc.store_put(service->desc.context, name,
-                                    action->object.version, value, &stored);
-        g_free(value);
-    }
-    has_object = *result == RESULT_OK ||
-                 (*result == RESULT_STORE_CONFLICT && stored.value != NULL);
-    if (action->call != RATE_HOLD_READ && *result == RESULT_OK) {
-        *object = action->object;
-        object->version = stored.version;
-        object->age_ms = 0;
-    }
-    else if (has_object) {
-        read_object(&stored, object);
-    }
-    g_free(stored.value);
-    return has_object;
-}
-
-/* Tells the host that comes next that the slot is free. */
-static void
-send_hint(RateService *service, int slot)
-{
-    RateSettleMessage message = {.released_count = 1};
-    RateHoldPlace next;
-
-    pthread_mutex_lock(&service->hold_lock);
-    next = RateHold_First(service->hold, slot);
-    pthread_mutex_unlock(&service->hold_lock);
-    Log_Event(LOG_SLOT_RELEASED, "slot=%d", slot);
-    message.released[0] = slot;
-    if (next.host != 0 && next.host != service->desc.self.host) {
-        send_settlement(service, next.host, next.incarnation, &message,
-                        HINT_TIMEOUT_MS);
-    }
-}
-
-/* Gives all slots up: nothing more is granted from them. */
-static void
-release_all(RateService *service)
-{
-    ClockMs now = now_of(service);
-
-    pthread_mutex_lock(&service->hold_lock);
-    service->released = TRUE;
-    RateHold_ReleaseAll(service->hold, now);
-    pthread_mutex_unlock(&service->hold_lock);
-    pthread_mutex_lock(&service->holder_lock);
-    for (int i = 0; i < service->desc.fleet_slots; i++) {
-        RateHolder_CloseSlot(service->holder, i, now);
-    }
-    pthread_mutex_unlock(&service->holder_lock);
-    service->view_known = FALSE;
-}
-
-static gboolean
-is_retired(const RateService *service)
-{
-    const RateHost *self = &service->desc.self;
-
-    return service->desc.is_retired != NULL &&
-           service->desc.is_retired(service->desc.context, self->host,
-                                    self->incarnation);
-}
-
-int
-RateService_TickHolds(RateService *service)
-{
-    int wait_ms = HOLDS_TICK_MS;
-
-    if (!service->released && is_retired(service)) {
-        release_all(service);
-    }
-    update_view(service, now_of(service));
-    for (;;) {
-        RateHoldAction action;
-        RateSlotObject object;
-        RateHoldEvent event;
-        Result result;
-        ClockMs sent = now_of(service);
-        ClockMs now;
-        gboolean due;
-        gboolean has_object;
-
-        pthread_mutex_lock(&service->hold_lock);
-        due = RateHold_Next(service->hold, sent, &action, &wait_ms);
-        pthread_mutex_unlock(&service->hold_lock);
-        if (!due) {
-            return MIN(wait_ms, HOLDS_TICK_MS);
-        }
-        sent = now_of(service);
-        has_object = call_store(service, &action, &result, &object);
-        now = now_of(service);
-        pthread_mutex_lock(&service->hold_lock);
-        service->status.store_calls++;
-        event = RateHold_Done(service->hold, &action, result,
-                              has_object ? &object : NULL, sent, now);
-        pthread_mutex_unlock(&service->hold_lock);
-        apply_event(service, &event, now);
-        if (action.call == RATE_HOLD_RELEASE && result == RESULT_OK) {
-            send_hint(service, action.slot);
-        }
-        if (result != RESULT_OK && result != RESULT_NOT_FOUND) {
-            return MIN(wait_ms, HOLDS_TICK_MS);
-        }
-    }
-}
-
-static void
-observe_listed(void *context, const char *name, const RateStoreObject *stored)
-{
-    RateService *service = context;
-    RateSlotObject object;
-    RateHoldEvent event;
-    ClockMs now = now_of(service);
-    guint64 slot;
-
-    if (!g_str_has_prefix(name, "slot/") ||
-        !g_ascii_string_to_unsigned(name + 5, 10, 0,
-                                    (guint64)service->desc.fleet_slots - 1,
-                                    &slot, NULL)) {
-        return;
-    }
-    read_object(stored, &object);
-    pthread_mutex_lock(&service->hold_lock);
-    /* The list was sent before; an object of this new incarnation cannot be
-     * in it, so no hold's end depends on that time. */
-    event = RateHold_Observe(service->hold, (int)slot, &object, now, now);
-    pthread_mutex_unlock(&service->hold_lock);
-    apply_event(service, &event, now);
-}
-
-static void *
-run_holds(void *context)
-{
-    RateService *service = context;
-
-    if (service->desc.store_list != NULL) {
-        service->desc.store_list(service->desc.context, "slot/",
-                                 observe_listed, service);
-    }
-    for (;;) {
-        int wait_ms = RateService_TickHolds(service);
-
-        pthread_mutex_lock(&service->hold_lock);
-        if (!service->stop && wait_ms > 0) {
-            wait_for(&service->hold_wake, &service->hold_lock, wait_ms);
-        }
-        if (service->stop) {
-            pthread_mutex_unlock(&service->hold_lock);
-            return NULL;
-        }
-        pthread_mutex_unlock(&service->hold_lock);
-    }
-}
-
 static void *
 run_wallet(void *context)
 {
@@ -815,7 +554,8 @@
 
         pthread_mutex_lock(&service->wallet_lock);
         if (!service->stop) {
-            wait_for(&service->settle, &service->wallet_lock, wait_ms);
+            _RateService_Wait(&service->settle, &service->wallet_lock,
+                              wait_ms);
         }
         if (service->stop) {
             pthread_mutex_unlock(&service->wallet_lock);
@@ -828,17 +568,19 @@
 void
 RateService_Start(RateService *service)
 {
-    service->draw_pool =
-        g_thread_pool_new(run_draw_job, service, DRAW_THREADS, FALSE, NULL);
-    pthread_create(&service->hold_thread, NULL, run_holds, service);
-    pthread_create(&service->wallet_thread, NULL, run_wallet, service);
     service->started = TRUE;
+    for (int i = 0; i < DRAW_THREADS; i++) {
+        pthread_create(&service->draw_threads[i], NULL, run_draws, service);
+    }
+    pthread_create(&service->hold_thread, NULL, _RateService_RunHolds,
+                   service);
+    pthread_create(&service->wallet_thread, NULL, run_wallet, service);
 }
 
 int
 RateService_Stop(RateService *service, int timeout_ms)
 {
-    ClockMs until = now_of(service) + timeout_ms;
+    ClockMs until = _RateService_Now(service) + timeout_ms;
     int left;
 
     pthread_mutex_lock(&service->hold_lock);
@@ -846,29 +588,31 @@
     service->stop = TRUE;
     pthread_cond_broadcast(&service->answered);
     pthread_cond_broadcast(&service->settle);
+    pthread_cond_broadcast(&service->draw_wake);
     pthread_cond_broadcast(&service->hold_wake);
     pthread_mutex_unlock(&service->wallet_lock);
     pthread_mutex_unlock(&service->hold_lock);
     if (service->started) {
         pthread_join(service->hold_thread, NULL);
         pthread_join(service->wallet_thread, NULL);
-        g_thread_pool_free(service->draw_pool, FALSE, TRUE);
-        service->draw_pool = NULL;
+        for (int i = 0; i < DRAW_THREADS; i++) {
+            pthread_join(service->draw_threads[i], NULL);
+        }
         service->started = FALSE;
     }
     RateService_TickWallet(service);
-    release_all(service);
+    _RateService_ReleaseAll(service);
     for (;;) {
         int wait_ms = RateService_TickHolds(service);
 
         pthread_mutex_lock(&service->hold_lock);
         left = RateHold_Count(service->hold);
-        if (left > 0 && now_of(service) < until) {
-            wait_for(&service->hold_wake, &service->hold_lock,
-                     CLAMP(wait_ms, 1, 100));
+        if (left > 0 && _RateService_Now(service) < until) {
+            _RateService_Wait(&service->hold_wake, &service->hold_lock,
+                              CLAMP(wait_ms, 1, 100));
         }
         pthread_mutex_unlock(&service->hold_lock);
-        if (left == 0 || now_of(service) >= until) {
+        if (left == 0 || _RateService_Now(service) >= until) {
             return left;
         }
     }
@@ -878,7 +622,7 @@
 RateService_HoldsSlot(RateService *service, int slot, ClockMs *start_ms)
 {
     RateSlotStatus slots[RATE_SLOTS_MAX];
-    ClockMs now = now_of(service);
+    ClockMs now = _RateService_Now(service);
     gboolean found = FALSE;
     int count;
 
--- a/src/rate/rate_service.h
+++ b/src/rate/rate_service.h
@@ -18,7 +18,7 @@
  *
  * Limits: all functions are thread safe except Create, Start, Stop and
  * Destroy. A token that is drawn from several holders uses up to 8 draw
- * threads that Start creates on demand. The take path allocates only when a
+ * threads that Start creates. The take path allocates only when a
  * team is used for the first time. Callbacks are called without a lock held,
  * except `lookup` and `now`.
  */
