--- a/src/rate/rate_holder.c
+++ b/src/rate/rate_holder.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/rng.h"
+#include "rate/rate_holder_private.h"
 
 #define NO_INDEX UINT32_MAX
 /* Part of the free level that one draw may take beyond its need. A small part
@@ -17,74 +18,6 @@
 /* Places probed for an entry's incarnation. */
 #define ENTRY_PROBES 8
 
-typedef struct Slot {
-    uint64_t epoch;
-    ClockMs start_ms;
-    ClockMs end_ms; /* 0 = not held */
-} Slot;
-
-/* The parameters (rate, burst) hold from `last` until `valid_until`. */
-typedef struct Bucket {
-    uint64_t team; /* 0 = free */
-    int64_t level;
-    int64_t outstanding;
-    int64_t rate;      /* micro-tokens/s, less the clock drift */
-    int64_t burst;     /* micro-tokens */
-    int64_t remainder; /* of the refill, in 1/1000 micro-token */
-    ClockMs last;
-    ClockMs valid_until;
-    ClockMs queue_ms; /* when the last refused draw was told to come back */
-    /* Until this time the smaller of old and present share counts. */
-    ClockMs change_end_ms;
-    uint64_t version;
-    RateLimit limit;
-    RateShare share;
-    RateShare old_share;
-    uint32_t grants; /* records that refer to the bucket */
-    uint32_t next;
-} Bucket;
-
-typedef struct Grant {
-    uint64_t number;
-    uint64_t entry;
-    uint64_t incarnation;
-    uint64_t serial;
-    int64_t micro;
-    int64_t used;
-    ClockMs expires_ms;
-    uint32_t bucket;
-    uint32_t next;
-    gboolean closed;
-    gboolean settle_now;
-    int retry_ms;
-} Grant;
-
-typedef struct Entry {
-    uint64_t host;
-    uint64_t incarnation;
-} Entry;
-
-struct RateHolder {
-    RateHolder_desc desc;
-    ClockMs life_ms; /* of a grant by this clock, with the margin */
-    Slot slots[RATE_SLOTS_MAX];
-    uint64_t version; /* rises when slots open, extend or close */
-    Bucket *buckets;
-    uint32_t *bucket_heads;
-    uint32_t bucket_mask;
-    uint32_t free_bucket;
-    uint32_t bucket_high;
-    uint32_t evict_next;
-    /* Ring of grants; number n is at n % max_grants. Lives are equal, so the
-     * oldest grant lapses first. */
-    Grant *grants;
-    uint32_t *grant_heads;
-    uint32_t grant_mask;
-    uint64_t grant_first;
-    uint64_t grant_next;
-    Entry *entries;
-};
-
 static uint32_t
 power_of_two(uint32_t n)
 {
@@ -789,57 +722,3 @@
     lapse(holder, now);
     evict(holder, now);
 }
-
-int
-RateHolder_Slots(const RateHolder *holder, RateSlotStatus *slots, int max)
-{
-    int count = 0;
-
-    for (int i = 0; i < holder->desc.fleet_slots; i++) {
-        const Slot *slot = &holder->slots[i];
-
-        if (slot->end_ms == 0) {
-            continue;
-        }
-        if (count < max) {
-            slots[count] =
-                (RateSlotStatus){i, slot->epoch, slot->start_ms, slot->end_ms};
-        }
-        count++;
-    }
-    return count;
-}
-
-int
-RateHolder_Buckets(const RateHolder *holder, RateBucketStatus *buckets,
-                   int max)
-{
-    int count = 0;
-
-    for (uint32_t i = 0; i < holder->bucket_high; i++) {
-        const Bucket *bucket = &holder->buckets[i];
-
-        if (bucket->team == 0) {
-            continue;
-        }
-        if (count < max) {
-            buckets[count] = (RateBucketStatus){bucket->team, bucket->level,
-                                                bucket->outstanding,
-                                                bucket->burst, bucket->rate};
-        }
-        count++;
-    }
-    return count;
-}
-
-size_t
-RateHolder_MemoryBytes(const RateHolder *holder)
-{
-    uint64_t live = holder->grant_next;
-
-    live = MIN(live, holder->desc.max_grants);
-    return sizeof(*holder) + holder->bucket_high * sizeof(Bucket) +
-           (holder->bucket_mask + 1) * sizeof(uint32_t) +
-           live * sizeof(Grant) + (holder->grant_mask + 1) * sizeof(uint32_t) +
-           holder->desc.max_entries * sizeof(Entry);
-}
--- a/src/rate/rate_wallet.c
+++ b/src/rate/rate_wallet.c
@@ -3,14 +3,11 @@
 #include <math.h>
 #include <string.h>
 
-#include "base/pool.h"
 #include "base/rng.h"
+#include "rate/rate_wallet_private.h"
 
-/* Demand is averaged over this time, and a draw takes what is expected in
- * AHEAD_MS beyond the waiting requests; half of a grant's life leaves time to
- * use it. */
+/* Demand is averaged over this time. */
 #define DEMAND_TAU_MS 1000.0
-#define AHEAD_MS 500
 /* Reports of used tokens wait this long for a draw that carries them. */
 #define SETTLE_LAZY_MS 300
 /* Tokens that are not needed are returned this long before they expire. */
@@ -18,10 +15,6 @@
 /* Used when a host does not hold any slot of the team. */
 #define NOT_HELD_REST_MS 1000
 #define FAILURE_MAX_MS 8000
-#define NO_PEER UINT16_MAX
-/* Holders refill a little slower than the rate (RateHolder_desc.drift_ppm); an
- * estimate above their level would lead to draws that are refused. */
-#define SLOW_REFILL 0.99
 /* Parts are drawn in so many rounds for a token. If they do not add up to one,
  * they are given back and the next round waits, for a time that differs
  * between entries. Otherwise the entries end up with parts that complete no
@@ -30,80 +23,6 @@
 #define PAUSE_MS 20
 /* Least time between two draws of a small team that are refused. */
 #define SMALL_RETRY_MS 5
-/* Draws planned at once. */
-#define PLANS_MAX 8
-
-typedef struct Team Team;
-typedef struct Grant Grant;
-
-/* A holder of slots. */
-typedef struct Peer {
-    uint64_t host; /* 0 = free */
-    uint64_t incarnation;
-    RateDistance distance;
-    int slots;
-    int grants; /* records that refer to it */
-    int failures;
-    ClockMs down_until;
-    ClockMs due_ms; /* when reports are due; CLOCK_NEVER = none */
-    Grant *dirty;   /* grants with something to report */
-    Grant **dirty_end;
-} Peer;
-
-struct Grant {
-    uint64_t number;
-    Team *team;
-    Grant *next; /* of the team, soonest end first */
-    Grant *next_dirty;
-    PoolHandle handle;
-    int64_t micro;
-    int64_t left;
-    int64_t taken; /* in tokens that are not used yet */
-    int64_t used;
-    ClockMs end_ms;
-    uint16_t peer;
-    gboolean is_dirty;
-    gboolean settle_now;
-    gboolean ended; /* not in the team's list; freed when not dirty */
-};
-
-typedef struct TeamSlot {
-    uint16_t slot;
-    double fill; /* level by burst when the holder last answered */
-    ClockMs fill_ms;
-    ClockMs empty_until;
-} TeamSlot;
-
-struct Team {
-    uint64_t id;
-    Team *next;
-    RateLimit limit;
-    RateShare share;
-    Grant *grants;
-    int64_t in_flight; /* micro-tokens that draws on the way may bring */
-    int flights;
-    int waiting;         /* requests, by RateWallet_AddWaiting() */
-    int rounds;          /* of parts that completed no token yet */
-    ClockMs pause_until; /* before parts are drawn again */
-    double demand;       /* tokens per second */
-    ClockMs demand_ms;
-    ClockMs used_ms;
-    TeamSlot slots[];
-};
-
-struct RateWallet {
-    RateWallet_desc desc;
-    uint64_t serial;
-    Team **heads;
-    uint32_t mask;
-    uint32_t team_count;
-    uint32_t tick_next;
-    size_t team_bytes;
-    Pool *grants;
-    uint16_t slot_peer[RATE_SLOTS_MAX];
-    Peer peers[2 * RATE_SLOTS_MAX];
-    int peer_high;
-};
 
 RateWallet *
 RateWallet_Create(const RateWallet_desc *desc)
@@ -148,8 +67,8 @@
     g_free(wallet);
 }
 
-static Team **
-team_link(RateWallet *wallet, uint64_t id)
+Team **
+_RateWallet_Link(RateWallet *wallet, uint64_t id)
 {
     Team **link = &wallet->heads[Rng_Mix(id, 0) & wallet->mask];
 
@@ -273,8 +192,8 @@
     }
 }
 
-static void
-drop_expired(RateWallet *wallet, Team *team, ClockMs now)
+void
+_RateWallet_DropExpired(RateWallet *wallet, Team *team, ClockMs now)
 {
     while (team->grants != NULL && team->grants->end_ms <= now) {
         end_grant(wallet, &team->grants);
@@ -351,7 +270,7 @@
 static Team *
 get_team(RateWallet *wallet, uint64_t id, const RateLimit *limit)
 {
-    Team **link = team_link(wallet, id);
+    Team **link = _RateWallet_Link(wallet, id);
     Team *team = *link;
 
     if (team == NULL) {
@@ -365,15 +284,15 @@
         }
         else if (team->flights == 0 && team->waiting == 0) {
             drop_team(wallet, link);
-            link = team_link(wallet, id);
+            link = _RateWallet_Link(wallet, id);
             team = add_team(wallet, link, id, limit);
         }
     }
     return team;
 }
 
-static int64_t
-balance_of(const Team *team)
+int64_t
+_RateWallet_Balance(const Team *team)
 {
     int64_t sum = 0;
 
@@ -383,52 +302,6 @@
     return sum;
 }
 
-/* Level that the slot's bucket has by now if nobody else has drawn from it. */
-static double
-level_now(const Team *team, int i, ClockMs now)
-{
-    const TeamSlot *place = &team->slots[i];
-    double burst =
-        (double)(team->share.burst_micro + (i < team->share.burst_extra));
-    double refill = (double)team->share.micro_per_second * SLOW_REFILL /
-                    1000.0 * (double)(now - place->fill_ms);
-
-    return MIN(burst, place->fill * burst + refill);
-}
-
-static gboolean
-is_small(const Team *team)
-{
-    return team->share.burst_micro < RATE_SMALL_BURST;
-}
-
-/* The peer of the team's i-th slot if it can be asked now, else NO_PEER. */
-static uint16_t
-peer_to_ask(const RateWallet *wallet, const Team *team, int i, ClockMs now)
-{
-    uint16_t index = wallet->slot_peer[team->slots[i].slot];
-
-    if (index == NO_PEER || wallet->peers[index].down_until > now ||
-        team->slots[i].empty_until > now) {
-        return NO_PEER;
-    }
-    return index;
-}
-
-/* Sum of the levels of the buckets that can be asked now. */
-static double
-level_sum(const RateWallet *wallet, const Team *team, ClockMs now)
-{
-    double sum = 0.0;
-
-    for (int i = 0; i < team->share.slots; i++) {
-        if (peer_to_ask(wallet, team, i, now) != NO_PEER) {
-            sum += level_now(team, i, now);
-        }
-    }
-    return sum;
-}
-
 /* Whether a draw may bring a token now; else says why not. */
 static Result
 can_draw(const RateWallet *wallet, const Team *team, ClockMs now,
@@ -458,9 +331,9 @@
         any = FALSE;
         next = MAX(team->pause_until, now + SMALL_RETRY_MS);
     }
-    else if (any && is_small(team)) {
-        double missing = RATE_MICRO + 8.0 - (double)balance_of(team) -
-                         level_sum(wallet, team, now);
+    else if (any && _RateWallet_IsSmall(team)) {
+        double missing = RATE_MICRO + 8.0 - (double)_RateWallet_Balance(team) -
+                         _RateWallet_LevelSum(wallet, team, now);
 
         any = missing <= 0.0;
         next = now + 1 +
@@ -497,7 +370,7 @@
         return RESULT_FULL;
     }
     team->used_ms = now;
-    drop_expired(wallet, team, now);
+    _RateWallet_DropExpired(wallet, team, now);
     token->team = id;
     token->parts = 0;
     token->end_ms = CLOCK_NEVER;
@@ -568,197 +441,10 @@
     }
 }
 
-/* The holder to ask next for at least `least` micro-tokens. The nearest ones
- * come first until they are emptier than farther ones by the latter's
- * handicap: an untouched bucket that stays full loses its refill, so all of
- * them have to be used. The hash lets entries of one place prefer different
- * holders. */
-static uint16_t
-choose_peer(const RateWallet *wallet, const Team *team, ClockMs now,
-            double least, const uint16_t *skip, int skipped)
-{
-    static const double handicap[] = {0.0, 0.02, 0.1, 0.4};
-    double burst = (double)MAX(team->share.burst_micro, 1);
-    uint16_t best = NO_PEER;
-    double best_score = 0.0;
-
-    for (int i = 0; i < team->share.slots; i++) {
-        uint16_t index = peer_to_ask(wallet, team, i, now);
-        double level;
-        double score;
-        gboolean seen = index == NO_PEER;
-
-        for (int k = 0; k < skipped; k++) {
-            seen = seen || skip[k] == index;
-        }
-        level = level_now(team, i, now);
-        if (seen || level < least) {
-            continue;
-        }
-        score =
-            level / burst - handicap[wallet->peers[index].distance] +
-            (double)(Rng_Mix(wallet->desc.entry, wallet->peers[index].host) &
-                     0xff) /
-                2560.0;
-        if (best == NO_PEER || score > best_score) {
-            best = index;
-            best_score = score;
-        }
-    }
-    return best;
-}
-
-/* Burst and level of all slots that the peer holds for the team. */
-static int64_t
-burst_at(const RateWallet *wallet, const Team *team, uint16_t peer)
-{
-    int64_t burst = 0;
-
-    for (int i = 0; i < team->share.slots; i++) {
-        if (wallet->slot_peer[team->slots[i].slot] == peer) {
-            burst += team->share.burst_micro + (i < team->share.burst_extra);
-        }
-    }
-    return burst;
-}
-
-static double
-level_at(const RateWallet *wallet, const Team *team, uint16_t peer,
-         ClockMs now)
-{
-    double level = 0.0;
-
-    for (int i = 0; i < team->share.slots; i++) {
-        if (wallet->slot_peer[team->slots[i].slot] == peer) {
-            level += level_now(team, i, now);
-        }
-    }
-    return level;
-}
-
-static void
-set_level(RateWallet *wallet, Team *team, uint16_t peer, double level,
-          ClockMs now)
-{
-    double burst = (double)MAX(burst_at(wallet, team, peer), 1);
-
-    for (int i = 0; i < team->share.slots; i++) {
-        if (wallet->slot_peer[team->slots[i].slot] == peer) {
-            team->slots[i].fill = CLAMP(level / burst, 0.0, 1.0);
-            team->slots[i].fill_ms = now;
-        }
-    }
-}
-
-/* Draws of one call of RateWallet_Plan(). */
-typedef struct Planning {
-    Team *team;
-    ClockMs now;
-    RatePlan *plans;
-    int max;
-    int count;
-    uint16_t peers[PLANS_MAX];
-} Planning;
-
-static void
-add_plan(RateWallet *wallet, Planning *planning, uint16_t index, int64_t part)
-{
-    Team *team = planning->team;
-    Peer *peer = &wallet->peers[index];
-    int64_t ahead =
-        is_small(team)
-            ? 0
-            : (int64_t)(team->demand * AHEAD_MS / 1000.0) * RATE_MICRO;
-
-    planning->plans[planning->count] =
-        (RatePlan){.holder = peer->host,
-                   .holder_incarnation = peer->incarnation,
-                   .sent_ms = planning->now,
-                   .draw = {.team = team->id,
-                            .entry = wallet->desc.entry,
-                            .entry_incarnation = wallet->desc.incarnation,
-                            .serial = ++wallet->serial,
-                            .need_micro = part,
-                            .want_micro = part + ahead}};
-    planning->peers[planning->count++] = index;
-    team->in_flight += part;
-    team->flights++;
-    set_level(wallet, team, index,
-              level_at(wallet, team, index, planning->now) - (double)part,
-              planning->now);
-}
-
-/* Asks for whole tokens; returns what is still needed. */
-static int64_t
-plan_whole(RateWallet *wallet, Planning *planning, int64_t need)
-{
-    Team *team = planning->team;
-    double least = is_small(team) ? RATE_MICRO : 0.0;
-
-    while (need >= RATE_MICRO && planning->count < planning->max) {
-        uint16_t index = choose_peer(wallet, team, planning->now, least,
-                                     planning->peers, planning->count);
-        int64_t part;
-
-        if (index == NO_PEER) {
-            break;
-        }
-        part = burst_at(wallet, team, index);
-        if (is_small(team)) {
-            part = (int64_t)level_at(wallet, team, index, planning->now);
-        }
-        part = MIN(need, part);
-        part -= part % RATE_MICRO;
-        part = MAX(part, RATE_MICRO);
-        add_plan(wallet, planning, index, part);
-        need -= part;
-    }
-    return need;
-}
-
-/* Asks all holders for parts in proportion to their levels, which keeps the
- * levels even, so that none is full and loses refill while another one is
- * empty. Asks for nothing if the levels do not add up to a token. */
-static void
-plan_parts(RateWallet *wallet, Planning *planning, int64_t need)
-{
-    Team *team = planning->team;
-    double levels[RATE_TEAM_SLOTS_MIN];
-    double sum = 0.0;
-    int count = MIN(team->share.slots, RATE_TEAM_SLOTS_MIN);
-
-    for (int i = 0; i < count; i++) {
-        uint16_t index = peer_to_ask(wallet, team, i, planning->now);
-
-        levels[i] = 0.0;
-        if (index != NO_PEER) {
-            /* Less what rounding may add. */
-            levels[i] = MAX(level_now(team, i, planning->now) - 2.0, 0.0);
-            sum += levels[i];
-        }
-    }
-    while (need > 0 && (double)need > sum) {
-        need -= RATE_MICRO;
-    }
-    team->rounds++;
-    for (int i = 0, left = (int)MAX(need, 0); i < count && left > 0; i++) {
-        uint16_t index = peer_to_ask(wallet, team, i, planning->now);
-        int64_t part = (int64_t)((double)need * levels[i] / sum) + 1;
-
-        part = MIN(part, left);
-        if (index == NO_PEER || levels[i] <= 0.0 ||
-            planning->count == planning->max) {
-            continue;
-        }
-        add_plan(wallet, planning, index, part);
-        left -= (int)part;
-    }
-}
-
 int
 RateWallet_AddWaiting(RateWallet *wallet, uint64_t id, int change)
 {
-    Team *team = *team_link(wallet, id);
+    Team *team = *_RateWallet_Link(wallet, id);
 
     if (team == NULL) {
         return 0;
@@ -767,34 +453,10 @@
     return team->waiting;
 }
 
-int
-RateWallet_Plan(RateWallet *wallet, uint64_t id, int waiting, ClockMs now,
-                RatePlan *plans, int max)
-{
-    Team *team = *team_link(wallet, id);
-    Planning planning = {
-        .team = team, .now = now, .plans = plans, .max = MIN(max, PLANS_MAX)};
-    int64_t need;
-
-    if (team == NULL) {
-        return 0;
-    }
-    drop_expired(wallet, team, now);
-    need = (int64_t)waiting * RATE_MICRO - balance_of(team) - team->in_flight;
-    if (!is_small(team)) {
-        need = (need + RATE_MICRO - 1) / RATE_MICRO * RATE_MICRO;
-    }
-    need = plan_whole(wallet, &planning, need);
-    if (need > 0 && planning.count == 0 && is_small(team)) {
-        plan_parts(wallet, &planning, need);
-    }
-    return planning.count;
-}
-
 static Team *
 landed(RateWallet *wallet, const RatePlan *plan)
 {
-    Team *team = *team_link(wallet, plan->draw.team);
+    Team *team = *_RateWallet_Link(wallet, plan->draw.team);
 
     if (team != NULL && team->flights > 0) {
         team->flights--;
@@ -859,13 +521,14 @@
     }
     wallet->peers[peer].failures = 0;
     wallet->peers[peer].down_until = 0;
-    set_level(wallet, team, peer, (double)given->level_micro, now);
+    _RateWallet_SetLevel(wallet, team, peer, (double)given->level_micro, now);
     if (given->micro < plan->draw.need_micro) {
         int wait = MAX(given->retry_ms, 1);
 
         /* The estimated levels say when to ask the holders of a small team. */
         set_empty(wallet, team, peer,
-                  now + (is_small(team) ? MIN(wait, SMALL_RETRY_MS) : wait));
+                  now + (_RateWallet_IsSmall(team) ? MIN(wait, SMALL_RETRY_MS)
+                                                   : wait));
     }
     if (given->micro > 0 && now < plan->sent_ms + given->life_ms) {
         insert_grant(wallet, team, peer, plan, given);
@@ -911,10 +574,11 @@
 void
 RateWallet_GiveBack(RateWallet *wallet, uint64_t id, ClockMs now)
 {
-    Team *team = *team_link(wallet, id);
+    Team *team = *_RateWallet_Link(wallet, id);
     Grant *grant;
 
-    if (team == NULL || balance_of(team) >= RATE_MICRO || team->flights > 0) {
+    if (team == NULL || _RateWallet_Balance(team) >= RATE_MICRO ||
+        team->flights > 0) {
         return;
     }
     if (team->rounds >= ROUNDS_MAX) {
@@ -990,7 +654,7 @@
 {
     Grant *grant;
 
-    drop_expired(wallet, team, now);
+    _RateWallet_DropExpired(wallet, team, now);
     grant = team->grants;
     while (grant != NULL) {
         Grant *next = grant->next;
