--- a/src/rate/rate_sim.c
+++ b/src/rate/rate_sim.c
@@ -2,156 +2,7 @@
 
 #include <string.h>
 
-#define SECOND_US INT64_C(1000000)
-#define MAX_CHANGES 4
-#define CHANGE_US (6 * SECOND_US)
-#define RESEND_US 100000
-#define TIMEOUT_US 250000
-#define USES 16
-#define PLACES 64
-#define WALLET_US 50000
-#define HOLD_US 100000
-#define STORE_US 4000
-#define NO_HOST (-1)
-
-typedef enum EventKind {
-    EV_ARRIVAL,
-    EV_DRAW,
-    EV_REPLY,
-    EV_RESEND,
-    EV_TIMEOUT,
-    EV_SETTLE,
-    EV_USE,
-    EV_RETRY,
-    EV_WALLET,
-    EV_HOLD,
-    EV_STORE,
-    EV_STORE_DONE,
-    EV_HINT,
-    EV_VIEW,
-    EV_START,
-    EV_SECOND
-} EventKind;
-
-typedef struct Request {
-    int team;
-    int64_t arrived_us;
-    ClockMs deadline; /* by the entry's clock */
-    ClockMs patience; /* no wait for a promised token after it */
-    gboolean ideal;
-    struct Request *next;
-} Request;
-
-/* A draw on the way, shared by the events that refer to it. */
-typedef struct Flight {
-    int refs;
-    RatePlan plan;
-    int team;
-    int from;
-    int to;
-    RateUse uses[USES];
-    int use_count;
-    gboolean done;
-} Flight;
-
-typedef struct Reply {
-    Result result;
-    RateGrant grant;
-    int places;
-    uint16_t slot[PLACES];
-    RateHoldPlace place[PLACES];
-} Reply;
-
-typedef struct Event {
-    int64_t at_us;
-    uint64_t order;
-    EventKind kind;
-    int host;
-    uint64_t incarnation; /* of the host; 0 = any */
-    int number;
-    Flight *flight;
-    Reply *reply;
-    Request *request;
-    RateToken token;
-    RateHoldAction action;
-    Result result;
-    RateSlotObject object;
-    gboolean has_object;
-    ClockMs sent_ms;
-    RateUse uses[USES];
-    int use_count;
-    uint64_t sender;
-} Event;
-
-typedef struct Host {
-    RateHost record;
-    gboolean up;
-    gboolean stopping;
-    gboolean retired;
-    int64_t clock_offset_us;
-    int drift_ppm;
-    int64_t paused_until_us;
-    int64_t started_us;
-    gboolean at_store; /* a call on the store is on the way */
-    RateHold *hold;
-    RateHolder *holder;
-    RateWallet *wallet;
-    RateDirectory *directory;
-    Request *waiting[RATE_SIM_TEAMS];
-    int64_t retry_us[RATE_SIM_TEAMS]; /* of the pending EV_RETRY; 0 = none */
-    struct {
-        RateSim *sim;
-        int index;
-    } self;
-} Host;
-
-typedef struct Change {
-    RateLimit limit;
-    int64_t at_us;
-} Change;
-
-typedef struct Bucket {
-    int64_t micro;
-    int64_t at_us;
-} Bucket;
-
-typedef struct TeamState {
-    RateSimTeam out;
-    Change changes[MAX_CHANGES];
-    int change_count;
-    Bucket ideal;
-    Bucket check;
-    Bucket home;
-    Bucket shares[RATE_SIM_HOSTS];
-    int home_host;
-    int64_t home_renewed_us;
-    int64_t home_vacant_until_us;
-} TeamState;
-
-typedef struct StoreObject {
-    RateSlotObject object;
-    int64_t modified_us;
-} StoreObject;
-
-struct RateSim {
-    RateSim_desc desc;
-    Rng rng;
-    int64_t now_us;
-    uint64_t order;
-    Event **heap;
-    int heap_count;
-    int heap_room;
-    Host hosts[RATE_SIM_HOSTS];
-    int host_count;
-    uint8_t cut[RATE_SIM_HOSTS][RATE_SIM_HOSTS];
-    TeamState teams[RATE_SIM_TEAMS];
-    int team_count;
-    StoreObject store[RATE_SLOTS_MAX];
-    uint64_t store_version;
-    gboolean store_down;
-    int writes_in_second;
-    RateSimCost cost;
-};
+#include "rate/rate_sim_private.h"
 
 static gboolean
 before(const Event *a, const Event *b)
@@ -215,8 +66,8 @@
     return event;
 }
 
-static ClockMs
-local_ms(const RateSim *sim, int host)
+ClockMs
+_RateSim_LocalMs(const RateSim *sim, int host)
 {
     const Host *h = &sim->hosts[host];
     int64_t us = sim->now_us + sim->now_us * h->drift_ppm / 1000000;
@@ -253,35 +104,6 @@
     return base + (int64_t)Rng_Exponential(&sim->rng, (double)base / 5.0);
 }
 
-/* Adds the refill in micro-tokens; a rate per second is one per microsecond.
- */
-static int64_t
-fill(Bucket *bucket, const RateLimit *limit, int64_t now_us)
-{
-    int64_t full = limit->burst * RATE_MICRO;
-    int64_t elapsed = now_us - bucket->at_us;
-
-    bucket->at_us = now_us;
-    if (limit->rate_per_s > 0 &&
-        elapsed > (full - bucket->micro) / limit->rate_per_s) {
-        bucket->micro = full;
-    }
-    else {
-        bucket->micro += elapsed * limit->rate_per_s;
-    }
-    return bucket->micro;
-}
-
-static gboolean
-take_from(Bucket *bucket, const RateLimit *limit, int64_t now_us)
-{
-    if (fill(bucket, limit, now_us) < RATE_MICRO) {
-        return FALSE;
-    }
-    bucket->micro -= RATE_MICRO;
-    return TRUE;
-}
-
 /* The limit at a host, which puts a ticket in force 0 to 5.9 s after it was
  * accepted. */
 static const Change *
@@ -347,8 +169,8 @@
     return FALSE;
 }
 
-static void
-close_host(Host *host)
+void
+_RateSim_CloseHost(Host *host)
 {
     RateHold_Destroy(host->hold);
     RateHolder_Destroy(host->holder);
@@ -368,14 +190,14 @@
     }
 }
 
-static void
-send_view(RateSim *sim, int64_t delay_us)
+void
+_RateSim_SendView(RateSim *sim, int64_t delay_us)
 {
     push(sim, new_event(sim, EV_VIEW, NO_HOST), sim->now_us + delay_us);
 }
 
-static void
-show_view(RateSim *sim)
+void
+_RateSim_ShowView(RateSim *sim)
 {
     RateHost live[RATE_SIM_HOSTS];
     int count = 0;
@@ -389,7 +211,8 @@
         Host *host = &sim->hosts[i];
 
         if (host->up) {
-            RateHold_SetView(host->hold, live, count, local_ms(sim, i));
+            RateHold_SetView(host->hold, live, count,
+                             _RateSim_LocalMs(sim, i));
             RateDirectory_SetView(host->directory, host->hold, live, count);
         }
     }
@@ -438,7 +261,7 @@
          sim->now_us + (int64_t)Rng_Below(&sim->rng, 50000));
     push(sim, new_event(sim, EV_HOLD, index),
          sim->now_us + (int64_t)Rng_Below(&sim->rng, HOLD_US));
-    send_view(sim, 300000);
+    _RateSim_SendView(sim, 300000);
 }
 
 static void
@@ -474,7 +297,7 @@
         host->drift_ppm = (i % 2 == 0 ? 1 : -1) * desc->drift_ppm;
         open_host(sim, i);
     }
-    show_view(sim);
+    _RateSim_ShowView(sim);
     return sim;
 }
 
@@ -482,7 +305,7 @@
 RateSim_Destroy(RateSim *sim)
 {
     for (int i = 0; i < sim->host_count; i++) {
-        close_host(&sim->hosts[i]);
+        _RateSim_CloseHost(&sim->hosts[i]);
     }
     for (int i = 0; i < sim->heap_count; i++) {
         free_event(sim->heap[i]);
@@ -512,100 +335,15 @@
     return index;
 }
 
-/* The exact check, against the larger limit until a change is in force
- * everywhere and the last grants of the former one have lapsed. */
-static void
-check_admission(RateSim *sim, TeamState *team)
-{
-    RateLimit limit = team->changes[0].limit;
-    int64_t excess;
-
-    for (int i = 1; i < team->change_count; i++) {
-        const Change *change = &team->changes[i];
-
-        if (sim->now_us > change->at_us + CHANGE_US + 1100000) {
-            limit = change->limit;
-        }
-        else {
-            limit.rate_per_s = MAX(limit.rate_per_s, change->limit.rate_per_s);
-            limit.burst = MAX(limit.burst, change->limit.burst);
-        }
-    }
-    fill(&team->check, &limit, sim->now_us);
-    team->check.micro -= RATE_MICRO;
-    excess = -team->check.micro;
-    if (excess > 0) {
-        team->out.above++;
-        team->out.worst_micro = MAX(team->out.worst_micro, excess);
-    }
-}
-
-static void
-count_result(RateSimTeam *team, int scheme, gboolean admitted, gboolean ideal)
-{
-    RateSimScore *score = &team->score[scheme];
-
-    if (admitted) {
-        score->admitted++;
-    }
-    else if (ideal) {
-        score->strict++;
-        if (score->admitted + score->wrong < team->ideal) {
-            score->wrong++;
-        }
-    }
-}
-
-/* The baseline of one leased home: a full bucket at one host, and none while
- * the lease of a crashed home lasts. */
-static gboolean
-admit_home(RateSim *sim, TeamState *team, const RateLimit *limit)
-{
-    if (!sim->hosts[team->home_host].up) {
-        if (team->home_vacant_until_us == 0) {
-            int64_t left =
-                sim->desc.hold_ms * 1000 -
-                (int64_t)Rng_Below(&sim->rng,
-                                   (uint64_t)sim->desc.hold_ms * 1000 / 3);
-
-            team->home_vacant_until_us = sim->now_us + left;
-        }
-        if (sim->now_us < team->home_vacant_until_us) {
-            return FALSE;
-        }
-        team->home_host = (team->home_host + 1) % sim->host_count;
-        team->home_vacant_until_us = 0;
-        team->home = (Bucket){0, sim->now_us};
-    }
-    return take_from(&team->home, limit, sim->now_us);
-}
-
-static gboolean
-admit_static(RateSim *sim, TeamState *team, const RateLimit *limit, int host)
-{
-    Bucket *bucket = &team->shares[host];
-    int64_t full = limit->burst * RATE_MICRO / sim->host_count;
-    int64_t elapsed = sim->now_us - bucket->at_us;
-
-    bucket->at_us = sim->now_us;
-    bucket->micro = MIN(full, bucket->micro + elapsed * limit->rate_per_s /
-                                                  sim->host_count);
-    if (bucket->micro < RATE_MICRO) {
-        return FALSE;
-    }
-    bucket->micro -= RATE_MICRO;
-    return TRUE;
-}
-
 static void
 finish(RateSim *sim, Request *request, gboolean admitted)
 {
     TeamState *team = &sim->teams[request->team];
 
-    count_result(&team->out, RATE_SIM_SLOTS, admitted, request->ideal);
+    _RateSim_Count(&team->out, RATE_SIM_SLOTS, admitted, request->ideal);
     if (admitted) {
         sim->cost.wait_us += sim->now_us - request->arrived_us;
-        check_admission(sim, team);
+        _RateSim_CheckAdmission(sim, team);
     }
     g_free(request);
 }
@@ -665,8 +403,8 @@
     }
 }
 
-static int
-host_index(const RateSim *sim, uint64_t id)
+int
+_RateSim_HostIndex(const RateSim *sim, uint64_t id)
 {
     for (int i = 0; i < sim->host_count; i++) {
         if (sim->hosts[i].record.host == id) {
@@ -695,12 +433,12 @@
     int count;
 
     count = RateWallet_Plan(host->wallet, sim->teams[team].out.id,
-                            waiting_count(host, team), local_ms(sim, index),
-                            plans, 4);
+                            waiting_count(host, team),
+                            _RateSim_LocalMs(sim, index), plans, 4);
     for (int i = 0; i < count; i++) {
         Flight *flight;
         Event *event;
-        int to = host_index(sim, plans[i].holder);
+        int to = _RateSim_HostIndex(sim, plans[i].holder);
 
         flight = g_new0(Flight, 1);
         flight->plan = plans[i];
@@ -709,7 +447,7 @@
         flight->to = to >= 0 ? to : index;
         flight->use_count = RateWallet_Settle(
             host->wallet, plans[i].holder, plans[i].holder_incarnation,
-            flight->uses, USES, local_ms(sim, index));
+            flight->uses, USES, _RateSim_LocalMs(sim, index));
         sim->cost.draws++;
         event = new_event(sim, EV_TIMEOUT, index);
         event->flight = flight;
@@ -741,7 +479,7 @@
 {
     Host *host = &sim->hosts[index];
     TeamState *team = &sim->teams[request->team];
-    ClockMs now = local_ms(sim, index);
+    ClockMs now = _RateSim_LocalMs(sim, index);
     Event *event;
     RateToken token;
     Result result;
@@ -804,7 +542,7 @@
 
         /* When one has to wait again, so have those behind it. */
         if (host->waiting[team] != NULL &&
-            local_ms(sim, index) < request->patience) {
+            _RateSim_LocalMs(sim, index) < request->patience) {
             *end = request;
             request->next = NULL;
             end = &request->next;
@@ -831,13 +569,14 @@
 send_settlements(RateSim *sim, int index)
 {
     Host *host = &sim->hosts[index];
-    ClockMs now = local_ms(sim, index);
+    ClockMs now = _RateSim_LocalMs(sim, index);
     uint64_t holder;
     uint64_t incarnation;
 
     while (
         RateWallet_NextSettlement(host->wallet, now, &holder, &incarnation)) {
-        Event *event = new_event(sim, EV_SETTLE, host_index(sim, holder));
+        Event *event =
+            new_event(sim, EV_SETTLE, _RateSim_HostIndex(sim, holder));
 
         event->use_count = RateWallet_Settle(host->wallet, holder, incarnation,
                                              event->uses, USES, now);
@@ -884,18 +623,18 @@
     if (!sim->hosts[index].up) {
         return;
     }
-    ideal = take_from(&team->ideal, limit, sim->now_us);
+    ideal = _RateSim_TakeFrom(&team->ideal, limit, sim->now_us);
     team->out.offered++;
     team->out.ideal += ideal;
-    count_result(&team->out, RATE_SIM_STATIC,
-                 admit_static(sim, team, limit, index), ideal);
-    count_result(&team->out, RATE_SIM_HOME, admit_home(sim, team, limit),
-                 ideal);
+    _RateSim_Count(&team->out, RATE_SIM_STATIC,
+                   _RateSim_AdmitStatic(sim, team, limit, index), ideal);
+    _RateSim_Count(&team->out, RATE_SIM_HOME,
+                   _RateSim_AdmitHome(sim, team, limit), ideal);
     request = g_new0(Request, 1);
     request->team = event->number;
     request->arrived_us = sim->now_us;
-    request->deadline = local_ms(sim, index) + sim->desc.deadline_ms;
-    request->patience = local_ms(sim, index) + RATE_WAIT_MS;
+    request->deadline = _RateSim_LocalMs(sim, index) + sim->desc.deadline_ms;
+    request->patience = _RateSim_LocalMs(sim, index) + RATE_WAIT_MS;
     request->ideal = ideal;
     serve(sim, index, request);
     if (sim->hosts[index].waiting[event->number] != NULL) {
@@ -908,7 +647,7 @@
 {
     Host *host = &sim->hosts[event->host];
     Flight *flight = event->flight;
-    ClockMs now = local_ms(sim, event->host);
+    ClockMs now = _RateSim_LocalMs(sim, event->host);
     Reply *reply = g_new0(Reply, 1);
     Event *answer;
 
@@ -936,7 +675,7 @@
     Flight *flight = event->flight;
     const Reply *reply = event->reply;
     const RatePlan *plan = &flight->plan;
-    ClockMs now = local_ms(sim, event->host);
+    ClockMs now = _RateSim_LocalMs(sim, event->host);
 
     if (flight->done) {
         return;
@@ -977,7 +716,7 @@
     if (!flight->done) {
         flight->done = TRUE;
         RateWallet_Failed(host->wallet, &flight->plan, RESULT_RPC_TIMEOUT,
-                          local_ms(sim, event->host));
+                          _RateSim_LocalMs(sim, event->host));
         serve_waiting(sim, event->host, flight->team);
     }
 }
@@ -988,7 +727,7 @@
     Host *host = &sim->hosts[event->host];
     Request *request = event->request;
     Result result = RateWallet_Use(host->wallet, &event->token,
-                                   local_ms(sim, event->host));
+                                   _RateSim_LocalMs(sim, event->host));
 
     event->request = NULL;
     if (result == RESULT_OK) {
@@ -1006,7 +745,7 @@
 apply_change(RateSim *sim, int index, const RateHoldEvent *change)
 {
     Host *host = &sim->hosts[index];
-    ClockMs now = local_ms(sim, index);
+    ClockMs now = _RateSim_LocalMs(sim, index);
 
     switch (change->change) {
     case RATE_HOLD_OPEN:
@@ -1027,8 +766,8 @@
     }
 }
 
-static void
-on_hold(RateSim *sim, int index)
+void
+_RateSim_OnHold(RateSim *sim, int index)
 {
     Host *host = &sim->hosts[index];
     RateHoldAction action;
@@ -1036,13 +775,14 @@
     Event *event;
 
     if (host->at_store ||
-        !RateHold_Next(host->hold, local_ms(sim, index), &action, &wait_ms)) {
+        !RateHold_Next(host->hold, _RateSim_LocalMs(sim, index), &action,
+                       &wait_ms)) {
         return;
     }
     host->at_store = TRUE;
     event = new_event(sim, EV_STORE, index);
     event->action = action;
-    event->sent_ms = local_ms(sim, index);
+    event->sent_ms = _RateSim_LocalMs(sim, index);
     push(sim, event,
          sim->now_us + STORE_US / 2 +
              (int64_t)Rng_Exponential(&sim->rng, STORE_US));
@@ -1109,11 +849,12 @@
     host->at_store = FALSE;
     change = RateHold_Done(host->hold, &event->action, event->result,
                            event->has_object ? &event->object : NULL,
-                           event->sent_ms, local_ms(sim, event->host));
+                           event->sent_ms, _RateSim_LocalMs(sim, event->host));
     apply_change(sim, event->host, &change);
     if (event->action.call == RATE_HOLD_RELEASE &&
         event->result == RESULT_OK) {
-        int next = host_index(sim, RateHold_First(host->hold, slot).host);
+        int next =
+            _RateSim_HostIndex(sim, RateHold_First(host->hold, slot).host);
 
         if (next >= 0 && sim->hosts[next].up) {
             Event *hint = new_event(sim, EV_HINT, next);
@@ -1122,22 +863,22 @@
             push(sim, hint, sim->now_us + latency(sim, event->host, next));
         }
     }
-    on_hold(sim, event->host);
+    _RateSim_OnHold(sim, event->host);
 }
 
-static void
-schedule(RateSim *sim, EventKind kind, int index, int64_t delay_us)
+void
+_RateSim_Schedule(RateSim *sim, EventKind kind, int index, int64_t delay_us)
 {
     push(sim, new_event(sim, kind, index), sim->now_us + delay_us);
 }
 
-static void
-on_start(RateSim *sim, int index)
+void
+_RateSim_StartHost(RateSim *sim, int index)
 {
     Host *host = &sim->hosts[index];
 
     if (host->up) {
-        close_host(host);
+        _RateSim_CloseHost(host);
     }
     host->up = FALSE;
     host->record.incarnation += 1000;
@@ -1150,17 +891,17 @@
     Host *host = &sim->hosts[event->host];
 
     if (event->kind == EV_WALLET) {
-        ClockMs now = local_ms(sim, event->host);
+        ClockMs now = _RateSim_LocalMs(sim, event->host);
 
         RateWallet_Tick(host->wallet, now);
         RateHolder_Tick(host->holder, now);
         RateDirectory_Tick(host->directory, now);
         send_settlements(sim, event->host);
-        schedule(sim, EV_WALLET, event->host, WALLET_US);
+        _RateSim_Schedule(sim, EV_WALLET, event->host, WALLET_US);
     }
     else {
-        on_hold(sim, event->host);
-        schedule(sim, EV_HOLD, event->host, HOLD_US);
+        _RateSim_OnHold(sim, event->host);
+        _RateSim_Schedule(sim, EV_HOLD, event->host, HOLD_US);
     }
 }
 
@@ -1187,7 +928,7 @@
     case EV_SETTLE:
         RateHolder_Settle(sim->hosts[event->host].holder, event->sender,
                           event->uses, event->use_count,
-                          local_ms(sim, event->host));
+                          _RateSim_LocalMs(sim, event->host));
         break;
     case EV_USE:
         on_use(sim, event);
@@ -1198,8 +939,8 @@
         break;
     case EV_HINT:
         RateHold_Hint(sim->hosts[event->host].hold, event->number,
-                      local_ms(sim, event->host));
-        on_hold(sim, event->host);
+                      _RateSim_LocalMs(sim, event->host));
+        _RateSim_OnHold(sim, event->host);
         break;
     default:
         on_timer(sim, event);
@@ -1222,10 +963,10 @@
         on_store(sim, event);
         return FALSE;
     case EV_VIEW:
-        show_view(sim);
+        _RateSim_ShowView(sim);
         return TRUE;
     case EV_START:
-        on_start(sim, event->host);
+        _RateSim_StartHost(sim, event->host);
         return TRUE;
     case EV_SECOND:
         sim->writes_in_second = 0;
@@ -1277,160 +1018,3 @@
         }
     }
 }
-
-const RateSimTeam *
-RateSim_Team(const RateSim *sim, int team)
-{
-    return &sim->teams[team].out;
-}
-
-RateSimCost
-RateSim_Cost(const RateSim *sim)
-{
-    return sim->cost;
-}
-
-Rng *
-RateSim_Rng(RateSim *sim)
-{
-    return &sim->rng;
-}
-
-void
-RateSim_Kill(RateSim *sim, int index)
-{
-    if (sim->hosts[index].up) {
-        sim->hosts[index].up = FALSE;
-        close_host(&sim->hosts[index]);
-        send_view(sim, 2 * SECOND_US);
-    }
-}
-
-void
-RateSim_Start(RateSim *sim, int index, gboolean same_address)
-{
-    Host *host = &sim->hosts[index];
-
-    if (host->up) {
-        return;
-    }
-    if (!same_address) {
-        host->record.host = Rng_Next(&sim->rng);
-        g_snprintf(host->record.address, sizeof(host->record.address),
-                   "10.1.%d.%d:1", index, (int)Rng_Below(&sim->rng, 1000000));
-    }
-    on_start(sim, index);
-}
-
-void
-RateSim_Restart(RateSim *sim, int index)
-{
-    Host *host = &sim->hosts[index];
-    ClockMs now = local_ms(sim, index);
-
-    if (!host->up || host->stopping) {
-        return;
-    }
-    host->stopping = TRUE;
-    RateHold_ReleaseAll(host->hold, now);
-    for (int i = 0; i < sim->desc.fleet_slots; i++) {
-        RateHolder_CloseSlot(host->holder, i, now);
-    }
-    show_view(sim);
-    on_hold(sim, index);
-    schedule(sim, EV_START, index, 2 * SECOND_US);
-}
-
-void
-RateSim_Pause(RateSim *sim, int index, int ms)
-{
-    sim->hosts[index].paused_until_us = sim->now_us + (int64_t)ms * 1000;
-}
-
-void
-RateSim_Cut(RateSim *sim, int from, int to, gboolean cut)
-{
-    sim->cut[from][to] = cut != FALSE;
-}
-
-void
-RateSim_SetStoreDown(RateSim *sim, gboolean down)
-{
-    sim->store_down = down;
-}
-
-void
-RateSim_Retire(RateSim *sim, int index)
-{
-    sim->hosts[index].retired = TRUE;
-}
-
-void
-RateSim_SetLimit(RateSim *sim, int index, const RateLimit *limit)
-{
-    TeamState *team = &sim->teams[index];
-    const RateLimit *old = &team->changes[team->change_count - 1].limit;
-
-    g_assert(team->change_count < MAX_CHANGES);
-    /* Windows that hold the change may use the larger of both bursts. */
-    if (limit->burst > old->burst) {
-        team->check.micro += (limit->burst - old->burst) * RATE_MICRO;
-    }
-    team->changes[team->change_count++] = (Change){*limit, sim->now_us};
-}
-
-int
-RateSim_Holder(const RateSim *sim)
-{
-    int best = NO_HOST;
-    int most = 0;
-
-    for (int i = 0; i < sim->host_count; i++) {
-        if (sim->hosts[i].up && RateHold_Count(sim->hosts[i].hold) > most) {
-            most = RateHold_Count(sim->hosts[i].hold);
-            best = i;
-        }
-    }
-    return best;
-}
-
-int
-RateSim_HolderOf(const RateSim *sim, int index)
-{
-    uint16_t slots[RATE_SLOTS_MAX];
-    const TeamState *team = &sim->teams[index];
-    RateShare share =
-        RateShare_Make(&team->changes[0].limit, sim->desc.fleet_slots);
-    int count =
-        RateShare_Slots(team->out.id, share.slots, sim->desc.fleet_slots,
-                        sim->desc.regions, slots);
-
-    for (int i = 0; i < count; i++) {
-        int holder = host_index(sim, sim->store[slots[i]].object.holder);
-
-        if (holder >= 0 && sim->hosts[holder].up &&
-            !sim->hosts[holder].stopping) {
-            return holder;
-        }
-    }
-    return NO_HOST;
-}
-
-gboolean
-RateSim_IsUp(const RateSim *sim, int index)
-{
-    return sim->hosts[index].up && !sim->hosts[index].stopping;
-}
-
-int
-RateSim_SlotsHeld(const RateSim *sim)
-{
-    int held = 0;
-
-    for (int i = 0; i < sim->host_count; i++) {
-        if (sim->hosts[i].up) {
-            held += RateHold_Count(sim->hosts[i].hold);
-        }
-    }
-    return held;
-}
