--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -15,6 +15,9 @@
 /* How often deadlines and hang-ups of suspended requests are looked at. */
 #define WATCH_PERIOD_MS 20
 
+/* How long a draining server waits for idle connections. */
+#define IDLE_GRACE_MS 1000
+
 #define DEFAULT_EVENT_THREADS 2
 #define DEFAULT_WORKER_THREADS 32
 #define DEFAULT_MAX_BODY_BYTES (1024 * 1024)
@@ -534,6 +537,12 @@
             adopt_waiting_connections(server, listen_fd);
         }
     }
+    while (Clock_Now() < until && HttpServer_InFlight(server) > 0) {
+        (void)poll(NULL, 0, WATCH_PERIOD_MS);
+    }
+    /* Connections in use get "Connection: close" with their next answer; idle
+     * ones are closed after a while. */
+    until = MIN(until, Clock_Now() + IDLE_GRACE_MS);
     while (Clock_Now() < until && (HttpServer_InFlight(server) > 0 ||
                                    atomic_load(&server->connections) > 0)) {
         (void)poll(NULL, 0, WATCH_PERIOD_MS);
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -58,8 +58,9 @@
 HttpServer_InFlight(const HttpServer *server);
 
 /* Stops accepting, adds "Connection: close" to further answers and waits
- * until no request is in flight and no connection is open, at most until the
- * given time. Returns TRUE if nothing was left in flight. */
+ * until no request is in flight, at most until the given time, and then up to
+ * a second for open connections to end. Returns TRUE if nothing was left in
+ * flight. */
 gboolean
 HttpServer_Drain(HttpServer *server, ClockMs until);
 void
