--- a/src/rate/rate_sim.c
+++ b/src/rate/rate_sim.c
@@ -11,8 +11,8 @@
            (a->at_us == b->at_us && a->order < b->order);
 }
 
-static void
-push(RateSim *sim, Event *event, int64_t at_us)
+void
+_RateSim_Push(RateSim *sim, Event *event, int64_t at_us)
 {
     int i = sim->heap_count++;
 
@@ -53,8 +53,8 @@
     return top;
 }
 
-static Event *
-new_event(const RateSim *sim, EventKind kind, int host)
+Event *
+_RateSim_NewEvent(const RateSim *sim, EventKind kind, int host)
 {
     Event *event = g_new0(Event, 1);
 
@@ -85,8 +85,8 @@
            1000;
 }
 
-static int64_t
-latency(RateSim *sim, int from, int to)
+int64_t
+_RateSim_Latency(RateSim *sim, int from, int to)
 {
     const RateHost *a = &sim->hosts[from].record;
     const RateHost *b = &sim->hosts[to].record;
@@ -106,8 +106,8 @@
 
 /* The limit at a host, which puts a ticket in force 0 to 5.9 s after it was
  * accepted. */
-static const Change *
-limit_at(const RateSim *sim, int host, const TeamState *team)
+const Change *
+_RateSim_LimitAt(const RateSim *sim, int host, const TeamState *team)
 {
     int i = team->change_count - 1;
 
@@ -122,8 +122,9 @@
     return &team->changes[i];
 }
 
-static gboolean
-lookup(void *context, uint64_t id, RateLimit *limit, ClockMs *in_force_ms)
+gboolean
+_RateSim_Lookup(void *context, uint64_t id, RateLimit *limit,
+                ClockMs *in_force_ms)
 {
     const Host *host = context;
     const RateSim *sim = host->self.sim;
@@ -136,7 +137,7 @@
         if (team->out.id != id) {
             continue;
         }
-        change = limit_at(sim, host->self.index, team);
+        change = _RateSim_LimitAt(sim, host->self.index, team);
         *limit = change->limit;
         if (change != team->changes) {
             int n = (int)(change - team->changes);
@@ -193,7 +194,8 @@
 void
 _RateSim_SendView(RateSim *sim, int64_t delay_us)
 {
-    push(sim, new_event(sim, EV_VIEW, NO_HOST), sim->now_us + delay_us);
+    _RateSim_Push(sim, _RateSim_NewEvent(sim, EV_VIEW, NO_HOST),
+                  sim->now_us + delay_us);
 }
 
 void
@@ -241,7 +243,7 @@
                                          .is_retired = is_retired,
                                          .context = host});
     host->holder =
-        RateHolder_Create(&(RateHolder_desc){.lookup = lookup,
+        RateHolder_Create(&(RateHolder_desc){.lookup = _RateSim_Lookup,
                                              .context = host,
                                              .fleet_slots = d->fleet_slots,
                                              .regions = d->regions,
@@ -257,15 +259,15 @@
                            .max_grants = 4096});
     host->directory =
         RateDirectory_Create(host->wallet, &host->record, d->fleet_slots);
-    push(sim, new_event(sim, EV_WALLET, index),
-         sim->now_us + (int64_t)Rng_Below(&sim->rng, 50000));
-    push(sim, new_event(sim, EV_HOLD, index),
-         sim->now_us + (int64_t)Rng_Below(&sim->rng, HOLD_US));
+    _RateSim_Push(sim, _RateSim_NewEvent(sim, EV_WALLET, index),
+                  sim->now_us + (int64_t)Rng_Below(&sim->rng, 50000));
+    _RateSim_Push(sim, _RateSim_NewEvent(sim, EV_HOLD, index),
+                  sim->now_us + (int64_t)Rng_Below(&sim->rng, HOLD_US));
     _RateSim_SendView(sim, 300000);
 }
 
-static void
-free_event(Event *event)
+void
+_RateSim_FreeEvent(Event *event)
 {
     if (event->flight != NULL && --event->flight->refs == 0) {
         g_free(event->flight);
@@ -308,7 +310,7 @@
         _RateSim_CloseHost(&sim->hosts[i]);
     }
     for (int i = 0; i < sim->heap_count; i++) {
-        free_event(sim->heap[i]);
+        _RateSim_FreeEvent(sim->heap[i]);
     }
     g_free(sim->heap);
     g_free(sim);
@@ -335,412 +337,6 @@
     return index;
 }
 
-static void
-finish(RateSim *sim, Request *request, gboolean admitted)
-{
-    TeamState *team = &sim->teams[request->team];
-
-    _RateSim_Count(&team->out, RATE_SIM_SLOTS, admitted, request->ideal);
-    if (admitted) {
-        sim->cost.wait_us += sim->now_us - request->arrived_us;
-        _RateSim_CheckAdmission(sim, team);
-    }
-    g_free(request);
-}
-
-
-static void
-add_places(const RateSim *sim, int index, uint64_t id, Reply *reply)
-{
-    const Host *host = &sim->hosts[index];
-    uint16_t slots[RATE_SLOTS_MAX];
-    RateLimit limit;
-    ClockMs in_force;
-    int count;
-
-    if (!lookup((void *)host, id, &limit, &in_force)) {
-        return;
-    }
-    count = RateShare_Slots(
-        id, RateShare_Make(&limit, sim->desc.fleet_slots).slots,
-        sim->desc.fleet_slots, sim->desc.regions, slots);
-    for (int i = 0; i < count && reply->places < PLACES; i++) {
-        RateHoldPlace known = RateHold_Known(host->hold, slots[i]);
-
-        if (RateHold_First(host->hold, slots[i]).host == host->record.host &&
-            known.host != host->record.host) {
-            reply->slot[reply->places] = slots[i];
-            reply->place[reply->places++] = known;
-        }
-    }
-}
-
-static gboolean
-is_lost(RateSim *sim, int from, int to)
-{
-    return from != to &&
-           (sim->cut[from][to] || Rng_Unit(&sim->rng) < sim->desc.loss);
-}
-
-static void
-post_draw(RateSim *sim, Flight *flight)
-{
-    int copies = 1 + (Rng_Unit(&sim->rng) < sim->desc.repeat);
-
-    for (int copy = 0; copy < copies; copy++) {
-        Event *event;
-        int64_t late = copy * (int64_t)Rng_Below(&sim->rng, 2 * SECOND_US);
-
-        if (is_lost(sim, flight->from, flight->to)) {
-            continue;
-        }
-        event = new_event(sim, EV_DRAW, flight->to);
-        event->incarnation = flight->plan.holder_incarnation;
-        event->flight = flight;
-        flight->refs++;
-        push(sim, event,
-             sim->now_us + late + latency(sim, flight->from, flight->to));
-    }
-}
-
-int
-_RateSim_HostIndex(const RateSim *sim, uint64_t id)
-{
-    for (int i = 0; i < sim->host_count; i++) {
-        if (sim->hosts[i].record.host == id) {
-            return i;
-        }
-    }
-    return NO_HOST;
-}
-
-static int
-waiting_count(const Host *host, int team)
-{
-    int count = 0;
-
-    for (const Request *r = host->waiting[team]; r != NULL; r = r->next) {
-        count++;
-    }
-    return count;
-}
-
-static void
-plan_draws(RateSim *sim, int index, int team)
-{
-    Host *host = &sim->hosts[index];
-    RatePlan plans[4];
-    int count;
-
-    count = RateWallet_Plan(host->wallet, sim->teams[team].out.id,
-                            waiting_count(host, team),
-                            _RateSim_LocalMs(sim, index), plans, 4);
-    for (int i = 0; i < count; i++) {
-        Flight *flight;
-        Event *event;
-        int to = _RateSim_HostIndex(sim, plans[i].holder);
-
-        flight = g_new0(Flight, 1);
-        flight->plan = plans[i];
-        flight->team = team;
-        flight->from = index;
-        flight->to = to >= 0 ? to : index;
-        flight->use_count = RateWallet_Settle(
-            host->wallet, plans[i].holder, plans[i].holder_incarnation,
-            flight->uses, USES, _RateSim_LocalMs(sim, index));
-        sim->cost.draws++;
-        event = new_event(sim, EV_TIMEOUT, index);
-        event->flight = flight;
-        flight->refs++;
-        push(sim, event, sim->now_us + TIMEOUT_US);
-        event = new_event(sim, EV_RESEND, index);
-        event->flight = flight;
-        flight->refs++;
-        push(sim, event, sim->now_us + RESEND_US);
-        post_draw(sim, flight);
-    }
-}
-
-static void
-append(Host *host, Request *request)
-{
-    Request **link = &host->waiting[request->team];
-
-    while (*link != NULL) {
-        link = &(*link)->next;
-    }
-    request->next = NULL;
-    *link = request;
-}
-
-/* Tries to take a token for the request; it waits, is refused, or goes on. */
-static void
-serve(RateSim *sim, int index, Request *request)
-{
-    Host *host = &sim->hosts[index];
-    TeamState *team = &sim->teams[request->team];
-    ClockMs now = _RateSim_LocalMs(sim, index);
-    Event *event;
-    RateToken token;
-    Result result;
-    int retry_ms;
-
-    result = RateWallet_Take(host->wallet, team->out.id,
-                             &limit_at(sim, index, team)->limit, now, &token,
-                             &retry_ms);
-    if (result == RESULT_OK) {
-        int64_t delay = 50;
-
-        if (Rng_Below(&sim->rng, 100) < (uint64_t)sim->desc.pause_percent) {
-            delay = (int64_t)Rng_Below(&sim->rng, 3 * SECOND_US);
-        }
-        event = new_event(sim, EV_USE, index);
-        event->token = token;
-        event->request = request;
-        push(sim, event, sim->now_us + delay);
-        return;
-    }
-    if (now >= request->deadline ||
-        waiting_count(host, request->team) >= RATE_QUEUE_MAX ||
-        (result != RESULT_NOT_FOUND &&
-         (now + retry_ms > MIN(request->deadline, request->patience) ||
-          waiting_count(host, request->team) >= RATE_WAIT_MAX))) {
-        gboolean last = host->waiting[request->team] == NULL;
-
-        finish(sim, request, FALSE);
-        if (last) {
-            RateWallet_GiveBack(host->wallet, team->out.id, now);
-        }
-        return;
-    }
-    append(host, request);
-    if (result != RESULT_NOT_FOUND) {
-        int64_t at_us = sim->now_us + (retry_ms + 1) * 1000;
-        int64_t *retry_us = &host->retry_us[request->team];
-
-        /* Parts that wait here could complete a token elsewhere. */
-        RateWallet_GiveBack(host->wallet, team->out.id, now);
-        if (*retry_us <= sim->now_us || at_us < *retry_us) {
-            *retry_us = at_us;
-            event = new_event(sim, EV_RETRY, index);
-            event->number = request->team;
-            push(sim, event, at_us);
-        }
-    }
-}
-
-static void
-serve_waiting(RateSim *sim, int index, int team)
-{
-    Host *host = &sim->hosts[index];
-    Request *request = host->waiting[team];
-    Request **end = &host->waiting[team];
-
-    host->waiting[team] = NULL;
-    while (request != NULL) {
-        Request *next = request->next;
-
-        /* When one has to wait again, so have those behind it. */
-        if (host->waiting[team] != NULL &&
-            _RateSim_LocalMs(sim, index) < request->patience) {
-            *end = request;
-            request->next = NULL;
-            end = &request->next;
-        }
-        else {
-            serve(sim, index, request);
-            while (*end != NULL) {
-                end = &(*end)->next;
-            }
-        }
-        request = next;
-    }
-    plan_draws(sim, index, team);
-    if (host->waiting[team] != NULL && host->retry_us[team] <= sim->now_us) {
-        Event *event = new_event(sim, EV_RETRY, index);
-
-        host->retry_us[team] = sim->now_us + WALLET_US;
-        event->number = team;
-        push(sim, event, host->retry_us[team]);
-    }
-}
-
-static void
-send_settlements(RateSim *sim, int index)
-{
-    Host *host = &sim->hosts[index];
-    ClockMs now = _RateSim_LocalMs(sim, index);
-    uint64_t holder;
-    uint64_t incarnation;
-
-    while (
-        RateWallet_NextSettlement(host->wallet, now, &holder, &incarnation)) {
-        Event *event =
-            new_event(sim, EV_SETTLE, _RateSim_HostIndex(sim, holder));
-
-        event->use_count = RateWallet_Settle(host->wallet, holder, incarnation,
-                                             event->uses, USES, now);
-        event->incarnation = incarnation;
-        event->sender = host->record.host;
-        if (event->use_count == 0 || event->host < 0 ||
-            is_lost(sim, index, event->host)) {
-            free_event(event);
-            continue;
-        }
-        sim->cost.settles++;
-        push(sim, event, sim->now_us + latency(sim, index, event->host));
-    }
-}
-
-static void
-on_arrival(RateSim *sim, Event *event)
-{
-    TeamState *team = &sim->teams[event->number];
-    RateSimTraffic traffic = team->out.desc.traffic;
-    const RateLimit *limit = &team->changes[team->change_count - 1].limit;
-    Request *request;
-    double rate = team->out.desc.load * (double)limit->rate_per_s;
-    int index = 0;
-    gboolean ideal;
-
-    push(sim, event,
-         sim->now_us + 1 +
-             (int64_t)Rng_Exponential(&sim->rng, (double)SECOND_US / rate));
-    for (int tries = 0; tries < 1000; tries++) {
-        index = (int)Rng_Below(&sim->rng, (uint64_t)sim->host_count);
-        if (traffic == RATE_SIM_SKEWED && Rng_Below(&sim->rng, 10) < 9) {
-            index = (int)((team->out.id + Rng_Below(&sim->rng, 2) +
-                           (uint64_t)tries) %
-                          (uint64_t)sim->host_count);
-        }
-        if (sim->hosts[index].up && !sim->hosts[index].stopping &&
-            sim->hosts[index].paused_until_us <= sim->now_us &&
-            (traffic != RATE_SIM_REGION ||
-             sim->hosts[index].record.region == 0)) {
-            break;
-        }
-    }
-    if (!sim->hosts[index].up) {
-        return;
-    }
-    ideal = _RateSim_TakeFrom(&team->ideal, limit, sim->now_us);
-    team->out.offered++;
-    team->out.ideal += ideal;
-    _RateSim_Count(&team->out, RATE_SIM_STATIC,
-                   _RateSim_AdmitStatic(sim, team, limit, index), ideal);
-    _RateSim_Count(&team->out, RATE_SIM_HOME,
-                   _RateSim_AdmitHome(sim, team, limit), ideal);
-    request = g_new0(Request, 1);
-    request->team = event->number;
-    request->arrived_us = sim->now_us;
-    request->deadline = _RateSim_LocalMs(sim, index) + sim->desc.deadline_ms;
-    request->patience = _RateSim_LocalMs(sim, index) + RATE_WAIT_MS;
-    request->ideal = ideal;
-    serve(sim, index, request);
-    if (sim->hosts[index].waiting[event->number] != NULL) {
-        plan_draws(sim, index, event->number);
-    }
-}
-
-static void
-on_draw(RateSim *sim, Event *event)
-{
-    Host *host = &sim->hosts[event->host];
-    Flight *flight = event->flight;
-    ClockMs now = _RateSim_LocalMs(sim, event->host);
-    Reply *reply = g_new0(Reply, 1);
-    Event *answer;
-
-    RateHolder_Settle(host->holder, flight->plan.draw.entry, flight->uses,
-                      flight->use_count, now);
-    reply->result =
-        RateHolder_Draw(host->holder, &flight->plan.draw, now, &reply->grant);
-    add_places(sim, event->host, flight->plan.draw.team, reply);
-    if (is_lost(sim, event->host, flight->from)) {
-        g_free(reply);
-        return;
-    }
-    answer = new_event(sim, EV_REPLY, flight->from);
-    answer->incarnation = flight->plan.draw.entry_incarnation;
-    answer->flight = flight;
-    answer->reply = reply;
-    flight->refs++;
-    push(sim, answer, sim->now_us + latency(sim, event->host, flight->from));
-}
-
-static void
-on_reply(RateSim *sim, Event *event)
-{
-    Host *host = &sim->hosts[event->host];
-    Flight *flight = event->flight;
-    const Reply *reply = event->reply;
-    const RatePlan *plan = &flight->plan;
-    ClockMs now = _RateSim_LocalMs(sim, event->host);
-
-    if (flight->done) {
-        return;
-    }
-    flight->done = TRUE;
-    if (reply->result == RESULT_OK) {
-        RateWallet_Granted(host->wallet, plan, &reply->grant, now);
-    }
-    else {
-        RateWallet_Failed(host->wallet, plan, reply->result, now);
-    }
-    if (reply->result == RESULT_RATE_NOT_HELD) {
-        uint16_t slots[RATE_SLOTS_MAX];
-        const RateLimit *limit =
-            &limit_at(sim, event->host, &sim->teams[flight->team])->limit;
-        int count =
-            RateShare_Slots(plan->draw.team,
-                            RateShare_Make(limit, sim->desc.fleet_slots).slots,
-                            sim->desc.fleet_slots, sim->desc.regions, slots);
-
-        RateDirectory_NotHeld(host->directory, plan->holder,
-                              plan->holder_incarnation, slots, count, now);
-    }
-    for (int i = 0; i < reply->places; i++) {
-        RateDirectory_Learn(host->directory, reply->slot[i],
-                            reply->place[i].host, reply->place[i].incarnation,
-                            now);
-    }
-    serve_waiting(sim, event->host, flight->team);
-}
-
-static void
-on_timeout(RateSim *sim, Event *event)
-{
-    Host *host = &sim->hosts[event->host];
-    Flight *flight = event->flight;
-
-    if (!flight->done) {
-        flight->done = TRUE;
-        RateWallet_Failed(host->wallet, &flight->plan, RESULT_RPC_TIMEOUT,
-                          _RateSim_LocalMs(sim, event->host));
-        serve_waiting(sim, event->host, flight->team);
-    }
-}
-
-static void
-on_use(RateSim *sim, Event *event)
-{
-    Host *host = &sim->hosts[event->host];
-    Request *request = event->request;
-    Result result = RateWallet_Use(host->wallet, &event->token,
-                                   _RateSim_LocalMs(sim, event->host));
-
-    event->request = NULL;
-    if (result == RESULT_OK) {
-        finish(sim, request, TRUE);
-    }
-    else {
-        int team = request->team;
-
-        serve(sim, event->host, request);
-        plan_draws(sim, event->host, team);
-    }
-}
-
 static void
 apply_change(RateSim *sim, int index, const RateHoldEvent *change)
 {
@@ -780,12 +376,12 @@
         return;
     }
     host->at_store = TRUE;
-    event = new_event(sim, EV_STORE, index);
+    event = _RateSim_NewEvent(sim, EV_STORE, index);
     event->action = action;
     event->sent_ms = _RateSim_LocalMs(sim, index);
-    push(sim, event,
-         sim->now_us + STORE_US / 2 +
-             (int64_t)Rng_Exponential(&sim->rng, STORE_US));
+    _RateSim_Push(sim, event,
+                  sim->now_us + STORE_US / 2 +
+                      (int64_t)Rng_Exponential(&sim->rng, STORE_US));
 }
 
 static void
@@ -817,7 +413,7 @@
     event->kind = EV_STORE_DONE;
     if (sim->store_down) {
         event->result = RESULT_STORE_UNAVAILABLE;
-        push(sim, event, sim->now_us + SECOND_US / 2);
+        _RateSim_Push(sim, event, sim->now_us + SECOND_US / 2);
         return;
     }
     if (event->action.call == RATE_HOLD_READ) {
@@ -836,7 +432,7 @@
         event->has_object = FALSE;
         delay = SECOND_US;
     }
-    push(sim, event, sim->now_us + delay);
+    _RateSim_Push(sim, event, sim->now_us + delay);
 }
 
 static void
@@ -857,10 +453,12 @@
             _RateSim_HostIndex(sim, RateHold_First(host->hold, slot).host);
 
         if (next >= 0 && sim->hosts[next].up) {
-            Event *hint = new_event(sim, EV_HINT, next);
+            Event *hint = _RateSim_NewEvent(sim, EV_HINT, next);
 
             hint->number = slot;
-            push(sim, hint, sim->now_us + latency(sim, event->host, next));
+            _RateSim_Push(sim, hint,
+                          sim->now_us +
+                              _RateSim_Latency(sim, event->host, next));
         }
     }
     _RateSim_OnHold(sim, event->host);
@@ -869,7 +467,8 @@
 void
 _RateSim_Schedule(RateSim *sim, EventKind kind, int index, int64_t delay_us)
 {
-    push(sim, new_event(sim, kind, index), sim->now_us + delay_us);
+    _RateSim_Push(sim, _RateSim_NewEvent(sim, kind, index),
+                  sim->now_us + delay_us);
 }
 
 void
@@ -896,7 +495,7 @@
         RateWallet_Tick(host->wallet, now);
         RateHolder_Tick(host->holder, now);
         RateDirectory_Tick(host->directory, now);
-        send_settlements(sim, event->host);
+        _RateSim_SendSettlements(sim, event->host);
         _RateSim_Schedule(sim, EV_WALLET, event->host, WALLET_US);
     }
     else {
@@ -912,18 +511,18 @@
 
     switch (event->kind) {
     case EV_DRAW:
-        on_draw(sim, event);
+        _RateSim_OnDraw(sim, event);
         break;
     case EV_REPLY:
-        on_reply(sim, event);
+        _RateSim_OnReply(sim, event);
         break;
     case EV_RESEND:
         if (!event->flight->done) {
-            post_draw(sim, event->flight);
+            _RateSim_PostDraw(sim, event->flight);
         }
         break;
     case EV_TIMEOUT:
-        on_timeout(sim, event);
+        _RateSim_OnTimeout(sim, event);
         break;
     case EV_SETTLE:
         RateHolder_Settle(sim->hosts[event->host].holder, event->sender,
@@ -931,11 +530,11 @@
                           _RateSim_LocalMs(sim, event->host));
         break;
     case EV_USE:
-        on_use(sim, event);
+        _RateSim_OnUse(sim, event);
         break;
     case EV_RETRY:
         sim->hosts[event->host].retry_us[event->number] = 0;
-        serve_waiting(sim, event->host, event->number);
+        _RateSim_ServeWaiting(sim, event->host, event->number);
         break;
     case EV_HINT:
         RateHold_Hint(sim->hosts[event->host].hold, event->number,
@@ -946,7 +545,7 @@
         on_timer(sim, event);
         break;
     }
-    send_settlements(sim, index);
+    _RateSim_SendSettlements(sim, index);
 }
 
 /* FALSE if the event was put back into the queue. */
@@ -957,7 +556,7 @@
 
     switch (event->kind) {
     case EV_ARRIVAL:
-        on_arrival(sim, event);
+        _RateSim_OnArrival(sim, event);
         return FALSE;
     case EV_STORE:
         on_store(sim, event);
@@ -974,7 +573,7 @@
             sim->desc.script(sim->desc.context, sim, event->number);
         }
         event->number++;
-        push(sim, event, sim->now_us + SECOND_US);
+        _RateSim_Push(sim, event, sim->now_us + SECOND_US);
         return FALSE;
     default:
         break;
@@ -984,7 +583,7 @@
         return TRUE;
     }
     if (host->paused_until_us > sim->now_us) {
-        push(sim, event, host->paused_until_us);
+        _RateSim_Push(sim, event, host->paused_until_us);
         return FALSE;
     }
     if (event->kind == EV_STORE_DONE) {
@@ -1001,20 +600,21 @@
 {
     int64_t end_us = (int64_t)sim->desc.seconds * SECOND_US;
 
-    /* Traffic starts when the first slots are open. */
+    /* Traffic starts when the slots are open: claims take up to 3 s, and
+     * buckets start 6 s after the limits are in force. */
     for (int i = 0; i < sim->team_count; i++) {
-        Event *event = new_event(sim, EV_ARRIVAL, NO_HOST);
+        Event *event = _RateSim_NewEvent(sim, EV_ARRIVAL, NO_HOST);
 
         event->number = i;
-        push(sim, event, 20 * SECOND_US);
+        _RateSim_Push(sim, event, START_US);
     }
-    push(sim, new_event(sim, EV_SECOND, NO_HOST), SECOND_US);
+    _RateSim_Push(sim, _RateSim_NewEvent(sim, EV_SECOND, NO_HOST), SECOND_US);
     while (sim->heap_count > 0 && sim->heap[0]->at_us < end_us) {
         Event *event = pop(sim);
 
         sim->now_us = event->at_us;
         if (dispatch(sim, event)) {
-            free_event(event);
+            _RateSim_FreeEvent(event);
         }
     }
 }
--- /dev/null
+++ b/src/rate/rate_sim_entry.c
@@ -0,0 +1,414 @@
+/* RateSim: requests at the entries, draws and settlements. */
+#include "rate/rate_sim_private.h"
+
+static void
+finish(RateSim *sim, Request *request, gboolean admitted)
+{
+    TeamState *team = &sim->teams[request->team];
+
+    _RateSim_Count(&team->out, RATE_SIM_SLOTS, admitted, request->ideal);
+    if (admitted) {
+        sim->cost.wait_us += sim->now_us - request->arrived_us;
+        _RateSim_CheckAdmission(sim, team);
+    }
+    g_free(request);
+}
+
+
+static void
+add_places(const RateSim *sim, int index, uint64_t id, Reply *reply)
+{
+    const Host *host = &sim->hosts[index];
+    uint16_t slots[RATE_SLOTS_MAX];
+    RateLimit limit;
+    ClockMs in_force;
+    int count;
+
+    if (!_RateSim_Lookup((void *)host, id, &limit, &in_force)) {
+        return;
+    }
+    count = RateShare_Slots(
+        id, RateShare_Make(&limit, sim->desc.fleet_slots).slots,
+        sim->desc.fleet_slots, sim->desc.regions, slots);
+    for (int i = 0; i < count && reply->places < PLACES; i++) {
+        RateHoldPlace known = RateHold_Known(host->hold, slots[i]);
+
+        if (RateHold_First(host->hold, slots[i]).host == host->record.host &&
+            known.host != host->record.host) {
+            reply->slot[reply->places] = slots[i];
+            reply->place[reply->places++] = known;
+        }
+    }
+}
+
+static gboolean
+is_lost(RateSim *sim, int from, int to)
+{
+    return from != to &&
+           (sim->cut[from][to] || Rng_Unit(&sim->rng) < sim->desc.loss);
+}
+
+void
+_RateSim_PostDraw(RateSim *sim, Flight *flight)
+{
+    int copies = 1 + (Rng_Unit(&sim->rng) < sim->desc.repeat);
+
+    for (int copy = 0; copy < copies; copy++) {
+        Event *event;
+        int64_t late = copy * (int64_t)Rng_Below(&sim->rng, 2 * SECOND_US);
+
+        if (is_lost(sim, flight->from, flight->to)) {
+            continue;
+        }
+        event = _RateSim_NewEvent(sim, EV_DRAW, flight->to);
+        event->incarnation = flight->plan.holder_incarnation;
+        event->flight = flight;
+        flight->refs++;
+        _RateSim_Push(sim, event,
+                      sim->now_us + late +
+                          _RateSim_Latency(sim, flight->from, flight->to));
+    }
+}
+
+int
+_RateSim_HostIndex(const RateSim *sim, uint64_t id)
+{
+    for (int i = 0; i < sim->host_count; i++) {
+        if (sim->hosts[i].record.host == id) {
+            return i;
+        }
+    }
+    return NO_HOST;
+}
+
+static int
+waiting_count(const Host *host, int team)
+{
+    int count = 0;
+
+    for (const Request *r = host->waiting[team]; r != NULL; r = r->next) {
+        count++;
+    }
+    return count;
+}
+
+static void
+plan_draws(RateSim *sim, int index, int team)
+{
+    Host *host = &sim->hosts[index];
+    RatePlan plans[4];
+    int count;
+
+    count = RateWallet_Plan(host->wallet, sim->teams[team].out.id,
+                            waiting_count(host, team),
+                            _RateSim_LocalMs(sim, index), plans, 4);
+    for (int i = 0; i < count; i++) {
+        Flight *flight;
+        Event *event;
+        int to = _RateSim_HostIndex(sim, plans[i].holder);
+
+        flight = g_new0(Flight, 1);
+        flight->plan = plans[i];
+        flight->team = team;
+        flight->from = index;
+        flight->to = to >= 0 ? to : index;
+        flight->use_count = RateWallet_Settle(
+            host->wallet, plans[i].holder, plans[i].holder_incarnation,
+            flight->uses, USES, _RateSim_LocalMs(sim, index));
+        sim->cost.draws++;
+        event = _RateSim_NewEvent(sim, EV_TIMEOUT, index);
+        event->flight = flight;
+        flight->refs++;
+        _RateSim_Push(sim, event, sim->now_us + TIMEOUT_US);
+        event = _RateSim_NewEvent(sim, EV_RESEND, index);
+        event->flight = flight;
+        flight->refs++;
+        _RateSim_Push(sim, event, sim->now_us + RESEND_US);
+        _RateSim_PostDraw(sim, flight);
+    }
+}
+
+static void
+append(Host *host, Request *request)
+{
+    Request **link = &host->waiting[request->team];
+
+    while (*link != NULL) {
+        link = &(*link)->next;
+    }
+    request->next = NULL;
+    *link = request;
+}
+
+/* Tries to take a token for the request; it waits, is refused, or goes on. */
+static void
+serve(RateSim *sim, int index, Request *request)
+{
+    Host *host = &sim->hosts[index];
+    TeamState *team = &sim->teams[request->team];
+    ClockMs now = _RateSim_LocalMs(sim, index);
+    Event *event;
+    RateToken token;
+    Result result;
+    int retry_ms;
+
+    result = RateWallet_Take(host->wallet, team->out.id,
+                             &_RateSim_LimitAt(sim, index, team)->limit, now,
+                             &token, &retry_ms);
+    if (result == RESULT_OK) {
+        int64_t delay = 50;
+
+        if (Rng_Below(&sim->rng, 100) < (uint64_t)sim->desc.pause_percent) {
+            delay = (int64_t)Rng_Below(&sim->rng, 3 * SECOND_US);
+        }
+        event = _RateSim_NewEvent(sim, EV_USE, index);
+        event->token = token;
+        event->request = request;
+        _RateSim_Push(sim, event, sim->now_us + delay);
+        return;
+    }
+    if (now >= request->deadline ||
+        waiting_count(host, request->team) >= RATE_QUEUE_MAX ||
+        (result != RESULT_NOT_FOUND &&
+         (now + retry_ms > MIN(request->deadline, request->patience) ||
+          waiting_count(host, request->team) >= RATE_WAIT_MAX))) {
+        gboolean last = host->waiting[request->team] == NULL;
+
+        finish(sim, request, FALSE);
+        if (last) {
+            RateWallet_GiveBack(host->wallet, team->out.id, now);
+        }
+        return;
+    }
+    append(host, request);
+    if (result != RESULT_NOT_FOUND) {
+        int64_t at_us = sim->now_us + (retry_ms + 1) * 1000;
+        int64_t *retry_us = &host->retry_us[request->team];
+
+        /* Parts that wait here could complete a token elsewhere. */
+        RateWallet_GiveBack(host->wallet, team->out.id, now);
+        if (*retry_us <= sim->now_us || at_us < *retry_us) {
+            *retry_us = at_us;
+            event = _RateSim_NewEvent(sim, EV_RETRY, index);
+            event->number = request->team;
+            _RateSim_Push(sim, event, at_us);
+        }
+    }
+}
+
+void
+_RateSim_ServeWaiting(RateSim *sim, int index, int team)
+{
+    Host *host = &sim->hosts[index];
+    Request *request = host->waiting[team];
+    Request **end = &host->waiting[team];
+
+    host->waiting[team] = NULL;
+    while (request != NULL) {
+        Request *next = request->next;
+
+        /* When one has to wait again, so have those behind it. */
+        if (host->waiting[team] != NULL &&
+            _RateSim_LocalMs(sim, index) < request->patience) {
+            *end = request;
+            request->next = NULL;
+            end = &request->next;
+        }
+        else {
+            serve(sim, index, request);
+            while (*end != NULL) {
+                end = &(*end)->next;
+            }
+        }
+        request = next;
+    }
+    plan_draws(sim, index, team);
+    if (host->waiting[team] != NULL && host->retry_us[team] <= sim->now_us) {
+        Event *event = _RateSim_NewEvent(sim, EV_RETRY, index);
+
+        host->retry_us[team] = sim->now_us + WALLET_US;
+        event->number = team;
+        _RateSim_Push(sim, event, host->retry_us[team]);
+    }
+}
+
+void
+_RateSim_SendSettlements(RateSim *sim, int index)
+{
+    Host *host = &sim->hosts[index];
+    ClockMs now = _RateSim_LocalMs(sim, index);
+    uint64_t holder;
+    uint64_t incarnation;
+
+    while (
+        RateWallet_NextSettlement(host->wallet, now, &holder, &incarnation)) {
+        Event *event =
+            _RateSim_NewEvent(sim, EV_SETTLE, _RateSim_HostIndex(sim, holder));
+
+        event->use_count = RateWallet_Settle(host->wallet, holder, incarnation,
+                                             event->uses, USES, now);
+        event->incarnation = incarnation;
+        event->sender = host->record.host;
+        if (event->use_count == 0 || event->host < 0 ||
+            is_lost(sim, index, event->host)) {
+            _RateSim_FreeEvent(event);
+            continue;
+        }
+        sim->cost.settles++;
+        _RateSim_Push(sim, event,
+                      sim->now_us + _RateSim_Latency(sim, index, event->host));
+    }
+}
+
+void
+_RateSim_OnArrival(RateSim *sim, Event *event)
+{
+    TeamState *team = &sim->teams[event->number];
+    RateSimTraffic traffic = team->out.desc.traffic;
+    const RateLimit *limit = &team->changes[team->change_count - 1].limit;
+    Request *request;
+    double rate = team->out.desc.load * (double)limit->rate_per_s;
+    int index = 0;
+    gboolean ideal;
+
+    _RateSim_Push(
+        sim, event,
+        sim->now_us + 1 +
+            (int64_t)Rng_Exponential(&sim->rng, (double)SECOND_US / rate));
+    for (int tries = 0; tries < 1000; tries++) {
+        index = (int)Rng_Below(&sim->rng, (uint64_t)sim->host_count);
+        if (traffic == RATE_SIM_SKEWED && Rng_Below(&sim->rng, 10) < 9) {
+            index = (int)((team->out.id + Rng_Below(&sim->rng, 2) +
+                           (uint64_t)tries) %
+                          (uint64_t)sim->host_count);
+        }
+        if (sim->hosts[index].up && !sim->hosts[index].stopping &&
+            sim->hosts[index].paused_until_us <= sim->now_us &&
+            (traffic != RATE_SIM_REGION ||
+             sim->hosts[index].record.region == 0)) {
+            break;
+        }
+    }
+    if (!sim->hosts[index].up) {
+        return;
+    }
+    ideal = _RateSim_TakeFrom(&team->ideal, limit, sim->now_us);
+    team->out.offered++;
+    team->out.ideal += ideal;
+    _RateSim_Count(&team->out, RATE_SIM_STATIC,
+                   _RateSim_AdmitStatic(sim, team, limit, index), ideal);
+    _RateSim_Count(&team->out, RATE_SIM_HOME,
+                   _RateSim_AdmitHome(sim, team, limit), ideal);
+    request = g_new0(Request, 1);
+    request->team = event->number;
+    request->arrived_us = sim->now_us;
+    request->deadline = _RateSim_LocalMs(sim, index) + sim->desc.deadline_ms;
+    request->patience = _RateSim_LocalMs(sim, index) + RATE_WAIT_MS;
+    request->ideal = ideal;
+    serve(sim, index, request);
+    if (sim->hosts[index].waiting[event->number] != NULL) {
+        plan_draws(sim, index, event->number);
+    }
+}
+
+void
+_RateSim_OnDraw(RateSim *sim, Event *event)
+{
+    Host *host = &sim->hosts[event->host];
+    Flight *flight = event->flight;
+    ClockMs now = _RateSim_LocalMs(sim, event->host);
+    Reply *reply = g_new0(Reply, 1);
+    Event *answer;
+
+    RateHolder_Settle(host->holder, flight->plan.draw.entry, flight->uses,
+                      flight->use_count, now);
+    reply->result =
+        RateHolder_Draw(host->holder, &flight->plan.draw, now, &reply->grant);
+    add_places(sim, event->host, flight->plan.draw.team, reply);
+    if (is_lost(sim, event->host, flight->from)) {
+        g_free(reply);
+        return;
+    }
+    answer = _RateSim_NewEvent(sim, EV_REPLY, flight->from);
+    answer->incarnation = flight->plan.draw.entry_incarnation;
+    answer->flight = flight;
+    answer->reply = reply;
+    flight->refs++;
+    _RateSim_Push(sim, answer,
+                  sim->now_us +
+                      _RateSim_Latency(sim, event->host, flight->from));
+}
+
+void
+_RateSim_OnReply(RateSim *sim, Event *event)
+{
+    Host *host = &sim->hosts[event->host];
+    Flight *flight = event->flight;
+    const Reply *reply = event->reply;
+    const RatePlan *plan = &flight->plan;
+    ClockMs now = _RateSim_LocalMs(sim, event->host);
+
+    if (flight->done) {
+        return;
+    }
+    flight->done = TRUE;
+    if (reply->result == RESULT_OK) {
+        RateWallet_Granted(host->wallet, plan, &reply->grant, now);
+    }
+    else {
+        RateWallet_Failed(host->wallet, plan, reply->result, now);
+    }
+    if (reply->result == RESULT_RATE_NOT_HELD) {
+        uint16_t slots[RATE_SLOTS_MAX];
+        const RateLimit *limit =
+            &_RateSim_LimitAt(sim, event->host, &sim->teams[flight->team])
+                 ->limit;
+        int count =
+            RateShare_Slots(plan->draw.team,
+                            RateShare_Make(limit, sim->desc.fleet_slots).slots,
+                            sim->desc.fleet_slots, sim->desc.regions, slots);
+
+        RateDirectory_NotHeld(host->directory, plan->holder,
+                              plan->holder_incarnation, slots, count, now);
+    }
+    for (int i = 0; i < reply->places; i++) {
+        RateDirectory_Learn(host->directory, reply->slot[i],
+                            reply->place[i].host, reply->place[i].incarnation,
+                            now);
+    }
+    _RateSim_ServeWaiting(sim, event->host, flight->team);
+}
+
+void
+_RateSim_OnTimeout(RateSim *sim, Event *event)
+{
+    Host *host = &sim->hosts[event->host];
+    Flight *flight = event->flight;
+
+    if (!flight->done) {
+        flight->done = TRUE;
+        RateWallet_Failed(host->wallet, &flight->plan, RESULT_RPC_TIMEOUT,
+                          _RateSim_LocalMs(sim, event->host));
+        _RateSim_ServeWaiting(sim, event->host, flight->team);
+    }
+}
+
+void
+_RateSim_OnUse(RateSim *sim, Event *event)
+{
+    Host *host = &sim->hosts[event->host];
+    Request *request = event->request;
+    Result result = RateWallet_Use(host->wallet, &event->token,
+                                   _RateSim_LocalMs(sim, event->host));
+
+    event->request = NULL;
+    if (result == RESULT_OK) {
+        finish(sim, request, TRUE);
+    }
+    else {
+        int team = request->team;
+
+        serve(sim, event->host, request);
+        plan_draws(sim, event->host, team);
+    }
+}
--- a/src/rate/rate_sim_private.h
+++ b/src/rate/rate_sim_private.h
@@ -5,6 +5,7 @@
 #include "rate/rate_sim.h"
 
 #define SECOND_US INT64_C(1000000)
+#define START_US (12 * SECOND_US)
 #define MAX_CHANGES 4
 #define CHANGE_US (6 * SECOND_US)
 #define RESEND_US 100000
@@ -183,5 +184,34 @@
                      int host);
 gboolean
 _RateSim_TakeFrom(Bucket *bucket, const RateLimit *limit, int64_t now_us);
+void
+_RateSim_Push(RateSim *sim, Event *event, int64_t at_us);
+Event *
+_RateSim_NewEvent(const RateSim *sim, EventKind kind, int host);
+void
+_RateSim_FreeEvent(Event *event);
+int64_t
+_RateSim_Latency(RateSim *sim, int from, int to);
+const Change *
+_RateSim_LimitAt(const RateSim *sim, int host, const TeamState *team);
+gboolean
+_RateSim_Lookup(void *context, uint64_t id, RateLimit *limit,
+                ClockMs *in_force_ms);
+void
+_RateSim_OnArrival(RateSim *sim, Event *event);
+void
+_RateSim_OnDraw(RateSim *sim, Event *event);
+void
+_RateSim_OnReply(RateSim *sim, Event *event);
+void
+_RateSim_OnTimeout(RateSim *sim, Event *event);
+void
+_RateSim_OnUse(RateSim *sim, Event *event);
+void
+_RateSim_ServeWaiting(RateSim *sim, int index, int team);
+void
+_RateSim_PostDraw(RateSim *sim, Flight *flight);
+void
+_RateSim_SendSettlements(RateSim *sim, int index);
 
 #endif
