standin, tests: cancellation, expired work, ends of failed tests

Cause: rk-backend went on with work whose sender had closed the connection, because libmicrohttpd does not watch a suspended connection, so a test could not tell whether cancellation arrives, and a slot that the owner had freed was still taken. Two callers of one test wrote into the same file. A test that failed left its daemons and backend servers running.

Change: rk-backend looks at the sockets of requests that it holds every 10 ms, drops those that may run twice and whose sender closed, and counts "cancelled" and "started_expired". Each caller has its own output file. The processes of a test end with it (PR_SET_PDEATHSIG).

Conclusion: cancellation and expired work can be tested.

--- a/standin/rk_backend.c
+++ b/standin/rk_backend.c
@@ -6,9 +6,10 @@
  * has begun and stops.
  *
  * Every request takes one of the slots for the service time; others wait in
- * the order of arrival. The answer echoes Radishknot-Request-Id and X-Nonce,
- * and has the SHA-256 of its body in X-Checksum. GET /health is answered at
- * once whatever the faults are, as a misleading probe would be.
+ * the order of arrival. The work of a request that may be run twice ends when
+ * its sender closes the connection. The answer echoes Radishknot-Request-Id
+ * and X-Nonce, and has the SHA-256 of its body in X-Checksum. GET /health is
+ * answered at once whatever the faults are, as a misleading probe would be.
  *
  * Admin port: GET /v1/executions[?summary=1], /v1/seen?text=..., /v1/stats;
  * POST /v1/faults (JSON, fields as in struct Faults; {"reset":true} clears
@@ -267,7 +268,13 @@
 read_headers(Request *request, const char *method)
 {
     struct MHD_Connection *connection = request->connection;
+    const char *deadline = MHD_lookup_connection_value(
+        connection, MHD_HEADER_KIND, "Radishknot-Deadline-Ms");
 
+    request->expires_us =
+        deadline != NULL
+            ? g_get_monotonic_time() + strtoll(deadline, NULL, 10) * 1000
+            : INT64_MAX;
     request->request_id = g_strdup(MHD_lookup_connection_value(
         connection, MHD_HEADER_KIND, "Radishknot-Request-Id"));
     request->run_token = g_strdup(MHD_lookup_connection_value(
--- a/standin/rk_backend.h
+++ b/standin/rk_backend.h
@@ -53,6 +53,7 @@
     char *request_id;
     char *run_token;
     char *nonce;
+    int64_t expires_us; /* from Radishknot-Deadline-Ms, INT64_MAX if missing */
     int64_t finish_us;
 } Request;
 
@@ -93,7 +94,9 @@
     uint64_t executions; /* of requests that are not idempotent */
     uint64_t served;     /* all requests that got a slot */
     uint64_t shed;
-    uint64_t over_slots; /* arrivals while all slots were in use */
+    uint64_t over_slots;      /* arrivals while all slots were in use */
+    uint64_t started_expired; /* got a slot after their deadline */
+    uint64_t cancelled;       /* the sender closed the connection first */
     uint64_t after_drain;
     int64_t last_after_drain_us;
     uint64_t announced;
--- a/standin/rk_backend_admin.c
+++ b/standin/rk_backend_admin.c
@@ -147,15 +147,16 @@
 
     pthread_mutex_lock(&backend->lock);
     root = json_pack(
-        "{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:i, s:i, s:I, s:f, s:I, "
-        "s:I}",
+        "{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:i, s:i, s:I, "
+        "s:f, s:I, s:I}",
         "name", backend->name, "session", backend->session, "state",
         backend->state, "received", (json_int_t)backend->received, "served",
         (json_int_t)backend->served, "executions",
         (json_int_t)backend->executions, "shed", (json_int_t)backend->shed,
-        "over_slots", (json_int_t)backend->over_slots, "running",
-        (int)backend->running->len, "waiting",
-        (int)g_queue_get_length(&backend->waiting), "after_drain",
+        "over_slots", (json_int_t)backend->over_slots, "started_expired",
+        (json_int_t)backend->started_expired, "cancelled",
+        (json_int_t)backend->cancelled, "running", (int)backend->running->len,
+        "waiting", (int)g_queue_get_length(&backend->waiting), "after_drain",
         (json_int_t)backend->after_drain, "last_after_drain_ms",
         (double)backend->last_after_drain_us / 1000.0, "announced",
         (json_int_t)backend->announced, "announce_failures",
--- a/standin/rk_backend_work.c
+++ b/standin/rk_backend_work.c
@@ -1,11 +1,16 @@
 /* rk-backend: slots, faults, executions and texts seen. */
 #include <math.h>
+#include <poll.h>
 #include <string.h>
 #include <time.h>
 
 #include "base/clock.h"
 #include "rk_backend.h"
 
+/* libmicrohttpd does not watch a connection that is suspended, so it is looked
+ * at this often for a sender that closed it. */
+#define HANG_UP_POLL_US 10000
+
 void
 Work_Init(Backend *backend)
 {
@@ -76,6 +81,7 @@
         Request *request = g_queue_pop_head(&backend->waiting);
 
         request->finish_us = monotonic_us() + service_us(backend);
+        backend->started_expired += monotonic_us() > request->expires_us;
         backend->served++;
         if (!request->is_idempotent) {
             backend->executions++;
@@ -109,6 +115,55 @@
     return next_us;
 }
 
+static gboolean
+has_hung_up(const Request *request)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    struct pollfd socket = {.fd = info->connect_fd, .events = POLLRDHUP};
+
+    return poll(&socket, 1, 0) > 0 &&
+           (socket.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+/* Ends a request whose sender closed the connection. A request that must not
+ * run twice is not cancelled, because its effect would be in doubt. */
+static gboolean
+cancel_if_hung_up(Backend *backend, Request *request)
+{
+    if (!request->is_idempotent || !has_hung_up(request)) {
+        return FALSE;
+    }
+    backend->cancelled++;
+    request->outcome = OUTCOME_CLOSE;
+    request->phase = PHASE_READY;
+    MHD_resume_connection(request->connection);
+    return TRUE;
+}
+
+static void
+cancel_hung_up(Backend *backend)
+{
+    guint waiting = g_queue_get_length(&backend->waiting);
+
+    for (guint i = 0; i < backend->running->len;) {
+        if (cancel_if_hung_up(backend,
+                              g_ptr_array_index(backend->running, i))) {
+            g_ptr_array_remove_index_fast(backend->running, i);
+        }
+        else {
+            i++;
+        }
+    }
+    for (guint i = 0; i < waiting; i++) {
+        Request *request = g_queue_pop_head(&backend->waiting);
+
+        if (!cancel_if_hung_up(backend, request)) {
+            g_queue_push_tail(&backend->waiting, request);
+        }
+    }
+}
+
 void *
 Work_Run(void *context)
 {
@@ -123,6 +178,7 @@
         if (backend->faults.hang == 0) {
             guint running;
 
+            cancel_hung_up(backend);
             do {
                 running = backend->running->len;
                 next_us = finish_running(backend, monotonic_us());
@@ -133,6 +189,9 @@
 
                 next_us = MIN(next_us, request->finish_us);
             }
+            if (backend->running->len > 0) {
+                next_us = MIN(next_us, monotonic_us() + HANG_UP_POLL_US);
+            }
         }
         if (next_us == INT64_MAX) {
             pthread_cond_wait(&backend->changed, &backend->lock);
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -4,6 +4,7 @@
 #include <poll.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include "base/clock.h"
@@ -31,6 +32,14 @@
     return process;
 }
 
+/* A test that fails ends by a signal; its processes end with it. */
+static void
+end_with_test(gpointer context)
+{
+    (void)context;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 static void
 spawn(FleetProcess *process)
 {
@@ -38,9 +47,10 @@
     GError *error = NULL;
 
     g_assert_nonnull(output);
-    g_spawn_async_with_fds(
-        NULL, process->arguments, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL,
-        &process->pid, -1, fileno(output), fileno(output), &error);
+    g_spawn_async_with_fds(NULL, process->arguments, NULL,
+                           G_SPAWN_DO_NOT_REAP_CHILD, end_with_test, NULL,
+                           &process->pid, -1, fileno(output), fileno(output),
+                           &error);
     g_assert_no_error(error);
     fclose(output);
 }
@@ -370,6 +380,36 @@
     HttpAnswer_Clear(&answer);
 }
 
+void
+Fleet_SetFaults(Fleet *fleet, int first, int count, const char *faults)
+{
+    for (int i = first; i < first + count; i++) {
+        Fleet_Post(fleet, fleet->servers[i]->admin_port, "/v1/faults", faults);
+    }
+}
+
+int
+Fleet_Stat(Fleet *fleet, int server, const char *name)
+{
+    json_t *stats =
+        Fleet_Get(fleet, fleet->servers[server]->admin_port, "/v1/stats");
+    int number = Fleet_Number(stats, name);
+
+    json_decref(stats);
+    return number;
+}
+
+int
+Fleet_SumStats(Fleet *fleet, const char *name)
+{
+    int sum = 0;
+
+    for (int i = 0; i < fleet->server_count; i++) {
+        sum += Fleet_Stat(fleet, i, name);
+    }
+    return sum;
+}
+
 json_t *
 Fleet_Status(Fleet *fleet, int daemon)
 {
@@ -528,11 +568,40 @@
     memset(reply, 0, sizeof(*reply));
 }
 
+ClockMs
+Fleet_AwaitServed(Fleet *fleet, const char *path)
+{
+    ClockMs until = Clock_Now() + AWAIT_MS;
+    ClockMs first = 0;
+    ClockMs begun;
+    FleetRequest request = {.path = path};
+    FleetReply reply;
+    int code;
+
+    for (int i = 0; i < fleet->daemon_count; i++) {
+        do {
+            begun = Clock_Now();
+            Fleet_Request(fleet, i, &request, &reply);
+            code = reply.code;
+            FleetReply_Clear(&reply);
+            if (code != RESULT_OK) {
+                (void)poll(NULL, 0, POLL_MS);
+            }
+        } while (code != RESULT_OK && Clock_Now() < until);
+        if (code != RESULT_OK) {
+            g_error("daemon %d answers %s with result %d", i, path, code);
+        }
+        first = i == 0 ? begun : first;
+    }
+    return first;
+}
+
 FleetProcess *
 Fleet_StartCaller(Fleet *fleet, gboolean check, const char *const *arguments)
 {
     GPtrArray *words = g_ptr_array_new();
     FleetProcess *process;
+    char *name;
 
     g_ptr_array_add(words, program("standin", "rk-caller"));
     g_ptr_array_add(words, g_strdup("--key=" FLEET_KEY));
@@ -548,10 +617,11 @@
         g_ptr_array_add(words, g_strdup(*arguments));
     }
     g_ptr_array_add(words, NULL);
-    process = start_process(fleet, "caller",
-                            (char **)g_ptr_array_free(words, FALSE));
-    g_unlink(process->output);
+    name = g_strdup_printf("caller-%d", fleet->caller_count++);
+    process =
+        start_process(fleet, name, (char **)g_ptr_array_free(words, FALSE));
     spawn(process);
+    g_free(name);
     return process;
 }
 
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -19,6 +19,7 @@
 #include <jansson.h>
 #include <signal.h>
 
+#include "base/clock.h"
 #include "http/http_client.h"
 #include "http/http_message.h"
 
@@ -82,6 +83,7 @@
     int server_daemon[FLEET_MAX_PROCESSES];
     int daemon_count;
     int server_count;
+    int caller_count;
     int ticket;
     HttpClient *client;
 } Fleet;
@@ -117,6 +119,12 @@
 void
 Fleet_AwaitReady(Fleet *fleet);
 
+/* Until every entry answers a GET of the path with OK: a team's buckets are
+ * empty for some seconds after its first ticket. Returns the time just before
+ * the first request that was answered so. */
+ClockMs
+Fleet_AwaitServed(Fleet *fleet, const char *path);
+
 /* Until the test of a daemon's status is met. */
 typedef gboolean (*FleetTest)(void *context, json_t *status);
 void
@@ -137,6 +145,16 @@
 void
 Fleet_Post(Fleet *fleet, int port, const char *target, const char *body);
 
+/* Sets the faults (JSON) of `count` backend servers from `first` on. */
+void
+Fleet_SetFaults(Fleet *fleet, int first, int count, const char *faults);
+
+/* A number of /v1/stats of one backend server, or of all together. */
+int
+Fleet_Stat(Fleet *fleet, int server, const char *name);
+int
+Fleet_SumStats(Fleet *fleet, const char *name);
+
 /* Starts rk-caller against the entries of all daemons with FLEET_KEY and more
  * arguments; `check` adds all backend servers for the comparison of outcomes
  * with executions. The caller runs beside the test until Fleet_AwaitCaller(),
