entry: keep threads for teams that use few

Cause: beside a team that sends five times its rate, a team within its rate got OVERLOADED for 20 and 24 of 540 requests: the burst of the other team held all threads of the service at an entry.

Change: the last eighth of a service's threads at an entry is for teams that use less than a quarter of them.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -63,12 +63,59 @@
     if (record == NULL) {
         record = g_new0(EntryService, 1);
         record->service = service;
+        record->teams =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
         RetryBudget_Init(&record->budget, &retry, Clock_Now());
         g_hash_table_insert(entry->services, &record->service, record);
     }
     return record;
 }
 
+static void
+free_service(gpointer data)
+{
+    EntryService *record = data;
+
+    g_hash_table_destroy(record->teams);
+    g_free(record);
+}
+
+/* The last eighth of a service's threads is kept for teams that use less than
+ * a quarter, so that the burst of one team does not shut out the others. */
+static gboolean
+has_room(const EntryService *record, uint64_t team, unsigned limit)
+{
+    const EntryTeam *used = g_hash_table_lookup(record->teams, &team);
+
+    return record->in_flight < limit - limit / 8 ||
+           (record->in_flight < limit &&
+            (used == NULL || used->in_flight < limit / 4));
+}
+
+/* Counts a request of the team; with the lock held, as the next function. */
+static void
+add_team(EntryService *record, uint64_t team)
+{
+    EntryTeam *used = g_hash_table_lookup(record->teams, &team);
+
+    if (used == NULL) {
+        used = g_new0(EntryTeam, 1);
+        used->team = team;
+        g_hash_table_insert(record->teams, &used->team, used);
+    }
+    used->in_flight++;
+}
+
+static void
+remove_team(EntryService *record, uint64_t team)
+{
+    EntryTeam *used = g_hash_table_lookup(record->teams, &team);
+
+    if (--used->in_flight == 0) {
+        g_hash_table_remove(record->teams, &team);
+    }
+}
+
 /* Takes one of the service's threads. */
 static Result
 enter_service(EntryRequest *request)
@@ -80,11 +127,12 @@
 
     pthread_mutex_lock(&entry->lock);
     record = service_record(entry, request->service);
-    if (record->in_flight >= MAX(limit, 1)) {
+    if (!has_room(record, request->team_hash, MAX(limit, 1))) {
         result = RESULT_OVERLOADED;
     }
     else {
         record->in_flight++;
+        add_team(record, request->team_hash);
         RetryBudget_Request(&record->budget, Clock_Now());
     }
     pthread_mutex_unlock(&entry->lock);
@@ -95,9 +143,12 @@
 leave_service(EntryRequest *request)
 {
     Entry *entry = request->entry;
+    EntryService *record;
 
     pthread_mutex_lock(&entry->lock);
-    service_record(entry, request->service)->in_flight--;
+    record = service_record(entry, request->service);
+    record->in_flight--;
+    remove_team(record, request->team_hash);
     pthread_mutex_unlock(&entry->lock);
 }
 
@@ -414,7 +465,7 @@
     pthread_mutex_init(&entry->lock, NULL);
     Rng_Seed(&entry->rng, Rng_ProcessSeed());
     entry->services =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_service);
     entry->route = Route_Create(&route);
     entry->watch = EntryWatch_Create(desc->rpc, &settings->silence_ms);
     entry->server = HttpServer_Create(&server, error);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -12,7 +12,8 @@
  *   POST /radishknot/v1/run-tokens?path=<path>&count=<n>  run tokens ahead
  *
  * Limits: half of the threads for one service, so that a service that hangs
- * does not stop the others. Thread safe.
+ * does not stop the others; the last eighth of these only for teams that use
+ * less than a quarter. Thread safe.
  */
 #ifndef ENTRY_ENTRY_H
 #define ENTRY_ENTRY_H
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -22,8 +22,14 @@
     uint64_t service;
     RetryBudget budget;
     unsigned in_flight;
+    GHashTable *teams; /* &EntryTeam.team -> EntryTeam, those in flight */
 } EntryService;
 
+typedef struct EntryTeam {
+    uint64_t team;
+    unsigned in_flight;
+} EntryTeam;
+
 struct Entry {
     Entry_desc desc;
     HttpServer *server;
