--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -85,6 +85,7 @@
     int server_count;
     int caller_count;
     int ticket;
+    gboolean has_default; /* Fleet_ApplyDefault() was called */
     HttpClient *client;
 } Fleet;
 
