Build and install libradishknot-core

Cause: the decision modules could be used only inside the daemon, and `make install` installed nothing but the two programs. Change: an object library of the decision modules gives a static and a shared libradishknot-core; public headers, pkg-config file, man pages, unit, docs and examples are installed. Conclusion: a program embeds the modules with pkg-config alone.

--- a/Makefile
+++ b/Makefile
@@ -70,7 +70,7 @@
 	tests/demo
 
 install: build
-	cmake --install build
+	DESTDIR="$(DESTDIR)" cmake --install build
 
 clean:
 	rm -rf build build-asan build-tsan build-fuzz
--- /dev/null
+++ b/examples/embed_rate.c
@@ -0,0 +1,131 @@
+/* Embeds the rate slice of libradishknot-core: a program enforces the rate of
+ * one team by itself, with the holder of all rate slots and an entry's wallet
+ * in one process.
+ *
+ * Time is a parameter, so the program runs four seconds of traffic at twice
+ * the team's rate at once, and then compares what was admitted with the bound
+ * (rate x time + burst).
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/rng.h"
+#include "rate/rate_holder.h"
+#include "rate/rate_share.h"
+#include "rate/rate_wallet.h"
+
+#define HOST 1
+#define INCARNATION 1
+/* A bucket starts empty until 6 s after its limit was put in force (at 0). */
+#define START_MS 10000
+#define RUN_MS 4000
+#define HOLD_END_MS (START_MS + 60 * RUN_MS)
+#define STEP_MS 5 /* one request every 5 ms: 200 requests/s */
+#define MAX_PLANS 8
+#define MAX_USES 64
+
+static const RateLimit limit = {.rate_per_s = 100, .burst = 20};
+
+static gboolean
+look_up_team(void *context, uint64_t team, RateLimit *found,
+             ClockMs *in_force_ms)
+{
+    const uint64_t *known = context;
+
+    if (team != *known) {
+        return FALSE;
+    }
+    *found = limit;
+    *in_force_ms = 0;
+    return TRUE;
+}
+
+/* Draws tokens from the holder; in a fleet, the draw is a message. */
+static void
+draw(RateWallet *wallet, RateHolder *holder, uint64_t team, ClockMs now)
+{
+    RatePlan plans[MAX_PLANS];
+    int count = RateWallet_Plan(wallet, team, 1, now, plans, MAX_PLANS);
+
+    for (int i = 0; i < count; i++) {
+        RateGrant grant = {0};
+        Result result = RateHolder_Draw(holder, &plans[i].draw, now, &grant);
+
+        if (result == RESULT_OK) {
+            RateWallet_Granted(wallet, &plans[i], &grant, now);
+        }
+        else {
+            RateWallet_Failed(wallet, &plans[i], result, now);
+        }
+    }
+}
+
+/* Takes a token and uses it; TRUE if the request may be sent. */
+static gboolean
+admit(RateWallet *wallet, RateHolder *holder, uint64_t team, ClockMs now)
+{
+    RateToken token;
+    int retry_ms;
+    Result result =
+        RateWallet_Take(wallet, team, &limit, now, &token, &retry_ms);
+
+    if (result == RESULT_NOT_FOUND) {
+        draw(wallet, holder, team, now);
+        result = RateWallet_Take(wallet, team, &limit, now, &token, &retry_ms);
+    }
+    return result == RESULT_OK &&
+           RateWallet_Use(wallet, &token, now) == RESULT_OK;
+}
+
+/* Reports to the holder which tokens were used. */
+static void
+settle(RateWallet *wallet, RateHolder *holder, ClockMs now)
+{
+    RateUse uses[MAX_USES];
+    uint64_t host;
+    uint64_t incarnation;
+    int count;
+
+    while (RateWallet_NextSettlement(wallet, now, &host, &incarnation)) {
+        count =
+            RateWallet_Settle(wallet, host, incarnation, uses, MAX_USES, now);
+        if (count == 0) {
+            break;
+        }
+        RateHolder_Settle(holder, HOST, uses, count, now);
+    }
+}
+
+int
+main(void)
+{
+    uint64_t team = Rng_HashString("crews");
+    RateHolder *holder = RateHolder_Create(
+        &(RateHolder_desc){.lookup = look_up_team, .context = &team});
+    RateWallet *wallet = RateWallet_Create(
+        &(RateWallet_desc){.entry = HOST, .incarnation = INCARNATION});
+    int64_t offered = 0;
+    int64_t admitted = 0;
+    int64_t bound = limit.rate_per_s * RUN_MS / 1000 + limit.burst;
+
+    for (int slot = 0; slot < RATE_SLOTS_MAX; slot++) {
+        RateHolder_OpenSlot(holder, slot, 1, START_MS, HOLD_END_MS, START_MS);
+        RateWallet_SetHolder(wallet, slot, HOST, INCARNATION, RATE_SELF);
+    }
+    for (ClockMs now = START_MS; now < START_MS + RUN_MS; now += STEP_MS) {
+        offered++;
+        admitted += admit(wallet, holder, team, now);
+        settle(wallet, holder, now);
+        RateHolder_Tick(holder, now);
+        RateWallet_Tick(wallet, now);
+    }
+    printf("offered %" PRId64 ", admitted %" PRId64 ", bound %" PRId64 "\n",
+           offered, admitted, bound);
+    RateWallet_Destroy(wallet);
+    RateHolder_Destroy(holder);
+    /* The bucket starts empty, so a little less than rate x time is
+     * admitted. */
+    return admitted <= bound && admitted >= bound * 8 / 10 ? EXIT_SUCCESS
+                                                           : EXIT_FAILURE;
+}
--- /dev/null
+++ b/examples/test_install.sh
@@ -0,0 +1,53 @@
+#!/bin/sh
+# Installs into a temporary folder and compiles examples/embed_rate.c against
+# the installed pkg-config file, with the shared and with the static library.
+# Guards against files that are missing from the installation, a .pc file that
+# names the wrong folders or libraries, and public headers that include one
+# that is not installed.
+# Usage: test_install.sh BUILD_DIRECTORY PREFIX LIBDIR
+set -eu
+build=$1
+prefix=$2
+libdir=$3
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+root=$folder/root$prefix
+
+DESTDIR=$folder/root "$CMAKE" --install "$build" >"$folder/install.log"
+
+for file in bin/radishknot sbin/radishknotd "$libdir/libradishknot-core.a" \
+    "$libdir/libradishknot-core.so" "$libdir/pkgconfig/radishknot-core.pc" \
+    include/radishknot/rate/rate_wallet.h share/man/man1/radishknot.1 \
+    share/man/man8/radishknotd.8 lib/systemd/system/radishknotd.service \
+    share/doc/radishknot/design.md share/doc/radishknot/operators/issue.md \
+    share/doc/radishknot/examples/embed_rate.c \
+    share/doc/radishknot/examples/hidrantes/settings.json; do
+    [ -f "$root/$file" ] || {
+        echo "not installed: $file"
+        exit 1
+    }
+done
+# The unit must start the program where it was installed.
+grep -qx "ExecStart=$prefix/sbin/radishknotd .*" \
+    "$root/lib/systemd/system/radishknotd.service"
+
+export PKG_CONFIG_PATH="$root/$libdir/pkgconfig"
+flags="-std=c11 -Wall -Wextra -Werror ${SANITIZE:+-fsanitize=$SANITIZE}"
+cflags=$(pkg-config --cflags radishknot-core)
+
+# Each public header by itself.
+(cd "$root/include/radishknot" && find . -name '*.h' ! -name '*_list.h') |
+    while read -r header; do
+        printf '#include "%s"\n' "$header" >"$folder/header.c"
+        "$CC" $flags $cflags -fsyntax-only "$folder/header.c"
+    done
+
+source=$root/share/doc/radishknot/examples/embed_rate.c
+"$CC" $flags $cflags "$source" $(pkg-config --libs radishknot-core) \
+    -o "$folder/embed_shared"
+LD_LIBRARY_PATH="$root/$libdir" "$folder/embed_shared"
+
+rm "$root/$libdir"/libradishknot-core.so*
+"$CC" $flags $cflags "$source" $(pkg-config --libs --static radishknot-core) \
+    -o "$folder/embed_static"
+"$folder/embed_static"
