Fuzz all decoders, run the targets from tests/run_all

Cause: only the ticket and RPC decoders had fuzz targets, which no check ran. Change: targets for settings, announcements, HTTP answers, rate and issue; radishknot_fuzz() lists a target, tests/run_fuzz (make fuzz) builds all with clang and address+undefined sanitizers and runs each on a bounded number of inputs with seed 1; run_all counts each as one test. The announcement decoder is in daemon_announce.c now, so that it can be called without a daemon.

--- a/Makefile
+++ b/Makefile
@@ -41,16 +41,10 @@
 	cmake -S . -B build-tsan -DRADISHKNOT_SANITIZE=thread >/dev/null
 	cmake --build build-tsan -j$(JOBS)
 
-# Runs the ticket decoder on FUZZ_RUNS inputs (about a minute).
-FUZZ_RUNS ?= 300000
+# Runs each libFuzzer target on a bounded number of inputs, under a minute in
+# all; FUZZ_SEED=n chooses another seed.
 fuzz:
-	CC=clang cmake -S . -B build-fuzz -DRADISHKNOT_FUZZ=ON \
-	    -DRADISHKNOT_SANITIZE=address,undefined,fuzzer-no-link >/dev/null
-	cmake --build build-fuzz -j$(JOBS) --target fuzz_ticket
-	build-fuzz/src/config/fuzz_ticket -runs=$(FUZZ_RUNS) -seed=1 \
-	    -max_len=2048 -timeout=10 -rss_limit_mb=1024 -print_final_stats=1 \
-	    -dict=src/config/fuzz_ticket.dict \
-	    -seed_inputs=src/config/fuzz_ticket_seed.json
+	tests/run_fuzz
 
 lint: setup
 	@cmake -S . -B build >/dev/null
--- a/src/daemon/daemon_admin.c
+++ b/src/daemon/daemon_admin.c
@@ -42,66 +42,14 @@
     return json_loadb(body, bytes, JSON_REJECT_DUPLICATES, NULL);
 }
 
-static gboolean
-copy_name(const json_t *body, const char *field, char *name)
-{
-    const char *text = json_string_value(json_object_get(body, field));
-
-    return text != NULL && text[0] != '\0' &&
-           g_strlcpy(name, text, OWNER_NAME_BYTES) < OWNER_NAME_BYTES;
-}
-
-static gboolean
-read_server_state(const json_t *body, OwnerServerState *state)
-{
-    const char *text = json_string_value(json_object_get(body, "state"));
-
-    if (g_strcmp0(text, "ready") == 0) {
-        *state = OWNER_SERVER_READY;
-    }
-    else if (g_strcmp0(text, "draining") == 0) {
-        *state = OWNER_SERVER_DRAINING;
-    }
-    else if (g_strcmp0(text, "leaving") == 0) {
-        *state = OWNER_SERVER_LEAVING;
-    }
-    else {
-        return FALSE;
-    }
-    return TRUE;
-}
-
-static gboolean
-read_announcement(const json_t *body, OwnerAnnouncement *announcement)
-{
-    json_int_t slots = json_integer_value(json_object_get(body, "slots"));
-    json_int_t port = json_integer_value(json_object_get(body, "port"));
-    const char *address = json_string_value(json_object_get(body, "address"));
-    char *text;
-    gboolean parsed;
-
-    if (!copy_name(body, "name", announcement->name) ||
-        !copy_name(body, "service", announcement->service) ||
-        !copy_name(body, "pool", announcement->pool) ||
-        !copy_name(body, "session", announcement->session) ||
-        !read_server_state(body, &announcement->state) || slots < 1 ||
-        slots > 1000 || port < 1 || port > 65535 || address == NULL) {
-        return FALSE;
-    }
-    announcement->slots = (unsigned)slots;
-    text = g_strdup_printf("%s:%d", address, (int)port);
-    parsed = HttpAddress_Parse(text, &announcement->address);
-    g_free(text);
-    return parsed;
-}
-
 static void
 announce(Daemon *daemon, HttpRequest *request)
 {
-    OwnerAnnouncement announcement = {0};
-    json_t *body = read_json(request);
+    OwnerAnnouncement announcement;
+    size_t bytes;
+    const char *body = HttpRequest_Body(request, &bytes);
 
-    if (body == NULL || !read_announcement(body, &announcement)) {
+    if (!_Daemon_ReadAnnouncement(body, bytes, &announcement)) {
         respond_result(request, RESULT_MALFORMED,
                        "expected {\"name\",\"service\",\"pool\",\"session\": "
                        "1 to 63 bytes, \"address\": numeric IPv4, \"port\": 1 "
@@ -113,7 +61,6 @@
             request, Owner_Announce(daemon->owner, &announcement, Clock_Now()),
             NULL);
     }
-    json_decref(body);
 }
 
 static void
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -115,6 +115,11 @@
 HttpServer *
 _Daemon_CreateAdmin(Daemon *daemon, GError **error);
 
+/* daemon_announce.c: FALSE if the body is not a valid announcement. */
+gboolean
+_Daemon_ReadAnnouncement(const char *body, size_t bytes,
+                         OwnerAnnouncement *announcement);
+
 /* daemon_status.c */
 char *
 _Daemon_StatusJson(Daemon *daemon);
