tool: find requests by names, say why a call was refused; test all commands

Cause: explain found no host or backend server by name, since records hold hashes; a refusal by drain, undrain, host retire or withdraw always ended with NOT_FOUND; a refusal without a route named no team. Change: the entry matches the hash of the text too, the tool puts names in place of hashes and exits with 1 if nothing matches; the result that a daemon gave decides the exit code. "Not retired" is believed for 2 s instead of 10 s. tests/process_tool.c runs every command. Conclusion: each command is covered.

--- a/src/daemon/daemon_rate.c
+++ b/src/daemon/daemon_rate.c
@@ -6,8 +6,10 @@
 #include "base/rng.h"
 #include "daemon/daemon_internal.h"
 
-/* How long the answer "not retired" of the store is believed. */
-#define RETIRED_CACHE_MS 10000
+/* How long the answer "not retired" of the store is believed. Slots are read
+ * every 5 to 15 s; a longer time than that makes a reading after the
+ * operator's call miss it, and the slots stay vacant for another period. */
+#define RETIRED_CACHE_MS 2000
 
 #define NOTICE_TIMEOUT_MS 300
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -29,13 +29,20 @@
 {
     unsigned found = 0;
     unsigned index;
+    const char *record;
+    char hash[20];
 
+    /* Hosts and backend servers stand in the lines as hashes of their names,
+     * because member records carry no names. */
+    g_snprintf(hash, sizeof(hash), "=%016" G_GINT64_MODIFIER "x",
+               Rng_HashString(text));
     pthread_mutex_lock(&entry->lock);
     for (unsigned i = 1; i <= ENTRY_RECORDS && found < max; i++) {
         index = (entry->next_record + ENTRY_RECORDS - i) % ENTRY_RECORDS;
-        if (entry->records[index] != NULL &&
-            strstr(entry->records[index], text) != NULL) {
-            g_string_append_printf(out, "%s\n", entry->records[index]);
+        record = entry->records[index];
+        if (record != NULL &&
+            (strstr(record, text) != NULL || strstr(record, hash) != NULL)) {
+            g_string_append_printf(out, "%s\n", record);
             found++;
         }
     }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -68,7 +68,8 @@
 char *
 Entry_Explain(Entry *entry, const char *request_id);
 
-/* Appends the recent lines that contain the text, newest first. */
+/* Appends the recent lines that contain the text, or name a host or backend
+ * server of this name, newest first. */
 void
 Entry_ExplainMatching(Entry *entry, const char *text, unsigned max,
                       GString *out);
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -77,11 +77,9 @@
 copy_route(EntryRequest *request, const ConfigTeamInfo *team,
            const ConfigRouteInfo *route)
 {
-    g_strlcpy(request->team, team->name, sizeof(request->team));
     request->team_hash = RunToken_NameHash(team->name);
     request->limit = (RateLimit){.rate_per_s = team->rate_micro / RATE_MICRO,
                                  .burst = team->burst_micro / RATE_MICRO};
-    g_strlcpy(request->route, route->path, sizeof(request->route));
     request->route_hash = RunToken_NameHash(route->path);
     request->service = Rng_HashString(route->service_name);
     request->issuance = route->issuance;
@@ -115,10 +113,15 @@
         return result;
     }
     handle = Config_FindRoute(table, path);
-    if (!Config_GetTeam(table, team, &info) ||
-        !Config_GetRoute(table, handle, &route)) {
+    if (!Config_GetTeam(table, team, &info)) {
         return RESULT_ROUTE_UNKNOWN;
     }
+    /* Names are kept for the explanation of a refusal, too. */
+    g_strlcpy(request->team, info.name, sizeof(request->team));
+    if (!Config_GetRoute(table, handle, &route)) {
+        return RESULT_ROUTE_UNKNOWN;
+    }
+    g_strlcpy(request->route, route.path, sizeof(request->route));
     if (!Config_RouteAllows(table, handle, team)) {
         return RESULT_ROUTE_FORBIDDEN;
     }
--- a/src/tool/tool.c
+++ b/src/tool/tool.c
@@ -181,7 +181,8 @@
     return result;
 }
 
-static void
+/* Prints what a daemon answered and returns its result. */
+static Result
 print_outcome(const char *admin, Result result, const HttpAnswer *answer)
 {
     json_t *body = result == RESULT_OK
@@ -192,14 +193,22 @@
 
     printf("%s: %s: %s\n", admin, name ? name : Result_Name(result),
            message ? message : Result_Text(result));
+    if (result == RESULT_OK) {
+        result =
+            body != NULL
+                ? (Result)json_integer_value(json_object_get(body, "code"))
+                : RESULT_MALFORMED;
+    }
     json_decref(body);
+    return result;
 }
 
 int
 _Tool_CallAll(Tool *tool, const char *target, json_t *body, unsigned needed)
 {
     char *text = json_dumps(body, JSON_COMPACT);
-    Result last = RESULT_NOT_FOUND;
+    Result failure = RESULT_REQUEST_INVALID; /* no daemon given */
+    gboolean is_answer = FALSE;
     unsigned taken = 0;
 
     for (unsigned i = 0; i < tool->admin_count; i++) {
@@ -207,12 +216,16 @@
         Result result =
             _Tool_Call(tool, tool->admins[i], "POST", target, text, &answer);
 
-        print_outcome(tool->admins[i], result, &answer);
-        if (result == RESULT_OK && answer.status == 200) {
+        gboolean answered = result == RESULT_OK;
+
+        result = print_outcome(tool->admins[i], result, &answer);
+        if (result == RESULT_OK) {
             taken++;
         }
-        else {
-            last = result == RESULT_OK ? RESULT_NOT_FOUND : result;
+        else if (answered || !is_answer) {
+            /* A daemon's refusal says more than a failed connection. */
+            failure = result;
+            is_answer = answered;
         }
         HttpAnswer_Clear(&answer);
     }
@@ -220,8 +233,8 @@
     if (taken >= needed) {
         return 0;
     }
-    return _Tool_Fail(last, "%u of %u daemons took the call, needed %u", taken,
-                      tool->admin_count, needed);
+    return _Tool_Fail(failure, "%u of %u daemons took the call, needed %u",
+                      taken, tool->admin_count, needed);
 }
 
 /* Number of words of the command's name that the words begin with; 0 if it is
--- a/src/tool/tool_fleet.c
+++ b/src/tool/tool_fleet.c
@@ -8,8 +8,8 @@
 
 #define WATCH_PERIOD_MS 2000
 
-static int
-require_admin(const Tool *tool)
+int
+_Tool_RequireAdmin(const Tool *tool)
 {
     return tool->admin_count > 0
                ? 0
@@ -32,9 +32,8 @@
     return json_integer_value(json_object_get(object, name));
 }
 
-/* Reads the status of each daemon; an error stands as {"admin","error"}. */
-static json_t *
-read_all(Tool *tool)
+json_t *
+_Tool_ReadStatus(Tool *tool)
 {
     json_t *all = json_array();
 
@@ -231,10 +230,10 @@
     (void)count;
     (void)words;
     if (tool->admin_count == 0) {
-        return require_admin(tool);
+        return _Tool_RequireAdmin(tool);
     }
     do {
-        all = read_all(tool);
+        all = _Tool_ReadStatus(tool);
         if (tool->json) {
             text = json_dumps(all, JSON_INDENT(2));
             puts(text);
@@ -258,7 +257,7 @@
 print_all(Tool *tool, const char *target,
           void (*print)(const char *admin, const HttpAnswer *answer))
 {
-    int code = require_admin(tool);
+    int code = _Tool_RequireAdmin(tool);
 
     for (unsigned i = 0; i < tool->admin_count; i++) {
         HttpAnswer answer = {0};
@@ -277,32 +276,6 @@
     return code;
 }
 
-static void
-print_explanations(const char *admin, const HttpAnswer *answer)
-{
-    char **lines = g_strsplit(answer->body, "\n", 0);
-
-    for (char **line = lines; *line != NULL; line++) {
-        if ((*line)[0] != '\0') {
-            printf("%s: %s\n", admin, *line);
-        }
-    }
-    g_strfreev(lines);
-}
-
-int
-Tool_Explain(Tool *tool, int count, char **words)
-{
-    char *escaped = g_uri_escape_string(words[0], NULL, FALSE);
-    char *target = g_strconcat("/v1/explain?text=", escaped, NULL);
-    int code = print_all(tool, target, print_explanations);
-
-    (void)count;
-    g_free(target);
-    g_free(escaped);
-    return code;
-}
-
 static void
 print_counters(const char *admin, const HttpAnswer *answer)
 {
@@ -331,7 +304,7 @@
 {
     json_t *body =
         json_pack("{s:s, s:b}", "backend_server", name, "drain", (int)drain);
-    int code = require_admin(tool);
+    int code = _Tool_RequireAdmin(tool);
 
     if (code == 0) {
         code = _Tool_CallAll(tool, "/v1/drain", body, 1);
@@ -358,7 +331,7 @@
 Tool_HostRetire(Tool *tool, int count, char **words)
 {
     json_t *body = json_pack("{s:s}", "host", words[0]);
-    int code = require_admin(tool);
+    int code = _Tool_RequireAdmin(tool);
 
     (void)count;
     if (code == 0) {
--- a/src/tool/tool_internal.h
+++ b/src/tool/tool_internal.h
@@ -71,6 +71,14 @@
 _Tool_Call(Tool *tool, const char *admin, const char *method,
            const char *target, const char *body, HttpAnswer *answer);
 
+/* 0, or the exit code after a message if no daemon was given. */
+int
+_Tool_RequireAdmin(const Tool *tool);
+
+/* Reads the status of each daemon; an error stands as {"admin","error"}. */
+json_t *
+_Tool_ReadStatus(Tool *tool);
+
 /* Sends a signed call to every daemon of the options and prints what each
  * answered; 0 if at least `needed` of them took it. */
 int
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -112,6 +112,11 @@
 int
 Fleet_Tool(Fleet *fleet, const char *const *words, char **output);
 
+/* The same with what it wrote to standard error; may be NULL. */
+int
+Fleet_ToolErrors(Fleet *fleet, const char *const *words, char **output,
+                 char **errors);
+
 /* Until every daemon is alive in the view of every other, has the newest
  * ticket in force, sees all backend servers, and all rate slots are held. */
 void
