Renew the TLS certificate of the entry port on SIGHUP

Cause: a new certificate needed a restart, which drains the host. Change: libmicrohttpd asks http_tls.c for the certificate in each handshake; SIGHUP reads and checks the files again. A key that does not belong to the certificate is rejected, also at the start, and the one in use stays.

--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -14,6 +14,10 @@
     LOG(START_FAILED, 103, ERROR, "daemon cannot start") \
     LOG(SETTINGS_REJECTED, 104, ERROR, "settings are invalid") \
     LOG(SETTINGS_RELOADED, 105, INFO, "settings were read again") \
+    LOG(TLS_CERTIFICATE_RENEWED, 106, INFO, \
+        "the certificate for new connections was read again") \
+    LOG(TLS_CERTIFICATE_REJECTED, 107, ERROR, \
+        "the new certificate is not used; the one in use stays") \
     \
     \
     /* store 200-219 */ \
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "base/rng.h"
 #include "daemon/daemon_internal.h"
+#include "http/http_tls.h"
 #include "issue/run_rpc.h"
 
 #define BACKGROUND_THREADS 3
@@ -395,6 +396,33 @@
     return daemon;
 }
 
+/* Reads the files of the certificate and its key again. The names of the files
+ * are those with which the daemon started. */
+static void
+renew_certificate(const Daemon *daemon)
+{
+    const Settings *settings = daemon->settings;
+    char *certificate = NULL;
+    char *key = NULL;
+    GError *error = NULL;
+
+    if (settings->tls_certificate_file[0] == '\0') {
+        return;
+    }
+    if (read_pem(settings->tls_certificate_file, &certificate, &error) &&
+        read_pem(settings->tls_key_file, &key, &error) &&
+        HttpTls_SetCertificate(certificate, key, Clock_Now(), &error)) {
+        Log_Event(LOG_TLS_CERTIFICATE_RENEWED, "file=%s",
+                  settings->tls_certificate_file);
+    }
+    else {
+        Log_Event(LOG_TLS_CERTIFICATE_REJECTED, "%s", error->message);
+        g_error_free(error);
+    }
+    g_free(certificate);
+    g_free(key);
+}
+
 void
 Daemon_Reload(Daemon *daemon, const char *path)
 {
@@ -408,6 +436,7 @@
     }
     else {
         Settings_Reload(daemon->settings, settings, unchanged);
+        renew_certificate(daemon);
         Log_Event(LOG_SETTINGS_RELOADED, "need_restart=%s",
                   unchanged->len > 0 ? unchanged->str : "none");
         Settings_Destroy(settings);
@@ -449,6 +478,7 @@
     }
     HttpServer_Destroy(daemon->admin);
     Entry_Destroy(daemon->entry);
+    HttpTls_Clear();
     OwnerPort_Destroy(daemon->owner_port);
     HttpExecutor_Destroy(daemon->background);
     if (daemon->rpc != NULL) {
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "http/http_executor.h"
+#include "http/http_tls.h"
 
 /* How often deadlines and hang-ups of suspended requests are looked at. */
 #define WATCH_PERIOD_MS 20
@@ -434,8 +435,7 @@
     unsigned flags =
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
     struct MHD_OptionItem tls[] = {
-        {MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)desc->tls_certificate_pem},
-        {MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)desc->tls_key_pem},
+        {MHD_OPTION_HTTPS_CERT_CALLBACK, 0, (void *)_HttpTls_Retrieve},
         {MHD_OPTION_END, 0, NULL},
     };
 
@@ -462,6 +462,12 @@
     HttpServer *server = g_new0(HttpServer, 1);
     char address[32];
 
+    if (desc->tls_certificate_pem != NULL &&
+        !HttpTls_SetCertificate(desc->tls_certificate_pem, desc->tls_key_pem,
+                                Clock_Now(), error)) {
+        g_free(server);
+        return NULL;
+    }
     server->desc = *desc;
     apply_defaults(&server->desc);
     pthread_mutex_init(&server->lock, NULL);
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -43,7 +43,8 @@
     unsigned max_in_flight;          /* default 4 x worker_threads */
     size_t max_body_bytes;           /* default 1 MiB */
     unsigned idle_timeout_s;         /* of a connection, default 120 */
-    const char *tls_certificate_pem; /* text; NULL: no TLS */
+    const char *tls_certificate_pem; /* text; NULL: no TLS. Renewed by
+                                        HttpTls_SetCertificate(). */
     const char *tls_key_pem;
     HttpHandler handler;
     HttpRefuser refuser; /* NULL: a plain JSON body with the result */
