process_tls: wait for the ticket, not for plain HTTP requests

Cause: Fleet_AwaitReady() now makes plain HTTP requests to the entry ports, which a TLS port refuses, so the test ended after 30 s. Change: it waits until the daemon has the ticket in force; its requests are refused before they need rate slots. Conclusion: what the test checks is unchanged.

--- a/tests/process_tls.c
+++ b/tests/process_tls.c
@@ -203,6 +203,13 @@
     g_free(log);
 }
 
+static gboolean
+has_ticket(void *context, json_t *status)
+{
+    (void)context;
+    return Fleet_Number(status, "config.ticket") >= 1;
+}
+
 static Fleet *
 start_fleet(Files *files)
 {
@@ -219,7 +226,8 @@
     Fleet_AddDaemon(fleet, &(FleetDaemon_desc){.extra = extra});
     g_free(extra);
     Fleet_ApplyDefault(fleet, 1);
-    Fleet_AwaitReady(fleet);
+    /* Fleet_AwaitReady() makes plain HTTP requests, which TLS refuses. */
+    Fleet_Await(fleet, 0, has_ticket, NULL, "the ticket");
     return fleet;
 }
 
