--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -171,11 +171,12 @@
         "\"data_centres\":[\"n1\",\"n2\",\"b1\",\"b2\",\"s1\",\"s2\"],"
         "\"address\":\"127.0.0.1\",\"fleet_secret\":\"" FLEET_SECRET "\","
         "\"store\":[\"127.0.0.1:%d\"],\"seeds\":[%s],\"rate_slots\":24,"
-        "\"gossip_period_ms\":200,\"entry_port\":%d,\"owner_port\":%d,"
+        "\"gossip_period_ms\":%d,\"entry_port\":%d,\"owner_port\":%d,"
         "\"rpc_port\":%d,\"admin_port\":%d%s}",
         process->name, desc->region ? desc->region : "norte",
         desc->data_centre ? desc->data_centre : "n1", fleet->store->port,
-        seeds, process->entry_port, process->owner_port, process->rpc_port,
+        seeds, desc->gossip_period_ms ? desc->gossip_period_ms : 200,
+        process->entry_port, process->owner_port, process->rpc_port,
         process->admin_port, desc->extra ? desc->extra : "");
 
     g_assert_true(g_file_set_contents(process->settings, text, -1, NULL));
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -44,6 +44,7 @@
     const char *region;      /* "norte" */
     const char *data_centre; /* "n1" */
     const char *extra;       /* more settings, as ",\"name\":value" */
+    int gossip_period_ms;    /* 200 */
 } FleetDaemon_desc;
 
 typedef struct FleetServer_desc {
