health: keep an ejection for slowness until its time is over

Cause: ejected_class was the median of the last 32 answers, most of them from before the fault, so the comparison with the baseline took the backend server for as slow as its service and ended the ejection at the next tick (100 ms). Change: the class of the last few answers, which led to the ejection. Before: /health/slow_ejection_lasts fails at the first tick (state probation). After: it passes; the other 11 cases of test_health pass as before.

--- a/src/health/health.c
+++ b/src/health/health.c
@@ -296,7 +296,14 @@
 
     health->state = HEALTH_STATE_EJECTED;
     health->ejected_until = now + length;
-    health->ejected_class = health->own_class;
+    /* The class of the answers that led here: the median of all recent ones is
+     * still that of the time before the fault. */
+    health->ejected_class =
+        health->baseline_class != HEALTH_CLASS_UNKNOWN
+            ? CLAMP(health->baseline_class +
+                        (int)lround(4 * health->score.fresh),
+                    1, HEALTH_CLASS_MAX)
+            : health->own_class;
     if (length < health->desc.ejection_max_ms) {
         health->level++;
     }
--- a/src/health/permit_wire.h
+++ b/src/health/permit_wire.h
@@ -15,37 +15,41 @@
 
 
 struct PermitRequestBody {
-	char *service;
-	char *backend_server;
-	u_quad_t host;
-	u_quad_t incarnation;
-	u_quad_t claim;
-	u_quad_t sequence;
-	int number;
-	bool_t settled;
-	u_int place;
-	u_int action;
+    char *service;
+    char *backend_server;
+    u_quad_t host;
+    u_quad_t incarnation;
+    u_quad_t claim;
+    u_quad_t sequence;
+    int number;
+    bool_t settled;
+    u_int place;
+    u_int action;
 };
 typedef struct PermitRequestBody PermitRequestBody;
 
 struct PermitReplyBody {
-	u_quad_t claim;
-	u_quad_t sequence;
-	u_int status;
-	int number;
-	u_int retry_ms;
+    u_quad_t claim;
+    u_quad_t sequence;
+    u_int status;
+    int number;
+    u_int retry_ms;
 };
 typedef struct PermitReplyBody PermitReplyBody;
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_PermitRequestBody (XDR *, PermitRequestBody*);
-extern  bool_t xdr_PermitReplyBody (XDR *, PermitReplyBody*);
+extern bool_t
+xdr_PermitRequestBody(XDR *, PermitRequestBody *);
+extern bool_t
+xdr_PermitReplyBody(XDR *, PermitReplyBody *);
 
 #else /* K&R C */
-extern bool_t xdr_PermitRequestBody ();
-extern bool_t xdr_PermitReplyBody ();
+extern bool_t
+xdr_PermitRequestBody();
+extern bool_t
+xdr_PermitReplyBody();
 
 #endif /* K&R C */
 
--- a/src/health/permit_xdr.c
+++ b/src/health/permit_xdr.c
@@ -6,110 +6,113 @@
 #include "permit_wire.h"
 
 bool_t
-xdr_PermitRequestBody (XDR *xdrs, PermitRequestBody *objp)
+xdr_PermitRequestBody(XDR *xdrs, PermitRequestBody *objp)
 {
-	register int32_t *buf;
+    register int32_t *buf;
 
 
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_string (xdrs, &objp->service, 63))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->backend_server, 63))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->host))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->claim))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_int (xdrs, &objp->number))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->settled))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->place))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->action))
-				 return FALSE;
-		} else {
-			IXDR_PUT_LONG(buf, objp->number);
-			IXDR_PUT_BOOL(buf, objp->settled);
-			IXDR_PUT_U_LONG(buf, objp->place);
-			IXDR_PUT_U_LONG(buf, objp->action);
-		}
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_string (xdrs, &objp->service, 63))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->backend_server, 63))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->host))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->claim))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_int (xdrs, &objp->number))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->settled))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->place))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->action))
-				 return FALSE;
-		} else {
-			objp->number = IXDR_GET_LONG(buf);
-			objp->settled = IXDR_GET_BOOL(buf);
-			objp->place = IXDR_GET_U_LONG(buf);
-			objp->action = IXDR_GET_U_LONG(buf);
-		}
-	 return TRUE;
-	}
+    if (xdrs->x_op == XDR_ENCODE) {
+        if (!xdr_string(xdrs, &objp->service, 63))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->backend_server, 63))
+            return FALSE;
+        if (!xdr_u_quad_t(xdrs, &objp->host))
+            return FALSE;
+        if (!xdr_u_quad_t(xdrs, &objp->incarnation))
+            return FALSE;
+        if (!xdr_u_quad_t(xdrs, &objp->claim))
+            return FALSE;
+        if (!xdr_u_quad_t(xdrs, &objp->sequence))
+            return FALSE;
+        buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
+        if (buf == NULL) {
+            if (!xdr_int(xdrs, &objp->number))
+                return FALSE;
+            if (!xdr_bool(xdrs, &objp->settled))
+                return FALSE;
+            if (!xdr_u_int(xdrs, &objp->place))
+                return FALSE;
+            if (!xdr_u_int(xdrs, &objp->action))
+                return FALSE;
+        }
+        else {
+            IXDR_PUT_LONG(buf, objp->number);
+            IXDR_PUT_BOOL(buf, objp->settled);
+            IXDR_PUT_U_LONG(buf, objp->place);
+            IXDR_PUT_U_LONG(buf, objp->action);
+        }
+        return TRUE;
+    }
+    else if (xdrs->x_op == XDR_DECODE) {
+        if (!xdr_string(xdrs, &objp->service, 63))
+            return FALSE;
+        if (!xdr_string(xdrs, &objp->backend_server, 63))
+            return FALSE;
+        if (!xdr_u_quad_t(xdrs, &objp->host))
+            return FALSE;
+        if (!xdr_u_quad_t(xdrs, &objp->incarnation))
+            return FALSE;
+        if (!xdr_u_quad_t(xdrs, &objp->claim))
+            return FALSE;
+        if (!xdr_u_quad_t(xdrs, &objp->sequence))
+            return FALSE;
+        buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
+        if (buf == NULL) {
+            if (!xdr_int(xdrs, &objp->number))
+                return FALSE;
+            if (!xdr_bool(xdrs, &objp->settled))
+                return FALSE;
+            if (!xdr_u_int(xdrs, &objp->place))
+                return FALSE;
+            if (!xdr_u_int(xdrs, &objp->action))
+                return FALSE;
+        }
+        else {
+            objp->number = IXDR_GET_LONG(buf);
+            objp->settled = IXDR_GET_BOOL(buf);
+            objp->place = IXDR_GET_U_LONG(buf);
+            objp->action = IXDR_GET_U_LONG(buf);
+        }
+        return TRUE;
+    }
 
-	 if (!xdr_string (xdrs, &objp->service, 63))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->backend_server, 63))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->host))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->claim))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
-		 return FALSE;
-	 if (!xdr_int (xdrs, &objp->number))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->settled))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->place))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->action))
-		 return FALSE;
-	return TRUE;
+    if (!xdr_string(xdrs, &objp->service, 63))
+        return FALSE;
+    if (!xdr_string(xdrs, &objp->backend_server, 63))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->host))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->incarnation))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->claim))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->sequence))
+        return FALSE;
+    if (!xdr_int(xdrs, &objp->number))
+        return FALSE;
+    if (!xdr_bool(xdrs, &objp->settled))
+        return FALSE;
+    if (!xdr_u_int(xdrs, &objp->place))
+        return FALSE;
+    if (!xdr_u_int(xdrs, &objp->action))
+        return FALSE;
+    return TRUE;
 }
 
 bool_t
-xdr_PermitReplyBody (XDR *xdrs, PermitReplyBody *objp)
+xdr_PermitReplyBody(XDR *xdrs, PermitReplyBody *objp)
 {
-	register int32_t *buf;
+    register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->claim))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->status))
-		 return FALSE;
-	 if (!xdr_int (xdrs, &objp->number))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->retry_ms))
-		 return FALSE;
-	return TRUE;
+    if (!xdr_u_quad_t(xdrs, &objp->claim))
+        return FALSE;
+    if (!xdr_u_quad_t(xdrs, &objp->sequence))
+        return FALSE;
+    if (!xdr_u_int(xdrs, &objp->status))
+        return FALSE;
+    if (!xdr_int(xdrs, &objp->number))
+        return FALSE;
+    if (!xdr_u_int(xdrs, &objp->retry_ms))
+        return FALSE;
+    return TRUE;
 }
--- a/src/health/test_health.c
+++ b/src/health/test_health.c
@@ -343,6 +343,53 @@
     }
 }
 
+/* Sends one request of the given latency and updates. */
+static void
+serve_one(Health *health, int64_t latency_us, gboolean permit, ClockMs *now,
+          HealthVerdict *verdict)
+{
+    HealthInput input = {.baseline_class = Health_ClassOf(4000, 0),
+                         .permit_held = permit};
+    HealthRequest request = Health_Start(health, *now);
+
+    *now += 50;
+    Health_End(health, request, HEALTH_OK, latency_us, *now);
+    input.now = *now;
+    Health_Update(health, &input, verdict);
+}
+
+/* Guards against an ejection for slowness that ends at the next tick, because
+ * most of the answers that are remembered were given before the fault; and
+ * against one that goes on when the whole service has become as slow. */
+static void
+test_slow_ejection_lasts(void)
+{
+    Health *health = Health_Create(NULL, 0);
+    HealthInput input = {.permit_held = TRUE};
+    HealthVerdict verdict = {0};
+    ClockMs now = 100000;
+
+    for (int i = 0; i < 200; i++) {
+        serve_one(health, 4000, FALSE, &now, &verdict);
+    }
+    g_assert_cmpint(verdict.state, ==, HEALTH_STATE_HEALTHY);
+    for (int i = 0; i < 40 && verdict.state != HEALTH_STATE_EJECTED; i++) {
+        serve_one(health, 40000, verdict.permit_wanted, &now, &verdict);
+    }
+    g_assert_cmpint(verdict.state, ==, HEALTH_STATE_EJECTED);
+    for (int i = 1; i <= 10; i++) {
+        input.now = now + i * HEALTH_TICK_MS;
+        input.baseline_class = Health_ClassOf(4000, 0);
+        Health_Update(health, &input, &verdict);
+        g_assert_cmpint(verdict.state, ==, HEALTH_STATE_EJECTED);
+    }
+    input.now += HEALTH_TICK_MS;
+    input.baseline_class = Health_ClassOf(40000, 0);
+    Health_Update(health, &input, &verdict);
+    g_assert_cmpint(verdict.state, ==, HEALTH_STATE_PROBATION);
+    Health_Destroy(health);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -350,6 +397,7 @@
     g_test_add_func("/health/classes", test_classes);
     g_test_add_func("/health/stale_request", test_stale_request);
     g_test_add_func("/health/permit_lost", test_permit_lost);
+    g_test_add_func("/health/slow_ejection_lasts", test_slow_ejection_lasts);
     g_test_add_func("/health/cold_weight", test_cold_weight);
     g_test_add_func("/health/cases", test_cases);
     g_test_add_func("/health/presets", test_presets);
