--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -20,15 +20,12 @@
 
 /* Reads CLOCK_BOOTTIME, which counts on while the host is suspended, so that a
  * holder that was paused sees that its lease has run out. */
-ClockMs
-Clock_Now(void);
+ClockMs Clock_Now(void);
 
 /* Microseconds on the same scale, for measurements only. */
-int64_t
-Clock_NowMicroseconds(void);
+int64_t Clock_NowMicroseconds(void);
 
 /* Milliseconds since 1970 by the wall clock, for display only. */
-ClockMs
-Clock_WallMs(void);
+ClockMs Clock_WallMs(void);
 
 #endif
--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -28,34 +28,25 @@
     HISTOGRAM_COUNT
 } CounterHistogram;
 
-void
-Counter_Add(Counter counter, uint64_t amount);
-uint64_t
-Counter_Get(Counter counter);
+void Counter_Add(Counter counter, uint64_t amount);
+uint64_t Counter_Get(Counter counter);
 
 /* Counts a refusal that a caller got. */
-void
-Counter_Refusal(Result result);
-uint64_t
-Counter_GetRefusals(Result result);
+void Counter_Refusal(Result result);
+uint64_t Counter_GetRefusals(Result result);
 
 /* Counts a retry, by the result that caused it. */
-void
-Counter_Retry(Result reason);
-uint64_t
-Counter_GetRetries(Result reason);
+void Counter_Retry(Result reason);
+uint64_t Counter_GetRetries(Result reason);
 
 /* Adds one observation in microseconds. */
-void
-Counter_Observe(CounterHistogram histogram, int64_t microseconds);
+void Counter_Observe(CounterHistogram histogram, int64_t microseconds);
 
 /* Returns the value in microseconds that the given share (0 to 1) of the
  * observations does not exceed, rounded up to its bucket (within 12.5%). */
-int64_t
-Counter_Quantile(CounterHistogram histogram, double share);
+int64_t Counter_Quantile(CounterHistogram histogram, double share);
 
 /* Appends all counters in the text exposition format. */
-void
-Counter_Write(GString *out);
+void Counter_Write(GString *out);
 
 #endif
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -36,20 +36,17 @@
 
 /* Sets the output; without a call, errors go to standard error as text. The
  * strings must stay valid. */
-void
-Log_Setup(const Log_desc *desc);
+void Log_Setup(const Log_desc *desc);
 
-void
-Log_Event(LogEvent event, const char *format, ...) G_GNUC_PRINTF(2, 3);
+void Log_Event(LogEvent event, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
 /* Parses "error", "warning", "info" or "debug". */
-gboolean
-Log_LevelFromName(const char *name, LogLevel *level);
+gboolean Log_LevelFromName(const char *name, LogLevel *level);
 
 /* Calls the callback for each event in the order of the list. */
-void
-Log_ForEach(void (*callback)(void *context, LogEvent event, const char *name,
-                             const char *level, const char *text),
-            void *context);
+void Log_ForEach(void (*callback)(void *context, LogEvent event,
+                                  const char *name, const char *level,
+                                  const char *text),
+                 void *context);
 
 #endif
--- a/src/base/pool.h
+++ b/src/base/pool.h
@@ -23,24 +23,17 @@
 
 #define POOL_NONE 0u
 
-Pool *
-Pool_Create(size_t record_bytes, uint32_t max_records);
-void
-Pool_Destroy(Pool *pool);
+Pool *Pool_Create(size_t record_bytes, uint32_t max_records);
+void Pool_Destroy(Pool *pool);
 
 /* Returns POOL_NONE when the pool is full. */
-PoolHandle
-Pool_Add(Pool *pool, void **record);
-void *
-Pool_Get(const Pool *pool, PoolHandle handle);
-void
-Pool_Remove(Pool *pool, PoolHandle handle);
-uint32_t
-Pool_Count(const Pool *pool);
+PoolHandle Pool_Add(Pool *pool, void **record);
+void *Pool_Get(const Pool *pool, PoolHandle handle);
+void Pool_Remove(Pool *pool, PoolHandle handle);
+uint32_t Pool_Count(const Pool *pool);
 
 /* Returns the first used record at or after *slot and moves *slot behind it;
  * NULL at the end. Start with *slot = 0. */
-void *
-Pool_Next(const Pool *pool, uint32_t *slot, PoolHandle *handle);
+void *Pool_Next(const Pool *pool, uint32_t *slot, PoolHandle *handle);
 
 #endif
--- a/src/base/rng.h
+++ b/src/base/rng.h
@@ -15,36 +15,27 @@
     uint64_t state;
 } Rng;
 
-void
-Rng_Seed(Rng *rng, uint64_t seed);
-uint64_t
-Rng_Next(Rng *rng);
+void Rng_Seed(Rng *rng, uint64_t seed);
+uint64_t Rng_Next(Rng *rng);
 
 /* Uniform in [0, limit); limit must not be 0. */
-uint64_t
-Rng_Below(Rng *rng, uint64_t limit);
+uint64_t Rng_Below(Rng *rng, uint64_t limit);
 
 /* Uniform in [0, 1). */
-double
-Rng_Unit(Rng *rng);
+double Rng_Unit(Rng *rng);
 
 /* Exponential with the given mean. */
-double
-Rng_Exponential(Rng *rng, double mean);
+double Rng_Exponential(Rng *rng, double mean);
 
 /* 64-bit hash of a byte string (FNV-1a with a final mix), the same on every
  * host; used for rendezvous orders. */
-uint64_t
-Rng_Hash(const void *bytes, size_t length);
-uint64_t
-Rng_HashString(const char *text);
+uint64_t Rng_Hash(const void *bytes, size_t length);
+uint64_t Rng_HashString(const char *text);
 
 /* Mixes two hashes into one. */
-uint64_t
-Rng_Mix(uint64_t a, uint64_t b);
+uint64_t Rng_Mix(uint64_t a, uint64_t b);
 
 /* A seed that differs for each process start. */
-uint64_t
-Rng_ProcessSeed(void);
+uint64_t Rng_ProcessSeed(void);
 
 #endif
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -109,97 +109,75 @@
     size_t bytes; /* memory of the tables, directories and strings */
 } ConfigStats;
 
-Config *
-Config_Create(void);
+Config *Config_Create(void);
 
 /* No reader may be inside a read section any more. */
-void
-Config_Destroy(Config *config);
+void Config_Destroy(Config *config);
 
-const ConfigTable *
-Config_ReadLock(Config *config);
-void
-Config_ReadUnlock(Config *config);
+const ConfigTable *Config_ReadLock(Config *config);
+void Config_ReadUnlock(Config *config);
 
 /* Number of the last ticket in the table, 0 if there is none. */
-int64_t
-Config_GetVersion(const ConfigTable *table);
+int64_t Config_GetVersion(const ConfigTable *table);
 
 /* The same without a read section; for counters and messages to peers. */
-int64_t
-Config_PeekVersion(Config *config);
+int64_t Config_PeekVersion(Config *config);
 
-int64_t
-Config_GetFleet(const ConfigTable *table, ConfigFleet setting);
+int64_t Config_GetFleet(const ConfigTable *table, ConfigFleet setting);
 
-ConfigService
-Config_FindService(const ConfigTable *table, const char *name);
-gboolean
-Config_GetService(const ConfigTable *table, ConfigService service,
-                  ConfigServiceInfo *info);
+ConfigService Config_FindService(const ConfigTable *table, const char *name);
+gboolean Config_GetService(const ConfigTable *table, ConfigService service,
+                           ConfigServiceInfo *info);
 
-ConfigTeam
-Config_FindTeam(const ConfigTable *table, const char *name);
+ConfigTeam Config_FindTeam(const ConfigTable *table, const char *name);
 
 /* The same by Rng_HashString() of the name, as it stands in messages. */
-ConfigTeam
-Config_FindTeamByNameHash(const ConfigTable *table, uint64_t hash);
-gboolean
-Config_GetTeam(const ConfigTable *table, ConfigTeam team,
-               ConfigTeamInfo *info);
+ConfigTeam Config_FindTeamByNameHash(const ConfigTable *table, uint64_t hash);
+gboolean Config_GetTeam(const ConfigTable *table, ConfigTeam team,
+                        ConfigTeamInfo *info);
 
 /* SHA-256 of the key's bytes. */
-void
-Config_HashKey(const char *key, size_t length, ConfigKeyHash *hash);
+void Config_HashKey(const char *key, size_t length, ConfigKeyHash *hash);
 
 /* Reads 64 lower-case or upper-case hex digits. */
-gboolean
-Config_HashFromHex(const char *hex, ConfigKeyHash *hash);
+gboolean Config_HashFromHex(const char *hex, ConfigKeyHash *hash);
 
 /* Writes 64 lower-case hex digits and a NUL. */
-void
-Config_HashToHex(const ConfigKeyHash *hash, char hex[65]);
+void Config_HashToHex(const ConfigKeyHash *hash, char hex[65]);
 
 /* RESULT_OK with the team, RESULT_KEY_UNKNOWN or RESULT_KEY_WITHDRAWN. The
  * withdrawn set is consulted as it is now, not as of the table. */
-Result
-Config_FindTeamByKeyHash(const ConfigTable *table, const ConfigKeyHash *hash,
-                         ConfigTeam *team);
+Result Config_FindTeamByKeyHash(const ConfigTable *table,
+                                const ConfigKeyHash *hash, ConfigTeam *team);
 
 /* Finds the route with the longest path that is the path itself or a prefix of
  * it that ends at a '/' ("/a" and "/a/" match "/a/b", not "/ab"). The caller
  * passes the path without query and without "." and ".." segments. */
-ConfigRoute
-Config_FindRoute(const ConfigTable *table, const char *path);
+ConfigRoute Config_FindRoute(const ConfigTable *table, const char *path);
 
 /* Finds the route with exactly this path. */
-ConfigRoute
-Config_FindRouteExact(const ConfigTable *table, const char *path);
-gboolean
-Config_GetRoute(const ConfigTable *table, ConfigRoute route,
-                ConfigRouteInfo *info);
+ConfigRoute Config_FindRouteExact(const ConfigTable *table, const char *path);
+gboolean Config_GetRoute(const ConfigTable *table, ConfigRoute route,
+                         ConfigRouteInfo *info);
 
 /* TRUE if the route lists no teams or lists this one. A route whose listed
  * teams were all removed allows none. */
-gboolean
-Config_RouteAllows(const ConfigTable *table, ConfigRoute route,
-                   ConfigTeam team);
+gboolean Config_RouteAllows(const ConfigTable *table, ConfigRoute route,
+                            ConfigTeam team);
 
 /* Calls the callback for each record. */
-void
-Config_ForEachService(const ConfigTable *table,
-                      void (*callback)(void *context,
-                                       const ConfigServiceInfo *info),
-                      void *context);
-void
-Config_ForEachTeam(const ConfigTable *table,
-                   void (*callback)(void *context, const ConfigTeamInfo *info),
-                   void *context);
-void
-Config_ForEachRoute(const ConfigTable *table,
-                    void (*callback)(void *context,
-                                     const ConfigRouteInfo *info),
-                    void *context);
+void Config_ForEachService(const ConfigTable *table,
+                           void (*callback)(void *context,
+                                            const ConfigServiceInfo *info),
+                           void *context);
+void Config_ForEachTeam(const ConfigTable *table,
+                        void (*callback)(void *context,
+                                         const ConfigTeamInfo *info),
+                        void *context);
+void Config_ForEachRoute(const ConfigTable *table,
+                         void (*callback)(void *context,
+                                          const ConfigRouteInfo *info),
+                         void *context);
 
 /* Puts a ticket in force. Returns
  *  RESULT_OK              the version is now the ticket's
@@ -209,29 +187,23 @@
  *                         table before the ticket is the same everywhere)
  *  RESULT_NOT_FOUND       a ticket before this one is missing; no change
  *  RESULT_OK with *applied FALSE: this version or a later one is in force */
-Result
-Config_ApplyTicket(Config *config, const struct Ticket *ticket,
-                   gboolean *applied, GError **error);
+Result Config_ApplyTicket(Config *config, const struct Ticket *ticket,
+                          gboolean *applied, GError **error);
 
 /* Says that the tickets that existed when this host started are in force. A
  * team that is created from then on is new to the whole fleet. */
-void
-Config_SetLive(Config *config);
+void Config_SetLive(Config *config);
 
 /* Adds a key to the withdrawn set; TRUE if it was not in it. Takes effect for
  * all look-ups that start after the return. Never blocks on readers. */
-gboolean
-Config_WithdrawKey(Config *config, const ConfigKeyHash *hash);
-gboolean
-Config_IsWithdrawn(Config *config, const ConfigKeyHash *hash);
+gboolean Config_WithdrawKey(Config *config, const ConfigKeyHash *hash);
+gboolean Config_IsWithdrawn(Config *config, const ConfigKeyHash *hash);
 
 /* Digest of the withdrawn set: equal sets have equal digests; 0 for the empty
  * set. Peers compare it to find out whether they lack withdrawals. */
-uint64_t
-Config_GetWithdrawals(Config *config);
+uint64_t Config_GetWithdrawals(Config *config);
 
 /* Call from a thread registered with RCU. */
-void
-Config_GetStats(Config *config, ConfigStats *stats);
+void Config_GetStats(Config *config, ConfigStats *stats);
 
 #endif
--- a/src/config/config_arena.h
+++ b/src/config/config_arena.h
@@ -26,16 +26,12 @@
     uint32_t free_blocks[CONFIG_ARENA_BLOCK / 4 + 1];
 } ConfigArena;
 
-void
-ConfigArena_Init(ConfigArena *arena);
-void
-ConfigArena_Clear(ConfigArena *arena);
+void ConfigArena_Init(ConfigArena *arena);
+void ConfigArena_Clear(ConfigArena *arena);
 
 /* Copies the bytes into a new block; 0 when the arena is full. */
-uint32_t
-ConfigArena_Add(ConfigArena *arena, const void *bytes, size_t length);
-void
-ConfigArena_Free(ConfigArena *arena, uint32_t reference, size_t length);
+uint32_t ConfigArena_Add(ConfigArena *arena, const void *bytes, size_t length);
+void ConfigArena_Free(ConfigArena *arena, uint32_t reference, size_t length);
 
 static inline void *
 ConfigArena_Get(const ConfigArena *arena, uint32_t reference)
@@ -45,7 +41,6 @@
 }
 
 /* May be called while the writer adds. */
-size_t
-ConfigArena_GetBytes(const ConfigArena *arena);
+size_t ConfigArena_GetBytes(const ConfigArena *arena);
 
 #endif
--- a/src/config/config_pages.h
+++ b/src/config/config_pages.h
@@ -22,21 +22,18 @@
     uint32_t shift; /* log2 of the records of a page */
 } ConfigPages;
 
-void
-ConfigPages_Init(ConfigPages *pages, uint32_t record_bytes, uint32_t shift);
+void ConfigPages_Init(ConfigPages *pages, uint32_t record_bytes,
+                      uint32_t shift);
 
 /* Copies the directory; the pages are shared. */
-void
-ConfigPages_Copy(ConfigPages *to, const ConfigPages *from);
+void ConfigPages_Copy(ConfigPages *to, const ConfigPages *from);
 
 /* Frees the directory only. */
-void
-ConfigPages_ClearDirectory(ConfigPages *pages);
+void ConfigPages_ClearDirectory(ConfigPages *pages);
 
 /* Frees the directory and the pages of the given draft; with serial 0, all
  * pages. */
-void
-ConfigPages_Clear(ConfigPages *pages, uint64_t serial);
+void ConfigPages_Clear(ConfigPages *pages, uint64_t serial);
 
 /* NULL when no record of the page was ever written. */
 static inline const void *
@@ -54,12 +51,10 @@
 
 /* Returns the record for writing by the draft with this serial. A page that
  * was copied for it is added to replaced. */
-void *
-ConfigPages_Edit(ConfigPages *pages, uint32_t index, uint64_t serial,
-                 GPtrArray *replaced);
+void *ConfigPages_Edit(ConfigPages *pages, uint32_t index, uint64_t serial,
+                       GPtrArray *replaced);
 
 /* Bytes of the directory and of all pages. */
-size_t
-ConfigPages_GetBytes(const ConfigPages *pages);
+size_t ConfigPages_GetBytes(const ConfigPages *pages);
 
 #endif
--- a/src/config/config_sync.h
+++ b/src/config/config_sync.h
@@ -85,46 +85,36 @@
     void (*changed)(void *context, int64_t version, uint64_t withdrawals);
 } ConfigSync_desc;
 
-ConfigSync *
-ConfigSync_Create(const ConfigSync_desc *desc, GError **error);
-void
-ConfigSync_Destroy(ConfigSync *sync);
-void
-ConfigSync_Start(ConfigSync *sync);
-void
-ConfigSync_Stop(ConfigSync *sync);
+ConfigSync *ConfigSync_Create(const ConfigSync_desc *desc, GError **error);
+void ConfigSync_Destroy(ConfigSync *sync);
+void ConfigSync_Start(ConfigSync *sync);
+void ConfigSync_Stop(ConfigSync *sync);
 
 /* A message of a peer: its version, its digest of the withdrawn keys, and the
  * milliseconds since its last contact with the store through any peer (-1 =
  * never). Never blocks. */
-void
-ConfigSync_PeerVersion(ConfigSync *sync, uint64_t peer, int64_t version,
-                       uint64_t withdrawals, int64_t contact_age_ms);
+void ConfigSync_PeerVersion(ConfigSync *sync, uint64_t peer, int64_t version,
+                            uint64_t withdrawals, int64_t contact_age_ms);
 
 /* Milliseconds since the last contact of this host with the store, directly or
  * through any peer; -1 = never. Compare with the fleet setting
  * isolation_limit_ms, and send it to peers. */
-int64_t
-ConfigSync_ContactAgeMs(ConfigSync *sync);
+int64_t ConfigSync_ContactAgeMs(ConfigSync *sync);
 
 /* Withdraws a key on this host and, with `write`, also queues the write of
  * `withdrawn/<hex>` to the store (for the host that the operator told; for a
  * withdrawal that came from a peer pass FALSE). TRUE if the key was not yet
  * withdrawn. */
-gboolean
-ConfigSync_Withdraw(ConfigSync *sync, const ConfigKeyHash *hash,
-                    gboolean write);
+gboolean ConfigSync_Withdraw(ConfigSync *sync, const ConfigKeyHash *hash,
+                             gboolean write);
 
 /* The answer to a peer's request: the tickets after its version, or a part of
  * a snapshot if the peer is far behind, and withdrawals that it lacks. Free
  * with g_bytes_unref(). Any thread registered with RCU. */
-GBytes *
-ConfigSync_Bundle(ConfigSync *sync, const ConfigSyncRequest *request);
+GBytes *ConfigSync_Bundle(ConfigSync *sync, const ConfigSyncRequest *request);
 
 /* "version=1&withdrawals=...", for the query of a URL. Free with g_free(). */
-char *
-ConfigSync_FormatRequest(const ConfigSyncRequest *request);
-gboolean
-ConfigSync_ParseRequest(const char *text, ConfigSyncRequest *request);
+char *ConfigSync_FormatRequest(const ConfigSyncRequest *request);
+gboolean ConfigSync_ParseRequest(const char *text, ConfigSyncRequest *request);
 
 #endif
--- a/src/config/config_sync_private.h
+++ b/src/config/config_sync_private.h
@@ -77,63 +77,51 @@
 
 /* A ticket as JSON: put in force, or passed over if it is invalid. FALSE if it
  * is not the next one. */
-gboolean
-_ConfigSync_TakeTicket(ConfigSync *sync, json_t *value);
+gboolean _ConfigSync_TakeTicket(ConfigSync *sync, json_t *value);
 
 /* Adds a withdrawal; notifies if it is new. */
-gboolean
-_ConfigSync_TakeWithdrawal(ConfigSync *sync, const ConfigKeyHash *hash);
+gboolean _ConfigSync_TakeWithdrawal(ConfigSync *sync,
+                                    const ConfigKeyHash *hash);
 
 /* ConfigSync_Stop() was called; long loops end early. */
-gboolean
-_ConfigSync_IsStopping(ConfigSync *sync);
+gboolean _ConfigSync_IsStopping(ConfigSync *sync);
 
 /* Calls the `changed` callback. */
-void
-_ConfigSync_Notify(ConfigSync *sync);
+void _ConfigSync_Notify(ConfigSync *sync);
 
 /* Records a contact with the store that is age_ms old. */
-void
-_ConfigSync_NoteContact(ConfigSync *sync, int64_t age_ms);
+void _ConfigSync_NoteContact(ConfigSync *sync, int64_t age_ms);
 
 /* Pins the table for snapshots, or keeps the one that is pinned. Called with
  * served_lock held. */
-void
-_ConfigSync_Serve(ConfigSync *sync);
+void _ConfigSync_Serve(ConfigSync *sync);
 
 /* Unpins a table that is no longer asked for. */
-void
-_ConfigSync_EndServing(ConfigSync *sync, gboolean at_once);
+void _ConfigSync_EndServing(ConfigSync *sync, gboolean at_once);
 
 /* Puts one part of a snapshot into a draft, which it begins at part 0 and
  * commits after the last part. *open tells whether the draft is open. FALSE
  * closes it. */
-gboolean
-_ConfigSync_TakePart(ConfigSync *sync, ConfigDraft *draft, gboolean *open,
-                     int64_t number, uint32_t part, uint32_t parts,
-                     json_t *sets);
+gboolean _ConfigSync_TakePart(ConfigSync *sync, ConfigDraft *draft,
+                              gboolean *open, int64_t number, uint32_t part,
+                              uint32_t parts, json_t *sets);
 
 /* One round on the store by a watcher: withdrawals, tickets (held up to
  * wait_ms), snapshot. FALSE if the store failed. */
-gboolean
-_ConfigSync_Watch(ConfigSync *sync, int wait_ms);
+gboolean _ConfigSync_Watch(ConfigSync *sync, int wait_ms);
 
 /* Reads snapshot, tickets and withdrawals at the start. */
-gboolean
-_ConfigSync_LoadFromStore(ConfigSync *sync);
+gboolean _ConfigSync_LoadFromStore(ConfigSync *sync);
 
 /* Writes the queued withdrawals to the store. */
-gboolean
-_ConfigSync_WriteQueue(ConfigSync *sync);
+gboolean _ConfigSync_WriteQueue(ConfigSync *sync);
 
 /* Fetches from a peer until nothing more comes. With full_list, also its whole
  * list of withdrawals if the newest ones do not make the sets equal. FALSE if
  * nothing new came. */
-gboolean
-_ConfigSync_Pull(ConfigSync *sync, uint64_t peer, gboolean full_list);
+gboolean _ConfigSync_Pull(ConfigSync *sync, uint64_t peer, gboolean full_list);
 
 /* The peer's version; -1 if it does not answer. */
-int64_t
-_ConfigSync_AskVersion(ConfigSync *sync, uint64_t peer);
+int64_t _ConfigSync_AskVersion(ConfigSync *sync, uint64_t peer);
 
 #endif
--- a/src/config/config_table.h
+++ b/src/config/config_table.h
@@ -137,21 +137,16 @@
 /* Buckets of a kind, as a power of two. The numbers fit the sizes of two years
  * ahead; a larger table has longer chains. They are fixed, so that no ticket
  * has to rebuild an index. */
-uint32_t
-_Config_BucketCount(ConfigKind kind);
+uint32_t _Config_BucketCount(ConfigKind kind);
 
-uint32_t
-_Config_NameBucket(ConfigKind kind, const char *name, size_t length);
+uint32_t _Config_NameBucket(ConfigKind kind, const char *name, size_t length);
 
-uint32_t
-_Config_KeyBucket(const ConfigKeyHash *hash);
+uint32_t _Config_KeyBucket(const ConfigKeyHash *hash);
 
 /* Slot of the record with this name; 0 if there is none. */
-uint32_t
-_Config_FindName(const ConfigTable *table, ConfigKind kind, const char *name,
-                 size_t length);
-uint32_t
-_Config_FindKey(const ConfigTable *table, const ConfigKeyHash *hash);
+uint32_t _Config_FindName(const ConfigTable *table, ConfigKind kind,
+                          const char *name, size_t length);
+uint32_t _Config_FindKey(const ConfigTable *table, const ConfigKeyHash *hash);
 
 static inline const void *
 _Config_Record(const ConfigTable *table, ConfigKind kind, uint32_t slot)
@@ -174,54 +169,43 @@
 }
 
 /* First team of a route's detail. */
-const char *
-_Config_DetailTeams(const ConfigRouteDetail *detail);
+const char *_Config_DetailTeams(const ConfigRouteDetail *detail);
 
 /* Complete state of a record as in a ticket; a new reference. */
-json_t *
-_Config_RecordToJson(const ConfigTable *table, ConfigKind kind, uint32_t slot);
+json_t *_Config_RecordToJson(const ConfigTable *table, ConfigKind kind,
+                             uint32_t slot);
 
 /* JSON name of a kind in `sets`. */
-const char *
-_Config_KindName(ConfigKind kind);
+const char *_Config_KindName(ConfigKind kind);
 
-void
-_Config_BeginDraft(Config *config, ConfigDraft *draft);
+void _Config_BeginDraft(Config *config, ConfigDraft *draft);
 
 /* Applies the checked `sets` of a ticket. A key that belongs to another team
  * that the ticket does not take it from is an error. */
-Result
-_Config_ApplySets(ConfigDraft *draft, json_t *sets, GError **error);
+Result _Config_ApplySets(ConfigDraft *draft, json_t *sets, GError **error);
 
 /* Makes one part of a table equal to the checked sets of a snapshot's part:
  * what they lack in this part's buckets is removed. */
-Result
-_Config_ApplyPart(ConfigDraft *draft, json_t *sets, uint32_t part,
-                  uint32_t parts, GError **error);
+Result _Config_ApplyPart(ConfigDraft *draft, json_t *sets, uint32_t part,
+                         uint32_t parts, GError **error);
 
-void
-_Config_CommitDraft(ConfigDraft *draft, int64_t version);
-void
-_Config_AbortDraft(ConfigDraft *draft);
+void _Config_CommitDraft(ConfigDraft *draft, int64_t version);
+void _Config_AbortDraft(ConfigDraft *draft);
 
 /* Buckets of a part: [first, end). */
-void
-_Config_PartBuckets(ConfigKind kind, uint32_t part, uint32_t parts,
-                    uint32_t *first, uint32_t *end);
+void _Config_PartBuckets(ConfigKind kind, uint32_t part, uint32_t parts,
+                         uint32_t *first, uint32_t *end);
 
 /* Number of parts of a snapshot, each of at most about part_bytes. */
-uint32_t
-_Config_PartCount(const ConfigTable *table, size_t part_bytes);
+uint32_t _Config_PartCount(const ConfigTable *table, size_t part_bytes);
 
 /* The sets of one part as JSON text. */
-GString *
-_Config_DumpPart(const ConfigTable *table, uint32_t part, uint32_t parts);
+GString *_Config_DumpPart(const ConfigTable *table, uint32_t part,
+                          uint32_t parts);
 
 /* Keeps the table in force from being freed until _Config_Unpin(). There is
  * one pin; a second call returns NULL. */
-const ConfigTable *
-_Config_Pin(Config *config);
-void
-_Config_Unpin(Config *config);
+const ConfigTable *_Config_Pin(Config *config);
+void _Config_Unpin(Config *config);
 
 #endif
--- a/src/config/fuzz_ticket.c
+++ b/src/config/fuzz_ticket.c
@@ -10,8 +10,7 @@
 #include "config/config_table.h"
 #include "config/ticket_check.h"
 
-int
-LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static Config *
 get_config(void)
--- a/src/config/ticket.h
+++ b/src/config/ticket.h
@@ -53,60 +53,46 @@
 } TicketProblem;
 
 /* Returns a GPtrArray of TicketProblem that frees its elements. */
-GPtrArray *
-Ticket_CreateProblems(void);
+GPtrArray *Ticket_CreateProblems(void);
 
 /* One line "path: expected ..." for each problem. Free with g_free(). */
-char *
-Ticket_FormatProblems(const GPtrArray *problems);
+char *Ticket_FormatProblems(const GPtrArray *problems);
 
 /* Parses and checks a ticket. Returns NULL with at least one problem added if
  * it is invalid. */
-Ticket *
-Ticket_Parse(const char *text, size_t length, TicketOrigin origin,
-             GPtrArray *problems);
+Ticket *Ticket_Parse(const char *text, size_t length, TicketOrigin origin,
+                     GPtrArray *problems);
 
 /* As Ticket_Parse() from a JSON value, of which a reference is taken. */
-Ticket *
-Ticket_FromJson(json_t *value, TicketOrigin origin, GPtrArray *problems);
-
-void
-Ticket_Free(Ticket *ticket);
-
-int64_t
-Ticket_GetNumber(const Ticket *ticket);
-const char *
-Ticket_GetId(const Ticket *ticket);
-const char *
-Ticket_GetWho(const Ticket *ticket);
-const char *
-Ticket_GetWhen(const Ticket *ticket);
-const char *
-Ticket_GetWhy(const Ticket *ticket);
+Ticket *Ticket_FromJson(json_t *value, TicketOrigin origin,
+                        GPtrArray *problems);
+
+void Ticket_Free(Ticket *ticket);
+
+int64_t Ticket_GetNumber(const Ticket *ticket);
+const char *Ticket_GetId(const Ticket *ticket);
+const char *Ticket_GetWho(const Ticket *ticket);
+const char *Ticket_GetWhen(const Ticket *ticket);
+const char *Ticket_GetWhy(const Ticket *ticket);
 
 /* The whole ticket and its `sets`, owned by the ticket. */
-json_t *
-Ticket_GetJson(const Ticket *ticket);
-json_t *
-Ticket_GetSets(const Ticket *ticket);
+json_t *Ticket_GetJson(const Ticket *ticket);
+json_t *Ticket_GetSets(const Ticket *ticket);
 
 /* Adds a problem for each key that belongs to another team, and for each route
  * whose service or team exists neither in the table nor in the ticket, or
  * whose service or team the ticket removes. Call between Config_ReadLock() and
  * Config_ReadUnlock(). Returns TRUE if there is none. */
-gboolean
-Ticket_CheckReferences(const Ticket *ticket, const ConfigTable *table,
-                       GPtrArray *problems);
+gboolean Ticket_CheckReferences(const Ticket *ticket, const ConfigTable *table,
+                                GPtrArray *problems);
 
 /* The difference that the ticket makes to the table, one line for each changed
  * field, "no change" if there is none. Call under Config_ReadLock(); free with
  * g_free(). */
-char *
-Ticket_Diff(const Ticket *ticket, const ConfigTable *table);
+char *Ticket_Diff(const Ticket *ticket, const ConfigTable *table);
 
 /* Creates `ticket/<n>` in the store if ticket n-1 exists and n does not. Reads
  * the object back after an uncertain answer, at most 5 times. */
-Result
-Ticket_Apply(const Ticket *ticket, Store *store, GError **error);
+Result Ticket_Apply(const Ticket *ticket, Store *store, GError **error);
 
 #endif
--- a/src/config/ticket_check.h
+++ b/src/config/ticket_check.h
@@ -7,17 +7,14 @@
 
 #include "config/ticket.h"
 
-void
-_Ticket_AddProblem(GPtrArray *problems, const char *path, const char *format,
-                   ...) G_GNUC_PRINTF(3, 4);
+void _Ticket_AddProblem(GPtrArray *problems, const char *path,
+                        const char *format, ...) G_GNUC_PRINTF(3, 4);
 
 /* Checks a whole ticket; TRUE if it is valid. */
-gboolean
-_Ticket_Check(json_t *root, TicketOrigin origin, GPtrArray *problems);
+gboolean _Ticket_Check(json_t *root, TicketOrigin origin, GPtrArray *problems);
 
 /* Checks the `sets` of a snapshot's part, which may be empty and remove
  * nothing. */
-gboolean
-_Ticket_CheckSets(json_t *sets, GPtrArray *problems);
+gboolean _Ticket_CheckSets(json_t *sets, GPtrArray *problems);
 
 #endif
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -17,17 +17,12 @@
 typedef struct Daemon Daemon;
 
 /* Takes ownership of the settings. */
-Daemon *
-Daemon_Create(Settings *settings, GError **error);
-void
-Daemon_Reload(Daemon *daemon, const char *path);
-void
-Daemon_Stop(Daemon *daemon);
-void
-Daemon_Destroy(Daemon *daemon);
+Daemon *Daemon_Create(Settings *settings, GError **error);
+void Daemon_Reload(Daemon *daemon, const char *path);
+void Daemon_Stop(Daemon *daemon);
+void Daemon_Destroy(Daemon *daemon);
 
 /* TRUE once a later process of the same host has joined the fleet. */
-gboolean
-Daemon_IsSuperseded(const Daemon *daemon);
+gboolean Daemon_IsSuperseded(const Daemon *daemon);
 
 #endif
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -61,67 +61,47 @@
 };
 
 /* daemon_peers.c: configuration exchange, hand-over of runs, roster. */
-void
-_Daemon_HandlePeer(void *context, HttpRequest *request);
-GBytes *
-_Daemon_FetchBundle(void *context, uint64_t peer,
-                    const ConfigSyncRequest *request, GError **error);
-size_t
-_Daemon_ListPeers(void *context, uint64_t *ids, size_t max);
-void
-_Daemon_ConfigChanged(void *context, int64_t version, uint64_t withdrawals);
-gboolean
-_Daemon_IsWatcher(void *context);
-void
-_Daemon_DescribeVersion(void *context, GByteArray *payload);
-void
-_Daemon_LearnVersion(void *context, const RpcPeer *sender,
-                     const GByteArray *payload);
-Result
-_Daemon_HandleNotice(void *context, const RpcPeer *sender,
-                     const GByteArray *body, GByteArray *reply);
-uint32_t
-_Daemon_ReadRoster(void *context, RpcPeer *entries, uint32_t max);
-void
-_Daemon_WriteRoster(Daemon *daemon, ClockMs now);
+void _Daemon_HandlePeer(void *context, HttpRequest *request);
+GBytes *_Daemon_FetchBundle(void *context, uint64_t peer,
+                            const ConfigSyncRequest *request, GError **error);
+size_t _Daemon_ListPeers(void *context, uint64_t *ids, size_t max);
+void _Daemon_ConfigChanged(void *context, int64_t version,
+                           uint64_t withdrawals);
+gboolean _Daemon_IsWatcher(void *context);
+void _Daemon_DescribeVersion(void *context, GByteArray *payload);
+void _Daemon_LearnVersion(void *context, const RpcPeer *sender,
+                          const GByteArray *payload);
+Result _Daemon_HandleNotice(void *context, const RpcPeer *sender,
+                            const GByteArray *body, GByteArray *reply);
+uint32_t _Daemon_ReadRoster(void *context, RpcPeer *entries, uint32_t max);
+void _Daemon_WriteRoster(Daemon *daemon, ClockMs now);
 
 /* Hands the run table over; returns the successor's host id, 0 if none took
  * it. */
-uint64_t
-_Daemon_HandOverRuns(Daemon *daemon);
+uint64_t _Daemon_HandOverRuns(Daemon *daemon);
 
 /* In a read section of RCU: where a host's RPC port is; FALSE if unknown. */
-gboolean
-_Daemon_FindPeer(const Daemon *daemon, uint64_t host, RpcPeer *peer);
+gboolean _Daemon_FindPeer(const Daemon *daemon, uint64_t host, RpcPeer *peer);
 
 /* daemon_rate.c */
-RateService *
-_Daemon_CreateRate(Daemon *daemon);
-void
-_Daemon_RegisterRate(Daemon *daemon);
+RateService *_Daemon_CreateRate(Daemon *daemon);
+void _Daemon_RegisterRate(Daemon *daemon);
 
 /* daemon_permits.c */
-DaemonPermits *
-_DaemonPermits_Create(Daemon *daemon);
-void
-_DaemonPermits_Destroy(DaemonPermits *permits);
-void
-_DaemonPermits_Ask(void *context, const PermitRequest *request);
-Result
-_DaemonPermits_Handle(void *context, const RpcPeer *sender,
-                      const GByteArray *body, GByteArray *reply);
+DaemonPermits *_DaemonPermits_Create(Daemon *daemon);
+void _DaemonPermits_Destroy(DaemonPermits *permits);
+void _DaemonPermits_Ask(void *context, const PermitRequest *request);
+Result _DaemonPermits_Handle(void *context, const RpcPeer *sender,
+                             const GByteArray *body, GByteArray *reply);
 
 /* daemon_admin.c: announcements, status and the tool's calls. */
-HttpServer *
-_Daemon_CreateAdmin(Daemon *daemon, GError **error);
+HttpServer *_Daemon_CreateAdmin(Daemon *daemon, GError **error);
 
 /* daemon_announce.c: FALSE if the body is not a valid announcement. */
-gboolean
-_Daemon_ReadAnnouncement(const char *body, size_t bytes,
-                         OwnerAnnouncement *announcement);
+gboolean _Daemon_ReadAnnouncement(const char *body, size_t bytes,
+                                  OwnerAnnouncement *announcement);
 
 /* daemon_status.c */
-char *
-_Daemon_StatusJson(Daemon *daemon);
+char *_Daemon_StatusJson(Daemon *daemon);
 
 #endif
--- a/src/daemon/fuzz_announce.c
+++ b/src/daemon/fuzz_announce.c
@@ -8,8 +8,7 @@
 
 #include "daemon/daemon_internal.h"
 
-int
-LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static gboolean
 is_name(const char name[OWNER_NAME_BYTES])
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -53,33 +53,26 @@
     const char *tls_key_pem;
 } Entry_desc;
 
-Entry *
-Entry_Create(const Entry_desc *desc, GError **error);
-uint16_t
-Entry_Port(const Entry *entry);
+Entry *Entry_Create(const Entry_desc *desc, GError **error);
+uint16_t Entry_Port(const Entry *entry);
 
 /* Stops accepting and waits for what is in flight. */
-gboolean
-Entry_Drain(Entry *entry, ClockMs until);
-void
-Entry_Destroy(Entry *entry);
+gboolean Entry_Drain(Entry *entry, ClockMs until);
+void Entry_Destroy(Entry *entry);
 
 /* What is known of a recent request that was refused, retried or failed, as
  * one line of text, or NULL; free with g_free(). */
-char *
-Entry_Explain(Entry *entry, const char *request_id);
+char *Entry_Explain(Entry *entry, const char *request_id);
 
 /* Appends the recent lines that contain the text, or name a host or backend
  * server of this name, newest first. */
-void
-Entry_ExplainMatching(Entry *entry, const char *text, unsigned max,
-                      GString *out);
+void Entry_ExplainMatching(Entry *entry, const char *text, unsigned max,
+                           GString *out);
 
 /* Hosts that answer for the run table of a former incarnation of a host, in
  * the order in which they are asked. Returns their number. */
-unsigned
-Entry_Successors(const Member *member, uint64_t host, uint64_t incarnation,
-                 int region, int data_centre, const MemberHost **hosts,
-                 unsigned max);
+unsigned Entry_Successors(const Member *member, uint64_t host,
+                          uint64_t incarnation, int region, int data_centre,
+                          const MemberHost **hosts, unsigned max);
 
 #endif
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -100,41 +100,31 @@
 } EntryRequest;
 
 /* entry_request.c: reads the request, finds team and route. */
-Result
-_Entry_ReadRequest(EntryRequest *request);
-void
-_Entry_ClearRequest(EntryRequest *request);
+Result _Entry_ReadRequest(EntryRequest *request);
+void _Entry_ClearRequest(EntryRequest *request);
 
 /* Makes the text the one in use; FALSE after ENTRY_MAX_TOKENS tokens. */
-gboolean
-_Entry_SetToken(EntryRequest *request, const char *text);
-void
-_Entry_Trace(EntryRequest *request, const char *format, ...)
+gboolean _Entry_SetToken(EntryRequest *request, const char *text);
+void _Entry_Trace(EntryRequest *request, const char *format, ...)
     G_GNUC_PRINTF(2, 3);
 
 /* entry_target.c: chooses places and makes attempts. */
-Result
-_Entry_ChooseTarget(EntryRequest *request, EntryTarget *target);
+Result _Entry_ChooseTarget(EntryRequest *request, EntryTarget *target);
 
 /* The owner that a run token names, or the n-th host that may answer for it;
  * FALSE if there is none. */
-gboolean
-_Entry_TokenTarget(EntryRequest *request, unsigned n, EntryTarget *target);
-void
-_Entry_Attempt(EntryRequest *request, const EntryTarget *target,
-               OwnerReply *reply);
+gboolean _Entry_TokenTarget(EntryRequest *request, unsigned n,
+                            EntryTarget *target);
+void _Entry_Attempt(EntryRequest *request, const EntryTarget *target,
+                    OwnerReply *reply);
 
 /* Excludes the place of a failed attempt from further ones. */
-void
-_Entry_Exclude(EntryRequest *request, const EntryTarget *target);
+void _Entry_Exclude(EntryRequest *request, const EntryTarget *target);
 
 /* entry_issue.c */
-Result
-_Entry_Mint(EntryRequest *request, const EntryTarget *target, uint32_t count,
-            RunToken *first, uint32_t *minted);
-void
-_Entry_RunIssuance(EntryRequest *request, OwnerReply *reply);
-void
-_Entry_ServeRunTokens(EntryRequest *request);
+Result _Entry_Mint(EntryRequest *request, const EntryTarget *target,
+                   uint32_t count, RunToken *first, uint32_t *minted);
+void _Entry_RunIssuance(EntryRequest *request, OwnerReply *reply);
+void _Entry_ServeRunTokens(EntryRequest *request);
 
 #endif
--- a/src/entry/entry_watch.h
+++ b/src/entry/entry_watch.h
@@ -32,19 +32,14 @@
     ENTRY_VERDICT_UNREACHABLE /* the owner does not answer */
 } EntryVerdict;
 
-EntryWatch *
-EntryWatch_Create(Rpc *rpc, const int64_t *silence_ms);
-void
-EntryWatch_Destroy(EntryWatch *watch);
-EntryWatched *
-EntryWatch_Begin(EntryWatch *watch, const RpcPeer *owner, OwnerAttempt attempt,
-                 HttpCancel *cancel);
-EntryVerdict
-EntryWatch_End(EntryWatch *watch, EntryWatched *watched);
+EntryWatch *EntryWatch_Create(Rpc *rpc, const int64_t *silence_ms);
+void EntryWatch_Destroy(EntryWatch *watch);
+EntryWatched *EntryWatch_Begin(EntryWatch *watch, const RpcPeer *owner,
+                               OwnerAttempt attempt, HttpCancel *cancel);
+EntryVerdict EntryWatch_End(EntryWatch *watch, EntryWatched *watched);
 
 /* Bodies of RPC kind 22: 8 bytes attempt, 4 bytes state, both in XDR. */
-Result
-EntryWatch_ServeAsk(OwnerPort *port, const GByteArray *body,
-                    GByteArray *reply);
+Result EntryWatch_ServeAsk(OwnerPort *port, const GByteArray *body,
+                           GByteArray *reply);
 
 #endif
--- a/src/health/health.h
+++ b/src/health/health.h
@@ -119,48 +119,37 @@
 typedef uint32_t HealthRequest;
 
 /* NULL stands for all defaults. */
-Health *
-Health_Create(const Health_desc *desc, ClockMs now);
-void
-Health_Destroy(Health *health);
+Health *Health_Create(const Health_desc *desc, ClockMs now);
+void Health_Destroy(Health *health);
 
 /* A new session of the backend server: forgets samples and requests in flight
  * of the former one (their HealthRequest becomes stale and is ignored). The
  * length of the next ejection is kept. */
-void
-Health_ColdStart(Health *health, ClockMs now);
+void Health_ColdStart(Health *health, ClockMs now);
 
-HealthRequest
-Health_Start(Health *health, ClockMs now);
+HealthRequest Health_Start(Health *health, ClockMs now);
 
 /* latency_us is the time since the request was sent to the backend server. */
-void
-Health_End(Health *health, HealthRequest request, HealthOutcome outcome,
-           int64_t latency_us, ClockMs now);
+void Health_End(Health *health, HealthRequest request, HealthOutcome outcome,
+                int64_t latency_us, ClockMs now);
 
-void
-Health_Update(Health *health, const HealthInput *input,
-              HealthVerdict *verdict);
+void Health_Update(Health *health, const HealthInput *input,
+                   HealthVerdict *verdict);
 
 /* Class of a latency. The previous class is kept while the latency is within
  * 0.75 steps of its centre, so that a class at a boundary does not flap. */
-int
-Health_ClassOf(int64_t latency_us, int previous_class);
+int Health_ClassOf(int64_t latency_us, int previous_class);
 /* Latency at the centre of a class; 0 for HEALTH_CLASS_UNKNOWN. */
-int64_t
-Health_ClassLatencyUs(int latency_class);
+int64_t Health_ClassLatencyUs(int latency_class);
 
 /* Median (the lower one of an even count) of the classes that are known.
  * HEALTH_CLASS_UNKNOWN with fewer than 3, because the median of two is one of
  * them. */
-int
-Health_ClassMedian(const int *classes, size_t count);
+int Health_ClassMedian(const int *classes, size_t count);
 
 /* "healthy", "degraded", "ejected", "probation". */
-const char *
-Health_StateName(HealthState state);
-const char *
-Health_ReasonName(HealthReason reason);
+const char *Health_StateName(HealthState state);
+const char *Health_ReasonName(HealthReason reason);
 
 /* Presets: HEALTH_PRESET_FAST weighs detection time most,
  * HEALTH_PRESET_CAUTIOUS weighs false ejections most; the measurements are in
--- a/src/health/health_score.h
+++ b/src/health/health_score.h
@@ -42,27 +42,21 @@
 } HealthSample;
 
 /* Copies `desc`, which may be NULL, with the defaults filled in. */
-void
-HealthScore_Resolve(const Health_desc *desc, Health_desc *resolved);
-void
-HealthScore_Reset(HealthScore *score);
-void
-HealthScore_Add(HealthScore *score, const Health_desc *desc,
-                HealthSample *sample);
+void HealthScore_Resolve(const Health_desc *desc, Health_desc *resolved);
+void HealthScore_Reset(HealthScore *score);
+void HealthScore_Add(HealthScore *score, const Health_desc *desc,
+                     HealthSample *sample);
 
 /* Evidence from a request that has been in flight for age_ms. */
-double
-HealthScore_InFlight(const HealthScore *score, const Health_desc *desc,
-                     int baseline_class, ClockMs age_ms, gboolean cold);
+double HealthScore_InFlight(const HealthScore *score, const Health_desc *desc,
+                            int baseline_class, ClockMs age_ms, gboolean cold);
 /* Whether a class is slow against a baseline. */
-gboolean
-HealthScore_IsSlowClass(const HealthScore *score, const Health_desc *desc,
-                        int latency_class, int baseline_class);
+gboolean HealthScore_IsSlowClass(const HealthScore *score,
+                                 const Health_desc *desc, int latency_class,
+                                 int baseline_class);
 /* Whether the last few answers were slow by less than 4. */
-gboolean
-HealthScore_IsMild(const HealthScore *score);
+gboolean HealthScore_IsMild(const HealthScore *score);
 /* Class of the recent median. */
-int
-HealthScore_Class(const HealthScore *score, int previous_class);
+int HealthScore_Class(const HealthScore *score, int previous_class);
 
 #endif
--- a/src/health/permit.h
+++ b/src/health/permit.h
@@ -113,24 +113,19 @@
 
 typedef struct PermitClaim PermitClaim;
 
-PermitClaim *
-PermitClaim_Create(const PermitClaim_desc *desc);
-void
-PermitClaim_Destroy(PermitClaim *claim);
+PermitClaim *PermitClaim_Create(const PermitClaim_desc *desc);
+void PermitClaim_Destroy(PermitClaim *claim);
 
 /* Returns TRUE if a request is to be sent at `now` and fills it in. When the
  * permit is no longer wanted, the request is its release, sent once. */
-gboolean
-PermitClaim_Next(PermitClaim *claim, HealthPermit wanted, ClockMs now,
-                 PermitRequest *request);
-void
-PermitClaim_Answer(PermitClaim *claim, const PermitReply *reply, ClockMs now);
-gboolean
-PermitClaim_IsHeld(const PermitClaim *claim, ClockMs now);
+gboolean PermitClaim_Next(PermitClaim *claim, HealthPermit wanted, ClockMs now,
+                          PermitRequest *request);
+void PermitClaim_Answer(PermitClaim *claim, const PermitReply *reply,
+                        ClockMs now);
+gboolean PermitClaim_IsHeld(const PermitClaim *claim, ClockMs now);
 /* Status of the last answer; PERMIT_FLOOR or PERMIT_SERVICE_WIDE say why the
  * backend server is not ejected. */
-PermitStatus
-PermitClaim_LastStatus(const PermitClaim *claim);
+PermitStatus PermitClaim_LastStatus(const PermitClaim *claim);
 
 /* Keeper side. */
 
@@ -153,37 +148,31 @@
 
 typedef struct PermitKeeper PermitKeeper;
 
-PermitKeeper *
-PermitKeeper_Create(const PermitKeeper_desc *desc, ClockMs now);
-void
-PermitKeeper_Destroy(PermitKeeper *keeper);
-void
-PermitKeeper_Handle(PermitKeeper *keeper, const PermitRequest *request,
-                    const PermitView *view, ClockMs now, PermitReply *reply);
+PermitKeeper *PermitKeeper_Create(const PermitKeeper_desc *desc, ClockMs now);
+void PermitKeeper_Destroy(PermitKeeper *keeper);
+void PermitKeeper_Handle(PermitKeeper *keeper, const PermitRequest *request,
+                         const PermitView *view, ClockMs now,
+                         PermitReply *reply);
 /* Permits that are out at `now`, for display. */
-uint32_t
-PermitKeeper_InUse(const PermitKeeper *keeper, ClockMs now);
+uint32_t PermitKeeper_InUse(const PermitKeeper *keeper, ClockMs now);
 
 /* Permits of the service, all places together. */
-uint32_t
-Permit_Total(const PermitView *view);
+uint32_t Permit_Total(const PermitView *view);
 
 /* "granted", "wait", "floor", "service_wide", "new_keeper", "released". */
-const char *
-Permit_StatusName(PermitStatus status);
+const char *Permit_StatusName(PermitStatus status);
 
 /* Bodies of RPC kind 12: XDR of permit_wire.x. The encoders return the number
  * of bytes, 0 if `size` is too small; the decoders return FALSE on a malformed
  * body. PERMIT_WIRE_BYTES is always enough. */
 #define PERMIT_WIRE_BYTES 256
 
-size_t
-Permit_EncodeRequest(const PermitRequest *request, void *bytes, size_t size);
-gboolean
-Permit_DecodeRequest(const void *bytes, size_t size, PermitRequest *request);
-size_t
-Permit_EncodeReply(const PermitReply *reply, void *bytes, size_t size);
-gboolean
-Permit_DecodeReply(const void *bytes, size_t size, PermitReply *reply);
+size_t Permit_EncodeRequest(const PermitRequest *request, void *bytes,
+                            size_t size);
+gboolean Permit_DecodeRequest(const void *bytes, size_t size,
+                              PermitRequest *request);
+size_t Permit_EncodeReply(const PermitReply *reply, void *bytes, size_t size);
+gboolean Permit_DecodeReply(const void *bytes, size_t size,
+                            PermitReply *reply);
 
 #endif
--- a/src/health/test_health_model.h
+++ b/src/health/test_health_model.h
@@ -66,7 +66,6 @@
 
 /* Zero fields of desc: 20 requests/s, 20 ms, sigma 0.5, 1% slow by 10, floor
  * 75%, 3 s, 3 s, 60 s. */
-void
-Model_Run(const Model_desc *desc, ModelResult *result);
+void Model_Run(const Model_desc *desc, ModelResult *result);
 
 #endif
--- a/src/http/fuzz_http.c
+++ b/src/http/fuzz_http.c
@@ -17,8 +17,7 @@
 #define MAX_ANSWER_BYTES 65536
 #define DEADLINE_MS 5000
 
-int
-LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 typedef struct Peer {
     int listener;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -56,28 +56,20 @@
     HttpCancel *cancel;        /* NULL: cannot be cancelled */
 } HttpCall;
 
-HttpClient *
-HttpClient_Create(const HttpClient_desc *desc);
-void
-HttpClient_Destroy(HttpClient *client);
-Result
-HttpClient_Call(HttpClient *client, const HttpCall *call, HttpAnswer *answer,
-                gboolean *sent);
+HttpClient *HttpClient_Create(const HttpClient_desc *desc);
+void HttpClient_Destroy(HttpClient *client);
+Result HttpClient_Call(HttpClient *client, const HttpCall *call,
+                       HttpAnswer *answer, gboolean *sent);
 
 /* Closes the idle connections to an address, for example after one of them
  * went silent. */
-void
-HttpClient_Forget(HttpClient *client, const struct sockaddr_in *address);
+void HttpClient_Forget(HttpClient *client, const struct sockaddr_in *address);
 
-HttpCancel *
-HttpCancel_Create(void);
-void
-HttpCancel_Destroy(HttpCancel *cancel);
+HttpCancel *HttpCancel_Create(void);
+void HttpCancel_Destroy(HttpCancel *cancel);
 
 /* May be called any number of times, from any thread. */
-void
-HttpCancel_Trigger(void *cancel);
-gboolean
-HttpCancel_IsTriggered(HttpCancel *cancel);
+void HttpCancel_Trigger(void *cancel);
+gboolean HttpCancel_IsTriggered(HttpCancel *cancel);
 
 #endif
--- a/src/http/http_executor.h
+++ b/src/http/http_executor.h
@@ -14,11 +14,9 @@
 typedef struct HttpExecutor HttpExecutor;
 typedef void (*HttpTask)(void *context);
 
-HttpExecutor *
-HttpExecutor_Create(unsigned max_threads, unsigned max_waiting);
-gboolean
-HttpExecutor_Submit(HttpExecutor *executor, HttpTask task, void *context);
-void
-HttpExecutor_Destroy(HttpExecutor *executor);
+HttpExecutor *HttpExecutor_Create(unsigned max_threads, unsigned max_waiting);
+gboolean HttpExecutor_Submit(HttpExecutor *executor, HttpTask task,
+                             void *context);
+void HttpExecutor_Destroy(HttpExecutor *executor);
 
 #endif
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -32,45 +32,35 @@
     size_t body_bytes;
 } HttpAnswer;
 
-void
-HttpHeaders_Add(HttpHeaders *headers, const char *name, const char *value);
-void
-HttpHeaders_AddNumber(HttpHeaders *headers, const char *name, int64_t value);
+void HttpHeaders_Add(HttpHeaders *headers, const char *name,
+                     const char *value);
+void HttpHeaders_AddNumber(HttpHeaders *headers, const char *name,
+                           int64_t value);
 
 /* First value with this name, or NULL. */
-const char *
-HttpHeaders_Get(const HttpHeaders *headers, const char *name);
+const char *HttpHeaders_Get(const HttpHeaders *headers, const char *name);
 
 /* Value as a decimal number, or the fallback if it is missing or malformed. */
-int64_t
-HttpHeaders_GetNumber(const HttpHeaders *headers, const char *name,
-                      int64_t fallback);
-void
-HttpHeaders_Remove(HttpHeaders *headers, const char *name);
-void
-HttpHeaders_Clear(HttpHeaders *headers);
+int64_t HttpHeaders_GetNumber(const HttpHeaders *headers, const char *name,
+                              int64_t fallback);
+void HttpHeaders_Remove(HttpHeaders *headers, const char *name);
+void HttpHeaders_Clear(HttpHeaders *headers);
 
 /* Copies the body. */
-void
-HttpAnswer_SetBody(HttpAnswer *answer, const void *body, size_t bytes);
+void HttpAnswer_SetBody(HttpAnswer *answer, const void *body, size_t bytes);
 
 /* Sets status and a JSON body; takes ownership of the text. */
-void
-HttpAnswer_SetJson(HttpAnswer *answer, int status, char *json_text);
+void HttpAnswer_SetJson(HttpAnswer *answer, int status, char *json_text);
 
 /* Moves everything from one answer to another, which must be clear. */
-void
-HttpAnswer_Move(HttpAnswer *to, HttpAnswer *from);
-void
-HttpAnswer_Clear(HttpAnswer *answer);
+void HttpAnswer_Move(HttpAnswer *to, HttpAnswer *from);
+void HttpAnswer_Clear(HttpAnswer *answer);
 
 /* Parses "a.b.c.d:port" or a bare address with a separate port. */
-gboolean
-HttpAddress_Parse(const char *text, struct sockaddr_in *address);
+gboolean HttpAddress_Parse(const char *text, struct sockaddr_in *address);
 
 /* Writes "a.b.c.d:port" (at most 22 bytes with the end). */
-void
-HttpAddress_Format(const struct sockaddr_in *address, char *text,
-                   size_t bytes);
+void HttpAddress_Format(const struct sockaddr_in *address, char *text,
+                        size_t bytes);
 
 #endif
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -51,70 +51,52 @@
     void *context;       /* first argument of both */
 } HttpServer_desc;
 
-HttpServer *
-HttpServer_Create(const HttpServer_desc *desc, GError **error);
-uint16_t
-HttpServer_Port(const HttpServer *server);
-unsigned
-HttpServer_InFlight(const HttpServer *server);
+HttpServer *HttpServer_Create(const HttpServer_desc *desc, GError **error);
+uint16_t HttpServer_Port(const HttpServer *server);
+unsigned HttpServer_InFlight(const HttpServer *server);
 
 /* Stops accepting, adds "Connection: close" to further answers and waits
  * until no request is in flight, at most until the given time, and then up to
  * a second for open connections to end. Returns TRUE if nothing was left in
  * flight. */
-gboolean
-HttpServer_Drain(HttpServer *server, ClockMs until);
-void
-HttpServer_Destroy(HttpServer *server);
+gboolean HttpServer_Drain(HttpServer *server, ClockMs until);
+void HttpServer_Destroy(HttpServer *server);
 
-const char *
-HttpRequest_Method(const HttpRequest *request);
+const char *HttpRequest_Method(const HttpRequest *request);
 
 /* Path and query as sent, without decoding; the query is "" if none. */
-const char *
-HttpRequest_Path(const HttpRequest *request);
-const char *
-HttpRequest_Query(const HttpRequest *request);
-const HttpHeaders *
-HttpRequest_Headers(const HttpRequest *request);
-const char *
-HttpRequest_Body(const HttpRequest *request, size_t *bytes);
-ClockMs
-HttpRequest_Arrived(const HttpRequest *request);
+const char *HttpRequest_Path(const HttpRequest *request);
+const char *HttpRequest_Query(const HttpRequest *request);
+const HttpHeaders *HttpRequest_Headers(const HttpRequest *request);
+const char *HttpRequest_Body(const HttpRequest *request, size_t *bytes);
+ClockMs HttpRequest_Arrived(const HttpRequest *request);
 
 /* The value of one query argument, decoded, or NULL; free with g_free(). */
-char *
-HttpRequest_Argument(const HttpRequest *request, const char *name);
+char *HttpRequest_Argument(const HttpRequest *request, const char *name);
 
 /* A pointer of the handler's own that the refuser can read. The free function
  * runs when the request ends. */
-void
-HttpRequest_SetData(HttpRequest *request, void *data, GDestroyNotify end);
-void *
-HttpRequest_Data(const HttpRequest *request);
+void HttpRequest_SetData(HttpRequest *request, void *data, GDestroyNotify end);
+void *HttpRequest_Data(const HttpRequest *request);
 
 /* By this time the caller gets an answer with DEADLINE_EXPIRED through the
  * refuser. */
-void
-HttpRequest_SetDeadline(HttpRequest *request, ClockMs deadline);
+void HttpRequest_SetDeadline(HttpRequest *request, ClockMs deadline);
 
 /* TRUE once the caller closed its connection or was answered. */
-gboolean
-HttpRequest_IsOver(const HttpRequest *request);
+gboolean HttpRequest_IsOver(const HttpRequest *request);
 
 /* Called when the caller hangs up, from another thread, or at once if it has.
  * Must not block or call HttpRequest functions. */
 typedef void (*HttpHangUp)(void *context);
-void
-HttpRequest_OnHangUp(HttpRequest *request, HttpHangUp callback, void *context);
+void HttpRequest_OnHangUp(HttpRequest *request, HttpHangUp callback,
+                          void *context);
 
 /* Takes what the answer holds and leaves it clear. FALSE: already answered. */
-gboolean
-HttpRequest_Respond(HttpRequest *request, HttpAnswer *answer);
+gboolean HttpRequest_Respond(HttpRequest *request, HttpAnswer *answer);
 
 /* Fills the answer with the standard JSON body of a refusal. */
-void
-HttpAnswer_SetRefusal(HttpAnswer *answer, Result result, RunState run,
-                      const char *request_id, const char *message);
+void HttpAnswer_SetRefusal(HttpAnswer *answer, Result result, RunState run,
+                           const char *request_id, const char *message);
 
 #endif
--- a/src/http/http_tls.h
+++ b/src/http/http_tls.h
@@ -23,17 +23,16 @@
 
 #include "base/clock.h"
 
-gboolean
-HttpTls_SetCertificate(const char *certificate_pem, const char *key_pem,
-                       ClockMs now, GError **error);
-void
-HttpTls_Clear(void);
+gboolean HttpTls_SetCertificate(const char *certificate_pem,
+                                const char *key_pem, ClockMs now,
+                                GError **error);
+void HttpTls_Clear(void);
 
 /* Of the type gnutls_certificate_retrieve_function2. */
-int
-_HttpTls_Retrieve(gnutls_session_t session, const gnutls_datum_t *issuers,
-                  int issuer_count, const gnutls_pk_algorithm_t *algorithms,
-                  int algorithm_count, gnutls_pcert_st **certificates,
-                  unsigned *certificate_count, gnutls_privkey_t *key);
+int _HttpTls_Retrieve(gnutls_session_t session, const gnutls_datum_t *issuers,
+                      int issuer_count,
+                      const gnutls_pk_algorithm_t *algorithms,
+                      int algorithm_count, gnutls_pcert_st **certificates,
+                      unsigned *certificate_count, gnutls_privkey_t *key);
 
 #endif
--- a/src/issue/fuzz_issue.c
+++ b/src/issue/fuzz_issue.c
@@ -13,8 +13,7 @@
 #define NOW 100000
 #define CHUNK_BYTES 4096
 
-int
-LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static RunTable *
 create_table(uint64_t owner)
--- a/src/issue/run_rpc.h
+++ b/src/issue/run_rpc.h
@@ -19,28 +19,23 @@
 
 #define RUN_RPC_MAX_TOKENS 1000
 
-void
-RunRpc_EncodeMint(uint64_t team, uint64_t route, uint32_t count,
-                  GByteArray *body);
+void RunRpc_EncodeMint(uint64_t team, uint64_t route, uint32_t count,
+                       GByteArray *body);
 
 /* Returns the owner's result. With RESULT_OK, the tokens are *first and the
  * *count - 1 following serials; the entry formats them with the fleet secret.
  */
-Result
-RunRpc_DecodeMint(const void *reply, size_t bytes, RunToken *first,
-                  uint32_t *count);
+Result RunRpc_DecodeMint(const void *reply, size_t bytes, RunToken *first,
+                         uint32_t *count);
 
 /* Asks for the state of a token, and voids it if it has not started. */
-void
-RunRpc_EncodeState(const RunToken *token, GByteArray *body);
-Result
-RunRpc_DecodeState(const void *reply, size_t bytes, RunTokenState *state);
-
-Result
-RunRpc_ServeMint(RunTable *table, const void *body, size_t bytes, ClockMs now,
-                 GByteArray *reply);
-Result
-RunRpc_ServeState(RunTable *table, const void *body, size_t bytes, ClockMs now,
-                  GByteArray *reply);
+void RunRpc_EncodeState(const RunToken *token, GByteArray *body);
+Result RunRpc_DecodeState(const void *reply, size_t bytes,
+                          RunTokenState *state);
+
+Result RunRpc_ServeMint(RunTable *table, const void *body, size_t bytes,
+                        ClockMs now, GByteArray *reply);
+Result RunRpc_ServeState(RunTable *table, const void *body, size_t bytes,
+                         ClockMs now, GByteArray *reply);
 
 #endif
--- a/src/issue/run_table.h
+++ b/src/issue/run_table.h
@@ -75,16 +75,12 @@
     size_t body_bytes;
 } RunAnswer_desc;
 
-RunAnswer *
-RunAnswer_Create(const RunAnswer_desc *desc);
-RunAnswer *
-RunAnswer_Ref(RunAnswer *answer);
-void
-RunAnswer_Unref(RunAnswer *answer);
+RunAnswer *RunAnswer_Create(const RunAnswer_desc *desc);
+RunAnswer *RunAnswer_Ref(RunAnswer *answer);
+void RunAnswer_Unref(RunAnswer *answer);
 
 /* A view of the answer, valid as long as the reference. */
-const RunAnswer_desc *
-RunAnswer_Get(const RunAnswer *answer);
+const RunAnswer_desc *RunAnswer_Get(const RunAnswer *answer);
 
 typedef enum RunAction {
     RUN_EXECUTE, /* run it; `handle` names the run */
@@ -110,68 +106,57 @@
     RUN_TOKEN_UNKNOWN  /* expired, of another incarnation, or invalid */
 } RunTokenState;
 
-RunTable *
-RunTable_Create(const RunTable_desc *desc);
+RunTable *RunTable_Create(const RunTable_desc *desc);
 
 /* No other thread may use the table any more. */
-void
-RunTable_Destroy(RunTable *table);
+void RunTable_Destroy(RunTable *table);
 
 /* Mints `count` tokens with successive serials; *first gets the first one.
  * Takes no space. RESULT_SHUTTING_DOWN while draining. */
-Result
-RunTable_Mint(RunTable *table, uint64_t team, uint64_t route, uint32_t count,
-              ClockMs now, RunToken *first);
+Result RunTable_Mint(RunTable *table, uint64_t team, uint64_t route,
+                     uint32_t count, ClockMs now, RunToken *first);
 
 /* Decides about a presented token (verified by RunToken_Verify()). `team` and
  * `route` are those of the request. */
-RunBegin
-RunTable_Begin(RunTable *table, const RunToken *token, uint64_t team,
-               uint64_t route, ClockMs now);
+RunBegin RunTable_Begin(RunTable *table, const RunToken *token, uint64_t team,
+                        uint64_t route, ClockMs now);
 
 /* Waits until the token is no longer running, at most until the deadline (by
  * Clock_Now()), and then decides as RunTable_Begin() does for a token that is
  * not fresh: never RUN_EXECUTE. Still RUN_WAIT (RESULT_STILL_RUNNING, run
  * unknown) after the deadline, or at once when there are max_waiters. */
-RunBegin
-RunTable_Await(RunTable *table, const RunToken *token, uint64_t team,
-               uint64_t route, ClockMs deadline);
+RunBegin RunTable_Await(RunTable *table, const RunToken *token, uint64_t team,
+                        uint64_t route, ClockMs deadline);
 
 /* Ends a run with its answer. The caller keeps its own reference.
  * RESULT_NOT_FOUND if the run has already ended. */
-Result
-RunTable_Finish(RunTable *table, PoolHandle handle, RunAnswer *answer,
-                ClockMs now);
+Result RunTable_Finish(RunTable *table, PoolHandle handle, RunAnswer *answer,
+                       ClockMs now);
 
 /* Ends a run of which it is known that no backend server ran it. The token
  * becomes void, because a copy of the request that arrives later must not run
  * after somebody was told "not run". */
-Result
-RunTable_Abort(RunTable *table, PoolHandle handle, ClockMs now);
+Result RunTable_Abort(RunTable *table, PoolHandle handle, ClockMs now);
 
 /* Voids the token if it is fresh, and returns its state. */
-RunTokenState
-RunTable_Void(RunTable *table, const RunToken *token, ClockMs now);
+RunTokenState RunTable_Void(RunTable *table, const RunToken *token,
+                            ClockMs now);
 
 /* Drops the records whose time has ended; returns how many. To be called
  * about every second. */
-uint32_t
-RunTable_Expire(RunTable *table, ClockMs now);
+uint32_t RunTable_Expire(RunTable *table, ClockMs now);
 
 /* From now on no token begins: fresh ones get RESULT_SHUTTING_DOWN (run no).
  */
-void
-RunTable_Drain(RunTable *table);
+void RunTable_Drain(RunTable *table);
 
 /* Waits until no run is left; FALSE if the deadline passed first. */
-gboolean
-RunTable_AwaitIdle(RunTable *table, ClockMs deadline);
+gboolean RunTable_AwaitIdle(RunTable *table, ClockMs deadline);
 
 /* Returns the table as chunks (GBytes) of about chunk_bytes each, to be given
  * to RunTable_Adopt() of one successor in this order. Drains the table if
  * that was not done. Runs that have not ended are handed over as unknown. */
-GPtrArray *
-RunTable_HandOver(RunTable *table, size_t chunk_bytes, ClockMs now);
+GPtrArray *RunTable_HandOver(RunTable *table, size_t chunk_bytes, ClockMs now);
 
 /* Takes one chunk. A repeated chunk is accepted and ignored. The successor
  * answers for the former incarnation once all chunks are there, and drops it
@@ -179,8 +164,8 @@
  * (nothing of this incarnation is kept), RESULT_SHUTTING_DOWN (choose another
  * successor) or RESULT_NOT_FOUND (an earlier chunk is missing: start again
  * with the first). */
-Result
-RunTable_Adopt(RunTable *table, const void *chunk, size_t bytes, ClockMs now);
+Result RunTable_Adopt(RunTable *table, const void *chunk, size_t bytes,
+                      ClockMs now);
 
 typedef struct RunTableStats {
     uint32_t running;
@@ -193,7 +178,6 @@
     uint64_t last_serial;
 } RunTableStats;
 
-void
-RunTable_GetStats(RunTable *table, RunTableStats *stats);
+void RunTable_GetStats(RunTable *table, RunTableStats *stats);
 
 #endif
--- a/src/issue/run_table_private.h
+++ b/src/issue/run_table_private.h
@@ -64,24 +64,17 @@
 };
 
 /* The lock is held for all that follow. */
-_RunRecord *
-_RunTable_Find(RunTable *table, uint8_t source, uint64_t serial);
+_RunRecord *_RunTable_Find(RunTable *table, uint8_t source, uint64_t serial);
 /* NULL if the table is full; void records may use the reserved part. */
-_RunRecord *
-_RunTable_Add(RunTable *table, uint8_t source, uint64_t serial,
-              gboolean may_use_reserve);
-void
-_RunTable_Remove(RunTable *table, _RunRecord *record);
+_RunRecord *_RunTable_Add(RunTable *table, uint8_t source, uint64_t serial,
+                          gboolean may_use_reserve);
+void _RunTable_Remove(RunTable *table, _RunRecord *record);
 /* Gives the answer to a done record, or drops it if it is too large. */
-void
-_RunTable_Keep(RunTable *table, _RunRecord *record, RunAnswer *answer);
-void
-_RunTable_DropFormer(RunTable *table, uint8_t source);
+void _RunTable_Keep(RunTable *table, _RunRecord *record, RunAnswer *answer);
+void _RunTable_DropFormer(RunTable *table, uint8_t source);
 /* Returns the raised time. */
-ClockMs
-_RunTable_Advance(RunTable *table, ClockMs now);
+ClockMs _RunTable_Advance(RunTable *table, ClockMs now);
 
-size_t
-_RunAnswer_Bytes(const RunAnswer *answer);
+size_t _RunAnswer_Bytes(const RunAnswer *answer);
 
 #endif
--- a/src/issue/run_token.h
+++ b/src/issue/run_token.h
@@ -38,22 +38,18 @@
 } RunToken;
 
 /* Hash of a team's or route's name, the same on every host. */
-uint64_t
-RunToken_NameHash(const char *name);
+uint64_t RunToken_NameHash(const char *name);
 
 /* Writes the text with its MAC. */
-void
-RunToken_Format(const RunToken *token, const void *secret, size_t secret_bytes,
-                char text[RUN_TOKEN_TEXT_BYTES]);
+void RunToken_Format(const RunToken *token, const void *secret,
+                     size_t secret_bytes, char text[RUN_TOKEN_TEXT_BYTES]);
 
 /* Reads the fields without checking the MAC, for display only. */
-Result
-RunToken_Parse(const char *text, RunToken *token);
+Result RunToken_Parse(const char *text, RunToken *token);
 
 /* Reads the fields and checks the MAC in constant time. Does not check the
  * validity: only the owner's clock can tell. */
-Result
-RunToken_Verify(const char *text, const void *secret, size_t secret_bytes,
-                RunToken *token);
+Result RunToken_Verify(const char *text, const void *secret,
+                       size_t secret_bytes, RunToken *token);
 
 #endif
--- a/src/key/key.h
+++ b/src/key/key.h
@@ -46,28 +46,24 @@
 
 /* Copies the key out of `Radishknot-Key` or `Authorization: Bearer`; both may
  * be there if they hold the same key. On an error *key is empty. */
-Result
-Key_Extract(const KeyHeader *headers, size_t count,
-            char key[KEY_MAX_BYTES + 1]);
+Result Key_Extract(const KeyHeader *headers, size_t count,
+                   char key[KEY_MAX_BYTES + 1]);
 
 /* Whether the key stands in any place other than the key headers: header
  * names and values, path, query or body, as they are or percent-decoded up to
  * three times, with `+` as itself or as a space. */
-gboolean
-Key_IsMisplaced(const char *key, const KeyRequest *request);
+gboolean Key_IsMisplaced(const char *key, const KeyRequest *request);
 
 /* Whether a header of the caller's request goes on to the backend server: not
  * the key headers, `Radishknot-*`, `Proxy-*`, hop-by-hop headers or those
  * named by a `Connection` header of the same request. */
-gboolean
-Key_Forwardable(const KeyHeader *headers, size_t count, const char *name);
+gboolean Key_Forwardable(const KeyHeader *headers, size_t count,
+                         const char *name);
 
 /* SHA-256 of the key. */
-void
-Key_Hash(const char *key, uint8_t hash[KEY_HASH_BYTES]);
+void Key_Hash(const char *key, uint8_t hash[KEY_HASH_BYTES]);
 
 /* Overwrites a copy of a key; the compiler cannot leave this out. */
-void
-Key_Wipe(void *copy, size_t bytes);
+void Key_Wipe(void *copy, size_t bytes);
 
 #endif
--- a/src/member/gossip.h
+++ b/src/member/gossip.h
@@ -57,33 +57,27 @@
     int digest_period_ms; /* 0 means 10,000 */
 } Gossip_desc;
 
-Gossip *
-Gossip_Create(const Gossip_desc *desc);
+Gossip *Gossip_Create(const Gossip_desc *desc);
 
 /* Joins through the seeds or the roster and starts the thread. Returns
  * RESULT_OK also when there are no seeds and no roster entries (the first
  * host of a fleet). Tables are exchanged for up to timeout_ms. */
-Result
-Gossip_Join(Gossip *gossip, int timeout_ms);
+Result Gossip_Join(Gossip *gossip, int timeout_ms);
 
 /* For the reading functions of member/member.h. */
-const Member *
-Gossip_GetMember(const Gossip *gossip);
+const Member *Gossip_GetMember(const Gossip *gossip);
 
-Result
-Gossip_SetServers(Gossip *gossip, const MemberServer *servers, uint32_t count);
+Result Gossip_SetServers(Gossip *gossip, const MemberServer *servers,
+                         uint32_t count);
 
 /* Stops the thread, marks the own host as left and tells up to 8 hosts. The
  * handlers keep answering until Rpc_Stop(). */
-void
-Gossip_Leave(Gossip *gossip, uint64_t successor);
+void Gossip_Leave(Gossip *gossip, uint64_t successor);
 
 /* Stops the thread without a leave record. Rpc_Stop() comes first. */
-void
-Gossip_Destroy(Gossip *gossip);
+void Gossip_Destroy(Gossip *gossip);
 
 /* Copies the counts of the table. */
-void
-Gossip_Count(Gossip *gossip, MemberCounts *counts);
+void Gossip_Count(Gossip *gossip, MemberCounts *counts);
 
 #endif
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -173,107 +173,90 @@
 } Member_desc;
 
 /* Returns the backend servers of a service, NULL if there are none. */
-const MemberService *
-Member_FindService(const Member *member, uint64_t service);
+const MemberService *Member_FindService(const Member *member,
+                                        uint64_t service);
 
 /* Returns a host in any state, NULL if it is unknown. */
-const MemberHost *
-Member_FindHost(const Member *member, uint64_t host);
+const MemberHost *Member_FindHost(const Member *member, uint64_t host);
 
 /* Returns the hosts of a data centre, of a region (with data_centre
  * MEMBER_ANY) or of the fleet (both MEMBER_ANY); never NULL. */
-const MemberHostList *
-Member_ListHosts(const Member *member, int region, int data_centre);
+const MemberHostList *Member_ListHosts(const Member *member, int region,
+                                       int data_centre);
 
 /* Writes the first `n` hosts of the key's rendezvous order into `out` and
  * returns how many there are. Every host computes the same order. */
-uint32_t
-Member_Rank(const MemberHostList *list, uint64_t key, const MemberHost **out,
-            uint32_t n);
+uint32_t Member_Rank(const MemberHostList *list, uint64_t key,
+                     const MemberHost **out, uint32_t n);
 
 /* Position of a host in the key's rendezvous order, list->count if absent. */
-uint32_t
-Member_RankOf(const MemberHostList *list, uint64_t key, uint64_t host);
+uint32_t Member_RankOf(const MemberHostList *list, uint64_t key,
+                       uint64_t host);
 
 /* Weight of a host in the key's rendezvous order; the highest comes first. */
-uint64_t
-Member_RankWeight(uint64_t key, uint64_t host);
+uint64_t Member_RankWeight(uint64_t key, uint64_t host);
 
-Member *
-Member_Create(const Member_desc *desc, ClockMs now);
+Member *Member_Create(const Member_desc *desc, ClockMs now);
 
 /* No reader may use the table any more. */
-void
-Member_Destroy(Member *member);
+void Member_Destroy(Member *member);
 
 /* Replaces the own backend servers; raises the serial if anything changed. A
  * change of latency classes alone is spread by digests only, at most once in
  * latency_interval_ms. */
-Result
-Member_SetServers(Member *member, ClockMs now, const MemberServer *servers,
-                  uint32_t count);
+Result Member_SetServers(Member *member, ClockMs now,
+                         const MemberServer *servers, uint32_t count);
 
 /* Marks the own host as left and names the host that answers for it (0 if
  * none). */
-void
-Member_Leave(Member *member, ClockMs now, uint64_t successor);
+void Member_Leave(Member *member, ClockMs now, uint64_t successor);
 
 /* Own record; the pointer is valid until the next call of a writer. */
-const MemberHost *
-Member_GetSelf(const Member *member);
+const MemberHost *Member_GetSelf(const Member *member);
 
 /* Highest incarnation of the own host that was seen in a record, 0 if none was
  * above the own one. */
-uint64_t
-Member_GetSupersededBy(const Member *member);
+uint64_t Member_GetSupersededBy(const Member *member);
 
 /* Replaces the own incarnation while joining. */
-void
-Member_SetIncarnation(Member *member, ClockMs now, uint64_t incarnation);
+void Member_SetIncarnation(Member *member, ClockMs now, uint64_t incarnation);
 
 /* Ends suspicions whose time has come and forgets hosts long dead. */
-void
-Member_Tick(Member *member, ClockMs now);
+void Member_Tick(Member *member, ClockMs now);
 
 /* A host to ping now; FALSE if there is none. *host is valid until the next
  * call of a writer. Every live host comes once in each round of a random
  * order; hosts that are dead come now and then, so that both sides of a
  * partition find each other again. */
-gboolean
-Member_NextPing(Member *member, ClockMs now, const MemberHost **host);
+gboolean Member_NextPing(Member *member, ClockMs now, const MemberHost **host);
 
 /* Appends the body of a ping to the host (0 = not known yet). `payload` may be
  * NULL. */
-void
-Member_WritePing(Member *member, ClockMs now, uint64_t host,
-                 const GByteArray *payload, GByteArray *body);
+void Member_WritePing(Member *member, ClockMs now, uint64_t host,
+                      const GByteArray *payload, GByteArray *body);
 
 /* Takes a ping and appends the ack's body. `answer` (may be NULL) is the
  * payload of the ack, `payload` (may be NULL) gets the one of the ping. */
-Result
-Member_ReadPing(Member *member, ClockMs now, uint64_t sender,
-                const GByteArray *body, const GByteArray *answer,
-                GByteArray *payload, GByteArray *ack);
+Result Member_ReadPing(Member *member, ClockMs now, uint64_t sender,
+                       const GByteArray *body, const GByteArray *answer,
+                       GByteArray *payload, GByteArray *ack);
 
 /* Takes the ack of our own ping: proof of a round trip. */
-Result
-Member_ReadAck(Member *member, ClockMs now, uint64_t sender,
-               const GByteArray *ack, GByteArray *payload);
+Result Member_ReadAck(Member *member, ClockMs now, uint64_t sender,
+                      const GByteArray *ack, GByteArray *payload);
 
 /* No ack came for a ping to the host's incarnation. Returns how many helpers
  * to ask for an indirect ping; with 0 the outcome is already settled (call
  * nothing further). A failed ping counts nothing against a later incarnation
  * that became known meanwhile. */
-uint32_t
-Member_PingFailed(Member *member, ClockMs now, uint64_t host,
-                  uint64_t incarnation,
-                  const MemberHost *helpers[MEMBER_HELPERS]);
+uint32_t Member_PingFailed(Member *member, ClockMs now, uint64_t host,
+                           uint64_t incarnation,
+                           const MemberHost *helpers[MEMBER_HELPERS]);
 
 /* Outcome of the indirect pings. If one helper got an ack, the host is up and
  * only not reached from here (one-way); else it becomes suspect. */
-void
-Member_IndirectDone(Member *member, ClockMs now, uint64_t host,
-                    uint64_t incarnation, gboolean is_reached);
+void Member_IndirectDone(Member *member, ClockMs now, uint64_t host,
+                         uint64_t incarnation, gboolean is_reached);
 
 /* The three steps of a digest exchange with a peer: A sends the digest, B
  * answers with the versions in the buckets that differ, A sends records that
@@ -281,32 +264,24 @@
  * Member_ReadDigest() handles both requests at B; Member_ContinueDigest()
  * reads B's answer at A and returns TRUE if there is a next request in `next`.
  */
-void
-Member_WriteDigest(Member *member, ClockMs now, GByteArray *body);
-Result
-Member_ReadDigest(Member *member, ClockMs now, uint64_t sender,
-                  const GByteArray *body, GByteArray *reply);
-gboolean
-Member_ContinueDigest(Member *member, ClockMs now, uint64_t sender,
-                      const GByteArray *reply, GByteArray *next);
+void Member_WriteDigest(Member *member, ClockMs now, GByteArray *body);
+Result Member_ReadDigest(Member *member, ClockMs now, uint64_t sender,
+                         const GByteArray *body, GByteArray *reply);
+gboolean Member_ContinueDigest(Member *member, ClockMs now, uint64_t sender,
+                               const GByteArray *reply, GByteArray *next);
 
 /* A random live host other than this one; FALSE if there is none. */
-gboolean
-Member_ChoosePeer(Member *member, const MemberHost **host);
+gboolean Member_ChoosePeer(Member *member, const MemberHost **host);
 
 /* Makes changes visible to readers. Returns the time at which it should be
  * called again, CLOCK_NEVER if nothing waits. */
-ClockMs
-Member_Publish(Member *member, ClockMs now);
+ClockMs Member_Publish(Member *member, ClockMs now);
 
 /* Same at once, for tests and at start-up. */
-void
-Member_PublishNow(Member *member, ClockMs now);
+void Member_PublishNow(Member *member, ClockMs now);
 
 /* For the writer: the current record, published or not. */
-const MemberHost *
-Member_Peek(const Member *member, uint64_t host);
-void
-Member_Count(const Member *member, MemberCounts *counts);
+const MemberHost *Member_Peek(const Member *member, uint64_t host);
+void Member_Count(const Member *member, MemberCounts *counts);
 
 #endif
--- a/src/member/table.h
+++ b/src/member/table.h
@@ -94,42 +94,30 @@
 };
 
 /* table.c */
-uint32_t
-MemberTable_Find(const Member *member, uint64_t host);
+uint32_t MemberTable_Find(const Member *member, uint64_t host);
 
 /* Puts a record into a new slot; takes the record over. MEMBER_NO_SLOT (and
  * the record is freed) if the table is full. */
-uint32_t
-MemberTable_Add(Member *member, MemberHost *host);
-void
-MemberTable_Replace(Member *member, uint32_t slot, MemberHost *host);
-void
-MemberTable_Forget(Member *member, uint32_t slot);
-const MemberTombstone *
-MemberTable_FindTombstone(const Member *member, uint64_t host);
-MemberHost *
-MemberTable_CopyHost(const MemberHost *host, uint32_t server_count);
-void
-MemberTable_FreeHost(Member *member, MemberHost *host);
-size_t
-MemberTable_HostBytes(const MemberHost *host);
-gboolean
-MemberTable_IsLive(const MemberHost *host);
+uint32_t MemberTable_Add(Member *member, MemberHost *host);
+void MemberTable_Replace(Member *member, uint32_t slot, MemberHost *host);
+void MemberTable_Forget(Member *member, uint32_t slot);
+const MemberTombstone *MemberTable_FindTombstone(const Member *member,
+                                                 uint64_t host);
+MemberHost *MemberTable_CopyHost(const MemberHost *host,
+                                 uint32_t server_count);
+void MemberTable_FreeHost(Member *member, MemberHost *host);
+size_t MemberTable_HostBytes(const MemberHost *host);
+gboolean MemberTable_IsLive(const MemberHost *host);
 /* Whether readers see the host in lists and services. */
-gboolean
-MemberTable_IsVisible(const MemberHost *host);
-uint32_t
-MemberTable_LiveCount(const Member *member);
+gboolean MemberTable_IsVisible(const MemberHost *host);
+uint32_t MemberTable_LiveCount(const Member *member);
 
 /* member.c: sets the state and its deadline, counts and notifies. It does not
  * queue an update. */
-void
-Member_SetState(Member *member, uint32_t slot, ClockMs now, MemberState state,
-                uint32_t refutation);
-void
-Member_Notify(Member *member, MemberEvent event, const MemberHost *host);
-ClockMs
-Member_SuspicionMs(const Member *member);
+void Member_SetState(Member *member, uint32_t slot, ClockMs now,
+                     MemberState state, uint32_t refutation);
+void Member_Notify(Member *member, MemberEvent event, const MemberHost *host);
+ClockMs Member_SuspicionMs(const Member *member);
 
 /* merge.c */
 typedef enum MemberSource {
@@ -139,38 +127,26 @@
 } MemberSource;
 
 /* Takes in one record. */
-Result
-Member_Merge(Member *member, ClockMs now, const MemberWireHost *wire,
-             MemberSource source);
-gboolean
-Member_IsTrusted(const Member *member, uint64_t sender);
+Result Member_Merge(Member *member, ClockMs now, const MemberWireHost *wire,
+                    MemberSource source);
+gboolean Member_IsTrusted(const Member *member, uint64_t sender);
 
 /* update.c */
-void
-MemberUpdate_Queue(Member *member, uint32_t slot, gboolean has_servers);
-void
-MemberUpdate_Remove(Member *member, uint32_t slot);
+void MemberUpdate_Queue(Member *member, uint32_t slot, gboolean has_servers);
+void MemberUpdate_Remove(Member *member, uint32_t slot);
 /* Fills wire->servers with memory that the caller frees. */
-void
-MemberUpdate_ToWire(const MemberHost *host, gboolean has_servers,
-                    MemberWireHost *wire);
-gboolean
-MemberUpdate_HasServers(const MemberWireHost *wire);
-MemberState
-MemberUpdate_State(const MemberWireHost *wire);
-size_t
-MemberUpdate_WireBytes(const MemberHost *host, gboolean has_servers);
+void MemberUpdate_ToWire(const MemberHost *host, gboolean has_servers,
+                         MemberWireHost *wire);
+gboolean MemberUpdate_HasServers(const MemberWireHost *wire);
+MemberState MemberUpdate_State(const MemberWireHost *wire);
+size_t MemberUpdate_WireBytes(const MemberHost *host, gboolean has_servers);
 
 /* view.c */
-MemberView *
-MemberView_Create(uint32_t max_hosts, uint32_t max_services);
-void
-MemberView_Destroy(Member *member);
+MemberView *MemberView_Create(uint32_t max_hosts, uint32_t max_services);
+void MemberView_Destroy(Member *member);
 /* Whether readers may hold this record of the slot. */
-gboolean
-MemberView_IsPublished(const Member *member, uint32_t slot,
-                       const MemberHost *host);
-size_t
-MemberView_GetBytes(const MemberView *view);
+gboolean MemberView_IsPublished(const Member *member, uint32_t slot,
+                                const MemberHost *host);
+size_t MemberView_GetBytes(const MemberView *view);
 
 #endif
--- a/src/member/test_net.h
+++ b/src/member/test_net.h
@@ -57,44 +57,30 @@
     ClockMs max_delay_ms; /* of a message; 0 means 5 */
 } TestNet_desc;
 
-TestNet *
-TestNet_Create(const TestNet_desc *desc);
-void
-TestNet_Destroy(TestNet *net);
-ClockMs
-TestNet_Now(const TestNet *net);
-void
-TestNet_Run(TestNet *net, ClockMs until);
-TestNode *
-TestNet_Node(TestNet *net, int node);
+TestNet *TestNet_Create(const TestNet_desc *desc);
+void TestNet_Destroy(TestNet *net);
+ClockMs TestNet_Now(const TestNet *net);
+void TestNet_Run(TestNet *net, ClockMs until);
+TestNode *TestNet_Node(TestNet *net, int node);
 
 /* Id of the n-th host. */
-uint64_t
-TestNet_Id(int host);
+uint64_t TestNet_Id(int host);
 
 /* Starts a process with the given host's id at the node. */
-void
-TestNet_Start(TestNet *net, int node, int host, uint64_t incarnation,
-              int seed_node);
-void
-TestNet_Crash(TestNet *net, int node);
-void
-TestNet_Pause(TestNet *net, int node);
-void
-TestNet_Resume(TestNet *net, int node);
+void TestNet_Start(TestNet *net, int node, int host, uint64_t incarnation,
+                   int seed_node);
+void TestNet_Crash(TestNet *net, int node);
+void TestNet_Pause(TestNet *net, int node);
+void TestNet_Resume(TestNet *net, int node);
 
 /* Cuts messages from one group to another. Nodes are in group 0 at first. */
-void
-TestNet_Cut(TestNet *net, int from, int to, gboolean is_cut);
-void
-TestNet_SetLoss(TestNet *net, double loss);
+void TestNet_Cut(TestNet *net, int from, int to, gboolean is_cut);
+void TestNet_SetLoss(TestNet *net, double loss);
 
 /* Keeps copies of the pings that the node sends. */
-void
-TestNet_Record(TestNet *net, int node);
+void TestNet_Record(TestNet *net, int node);
 
 /* Sends the kept copies to random nodes, each one twice. */
-void
-TestNet_Replay(TestNet *net);
+void TestNet_Replay(TestNet *net);
 
 #endif
--- a/src/member/view.c
+++ b/src/member/view.c
@@ -22,10 +22,8 @@
 /* The thread sanitizer does not see the order that liburcu makes between
  * call_rcu() and its callback. */
 #ifdef __SANITIZE_THREAD__
-void
-__tsan_acquire(void *address); /* NOLINT */
-void
-__tsan_release(void *address); /* NOLINT */
+void __tsan_acquire(void *address); /* NOLINT */
+void __tsan_release(void *address); /* NOLINT */
 #define ORDER_AFTER(address) __tsan_acquire(address)
 #define ORDER_BEFORE(address) __tsan_release(address)
 #else
--- a/src/owner/owner.h
+++ b/src/owner/owner.h
@@ -117,37 +117,27 @@
     gboolean operator_drain;
 } OwnerServerStatus;
 
-Owner *
-Owner_Create(const Owner_desc *desc);
-void
-Owner_Destroy(Owner *owner);
+Owner *Owner_Create(const Owner_desc *desc);
+void Owner_Destroy(Owner *owner);
 
 /* FULL, or MALFORMED for a name that another service uses. */
-Result
-Owner_Announce(Owner *owner, const OwnerAnnouncement *announcement,
-               ClockMs now);
+Result Owner_Announce(Owner *owner, const OwnerAnnouncement *announcement,
+                      ClockMs now);
 
 /* Drains a backend server on the operator's word, or ends that. NOT_FOUND. */
-Result
-Owner_SetDrain(Owner *owner, const char *name, gboolean drain);
-void
-Owner_Execute(Owner *owner, const OwnerCall *call, OwnerReply *reply);
-void
-Owner_Tick(Owner *owner, ClockMs now);
-void
-Owner_PermitReply(Owner *owner, const PermitRequest *request,
-                  const PermitReply *reply, ClockMs now);
+Result Owner_SetDrain(Owner *owner, const char *name, gboolean drain);
+void Owner_Execute(Owner *owner, const OwnerCall *call, OwnerReply *reply);
+void Owner_Tick(Owner *owner, ClockMs now);
+void Owner_PermitReply(Owner *owner, const PermitRequest *request,
+                       const PermitReply *reply, ClockMs now);
 
 /* From now on all backend servers are published as draining; requests that
  * are on the way still run. */
-void
-Owner_Drain(Owner *owner);
+void Owner_Drain(Owner *owner);
 
-unsigned
-Owner_Status(Owner *owner, OwnerServerStatus *status, unsigned max);
+unsigned Owner_Status(Owner *owner, OwnerServerStatus *status, unsigned max);
 
 /* Hash of a pool's name as it stands in member records. */
-uint32_t
-Owner_PoolHash(const char *pool);
+uint32_t Owner_PoolHash(const char *pool);
 
 #endif
--- a/src/owner/owner_port.h
+++ b/src/owner/owner_port.h
@@ -43,21 +43,17 @@
     void *peer_context;
 } OwnerPort_desc;
 
-OwnerPort *
-OwnerPort_Create(const OwnerPort_desc *desc, GError **error);
-uint16_t
-OwnerPort_Number(const OwnerPort *port);
-gboolean
-OwnerPort_Drain(OwnerPort *port, ClockMs until);
-void
-OwnerPort_Destroy(OwnerPort *port);
-OwnerAttemptState
-OwnerPort_AskAttempt(OwnerPort *port, OwnerAttempt attempt, ClockMs now);
+OwnerPort *OwnerPort_Create(const OwnerPort_desc *desc, GError **error);
+uint16_t OwnerPort_Number(const OwnerPort *port);
+gboolean OwnerPort_Drain(OwnerPort *port, ClockMs until);
+void OwnerPort_Destroy(OwnerPort *port);
+OwnerAttemptState OwnerPort_AskAttempt(OwnerPort *port, OwnerAttempt attempt,
+                                       ClockMs now);
 
 /* Adds the MAC to the headers of a request to another daemon's "/peer/". */
-void
-OwnerPort_SignPeer(const char *method, const char *target, const void *body,
-                   size_t body_bytes, const void *secret, size_t secret_bytes,
-                   HttpHeaders *headers);
+void OwnerPort_SignPeer(const char *method, const char *target,
+                        const void *body, size_t body_bytes,
+                        const void *secret, size_t secret_bytes,
+                        HttpHeaders *headers);
 
 #endif
--- a/src/rate/fuzz_rate.c
+++ b/src/rate/fuzz_rate.c
@@ -11,8 +11,7 @@
 
 #define BODY_BYTES 8192
 
-int
-LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static void
 check_draw(const uint8_t *data, size_t size)
--- a/src/rate/rate_codec.h
+++ b/src/rate/rate_codec.h
@@ -38,30 +38,22 @@
 } RateSettleMessage;
 
 /* `*bytes` is the room on entry and the length on return. */
-gboolean
-_RateCodec_EncodeDraw(const RateDrawMessage *message, uint8_t *body,
-                      size_t *bytes);
-gboolean
-_RateCodec_DecodeDraw(const uint8_t *body, size_t bytes,
-                      RateDrawMessage *message);
-gboolean
-_RateCodec_EncodeGrant(const RateGrantMessage *message, uint8_t *body,
-                       size_t *bytes);
-gboolean
-_RateCodec_DecodeGrant(const uint8_t *body, size_t bytes,
-                       RateGrantMessage *message);
-gboolean
-_RateCodec_EncodeSettle(const RateSettleMessage *message, uint8_t *body,
-                        size_t *bytes);
-gboolean
-_RateCodec_DecodeSettle(const uint8_t *body, size_t bytes,
-                        RateSettleMessage *message);
+gboolean _RateCodec_EncodeDraw(const RateDrawMessage *message, uint8_t *body,
+                               size_t *bytes);
+gboolean _RateCodec_DecodeDraw(const uint8_t *body, size_t bytes,
+                               RateDrawMessage *message);
+gboolean _RateCodec_EncodeGrant(const RateGrantMessage *message, uint8_t *body,
+                                size_t *bytes);
+gboolean _RateCodec_DecodeGrant(const uint8_t *body, size_t bytes,
+                                RateGrantMessage *message);
+gboolean _RateCodec_EncodeSettle(const RateSettleMessage *message,
+                                 uint8_t *body, size_t *bytes);
+gboolean _RateCodec_DecodeSettle(const uint8_t *body, size_t bytes,
+                                 RateSettleMessage *message);
 
-char *
-_RateCodec_SlotToJson(const RateSlotObject *object);
+char *_RateCodec_SlotToJson(const RateSlotObject *object);
 /* A value that cannot be read counts as held by an unknown host, so it is
  * taken over only when it is older than a hold. */
-void
-_RateCodec_SlotFromJson(const char *value, RateSlotObject *object);
+void _RateCodec_SlotFromJson(const char *value, RateSlotObject *object);
 
 #endif
--- a/src/rate/rate_directory.h
+++ b/src/rate/rate_directory.h
@@ -25,25 +25,18 @@
 
 typedef struct RateDirectory RateDirectory;
 
-RateDirectory *
-RateDirectory_Create(RateWallet *wallet, const RateHost *self,
-                     int fleet_slots);
-void
-RateDirectory_Destroy(RateDirectory *directory);
-void
-RateDirectory_SetView(RateDirectory *directory, const RateHold *hold,
-                      const RateHost *hosts, int count);
-void
-RateDirectory_Learn(RateDirectory *directory, int slot, uint64_t host,
-                    uint64_t incarnation, ClockMs now);
+RateDirectory *RateDirectory_Create(RateWallet *wallet, const RateHost *self,
+                                    int fleet_slots);
+void RateDirectory_Destroy(RateDirectory *directory);
+void RateDirectory_SetView(RateDirectory *directory, const RateHold *hold,
+                           const RateHost *hosts, int count);
+void RateDirectory_Learn(RateDirectory *directory, int slot, uint64_t host,
+                         uint64_t incarnation, ClockMs now);
 /* `slots` are the team's slots. */
-void
-RateDirectory_NotHeld(RateDirectory *directory, uint64_t host,
-                      uint64_t incarnation, const uint16_t *slots, int count,
-                      ClockMs now);
-void
-RateDirectory_Tick(RateDirectory *directory, ClockMs now);
-RateHoldPlace
-RateDirectory_Get(const RateDirectory *directory, int slot);
+void RateDirectory_NotHeld(RateDirectory *directory, uint64_t host,
+                           uint64_t incarnation, const uint16_t *slots,
+                           int count, ClockMs now);
+void RateDirectory_Tick(RateDirectory *directory, ClockMs now);
+RateHoldPlace RateDirectory_Get(const RateDirectory *directory, int slot);
 
 #endif
--- a/src/rate/rate_hold.h
+++ b/src/rate/rate_hold.h
@@ -100,46 +100,37 @@
     uint64_t incarnation;
 } RateHoldPlace;
 
-RateHold *
-RateHold_Create(const RateHold_desc *desc);
-void
-RateHold_Destroy(RateHold *hold);
+RateHold *RateHold_Create(const RateHold_desc *desc);
+void RateHold_Destroy(RateHold *hold);
 
 /* Takes over the live hosts (this one included). */
-void
-RateHold_SetView(RateHold *hold, const RateHost *hosts, int count,
-                 ClockMs now);
+void RateHold_SetView(RateHold *hold, const RateHost *hosts, int count,
+                      ClockMs now);
 
 /* FALSE if no call is due; `wait_ms` says for how long. */
-gboolean
-RateHold_Next(RateHold *hold, ClockMs now, RateHoldAction *action,
-              int *wait_ms);
+gboolean RateHold_Next(RateHold *hold, ClockMs now, RateHoldAction *action,
+                       int *wait_ms);
 /* `result` is OK, STORE_CONFLICT, STORE_UNCERTAIN, STORE_UNAVAILABLE or, for a
  * read, also NOT_FOUND. `object` is the object read, the one in conflict, or
  * the written one with its new version; NULL if there is none. `sent_ms` is
  * the time right before the call. */
-RateHoldEvent
-RateHold_Done(RateHold *hold, const RateHoldAction *action, Result result,
-              const RateSlotObject *object, ClockMs sent_ms, ClockMs now);
+RateHoldEvent RateHold_Done(RateHold *hold, const RateHoldAction *action,
+                            Result result, const RateSlotObject *object,
+                            ClockMs sent_ms, ClockMs now);
 /* A slot object that was read by the way, as in a list at the start. */
-RateHoldEvent
-RateHold_Observe(RateHold *hold, int slot, const RateSlotObject *object,
-                 ClockMs sent_ms, ClockMs now);
+RateHoldEvent RateHold_Observe(RateHold *hold, int slot,
+                               const RateSlotObject *object, ClockMs sent_ms,
+                               ClockMs now);
 /* Reads the slot at once; used when its holder says that it is released. */
-void
-RateHold_Hint(RateHold *hold, int slot, ClockMs now);
-void
-RateHold_ReleaseAll(RateHold *hold, ClockMs now);
+void RateHold_Hint(RateHold *hold, int slot, ClockMs now);
+void RateHold_ReleaseAll(RateHold *hold, ClockMs now);
 /* Slots held or being released. */
-int
-RateHold_Count(const RateHold *hold);
+int RateHold_Count(const RateHold *hold);
 
 /* The first live host of the slot's order. */
-RateHoldPlace
-RateHold_First(const RateHold *hold, int slot);
+RateHoldPlace RateHold_First(const RateHold *hold, int slot);
 /* Who held the slot when this host last read or wrote it (host 0 = unknown or
  * vacant). */
-RateHoldPlace
-RateHold_Known(const RateHold *hold, int slot);
+RateHoldPlace RateHold_Known(const RateHold *hold, int slot);
 
 #endif
--- a/src/rate/rate_holder.h
+++ b/src/rate/rate_holder.h
@@ -90,52 +90,39 @@
     int64_t micro_per_second;
 } RateBucketStatus;
 
-RateHolder *
-RateHolder_Create(const RateHolder_desc *desc);
-void
-RateHolder_Destroy(RateHolder *holder);
+RateHolder *RateHolder_Create(const RateHolder_desc *desc);
+void RateHolder_Destroy(RateHolder *holder);
 
 /* The slot's bucket is empty until start_ms and refills from then on. Nothing
  * is granted at or after end_ms. */
-void
-RateHolder_OpenSlot(RateHolder *holder, int slot, uint64_t epoch,
-                    ClockMs start_ms, ClockMs end_ms, ClockMs now);
+void RateHolder_OpenSlot(RateHolder *holder, int slot, uint64_t epoch,
+                         ClockMs start_ms, ClockMs end_ms, ClockMs now);
 /* Moves the end; FALSE if the slot is not held with this epoch any more. */
-gboolean
-RateHolder_ExtendSlot(RateHolder *holder, int slot, uint64_t epoch,
-                      ClockMs end_ms, ClockMs now);
-void
-RateHolder_CloseSlot(RateHolder *holder, int slot, ClockMs now);
-gboolean
-RateHolder_Holds(const RateHolder *holder, int slot, ClockMs now);
+gboolean RateHolder_ExtendSlot(RateHolder *holder, int slot, uint64_t epoch,
+                               ClockMs end_ms, ClockMs now);
+void RateHolder_CloseSlot(RateHolder *holder, int slot, ClockMs now);
+gboolean RateHolder_Holds(const RateHolder *holder, int slot, ClockMs now);
 
 /* A repeated draw (same entry, incarnation and serial) gets the same grant.
  * OK with less than needed, even nothing, if the bucket is empty. */
-Result
-RateHolder_Draw(RateHolder *holder, const RateDraw *draw, ClockMs now,
-                RateGrant *grant);
+Result RateHolder_Draw(RateHolder *holder, const RateDraw *draw, ClockMs now,
+                       RateGrant *grant);
 /* Reports of one entry, in any order and repeated. Unknown and lapsed grants
  * and those of another entry are ignored. */
-void
-RateHolder_Settle(RateHolder *holder, uint64_t entry, const RateUse *uses,
-                  int count, ClockMs now);
+void RateHolder_Settle(RateHolder *holder, uint64_t entry, const RateUse *uses,
+                       int count, ClockMs now);
 /* Lapses grants, closes ended holds and evicts a few full buckets; call it
  * about once a second. */
-void
-RateHolder_Tick(RateHolder *holder, ClockMs now);
+void RateHolder_Tick(RateHolder *holder, ClockMs now);
 
 /* Fills up to `max` entries and returns how many there are. */
-int
-RateHolder_Slots(const RateHolder *holder, RateSlotStatus *slots, int max);
-int
-RateHolder_Buckets(const RateHolder *holder, RateBucketStatus *buckets,
-                   int max);
-size_t
-RateHolder_MemoryBytes(const RateHolder *holder);
+int RateHolder_Slots(const RateHolder *holder, RateSlotStatus *slots, int max);
+int RateHolder_Buckets(const RateHolder *holder, RateBucketStatus *buckets,
+                       int max);
+size_t RateHolder_MemoryBytes(const RateHolder *holder);
 
 /* Private: the longest time, by this host's clock, that `duration_ms` by
  * another host's clock can take. */
-ClockMs
-_RateHolder_Wait(ClockMs duration_ms, int drift_ppm);
+ClockMs _RateHolder_Wait(ClockMs duration_ms, int drift_ppm);
 
 #endif
--- a/src/rate/rate_service.h
+++ b/src/rate/rate_service.h
@@ -101,59 +101,47 @@
     size_t memory_bytes;
 } RateServiceStatus;
 
-RateService *
-RateService_Create(const RateService_desc *desc);
-void
-RateService_Destroy(RateService *service);
-void
-RateService_Start(RateService *service);
+RateService *RateService_Create(const RateService_desc *desc);
+void RateService_Destroy(RateService *service);
+void RateService_Start(RateService *service);
 /* Stops granting, releases all slots within `timeout_ms`, tells the hosts that
  * come next, and ends the threads. Returns the slots not released. */
-int
-RateService_Stop(RateService *service, int timeout_ms);
+int RateService_Stop(RateService *service, int timeout_ms);
 
 /* Blocks at most until `deadline`. One draw for a team is in flight at a time;
  * requests that come meanwhile wait for it. */
-Result
-RateService_TakeToken(RateService *service, uint64_t team,
-                      const RateLimit *limit, ClockMs deadline,
-                      RateToken *token);
-Result
-RateService_UseToken(RateService *service, const RateToken *token);
-void
-RateService_ReturnToken(RateService *service, const RateToken *token);
+Result RateService_TakeToken(RateService *service, uint64_t team,
+                             const RateLimit *limit, ClockMs deadline,
+                             RateToken *token);
+Result RateService_UseToken(RateService *service, const RateToken *token);
+void RateService_ReturnToken(RateService *service, const RateToken *token);
 
 /* Handlers of incoming calls. *reply_bytes is the room on entry and the length
  * on return. The sender's identity comes from the RPC layer. */
-Result
-RateService_HandleDraw(RateService *service, uint64_t sender,
-                       uint64_t sender_incarnation, const uint8_t *body,
-                       size_t body_bytes, uint8_t *reply, size_t *reply_bytes);
-Result
-RateService_HandleSettle(RateService *service, uint64_t sender,
-                         uint64_t sender_incarnation, const uint8_t *body,
-                         size_t body_bytes, uint8_t *reply,
-                         size_t *reply_bytes);
+Result RateService_HandleDraw(RateService *service, uint64_t sender,
+                              uint64_t sender_incarnation, const uint8_t *body,
+                              size_t body_bytes, uint8_t *reply,
+                              size_t *reply_bytes);
+Result RateService_HandleSettle(RateService *service, uint64_t sender,
+                                uint64_t sender_incarnation,
+                                const uint8_t *body, size_t body_bytes,
+                                uint8_t *reply, size_t *reply_bytes);
 
 /* Makes the store calls that are due; returns the ms until the next one. */
-int
-RateService_TickHolds(RateService *service);
+int RateService_TickHolds(RateService *service);
 /* Sends the settlements that are due; returns the ms until the next call. */
-int
-RateService_TickWallet(RateService *service);
+int RateService_TickWallet(RateService *service);
 
 /* Whether this host holds the slot now, and since when it has been the holder
  * (for the ejection permits of section 6). */
-gboolean
-RateService_HoldsSlot(RateService *service, int slot, ClockMs *start_ms);
+gboolean RateService_HoldsSlot(RateService *service, int slot,
+                               ClockMs *start_ms);
 /* Where the slot's holder is, as far as this host knows. */
-RateHoldPlace
-RateService_SlotHolder(RateService *service, int slot);
+RateHoldPlace RateService_SlotHolder(RateService *service, int slot);
 
-void
-RateService_Status(RateService *service, RateServiceStatus *status);
+void RateService_Status(RateService *service, RateServiceStatus *status);
 /* Writes the level of each bucket of this host; returns their number. */
-int
-RateService_Buckets(RateService *service, RateBucketStatus *buckets, int max);
+int RateService_Buckets(RateService *service, RateBucketStatus *buckets,
+                        int max);
 
 #endif
--- a/src/rate/rate_service_private.h
+++ b/src/rate/rate_service_private.h
@@ -48,21 +48,16 @@
     RateServiceStatus status; /* counters only, with wallet_lock */
 };
 
-ClockMs
-_RateService_Now(const RateService *service);
-void
-_RateService_Wait(pthread_cond_t *condition, pthread_mutex_t *lock,
-                  int64_t ms);
-gboolean
-_RateService_IsSelf(const RateService *service, uint64_t host,
-                    uint64_t incarnation);
-void
-_RateService_SendSettlement(RateService *service, uint64_t holder,
-                            uint64_t incarnation,
-                            const RateSettleMessage *message, int timeout_ms);
-void
-_RateService_ReleaseAll(RateService *service);
-void *
-_RateService_RunHolds(void *context);
+ClockMs _RateService_Now(const RateService *service);
+void _RateService_Wait(pthread_cond_t *condition, pthread_mutex_t *lock,
+                       int64_t ms);
+gboolean _RateService_IsSelf(const RateService *service, uint64_t host,
+                             uint64_t incarnation);
+void _RateService_SendSettlement(RateService *service, uint64_t holder,
+                                 uint64_t incarnation,
+                                 const RateSettleMessage *message,
+                                 int timeout_ms);
+void _RateService_ReleaseAll(RateService *service);
+void *_RateService_RunHolds(void *context);
 
 #endif
--- a/src/rate/rate_share.h
+++ b/src/rate/rate_share.h
@@ -46,14 +46,12 @@
 
 /* Divides a limit over at most `fleet_slots` slots. A slot gets about 8
  * requests/s and at least 4 tokens of burst, except that K is at least 3. */
-RateShare
-RateShare_Make(const RateLimit *limit, int fleet_slots);
+RateShare RateShare_Make(const RateLimit *limit, int fleet_slots);
 
 /* Writes the first `count` slots of the team's order to `slots`. Slot n is in
  * region n mod `regions`; successive slots are in different regions. Returns
  * the number written. */
-int
-RateShare_Slots(uint64_t team, int count, int fleet_slots, int regions,
-                uint16_t *slots);
+int RateShare_Slots(uint64_t team, int count, int fleet_slots, int regions,
+                    uint16_t *slots);
 
 #endif
--- a/src/rate/rate_sim.h
+++ b/src/rate/rate_sim.h
@@ -86,51 +86,32 @@
     int64_t most_writes_in_second;
 } RateSimCost;
 
-RateSim *
-RateSim_Create(const RateSim_desc *desc);
-void
-RateSim_Destroy(RateSim *sim);
-int
-RateSim_AddTeam(RateSim *sim, const RateSimTeam_desc *desc);
-void
-RateSim_Run(RateSim *sim);
-const RateSimTeam *
-RateSim_Team(const RateSim *sim, int team);
-RateSimCost
-RateSim_Cost(const RateSim *sim);
-Rng *
-RateSim_Rng(RateSim *sim);
+RateSim *RateSim_Create(const RateSim_desc *desc);
+void RateSim_Destroy(RateSim *sim);
+int RateSim_AddTeam(RateSim *sim, const RateSimTeam_desc *desc);
+void RateSim_Run(RateSim *sim);
+const RateSimTeam *RateSim_Team(const RateSim *sim, int team);
+RateSimCost RateSim_Cost(const RateSim *sim);
+Rng *RateSim_Rng(RateSim *sim);
 
 /* Faults, for scripts. */
-void
-RateSim_Kill(RateSim *sim, int host);
+void RateSim_Kill(RateSim *sim, int host);
 /* Starts a killed host again: at the same address or as another host. */
-void
-RateSim_Start(RateSim *sim, int host, gboolean same_address);
+void RateSim_Start(RateSim *sim, int host, gboolean same_address);
 /* Graceful stop with hand-over, then a start after 2 s. */
-void
-RateSim_Restart(RateSim *sim, int host);
-void
-RateSim_Pause(RateSim *sim, int host, int ms);
+void RateSim_Restart(RateSim *sim, int host);
+void RateSim_Pause(RateSim *sim, int host, int ms);
 /* Cuts messages from one host to another, in this direction only. */
-void
-RateSim_Cut(RateSim *sim, int from, int to, gboolean cut);
-void
-RateSim_SetStoreDown(RateSim *sim, gboolean down);
-void
-RateSim_Retire(RateSim *sim, int host);
+void RateSim_Cut(RateSim *sim, int from, int to, gboolean cut);
+void RateSim_SetStoreDown(RateSim *sim, gboolean down);
+void RateSim_Retire(RateSim *sim, int host);
 /* Puts a new limit in force, up to 6 s later at some hosts. */
-void
-RateSim_SetLimit(RateSim *sim, int team, const RateLimit *limit);
+void RateSim_SetLimit(RateSim *sim, int team, const RateLimit *limit);
 /* Host that holds the most slots now; -1 if none. */
-int
-RateSim_Holder(const RateSim *sim);
+int RateSim_Holder(const RateSim *sim);
 /* Hosts (other than `except`) that hold a slot of the team; -1 if none. */
-int
-RateSim_HolderOf(const RateSim *sim, int team);
-gboolean
-RateSim_IsUp(const RateSim *sim, int host);
-int
-RateSim_SlotsHeld(const RateSim *sim);
+int RateSim_HolderOf(const RateSim *sim, int team);
+gboolean RateSim_IsUp(const RateSim *sim, int host);
+int RateSim_SlotsHeld(const RateSim *sim);
 
 #endif
--- a/src/rate/rate_sim_private.h
+++ b/src/rate/rate_sim_private.h
@@ -156,62 +156,39 @@
     RateSimCost cost;
 };
 
-void
-_RateSim_CloseHost(Host *host);
-void
-_RateSim_SendView(RateSim *sim, int64_t delay_us);
-void
-_RateSim_ShowView(RateSim *sim);
-void
-_RateSim_StartHost(RateSim *sim, int index);
-void
-_RateSim_OnHold(RateSim *sim, int index);
-void
-_RateSim_Schedule(RateSim *sim, EventKind kind, int index, int64_t delay_us);
-int
-_RateSim_HostIndex(const RateSim *sim, uint64_t id);
-ClockMs
-_RateSim_LocalMs(const RateSim *sim, int host);
-void
-_RateSim_CheckAdmission(RateSim *sim, TeamState *team);
-void
-_RateSim_Count(RateSimTeam *team, int scheme, gboolean admitted,
-               gboolean ideal);
-gboolean
-_RateSim_AdmitHome(RateSim *sim, TeamState *team, const RateLimit *limit);
-gboolean
-_RateSim_AdmitStatic(RateSim *sim, TeamState *team, const RateLimit *limit,
-                     int host);
-gboolean
-_RateSim_TakeFrom(Bucket *bucket, const RateLimit *limit, int64_t now_us);
-void
-_RateSim_Push(RateSim *sim, Event *event, int64_t at_us);
-Event *
-_RateSim_NewEvent(const RateSim *sim, EventKind kind, int host);
-void
-_RateSim_FreeEvent(Event *event);
-int64_t
-_RateSim_Latency(RateSim *sim, int from, int to);
-const Change *
-_RateSim_LimitAt(const RateSim *sim, int host, const TeamState *team);
-gboolean
-_RateSim_Lookup(void *context, uint64_t id, RateLimit *limit,
-                ClockMs *in_force_ms);
-void
-_RateSim_OnArrival(RateSim *sim, Event *event);
-void
-_RateSim_OnDraw(RateSim *sim, Event *event);
-void
-_RateSim_OnReply(RateSim *sim, Event *event);
-void
-_RateSim_OnTimeout(RateSim *sim, Event *event);
-void
-_RateSim_OnUse(RateSim *sim, Event *event);
-void
-_RateSim_ServeWaiting(RateSim *sim, int index, int team);
-void
-_RateSim_PostDraw(RateSim *sim, Flight *flight);
-void
-_RateSim_SendSettlements(RateSim *sim, int index);
+void _RateSim_CloseHost(Host *host);
+void _RateSim_SendView(RateSim *sim, int64_t delay_us);
+void _RateSim_ShowView(RateSim *sim);
+void _RateSim_StartHost(RateSim *sim, int index);
+void _RateSim_OnHold(RateSim *sim, int index);
+void _RateSim_Schedule(RateSim *sim, EventKind kind, int index,
+                       int64_t delay_us);
+int _RateSim_HostIndex(const RateSim *sim, uint64_t id);
+ClockMs _RateSim_LocalMs(const RateSim *sim, int host);
+void _RateSim_CheckAdmission(RateSim *sim, TeamState *team);
+void _RateSim_Count(RateSimTeam *team, int scheme, gboolean admitted,
+                    gboolean ideal);
+gboolean _RateSim_AdmitHome(RateSim *sim, TeamState *team,
+                            const RateLimit *limit);
+gboolean _RateSim_AdmitStatic(RateSim *sim, TeamState *team,
+                              const RateLimit *limit, int host);
+gboolean _RateSim_TakeFrom(Bucket *bucket, const RateLimit *limit,
+                           int64_t now_us);
+void _RateSim_Push(RateSim *sim, Event *event, int64_t at_us);
+Event *_RateSim_NewEvent(const RateSim *sim, EventKind kind, int host);
+void _RateSim_FreeEvent(Event *event);
+int64_t _RateSim_Latency(RateSim *sim, int from, int to);
+const Change *_RateSim_LimitAt(const RateSim *sim, int host,
+                               const TeamState *team);
+gboolean _RateSim_Lookup(void *context, uint64_t id, RateLimit *limit,
+                         ClockMs *in_force_ms);
+void _RateSim_OnArrival(RateSim *sim, Event *event);
+void _RateSim_OnDraw(RateSim *sim, Event *event);
+void _RateSim_OnReply(RateSim *sim, Event *event);
+void _RateSim_OnTimeout(RateSim *sim, Event *event);
+void _RateSim_OnUse(RateSim *sim, Event *event);
+void _RateSim_ServeWaiting(RateSim *sim, int index, int team);
+void _RateSim_PostDraw(RateSim *sim, Flight *flight);
+void _RateSim_SendSettlements(RateSim *sim, int index);
 
 #endif
--- a/src/rate/rate_wallet.h
+++ b/src/rate/rate_wallet.h
@@ -76,66 +76,53 @@
     RateDraw draw;
 } RatePlan;
 
-RateWallet *
-RateWallet_Create(const RateWallet_desc *desc);
-void
-RateWallet_Destroy(RateWallet *wallet);
+RateWallet *RateWallet_Create(const RateWallet_desc *desc);
+void RateWallet_Destroy(RateWallet *wallet);
 
 /* Says who holds the slot; holder 0 = nobody. */
-void
-RateWallet_SetHolder(RateWallet *wallet, int slot, uint64_t holder,
-                     uint64_t incarnation, RateDistance distance);
+void RateWallet_SetHolder(RateWallet *wallet, int slot, uint64_t holder,
+                          uint64_t incarnation, RateDistance distance);
 
 /* OK, NOT_FOUND (draw first), RATE_EXCEEDED or RATE_UNREACHABLE (no holder of
  * the team is known or answers). `retry_ms` says when a token may be there. */
-Result
-RateWallet_Take(RateWallet *wallet, uint64_t team, const RateLimit *limit,
-                ClockMs now, RateToken *token, int *retry_ms);
-Result
-RateWallet_Use(RateWallet *wallet, const RateToken *token, ClockMs now);
-void
-RateWallet_Return(RateWallet *wallet, const RateToken *token, ClockMs now);
+Result RateWallet_Take(RateWallet *wallet, uint64_t team,
+                       const RateLimit *limit, ClockMs now, RateToken *token,
+                       int *retry_ms);
+Result RateWallet_Use(RateWallet *wallet, const RateToken *token, ClockMs now);
+void RateWallet_Return(RateWallet *wallet, const RateToken *token,
+                       ClockMs now);
 
 /* Counts requests of the team that wait (+1, -1); returns how many do. A team
  * with waiting requests keeps its record. */
-int
-RateWallet_AddWaiting(RateWallet *wallet, uint64_t team, int change);
+int RateWallet_AddWaiting(RateWallet *wallet, uint64_t team, int change);
 
 /* Plans up to `max` draws that may be sent at the same time for `waiting`
  * requests. Returns their number, 0 if there is nobody to ask. */
-int
-RateWallet_Plan(RateWallet *wallet, uint64_t team, int waiting, ClockMs now,
-                RatePlan *plans, int max);
-void
-RateWallet_Granted(RateWallet *wallet, const RatePlan *plan,
-                   const RateGrant *grant, ClockMs now);
+int RateWallet_Plan(RateWallet *wallet, uint64_t team, int waiting,
+                    ClockMs now, RatePlan *plans, int max);
+void RateWallet_Granted(RateWallet *wallet, const RatePlan *plan,
+                        const RateGrant *grant, ClockMs now);
 /* RATE_NOT_HELD: the host has no slot of the team; any other result: it gave
  * no answer. */
-void
-RateWallet_Failed(RateWallet *wallet, const RatePlan *plan, Result result,
-                  ClockMs now);
+void RateWallet_Failed(RateWallet *wallet, const RatePlan *plan, Result result,
+                       ClockMs now);
 /* Gives up parts that are too small for a token, so that other entries can
  * have them; they are in the next settlement. */
-void
-RateWallet_GiveBack(RateWallet *wallet, uint64_t team, ClockMs now);
+void RateWallet_GiveBack(RateWallet *wallet, uint64_t team, ClockMs now);
 
 /* Writes the reports that are due for one holder and forgets that they are
  * due. Returns their number. */
-int
-RateWallet_Settle(RateWallet *wallet, uint64_t holder,
-                  uint64_t holder_incarnation, RateUse *uses, int max,
-                  ClockMs now);
+int RateWallet_Settle(RateWallet *wallet, uint64_t holder,
+                      uint64_t holder_incarnation, RateUse *uses, int max,
+                      ClockMs now);
 /* Drops expired grants and idle teams. Finds a holder to which reports are due
  * now (FALSE = none). */
-gboolean
-RateWallet_NextSettlement(RateWallet *wallet, ClockMs now, uint64_t *holder,
-                          uint64_t *holder_incarnation);
-void
-RateWallet_Tick(RateWallet *wallet, ClockMs now);
-
-size_t
-RateWallet_MemoryBytes(const RateWallet *wallet);
-uint32_t
-RateWallet_TeamCount(const RateWallet *wallet);
+gboolean RateWallet_NextSettlement(RateWallet *wallet, ClockMs now,
+                                   uint64_t *holder,
+                                   uint64_t *holder_incarnation);
+void RateWallet_Tick(RateWallet *wallet, ClockMs now);
+
+size_t RateWallet_MemoryBytes(const RateWallet *wallet);
+uint32_t RateWallet_TeamCount(const RateWallet *wallet);
 
 #endif
--- a/src/rate/rate_wallet_private.h
+++ b/src/rate/rate_wallet_private.h
@@ -82,19 +82,14 @@
 
 /* The place of the team's record in its chain; *link is NULL if there is none.
  */
-Team **
-_RateWallet_Link(RateWallet *wallet, uint64_t id);
-void
-_RateWallet_DropExpired(RateWallet *wallet, Team *team, ClockMs now);
-int64_t
-_RateWallet_Balance(const Team *team);
-gboolean
-_RateWallet_IsSmall(const Team *team);
-double
-_RateWallet_LevelSum(const RateWallet *wallet, const Team *team, ClockMs now);
+Team **_RateWallet_Link(RateWallet *wallet, uint64_t id);
+void _RateWallet_DropExpired(RateWallet *wallet, Team *team, ClockMs now);
+int64_t _RateWallet_Balance(const Team *team);
+gboolean _RateWallet_IsSmall(const Team *team);
+double _RateWallet_LevelSum(const RateWallet *wallet, const Team *team,
+                            ClockMs now);
 /* Notes the level that a peer reported for the team. */
-void
-_RateWallet_SetLevel(RateWallet *wallet, Team *team, uint16_t peer,
-                     double level, ClockMs now);
+void _RateWallet_SetLevel(RateWallet *wallet, Team *team, uint16_t peer,
+                          double level, ClockMs now);
 
 #endif
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -74,20 +74,17 @@
 
 /* NULL stands for all defaults. A budget starts with one second of
  * min_per_s. */
-void
-RetryBudget_Init(RetryBudget *budget, const Retry_desc *desc, ClockMs now);
+void RetryBudget_Init(RetryBudget *budget, const Retry_desc *desc,
+                      ClockMs now);
 /* Counts a first attempt. */
-void
-RetryBudget_Request(RetryBudget *budget, ClockMs now);
+void RetryBudget_Request(RetryBudget *budget, ClockMs now);
 
 /* `desc` is used when budget is NULL; else the budget's settings count. */
-RetryDecision
-Retry_Decide(RetryBudget *budget, const Retry_desc *desc,
-             const RetryInput *input, ClockMs now, Rng *rng);
+RetryDecision Retry_Decide(RetryBudget *budget, const Retry_desc *desc,
+                           const RetryInput *input, ClockMs now, Rng *rng);
 
 /* "again", "done", "may_run", "attempts", "deadline", "no_place",
  * "budget". */
-const char *
-Retry_ReasonName(RetryReason reason);
+const char *Retry_ReasonName(RetryReason reason);
 
 #endif
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -102,51 +102,40 @@
 
 typedef struct Route Route;
 
-Route *
-Route_Create(const Route_desc *desc);
-void
-Route_Destroy(Route *route);
+Route *Route_Create(const Route_desc *desc);
+void Route_Destroy(Route *route);
 
 /* Sorts the candidates in place and describes them; they must stay valid as
  * long as the set is used. */
-void
-Route_Order(uint64_t id, RouteCandidate *candidates, uint32_t count,
-            uint64_t own_region, uint64_t own_data_centre, RouteSet *set);
+void Route_Order(uint64_t id, RouteCandidate *candidates, uint32_t count,
+                 uint64_t own_region, uint64_t own_data_centre, RouteSet *set);
 
 /* Index of the pool for a request. Requests with the same subject_hash always
  * get the same pool while the shares stay; with subject_hash 0 the pool is
  * drawn at random. When a share grows, only subjects that move to this pool
  * change theirs if there are two pools. Returns -1 if the shares add up to
  * 0. */
-int
-Route_ChoosePool(const RoutePool *pools, uint32_t count, uint64_t subject_hash,
-                 Rng *rng);
+int Route_ChoosePool(const RoutePool *pools, uint32_t count,
+                     uint64_t subject_hash, Rng *rng);
 
 /* Index of the chosen candidate, or -1. `excluded` lists backend servers that
  * must not be taken again. `tier`, if not NULL, gets the tier of the choice.
  * A choice of a host on trial after failed connects reserves its trial until
  * Route_ConnectOk(), Route_ConnectFailed() or avoid_ms. */
-int
-Route_Choose(Route *route, const RouteSet *set, const uint64_t *excluded,
-             uint32_t excluded_count, ClockMs now, RouteTier *tier);
+int Route_Choose(Route *route, const RouteSet *set, const uint64_t *excluded,
+                 uint32_t excluded_count, ClockMs now, RouteTier *tier);
 
-void
-Route_Start(Route *route, uint64_t backend_server, ClockMs now);
+void Route_Start(Route *route, uint64_t backend_server, ClockMs now);
 /* `load` is NULL when no response arrived. */
-void
-Route_End(Route *route, uint64_t backend_server, const RouteLoad *load,
-          ClockMs now);
-
-void
-Route_ConnectFailed(Route *route, uint64_t host, ClockMs now);
-void
-Route_ConnectOk(Route *route, uint64_t host);
+void Route_End(Route *route, uint64_t backend_server, const RouteLoad *load,
+               ClockMs now);
+
+void Route_ConnectFailed(Route *route, uint64_t host, ClockMs now);
+void Route_ConnectOk(Route *route, uint64_t host);
 /* TRUE while the host gets no request because connecting failed. */
-gboolean
-Route_IsAvoided(const Route *route, uint64_t host, ClockMs now);
+gboolean Route_IsAvoided(const Route *route, uint64_t host, ClockMs now);
 
 /* Requests in flight from this entry to a backend server. */
-uint32_t
-Route_InFlight(const Route *route, uint64_t backend_server);
+uint32_t Route_InFlight(const Route *route, uint64_t backend_server);
 
 #endif
--- a/src/route/route_load.h
+++ b/src/route/route_load.h
@@ -53,20 +53,15 @@
 
 /* The find functions return NULL, the add functions a new entry, when there is
  * none. */
-RouteServer *
-RouteLoad_FindServer(const Route *route, uint64_t id);
-RouteServer *
-RouteLoad_AddServer(Route *route, uint64_t id, ClockMs now);
-RouteHost *
-RouteLoad_FindHost(const Route *route, uint64_t id);
-RouteHost *
-RouteLoad_AddHost(Route *route, uint64_t id, ClockMs now);
-RouteSpill *
-RouteLoad_AddSpill(Route *route, uint64_t id, ClockMs now);
+RouteServer *RouteLoad_FindServer(const Route *route, uint64_t id);
+RouteServer *RouteLoad_AddServer(Route *route, uint64_t id, ClockMs now);
+RouteHost *RouteLoad_FindHost(const Route *route, uint64_t id);
+RouteHost *RouteLoad_AddHost(Route *route, uint64_t id, ClockMs now);
+RouteSpill *RouteLoad_AddSpill(Route *route, uint64_t id, ClockMs now);
 
 /* Requests expected at a backend server now: own ones, and what others had
  * there by the last report, which counts less the older it is. */
-double
-RouteLoad_Expected(const Route *route, const RouteServer *server, ClockMs now);
+double RouteLoad_Expected(const Route *route, const RouteServer *server,
+                          ClockMs now);
 
 #endif
--- a/src/route/test_route_model.h
+++ b/src/route/test_route_model.h
@@ -53,7 +53,6 @@
 
 /* Zero fields of desc: 12 servers, 4 entries, load 0.5, 20 ms, deadline 1 s,
  * 30 s. */
-void
-RouteModel_Run(const RouteModel_desc *desc, RouteModelResult *result);
+void RouteModel_Run(const RouteModel_desc *desc, RouteModelResult *result);
 
 #endif
--- a/src/rpc/client.h
+++ b/src/rpc/client.h
@@ -21,10 +21,8 @@
 
 typedef struct RpcClient RpcClient;
 
-RpcClient *
-RpcClient_Create(uint32_t max_handles, int retransmit_ms);
-void
-RpcClient_Destroy(RpcClient *client);
+RpcClient *RpcClient_Create(uint32_t max_handles, int retransmit_ms);
+void RpcClient_Destroy(RpcClient *client);
 
 typedef struct RpcExchange {
     uint32_t ip;
@@ -36,8 +34,7 @@
 } RpcExchange;
 
 /* FALSE when no answer came. On TRUE, *reply is released with xdr_free(). */
-gboolean
-RpcClient_Exchange(RpcClient *client, const RpcExchange *exchange,
-                   RpcSealed *reply);
+gboolean RpcClient_Exchange(RpcClient *client, const RpcExchange *exchange,
+                            RpcSealed *reply);
 
 #endif
--- a/src/rpc/fuzz_rpc.c
+++ b/src/rpc/fuzz_rpc.c
@@ -8,8 +8,7 @@
 #include "rpc/seal.h"
 #include "rpc/session.h"
 
-int
-LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static unsigned char key[] = "sixteen bytes or more";
 
--- a/src/rpc/rpc.c
+++ b/src/rpc/rpc.c
@@ -75,21 +75,6 @@
     Lane lanes[LANE_COUNT];
 };
 
-#ifdef __SANITIZE_THREAD__
-/* libtirpc reads the padding after opaque data into one static buffer that
- * nothing reads; the sanitizer reports these writes as races. It does not see
- * liburcu's own locks, nor the order that liburcu makes between readers and
- * the function that frees (the address sanitizer checks that one). */
-const char *
-__tsan_default_suppressions(void); /* NOLINT */
-const char *
-__tsan_default_suppressions(void) /* NOLINT */
-{
-    return "called_from_lib:libtirpc.so\nrace:liburcu\n"
-           "race:member_free_garbage\n";
-}
-#endif
-
 static uint64_t
 load(const uint64_t *value)
 {
--- a/src/rpc/rpc.h
+++ b/src/rpc/rpc.h
@@ -98,65 +98,51 @@
 } Rpc_desc;
 
 /* Binds the socket. NULL with *error set when that fails. */
-Rpc *
-Rpc_Create(const Rpc_desc *desc, GError **error);
-uint16_t
-Rpc_GetPort(const Rpc *rpc);
+Rpc *Rpc_Create(const Rpc_desc *desc, GError **error);
+uint16_t Rpc_GetPort(const Rpc *rpc);
 
 /* Sets the handler of a kind. Call it before Rpc_Start(). */
-void
-Rpc_Handle(Rpc *rpc, uint32_t kind, RpcHandler handler, void *context);
+void Rpc_Handle(Rpc *rpc, uint32_t kind, RpcHandler handler, void *context);
 
 /* Starts the server threads. FALSE with *error set on failure. */
-gboolean
-Rpc_Start(Rpc *rpc, GError **error);
+gboolean Rpc_Start(Rpc *rpc, GError **error);
 
 /* Ends the server threads after the handlers that run now; may be called more
  * than once. */
-void
-Rpc_Stop(Rpc *rpc);
-void
-Rpc_Destroy(Rpc *rpc);
+void Rpc_Stop(Rpc *rpc);
+void Rpc_Destroy(Rpc *rpc);
 
 /* Calls a peer and waits up to timeout_ms in all, with retransmissions.
  * `body` may be NULL (empty); `reply` may be NULL (dropped). */
-Result
-Rpc_Call(Rpc *rpc, const RpcPeer *peer, uint32_t kind, const GByteArray *body,
-         GByteArray *reply, int timeout_ms);
+Result Rpc_Call(Rpc *rpc, const RpcPeer *peer, uint32_t kind,
+                const GByteArray *body, GByteArray *reply, int timeout_ms);
 
 /* Same; *responder gets the id, incarnation and address of the host that
  * replied. It is written whenever a valid reply came, whatever its result. */
-Result
-Rpc_CallFor(Rpc *rpc, const RpcPeer *peer, uint32_t kind,
-            const GByteArray *body, GByteArray *reply, int timeout_ms,
-            RpcPeer *responder);
+Result Rpc_CallFor(Rpc *rpc, const RpcPeer *peer, uint32_t kind,
+                   const GByteArray *body, GByteArray *reply, int timeout_ms,
+                   RpcPeer *responder);
 
 /* Tells that the host has at least this incarnation, as known from elsewhere
  * (a member record); messages of earlier ones are refused from now on. */
-void
-Rpc_NoteIncarnation(Rpc *rpc, uint64_t host, uint64_t incarnation);
+void Rpc_NoteIncarnation(Rpc *rpc, uint64_t host, uint64_t incarnation);
 
 /* Highest incarnation of this host's own id that a peer named when it refused
  * a message as one of an old session; 0 if none did. */
-uint64_t
-Rpc_GetRefusedIncarnation(const Rpc *rpc);
+uint64_t Rpc_GetRefusedIncarnation(const Rpc *rpc);
 
 /* Replaces the own incarnation; only while joining, before anything was bound
  * to the former one. */
-void
-Rpc_SetIncarnation(Rpc *rpc, uint64_t incarnation);
-uint64_t
-Rpc_GetIncarnation(const Rpc *rpc);
+void Rpc_SetIncarnation(Rpc *rpc, uint64_t incarnation);
+uint64_t Rpc_GetIncarnation(const Rpc *rpc);
 
 /* Appends the XDR encoding of *value; FALSE when it exceeds
  * RPC_MAX_BODY_BYTES. */
-gboolean
-Rpc_Encode(GByteArray *body, xdrproc_t proc, const void *value);
+gboolean Rpc_Encode(GByteArray *body, xdrproc_t proc, const void *value);
 
 /* Decodes into the zeroed *value, which is released with
  * xdr_free(proc, value). FALSE (and nothing to release) for a body that is
  * truncated or has bytes left over. */
-gboolean
-Rpc_Decode(const GByteArray *body, xdrproc_t proc, void *value);
+gboolean Rpc_Decode(const GByteArray *body, xdrproc_t proc, void *value);
 
 #endif
--- a/src/rpc/seal.h
+++ b/src/rpc/seal.h
@@ -23,11 +23,9 @@
 } RpcSecret;
 
 /* Sets header.body_bytes and mac. */
-void
-RpcSeal_Close(const RpcSecret *secret, RpcSealed *message);
+void RpcSeal_Close(const RpcSecret *secret, RpcSealed *message);
 
 /* The comparison takes the same time for every wrong MAC. */
-gboolean
-RpcSeal_IsValid(const RpcSecret *secret, const RpcSealed *message);
+gboolean RpcSeal_IsValid(const RpcSecret *secret, const RpcSealed *message);
 
 #endif
--- a/src/rpc/server.h
+++ b/src/rpc/server.h
@@ -36,18 +36,12 @@
     void *context;
 } RpcServer_desc;
 
-RpcServer *
-RpcServer_Create(const RpcServer_desc *desc, GError **error);
-uint16_t
-RpcServer_GetPort(const RpcServer *server);
-gboolean
-RpcServer_Start(RpcServer *server, GError **error);
-void
-RpcServer_Stop(RpcServer *server);
-void
-RpcServer_Destroy(RpcServer *server);
-void
-RpcServer_Send(RpcServer *server, const RpcReturn *back,
-               const RpcSealed *reply);
+RpcServer *RpcServer_Create(const RpcServer_desc *desc, GError **error);
+uint16_t RpcServer_GetPort(const RpcServer *server);
+gboolean RpcServer_Start(RpcServer *server, GError **error);
+void RpcServer_Stop(RpcServer *server);
+void RpcServer_Destroy(RpcServer *server);
+void RpcServer_Send(RpcServer *server, const RpcReturn *back,
+                    const RpcSealed *reply);
 
 #endif
--- a/src/rpc/session.h
+++ b/src/rpc/session.h
@@ -29,34 +29,30 @@
     RPC_ACCEPT_REFUSE   /* answer with *result */
 } RpcAcceptance;
 
-RpcSession *
-RpcSession_Create(uint32_t max_peers, gboolean accept_old_sessions);
-void
-RpcSession_Destroy(RpcSession *session);
+RpcSession *RpcSession_Create(uint32_t max_peers,
+                              gboolean accept_old_sessions);
+void RpcSession_Destroy(RpcSession *session);
 
 /* For RPC_ACCEPT_REPEAT, *result and `reply` get the cached reply. */
-RpcAcceptance
-RpcSession_Accept(RpcSession *session, ClockMs now, uint64_t sender,
-                  uint64_t incarnation, uint64_t sequence, Result *result,
-                  GByteArray *reply);
+RpcAcceptance RpcSession_Accept(RpcSession *session, ClockMs now,
+                                uint64_t sender, uint64_t incarnation,
+                                uint64_t sequence, Result *result,
+                                GByteArray *reply);
 
 /* Caches the reply to an accepted message. */
-void
-RpcSession_Store(RpcSession *session, uint64_t sender, uint64_t incarnation,
-                 uint64_t sequence, Result result, const GByteArray *reply);
+void RpcSession_Store(RpcSession *session, uint64_t sender,
+                      uint64_t incarnation, uint64_t sequence, Result result,
+                      const GByteArray *reply);
 
 /* Raises the highest known incarnation of a host. FALSE if it is below the one
  * known. */
-gboolean
-RpcSession_Note(RpcSession *session, ClockMs now, uint64_t host,
-                uint64_t incarnation);
+gboolean RpcSession_Note(RpcSession *session, ClockMs now, uint64_t host,
+                         uint64_t incarnation);
 
 /* Highest known incarnation of a host, 0 if unknown. */
-uint64_t
-RpcSession_GetIncarnation(const RpcSession *session, uint64_t host);
+uint64_t RpcSession_GetIncarnation(const RpcSession *session, uint64_t host);
 
 /* Memory in use, for measurements. */
-size_t
-RpcSession_GetBytes(const RpcSession *session);
+size_t RpcSession_GetBytes(const RpcSession *session);
 
 #endif
--- a/src/settings/fuzz_settings.c
+++ b/src/settings/fuzz_settings.c
@@ -8,8 +8,7 @@
 
 #include "settings/settings.h"
 
-int
-LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -49,31 +49,25 @@
 #undef _SETTINGS_NAMES
 #undef _SETTINGS_NUMBER
 
-Settings *
-Settings_Load(const char *path, GError **error);
+Settings *Settings_Load(const char *path, GError **error);
 
 /* Parses JSON text; the name stands for the file in messages. */
-Settings *
-Settings_Parse(const char *text, const char *name, GError **error);
-void
-Settings_Destroy(Settings *settings);
+Settings *Settings_Parse(const char *text, const char *name, GError **error);
+void Settings_Destroy(Settings *settings);
 
 /* Position of a name in a list, -1 if it is not there. */
-int
-Settings_IndexOf(const SettingsNames *names, const char *name);
+int Settings_IndexOf(const SettingsNames *names, const char *name);
 
 /* Copies the reloadable numbers of `from`. Returns the number of other values
  * that differ and appends their names to `unchanged`. Reloadable numbers are
  * read by running threads, so they are written as single atomic stores. */
-int
-Settings_Reload(Settings *settings, const Settings *from, GString *unchanged);
+int Settings_Reload(Settings *settings, const Settings *from,
+                    GString *unchanged);
 
 /* Reads a reloadable number while another thread may reload it. */
-int64_t
-Settings_Read(const int64_t *number);
+int64_t Settings_Read(const int64_t *number);
 
 /* Appends the documentation table. */
-void
-Settings_WriteTable(GString *out);
+void Settings_WriteTable(GString *out);
 
 #endif
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -63,42 +63,34 @@
 } StoreList;
 
 /* Returns NULL when an address is not a numeric "address:port". */
-Store *
-Store_Create(const Store_desc *desc, GError **error);
-void
-Store_Destroy(Store *store);
+Store *Store_Create(const Store_desc *desc, GError **error);
+void Store_Destroy(Store *store);
 
 /* Reads an object. */
-Result
-Store_Get(Store *store, const char *name, StoreObject *object, GError **error);
+Result Store_Get(Store *store, const char *name, StoreObject *object,
+                 GError **error);
 
 /* Writes value if the object's version is if_version (0 = must not exist).
  * With RESULT_OK, object has the new version and no value; with
  * RESULT_STORE_CONFLICT it is the current object. object may be NULL. */
-Result
-Store_Put(Store *store, const char *name, int64_t if_version, json_t *value,
-          StoreObject *object, GError **error);
+Result Store_Put(Store *store, const char *name, int64_t if_version,
+                 json_t *value, StoreObject *object, GError **error);
 
 /* As Store_Put() with the value as JSON text, which is sent as it is. */
-Result
-Store_PutText(Store *store, const char *name, int64_t if_version,
-              const char *text, StoreObject *object, GError **error);
+Result Store_PutText(Store *store, const char *name, int64_t if_version,
+                     const char *text, StoreObject *object, GError **error);
 
 /* Removes the object if its version is if_version; object as above. */
-Result
-Store_Delete(Store *store, const char *name, int64_t if_version,
-             StoreObject *object, GError **error);
+Result Store_Delete(Store *store, const char *name, int64_t if_version,
+                    StoreObject *object, GError **error);
 
 /* Lists the objects with the name prefix whose version is above after, at most
  * limit. With wait_ms above zero the store holds the answer until there is
  * one, for at most wait_ms (a watch). A list without objects is RESULT_OK. */
-Result
-Store_List(Store *store, const char *prefix, int64_t after, int wait_ms,
-           int limit, StoreList *list, GError **error);
+Result Store_List(Store *store, const char *prefix, int64_t after, int wait_ms,
+                  int limit, StoreList *list, GError **error);
 
-void
-StoreObject_Clear(StoreObject *object);
-void
-StoreList_Clear(StoreList *list);
+void StoreObject_Clear(StoreObject *object);
+void StoreList_Clear(StoreList *list);
 
 #endif
--- a/standin/rk_backend.h
+++ b/standin/rk_backend.h
@@ -104,46 +104,32 @@
 } Backend;
 
 /* rk_backend_work.c */
-void
-Work_Init(Backend *backend);
+void Work_Init(Backend *backend);
 /* Thread that gives slots to requests and resumes them when they are done. */
-void *
-Work_Run(void *backend);
+void *Work_Run(void *backend);
 /* Takes a suspended request into the queue. */
-void
-Work_Add(Backend *backend, Request *request);
-Outcome
-Work_ChooseOutcome(Backend *backend);
-gboolean
-Work_RollCloseBeforeRead(Backend *backend);
-void
-Work_NoteArrival(Backend *backend);
+void Work_Add(Backend *backend, Request *request);
+Outcome Work_ChooseOutcome(Backend *backend);
+gboolean Work_RollCloseBeforeRead(Backend *backend);
+void Work_NoteArrival(Backend *backend);
 /* Keeps a text for /v1/seen. The text may be NULL. */
-void
-Work_NoteSeen(Backend *backend, const char *text, size_t length);
-gboolean
-Work_WasSeen(Backend *backend, const char *text);
+void Work_NoteSeen(Backend *backend, const char *text, size_t length);
+gboolean Work_WasSeen(Backend *backend, const char *text);
 /* Stops the thread; waiting requests are resumed and closed. */
-void
-Work_Stop(Backend *backend);
-gboolean
-Work_IsIdle(Backend *backend);
+void Work_Stop(Backend *backend);
+gboolean Work_IsIdle(Backend *backend);
 
 /* rk_backend_admin.c */
-enum MHD_Result
-Admin_Handle(void *backend, struct MHD_Connection *connection, const char *url,
-             const char *method, const char *version, const char *data,
-             size_t *data_size, void **context);
-void
-Admin_Completed(void *backend, struct MHD_Connection *connection,
-                void **context, enum MHD_RequestTerminationCode code);
+enum MHD_Result Admin_Handle(void *backend, struct MHD_Connection *connection,
+                             const char *url, const char *method,
+                             const char *version, const char *data,
+                             size_t *data_size, void **context);
+void Admin_Completed(void *backend, struct MHD_Connection *connection,
+                     void **context, enum MHD_RequestTerminationCode code);
 /* Thread that announces every second. */
-void *
-Admin_Announce(void *backend);
+void *Admin_Announce(void *backend);
 /* Sends one announcement now. */
-gboolean
-Admin_AnnounceOnce(Backend *backend);
-void
-Admin_SetState(Backend *backend, const char *state);
+gboolean Admin_AnnounceOnce(Backend *backend);
+void Admin_SetState(Backend *backend, const char *state);
 
 #endif
--- a/standin/rk_http.h
+++ b/standin/rk_http.h
@@ -34,21 +34,17 @@
     gboolean has_length; /* Content-Length was there */
 } HttpReply;
 
-void
-Http_Open(HttpConnection *connection, const char *address);
-void
-Http_Close(HttpConnection *connection);
+void Http_Open(HttpConnection *connection, const char *address);
+void Http_Close(HttpConnection *connection);
 
 /* `headers` are whole lines, each ended by "\r\n". */
-HttpOutcome
-Http_Send(HttpConnection *connection, const char *method, const char *path,
-          const char *headers, const void *body, size_t body_bytes,
-          int64_t deadline_us, HttpReply *reply);
+HttpOutcome Http_Send(HttpConnection *connection, const char *method,
+                      const char *path, const char *headers, const void *body,
+                      size_t body_bytes, int64_t deadline_us,
+                      HttpReply *reply);
 
 /* Value of a header (name in lower case) or NULL. */
-const char *
-Http_Header(const HttpReply *reply, const char *name);
-void
-Http_FreeReply(HttpReply *reply);
+const char *Http_Header(const HttpReply *reply, const char *name);
+void Http_FreeReply(HttpReply *reply);
 
 #endif
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -34,28 +34,21 @@
 
 typedef struct StoreStandin StoreStandin;
 
-StoreStandin *
-StoreStandin_Create(void);
-void
-StoreStandin_Destroy(StoreStandin *standin);
+StoreStandin *StoreStandin_Create(void);
+void StoreStandin_Destroy(StoreStandin *standin);
 
 /* Listens on 127.0.0.1; port 0 lets the kernel choose. Returns the port, 0 if
  * it cannot listen. */
-int
-StoreStandin_Listen(StoreStandin *standin, int port);
-void
-StoreStandin_Close(StoreStandin *standin);
+int StoreStandin_Listen(StoreStandin *standin, int port);
+void StoreStandin_Close(StoreStandin *standin);
 
 /* Takes the JSON text of `POST /v1/faults`; FALSE if it is invalid. */
-gboolean
-StoreStandin_SetFaults(StoreStandin *standin, const char *json);
+gboolean StoreStandin_SetFaults(StoreStandin *standin, const char *json);
 
 /* Number of calls of a kind ("get", "put", "delete", "list", "watch"). */
-int64_t
-StoreStandin_GetCalls(StoreStandin *standin, const char *kind);
+int64_t StoreStandin_GetCalls(StoreStandin *standin, const char *kind);
 
 /* Number of watches that are waiting now. */
-int64_t
-StoreStandin_GetWaiting(StoreStandin *standin);
+int64_t StoreStandin_GetWaiting(StoreStandin *standin);
 
 #endif
--- a/tests/fleet_watch.h
+++ b/tests/fleet_watch.h
@@ -31,28 +31,21 @@
     char state[16];        /* now */
 } FleetSeen;
 
-FleetWatch *
-FleetWatch_Start(Fleet *fleet);
-void
-FleetWatch_Stop(FleetWatch *watch);
+FleetWatch *FleetWatch_Start(Fleet *fleet);
+void FleetWatch_Stop(FleetWatch *watch);
 
 /* Forgets what was seen, except the present states. */
-void
-FleetWatch_Reset(FleetWatch *watch);
-FleetSeen
-FleetWatch_Server(FleetWatch *watch, int server);
+void FleetWatch_Reset(FleetWatch *watch);
+FleetSeen FleetWatch_Server(FleetWatch *watch, int server);
 
 /* Most backend servers that were ejected at once. */
-int
-FleetWatch_MostEjected(FleetWatch *watch);
+int FleetWatch_MostEjected(FleetWatch *watch);
 
 /* Rounds in which every daemon answered. */
-int
-FleetWatch_Rounds(FleetWatch *watch);
+int FleetWatch_Rounds(FleetWatch *watch);
 
 /* Until all backend servers are healthy with full weight; ends the test when
  * that does not come. */
-void
-FleetWatch_AwaitHealthy(FleetWatch *watch);
+void FleetWatch_AwaitHealthy(FleetWatch *watch);
 
 #endif
--- a/tests/gray.h
+++ b/tests/gray.h
@@ -20,25 +20,20 @@
     FleetProcess *caller;
 } Gray;
 
-void
-Gray_Start(Gray *gray);
-void
-Gray_Stop(Gray *gray);
+void Gray_Start(Gray *gray);
+void Gray_Stop(Gray *gray);
 
 /* Ejections of all backend servers since the watch was reset. */
-int
-Gray_Ejections(const Gray *gray);
+int Gray_Ejections(const Gray *gray);
 
 /* Gives one backend server a fault for 3.5 s; returns the requests that it
  * received later than 2 s after the fault began, which is the target for new
  * work. All count, those of probation too. */
-int
-Gray_CountLate(const Gray *gray, int server, const char *name,
-               const char *faults);
+int Gray_CountLate(const Gray *gray, int server, const char *name,
+                   const char *faults);
 
 /* Checks that the watch looked often enough, in the time since it was reset,
  * to see every ejection. */
-void
-Gray_CheckRounds(const Gray *gray, int ms);
+void Gray_CheckRounds(const Gray *gray, int ms);
 
 #endif
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -17,21 +17,15 @@
     RELAY_BOTH
 } RelayBreak;
 
-Relay *
-Relay_Create(void);
-int
-Relay_Port(const Relay *relay);
-void
-Relay_SetTarget(Relay *relay, int port);
+Relay *Relay_Create(void);
+int Relay_Port(const Relay *relay);
+void Relay_SetTarget(Relay *relay, int port);
 
 /* Connections that are opened later are not broken. Returns how many are. */
-int
-Relay_Break(Relay *relay, RelayBreak kind);
+int Relay_Break(Relay *relay, RelayBreak kind);
 
 /* Breaks all connections, those opened later too, until FALSE. */
-void
-Relay_BreakAll(Relay *relay, gboolean broken);
-void
-Relay_Destroy(Relay *relay);
+void Relay_BreakAll(Relay *relay, gboolean broken);
+void Relay_Destroy(Relay *relay);
 
 #endif
