rate: count fractions of a team's rate and burst

Cause: tickets allow steps of 0.001, but the daemon cut the fraction off, so a team with 0.5 requests/s got none. Change: RateLimit carries the fraction in micro-tokens; shares are divided from micro-tokens. Before: {0.5/s, burst 1} had a share of 0. After: 500,000 micro-tokens a second over 3 slots (test_rate /rate/share); test_rate_fleet passes as before.

--- a/src/daemon/daemon_rate.c
+++ b/src/daemon/daemon_rate.c
@@ -271,8 +271,7 @@
         Config_GetTeam(table, Config_FindTeamByNameHash(table, team), &info);
 
     if (found) {
-        *limit = (RateLimit){.rate_per_s = info.rate_micro / RATE_MICRO,
-                             .burst = info.burst_micro / RATE_MICRO};
+        *limit = RateLimit_FromMicro(info.rate_micro, info.burst_micro);
         *in_force_ms = info.limit_since;
     }
     Config_ReadUnlock(daemon->config);
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -78,8 +78,7 @@
            const ConfigRouteInfo *route)
 {
     request->team_hash = RunToken_NameHash(team->name);
-    request->limit = (RateLimit){.rate_per_s = team->rate_micro / RATE_MICRO,
-                                 .burst = team->burst_micro / RATE_MICRO};
+    request->limit = RateLimit_FromMicro(team->rate_micro, team->burst_micro);
     request->route_hash = RunToken_NameHash(route->path);
     request->service = Rng_HashString(route->service_name);
     request->issuance = route->issuance;
--- a/src/rate/rate_holder.c
+++ b/src/rate/rate_holder.c
@@ -670,8 +670,7 @@
     if (bucket == NULL) {
         return RESULT_FULL;
     }
-    if (bucket->limit.rate_per_s != limit.rate_per_s ||
-        bucket->limit.burst != limit.burst) {
+    if (!RateLimit_IsEqual(&bucket->limit, &limit)) {
         change_limit(holder, bucket, &limit, in_force_ms, now);
     }
     advance(holder, bucket, now);
--- a/src/rate/rate_share.c
+++ b/src/rate/rate_share.c
@@ -8,22 +8,60 @@
 #define SLOT_RATE 8
 #define SLOT_BURST 4
 
+RateLimit
+RateLimit_FromMicro(int64_t rate_micro, int64_t burst_micro)
+{
+    return (RateLimit){
+        .rate_per_s = rate_micro / RATE_MICRO,
+        .burst = burst_micro / RATE_MICRO,
+        .rate_fraction = (int32_t)(rate_micro % RATE_MICRO),
+        .burst_fraction = (int32_t)(burst_micro % RATE_MICRO),
+    };
+}
+
+int64_t
+RateLimit_RateMicro(const RateLimit *limit)
+{
+    int64_t micro = CLAMP(limit->rate_per_s, 0, RATE_PER_S_MAX) * RATE_MICRO +
+                    limit->rate_fraction;
+
+    return MIN(micro, (int64_t)RATE_PER_S_MAX * RATE_MICRO);
+}
+
+int64_t
+RateLimit_BurstMicro(const RateLimit *limit)
+{
+    int64_t micro = CLAMP(limit->burst, 0, RATE_BURST_MAX) * RATE_MICRO +
+                    limit->burst_fraction;
+
+    return MIN(micro, (int64_t)RATE_BURST_MAX * RATE_MICRO);
+}
+
+gboolean
+RateLimit_IsEqual(const RateLimit *a, const RateLimit *b)
+{
+    return a->rate_per_s == b->rate_per_s && a->burst == b->burst &&
+           a->rate_fraction == b->rate_fraction &&
+           a->burst_fraction == b->burst_fraction;
+}
+
 RateShare
 RateShare_Make(const RateLimit *limit, int fleet_slots)
 {
-    int64_t rate = CLAMP(limit->rate_per_s, 0, RATE_PER_S_MAX);
-    int64_t burst = CLAMP(limit->burst, 0, RATE_BURST_MAX);
-    int64_t slots =
-        MIN((rate + SLOT_RATE - 1) / SLOT_RATE, burst / SLOT_BURST);
+    int64_t rate = RateLimit_RateMicro(limit);
+    int64_t burst = RateLimit_BurstMicro(limit);
+    int64_t by_rate =
+        (rate + SLOT_RATE * RATE_MICRO - 1) / (SLOT_RATE * RATE_MICRO);
+    int64_t slots = MIN(by_rate, burst / (SLOT_BURST * RATE_MICRO));
     RateShare share;
 
     slots = CLAMP(slots, RATE_TEAM_SLOTS_MIN, RATE_SLOTS_MAX);
     slots = MIN(slots, fleet_slots);
     share.slots = (int)slots;
-    share.micro_per_second = rate * RATE_MICRO / slots;
-    share.rate_extra = (int)(rate * RATE_MICRO % slots);
-    share.burst_micro = burst * RATE_MICRO / slots;
-    share.burst_extra = (int)(burst * RATE_MICRO % slots);
+    share.micro_per_second = rate / slots;
+    share.rate_extra = (int)(rate % slots);
+    share.burst_micro = burst / slots;
+    share.burst_extra = (int)(burst % slots);
     return share;
 }
 
--- a/src/rate/rate_share.h
+++ b/src/rate/rate_share.h
@@ -34,6 +34,8 @@
 typedef struct RateLimit {
     int64_t rate_per_s;
     int64_t burst;
+    int32_t rate_fraction;  /* micro-tokens a second, below RATE_MICRO */
+    int32_t burst_fraction; /* micro-tokens, below RATE_MICRO */
 } RateLimit;
 
 typedef struct RateShare {
@@ -44,6 +46,12 @@
     int64_t burst_micro;      /* of one slot */
 } RateShare;
 
+/* A limit from micro-tokens a second and micro-tokens. */
+RateLimit RateLimit_FromMicro(int64_t rate_micro, int64_t burst_micro);
+int64_t RateLimit_RateMicro(const RateLimit *limit);
+int64_t RateLimit_BurstMicro(const RateLimit *limit);
+gboolean RateLimit_IsEqual(const RateLimit *a, const RateLimit *b);
+
 /* Divides a limit over at most `fleet_slots` slots. A slot gets about 8
  * requests/s and at least 4 tokens of burst, except that K is at least 3. */
 RateShare RateShare_Make(const RateLimit *limit, int fleet_slots);
--- a/src/rate/rate_wallet.c
+++ b/src/rate/rate_wallet.c
@@ -276,8 +276,7 @@
     if (team == NULL) {
         return add_team(wallet, link, id, limit);
     }
-    if (team->limit.rate_per_s != limit->rate_per_s ||
-        team->limit.burst != limit->burst) {
+    if (!RateLimit_IsEqual(&team->limit, limit)) {
         if (RateShare_Make(limit, wallet->desc.fleet_slots).slots ==
             team->share.slots) {
             set_limit(wallet, team, limit);
@@ -336,9 +335,11 @@
                          _RateWallet_LevelSum(wallet, team, now);
 
         any = missing <= 0.0;
-        next = now + 1 +
-               (ClockMs)MIN(1000.0,
-                            missing / (double)team->limit.rate_per_s / 1000.0);
+        next =
+            now + 1 +
+            (ClockMs)MIN(
+                1000.0, missing * 1000.0 /
+                            (double)MAX(RateLimit_RateMicro(&team->limit), 1));
     }
     /* The draws on the way may bring it. */
     any = any || team->flights > 0;
--- a/src/rate/test_rate.c
+++ b/src/rate/test_rate.c
@@ -38,22 +38,37 @@
                  {{100, 40}, 10},
                  {{4096, 9999}, 512},
                  {{1000000, 10000000}, 512},
-                 {{2000000, 1 << 30}, 512}};
-    uint16_t all[RATE_SLOTS_MAX];
-    uint16_t some[RATE_SLOTS_MAX];
+                 {{2000000, 1 << 30}, 512},
+                 {{0, 1, 500000, 0}, 3},
+                 {{8, 16, 1, 250000}, 3}};
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         RateShare share = RateShare_Make(&cases[i].limit, 512);
-        int64_t rate = MIN(cases[i].limit.rate_per_s, RATE_PER_S_MAX);
-        int64_t burst = MIN(cases[i].limit.burst, RATE_BURST_MAX);
+        int64_t rate =
+            MIN(cases[i].limit.rate_per_s, RATE_PER_S_MAX) * RATE_MICRO +
+            cases[i].limit.rate_fraction;
+        int64_t burst =
+            MIN(cases[i].limit.burst, RATE_BURST_MAX) * RATE_MICRO +
+            cases[i].limit.burst_fraction;
+        RateLimit same = RateLimit_FromMicro(rate, burst);
 
         g_assert_cmpint(share.slots, ==, cases[i].slots);
-        g_assert_cmpint(share.micro_per_second * share.slots +
-                            share.rate_extra,
-                        ==, rate * RATE_MICRO);
+        g_assert_cmpint(
+            share.micro_per_second * share.slots + share.rate_extra, ==, rate);
         g_assert_cmpint(share.burst_micro * share.slots + share.burst_extra,
-                        ==, burst * RATE_MICRO);
+                        ==, burst);
+        g_assert_cmpint(RateShare_Make(&same, 512).slots, ==, share.slots);
     }
+}
+
+/* Guards against slots of a team that lie in few regions, and against a larger
+ * K that does not begin with the slots of a smaller one. */
+static void
+test_slots(void)
+{
+    uint16_t all[RATE_SLOTS_MAX];
+    uint16_t some[RATE_SLOTS_MAX];
+
     for (int regions = 1; regions <= 5; regions++) {
         g_assert_cmpint(RateShare_Slots(TEAM, 512, 512, regions, all), ==,
                         512);
@@ -590,6 +605,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/rate/share", test_share);
+    g_test_add_func("/rate/slots", test_slots);
     g_test_add_func("/rate/holder/outstanding", test_holder_outstanding);
     g_test_add_func("/rate/holder/return", test_holder_return);
     g_test_add_func("/rate/holder/refusals", test_holder_refusals);
