settings: refuse more rate slots than the rate slice has tables for

Cause: rate_slots up to 4,096 was accepted, but the tables hold RATE_SLOTS_MAX (512) slots, so a larger value would have been written past their end. Change: the range ends at 512.

--- a/src/rate/test_rate.c
+++ b/src/rate/test_rate.c
@@ -24,8 +24,8 @@
     return team == TEAM;
 }
 
-/* Guards against shares that add up to more or less than the limit, and
- * against slots of a smaller K that are no prefix of a larger K. */
+/* Guards against shares that add up to more or less than the limit, also for
+ * limits with a fraction. */
 static void
 test_share(void)
 {
--- a/src/settings/settings_list.h
+++ b/src/settings/settings_list.h
@@ -66,7 +66,7 @@
            "how long a rate slot is held without renewal") \
     NUMBER(rate_grant_ms, "ms", 50, 10000, 1000, 0, \
            "life of a grant of rate tokens") \
-    NUMBER(rate_slots, "slots", 3, 4096, 512, 0, \
+    NUMBER(rate_slots, "slots", 3, 512, 512, 0, \
            "rate slots of the fleet, the same on all hosts") \
     NUMBER(isolation_limit_ms, "ms", 0, 604800000, 0, 1, \
            "time without contact to the store, through any peer, after which " \
