owner, entry: one piece of code for the request target and for the MAC check

Cause: the read-through found the raw target built by twins in entry and owner port, the admin port decoding a whole owner call only to learn whether its MAC is right, Entry_Explain() without a caller, and an unused parameter. Change: HttpRequest_Target(), OwnerWire_IsAuthentic(); dead code removed. Behaviour is the same. Checked: lint; test_http and test_owner plain and under address+undefined; process_path, process_config, process_silent, process_tool. Left: the constant-time comparison of a MAC stands in rpc/seal.c, issue/run_token.c and owner/owner_wire.c.

--- a/src/daemon/daemon_admin.c
+++ b/src/daemon/daemon_admin.c
@@ -224,15 +224,11 @@
 {
     size_t bytes;
     const char *body = HttpRequest_Body(request, &bytes);
-    OwnerWireCall decoded;
-    Result result = OwnerWire_DecodeCall(
+
+    return OwnerWire_IsAuthentic(
         HttpRequest_Method(request), HttpRequest_Path(request),
         HttpRequest_Headers(request), body, bytes,
-        daemon->settings->fleet_secret, daemon->secret_bytes, Clock_Now(),
-        &decoded);
-
-    OwnerWire_ClearCall(&decoded);
-    return result != RESULT_PEER_UNAUTHENTICATED;
+        daemon->settings->fleet_secret, daemon->secret_bytes);
 }
 
 static void
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -49,16 +49,6 @@
     pthread_mutex_unlock(&entry->lock);
 }
 
-char *
-Entry_Explain(Entry *entry, const char *request_id)
-{
-    GString *out = g_string_new(NULL);
-
-    Entry_ExplainMatching(entry, request_id, 1, out);
-    return out->len > 0 ? g_string_free(out, FALSE)
-                        : (g_string_free(out, TRUE), NULL);
-}
-
 /* Finds or adds the service's record; with the lock held. */
 static EntryService *
 service_record(Entry *entry, uint64_t service)
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -60,10 +60,6 @@
 gboolean Entry_Drain(Entry *entry, ClockMs until);
 void Entry_Destroy(Entry *entry);
 
-/* What is known of a recent request that was refused, retried or failed, as
- * one line of text, or NULL; free with g_free(). */
-char *Entry_Explain(Entry *entry, const char *request_id);
-
 /* Appends the recent lines that contain the text, or name a host or backend
  * server of this name, newest first. */
 void Entry_ExplainMatching(Entry *entry, const char *text, unsigned max,
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -25,16 +25,6 @@
     return view;
 }
 
-static char *
-target_of(const HttpRequest *http)
-{
-    const char *query = HttpRequest_Query(http);
-
-    return query[0] != '\0'
-               ? g_strconcat(HttpRequest_Path(http), "?", query, NULL)
-               : g_strdup(HttpRequest_Path(http));
-}
-
 /* Finds the key, refuses it in any other place, hashes it. */
 static Result
 read_key(EntryRequest *request, const KeyView *view, ConfigKeyHash *hash)
@@ -231,7 +221,7 @@
     Result result;
 
     request->body = HttpRequest_Body(request->http, &request->body_bytes);
-    request->target = target_of(request->http);
+    request->target = HttpRequest_Target(request->http);
     result = read_key(request, &view, &hash);
     if (strncmp(path, "/radishknot/", 12) == 0) {
         /* Run tokens are asked for on behalf of another path. */
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -590,6 +590,14 @@
     return request->query;
 }
 
+char *
+HttpRequest_Target(const HttpRequest *request)
+{
+    return request->query[0] != '\0'
+               ? g_strconcat(request->target, "?", request->query, NULL)
+               : g_strdup(request->target);
+}
+
 const HttpHeaders *
 HttpRequest_Headers(const HttpRequest *request)
 {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -67,6 +67,9 @@
 /* Path and query as sent, without decoding; the query is "" if none. */
 const char *HttpRequest_Path(const HttpRequest *request);
 const char *HttpRequest_Query(const HttpRequest *request);
+/* Both as they were sent, joined by "?" if there is a query; free with
+ * g_free(). */
+char *HttpRequest_Target(const HttpRequest *request);
 const HttpHeaders *HttpRequest_Headers(const HttpRequest *request);
 const char *HttpRequest_Body(const HttpRequest *request, size_t *bytes);
 ClockMs HttpRequest_Arrived(const HttpRequest *request);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -350,7 +350,7 @@
 }
 
 static HealthOutcome
-health_outcome(Result result, const HttpAnswer *answer)
+health_outcome(Result result)
 {
     switch (result) {
     case RESULT_OK:
@@ -367,7 +367,6 @@
     case RESULT_CANCELLED:
         return HEALTH_CANCELLED;
     default:
-        (void)answer;
         return HEALTH_ERROR;
     }
 }
@@ -456,9 +455,8 @@
     Counter_Observe(HISTOGRAM_OWNER_SERVER, reply->server_us);
 
     pthread_mutex_lock(&owner->lock);
-    Health_End(server->health, health,
-               health_outcome(reply->result, &reply->answer), reply->server_us,
-               Clock_Now());
+    Health_End(server->health, health, health_outcome(reply->result),
+               reply->server_us, Clock_Now());
     server->in_use--;
     reply->slots_in_use = server->in_use;
     reply->queue = server->waiting;
--- a/src/owner/owner_port.c
+++ b/src/owner/owner_port.c
@@ -127,16 +127,6 @@
     HttpRequest_Respond(request, &answer);
 }
 
-static char *
-target_of(const HttpRequest *request)
-{
-    const char *query = HttpRequest_Query(request);
-
-    return query[0] != '\0'
-               ? g_strconcat(HttpRequest_Path(request), "?", query, NULL)
-               : g_strdup(HttpRequest_Path(request));
-}
-
 static gboolean
 is_peer_path(const HttpRequest *request)
 {
@@ -149,7 +139,7 @@
 serve(void *context, HttpRequest *request)
 {
     OwnerPort *port = context;
-    char *target = target_of(request);
+    char *target = HttpRequest_Target(request);
     HttpAnswer answer = {0};
     OwnerWireCall decoded;
     size_t body_bytes;
--- a/src/owner/owner_wire.c
+++ b/src/owner/owner_wire.c
@@ -162,20 +162,30 @@
     return TRUE;
 }
 
-Result
-OwnerWire_DecodeCall(const char *method, const char *target,
-                     const HttpHeaders *headers, const void *body,
-                     size_t body_bytes, const void *secret,
-                     size_t secret_bytes, ClockMs now, OwnerWireCall *decoded)
+gboolean
+OwnerWire_IsAuthentic(const char *method, const char *target,
+                      const HttpHeaders *headers, const void *body,
+                      size_t body_bytes, const void *secret,
+                      size_t secret_bytes)
 {
     char *mac = _OwnerWire_ComputeMac(method, target, headers, body,
                                       body_bytes, secret, secret_bytes);
     gboolean is_authentic =
         is_equal_mac(mac, HttpHeaders_Get(headers, "Radishknot-Mac"));
 
-    memset(decoded, 0, sizeof(*decoded));
     g_free(mac);
-    if (!is_authentic) {
+    return is_authentic;
+}
+
+Result
+OwnerWire_DecodeCall(const char *method, const char *target,
+                     const HttpHeaders *headers, const void *body,
+                     size_t body_bytes, const void *secret,
+                     size_t secret_bytes, ClockMs now, OwnerWireCall *decoded)
+{
+    memset(decoded, 0, sizeof(*decoded));
+    if (!OwnerWire_IsAuthentic(method, target, headers, body, body_bytes,
+                               secret, secret_bytes)) {
         return RESULT_PEER_UNAUTHENTICATED;
     }
     if (!read_fields(headers, now, decoded)) {
--- a/src/owner/owner_wire.h
+++ b/src/owner/owner_wire.h
@@ -31,40 +31,40 @@
     HttpHeaders forwarded;
 } OwnerWireCall;
 
-void
-OwnerWire_EncodeCall(const OwnerCall *call, OwnerAttempt attempt,
-                     const void *secret, size_t secret_bytes,
-                     HttpHeaders *headers);
+void OwnerWire_EncodeCall(const OwnerCall *call, OwnerAttempt attempt,
+                          const void *secret, size_t secret_bytes,
+                          HttpHeaders *headers);
+
+/* Whether the message carries the MAC of a holder of the secret. */
+gboolean OwnerWire_IsAuthentic(const char *method, const char *target,
+                               const HttpHeaders *headers, const void *body,
+                               size_t body_bytes, const void *secret,
+                               size_t secret_bytes);
 
 /* `now` is when the request arrived. Release with OwnerWire_ClearCall(). */
-Result
-OwnerWire_DecodeCall(const char *method, const char *target,
-                     const HttpHeaders *headers, const void *body,
-                     size_t body_bytes, const void *secret,
-                     size_t secret_bytes, ClockMs now, OwnerWireCall *decoded);
-void
-OwnerWire_ClearCall(OwnerWireCall *decoded);
+Result OwnerWire_DecodeCall(const char *method, const char *target,
+                            const HttpHeaders *headers, const void *body,
+                            size_t body_bytes, const void *secret,
+                            size_t secret_bytes, ClockMs now,
+                            OwnerWireCall *decoded);
+void OwnerWire_ClearCall(OwnerWireCall *decoded);
 
 /* Turns a reply into an HTTP answer; the reply is cleared. */
-void
-OwnerWire_EncodeReply(OwnerReply *reply, const char *request_id,
-                      OwnerAttempt attempt, HttpAnswer *answer);
+void OwnerWire_EncodeReply(OwnerReply *reply, const char *request_id,
+                           OwnerAttempt attempt, HttpAnswer *answer);
 
 /* Takes over the answer. */
-Result
-OwnerWire_DecodeReply(HttpAnswer *answer, const char *request_id,
-                      OwnerAttempt attempt, OwnerReply *reply);
+Result OwnerWire_DecodeReply(HttpAnswer *answer, const char *request_id,
+                             OwnerAttempt attempt, OwnerReply *reply);
 
 /* TRUE if the header belongs to a connection or to the system and is neither
  * forwarded nor passed back. */
-gboolean
-OwnerWire_IsOwnHeader(const char *name);
+gboolean OwnerWire_IsOwnHeader(const char *name);
 
 /* Hexadecimal MAC of a message; free with g_free(). */
-char *
-_OwnerWire_ComputeMac(const char *method, const char *target,
-                      const HttpHeaders *headers, const void *body,
-                      size_t body_bytes, const void *secret,
-                      size_t secret_bytes);
+char *_OwnerWire_ComputeMac(const char *method, const char *target,
+                            const HttpHeaders *headers, const void *body,
+                            size_t body_bytes, const void *secret,
+                            size_t secret_bytes);
 
 #endif
