--- /dev/null
+++ b/src/backend/backend.c
@@ -0,0 +1,451 @@
+#include "backend/backend.h"
+
+#include <inttypes.h>
+#include <pthread.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+
+/* A waiting request looks this often whether its caller has gone. */
+#define CANCEL_CHECK_MS 50
+
+/* Service time that is assumed before the first answer. */
+#define FIRST_SERVICE_MS 400
+
+/* Weight of the newest sample in the mean service time. */
+#define SERVICE_WEIGHT 0.1
+
+/* Slots that are assumed as long as none were announced. */
+#define LEAST_SLOTS 1
+
+/* A request that runs for longer than this many mean service times, and longer
+ * than LEAST_STALL_MS, speaks for a backend server that hangs. */
+#define STALL_FACTOR 4
+#define LEAST_STALL_MS 1500
+
+/* Risk that is reported while the oldest running request is stalled. */
+#define STALL_RISK 0.8
+
+/* Time left below which a request is not worth starting. */
+#define LEAST_TIME_LEFT_MS 10
+
+typedef struct Waiter {
+    int priority;
+    ClockMs deadline;
+    gboolean admitted;
+    ClockMs started; /* once admitted */
+} Waiter;
+
+struct Backend {
+    Backend_desc desc;
+    pthread_mutex_t lock;
+    pthread_cond_t wake; /* a waiter was admitted, or the state changed */
+    BackendAnnouncement announcement;
+    BackendState state;
+    gboolean closed;
+    GrayFilter filter;
+    double service_ms;
+    GArray *running;  /* ClockMs, starts of the requests that run */
+    GPtrArray *queue; /* Waiter, next one first */
+};
+
+Backend *
+Backend_Create(const Backend_desc *desc)
+{
+    Backend *backend = g_new0(Backend, 1);
+    pthread_condattr_t attributes;
+
+    backend->desc = *desc;
+    pthread_mutex_init(&backend->lock, NULL);
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(&backend->wake, &attributes);
+    pthread_condattr_destroy(&attributes);
+    GrayFilter_Init(&backend->filter, &desc->gray, Clock_Now());
+    backend->service_ms = FIRST_SERVICE_MS;
+    backend->running = g_array_new(FALSE, FALSE, sizeof(ClockMs));
+    backend->queue = g_ptr_array_new();
+    return backend;
+}
+
+void
+Backend_Destroy(Backend *backend)
+{
+    if (backend == NULL) {
+        return;
+    }
+    g_array_free(backend->running, TRUE);
+    g_ptr_array_free(backend->queue, TRUE);
+    pthread_cond_destroy(&backend->wake);
+    pthread_mutex_destroy(&backend->lock);
+    g_free(backend);
+}
+
+const char *
+Backend_StateName(BackendState state)
+{
+    static const char *const names[] = {"unknown", "ready", "draining",
+                                        "gone"};
+
+    return (size_t)state < G_N_ELEMENTS(names) ? names[state] : "?";
+}
+
+/* Called with the lock held. */
+static gboolean
+is_newer(const Backend *backend, const BackendAnnouncement *announcement)
+{
+    const BackendAnnouncement *last = &backend->announcement;
+
+    if (backend->state == BACKEND_UNKNOWN) {
+        return TRUE;
+    }
+    if (announcement->born != last->born) {
+        return announcement->born > last->born;
+    }
+    return announcement->sequence > last->sequence;
+}
+
+/* Called with the lock held. */
+static void
+start_instance(Backend *backend, const BackendAnnouncement *announcement)
+{
+    GrayFilter_Init(&backend->filter, &backend->desc.gray, Clock_Now());
+    backend->state = BACKEND_UNKNOWN;
+    Log_Event(LOG_BACKEND_SERVER_ANNOUNCED,
+              "instance=%s service=%s slots=%u born=%" PRId64 " seq=%" PRId64,
+              announcement->instance, announcement->service,
+              announcement->slots, announcement->born, announcement->sequence);
+}
+
+gboolean
+Backend_Announce(Backend *backend, const BackendAnnouncement *announcement)
+{
+    BackendState state =
+        announcement->draining ? BACKEND_DRAINING : BACKEND_READY;
+    BackendState old;
+    gboolean changed;
+
+    pthread_mutex_lock(&backend->lock);
+    if (!is_newer(backend, announcement)) {
+        pthread_mutex_unlock(&backend->lock);
+        return FALSE;
+    }
+    changed = strcmp(backend->announcement.instance, announcement->instance) ||
+              backend->announcement.born != announcement->born ||
+              backend->state == BACKEND_UNKNOWN;
+    if (changed) {
+        start_instance(backend, announcement);
+    }
+    old = backend->state;
+    /* An instance that has said goodbye does not come back. */
+    if (state > old) {
+        backend->state = state;
+    }
+    backend->announcement = *announcement;
+    changed = changed || backend->state != old;
+    if (changed) {
+        Log_Event(LOG_BACKEND_SERVER_STATE,
+                  "instance=%s old=%s new=%s seq=%" PRId64,
+                  announcement->instance, Backend_StateName(old),
+                  Backend_StateName(backend->state), announcement->sequence);
+    }
+    pthread_cond_broadcast(&backend->wake);
+    pthread_mutex_unlock(&backend->lock);
+    if (changed && backend->desc.changed != NULL) {
+        backend->desc.changed(backend->desc.context);
+    }
+    return TRUE;
+}
+
+void
+Backend_Leave(Backend *backend, const char *instance, int64_t born)
+{
+    gboolean changed = FALSE;
+
+    pthread_mutex_lock(&backend->lock);
+    if (strcmp(backend->announcement.instance, instance) == 0 &&
+        (born == 0 || born == backend->announcement.born) &&
+        backend->state != BACKEND_GONE) {
+        Log_Event(LOG_BACKEND_SERVER_STATE, "instance=%s old=%s new=gone",
+                  instance, Backend_StateName(backend->state));
+        backend->state = BACKEND_GONE;
+        changed = TRUE;
+        pthread_cond_broadcast(&backend->wake);
+    }
+    pthread_mutex_unlock(&backend->lock);
+    if (changed && backend->desc.changed != NULL) {
+        backend->desc.changed(backend->desc.context);
+    }
+}
+
+void
+Backend_Close(Backend *backend)
+{
+    pthread_mutex_lock(&backend->lock);
+    backend->closed = TRUE;
+    pthread_cond_broadcast(&backend->wake);
+    pthread_mutex_unlock(&backend->lock);
+}
+
+/* Called with the lock held. */
+static double
+current_risk(const Backend *backend, ClockMs now)
+{
+    double risk = GrayFilter_Risk(&backend->filter, now);
+    ClockMs limit =
+        MAX(LEAST_STALL_MS, (ClockMs)(STALL_FACTOR * backend->service_ms));
+
+    for (guint i = 0; i < backend->running->len; i++) {
+        if (now - g_array_index(backend->running, ClockMs, i) > limit) {
+            return MAX(risk, STALL_RISK);
+        }
+    }
+    return risk;
+}
+
+static uint32_t
+slots_of(const Backend *backend)
+{
+    return MAX(backend->announcement.slots, LEAST_SLOTS);
+}
+
+/* Called with the lock held. */
+static void
+fill_report(const Backend *backend, ClockMs now, RosterReport *report)
+{
+    *report = (RosterReport){
+        .risk = current_risk(backend, now),
+        .slots = slots_of(backend),
+        .in_flight = backend->running->len,
+        .waiting = backend->queue->len,
+        .service_ms = (ClockMs)backend->service_ms,
+        .leaving = backend->closed || backend->state != BACKEND_READY,
+    };
+}
+
+/* Called with the lock held. */
+static ClockMs
+expected_wait(const Backend *backend, const BackendCall *call)
+{
+    uint32_t slots = slots_of(backend);
+    uint32_t ahead = 0;
+
+    if (backend->running->len < slots && backend->queue->len == 0) {
+        return 0;
+    }
+    for (guint i = 0; i < backend->queue->len; i++) {
+        const Waiter *waiter = g_ptr_array_index(backend->queue, i);
+
+        ahead += waiter->priority <= call->priority;
+    }
+    return (ClockMs)((ahead + 1) * backend->service_ms / slots);
+}
+
+/* Whether a request may wait for a slot at all; with the lock held. */
+static Result
+check_admission(const Backend *backend, const BackendCall *call, ClockMs now)
+{
+    if (backend->closed || backend->state != BACKEND_READY) {
+        return RESULT_BACKEND_SERVER_LEAVING;
+    }
+    if (current_risk(backend, now) > call->max_risk) {
+        return RESULT_BACKEND_SERVER_EJECTED;
+    }
+    if (expected_wait(backend, call) > call->max_wait_ms) {
+        return RESULT_BACKEND_SERVER_BUSY;
+    }
+    return RESULT_OK;
+}
+
+/* Lets waiters run as long as slots are free; with the lock held. */
+static void
+admit_waiters(Backend *backend, ClockMs now)
+{
+    gboolean admitted = FALSE;
+
+    while (backend->queue->len > 0 &&
+           backend->running->len < slots_of(backend)) {
+        Waiter *waiter = g_ptr_array_index(backend->queue, 0);
+
+        g_ptr_array_remove_index(backend->queue, 0);
+        waiter->admitted = TRUE;
+        waiter->started = now;
+        g_array_append_val(backend->running, now);
+        admitted = TRUE;
+    }
+    if (admitted) {
+        pthread_cond_broadcast(&backend->wake);
+    }
+}
+
+static void
+enqueue(Backend *backend, Waiter *waiter)
+{
+    guint place = 0;
+
+    while (place < backend->queue->len) {
+        const Waiter *other = g_ptr_array_index(backend->queue, place);
+
+        if (other->priority > waiter->priority ||
+            (other->priority == waiter->priority &&
+             other->deadline > waiter->deadline)) {
+            break;
+        }
+        place++;
+    }
+    g_ptr_array_insert(backend->queue, (gint)place, waiter);
+}
+
+static void
+wait_a_while(Backend *backend, ClockMs milliseconds)
+{
+    gint64 end = g_get_monotonic_time() + milliseconds * 1000;
+    struct timespec until = {.tv_sec = end / G_USEC_PER_SEC,
+                             .tv_nsec = (end % G_USEC_PER_SEC) * 1000};
+
+    (void)pthread_cond_timedwait(&backend->wake, &backend->lock, &until);
+}
+
+/* Takes a slot, in turn; with the lock held. On failure the request has not
+ * left the queue for the backend server. */
+static Result
+take_slot(Backend *backend, const BackendCall *call, ClockMs *started)
+{
+    Waiter waiter = {.priority = call->priority, .deadline = call->deadline};
+    Result result = check_admission(backend, call, Clock_Now());
+    ClockMs now;
+
+    if (result != RESULT_OK) {
+        return result;
+    }
+    enqueue(backend, &waiter);
+    admit_waiters(backend, Clock_Now());
+    while (!waiter.admitted && result == RESULT_OK) {
+        now = Clock_Now();
+        if (call->cancel != NULL && HttpCancel_IsTriggered(call->cancel)) {
+            result = RESULT_CANCELLED;
+        }
+        else if (backend->closed || backend->state != BACKEND_READY) {
+            result = RESULT_BACKEND_SERVER_LEAVING;
+        }
+        else if (call->deadline - now < LEAST_TIME_LEFT_MS) {
+            result = RESULT_DEADLINE_EXPIRED;
+        }
+        else {
+            wait_a_while(backend, MIN(call->deadline - now, CANCEL_CHECK_MS));
+        }
+    }
+    if (waiter.admitted) {
+        *started = waiter.started;
+        return RESULT_OK;
+    }
+    g_ptr_array_remove(backend->queue, &waiter);
+    return result;
+}
+
+/* Called with the lock held. `started` is one of the running requests. */
+static void
+give_slot_back(Backend *backend, ClockMs started)
+{
+    for (guint i = 0; i < backend->running->len; i++) {
+        if (g_array_index(backend->running, ClockMs, i) == started) {
+            g_array_remove_index_fast(backend->running, i);
+            break;
+        }
+    }
+    admit_waiters(backend, Clock_Now());
+}
+
+/* Called with the lock held. */
+static void
+learn(Backend *backend, const BackendCall *call, const BackendReply *reply,
+      ClockMs now)
+{
+    switch (reply->result) {
+    case RESULT_OK:
+        GrayFilter_Observe(&backend->filter, FALSE, now);
+        backend->service_ms += SERVICE_WEIGHT * ((double)reply->server_ms -
+                                                 backend->service_ms);
+        return;
+    case RESULT_CANCELLED:
+        return;
+    case RESULT_DEADLINE_EXPIRED:
+        /* A caller in a hurry says nothing about the backend server. */
+        if (reply->server_ms < LEAST_STALL_MS) {
+            return;
+        }
+        break;
+    case RESULT_BACKEND_SERVER_OTHER:
+        /* Another instance has the address: wait for its announcement. */
+        if (backend->state == BACKEND_READY) {
+            backend->state = BACKEND_GONE;
+            Log_Event(LOG_BACKEND_SERVER_STATE,
+                      "instance=%s old=ready new=gone reason=replaced "
+                      "request=%s",
+                      backend->announcement.instance, call->request_id);
+        }
+        return;
+    default:
+        break;
+    }
+    GrayFilter_Observe(&backend->filter, TRUE, now);
+}
+
+void
+Backend_Run(Backend *backend, const BackendCall *call, BackendReply *reply)
+{
+    ClockMs arrived = Clock_Now();
+    BackendAnnouncement announcement;
+    BackendExchange exchange = {.names = backend->desc.names,
+                                .client = backend->desc.client};
+    ClockMs started = 0;
+    ClockMs now;
+
+    *reply = (BackendReply){.run = RUN_NO};
+    pthread_mutex_lock(&backend->lock);
+    reply->result = take_slot(backend, call, &started);
+    now = Clock_Now();
+    reply->queue_ms = now - arrived;
+    if (reply->result != RESULT_OK) {
+        fill_report(backend, now, &reply->report);
+        pthread_mutex_unlock(&backend->lock);
+        return;
+    }
+    announcement = backend->announcement;
+    pthread_mutex_unlock(&backend->lock);
+
+    exchange.address = announcement.address;
+    exchange.instance = announcement.instance;
+    Counter_Add(COUNTER_OWNER_SENT, 1);
+    _Backend_Exchange(&exchange, call, reply);
+
+    now = Clock_Now();
+    pthread_mutex_lock(&backend->lock);
+    if (strcmp(backend->announcement.instance, announcement.instance) == 0) {
+        learn(backend, call, reply, now);
+    }
+    give_slot_back(backend, started);
+    fill_report(backend, now, &reply->report);
+    pthread_mutex_unlock(&backend->lock);
+    Counter_Observe(HISTOGRAM_OWNER_QUEUE, reply->queue_ms * 1000);
+    Counter_Observe(HISTOGRAM_OWNER_SERVER, reply->server_ms * 1000);
+}
+
+void
+Backend_GetStatus(Backend *backend, BackendStatus *status)
+{
+    pthread_mutex_lock(&backend->lock);
+    status->announcement = backend->announcement;
+    status->state = backend->state;
+    pthread_mutex_unlock(&backend->lock);
+}
+
+void
+Backend_GetReport(Backend *backend, RosterReport *report)
+{
+    pthread_mutex_lock(&backend->lock);
+    fill_report(backend, Clock_Now(), report);
+    pthread_mutex_unlock(&backend->lock);
+}
--- /dev/null
+++ b/src/backend/backend_call.c
@@ -0,0 +1,97 @@
+#include <string.h>
+
+#include "backend/backend.h"
+
+/* A connection that was idle for longer is not used for a request that must
+ * not run twice: its peer may have closed it meanwhile, and then nobody could
+ * tell whether the request ran. */
+#define FRESH_IDLE_MS 3000
+
+/* Longest time to connect to a port on the same host. */
+#define CONNECT_MS 500
+
+static void
+fill_headers(const BackendExchange *exchange, const BackendCall *call,
+             ClockMs now, HttpHeaders *headers)
+{
+    const WireNames *names = exchange->names;
+
+    for (size_t i = 0; i < call->headers->count; i++) {
+        HttpHeaders_Add(headers, call->headers->items[i].name,
+                        call->headers->items[i].value);
+    }
+    HttpHeaders_Add(headers, names->request_id, call->request_id);
+    HttpHeaders_AddNumber(headers, names->time_left_ms,
+                          MAX(call->deadline - now, 1));
+    HttpHeaders_Add(headers, names->expected, exchange->instance);
+    HttpHeaders_Add(headers, names->caller, call->caller);
+    if (call->team != NULL) {
+        HttpHeaders_Add(headers, names->team, call->team);
+    }
+}
+
+/* Judges an answer that came whole. */
+static void
+judge(const WireNames *names, BackendReply *reply)
+{
+    const HttpAnswer *answer = &reply->answer;
+    gboolean is_signed =
+        HttpHeaders_Get(&answer->headers, names->signature) != NULL;
+
+    if (answer->status == 421) {
+        reply->result = RESULT_BACKEND_SERVER_OTHER;
+        reply->run = RUN_NO;
+    }
+    else if (HttpHeaders_Get(&answer->headers, names->not_run) != NULL) {
+        reply->result = RESULT_BACKEND_SERVER_SHED;
+        reply->run = RUN_NO;
+    }
+    else if (answer->status >= 500) {
+        reply->result = RESULT_BACKEND_SERVER_ERROR;
+        reply->run = RUN_YES;
+    }
+    else if (!is_signed && answer->status < 300) {
+        reply->result = RESULT_ANSWER_MISMATCH;
+        reply->run = RUN_UNKNOWN;
+    }
+    else {
+        reply->result = RESULT_OK;
+        reply->run = RUN_YES;
+    }
+}
+
+void
+_Backend_Exchange(const BackendExchange *exchange, const BackendCall *call,
+                  BackendReply *reply)
+{
+    ClockMs started = Clock_Now();
+    HttpHeaders headers = {0};
+    HttpCall http = {.address = exchange->address,
+                     .method = call->method,
+                     .target = call->target,
+                     .host = call->host,
+                     .headers = &headers,
+                     .body = call->body,
+                     .body_bytes = call->body_bytes,
+                     .deadline = call->deadline,
+                     .connect_ms = CONNECT_MS,
+                     .max_idle_ms = call->idempotent ? 0 : FRESH_IDLE_MS,
+                     .allow_unframed = TRUE,
+                     .match_header = exchange->names->request_id,
+                     .match_value = call->request_id,
+                     .cancel = call->idempotent ? call->cancel : NULL};
+    gboolean sent;
+
+    fill_headers(exchange, call, started, &headers);
+    reply->result =
+        HttpClient_Call(exchange->client, &http, &reply->answer, &sent);
+    reply->server_ms = Clock_Now() - started;
+    reply->arrived = sent;
+    if (reply->result == RESULT_OK) {
+        judge(exchange->names, reply);
+    }
+    else {
+        reply->run = sent ? RUN_UNKNOWN : RUN_NO;
+    }
+    HttpHeaders_Clear(&headers);
+}
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,14 +1,19 @@
 #include "base/log.h"
 
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <string.h>
+#include <time.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/counter.h"
 
 #define REPEATS_PER_SECOND 20
 #define LINE_BYTES 1000
+#define HEAD_BYTES 400
+#define TIME_BYTES 64
 
 typedef struct LogRow {
     LogEvent event;
@@ -66,28 +71,79 @@
     return ++repeats[row].written > REPEATS_PER_SECOND;
 }
 
+/* Writes the line unless that would block; a reader that lags loses lines, not
+ * the daemon its time. */
 static void
-write_json(FILE *stream, const LogRow *row, const char *time,
-           const char *fields)
+write_line(const char *line, size_t bytes)
+{
+    struct pollfd output = {
+        .fd = fileno(setup.stream ? setup.stream : stderr),
+        .events = POLLOUT};
+
+    if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0 ||
+        write(output.fd, line, bytes) != (ssize_t)bytes) {
+        Counter_Add(COUNTER_LOG_SUPPRESSED, 1);
+    }
+}
+
+/* Writes "2026-12-04T10:00:00.123Z". */
+static void
+format_time(char *text, size_t bytes)
+{
+    ClockMs now = Clock_WallMs();
+    time_t seconds = (time_t)(now / 1000);
+    struct tm parts;
+    size_t length;
+
+    gmtime_r(&seconds, &parts);
+    length = strftime(text, bytes, "%Y-%m-%dT%H:%M:%S", &parts);
+    (void)snprintf(text + length, bytes - length, ".%03dZ",
+                   (int)(now % 1000));
+}
+
+static int
+format_json(char *line, size_t bytes, const LogRow *row, const char *time,
+            const char *fields)
 {
     char *escaped = g_strescape(fields, NULL);
+    int length = snprintf(
+        line, bytes,
+        "{\"time\":\"%s\",\"level\":\"%s\",\"event\":%d,\"name\":\"%s\","
+        "\"text\":\"%s\",\"host\":\"%s\",\"fields\":\"%s\"}\n",
+        time, level_names[row->level], (int)row->event, row->name, row->text,
+        setup.host ? setup.host : "", escaped);
 
-    fprintf(stream,
-            "{\"time\":\"%s\",\"level\":\"%s\",\"event\":%d,\"name\":\"%s\","
-            "\"text\":\"%s\",\"host\":\"%s\",\"fields\":\"%s\"}\n",
-            time, level_names[row->level], (int)row->event, row->name,
-            row->text, setup.host ? setup.host : "", escaped);
     g_free(escaped);
+    return length;
+}
+
+static int
+format_text(char *line, size_t bytes, const LogRow *row, const char *time,
+            const char *fields)
+{
+    return snprintf(line, bytes, "%s %s %s E%d %s: %s%s%s\n", time,
+                    setup.host ? setup.host : "-", level_names[row->level],
+                    (int)row->event, row->name, row->text,
+                    fields[0] ? " " : "", fields);
 }
 
+/* Called with the lock held. */
 static void
-write_text(FILE *stream, const LogRow *row, const char *time,
-           const char *fields)
+write_event(const LogRow *row, const char *fields)
 {
-    fprintf(stream, "%s %s %s E%d %s: %s%s%s\n", time,
-            setup.host ? setup.host : "-", level_names[row->level],
-            (int)row->event, row->name, row->text, fields[0] ? " " : "",
-            fields);
+    char line[2 * LINE_BYTES + HEAD_BYTES];
+    char time[TIME_BYTES];
+    int length;
+
+    format_time(time, sizeof(time));
+    length = setup.json
+                 ? format_json(line, sizeof(line), row, time, fields)
+                 : format_text(line, sizeof(line), row, time, fields);
+    if (length >= (int)sizeof(line)) {
+        length = (int)sizeof(line) - 1;
+        line[length - 1] = '\n';
+    }
+    write_line(line, (size_t)length);
 }
 
 void
@@ -96,9 +152,6 @@
     char fields[LINE_BYTES];
     int row = find_row(event);
     va_list arguments;
-    GDateTime *date;
-    char *time;
-    FILE *stream;
 
     if (row < 0) {
         return;
@@ -112,18 +165,7 @@
             Counter_Add(COUNTER_LOG_SUPPRESSED, 1);
         }
         else {
-            date = g_date_time_new_now_utc();
-            time = g_date_time_format(date, "%Y-%m-%dT%H:%M:%S.%fZ");
-            stream = setup.stream ? setup.stream : stderr;
-            if (setup.json) {
-                write_json(stream, &rows[row], time, fields);
-            }
-            else {
-                write_text(stream, &rows[row], time, fields);
-            }
-            fflush(stream);
-            g_free(time);
-            g_date_time_unref(date);
+            write_event(&rows[row], fields);
         }
     }
     pthread_mutex_unlock(&lock);
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,12 +1,13 @@
-/* Log: numbered events as lines on standard error.
+/* Log: numbered events as lines on standard error or another stream.
  *
  * Use: add a line to base/log_list.h, then
  *     Log_Event(LOG_TICKET_IN_FORCE, "ticket=%d", number);
  * Fields are written as name=value. Keys and bodies of requests never go into
  * a field.
  *
- * Limits: an event is written at most 20 times in one second; what is left out
- * is counted (COUNTER_LOG_SUPPRESSED). A line is cut at 1,000 bytes.
+ * Limits: an event is written at most 20 times in one second, and never when
+ * the stream would block; what is left out is counted
+ * (COUNTER_LOG_SUPPRESSED). The fields are cut at 1,000 bytes.
  */
 #ifndef BASE_LOG_H
 #define BASE_LOG_H
--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -18,11 +18,18 @@
         "the certificate for new connections was read again") \
     LOG(TLS_CERTIFICATE_REJECTED, 107, ERROR, \
         "the new certificate is not used; the one in use stays") \
+    LOG(READY_CHANGED, 108, INFO, "readiness changed") \
     \
     \
     /* store 200-219 */ \
     LOG(STORE_FAILED, 200, WARNING, "call on the store failed") \
     LOG(STORE_BACK, 201, INFO, "the store answers again") \
+    LOG(STORE_LOST, 202, WARNING, "objects of this kind cannot be followed") \
+    LOG(STORE_REGAINED, 203, INFO, "objects of this kind are followed again") \
+    LOG(STORE_HISTORY_GONE, 204, INFO, \
+        "the store has forgotten the revision; listing again") \
+    LOG(OBJECT_WRITTEN, 205, INFO, "object written to the store") \
+    LOG(OBJECT_REJECTED, 206, WARNING, "object in the store is malformed") \
     \
     \
     /* config 220-249 */ \
@@ -32,6 +39,9 @@
     LOG(SNAPSHOT_WRITTEN, 223, INFO, "configuration snapshot was written") \
     LOG(SNAPSHOT_REJECTED, 224, WARNING, \
         "configuration snapshot is invalid or incomplete") \
+    LOG(CATALOG_IN_FORCE, 228, INFO, "configuration of the store is in force") \
+    LOG(CATALOG_REJECTED, 229, ERROR, \
+        "configuration of the store is not used; the one in force stays") \
     LOG(BUNDLE_REJECTED, 225, WARNING, "configuration from a peer is invalid") \
     LOG(CONFIG_MISSING, 226, WARNING, \
         "neither the store nor a peer gave a configuration yet") \
@@ -46,6 +56,8 @@
     LOG(SLOT_TAKEN, 270, INFO, "rate slot taken") \
     LOG(SLOT_LOST, 271, WARNING, "rate slot lost") \
     LOG(SLOT_RELEASED, 272, INFO, "rate slot released") \
+    LOG(QUOTA_KEEPER_SILENT, 273, WARNING, \
+        "the keeper of a team's quota does not answer") \
     \
     \
     /* rpc 300-319 */ \
@@ -53,6 +65,7 @@
     \
     \
     /* member 320-349 */ \
+    LOG(ROSTER_CHANGED, 328, INFO, "backend server in the store changed") \
     LOG(MEMBER_JOINED, 320, INFO, "host joined") \
     LOG(MEMBER_SUSPECTED, 321, INFO, "host suspected") \
     LOG(MEMBER_DEAD, 322, WARNING, "host declared dead") \
@@ -78,7 +91,12 @@
     /* http, entry, owner 400-449 */ \
     LOG(REQUEST_FAILED, 400, WARNING, "request failed") \
     LOG(BACKEND_SERVER_ANNOUNCED, 401, INFO, "backend server announced") \
-    LOG(BACKEND_SERVER_GONE, 402, INFO, "backend server is gone")
+    LOG(BACKEND_SERVER_GONE, 402, INFO, "backend server is gone") \
+    LOG(BACKEND_SERVER_STATE, 403, INFO, "backend server changed its state") \
+    LOG(ANNOUNCEMENT_REFUSED, 404, WARNING, \
+        "announcement is malformed or out of date") \
+    LOG(REQUEST_ENDED, 405, INFO, "request of a caller ended") \
+    LOG(CALL_RUN, 406, INFO, "request of another daemon ended")
 /* clang-format on */
 
 #endif
--- a/src/base/result_list.h
+++ b/src/base/result_list.h
@@ -26,6 +26,8 @@
     RESULT(STORE_CONFLICT, 121, 409, "the object has another version") \
     RESULT(STORE_UNCERTAIN, 122, 503, \
            "the store's answer was lost; the write may have taken effect") \
+    RESULT(STORE_HISTORY_GONE, 123, 410, \
+           "the store no longer has the history that a watch asks for") \
     \
     \
     /* config 140-169 */ \
@@ -126,7 +128,9 @@
     RESULT(REQUEST_ID_VOID, 356, 409, \
            "this copy of the request was voided before it arrived") \
     RESULT(CONNECTION_SILENT, 357, 502, \
-           "the connection to the owner went silent")
+           "the connection to the owner went silent") \
+    RESULT(BACKEND_SERVER_OTHER, 358, 503, \
+           "another backend server has the address")
 /* clang-format on */
 
 #endif
--- /dev/null
+++ b/src/catalog/catalog.c
@@ -0,0 +1,77 @@
+#include "catalog/catalog.h"
+
+#include <stdatomic.h>
+#include <urcu.h>
+
+/* No confirmation has come yet. */
+#define UNCONFIRMED INT64_MIN
+
+struct Catalog {
+    CatalogTable *table; /* published by RCU */
+    _Atomic ClockMs confirmed;
+};
+
+Catalog *
+Catalog_Create(void)
+{
+    Catalog *catalog = g_new0(Catalog, 1);
+
+    atomic_store(&catalog->confirmed, UNCONFIRMED);
+    return catalog;
+}
+
+void
+Catalog_Destroy(Catalog *catalog)
+{
+    if (catalog != NULL) {
+        CatalogTable_Unref(catalog->table);
+        g_free(catalog);
+    }
+}
+
+gboolean
+Catalog_Publish(Catalog *catalog, CatalogTable *table)
+{
+    CatalogTable *old = catalog->table;
+
+    if (old != NULL &&
+        CatalogTable_Version(table) < CatalogTable_Version(old)) {
+        CatalogTable_Unref(table);
+        return FALSE;
+    }
+    rcu_assign_pointer(catalog->table, table);
+    /* Readers that found the old table have taken their reference by then. */
+    synchronize_rcu();
+    CatalogTable_Unref(old);
+    return TRUE;
+}
+
+void
+Catalog_Confirm(Catalog *catalog, ClockMs moment)
+{
+    if (moment > atomic_load(&catalog->confirmed)) {
+        atomic_store(&catalog->confirmed, moment);
+    }
+}
+
+CatalogTable *
+Catalog_Acquire(Catalog *catalog)
+{
+    CatalogTable *table;
+
+    rcu_read_lock();
+    table = rcu_dereference(catalog->table);
+    if (table != NULL) {
+        CatalogTable_Ref(table);
+    }
+    rcu_read_unlock();
+    return table;
+}
+
+ClockMs
+Catalog_Age(const Catalog *catalog, ClockMs now)
+{
+    ClockMs confirmed = atomic_load(&catalog->confirmed);
+
+    return confirmed == UNCONFIRMED ? CLOCK_NEVER : MAX(now - confirmed, 0);
+}
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -3,6 +3,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 #include <urcu.h>
@@ -10,6 +11,8 @@
 #include "base/log.h"
 #include "base/result.h"
 #include "daemon/daemon.h"
+#include "platform/platform.h"
+#include "sidecar/sidecar.h"
 
 const char *argp_program_version = "radishknotd 0.1.0";
 
@@ -81,16 +84,65 @@
     }
 }
 
+static gboolean
+is_on_platform(const Settings *settings)
+{
+    return strcmp(settings->mode, "platform") == 0;
+}
+
 static void
 set_up_log(const Settings *settings)
 {
     Log_desc log = {.json = settings->log_format[0] == 'j',
+                    .stream = is_on_platform(settings) ? stdout : stderr,
                     .host = settings->host};
 
     Log_LevelFromName(settings->log_level, &log.level);
     Log_Setup(&log);
 }
 
+static int
+fail_to_start(GError *error)
+{
+    Log_Event(LOG_START_FAILED, "%s", error->message);
+    return Result_ExitCode((Result)error->code);
+}
+
+static int
+run_sidecar(Settings *settings, int signals, const char *path)
+{
+    struct signalfd_siginfo info;
+    GError *error = NULL;
+    Sidecar *sidecar =
+        Sidecar_Create(settings, Platform_Adapter(), &error);
+
+    if (sidecar == NULL) {
+        return fail_to_start(error);
+    }
+    while (read(signals, &info, sizeof(info)) == sizeof(info) &&
+           info.ssi_signo == SIGHUP) {
+        Sidecar_Reload(sidecar, path);
+    }
+    Sidecar_Stop(sidecar);
+    /* Threads that wait for the store end with the process. */
+    _exit(0);
+}
+
+static int
+run_daemon(Settings *settings, int signals, const char *path)
+{
+    GError *error = NULL;
+    Daemon *daemon = Daemon_Create(settings, &error);
+
+    if (daemon == NULL) {
+        return fail_to_start(error);
+    }
+    serve(daemon, signals, path);
+    Daemon_Stop(daemon);
+    Daemon_Destroy(daemon);
+    return 0;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -107,8 +159,8 @@
     Options options = {0};
     GError *error = NULL;
     Settings *settings;
-    Daemon *daemon;
     int signals;
+    int code;
 
     argp_parse(&argp, argc, argv, 0, NULL, &options);
     settings = Settings_Load(options.settings, &error);
@@ -123,14 +175,9 @@
     set_up_log(settings);
     signals = open_signals();
     rcu_register_thread();
-    daemon = Daemon_Create(settings, &error);
-    if (daemon == NULL) {
-        Log_Event(LOG_START_FAILED, "%s", error->message);
-        return Result_ExitCode((Result)error->code);
-    }
-    serve(daemon, signals, options.settings);
-    Daemon_Stop(daemon);
-    Daemon_Destroy(daemon);
+    code = is_on_platform(settings)
+               ? run_sidecar(settings, signals, options.settings)
+               : run_daemon(settings, signals, options.settings);
     rcu_unregister_thread();
-    return 0;
+    return code;
 }
--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,225 @@
+#include "gateway/gateway.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "gateway/gateway_internal.h"
+#include "gateway/peer_wire.h"
+
+/* When a caller may come back after a refusal, in milliseconds: after a lack
+ * of free or sound backend servers, after a lack of contact to the store, and
+ * after its team's rate was used up. */
+#define RETRY_BUSY_MS 300
+#define RETRY_ISOLATED_MS 1000
+#define RETRY_QUOTA_MS 1000
+
+/* Refusals spread their callers over this share more. */
+#define RETRY_SPREAD 0.5
+
+static ClockMs
+retry_after(Result result)
+{
+    switch (result) {
+    case RESULT_RATE_EXCEEDED:
+        return RETRY_QUOTA_MS;
+    case RESULT_ISOLATED:
+    case RESULT_NOT_CONFIGURED:
+        return RETRY_ISOLATED_MS;
+    default:
+        return RETRY_BUSY_MS;
+    }
+}
+
+static void
+add_retry_after(Gateway *gateway, Result result, HttpAnswer *answer)
+{
+    char text[32];
+    double spread;
+
+    pthread_mutex_lock(&gateway->lock);
+    spread = 1 + RETRY_SPREAD * Rng_Unit(&gateway->rng);
+    pthread_mutex_unlock(&gateway->lock);
+    g_ascii_formatd(text, sizeof(text), "%.2f",
+                    (double)retry_after(result) * spread / 1000);
+    HttpHeaders_Add(&answer->headers, "Retry-After", text);
+}
+
+/* Status of a request that ends without a backend server's answer. */
+static int
+refusal_status(Result result, RunState run)
+{
+    int status = Result_HttpStatus(result);
+
+    if (run != RUN_NO) {
+        return result == RESULT_DEADLINE_EXPIRED ? 504 : 502;
+    }
+    /* Not run: say so, whatever the cause. */
+    return status >= 500 ? 503 : status;
+}
+
+static void
+fill_refusal(Gateway *gateway, const GatewayRequest *request, Result result,
+             RunState run, HttpAnswer *answer)
+{
+    HttpAnswer_SetRefusal(answer, result, run, request->call.request_id, NULL);
+    answer->status = refusal_status(result, run);
+    if (answer->status == 503 || answer->status == 429) {
+        add_retry_after(gateway, result, answer);
+    }
+    Counter_Refusal(result);
+}
+
+/* Passes a backend server's answer on as it is. */
+static void
+fill_answer(BackendReply *reply, HttpAnswer *answer)
+{
+    const HttpHeaders *headers = &reply->answer.headers;
+
+    answer->status = reply->answer.status;
+    for (size_t i = 0; i < headers->count; i++) {
+        if (!PeerWire_IsHopHeader(headers->items[i].name) &&
+            !PeerWire_IsOwnHeader(headers->items[i].name)) {
+            HttpHeaders_Add(&answer->headers, headers->items[i].name,
+                            headers->items[i].value);
+        }
+    }
+    answer->body = reply->answer.body;
+    answer->body_bytes = reply->answer.body_bytes;
+    reply->answer.body = NULL;
+    Counter_Add(COUNTER_ENTRY_ANSWERS, 1);
+}
+
+static void
+log_request(const GatewayRequest *request, const BackendReply *reply,
+            int status)
+{
+    uint64_t version =
+        request->table ? CatalogTable_Version(request->table) : 0;
+
+    Log_Event(LOG_REQUEST_ENDED,
+              "request=%s route=%s service=%s team=%s version=%" PRIu64
+              " proof_age_ms=%" PRId64 " quota=%s attempts=%u%s result=%s "
+              "run=%s status=%d ms=%" PRId64,
+              request->call.request_id ? request->call.request_id : "-",
+              request->route ? request->route->name : "-",
+              request->part ? request->part->service : "-",
+              request->team ? request->team->name : "-", version,
+              request->proof_age == CLOCK_NEVER ? -1 : request->proof_age,
+              Quota_SourceName(request->quota_source), request->arrivals,
+              request->trace, Result_Name(reply->result),
+              Result_RunName(reply->run), status,
+              Clock_Now() - request->arrived);
+}
+
+static gboolean
+is_answer(const BackendReply *reply)
+{
+    return reply->answer.status != 0 &&
+           (reply->result == RESULT_OK ||
+            reply->result == RESULT_BACKEND_SERVER_ERROR);
+}
+
+static void
+serve(void *context, HttpRequest *http)
+{
+    Gateway *gateway = context;
+    GatewayRequest request = {.gateway = gateway, .http = http};
+    HttpCancel *cancel = HttpCancel_Create();
+    BackendReply reply = {.run = RUN_NO};
+    HttpAnswer answer = {0};
+    int status;
+
+    Counter_Add(COUNTER_ENTRY_REQUESTS, 1);
+    request.call.cancel = cancel;
+    HttpRequest_OnHangUp(http, HttpCancel_Trigger, cancel);
+    reply.result = _Gateway_Prepare(&request);
+    if (reply.result == RESULT_OK) {
+        _Gateway_Attempt(&request, &reply);
+    }
+    HttpRequest_OnHangUp(http, NULL, NULL);
+    if (is_answer(&reply)) {
+        fill_answer(&reply, &answer);
+    }
+    else {
+        fill_refusal(gateway, &request, reply.result, reply.run, &answer);
+    }
+    status = answer.status;
+    HttpRequest_Respond(http, &answer);
+    log_request(&request, &reply, status);
+    Counter_Observe(HISTOGRAM_ENTRY_TOTAL,
+                    (Clock_Now() - request.arrived) * 1000);
+    HttpAnswer_Clear(&reply.answer);
+    HttpCancel_Destroy(cancel);
+    _Gateway_ClearRequest(&request);
+}
+
+/* Answers what the server itself turns away. */
+static void
+refuse(void *context, HttpRequest *http, Result result, HttpAnswer *answer)
+{
+    Gateway *gateway = context;
+    GatewayRequest request = {.gateway = gateway, .http = http};
+
+    request.call.request_id = HttpHeaders_Get(
+        HttpRequest_Headers(http), gateway->desc.names->request_id);
+    fill_refusal(gateway, &request, result, RUN_NO, answer);
+}
+
+Gateway *
+Gateway_Create(const Gateway_desc *desc, GError **error)
+{
+    Gateway *gateway = g_new0(Gateway, 1);
+    HttpServer_desc server = {.address = desc->address,
+                              .event_threads = 1,
+                              .worker_threads = desc->threads,
+                              .max_body_bytes = desc->max_body_bytes,
+                              .handler = serve,
+                              .refuser = refuse,
+                              .context = gateway};
+
+    gateway->desc = *desc;
+    gateway->host = Rng_HashString(desc->host);
+    pthread_mutex_init(&gateway->lock, NULL);
+    gateway->budgets =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    Rng_Seed(&gateway->rng, Rng_ProcessSeed());
+    gateway->server = HttpServer_Create(&server, error);
+    if (gateway->server == NULL) {
+        g_hash_table_destroy(gateway->budgets);
+        pthread_mutex_destroy(&gateway->lock);
+        g_free(gateway);
+        return NULL;
+    }
+    return gateway;
+}
+
+void
+Gateway_Leave(Gateway *gateway)
+{
+    HttpServer_Leave(gateway->server);
+}
+
+gboolean
+Gateway_Drain(Gateway *gateway, ClockMs until)
+{
+    return HttpServer_Drain(gateway->server, until);
+}
+
+unsigned
+Gateway_InFlight(const Gateway *gateway)
+{
+    return HttpServer_InFlight(gateway->server);
+}
+
+void
+Gateway_Destroy(Gateway *gateway)
+{
+    if (gateway != NULL) {
+        HttpServer_Destroy(gateway->server);
+        g_hash_table_destroy(gateway->budgets);
+        pthread_mutex_destroy(&gateway->lock);
+        g_free(gateway);
+    }
+}
--- /dev/null
+++ b/src/gateway/gateway_request.c
@@ -0,0 +1,190 @@
+#include <stdarg.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "gateway/gateway_internal.h"
+#include "gateway/peer_wire.h"
+
+/* Deadline of a caller that gives none. */
+#define DEFAULT_DEADLINE_MS 10000
+
+/* Objective of a route that has none. */
+#define DEFAULT_TARGET_MS 2000
+
+/* Age of the configuration up to which it may deny a route or a key. An older
+ * one may lack what the newest has, so the request is refused as not run. */
+#define DENY_AGE_MS 3000
+
+void
+_Gateway_Trace(GatewayRequest *request, const char *format, ...)
+{
+    size_t used = strlen(request->trace);
+    va_list arguments;
+
+    va_start(arguments, format);
+    (void)vsnprintf(request->trace + used, sizeof(request->trace) - used,
+                    format, arguments);
+    va_end(arguments);
+}
+
+/* Headers that the system sets itself, whatever the caller sent. */
+static gboolean
+is_set_by_system(const WireNames *names, const char *name)
+{
+    const char *const own[] = {names->request_id, names->time_left_ms,
+                               names->key,        names->team,
+                               names->caller,     names->expected};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(own); i++) {
+        if (g_ascii_strcasecmp(name, own[i]) == 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+static void
+copy_headers(GatewayRequest *request)
+{
+    const HttpHeaders *headers = HttpRequest_Headers(request->http);
+    const WireNames *names = request->gateway->desc.names;
+
+    for (size_t i = 0; i < headers->count; i++) {
+        const HttpHeader *header = &headers->items[i];
+
+        if (!is_set_by_system(names, header->name) &&
+            !PeerWire_IsOwnHeader(header->name) &&
+            !PeerWire_IsHopHeader(header->name)) {
+            HttpHeaders_Add(&request->forwarded, header->name, header->value);
+        }
+    }
+}
+
+/* A configuration that is not known to be fresh does not deny a request. */
+static Result
+deny(const GatewayRequest *request, Result result)
+{
+    return request->proof_age > DENY_AGE_MS ? RESULT_ISOLATED : result;
+}
+
+static Result
+find_team(GatewayRequest *request)
+{
+    const HttpHeaders *headers = HttpRequest_Headers(request->http);
+    const char *key =
+        HttpHeaders_Get(headers, request->gateway->desc.names->key);
+
+    if (!CatalogTable_HasTeams(request->table) || request->route->anonymous) {
+        return RESULT_OK;
+    }
+    Counter_Add(COUNTER_KEY_LOOKUPS, 1);
+    if (key == NULL) {
+        return RESULT_KEY_MISSING;
+    }
+    request->team = CatalogTable_FindTeamByKey(request->table, key);
+    if (request->team == NULL) {
+        return deny(request, RESULT_KEY_UNKNOWN);
+    }
+    if (request->proof_age > request->gateway->desc.proof_ms) {
+        return RESULT_ISOLATED;
+    }
+    return RESULT_OK;
+}
+
+static void
+set_times(GatewayRequest *request)
+{
+    const HttpHeaders *headers = HttpRequest_Headers(request->http);
+    const CatalogRoute *route = request->route;
+    int64_t left = HttpHeaders_GetNumber(
+        headers, request->gateway->desc.names->time_left_ms,
+        DEFAULT_DEADLINE_MS);
+    ClockMs target_ms =
+        route->target_ms > 0 ? route->target_ms : DEFAULT_TARGET_MS;
+
+    if (route->timeout_ms > 0) {
+        left = MIN(left, route->timeout_ms);
+    }
+    request->deadline = request->arrived + MAX(left, 0);
+    request->target_time =
+        MIN(request->arrived + target_ms, request->deadline);
+}
+
+static void
+fill_call(GatewayRequest *request, const char *id)
+{
+    const CatalogTeam *team = request->team;
+    BackendCall *call = &request->call;
+
+    call->request_id = id;
+    call->team = team ? team->name : NULL;
+    call->caller = request->gateway->desc.service;
+    call->method = HttpRequest_Method(request->http);
+    call->target = request->target;
+    call->host = HttpHeaders_Get(HttpRequest_Headers(request->http), "Host");
+    call->headers = &request->forwarded;
+    call->body = HttpRequest_Body(request->http, &call->body_bytes);
+    call->deadline = request->deadline;
+    call->idempotent = request->route->idempotent;
+    call->priority = request->route->priority;
+    if (team != NULL && team->has_priority) {
+        call->priority = team->priority;
+    }
+    else if (team == NULL) {
+        call->priority = BACKEND_PRIORITY_INNER;
+    }
+}
+
+Result
+_Gateway_Prepare(GatewayRequest *request)
+{
+    Gateway *gateway = request->gateway;
+    const HttpHeaders *headers = HttpRequest_Headers(request->http);
+    const char *host = HttpHeaders_Get(headers, "Host");
+    const char *id = HttpHeaders_Get(headers, gateway->desc.names->request_id);
+    Result result;
+
+    request->arrived = HttpRequest_Arrived(request->http);
+    request->target = HttpRequest_Target(request->http);
+    request->table = Catalog_Acquire(gateway->desc.catalog);
+    request->proof_age = Catalog_Age(gateway->desc.catalog, Clock_Now());
+    if (host == NULL || id == NULL) {
+        return RESULT_REQUEST_INVALID;
+    }
+    if (request->table == NULL) {
+        return RESULT_NOT_CONFIGURED;
+    }
+    request->route = CatalogTable_FindRoute(request->table, host,
+                                            HttpRequest_Path(request->http));
+    if (request->route == NULL) {
+        return deny(request, RESULT_ROUTE_UNKNOWN);
+    }
+    result = find_team(request);
+    if (result != RESULT_OK) {
+        return result;
+    }
+    pthread_mutex_lock(&gateway->lock);
+    request->part = CatalogRoute_ChoosePart(request->route, &gateway->rng);
+    pthread_mutex_unlock(&gateway->lock);
+    if (request->part == NULL) {
+        return RESULT_NO_BACKEND_SERVER;
+    }
+    set_times(request);
+    copy_headers(request);
+    fill_call(request, id);
+    if (request->team != NULL) {
+        result = Quota_Take(gateway->desc.quota, request->team,
+                            &request->quota_source);
+        Counter_Observe(HISTOGRAM_ENTRY_RATE,
+                        (Clock_Now() - request->arrived) * 1000);
+    }
+    return result;
+}
+
+void
+_Gateway_ClearRequest(GatewayRequest *request)
+{
+    CatalogTable_Unref(request->table);
+    HttpHeaders_Clear(&request->forwarded);
+    g_free(request->target);
+}
--- /dev/null
+++ b/src/gateway/peer_port.c
@@ -0,0 +1,145 @@
+#include "gateway/peer_port.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "gateway/peer_wire.h"
+#include "http/http_server.h"
+
+struct PeerPort {
+    PeerPort_desc desc;
+    HttpServer *server;
+};
+
+static void
+copy_headers(const HttpHeaders *from, HttpHeaders *to)
+{
+    for (size_t i = 0; i < from->count; i++) {
+        if (!PeerWire_IsOwnHeader(from->items[i].name) &&
+            !PeerWire_IsHopHeader(from->items[i].name)) {
+            HttpHeaders_Add(to, from->items[i].name, from->items[i].value);
+        }
+    }
+}
+
+/* Turns the reply into the answer for the other daemon. */
+static void
+fill_answer(BackendReply *reply, HttpAnswer *answer)
+{
+    if (reply->answer.status == 0) {
+        answer->status = 503;
+    }
+    else {
+        answer->status = reply->answer.status;
+        copy_headers(&reply->answer.headers, &answer->headers);
+        answer->body = reply->answer.body;
+        answer->body_bytes = reply->answer.body_bytes;
+        reply->answer.body = NULL;
+        HttpAnswer_Clear(&reply->answer);
+    }
+    PeerWire_EncodeReply(reply, &answer->headers);
+}
+
+static void
+log_call(const BackendCall *call, const BackendReply *reply)
+{
+    Log_Event(LOG_CALL_RUN,
+              "request=%s caller=%s team=%s priority=%d max_risk=%.2f "
+              "max_wait_ms=%" PRId64 " risk=%.2f in_flight=%u waiting=%u "
+              "queue_ms=%" PRId64 " server_ms=%" PRId64
+              " result=%s run=%s status=%d",
+              call->request_id, call->caller, call->team ? call->team : "-",
+              call->priority, call->max_risk, call->max_wait_ms,
+              reply->report.risk, reply->report.in_flight,
+              reply->report.waiting, reply->queue_ms, reply->server_ms,
+              Result_Name(reply->result), Result_RunName(reply->run),
+              reply->answer.status);
+}
+
+static void
+serve(void *context, HttpRequest *request)
+{
+    PeerPort *port = context;
+    const HttpHeaders *received = HttpRequest_Headers(request);
+    BackendCall call = {.method = HttpRequest_Method(request)};
+    HttpCancel *cancel = HttpCancel_Create();
+    HttpHeaders headers = {0};
+    HttpAnswer answer = {0};
+    BackendReply reply;
+    char *target = HttpRequest_Target(request);
+
+    Counter_Add(COUNTER_OWNER_REQUESTS, 1);
+    call.target = target;
+    call.body = HttpRequest_Body(request, &call.body_bytes);
+    call.host = HttpHeaders_Get(received, "Host");
+    call.request_id = HttpHeaders_Get(received, port->desc.names->request_id);
+    call.headers = &headers;
+    call.cancel = cancel;
+    if (call.host == NULL || call.request_id == NULL ||
+        !PeerWire_DecodeCall(received, HttpRequest_Arrived(request), &call)) {
+        HttpAnswer_SetRefusal(&answer, RESULT_MALFORMED, RUN_NO,
+                              call.request_id, NULL);
+    }
+    else {
+        copy_headers(received, &headers);
+        HttpHeaders_Remove(&headers, port->desc.names->request_id);
+        HttpRequest_OnHangUp(request, HttpCancel_Trigger, cancel);
+        Backend_Run(port->desc.backend, &call, &reply);
+        HttpRequest_OnHangUp(request, NULL, NULL);
+        log_call(&call, &reply);
+        fill_answer(&reply, &answer);
+    }
+    HttpRequest_Respond(request, &answer);
+    HttpHeaders_Clear(&headers);
+    HttpCancel_Destroy(cancel);
+    g_free(target);
+}
+
+PeerPort *
+PeerPort_Create(const PeerPort_desc *desc, GError **error)
+{
+    PeerPort *port = g_new0(PeerPort, 1);
+    HttpServer_desc server = {.address = desc->address,
+                              .event_threads = 1,
+                              .worker_threads = desc->threads,
+                              .max_body_bytes = desc->max_body_bytes,
+                              .handler = serve,
+                              .context = port};
+
+    port->desc = *desc;
+    port->server = HttpServer_Create(&server, error);
+    if (port->server == NULL) {
+        g_free(port);
+        return NULL;
+    }
+    return port;
+}
+
+void
+PeerPort_Leave(PeerPort *port)
+{
+    HttpServer_Leave(port->server);
+}
+
+gboolean
+PeerPort_Drain(PeerPort *port, ClockMs until)
+{
+    return HttpServer_Drain(port->server, until);
+}
+
+unsigned
+PeerPort_InFlight(const PeerPort *port)
+{
+    return HttpServer_InFlight(port->server);
+}
+
+void
+PeerPort_Destroy(PeerPort *port)
+{
+    if (port != NULL) {
+        HttpServer_Destroy(port->server);
+        g_free(port);
+    }
+}
--- /dev/null
+++ b/src/gateway/peer_wire.c
@@ -0,0 +1,110 @@
+#include "gateway/peer_wire.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define OWN_PREFIX "Radishknot-"
+#define CALL_HEADER "Radishknot-Call"
+#define TEAM_HEADER "Radishknot-Team"
+#define CALLER_HEADER "Radishknot-Caller"
+#define REPLY_HEADER "Radishknot-Reply"
+
+#define LINE_BYTES 128
+
+/* Longest wait that a call may state; keeps sums of times small. */
+#define MOST_WAIT_MS 600000
+
+gboolean
+PeerWire_IsOwnHeader(const char *name)
+{
+    return g_ascii_strncasecmp(name, OWN_PREFIX, strlen(OWN_PREFIX)) == 0;
+}
+
+gboolean
+PeerWire_IsHopHeader(const char *name)
+{
+    static const char *const names[] = {
+        "Connection",       "Keep-Alive", "Proxy-Connection",
+        "Transfer-Encoding", "TE",         "Trailer",
+        "Upgrade",          "Expect",     "Content-Length",
+        "Host",             "Date"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (g_ascii_strcasecmp(name, names[i]) == 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+void
+PeerWire_EncodeCall(const BackendCall *call, ClockMs now, HttpHeaders *headers)
+{
+    char line[LINE_BYTES];
+
+    (void)snprintf(line, sizeof(line), "%" PRId64 " %c %d %.3f %" PRId64,
+                   call->deadline - now, call->idempotent ? 'i' : 'o',
+                   call->priority, call->max_risk,
+                   MIN(call->max_wait_ms, MOST_WAIT_MS));
+    HttpHeaders_Add(headers, CALL_HEADER, line);
+    HttpHeaders_Add(headers, CALLER_HEADER, call->caller);
+    if (call->team != NULL) {
+        HttpHeaders_Add(headers, TEAM_HEADER, call->team);
+    }
+}
+
+gboolean
+PeerWire_DecodeCall(const HttpHeaders *headers, ClockMs now, BackendCall *call)
+{
+    const char *line = HttpHeaders_Get(headers, CALL_HEADER);
+    int64_t left;
+    char kind;
+
+    call->team = HttpHeaders_Get(headers, TEAM_HEADER);
+    call->caller = HttpHeaders_Get(headers, CALLER_HEADER);
+    if (line == NULL || call->caller == NULL ||
+        sscanf(line, "%" SCNd64 " %c %d %lf %" SCNd64, &left, &kind,
+               &call->priority, &call->max_risk, &call->max_wait_ms) != 5 ||
+        (kind != 'i' && kind != 'o') || left < 0 || left > MOST_WAIT_MS ||
+        call->max_wait_ms < 0 || call->max_wait_ms > MOST_WAIT_MS) {
+        return FALSE;
+    }
+    call->deadline = now + left;
+    call->idempotent = kind == 'i';
+    return TRUE;
+}
+
+void
+PeerWire_EncodeReply(const BackendReply *reply, HttpHeaders *headers)
+{
+    const RosterReport *report = &reply->report;
+    char line[LINE_BYTES];
+
+    (void)snprintf(line, sizeof(line), "%d %d %d %.3f %u %u %u %" PRId64 " %d",
+                   (int)reply->result, (int)reply->run, reply->arrived,
+                   report->risk, report->slots, report->in_flight,
+                   report->waiting, report->service_ms, report->leaving);
+    HttpHeaders_Add(headers, REPLY_HEADER, line);
+}
+
+gboolean
+PeerWire_DecodeReply(const HttpHeaders *headers, BackendReply *reply)
+{
+    const char *line = HttpHeaders_Get(headers, REPLY_HEADER);
+    RosterReport *report = &reply->report;
+    int result;
+    int run;
+
+    if (line == NULL ||
+        sscanf(line, "%d %d %d %lf %u %u %u %" SCNd64 " %d", &result, &run,
+               &reply->arrived, &report->risk, &report->slots,
+               &report->in_flight, &report->waiting, &report->service_ms,
+               &report->leaving) != 9 ||
+        run < RUN_NO || run > RUN_UNKNOWN ||
+        !Result_FromNumber(result, &reply->result)) {
+        return FALSE;
+    }
+    reply->run = (RunState)run;
+    return TRUE;
+}
--- /dev/null
+++ b/src/health/gray_filter.c
@@ -0,0 +1,76 @@
+#include "health/gray_filter.h"
+
+#include <math.h>
+
+static const GrayFilter_desc defaults = {
+    .sound_ms = 20000,
+    .gray_ms = 8000,
+    .sound_failed = 0.03,
+    .gray_failed = 0.75,
+};
+
+/* A probability never becomes certain, so that later evidence still counts. */
+#define LEAST_RISK 0.001
+#define MOST_RISK 0.98
+
+static double
+stationary(const GrayFilter_desc *desc)
+{
+    return (double)desc->gray_ms / (double)(desc->gray_ms + desc->sound_ms);
+}
+
+void
+GrayFilter_Init(GrayFilter *filter, const GrayFilter_desc *desc, ClockMs now)
+{
+    *filter = (GrayFilter){.desc = desc ? *desc : defaults, .updated = now};
+    if (filter->desc.sound_ms == 0) {
+        filter->desc.sound_ms = defaults.sound_ms;
+    }
+    if (filter->desc.gray_ms == 0) {
+        filter->desc.gray_ms = defaults.gray_ms;
+    }
+    if (filter->desc.sound_failed == 0) {
+        filter->desc.sound_failed = defaults.sound_failed;
+    }
+    if (filter->desc.gray_failed == 0) {
+        filter->desc.gray_failed = defaults.gray_failed;
+    }
+    filter->risk = stationary(&filter->desc) / 2;
+}
+
+double
+GrayFilter_Risk(const GrayFilter *filter, ClockMs now)
+{
+    const GrayFilter_desc *desc = &filter->desc;
+    double rate = 1.0 / (double)desc->sound_ms + 1.0 / (double)desc->gray_ms;
+    double elapsed = (double)MAX(now - filter->updated, 0);
+    double rest = stationary(desc);
+
+    return rest + (filter->risk - rest) * exp(-rate * elapsed);
+}
+
+void
+GrayFilter_Observe(GrayFilter *filter, gboolean failed, ClockMs now)
+{
+    const GrayFilter_desc *desc = &filter->desc;
+    double risk = GrayFilter_Risk(filter, now);
+    double gray = failed ? desc->gray_failed : 1 - desc->gray_failed;
+    double sound = failed ? desc->sound_failed : 1 - desc->sound_failed;
+    double joint = risk * gray;
+
+    GrayFilter_Set(filter, joint / (joint + (1 - risk) * sound), now);
+}
+
+void
+GrayFilter_Set(GrayFilter *filter, double risk, ClockMs measured)
+{
+    filter->risk = CLAMP(risk, LEAST_RISK, MOST_RISK);
+    filter->updated = measured;
+}
+
+double
+GrayFilter_FailShare(const GrayFilter *filter, double risk)
+{
+    return risk * filter->desc.gray_failed +
+           (1 - risk) * filter->desc.sound_failed;
+}
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -1,51 +1,42 @@
 #include "http/http_client.h"
 
-#include <errno.h>
-#include <ne_socket.h>
-#include <netinet/tcp.h>
-#include <poll.h>
 #include <pthread.h>
 #include <signal.h>
-#include <stdatomic.h>
-#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/socket.h>
 
+#include "http/http_connection.h"
+
 #define DEFAULT_MAX_IDLE 16
 #define DEFAULT_MAX_IDLE_MS 10000
+#define DEFAULT_CONNECT_MS 1000
 #define DEFAULT_SILENCE_MS 1000
 #define DEFAULT_MAX_ANSWER_BYTES (16 * 1024 * 1024)
-#define CONNECT_TIMEOUT_S 1
-#define WATCH_PERIOD_MS 10
-#define LINE_BYTES 8192
-#define MAX_HEADER_LINES 100
 
-struct HttpCancel {
-    pthread_mutex_t lock;
-    int fd; /* -1 while no call uses it */
-    gboolean triggered;
-};
+/* A peer's announced idle timeout is used up to this time before its end. */
+#define KEEP_ALIVE_MARGIN_MS 1000
+
+/* How often the whole pool is searched for connections that are too old. */
+#define RETIRE_PERIOD_MS 5000
 
 typedef struct IdleConnection {
-    ne_socket *socket;
+    HttpConnection *connection;
     ClockMs since;
+    ClockMs until; /* not used from then on */
 } IdleConnection;
 
-/* A call in progress, as the watcher sees it. */
-typedef struct ActiveCall {
-    int fd;
-    ClockMs deadline;
-    gboolean expired;
-} ActiveCall;
+struct HttpCancel {
+    pthread_mutex_t lock;
+    gboolean triggered;
+    int fd; /* of the call that runs, or -1 */
+};
 
 struct HttpClient {
     HttpClient_desc desc;
     pthread_mutex_t lock;
-    GHashTable *idle;  /* address as guint64 -> GArray of IdleConnection */
-    GPtrArray *active; /* ActiveCall * */
-    pthread_t watcher;
-    atomic_bool stopping;
+    GHashTable *idle; /* address -> GArray of IdleConnection, oldest first */
+    ClockMs next_retire;
 };
 
 HttpCancel *
@@ -105,6 +96,12 @@
     }
 }
 
+static gboolean
+is_cancelled(const HttpCall *call)
+{
+    return call->cancel != NULL && HttpCancel_IsTriggered(call->cancel);
+}
+
 static guint64
 address_key(const struct sockaddr_in *address)
 {
@@ -118,7 +115,8 @@
     GArray *list = data;
 
     for (guint i = 0; i < list->len; i++) {
-        ne_sock_close(g_array_index(list, IdleConnection, i).socket);
+        HttpConnection_Close(
+            g_array_index(list, IdleConnection, i).connection);
     }
     g_array_free(list, TRUE);
 }
@@ -127,41 +125,22 @@
 retire_idle(gpointer key, gpointer value, gpointer context)
 {
     GArray *list = value;
-    ClockMs oldest = *(ClockMs *)context;
+    ClockMs now = *(ClockMs *)context;
+    guint kept = 0;
 
     (void)key;
-    while (list->len > 0 &&
-           g_array_index(list, IdleConnection, 0).since < oldest) {
-        ne_sock_close(g_array_index(list, IdleConnection, 0).socket);
-        g_array_remove_index(list, 0);
-    }
-    return list->len == 0;
-}
+    for (guint i = 0; i < list->len; i++) {
+        IdleConnection *idle = &g_array_index(list, IdleConnection, i);
 
-static void *
-watch_calls(void *context)
-{
-    HttpClient *client = context;
-    ClockMs oldest;
-    ClockMs now;
-
-    while (!atomic_load(&client->stopping)) {
-        (void)poll(NULL, 0, WATCH_PERIOD_MS);
-        now = Clock_Now();
-        oldest = now - client->desc.max_idle_ms;
-        pthread_mutex_lock(&client->lock);
-        for (guint i = 0; i < client->active->len; i++) {
-            ActiveCall *call = g_ptr_array_index(client->active, i);
-
-            if (!call->expired && now >= call->deadline) {
-                call->expired = TRUE;
-                shutdown(call->fd, SHUT_RDWR);
-            }
+        if (now >= idle->until) {
+            HttpConnection_Close(idle->connection);
+        }
+        else {
+            g_array_index(list, IdleConnection, kept++) = *idle;
         }
-        g_hash_table_foreach_remove(client->idle, retire_idle, &oldest);
-        pthread_mutex_unlock(&client->lock);
     }
-    return NULL;
+    g_array_set_size(list, kept);
+    return kept == 0;
 }
 
 HttpClient *
@@ -169,7 +148,6 @@
 {
     HttpClient *client = g_new0(HttpClient, 1);
 
-    ne_sock_init();
     signal(SIGPIPE, SIG_IGN);
     client->desc = *desc;
     if (client->desc.max_idle_per_address == 0) {
@@ -178,6 +156,9 @@
     if (client->desc.max_idle_ms == 0) {
         client->desc.max_idle_ms = DEFAULT_MAX_IDLE_MS;
     }
+    if (client->desc.connect_ms == 0) {
+        client->desc.connect_ms = DEFAULT_CONNECT_MS;
+    }
     if (client->desc.silence_ms == 0) {
         client->desc.silence_ms = DEFAULT_SILENCE_MS;
     }
@@ -187,8 +168,6 @@
     pthread_mutex_init(&client->lock, NULL);
     client->idle = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                                          free_idle_list);
-    client->active = g_ptr_array_new();
-    pthread_create(&client->watcher, NULL, watch_calls, client);
     return client;
 }
 
@@ -198,10 +177,7 @@
     if (client == NULL) {
         return;
     }
-    atomic_store(&client->stopping, TRUE);
-    pthread_join(client->watcher, NULL);
     g_hash_table_destroy(client->idle);
-    g_ptr_array_free(client->active, TRUE);
     pthread_mutex_destroy(&client->lock);
     g_free(client);
 }
@@ -216,41 +192,63 @@
     pthread_mutex_unlock(&client->lock);
 }
 
-/* An idle connection must be silent; readable means closed or out of step. */
-static gboolean
-is_usable(ne_socket *socket)
+/* The most recently used connection that is still fit for the call. An idle
+ * connection must be silent; readable means closed or out of step. */
+static HttpConnection *
+take_idle(HttpClient *client, const HttpCall *call)
 {
-    struct pollfd poll_fd = {.fd = ne_sock_fd(socket), .events = POLLIN};
-
-    return poll(&poll_fd, 1, 0) == 0;
-}
-
-static ne_socket *
-take_idle(HttpClient *client, const struct sockaddr_in *address)
-{
-    guint64 key = address_key(address);
-    ne_socket *found = NULL;
+    guint64 key = address_key(&call->address);
+    HttpConnection *found = NULL;
+    ClockMs now = Clock_Now();
+    IdleConnection idle;
     GArray *list;
 
     pthread_mutex_lock(&client->lock);
+    if (now >= client->next_retire) {
+        client->next_retire = now + RETIRE_PERIOD_MS;
+        g_hash_table_foreach_remove(client->idle, retire_idle, &now);
+    }
     list = g_hash_table_lookup(client->idle, &key);
     while (list != NULL && list->len > 0 && found == NULL) {
-        found = g_array_index(list, IdleConnection, list->len - 1).socket;
+        idle = g_array_index(list, IdleConnection, list->len - 1);
+        if (call->max_idle_ms > 0 && now - idle.since > call->max_idle_ms) {
+            break;
+        }
         g_array_set_size(list, list->len - 1);
-        if (!is_usable(found)) {
-            ne_sock_close(found);
-            found = NULL;
+        if (now < idle.until && HttpConnection_IsQuiet(idle.connection)) {
+            found = idle.connection;
+        }
+        else {
+            HttpConnection_Close(idle.connection);
         }
     }
     pthread_mutex_unlock(&client->lock);
     return found;
 }
 
+/* How long the peer keeps the connection open when it is idle. */
+static ClockMs
+idle_limit(const HttpClient *client, const HttpAnswer *answer)
+{
+    const char *value = HttpHeaders_Get(&answer->headers, "Keep-Alive");
+    const char *timeout = value ? strstr(value, "timeout=") : NULL;
+    ClockMs limit = client->desc.max_idle_ms;
+    gint64 announced;
+
+    if (timeout != NULL) {
+        announced = g_ascii_strtoll(timeout + strlen("timeout="), NULL, 10);
+        limit = MIN(limit, announced * 1000 - KEEP_ALIVE_MARGIN_MS);
+    }
+    return limit;
+}
+
 static void
 keep_idle(HttpClient *client, const struct sockaddr_in *address,
-          ne_socket *socket)
+          HttpConnection *connection, ClockMs limit)
 {
-    IdleConnection connection = {.socket = socket, .since = Clock_Now()};
+    ClockMs now = Clock_Now();
+    IdleConnection idle = {
+        .connection = connection, .since = now, .until = now + limit};
     guint64 key = address_key(address);
     GArray *list;
 
@@ -260,61 +258,25 @@
         list = g_array_new(FALSE, FALSE, sizeof(IdleConnection));
         g_hash_table_insert(client->idle, g_memdup2(&key, sizeof(key)), list);
     }
-    if (list->len < client->desc.max_idle_per_address) {
-        g_array_append_val(list, connection);
-        socket = NULL;
+    if (limit > 0 && list->len < client->desc.max_idle_per_address) {
+        g_array_append_val(list, idle);
+        connection = NULL;
     }
     pthread_mutex_unlock(&client->lock);
-    if (socket != NULL) {
-        ne_sock_close(socket);
-    }
-}
-
-/* Data that stays unacknowledged, or a peer that answers no keep-alive, ends
- * the connection: something between the ends has lost track of it. */
-static void
-set_socket_options(HttpClient *client, int fd)
-{
-    unsigned silence = (unsigned)client->desc.silence_ms;
-    int on = 1;
-    int one_second = 1;
-    int two_probes = 2;
-
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence, sizeof(silence));
-    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &one_second, sizeof(one_second));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &one_second,
-               sizeof(one_second));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &two_probes, sizeof(two_probes));
-}
-
-static ne_socket *
-connect_to(HttpClient *client, const struct sockaddr_in *address)
-{
-    ne_inet_addr *target = ne_iaddr_make(
-        ne_iaddr_ipv4, (const unsigned char *)&address->sin_addr);
-    ne_socket *socket = ne_sock_create();
-
-    ne_sock_connect_timeout(socket, CONNECT_TIMEOUT_S);
-    if (ne_sock_connect(socket, target, ntohs(address->sin_port)) != 0) {
-        ne_sock_close(socket);
-        socket = NULL;
-    }
-    else {
-        set_socket_options(client, ne_sock_fd(socket));
-    }
-    ne_iaddr_free(target);
-    return socket;
+    HttpConnection_Close(connection);
 }
 
 static GString *
 format_request(const HttpCall *call)
 {
     GString *text = g_string_sized_new(512 + call->body_bytes);
-    char host[32];
+    char address[32];
+    const char *host = call->host;
 
-    HttpAddress_Format(&call->address, host, sizeof(host));
+    if (host == NULL) {
+        HttpAddress_Format(&call->address, address, sizeof(address));
+        host = address;
+    }
     g_string_append_printf(text, "%s %s HTTP/1.1\r\nHost: %s\r\n",
                            call->method, call->target, host);
     for (size_t i = 0; call->headers != NULL && i < call->headers->count;
@@ -334,192 +296,61 @@
     return text;
 }
 
-/* Reads a line without its end. Returns its length or -1. */
-static ssize_t
-read_line(ne_socket *socket, char *line)
-{
-    ssize_t length = ne_sock_readline(socket, line, LINE_BYTES);
-
-    if (length <= 0) {
-        return -1;
-    }
-    while (length > 0 &&
-           (line[length - 1] == '\n' || line[length - 1] == '\r')) {
-        length--;
-    }
-    line[length] = '\0';
-    return length;
-}
-
 static gboolean
-read_headers(ne_socket *socket, HttpHeaders *headers)
+belongs_to(const HttpCall *call, const HttpAnswer *answer)
 {
-    char line[LINE_BYTES + 1];
-    char *colon;
+    const char *value;
 
-    for (int i = 0; i < MAX_HEADER_LINES; i++) {
-        if (read_line(socket, line) < 0) {
-            return FALSE;
-        }
-        if (line[0] == '\0') {
-            return TRUE;
-        }
-        colon = strchr(line, ':');
-        if (colon == NULL || line[0] == ' ' || line[0] == '\t') {
-            return FALSE;
-        }
-        *colon = '\0';
-        HttpHeaders_Add(headers, line, g_strstrip(colon + 1));
+    if (call->match_header == NULL) {
+        return TRUE;
     }
-    return FALSE;
-}
-
-/* Reads status line and headers, passing over interim (1xx) answers. */
-static gboolean
-read_head(ne_socket *socket, HttpAnswer *answer)
-{
-    char line[LINE_BYTES + 1];
-    int minor;
-
-    do {
-        HttpHeaders_Clear(&answer->headers);
-        if (read_line(socket, line) < 0 ||
-            sscanf(line, "HTTP/1.%d %d", &minor, &answer->status) != 2 ||
-            answer->status < 100 || answer->status > 599 ||
-            !read_headers(socket, &answer->headers)) {
-            return FALSE;
-        }
-    } while (answer->status < 200);
-    return TRUE;
+    value = HttpHeaders_Get(&answer->headers, call->match_header);
+    return value == NULL || strcmp(value, call->match_value) == 0;
 }
 
 static Result
-read_chunks(HttpClient *client, ne_socket *socket, HttpAnswer *answer)
+exchange(HttpClient *client, HttpConnection *connection, const HttpCall *call,
+         HttpAnswer *answer, gboolean *reusable)
 {
-    GString *body = g_string_new(NULL);
-    HttpHeaders trailers = {0};
-    char line[LINE_BYTES + 1];
-    char *end = NULL;
-    guint64 bytes = 1;
-    gsize before;
-    Result result = RESULT_OK;
+    HttpReadRules rules = {.no_body = strcmp(call->method, "HEAD") == 0,
+                           .allow_unframed = call->allow_unframed,
+                           .max_body_bytes = client->desc.max_answer_bytes};
+    GString *text = format_request(call);
+    gboolean whole;
+    Result result = HttpConnection_Send(connection, text->str, text->len,
+                                        call->deadline, &whole);
 
-    while (result == RESULT_OK && bytes > 0) {
-        if (read_line(socket, line) <= 0 ||
-            (bytes = g_ascii_strtoull(line, &end, 16), end == line)) {
-            result = RESULT_ANSWER_TRUNCATED;
-        }
-        else if (bytes > client->desc.max_answer_bytes - body->len) {
-            result = RESULT_TOO_LARGE;
+    g_string_free(text, TRUE);
+    *reusable = FALSE;
+    if (result != RESULT_OK) {
+        return result;
+    }
+    for (;;) {
+        result = HttpConnection_ReadAnswer(connection, &rules, call->deadline,
+                                           answer, reusable);
+        *reusable = *reusable && whole;
+        if (result != RESULT_OK || belongs_to(call, answer)) {
+            return result;
         }
-        else if (bytes > 0) {
-            before = body->len;
-            g_string_set_size(body, before + bytes);
-            if (ne_sock_fullread(socket, body->str + before, bytes) != 0 ||
-                read_line(socket, line) != 0) {
-                result = RESULT_ANSWER_TRUNCATED;
-            }
+        HttpAnswer_Clear(answer);
+        if (!*reusable) {
+            return RESULT_ANSWER_LOST;
         }
     }
-    if (result == RESULT_OK && !read_headers(socket, &trailers)) {
-        result = RESULT_ANSWER_TRUNCATED;
-    }
-    HttpHeaders_Clear(&trailers);
-    answer->body_bytes = body->len;
-    answer->body = g_string_free(body, FALSE);
-    return result;
 }
 
 static Result
-read_body(HttpClient *client, ne_socket *socket, const HttpCall *call,
-          HttpAnswer *answer)
+connect_for(HttpClient *client, const HttpCall *call,
+            HttpConnection **connection)
 {
-    const char *encoding =
-        HttpHeaders_Get(&answer->headers, "Transfer-Encoding");
-    int64_t bytes =
-        HttpHeaders_GetNumber(&answer->headers, "Content-Length", -1);
-
-    if (answer->status == 204 || answer->status == 304 ||
-        strcmp(call->method, "HEAD") == 0) {
-        HttpAnswer_SetBody(answer, NULL, 0);
-        return RESULT_OK;
-    }
-    if (encoding != NULL) {
-        return strcasecmp(encoding, "chunked") == 0
-                   ? read_chunks(client, socket, answer)
-                   : RESULT_ANSWER_TRUNCATED;
-    }
-    if (bytes < 0) {
-        return RESULT_ANSWER_TRUNCATED;
-    }
-    if ((uint64_t)bytes > client->desc.max_answer_bytes) {
-        return RESULT_TOO_LARGE;
-    }
-    answer->body = g_malloc((gsize)bytes + 1);
-    answer->body[bytes] = '\0';
-    answer->body_bytes = (size_t)bytes;
-    if (bytes > 0 &&
-        ne_sock_fullread(socket, answer->body, (size_t)bytes) != 0) {
-        return RESULT_ANSWER_TRUNCATED;
-    }
-    return RESULT_OK;
-}
+    ClockMs limit =
+        call->connect_ms > 0 ? call->connect_ms : client->desc.connect_ms;
+    ClockMs deadline = MIN(call->deadline, Clock_Now() + limit);
+    Result result = HttpConnection_Open(
+        &call->address, deadline, client->desc.silence_ms, connection);
 
-static Result
-exchange(HttpClient *client, ne_socket *socket, const HttpCall *call,
-         HttpAnswer *answer, gboolean *sent)
-{
-    GString *text = format_request(call);
-    int written;
-
-    *sent = TRUE;
-    written = ne_sock_fullwrite(socket, text->str, text->len);
-    g_string_free(text, TRUE);
-    if (written != 0 || !read_head(socket, answer)) {
-        return RESULT_ANSWER_LOST;
-    }
-    return read_body(client, socket, call, answer);
-}
-
-static gboolean
-allows_reuse(const HttpAnswer *answer)
-{
-    const char *connection = HttpHeaders_Get(&answer->headers, "Connection");
-
-    return connection == NULL || strcasecmp(connection, "close") != 0;
-}
-
-/* Runs the exchange while the watcher guards the deadline. */
-static Result
-guarded_exchange(HttpClient *client, ne_socket *socket, const HttpCall *call,
-                 HttpAnswer *answer, gboolean *sent)
-{
-    ActiveCall active = {.fd = ne_sock_fd(socket), .deadline = call->deadline};
-    Result result;
-
-    ne_sock_read_timeout(socket,
-                         (int)((call->deadline - Clock_Now()) / 1000) + 2);
-    pthread_mutex_lock(&client->lock);
-    g_ptr_array_add(client->active, &active);
-    pthread_mutex_unlock(&client->lock);
-    set_cancel_fd(call->cancel, active.fd);
-    if (call->cancel != NULL && HttpCancel_IsTriggered(call->cancel)) {
-        result = RESULT_CANCELLED;
-    }
-    else {
-        result = exchange(client, socket, call, answer, sent);
-    }
-    set_cancel_fd(call->cancel, -1);
-    pthread_mutex_lock(&client->lock);
-    g_ptr_array_remove_fast(client->active, &active);
-    pthread_mutex_unlock(&client->lock);
-    if (result != RESULT_OK && result != RESULT_TOO_LARGE) {
-        if (call->cancel != NULL && HttpCancel_IsTriggered(call->cancel)) {
-            result = RESULT_CANCELLED;
-        }
-        else if (active.expired) {
-            result = RESULT_DEADLINE_EXPIRED;
-        }
+    if (result != RESULT_OK && Clock_Now() >= call->deadline) {
+        result = RESULT_DEADLINE_EXPIRED;
     }
     return result;
 }
@@ -528,32 +359,43 @@
 HttpClient_Call(HttpClient *client, const HttpCall *call, HttpAnswer *answer,
                 gboolean *sent)
 {
-    ne_socket *socket = NULL;
-    Result result;
+    HttpConnection *connection = NULL;
+    gboolean reusable = FALSE;
+    Result result = RESULT_OK;
 
     *sent = FALSE;
     if (Clock_Now() >= call->deadline) {
         return RESULT_DEADLINE_EXPIRED;
     }
     if (!call->fresh_connection) {
-        socket = take_idle(client, &call->address);
+        connection = take_idle(client, call);
     }
-    if (socket == NULL) {
-        socket = connect_to(client, &call->address);
+    if (connection == NULL) {
+        result = connect_for(client, call, &connection);
     }
-    if (socket == NULL) {
-        return RESULT_CONNECT_FAILED;
+    if (result != RESULT_OK) {
+        return result;
     }
-    if (Clock_Now() >= call->deadline) {
-        ne_sock_close(socket);
-        return RESULT_DEADLINE_EXPIRED;
+    set_cancel_fd(call->cancel, HttpConnection_Fd(connection));
+    if (is_cancelled(call)) {
+        result = RESULT_CANCELLED;
+    }
+    else {
+        *sent = TRUE;
+        result = exchange(client, connection, call, answer, &reusable);
+    }
+    set_cancel_fd(call->cancel, -1);
+    if (result != RESULT_OK && result != RESULT_TOO_LARGE &&
+        is_cancelled(call)) {
+        result = RESULT_CANCELLED;
     }
-    result = guarded_exchange(client, socket, call, answer, sent);
-    if (result == RESULT_OK && allows_reuse(answer)) {
-        keep_idle(client, &call->address, socket);
+    if (result == RESULT_OK && reusable &&
+        HttpConnection_IsQuiet(connection)) {
+        keep_idle(client, &call->address, connection,
+                  idle_limit(client, answer));
     }
     else {
-        ne_sock_close(socket);
+        HttpConnection_Close(connection);
     }
     if (result != RESULT_OK) {
         HttpAnswer_Clear(answer);
--- /dev/null
+++ b/src/http/http_connection.c
@@ -0,0 +1,479 @@
+#include "http/http_connection.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LINE_BYTES 8192
+#define MAX_HEADER_LINES 100
+
+/* Bytes read from the socket at once. */
+#define READ_BYTES 8192
+
+/* Keep-alive probes after a second of silence, two of them. */
+#define PROBE_IDLE_S 1
+#define PROBE_COUNT 2
+
+struct HttpConnection {
+    int fd;
+    size_t first; /* unread bytes: buffer[first..last) */
+    size_t last;
+    char buffer[READ_BYTES];
+};
+
+typedef enum ReadState {
+    READ_DATA,
+    READ_CLOSED, /* orderly end of the stream */
+    READ_RESET,
+    READ_EXPIRED
+} ReadState;
+
+/* Waits for events; 0 at the deadline. */
+static int
+wait_for(int fd, short events, ClockMs deadline)
+{
+    struct pollfd poll_fd = {.fd = fd, .events = events};
+    ClockMs left = deadline - Clock_Now();
+    int ready;
+
+    while (left > 0) {
+        ready = poll(&poll_fd, 1, (int)MIN(left, G_MAXINT));
+        if (ready > 0) {
+            return poll_fd.revents;
+        }
+        if (ready < 0 && errno != EINTR) {
+            return POLLERR;
+        }
+        left = deadline - Clock_Now();
+    }
+    return 0;
+}
+
+/* Data that stays unacknowledged, or a peer that answers no keep-alive, ends
+ * the connection: something between the ends has lost track of it. */
+static void
+set_options(int fd, ClockMs silence_ms)
+{
+    unsigned silence = (unsigned)silence_ms;
+    int on = 1;
+    int idle = PROBE_IDLE_S;
+    int count = PROBE_COUNT;
+
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence, sizeof(silence));
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle, sizeof(idle));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+}
+
+static Result
+finish_connect(int fd, ClockMs deadline)
+{
+    int error = 0;
+    socklen_t bytes = sizeof(error);
+
+    if (wait_for(fd, POLLOUT, deadline) == 0) {
+        return RESULT_CONNECT_FAILED;
+    }
+    if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &bytes) != 0 ||
+        error != 0) {
+        return RESULT_CONNECT_FAILED;
+    }
+    return RESULT_OK;
+}
+
+Result
+HttpConnection_Open(const struct sockaddr_in *address, ClockMs deadline,
+                    ClockMs silence_ms, HttpConnection **connection)
+{
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    Result result = RESULT_OK;
+
+    if (fd < 0) {
+        return RESULT_CONNECT_FAILED;
+    }
+    set_options(fd, silence_ms);
+    if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) != 0) {
+        result = errno == EINPROGRESS ? finish_connect(fd, deadline)
+                                      : RESULT_CONNECT_FAILED;
+    }
+    if (result != RESULT_OK) {
+        close(fd);
+        return result;
+    }
+    *connection = g_new0(HttpConnection, 1);
+    (*connection)->fd = fd;
+    return RESULT_OK;
+}
+
+void
+HttpConnection_Close(HttpConnection *connection)
+{
+    if (connection != NULL) {
+        close(connection->fd);
+        g_free(connection);
+    }
+}
+
+int
+HttpConnection_Fd(const HttpConnection *connection)
+{
+    return connection->fd;
+}
+
+Result
+HttpConnection_Send(HttpConnection *connection, const char *bytes,
+                    size_t length, ClockMs deadline, gboolean *whole)
+{
+    size_t done = 0;
+    ssize_t written;
+    int events;
+
+    *whole = FALSE;
+    while (done < length) {
+        written = send(connection->fd, bytes + done, length - done,
+                       MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (written > 0) {
+            done += (size_t)written;
+            continue;
+        }
+        if (written < 0 && errno != EAGAIN && errno != EINTR) {
+            return RESULT_ANSWER_LOST;
+        }
+        events = wait_for(connection->fd, POLLIN | POLLOUT, deadline);
+        if (events == 0) {
+            return RESULT_DEADLINE_EXPIRED;
+        }
+        if (events & POLLIN) {
+            return RESULT_OK;
+        }
+    }
+    *whole = TRUE;
+    return RESULT_OK;
+}
+
+/* Reads more bytes behind the unread ones. */
+static ReadState
+fill(HttpConnection *connection, ClockMs deadline)
+{
+    ssize_t length;
+
+    if (connection->first > 0) {
+        memmove(connection->buffer, connection->buffer + connection->first,
+                connection->last - connection->first);
+        connection->last -= connection->first;
+        connection->first = 0;
+    }
+    if (connection->last == READ_BYTES) {
+        return READ_RESET; /* a line that is longer than the buffer */
+    }
+    for (;;) {
+        length = recv(connection->fd, connection->buffer + connection->last,
+                      READ_BYTES - connection->last, MSG_DONTWAIT);
+        if (length > 0) {
+            connection->last += (size_t)length;
+            return READ_DATA;
+        }
+        if (length == 0) {
+            return READ_CLOSED;
+        }
+        if (errno != EAGAIN && errno != EINTR) {
+            return READ_RESET;
+        }
+        if (wait_for(connection->fd, POLLIN, deadline) == 0) {
+            return READ_EXPIRED;
+        }
+    }
+}
+
+/* Reads a line without its end; the text is valid until the next read. */
+static ReadState
+read_line(HttpConnection *connection, ClockMs deadline, char **line)
+{
+    ReadState state = READ_DATA;
+    char *start;
+    char *end;
+
+    for (;;) {
+        start = connection->buffer + connection->first;
+        end = memchr(start, '\n', connection->last - connection->first);
+        if (end != NULL) {
+            break;
+        }
+        state = fill(connection, deadline);
+        if (state != READ_DATA) {
+            return state;
+        }
+    }
+    connection->first = (size_t)(end - connection->buffer) + 1;
+    if (end > start && end[-1] == '\r') {
+        end--;
+    }
+    *end = '\0';
+    *line = start;
+    return READ_DATA;
+}
+
+static gboolean
+read_headers(HttpConnection *connection, ClockMs deadline,
+             HttpHeaders *headers, ReadState *state)
+{
+    char *line;
+    char *colon;
+
+    for (int i = 0; i < MAX_HEADER_LINES; i++) {
+        *state = read_line(connection, deadline, &line);
+        if (*state != READ_DATA) {
+            return FALSE;
+        }
+        if (line[0] == '\0') {
+            return TRUE;
+        }
+        colon = strchr(line, ':');
+        if (colon == NULL || line[0] == ' ' || line[0] == '\t') {
+            return FALSE;
+        }
+        *colon = '\0';
+        HttpHeaders_Add(headers, line, g_strstrip(colon + 1));
+    }
+    return FALSE;
+}
+
+/* Reads "HTTP/1.x NNN"; FALSE for anything else. */
+static gboolean
+parse_status(const char *line, int *status)
+{
+    guint64 number;
+    char digits[4] = {0};
+
+    if (strncmp(line, "HTTP/1.", 7) != 0 || !g_ascii_isdigit(line[7]) ||
+        line[8] != ' ') {
+        return FALSE;
+    }
+    g_strlcpy(digits, line + 9, sizeof(digits));
+    if (!g_ascii_string_to_unsigned(digits, 10, 100, 599, &number, NULL)) {
+        return FALSE;
+    }
+    *status = (int)number;
+    return TRUE;
+}
+
+/* Reads status line and headers, passing over interim (1xx) answers. */
+static gboolean
+read_head(HttpConnection *connection, ClockMs deadline, HttpAnswer *answer,
+          ReadState *state)
+{
+    char *line;
+
+    do {
+        HttpHeaders_Clear(&answer->headers);
+        *state = read_line(connection, deadline, &line);
+        if (*state != READ_DATA || !parse_status(line, &answer->status) ||
+            !read_headers(connection, deadline, &answer->headers, state)) {
+            return FALSE;
+        }
+    } while (answer->status < 200);
+    return TRUE;
+}
+
+/* Moves up to `bytes` unread bytes into the body. */
+static void
+take(HttpConnection *connection, GByteArray *body, size_t bytes)
+{
+    size_t unread = connection->last - connection->first;
+    size_t part = MIN(bytes, unread);
+
+    g_byte_array_append(
+        body, (const guint8 *)connection->buffer + connection->first,
+        (guint)part);
+    connection->first += part;
+}
+
+static ReadState
+read_bytes(HttpConnection *connection, GByteArray *body, size_t bytes,
+           ClockMs deadline)
+{
+    size_t wanted = body->len + bytes;
+    ReadState state = READ_DATA;
+
+    take(connection, body, bytes);
+    while (body->len < wanted && state == READ_DATA) {
+        state = fill(connection, deadline);
+        if (state == READ_DATA) {
+            take(connection, body, wanted - body->len);
+        }
+    }
+    return state;
+}
+
+static Result
+broken_body(ReadState state)
+{
+    return state == READ_EXPIRED ? RESULT_DEADLINE_EXPIRED
+                                 : RESULT_ANSWER_TRUNCATED;
+}
+
+static Result
+read_chunks(HttpConnection *connection, size_t max_bytes, GByteArray *body,
+            ClockMs deadline)
+{
+    HttpHeaders trailers = {0};
+    ReadState state;
+    guint64 bytes;
+    char *line;
+    char *end;
+
+    do {
+        state = read_line(connection, deadline, &line);
+        if (state != READ_DATA) {
+            return broken_body(state);
+        }
+        bytes = g_ascii_strtoull(line, &end, 16);
+        if (end == line || (*end != '\0' && *end != ';' && *end != ' ')) {
+            return RESULT_ANSWER_TRUNCATED;
+        }
+        if (bytes > max_bytes - body->len) {
+            return RESULT_TOO_LARGE;
+        }
+        if (bytes > 0) {
+            state = read_bytes(connection, body, bytes, deadline);
+            if (state == READ_DATA) {
+                state = read_line(connection, deadline, &line);
+            }
+            if (state != READ_DATA || line[0] != '\0') {
+                return broken_body(state);
+            }
+        }
+    } while (bytes > 0);
+    if (!read_headers(connection, deadline, &trailers, &state)) {
+        HttpHeaders_Clear(&trailers);
+        return broken_body(state);
+    }
+    HttpHeaders_Clear(&trailers);
+    return RESULT_OK;
+}
+
+static Result
+read_to_end(HttpConnection *connection, size_t max_bytes, GByteArray *body,
+            ClockMs deadline)
+{
+    ReadState state = READ_DATA;
+
+    take(connection, body, G_MAXSIZE);
+    while (state == READ_DATA) {
+        if (body->len > max_bytes) {
+            return RESULT_TOO_LARGE;
+        }
+        state = fill(connection, deadline);
+        take(connection, body, G_MAXSIZE);
+    }
+    return state == READ_CLOSED ? RESULT_OK : broken_body(state);
+}
+
+/* The length that the headers give: -1 if none, -2 if they contradict each
+ * other or are no number. */
+static int64_t
+content_length(const HttpHeaders *headers)
+{
+    int64_t length = -1;
+    guint64 value;
+
+    for (size_t i = 0; i < headers->count; i++) {
+        if (g_ascii_strcasecmp(headers->items[i].name, "Content-Length") !=
+            0) {
+            continue;
+        }
+        if (!g_ascii_string_to_unsigned(headers->items[i].value, 10, 0,
+                                        G_MAXINT64, &value, NULL) ||
+            (length >= 0 && length != (int64_t)value)) {
+            return -2;
+        }
+        length = (int64_t)value;
+    }
+    return length;
+}
+
+static Result
+read_body(HttpConnection *connection, const HttpReadRules *rules,
+          const HttpAnswer *answer, GByteArray *body, ClockMs deadline,
+          gboolean *reusable)
+{
+    const char *encoding =
+        HttpHeaders_Get(&answer->headers, "Transfer-Encoding");
+    int64_t length = content_length(&answer->headers);
+    ReadState state;
+
+    if (answer->status == 204 || answer->status == 304 || rules->no_body) {
+        return RESULT_OK;
+    }
+    if (length == -2 || (encoding != NULL && length >= 0)) {
+        return RESULT_ANSWER_TRUNCATED;
+    }
+    if (encoding != NULL) {
+        return g_ascii_strcasecmp(encoding, "chunked") == 0
+                   ? read_chunks(connection, rules->max_body_bytes, body,
+                                 deadline)
+                   : RESULT_ANSWER_TRUNCATED;
+    }
+    if (length < 0) {
+        *reusable = FALSE;
+        return rules->allow_unframed
+                   ? read_to_end(connection, rules->max_body_bytes, body,
+                                 deadline)
+                   : RESULT_ANSWER_TRUNCATED;
+    }
+    if ((uint64_t)length > rules->max_body_bytes) {
+        return RESULT_TOO_LARGE;
+    }
+    state = read_bytes(connection, body, (size_t)length, deadline);
+    return state == READ_DATA ? RESULT_OK : broken_body(state);
+}
+
+static gboolean
+says_close(const HttpAnswer *answer)
+{
+    const char *value = HttpHeaders_Get(&answer->headers, "Connection");
+
+    return value != NULL && g_ascii_strcasecmp(value, "close") == 0;
+}
+
+Result
+HttpConnection_ReadAnswer(HttpConnection *connection,
+                          const HttpReadRules *rules, ClockMs deadline,
+                          HttpAnswer *answer, gboolean *reusable)
+{
+    ReadState state = READ_DATA;
+    GByteArray *body;
+    Result result;
+
+    *reusable = FALSE;
+    if (!read_head(connection, deadline, answer, &state)) {
+        return state == READ_EXPIRED ? RESULT_DEADLINE_EXPIRED
+                                     : RESULT_ANSWER_LOST;
+    }
+    *reusable = !says_close(answer);
+    body = g_byte_array_new();
+    result =
+        read_body(connection, rules, answer, body, deadline, reusable);
+    if (result != RESULT_OK) {
+        *reusable = FALSE;
+    }
+    HttpAnswer_SetBody(answer, body->data, body->len);
+    g_byte_array_free(body, TRUE);
+    return result;
+}
+
+gboolean
+HttpConnection_IsQuiet(const HttpConnection *connection)
+{
+    struct pollfd poll_fd = {.fd = connection->fd, .events = POLLIN};
+
+    return connection->first == connection->last &&
+           poll(&poll_fd, 1, 0) == 0;
+}
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -7,13 +7,15 @@
 #include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "http/http_executor.h"
 #include "http/http_tls.h"
 
-/* How often deadlines and hang-ups of suspended requests are looked at. */
+/* How often deadlines are looked at while a request in flight has one. */
 #define WATCH_PERIOD_MS 20
 
 /* How long a draining server waits for idle connections. */
@@ -51,6 +53,7 @@
     GDestroyNotify data_end;
     HttpAnswer answer;
     unsigned in_flight_index;
+    int watched_fd; /* in the watcher's epoll set, or -1 */
 };
 
 struct HttpServer {
@@ -61,8 +64,12 @@
     pthread_mutex_t lock;
     GPtrArray *in_flight; /* HttpRequest *, those that a handler may hold */
     atomic_uint connections;
-    atomic_bool draining;
+    atomic_bool leaving;  /* answers close their connections */
+    atomic_bool draining; /* no new connections */
     pthread_t watcher;
+    int hang_ups;        /* epoll set of suspended connections */
+    int watcher_wake;    /* eventfd */
+    unsigned deadlines;  /* requests in flight that have one; with the lock */
     atomic_bool stopping;
 };
 
@@ -140,7 +147,7 @@
         (void)MHD_add_response_header(response, answer->headers.items[i].name,
                                       answer->headers.items[i].value);
     }
-    if (atomic_load(&request->server->draining)) {
+    if (atomic_load(&request->server->leaving)) {
         (void)MHD_add_response_header(response, "Connection", "close");
     }
     queued = MHD_queue_response(request->connection, (unsigned)answer->status,
@@ -186,6 +193,32 @@
     return MHD_YES;
 }
 
+/* Lets the watcher see when the caller hangs up. Called with the lock held. */
+static void
+watch_hang_up(HttpServer *server, HttpRequest *request)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    struct epoll_event event = {.events = EPOLLRDHUP | EPOLLONESHOT};
+
+    if (info != NULL &&
+        epoll_ctl(server->hang_ups, EPOLL_CTL_ADD, info->connect_fd, &event) ==
+            0) {
+        request->watched_fd = info->connect_fd;
+    }
+}
+
+/* Called with the lock held. */
+static void
+unwatch_hang_up(HttpServer *server, HttpRequest *request)
+{
+    if (request->watched_fd >= 0) {
+        (void)epoll_ctl(server->hang_ups, EPOLL_CTL_DEL, request->watched_fd,
+                        NULL);
+        request->watched_fd = -1;
+    }
+}
+
 /* Hands a whole request to the executor, or answers it at once. */
 static enum MHD_Result
 dispatch(HttpServer *server, HttpRequest *request)
@@ -208,11 +241,13 @@
         g_ptr_array_add(server->in_flight, request);
         atomic_fetch_add(&request->references, 1);
         MHD_suspend_connection(request->connection);
+        watch_hang_up(server, request);
         if (!HttpExecutor_Submit(server->executor, run_handler, request)) {
             /* Cannot happen: the queue holds max_in_flight tasks. */
             atomic_fetch_sub(&request->references, 1);
             remove_in_flight(server, request);
             request->suspended = FALSE;
+            unwatch_hang_up(server, request);
             MHD_resume_connection(request->connection);
             refusal = RESULT_OVERLOADED;
         }
@@ -247,6 +282,7 @@
     request->arrived = Clock_Now();
     request->deadline = CLOCK_NEVER;
     request->in_flight_index = UINT_MAX;
+    request->watched_fd = -1;
     return request;
 }
 
@@ -336,6 +372,10 @@
 {
     request->answered = TRUE;
     request->suspended = FALSE;
+    unwatch_hang_up(request->server, request);
+    if (request->deadline != CLOCK_NEVER) {
+        request->server->deadlines--;
+    }
     MHD_resume_connection(request->connection);
 }
 
@@ -358,6 +398,7 @@
     return taken;
 }
 
+/* TRUE once the peer has closed or reset the connection. */
 static gboolean
 has_hung_up(HttpRequest *request)
 {
@@ -393,24 +434,52 @@
     }
 }
 
+/* Sleeps until a caller hangs up or, while there are deadlines, for a while. */
 static void *
 watch_requests(void *context)
 {
     HttpServer *server = context;
+    struct epoll_event event;
+    unsigned deadlines = 0;
+    uint64_t wakes;
     ClockMs now;
 
     while (!atomic_load(&server->stopping)) {
-        (void)poll(NULL, 0, WATCH_PERIOD_MS);
+        (void)epoll_wait(server->hang_ups, &event, 1,
+                         deadlines > 0 ? WATCH_PERIOD_MS : -1);
+        (void)!read(server->watcher_wake, &wakes, sizeof(wakes));
         now = Clock_Now();
         pthread_mutex_lock(&server->lock);
         for (unsigned i = 0; i < server->in_flight->len; i++) {
             watch_request(g_ptr_array_index(server->in_flight, i), now);
         }
+        deadlines = server->deadlines;
         pthread_mutex_unlock(&server->lock);
     }
     return NULL;
 }
 
+static void
+wake_watcher(HttpServer *server)
+{
+    uint64_t one = 1;
+
+    (void)!write(server->watcher_wake, &one, sizeof(one));
+}
+
+static gboolean
+start_watcher(HttpServer *server)
+{
+    struct epoll_event event = {.events = EPOLLIN};
+
+    server->hang_ups = epoll_create1(EPOLL_CLOEXEC);
+    server->watcher_wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    return server->hang_ups >= 0 && server->watcher_wake >= 0 &&
+           epoll_ctl(server->hang_ups, EPOLL_CTL_ADD, server->watcher_wake,
+                     &event) == 0 &&
+           pthread_create(&server->watcher, NULL, watch_requests, server) == 0;
+}
+
 static void
 apply_defaults(HttpServer_desc *desc)
 {
@@ -459,6 +528,16 @@
         tls, MHD_OPTION_END);
 }
 
+static void
+stop_watcher(HttpServer *server)
+{
+    atomic_store(&server->stopping, TRUE);
+    wake_watcher(server);
+    pthread_join(server->watcher, NULL);
+    close(server->hang_ups);
+    close(server->watcher_wake);
+}
+
 HttpServer *
 HttpServer_Create(const HttpServer_desc *desc, GError **error)
 {
@@ -475,6 +554,14 @@
     apply_defaults(&server->desc);
     pthread_mutex_init(&server->lock, NULL);
     server->in_flight = g_ptr_array_new();
+    if (!start_watcher(server)) {
+        Result_SetError(error, RESULT_IO, "cannot watch connections: %s",
+                        g_strerror(errno));
+        pthread_mutex_destroy(&server->lock);
+        g_ptr_array_free(server->in_flight, TRUE);
+        g_free(server);
+        return NULL;
+    }
     server->executor = HttpExecutor_Create(server->desc.worker_threads,
                                            server->desc.max_in_flight);
     server->daemon = start_daemon(server);
@@ -483,6 +570,7 @@
         Result_SetError(error, RESULT_IO, "cannot listen on %s: %s", address,
                         g_strerror(errno));
         HttpExecutor_Destroy(server->executor);
+        stop_watcher(server);
         g_ptr_array_free(server->in_flight, TRUE);
         pthread_mutex_destroy(&server->lock);
         g_free(server);
@@ -490,7 +578,6 @@
     }
     server->port =
         MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
-    pthread_create(&server->watcher, NULL, watch_requests, server);
     return server;
 }
 
@@ -532,11 +619,18 @@
     close(listen_fd);
 }
 
+void
+HttpServer_Leave(HttpServer *server)
+{
+    atomic_store(&server->leaving, TRUE);
+}
+
 gboolean
 HttpServer_Drain(HttpServer *server, ClockMs until)
 {
     int listen_fd;
 
+    atomic_store(&server->leaving, TRUE);
     if (!atomic_exchange(&server->draining, TRUE)) {
         listen_fd = MHD_quiesce_daemon(server->daemon);
         if (listen_fd >= 0) {
@@ -564,8 +658,7 @@
     }
     /* Handlers end first, since each of them resumes its connection. */
     HttpExecutor_Destroy(server->executor);
-    atomic_store(&server->stopping, TRUE);
-    pthread_join(server->watcher, NULL);
+    stop_watcher(server);
     MHD_stop_daemon(server->daemon);
     g_ptr_array_free(server->in_flight, TRUE);
     pthread_mutex_destroy(&server->lock);
@@ -651,9 +744,15 @@
 void
 HttpRequest_SetDeadline(HttpRequest *request, ClockMs deadline)
 {
-    pthread_mutex_lock(&request->server->lock);
+    HttpServer *server = request->server;
+
+    pthread_mutex_lock(&server->lock);
+    if (request->deadline == CLOCK_NEVER && !request->answered) {
+        server->deadlines++;
+        wake_watcher(server);
+    }
     request->deadline = deadline;
-    pthread_mutex_unlock(&request->server->lock);
+    pthread_mutex_unlock(&server->lock);
 }
 
 gboolean
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -6,7 +6,8 @@
  *     been read; the connection is suspended meanwhile. It calls
  *     HttpRequest_Respond() once. It may set a time by which the caller is
  *     answered in any case (HttpRequest_SetDeadline()).
- *  3. HttpServer_Drain() stops accepting and waits for what is in flight,
+ *  3. HttpServer_Leave() lets answers close their connections,
+ *     HttpServer_Drain() stops accepting and waits for what is in flight,
  *     HttpServer_Destroy() ends it.
  *
  * A request that was answered at its deadline keeps its handler running; the
@@ -55,6 +56,10 @@
 uint16_t HttpServer_Port(const HttpServer *server);
 unsigned HttpServer_InFlight(const HttpServer *server);
 
+/* From now on every answer closes its connection. New connections are still
+ * accepted. */
+void HttpServer_Leave(HttpServer *server);
+
 /* Stops accepting, adds "Connection: close" to further answers and waits
  * until no request is in flight, at most until the given time, and then up to
  * a second for open connections to end. Returns TRUE if nothing was left in
--- /dev/null
+++ b/src/objects/object_sync.c
@@ -0,0 +1,276 @@
+#include "objects/object_sync.h"
+
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <urcu.h>
+
+#include "base/log.h"
+#include "base/rng.h"
+
+#define DEFAULT_WAIT_MS 20000
+
+/* Pause after a failed call: the first, and the longest. The longest keeps
+ * the return of the store from being noticed late. */
+#define FIRST_BACKOFF_MS 100
+#define MOST_BACKOFF_MS 800
+
+/* After a change the next watch ends early, because a watch that returns with
+ * a change confirms only the state at its start. */
+#define CONFIRM_WAIT_MS 400
+
+/* A watch that ended without a change shows the state of about its end; the
+ * store's clock may run this share slower than the local one. */
+#define WAIT_SHARE 0.9
+
+struct ObjectSync {
+    ObjectSync_desc desc;
+    pthread_t thread;
+    pthread_mutex_t lock;
+    pthread_cond_t wake;
+    gboolean stopping;
+    atomic_bool complete;
+    Rng rng;
+    int64_t revision; /* -1: list first */
+    ClockMs next_wait_ms;
+    gboolean failing;
+    ClockMs failed_since;
+    ClockMs backoff_ms;
+};
+
+/* Sleeps; TRUE if the thread has to end. */
+static gboolean
+pause_for(ObjectSync *sync, ClockMs milliseconds)
+{
+    gint64 end = g_get_monotonic_time() + milliseconds * 1000;
+    struct timespec until = {.tv_sec = end / G_USEC_PER_SEC,
+                             .tv_nsec = (end % G_USEC_PER_SEC) * 1000};
+    gboolean stopping;
+
+    pthread_mutex_lock(&sync->lock);
+    while (!sync->stopping && milliseconds > 0 &&
+           pthread_cond_timedwait(&sync->wake, &sync->lock, &until) == 0) {
+    }
+    stopping = sync->stopping;
+    pthread_mutex_unlock(&sync->lock);
+    return stopping;
+}
+
+static void
+note_failure(ObjectSync *sync, Result result)
+{
+    if (!sync->failing) {
+        sync->failing = TRUE;
+        sync->failed_since = Clock_Now();
+        Log_Event(LOG_STORE_LOST, "kind=%s result=%s revision=%" PRId64,
+                  sync->desc.kind, Result_Name(result), sync->revision);
+    }
+    sync->backoff_ms = sync->backoff_ms == 0
+                           ? FIRST_BACKOFF_MS
+                           : MIN(2 * sync->backoff_ms, MOST_BACKOFF_MS);
+}
+
+static void
+note_success(ObjectSync *sync)
+{
+    sync->backoff_ms = 0;
+    if (sync->failing) {
+        sync->failing = FALSE;
+        Log_Event(LOG_STORE_REGAINED,
+                  "kind=%s revision=%" PRId64 " away_ms=%" PRId64,
+                  sync->desc.kind, sync->revision,
+                  Clock_Now() - sync->failed_since);
+    }
+}
+
+static gboolean
+is_stopping(ObjectSync *sync)
+{
+    gboolean stopping;
+
+    pthread_mutex_lock(&sync->lock);
+    stopping = sync->stopping;
+    pthread_mutex_unlock(&sync->lock);
+    return stopping;
+}
+
+static void
+pass_on(ObjectSync *sync, const ObjectPage *page, GHashTable *names)
+{
+    if (is_stopping(sync)) {
+        return;
+    }
+    for (guint i = 0; i < page->records->len; i++) {
+        const ObjectRecord *record =
+            &g_array_index(page->records, ObjectRecord, i);
+
+        if (names != NULL) {
+            g_hash_table_add(names, g_strdup(record->name));
+        }
+        sync->desc.changed(sync->desc.context, record);
+    }
+}
+
+static void
+confirm(ObjectSync *sync, ClockMs moment)
+{
+    if (sync->desc.confirmed != NULL && !is_stopping(sync)) {
+        sync->desc.confirmed(sync->desc.context, moment);
+    }
+}
+
+/* Lists the whole kind. Watching starts at the revision of the first page, so
+ * that changes between two pages are seen again. */
+static Result
+list_all(ObjectSync *sync)
+{
+    const ObjectStore *store = sync->desc.store;
+    GHashTable *names =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    char *after = g_strdup("");
+    ClockMs started = Clock_Now();
+    int64_t revision = -1;
+    ObjectPage page;
+    gboolean more = TRUE;
+    Result result = RESULT_OK;
+
+    while (more && result == RESULT_OK) {
+        ObjectPage_Init(&page);
+        result = store->list(store->context, sync->desc.kind, after, FALSE,
+                             &page);
+        if (result == RESULT_OK) {
+            pass_on(sync, &page, names);
+            revision = revision < 0 ? page.revision : revision;
+            more = page.more && page.records->len > 0;
+        }
+        if (more && result == RESULT_OK) {
+            g_free(after);
+            after = g_strdup(g_array_index(page.records, ObjectRecord,
+                                           page.records->len - 1)
+                                 .name);
+        }
+        ObjectPage_Clear(&page);
+    }
+    g_free(after);
+    if (result == RESULT_OK) {
+        sync->revision = revision;
+        sync->next_wait_ms = CONFIRM_WAIT_MS;
+        if (sync->desc.listed != NULL && !is_stopping(sync)) {
+            sync->desc.listed(sync->desc.context, names);
+        }
+        confirm(sync, started);
+        atomic_store(&sync->complete, TRUE);
+    }
+    g_hash_table_destroy(names);
+    return result;
+}
+
+static Result
+watch_once(ObjectSync *sync, gboolean *changed)
+{
+    const ObjectStore *store = sync->desc.store;
+    ClockMs wait_ms =
+        sync->desc.confirmed ? sync->next_wait_ms : sync->desc.wait_ms;
+    ClockMs started = Clock_Now();
+    ClockMs waited;
+    ObjectPage page;
+    Result result;
+
+    ObjectPage_Init(&page);
+    result = store->watch(store->context, sync->desc.kind, sync->revision,
+                          wait_ms, sync->desc.stale, &page);
+    if (result == RESULT_OK) {
+        *changed = page.records->len > 0;
+        pass_on(sync, &page, NULL);
+        sync->revision = MAX(sync->revision, page.revision);
+        waited = (ClockMs)((double)wait_ms * WAIT_SHARE);
+        if (*changed || Clock_Now() - started < waited) {
+            waited = 0;
+        }
+        confirm(sync, started + waited);
+        sync->next_wait_ms = *changed ? CONFIRM_WAIT_MS : sync->desc.wait_ms;
+    }
+    else if (result == RESULT_STORE_HISTORY_GONE) {
+        Log_Event(LOG_STORE_HISTORY_GONE, "kind=%s revision=%" PRId64,
+                  sync->desc.kind, sync->revision);
+        sync->revision = -1;
+    }
+    ObjectPage_Clear(&page);
+    return result;
+}
+
+static void *
+follow(void *context)
+{
+    ObjectSync *sync = context;
+    gboolean stopping = FALSE;
+    gboolean changed;
+    Result result;
+
+    rcu_register_thread();
+    while (!stopping) {
+        changed = FALSE;
+        result = sync->revision < 0 ? list_all(sync)
+                                    : watch_once(sync, &changed);
+        if (result == RESULT_OK) {
+            note_success(sync);
+            stopping = pause_for(sync, changed ? sync->desc.pause_ms : 0);
+        }
+        else if (result == RESULT_STORE_HISTORY_GONE) {
+            stopping = is_stopping(sync);
+        }
+        else {
+            note_failure(sync, result);
+            stopping = pause_for(
+                sync, sync->backoff_ms / 2 +
+                          (ClockMs)Rng_Below(&sync->rng,
+                                             (uint64_t)sync->backoff_ms));
+        }
+    }
+    rcu_unregister_thread();
+    return NULL;
+}
+
+ObjectSync *
+ObjectSync_Start(const ObjectSync_desc *desc)
+{
+    ObjectSync *sync = g_new0(ObjectSync, 1);
+    pthread_condattr_t attributes;
+
+    sync->desc = *desc;
+    if (sync->desc.wait_ms == 0) {
+        sync->desc.wait_ms = DEFAULT_WAIT_MS;
+    }
+    sync->next_wait_ms = sync->desc.wait_ms;
+    sync->revision = -1;
+    Rng_Seed(&sync->rng, Rng_ProcessSeed());
+    pthread_mutex_init(&sync->lock, NULL);
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(&sync->wake, &attributes);
+    pthread_condattr_destroy(&attributes);
+    pthread_create(&sync->thread, NULL, follow, sync);
+    return sync;
+}
+
+void
+ObjectSync_Stop(ObjectSync *sync)
+{
+    if (sync == NULL) {
+        return;
+    }
+    pthread_mutex_lock(&sync->lock);
+    sync->stopping = TRUE;
+    pthread_cond_signal(&sync->wake);
+    pthread_mutex_unlock(&sync->lock);
+    pthread_join(sync->thread, NULL);
+    pthread_cond_destroy(&sync->wake);
+    pthread_mutex_destroy(&sync->lock);
+    g_free(sync);
+}
+
+gboolean
+ObjectSync_IsComplete(const ObjectSync *sync)
+{
+    return atomic_load(&sync->complete);
+}
--- /dev/null
+++ b/src/objects/object_writer.c
@@ -0,0 +1,220 @@
+#include "objects/object_writer.h"
+
+#include <inttypes.h>
+#include <pthread.h>
+
+#include "base/log.h"
+#include "base/rng.h"
+
+/* Pause after a failed write: the first, and the longest. */
+#define FIRST_BACKOFF_MS 100
+#define MOST_BACKOFF_MS 800
+
+struct ObjectWriter {
+    ObjectWriter_desc desc;
+    pthread_t thread;
+    pthread_mutex_t lock;
+    pthread_cond_t wake;
+    gboolean stopping;
+    gboolean wanted; /* a value was set */
+    gboolean known;  /* `stored` and `revision` are what the store holds */
+    json_t *value;   /* NULL: the object should not exist */
+    json_t *stored;  /* NULL: it does not exist */
+    int64_t revision;
+    Rng rng;
+};
+
+static gboolean
+is_settled(const ObjectWriter *writer)
+{
+    if (!writer->wanted) {
+        return TRUE;
+    }
+    if (!writer->known) {
+        return FALSE;
+    }
+    if (writer->value == NULL || writer->stored == NULL) {
+        return writer->value == writer->stored;
+    }
+    return json_equal(writer->value, writer->stored);
+}
+
+/* Called with the lock held. */
+static void
+set_stored(ObjectWriter *writer, json_t *value, int64_t revision)
+{
+    json_decref(writer->stored);
+    writer->stored = value;
+    writer->revision = revision;
+    writer->known = TRUE;
+}
+
+static Result
+read_back(ObjectWriter *writer)
+{
+    const ObjectStore *store = writer->desc.store;
+    ObjectRecord record = {0};
+    Result result = store->get(store->context, writer->desc.kind,
+                               writer->desc.name, &record);
+
+    pthread_mutex_lock(&writer->lock);
+    if (result == RESULT_OK) {
+        set_stored(writer, json_incref(record.value), record.revision);
+    }
+    else if (result == RESULT_NOT_FOUND) {
+        set_stored(writer, NULL, 0);
+        result = RESULT_OK;
+    }
+    pthread_mutex_unlock(&writer->lock);
+    ObjectRecord_Clear(&record);
+    return result;
+}
+
+/* Makes the stored object equal to the wanted value by one write. */
+static Result
+write_once(ObjectWriter *writer)
+{
+    const ObjectStore *store = writer->desc.store;
+    int64_t revision;
+    json_t *value;
+    Result result;
+
+    pthread_mutex_lock(&writer->lock);
+    revision = writer->revision;
+    value = json_deep_copy(writer->value);
+    pthread_mutex_unlock(&writer->lock);
+    if (value != NULL) {
+        result = store->put(store->context, writer->desc.kind,
+                            writer->desc.name, value, &revision);
+    }
+    else {
+        result = store->remove(store->context, writer->desc.kind,
+                               writer->desc.name, revision);
+        revision = 0;
+    }
+    pthread_mutex_lock(&writer->lock);
+    if (result == RESULT_OK) {
+        set_stored(writer, json_incref(value), revision);
+    }
+    else {
+        /* After a conflict or a lost answer the store's state is unknown. */
+        writer->known = FALSE;
+    }
+    pthread_mutex_unlock(&writer->lock);
+    Log_Event(LOG_OBJECT_WRITTEN,
+              "kind=%s name=%s result=%s revision=%" PRId64, writer->desc.kind,
+              writer->desc.name, Result_Name(result), revision);
+    json_decref(value);
+    return result;
+}
+
+/* Waits until there is something to write; FALSE when the thread ends. */
+static gboolean
+wait_for_work(ObjectWriter *writer, ClockMs backoff_ms, gboolean *known)
+{
+    gint64 end = g_get_monotonic_time() + backoff_ms * 1000;
+    struct timespec until = {.tv_sec = end / G_USEC_PER_SEC,
+                             .tv_nsec = (end % G_USEC_PER_SEC) * 1000};
+    gboolean stopping;
+
+    pthread_mutex_lock(&writer->lock);
+    while (!writer->stopping && backoff_ms > 0 &&
+           pthread_cond_timedwait(&writer->wake, &writer->lock, &until) == 0) {
+    }
+    while (!writer->stopping && is_settled(writer)) {
+        pthread_cond_wait(&writer->wake, &writer->lock);
+    }
+    stopping = writer->stopping;
+    *known = writer->known;
+    pthread_mutex_unlock(&writer->lock);
+    return !stopping;
+}
+
+static void *
+run(void *context)
+{
+    ObjectWriter *writer = context;
+    ClockMs backoff_ms = 0;
+    ClockMs pause_ms = 0;
+    gboolean known;
+    Result result;
+
+    while (wait_for_work(writer, pause_ms, &known)) {
+        result = known ? write_once(writer) : read_back(writer);
+        if (result == RESULT_OK || result == RESULT_STORE_CONFLICT) {
+            backoff_ms = 0;
+        }
+        else {
+            backoff_ms = backoff_ms == 0
+                             ? FIRST_BACKOFF_MS
+                             : MIN(2 * backoff_ms, MOST_BACKOFF_MS);
+        }
+        pause_ms = backoff_ms == 0
+                       ? 0
+                       : backoff_ms / 2 + (ClockMs)Rng_Below(
+                                              &writer->rng,
+                                              (uint64_t)backoff_ms);
+    }
+    return NULL;
+}
+
+ObjectWriter *
+ObjectWriter_Start(const ObjectWriter_desc *desc)
+{
+    ObjectWriter *writer = g_new0(ObjectWriter, 1);
+    pthread_condattr_t attributes;
+
+    writer->desc = *desc;
+    /* Most often the object does not exist yet; the store says so if not. */
+    writer->known = TRUE;
+    Rng_Seed(&writer->rng, Rng_ProcessSeed());
+    pthread_mutex_init(&writer->lock, NULL);
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(&writer->wake, &attributes);
+    pthread_condattr_destroy(&attributes);
+    pthread_create(&writer->thread, NULL, run, writer);
+    return writer;
+}
+
+void
+ObjectWriter_Want(ObjectWriter *writer, json_t *value)
+{
+    pthread_mutex_lock(&writer->lock);
+    json_decref(writer->value);
+    writer->value = value;
+    writer->wanted = TRUE;
+    pthread_cond_signal(&writer->wake);
+    pthread_mutex_unlock(&writer->lock);
+}
+
+void
+ObjectWriter_Observe(ObjectWriter *writer, const ObjectRecord *record)
+{
+    pthread_mutex_lock(&writer->lock);
+    if (record->revision > writer->revision) {
+        set_stored(writer,
+                   record->deleted ? NULL : json_incref(record->value),
+                   record->deleted ? 0 : record->revision);
+        pthread_cond_signal(&writer->wake);
+    }
+    pthread_mutex_unlock(&writer->lock);
+}
+
+void
+ObjectWriter_Stop(ObjectWriter *writer)
+{
+    if (writer == NULL) {
+        return;
+    }
+    pthread_mutex_lock(&writer->lock);
+    writer->stopping = TRUE;
+    pthread_cond_signal(&writer->wake);
+    pthread_mutex_unlock(&writer->lock);
+    pthread_join(writer->thread, NULL);
+    pthread_cond_destroy(&writer->wake);
+    pthread_mutex_destroy(&writer->lock);
+    json_decref(writer->value);
+    json_decref(writer->stored);
+    g_free(writer);
+}
--- /dev/null
+++ b/src/quota/quota.h
@@ -0,0 +1,57 @@
+/* Quota: holds each team to its rate over the whole fleet.
+ *
+ * Each data centre has a fixed, equal part of a team's allowance for a sliding
+ * window, so the sum holds however the data centres are cut off from each
+ * other. Inside a data centre one host, the keeper, counts most of that part;
+ * it comes first in the team's rendezvous order of the hosts that can be
+ * reached. The rest is split among the hosts beforehand: each counts its own
+ * small part when no keeper answers.
+ *
+ * Use:
+ *  1. Quota_Create(), which registers its message with Rpc.
+ *  2. Quota_Take() for each request of a team, from any thread. It may block
+ *     for QUOTA_DRAW_MS for each of at most two keepers.
+ *  3. Quota_Destroy().
+ *
+ * A host that has just started does not know what was counted before. For the
+ * length of a window its part grows from the fleet's slack to the whole.
+ *
+ * Limits: a team without a rate is not counted.
+ */
+#ifndef QUOTA_QUOTA_H
+#define QUOTA_QUOTA_H
+
+#include "catalog/catalog.h"
+#include "quota/quota_window.h"
+#include "roster/roster.h"
+#include "rpc/rpc.h"
+
+typedef struct Quota Quota;
+
+typedef struct Quota_desc {
+    uint64_t host; /* hash of the own name */
+    Catalog *catalog;
+    Roster *roster;
+    Rpc *rpc;
+    uint32_t data_centres; /* in the fleet */
+    ClockMs window_ms;     /* over which a team's requests are counted */
+    double overage;        /* share above the limit that is tolerated */
+    int64_t slack;         /* requests above it that are tolerated */
+} Quota_desc;
+
+typedef enum QuotaSource { QUOTA_UNLIMITED, QUOTA_KEEPER, QUOTA_OWN_PART } QuotaSource;
+
+Quota *Quota_Create(const Quota_desc *desc);
+void Quota_Destroy(Quota *quota);
+
+/* RESULT_OK or RESULT_RATE_EXCEEDED; *source tells who counted. */
+Result Quota_Take(Quota *quota, const CatalogTeam *team, QuotaSource *source);
+
+/* "unlimited", "keeper", "own_part". */
+const char *Quota_SourceName(QuotaSource source);
+
+/* What a data centre may let through in one window in all. */
+double _Quota_DataCentreLimit(const Quota_desc *desc, const CatalogTeam *team,
+                              ClockMs uptime_ms);
+
+#endif
--- /dev/null
+++ b/src/quota/quota_window.c
@@ -0,0 +1,52 @@
+#include "quota/quota_window.h"
+
+#include <string.h>
+
+#define RING (QUOTA_BUCKETS + 1)
+
+void
+QuotaWindow_Init(QuotaWindow *window, ClockMs length_ms, ClockMs now)
+{
+    *window =
+        (QuotaWindow){.bucket_ms = MAX(length_ms / QUOTA_BUCKETS, 1)};
+    window->first = now / window->bucket_ms - QUOTA_BUCKETS;
+}
+
+/* Drops the buckets that have left the window. */
+static void
+advance(QuotaWindow *window, ClockMs now)
+{
+    int64_t first = now / window->bucket_ms - QUOTA_BUCKETS;
+
+    if (first - window->first > RING) {
+        memset(window->counts, 0, sizeof(window->counts));
+        window->total = 0;
+        window->first = first;
+    }
+    while (window->first < first) {
+        int64_t *count = &window->counts[window->first % RING];
+
+        window->total -= *count;
+        *count = 0;
+        window->first++;
+    }
+}
+
+gboolean
+QuotaWindow_Take(QuotaWindow *window, int64_t limit, ClockMs now)
+{
+    advance(window, now);
+    if (window->total >= limit) {
+        return FALSE;
+    }
+    window->counts[(now / window->bucket_ms) % RING]++;
+    window->total++;
+    return TRUE;
+}
+
+int64_t
+QuotaWindow_Count(QuotaWindow *window, ClockMs now)
+{
+    advance(window, now);
+    return window->total;
+}
--- a/src/retry/retry.c
+++ b/src/retry/retry.c
@@ -26,7 +26,9 @@
     Retry_desc resolved = desc ? *desc : defaults;
 
     USE_DEFAULT(budget_percent)
-    USE_DEFAULT(min_per_s)
+    if (resolved.min_per_minute == 0) {
+        USE_DEFAULT(min_per_s)
+    }
     USE_DEFAULT(burst_s)
     USE_DEFAULT(max_attempts)
     USE_DEFAULT(min_time_left_ms)
@@ -35,18 +37,26 @@
     return resolved;
 }
 
+/* Retries a second at any traffic. */
+static double
+least_rate(const Retry_desc *desc)
+{
+    return desc->min_per_minute > 0 ? desc->min_per_minute / 60.0
+                                    : desc->min_per_s;
+}
+
 void
 RetryBudget_Init(RetryBudget *budget, const Retry_desc *desc, ClockMs now)
 {
     *budget = (RetryBudget){.desc = resolve(desc), .updated = now};
-    budget->tokens = budget->desc.min_per_s;
+    budget->tokens = MAX(least_rate(&budget->desc), 1);
 }
 
 static double
 bucket_size(const RetryBudget *budget)
 {
     return budget->desc.burst_s *
-           (budget->desc.min_per_s +
+           (least_rate(&budget->desc) +
             budget->rate_per_s * budget->desc.budget_percent / 100);
 }
 
@@ -58,7 +68,7 @@
     if (seconds > 0) {
         budget->updated = now;
         budget->rate_per_s *= exp(-seconds / RATE_MEMORY_S);
-        budget->tokens += seconds * budget->desc.min_per_s;
+        budget->tokens += seconds * least_rate(&budget->desc);
     }
     budget->tokens = MIN(budget->tokens, bucket_size(budget));
 }
@@ -88,6 +98,7 @@
     case RESULT_SHUTTING_DOWN:
     case RESULT_BACKEND_SERVER_EJECTED:
     case RESULT_BACKEND_SERVER_SHED:
+    case RESULT_BACKEND_SERVER_OTHER:
     case RESULT_BACKEND_SERVER_ERROR:
     case RESULT_CONNECTION_SILENT:
     case RESULT_REQUEST_ID_VOID:
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -32,6 +32,8 @@
 typedef struct Retry_desc {
     uint32_t budget_percent;  /* retries, in percent of first attempts (10) */
     uint32_t min_per_s;       /* retries a second at any traffic (1) */
+    uint32_t min_per_minute;  /* instead of min_per_s, for hosts with little
+                                 traffic; 0: not used */
     uint32_t burst_s;         /* seconds of budget that can be saved (5) */
     uint32_t max_attempts;    /* with the first one (3) */
     ClockMs min_time_left_ms; /* less left: no retry (5) */
--- /dev/null
+++ b/src/roster/roster.c
@@ -0,0 +1,391 @@
+#include "roster/roster.h"
+
+#include <math.h>
+#include <pthread.h>
+#include <string.h>
+
+#include "base/rng.h"
+
+/* Shares of a request's worth: the bytes of a request and its answer between
+ * two data centres and between two regions, at the users' prices. */
+#define DEFAULT_DATA_CENTRE_COST 0.03
+#define DEFAULT_REGION_COST 0.2
+
+/* Crossing to a neighbour host costs a hop and its processor time. */
+#define HOP_COST 0.002
+
+/* Cost of a busy backend server over an idle one; spreads the load. */
+#define LOAD_COST 0.04
+
+/* Ties are broken at random within this cost. */
+#define JITTER_COST 0.01
+
+/* Cost of an answer that is expected to come too late. */
+#define LATE_COST 0.5
+
+/* Time after which a reported load is no longer believed. */
+#define LOAD_MEMORY_MS 1000
+
+/* Service time that is assumed before the first report. */
+#define FIRST_SERVICE_MS 500
+
+/* How long an unreachable host is left out: at first, and at most. */
+#define FIRST_AVOID_MS 400
+#define MOST_AVOID_MS 4000
+
+typedef struct RosterRow {
+    RosterEntry entry;
+    uint64_t host;
+    uint64_t service;
+    RosterTier tier;
+    GrayFilter filter;
+    RosterReport report;
+    ClockMs reported; /* 0: never */
+    ClockMs avoid_until;
+    ClockMs avoid_ms;
+} RosterRow;
+
+struct Roster {
+    Roster_desc desc;
+    pthread_mutex_t lock;
+    GHashTable *rows;     /* &RosterRow.host -> RosterRow */
+    GHashTable *services; /* service hash -> GPtrArray of RosterRow */
+    Rng rng;
+};
+
+Roster *
+Roster_Create(const Roster_desc *desc)
+{
+    Roster *roster = g_new0(Roster, 1);
+
+    roster->desc = *desc;
+    if (roster->desc.data_centre_cost == 0) {
+        roster->desc.data_centre_cost = DEFAULT_DATA_CENTRE_COST;
+    }
+    if (roster->desc.region_cost == 0) {
+        roster->desc.region_cost = DEFAULT_REGION_COST;
+    }
+    pthread_mutex_init(&roster->lock, NULL);
+    roster->rows =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    roster->services = g_hash_table_new_full(
+        g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+    Rng_Seed(&roster->rng, Rng_ProcessSeed());
+    return roster;
+}
+
+void
+Roster_Destroy(Roster *roster)
+{
+    if (roster != NULL) {
+        g_hash_table_destroy(roster->services);
+        g_hash_table_destroy(roster->rows);
+        pthread_mutex_destroy(&roster->lock);
+        g_free(roster);
+    }
+}
+
+static RosterTier
+tier_of(const Roster *roster, const RosterEntry *entry)
+{
+    if (strcmp(entry->host, roster->desc.host) == 0) {
+        return ROSTER_SAME_HOST;
+    }
+    if (strcmp(entry->data_centre, roster->desc.data_centre) == 0) {
+        return ROSTER_SAME_DATA_CENTRE;
+    }
+    return strcmp(entry->region, roster->desc.region) == 0
+               ? ROSTER_SAME_REGION
+               : ROSTER_OTHER_REGION;
+}
+
+/* The rows of a service; made if there are none yet. */
+static GPtrArray *
+service_rows(Roster *roster, uint64_t service)
+{
+    GPtrArray *rows = g_hash_table_lookup(roster->services, &service);
+
+    if (rows == NULL) {
+        rows = g_ptr_array_new();
+        g_hash_table_insert(roster->services,
+                            g_memdup2(&service, sizeof(service)), rows);
+    }
+    return rows;
+}
+
+static void
+unlink_row(Roster *roster, RosterRow *row)
+{
+    g_ptr_array_remove_fast(service_rows(roster, row->service), row);
+}
+
+void
+Roster_Set(Roster *roster, const RosterEntry *entry, ClockMs now)
+{
+    uint64_t host = Rng_HashString(entry->host);
+    uint64_t service = Rng_HashString(entry->service);
+    RosterRow *row;
+
+    pthread_mutex_lock(&roster->lock);
+    row = g_hash_table_lookup(roster->rows, &host);
+    if (row == NULL) {
+        row = g_new0(RosterRow, 1);
+        row->host = host;
+        g_hash_table_insert(roster->rows, &row->host, row);
+    }
+    else {
+        unlink_row(roster, row);
+    }
+    if (strcmp(row->entry.instance, entry->instance) != 0) {
+        /* Another backend server: what was known is of no use. */
+        GrayFilter_Init(&row->filter, &roster->desc.gray, now);
+        row->reported = 0;
+        row->avoid_until = 0;
+        row->avoid_ms = 0;
+    }
+    row->entry = *entry;
+    row->service = service;
+    row->tier = tier_of(roster, entry);
+    g_ptr_array_add(service_rows(roster, service), row);
+    pthread_mutex_unlock(&roster->lock);
+}
+
+void
+Roster_Remove(Roster *roster, const char *host)
+{
+    uint64_t hash = Rng_HashString(host);
+    RosterRow *row;
+
+    pthread_mutex_lock(&roster->lock);
+    row = g_hash_table_lookup(roster->rows, &hash);
+    if (row != NULL) {
+        unlink_row(roster, row);
+        g_hash_table_remove(roster->rows, &hash);
+    }
+    pthread_mutex_unlock(&roster->lock);
+}
+
+void
+Roster_Retain(Roster *roster, GHashTable *names)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    pthread_mutex_lock(&roster->lock);
+    g_hash_table_iter_init(&iterator, roster->rows);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        RosterRow *row = value;
+
+        if (row->tier != ROSTER_SAME_HOST &&
+            !g_hash_table_contains(names, row->entry.host)) {
+            unlink_row(roster, row);
+            g_hash_table_iter_remove(&iterator);
+        }
+    }
+    pthread_mutex_unlock(&roster->lock);
+}
+
+static gboolean
+is_tried(const RosterQuery *query, uint64_t host)
+{
+    for (uint32_t i = 0; i < query->tried_count; i++) {
+        if (query->tried[i] == host) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+static double
+distance_cost(const Roster *roster, RosterTier tier)
+{
+    switch (tier) {
+    case ROSTER_SAME_HOST:
+        return 0;
+    case ROSTER_SAME_DATA_CENTRE:
+        return HOP_COST;
+    case ROSTER_SAME_REGION:
+        return roster->desc.data_centre_cost;
+    default:
+        return roster->desc.region_cost;
+    }
+}
+
+/* Share of the reported load that is still believed. */
+static double
+load_trust(const RosterRow *row, ClockMs now)
+{
+    if (row->reported == 0) {
+        return 0;
+    }
+    return exp(-(double)(now - row->reported) / LOAD_MEMORY_MS);
+}
+
+static ClockMs
+expected_wait(const RosterRow *row, ClockMs now)
+{
+    double slots = MAX(row->entry.slots, 1);
+    double load = (double)(row->report.in_flight + row->report.waiting) *
+                  load_trust(row, now);
+    ClockMs service_ms = row->report.service_ms > 0 ? row->report.service_ms
+                                                    : FIRST_SERVICE_MS;
+
+    return load < slots
+               ? 0
+               : (ClockMs)((load - slots + 1) * (double)service_ms / slots);
+}
+
+static double
+cost_of(Roster *roster, const RosterRow *row, const RosterQuery *query,
+        ClockMs now)
+{
+    double risk = GrayFilter_Risk(&row->filter, now);
+    ClockMs wait_ms = expected_wait(row, now);
+    double left = (double)MAX(query->time_left_ms, 1);
+    double load = (double)row->report.in_flight / MAX(row->entry.slots, 1);
+    double cost =
+        query->failure_cost * GrayFilter_FailShare(&row->filter, risk) +
+        distance_cost(roster, row->tier) +
+        LOAD_COST * MIN(load, 1) * load_trust(row, now) +
+        JITTER_COST * Rng_Unit(&roster->rng);
+
+    cost += MIN((double)wait_ms / left, 1) * LATE_COST;
+    if ((double)(wait_ms + row->report.service_ms) > left) {
+        cost += LATE_COST;
+    }
+    return cost;
+}
+
+static void
+fill_choice(const Roster *roster, const RosterRow *row, ClockMs now,
+            RosterChoice *choice)
+{
+    choice->entry = row->entry;
+    choice->host = row->host;
+    choice->tier = row->tier;
+    choice->distance_cost = distance_cost(roster, row->tier);
+    choice->wait_ms = expected_wait(row, now);
+    choice->age_ms = row->reported > 0 ? now - row->reported : CLOCK_NEVER;
+}
+
+/* Chooses among the reachable rows, or among all if `desperate`. */
+static const RosterRow *
+find_best(Roster *roster, const GPtrArray *rows, const RosterQuery *query,
+          gboolean desperate, ClockMs now, RosterChoice *choice)
+{
+    const RosterRow *best = NULL;
+
+    choice->cost = HUGE_VAL;
+    choice->other_cost = HUGE_VAL;
+    for (guint i = 0; i < rows->len; i++) {
+        const RosterRow *row = g_ptr_array_index(rows, i);
+        double cost;
+
+        if (row->entry.leaving || is_tried(query, row->host) ||
+            (!desperate && now < row->avoid_until)) {
+            continue;
+        }
+        cost = cost_of(roster, row, query, now);
+        if (cost < choice->cost) {
+            choice->other_cost = choice->cost;
+            choice->cost = cost;
+            best = row;
+        }
+        else if (cost < choice->other_cost) {
+            choice->other_cost = cost;
+        }
+    }
+    return best;
+}
+
+gboolean
+Roster_Choose(Roster *roster, const RosterQuery *query, ClockMs now,
+              RosterChoice *choice)
+{
+    const RosterRow *best = NULL;
+    GPtrArray *rows;
+
+    pthread_mutex_lock(&roster->lock);
+    rows = g_hash_table_lookup(roster->services, &query->service);
+    if (rows != NULL) {
+        best = find_best(roster, rows, query, FALSE, now, choice);
+        if (best == NULL) {
+            best = find_best(roster, rows, query, TRUE, now, choice);
+        }
+    }
+    if (best != NULL) {
+        fill_choice(roster, best, now, choice);
+    }
+    pthread_mutex_unlock(&roster->lock);
+    return best != NULL;
+}
+
+void
+Roster_Report(Roster *roster, uint64_t host, const RosterReport *report,
+              ClockMs now)
+{
+    RosterRow *row;
+
+    pthread_mutex_lock(&roster->lock);
+    row = g_hash_table_lookup(roster->rows, &host);
+    if (row != NULL) {
+        GrayFilter_Set(&row->filter, report->risk, now);
+        row->report = *report;
+        row->reported = now;
+        row->avoid_ms = 0;
+        row->avoid_until = report->leaving ? now + MOST_AVOID_MS : 0;
+    }
+    pthread_mutex_unlock(&roster->lock);
+}
+
+void
+Roster_NoteUnreachable(Roster *roster, uint64_t host, ClockMs now)
+{
+    RosterRow *row;
+
+    pthread_mutex_lock(&roster->lock);
+    row = g_hash_table_lookup(roster->rows, &host);
+    if (row != NULL) {
+        row->avoid_ms = row->avoid_ms == 0
+                            ? FIRST_AVOID_MS
+                            : MIN(2 * row->avoid_ms, MOST_AVOID_MS);
+        row->avoid_until = now + row->avoid_ms;
+    }
+    pthread_mutex_unlock(&roster->lock);
+}
+
+uint32_t
+Roster_Neighbours(Roster *roster, ClockMs now, RosterPeer *peers,
+                  uint32_t most)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    uint32_t count = 0;
+
+    pthread_mutex_lock(&roster->lock);
+    g_hash_table_iter_init(&iterator, roster->rows);
+    while (count < most && g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const RosterRow *row = value;
+
+        if (row->tier == ROSTER_SAME_DATA_CENTRE && row->entry.rpc_port > 0 &&
+            now >= row->avoid_until) {
+            peers[count].host = row->host;
+            peers[count].rpc = row->entry.peer;
+            peers[count].rpc.sin_port = htons(row->entry.rpc_port);
+            count++;
+        }
+    }
+    pthread_mutex_unlock(&roster->lock);
+    return count;
+}
+
+uint32_t
+Roster_Count(Roster *roster)
+{
+    uint32_t count;
+
+    pthread_mutex_lock(&roster->lock);
+    count = g_hash_table_size(roster->rows);
+    pthread_mutex_unlock(&roster->lock);
+    return count;
+}
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -13,7 +13,9 @@
     SETTING_TEXT,
     SETTING_LIST,
     SETTING_NAMES,
-    SETTING_NUMBER
+    SETTING_NUMBER,
+    SETTING_TIME,
+    SETTING_REAL
 } SettingKind;
 
 typedef struct SettingRow {
@@ -28,6 +30,7 @@
     int64_t number_default;
     gboolean required;
     gboolean reload;
+    double real_default;
 } SettingRow;
 
 #define TEXT_ROW(name, required, fallback, form, text) \
@@ -53,8 +56,18 @@
      unit,  text,           "",                                     \
      least, most,           fallback,                               \
      FALSE, reload},
-static const SettingRow rows[] = {
-    SETTINGS_LIST(TEXT_ROW, LIST_ROW, NAMES_ROW, NUMBER_ROW)};
+#define TIME_ROW(name, least, most, fallback, text) \
+    {#name, SETTING_TIME, offsetof(Settings, name), \
+     "ms",  text,         "",                       \
+     least, most,         fallback,                 \
+     FALSE, FALSE},
+#define REAL_ROW(name, unit, least, most, fallback, text) \
+    {#name, SETTING_REAL, offsetof(Settings, name),       \
+     unit,  text,         "",                             \
+     least, most,         0,                              \
+     FALSE, FALSE,        fallback},
+static const SettingRow rows[] = {SETTINGS_LIST(
+    TEXT_ROW, LIST_ROW, NAMES_ROW, NUMBER_ROW, TIME_ROW, REAL_ROW)};
 
 static const SettingRow *
 find_row(const char *name)
@@ -87,9 +100,16 @@
 static gboolean
 is_text_valid(const SettingRow *row, const char *value)
 {
+    struct sockaddr_in socket_address;
     struct in_addr address;
     LogLevel level;
 
+    if (strcmp(row->form, "numeric address:port") == 0) {
+        return HttpAddress_Parse(value, &socket_address);
+    }
+    if (strcmp(row->name, "mode") == 0) {
+        return strcmp(value, "fleet") == 0 || strcmp(value, "platform") == 0;
+    }
     if (strcmp(row->name, "host") == 0) {
         return is_name(value, 63);
     }
@@ -156,6 +176,63 @@
     return TRUE;
 }
 
+/* A whole number of milliseconds, or a text such as "250ms" or "2.5s". */
+static gboolean
+read_time(const json_t *value, ClockMs *time)
+{
+    const char *text = json_string_value(value);
+    char *unit;
+    double number;
+
+    if (json_is_integer(value)) {
+        *time = json_integer_value(value);
+        return TRUE;
+    }
+    if (text == NULL) {
+        return FALSE;
+    }
+    number = g_ascii_strtod(text, &unit);
+    if (unit == text ||
+        (strcmp(unit, "ms") != 0 && strcmp(unit, "s") != 0)) {
+        return FALSE;
+    }
+    *time = (ClockMs)(unit[0] == 's' ? number * 1000 : number);
+    return TRUE;
+}
+
+static void
+read_time_row(const SettingRow *row, const json_t *value, ClockMs *time,
+              GString *errors)
+{
+    ClockMs read;
+
+    if (read_time(value, &read) && read >= row->least && read <= row->most) {
+        *time = read;
+        return;
+    }
+    g_string_append_printf(errors,
+                           "\n  $.%s: expected a time from %" G_GINT64_FORMAT
+                           " to %" G_GINT64_FORMAT
+                           " ms, as a number or as text with ms or s",
+                           row->name, row->least, row->most);
+}
+
+static void
+read_real_row(const SettingRow *row, const json_t *value, double *number,
+              GString *errors)
+{
+    if (json_is_number(value) &&
+        json_number_value(value) >= (double)row->least &&
+        json_number_value(value) <= (double)row->most) {
+        *number = json_number_value(value);
+        return;
+    }
+    g_string_append_printf(errors,
+                           "\n  $.%s: expected a number from %" G_GINT64_FORMAT
+                           " to %" G_GINT64_FORMAT,
+                           row->name, row->least, row->most);
+}
+
 static void
 read_value(Settings *settings, const SettingRow *row, const json_t *value,
            GString *errors)
@@ -202,6 +279,12 @@
                                "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
                                row->name, row->form, row->least, row->most);
         return;
+    case SETTING_TIME:
+        read_time_row(row, value, field_of(settings, row), errors);
+        return;
+    case SETTING_REAL:
+        read_real_row(row, value, field_of(settings, row), errors);
+        return;
     }
 }
 
@@ -213,9 +296,13 @@
             *(char **)field_of(settings, &rows[i]) =
                 g_strdup(rows[i].text_default);
         }
-        else if (rows[i].kind == SETTING_NUMBER) {
+        else if (rows[i].kind == SETTING_NUMBER ||
+                 rows[i].kind == SETTING_TIME) {
             *(int64_t *)field_of(settings, &rows[i]) = rows[i].number_default;
         }
+        else if (rows[i].kind == SETTING_REAL) {
+            *(double *)field_of(settings, &rows[i]) = rows[i].real_default;
+        }
     }
 }
 
@@ -235,6 +322,36 @@
     }
 }
 
+/* Mode "platform" needs all its addresses. */
+static void
+check_platform(const Settings *settings, GString *errors)
+{
+    const struct {
+        const char *name;
+        const char *value;
+    } needed[] = {{"service", settings->service},
+                  {"backend_server", settings->backend_server},
+                  {"entry_address", settings->entry_address},
+                  {"peer_address", settings->peer_address},
+                  {"announce_address", settings->announce_address},
+                  {"ready_address", settings->ready_address}};
+
+    if (strcmp(settings->mode, "platform") != 0) {
+        return;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(needed); i++) {
+        if (needed[i].value[0] == '\0') {
+            g_string_append_printf(
+                errors, "\n  $.%s: missing, needed in mode platform",
+                needed[i].name);
+        }
+    }
+    if (settings->store.count == 0) {
+        g_string_append(errors,
+                        "\n  $.store: missing, needed in mode platform");
+    }
+}
+
 static void
 read_object(Settings *settings, json_t *root, GString *errors)
 {
@@ -261,6 +378,7 @@
     check_membership(&settings->regions, "regions", settings->region, errors);
     check_membership(&settings->data_centres, "data_centres",
                      settings->data_centre, errors);
+    check_platform(settings, errors);
     if ((settings->tls_certificate_file[0] == '\0') !=
         (settings->tls_key_file[0] == '\0')) {
         g_string_append(errors, "\n  $.tls_key_file: certificate and key must "
@@ -353,6 +471,8 @@
     case SETTING_NAMES:
         return memcmp(field_of(a, row), field_of(b, row),
                       sizeof(SettingsNames)) == 0;
+    case SETTING_REAL:
+        return *(double *)field_of(a, row) == *(double *)field_of(b, row);
     default:
         return *(int64_t *)field_of(a, row) == *(int64_t *)field_of(b, row);
     }
@@ -393,7 +513,13 @@
         const SettingRow *row = &rows[i];
 
         g_string_append_printf(out, "| `%s` | %s | ", row->name, row->form);
-        if (row->kind == SETTING_NUMBER) {
+        if (row->kind == SETTING_REAL) {
+            g_string_append_printf(out,
+                                   "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
+                                   " | %g | ",
+                                   row->least, row->most, row->real_default);
+        }
+        else if (row->kind == SETTING_NUMBER || row->kind == SETTING_TIME) {
             g_string_append_printf(out,
                                    "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
                                    " | %" G_GINT64_FORMAT " | ",
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -18,6 +18,7 @@
 #include <netinet/in.h>
 #include <stdint.h>
 
+#include "base/clock.h"
 #include "settings/settings_list.h"
 
 #define SETTINGS_MAX_ADDRESSES 16
@@ -40,14 +41,18 @@
 #define _SETTINGS_NAMES(name, form, text) SettingsNames name;
 #define _SETTINGS_NUMBER(name, unit, least, most, fallback, reload, text) \
     int64_t name;
+#define _SETTINGS_TIME(name, least, most, fallback, text) ClockMs name;
+#define _SETTINGS_REAL(name, unit, least, most, fallback, text) double name;
 typedef struct Settings {
     SETTINGS_LIST(_SETTINGS_TEXT, _SETTINGS_LIST, _SETTINGS_NAMES,
-                  _SETTINGS_NUMBER)
+                  _SETTINGS_NUMBER, _SETTINGS_TIME, _SETTINGS_REAL)
 } Settings;
 #undef _SETTINGS_TEXT
 #undef _SETTINGS_LIST
 #undef _SETTINGS_NAMES
 #undef _SETTINGS_NUMBER
+#undef _SETTINGS_TIME
+#undef _SETTINGS_REAL
 
 Settings *Settings_Load(const char *path, GError **error);
 
--- a/src/settings/settings_list.h
+++ b/src/settings/settings_list.h
@@ -4,13 +4,15 @@
  * LIST(name, form, text)            numeric addresses
  * NAMES(name, form, text)           names, the first one has number 0
  * NUMBER(name, unit, least, most, default, reload, text)
+ * TIME(name, least, most, default, text)  milliseconds, or text such as "5s"
+ * REAL(name, unit, least, most, default, text)
  * reload is 1 where SIGHUP puts a new value in force.
  */
 #ifndef SETTINGS_SETTINGS_LIST_H
 #define SETTINGS_SETTINGS_LIST_H
 
 /* clang-format off */
-#define SETTINGS_LIST(TEXT, LIST, NAMES, NUMBER) \
+#define SETTINGS_LIST(TEXT, LIST, NAMES, NUMBER, TIME, REAL) \
     TEXT(host, 1, "", "1 to 63 letters, digits, dots or dashes", \
          "name of this host, unique in the fleet") \
     TEXT(region, 1, "", "1 to 31 letters, digits or dashes", "region") \
@@ -84,7 +86,45 @@
            "age from which a request in flight counts as evidence; 0: the " \
            "default of the health slice") \
     NUMBER(announce_timeout_ms, "ms", 500, 60000, 3000, 1, \
-           "time without announcement after which a backend server is dropped")
+           "time without announcement after which a backend server is " \
+           "dropped") \
+    \
+    /* mode "platform": one backend server beside the daemon, all shared state \
+     * in the platform's store */ \
+    TEXT(mode, 0, "fleet", "fleet or platform", \
+         "what the daemon keeps its fleet by: gossip and tickets, or objects " \
+         "in the platform's store") \
+    TEXT(service, 0, "", "name", "service of the backend server here") \
+    TEXT(backend_server, 0, "", "numeric address:port", \
+         "address of the backend server") \
+    TEXT(entry_address, 0, "", "numeric address:port", \
+         "where callers send requests") \
+    TEXT(peer_address, 0, "", "numeric address:port", \
+         "where other daemons send requests") \
+    TEXT(announce_address, 0, "", "numeric address:port", \
+         "where the backend server announces itself") \
+    TEXT(ready_address, 0, "", "numeric address:port", \
+         "where readiness is asked for") \
+    NUMBER(metrics_port, "port", 0, 65535, 0, 0, \
+           "port of the metrics; 0: the kernel chooses") \
+    TIME(revocation_ms, 500, 600000, 5000, \
+         "time after which a withdrawn key must be refused everywhere") \
+    TIME(grace_ms, 500, 600000, 6000, \
+         "time between SIGTERM and SIGKILL") \
+    TIME(quota_window_ms, 100, 600000, 5000, \
+         "sliding window over which a team's requests are counted") \
+    REAL(quota_overage, "share", 0, 10, 0.1, \
+         "excess over a team's rate that is tolerated in one window") \
+    NUMBER(quota_slack, "requests", 0, 1000000, 20, 0, \
+           "excess that is tolerated on top of it") \
+    REAL(retry_ratio, "share", 0, 10, 0.2, \
+         "repeats of requests for a service that the fleet may make") \
+    NUMBER(retry_slack, "requests", 0, 1000000, 60, 0, \
+           "repeats that it may make on top of it in one budget window") \
+    TIME(retry_window_ms, 100, 600000, 10000, \
+         "sliding window over which repeats are counted") \
+    NUMBER(fleet_hosts, "hosts", 1, 100000, 36, 0, \
+           "hosts that share the retry slack")
 /* clang-format on */
 
 #endif
--- /dev/null
+++ b/src/sidecar/sidecar.c
@@ -0,0 +1,212 @@
+#include "sidecar/sidecar.h"
+
+#include <inttypes.h>
+#include <poll.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "sidecar/sidecar_internal.h"
+
+/* The configuration is fresh for the time in which a withdrawn key may still
+ * be used, less this margin for a watch that lags and for requests that wait.
+ */
+#define PROOF_MARGIN_MS 1500
+
+/* After a stop begins, callers are sent here until the platform has seen two
+ * answers in a row that are not ready; it asks once a second. */
+#define READY_LAG_MS 2300
+
+/* The stop ends this long before the grace period. */
+#define STOP_MARGIN_MS 400
+
+/* Sockets on the way to other daemons: unacknowledged data ends them. */
+#define SILENCE_MS 800
+
+/* Pause between two looks at what is still in flight. */
+#define STOP_POLL_MS 50
+
+static gboolean
+open_rpc(Sidecar *sidecar, GError **error)
+{
+    const Settings *settings = sidecar->settings;
+    Rpc_desc desc = {.host = Rng_HashString(settings->host),
+                     .incarnation = (uint64_t)Clock_WallMs(),
+                     .address = settings->address,
+                     .port = (uint16_t)settings->rpc_port,
+                     .secret = settings->fleet_secret,
+                     .secret_bytes = strlen(settings->fleet_secret)};
+
+    sidecar->rpc = Rpc_Create(&desc, error);
+    return sidecar->rpc != NULL;
+}
+
+static void
+create_state(Sidecar *sidecar)
+{
+    const Settings *settings = sidecar->settings;
+    Roster_desc roster = {.host = settings->host,
+                          .data_centre = settings->data_centre,
+                          .region = settings->region};
+    Backend_desc backend = {.names = sidecar->adapter->names,
+                            .client = sidecar->client,
+                            .changed = _Sidecar_PublishBackend,
+                            .context = sidecar};
+    Quota_desc quota = {.host = Rng_HashString(settings->host),
+                        .data_centres = settings->data_centres.count,
+                        .window_ms = settings->quota_window_ms,
+                        .overage = settings->quota_overage,
+                        .slack = settings->quota_slack};
+    ObjectWriter_desc writer = {.store = sidecar->store,
+                                .kind = SIDECAR_ROSTER_KIND,
+                                .name = settings->host};
+
+    sidecar->catalog = Catalog_Create();
+    sidecar->roster = Roster_Create(&roster);
+    sidecar->backend = Backend_Create(&backend);
+    quota.catalog = sidecar->catalog;
+    quota.roster = sidecar->roster;
+    quota.rpc = sidecar->rpc;
+    sidecar->quota = Quota_Create(&quota);
+    sidecar->writer = ObjectWriter_Start(&writer);
+}
+
+static gboolean
+open_request_path(Sidecar *sidecar, GError **error)
+{
+    const Settings *settings = sidecar->settings;
+    PeerPort_desc peer = {.threads = (unsigned)settings->owner_threads,
+                          .max_body_bytes = (size_t)settings->max_body_bytes,
+                          .names = sidecar->adapter->names,
+                          .backend = sidecar->backend};
+    Gateway_desc gateway = {
+        .threads = (unsigned)settings->entry_threads,
+        .max_body_bytes = (size_t)settings->max_body_bytes,
+        .host = settings->host,
+        .service = settings->service,
+        .names = sidecar->adapter->names,
+        .catalog = sidecar->catalog,
+        .roster = sidecar->roster,
+        .backend = sidecar->backend,
+        .quota = sidecar->quota,
+        .client = sidecar->client,
+        .proof_ms = sidecar->proof_ms,
+        .retry_ratio = settings->retry_ratio,
+        .retry_per_minute = settings->retry_slack * 60000 /
+                            (settings->retry_window_ms *
+                             settings->fleet_hosts)};
+
+    (void)HttpAddress_Parse(settings->peer_address, &peer.address);
+    (void)HttpAddress_Parse(settings->entry_address, &gateway.address);
+    sidecar->peer_port = PeerPort_Create(&peer, error);
+    if (sidecar->peer_port == NULL) {
+        return FALSE;
+    }
+    sidecar->gateway = Gateway_Create(&gateway, error);
+    return sidecar->gateway != NULL;
+}
+
+Sidecar *
+Sidecar_Create(Settings *settings, const SidecarAdapter *adapter,
+               GError **error)
+{
+    Sidecar *sidecar = g_new0(Sidecar, 1);
+
+    sidecar->settings = settings;
+    sidecar->adapter = adapter;
+    sidecar->proof_ms = MAX(settings->revocation_ms - PROOF_MARGIN_MS,
+                            settings->revocation_ms / 2);
+    if (!open_rpc(sidecar, error)) {
+        g_free(sidecar);
+        return NULL;
+    }
+    sidecar->store = adapter->open_store(&settings->store.items[0]);
+    sidecar->client =
+        HttpClient_Create(&(HttpClient_desc){.silence_ms = SILENCE_MS});
+    create_state(sidecar);
+    _Sidecar_StartState(sidecar);
+    if (!Rpc_Start(sidecar->rpc, error) ||
+        !open_request_path(sidecar, error) ||
+        !_Sidecar_OpenPorts(sidecar, error)) {
+        Sidecar_Destroy(sidecar);
+        return NULL;
+    }
+    Log_Event(LOG_STARTED,
+              "mode=platform service=%s backend_server=%s data_centre=%s "
+              "region=%s proof_ms=%" PRId64,
+              settings->service, settings->backend_server,
+              settings->data_centre, settings->region, sidecar->proof_ms);
+    return sidecar;
+}
+
+void
+Sidecar_Reload(Sidecar *sidecar, const char *path)
+{
+    GError *error = NULL;
+    Settings *fresh = Settings_Load(path, &error);
+    GString *unchanged = g_string_new(NULL);
+
+    if (fresh == NULL) {
+        Log_Event(LOG_SETTINGS_REJECTED, "%s", error->message);
+        g_error_free(error);
+    }
+    else {
+        Settings_Reload(sidecar->settings, fresh, unchanged);
+        Log_Event(LOG_SETTINGS_RELOADED, "needs_restart=\"%s\"",
+                  unchanged->str);
+        Settings_Destroy(fresh);
+    }
+    g_string_free(unchanged, TRUE);
+}
+
+static void
+sleep_until(ClockMs moment)
+{
+    while (Clock_Now() < moment) {
+        (void)poll(NULL, 0, (int)MIN(moment - Clock_Now(), STOP_POLL_MS));
+    }
+}
+
+void
+Sidecar_Stop(Sidecar *sidecar)
+{
+    ClockMs started = Clock_Now();
+    ClockMs end = started + sidecar->settings->grace_ms - STOP_MARGIN_MS;
+    gboolean done;
+
+    Log_Event(LOG_STOPPING, "in_flight=%u peers_in_flight=%u",
+              Gateway_InFlight(sidecar->gateway),
+              PeerPort_InFlight(sidecar->peer_port));
+    atomic_store(&sidecar->leaving, TRUE);
+    Backend_Close(sidecar->backend);
+    Gateway_Leave(sidecar->gateway);
+    PeerPort_Leave(sidecar->peer_port);
+    sleep_until(MIN(started + READY_LAG_MS, end));
+    done = Gateway_Drain(sidecar->gateway, end);
+    done = PeerPort_Drain(sidecar->peer_port, end) && done;
+    Log_Event(LOG_STOPPED, "drained=%d after_ms=%" PRId64, done,
+              Clock_Now() - started);
+}
+
+void
+Sidecar_Destroy(Sidecar *sidecar)
+{
+    if (sidecar == NULL) {
+        return;
+    }
+    Gateway_Destroy(sidecar->gateway);
+    PeerPort_Destroy(sidecar->peer_port);
+    _Sidecar_ClosePorts(sidecar);
+    _Sidecar_StopState(sidecar);
+    ObjectWriter_Stop(sidecar->writer);
+    Rpc_Stop(sidecar->rpc);
+    Quota_Destroy(sidecar->quota);
+    Rpc_Destroy(sidecar->rpc);
+    Backend_Destroy(sidecar->backend);
+    Roster_Destroy(sidecar->roster);
+    Catalog_Destroy(sidecar->catalog);
+    HttpClient_Destroy(sidecar->client);
+    sidecar->adapter->close_store(sidecar->store);
+    Settings_Destroy(sidecar->settings);
+    g_free(sidecar);
+}
--- /dev/null
+++ b/src/sidecar/sidecar.h
@@ -0,0 +1,60 @@
+/* Sidecar: the daemon of one host in mode "platform".
+ *
+ * It joins the slices: the gateway for callers, the peer port for other
+ * daemons, the backend server beside it, and the state that follows the
+ * platform's store. docs/platform.md describes the whole.
+ *
+ * Use:
+ *  1. Sidecar_Create() with settings and the adapter of the platform; it
+ *     serves at once.
+ *  2. Sidecar_Reload() on SIGHUP.
+ *  3. Sidecar_Stop() on SIGTERM: not ready from then on, answers close their
+ *     connections, nothing that was read is dropped; returns within the
+ *     grace period. Sidecar_Destroy().
+ *
+ * Errors: IO, SETTINGS_INVALID.
+ */
+#ifndef SIDECAR_SIDECAR_H
+#define SIDECAR_SIDECAR_H
+
+#include <glib.h>
+
+#include "backend/backend.h"
+#include "catalog/catalog_table.h"
+#include "http/http_server.h"
+#include "objects/object_store.h"
+#include "settings/settings.h"
+
+typedef struct Sidecar Sidecar;
+
+typedef enum AnnounceKind {
+    ANNOUNCE_NONE, /* not an announcement, or malformed */
+    ANNOUNCE_ALIVE,
+    ANNOUNCE_LEAVING
+} AnnounceKind;
+
+/* What only translates between the product and a platform. */
+typedef struct SidecarAdapter {
+    const WireNames *names;
+    const char *ready_path;
+    const char *catalog_kind; /* the object that holds the configuration */
+    const char *catalog_name;
+
+    ObjectStore *(*open_store)(const struct sockaddr_in *address);
+    void (*close_store)(ObjectStore *store);
+
+    /* NULL with *error set for a configuration that cannot be read. */
+    CatalogTable *(*decode_catalog)(const json_t *value, GError **error);
+
+    /* Reads what a backend server says of itself. */
+    AnnounceKind (*decode_announcement)(const HttpRequest *request,
+                                        BackendAnnouncement *announcement);
+} SidecarAdapter;
+
+Sidecar *Sidecar_Create(Settings *settings, const SidecarAdapter *adapter,
+                        GError **error);
+void Sidecar_Reload(Sidecar *sidecar, const char *path);
+void Sidecar_Stop(Sidecar *sidecar);
+void Sidecar_Destroy(Sidecar *sidecar);
+
+#endif
--- /dev/null
+++ b/src/sidecar/sidecar_internal.h
@@ -0,0 +1,52 @@
+/* Types shared by the files of the sidecar slice. */
+#ifndef SIDECAR_SIDECAR_INTERNAL_H
+#define SIDECAR_SIDECAR_INTERNAL_H
+
+#include <stdatomic.h>
+
+#include "catalog/catalog.h"
+#include "gateway/gateway.h"
+#include "gateway/peer_port.h"
+#include "objects/object_sync.h"
+#include "objects/object_writer.h"
+#include "quota/quota.h"
+#include "roster/roster.h"
+#include "rpc/rpc.h"
+#include "sidecar/sidecar.h"
+
+/* Kind of the objects that hold RosterEntry values. */
+#define SIDECAR_ROSTER_KIND "backend-servers"
+
+struct Sidecar {
+    Settings *settings;
+    const SidecarAdapter *adapter;
+    ObjectStore *store;
+    HttpClient *client;
+    Catalog *catalog;
+    Roster *roster;
+    Backend *backend;
+    Rpc *rpc;
+    Quota *quota;
+    Gateway *gateway;
+    PeerPort *peer_port;
+    HttpServer *announce_port;
+    HttpServer *ready_port;
+    HttpServer *metrics_port;
+    ObjectSync *catalog_sync;
+    ObjectSync *roster_sync;
+    ObjectWriter *writer;
+    ClockMs proof_ms; /* age up to which the configuration is fresh */
+    atomic_bool leaving;
+    gboolean was_ready; /* of the thread that answers readiness */
+};
+
+/* sidecar_state.c: follows the store and publishes the own entry. */
+void _Sidecar_StartState(Sidecar *sidecar);
+void _Sidecar_StopState(Sidecar *sidecar);
+void _Sidecar_PublishBackend(void *context);
+
+/* sidecar_ports.c: announcements, readiness, metrics. */
+gboolean _Sidecar_OpenPorts(Sidecar *sidecar, GError **error);
+void _Sidecar_ClosePorts(Sidecar *sidecar);
+
+#endif
--- /dev/null
+++ b/src/sidecar/sidecar_ports.c
@@ -0,0 +1,157 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "sidecar/sidecar_internal.h"
+
+#define METRICS_PATH "/metrics"
+
+static void
+answer_status(HttpRequest *request, int status, const char *json)
+{
+    HttpAnswer answer = {0};
+
+    HttpAnswer_SetJson(&answer, status, g_strdup(json));
+    HttpRequest_Respond(request, &answer);
+}
+
+/* Whether an announcement is about the backend server of this host. */
+static gboolean
+is_own(const Sidecar *sidecar, const BackendAnnouncement *announcement)
+{
+    char address[32];
+
+    HttpAddress_Format(&announcement->address, address, sizeof(address));
+    return strcmp(announcement->service, sidecar->settings->service) == 0 &&
+           strcmp(address, sidecar->settings->backend_server) == 0;
+}
+
+static void
+serve_announcement(void *context, HttpRequest *request)
+{
+    Sidecar *sidecar = context;
+    BackendAnnouncement announcement = {0};
+    AnnounceKind kind =
+        sidecar->adapter->decode_announcement(request, &announcement);
+
+    if (kind == ANNOUNCE_LEAVING) {
+        Backend_Leave(sidecar->backend, announcement.instance,
+                      announcement.born);
+        answer_status(request, 200, "{}");
+        return;
+    }
+    if (kind == ANNOUNCE_NONE || !is_own(sidecar, &announcement)) {
+        Log_Event(LOG_ANNOUNCEMENT_REFUSED,
+                  "path=%s service=%s reason=%s",
+                  HttpRequest_Path(request), announcement.service,
+                  kind == ANNOUNCE_NONE ? "malformed" : "other_server");
+        answer_status(request, 400, "{}");
+        return;
+    }
+    if (!Backend_Announce(sidecar->backend, &announcement)) {
+        Log_Event(LOG_ANNOUNCEMENT_REFUSED,
+                  "instance=%s born=%" PRId64 " seq=%" PRId64
+                  " reason=out_of_date",
+                  announcement.instance, announcement.born,
+                  announcement.sequence);
+    }
+    answer_status(request, 200, "{}");
+}
+
+static gboolean
+is_ready(const Sidecar *sidecar)
+{
+    return !atomic_load(&sidecar->leaving) &&
+           ObjectSync_IsComplete(sidecar->roster_sync) &&
+           Catalog_Age(sidecar->catalog, Clock_Now()) <= sidecar->proof_ms;
+}
+
+static void
+serve_ready(void *context, HttpRequest *request)
+{
+    Sidecar *sidecar = context;
+    gboolean ready = is_ready(sidecar);
+    ClockMs age = Catalog_Age(sidecar->catalog, Clock_Now());
+
+    if (strcmp(HttpRequest_Path(request), sidecar->adapter->ready_path) != 0) {
+        answer_status(request, 404, "{}");
+        return;
+    }
+    if (ready != sidecar->was_ready) {
+        sidecar->was_ready = ready;
+        Log_Event(LOG_READY_CHANGED,
+                  "ready=%d leaving=%d roster=%d proof_age_ms=%" PRId64, ready,
+                  atomic_load(&sidecar->leaving),
+                  ObjectSync_IsComplete(sidecar->roster_sync),
+                  age == CLOCK_NEVER ? -1 : age);
+    }
+    answer_status(request, ready ? 200 : 503, "{}");
+}
+
+static void
+serve_metrics(void *context, HttpRequest *request)
+{
+    HttpAnswer answer = {.status = 200};
+    GString *text = g_string_new(NULL);
+
+    (void)context;
+    if (strcmp(HttpRequest_Path(request), METRICS_PATH) != 0) {
+        answer.status = 404;
+    }
+    else {
+        Counter_Write(text);
+        HttpHeaders_Add(&answer.headers, "Content-Type",
+                        "text/plain; version=0.0.4");
+    }
+    HttpAnswer_SetBody(&answer, text->str, text->len);
+    g_string_free(text, TRUE);
+    HttpRequest_Respond(request, &answer);
+}
+
+static HttpServer *
+open_port(Sidecar *sidecar, const struct sockaddr_in *address,
+          HttpHandler handler, GError **error)
+{
+    HttpServer_desc desc = {.address = *address,
+                            .event_threads = 1,
+                            .worker_threads = 1,
+                            .max_in_flight = 16,
+                            .handler = handler,
+                            .context = sidecar};
+
+    return HttpServer_Create(&desc, error);
+}
+
+gboolean
+_Sidecar_OpenPorts(Sidecar *sidecar, GError **error)
+{
+    const Settings *settings = sidecar->settings;
+    struct sockaddr_in announce;
+    struct sockaddr_in ready;
+    struct sockaddr_in metrics;
+
+    (void)HttpAddress_Parse(settings->announce_address, &announce);
+    (void)HttpAddress_Parse(settings->ready_address, &ready);
+    metrics = ready;
+    metrics.sin_port = htons((uint16_t)settings->metrics_port);
+    sidecar->announce_port =
+        open_port(sidecar, &announce, serve_announcement, error);
+    if (sidecar->announce_port == NULL) {
+        return FALSE;
+    }
+    sidecar->ready_port = open_port(sidecar, &ready, serve_ready, error);
+    if (sidecar->ready_port == NULL) {
+        return FALSE;
+    }
+    sidecar->metrics_port = open_port(sidecar, &metrics, serve_metrics, error);
+    return sidecar->metrics_port != NULL;
+}
+
+void
+_Sidecar_ClosePorts(Sidecar *sidecar)
+{
+    HttpServer_Destroy(sidecar->announce_port);
+    HttpServer_Destroy(sidecar->ready_port);
+    HttpServer_Destroy(sidecar->metrics_port);
+}
