gateway, backend: keep evidence and repeats honest

Requests for another service reached a backend server whose host's address had been reused. Change: an attempt is limited only with a repeat at hand, the backend server gets the request's whole deadline, owners refuse other services, failures after a failed call are no evidence, the choice prices a failure by whether it can be repaired. Ruled out: lost answers on the way (16 of 560 failures were 502).

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -28,6 +28,10 @@
 /* Risk that is reported while the oldest running request is stalled. */
 #define STALL_RISK 0.8
 
+/* A failure within this time after a failed call of the backend server is
+ * taken to follow from the call. */
+#define CALL_BLAME_MS 200
+
 /* Time left below which a request is not worth starting. */
 #define LEAST_TIME_LEFT_MS 10
 
@@ -47,6 +51,8 @@
     gboolean closed;
     GrayFilter filter;
     double service_ms;
+    unsigned failed_calls; /* that no failed request was put down to yet */
+    ClockMs failed_call;   /* time of the last one */
     GArray *running;  /* ClockMs, starts of the requests that run */
     GPtrArray *queue; /* Waiter, next one first */
 };
@@ -247,6 +253,9 @@
 static Result
 check_admission(const Backend *backend, const BackendCall *call, ClockMs now)
 {
+    if (strcmp(call->service, backend->desc.service) != 0) {
+        return RESULT_BACKEND_SERVER_OTHER;
+    }
     if (backend->closed || backend->state != BACKEND_READY) {
         return RESULT_BACKEND_SERVER_LEAVING;
     }
@@ -330,11 +339,12 @@
         else if (backend->closed || backend->state != BACKEND_READY) {
             result = RESULT_BACKEND_SERVER_LEAVING;
         }
-        else if (call->deadline - now < LEAST_TIME_LEFT_MS) {
+        else if (call->attempt_deadline - now < LEAST_TIME_LEFT_MS) {
             result = RESULT_DEADLINE_EXPIRED;
         }
         else {
-            wait_a_while(backend, MIN(call->deadline - now, CANCEL_CHECK_MS));
+            wait_a_while(backend,
+                         MIN(call->attempt_deadline - now, CANCEL_CHECK_MS));
         }
     }
     if (waiter.admitted) {
@@ -358,6 +368,29 @@
     admit_waiters(backend, Clock_Now());
 }
 
+void
+Backend_NoteFailedCall(Backend *backend)
+{
+    pthread_mutex_lock(&backend->lock);
+    backend->failed_calls++;
+    backend->failed_call = Clock_Now();
+    pthread_mutex_unlock(&backend->lock);
+}
+
+/* Whether a failure follows from a failed call; with the lock held. */
+static gboolean
+is_blamed_on_call(Backend *backend, ClockMs now)
+{
+    if (now - backend->failed_call > CALL_BLAME_MS) {
+        backend->failed_calls = 0;
+    }
+    if (backend->failed_calls == 0) {
+        return FALSE;
+    }
+    backend->failed_calls--;
+    return TRUE;
+}
+
 /* Called with the lock held. */
 static void
 learn(Backend *backend, const BackendCall *call, const BackendReply *reply,
@@ -377,6 +410,11 @@
             return;
         }
         break;
+    case RESULT_BACKEND_SERVER_ERROR:
+        if (is_blamed_on_call(backend, now)) {
+            return;
+        }
+        break;
     case RESULT_BACKEND_SERVER_OTHER:
         /* Another instance has the address: wait for its announcement. */
         if (backend->state == BACKEND_READY) {
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -13,7 +13,8 @@
  *  4. Backend_Close() refuses everything that is not running yet,
  *     Backend_Destroy() once no call runs.
  *
- * Admission: a request is refused as not run when the backend server is
+ * Admission: a request for another service is refused, since its sender knows
+ * an earlier user of this host's address. It is refused as not run, too, when the backend server is
  * leaving or unknown, when its risk of a gray failure is above what the sender
  * accepts, or when the expected wait for a slot is. Otherwise it waits in the
  * order of priority and deadline.
@@ -70,6 +71,7 @@
 
 typedef struct Backend_desc {
     const WireNames *names;
+    const char *service; /* of the backend server on this host */
     HttpClient *client;
     GrayFilter_desc gray;
     /* The published entry may have changed. Called without a lock. */
@@ -79,6 +81,7 @@
 
 typedef struct BackendCall {
     const char *request_id;
+    const char *service; /* that may run it */
     const char *team;   /* NULL: none */
     const char *caller; /* service where the request began */
     const char *method;
@@ -87,7 +90,8 @@
     const HttpHeaders *headers; /* of the caller, without the system's own */
     const void *body;
     size_t body_bytes;
-    ClockMs deadline;
+    ClockMs deadline;       /* of the request */
+    ClockMs attempt_deadline; /* of this attempt: the same, or earlier */
     gboolean idempotent;
     int priority;
     double max_risk;
@@ -122,6 +126,10 @@
 void Backend_Leave(Backend *backend, const char *instance, int64_t born);
 void Backend_Run(Backend *backend, const BackendCall *call,
                  BackendReply *reply);
+
+/* A call that the backend server made while it ran a request has failed. A
+ * failure of its own that follows at once says nothing about it. */
+void Backend_NoteFailedCall(Backend *backend);
 void Backend_Close(Backend *backend);
 void Backend_GetStatus(Backend *backend, BackendStatus *status);
 void Backend_GetReport(Backend *backend, RosterReport *report);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -146,6 +146,10 @@
         fill_refusal(gateway, &request, reply.result, reply.run, &answer);
     }
     status = answer.status;
+    if (request.route != NULL && request.team == NULL && status >= 500) {
+        /* Requests without a team come from the backend server here. */
+        Backend_NoteFailedCall(gateway->desc.backend);
+    }
     HttpRequest_Respond(http, &answer);
     log_request(&request, &reply, status);
     Counter_Observe(HISTOGRAM_ENTRY_TOTAL,
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -6,7 +6,7 @@
 #include "gateway/peer_wire.h"
 
 /* What a failure costs, as a share of the request's worth: all of it where
- * the request must not run twice, else the time and the repeat. */
+ * the request cannot be repeated, else the time and the repeat. */
 #define FAILURE_COST_ONCE 1.0
 #define FAILURE_COST_REPEATABLE 0.2
 
@@ -21,8 +21,10 @@
 #define LEAST_RISK_LIMIT 0.25
 
 /* A first attempt at a request that may be repeated is given up after this
- * share of the objective, so that a second one can still be in time. */
-#define ATTEMPT_SHARE 0.7
+ * share of the objective, and not before this many mean service times, so that
+ * a second one can still help. */
+#define ATTEMPT_SHARE 0.75
+#define ATTEMPT_SERVICE_TIMES 3
 
 /* Least time that a repeat needs to be worth sending. */
 #define LEAST_REPEAT_MS 50
@@ -36,6 +38,10 @@
  * no longer waited for. */
 #define RETURN_MS 20
 
+/* Share of the fleet's retry budget that the hosts use. The rest covers calls
+ * of requests that are repeats themselves, and uneven traffic. */
+#define BUDGET_SHARE 0.6
+
 /* Owner connections that were idle for longer are not used for a request that
  * must not run twice. */
 #define FRESH_IDLE_MS 4000
@@ -64,8 +70,10 @@
 {
     RetryBudget *budget = g_hash_table_lookup(gateway->budgets, &service);
     Retry_desc desc = {
-        .budget_percent = (uint32_t)(gateway->desc.retry_ratio * 100),
-        .min_per_minute = (uint32_t)gateway->desc.retry_per_minute};
+        .budget_percent =
+            (uint32_t)(gateway->desc.retry_ratio * 100 * BUDGET_SHARE),
+        .min_per_minute =
+            (uint32_t)(gateway->desc.retry_per_minute * BUDGET_SHARE)};
 
     if (budget == NULL) {
         budget = g_new0(RetryBudget, 1);
@@ -122,19 +130,39 @@
     return decision.reason;
 }
 
+/* Whether a failure of the next attempt could be repaired by another one. */
+static gboolean
+has_repeat(GatewayRequest *request)
+{
+    Gateway *gateway = request->gateway;
+    ClockMs now = Clock_Now();
+    gboolean available;
+
+    if (!request->route->idempotent ||
+        request->arrivals + 1 >= request->route->attempts) {
+        return FALSE;
+    }
+    pthread_mutex_lock(&gateway->lock);
+    available = RetryBudget_HasRetry(
+        find_budget(gateway, request->part->service_hash, now), now);
+    pthread_mutex_unlock(&gateway->lock);
+    return available;
+}
+
 static gboolean
 choose(GatewayRequest *request, RosterChoice *choice)
 {
     Gateway *gateway = request->gateway;
     ClockMs now = Clock_Now();
     RosterQuery query = {.service = request->part->service_hash,
-                         .failure_cost = request->route->idempotent
-                                             ? FAILURE_COST_REPEATABLE
-                                             : FAILURE_COST_ONCE,
                          .time_left_ms = request->target_time - now,
                          .tried_count = request->avoided_count};
     RosterReport own;
 
+    request->has_repeat = has_repeat(request);
+    request->failure_cost =
+        request->has_repeat ? FAILURE_COST_REPEATABLE : FAILURE_COST_ONCE;
+    query.failure_cost = request->failure_cost;
     memcpy(query.tried, request->avoided, sizeof(query.tried));
     Backend_GetReport(gateway->desc.backend, &own);
     Roster_Report(gateway->desc.roster, gateway->host, &own, now);
@@ -148,33 +176,35 @@
 {
     BackendCall *call = &request->call;
     ClockMs now = Clock_Now();
-    double failure_cost = request->route->idempotent ? FAILURE_COST_REPEATABLE
-                                                     : FAILURE_COST_ONCE;
     double slack = choice->other_cost + RISK_MARGIN - choice->distance_cost;
 
     call->deadline = request->deadline;
+    call->attempt_deadline = request->deadline;
     if (is_in(request->asked, request->asked_count, choice->host)) {
         call->max_risk = 1;
         call->max_wait_ms = MAX(request->deadline - now, 0);
         return;
     }
-    call->max_risk = CLAMP(slack / failure_cost, LEAST_RISK_LIMIT, 1);
+    call->max_risk = CLAMP(slack / request->failure_cost, LEAST_RISK_LIMIT, 1);
     call->max_wait_ms = MAX((request->target_time - now) / 2, 0);
 }
 
-/* Ends a first attempt early enough for a second one to be in time. */
+/* Ends a first attempt early enough for a second one to be of use. */
 static void
-limit_attempt(GatewayRequest *request)
+limit_attempt(GatewayRequest *request, const RosterChoice *choice)
 {
     BackendCall *call = &request->call;
     ClockMs now = Clock_Now();
     ClockMs share =
         (ClockMs)((double)(request->target_time - request->arrived) *
                   ATTEMPT_SHARE);
+    ClockMs limit =
+        MAX(share, ATTEMPT_SERVICE_TIMES * choice->service_ms) +
+        choice->wait_ms;
 
-    if (call->idempotent && request->arrivals == 0 &&
-        request->route->attempts > 1 && now + share < request->deadline) {
-        call->deadline = now + share;
+    if (request->has_repeat && request->arrivals == 0 &&
+        now + limit < request->deadline) {
+        call->attempt_deadline = now + limit;
     }
 }
 
@@ -193,7 +223,7 @@
         .headers = &headers,
         .body = call->body,
         .body_bytes = call->body_bytes,
-        .deadline = call->deadline + RETURN_MS,
+        .deadline = call->attempt_deadline + RETURN_MS,
         .connect_ms = choice->tier == ROSTER_OTHER_REGION ? CONNECT_FAR_MS
                                                           : CONNECT_NEAR_MS,
         .max_idle_ms = call->idempotent ? 0 : FRESH_IDLE_MS,
@@ -235,7 +265,10 @@
     ClockMs now = Clock_Now();
 
     add_to(request->asked, &request->asked_count, choice->host);
-    if (reply->report.slots > 0) {
+    if (reply->result == RESULT_BACKEND_SERVER_OTHER && !reply->arrived) {
+        Roster_NoteUnreachable(roster, choice->host, now);
+    }
+    else if (reply->report.slots > 0) {
         Roster_Report(roster, choice->host, &reply->report, now);
     }
     else if (reply->result != RESULT_CANCELLED &&
@@ -260,7 +293,7 @@
 {
     *reply = (BackendReply){.run = RUN_NO};
     set_limits(request, choice);
-    limit_attempt(request);
+    limit_attempt(request, choice);
     if (choice->tier == ROSTER_SAME_HOST) {
         Backend_Run(request->gateway->desc.backend, &request->call, reply);
     }
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -35,6 +35,8 @@
     ClockMs target_time; /* an answer is in time until then */
     ClockMs proof_age;
     QuotaSource quota_source;
+    double failure_cost; /* of the next attempt, as a share of the worth */
+    gboolean has_repeat; /* a failure of it could be repaired */
     uint32_t arrivals; /* attempts that reached a backend server */
     uint64_t avoided[ROSTER_MAX_TRIED]; /* hosts that cannot serve it */
     uint32_t avoided_count;
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -118,6 +118,7 @@
 
     call->request_id = id;
     call->team = team ? team->name : NULL;
+    call->service = request->part->service;
     call->caller = request->gateway->desc.service;
     call->method = HttpRequest_Method(request->http);
     call->target = request->target;
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -8,6 +8,7 @@
 #define CALL_HEADER "Radishknot-Call"
 #define TEAM_HEADER "Radishknot-Team"
 #define CALLER_HEADER "Radishknot-Caller"
+#define SERVICE_HEADER "Radishknot-Service"
 #define REPLY_HEADER "Radishknot-Reply"
 
 #define LINE_BYTES 128
@@ -43,12 +44,14 @@
 {
     char line[LINE_BYTES];
 
-    (void)snprintf(line, sizeof(line), "%" PRId64 " %c %d %.3f %" PRId64,
-                   call->deadline - now, call->idempotent ? 'i' : 'o',
+    (void)snprintf(line, sizeof(line), "%" PRId64 " %" PRId64 " %c %d %.3f %" PRId64,
+                   call->deadline - now, call->attempt_deadline - now,
+                   call->idempotent ? 'i' : 'o',
                    call->priority, call->max_risk,
                    MIN(call->max_wait_ms, MOST_WAIT_MS));
     HttpHeaders_Add(headers, CALL_HEADER, line);
     HttpHeaders_Add(headers, CALLER_HEADER, call->caller);
+    HttpHeaders_Add(headers, SERVICE_HEADER, call->service);
     if (call->team != NULL) {
         HttpHeaders_Add(headers, TEAM_HEADER, call->team);
     }
@@ -59,18 +62,23 @@
 {
     const char *line = HttpHeaders_Get(headers, CALL_HEADER);
     int64_t left;
+    int64_t attempt_left;
     char kind;
 
     call->team = HttpHeaders_Get(headers, TEAM_HEADER);
     call->caller = HttpHeaders_Get(headers, CALLER_HEADER);
-    if (line == NULL || call->caller == NULL ||
-        sscanf(line, "%" SCNd64 " %c %d %lf %" SCNd64, &left, &kind,
-               &call->priority, &call->max_risk, &call->max_wait_ms) != 5 ||
+    call->service = HttpHeaders_Get(headers, SERVICE_HEADER);
+    if (line == NULL || call->caller == NULL || call->service == NULL ||
+        sscanf(line, "%" SCNd64 " %" SCNd64 " %c %d %lf %" SCNd64, &left,
+               &attempt_left, &kind, &call->priority, &call->max_risk,
+               &call->max_wait_ms) != 6 ||
         (kind != 'i' && kind != 'o') || left < 0 || left > MOST_WAIT_MS ||
+        attempt_left < 0 || attempt_left > left ||
         call->max_wait_ms < 0 || call->max_wait_ms > MOST_WAIT_MS) {
         return FALSE;
     }
     call->deadline = now + left;
+    call->attempt_deadline = now + attempt_left;
     call->idempotent = kind == 'i';
     return TRUE;
 }
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -2,8 +2,9 @@
  *
  * A request travels with the caller's method, target, host, body and headers,
  * and with
- *   Radishknot-Call: <ms left> <kind> <priority> <risk> <wait ms>
- *   Radishknot-Team, Radishknot-Caller
+ *   Radishknot-Call: <ms left> <ms left of the attempt> <kind> <priority>
+ *                    <risk> <wait ms>
+ *   Radishknot-Team, Radishknot-Caller, Radishknot-Service
  * where kind is "i" if it may run more than once, else "o". The answer is the
  * backend server's, or a bare 503, with
  *   Radishknot-Reply: <result> <run> <arrived> <risk> <slots> <in flight>
@@ -24,8 +25,8 @@
 void PeerWire_EncodeCall(const BackendCall *call, ClockMs now,
                          HttpHeaders *headers);
 
-/* Fills deadline, kind, priority and limits, team and caller of the call; the
- * strings stay those of `headers`. */
+/* Fills deadline, kind, priority and limits, team, caller and service of the
+ * call; the strings stay those of `headers`. */
 gboolean PeerWire_DecodeCall(const HttpHeaders *headers, ClockMs now,
                              BackendCall *call);
 void PeerWire_EncodeReply(const BackendReply *reply, HttpHeaders *headers);
--- a/src/retry/retry.c
+++ b/src/retry/retry.c
@@ -81,6 +81,13 @@
     refill(budget, now);
 }
 
+gboolean
+RetryBudget_HasRetry(RetryBudget *budget, ClockMs now)
+{
+    refill(budget, now);
+    return budget->tokens >= 1;
+}
+
 /* Results of attempts that another place may answer better. All others say
  * something about the request or the caller. */
 static gboolean
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -81,6 +81,9 @@
 /* Counts a first attempt. */
 void RetryBudget_Request(RetryBudget *budget, ClockMs now);
 
+/* TRUE if a retry could be taken now. */
+gboolean RetryBudget_HasRetry(RetryBudget *budget, ClockMs now);
+
 /* `desc` is used when budget is NULL; else the budget's settings count. */
 RetryDecision Retry_Decide(RetryBudget *budget, const Retry_desc *desc,
                            const RetryInput *input, ClockMs now, Rng *rng);
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -9,7 +9,7 @@
 /* Shares of a request's worth: the bytes of a request and its answer between
  * two data centres and between two regions, at the users' prices. */
 #define DEFAULT_DATA_CENTRE_COST 0.03
-#define DEFAULT_REGION_COST 0.2
+#define DEFAULT_REGION_COST 0.3
 
 /* Crossing to a neighbour host costs a hop and its processor time. */
 #define HOP_COST 0.002
@@ -265,6 +265,7 @@
     choice->tier = row->tier;
     choice->distance_cost = distance_cost(roster, row->tier);
     choice->wait_ms = expected_wait(row, now);
+    choice->service_ms = row->report.service_ms;
     choice->age_ms = row->reported > 0 ? now - row->reported : CLOCK_NEVER;
 }
 
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -36,7 +36,7 @@
     const char *region;
     GrayFilter_desc gray;
     double data_centre_cost; /* of another data centre of the region (0.03) */
-    double region_cost;      /* of another region (0.2) */
+    double region_cost;      /* of another region (0.3) */
 } Roster_desc;
 
 typedef enum RosterTier {
@@ -72,6 +72,7 @@
     double other_cost; /* of the second best; above 1 if there is none */
     double distance_cost;
     ClockMs wait_ms; /* expected wait for a slot */
+    ClockMs service_ms; /* mean time of a request; 0: not known */
     ClockMs age_ms;  /* of the report behind it; CLOCK_NEVER if there is none */
 } RosterChoice;
 
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -49,6 +49,7 @@
                           .data_centre = settings->data_centre,
                           .region = settings->region};
     Backend_desc backend = {.names = sidecar->adapter->names,
+                            .service = settings->service,
                             .client = sidecar->client,
                             .changed = _Sidecar_PublishBackend,
                             .context = sidecar};
