gateway, roster: patience for first attempts, exploration of idle neighbours

Change: at the end of its share an attempt asks for the repeat and goes on if there is none, or if the daemon stops; a near backend server that was idle for 1 s gets the next request that can be repeated.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -53,6 +53,7 @@
     double service_ms;
     unsigned failed_calls; /* that no failed request was put down to yet */
     ClockMs failed_call;   /* time of the last one */
+    ClockMs last_sent;     /* time of the last request */
     GArray *running;  /* ClockMs, starts of the requests that run */
     GPtrArray *queue; /* Waiter, next one first */
 };
@@ -71,6 +72,7 @@
     pthread_condattr_destroy(&attributes);
     GrayFilter_Init(&backend->filter, &desc->gray, Clock_Now());
     backend->service_ms = FIRST_SERVICE_MS;
+    backend->last_sent = Clock_Now();
     backend->running = g_array_new(FALSE, FALSE, sizeof(ClockMs));
     backend->queue = g_ptr_array_new();
     return backend;
@@ -195,13 +197,19 @@
     pthread_mutex_unlock(&backend->lock);
 }
 
+static ClockMs
+stall_limit(const Backend *backend)
+{
+    return MAX(LEAST_STALL_MS,
+               (ClockMs)(STALL_FACTOR * backend->service_ms));
+}
+
 /* Called with the lock held. */
 static double
 current_risk(const Backend *backend, ClockMs now)
 {
     double risk = GrayFilter_Risk(&backend->filter, now);
-    ClockMs limit =
-        MAX(LEAST_STALL_MS, (ClockMs)(STALL_FACTOR * backend->service_ms));
+    ClockMs limit = stall_limit(backend);
 
     for (guint i = 0; i < backend->running->len; i++) {
         if (now - g_array_index(backend->running, ClockMs, i) > limit) {
@@ -227,6 +235,8 @@
         .in_flight = backend->running->len,
         .waiting = backend->queue->len,
         .service_ms = (ClockMs)backend->service_ms,
+        .idle_ms =
+            backend->running->len > 0 ? 0 : now - backend->last_sent,
         .leaving = backend->closed || backend->state != BACKEND_READY,
     };
 }
@@ -339,12 +349,12 @@
         else if (backend->closed || backend->state != BACKEND_READY) {
             result = RESULT_BACKEND_SERVER_LEAVING;
         }
-        else if (call->attempt_deadline - now < LEAST_TIME_LEFT_MS) {
+        else if (call->deadline - now < LEAST_TIME_LEFT_MS) {
             result = RESULT_DEADLINE_EXPIRED;
         }
         else {
             wait_a_while(backend,
-                         MIN(call->attempt_deadline - now, CANCEL_CHECK_MS));
+                         MIN(call->deadline - now, CANCEL_CHECK_MS));
         }
     }
     if (waiter.admitted) {
@@ -403,10 +413,9 @@
                                                  backend->service_ms);
         return;
     case RESULT_CANCELLED:
-        return;
     case RESULT_DEADLINE_EXPIRED:
         /* A caller in a hurry says nothing about the backend server. */
-        if (reply->server_ms < LEAST_STALL_MS) {
+        if (reply->server_ms < stall_limit(backend)) {
             return;
         }
         break;
@@ -452,6 +461,7 @@
         return;
     }
     announcement = backend->announcement;
+    backend->last_sent = now;
     pthread_mutex_unlock(&backend->lock);
 
     exchange.address = announcement.address;
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -90,8 +90,12 @@
     const HttpHeaders *headers; /* of the caller, without the system's own */
     const void *body;
     size_t body_bytes;
-    ClockMs deadline;       /* of the request */
-    ClockMs attempt_deadline; /* of this attempt: the same, or earlier */
+    ClockMs deadline;
+    /* Asked this long after the request was sent whether to give it up; NULL
+     * if never. */
+    ClockMs patience_ms;
+    gboolean (*give_up)(void *context);
+    void *give_up_context;
     gboolean idempotent;
     int priority;
     double max_risk;
--- a/src/backend/backend_call.c
+++ b/src/backend/backend_call.c
@@ -66,6 +66,9 @@
 {
     ClockMs started = Clock_Now();
     HttpHeaders headers = {0};
+    HttpPatience patience = {.until = started + call->patience_ms,
+                             .give_up = call->give_up,
+                             .context = call->give_up_context};
     HttpCall http = {.address = exchange->address,
                      .method = call->method,
                      .target = call->target,
@@ -73,12 +76,13 @@
                      .headers = &headers,
                      .body = call->body,
                      .body_bytes = call->body_bytes,
-                     .deadline = call->attempt_deadline,
+                     .deadline = call->deadline,
                      .connect_ms = CONNECT_MS,
                      .max_idle_ms = call->idempotent ? 0 : FRESH_IDLE_MS,
                      .allow_unframed = TRUE,
                      .match_header = exchange->names->request_id,
                      .match_value = call->request_id,
+                     .patience = call->give_up ? &patience : NULL,
                      .cancel = call->idempotent ? call->cancel : NULL};
     gboolean sent;
 
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -114,11 +114,6 @@
                             request->deadline - now - LEAST_REPEAT_MS};
     RetryDecision decision;
 
-    if (reply->result == RESULT_DEADLINE_EXPIRED &&
-        now < request->deadline - LEAST_REPEAT_MS) {
-        /* Only this attempt's share of the time is used up. */
-        input.result = RESULT_ANSWER_LOST;
-    }
     pthread_mutex_lock(&gateway->lock);
     decision = Retry_Decide(
         find_budget(gateway, request->part->service_hash, now), NULL, &input,
@@ -163,6 +158,7 @@
     request->failure_cost =
         request->has_repeat ? FAILURE_COST_REPEATABLE : FAILURE_COST_ONCE;
     query.failure_cost = request->failure_cost;
+    query.may_explore = request->has_repeat && request->arrivals == 0;
     memcpy(query.tried, request->avoided, sizeof(query.tried));
     Backend_GetReport(gateway->desc.backend, &own);
     Roster_Report(gateway->desc.roster, gateway->host, &own, now);
@@ -179,8 +175,8 @@
     double slack = choice->other_cost + RISK_MARGIN - choice->distance_cost;
 
     call->deadline = request->deadline;
-    call->attempt_deadline = request->deadline;
-    if (is_in(request->asked, request->asked_count, choice->host)) {
+    if (choice->explores ||
+        is_in(request->asked, request->asked_count, choice->host)) {
         call->max_risk = 1;
         call->max_wait_ms = MAX(request->deadline - now, 0);
         return;
@@ -189,23 +185,42 @@
     call->max_wait_ms = MAX((request->target_time - now) / 2, 0);
 }
 
-/* Ends a first attempt early enough for a second one to be of use. */
+/* Takes the repeat that follows when the attempt in hand is given up. Not
+ * while the daemon stops: a request that runs is then left to end. */
+static gboolean
+give_up_attempt(void *context)
+{
+    GatewayRequest *request = context;
+    Gateway *gateway = request->gateway;
+    ClockMs now = Clock_Now();
+
+    if (HttpServer_IsLeaving(gateway->server)) {
+        return FALSE;
+    }
+    pthread_mutex_lock(&gateway->lock);
+    request->repeat_taken = RetryBudget_TakeRetry(
+        find_budget(gateway, request->part->service_hash, now), now);
+    pthread_mutex_unlock(&gateway->lock);
+    return request->repeat_taken;
+}
+
+/* Lets a first attempt be given up early enough for a second one to be of
+ * use. */
 static void
-limit_attempt(GatewayRequest *request, const RosterChoice *choice)
+set_patience(GatewayRequest *request, const RosterChoice *choice)
 {
     BackendCall *call = &request->call;
-    ClockMs now = Clock_Now();
     ClockMs share =
         (ClockMs)((double)(request->target_time - request->arrived) *
                   ATTEMPT_SHARE);
-    ClockMs limit =
+
+    call->patience_ms =
         MAX(share, ATTEMPT_SERVICE_TIMES * choice->service_ms) +
         choice->wait_ms;
-
-    if (request->has_repeat && request->arrivals == 0 &&
-        now + limit < request->deadline) {
-        call->attempt_deadline = now + limit;
-    }
+    call->give_up = request->has_repeat && request->arrivals == 0
+                        ? give_up_attempt
+                        : NULL;
+    call->give_up_context = request;
 }
 
 static void
@@ -215,6 +230,9 @@
     const BackendCall *call = &request->call;
     ClockMs now = Clock_Now();
     HttpHeaders headers = {0};
+    HttpPatience patience = {.until = now + call->patience_ms,
+                             .give_up = call->give_up,
+                             .context = request};
     HttpCall http = {
         .address = choice->entry.peer,
         .method = call->method,
@@ -223,10 +241,11 @@
         .headers = &headers,
         .body = call->body,
         .body_bytes = call->body_bytes,
-        .deadline = call->attempt_deadline + RETURN_MS,
+        .deadline = call->deadline + RETURN_MS,
         .connect_ms = choice->tier == ROSTER_OTHER_REGION ? CONNECT_FAR_MS
                                                           : CONNECT_NEAR_MS,
         .max_idle_ms = call->idempotent ? 0 : FRESH_IDLE_MS,
+        .patience = call->give_up ? &patience : NULL,
         .cancel = call->cancel};
     gboolean sent;
 
@@ -293,7 +312,7 @@
 {
     *reply = (BackendReply){.run = RUN_NO};
     set_limits(request, choice);
-    limit_attempt(request, choice);
+    set_patience(request, choice);
     if (choice->tier == ROSTER_SAME_HOST) {
         Backend_Run(request->gateway->desc.backend, &request->call, reply);
     }
@@ -328,6 +347,11 @@
     if (!reply->arrived) {
         return FALSE;
     }
+    if (request->repeat_taken) {
+        request->repeat_taken = FALSE;
+        Counter_Retry(reply->result);
+        return FALSE;
+    }
     reason = may_repeat(request, reply);
     if (reason != RETRY_AGAIN) {
         _Gateway_Trace(request, " final=%s", Retry_ReasonName(reason));
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -37,6 +37,7 @@
     QuotaSource quota_source;
     double failure_cost; /* of the next attempt, as a share of the worth */
     gboolean has_repeat; /* a failure of it could be repaired */
+    gboolean repeat_taken; /* from the budget, for an attempt given up */
     uint32_t arrivals; /* attempts that reached a backend server */
     uint64_t avoided[ROSTER_MAX_TRIED]; /* hosts that cannot serve it */
     uint32_t avoided_count;
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -44,9 +44,8 @@
 {
     char line[LINE_BYTES];
 
-    (void)snprintf(line, sizeof(line), "%" PRId64 " %" PRId64 " %c %d %.3f %" PRId64,
-                   call->deadline - now, call->attempt_deadline - now,
-                   call->idempotent ? 'i' : 'o',
+    (void)snprintf(line, sizeof(line), "%" PRId64 " %c %d %.3f %" PRId64,
+                   call->deadline - now, call->idempotent ? 'i' : 'o',
                    call->priority, call->max_risk,
                    MIN(call->max_wait_ms, MOST_WAIT_MS));
     HttpHeaders_Add(headers, CALL_HEADER, line);
@@ -62,23 +61,19 @@
 {
     const char *line = HttpHeaders_Get(headers, CALL_HEADER);
     int64_t left;
-    int64_t attempt_left;
     char kind;
 
     call->team = HttpHeaders_Get(headers, TEAM_HEADER);
     call->caller = HttpHeaders_Get(headers, CALLER_HEADER);
     call->service = HttpHeaders_Get(headers, SERVICE_HEADER);
     if (line == NULL || call->caller == NULL || call->service == NULL ||
-        sscanf(line, "%" SCNd64 " %" SCNd64 " %c %d %lf %" SCNd64, &left,
-               &attempt_left, &kind, &call->priority, &call->max_risk,
-               &call->max_wait_ms) != 6 ||
+        sscanf(line, "%" SCNd64 " %c %d %lf %" SCNd64, &left, &kind,
+               &call->priority, &call->max_risk, &call->max_wait_ms) != 5 ||
         (kind != 'i' && kind != 'o') || left < 0 || left > MOST_WAIT_MS ||
-        attempt_left < 0 || attempt_left > left ||
         call->max_wait_ms < 0 || call->max_wait_ms > MOST_WAIT_MS) {
         return FALSE;
     }
     call->deadline = now + left;
-    call->attempt_deadline = now + attempt_left;
     call->idempotent = kind == 'i';
     return TRUE;
 }
@@ -89,10 +84,11 @@
     const RosterReport *report = &reply->report;
     char line[LINE_BYTES];
 
-    (void)snprintf(line, sizeof(line), "%d %d %d %.3f %u %u %u %" PRId64 " %d",
+    (void)snprintf(line, sizeof(line), "%d %d %d %.3f %u %u %u %" PRId64 " %" PRId64 " %d",
                    (int)reply->result, (int)reply->run, reply->arrived,
                    report->risk, report->slots, report->in_flight,
-                   report->waiting, report->service_ms, report->leaving);
+                   report->waiting, report->service_ms, report->idle_ms,
+                   report->leaving);
     HttpHeaders_Add(headers, REPLY_HEADER, line);
 }
 
@@ -105,10 +101,11 @@
     int run;
 
     if (line == NULL ||
-        sscanf(line, "%d %d %d %lf %u %u %u %" SCNd64 " %d", &result, &run,
+        sscanf(line, "%d %d %d %lf %u %u %u %" SCNd64 " %" SCNd64 " %d",
+               &result, &run,
                &reply->arrived, &report->risk, &report->slots,
                &report->in_flight, &report->waiting, &report->service_ms,
-               &report->leaving) != 9 ||
+               &report->idle_ms, &report->leaving) != 10 ||
         run < RUN_NO || run > RUN_UNKNOWN ||
         !Result_FromNumber(result, &reply->result)) {
         return FALSE;
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -2,13 +2,12 @@
  *
  * A request travels with the caller's method, target, host, body and headers,
  * and with
- *   Radishknot-Call: <ms left> <ms left of the attempt> <kind> <priority>
- *                    <risk> <wait ms>
+ *   Radishknot-Call: <ms left> <kind> <priority> <risk> <wait ms>
  *   Radishknot-Team, Radishknot-Caller, Radishknot-Service
  * where kind is "i" if it may run more than once, else "o". The answer is the
  * backend server's, or a bare 503, with
  *   Radishknot-Reply: <result> <run> <arrived> <risk> <slots> <in flight>
- *                     <waiting> <service ms> <leaving>
+ *                     <waiting> <service ms> <idle ms> <leaving>
  * The headers are short because traffic between regions is paid by volume.
  *
  * Use: the sender PeerWire_EncodeCall() and PeerWire_DecodeReply(), the
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -382,7 +382,9 @@
     }
     else {
         *sent = TRUE;
+        HttpConnection_SetPatience(connection, call->patience);
         result = exchange(client, connection, call, answer, &reusable);
+        HttpConnection_SetPatience(connection, NULL);
     }
     set_cancel_fd(call->cancel, -1);
     if (result != RESULT_OK && result != RESULT_TOO_LARGE &&
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -26,6 +26,7 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "http/http_connection.h"
 #include "http/http_message.h"
 
 typedef struct HttpClient HttpClient;
@@ -62,7 +63,8 @@
                                   value belong to another request and are
                                   passed over; NULL: all are taken */
     const char *match_value;
-    HttpCancel *cancel; /* NULL: cannot be cancelled */
+    const HttpPatience *patience; /* NULL: the call waits to its deadline */
+    HttpCancel *cancel;           /* NULL: cannot be cancelled */
 } HttpCall;
 
 HttpClient *HttpClient_Create(const HttpClient_desc *desc);
--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -21,6 +21,7 @@
 
 struct HttpConnection {
     int fd;
+    const HttpPatience *patience; /* NULL: none, or asked already */
     size_t first; /* unread bytes: buffer[first..last) */
     size_t last;
     char buffer[READ_BYTES];
@@ -54,6 +55,26 @@
     return 0;
 }
 
+/* The same, but also 0 when the patience ends first. */
+static int
+wait_patiently(HttpConnection *connection, short events, ClockMs deadline)
+{
+    const HttpPatience *patience = connection->patience;
+    int ready;
+
+    if (patience == NULL || patience->until >= deadline) {
+        return wait_for(connection->fd, events, deadline);
+    }
+    ready = wait_for(connection->fd, events, patience->until);
+    if (ready != 0) {
+        return ready;
+    }
+    connection->patience = NULL;
+    return patience->give_up(patience->context)
+               ? 0
+               : wait_for(connection->fd, events, deadline);
+}
+
 /* Data that stays unacknowledged, or a peer that answers no keep-alive, ends
  * the connection: something between the ends has lost track of it. */
 static void
@@ -127,6 +148,13 @@
     return connection->fd;
 }
 
+void
+HttpConnection_SetPatience(HttpConnection *connection,
+                           const HttpPatience *patience)
+{
+    connection->patience = patience;
+}
+
 Result
 HttpConnection_Send(HttpConnection *connection, const char *bytes,
                     size_t length, ClockMs deadline, gboolean *whole)
@@ -146,7 +174,7 @@
         if (written < 0 && errno != EAGAIN && errno != EINTR) {
             return RESULT_ANSWER_LOST;
         }
-        events = wait_for(connection->fd, POLLIN | POLLOUT, deadline);
+        events = wait_patiently(connection, POLLIN | POLLOUT, deadline);
         if (events == 0) {
             return RESULT_DEADLINE_EXPIRED;
         }
@@ -186,7 +214,7 @@
         if (errno != EAGAIN && errno != EINTR) {
             return READ_RESET;
         }
-        if (wait_for(connection->fd, POLLIN, deadline) == 0) {
+        if (wait_patiently(connection, POLLIN, deadline) == 0) {
             return READ_EXPIRED;
         }
     }
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -29,6 +29,14 @@
 
 typedef struct HttpConnection HttpConnection;
 
+/* When a call may end before its deadline. At `until` give_up() is asked once;
+ * if it says no, the call goes on to its deadline. */
+typedef struct HttpPatience {
+    ClockMs until;
+    gboolean (*give_up)(void *context);
+    void *context;
+} HttpPatience;
+
 typedef struct HttpReadRules {
     gboolean no_body;        /* the request was a HEAD */
     gboolean allow_unframed; /* the body may end with the connection */
@@ -42,6 +50,11 @@
 void HttpConnection_Close(HttpConnection *connection);
 int HttpConnection_Fd(const HttpConnection *connection);
 
+/* Sets the patience for all waits from now on; NULL ends it. It must stay
+ * valid. */
+void HttpConnection_SetPatience(HttpConnection *connection,
+                                const HttpPatience *patience);
+
 /* Writes until all bytes are out or an answer begins to arrive first; then
  * *whole is FALSE and the connection must not be kept. */
 Result HttpConnection_Send(HttpConnection *connection, const char *bytes,
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -625,6 +625,12 @@
     atomic_store(&server->leaving, TRUE);
 }
 
+gboolean
+HttpServer_IsLeaving(const HttpServer *server)
+{
+    return atomic_load(&server->leaving);
+}
+
 gboolean
 HttpServer_Drain(HttpServer *server, ClockMs until)
 {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -59,6 +59,7 @@
 /* From now on every answer closes its connection. New connections are still
  * accepted. */
 void HttpServer_Leave(HttpServer *server);
+gboolean HttpServer_IsLeaving(const HttpServer *server);
 
 /* Stops accepting, adds "Connection: close" to further answers and waits
  * until no request is in flight, at most until the given time, and then up to
--- a/src/retry/retry.c
+++ b/src/retry/retry.c
@@ -88,6 +88,16 @@
     return budget->tokens >= 1;
 }
 
+gboolean
+RetryBudget_TakeRetry(RetryBudget *budget, ClockMs now)
+{
+    if (!RetryBudget_HasRetry(budget, now)) {
+        return FALSE;
+    }
+    budget->tokens -= 1;
+    return TRUE;
+}
+
 /* Results of attempts that another place may answer better. All others say
  * something about the request or the caller. */
 static gboolean
@@ -172,12 +182,8 @@
             return (RetryDecision){.reason = RETRY_FINAL_DEADLINE};
         }
     }
-    if (budget) {
-        refill(budget, now);
-        if (budget->tokens < 1) {
-            return (RetryDecision){.reason = RETRY_FINAL_BUDGET};
-        }
-        budget->tokens -= 1;
+    if (budget && !RetryBudget_TakeRetry(budget, now)) {
+        return (RetryDecision){.reason = RETRY_FINAL_BUDGET};
     }
     return decision;
 }
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -84,6 +84,9 @@
 /* TRUE if a retry could be taken now. */
 gboolean RetryBudget_HasRetry(RetryBudget *budget, ClockMs now);
 
+/* Takes a retry without a decision; FALSE if the budget is used up. */
+gboolean RetryBudget_TakeRetry(RetryBudget *budget, ClockMs now);
+
 /* `desc` is used when budget is NULL; else the budget's settings count. */
 RetryDecision Retry_Decide(RetryBudget *budget, const Retry_desc *desc,
                            const RetryInput *input, ClockMs now, Rng *rng);
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -23,6 +23,9 @@
 /* Cost of an answer that is expected to come too late. */
 #define LATE_COST 0.5
 
+/* A near backend server that was idle for so long is explored. */
+#define EXPLORE_IDLE_MS 1000
+
 /* Time after which a reported load is no longer believed. */
 #define LOAD_MEMORY_MS 1000
 
@@ -235,6 +238,15 @@
                : (ClockMs)((load - slots + 1) * (double)service_ms / slots);
 }
 
+/* Whether the backend server should be tried just to learn about it. */
+static gboolean
+wants_exploring(const RosterRow *row, const RosterQuery *query, ClockMs now)
+{
+    return query->may_explore && row->tier <= ROSTER_SAME_DATA_CENTRE &&
+           row->reported > 0 &&
+           row->report.idle_ms + (now - row->reported) > EXPLORE_IDLE_MS;
+}
+
 static double
 cost_of(Roster *roster, const RosterRow *row, const RosterQuery *query,
         ClockMs now)
@@ -249,6 +261,9 @@
         LOAD_COST * MIN(load, 1) * load_trust(row, now) +
         JITTER_COST * Rng_Unit(&roster->rng);
 
+    if (wants_exploring(row, query, now)) {
+        return JITTER_COST * Rng_Unit(&roster->rng);
+    }
     cost += MIN((double)wait_ms / left, 1) * LATE_COST;
     if ((double)(wait_ms + row->report.service_ms) > left) {
         cost += LATE_COST;
@@ -257,9 +272,10 @@
 }
 
 static void
-fill_choice(const Roster *roster, const RosterRow *row, ClockMs now,
-            RosterChoice *choice)
+fill_choice(const Roster *roster, const RosterRow *row,
+            const RosterQuery *query, ClockMs now, RosterChoice *choice)
 {
+    choice->explores = wants_exploring(row, query, now);
     choice->entry = row->entry;
     choice->host = row->host;
     choice->tier = row->tier;
@@ -315,7 +331,7 @@
         }
     }
     if (best != NULL) {
-        fill_choice(roster, best, now, choice);
+        fill_choice(roster, best, query, now, choice);
     }
     pthread_mutex_unlock(&roster->lock);
     return best != NULL;
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -10,7 +10,10 @@
  *
  * The choice minimises an expected cost in shares of the request's worth:
  * the expected share of failures times what a failure costs, the price of the
- * distance, and the wait for a slot. What an owner reported last ages: its
+ * distance, and the wait for a slot. A backend server that nobody has sent
+ * anything for a while is explored by requests that can be repeated, so that
+ * one that has recovered is used again and none is left out for long. What an
+ * owner reported last ages: its
  * risk drifts to the fleet's long-term mean, its load is forgotten.
  *
  * Limits: ROSTER_MAX_TRIED hosts can be left out of one choice. Thread safe.
@@ -53,12 +56,14 @@
     uint32_t in_flight;
     uint32_t waiting;
     ClockMs service_ms; /* mean time of one request */
+    ClockMs idle_ms;    /* since the last request was sent to it */
     gboolean leaving;
 } RosterReport;
 
 typedef struct RosterQuery {
     uint64_t service;    /* hash of the name */
     double failure_cost; /* share of the worth that a failure costs */
+    gboolean may_explore; /* a failure can be repaired by a repeat */
     ClockMs time_left_ms; /* until the answer would come too late */
     uint64_t tried[ROSTER_MAX_TRIED]; /* host hashes that are left out */
     uint32_t tried_count;
@@ -73,6 +78,7 @@
     double distance_cost;
     ClockMs wait_ms; /* expected wait for a slot */
     ClockMs service_ms; /* mean time of a request; 0: not known */
+    gboolean explores; /* chosen to learn about it, whatever its risk */
     ClockMs age_ms;  /* of the report behind it; CLOCK_NEVER if there is none */
 } RosterChoice;
 
