mirror: one host of a data centre's group follows the store for the others

Change: the first host in a rendezvous order follows the store, the others follow it inside the data centre and fall back to the store when it fails, does not follow the store itself or has an old state. A proof counts from the call plus the time it was held, less the age of the state, so a suspended follower takes no old answer for fresh.

--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -29,6 +29,8 @@
     LOG(STORE_HISTORY_GONE, 204, INFO, \
         "the store has forgotten the revision; listing again") \
     LOG(OBJECT_WRITTEN, 205, INFO, "object written to the store") \
+    LOG(MIRROR_CHANGED, 207, INFO, \
+        "objects of this kind are followed through another source") \
     LOG(OBJECT_REJECTED, 206, WARNING, "object in the store is malformed") \
     \
     \
--- /dev/null
+++ b/src/mirror/mirror.c
@@ -0,0 +1,292 @@
+#include "mirror/mirror.h"
+
+#include <inttypes.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "base/rng.h"
+#include "mirror/mirror_port.h"
+
+/* Neighbours that are looked at for one that was not left out. */
+#define MOST_NEIGHBOURS 3
+
+/* Longest wait for a neighbour's answer, above the wait that a watch asks
+ * for. */
+#define ANSWER_MS 300
+#define CONNECT_MS 250
+
+/* A watch at a neighbour ends at least so often, so that a daemon that has
+ * become the first one takes over soon. */
+#define MOST_WAIT_MS 2000
+
+/* First watch at the store after a neighbour has failed: the age of the state
+ * is not known any more, so the answer has to come soon. */
+#define TAKEOVER_WAIT_MS 100
+
+typedef struct Avoided {
+    uint64_t host;
+    ClockMs until;
+} Avoided;
+
+struct Mirror {
+    Mirror_desc desc;
+    ObjectStore functions;
+    uint64_t group_seed;
+    Avoided avoided[MOST_NEIGHBOURS]; /* of the ObjectSync's thread */
+    unsigned next_avoided;
+    uint64_t followed; /* neighbour of the last answer; 0: the store */
+    atomic_bool direct;
+};
+
+static gboolean
+is_avoided(const Mirror *mirror, uint64_t host, ClockMs now)
+{
+    for (unsigned i = 0; i < MOST_NEIGHBOURS; i++) {
+        if (mirror->avoided[i].host == host && now < mirror->avoided[i].until) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+static void
+avoid(Mirror *mirror, uint64_t host, ClockMs now)
+{
+    mirror->avoided[mirror->next_avoided++ % MOST_NEIGHBOURS] =
+        (Avoided){.host = host, .until = now + MIRROR_AVOID_MS};
+}
+
+/* The key in whose order the hosts of this host's group stand. */
+static uint64_t
+group_key(const Mirror *mirror, const char *kind)
+{
+    uint32_t hosts = Roster_CountDataCentre(mirror->desc.roster);
+    uint32_t groups = (hosts + MIRROR_GROUP - 1) / MIRROR_GROUP;
+
+    return Rng_Mix(Rng_HashString(kind), mirror->group_seed % MAX(groups, 1));
+}
+
+/* The neighbour to read through; FALSE if this host reads the store. */
+static gboolean
+find_neighbour(const Mirror *mirror, const char *kind, RosterPeer *peer)
+{
+    ClockMs now = Clock_Now();
+    RosterPeer order[MOST_NEIGHBOURS];
+    uint32_t count = Roster_Rank(mirror->desc.roster, group_key(mirror, kind),
+                                 now, order, MOST_NEIGHBOURS);
+
+    for (uint32_t i = 0; i < count; i++) {
+        if (order[i].is_self) {
+            return FALSE;
+        }
+        if (order[i].mirror.sin_port != 0 &&
+            !is_avoided(mirror, order[i].host, now)) {
+            *peer = order[i];
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+static gboolean
+decode_page(const char *body, size_t bytes, ObjectPage *page)
+{
+    json_t *root = json_loadb(body, bytes, 0, NULL);
+    json_t *objects = NULL;
+    json_t *item;
+    json_int_t revision;
+    json_int_t held;
+    json_int_t age;
+    size_t index;
+    gboolean valid;
+
+    valid = root != NULL &&
+            json_unpack(root, "{s:I, s:I, s:I, s:o}", "revision", &revision,
+                        "held_ms", &held, "age_ms", &age, "objects",
+                        &objects) == 0;
+    json_array_foreach(objects, index, item)
+    {
+        ObjectRecord record = {0};
+        const char *name;
+        json_int_t changed;
+
+        if (json_unpack(item, "{s:s, s:I, s:b, s:o}", "name", &name,
+                        "revision", &changed, "deleted", &record.deleted,
+                        "value", &record.value) != 0) {
+            valid = FALSE;
+            break;
+        }
+        record.name = g_strdup(name);
+        record.revision = changed;
+        json_incref(record.value);
+        g_array_append_val(page->records, record);
+    }
+    if (valid) {
+        page->revision = revision;
+        page->held_ms = held;
+        page->age_ms = age;
+    }
+    json_decref(root);
+    return valid;
+}
+
+static Result
+ask_neighbour(Mirror *mirror, const RosterPeer *peer, const char *kind,
+              int64_t since, ClockMs wait_ms, ObjectPage *page)
+{
+    char *target = g_strdup_printf(
+        MIRROR_PATH "%s?since=%" PRId64 "&wait_ms=%" PRId64, kind, since,
+        wait_ms);
+    HttpAnswer answer = {0};
+    HttpCall call = {.address = peer->mirror,
+                     .method = "GET",
+                     .target = target,
+                     .connect_ms = CONNECT_MS,
+                     .deadline = Clock_Now() + wait_ms + ANSWER_MS};
+    gboolean sent;
+    Result result =
+        HttpClient_Call(mirror->desc.client, &call, &answer, &sent);
+
+    if (result == RESULT_OK && answer.status == 410) {
+        result = RESULT_STORE_HISTORY_GONE;
+    }
+    else if (result != RESULT_OK || answer.status != 200 ||
+             !decode_page(answer.body, answer.body_bytes, page)) {
+        result = RESULT_STORE_UNAVAILABLE;
+    }
+    HttpAnswer_Clear(&answer);
+    g_free(target);
+    return result;
+}
+
+static void
+note_source(Mirror *mirror, const char *kind, uint64_t neighbour)
+{
+    if (mirror->followed != neighbour) {
+        mirror->followed = neighbour;
+        Log_Event(LOG_MIRROR_CHANGED, "kind=%s source=%016" PRIx64, kind,
+                  neighbour);
+    }
+    atomic_store(&mirror->direct, neighbour == 0);
+}
+
+/* Reads through the neighbour; FALSE if the store has to be read. */
+static gboolean
+read_neighbour(Mirror *mirror, const char *kind, int64_t since, ClockMs wait_ms,
+               ObjectPage *page, Result *result)
+{
+    RosterPeer peer;
+
+    if (!find_neighbour(mirror, kind, &peer)) {
+        return FALSE;
+    }
+    *result = ask_neighbour(mirror, &peer, kind, since,
+                            MIN(wait_ms, MOST_WAIT_MS), page);
+    if (*result == RESULT_STORE_UNAVAILABLE) {
+        avoid(mirror, peer.host, Clock_Now());
+        ObjectPage_Clear(page);
+        ObjectPage_Init(page);
+        return FALSE;
+    }
+    note_source(mirror, kind, peer.host);
+    return TRUE;
+}
+
+static Result
+list(void *context, const char *kind, const char *after, gboolean stale,
+     ObjectPage *page)
+{
+    Mirror *mirror = context;
+    const ObjectStore *store = mirror->desc.store;
+    Result result;
+
+    if (after[0] == '\0' &&
+        read_neighbour(mirror, kind, -1, 0, page, &result)) {
+        return result;
+    }
+    result = store->list(store->context, kind, after, stale, page);
+    if (result == RESULT_OK) {
+        note_source(mirror, kind, 0);
+    }
+    return result;
+}
+
+static Result
+watch(void *context, const char *kind, int64_t revision, ClockMs wait_ms,
+      gboolean stale, ObjectPage *page)
+{
+    Mirror *mirror = context;
+    const ObjectStore *store = mirror->desc.store;
+    Result result;
+
+    if (read_neighbour(mirror, kind, revision, wait_ms, page, &result)) {
+        return result;
+    }
+    if (mirror->followed != 0) {
+        wait_ms = MIN(wait_ms, TAKEOVER_WAIT_MS);
+    }
+    /* Neighbours may follow from now on, while the watch is on its way. */
+    note_source(mirror, kind, 0);
+    return store->watch(store->context, kind, revision, wait_ms, stale, page);
+}
+
+static Result
+get(void *context, const char *kind, const char *name, ObjectRecord *record)
+{
+    const ObjectStore *store = ((Mirror *)context)->desc.store;
+
+    return store->get(store->context, kind, name, record);
+}
+
+static Result
+put(void *context, const char *kind, const char *name, const json_t *value,
+    int64_t *revision)
+{
+    const ObjectStore *store = ((Mirror *)context)->desc.store;
+
+    return store->put(store->context, kind, name, value, revision);
+}
+
+static Result
+remove_object(void *context, const char *kind, const char *name,
+              int64_t revision)
+{
+    const ObjectStore *store = ((Mirror *)context)->desc.store;
+
+    return store->remove(store->context, kind, name, revision);
+}
+
+Mirror *
+Mirror_Create(const Mirror_desc *desc)
+{
+    Mirror *mirror = g_new0(Mirror, 1);
+
+    mirror->desc = *desc;
+    mirror->functions = (ObjectStore){.context = mirror,
+                                     .list = list,
+                                     .watch = watch,
+                                     .get = get,
+                                     .put = put,
+                                     .remove = remove_object};
+    mirror->group_seed = Rng_HashString(desc->host);
+    return mirror;
+}
+
+void
+Mirror_Destroy(Mirror *mirror)
+{
+    g_free(mirror);
+}
+
+const ObjectStore *
+Mirror_AsStore(Mirror *mirror)
+{
+    return &mirror->functions;
+}
+
+gboolean
+Mirror_IsDirect(void *mirror)
+{
+    return atomic_load(&((Mirror *)mirror)->direct);
+}
--- /dev/null
+++ b/src/mirror/mirror_cache.c
@@ -0,0 +1,204 @@
+#include "mirror/mirror_cache.h"
+
+#include <pthread.h>
+#include <time.h>
+
+typedef struct Entry {
+    ObjectRecord record;
+    int64_t seen;   /* revision of the answer that brought it */
+    ClockMs noted;  /* local time of that */
+} Entry;
+
+struct MirrorCache {
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    GHashTable *entries; /* name -> Entry */
+    int64_t revision;    /* everything up to it is here; -1: nothing yet */
+    int64_t newest;      /* revision of the last change */
+    int64_t forgotten;   /* deletions up to it are not remembered */
+    ClockMs confirmed;
+    uint64_t confirmations;
+};
+
+static void
+free_entry(gpointer data)
+{
+    Entry *entry = data;
+
+    ObjectRecord_Clear(&entry->record);
+    g_free(entry);
+}
+
+MirrorCache *
+MirrorCache_Create(void)
+{
+    MirrorCache *cache = g_new0(MirrorCache, 1);
+    pthread_condattr_t attributes;
+
+    pthread_mutex_init(&cache->lock, NULL);
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(&cache->changed, &attributes);
+    pthread_condattr_destroy(&attributes);
+    cache->entries =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
+    cache->revision = -1;
+    return cache;
+}
+
+void
+MirrorCache_Destroy(MirrorCache *cache)
+{
+    if (cache != NULL) {
+        g_hash_table_destroy(cache->entries);
+        pthread_cond_destroy(&cache->changed);
+        pthread_mutex_destroy(&cache->lock);
+        g_free(cache);
+    }
+}
+
+/* Called with the lock held. */
+static void
+put_entry(MirrorCache *cache, const ObjectRecord *record, int64_t revision)
+{
+    Entry *entry = g_new0(Entry, 1);
+
+    entry->record = *record;
+    entry->record.name = g_strdup(record->name);
+    entry->record.value = json_incref(record->value);
+    entry->seen = revision;
+    entry->noted = Clock_Now();
+    g_hash_table_replace(cache->entries, entry->record.name, entry);
+    cache->newest = MAX(cache->newest, revision);
+}
+
+void
+MirrorCache_Change(MirrorCache *cache, const ObjectRecord *record,
+                  int64_t revision)
+{
+    const Entry *entry;
+
+    pthread_mutex_lock(&cache->lock);
+    entry = g_hash_table_lookup(cache->entries, record->name);
+    if (entry == NULL || record->deleted || entry->record.deleted ||
+        entry->record.revision != record->revision) {
+        put_entry(cache, record, revision);
+    }
+    pthread_mutex_unlock(&cache->lock);
+}
+
+void
+MirrorCache_List(MirrorCache *cache, GHashTable *names, int64_t revision)
+{
+    GList *held;
+
+    pthread_mutex_lock(&cache->lock);
+    held = g_hash_table_get_values(cache->entries);
+    for (GList *item = held; item != NULL; item = item->next) {
+        Entry *entry = item->data;
+        ObjectRecord gone = {.name = entry->record.name, .deleted = TRUE};
+
+        if (!entry->record.deleted &&
+            !g_hash_table_contains(names, entry->record.name)) {
+            put_entry(cache, &gone, revision);
+        }
+    }
+    g_list_free(held);
+    pthread_mutex_unlock(&cache->lock);
+}
+
+/* Forgets old deletions; called with the lock held. */
+static void
+forget(MirrorCache *cache, ClockMs now)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, cache->entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const Entry *entry = value;
+
+        if (entry->record.deleted && now - entry->noted > MIRROR_DELETION_MS) {
+            cache->forgotten = MAX(cache->forgotten, entry->seen);
+            g_hash_table_iter_remove(&iterator);
+        }
+    }
+}
+
+void
+MirrorCache_Confirm(MirrorCache *cache, ClockMs moment, int64_t revision)
+{
+    pthread_mutex_lock(&cache->lock);
+    if (cache->revision < 0) {
+        /* Deletions before the first list are not known. */
+        cache->forgotten = revision - 1;
+    }
+    cache->revision = MAX(cache->revision, revision);
+    cache->confirmed = MAX(cache->confirmed, moment);
+    cache->confirmations++;
+    pthread_cond_broadcast(&cache->changed);
+    forget(cache, Clock_Now());
+    pthread_mutex_unlock(&cache->lock);
+}
+
+void
+MirrorCache_Wait(MirrorCache *cache, int64_t revision, ClockMs wait_ms)
+{
+    gint64 end = g_get_monotonic_time() + wait_ms * 1000;
+    struct timespec until = {.tv_sec = end / G_USEC_PER_SEC,
+                             .tv_nsec = (end % G_USEC_PER_SEC) * 1000};
+
+    uint64_t confirmations;
+
+    pthread_mutex_lock(&cache->lock);
+    confirmations = cache->confirmations;
+    while ((cache->revision < 0 ||
+            MIN(cache->newest, cache->revision) <= revision) &&
+           cache->confirmations == confirmations &&
+           pthread_cond_timedwait(&cache->changed, &cache->lock, &until) ==
+               0) {
+    }
+    pthread_mutex_unlock(&cache->lock);
+}
+
+/* Called with the lock held. */
+static void
+copy_entries(MirrorCache *cache, int64_t revision, ObjectPage *page)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, cache->entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const Entry *entry = value;
+        ObjectRecord copy = entry->record;
+
+        if (entry->seen <= revision || (revision < 0 && copy.deleted)) {
+            continue;
+        }
+        copy.name = g_strdup(copy.name);
+        copy.value = json_deep_copy(copy.value);
+        g_array_append_val(page->records, copy);
+    }
+}
+
+Result
+MirrorCache_Read(MirrorCache *cache, int64_t revision, ObjectPage *page)
+{
+    Result result = RESULT_OK;
+
+    pthread_mutex_lock(&cache->lock);
+    if (cache->revision < 0) {
+        result = RESULT_STORE_UNAVAILABLE;
+    }
+    else if (revision >= 0 && revision < cache->forgotten) {
+        result = RESULT_STORE_HISTORY_GONE;
+    }
+    else {
+        copy_entries(cache, revision, page);
+        page->revision = cache->revision;
+        page->age_ms = MAX(Clock_Now() - cache->confirmed, 0);
+    }
+    pthread_mutex_unlock(&cache->lock);
+    return result;
+}
--- /dev/null
+++ b/src/mirror/mirror_port.c
@@ -0,0 +1,143 @@
+#include "mirror/mirror_port.h"
+
+#include <string.h>
+
+#include "http/http_server.h"
+
+/* Longest wait that a caller may ask for. */
+#define MOST_WAIT_MS 30000
+
+struct MirrorPort {
+    MirrorPort_desc desc;
+    HttpServer *server;
+};
+
+static const MirrorKind *
+find_kind(const MirrorPort *port, const char *path)
+{
+    if (!g_str_has_prefix(path, MIRROR_PATH)) {
+        return NULL;
+    }
+    for (unsigned i = 0; i < port->desc.kind_count; i++) {
+        if (strcmp(port->desc.kinds[i].kind, path + strlen(MIRROR_PATH)) == 0) {
+            return &port->desc.kinds[i];
+        }
+    }
+    return NULL;
+}
+
+static int64_t
+read_argument(const HttpRequest *request, const char *name)
+{
+    char *text = HttpRequest_Argument(request, name);
+    int64_t value = text ? g_ascii_strtoll(text, NULL, 10) : 0;
+
+    g_free(text);
+    return value;
+}
+
+static json_t *
+encode_page(const ObjectPage *page)
+{
+    json_t *objects = json_array();
+
+    for (guint i = 0; i < page->records->len; i++) {
+        const ObjectRecord *record =
+            &g_array_index(page->records, ObjectRecord, i);
+
+        json_array_append_new(
+            objects,
+            json_pack("{s:s, s:I, s:b, s:O?}", "name", record->name,
+                      "revision", (json_int_t)record->revision, "deleted",
+                      record->deleted, "value", record->value));
+    }
+    return json_pack("{s:I, s:I, s:I, s:o}", "revision",
+                     (json_int_t)page->revision, "held_ms",
+                     (json_int_t)page->held_ms, "age_ms",
+                     (json_int_t)page->age_ms, "objects", objects);
+}
+
+/* Waits for a change and reads it. */
+static Result
+read_kind(const MirrorKind *kind, int64_t since, ClockMs wait_ms,
+          ObjectPage *page)
+{
+    ClockMs started = Clock_Now();
+    Result result;
+
+    if (!kind->is_direct(kind->context)) {
+        return RESULT_STORE_UNAVAILABLE;
+    }
+    if (since >= 0) {
+        MirrorCache_Wait(kind->cache, since, CLAMP(wait_ms, 0, MOST_WAIT_MS));
+    }
+    result = MirrorCache_Read(kind->cache, since, page);
+    page->held_ms = Clock_Now() - started;
+    if (result == RESULT_OK && (page->age_ms > kind->max_age_ms ||
+                                !kind->is_direct(kind->context))) {
+        result = RESULT_STORE_UNAVAILABLE;
+    }
+    return result;
+}
+
+static void
+serve(void *context, HttpRequest *request)
+{
+    const MirrorPort *port = context;
+    const MirrorKind *kind = find_kind(port, HttpRequest_Path(request));
+    HttpAnswer answer = {0};
+    ObjectPage page;
+    Result result = RESULT_NOT_FOUND;
+    json_t *body;
+
+    ObjectPage_Init(&page);
+    if (kind != NULL) {
+        result = read_kind(kind, read_argument(request, "since"),
+                           read_argument(request, "wait_ms"), &page);
+    }
+    if (result == RESULT_OK) {
+        body = encode_page(&page);
+        HttpAnswer_SetJson(&answer, 200, json_dumps(body, JSON_COMPACT));
+        json_decref(body);
+    }
+    else {
+        HttpAnswer_SetRefusal(&answer, result, RUN_NO, NULL, NULL);
+    }
+    ObjectPage_Clear(&page);
+    HttpRequest_Respond(request, &answer);
+}
+
+MirrorPort *
+MirrorPort_Create(const MirrorPort_desc *desc, GError **error)
+{
+    MirrorPort *port = g_new0(MirrorPort, 1);
+    HttpServer_desc server = {.address = desc->address,
+                              .event_threads = 1,
+                              .worker_threads = desc->threads,
+                              .max_in_flight = desc->threads,
+                              .handler = serve,
+                              .context = port};
+
+    port->desc = *desc;
+    port->server = HttpServer_Create(&server, error);
+    if (port->server == NULL) {
+        g_free(port);
+        return NULL;
+    }
+    return port;
+}
+
+uint16_t
+MirrorPort_Port(const MirrorPort *port)
+{
+    return HttpServer_Port(port->server);
+}
+
+void
+MirrorPort_Destroy(MirrorPort *port)
+{
+    if (port != NULL) {
+        HttpServer_Destroy(port->server);
+        g_free(port);
+    }
+}
--- /dev/null
+++ b/src/mirror/mirror_port.h
@@ -0,0 +1,44 @@
+/* MirrorPort: lets the hosts of a data centre follow objects through this one.
+ *
+ *   GET /radishknot/mirror/<kind>?since=<revision>&wait_ms=<ms>
+ * answers {"revision", "held_ms", "age_ms", "objects": [{"name", "revision",
+ * "deleted", "value"}]} as soon as there is a change after the revision, or
+ * after wait_ms; since=-1 asks for all objects. 410 if the host no longer has
+ * that history, 503 if it does not follow the store itself at present.
+ *
+ * Use: MirrorPort_Create() with the caches, MirrorPort_Destroy().
+ *
+ * Limits: `threads` calls wait at once; more are answered with 503.
+ */
+#ifndef MIRROR_MIRROR_PORT_H
+#define MIRROR_MIRROR_PORT_H
+
+#include <netinet/in.h>
+
+#include "mirror/mirror_cache.h"
+
+#define MIRROR_PATH "/radishknot/mirror/"
+
+typedef struct MirrorPort MirrorPort;
+
+typedef struct MirrorKind {
+    const char *kind;
+    MirrorCache *cache;
+    ClockMs max_age_ms; /* an older state is not passed on */
+    /* Whether this host follows the kind at the store itself. */
+    gboolean (*is_direct)(void *context);
+    void *context;
+} MirrorKind;
+
+typedef struct MirrorPort_desc {
+    struct sockaddr_in address;
+    unsigned threads;
+    const MirrorKind *kinds;
+    unsigned kind_count;
+} MirrorPort_desc;
+
+MirrorPort *MirrorPort_Create(const MirrorPort_desc *desc, GError **error);
+uint16_t MirrorPort_Port(const MirrorPort *port);
+void MirrorPort_Destroy(MirrorPort *port);
+
+#endif
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -33,6 +33,9 @@
     GArray *records; /* ObjectRecord */
     int64_t revision; /* of the store */
     gboolean more;    /* a list goes on behind the last name */
+    ClockMs held_ms;  /* the answer was not made earlier than so long after the
+                         call was sent */
+    ClockMs age_ms;   /* of the state in it, when the answer was made */
 } ObjectPage;
 
 typedef struct ObjectStore {
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -19,10 +19,6 @@
  * a change confirms only the state at its start. */
 #define CONFIRM_WAIT_MS 400
 
-/* A watch that ended without a change shows the state of about its end; the
- * store's clock may run this share slower than the local one. */
-#define WAIT_SHARE 0.9
-
 struct ObjectSync {
     ObjectSync_desc desc;
     pthread_t thread;
@@ -107,15 +103,18 @@
         if (names != NULL) {
             g_hash_table_add(names, g_strdup(record->name));
         }
-        sync->desc.changed(sync->desc.context, record);
+        sync->desc.changed(sync->desc.context, record, page->revision);
     }
 }
 
+/* Passes on when the answer to a call was the newest state. */
 static void
-confirm(ObjectSync *sync, ClockMs moment)
+confirm(ObjectSync *sync, ClockMs called, const ObjectPage *page)
 {
     if (sync->desc.confirmed != NULL && !is_stopping(sync)) {
-        sync->desc.confirmed(sync->desc.context, moment);
+        sync->desc.confirmed(sync->desc.context,
+                             called + page->held_ms - page->age_ms,
+                             sync->revision);
     }
 }
 
@@ -129,7 +128,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     char *after = g_strdup("");
     ClockMs started = Clock_Now();
-    int64_t revision = -1;
+    ObjectPage first = {0}; /* numbers of the first page */
     ObjectPage page;
     gboolean more = TRUE;
     Result result = RESULT_OK;
@@ -140,7 +139,7 @@
                              &page);
         if (result == RESULT_OK) {
             pass_on(sync, &page, names);
-            revision = revision < 0 ? page.revision : revision;
+            first = after[0] == '\0' ? page : first;
             more = page.more && page.records->len > 0;
         }
         if (more && result == RESULT_OK) {
@@ -153,12 +152,12 @@
     }
     g_free(after);
     if (result == RESULT_OK) {
-        sync->revision = revision;
+        sync->revision = first.revision;
         sync->next_wait_ms = CONFIRM_WAIT_MS;
         if (sync->desc.listed != NULL && !is_stopping(sync)) {
-            sync->desc.listed(sync->desc.context, names);
+            sync->desc.listed(sync->desc.context, names, first.revision);
         }
-        confirm(sync, started);
+        confirm(sync, started, &first);
         atomic_store(&sync->complete, TRUE);
     }
     g_hash_table_destroy(names);
@@ -170,9 +169,8 @@
 {
     const ObjectStore *store = sync->desc.store;
     ClockMs wait_ms =
-        sync->desc.confirmed ? sync->next_wait_ms : sync->desc.wait_ms;
+        sync->desc.prove ? sync->next_wait_ms : sync->desc.wait_ms;
     ClockMs started = Clock_Now();
-    ClockMs waited;
     ObjectPage page;
     Result result;
 
@@ -183,11 +181,7 @@
         *changed = page.records->len > 0;
         pass_on(sync, &page, NULL);
         sync->revision = MAX(sync->revision, page.revision);
-        waited = (ClockMs)((double)wait_ms * WAIT_SHARE);
-        if (*changed || Clock_Now() - started < waited) {
-            waited = 0;
-        }
-        confirm(sync, started + waited);
+        confirm(sync, started, &page);
         sync->next_wait_ms = *changed ? CONFIRM_WAIT_MS : sync->desc.wait_ms;
     }
     else if (result == RESULT_STORE_HISTORY_GONE) {
--- a/src/objects/object_sync.h
+++ b/src/objects/object_sync.h
@@ -9,10 +9,11 @@
  * again after a growing, jittered pause; the loss and the return of the store
  * are logged once each.
  *
- * Callbacks run on the thread. `changed` gets each object and each deletion;
- * after a full list `listed` gets the names that exist, so that others can be
- * dropped. `confirmed` gets a moment at which everything that was passed on so
- * far was the newest state; with `stale` it is not called.
+ * Callbacks run on the thread, each with the store's revision of the answer.
+ * `changed` gets each object and each deletion; after a full list `listed` gets
+ * the names that exist, so that others can be dropped. `confirmed` gets a
+ * moment at which everything that was passed on so far was the newest state;
+ * with `stale` it means nothing.
  */
 #ifndef OBJECTS_OBJECT_SYNC_H
 #define OBJECTS_OBJECT_SYNC_H
@@ -25,12 +26,16 @@
     const ObjectStore *store;
     const char *kind;
     ClockMs wait_ms;     /* of one watch (20,000) */
+    gboolean prove;      /* confirm soon after each change, too */
     ClockMs pause_ms;    /* between two watches that both brought changes, so
                             that a series of changes costs few calls (0) */
     gboolean stale;      /* watches may lag by seconds */
-    void (*changed)(void *context, const ObjectRecord *record);
-    void (*listed)(void *context, GHashTable *names); /* may be NULL */
-    void (*confirmed)(void *context, ClockMs moment); /* may be NULL */
+    void (*changed)(void *context, const ObjectRecord *record,
+                    int64_t revision);
+    void (*listed)(void *context, GHashTable *names,
+                   int64_t revision); /* may be NULL */
+    void (*confirmed)(void *context, ClockMs moment,
+                      int64_t revision); /* may be NULL */
     void *context;
 } ObjectSync_desc;
 
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -97,10 +97,7 @@
     ClockMs now = Clock_Now();
     double limit =
         _Quota_DataCentreLimit(&quota->desc, team, now - quota->started);
-    RosterPeer peers[ROSTER_MAX_PEERS];
-    uint32_t hosts =
-        Roster_Neighbours(quota->desc.roster, now, peers, ROSTER_MAX_PEERS) +
-        1;
+    uint32_t hosts = Roster_CountDataCentre(quota->desc.roster);
     double part = limit * (1 - KEEPER_SHARE) / MAX(hosts, LEAST_HOSTS);
     gboolean taken;
 
@@ -159,30 +156,6 @@
     }
 }
 
-static gint
-compare_order(gconstpointer a, gconstpointer b, gpointer context)
-{
-    uint64_t team = *(uint64_t *)context;
-    uint64_t left = Rng_Mix(((const RosterPeer *)a)->host, team);
-    uint64_t right = Rng_Mix(((const RosterPeer *)b)->host, team);
-
-    return (left > right) - (left < right);
-}
-
-/* Fills the team's rendezvous order of the data centre's hosts; the own host
- * is among them, with port 0. */
-static uint32_t
-keeper_order(Quota *quota, uint64_t team, ClockMs now, RosterPeer *peers)
-{
-    uint32_t count = Roster_Neighbours(quota->desc.roster, now, peers,
-                                       ROSTER_MAX_PEERS - 1);
-
-    peers[count++] = (RosterPeer){.host = quota->desc.host};
-    g_qsort_with_data(peers, (gint)count, sizeof(RosterPeer), compare_order,
-                      &team);
-    return count;
-}
-
 static Result
 ask_keeper(Quota *quota, const RosterPeer *keeper, uint64_t team)
 {
@@ -209,8 +182,7 @@
 Result
 Quota_Take(Quota *quota, const CatalogTeam *team, QuotaSource *source)
 {
-    RosterPeer order[ROSTER_MAX_PEERS];
-    ClockMs now = Clock_Now();
+    RosterPeer order[MOST_KEEPERS];
     uint32_t count;
     Result result;
 
@@ -219,9 +191,10 @@
         return RESULT_OK;
     }
     *source = QUOTA_KEEPER;
-    count = keeper_order(quota, team->hash, now, order);
-    for (uint32_t i = 0; i < MIN(count, MOST_KEEPERS); i++) {
-        if (order[i].host == quota->desc.host) {
+    count = Roster_Rank(quota->desc.roster, team->hash, Clock_Now(), order,
+                        MOST_KEEPERS);
+    for (uint32_t i = 0; i < count; i++) {
+        if (order[i].is_self) {
             return take_as_keeper(quota, team);
         }
         result = ask_keeper(quota, &order[i], team->hash);
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -29,7 +29,6 @@
 typedef struct Quota Quota;
 
 typedef struct Quota_desc {
-    uint64_t host; /* hash of the own name */
     Catalog *catalog;
     Roster *roster;
     Rpc *rpc;
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -53,6 +53,7 @@
     pthread_mutex_t lock;
     GHashTable *rows;     /* &RosterRow.host -> RosterRow */
     GHashTable *services; /* service hash -> GPtrArray of RosterRow */
+    GPtrArray *neighbours; /* RosterRow of the own data centre, others' */
     Rng rng;
 };
 
@@ -73,6 +74,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     roster->services = g_hash_table_new_full(
         g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+    roster->neighbours = g_ptr_array_new();
     Rng_Seed(&roster->rng, Rng_ProcessSeed());
     return roster;
 }
@@ -81,6 +83,7 @@
 Roster_Destroy(Roster *roster)
 {
     if (roster != NULL) {
+        g_ptr_array_unref(roster->neighbours);
         g_hash_table_destroy(roster->services);
         g_hash_table_destroy(roster->rows);
         pthread_mutex_destroy(&roster->lock);
@@ -120,6 +123,7 @@
 unlink_row(Roster *roster, RosterRow *row)
 {
     g_ptr_array_remove_fast(service_rows(roster, row->service), row);
+    g_ptr_array_remove_fast(roster->neighbours, row);
 }
 
 void
@@ -150,6 +154,9 @@
     row->service = service;
     row->tier = tier_of(roster, entry);
     g_ptr_array_add(service_rows(roster, service), row);
+    if (row->tier == ROSTER_SAME_DATA_CENTRE) {
+        g_ptr_array_add(roster->neighbours, row);
+    }
     pthread_mutex_unlock(&roster->lock);
 }
 
@@ -371,31 +378,70 @@
     pthread_mutex_unlock(&roster->lock);
 }
 
+static void
+fill_peer(const RosterRow *row, RosterPeer *peer)
+{
+    *peer = (RosterPeer){.host = row->host,
+                         .rpc = row->entry.peer,
+                         .mirror = row->entry.peer};
+    peer->rpc.sin_port = htons(row->entry.rpc_port);
+    peer->mirror.sin_port = htons(row->entry.mirror_port);
+}
+
+/* Puts a peer into the list, which is kept in the order of the key and at most
+ * `most` long. Returns the new length. */
+static uint32_t
+insert_peer(RosterPeer *peers, uint32_t count, uint32_t most, uint64_t key,
+            const RosterPeer *peer)
+{
+    uint64_t rank = Rng_Mix(peer->host, key);
+    uint32_t place = count;
+
+    while (place > 0 && Rng_Mix(peers[place - 1].host, key) > rank) {
+        place--;
+    }
+    if (place >= most) {
+        return count;
+    }
+    count = MIN(count + 1, most);
+    memmove(&peers[place + 1], &peers[place],
+            (count - place - 1) * sizeof(RosterPeer));
+    peers[place] = *peer;
+    return count;
+}
+
 uint32_t
-Roster_Neighbours(Roster *roster, ClockMs now, RosterPeer *peers,
-                  uint32_t most)
+Roster_Rank(Roster *roster, uint64_t key, ClockMs now, RosterPeer *peers,
+            uint32_t most)
 {
-    GHashTableIter iterator;
-    gpointer value;
-    uint32_t count = 0;
+    RosterPeer peer = {.host = Rng_HashString(roster->desc.host),
+                       .is_self = TRUE};
+    uint32_t count = insert_peer(peers, 0, most, key, &peer);
 
     pthread_mutex_lock(&roster->lock);
-    g_hash_table_iter_init(&iterator, roster->rows);
-    while (count < most && g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const RosterRow *row = value;
-
-        if (row->tier == ROSTER_SAME_DATA_CENTRE && row->entry.rpc_port > 0 &&
-            now >= row->avoid_until) {
-            peers[count].host = row->host;
-            peers[count].rpc = row->entry.peer;
-            peers[count].rpc.sin_port = htons(row->entry.rpc_port);
-            count++;
+    for (guint i = 0; i < roster->neighbours->len; i++) {
+        const RosterRow *row = g_ptr_array_index(roster->neighbours, i);
+
+        if (row->entry.rpc_port > 0 && now >= row->avoid_until) {
+            fill_peer(row, &peer);
+            count = insert_peer(peers, count, most, key, &peer);
         }
     }
     pthread_mutex_unlock(&roster->lock);
     return count;
 }
 
+uint32_t
+Roster_CountDataCentre(Roster *roster)
+{
+    uint32_t count;
+
+    pthread_mutex_lock(&roster->lock);
+    count = roster->neighbours->len + 1;
+    pthread_mutex_unlock(&roster->lock);
+    return count;
+}
+
 uint32_t
 Roster_Count(Roster *roster)
 {
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -29,7 +29,6 @@
 #include "roster/roster_entry.h"
 
 #define ROSTER_MAX_TRIED 16
-#define ROSTER_MAX_PEERS 64
 
 typedef struct Roster Roster;
 
@@ -82,9 +81,12 @@
     ClockMs age_ms;  /* of the report behind it; CLOCK_NEVER if there is none */
 } RosterChoice;
 
+/* A host of the own data centre, or the own host. */
 typedef struct RosterPeer {
     uint64_t host;
+    gboolean is_self;
     struct sockaddr_in rpc;
+    struct sockaddr_in mirror; /* port 0: mirrors nothing */
 } RosterPeer;
 
 Roster *Roster_Create(const Roster_desc *desc);
@@ -105,9 +107,15 @@
  * that grows with each failure in a row, unless there is no other. */
 void Roster_NoteUnreachable(Roster *roster, uint64_t host, ClockMs now);
 
-/* Hosts of the own data centre that can be reached, without the own one. */
-uint32_t Roster_Neighbours(Roster *roster, ClockMs now, RosterPeer *peers,
-                           uint32_t most);
+/* The first hosts in the rendezvous order of a key, among those of the own data
+ * centre that can be reached; the own host is one of them. */
+uint32_t Roster_Rank(Roster *roster, uint64_t key, ClockMs now,
+                     RosterPeer *peers, uint32_t most);
+
+/* Hosts of the own data centre, the own one included. */
+uint32_t Roster_CountDataCentre(Roster *roster);
+
+/* All hosts. */
 uint32_t Roster_Count(Roster *roster);
 
 #endif
--- a/src/roster/roster_entry.c
+++ b/src/roster/roster_entry.c
@@ -13,10 +13,11 @@
     char peer[32];
 
     HttpAddress_Format(&entry->peer, peer, sizeof(peer));
-    return json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:b}", "instance",
-                     entry->instance, "service", entry->service, "dc",
-                     entry->data_centre, "region", entry->region, "peer", peer,
-                     "rpc", (int)entry->rpc_port, "slots", (int)entry->slots,
+    return json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:b}",
+                     "instance", entry->instance, "service", entry->service,
+                     "dc", entry->data_centre, "region", entry->region, "peer",
+                     peer, "rpc", (int)entry->rpc_port, "mirror",
+                     (int)entry->mirror_port, "slots", (int)entry->slots,
                      "leaving", entry->leaving);
 }
 
@@ -36,23 +37,27 @@
     const char *region;
     const char *peer;
     int rpc_port;
+    int mirror_port;
     int slots;
     int leaving;
 
     *entry = (RosterEntry){0};
     if (value == NULL ||
         json_unpack((json_t *)value,
-                    "{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:b}", "instance",
-                    &instance, "service", &service, "dc", &data_centre,
-                    "region", &region, "peer", &peer, "rpc", &rpc_port,
-                    "slots", &slots, "leaving", &leaving) != 0) {
+                    "{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:b}",
+                    "instance", &instance, "service", &service, "dc",
+                    &data_centre, "region", &region, "peer", &peer, "rpc",
+                    &rpc_port, "mirror", &mirror_port, "slots", &slots,
+                    "leaving", &leaving) != 0) {
         return FALSE;
     }
     entry->rpc_port = (uint16_t)rpc_port;
+    entry->mirror_port = (uint16_t)mirror_port;
     entry->slots = (uint32_t)slots;
     entry->leaving = leaving != 0;
-    return rpc_port >= 0 && rpc_port <= UINT16_MAX && slots > 0 &&
-           slots <= MOST_SLOTS && copy_name(entry->host, host) &&
+    return rpc_port >= 0 && rpc_port <= UINT16_MAX && mirror_port >= 0 &&
+           mirror_port <= UINT16_MAX && slots > 0 && slots <= MOST_SLOTS &&
+           copy_name(entry->host, host) &&
            copy_name(entry->instance, instance) &&
            copy_name(entry->service, service) &&
            copy_name(entry->data_centre, data_centre) &&
--- a/src/roster/roster_entry.h
+++ b/src/roster/roster_entry.h
@@ -24,6 +24,7 @@
     char region[ROSTER_NAME_BYTES];
     struct sockaddr_in peer; /* where other daemons send requests */
     uint16_t rpc_port;
+    uint16_t mirror_port; /* 0: mirrors nothing */
     uint32_t slots;
     gboolean leaving; /* takes no new work */
 } RosterEntry;
--- a/src/settings/settings_list.h
+++ b/src/settings/settings_list.h
@@ -107,6 +107,12 @@
          "where readiness is asked for") \
     NUMBER(metrics_port, "port", 0, 65535, 0, 0, \
            "port of the metrics; 0: the kernel chooses") \
+    NUMBER(first_port, "port", 0, 65533, 0, 0, \
+           "first of three ports in a row for control messages, metrics and " \
+           "the mirror, where these are not set; 0: the kernel chooses") \
+    NUMBER(mirror_port, "port", 0, 65535, 0, 0, \
+           "port through which neighbours follow the store; 0: the kernel " \
+           "chooses") \
     TIME(revocation_ms, 500, 600000, 5000, \
          "time after which a withdrawn key must be refused everywhere") \
     TIME(grace_ms, 500, 600000, 6000, \
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -26,6 +26,20 @@
 /* Pause between two looks at what is still in flight. */
 #define STOP_POLL_MS 50
 
+/* Fills the ports that are not set from the first one of a row. */
+static void
+set_ports(Settings *settings)
+{
+    int64_t *const ports[] = {&settings->rpc_port, &settings->metrics_port,
+                              &settings->mirror_port};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(ports); i++) {
+        if (*ports[i] == 0 && settings->first_port != 0) {
+            *ports[i] = settings->first_port + (int64_t)i;
+        }
+    }
+}
+
 static gboolean
 open_rpc(Sidecar *sidecar, GError **error)
 {
@@ -53,8 +67,7 @@
                             .client = sidecar->client,
                             .changed = _Sidecar_PublishBackend,
                             .context = sidecar};
-    Quota_desc quota = {.host = Rng_HashString(settings->host),
-                        .data_centres = settings->data_centres.count,
+    Quota_desc quota = {.data_centres = settings->data_centres.count,
                         .window_ms = settings->quota_window_ms,
                         .overage = settings->quota_overage,
                         .slack = settings->quota_slack};
@@ -117,6 +130,7 @@
     sidecar->adapter = adapter;
     sidecar->proof_ms = MAX(settings->revocation_ms - PROOF_MARGIN_MS,
                             settings->revocation_ms / 2);
+    set_ports(settings);
     if (!open_rpc(sidecar, error)) {
         g_free(sidecar);
         return NULL;
@@ -124,9 +138,10 @@
     sidecar->store = adapter->open_store(&settings->store.items[0]);
     sidecar->client =
         HttpClient_Create(&(HttpClient_desc){.silence_ms = SILENCE_MS});
+    sidecar->mirror_client = HttpClient_Create(&(HttpClient_desc){0});
     create_state(sidecar);
-    _Sidecar_StartState(sidecar);
-    if (!Rpc_Start(sidecar->rpc, error) ||
+    if (!_Sidecar_StartState(sidecar, error) ||
+        !Rpc_Start(sidecar->rpc, error) ||
         !open_request_path(sidecar, error) ||
         !_Sidecar_OpenPorts(sidecar, error)) {
         Sidecar_Destroy(sidecar);
@@ -207,6 +222,7 @@
     Roster_Destroy(sidecar->roster);
     Catalog_Destroy(sidecar->catalog);
     HttpClient_Destroy(sidecar->client);
+    HttpClient_Destroy(sidecar->mirror_client);
     sidecar->adapter->close_store(sidecar->store);
     Settings_Destroy(sidecar->settings);
     g_free(sidecar);
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -10,6 +10,8 @@
 #include "objects/object_sync.h"
 #include "objects/object_writer.h"
 #include "quota/quota.h"
+#include "mirror/mirror.h"
+#include "mirror/mirror_port.h"
 #include "roster/roster.h"
 #include "rpc/rpc.h"
 #include "sidecar/sidecar.h"
@@ -17,6 +19,9 @@
 /* Kind of the objects that hold RosterEntry values. */
 #define SIDECAR_ROSTER_KIND "backend-servers"
 
+/* Kinds that neighbours may follow through this host. */
+enum { SIDECAR_CATALOG, SIDECAR_ROSTER, SIDECAR_KINDS };
+
 struct Sidecar {
     Settings *settings;
     const SidecarAdapter *adapter;
@@ -32,6 +37,11 @@
     HttpServer *announce_port;
     HttpServer *ready_port;
     HttpServer *metrics_port;
+    HttpClient *mirror_client;
+    MirrorKind kinds[SIDECAR_KINDS];
+    MirrorPort *mirror_port;
+    Mirror *catalog_mirror;
+    Mirror *roster_mirror;
     ObjectSync *catalog_sync;
     ObjectSync *roster_sync;
     ObjectWriter *writer;
@@ -41,7 +51,7 @@
 };
 
 /* sidecar_state.c: follows the store and publishes the own entry. */
-void _Sidecar_StartState(Sidecar *sidecar);
+gboolean _Sidecar_StartState(Sidecar *sidecar, GError **error);
 void _Sidecar_StopState(Sidecar *sidecar);
 void _Sidecar_PublishBackend(void *context);
 
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -5,8 +5,9 @@
 #include "sidecar/sidecar_internal.h"
 
 /* One watch of the configuration; its end without a change is the proof that
- * the configuration is the newest. */
-#define CATALOG_WAIT_MS 2000
+ * the configuration is the newest. Hosts that follow one that is cut off from
+ * the store notice after about this time. */
+#define CATALOG_WAIT_MS 800
 
 /* One watch of the backend servers. */
 #define ROSTER_WAIT_MS 25000
@@ -15,14 +16,23 @@
  * change many entries within a second. */
 #define ROSTER_PAUSE_MS 300
 
+/* Age up to which a state is passed on to neighbours: one watch, the way to
+ * the store and back, and a slow answer. */
+#define CATALOG_AGE_MS (CATALOG_WAIT_MS + 500)
+#define ROSTER_AGE_MS (ROSTER_WAIT_MS + 500)
+
+/* Neighbours that follow both kinds through this host at once. */
+#define MIRROR_THREADS (2 * MIRROR_GROUP)
+
 static void
-catalog_changed(void *context, const ObjectRecord *record)
+catalog_changed(void *context, const ObjectRecord *record, int64_t revision)
 {
     Sidecar *sidecar = context;
     CatalogTable *table;
     GError *error = NULL;
     uint64_t version;
 
+    MirrorCache_Change(sidecar->kinds[SIDECAR_CATALOG].cache, record, revision);
     if (record->deleted ||
         strcmp(record->name, sidecar->adapter->catalog_name) != 0) {
         return;
@@ -43,20 +53,31 @@
 }
 
 static void
-catalog_confirmed(void *context, ClockMs moment)
+catalog_listed(void *context, GHashTable *names, int64_t revision)
+{
+    Sidecar *sidecar = context;
+
+    MirrorCache_List(sidecar->kinds[SIDECAR_CATALOG].cache, names, revision);
+}
+
+static void
+catalog_confirmed(void *context, ClockMs moment, int64_t revision)
 {
     Sidecar *sidecar = context;
 
     Catalog_Confirm(sidecar->catalog, moment);
+    MirrorCache_Confirm(sidecar->kinds[SIDECAR_CATALOG].cache, moment,
+                       revision);
 }
 
 static void
-roster_changed(void *context, const ObjectRecord *record)
+roster_changed(void *context, const ObjectRecord *record, int64_t revision)
 {
     Sidecar *sidecar = context;
     gboolean is_own = strcmp(record->name, sidecar->settings->host) == 0;
     RosterEntry entry;
 
+    MirrorCache_Change(sidecar->kinds[SIDECAR_ROSTER].cache, record, revision);
     if (is_own) {
         ObjectWriter_Observe(sidecar->writer, record);
         return;
@@ -81,13 +102,23 @@
 }
 
 static void
-roster_listed(void *context, GHashTable *names)
+roster_listed(void *context, GHashTable *names, int64_t revision)
 {
     Sidecar *sidecar = context;
 
+    MirrorCache_List(sidecar->kinds[SIDECAR_ROSTER].cache, names, revision);
     Roster_Retain(sidecar->roster, names);
 }
 
+static void
+roster_confirmed(void *context, ClockMs moment, int64_t revision)
+{
+    Sidecar *sidecar = context;
+
+    MirrorCache_Confirm(sidecar->kinds[SIDECAR_ROSTER].cache, moment,
+                       revision);
+}
+
 static void
 fill_entry(const Sidecar *sidecar, const BackendStatus *status,
            RosterEntry *entry)
@@ -95,6 +126,7 @@
     const Settings *settings = sidecar->settings;
 
     *entry = (RosterEntry){.rpc_port = Rpc_GetPort(sidecar->rpc),
+                           .mirror_port = MirrorPort_Port(sidecar->mirror_port),
                            .slots = MAX(status->announcement.slots, 1)};
     g_strlcpy(entry->host, settings->host, ROSTER_NAME_BYTES);
     g_strlcpy(entry->instance, status->announcement.instance,
@@ -124,26 +156,65 @@
     }
 }
 
-void
-_Sidecar_StartState(Sidecar *sidecar)
+/* Opens the port through which neighbours follow the store. */
+static gboolean
+open_mirror(Sidecar *sidecar, GError **error)
+{
+    const Settings *settings = sidecar->settings;
+    Mirror_desc mirror = {.store = sidecar->store,
+                        .roster = sidecar->roster,
+                        .host = settings->host,
+                        .client = sidecar->mirror_client};
+    MirrorPort_desc port = {.threads = MIRROR_THREADS,
+                           .kinds = sidecar->kinds,
+                           .kind_count = SIDECAR_KINDS};
+
+    sidecar->catalog_mirror = Mirror_Create(&mirror);
+    sidecar->roster_mirror = Mirror_Create(&mirror);
+    sidecar->kinds[SIDECAR_CATALOG] =
+        (MirrorKind){.kind = sidecar->adapter->catalog_kind,
+                    .cache = MirrorCache_Create(),
+                    .max_age_ms = CATALOG_AGE_MS,
+                    .is_direct = Mirror_IsDirect,
+                    .context = sidecar->catalog_mirror};
+    sidecar->kinds[SIDECAR_ROSTER] =
+        (MirrorKind){.kind = SIDECAR_ROSTER_KIND,
+                    .cache = MirrorCache_Create(),
+                    .max_age_ms = ROSTER_AGE_MS,
+                    .is_direct = Mirror_IsDirect,
+                    .context = sidecar->roster_mirror};
+    (void)HttpAddress_Parse(settings->peer_address, &port.address);
+    port.address.sin_port = htons((uint16_t)settings->mirror_port);
+    sidecar->mirror_port = MirrorPort_Create(&port, error);
+    return sidecar->mirror_port != NULL;
+}
+
+gboolean
+_Sidecar_StartState(Sidecar *sidecar, GError **error)
 {
-    ObjectSync_desc catalog = {.store = sidecar->store,
-                               .kind = sidecar->adapter->catalog_kind,
+    ObjectSync_desc catalog = {.kind = sidecar->adapter->catalog_kind,
                                .wait_ms = CATALOG_WAIT_MS,
+                               .prove = TRUE,
                                .changed = catalog_changed,
+                               .listed = catalog_listed,
                                .confirmed = catalog_confirmed,
                                .context = sidecar};
-    ObjectSync_desc roster = {.store = sidecar->store,
-                              .kind = SIDECAR_ROSTER_KIND,
+    ObjectSync_desc roster = {.kind = SIDECAR_ROSTER_KIND,
                               .wait_ms = ROSTER_WAIT_MS,
                               .pause_ms = ROSTER_PAUSE_MS,
-                              .stale = TRUE,
                               .changed = roster_changed,
                               .listed = roster_listed,
+                              .confirmed = roster_confirmed,
                               .context = sidecar};
 
+    if (!open_mirror(sidecar, error)) {
+        return FALSE;
+    }
+    catalog.store = Mirror_AsStore(sidecar->catalog_mirror);
+    roster.store = Mirror_AsStore(sidecar->roster_mirror);
     sidecar->catalog_sync = ObjectSync_Start(&catalog);
     sidecar->roster_sync = ObjectSync_Start(&roster);
+    return TRUE;
 }
 
 void
@@ -151,4 +222,10 @@
 {
     ObjectSync_Stop(sidecar->catalog_sync);
     ObjectSync_Stop(sidecar->roster_sync);
+    MirrorPort_Destroy(sidecar->mirror_port);
+    Mirror_Destroy(sidecar->catalog_mirror);
+    Mirror_Destroy(sidecar->roster_mirror);
+    for (int i = 0; i < SIDECAR_KINDS; i++) {
+        MirrorCache_Destroy(sidecar->kinds[i].cache);
+    }
 }
