--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -121,6 +121,23 @@
             reply->result == RESULT_BACKEND_SERVER_ERROR);
 }
 
+static void
+begin(Gateway *gateway, HttpCancel *cancel)
+{
+    pthread_mutex_lock(&gateway->lock);
+    g_ptr_array_add(gateway->cancels, cancel);
+    pthread_mutex_unlock(&gateway->lock);
+}
+
+static void
+end(Gateway *gateway, HttpCancel *cancel)
+{
+    pthread_mutex_lock(&gateway->lock);
+    g_ptr_array_remove_fast(gateway->cancels, cancel);
+    pthread_mutex_unlock(&gateway->lock);
+    HttpCancel_Destroy(cancel);
+}
+
 static void
 serve(void *context, HttpRequest *http)
 {
@@ -133,6 +150,7 @@
 
     Counter_Add(COUNTER_ENTRY_REQUESTS, 1);
     request.call.cancel = cancel;
+    begin(gateway, cancel);
     HttpRequest_OnHangUp(http, HttpCancel_Trigger, cancel);
     reply.result = _Gateway_Prepare(&request);
     if (reply.result == RESULT_OK) {
@@ -155,7 +173,7 @@
     Counter_Observe(HISTOGRAM_ENTRY_TOTAL,
                     (Clock_Now() - request.arrived) * 1000);
     HttpAnswer_Clear(&reply.answer);
-    HttpCancel_Destroy(cancel);
+    end(gateway, cancel);
     _Gateway_ClearRequest(&request);
 }
 
@@ -188,10 +206,13 @@
     pthread_mutex_init(&gateway->lock, NULL);
     gateway->budgets =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    gateway->cancels = g_ptr_array_new();
+    gateway->leave_until = CLOCK_NEVER;
     Rng_Seed(&gateway->rng, Rng_ProcessSeed());
     gateway->server = HttpServer_Create(&server, error);
     if (gateway->server == NULL) {
         g_hash_table_destroy(gateway->budgets);
+        g_ptr_array_unref(gateway->cancels);
         pthread_mutex_destroy(&gateway->lock);
         g_free(gateway);
         return NULL;
@@ -200,8 +221,11 @@
 }
 
 void
-Gateway_Leave(Gateway *gateway)
+Gateway_Leave(Gateway *gateway, ClockMs until)
 {
+    pthread_mutex_lock(&gateway->lock);
+    gateway->leave_until = until;
+    pthread_mutex_unlock(&gateway->lock);
     HttpServer_Leave(gateway->server);
 }
 
@@ -211,6 +235,16 @@
     return HttpServer_Drain(gateway->server, until);
 }
 
+void
+Gateway_Abandon(Gateway *gateway)
+{
+    pthread_mutex_lock(&gateway->lock);
+    for (guint i = 0; i < gateway->cancels->len; i++) {
+        HttpCancel_Trigger(g_ptr_array_index(gateway->cancels, i));
+    }
+    pthread_mutex_unlock(&gateway->lock);
+}
+
 unsigned
 Gateway_InFlight(const Gateway *gateway)
 {
@@ -223,6 +257,7 @@
     if (gateway != NULL) {
         HttpServer_Destroy(gateway->server);
         g_hash_table_destroy(gateway->budgets);
+        g_ptr_array_unref(gateway->cancels);
         pthread_mutex_destroy(&gateway->lock);
         g_free(gateway);
     }
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -16,6 +16,8 @@
     HttpServer *server;
     pthread_mutex_t lock; /* for what follows */
     GHashTable *budgets;  /* service hash -> RetryBudget */
+    GPtrArray *cancels;   /* HttpCancel of the requests in flight */
+    ClockMs leave_until;  /* requests end by then; CLOCK_NEVER */
     Rng rng;
 };
 
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -105,7 +105,8 @@
     if (route->timeout_ms > 0) {
         left = MIN(left, route->timeout_ms);
     }
-    request->deadline = request->arrived + MAX(left, 0);
+    request->deadline =
+        MIN(request->deadline, request->arrived + MAX(left, 0));
     request->target_time =
         MIN(request->arrived + target_ms, request->deadline);
 }
@@ -166,6 +167,7 @@
     }
     pthread_mutex_lock(&gateway->lock);
     request->part = CatalogRoute_ChoosePart(request->route, &gateway->rng);
+    request->deadline = gateway->leave_until;
     pthread_mutex_unlock(&gateway->lock);
     if (request->part == NULL) {
         return RESULT_NO_BACKEND_SERVER;
--- a/src/health/gray_filter.c
+++ b/src/health/gray_filter.c
@@ -49,6 +49,12 @@
     return rest + (filter->risk - rest) * exp(-rate * elapsed);
 }
 
+double
+GrayFilter_LongTermRisk(const GrayFilter *filter)
+{
+    return stationary(&filter->desc);
+}
+
 void
 GrayFilter_Observe(GrayFilter *filter, gboolean failed, ClockMs now)
 {
--- a/src/health/gray_filter.h
+++ b/src/health/gray_filter.h
@@ -44,6 +44,9 @@
 /* Probability of the gray state now, 0 to 1. */
 double GrayFilter_Risk(const GrayFilter *filter, ClockMs now);
 
+/* Risk of a backend server of which nothing is known. */
+double GrayFilter_LongTermRisk(const GrayFilter *filter);
+
 /* Takes over a risk that was measured elsewhere at the given time. */
 void GrayFilter_Set(GrayFilter *filter, double risk, ClockMs measured);
 
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -23,8 +23,18 @@
 /* Cost of an answer that is expected to come too late. */
 #define LATE_COST 0.5
 
-/* A near backend server that was idle for so long is explored. */
-#define EXPLORE_IDLE_MS 1000
+/* A backend server that was idle for so long is explored: in the own data
+ * centre, and in the others of the region. */
+#define EXPLORE_NEAR_MS 1000
+#define EXPLORE_REGION_MS 1500
+
+/* Reports that are not older count for the mean of a service. */
+#define RECENT_MS 3000
+
+/* The mean of a service is that of the recent reports and of so many imagined
+ * ones: with the long-term mean of the risk, and without a wait. */
+#define PRIOR_RISK_REPORTS 4
+#define PRIOR_WAIT_REPORTS 2
 
 /* Time after which a reported load is no longer believed. */
 #define LOAD_MEMORY_MS 1000
@@ -48,6 +58,13 @@
     ClockMs avoid_ms;
 } RosterRow;
 
+/* What is expected of a backend server without a recent report. Where those
+ * that are known do badly, the others are likely to do badly, too. */
+typedef struct ServiceMean {
+    double risk;
+    double wait_ms;
+} ServiceMean;
+
 struct Roster {
     Roster_desc desc;
     pthread_mutex_t lock;
@@ -245,24 +262,65 @@
                : (ClockMs)((load - slots + 1) * (double)service_ms / slots);
 }
 
+static gboolean
+is_recent(const RosterRow *row, ClockMs now)
+{
+    return row->reported > 0 && now - row->reported <= RECENT_MS;
+}
+
+static ServiceMean
+mean_of(const GPtrArray *rows, ClockMs now)
+{
+    double risk = 0;
+    double wait_ms = 0;
+    double prior = 0;
+    guint count = 0;
+
+    for (guint i = 0; i < rows->len; i++) {
+        const RosterRow *row = g_ptr_array_index(rows, i);
+
+        prior = GrayFilter_LongTermRisk(&row->filter);
+        if (is_recent(row, now)) {
+            risk += GrayFilter_Risk(&row->filter, now);
+            wait_ms += (double)expected_wait(row, now);
+            count++;
+        }
+    }
+    return (ServiceMean){
+        .risk = (risk + PRIOR_RISK_REPORTS * prior) /
+                (count + PRIOR_RISK_REPORTS),
+        .wait_ms = wait_ms / (count + PRIOR_WAIT_REPORTS),
+    };
+}
+
 /* Whether the backend server should be tried just to learn about it. */
 static gboolean
 wants_exploring(const RosterRow *row, const RosterQuery *query, ClockMs now)
 {
-    return query->may_explore && row->tier <= ROSTER_SAME_DATA_CENTRE &&
+    ClockMs limit = row->tier == ROSTER_SAME_REGION ? EXPLORE_REGION_MS
+                                                    : EXPLORE_NEAR_MS;
+
+    return query->may_explore && row->tier <= ROSTER_SAME_REGION &&
            row->reported > 0 &&
-           row->report.idle_ms + (now - row->reported) > EXPLORE_IDLE_MS;
+           row->report.idle_ms + (now - row->reported) > limit;
 }
 
 static double
 cost_of(Roster *roster, const RosterRow *row, const RosterQuery *query,
-        ClockMs now)
+        const ServiceMean *mean, ClockMs now)
 {
+    gboolean recent = is_recent(row, now);
     double risk = GrayFilter_Risk(&row->filter, now);
-    ClockMs wait_ms = expected_wait(row, now);
+    double wait_ms = (double)expected_wait(row, now);
     double left = (double)MAX(query->time_left_ms, 1);
     double load = (double)row->report.in_flight / MAX(row->entry.slots, 1);
-    double cost =
+    double cost;
+
+    if (!recent) {
+        risk = MAX(risk, mean->risk);
+        wait_ms = MAX(wait_ms, mean->wait_ms);
+    }
+    cost =
         query->failure_cost * GrayFilter_FailShare(&row->filter, risk) +
         distance_cost(roster, row->tier) +
         LOAD_COST * MIN(load, 1) * load_trust(row, now) +
@@ -271,8 +329,8 @@
     if (wants_exploring(row, query, now)) {
         return JITTER_COST * Rng_Unit(&roster->rng);
     }
-    cost += MIN((double)wait_ms / left, 1) * LATE_COST;
-    if ((double)(wait_ms + row->report.service_ms) > left) {
+    cost += MIN(wait_ms / left, 1) * LATE_COST;
+    if (wait_ms + (double)row->report.service_ms > left) {
         cost += LATE_COST;
     }
     return cost;
@@ -297,6 +355,7 @@
 find_best(Roster *roster, const GPtrArray *rows, const RosterQuery *query,
           gboolean desperate, ClockMs now, RosterChoice *choice)
 {
+    ServiceMean mean = mean_of(rows, now);
     const RosterRow *best = NULL;
 
     choice->cost = HUGE_VAL;
@@ -309,7 +368,7 @@
             (!desperate && now < row->avoid_until)) {
             continue;
         }
-        cost = cost_of(roster, row, query, now);
+        cost = cost_of(roster, row, query, &mean, now);
         if (cost < choice->cost) {
             choice->other_cost = choice->cost;
             choice->cost = cost;
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -17,7 +17,9 @@
  * answers in a row that are not ready; it asks once a second. */
 #define READY_LAG_MS 2300
 
-/* The stop ends this long before the grace period. */
+/* This long before the end of the grace period, requests that are still
+ * unanswered get their final answer, and the process ends a little later. */
+#define ABANDON_MARGIN_MS 800
 #define STOP_MARGIN_MS 400
 
 /* Sockets on the way to other daemons: unacknowledged data ends them. */
@@ -187,7 +189,9 @@
 Sidecar_Stop(Sidecar *sidecar)
 {
     ClockMs started = Clock_Now();
-    ClockMs end = started + sidecar->settings->grace_ms - STOP_MARGIN_MS;
+    ClockMs killed = started + sidecar->settings->grace_ms;
+    ClockMs abandon = killed - ABANDON_MARGIN_MS;
+    ClockMs end = killed - STOP_MARGIN_MS;
     gboolean done;
 
     Log_Event(LOG_STOPPING, "in_flight=%u peers_in_flight=%u",
@@ -195,11 +199,15 @@
               PeerPort_InFlight(sidecar->peer_port));
     atomic_store(&sidecar->leaving, TRUE);
     Backend_Close(sidecar->backend);
-    Gateway_Leave(sidecar->gateway);
+    Gateway_Leave(sidecar->gateway, abandon);
     PeerPort_Leave(sidecar->peer_port);
-    sleep_until(MIN(started + READY_LAG_MS, end));
-    done = Gateway_Drain(sidecar->gateway, end);
-    done = PeerPort_Drain(sidecar->peer_port, end) && done;
+    sleep_until(MIN(started + READY_LAG_MS, abandon));
+    done = Gateway_Drain(sidecar->gateway, abandon);
+    done = PeerPort_Drain(sidecar->peer_port, abandon) && done;
+    if (!done) {
+        Gateway_Abandon(sidecar->gateway);
+        (void)Gateway_Drain(sidecar->gateway, end);
+    }
     Log_Event(LOG_STOPPED, "drained=%d after_ms=%" PRId64, done,
               Clock_Now() - started);
 }
