--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -16,11 +16,25 @@
 
 /* Share of a data centre's part that its keeper counts; the hosts' own parts
  * share the rest. */
-#define KEEPER_SHARE 0.8
+#define KEEPER_SHARE 0.9
 
-/* Share of the tolerated excess that is planned with. The rest covers requests
- * that are counted in one window and run in the next. */
-#define PLANNED_EXCESS 0.8
+/* Shares of the tolerated excess that are planned with: in the long run, and
+ * after a start, when an earlier process may have used up the first. The rest
+ * covers requests that are counted in one window and run in the next. */
+#define STEADY_EXCESS 0.8
+#define START_EXCESS 0.95
+
+/* Least time between the end of a process and the start of the next. */
+#define RESTART_MS 600
+
+/* Bound of the surge: of the window's limit so much, and so many requests for
+ * the chance of small numbers, within SURGE_MS. */
+#define SURGE_MS 1000
+#define SURGE_SHARE 0.22
+#define SURGE_REQUESTS 4
+
+/* How much faster than evenly an earlier process may have used its part. */
+#define START_SURGE 1.1
 
 /* Hosts that an own part is sized for at least, so that a host with an empty
  * roster does not take the part of all. */
@@ -28,10 +42,21 @@
 
 typedef struct TeamCount {
     uint64_t team;
-    QuotaWindow kept; /* as the keeper */
-    QuotaWindow own;  /* the own part */
+    QuotaWindow kept;  /* as the keeper */
+    QuotaWindow surge; /* the same, over SURGE_MS */
+    QuotaWindow own;   /* the own part */
+    QuotaWindow taken; /* by this host, whoever counted */
+    GHashTable *reporters; /* hosts that told what they took */
+    int64_t reported;      /* the sum of it */
 } TeamCount;
 
+/* Body of a draw. */
+typedef struct QuotaDraw {
+    uint64_t team;      /* hash of the name */
+    uint64_t taken;     /* by the sender in the last window */
+    uint64_t uptime_ms; /* of the sender */
+} QuotaDraw;
+
 struct Quota {
     Quota_desc desc;
     ClockMs started;
@@ -47,17 +72,54 @@
     return (size_t)source < G_N_ELEMENTS(names) ? names[source] : "?";
 }
 
-double
-_Quota_DataCentreLimit(const Quota_desc *desc, const CatalogTeam *team,
-                       ClockMs uptime_ms)
+static double
+limit_with(const Quota_desc *desc, const CatalogTeam *team, double share)
 {
     double owed = (double)team->rate_per_s * (double)desc->window_ms / 1000 +
                   (double)team->burst;
-    double excess =
-        (owed * desc->overage + (double)desc->slack) * PLANNED_EXCESS;
-    double known = MIN((double)uptime_ms / (double)desc->window_ms, 1);
+    double excess = owed * desc->overage + (double)desc->slack;
+
+    return (owed + excess * share) / MAX(desc->data_centres, 1);
+}
 
-    return (owed * known + excess) / MAX(desc->data_centres, 1);
+double
+_Quota_SteadyLimit(const Quota_desc *desc, const CatalogTeam *team)
+{
+    return limit_with(desc, team, STEADY_EXCESS);
+}
+
+double
+_Quota_StartLimit(const Quota_desc *desc, const CatalogTeam *team,
+                  ClockMs uptime_ms, uint32_t hosts, uint32_t reports,
+                  int64_t reported)
+{
+    double steady = _Quota_SteadyLimit(desc, team);
+    double left = 1 - (double)(uptime_ms + RESTART_MS) /
+                          (double)MAX(desc->window_ms, 1);
+    double unknown = steady * CLAMP(START_SURGE * left, 0, 1);
+
+    if (reports > 0) {
+        unknown = MIN(unknown, (double)reported * (double)(hosts - reports) /
+                                   (double)reports);
+    }
+    return MIN(steady, limit_with(desc, team, START_EXCESS) - unknown);
+}
+
+static bool_t
+xdr_draw(XDR *stream, QuotaDraw *draw)
+{
+    return xdr_uint64_t(stream, &draw->team) &&
+           xdr_uint64_t(stream, &draw->taken) &&
+           xdr_uint64_t(stream, &draw->uptime_ms);
+}
+
+static void
+free_count(gpointer data)
+{
+    TeamCount *count = data;
+
+    g_hash_table_destroy(count->reporters);
+    g_free(count);
 }
 
 /* Called with the lock held. */
@@ -70,23 +132,58 @@
         count = g_new0(TeamCount, 1);
         count->team = team;
         QuotaWindow_Init(&count->kept, quota->desc.window_ms, now);
+        QuotaWindow_Init(&count->surge, SURGE_MS, now);
         QuotaWindow_Init(&count->own, quota->desc.window_ms, now);
+        QuotaWindow_Init(&count->taken, quota->desc.window_ms, now);
+        count->reporters =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
         g_hash_table_insert(quota->teams, &count->team, count);
     }
     return count;
 }
 
+/* Counts what a host took before this keeper started; with the lock held. */
+static void
+note_report(Quota *quota, TeamCount *count, uint64_t host,
+            const QuotaDraw *draw, ClockMs now)
+{
+    ClockMs uptime = now - quota->started;
+
+    if (uptime >= quota->desc.window_ms ||
+        draw->uptime_ms < (uint64_t)uptime + RESTART_MS ||
+        g_hash_table_contains(count->reporters, &host)) {
+        return;
+    }
+    g_hash_table_add(count->reporters, g_memdup2(&host, sizeof(host)));
+    count->reported += (int64_t)draw->taken;
+    QuotaWindow_Add(&count->kept, (int64_t)draw->taken, now);
+}
+
 static Result
-take_as_keeper(Quota *quota, const CatalogTeam *team)
+take_as_keeper(Quota *quota, const CatalogTeam *team, uint64_t host,
+               const QuotaDraw *draw)
 {
     ClockMs now = Clock_Now();
-    double limit =
-        _Quota_DataCentreLimit(&quota->desc, team, now - quota->started);
+    uint32_t hosts = Roster_CountDataCentre(quota->desc.roster);
+    double steady = _Quota_SteadyLimit(&quota->desc, team) * KEEPER_SHARE;
+    int64_t surge = (int64_t)(steady * SURGE_SHARE) + SURGE_REQUESTS;
+    int64_t limit;
+    TeamCount *count;
+    uint32_t reports;
     gboolean taken;
 
     pthread_mutex_lock(&quota->lock);
-    taken = QuotaWindow_Take(&find_count(quota, team->hash, now)->kept,
-                             (int64_t)(limit * KEEPER_SHARE), now);
+    count = find_count(quota, team->hash, now);
+    note_report(quota, count, host, draw, now);
+    reports = g_hash_table_size(count->reporters);
+    limit = (int64_t)(_Quota_StartLimit(&quota->desc, team,
+                                        now - quota->started,
+                                        MAX(hosts, reports), reports,
+                                        count->reported) *
+                      KEEPER_SHARE);
+    taken = QuotaWindow_Count(&count->kept, now) < limit &&
+            QuotaWindow_Take(&count->surge, surge, now) &&
+            QuotaWindow_Take(&count->kept, limit, now);
     pthread_mutex_unlock(&quota->lock);
     return taken ? RESULT_OK : RESULT_RATE_EXCEEDED;
 }
@@ -95,8 +192,7 @@
 take_own_part(Quota *quota, const CatalogTeam *team)
 {
     ClockMs now = Clock_Now();
-    double limit =
-        _Quota_DataCentreLimit(&quota->desc, team, now - quota->started);
+    double limit = _Quota_SteadyLimit(&quota->desc, team);
     uint32_t hosts = Roster_CountDataCentre(quota->desc.roster);
     double part = limit * (1 - KEEPER_SHARE) / MAX(hosts, LEAST_HOSTS);
     gboolean taken;
@@ -116,17 +212,17 @@
     Quota *quota = context;
     CatalogTable *table = Catalog_Acquire(quota->desc.catalog);
     const CatalogTeam *team = NULL;
-    uint64_t hash = 0;
+    QuotaDraw draw = {0};
     Result result = RESULT_NOT_CONFIGURED;
 
-    (void)sender;
     (void)reply;
-    if (!Rpc_Decode(body, (xdrproc_t)xdr_uint64_t, &hash)) {
+    if (!Rpc_Decode(body, (xdrproc_t)xdr_draw, &draw)) {
         result = RESULT_MALFORMED;
     }
     else if (table != NULL) {
-        team = CatalogTable_FindTeam(table, hash);
-        result = team ? take_as_keeper(quota, team) : RESULT_NOT_FOUND;
+        team = CatalogTable_FindTeam(table, draw.team);
+        result = team ? take_as_keeper(quota, team, sender->host, &draw)
+                      : RESULT_NOT_FOUND;
     }
     CatalogTable_Unref(table);
     return result;
@@ -141,7 +237,7 @@
     quota->started = Clock_Now();
     pthread_mutex_init(&quota->lock, NULL);
     quota->teams =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_count);
     Rpc_Handle(desc->rpc, RPC_KIND_QUOTA_DRAW, serve_draw, quota);
     return quota;
 }
@@ -157,7 +253,7 @@
 }
 
 static Result
-ask_keeper(Quota *quota, const RosterPeer *keeper, uint64_t team)
+ask_keeper(Quota *quota, const RosterPeer *keeper, QuotaDraw *draw)
 {
     RpcPeer peer = {.ip = ntohl(keeper->rpc.sin_addr.s_addr),
                     .port = ntohs(keeper->rpc.sin_port)};
@@ -165,7 +261,7 @@
     uint64_t refused;
     Result result = RESULT_RPC_TIMEOUT;
 
-    if (Rpc_Encode(body, (xdrproc_t)xdr_uint64_t, &team)) {
+    if (Rpc_Encode(body, (xdrproc_t)xdr_draw, draw)) {
         Counter_Add(COUNTER_RATE_DRAWS, 1);
         result = Rpc_Call(quota->desc.rpc, &peer, RPC_KIND_QUOTA_DRAW, body,
                           NULL, QUOTA_DRAW_MS);
@@ -179,6 +275,49 @@
     return result;
 }
 
+static QuotaDraw
+make_draw(Quota *quota, const CatalogTeam *team)
+{
+    ClockMs now = Clock_Now();
+    QuotaDraw draw = {.team = team->hash,
+                      .uptime_ms = (uint64_t)(now - quota->started)};
+
+    pthread_mutex_lock(&quota->lock);
+    draw.taken = (uint64_t)QuotaWindow_Count(
+        &find_count(quota, team->hash, now)->taken, now);
+    pthread_mutex_unlock(&quota->lock);
+    return draw;
+}
+
+static void
+note_taken(Quota *quota, const CatalogTeam *team)
+{
+    ClockMs now = Clock_Now();
+
+    pthread_mutex_lock(&quota->lock);
+    QuotaWindow_Add(&find_count(quota, team->hash, now)->taken, 1, now);
+    pthread_mutex_unlock(&quota->lock);
+}
+
+/* Draws at one keeper. */
+static Result
+draw_at(Quota *quota, const CatalogTeam *team, const RosterPeer *keeper)
+{
+    QuotaDraw draw = make_draw(quota, team);
+    Result result;
+
+    if (keeper->is_self) {
+        result = take_as_keeper(quota, team, keeper->host, &draw);
+    }
+    else {
+        result = ask_keeper(quota, keeper, &draw);
+    }
+    if (result == RESULT_OK) {
+        note_taken(quota, team);
+    }
+    return result;
+}
+
 Result
 Quota_Take(Quota *quota, const CatalogTeam *team, QuotaSource *source)
 {
@@ -194,16 +333,13 @@
     count = Roster_Rank(quota->desc.roster, team->hash, Clock_Now(), order,
                         MOST_KEEPERS);
     for (uint32_t i = 0; i < count; i++) {
-        if (order[i].is_self) {
-            return take_as_keeper(quota, team);
-        }
-        result = ask_keeper(quota, &order[i], team->hash);
+        result = draw_at(quota, team, &order[i]);
         if (result == RESULT_OK || result == RESULT_RATE_EXCEEDED) {
             return result;
         }
-        Log_Event(LOG_QUOTA_KEEPER_SILENT, "team=%s keeper=%016" PRIx64
-                  " result=%s", team->name, order[i].host,
-                  Result_Name(result));
+        Log_Event(LOG_QUOTA_KEEPER_SILENT,
+                  "team=%s keeper=%016" PRIx64 " result=%s", team->name,
+                  order[i].host, Result_Name(result));
         if (result == RESULT_RPC_TIMEOUT) {
             Roster_NoteUnreachable(quota->desc.roster, order[i].host,
                                    Clock_Now());
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -13,8 +13,12 @@
  *     for QUOTA_DRAW_MS for each of at most two keepers.
  *  3. Quota_Destroy().
  *
- * A host that has just started does not know what was counted before. For the
- * length of a window its part grows from the fleet's slack to the whole.
+ * A keeper that has just started does not know what another counted before.
+ * With each draw a host tells how many requests it took for the team in the
+ * last window, so the keeper counts these, and expects as many of the hosts
+ * that have not drawn yet. Of hosts that are as young as itself it knows
+ * nothing and takes the whole part for used up, falling with the time. The
+ * surge that is let through in a short time is bounded, so that it does fall.
  *
  * Limits: a team without a rate is not counted.
  */
@@ -49,8 +53,14 @@
 /* "unlimited", "keeper", "own_part". */
 const char *Quota_SourceName(QuotaSource source);
 
-/* What a data centre may let through in one window in all. */
-double _Quota_DataCentreLimit(const Quota_desc *desc, const CatalogTeam *team,
-                              ClockMs uptime_ms);
+/* What a data centre may let through in one window, in the long run. */
+double _Quota_SteadyLimit(const Quota_desc *desc, const CatalogTeam *team);
+
+/* The same for a keeper so long after its start, of which `reports` of `hosts`
+ * hosts have told what they took, `reported` requests in all. Young hosts are
+ * not among them. */
+double _Quota_StartLimit(const Quota_desc *desc, const CatalogTeam *team,
+                         ClockMs uptime_ms, uint32_t hosts, uint32_t reports,
+                         int64_t reported);
 
 #endif
--- a/src/quota/quota_window.c
+++ b/src/quota/quota_window.c
@@ -39,11 +39,18 @@
     if (window->total >= limit) {
         return FALSE;
     }
-    window->counts[(now / window->bucket_ms) % RING]++;
-    window->total++;
+    QuotaWindow_Add(window, 1, now);
     return TRUE;
 }
 
+void
+QuotaWindow_Add(QuotaWindow *window, int64_t requests, ClockMs now)
+{
+    advance(window, now);
+    window->counts[(now / window->bucket_ms) % RING] += requests;
+    window->total += requests;
+}
+
 int64_t
 QuotaWindow_Count(QuotaWindow *window, ClockMs now)
 {
--- a/src/quota/quota_window.h
+++ b/src/quota/quota_window.h
@@ -30,6 +30,9 @@
 
 /* Counts a request if less than `limit` are in the window; FALSE if not. */
 gboolean QuotaWindow_Take(QuotaWindow *window, int64_t limit, ClockMs now);
+
+/* Counts requests whatever the limit. */
+void QuotaWindow_Add(QuotaWindow *window, int64_t requests, ClockMs now);
 int64_t QuotaWindow_Count(QuotaWindow *window, ClockMs now);
 
 #endif
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -9,7 +9,7 @@
 /* Shares of a request's worth: the bytes of a request and its answer between
  * two data centres and between two regions, at the users' prices. */
 #define DEFAULT_DATA_CENTRE_COST 0.03
-#define DEFAULT_REGION_COST 0.3
+#define DEFAULT_REGION_COST 0.2
 
 /* Crossing to a neighbour host costs a hop and its processor time. */
 #define HOP_COST 0.002
@@ -33,7 +33,7 @@
 
 /* The mean of a service is that of the recent reports and of so many imagined
  * ones: with the long-term mean of the risk, and without a wait. */
-#define PRIOR_RISK_REPORTS 4
+#define PRIOR_RISK_REPORTS 8
 #define PRIOR_WAIT_REPORTS 2
 
 /* Time after which a reported load is no longer believed. */
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -38,7 +38,7 @@
     const char *region;
     GrayFilter_desc gray;
     double data_centre_cost; /* of another data centre of the region (0.03) */
-    double region_cost;      /* of another region (0.3) */
+    double region_cost;      /* of another region (0.2) */
 } Roster_desc;
 
 typedef enum RosterTier {
