quota: keeper, deputy and own parts add up to a data centre's part

Change: the order of keepers does not depend on reachability; the second in it has a share of its own and takes over after a whole window without the first.

--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -74,7 +74,7 @@
     ClockMs now = Clock_Now();
     RosterPeer order[MOST_NEIGHBOURS];
     uint32_t count = Roster_Rank(mirror->desc.roster, group_key(mirror, kind),
-                                 now, order, MOST_NEIGHBOURS);
+                                 FALSE, now, order, MOST_NEIGHBOURS);
 
     for (uint32_t i = 0; i < count; i++) {
         if (order[i].is_self) {
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -11,12 +11,13 @@
 /* Longest wait for one keeper's answer. */
 #define QUOTA_DRAW_MS 250
 
-/* Keepers that are asked before the own part is used. */
-#define MOST_KEEPERS 2
+/* Keeper and deputy. */
+#define COUNTERS 2
 
-/* Share of a data centre's part that its keeper counts; the hosts' own parts
- * share the rest. */
-#define KEEPER_SHARE 0.9
+/* Shares of a data centre's part that keeper and deputy count; the hosts' own
+ * parts share the rest. */
+#define KEEPER_SHARE 0.85
+#define DEPUTY_SHARE 0.1
 
 /* Shares of the tolerated excess that are planned with: in the long run, and
  * after a start, when an earlier process may have used up the first. The rest
@@ -44,6 +45,7 @@
     uint64_t team;
     QuotaWindow kept;  /* as the keeper */
     QuotaWindow surge; /* the same, over SURGE_MS */
+    QuotaWindow deputed; /* as the deputy */
     QuotaWindow own;   /* the own part */
     QuotaWindow taken; /* by this host, whoever counted */
     GHashTable *reporters; /* hosts that told what they took */
@@ -55,6 +57,7 @@
     uint64_t team;      /* hash of the name */
     uint64_t taken;     /* by the sender in the last window */
     uint64_t uptime_ms; /* of the sender */
+    uint64_t as_deputy; /* the receiver is asked as the deputy */
 } QuotaDraw;
 
 struct Quota {
@@ -67,7 +70,8 @@
 const char *
 Quota_SourceName(QuotaSource source)
 {
-    static const char *const names[] = {"unlimited", "keeper", "own_part"};
+    static const char *const names[] = {"unlimited", "keeper", "deputy",
+                                        "own_part"};
 
     return (size_t)source < G_N_ELEMENTS(names) ? names[source] : "?";
 }
@@ -110,7 +114,8 @@
 {
     return xdr_uint64_t(stream, &draw->team) &&
            xdr_uint64_t(stream, &draw->taken) &&
-           xdr_uint64_t(stream, &draw->uptime_ms);
+           xdr_uint64_t(stream, &draw->uptime_ms) &&
+           xdr_uint64_t(stream, &draw->as_deputy);
 }
 
 static void
@@ -133,6 +138,7 @@
         count->team = team;
         QuotaWindow_Init(&count->kept, quota->desc.window_ms, now);
         QuotaWindow_Init(&count->surge, SURGE_MS, now);
+        QuotaWindow_Init(&count->deputed, quota->desc.window_ms, now);
         QuotaWindow_Init(&count->own, quota->desc.window_ms, now);
         QuotaWindow_Init(&count->taken, quota->desc.window_ms, now);
         count->reporters =
@@ -188,13 +194,52 @@
     return taken ? RESULT_OK : RESULT_RATE_EXCEEDED;
 }
 
+/* Whether the keeper has been out of this host's reach for a window. */
+static gboolean
+has_lost_keeper(Quota *quota, const CatalogTeam *team)
+{
+    RosterPeer keeper;
+    uint32_t count = Roster_Rank(quota->desc.roster, team->hash, TRUE,
+                                 Clock_Now(), &keeper, 1);
+
+    return count == 1 && !keeper.is_self &&
+           keeper.unreachable_ms > quota->desc.window_ms;
+}
+
+static Result
+take_as_deputy(Quota *quota, const CatalogTeam *team)
+{
+    ClockMs now = Clock_Now();
+    double share =
+        has_lost_keeper(quota, team) ? KEEPER_SHARE : DEPUTY_SHARE;
+    int64_t limit =
+        (int64_t)(_Quota_SteadyLimit(&quota->desc, team) * share);
+    gboolean taken;
+
+    pthread_mutex_lock(&quota->lock);
+    taken = QuotaWindow_Take(&find_count(quota, team->hash, now)->deputed,
+                             limit, now);
+    pthread_mutex_unlock(&quota->lock);
+    return taken ? RESULT_OK : RESULT_RATE_EXCEEDED;
+}
+
+/* Counts a request of a host in the role that it asks for. */
+static Result
+take_for(Quota *quota, const CatalogTeam *team, uint64_t host,
+         const QuotaDraw *draw)
+{
+    return draw->as_deputy ? take_as_deputy(quota, team)
+                           : take_as_keeper(quota, team, host, draw);
+}
+
 static Result
 take_own_part(Quota *quota, const CatalogTeam *team)
 {
     ClockMs now = Clock_Now();
     double limit = _Quota_SteadyLimit(&quota->desc, team);
     uint32_t hosts = Roster_CountDataCentre(quota->desc.roster);
-    double part = limit * (1 - KEEPER_SHARE) / MAX(hosts, LEAST_HOSTS);
+    double part = limit * (1 - KEEPER_SHARE - DEPUTY_SHARE) /
+                  MAX(hosts, LEAST_HOSTS);
     gboolean taken;
 
     pthread_mutex_lock(&quota->lock);
@@ -221,7 +266,7 @@
     }
     else if (table != NULL) {
         team = CatalogTable_FindTeam(table, draw.team);
-        result = team ? take_as_keeper(quota, team, sender->host, &draw)
+        result = team ? take_for(quota, team, sender->host, &draw)
                       : RESULT_NOT_FOUND;
     }
     CatalogTable_Unref(table);
@@ -299,18 +344,30 @@
     pthread_mutex_unlock(&quota->lock);
 }
 
-/* Draws at one keeper. */
+/* Draws at keeper or deputy. */
 static Result
-draw_at(Quota *quota, const CatalogTeam *team, const RosterPeer *keeper)
+draw_at(Quota *quota, const CatalogTeam *team, const RosterPeer *peer,
+        gboolean as_deputy)
 {
     QuotaDraw draw = make_draw(quota, team);
     Result result;
 
-    if (keeper->is_self) {
-        result = take_as_keeper(quota, team, keeper->host, &draw);
+    draw.as_deputy = as_deputy;
+    if (peer->is_self) {
+        result = take_for(quota, team, peer->host, &draw);
+    }
+    else if (!peer->is_reachable) {
+        return RESULT_RPC_TIMEOUT;
     }
     else {
-        result = ask_keeper(quota, keeper, &draw);
+        result = ask_keeper(quota, peer, &draw);
+        if (result == RESULT_RPC_TIMEOUT) {
+            Roster_NoteUnreachable(quota->desc.roster, peer->host,
+                                   Clock_Now());
+        }
+        else {
+            Roster_NoteReached(quota->desc.roster, peer->host);
+        }
     }
     if (result == RESULT_OK) {
         note_taken(quota, team);
@@ -321,7 +378,7 @@
 Result
 Quota_Take(Quota *quota, const CatalogTeam *team, QuotaSource *source)
 {
-    RosterPeer order[MOST_KEEPERS];
+    RosterPeer order[COUNTERS];
     uint32_t count;
     Result result;
 
@@ -329,21 +386,18 @@
     if (team->rate_per_s == 0) {
         return RESULT_OK;
     }
-    *source = QUOTA_KEEPER;
-    count = Roster_Rank(quota->desc.roster, team->hash, Clock_Now(), order,
-                        MOST_KEEPERS);
+    count = Roster_Rank(quota->desc.roster, team->hash, TRUE, Clock_Now(),
+                        order, COUNTERS);
     for (uint32_t i = 0; i < count; i++) {
-        result = draw_at(quota, team, &order[i]);
+        *source = i == 0 ? QUOTA_KEEPER : QUOTA_DEPUTY;
+        result = draw_at(quota, team, &order[i], i > 0);
         if (result == RESULT_OK || result == RESULT_RATE_EXCEEDED) {
             return result;
         }
         Log_Event(LOG_QUOTA_KEEPER_SILENT,
-                  "team=%s keeper=%016" PRIx64 " result=%s", team->name,
-                  order[i].host, Result_Name(result));
-        if (result == RESULT_RPC_TIMEOUT) {
-            Roster_NoteUnreachable(quota->desc.roster, order[i].host,
-                                   Clock_Now());
-        }
+                  "team=%s source=%s host=%016" PRIx64 " result=%s",
+                  team->name, Quota_SourceName(*source), order[i].host,
+                  Result_Name(result));
     }
     *source = QUOTA_OWN_PART;
     return take_own_part(quota, team);
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -2,15 +2,16 @@
  *
  * Each data centre has a fixed, equal part of a team's allowance for a sliding
  * window, so the sum holds however the data centres are cut off from each
- * other. Inside a data centre one host, the keeper, counts most of that part;
- * it comes first in the team's rendezvous order of the hosts that can be
- * reached. The rest is split among the hosts beforehand: each counts its own
- * small part when no keeper answers.
+ * other. Inside a data centre that part is split beforehand: the first host in
+ * the team's rendezvous order, the keeper, counts most of it; the second, the
+ * deputy, counts a small share for those that cannot reach the first; each
+ * host counts a still smaller one for itself when neither answers. A deputy
+ * that has not reached the keeper for a whole window takes the keeper's share.
  *
  * Use:
  *  1. Quota_Create(), which registers its message with Rpc.
  *  2. Quota_Take() for each request of a team, from any thread. It may block
- *     for QUOTA_DRAW_MS for each of at most two keepers.
+ *     for some 250 ms for each of keeper and deputy.
  *  3. Quota_Destroy().
  *
  * A keeper that has just started does not know what another counted before.
@@ -42,7 +43,12 @@
     int64_t slack;         /* requests above it that are tolerated */
 } Quota_desc;
 
-typedef enum QuotaSource { QUOTA_UNLIMITED, QUOTA_KEEPER, QUOTA_OWN_PART } QuotaSource;
+typedef enum QuotaSource {
+    QUOTA_UNLIMITED,
+    QUOTA_KEEPER,
+    QUOTA_DEPUTY,
+    QUOTA_OWN_PART
+} QuotaSource;
 
 Quota *Quota_Create(const Quota_desc *desc);
 void Quota_Destroy(Quota *quota);
@@ -50,7 +56,7 @@
 /* RESULT_OK or RESULT_RATE_EXCEEDED; *source tells who counted. */
 Result Quota_Take(Quota *quota, const CatalogTeam *team, QuotaSource *source);
 
-/* "unlimited", "keeper", "own_part". */
+/* "unlimited", "keeper", "deputy", "own_part". */
 const char *Quota_SourceName(QuotaSource source);
 
 /* What a data centre may let through in one window, in the long run. */
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -56,6 +56,7 @@
     ClockMs reported; /* 0: never */
     ClockMs avoid_until;
     ClockMs avoid_ms;
+    ClockMs unreachable_since; /* 0: the last contact went well */
 } RosterRow;
 
 /* What is expected of a backend server without a recent report. Where those
@@ -166,6 +167,7 @@
         row->reported = 0;
         row->avoid_until = 0;
         row->avoid_ms = 0;
+        row->unreachable_since = 0;
     }
     row->entry = *entry;
     row->service = service;
@@ -416,6 +418,7 @@
         row->report = *report;
         row->reported = now;
         row->avoid_ms = 0;
+        row->unreachable_since = 0;
         row->avoid_until = report->leaving ? now + MOST_AVOID_MS : 0;
     }
     pthread_mutex_unlock(&roster->lock);
@@ -433,14 +436,21 @@
                             ? FIRST_AVOID_MS
                             : MIN(2 * row->avoid_ms, MOST_AVOID_MS);
         row->avoid_until = now + row->avoid_ms;
+        if (row->unreachable_since == 0) {
+            row->unreachable_since = now;
+        }
     }
     pthread_mutex_unlock(&roster->lock);
 }
 
 static void
-fill_peer(const RosterRow *row, RosterPeer *peer)
+fill_peer(const RosterRow *row, ClockMs now, RosterPeer *peer)
 {
     *peer = (RosterPeer){.host = row->host,
+                         .is_reachable = now >= row->avoid_until,
+                         .unreachable_ms = row->unreachable_since > 0
+                                               ? now - row->unreachable_since
+                                               : 0,
                          .rpc = row->entry.peer,
                          .mirror = row->entry.peer};
     peer->rpc.sin_port = htons(row->entry.rpc_port);
@@ -470,19 +480,20 @@
 }
 
 uint32_t
-Roster_Rank(Roster *roster, uint64_t key, ClockMs now, RosterPeer *peers,
-            uint32_t most)
+Roster_Rank(Roster *roster, uint64_t key, gboolean all, ClockMs now,
+            RosterPeer *peers, uint32_t most)
 {
     RosterPeer peer = {.host = Rng_HashString(roster->desc.host),
-                       .is_self = TRUE};
+                       .is_self = TRUE,
+                       .is_reachable = TRUE};
     uint32_t count = insert_peer(peers, 0, most, key, &peer);
 
     pthread_mutex_lock(&roster->lock);
     for (guint i = 0; i < roster->neighbours->len; i++) {
         const RosterRow *row = g_ptr_array_index(roster->neighbours, i);
 
-        if (row->entry.rpc_port > 0 && now >= row->avoid_until) {
-            fill_peer(row, &peer);
+        fill_peer(row, now, &peer);
+        if (row->entry.rpc_port > 0 && (all || peer.is_reachable)) {
             count = insert_peer(peers, count, most, key, &peer);
         }
     }
@@ -490,6 +501,20 @@
     return count;
 }
 
+void
+Roster_NoteReached(Roster *roster, uint64_t host)
+{
+    RosterRow *row;
+
+    pthread_mutex_lock(&roster->lock);
+    row = g_hash_table_lookup(roster->rows, &host);
+    if (row != NULL) {
+        row->unreachable_since = 0;
+        row->avoid_ms = 0;
+    }
+    pthread_mutex_unlock(&roster->lock);
+}
+
 uint32_t
 Roster_CountDataCentre(Roster *roster)
 {
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -85,6 +85,8 @@
 typedef struct RosterPeer {
     uint64_t host;
     gboolean is_self;
+    gboolean is_reachable;
+    ClockMs unreachable_ms; /* time since it was last reached, if it is not */
     struct sockaddr_in rpc;
     struct sockaddr_in mirror; /* port 0: mirrors nothing */
 } RosterPeer;
@@ -107,9 +109,13 @@
  * that grows with each failure in a row, unless there is no other. */
 void Roster_NoteUnreachable(Roster *roster, uint64_t host, ClockMs now);
 
-/* The first hosts in the rendezvous order of a key, among those of the own data
- * centre that can be reached; the own host is one of them. */
-uint32_t Roster_Rank(Roster *roster, uint64_t key, ClockMs now,
+/* The host has answered something other than a request. */
+void Roster_NoteReached(Roster *roster, uint64_t host);
+
+/* The first hosts in the rendezvous order of a key among those of the own data
+ * centre, the own one included. With `all` those that cannot be reached are
+ * in it, too, so that the order is the same everywhere. */
+uint32_t Roster_Rank(Roster *roster, uint64_t key, gboolean all, ClockMs now,
                      RosterPeer *peers, uint32_t most);
 
 /* Hosts of the own data centre, the own one included. */
