sidecar: a stopping daemon serves its backend server until callers are gone

Change: the owner takes work until the callers' lag has passed, the wait for idle connections is 300 ms, a leaving host is left out for 800 ms. Ruled out: the risk filter (the servers that got nothing were those of stopping daemons).

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -19,7 +19,7 @@
 #define WATCH_PERIOD_MS 20
 
 /* How long a draining server waits for idle connections. */
-#define IDLE_GRACE_MS 1000
+#define IDLE_GRACE_MS 300
 
 #define DEFAULT_EVENT_THREADS 2
 #define DEFAULT_WORKER_THREADS 32
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -62,8 +62,8 @@
 gboolean HttpServer_IsLeaving(const HttpServer *server);
 
 /* Stops accepting, adds "Connection: close" to further answers and waits
- * until no request is in flight, at most until the given time, and then up to
- * a second for open connections to end. Returns TRUE if nothing was left in
+ * until no request is in flight, at most until the given time, and then a
+ * moment for open connections to end. Returns TRUE if nothing was left in
  * flight. */
 gboolean HttpServer_Drain(HttpServer *server, ClockMs until);
 void HttpServer_Destroy(HttpServer *server);
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -46,6 +46,10 @@
 #define FIRST_AVOID_MS 400
 #define MOST_AVOID_MS 4000
 
+/* How long a host is left out whose backend server takes no new work: it may
+ * be restarting, and is back after about a second. */
+#define LEAVING_AVOID_MS 800
+
 typedef struct RosterRow {
     RosterEntry entry;
     uint64_t host;
@@ -419,7 +423,7 @@
         row->reported = now;
         row->avoid_ms = 0;
         row->unreachable_since = 0;
-        row->avoid_until = report->leaving ? now + MOST_AVOID_MS : 0;
+        row->avoid_until = report->leaving ? now + LEAVING_AVOID_MS : 0;
     }
     pthread_mutex_unlock(&roster->lock);
 }
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -14,7 +14,9 @@
 #define PROOF_MARGIN_MS 1500
 
 /* After a stop begins, callers are sent here until the platform has seen two
- * answers in a row that are not ready; it asks once a second. */
+ * answers in a row that are not ready; it asks once a second. So long the
+ * backend server takes new work, too, since it is out of reach from then until
+ * the next process has its announcement. */
 #define READY_LAG_MS 2300
 
 /* This long before the end of the grace period, requests that are still
@@ -198,10 +200,10 @@
               Gateway_InFlight(sidecar->gateway),
               PeerPort_InFlight(sidecar->peer_port));
     atomic_store(&sidecar->leaving, TRUE);
-    Backend_Close(sidecar->backend);
     Gateway_Leave(sidecar->gateway, abandon);
     PeerPort_Leave(sidecar->peer_port);
     sleep_until(MIN(started + READY_LAG_MS, abandon));
+    Backend_Close(sidecar->backend);
     done = Gateway_Drain(sidecar->gateway, abandon);
     done = PeerPort_Drain(sidecar->peer_port, abandon) && done;
     if (!done) {
