--- /dev/null
+++ b/src/backend/test_backend.c
@@ -0,0 +1,561 @@
+/* Tests of the owner's side against a raw backend server that misbehaves. */
+#include <glib.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "backend/backend.h"
+
+#define SERVICE "permits"
+#define ANSWER_OK                                                       \
+    "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\nContent-Length: " \
+    "2\r\n\r\nok"
+
+static const WireNames names = {.request_id = "X-Id",
+                                .time_left_ms = "X-Left",
+                                .key = "X-Key",
+                                .team = "X-Team",
+                                .caller = "X-Caller",
+                                .expected = "X-Expected",
+                                .instance = "X-Instance",
+                                .signature = "X-Signature",
+                                .not_run = "X-Not-Run"};
+
+/* A backend server that gives one scripted answer on each connection. */
+typedef struct Script {
+    int listener;
+    struct sockaddr_in address;
+    const char *answer; /* NULL: none, the connection stays open */
+    gboolean reset;     /* after the answer, end by a reset */
+    int delay_ms;
+    char received[4000];
+    gint requests; /* atomic */
+    gint stopping; /* atomic */
+    pthread_t thread;
+} Script;
+
+static void
+serve_connection(Script *script, int fd)
+{
+    struct linger now = {.l_onoff = 1};
+    char buffer[4000];
+    ssize_t bytes;
+
+    while ((bytes = recv(fd, buffer, sizeof(buffer) - 1, 0)) > 0) {
+        buffer[bytes] = '\0';
+        g_strlcpy(script->received, buffer, sizeof(script->received));
+        g_atomic_int_inc(&script->requests);
+        g_usleep((gulong)script->delay_ms * 1000);
+        if (script->answer == NULL) {
+            continue;
+        }
+        (void)!send(fd, script->answer, strlen(script->answer), MSG_NOSIGNAL);
+        if (script->reset) {
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+            g_usleep(20000);
+            break;
+        }
+        if (strstr(script->answer, "Content-Length") == NULL) {
+            break;
+        }
+    }
+    close(fd);
+}
+
+typedef struct Connection {
+    Script *script;
+    int fd;
+} Connection;
+
+static void *
+run_connection(void *context)
+{
+    Connection *connection = context;
+
+    serve_connection(connection->script, connection->fd);
+    g_free(connection);
+    return NULL;
+}
+
+static void *
+run_script(void *context)
+{
+    Script *script = context;
+    pthread_t thread;
+    int fd;
+
+    while ((fd = accept(script->listener, NULL, NULL)) >= 0) {
+        Connection *connection = g_new0(Connection, 1);
+
+        connection->script = script;
+        connection->fd = fd;
+        pthread_create(&thread, NULL, run_connection, connection);
+        pthread_detach(thread);
+    }
+    return NULL;
+}
+
+static void
+start_script(Script *script)
+{
+    socklen_t bytes = sizeof(script->address);
+
+    g_assert_true(HttpAddress_Parse("127.0.0.1:0", &script->address));
+    script->listener = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert_cmpint(bind(script->listener,
+                         (struct sockaddr *)&script->address, bytes),
+                    ==, 0);
+    g_assert_cmpint(listen(script->listener, 16), ==, 0);
+    getsockname(script->listener, (struct sockaddr *)&script->address, &bytes);
+    pthread_create(&script->thread, NULL, run_script, script);
+}
+
+static void
+stop_script(Script *script)
+{
+    shutdown(script->listener, SHUT_RDWR);
+    pthread_join(script->thread, NULL);
+    close(script->listener);
+}
+
+typedef struct Fixture {
+    HttpClient *client;
+    Backend *backend;
+    Script script;
+} Fixture;
+
+static BackendAnnouncement
+announcement(const Fixture *fixture, const char *instance, int64_t born,
+             int64_t sequence, gboolean draining)
+{
+    BackendAnnouncement result = {.address = fixture->script.address,
+                                  .slots = 2,
+                                  .born = born,
+                                  .sequence = sequence,
+                                  .draining = draining};
+
+    g_strlcpy(result.instance, instance, sizeof(result.instance));
+    g_strlcpy(result.service, SERVICE, sizeof(result.service));
+    return result;
+}
+
+static void
+open_fixture(Fixture *fixture)
+{
+    BackendAnnouncement first;
+
+    start_script(&fixture->script);
+    fixture->client = HttpClient_Create(&(HttpClient_desc){0});
+    fixture->backend = Backend_Create(&(Backend_desc){
+        .names = &names, .service = SERVICE, .client = fixture->client});
+    first = announcement(fixture, "i1", 100, 1, FALSE);
+    g_assert_true(Backend_Announce(fixture->backend, &first));
+}
+
+static void
+close_fixture(Fixture *fixture)
+{
+    Backend_Destroy(fixture->backend);
+    HttpClient_Destroy(fixture->client);
+    stop_script(&fixture->script);
+}
+
+static const HttpHeaders no_headers;
+
+static BackendCall
+make_call(void)
+{
+    return (BackendCall){.request_id = "r1",
+                         .service = SERVICE,
+                         .caller = "desk",
+                         .team = "crews",
+                         .method = "GET",
+                         .target = "/x",
+                         .host = "a.example",
+                         .headers = &no_headers,
+                         .deadline = Clock_Now() + 2000,
+                         .idempotent = TRUE,
+                         .max_risk = 1,
+                         .max_wait_ms = 2000};
+}
+
+/* Guards against answers that are taken for whole, for the request's own or
+ * for a success when they are not, and against a wrong run state. */
+static void
+test_answers(void)
+{
+    static const struct {
+        const char *answer;
+        gboolean reset;
+        Result result;
+        RunState run;
+        const char *body;
+    } cases[] = {
+        {ANSWER_OK, FALSE, RESULT_OK, RUN_YES, "ok"},
+        /* Bytes behind the answer belong to nobody. */
+        {ANSWER_OK "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad", FALSE,
+         RESULT_OK, RUN_YES, "ok"},
+        /* A late answer to an earlier request comes first. */
+        {"HTTP/1.1 200 OK\r\nX-Id: r0\r\nX-Signature: s\r\n"
+         "Content-Length: 3\r\n\r\nbad" ANSWER_OK,
+         FALSE, RESULT_OK, RUN_YES, "ok"},
+        /* The body ends with the connection. */
+        {"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\n\r\nwhole", FALSE,
+         RESULT_OK, RUN_YES, "whole"},
+        {"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\n\r\nhalf", TRUE,
+         RESULT_ANSWER_TRUNCATED, RUN_UNKNOWN, NULL},
+        {"HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nok", FALSE,
+         RESULT_ANSWER_MISMATCH, RUN_UNKNOWN, NULL},
+        {"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\nContent-Length: "
+         "9\r\n\r\nok",
+         TRUE, RESULT_ANSWER_TRUNCATED, RUN_UNKNOWN, NULL},
+        {"HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 2\r\n"
+         "Content-Length: 3\r\n\r\nokk",
+         FALSE, RESULT_ANSWER_TRUNCATED, RUN_UNKNOWN, NULL},
+        {"HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 2\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+         FALSE, RESULT_ANSWER_TRUNCATED, RUN_UNKNOWN, NULL},
+        {"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+         FALSE, RESULT_BACKEND_SERVER_SHED, RUN_NO, NULL},
+        {"HTTP/1.1 421 Other\r\nX-Instance: i9\r\nContent-Length: 0\r\n\r\n",
+         FALSE, RESULT_BACKEND_SERVER_OTHER, RUN_NO, NULL},
+        {"HTTP/1.1 500 Bad\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n",
+         FALSE, RESULT_BACKEND_SERVER_ERROR, RUN_YES, NULL},
+        {"HTTP/1.1 404 No\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n",
+         FALSE, RESULT_OK, RUN_YES, NULL},
+        {"garbage\r\n\r\n", TRUE, RESULT_ANSWER_LOST, RUN_UNKNOWN, NULL},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Fixture fixture = {.script = {.answer = cases[i].answer,
+                                      .reset = cases[i].reset}};
+        BackendCall call;
+        BackendReply reply;
+
+        open_fixture(&fixture);
+        call = make_call();
+        Backend_Run(fixture.backend, &call, &reply);
+        g_test_message("case %zu: %s", i, Result_Name(reply.result));
+        g_assert_cmpint(reply.result, ==, cases[i].result);
+        g_assert_cmpint(reply.run, ==, cases[i].run);
+        g_assert_true(reply.arrived);
+        if (cases[i].body != NULL) {
+            g_assert_cmpstr(reply.answer.body, ==, cases[i].body);
+        }
+        HttpAnswer_Clear(&reply.answer);
+        close_fixture(&fixture);
+    }
+}
+
+/* Guards against a backend server that gets the caller's key, another
+ * instance's request, more time than is left, or no team. */
+static void
+test_headers(void)
+{
+    Fixture fixture = {.script = {.answer = ANSWER_OK}};
+    BackendCall call;
+    BackendReply reply;
+    const char *left;
+
+    open_fixture(&fixture);
+    call = make_call();
+    Backend_Run(fixture.backend, &call, &reply);
+    g_assert_nonnull(strstr(fixture.script.received, "X-Id: r1\r\n"));
+    g_assert_nonnull(strstr(fixture.script.received, "X-Team: crews\r\n"));
+    g_assert_nonnull(strstr(fixture.script.received, "X-Caller: desk\r\n"));
+    g_assert_nonnull(strstr(fixture.script.received, "X-Expected: i1\r\n"));
+    g_assert_nonnull(strstr(fixture.script.received, "Host: a.example\r\n"));
+    g_assert_null(strstr(fixture.script.received, "X-Key"));
+    left = strstr(fixture.script.received, "X-Left: ");
+    g_assert_nonnull(left);
+    g_assert_cmpint(g_ascii_strtoll(left + 8, NULL, 10), <=, 2000);
+    HttpAnswer_Clear(&reply.answer);
+    close_fixture(&fixture);
+}
+
+/* Guards against late announcements that revive an instance, and against an
+ * instance that takes work after it said that it leaves. */
+static void
+test_order_of_announcements(void)
+{
+    static const struct {
+        const char *instance;
+        int64_t born;
+        int64_t sequence;
+        gboolean draining;
+        gboolean taken;
+        BackendState state;
+    } steps[] = {
+        {"i1", 100, 1, FALSE, FALSE, BACKEND_READY}, /* repeated */
+        {"i1", 100, 3, TRUE, TRUE, BACKEND_DRAINING},
+        {"i1", 100, 2, FALSE, FALSE, BACKEND_DRAINING}, /* late */
+        {"i1", 100, 4, FALSE, TRUE, BACKEND_DRAINING},  /* no way back */
+        {"i2", 200, 1, FALSE, TRUE, BACKEND_READY},
+        {"i1", 100, 9, TRUE, FALSE, BACKEND_READY}, /* of an earlier start */
+        {"i2", 300, 1, FALSE, TRUE, BACKEND_READY}, /* the same id again */
+        {"i2", 300, 2, TRUE, TRUE, BACKEND_DRAINING},
+    };
+    Fixture fixture = {.script = {.answer = ANSWER_OK}};
+    BackendStatus status;
+    BackendReply reply;
+
+    open_fixture(&fixture);
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        BackendAnnouncement step =
+            announcement(&fixture, steps[i].instance, steps[i].born,
+                         steps[i].sequence, steps[i].draining);
+        BackendCall call = make_call();
+
+        g_assert_cmpint(Backend_Announce(fixture.backend, &step), ==,
+                        steps[i].taken);
+        Backend_GetStatus(fixture.backend, &status);
+        g_assert_cmpint(status.state, ==, steps[i].state);
+        Backend_Run(fixture.backend, &call, &reply);
+        g_assert_cmpint(reply.result, ==,
+                        steps[i].state == BACKEND_READY
+                            ? RESULT_OK
+                            : RESULT_BACKEND_SERVER_LEAVING);
+        HttpAnswer_Clear(&reply.answer);
+    }
+    Backend_Leave(fixture.backend, "i2", 200);
+    Backend_GetStatus(fixture.backend, &status);
+    g_assert_cmpint(status.state, ==, BACKEND_DRAINING);
+    Backend_Leave(fixture.backend, "i2", 300);
+    Backend_GetStatus(fixture.backend, &status);
+    g_assert_cmpint(status.state, ==, BACKEND_GONE);
+    close_fixture(&fixture);
+}
+
+/* Guards against a request for another service that runs here because the
+ * host's address was used again (found on a day of the users' bench). */
+static void
+test_refusals(void)
+{
+    Fixture fixture = {.script = {.answer = ANSWER_OK}};
+    BackendCall call;
+    BackendReply reply;
+
+    open_fixture(&fixture);
+    call = make_call();
+    call.service = "other";
+    Backend_Run(fixture.backend, &call, &reply);
+    g_assert_cmpint(reply.result, ==, RESULT_BACKEND_SERVER_OTHER);
+    g_assert_cmpint(reply.run, ==, RUN_NO);
+    g_assert_false(reply.arrived);
+    call = make_call();
+    call.max_risk = 0;
+    Backend_Run(fixture.backend, &call, &reply);
+    g_assert_cmpint(reply.result, ==, RESULT_BACKEND_SERVER_EJECTED);
+    g_assert_false(reply.arrived);
+    Backend_Close(fixture.backend);
+    call = make_call();
+    Backend_Run(fixture.backend, &call, &reply);
+    g_assert_cmpint(reply.result, ==, RESULT_BACKEND_SERVER_LEAVING);
+    g_assert_cmpint(fixture.script.requests, ==, 0);
+    close_fixture(&fixture);
+}
+
+static double
+risk_after(Fixture *fixture, const char *answer, int requests)
+{
+    RosterReport report;
+
+    fixture->script.answer = answer;
+    for (int i = 0; i < requests; i++) {
+        BackendCall call = make_call();
+        BackendReply reply;
+
+        Backend_Run(fixture->backend, &call, &reply);
+        g_test_message("%s risk=%.3f", Result_Name(reply.result),
+                       reply.report.risk);
+        HttpAnswer_Clear(&reply.answer);
+    }
+    Backend_GetReport(fixture->backend, &report);
+    return report.risk;
+}
+
+#define ANSWER_BAD                                                         \
+    "HTTP/1.1 500 Bad\r\nX-Id: r1\r\nX-Signature: s\r\nContent-Length: 0" \
+    "\r\n\r\n"
+
+/* Guards against a gray backend server that looks sound, and against one that
+ * is blamed for the failure of a call that it made. */
+static void
+test_risk(void)
+{
+    Fixture fixture = {.script = {.answer = ANSWER_OK}};
+    double sound;
+    double blamed;
+
+    open_fixture(&fixture);
+    sound = risk_after(&fixture, ANSWER_OK, 5);
+    g_assert_cmpfloat(sound, <, 0.05);
+    Backend_NoteFailedCall(fixture.backend);
+    blamed = risk_after(&fixture, ANSWER_BAD, 1);
+    g_assert_cmpfloat(blamed, <, 0.05);
+    g_assert_cmpfloat(risk_after(&fixture, ANSWER_BAD, 3), >, 0.85);
+    close_fixture(&fixture);
+}
+
+typedef struct Caller {
+    Backend *backend;
+    BackendCall call;
+    BackendReply reply;
+    pthread_t thread;
+} Caller;
+
+static void *
+run_caller(void *context)
+{
+    Caller *caller = context;
+
+    Backend_Run(caller->backend, &caller->call, &caller->reply);
+    return NULL;
+}
+
+static void
+start_caller(Caller *caller, Backend *backend, int priority)
+{
+    caller->backend = backend;
+    caller->call = make_call();
+    caller->call.priority = priority;
+    pthread_create(&caller->thread, NULL, run_caller, caller);
+}
+
+static void
+wait_for_load(Backend *backend, uint32_t in_flight, uint32_t waiting)
+{
+    RosterReport report;
+    ClockMs end = Clock_Now() + 2000;
+
+    do {
+        g_usleep(1000);
+        Backend_GetReport(backend, &report);
+    } while ((report.in_flight != in_flight || report.waiting != waiting) &&
+             Clock_Now() < end);
+    g_assert_cmpuint(report.in_flight, ==, in_flight);
+    g_assert_cmpuint(report.waiting, ==, waiting);
+}
+
+/* Guards against more requests at the backend server than it has slots, and
+ * against lesser work that runs before greater. */
+static void
+test_slots_and_order(void)
+{
+    Fixture fixture = {.script = {.answer = ANSWER_OK, .delay_ms = 150}};
+    Caller callers[4] = {0};
+
+    open_fixture(&fixture);
+    start_caller(&callers[0], fixture.backend, 1);
+    start_caller(&callers[1], fixture.backend, 1);
+    wait_for_load(fixture.backend, 2, 0);
+    start_caller(&callers[2], fixture.backend, 5);
+    wait_for_load(fixture.backend, 2, 1);
+    start_caller(&callers[3], fixture.backend, BACKEND_PRIORITY_INNER);
+    for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
+        pthread_join(callers[i].thread, NULL);
+        g_assert_cmpint(callers[i].reply.result, ==, RESULT_OK);
+        HttpAnswer_Clear(&callers[i].reply.answer);
+    }
+    g_assert_cmpint(callers[3].reply.queue_ms, <=, callers[2].reply.queue_ms);
+    close_fixture(&fixture);
+}
+
+/* Guards against a request that is sent after its caller left, and against one
+ * that waits in vain for a slot. */
+static void
+test_waiting(void)
+{
+    Fixture fixture = {.script = {.answer = ANSWER_OK, .delay_ms = 400}};
+    Caller callers[4] = {0};
+    HttpCancel *cancel = HttpCancel_Create();
+    BackendCall call;
+    BackendReply reply;
+
+    open_fixture(&fixture);
+    start_caller(&callers[0], fixture.backend, 1);
+    start_caller(&callers[1], fixture.backend, 1);
+    wait_for_load(fixture.backend, 2, 0);
+    call = make_call();
+    call.max_wait_ms = 0;
+    Backend_Run(fixture.backend, &call, &reply);
+    g_assert_cmpint(reply.result, ==, RESULT_BACKEND_SERVER_BUSY);
+    call = make_call();
+    call.deadline = Clock_Now() + 100;
+    Backend_Run(fixture.backend, &call, &reply);
+    g_assert_cmpint(reply.result, ==, RESULT_DEADLINE_EXPIRED);
+    g_assert_cmpint(reply.run, ==, RUN_NO);
+    HttpCancel_Trigger(cancel);
+    call = make_call();
+    call.idempotent = FALSE;
+    call.cancel = cancel;
+    Backend_Run(fixture.backend, &call, &reply);
+    g_assert_cmpint(reply.result, ==, RESULT_CANCELLED);
+    g_assert_cmpint(reply.run, ==, RUN_NO);
+    for (int i = 0; i < 2; i++) {
+        pthread_join(callers[i].thread, NULL);
+        HttpAnswer_Clear(&callers[i].reply.answer);
+    }
+    g_assert_cmpint(fixture.script.requests, ==, 2);
+    HttpCancel_Destroy(cancel);
+    close_fixture(&fixture);
+}
+
+static gboolean
+count_and_refuse(void *context)
+{
+    (*(int *)context)++;
+    return FALSE;
+}
+
+static gboolean
+agree(void *context)
+{
+    (void)context;
+    return TRUE;
+}
+
+/* Guards against an attempt that is given up although nothing can follow it
+ * (found on a day of the users' bench: LOST after SIGTERM). */
+static void
+test_patience(void)
+{
+    Fixture fixture = {.script = {.answer = ANSWER_OK, .delay_ms = 200}};
+    BackendCall call;
+    BackendReply reply;
+    int asked = 0;
+
+    open_fixture(&fixture);
+    call = make_call();
+    call.patience_ms = 50;
+    call.give_up = count_and_refuse;
+    call.give_up_context = &asked;
+    Backend_Run(fixture.backend, &call, &reply);
+    g_assert_cmpint(reply.result, ==, RESULT_OK);
+    g_assert_cmpint(asked, ==, 1);
+    HttpAnswer_Clear(&reply.answer);
+    call = make_call();
+    call.patience_ms = 50;
+    call.give_up = agree;
+    Backend_Run(fixture.backend, &call, &reply);
+    g_assert_cmpint(reply.result, ==, RESULT_DEADLINE_EXPIRED);
+    g_assert_cmpint(reply.run, ==, RUN_UNKNOWN);
+    g_assert_cmpint(reply.server_ms, <, 180);
+    close_fixture(&fixture);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/backend/answers", test_answers);
+    g_test_add_func("/backend/headers", test_headers);
+    g_test_add_func("/backend/announcements", test_order_of_announcements);
+    g_test_add_func("/backend/refusals", test_refusals);
+    g_test_add_func("/backend/risk", test_risk);
+    g_test_add_func("/backend/slots-and-order", test_slots_and_order);
+    g_test_add_func("/backend/waiting", test_waiting);
+    g_test_add_func("/backend/patience", test_patience);
+    return g_test_run();
+}
--- /dev/null
+++ b/src/catalog/test_catalog.c
@@ -0,0 +1,132 @@
+/* Tests of the configuration tables and of the proof of their freshness. */
+#include <glib.h>
+#include <urcu.h>
+
+#include "catalog/catalog.h"
+
+static void
+add_route(CatalogTable *table, const char *host, const char *prefix,
+          const char *service, uint32_t weight, const char *other)
+{
+    CatalogRoute route = {.name = g_strdup(prefix),
+                          .host = g_strdup(host),
+                          .prefix = g_strdup(prefix),
+                          .attempts = 2};
+
+    route.parts[route.part_count++] =
+        (CatalogPart){.service = g_strdup(service), .weight = weight};
+    if (other != NULL) {
+        route.parts[route.part_count++] =
+            (CatalogPart){.service = g_strdup(other), .weight = 100 - weight};
+    }
+    CatalogTable_AddRoute(table, &route);
+}
+
+static CatalogTable *
+make_table(uint64_t version)
+{
+    CatalogTable *table =
+        CatalogTable_Create(&(CatalogTable_desc){.version = version});
+    CatalogTeam team = {.name = g_strdup("crews"), .rate_per_s = 5};
+    const CatalogTeam *added = CatalogTable_AddTeam(table, &team);
+
+    CatalogTable_AddKey(table, "k1", added);
+    CatalogTable_AddKey(table, "k2", added);
+    add_route(table, "a.example", "/x/", "one", 1, NULL);
+    add_route(table, "a.example", "/x/y/", "two", 1, NULL);
+    add_route(table, "b.example", "/", "three", 90, "four");
+    return table;
+}
+
+/* Guards against a request that goes to another host's or a shorter prefix's
+ * service. */
+static void
+test_routes(void)
+{
+    static const struct {
+        const char *host;
+        const char *path;
+        const char *prefix; /* NULL: no route */
+    } cases[] = {
+        {"a.example", "/x/1", "/x/"},     {"a.example", "/x/y/1", "/x/y/"},
+        {"a.example", "/x/y", "/x/"},     {"a.example", "/xy/1", NULL},
+        {"a.example", "/", NULL},         {"b.example", "/x/1", "/"},
+        {"c.example", "/x/1", NULL},
+    };
+    CatalogTable *table = make_table(1);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        const CatalogRoute *route =
+            CatalogTable_FindRoute(table, cases[i].host, cases[i].path);
+
+        g_assert_cmpstr(route ? route->prefix : NULL, ==, cases[i].prefix);
+    }
+    g_assert_cmpstr(CatalogTable_FindTeamByKey(table, "k2")->name, ==,
+                    "crews");
+    g_assert_null(CatalogTable_FindTeamByKey(table, "k3"));
+    g_assert_nonnull(
+        CatalogTable_FindTeam(table, Rng_HashString("crews")));
+    CatalogTable_Unref(table);
+}
+
+/* Guards against a split that gives a part another share than its weight. */
+static void
+test_split(void)
+{
+    CatalogTable *table = make_table(1);
+    const CatalogRoute *route =
+        CatalogTable_FindRoute(table, "b.example", "/");
+    Rng rng;
+    int first = 0;
+
+    Rng_Seed(&rng, 1);
+    for (int i = 0; i < 10000; i++) {
+        first += CatalogRoute_ChoosePart(route, &rng) == &route->parts[0];
+    }
+    g_assert_cmpint(first, >, 8800);
+    g_assert_cmpint(first, <, 9200);
+    CatalogTable_Unref(table);
+}
+
+/* Guards against a late write that brings an older version back, and against
+ * an age that starts before anything was confirmed. */
+static void
+test_versions(void)
+{
+    Catalog *catalog = Catalog_Create();
+    CatalogTable *held;
+
+    g_assert_null(Catalog_Acquire(catalog));
+    g_assert_cmpint(Catalog_Age(catalog, 100), ==, CLOCK_NEVER);
+    g_assert_true(Catalog_Publish(catalog, make_table(8)));
+    held = Catalog_Acquire(catalog);
+    g_assert_false(Catalog_Publish(catalog, make_table(7)));
+    g_assert_true(Catalog_Publish(catalog, make_table(9)));
+    g_assert_cmpuint(CatalogTable_Version(held), ==, 8);
+    CatalogTable_Unref(held);
+    held = Catalog_Acquire(catalog);
+    g_assert_cmpuint(CatalogTable_Version(held), ==, 9);
+    CatalogTable_Unref(held);
+
+    Catalog_Confirm(catalog, 1000);
+    Catalog_Confirm(catalog, 900);
+    g_assert_cmpint(Catalog_Age(catalog, 1500), ==, 500);
+    /* A host that booted less than a proof's time ago. */
+    g_assert_cmpint(Catalog_Age(catalog, 1000), ==, 0);
+    Catalog_Destroy(catalog);
+}
+
+int
+main(int argc, char **argv)
+{
+    int result;
+
+    g_test_init(&argc, &argv, NULL);
+    rcu_register_thread();
+    g_test_add_func("/catalog/routes", test_routes);
+    g_test_add_func("/catalog/split", test_split);
+    g_test_add_func("/catalog/versions", test_versions);
+    result = g_test_run();
+    rcu_unregister_thread();
+    return result;
+}
--- /dev/null
+++ b/src/gateway/test_peer_wire.c
@@ -0,0 +1,103 @@
+/* Tests of the headers between two daemons. */
+#include <glib.h>
+#include <string.h>
+
+#include "gateway/peer_wire.h"
+
+/* Guards against a limit or a name that is lost on the way. */
+static void
+test_call(void)
+{
+    BackendCall call = {.service = "permits",
+                        .caller = "desk",
+                        .team = "crews",
+                        .deadline = 5000,
+                        .idempotent = TRUE,
+                        .priority = -1,
+                        .max_risk = 0.25,
+                        .max_wait_ms = 300};
+    BackendCall decoded = {0};
+    HttpHeaders headers = {0};
+
+    PeerWire_EncodeCall(&call, 2000, &headers);
+    g_assert_true(PeerWire_DecodeCall(&headers, 7000, &decoded));
+    g_assert_cmpint(decoded.deadline, ==, 10000);
+    g_assert_true(decoded.idempotent);
+    g_assert_cmpint(decoded.priority, ==, -1);
+    g_assert_cmpfloat_with_epsilon(decoded.max_risk, 0.25, 0.001);
+    g_assert_cmpint(decoded.max_wait_ms, ==, 300);
+    g_assert_cmpstr(decoded.service, ==, "permits");
+    g_assert_cmpstr(decoded.caller, ==, "desk");
+    g_assert_cmpstr(decoded.team, ==, "crews");
+    HttpHeaders_Clear(&headers);
+}
+
+/* Guards against a malformed call that runs. */
+static void
+test_malformed_calls(void)
+{
+    static const char *const lines[] = {
+        "",           "5000",           "x i 0 0.1 5",   "5000 z 0 0.1 5",
+        "-1 i 0 1 5", "5000 i 0 0.1 -1", "9999999 i 0 1 5"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+        HttpHeaders headers = {0};
+        BackendCall call = {0};
+
+        HttpHeaders_Add(&headers, "Radishknot-Call", lines[i]);
+        HttpHeaders_Add(&headers, "Radishknot-Caller", "desk");
+        HttpHeaders_Add(&headers, "Radishknot-Service", "permits");
+        g_assert_false(PeerWire_DecodeCall(&headers, 0, &call));
+        HttpHeaders_Clear(&headers);
+    }
+}
+
+/* Guards against a reply whose result or load is lost on the way, and against
+ * one of another program that is taken for a daemon's. */
+static void
+test_reply(void)
+{
+    static const char *const malformed[] = {"", "0 1", "0 9 1 0 1 1 1 1 1 0",
+                                            "99999 1 1 0 1 1 1 1 1 0"};
+    BackendReply reply = {.result = RESULT_BACKEND_SERVER_SHED,
+                          .run = RUN_NO,
+                          .arrived = TRUE,
+                          .report = {.risk = 0.5,
+                                     .slots = 5,
+                                     .in_flight = 4,
+                                     .waiting = 3,
+                                     .service_ms = 250,
+                                     .idle_ms = 20,
+                                     .leaving = TRUE}};
+    BackendReply decoded = {0};
+    HttpHeaders headers = {0};
+
+    PeerWire_EncodeReply(&reply, &headers);
+    g_assert_true(PeerWire_DecodeReply(&headers, &decoded));
+    g_assert_cmpint(decoded.result, ==, reply.result);
+    g_assert_cmpint(decoded.run, ==, RUN_NO);
+    g_assert_true(decoded.arrived);
+    g_assert_cmpuint(decoded.report.slots, ==, 5);
+    g_assert_cmpuint(decoded.report.in_flight, ==, 4);
+    g_assert_cmpuint(decoded.report.waiting, ==, 3);
+    g_assert_cmpint(decoded.report.service_ms, ==, 250);
+    g_assert_cmpint(decoded.report.idle_ms, ==, 20);
+    g_assert_true(decoded.report.leaving);
+    HttpHeaders_Clear(&headers);
+    g_assert_false(PeerWire_DecodeReply(&headers, &decoded));
+    for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++) {
+        HttpHeaders_Add(&headers, "Radishknot-Reply", malformed[i]);
+        g_assert_false(PeerWire_DecodeReply(&headers, &decoded));
+        HttpHeaders_Clear(&headers);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/peer-wire/call", test_call);
+    g_test_add_func("/peer-wire/malformed-calls", test_malformed_calls);
+    g_test_add_func("/peer-wire/reply", test_reply);
+    return g_test_run();
+}
--- /dev/null
+++ b/src/health/test_gray_filter.c
@@ -0,0 +1,71 @@
+/* Tests of the gray failure filter. */
+#include <glib.h>
+
+#include "health/gray_filter.h"
+
+/* Guards against a filter that reacts too late to failures, forgets a
+ * recovery, or takes one failure among many successes for a gray spell. */
+static void
+test_sequences(void)
+{
+    static const struct {
+        const char *outcomes; /* f = failed, s = succeeded, 200 ms apart */
+        double least;
+        double most;
+    } cases[] = {
+        {"", 0.1, 0.2},         {"ssss", 0, 0.02},
+        {"ssssf", 0.1, 0.5},    {"ssssff", 0.8, 1},
+        {"ssssfsss", 0, 0.05},  {"ffff", 0.95, 1},
+        {"ffffssss", 0, 0.2},   {"ssssfssssfssss", 0, 0.05},
+        {"sfsfsfsf", 0.5, 1},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GrayFilter filter;
+        ClockMs now = 1000;
+
+        GrayFilter_Init(&filter, NULL, now);
+        for (const char *c = cases[i].outcomes; *c != '\0'; c++) {
+            now += 200;
+            GrayFilter_Observe(&filter, *c == 'f', now);
+        }
+        g_test_message("%s: %.3f", cases[i].outcomes,
+                       GrayFilter_Risk(&filter, now));
+        g_assert_cmpfloat(GrayFilter_Risk(&filter, now), >=, cases[i].least);
+        g_assert_cmpfloat(GrayFilter_Risk(&filter, now), <=, cases[i].most);
+    }
+}
+
+/* Guards against a belief that never ages, and against one that leaves the
+ * range of a probability when the clock stands still or goes back. */
+static void
+test_ageing(void)
+{
+    GrayFilter filter;
+    double rest;
+
+    GrayFilter_Init(&filter, NULL, 0);
+    rest = GrayFilter_LongTermRisk(&filter);
+    GrayFilter_Set(&filter, 1, 1000);
+    g_assert_cmpfloat(GrayFilter_Risk(&filter, 1000), <, 1);
+    g_assert_cmpfloat(GrayFilter_Risk(&filter, 500), <, 1);
+    g_assert_cmpfloat(GrayFilter_Risk(&filter, 6000), <,
+                      GrayFilter_Risk(&filter, 2000));
+    g_assert_cmpfloat_with_epsilon(GrayFilter_Risk(&filter, 200000), rest,
+                                   0.001);
+    GrayFilter_Set(&filter, 0, 1000);
+    g_assert_cmpfloat(GrayFilter_Risk(&filter, 1000), >, 0);
+    g_assert_cmpfloat_with_epsilon(GrayFilter_Risk(&filter, 200000), rest,
+                                   0.001);
+    g_assert_cmpfloat(GrayFilter_FailShare(&filter, 0), <,
+                      GrayFilter_FailShare(&filter, 1));
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/gray-filter/sequences", test_sequences);
+    g_test_add_func("/gray-filter/ageing", test_ageing);
+    return g_test_run();
+}
--- /dev/null
+++ b/src/mirror/test_mirror.c
@@ -0,0 +1,325 @@
+/* Tests of the mirror: the cache, and a follower against a host that follows
+ * the store. */
+#include <glib.h>
+#include <string.h>
+
+#include "http/http_message.h"
+#include "base/rng.h"
+#include "mirror/mirror.h"
+#include "mirror/mirror_port.h"
+
+static void
+change(MirrorCache *cache, const char *name, int64_t own, int64_t revision,
+       gboolean deleted)
+{
+    ObjectRecord record = {.name = (char *)name,
+                           .revision = own,
+                           .deleted = deleted,
+                           .value = json_pack("{s:I}", "n", (json_int_t)own)};
+
+    MirrorCache_Change(cache, &record, revision);
+    json_decref(record.value);
+}
+
+static gint
+compare_texts(gconstpointer a, gconstpointer b)
+{
+    return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* Reads and returns "name name! ..." in the order of names, with "!" for
+ * deletions. */
+static char *
+read_names(MirrorCache *cache, int64_t since, Result *result,
+           int64_t *revision)
+{
+    GString *text = g_string_new(NULL);
+    GPtrArray *found = g_ptr_array_new_with_free_func(g_free);
+    ObjectPage page;
+
+    ObjectPage_Init(&page);
+    *result = MirrorCache_Read(cache, since, &page);
+    *revision = page.revision;
+    for (guint i = 0; i < page.records->len; i++) {
+        const ObjectRecord *record =
+            &g_array_index(page.records, ObjectRecord, i);
+
+        g_ptr_array_add(found, g_strconcat(record->name,
+                                           record->deleted ? "!" : "", NULL));
+    }
+    g_ptr_array_sort(found, compare_texts);
+    for (guint i = 0; i < found->len; i++) {
+        g_string_append(text, g_ptr_array_index(found, i));
+    }
+    g_ptr_array_unref(found);
+    ObjectPage_Clear(&page);
+    return g_string_free(text, FALSE);
+}
+
+/* Guards against a follower that misses a change or a deletion, whatever
+ * source it followed before. */
+static void
+test_cache(void)
+{
+    static const struct {
+        int64_t since;
+        Result result;
+        const char *names;
+    } cases[] = {
+        {-1, RESULT_OK, "ac"},
+        {10, RESULT_OK, "ab!c"},
+        {15, RESULT_OK, "b!c"},
+        {20, RESULT_OK, ""},
+        {25, RESULT_OK, ""},
+        {8, RESULT_STORE_HISTORY_GONE, ""},
+    };
+    MirrorCache *cache = MirrorCache_Create();
+    Result result;
+    int64_t revision;
+    char *names = read_names(cache, -1, &result, &revision);
+
+    g_assert_cmpint(result, ==, RESULT_STORE_UNAVAILABLE);
+    g_free(names);
+    change(cache, "b", 5, 10, FALSE);
+    MirrorCache_Confirm(cache, 1000, 10);
+    change(cache, "a", 12, 15, FALSE);
+    MirrorCache_Confirm(cache, 1100, 15);
+    change(cache, "c", 16, 20, FALSE);
+    change(cache, "b", 18, 20, TRUE);
+    MirrorCache_Confirm(cache, 1200, 20);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        names = read_names(cache, cases[i].since, &result, &revision);
+        g_assert_cmpint(result, ==, cases[i].result);
+        if (result == RESULT_OK) {
+            g_assert_cmpint(revision, ==, 20);
+        }
+        g_assert_cmpstr(names, ==, cases[i].names);
+        g_free(names);
+    }
+    MirrorCache_Destroy(cache);
+}
+
+/* Guards against objects that a new list no longer has. */
+static void
+test_list(void)
+{
+    MirrorCache *cache = MirrorCache_Create();
+    GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+    Result result;
+    int64_t revision;
+    char *found;
+
+    change(cache, "a", 1, 5, FALSE);
+    change(cache, "b", 2, 5, FALSE);
+    MirrorCache_Confirm(cache, 1000, 5);
+    g_hash_table_add(names, "a");
+    MirrorCache_List(cache, names, 9);
+    MirrorCache_Confirm(cache, 1000, 9);
+    found = read_names(cache, 5, &result, &revision);
+    g_assert_cmpstr(found, ==, "b!");
+    g_free(found);
+    g_hash_table_destroy(names);
+    MirrorCache_Destroy(cache);
+}
+
+/* The store behind the follower; counts calls. */
+typedef struct FakeStore {
+    ObjectStore functions;
+    int lists;
+    int watches;
+} FakeStore;
+
+static Result
+fake_list(void *context, const char *kind, const char *after, gboolean stale,
+          ObjectPage *page)
+{
+    (void)kind;
+    (void)after;
+    (void)stale;
+    ((FakeStore *)context)->lists++;
+    page->revision = 50;
+    return RESULT_OK;
+}
+
+static Result
+fake_watch(void *context, const char *kind, int64_t revision, ClockMs wait_ms,
+           gboolean stale, ObjectPage *page)
+{
+    (void)kind;
+    (void)wait_ms;
+    (void)stale;
+    ((FakeStore *)context)->watches++;
+    page->revision = revision;
+    return RESULT_OK;
+}
+
+static gboolean
+read_flag(void *context)
+{
+    return *(gboolean *)context;
+}
+
+typedef struct Fixture {
+    MirrorCache *cache;
+    MirrorPort *port;
+    gboolean direct;
+    RosterEntry neighbour;
+    Roster *roster;
+    HttpClient *client;
+    FakeStore store;
+    Mirror *mirror;
+    MirrorKind kind;
+} Fixture;
+
+/* A follower whose neighbour comes first in the order of the kind. */
+static void
+open_fixture(Fixture *fixture)
+{
+    MirrorPort_desc port = {.threads = 4, .kind_count = 1};
+    char name[ROSTER_NAME_BYTES] = "";
+    RosterPeer order[2];
+
+    fixture->direct = TRUE;
+    fixture->cache = MirrorCache_Create();
+    fixture->kind = (MirrorKind){.kind = "k",
+                                 .cache = fixture->cache,
+                                 .max_age_ms = 500,
+                                 .is_direct = read_flag,
+                                 .context = &fixture->direct};
+    port.kinds = &fixture->kind;
+    g_assert_true(HttpAddress_Parse("127.0.0.1:0", &port.address));
+    fixture->port = MirrorPort_Create(&port, NULL);
+    g_assert_nonnull(fixture->port);
+    fixture->client = HttpClient_Create(&(HttpClient_desc){0});
+    fixture->store.functions = (ObjectStore){
+        .context = &fixture->store, .list = fake_list, .watch = fake_watch};
+    fixture->neighbour = (RosterEntry){
+        .instance = "i",
+        .service = "s",
+        .data_centre = "d",
+        .region = "r",
+        .slots = 1,
+        .rpc_port = 1,
+        .mirror_port = MirrorPort_Port(fixture->port)};
+    g_assert_true(
+        HttpAddress_Parse("127.0.0.1:0", &fixture->neighbour.peer));
+    /* Names are tried until the neighbour comes first. */
+    for (int i = 0; name[0] == '\0'; i++) {
+        fixture->roster = Roster_Create(&(Roster_desc){
+            .host = "self", .data_centre = "d", .region = "r"});
+        g_snprintf(fixture->neighbour.host, ROSTER_NAME_BYTES, "n%d", i);
+        Roster_Set(fixture->roster, &fixture->neighbour, Clock_Now());
+        Roster_Rank(fixture->roster, Rng_Mix(Rng_HashString("k"), 0), FALSE,
+                    Clock_Now(), order, 2);
+        if (!order[0].is_self) {
+            g_strlcpy(name, fixture->neighbour.host, sizeof(name));
+        }
+        else {
+            Roster_Destroy(fixture->roster);
+        }
+    }
+    fixture->mirror =
+        Mirror_Create(&(Mirror_desc){.store = &fixture->store.functions,
+                                     .roster = fixture->roster,
+                                     .host = "self",
+                                     .client = fixture->client});
+}
+
+static void
+close_fixture(Fixture *fixture)
+{
+    Mirror_Destroy(fixture->mirror);
+    MirrorPort_Destroy(fixture->port);
+    HttpClient_Destroy(fixture->client);
+    Roster_Destroy(fixture->roster);
+    MirrorCache_Destroy(fixture->cache);
+}
+
+static Result
+watch(Fixture *fixture, int64_t since, ObjectPage *page)
+{
+    const ObjectStore *store = Mirror_AsStore(fixture->mirror);
+
+    return store->watch(store->context, "k", since, 50, FALSE, page);
+}
+
+/* Guards against a follower that reads the store although its neighbour
+ * answers, takes an old state for fresh, or follows a host that does not
+ * follow the store itself. */
+static void
+test_follower(void)
+{
+    static const struct {
+        const char *what;
+        gboolean direct;
+        ClockMs age_ms;
+        gboolean through_store;
+    } cases[] = {
+        {"fresh", TRUE, 100, FALSE},
+        {"old", TRUE, 5000, TRUE},
+        {"not direct", FALSE, 100, TRUE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Fixture fixture = {0};
+        ObjectPage page;
+
+        open_fixture(&fixture);
+        MirrorCache_Confirm(fixture.cache, Clock_Now() - cases[i].age_ms, 2);
+        change(fixture.cache, "a", 3, 5, FALSE);
+        MirrorCache_Confirm(fixture.cache, Clock_Now() - cases[i].age_ms, 5);
+        fixture.direct = cases[i].direct;
+        ObjectPage_Init(&page);
+        g_assert_cmpint(watch(&fixture, 2, &page), ==, RESULT_OK);
+        g_assert_cmpint(fixture.store.watches, ==, cases[i].through_store);
+        g_assert_cmpint(Mirror_IsDirect(fixture.mirror), ==,
+                        cases[i].through_store);
+        if (!cases[i].through_store) {
+            g_assert_cmpuint(page.records->len, ==, 1);
+            g_assert_cmpint(page.revision, ==, 5);
+            g_assert_cmpint(page.age_ms, >=, cases[i].age_ms);
+            g_assert_cmpint(page.held_ms, <=, 60);
+        }
+        else {
+            /* The neighbour is left out for a while. */
+            g_assert_cmpint(watch(&fixture, 2, &page), ==, RESULT_OK);
+            g_assert_cmpint(fixture.store.watches, ==, 2);
+        }
+        ObjectPage_Clear(&page);
+        close_fixture(&fixture);
+    }
+}
+
+/* Guards against a follower that waits for a neighbour that is gone. */
+static void
+test_neighbour_gone(void)
+{
+    Fixture fixture = {0};
+    const ObjectStore *store;
+    ObjectPage page;
+    ClockMs started;
+
+    open_fixture(&fixture);
+    MirrorPort_Destroy(fixture.port);
+    fixture.port = NULL;
+    store = Mirror_AsStore(fixture.mirror);
+    started = Clock_Now();
+    ObjectPage_Init(&page);
+    g_assert_cmpint(store->list(store->context, "k", "", FALSE, &page), ==,
+                    RESULT_OK);
+    g_assert_cmpint(fixture.store.lists, ==, 1);
+    g_assert_cmpint(Clock_Now() - started, <, 1000);
+    ObjectPage_Clear(&page);
+    close_fixture(&fixture);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/mirror/cache", test_cache);
+    g_test_add_func("/mirror/list", test_list);
+    g_test_add_func("/mirror/follower", test_follower);
+    g_test_add_func("/mirror/neighbour-gone", test_neighbour_gone);
+    return g_test_run();
+}
--- /dev/null
+++ b/src/roster/test_roster.c
@@ -0,0 +1,268 @@
+/* Tests of roster entries and of the choice of a backend server. */
+#include <glib.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "http/http_message.h"
+#include "roster/roster.h"
+
+#define SERVICE "permits"
+
+static Roster *
+make_roster(void)
+{
+    return Roster_Create(&(Roster_desc){
+        .host = "self", .data_centre = "dc1", .region = "r1"});
+}
+
+static void
+add(Roster *roster, const char *host, const char *data_centre,
+    const char *region, const char *instance)
+{
+    RosterEntry entry = {.rpc_port = 7, .mirror_port = 8, .slots = 5};
+
+    g_strlcpy(entry.host, host, sizeof(entry.host));
+    g_strlcpy(entry.instance, instance, sizeof(entry.instance));
+    g_strlcpy(entry.service, SERVICE, sizeof(entry.service));
+    g_strlcpy(entry.data_centre, data_centre, sizeof(entry.data_centre));
+    g_strlcpy(entry.region, region, sizeof(entry.region));
+    g_assert_true(HttpAddress_Parse("127.0.0.1:9", &entry.peer));
+    Roster_Set(roster, &entry, 0);
+}
+
+static Roster *
+make_fleet(void)
+{
+    Roster *roster = make_roster();
+
+    add(roster, "self", "dc1", "r1", "i0");
+    add(roster, "near", "dc1", "r1", "i1");
+    add(roster, "region", "dc2", "r1", "i2");
+    add(roster, "far", "dc3", "r2", "i3");
+    return roster;
+}
+
+static RosterReport
+report(double risk, uint32_t in_flight)
+{
+    return (RosterReport){
+        .risk = risk, .slots = 5, .in_flight = in_flight, .service_ms = 500};
+}
+
+static RosterQuery
+query(void)
+{
+    return (RosterQuery){.service = Rng_HashString(SERVICE),
+                         .failure_cost = 1,
+                         .time_left_ms = 2000};
+}
+
+static const char *
+choose(Roster *roster, const RosterQuery *wanted, ClockMs now)
+{
+    static RosterChoice choice;
+
+    return Roster_Choose(roster, wanted, now, &choice) ? choice.entry.host
+                                                       : NULL;
+}
+
+/* Guards against an entry that loses a field on the way through the store, and
+ * against a malformed one that is taken. */
+static void
+test_entry(void)
+{
+    static const char *const malformed[] = {
+        "null",
+        "{}",
+        "[1]",
+        "{\"instance\":\"i\",\"service\":\"s\",\"dc\":\"d\",\"region\":\"r\","
+        "\"peer\":\"nonsense\",\"rpc\":1,\"mirror\":1,\"slots\":1,"
+        "\"leaving\":false}",
+        "{\"instance\":\"i\",\"service\":\"s\",\"dc\":\"d\",\"region\":\"r\","
+        "\"peer\":\"127.0.0.1:1\",\"rpc\":1,\"mirror\":1,\"slots\":0,"
+        "\"leaving\":false}",
+        "{\"instance\":\"i\",\"service\":5,\"dc\":\"d\",\"region\":\"r\","
+        "\"peer\":\"127.0.0.1:1\",\"rpc\":1,\"mirror\":1,\"slots\":2,"
+        "\"leaving\":false}",
+    };
+    RosterEntry entry = {.host = "h",
+                         .instance = "i",
+                         .service = "s",
+                         .data_centre = "d",
+                         .region = "r",
+                         .rpc_port = 7,
+                         .mirror_port = 8,
+                         .slots = 5};
+    RosterEntry decoded;
+    json_t *value;
+
+    g_assert_true(HttpAddress_Parse("10.0.0.1:80", &entry.peer));
+    value = RosterEntry_Encode(&entry);
+    g_assert_nonnull(value);
+    g_assert_true(RosterEntry_Decode("h", value, &decoded));
+    g_assert_cmpmem(&decoded, sizeof(decoded), &entry, sizeof(entry));
+    json_decref(value);
+    for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++) {
+        value = json_loads(malformed[i], JSON_DECODE_ANY, NULL);
+        g_assert_false(RosterEntry_Decode("h", value, &decoded));
+        json_decref(value);
+    }
+}
+
+/* Guards against paid distance without need, and against sticking to a near
+ * backend server that is sick, busy or out of reach. */
+static void
+test_choice(void)
+{
+    static const struct {
+        double risk_self;
+        uint32_t load_self;
+        double risk_near;
+        uint32_t load_near;
+        double risk_region;
+        const char *expected;
+    } cases[] = {
+        {0.01, 0, 0.01, 4, 0.01, "self"}, {0.01, 5, 0.01, 0, 0.01, "near"},
+        {0.95, 0, 0.01, 0, 0.01, "near"}, {0.95, 0, 0.95, 0, 0.01, "region"},
+        {0.02, 30, 0.02, 30, 0.02, "region"},
+        {0.95, 0, 0.95, 0, 0.95, "far"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Roster *roster = make_fleet();
+        RosterQuery wanted = query();
+        RosterReport reports[] = {
+            report(cases[i].risk_self, cases[i].load_self),
+            report(cases[i].risk_near, cases[i].load_near),
+            report(cases[i].risk_region, 0), report(0.01, 0)};
+        static const char *const hosts[] = {"self", "near", "region", "far"};
+
+        for (size_t n = 0; n < G_N_ELEMENTS(hosts); n++) {
+            Roster_Report(roster, Rng_HashString(hosts[n]), &reports[n], 1000);
+        }
+        g_assert_cmpstr(choose(roster, &wanted, 1010), ==, cases[i].expected);
+        Roster_Destroy(roster);
+    }
+}
+
+/* Guards against a host that is tried again at once after it could not be
+ * reached, against one that is never tried again, and against refusing a
+ * request while any host is left. */
+static void
+test_unreachable(void)
+{
+    Roster *roster = make_fleet();
+    RosterQuery wanted = query();
+    RosterReport sound = report(0.01, 0);
+
+    Roster_Report(roster, Rng_HashString("near"), &sound, 1000);
+    Roster_Remove(roster, "self");
+    g_assert_cmpstr(choose(roster, &wanted, 1000), ==, "near");
+    Roster_NoteUnreachable(roster, Rng_HashString("near"), 1000);
+    g_assert_cmpstr(choose(roster, &wanted, 1100), ==, "region");
+    g_assert_cmpstr(choose(roster, &wanted, 1500), ==, "near");
+    Roster_Remove(roster, "region");
+    Roster_Remove(roster, "far");
+    Roster_NoteUnreachable(roster, Rng_HashString("near"), 1500);
+    g_assert_cmpstr(choose(roster, &wanted, 1510), ==, "near");
+    wanted.tried[wanted.tried_count++] = Rng_HashString("near");
+    g_assert_null(choose(roster, &wanted, 1510));
+    Roster_Destroy(roster);
+}
+
+/* Guards against backend servers that get nothing for seconds because they
+ * failed before, and against exploring with requests that must not fail. */
+static void
+test_exploration(void)
+{
+    Roster *roster = make_fleet();
+    RosterQuery wanted = query();
+    RosterReport sick = report(0.95, 0);
+    RosterReport sound = report(0.01, 0);
+
+    Roster_Report(roster, Rng_HashString("self"), &sound, 3000);
+    Roster_Report(roster, Rng_HashString("near"), &sick, 1000);
+    g_assert_cmpstr(choose(roster, &wanted, 3000), ==, "self");
+    wanted.may_explore = TRUE;
+    g_assert_cmpstr(choose(roster, &wanted, 1900), !=, "near");
+    g_assert_cmpstr(choose(roster, &wanted, 3000), ==, "near");
+    Roster_Destroy(roster);
+}
+
+/* Guards against a flight to hosts of which nothing is known when all known
+ * ones do badly, as they do when a whole service is shedding. */
+static void
+test_unknown_far(void)
+{
+    Roster *roster = make_roster();
+    RosterQuery wanted = query();
+    RosterReport shedding = report(0.5, 0);
+    char name[16];
+
+    for (int i = 0; i < 12; i++) {
+        g_snprintf(name, sizeof(name), "near%d", i);
+        add(roster, name, "dc1", "r1", "i");
+        Roster_Report(roster, Rng_HashString(name), &shedding, 1000);
+    }
+    add(roster, "far", "dc3", "r2", "i");
+    g_assert_cmpstr(choose(roster, &wanted, 1010), !=, "far");
+    Roster_Destroy(roster);
+}
+
+/* Guards against hosts that see different keepers: the full order must not
+ * depend on who was reached last. */
+static void
+test_rank(void)
+{
+    Roster *roster = make_fleet();
+    RosterPeer before[4];
+    RosterPeer after[4];
+    RosterPeer reachable[4];
+
+    for (uint64_t key = 0; key < 50; key++) {
+        g_assert_cmpuint(Roster_Rank(roster, key, TRUE, 1000, before, 4), ==,
+                         2);
+        Roster_NoteUnreachable(roster, Rng_HashString("near"), 1000);
+        g_assert_cmpuint(Roster_Rank(roster, key, TRUE, 1001, after, 4), ==,
+                         2);
+        g_assert_cmpuint(before[0].host, ==, after[0].host);
+        g_assert_cmpuint(before[1].host, ==, after[1].host);
+        g_assert_cmpuint(Roster_Rank(roster, key, FALSE, 1001, reachable, 4),
+                         ==, 1);
+        g_assert_true(reachable[0].is_self);
+        Roster_NoteReached(roster, Rng_HashString("near"));
+        g_assert_cmpuint(Roster_Rank(roster, key, TRUE, 9000, after, 1), ==,
+                         1);
+        g_assert_cmpuint(before[0].host, ==, after[0].host);
+    }
+    g_assert_cmpuint(Roster_CountDataCentre(roster), ==, 2);
+    Roster_Destroy(roster);
+}
+
+/* Guards against entries that outlive their objects after a new list. */
+static void
+test_retain(void)
+{
+    Roster *roster = make_fleet();
+    GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+
+    g_hash_table_add(names, "far");
+    Roster_Retain(roster, names);
+    g_assert_cmpuint(Roster_Count(roster), ==, 2); /* far and self */
+    g_hash_table_destroy(names);
+    Roster_Destroy(roster);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/roster/entry", test_entry);
+    g_test_add_func("/roster/choice", test_choice);
+    g_test_add_func("/roster/unreachable", test_unreachable);
+    g_test_add_func("/roster/exploration", test_exploration);
+    g_test_add_func("/roster/unknown-far", test_unknown_far);
+    g_test_add_func("/roster/rank", test_rank);
+    g_test_add_func("/roster/retain", test_retain);
+    return g_test_run();
+}
--- /dev/null
+++ b/standin/object_server.c
@@ -0,0 +1,396 @@
+#include "object_server.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#include "http/http_server.h"
+
+#define PATH "/radishknot/objects/"
+#define THREADS 64
+
+/* How long a silent server holds a call. */
+#define SILENCE_MS 3000
+
+typedef struct Object {
+    char *kind;
+    char *name;
+    json_t *value; /* NULL: removed */
+    gint64 revision;
+} Object;
+
+struct ObjectServer {
+    ObjectServer_desc desc;
+    HttpServer *server;
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    GPtrArray *objects; /* Object, by name within a kind */
+    gint64 revision;
+    gint64 forgotten;
+    gboolean stopping;
+    _Atomic ObjectFault fault;
+    atomic_uint calls;
+};
+
+static void
+free_object(gpointer data)
+{
+    Object *object = data;
+
+    g_free(object->kind);
+    g_free(object->name);
+    json_decref(object->value);
+    g_free(object);
+}
+
+static Object *
+find(ObjectServer *server, const char *kind, const char *name)
+{
+    for (guint i = 0; i < server->objects->len; i++) {
+        Object *object = g_ptr_array_index(server->objects, i);
+
+        if (strcmp(object->kind, kind) == 0 &&
+            strcmp(object->name, name) == 0) {
+            return object;
+        }
+    }
+    return NULL;
+}
+
+static gint
+compare_names(gconstpointer a, gconstpointer b)
+{
+    const Object *left = *(Object *const *)a;
+    const Object *right = *(Object *const *)b;
+
+    return strcmp(left->name, right->name);
+}
+
+/* Called with the lock held; takes over the value. */
+static Object *
+store(ObjectServer *server, const char *kind, const char *name, json_t *value)
+{
+    Object *object = find(server, kind, name);
+
+    if (object == NULL) {
+        object = g_new0(Object, 1);
+        object->kind = g_strdup(kind);
+        object->name = g_strdup(name);
+        g_ptr_array_add(server->objects, object);
+        g_ptr_array_sort(server->objects, compare_names);
+    }
+    json_decref(object->value);
+    object->value = value;
+    object->revision = ++server->revision;
+    pthread_cond_broadcast(&server->changed);
+    return object;
+}
+
+static json_t *
+encode(const Object *object)
+{
+    return json_pack("{s:{s:s, s:I}, s:O?}", "metadata", "name", object->name,
+                     "revision", (json_int_t)object->revision, "spec",
+                     object->value);
+}
+
+static gint64
+argument(const HttpRequest *request, const char *name, gint64 fallback)
+{
+    char *text = HttpRequest_Argument(request, name);
+    gint64 value = text ? g_ascii_strtoll(text, NULL, 10) : fallback;
+
+    g_free(text);
+    return value;
+}
+
+static json_t *
+list_kind(ObjectServer *server, const char *kind, const char *after)
+{
+    json_t *items = json_array();
+    unsigned limit = server->desc.page_items;
+    gboolean more = FALSE;
+
+    for (guint i = 0; i < server->objects->len && !more; i++) {
+        const Object *object = g_ptr_array_index(server->objects, i);
+
+        if (strcmp(object->kind, kind) != 0 || object->value == NULL ||
+            strcmp(object->name, after) <= 0) {
+            continue;
+        }
+        if (limit > 0 && json_array_size(items) == limit) {
+            more = TRUE;
+        }
+        else {
+            json_array_append_new(items, encode(object));
+        }
+    }
+    return json_pack("{s:o, s:b, s:I}", "items", items, "more", more,
+                     "current_rev", (json_int_t)server->revision);
+}
+
+static json_t *
+changes(ObjectServer *server, const char *kind, gint64 since)
+{
+    json_t *events = json_array();
+
+    for (guint i = 0; i < server->objects->len; i++) {
+        const Object *object = g_ptr_array_index(server->objects, i);
+
+        if (strcmp(object->kind, kind) == 0 && object->revision > since) {
+            json_array_append_new(
+                events, json_pack("{s:b, s:o}", "deleted",
+                                  object->value == NULL, "object",
+                                  encode(object)));
+        }
+    }
+    return events;
+}
+
+/* Called with the lock held. Returns the status. */
+static int
+watch_kind(ObjectServer *server, const char *kind, gint64 since,
+           gint64 wait_ms, json_t **body)
+{
+    gint64 end = g_get_monotonic_time() + wait_ms * 1000;
+    struct timespec until = {.tv_sec = end / G_USEC_PER_SEC,
+                             .tv_nsec = (end % G_USEC_PER_SEC) * 1000};
+    json_t *events = changes(server, kind, since);
+
+    while (json_array_size(events) == 0 && since >= server->forgotten &&
+           !server->stopping &&
+           pthread_cond_timedwait(&server->changed, &server->lock, &until) ==
+               0) {
+        json_decref(events);
+        events = changes(server, kind, since);
+    }
+    if (since < server->forgotten) {
+        json_decref(events);
+        return 410;
+    }
+    *body = json_pack("{s:o, s:I}", "events", events, "current_rev",
+                      (json_int_t)server->revision);
+    return 200;
+}
+
+/* Called with the lock held. Returns the status. */
+static int
+read_call(ObjectServer *server, const HttpRequest *request, const char *kind,
+          const char *name, json_t **body)
+{
+    gint64 since = argument(request, "watch", -1);
+    char *after = HttpRequest_Argument(request, "after");
+    Object *object;
+    int status = 200;
+
+    if (name != NULL) {
+        object = find(server, kind, name);
+        if (object == NULL || object->value == NULL) {
+            status = 404;
+        }
+        else {
+            *body = encode(object);
+        }
+    }
+    else if (since >= 0) {
+        status = watch_kind(server, kind, since,
+                            argument(request, "wait_ms", 0), body);
+    }
+    else {
+        *body = list_kind(server, kind, after ? after : "");
+    }
+    g_free(after);
+    return status;
+}
+
+/* Called with the lock held. Returns the status. */
+static int
+write_call(ObjectServer *server, const HttpRequest *request, const char *kind,
+           const char *name, json_t **body)
+{
+    const char *method = HttpRequest_Method(request);
+    size_t bytes;
+    const char *text = HttpRequest_Body(request, &bytes);
+    json_t *root = json_loadb(text, bytes, 0, NULL);
+    json_t *meta = json_object_get(root, "metadata");
+    json_t *wanted = json_object_get(meta, "revision");
+    gint64 revision = wanted ? json_integer_value(wanted)
+                             : argument(request, "revision", -1);
+    Object *object;
+    int status = 200;
+
+    if (name == NULL) {
+        name = json_string_value(json_object_get(meta, "name"));
+    }
+    object = name ? find(server, kind, name) : NULL;
+    if (name == NULL) {
+        status = 400;
+    }
+    else if (strcmp(method, "POST") == 0) {
+        status = object != NULL && object->value != NULL ? 409 : 200;
+    }
+    else if (object == NULL || object->value == NULL) {
+        status = 404;
+    }
+    else if (revision >= 0 && revision != object->revision) {
+        status = 409;
+    }
+    if (status == 200) {
+        *body = encode(store(
+            server, kind, name,
+            strcmp(method, "DELETE") == 0
+                ? NULL
+                : json_incref(json_object_get(root, "spec"))));
+    }
+    json_decref(root);
+    return status;
+}
+
+static int
+dispatch(ObjectServer *server, const HttpRequest *request, json_t **body)
+{
+    const char *path = HttpRequest_Path(request);
+    char **parts;
+    int status;
+
+    if (!g_str_has_prefix(path, PATH)) {
+        return 404;
+    }
+    parts = g_strsplit(path + strlen(PATH), "/", 2);
+    pthread_mutex_lock(&server->lock);
+    if (strcmp(HttpRequest_Method(request), "GET") == 0) {
+        status = read_call(server, request, parts[0], parts[1], body);
+    }
+    else {
+        status = write_call(server, request, parts[0], parts[1], body);
+    }
+    pthread_mutex_unlock(&server->lock);
+    g_strfreev(parts);
+    return status;
+}
+
+/* Holds the call; the client gives up first. */
+static void
+stay_silent(ObjectServer *server)
+{
+    for (int i = 0; i < SILENCE_MS / 20 && !server->stopping; i++) {
+        g_usleep(20000);
+    }
+}
+
+static void
+serve(void *context, HttpRequest *request)
+{
+    ObjectServer *server = context;
+    ObjectFault fault = atomic_load(&server->fault);
+    gboolean is_write = strcmp(HttpRequest_Method(request), "GET") != 0;
+    HttpAnswer answer = {0};
+    json_t *body = NULL;
+    char *text;
+    int status = 503;
+
+    atomic_fetch_add(&server->calls, 1);
+    if (fault == OBJECT_FAULT_SILENT) {
+        stay_silent(server);
+    }
+    else if (fault != OBJECT_FAULT_REFUSE) {
+        status = dispatch(server, request, &body);
+    }
+    if (fault == OBJECT_FAULT_LOSE_ANSWERS && is_write) {
+        stay_silent(server);
+    }
+    text = body ? json_dumps(body, JSON_COMPACT) : NULL;
+    HttpAnswer_SetJson(&answer, status, g_strdup(text ? text : "{}"));
+    free(text);
+    json_decref(body);
+    HttpRequest_Respond(request, &answer);
+}
+
+ObjectServer *
+ObjectServer_Create(const ObjectServer_desc *desc)
+{
+    ObjectServer *server = g_new0(ObjectServer, 1);
+    HttpServer_desc http = {.address = desc->address,
+                            .worker_threads = THREADS,
+                            .handler = serve,
+                            .context = server};
+    pthread_condattr_t attributes;
+
+    server->desc = *desc;
+    pthread_mutex_init(&server->lock, NULL);
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(&server->changed, &attributes);
+    pthread_condattr_destroy(&attributes);
+    server->objects = g_ptr_array_new_with_free_func(free_object);
+    server->server = HttpServer_Create(&http, NULL);
+    g_assert_nonnull(server->server);
+    server->desc.address.sin_port = htons(HttpServer_Port(server->server));
+    return server;
+}
+
+void
+ObjectServer_Destroy(ObjectServer *server)
+{
+    pthread_mutex_lock(&server->lock);
+    server->stopping = TRUE;
+    pthread_cond_broadcast(&server->changed);
+    pthread_mutex_unlock(&server->lock);
+    HttpServer_Destroy(server->server);
+    g_ptr_array_unref(server->objects);
+    pthread_cond_destroy(&server->changed);
+    pthread_mutex_destroy(&server->lock);
+    g_free(server);
+}
+
+struct sockaddr_in
+ObjectServer_Address(const ObjectServer *server)
+{
+    return server->desc.address;
+}
+
+gint64
+ObjectServer_Write(ObjectServer *server, const char *kind, const char *name,
+                   json_t *value)
+{
+    gint64 revision;
+
+    pthread_mutex_lock(&server->lock);
+    revision = store(server, kind, name, value)->revision;
+    pthread_mutex_unlock(&server->lock);
+    return revision;
+}
+
+json_t *
+ObjectServer_Read(ObjectServer *server, const char *kind, const char *name)
+{
+    const Object *object;
+    json_t *value;
+
+    pthread_mutex_lock(&server->lock);
+    object = find(server, kind, name);
+    value = object ? json_incref(object->value) : NULL;
+    pthread_mutex_unlock(&server->lock);
+    return value;
+}
+
+void
+ObjectServer_SetFault(ObjectServer *server, ObjectFault fault)
+{
+    atomic_store(&server->fault, fault);
+}
+
+void
+ObjectServer_ForgetHistory(ObjectServer *server)
+{
+    pthread_mutex_lock(&server->lock);
+    server->forgotten = ++server->revision;
+    pthread_cond_broadcast(&server->changed);
+    pthread_mutex_unlock(&server->lock);
+}
+
+unsigned
+ObjectServer_Calls(const ObjectServer *server)
+{
+    return atomic_load(&server->calls);
+}
