--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -121,36 +121,18 @@
             reply->result == RESULT_BACKEND_SERVER_ERROR);
 }
 
-static void
-begin(Gateway *gateway, HttpCancel *cancel)
-{
-    pthread_mutex_lock(&gateway->lock);
-    g_ptr_array_add(gateway->cancels, cancel);
-    pthread_mutex_unlock(&gateway->lock);
-}
-
-static void
-end(Gateway *gateway, HttpCancel *cancel)
-{
-    pthread_mutex_lock(&gateway->lock);
-    g_ptr_array_remove_fast(gateway->cancels, cancel);
-    pthread_mutex_unlock(&gateway->lock);
-    HttpCancel_Destroy(cancel);
-}
-
 static void
 serve(void *context, HttpRequest *http)
 {
     Gateway *gateway = context;
     GatewayRequest request = {.gateway = gateway, .http = http};
-    HttpCancel *cancel = HttpCancel_Create();
+    HttpCancel *cancel = HttpCancelSet_Begin(gateway->cancels);
     BackendReply reply = {.run = RUN_NO};
     HttpAnswer answer = {0};
     int status;
 
     Counter_Add(COUNTER_ENTRY_REQUESTS, 1);
     request.call.cancel = cancel;
-    begin(gateway, cancel);
     HttpRequest_OnHangUp(http, HttpCancel_Trigger, cancel);
     reply.result = _Gateway_Prepare(&request);
     if (reply.result == RESULT_OK) {
@@ -173,7 +155,7 @@
     Counter_Observe(HISTOGRAM_ENTRY_TOTAL,
                     (Clock_Now() - request.arrived) * 1000);
     HttpAnswer_Clear(&reply.answer);
-    end(gateway, cancel);
+    HttpCancelSet_End(gateway->cancels, cancel);
     _Gateway_ClearRequest(&request);
 }
 
@@ -206,13 +188,13 @@
     pthread_mutex_init(&gateway->lock, NULL);
     gateway->budgets =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    gateway->cancels = g_ptr_array_new();
+    gateway->cancels = HttpCancelSet_Create();
     gateway->leave_until = CLOCK_NEVER;
     Rng_Seed(&gateway->rng, Rng_ProcessSeed());
     gateway->server = HttpServer_Create(&server, error);
     if (gateway->server == NULL) {
         g_hash_table_destroy(gateway->budgets);
-        g_ptr_array_unref(gateway->cancels);
+        HttpCancelSet_Destroy(gateway->cancels);
         pthread_mutex_destroy(&gateway->lock);
         g_free(gateway);
         return NULL;
@@ -238,11 +220,7 @@
 void
 Gateway_Abandon(Gateway *gateway)
 {
-    pthread_mutex_lock(&gateway->lock);
-    for (guint i = 0; i < gateway->cancels->len; i++) {
-        HttpCancel_Trigger(g_ptr_array_index(gateway->cancels, i));
-    }
-    pthread_mutex_unlock(&gateway->lock);
+    HttpCancelSet_TriggerAll(gateway->cancels);
 }
 
 unsigned
@@ -257,7 +235,7 @@
     if (gateway != NULL) {
         HttpServer_Destroy(gateway->server);
         g_hash_table_destroy(gateway->budgets);
-        g_ptr_array_unref(gateway->cancels);
+        HttpCancelSet_Destroy(gateway->cancels);
         pthread_mutex_destroy(&gateway->lock);
         g_free(gateway);
     }
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -334,6 +334,16 @@
                    Result_Name(reply->result), Result_RunName(reply->run));
 }
 
+/* A stopping owner handed back a request that can run elsewhere. Stops are
+ * few, so such a repeat is not held back by the budget. */
+static gboolean
+is_handed_back(const GatewayRequest *request, const BackendReply *reply)
+{
+    return reply->result == RESULT_SHUTTING_DOWN &&
+           request->route->idempotent &&
+           request->arrivals < request->route->attempts;
+}
+
 /* Whether the reply ends the request. */
 static gboolean
 is_final(GatewayRequest *request, const BackendReply *reply)
@@ -347,7 +357,7 @@
     if (!reply->arrived) {
         return FALSE;
     }
-    if (request->repeat_taken) {
+    if (request->repeat_taken || is_handed_back(request, reply)) {
         request->repeat_taken = FALSE;
         Counter_Retry(reply->result);
         return FALSE;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -5,6 +5,7 @@
 #include <pthread.h>
 
 #include "gateway/gateway.h"
+#include "http/http_cancel_set.h"
 #include "http/http_server.h"
 #include "retry/retry.h"
 
@@ -14,9 +15,9 @@
     Gateway_desc desc;
     uint64_t host; /* hash of the own name */
     HttpServer *server;
+    HttpCancelSet *cancels; /* of the requests in flight */
     pthread_mutex_t lock; /* for what follows */
     GHashTable *budgets;  /* service hash -> RetryBudget */
-    GPtrArray *cancels;   /* HttpCancel of the requests in flight */
     ClockMs leave_until;  /* requests end by then; CLOCK_NEVER */
     Rng rng;
 };
--- a/src/gateway/peer_port.c
+++ b/src/gateway/peer_port.c
@@ -6,11 +6,13 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "gateway/peer_wire.h"
+#include "http/http_cancel_set.h"
 #include "http/http_server.h"
 
 struct PeerPort {
     PeerPort_desc desc;
     HttpServer *server;
+    HttpCancelSet *cancels; /* of the requests in flight */
 };
 
 static void
@@ -64,7 +66,7 @@
     PeerPort *port = context;
     const HttpHeaders *received = HttpRequest_Headers(request);
     BackendCall call = {.method = HttpRequest_Method(request)};
-    HttpCancel *cancel = HttpCancel_Create();
+    HttpCancel *cancel = HttpCancelSet_Begin(port->cancels);
     HttpHeaders headers = {0};
     HttpAnswer answer = {0};
     BackendReply reply;
@@ -88,12 +90,16 @@
         HttpRequest_OnHangUp(request, HttpCancel_Trigger, cancel);
         Backend_Run(port->desc.backend, &call, &reply);
         HttpRequest_OnHangUp(request, NULL, NULL);
+        if (reply.result == RESULT_CANCELLED &&
+            HttpCancelSet_IsTriggered(port->cancels)) {
+            reply.result = RESULT_SHUTTING_DOWN;
+        }
         log_call(&call, &reply);
         fill_answer(&reply, &answer);
     }
     HttpRequest_Respond(request, &answer);
     HttpHeaders_Clear(&headers);
-    HttpCancel_Destroy(cancel);
+    HttpCancelSet_End(port->cancels, cancel);
     g_free(target);
 }
 
@@ -109,8 +115,10 @@
                               .context = port};
 
     port->desc = *desc;
+    port->cancels = HttpCancelSet_Create();
     port->server = HttpServer_Create(&server, error);
     if (port->server == NULL) {
+        HttpCancelSet_Destroy(port->cancels);
         g_free(port);
         return NULL;
     }
@@ -129,6 +137,12 @@
     return HttpServer_Drain(port->server, until);
 }
 
+void
+PeerPort_Abandon(PeerPort *port)
+{
+    HttpCancelSet_TriggerAll(port->cancels);
+}
+
 unsigned
 PeerPort_InFlight(const PeerPort *port)
 {
@@ -140,6 +154,7 @@
 {
     if (port != NULL) {
         HttpServer_Destroy(port->server);
+        HttpCancelSet_Destroy(port->cancels);
         g_free(port);
     }
 }
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -1,6 +1,7 @@
 #include "quota/quota.h"
 
 #include <inttypes.h>
+#include <math.h>
 #include <pthread.h>
 #include <tirpc/rpc/rpc.h>
 #include <urcu.h>
@@ -182,11 +183,11 @@
     count = find_count(quota, team->hash, now);
     note_report(quota, count, host, draw, now);
     reports = g_hash_table_size(count->reporters);
-    limit = (int64_t)(_Quota_StartLimit(&quota->desc, team,
-                                        now - quota->started,
-                                        MAX(hosts, reports), reports,
-                                        count->reported) *
-                      KEEPER_SHARE);
+    limit = llround(_Quota_StartLimit(&quota->desc, team,
+                                      now - quota->started,
+                                      MAX(hosts, reports), reports,
+                                      count->reported) *
+                    KEEPER_SHARE);
     taken = QuotaWindow_Count(&count->kept, now) < limit &&
             QuotaWindow_Take(&count->surge, surge, now) &&
             QuotaWindow_Take(&count->kept, limit, now);
@@ -212,8 +213,7 @@
     ClockMs now = Clock_Now();
     double share =
         has_lost_keeper(quota, team) ? KEEPER_SHARE : DEPUTY_SHARE;
-    int64_t limit =
-        (int64_t)(_Quota_SteadyLimit(&quota->desc, team) * share);
+    int64_t limit = llround(_Quota_SteadyLimit(&quota->desc, team) * share);
     gboolean taken;
 
     pthread_mutex_lock(&quota->lock);
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -299,6 +299,14 @@
     };
 }
 
+/* A near backend server that has joined and was not asked yet. */
+static gboolean
+is_newcomer(const RosterRow *row)
+{
+    return row->reported == 0 && row->unreachable_since == 0 &&
+           row->tier <= ROSTER_SAME_DATA_CENTRE;
+}
+
 /* Whether the backend server should be tried just to learn about it. */
 static gboolean
 wants_exploring(const RosterRow *row, const RosterQuery *query, ClockMs now)
@@ -306,9 +314,12 @@
     ClockMs limit = row->tier == ROSTER_SAME_REGION ? EXPLORE_REGION_MS
                                                     : EXPLORE_NEAR_MS;
 
-    return query->may_explore && row->tier <= ROSTER_SAME_REGION &&
-           row->reported > 0 &&
-           row->report.idle_ms + (now - row->reported) > limit;
+    if (!query->may_explore) {
+        return FALSE;
+    }
+    return is_newcomer(row) ||
+           (row->tier <= ROSTER_SAME_REGION && row->reported > 0 &&
+            row->report.idle_ms + (now - row->reported) > limit);
 }
 
 static double
@@ -322,7 +333,7 @@
     double load = (double)row->report.in_flight / MAX(row->entry.slots, 1);
     double cost;
 
-    if (!recent) {
+    if (!recent && !is_newcomer(row)) {
         risk = MAX(risk, mean->risk);
         wait_ms = MAX(wait_ms, mean->wait_ms);
     }
--- a/src/roster/test_roster.c
+++ b/src/roster/test_roster.c
@@ -181,6 +181,7 @@
     RosterReport sound = report(0.01, 0);
 
     Roster_Report(roster, Rng_HashString("self"), &sound, 3000);
+    Roster_Report(roster, Rng_HashString("region"), &sound, 3000);
     Roster_Report(roster, Rng_HashString("near"), &sick, 1000);
     g_assert_cmpstr(choose(roster, &wanted, 3000), ==, "self");
     wanted.may_explore = TRUE;
@@ -189,6 +190,27 @@
     Roster_Destroy(roster);
 }
 
+/* Guards against a backend server that joined and gets nothing, because those
+ * that are known look better (found on a calm day of the users' bench), and
+ * against one that is out of reach and is taken for new again and again. */
+static void
+test_newcomer(void)
+{
+    Roster *roster = make_fleet();
+    RosterQuery wanted = query();
+    RosterReport sound = report(0.01, 0);
+
+    Roster_Report(roster, Rng_HashString("self"), &sound, 1000);
+    Roster_Report(roster, Rng_HashString("near"), &sound, 1000);
+    add(roster, "new", "dc1", "r1", "i9");
+    g_assert_cmpstr(choose(roster, &wanted, 1010), !=, "new");
+    wanted.may_explore = TRUE;
+    g_assert_cmpstr(choose(roster, &wanted, 1010), ==, "new");
+    Roster_NoteUnreachable(roster, Rng_HashString("new"), 1010);
+    g_assert_cmpstr(choose(roster, &wanted, 9000), !=, "new");
+    Roster_Destroy(roster);
+}
+
 /* Guards against a flight to hosts of which nothing is known when all known
  * ones do badly, as they do when a whole service is shedding. */
 static void
@@ -261,6 +283,7 @@
     g_test_add_func("/roster/choice", test_choice);
     g_test_add_func("/roster/unreachable", test_unreachable);
     g_test_add_func("/roster/exploration", test_exploration);
+    g_test_add_func("/roster/newcomer", test_newcomer);
     g_test_add_func("/roster/unknown-far", test_unknown_far);
     g_test_add_func("/roster/rank", test_rank);
     g_test_add_func("/roster/retain", test_retain);
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -207,8 +207,10 @@
     done = Gateway_Drain(sidecar->gateway, abandon);
     done = PeerPort_Drain(sidecar->peer_port, abandon) && done;
     if (!done) {
+        PeerPort_Abandon(sidecar->peer_port);
         Gateway_Abandon(sidecar->gateway);
         (void)Gateway_Drain(sidecar->gateway, end);
+        (void)PeerPort_Drain(sidecar->peer_port, end);
     }
     Log_Event(LOG_STOPPED, "drained=%d after_ms=%" PRId64, done,
               Clock_Now() - started);
