--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -54,8 +54,8 @@
     unsigned failed_calls; /* that no failed request was put down to yet */
     ClockMs failed_call;   /* time of the last one */
     ClockMs last_sent;     /* time of the last request */
-    GArray *running;  /* ClockMs, starts of the requests that run */
-    GPtrArray *queue; /* Waiter, next one first */
+    GArray *running;       /* ClockMs, starts of the requests that run */
+    GPtrArray *queue;      /* Waiter, next one first */
 };
 
 Backend *
@@ -140,9 +140,10 @@
         pthread_mutex_unlock(&backend->lock);
         return FALSE;
     }
-    changed = strcmp(backend->announcement.instance, announcement->instance) ||
-              backend->announcement.born != announcement->born ||
-              backend->state == BACKEND_UNKNOWN;
+    changed =
+        strcmp(backend->announcement.instance, announcement->instance) != 0 ||
+        backend->announcement.born != announcement->born ||
+        backend->state == BACKEND_UNKNOWN;
     if (changed) {
         start_instance(backend, announcement);
     }
@@ -200,8 +201,7 @@
 static ClockMs
 stall_limit(const Backend *backend)
 {
-    return MAX(LEAST_STALL_MS,
-               (ClockMs)(STALL_FACTOR * backend->service_ms));
+    return MAX(LEAST_STALL_MS, (ClockMs)(STALL_FACTOR * backend->service_ms));
 }
 
 /* Called with the lock held. */
@@ -235,8 +235,7 @@
         .in_flight = backend->running->len,
         .waiting = backend->queue->len,
         .service_ms = (ClockMs)backend->service_ms,
-        .idle_ms =
-            backend->running->len > 0 ? 0 : now - backend->last_sent,
+        .idle_ms = backend->running->len > 0 ? 0 : now - backend->last_sent,
         .leaving = backend->closed || backend->state != BACKEND_READY,
     };
 }
@@ -353,8 +352,7 @@
             result = RESULT_DEADLINE_EXPIRED;
         }
         else {
-            wait_a_while(backend,
-                         MIN(call->deadline - now, CANCEL_CHECK_MS));
+            wait_a_while(backend, MIN(call->deadline - now, CANCEL_CHECK_MS));
         }
     }
     if (waiter.admitted) {
@@ -409,8 +407,8 @@
     switch (reply->result) {
     case RESULT_OK:
         GrayFilter_Observe(&backend->filter, FALSE, now);
-        backend->service_ms += SERVICE_WEIGHT * ((double)reply->server_ms -
-                                                 backend->service_ms);
+        backend->service_ms +=
+            SERVICE_WEIGHT * ((double)reply->server_ms - backend->service_ms);
         return;
     case RESULT_CANCELLED:
     case RESULT_DEADLINE_EXPIRED:
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -14,10 +14,10 @@
  *     Backend_Destroy() once no call runs.
  *
  * Admission: a request for another service is refused, since its sender knows
- * an earlier user of this host's address. It is refused as not run, too, when the backend server is
- * leaving or unknown, when its risk of a gray failure is above what the sender
- * accepts, or when the expected wait for a slot is. Otherwise it waits in the
- * order of priority and deadline.
+ * an earlier user of this host's address. It is refused as not run, too, when
+ * the backend server is leaving or unknown, when its risk of a gray failure is
+ * above what the sender accepts, or when the expected wait for a slot is.
+ * Otherwise it waits in the order of priority and deadline.
  *
  * Announcements are ordered by the start of the instance, then by sequence
  * number; one that is older than the newest changes nothing.
@@ -82,8 +82,8 @@
 typedef struct BackendCall {
     const char *request_id;
     const char *service; /* that may run it */
-    const char *team;   /* NULL: none */
-    const char *caller; /* service where the request began */
+    const char *team;    /* NULL: none */
+    const char *caller;  /* service where the request began */
     const char *method;
     const char *target;
     const char *host;
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -76,9 +76,8 @@
 static void
 write_line(const char *line, size_t bytes)
 {
-    struct pollfd output = {
-        .fd = fileno(setup.stream ? setup.stream : stderr),
-        .events = POLLOUT};
+    struct pollfd output = {.fd = fileno(setup.stream ? setup.stream : stderr),
+                            .events = POLLOUT};
 
     if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0 ||
         write(output.fd, line, bytes) != (ssize_t)bytes) {
@@ -97,8 +96,7 @@
 
     gmtime_r(&seconds, &parts);
     length = strftime(text, bytes, "%Y-%m-%dT%H:%M:%S", &parts);
-    (void)snprintf(text + length, bytes - length, ".%03dZ",
-                   (int)(now % 1000));
+    (void)snprintf(text + length, bytes - length, ".%03dZ", (int)(now % 1000));
 }
 
 static int
@@ -136,9 +134,8 @@
     int length;
 
     format_time(time, sizeof(time));
-    length = setup.json
-                 ? format_json(line, sizeof(line), row, time, fields)
-                 : format_text(line, sizeof(line), row, time, fields);
+    length = setup.json ? format_json(line, sizeof(line), row, time, fields)
+                        : format_text(line, sizeof(line), row, time, fields);
     if (length >= (int)sizeof(line)) {
         length = (int)sizeof(line) - 1;
         line[length - 1] = '\n';
--- a/src/catalog/catalog_table.c
+++ b/src/catalog/catalog_table.c
@@ -49,8 +49,7 @@
     table->desc = *desc;
     table->hosts =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_routes);
-    table->keys =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    table->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     table->teams =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_team);
     return table;
--- a/src/catalog/catalog_table.h
+++ b/src/catalog/catalog_table.h
@@ -27,7 +27,7 @@
 
 typedef struct CatalogTeam {
     char *name;
-    uint64_t hash; /* Rng_HashString() of the name */
+    uint64_t hash;      /* Rng_HashString() of the name */
     int64_t rate_per_s; /* 0: no limit */
     int64_t burst;      /* requests */
     gboolean has_priority;
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -113,8 +113,7 @@
 {
     struct signalfd_siginfo info;
     GError *error = NULL;
-    Sidecar *sidecar =
-        Sidecar_Create(settings, Platform_Adapter(), &error);
+    Sidecar *sidecar = Sidecar_Create(settings, Platform_Adapter(), &error);
 
     if (sidecar == NULL) {
         return fail_to_start(error);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -9,11 +9,10 @@
 #include "gateway/peer_wire.h"
 
 /* When a caller may come back after a refusal, in milliseconds: after a lack
- * of free or sound backend servers, after a lack of contact to the store, and
- * after its team's rate was used up. */
+ * of free or sound backend servers, and after a lack of contact to the store
+ * or when its team's rate is used up. */
 #define RETRY_BUSY_MS 300
-#define RETRY_ISOLATED_MS 1000
-#define RETRY_QUOTA_MS 1000
+#define RETRY_LATER_MS 1000
 
 /* Refusals spread their callers over this share more. */
 #define RETRY_SPREAD 0.5
@@ -23,10 +22,9 @@
 {
     switch (result) {
     case RESULT_RATE_EXCEEDED:
-        return RETRY_QUOTA_MS;
     case RESULT_ISOLATED:
     case RESULT_NOT_CONFIGURED:
-        return RETRY_ISOLATED_MS;
+        return RETRY_LATER_MS;
     default:
         return RETRY_BUSY_MS;
     }
@@ -166,8 +164,8 @@
     Gateway *gateway = context;
     GatewayRequest request = {.gateway = gateway, .http = http};
 
-    request.call.request_id = HttpHeaders_Get(
-        HttpRequest_Headers(http), gateway->desc.names->request_id);
+    request.call.request_id = HttpHeaders_Get(HttpRequest_Headers(http),
+                                              gateway->desc.names->request_id);
     fill_refusal(gateway, &request, result, RUN_NO, answer);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -35,16 +35,16 @@
     struct sockaddr_in address;
     unsigned threads;
     size_t max_body_bytes;
-    const char *host;        /* own name */
-    const char *service;     /* of the backend server on this host */
+    const char *host;    /* own name */
+    const char *service; /* of the backend server on this host */
     const WireNames *names;
     Catalog *catalog;
     Roster *roster;
     Backend *backend;
     Quota *quota;
     HttpClient *client;
-    ClockMs proof_ms;        /* age up to which a configuration is fresh */
-    double retry_ratio;      /* repeats as a share of requests */
+    ClockMs proof_ms;         /* age up to which a configuration is fresh */
+    double retry_ratio;       /* repeats as a share of requests */
     int64_t retry_per_minute; /* repeats of this host at any traffic */
 } Gateway_desc;
 
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -91,8 +91,8 @@
     ClockMs now = Clock_Now();
 
     pthread_mutex_lock(&gateway->lock);
-    RetryBudget_Request(
-        find_budget(gateway, request->part->service_hash, now), now);
+    RetryBudget_Request(find_budget(gateway, request->part->service_hash, now),
+                        now);
     pthread_mutex_unlock(&gateway->lock);
 }
 
@@ -115,9 +115,9 @@
     RetryDecision decision;
 
     pthread_mutex_lock(&gateway->lock);
-    decision = Retry_Decide(
-        find_budget(gateway, request->part->service_hash, now), NULL, &input,
-        now, &gateway->rng);
+    decision =
+        Retry_Decide(find_budget(gateway, request->part->service_hash, now),
+                     NULL, &input, now, &gateway->rng);
     pthread_mutex_unlock(&gateway->lock);
     if (decision.reason == RETRY_AGAIN) {
         Counter_Retry(reply->result);
@@ -217,9 +217,8 @@
     call->patience_ms =
         MAX(share, ATTEMPT_SERVICE_TIMES * choice->service_ms) +
         choice->wait_ms;
-    call->give_up = request->has_repeat && request->arrivals == 0
-                        ? give_up_attempt
-                        : NULL;
+    call->give_up =
+        request->has_repeat && request->arrivals == 0 ? give_up_attempt : NULL;
     call->give_up_context = request;
 }
 
@@ -233,20 +232,20 @@
     HttpPatience patience = {.until = now + call->patience_ms,
                              .give_up = call->give_up,
                              .context = request};
-    HttpCall http = {
-        .address = choice->entry.peer,
-        .method = call->method,
-        .target = call->target,
-        .host = call->host,
-        .headers = &headers,
-        .body = call->body,
-        .body_bytes = call->body_bytes,
-        .deadline = call->deadline + RETURN_MS,
-        .connect_ms = choice->tier == ROSTER_OTHER_REGION ? CONNECT_FAR_MS
-                                                          : CONNECT_NEAR_MS,
-        .max_idle_ms = call->idempotent ? 0 : FRESH_IDLE_MS,
-        .patience = call->give_up ? &patience : NULL,
-        .cancel = call->cancel};
+    HttpCall http = {.address = choice->entry.peer,
+                     .method = call->method,
+                     .target = call->target,
+                     .host = call->host,
+                     .headers = &headers,
+                     .body = call->body,
+                     .body_bytes = call->body_bytes,
+                     .deadline = call->deadline + RETURN_MS,
+                     .connect_ms = choice->tier == ROSTER_OTHER_REGION
+                                       ? CONNECT_FAR_MS
+                                       : CONNECT_NEAR_MS,
+                     .max_idle_ms = call->idempotent ? 0 : FRESH_IDLE_MS,
+                     .patience = call->give_up ? &patience : NULL,
+                     .cancel = call->cancel};
     gboolean sent;
 
     for (size_t i = 0; i < call->headers->count; i++) {
@@ -275,6 +274,20 @@
     reply->arrived = sent;
 }
 
+/* Whether the reply shows that the host is not what the roster says, or is out
+ * of reach. */
+static gboolean
+is_out_of_reach(const GatewayRequest *request, const BackendReply *reply,
+                ClockMs now)
+{
+    if (reply->result == RESULT_BACKEND_SERVER_OTHER) {
+        return !reply->arrived;
+    }
+    return reply->report.slots == 0 && reply->result != RESULT_CANCELLED &&
+           (reply->result != RESULT_DEADLINE_EXPIRED ||
+            now < request->deadline);
+}
+
 /* Learns from the reply for the choices to come. */
 static void
 note_reply(GatewayRequest *request, const RosterChoice *choice,
@@ -284,17 +297,12 @@
     ClockMs now = Clock_Now();
 
     add_to(request->asked, &request->asked_count, choice->host);
-    if (reply->result == RESULT_BACKEND_SERVER_OTHER && !reply->arrived) {
+    if (is_out_of_reach(request, reply, now)) {
         Roster_NoteUnreachable(roster, choice->host, now);
     }
     else if (reply->report.slots > 0) {
         Roster_Report(roster, choice->host, &reply->report, now);
     }
-    else if (reply->result != RESULT_CANCELLED &&
-             (reply->result != RESULT_DEADLINE_EXPIRED ||
-              now < request->deadline)) {
-        Roster_NoteUnreachable(roster, choice->host, now);
-    }
     switch (reply->result) {
     case RESULT_BACKEND_SERVER_EJECTED:
     case RESULT_BACKEND_SERVER_BUSY:
@@ -376,8 +384,7 @@
     RosterChoice choice;
     gboolean maybe_run = FALSE;
 
-    *reply = (BackendReply){.result = RESULT_NO_BACKEND_SERVER,
-                            .run = RUN_NO};
+    *reply = (BackendReply){.result = RESULT_NO_BACKEND_SERVER, .run = RUN_NO};
     count_request(request);
     for (int round = 0; round < MOST_ROUNDS; round++) {
         if (Clock_Now() >= request->deadline) {
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -16,9 +16,9 @@
     uint64_t host; /* hash of the own name */
     HttpServer *server;
     HttpCancelSet *cancels; /* of the requests in flight */
-    pthread_mutex_t lock; /* for what follows */
-    GHashTable *budgets;  /* service hash -> RetryBudget */
-    ClockMs leave_until;  /* requests end by then; CLOCK_NEVER */
+    pthread_mutex_t lock;   /* for what follows */
+    GHashTable *budgets;    /* service hash -> RetryBudget */
+    ClockMs leave_until;    /* requests end by then; CLOCK_NEVER */
     Rng rng;
 };
 
@@ -34,14 +34,14 @@
     HttpHeaders forwarded;
     BackendCall call;
     ClockMs arrived;
-    ClockMs deadline; /* of the caller, or the route's timeout if earlier */
+    ClockMs deadline;    /* of the caller, or the route's timeout if earlier */
     ClockMs target_time; /* an answer is in time until then */
     ClockMs proof_age;
     QuotaSource quota_source;
-    double failure_cost; /* of the next attempt, as a share of the worth */
-    gboolean has_repeat; /* a failure of it could be repaired */
+    double failure_cost;   /* of the next attempt, as a share of the worth */
+    gboolean has_repeat;   /* a failure of it could be repaired */
     gboolean repeat_taken; /* from the budget, for an attempt given up */
-    uint32_t arrivals; /* attempts that reached a backend server */
+    uint32_t arrivals;     /* attempts that reached a backend server */
     uint64_t avoided[ROSTER_MAX_TRIED]; /* hosts that cannot serve it */
     uint32_t avoided_count;
     uint64_t asked[ROSTER_MAX_TRIED]; /* hosts whose state is known */
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -25,11 +25,17 @@
 gboolean
 PeerWire_IsHopHeader(const char *name)
 {
-    static const char *const names[] = {
-        "Connection",       "Keep-Alive", "Proxy-Connection",
-        "Transfer-Encoding", "TE",         "Trailer",
-        "Upgrade",          "Expect",     "Content-Length",
-        "Host",             "Date"};
+    static const char *const names[] = {"Connection",
+                                        "Keep-Alive",
+                                        "Proxy-Connection",
+                                        "Transfer-Encoding",
+                                        "TE",
+                                        "Trailer",
+                                        "Upgrade",
+                                        "Expect",
+                                        "Content-Length",
+                                        "Host",
+                                        "Date"};
 
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
         if (g_ascii_strcasecmp(name, names[i]) == 0) {
@@ -84,7 +90,8 @@
     const RosterReport *report = &reply->report;
     char line[LINE_BYTES];
 
-    (void)snprintf(line, sizeof(line), "%d %d %d %.3f %u %u %u %" PRId64 " %" PRId64 " %d",
+    (void)snprintf(line, sizeof(line),
+                   "%d %d %d %.3f %u %u %u %" PRId64 " %" PRId64 " %d",
                    (int)reply->result, (int)reply->run, reply->arrived,
                    report->risk, report->slots, report->in_flight,
                    report->waiting, report->service_ms, report->idle_ms,
@@ -102,8 +109,7 @@
 
     if (line == NULL ||
         sscanf(line, "%d %d %d %lf %u %u %u %" SCNd64 " %" SCNd64 " %d",
-               &result, &run,
-               &reply->arrived, &report->risk, &report->slots,
+               &result, &run, &reply->arrived, &report->risk, &report->slots,
                &report->in_flight, &report->waiting, &report->service_ms,
                &report->idle_ms, &report->leaving) != 10 ||
         run < RUN_NO || run > RUN_UNKNOWN ||
--- a/src/health/test_gray_filter.c
+++ b/src/health/test_gray_filter.c
@@ -13,10 +13,10 @@
         double least;
         double most;
     } cases[] = {
-        {"", 0.1, 0.2},         {"ssss", 0, 0.02},
-        {"ssssf", 0.1, 0.5},    {"ssssff", 0.8, 1},
-        {"ssssfsss", 0, 0.05},  {"ffff", 0.95, 1},
-        {"ffffssss", 0, 0.2},   {"ssssfssssfssss", 0, 0.05},
+        {"", 0.1, 0.2},        {"ssss", 0, 0.02},
+        {"ssssf", 0.1, 0.5},   {"ssssff", 0.8, 1},
+        {"ssssfsss", 0, 0.05}, {"ffff", 0.95, 1},
+        {"ffffssss", 0, 0.2},  {"ssssfssssfssss", 0, 0.05},
         {"sfsfsfsf", 0.5, 1},
     };
 
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -346,8 +346,8 @@
     ClockMs limit =
         call->connect_ms > 0 ? call->connect_ms : client->desc.connect_ms;
     ClockMs deadline = MIN(call->deadline, Clock_Now() + limit);
-    Result result = HttpConnection_Open(
-        &call->address, deadline, client->desc.silence_ms, connection);
+    Result result = HttpConnection_Open(&call->address, deadline,
+                                        client->desc.silence_ms, connection);
 
     if (result != RESULT_OK && Clock_Now() >= call->deadline) {
         result = RESULT_DEADLINE_EXPIRED;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -38,7 +38,7 @@
 typedef struct HttpClient_desc {
     unsigned max_idle_per_address; /* default 16 */
     ClockMs max_idle_ms;           /* default 10,000 */
-    ClockMs connect_ms;      /* longest time to connect, default 1,000 */
+    ClockMs connect_ms;            /* longest time to connect, default 1,000 */
     ClockMs silence_ms;      /* unacknowledged data ends a connection, default
                                 1,000 */
     size_t max_answer_bytes; /* default 16 MiB */
--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -22,7 +22,7 @@
 struct HttpConnection {
     int fd;
     const HttpPatience *patience; /* NULL: none, or asked already */
-    size_t first; /* unread bytes: buffer[first..last) */
+    size_t first;                 /* unread bytes: buffer[first..last) */
     size_t last;
     char buffer[READ_BYTES];
 };
@@ -317,9 +317,9 @@
     size_t unread = connection->last - connection->first;
     size_t part = MIN(bytes, unread);
 
-    g_byte_array_append(
-        body, (const guint8 *)connection->buffer + connection->first,
-        (guint)part);
+    g_byte_array_append(body,
+                        (const guint8 *)connection->buffer + connection->first,
+                        (guint)part);
     connection->first += part;
 }
 
@@ -487,8 +487,7 @@
     }
     *reusable = !says_close(answer);
     body = g_byte_array_new();
-    result =
-        read_body(connection, rules, answer, body, deadline, reusable);
+    result = read_body(connection, rules, answer, body, deadline, reusable);
     if (result != RESULT_OK) {
         *reusable = FALSE;
     }
@@ -502,6 +501,5 @@
 {
     struct pollfd poll_fd = {.fd = connection->fd, .events = POLLIN};
 
-    return connection->first == connection->last &&
-           poll(&poll_fd, 1, 0) == 0;
+    return connection->first == connection->last && poll(&poll_fd, 1, 0) == 0;
 }
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -67,9 +67,9 @@
     atomic_bool leaving;  /* answers close their connections */
     atomic_bool draining; /* no new connections */
     pthread_t watcher;
-    int hang_ups;        /* epoll set of suspended connections */
-    int watcher_wake;    /* eventfd */
-    unsigned deadlines;  /* requests in flight that have one; with the lock */
+    int hang_ups;       /* epoll set of suspended connections */
+    int watcher_wake;   /* eventfd */
+    unsigned deadlines; /* requests in flight that have one; with the lock */
     atomic_bool stopping;
 };
 
@@ -201,9 +201,8 @@
         request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     struct epoll_event event = {.events = EPOLLRDHUP | EPOLLONESHOT};
 
-    if (info != NULL &&
-        epoll_ctl(server->hang_ups, EPOLL_CTL_ADD, info->connect_fd, &event) ==
-            0) {
+    if (info != NULL && epoll_ctl(server->hang_ups, EPOLL_CTL_ADD,
+                                  info->connect_fd, &event) == 0) {
         request->watched_fd = info->connect_fd;
     }
 }
@@ -434,7 +433,8 @@
     }
 }
 
-/* Sleeps until a caller hangs up or, while there are deadlines, for a while. */
+/* Sleeps until a caller hangs up or, while there are deadlines, for a while.
+ */
 static void *
 watch_requests(void *context)
 {
--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -43,7 +43,8 @@
 is_avoided(const Mirror *mirror, uint64_t host, ClockMs now)
 {
     for (unsigned i = 0; i < MOST_NEIGHBOURS; i++) {
-        if (mirror->avoided[i].host == host && now < mirror->avoided[i].until) {
+        if (mirror->avoided[i].host == host &&
+            now < mirror->avoided[i].until) {
             return TRUE;
         }
     }
@@ -101,10 +102,10 @@
     size_t index;
     gboolean valid;
 
-    valid = root != NULL &&
-            json_unpack(root, "{s:I, s:I, s:I, s:o}", "revision", &revision,
-                        "held_ms", &held, "age_ms", &age, "objects",
-                        &objects) == 0;
+    valid =
+        root != NULL && json_unpack(root, "{s:I, s:I, s:I, s:o}", "revision",
+                                    &revision, "held_ms", &held, "age_ms",
+                                    &age, "objects", &objects) == 0;
     json_array_foreach(objects, index, item)
     {
         ObjectRecord record = {0};
@@ -135,9 +136,9 @@
 ask_neighbour(Mirror *mirror, const RosterPeer *peer, const char *kind,
               int64_t since, ClockMs wait_ms, ObjectPage *page)
 {
-    char *target = g_strdup_printf(
-        MIRROR_PATH "%s?since=%" PRId64 "&wait_ms=%" PRId64, kind, since,
-        wait_ms);
+    char *target =
+        g_strdup_printf(MIRROR_PATH "%s?since=%" PRId64 "&wait_ms=%" PRId64,
+                        kind, since, wait_ms);
     HttpAnswer answer = {0};
     HttpCall call = {.address = peer->mirror,
                      .method = "GET",
@@ -173,8 +174,8 @@
 
 /* Reads through the neighbour; FALSE if the store has to be read. */
 static gboolean
-read_neighbour(Mirror *mirror, const char *kind, int64_t since, ClockMs wait_ms,
-               ObjectPage *page, Result *result)
+read_neighbour(Mirror *mirror, const char *kind, int64_t since,
+               ClockMs wait_ms, ObjectPage *page, Result *result)
 {
     RosterPeer peer;
 
@@ -264,11 +265,11 @@
 
     mirror->desc = *desc;
     mirror->functions = (ObjectStore){.context = mirror,
-                                     .list = list,
-                                     .watch = watch,
-                                     .get = get,
-                                     .put = put,
-                                     .remove = remove_object};
+                                      .list = list,
+                                      .watch = watch,
+                                      .get = get,
+                                      .put = put,
+                                      .remove = remove_object};
     mirror->group_seed = Rng_HashString(desc->host);
     return mirror;
 }
--- a/src/mirror/mirror.h
+++ b/src/mirror/mirror.h
@@ -5,13 +5,13 @@
  * priced, and traffic between regions is paid, while traffic inside a data
  * centre is neither. The host is the first in the rendezvous order of kind and
  * group. A neighbour that fails, that does not follow the store itself or
- * whose state is too old is left out for MIRROR_AVOID_MS, and the store is read
- * at once.
+ * whose state is too old is left out for MIRROR_AVOID_MS, and the store is
+ * read at once.
  *
  * Use:
  *  1. Mirror_Create() with the store and the roster.
- *  2. Give Mirror_AsStore() to an ObjectSync; one Mirror for each kind. Reads of
- *     single objects and writes go to the store.
+ *  2. Give Mirror_AsStore() to an ObjectSync; one Mirror for each kind. Reads
+ * of single objects and writes go to the store.
  *  3. Mirror_IsDirect() tells others whether the last answer came from the
  *     store.
  *
--- a/src/mirror/mirror_cache.c
+++ b/src/mirror/mirror_cache.c
@@ -5,8 +5,8 @@
 
 typedef struct Entry {
     ObjectRecord record;
-    int64_t seen;   /* revision of the answer that brought it */
-    ClockMs noted;  /* local time of that */
+    int64_t seen;  /* revision of the answer that brought it */
+    ClockMs noted; /* local time of that */
 } Entry;
 
 struct MirrorCache {
@@ -74,7 +74,7 @@
 
 void
 MirrorCache_Change(MirrorCache *cache, const ObjectRecord *record,
-                  int64_t revision)
+                   int64_t revision)
 {
     const Entry *entry;
 
--- a/src/mirror/mirror_cache.h
+++ b/src/mirror/mirror_cache.h
@@ -28,7 +28,7 @@
 void MirrorCache_Destroy(MirrorCache *cache);
 
 void MirrorCache_Change(MirrorCache *cache, const ObjectRecord *record,
-                       int64_t revision);
+                        int64_t revision);
 void MirrorCache_List(MirrorCache *cache, GHashTable *names, int64_t revision);
 
 /* Everything up to the revision has been passed in, and was the newest state
@@ -42,6 +42,7 @@
 /* Fills the page with all changes after the revision, or with all objects if
  * it is negative. RESULT_STORE_HISTORY_GONE if deletions since then have been
  * forgotten; RESULT_STORE_UNAVAILABLE if there is no complete state yet. */
-Result MirrorCache_Read(MirrorCache *cache, int64_t revision, ObjectPage *page);
+Result MirrorCache_Read(MirrorCache *cache, int64_t revision,
+                        ObjectPage *page);
 
 #endif
--- a/src/mirror/mirror_port.c
+++ b/src/mirror/mirror_port.c
@@ -19,7 +19,8 @@
         return NULL;
     }
     for (unsigned i = 0; i < port->desc.kind_count; i++) {
-        if (strcmp(port->desc.kinds[i].kind, path + strlen(MIRROR_PATH)) == 0) {
+        if (strcmp(port->desc.kinds[i].kind, path + strlen(MIRROR_PATH)) ==
+            0) {
             return &port->desc.kinds[i];
         }
     }
@@ -73,8 +74,8 @@
     }
     result = MirrorCache_Read(kind->cache, since, page);
     page->held_ms = Clock_Now() - started;
-    if (result == RESULT_OK && (page->age_ms > kind->max_age_ms ||
-                                !kind->is_direct(kind->context))) {
+    if (result == RESULT_OK &&
+        (page->age_ms > kind->max_age_ms || !kind->is_direct(kind->context))) {
         result = RESULT_STORE_UNAVAILABLE;
     }
     return result;
--- a/src/objects/object_store.c
+++ b/src/objects/object_store.c
@@ -17,8 +17,8 @@
 void
 ObjectPage_Init(ObjectPage *page)
 {
-    *page = (ObjectPage){
-        .records = g_array_new(FALSE, TRUE, sizeof(ObjectRecord))};
+    *page = (ObjectPage){.records =
+                             g_array_new(FALSE, TRUE, sizeof(ObjectRecord))};
     g_array_set_clear_func(page->records, clear_record);
 }
 
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -30,7 +30,7 @@
 } ObjectRecord;
 
 typedef struct ObjectPage {
-    GArray *records; /* ObjectRecord */
+    GArray *records;  /* ObjectRecord */
     int64_t revision; /* of the store */
     gboolean more;    /* a list goes on behind the last name */
     ClockMs held_ms;  /* the answer was not made earlier than so long after the
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -135,8 +135,8 @@
 
     while (more && result == RESULT_OK) {
         ObjectPage_Init(&page);
-        result = store->list(store->context, sync->desc.kind, after, FALSE,
-                             &page);
+        result =
+            store->list(store->context, sync->desc.kind, after, FALSE, &page);
         if (result == RESULT_OK) {
             pass_on(sync, &page, names);
             first = after[0] == '\0' ? page : first;
@@ -204,8 +204,8 @@
     rcu_register_thread();
     while (!stopping) {
         changed = FALSE;
-        result = sync->revision < 0 ? list_all(sync)
-                                    : watch_once(sync, &changed);
+        result =
+            sync->revision < 0 ? list_all(sync) : watch_once(sync, &changed);
         if (result == RESULT_OK) {
             note_success(sync);
             stopping = pause_for(sync, changed ? sync->desc.pause_ms : 0);
--- a/src/objects/object_sync.h
+++ b/src/objects/object_sync.h
@@ -10,8 +10,8 @@
  * are logged once each.
  *
  * Callbacks run on the thread, each with the store's revision of the answer.
- * `changed` gets each object and each deletion; after a full list `listed` gets
- * the names that exist, so that others can be dropped. `confirmed` gets a
+ * `changed` gets each object and each deletion; after a full list `listed`
+ * gets the names that exist, so that others can be dropped. `confirmed` gets a
  * moment at which everything that was passed on so far was the newest state;
  * with `stale` it means nothing.
  */
@@ -25,11 +25,11 @@
 typedef struct ObjectSync_desc {
     const ObjectStore *store;
     const char *kind;
-    ClockMs wait_ms;     /* of one watch (20,000) */
-    gboolean prove;      /* confirm soon after each change, too */
-    ClockMs pause_ms;    /* between two watches that both brought changes, so
-                            that a series of changes costs few calls (0) */
-    gboolean stale;      /* watches may lag by seconds */
+    ClockMs wait_ms;  /* of one watch (20,000) */
+    gboolean prove;   /* confirm soon after each change, too */
+    ClockMs pause_ms; /* between two watches that both brought changes, so
+                         that a series of changes costs few calls (0) */
+    gboolean stale;   /* watches may lag by seconds */
     void (*changed)(void *context, const ObjectRecord *record,
                     int64_t revision);
     void (*listed)(void *context, GHashTable *names,
--- a/src/objects/object_writer.c
+++ b/src/objects/object_writer.c
@@ -149,11 +149,11 @@
                              ? FIRST_BACKOFF_MS
                              : MIN(2 * backoff_ms, MOST_BACKOFF_MS);
         }
-        pause_ms = backoff_ms == 0
-                       ? 0
-                       : backoff_ms / 2 + (ClockMs)Rng_Below(
-                                              &writer->rng,
-                                              (uint64_t)backoff_ms);
+        pause_ms =
+            backoff_ms == 0
+                ? 0
+                : backoff_ms / 2 +
+                      (ClockMs)Rng_Below(&writer->rng, (uint64_t)backoff_ms);
     }
     return NULL;
 }
@@ -193,8 +193,7 @@
 {
     pthread_mutex_lock(&writer->lock);
     if (record->revision > writer->revision) {
-        set_stored(writer,
-                   record->deleted ? NULL : json_incref(record->value),
+        set_stored(writer, record->deleted ? NULL : json_incref(record->value),
                    record->deleted ? 0 : record->revision);
         pthread_cond_signal(&writer->wake);
     }
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -44,11 +44,11 @@
 
 typedef struct TeamCount {
     uint64_t team;
-    QuotaWindow kept;  /* as the keeper */
-    QuotaWindow surge; /* the same, over SURGE_MS */
-    QuotaWindow deputed; /* as the deputy */
-    QuotaWindow own;   /* the own part */
-    QuotaWindow taken; /* by this host, whoever counted */
+    QuotaWindow kept;      /* as the keeper */
+    QuotaWindow surge;     /* the same, over SURGE_MS */
+    QuotaWindow deputed;   /* as the deputy */
+    QuotaWindow own;       /* the own part */
+    QuotaWindow taken;     /* by this host, whoever counted */
     GHashTable *reporters; /* hosts that told what they took */
     int64_t reported;      /* the sum of it */
 } TeamCount;
@@ -99,8 +99,8 @@
                   int64_t reported)
 {
     double steady = _Quota_SteadyLimit(desc, team);
-    double left = 1 - (double)(uptime_ms + RESTART_MS) /
-                          (double)MAX(desc->window_ms, 1);
+    double left =
+        1 - (double)(uptime_ms + RESTART_MS) / (double)MAX(desc->window_ms, 1);
     double unknown = steady * CLAMP(START_SURGE * left, 0, 1);
 
     if (reports > 0) {
@@ -183,8 +183,7 @@
     count = find_count(quota, team->hash, now);
     note_report(quota, count, host, draw, now);
     reports = g_hash_table_size(count->reporters);
-    limit = llround(_Quota_StartLimit(&quota->desc, team,
-                                      now - quota->started,
+    limit = llround(_Quota_StartLimit(&quota->desc, team, now - quota->started,
                                       MAX(hosts, reports), reports,
                                       count->reported) *
                     KEEPER_SHARE);
@@ -211,8 +210,7 @@
 take_as_deputy(Quota *quota, const CatalogTeam *team)
 {
     ClockMs now = Clock_Now();
-    double share =
-        has_lost_keeper(quota, team) ? KEEPER_SHARE : DEPUTY_SHARE;
+    double share = has_lost_keeper(quota, team) ? KEEPER_SHARE : DEPUTY_SHARE;
     int64_t limit = llround(_Quota_SteadyLimit(&quota->desc, team) * share);
     gboolean taken;
 
@@ -238,8 +236,8 @@
     ClockMs now = Clock_Now();
     double limit = _Quota_SteadyLimit(&quota->desc, team);
     uint32_t hosts = Roster_CountDataCentre(quota->desc.roster);
-    double part = limit * (1 - KEEPER_SHARE - DEPUTY_SHARE) /
-                  MAX(hosts, LEAST_HOSTS);
+    double part =
+        limit * (1 - KEEPER_SHARE - DEPUTY_SHARE) / MAX(hosts, LEAST_HOSTS);
     gboolean taken;
 
     pthread_mutex_lock(&quota->lock);
--- a/src/quota/quota_window.c
+++ b/src/quota/quota_window.c
@@ -7,8 +7,7 @@
 void
 QuotaWindow_Init(QuotaWindow *window, ClockMs length_ms, ClockMs now)
 {
-    *window =
-        (QuotaWindow){.bucket_ms = MAX(length_ms / QUOTA_BUCKETS, 1)};
+    *window = (QuotaWindow){.bucket_ms = MAX(length_ms / QUOTA_BUCKETS, 1)};
     window->first = now / window->bucket_ms - QUOTA_BUCKETS;
 }
 
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -73,8 +73,8 @@
 struct Roster {
     Roster_desc desc;
     pthread_mutex_t lock;
-    GHashTable *rows;     /* &RosterRow.host -> RosterRow */
-    GHashTable *services; /* service hash -> GPtrArray of RosterRow */
+    GHashTable *rows;      /* &RosterRow.host -> RosterRow */
+    GHashTable *services;  /* service hash -> GPtrArray of RosterRow */
     GPtrArray *neighbours; /* RosterRow of the own data centre, others' */
     Rng rng;
 };
@@ -94,8 +94,9 @@
     pthread_mutex_init(&roster->lock, NULL);
     roster->rows =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-    roster->services = g_hash_table_new_full(
-        g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+    roster->services =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                              (GDestroyNotify)g_ptr_array_unref);
     roster->neighbours = g_ptr_array_new();
     Rng_Seed(&roster->rng, Rng_ProcessSeed());
     return roster;
@@ -260,8 +261,8 @@
     double slots = MAX(row->entry.slots, 1);
     double load = (double)(row->report.in_flight + row->report.waiting) *
                   load_trust(row, now);
-    ClockMs service_ms = row->report.service_ms > 0 ? row->report.service_ms
-                                                    : FIRST_SERVICE_MS;
+    ClockMs service_ms =
+        row->report.service_ms > 0 ? row->report.service_ms : FIRST_SERVICE_MS;
 
     return load < slots
                ? 0
@@ -293,8 +294,8 @@
         }
     }
     return (ServiceMean){
-        .risk = (risk + PRIOR_RISK_REPORTS * prior) /
-                (count + PRIOR_RISK_REPORTS),
+        .risk =
+            (risk + PRIOR_RISK_REPORTS * prior) / (count + PRIOR_RISK_REPORTS),
         .wait_ms = wait_ms / (count + PRIOR_WAIT_REPORTS),
     };
 }
@@ -311,8 +312,8 @@
 static gboolean
 wants_exploring(const RosterRow *row, const RosterQuery *query, ClockMs now)
 {
-    ClockMs limit = row->tier == ROSTER_SAME_REGION ? EXPLORE_REGION_MS
-                                                    : EXPLORE_NEAR_MS;
+    ClockMs limit =
+        row->tier == ROSTER_SAME_REGION ? EXPLORE_REGION_MS : EXPLORE_NEAR_MS;
 
     if (!query->may_explore) {
         return FALSE;
@@ -337,11 +338,10 @@
         risk = MAX(risk, mean->risk);
         wait_ms = MAX(wait_ms, mean->wait_ms);
     }
-    cost =
-        query->failure_cost * GrayFilter_FailShare(&row->filter, risk) +
-        distance_cost(roster, row->tier) +
-        LOAD_COST * MIN(load, 1) * load_trust(row, now) +
-        JITTER_COST * Rng_Unit(&roster->rng);
+    cost = query->failure_cost * GrayFilter_FailShare(&row->filter, risk) +
+           distance_cost(roster, row->tier) +
+           LOAD_COST * MIN(load, 1) * load_trust(row, now) +
+           JITTER_COST * Rng_Unit(&roster->rng);
 
     if (wants_exploring(row, query, now)) {
         return JITTER_COST * Rng_Unit(&roster->rng);
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -60,8 +60,8 @@
 } RosterReport;
 
 typedef struct RosterQuery {
-    uint64_t service;    /* hash of the name */
-    double failure_cost; /* share of the worth that a failure costs */
+    uint64_t service;     /* hash of the name */
+    double failure_cost;  /* share of the worth that a failure costs */
     gboolean may_explore; /* a failure can be repaired by a repeat */
     ClockMs time_left_ms; /* until the answer would come too late */
     uint64_t tried[ROSTER_MAX_TRIED]; /* host hashes that are left out */
@@ -75,10 +75,10 @@
     double cost;
     double other_cost; /* of the second best; above 1 if there is none */
     double distance_cost;
-    ClockMs wait_ms; /* expected wait for a slot */
+    ClockMs wait_ms;    /* expected wait for a slot */
     ClockMs service_ms; /* mean time of a request; 0: not known */
-    gboolean explores; /* chosen to learn about it, whatever its risk */
-    ClockMs age_ms;  /* of the report behind it; CLOCK_NEVER if there is none */
+    gboolean explores;  /* chosen to learn about it, whatever its risk */
+    ClockMs age_ms; /* of the report behind it; CLOCK_NEVER if there is none */
 } RosterChoice;
 
 /* A host of the own data centre, or the own host. */
--- a/src/roster/roster_entry.c
+++ b/src/roster/roster_entry.c
@@ -43,12 +43,11 @@
 
     *entry = (RosterEntry){0};
     if (value == NULL ||
-        json_unpack((json_t *)value,
-                    "{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:b}",
-                    "instance", &instance, "service", &service, "dc",
-                    &data_centre, "region", &region, "peer", &peer, "rpc",
-                    &rpc_port, "mirror", &mirror_port, "slots", &slots,
-                    "leaving", &leaving) != 0) {
+        json_unpack(
+            (json_t *)value, "{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:b}",
+            "instance", &instance, "service", &service, "dc", &data_centre,
+            "region", &region, "peer", &peer, "rpc", &rpc_port, "mirror",
+            &mirror_port, "slots", &slots, "leaving", &leaving) != 0) {
         return FALSE;
     }
     entry->rpc_port = (uint16_t)rpc_port;
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -192,8 +192,7 @@
         return FALSE;
     }
     number = g_ascii_strtod(text, &unit);
-    if (unit == text ||
-        (strcmp(unit, "ms") != 0 && strcmp(unit, "s") != 0)) {
+    if (unit == text || (strcmp(unit, "ms") != 0 && strcmp(unit, "s") != 0)) {
         return FALSE;
     }
     *time = (ClockMs)(unit[0] == 's' ? number * 1000 : number);
@@ -514,10 +513,9 @@
 
         g_string_append_printf(out, "| `%s` | %s | ", row->name, row->form);
         if (row->kind == SETTING_REAL) {
-            g_string_append_printf(out,
-                                   "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
-                                   " | %g | ",
-                                   row->least, row->most, row->real_default);
+            g_string_append_printf(
+                out, "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT " | %g | ",
+                row->least, row->most, row->real_default);
         }
         else if (row->kind == SETTING_NUMBER || row->kind == SETTING_TIME) {
             g_string_append_printf(out,
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -97,22 +97,21 @@
                           .max_body_bytes = (size_t)settings->max_body_bytes,
                           .names = sidecar->adapter->names,
                           .backend = sidecar->backend};
-    Gateway_desc gateway = {
-        .threads = (unsigned)settings->entry_threads,
-        .max_body_bytes = (size_t)settings->max_body_bytes,
-        .host = settings->host,
-        .service = settings->service,
-        .names = sidecar->adapter->names,
-        .catalog = sidecar->catalog,
-        .roster = sidecar->roster,
-        .backend = sidecar->backend,
-        .quota = sidecar->quota,
-        .client = sidecar->client,
-        .proof_ms = sidecar->proof_ms,
-        .retry_ratio = settings->retry_ratio,
-        .retry_per_minute = settings->retry_slack * 60000 /
-                            (settings->retry_window_ms *
-                             settings->fleet_hosts)};
+    Gateway_desc gateway = {.threads = (unsigned)settings->entry_threads,
+                            .max_body_bytes = (size_t)settings->max_body_bytes,
+                            .host = settings->host,
+                            .service = settings->service,
+                            .names = sidecar->adapter->names,
+                            .catalog = sidecar->catalog,
+                            .roster = sidecar->roster,
+                            .backend = sidecar->backend,
+                            .quota = sidecar->quota,
+                            .client = sidecar->client,
+                            .proof_ms = sidecar->proof_ms,
+                            .retry_ratio = settings->retry_ratio,
+                            .retry_per_minute = settings->retry_slack * 60000 /
+                                                (settings->retry_window_ms *
+                                                 settings->fleet_hosts)};
 
     (void)HttpAddress_Parse(settings->peer_address, &peer.address);
     (void)HttpAddress_Parse(settings->entry_address, &gateway.address);
--- a/src/sidecar/sidecar_ports.c
+++ b/src/sidecar/sidecar_ports.c
@@ -42,19 +42,17 @@
         return;
     }
     if (kind == ANNOUNCE_NONE || !is_own(sidecar, &announcement)) {
-        Log_Event(LOG_ANNOUNCEMENT_REFUSED,
-                  "path=%s service=%s reason=%s",
+        Log_Event(LOG_ANNOUNCEMENT_REFUSED, "path=%s service=%s reason=%s",
                   HttpRequest_Path(request), announcement.service,
                   kind == ANNOUNCE_NONE ? "malformed" : "other_server");
         answer_status(request, 400, "{}");
         return;
     }
     if (!Backend_Announce(sidecar->backend, &announcement)) {
-        Log_Event(LOG_ANNOUNCEMENT_REFUSED,
-                  "instance=%s born=%" PRId64 " seq=%" PRId64
-                  " reason=out_of_date",
-                  announcement.instance, announcement.born,
-                  announcement.sequence);
+        Log_Event(
+            LOG_ANNOUNCEMENT_REFUSED,
+            "instance=%s born=%" PRId64 " seq=%" PRId64 " reason=out_of_date",
+            announcement.instance, announcement.born, announcement.sequence);
     }
     answer_status(request, 200, "{}");
 }
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -32,7 +32,8 @@
     GError *error = NULL;
     uint64_t version;
 
-    MirrorCache_Change(sidecar->kinds[SIDECAR_CATALOG].cache, record, revision);
+    MirrorCache_Change(sidecar->kinds[SIDECAR_CATALOG].cache, record,
+                       revision);
     if (record->deleted ||
         strcmp(record->name, sidecar->adapter->catalog_name) != 0) {
         return;
@@ -67,7 +68,7 @@
 
     Catalog_Confirm(sidecar->catalog, moment);
     MirrorCache_Confirm(sidecar->kinds[SIDECAR_CATALOG].cache, moment,
-                       revision);
+                        revision);
 }
 
 static void
@@ -116,7 +117,7 @@
     Sidecar *sidecar = context;
 
     MirrorCache_Confirm(sidecar->kinds[SIDECAR_ROSTER].cache, moment,
-                       revision);
+                        revision);
 }
 
 static void
@@ -125,9 +126,10 @@
 {
     const Settings *settings = sidecar->settings;
 
-    *entry = (RosterEntry){.rpc_port = Rpc_GetPort(sidecar->rpc),
-                           .mirror_port = MirrorPort_Port(sidecar->mirror_port),
-                           .slots = MAX(status->announcement.slots, 1)};
+    *entry =
+        (RosterEntry){.rpc_port = Rpc_GetPort(sidecar->rpc),
+                      .mirror_port = MirrorPort_Port(sidecar->mirror_port),
+                      .slots = MAX(status->announcement.slots, 1)};
     g_strlcpy(entry->host, settings->host, ROSTER_NAME_BYTES);
     g_strlcpy(entry->instance, status->announcement.instance,
               ROSTER_NAME_BYTES);
@@ -162,27 +164,27 @@
 {
     const Settings *settings = sidecar->settings;
     Mirror_desc mirror = {.store = sidecar->store,
-                        .roster = sidecar->roster,
-                        .host = settings->host,
-                        .client = sidecar->mirror_client};
+                          .roster = sidecar->roster,
+                          .host = settings->host,
+                          .client = sidecar->mirror_client};
     MirrorPort_desc port = {.threads = MIRROR_THREADS,
-                           .kinds = sidecar->kinds,
-                           .kind_count = SIDECAR_KINDS};
+                            .kinds = sidecar->kinds,
+                            .kind_count = SIDECAR_KINDS};
 
     sidecar->catalog_mirror = Mirror_Create(&mirror);
     sidecar->roster_mirror = Mirror_Create(&mirror);
     sidecar->kinds[SIDECAR_CATALOG] =
         (MirrorKind){.kind = sidecar->adapter->catalog_kind,
-                    .cache = MirrorCache_Create(),
-                    .max_age_ms = CATALOG_AGE_MS,
-                    .is_direct = Mirror_IsDirect,
-                    .context = sidecar->catalog_mirror};
+                     .cache = MirrorCache_Create(),
+                     .max_age_ms = CATALOG_AGE_MS,
+                     .is_direct = Mirror_IsDirect,
+                     .context = sidecar->catalog_mirror};
     sidecar->kinds[SIDECAR_ROSTER] =
         (MirrorKind){.kind = SIDECAR_ROSTER_KIND,
-                    .cache = MirrorCache_Create(),
-                    .max_age_ms = ROSTER_AGE_MS,
-                    .is_direct = Mirror_IsDirect,
-                    .context = sidecar->roster_mirror};
+                     .cache = MirrorCache_Create(),
+                     .max_age_ms = ROSTER_AGE_MS,
+                     .is_direct = Mirror_IsDirect,
+                     .context = sidecar->roster_mirror};
     (void)HttpAddress_Parse(settings->peer_address, &port.address);
     port.address.sin_port = htons((uint16_t)settings->mirror_port);
     sidecar->mirror_port = MirrorPort_Create(&port, error);
