--- /dev/null
+++ b/tests/process_sidecar.c
@@ -0,0 +1,326 @@
+/* Tests of daemons in mode "platform" as real processes. */
+#include <glib.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#include "site.h"
+
+#define KEYS "[\"" SITE_KEY "\"]"
+
+/* Longest time after which a withdrawn key must be refused (setting
+ * revocation_ms of the daemons). */
+#define REVOCATION_MS 5000
+
+static Site *
+make_site(int hosts)
+{
+    static const SiteHost_desc descs[] = {
+        {.data_centre = "n1"},
+        {.data_centre = "n1"},
+        {.data_centre = "n2"},
+        {.data_centre = "s1", .region = "sur"}};
+    Site *site = Site_Create();
+
+    Site_Configure(site, 1, KEYS, 0);
+    for (int i = 0; i < hosts; i++) {
+        Site_AddHost(site, &descs[(size_t)i % G_N_ELEMENTS(descs)]);
+    }
+    Site_AwaitReady(site);
+    return site;
+}
+
+/* Guards against a request that is served without a key, refused with one, or
+ * answered with another request's body. */
+static void
+test_calm(void)
+{
+    static const struct {
+        const char *method;
+        const char *path;
+        const char *key;
+        int status;
+    } cases[] = {
+        {"GET", "/read/1?x=%2F", SITE_KEY, 200},
+        {"POST", "/issue/1", SITE_KEY, 200},
+        {"GET", "/open/1", NULL, 200},
+        {"GET", "/open/1", "any", 200},
+        {"GET", "/read/1", NULL, 401},
+        {"GET", "/read/1", "wrong", 401},
+        {"GET", "/none/1", SITE_KEY, 404},
+    };
+    Site *site = make_site(3);
+
+    for (int host = 0; host < 3; host++) {
+        for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+            SiteReply reply = Site_Request(site, host, cases[i].method,
+                                           cases[i].path, cases[i].key);
+
+            g_assert_cmpint(reply.result, ==, RESULT_OK);
+            g_assert_cmpint(reply.status, ==, cases[i].status);
+            g_assert_cmpint(reply.is_signed, ==, cases[i].status == 200);
+            g_assert_cmpint(reply.matches, ==, cases[i].status == 200);
+        }
+    }
+    Site_Destroy(site);
+}
+
+static int
+request_status(Site *site, int host, const char *path, const char *key)
+{
+    return Site_Request(site, host, "GET", path, key).status;
+}
+
+/* Guards against a withdrawn key that works on: with the store in reach, and
+ * on a host that cannot hear of the withdrawal; and against refusals that do
+ * not end when the store is back. */
+static void
+test_withdrawal(void)
+{
+    Site *site = make_site(2);
+    ClockMs end;
+    SiteReply reply;
+
+    g_assert_cmpint(request_status(site, 0, "/read/1", SITE_KEY), ==, 200);
+    Site_Configure(site, 2, "[\"other\"]", 0);
+    end = Clock_Now() + 2500;
+    while (request_status(site, 0, "/read/1", SITE_KEY) != 401 &&
+           Clock_Now() < end) {
+        g_usleep(10000);
+    }
+    g_assert_cmpint(request_status(site, 0, "/read/1", SITE_KEY), ==, 401);
+    g_assert_cmpint(request_status(site, 0, "/read/1", "other"), ==, 200);
+
+    ObjectServer_SetFault(Site_Store(site), OBJECT_FAULT_SILENT);
+    g_usleep((REVOCATION_MS + 200) * 1000);
+    reply = Site_Request(site, 0, "GET", "/read/1", "other");
+    g_assert_cmpint(reply.status, ==, 503);
+    g_assert_cmpstr(reply.retry_after, !=, "");
+    g_assert_cmpint(request_status(site, 0, "/open/1", NULL), ==, 200);
+    g_assert_false(Site_IsReady(site, 0));
+    ObjectServer_SetFault(Site_Store(site), OBJECT_FAULT_NONE);
+    end = Clock_Now() + 4500;
+    while (request_status(site, 0, "/read/1", "other") != 200 &&
+           Clock_Now() < end) {
+        g_usleep(10000);
+    }
+    g_assert_cmpint(request_status(site, 0, "/read/1", "other"), ==, 200);
+    Site_Destroy(site);
+}
+
+/* Guards against work for a backend server that has said that it leaves. */
+static void
+test_drain(void)
+{
+    Site *site = make_site(3);
+    unsigned before;
+
+    Site_Drain(site, 0);
+    before = Site_Runs(site, 0);
+    for (int i = 0; i < 60; i++) {
+        g_assert_cmpint(request_status(site, i % 3, "/read/1", SITE_KEY), ==,
+                        200);
+    }
+    g_assert_cmpuint(Site_Runs(site, 0), ==, before);
+    Site_Destroy(site);
+}
+
+/* Guards against a gray backend server that goes on getting requests that
+ * cannot be repeated: one of three fails four of five, so blind sharing would
+ * lose one in four. */
+static void
+test_gray(void)
+{
+    Site *site = make_site(3);
+    int failed = 0;
+
+    Site_SetFailing(site, 1, 80);
+    for (int i = 0; i < 150; i++) {
+        SiteReply reply =
+            Site_Request(site, i % 3, "POST", "/issue/1", SITE_KEY);
+
+        failed += reply.status != 200;
+        g_usleep(10000);
+    }
+    g_test_message("%d of 150 failed", failed);
+    g_assert_cmpint(failed, <=, 15);
+    g_assert_cmpuint(Site_MostRunsOfOneId(site), ==, 1);
+    Site_Destroy(site);
+}
+
+typedef struct Load {
+    Site *site;
+    int host;
+    const char *method;
+    const char *path;
+    atomic_bool stopping;
+    atomic_int answered;
+    atomic_int lost;           /* connections that ended without an answer */
+    atomic_int false_refusals; /* said not to have run, and had */
+    pthread_t thread;
+} Load;
+
+static void *
+run_load(void *context)
+{
+    Load *load = context;
+    char id[32];
+
+    while (!atomic_load(&load->stopping)) {
+        SiteReply reply = Site_Request(load->site, load->host, load->method,
+                                       load->path, SITE_KEY);
+
+        g_strlcpy(id, Site_LastId(load->site), sizeof(id));
+        if (reply.result == RESULT_OK) {
+            atomic_fetch_add(&load->answered, 1);
+        }
+        else if (reply.result != RESULT_CONNECT_FAILED) {
+            atomic_fetch_add(&load->lost, 1);
+        }
+        if ((reply.status == 503 || reply.status == 429) &&
+            Site_HasRun(load->site, id)) {
+            atomic_fetch_add(&load->false_refusals, 1);
+        }
+        g_usleep(5000);
+    }
+    return NULL;
+}
+
+static void
+start_load(Load *load, Site *site, int host, const char *method,
+           const char *path)
+{
+    *load = (Load){.site = site, .host = host, .method = method, .path = path};
+    pthread_create(&load->thread, NULL, run_load, load);
+}
+
+static void
+stop_load(Load *load)
+{
+    atomic_store(&load->stopping, TRUE);
+    pthread_join(load->thread, NULL);
+}
+
+/* Guards against a graceful stop that cuts a request, and against one that
+ * outlasts the grace period of 6 s. */
+static void
+test_graceful_stop(void)
+{
+    Site *site = make_site(3);
+    Load load;
+    int before;
+
+    for (int i = 0; i < 3; i++) {
+        Site_SetWorkMs(site, i, 100);
+    }
+    start_load(&load, site, 0, "GET", "/read/1");
+    g_usleep(500000);
+    before = atomic_load(&load.answered);
+    Site_Signal(site, 0, SIGTERM);
+    g_usleep(200000);
+    g_assert_false(Site_IsReady(site, 0));
+    g_assert_true(Site_AwaitExit(site, 0, 6000));
+    stop_load(&load);
+    g_assert_cmpint(atomic_load(&load.answered), >, before);
+    g_assert_cmpint(atomic_load(&load.lost), ==, 0);
+    Site_Destroy(site);
+}
+
+/* Guards against a request that runs twice, and against a refusal that says
+ * falsely that it has not run, while owners are killed and restarted. */
+static void
+test_kills(void)
+{
+    Site *site = make_site(3);
+    Load loads[2];
+
+    for (int i = 0; i < 3; i++) {
+        Site_SetWorkMs(site, i, 30);
+    }
+    /* One load at a time knows its own last id. */
+    start_load(&loads[0], site, 0, "POST", "/issue/1");
+    for (int round = 0; round < 4; round++) {
+        int victim = 1 + round % 2;
+
+        g_usleep(300000);
+        Site_Signal(site, victim, SIGKILL);
+        g_assert_true(Site_AwaitExit(site, victim, 1000));
+        g_usleep(300000);
+        Site_Restart(site, victim);
+    }
+    stop_load(&loads[0]);
+    g_assert_cmpint(atomic_load(&loads[0].answered), >, 20);
+    g_assert_cmpint(atomic_load(&loads[0].lost), ==, 0);
+    g_assert_cmpint(atomic_load(&loads[0].false_refusals), ==, 0);
+    g_assert_cmpuint(Site_MostRunsOfOneId(site), ==, 1);
+    Site_Destroy(site);
+}
+
+/* Guards against a team that gets more than its rate by asking many hosts. */
+static void
+test_quota(void)
+{
+    Site *site = make_site(4);
+    ClockMs started;
+    int served = 0;
+    int refused = 0;
+
+    Site_Configure(site, 2, KEYS, 10);
+    g_usleep(6500000); /* the keepers have been up for a window */
+    started = Clock_Now();
+    while (Clock_Now() - started < 4500) {
+        SiteReply reply =
+            Site_Request(site, served % 4, "GET", "/read/1", SITE_KEY);
+
+        served += reply.status == 200;
+        refused += reply.status == 429;
+    }
+    g_test_message("served %d refused %d", served, refused);
+    /* Rate and burst over the window of 5 s, a tenth more, and the slack. */
+    g_assert_cmpint(served, <=, (10 * 5 + 10) * 11 / 10 + 20);
+    g_assert_cmpint(served, >=, 20);
+    g_assert_cmpint(refused, >, 0);
+    Site_Destroy(site);
+}
+
+/* Guards against a request that cannot be explained from the logs, and against
+ * metrics that are not served. */
+static void
+test_explanation(void)
+{
+    Site *site = make_site(2);
+    char *line;
+    char *log;
+    char *metrics;
+
+    g_assert_cmpint(request_status(site, 0, "/read/1", SITE_KEY), ==, 200);
+    line = g_strdup_printf("request=%s ", Site_LastId(site));
+    g_usleep(100000);
+    log = Site_ReadLog(site, 0);
+    g_assert_nonnull(strstr(log, "E405 REQUEST_ENDED"));
+    g_assert_nonnull(strstr(log, line));
+    g_assert_nonnull(strstr(log, "E228 CATALOG_IN_FORCE"));
+    metrics = Site_ReadMetrics(site, 0);
+    g_assert_nonnull(strstr(metrics, "radishknot_entry_requests_total 1\n"));
+    g_assert_nonnull(strstr(metrics, "radishknot_entry_total_microseconds"));
+    g_free(metrics);
+    g_free(log);
+    g_free(line);
+    Site_Destroy(site);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/sidecar/calm", test_calm);
+    g_test_add_func("/sidecar/withdrawal", test_withdrawal);
+    g_test_add_func("/sidecar/drain", test_drain);
+    g_test_add_func("/sidecar/gray", test_gray);
+    g_test_add_func("/sidecar/graceful-stop", test_graceful_stop);
+    g_test_add_func("/sidecar/kills", test_kills);
+    g_test_add_func("/sidecar/quota", test_quota);
+    g_test_add_func("/sidecar/explanation", test_explanation);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/site.c
@@ -0,0 +1,529 @@
+#include "site.h"
+
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "http/http_server.h"
+
+#define STORE_PORT 18000
+#define WORKER_PORT 18001
+#define ENTRY_PORT 18002
+#define PEER_PORT 18003
+#define ANNOUNCE_PORT 18004
+#define READY_PORT 18005
+#define FIRST_PORT 18006
+
+#define BEAT_MS 500
+#define READY_MS 15000
+#define REQUEST_MS 8000
+
+typedef struct Host {
+    Site *site;
+    int number;
+    char name[32];
+    char address[32];
+    SiteHost_desc desc;
+    char *settings;
+    char *log;
+    pid_t pid; /* 0 once it has ended */
+    HttpServer *worker;
+    atomic_int failing_percent;
+    atomic_int work_ms;
+    atomic_bool draining;
+    atomic_uint runs;
+    gint64 born;
+    atomic_int sequence;
+} Host;
+
+struct Site {
+    char *folder;
+    ObjectServer *store;
+    HttpClient *client;
+    Host hosts[SITE_MAX_HOSTS];
+    int host_count;
+    pthread_t beats;
+    atomic_bool stopping;
+    pthread_mutex_t lock;
+    GHashTable *runs; /* id -> times */
+    unsigned next_id;
+    char last_id[32];
+};
+
+static struct sockaddr_in
+at(const char *address, int port)
+{
+    char *text = g_strdup_printf("%s:%d", address, port);
+    struct sockaddr_in result;
+
+    g_assert_true(HttpAddress_Parse(text, &result));
+    g_free(text);
+    return result;
+}
+
+/* 127.a.b.n, different for each test process. */
+static void
+make_address(int number, char *text, size_t bytes)
+{
+    int pid = (int)getpid();
+
+    g_snprintf(text, bytes, "127.%d.%d.%d", 10 + (pid >> 8) % 200, pid & 255,
+               number + 1);
+}
+
+static void
+note_run(Host *host, const char *id)
+{
+    Site *site = host->site;
+    gpointer times;
+
+    atomic_fetch_add(&host->runs, 1);
+    pthread_mutex_lock(&site->lock);
+    times = g_hash_table_lookup(site->runs, id);
+    g_hash_table_insert(site->runs, g_strdup(id),
+                        GINT_TO_POINTER(GPOINTER_TO_INT(times) + 1));
+    pthread_mutex_unlock(&site->lock);
+}
+
+/* The backend server: refuses other instances, fails as it is told, and
+ * answers with the id and the team of the request. */
+static void
+work(void *context, HttpRequest *request)
+{
+    Host *host = context;
+    const HttpHeaders *headers = HttpRequest_Headers(request);
+    const char *id = HttpHeaders_Get(headers, "Attempt-Id");
+    const char *expected = HttpHeaders_Get(headers, "Expected-Instance");
+    HttpAnswer answer = {.status = 200};
+
+    if (id == NULL || HttpHeaders_Get(headers, "Api-Key") != NULL ||
+        HttpHeaders_Get(headers, "Caller-Service") == NULL) {
+        answer.status = 400;
+        HttpHeaders_Add(&answer.headers, "Not-Executed", "1");
+    }
+    else if (expected != NULL && strcmp(expected, host->name) != 0) {
+        answer.status = 421;
+        HttpHeaders_Add(&answer.headers, "Instance-Id", host->name);
+    }
+    else {
+        note_run(host, id);
+        g_usleep((gulong)atomic_load(&host->work_ms) * 1000);
+        if (g_random_int_range(0, 100) < atomic_load(&host->failing_percent)) {
+            answer.status = 500;
+        }
+        HttpHeaders_Add(&answer.headers, "Response-Signature", "s");
+        HttpHeaders_Add(&answer.headers, "Attempt-Id", id);
+        HttpAnswer_SetBody(&answer, id, strlen(id));
+    }
+    HttpRequest_Respond(request, &answer);
+}
+
+static void
+send_beat(Host *host)
+{
+    char *target =
+        g_strdup_printf("/radishknot/instances/%s/heartbeat", host->name);
+    char *body = g_strdup_printf(
+        "{\"address\":\"%s:%d\",\"born\":%" G_GINT64_FORMAT
+        ",\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":\"%s\","
+        "\"slots\":5},\"status\":{\"state\":\"%s\",\"seq\":%d,"
+        "\"cold_left\":\"0ms\"}}",
+        host->address, WORKER_PORT, host->born, host->desc.service,
+        host->desc.data_centre,
+        atomic_load(&host->draining) ? "draining" : "ready",
+        atomic_fetch_add(&host->sequence, 1));
+    HttpAnswer answer = {0};
+    gboolean sent;
+    HttpCall call = {.address = at(host->address, ANNOUNCE_PORT),
+                     .method = "POST",
+                     .target = target,
+                     .body = body,
+                     .body_bytes = strlen(body),
+                     .connect_ms = 200,
+                     .deadline = Clock_Now() + 1000};
+
+    (void)HttpClient_Call(host->site->client, &call, &answer, &sent);
+    HttpAnswer_Clear(&answer);
+    g_free(body);
+    g_free(target);
+}
+
+static void *
+send_beats(void *context)
+{
+    Site *site = context;
+    int count;
+
+    while (!atomic_load(&site->stopping)) {
+        pthread_mutex_lock(&site->lock);
+        count = site->host_count;
+        pthread_mutex_unlock(&site->lock);
+        for (int i = 0; i < count; i++) {
+            send_beat(&site->hosts[i]);
+        }
+        g_usleep(BEAT_MS * 1000);
+    }
+    return NULL;
+}
+
+Site *
+Site_Create(void)
+{
+    Site *site = g_new0(Site, 1);
+    ObjectServer_desc store = {0};
+    char address[32];
+
+    site->folder = g_dir_make_tmp("site-XXXXXX", NULL);
+    g_assert_nonnull(site->folder);
+    make_address(SITE_MAX_HOSTS, address, sizeof(address));
+    store.address = at(address, STORE_PORT);
+    site->store = ObjectServer_Create(&store);
+    site->client = HttpClient_Create(&(HttpClient_desc){0});
+    site->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    pthread_mutex_init(&site->lock, NULL);
+    pthread_create(&site->beats, NULL, send_beats, site);
+    return site;
+}
+
+void
+Site_Destroy(Site *site)
+{
+    atomic_store(&site->stopping, TRUE);
+    pthread_join(site->beats, NULL);
+    for (int i = 0; i < site->host_count; i++) {
+        Host *host = &site->hosts[i];
+
+        if (host->pid > 0) {
+            kill(host->pid, SIGKILL);
+            waitpid(host->pid, NULL, 0);
+        }
+        HttpServer_Destroy(host->worker);
+        (void)unlink(host->settings);
+        (void)unlink(host->log);
+        g_free(host->settings);
+        g_free(host->log);
+    }
+    HttpClient_Destroy(site->client);
+    ObjectServer_Destroy(site->store);
+    g_hash_table_destroy(site->runs);
+    pthread_mutex_destroy(&site->lock);
+    (void)rmdir(site->folder);
+    g_free(site->folder);
+    g_free(site);
+}
+
+ObjectServer *
+Site_Store(Site *site)
+{
+    return site->store;
+}
+
+static json_t *
+make_route(const char *prefix, const char *kind, gboolean anonymous)
+{
+    return json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:b}", "host",
+                     SITE_HOST_HEADER, "path_prefix", prefix, "kind", kind,
+                     "service", "desk", "timeout", "5000ms", "target_latency",
+                     "2000ms", "priority", 1, "attempts", 3, "allow_anonymous",
+                     anonymous);
+}
+
+void
+Site_Configure(Site *site, unsigned version, const char *keys, int rate_per_s)
+{
+    char *text = g_strdup_printf("%08x", version);
+    json_t *value =
+        json_pack("{s:s, s:{s:o, s:o, s:o}, s:{s:{s:o, s:i, s:i}}}", "version",
+                  text, "routes", "read", make_route("/read/", "safe", FALSE),
+                  "issue", make_route("/issue/", "non_idempotent", FALSE),
+                  "open", make_route("/open/", "safe", TRUE), "tenants",
+                  "crews", "api_keys", json_loads(keys, 0, NULL), "rate_per_s",
+                  rate_per_s, "burst", rate_per_s);
+
+    g_assert_nonnull(value);
+    ObjectServer_Write(site->store, "config", "main", value);
+    g_free(text);
+}
+
+static void
+write_settings(Site *site, Host *host)
+{
+    char store[32];
+    struct sockaddr_in address = ObjectServer_Address(site->store);
+    char *text;
+
+    HttpAddress_Format(&address, store, sizeof(store));
+    text = g_strdup_printf(
+        "{\"mode\":\"platform\",\"host\":\"%s\",\"data_centre\":\"%s\","
+        "\"region\":\"%s\",\"data_centres\":[\"n1\",\"n2\",\"s1\"],"
+        "\"address\":\"%s\",\"service\":\"%s\","
+        "\"backend_server\":\"%s:%d\",\"entry_address\":\"%s:%d\","
+        "\"peer_address\":\"%s:%d\",\"announce_address\":\"%s:%d\","
+        "\"ready_address\":\"%s:%d\",\"first_port\":%d,\"store\":[\"%s\"],"
+        "\"fleet_secret\":\"0123456789abcdef\",\"grace_ms\":\"6s\","
+        "\"revocation_ms\":\"5s\",\"fleet_hosts\":6}",
+        host->name, host->desc.data_centre, host->desc.region, host->address,
+        host->desc.service, host->address, WORKER_PORT, host->address,
+        ENTRY_PORT, host->address, PEER_PORT, host->address, ANNOUNCE_PORT,
+        host->address, READY_PORT, FIRST_PORT, store);
+    g_assert_true(g_file_set_contents(host->settings, text, -1, NULL));
+    g_free(text);
+}
+
+static void
+spawn(Host *host)
+{
+    char *command =
+        g_strdup_printf("exec '%s/src/daemon/radishknotd' '%s' "
+                        ">>'%s' 2>&1",
+                        BINARY_DIRECTORY, host->settings, host->log);
+    char *arguments[] = {(char *)"/bin/sh", (char *)"-c", command, NULL};
+    GPid pid;
+
+    g_assert_true(g_spawn_async(NULL, arguments, NULL,
+                                G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL, &pid,
+                                NULL));
+    host->pid = pid;
+    g_free(command);
+}
+
+int
+Site_AddHost(Site *site, const SiteHost_desc *desc)
+{
+    int number = site->host_count;
+    Host *host = &site->hosts[number];
+    HttpServer_desc worker = {
+        .worker_threads = 32, .handler = work, .context = host};
+
+    g_assert_cmpint(number, <, SITE_MAX_HOSTS);
+    host->site = site;
+    host->number = number;
+    host->desc = *desc;
+    host->desc.service = desc->service ? desc->service : "desk";
+    host->desc.data_centre = desc->data_centre ? desc->data_centre : "n1";
+    host->desc.region = desc->region ? desc->region : "norte";
+    host->born = Clock_WallMs();
+    atomic_store(&host->sequence, 1);
+    g_snprintf(host->name, sizeof(host->name), "host-%d", number);
+    make_address(number, host->address, sizeof(host->address));
+    host->settings = g_build_filename(site->folder, host->name, NULL);
+    host->log = g_strconcat(host->settings, ".log", NULL);
+    worker.address = at(host->address, WORKER_PORT);
+    host->worker = HttpServer_Create(&worker, NULL);
+    g_assert_nonnull(host->worker);
+    write_settings(site, host);
+    spawn(host);
+    pthread_mutex_lock(&site->lock);
+    site->host_count++;
+    pthread_mutex_unlock(&site->lock);
+    return number;
+}
+
+static Result
+get(Site *site, const char *address, int port, const char *target,
+    HttpAnswer *answer)
+{
+    gboolean sent;
+    HttpCall call = {.address = at(address, port),
+                     .method = "GET",
+                     .target = target,
+                     .fresh_connection = TRUE,
+                     .deadline = Clock_Now() + 1000};
+
+    return HttpClient_Call(site->client, &call, answer, &sent);
+}
+
+gboolean
+Site_IsReady(Site *site, int host)
+{
+    HttpAnswer answer = {0};
+    Result result = get(site, site->hosts[host].address, READY_PORT,
+                        "/radishknot/ready", &answer);
+    gboolean ready = result == RESULT_OK && answer.status == 200;
+
+    HttpAnswer_Clear(&answer);
+    return ready;
+}
+
+/* Whether a backend server is in the store. */
+static gboolean
+is_published(Site *site, const Host *host)
+{
+    json_t *value =
+        ObjectServer_Read(site->store, "backend-servers", host->name);
+    gboolean found = value != NULL;
+
+    json_decref(value);
+    return found;
+}
+
+void
+Site_AwaitReady(Site *site)
+{
+    ClockMs end = Clock_Now() + READY_MS;
+
+    for (int i = 0; i < site->host_count; i++) {
+        while (
+            (!Site_IsReady(site, i) || !is_published(site, &site->hosts[i])) &&
+            Clock_Now() < end) {
+            g_usleep(20000);
+        }
+        g_assert_true(Site_IsReady(site, i));
+    }
+    /* The watches of all hosts have shown all entries by then. */
+    g_usleep(1000000);
+}
+
+SiteReply
+Site_Request(Site *site, int host, const char *method, const char *path,
+             const char *key)
+{
+    HttpHeaders headers = {0};
+    HttpAnswer answer = {0};
+    SiteReply reply = {0};
+    gboolean sent;
+    char id[32];
+    const char *value;
+    HttpCall call = {.address = at(site->hosts[host].address, ENTRY_PORT),
+                     .method = method,
+                     .target = path,
+                     .host = SITE_HOST_HEADER,
+                     .headers = &headers,
+                     .deadline = Clock_Now() + REQUEST_MS};
+
+    pthread_mutex_lock(&site->lock);
+    g_snprintf(id, sizeof(id), "id-%u", site->next_id++);
+    g_strlcpy(site->last_id, id, sizeof(site->last_id));
+    pthread_mutex_unlock(&site->lock);
+    HttpHeaders_Add(&headers, "Attempt-Id", id);
+    HttpHeaders_AddNumber(&headers, "Deadline-Ms", 6000);
+    if (key != NULL) {
+        HttpHeaders_Add(&headers, "Api-Key", key);
+    }
+    reply.result = HttpClient_Call(site->client, &call, &answer, &sent);
+    reply.status = answer.status;
+    reply.is_signed =
+        HttpHeaders_Get(&answer.headers, "Response-Signature") != NULL;
+    reply.matches = answer.body != NULL && strcmp(answer.body, id) == 0;
+    value = HttpHeaders_Get(&answer.headers, "Retry-After");
+    g_strlcpy(reply.retry_after, value ? value : "",
+              sizeof(reply.retry_after));
+    HttpHeaders_Clear(&headers);
+    HttpAnswer_Clear(&answer);
+    return reply;
+}
+
+unsigned
+Site_Runs(Site *site, int host)
+{
+    return atomic_load(&site->hosts[host].runs);
+}
+
+unsigned
+Site_MostRunsOfOneId(Site *site)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    int most = 0;
+
+    pthread_mutex_lock(&site->lock);
+    g_hash_table_iter_init(&iterator, site->runs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        most = MAX(most, GPOINTER_TO_INT(value));
+    }
+    pthread_mutex_unlock(&site->lock);
+    return (unsigned)most;
+}
+
+gboolean
+Site_HasRun(Site *site, const char *id)
+{
+    gboolean found;
+
+    pthread_mutex_lock(&site->lock);
+    found = g_hash_table_contains(site->runs, id);
+    pthread_mutex_unlock(&site->lock);
+    return found;
+}
+
+const char *
+Site_LastId(Site *site)
+{
+    return site->last_id;
+}
+
+void
+Site_SetFailing(Site *site, int host, int percent)
+{
+    atomic_store(&site->hosts[host].failing_percent, percent);
+}
+
+void
+Site_SetWorkMs(Site *site, int host, int milliseconds)
+{
+    atomic_store(&site->hosts[host].work_ms, milliseconds);
+}
+
+void
+Site_Drain(Site *site, int host)
+{
+    atomic_store(&site->hosts[host].draining, TRUE);
+    send_beat(&site->hosts[host]);
+}
+
+void
+Site_Signal(Site *site, int host, int signal)
+{
+    g_assert_cmpint(site->hosts[host].pid, >, 0);
+    g_assert_cmpint(kill(site->hosts[host].pid, signal), ==, 0);
+}
+
+gboolean
+Site_AwaitExit(Site *site, int host, ClockMs milliseconds)
+{
+    ClockMs end = Clock_Now() + milliseconds;
+
+    while (Clock_Now() < end) {
+        if (waitpid(site->hosts[host].pid, NULL, WNOHANG) ==
+            site->hosts[host].pid) {
+            site->hosts[host].pid = 0;
+            return TRUE;
+        }
+        g_usleep(5000);
+    }
+    return FALSE;
+}
+
+void
+Site_Restart(Site *site, int host)
+{
+    g_assert_cmpint(site->hosts[host].pid, ==, 0);
+    spawn(&site->hosts[host]);
+}
+
+char *
+Site_ReadLog(Site *site, int host)
+{
+    char *text = NULL;
+
+    g_assert_true(
+        g_file_get_contents(site->hosts[host].log, &text, NULL, NULL));
+    return text;
+}
+
+char *
+Site_ReadMetrics(Site *site, int host)
+{
+    HttpAnswer answer = {0};
+    char *text;
+
+    g_assert_cmpint(get(site, site->hosts[host].address, FIRST_PORT + 1,
+                        "/metrics", &answer),
+                    ==, RESULT_OK);
+    text = g_strdup(answer.body);
+    HttpAnswer_Clear(&answer);
+    return text;
+}
