config: a contact before the host's start is a contact

Cause: the moment of a peer's contact is the clock of this host less its age, which is negative when the host booted after it; negative meant never. The test failed on every machine up for less than 500 s. Before: age -1 for a contact 4e12 ms ago on any machine (the new case of the test fails). After: the age.

--- a/src/config/config_sync.c
+++ b/src/config/config_sync.c
@@ -59,7 +59,7 @@
     pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
     pthread_cond_init(&sync->wake, &attributes);
     pthread_condattr_destroy(&attributes);
-    sync->contact = -1;
+    sync->contact = CONFIG_NO_CONTACT;
     sync->tickets_after = -1;
     sync->unwritten = g_array_new(FALSE, FALSE, sizeof(ConfigKeyHash));
     g_queue_init(&sync->recent);
@@ -131,7 +131,9 @@
     int64_t age;
 
     pthread_mutex_lock(&sync->lock);
-    age = sync->contact < 0 ? -1 : MAX(Clock_Now() - sync->contact, 0);
+    age = sync->contact == CONFIG_NO_CONTACT
+              ? -1
+              : MAX(Clock_Now() - sync->contact, 0);
     pthread_mutex_unlock(&sync->lock);
     return age;
 }
--- a/src/config/config_sync_private.h
+++ b/src/config/config_sync_private.h
@@ -35,6 +35,9 @@
     size_t length;
 } ConfigSyncTicket;
 
+/* There was no contact with the store yet. */
+#define CONFIG_NO_CONTACT INT64_MIN
+
 struct ConfigSync {
     ConfigSync_desc desc;
     Config *config;
@@ -45,7 +48,9 @@
     pthread_mutex_t lock; /* all of this block */
     pthread_cond_t wake;
     gboolean stopping;
-    ClockMs contact; /* last contact with the store; -1 = never */
+    /* Last contact with the store. It may lie before the host's start, and is
+     * then negative, when a peer had it. */
+    ClockMs contact;
     ConfigSyncOffer offers[CONFIG_SYNC_OFFERS];
     size_t offer_count;
     GArray *unwritten; /* ConfigKeyHash to write to the store */
--- a/src/config/test_sync.c
+++ b/src/config/test_sync.c
@@ -672,8 +672,12 @@
                Config_GetWithdrawals(one->config));
 }
 
+/* An age above every uptime. */
+#define LONG_AGO_MS INT64_C(4000000000000)
+
 /* Guards against a contact age that is not the smallest one known, which
- * would isolate a host wrongly. */
+ * would isolate a host wrongly, and against taking a contact before the host's
+ * start for none. */
 static void
 test_contact(Fleet *fleet, gconstpointer data)
 {
@@ -683,6 +687,9 @@
     g_assert_cmpint(ConfigSync_ContactAgeMs(host->sync), ==, -1);
     ConfigSync_PeerVersion(host->sync, 2, 0, 0, -1);
     g_assert_cmpint(ConfigSync_ContactAgeMs(host->sync), ==, -1);
+    /* Longer ago than this host has been up. */
+    ConfigSync_PeerVersion(host->sync, 2, 0, 0, LONG_AGO_MS);
+    g_assert_cmpint(ConfigSync_ContactAgeMs(host->sync), >=, LONG_AGO_MS);
     ConfigSync_PeerVersion(host->sync, 2, 0, 0, 500000);
     g_assert_cmpint(ConfigSync_ContactAgeMs(host->sync), >=, 500000);
     ConfigSync_PeerVersion(host->sync, 3, 0, 0, 100000);
