--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -45,7 +45,7 @@
     HttpClient *client;
     ClockMs proof_ms;         /* age up to which a configuration is fresh */
     double retry_ratio;       /* repeats as a share of requests */
-    int64_t retry_per_minute; /* repeats of this host at any traffic */
+    double retry_per_minute; /* repeats of the fleet at any traffic */
 } Gateway_desc;
 
 Gateway *Gateway_Create(const Gateway_desc *desc, GError **error);
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <math.h>
 #include <string.h>
 
 #include "base/counter.h"
@@ -42,6 +43,10 @@
  * of requests that are repeats themselves, and uneven traffic. */
 #define BUDGET_SHARE 0.6
 
+/* Hosts that are assumed at least, so that one with an empty roster does not
+ * take the budget of all. */
+#define LEAST_HOSTS 12
+
 /* Owner connections that were idle for longer are not used for a request that
  * must not run twice. */
 #define FRESH_IDLE_MS 4000
@@ -65,15 +70,18 @@
     }
 }
 
+/* This host's part of the fleet's budget for a service. The part that does
+ * not depend on traffic is shared evenly among the hosts that are known. */
 static RetryBudget *
 find_budget(Gateway *gateway, uint64_t service, ClockMs now)
 {
     RetryBudget *budget = g_hash_table_lookup(gateway->budgets, &service);
+    uint32_t hosts = MAX(Roster_Count(gateway->desc.roster), LEAST_HOSTS);
     Retry_desc desc = {
         .budget_percent =
             (uint32_t)(gateway->desc.retry_ratio * 100 * BUDGET_SHARE),
-        .min_per_minute =
-            (uint32_t)(gateway->desc.retry_per_minute * BUDGET_SHARE)};
+        .min_per_minute = (uint32_t)ceil(gateway->desc.retry_per_minute *
+                                         BUDGET_SHARE / hosts)};
 
     if (budget == NULL) {
         budget = g_new0(RetryBudget, 1);
@@ -81,6 +89,7 @@
         g_hash_table_insert(gateway->budgets,
                             g_memdup2(&service, sizeof(service)), budget);
     }
+    budget->desc.min_per_minute = desc.min_per_minute;
     return budget;
 }
 
--- a/src/settings/settings_list.h
+++ b/src/settings/settings_list.h
@@ -128,9 +128,7 @@
     NUMBER(retry_slack, "requests", 0, 1000000, 60, 0, \
            "repeats that it may make on top of it in one budget window") \
     TIME(retry_window_ms, 100, 600000, 10000, \
-         "sliding window over which repeats are counted") \
-    NUMBER(fleet_hosts, "hosts", 1, 100000, 36, 0, \
-           "hosts that share the retry slack")
+         "sliding window over which repeats are counted")
 /* clang-format on */
 
 #endif
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -27,6 +27,8 @@
 /* Sockets on the way to other daemons: unacknowledged data ends them. */
 #define SILENCE_MS 800
 
+#define MS_PER_MINUTE 60000
+
 /* Pause between two looks at what is still in flight. */
 #define STOP_POLL_MS 50
 
@@ -109,9 +111,8 @@
                             .client = sidecar->client,
                             .proof_ms = sidecar->proof_ms,
                             .retry_ratio = settings->retry_ratio,
-                            .retry_per_minute = settings->retry_slack * 60000 /
-                                                (settings->retry_window_ms *
-                                                 settings->fleet_hosts)};
+                            .retry_per_minute = (double)settings->retry_slack *
+                            MS_PER_MINUTE / (double)settings->retry_window_ms};
 
     (void)HttpAddress_Parse(settings->peer_address, &peer.address);
     (void)HttpAddress_Parse(settings->entry_address, &gateway.address);
--- a/tests/site.c
+++ b/tests/site.c
@@ -267,7 +267,7 @@
         "\"ready_address\":\"%s:%d\",\"first_port\":%d,\"store\":[\"127.0.0.1:"
         "%d\"],"
         "\"fleet_secret\":\"0123456789abcdef\",\"grace_ms\":\"6s\","
-        "\"revocation_ms\":\"5s\",\"fleet_hosts\":6}",
+        "\"revocation_ms\":\"5s\"}",
         host->name, host->desc.data_centre, host->desc.region, host->address,
         host->desc.service, host->address, WORKER_PORT, host->address,
         ENTRY_PORT, host->address, PEER_PORT, host->address, ANNOUNCE_PORT,
