--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -66,7 +66,6 @@
     gboolean draining;
     int64_t born; /* Unix ms of the instance's start */
     int64_t sequence;
-    ClockMs cold_left_ms; /* it is slow for so long */
 } BackendAnnouncement;
 
 typedef struct Backend_desc {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -43,8 +43,8 @@
     Backend *backend;
     Quota *quota;
     HttpClient *client;
-    ClockMs proof_ms;         /* age up to which a configuration is fresh */
-    double retry_ratio;       /* repeats as a share of requests */
+    ClockMs proof_ms;        /* age up to which a configuration is fresh */
+    double retry_ratio;      /* repeats as a share of requests */
     double retry_per_minute; /* repeats of the fleet at any traffic */
 } Gateway_desc;
 
--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -195,8 +195,7 @@
 }
 
 static Result
-list(void *context, const char *kind, const char *after, gboolean stale,
-     ObjectPage *page)
+list(void *context, const char *kind, const char *after, ObjectPage *page)
 {
     Mirror *mirror = context;
     const ObjectStore *store = mirror->desc.store;
@@ -206,7 +205,7 @@
         read_neighbour(mirror, kind, -1, 0, page, &result)) {
         return result;
     }
-    result = store->list(store->context, kind, after, stale, page);
+    result = store->list(store->context, kind, after, page);
     if (result == RESULT_OK) {
         note_source(mirror, kind, 0);
     }
@@ -215,7 +214,7 @@
 
 static Result
 watch(void *context, const char *kind, int64_t revision, ClockMs wait_ms,
-      gboolean stale, ObjectPage *page)
+      ObjectPage *page)
 {
     Mirror *mirror = context;
     const ObjectStore *store = mirror->desc.store;
@@ -229,7 +228,7 @@
     }
     /* Neighbours may follow from now on, while the watch is on its way. */
     note_source(mirror, kind, 0);
-    return store->watch(store->context, kind, revision, wait_ms, stale, page);
+    return store->watch(store->context, kind, revision, wait_ms, page);
 }
 
 static Result
--- a/src/mirror/test_mirror.c
+++ b/src/mirror/test_mirror.c
@@ -127,12 +127,10 @@
 } FakeStore;
 
 static Result
-fake_list(void *context, const char *kind, const char *after, gboolean stale,
-          ObjectPage *page)
+fake_list(void *context, const char *kind, const char *after, ObjectPage *page)
 {
     (void)kind;
     (void)after;
-    (void)stale;
     ((FakeStore *)context)->lists++;
     page->revision = 50;
     return RESULT_OK;
@@ -140,11 +138,10 @@
 
 static Result
 fake_watch(void *context, const char *kind, int64_t revision, ClockMs wait_ms,
-           gboolean stale, ObjectPage *page)
+           ObjectPage *page)
 {
     (void)kind;
     (void)wait_ms;
-    (void)stale;
     ((FakeStore *)context)->watches++;
     page->revision = revision;
     return RESULT_OK;
@@ -236,7 +233,7 @@
 {
     const ObjectStore *store = Mirror_AsStore(fixture->mirror);
 
-    return store->watch(store->context, "k", since, 50, FALSE, page);
+    return store->watch(store->context, "k", since, 50, page);
 }
 
 /* Guards against a follower that reads the store although its neighbour
@@ -301,7 +298,7 @@
     store = Mirror_AsStore(fixture.mirror);
     started = Clock_Now();
     ObjectPage_Init(&page);
-    g_assert_cmpint(store->list(store->context, "k", "", FALSE, &page), ==,
+    g_assert_cmpint(store->list(store->context, "k", "", &page), ==,
                     RESULT_OK);
     g_assert_cmpint(fixture.store.lists, ==, 1);
     g_assert_cmpint(Clock_Now() - started, <, 1000);
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -41,13 +41,13 @@
 typedef struct ObjectStore {
     void *context;
 
-    /* after: "" for the first page. stale: cheaper, may be seconds old. */
+    /* after: "" for the first page. */
     Result (*list)(void *context, const char *kind, const char *after,
-                   gboolean stale, ObjectPage *page);
+                   ObjectPage *page);
     /* Returns as soon as something of the kind changed after the revision, or
      * without records after wait_ms. */
     Result (*watch)(void *context, const char *kind, int64_t revision,
-                    ClockMs wait_ms, gboolean stale, ObjectPage *page);
+                    ClockMs wait_ms, ObjectPage *page);
     Result (*get)(void *context, const char *kind, const char *name,
                   ObjectRecord *record);
     /* revision 0: the object must not exist. *revision gets the new one. */
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -135,8 +135,7 @@
 
     while (more && result == RESULT_OK) {
         ObjectPage_Init(&page);
-        result =
-            store->list(store->context, sync->desc.kind, after, FALSE, &page);
+        result = store->list(store->context, sync->desc.kind, after, &page);
         if (result == RESULT_OK) {
             pass_on(sync, &page, names);
             first = after[0] == '\0' ? page : first;
@@ -176,7 +175,7 @@
 
     ObjectPage_Init(&page);
     result = store->watch(store->context, sync->desc.kind, sync->revision,
-                          wait_ms, sync->desc.stale, &page);
+                          wait_ms, &page);
     if (result == RESULT_OK) {
         *changed = page.records->len > 0;
         pass_on(sync, &page, NULL);
--- a/src/objects/object_sync.h
+++ b/src/objects/object_sync.h
@@ -12,8 +12,7 @@
  * Callbacks run on the thread, each with the store's revision of the answer.
  * `changed` gets each object and each deletion; after a full list `listed`
  * gets the names that exist, so that others can be dropped. `confirmed` gets a
- * moment at which everything that was passed on so far was the newest state;
- * with `stale` it means nothing.
+ * moment at which everything that was passed on so far was the newest state.
  */
 #ifndef OBJECTS_OBJECT_SYNC_H
 #define OBJECTS_OBJECT_SYNC_H
@@ -29,7 +28,6 @@
     gboolean prove;   /* confirm soon after each change, too */
     ClockMs pause_ms; /* between two watches that both brought changes, so
                          that a series of changes costs few calls (0) */
-    gboolean stale;   /* watches may lag by seconds */
     void (*changed)(void *context, const ObjectRecord *record,
                     int64_t revision);
     void (*listed)(void *context, GHashTable *names,
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -111,8 +111,9 @@
                             .client = sidecar->client,
                             .proof_ms = sidecar->proof_ms,
                             .retry_ratio = settings->retry_ratio,
-                            .retry_per_minute = (double)settings->retry_slack *
-                            MS_PER_MINUTE / (double)settings->retry_window_ms};
+                            .retry_per_minute =
+                                (double)settings->retry_slack * MS_PER_MINUTE /
+                                (double)settings->retry_window_ms};
 
     (void)HttpAddress_Parse(settings->peer_address, &peer.address);
     (void)HttpAddress_Parse(settings->entry_address, &gateway.address);
