--- a/src/mirror/mirror_cache.c
+++ b/src/mirror/mirror_cache.c
@@ -65,7 +65,8 @@
 
     entry->record = *record;
     entry->record.name = g_strdup(record->name);
-    entry->record.value = json_incref(record->value);
+    /* A copy: counts of references are not shared between threads. */
+    entry->record.value = json_deep_copy(record->value);
     entry->seen = revision;
     entry->noted = Clock_Now();
     g_hash_table_replace(cache->entries, entry->record.name, entry);
--- a/src/objects/object_writer.c
+++ b/src/objects/object_writer.c
@@ -193,7 +193,8 @@
 {
     pthread_mutex_lock(&writer->lock);
     if (record->revision > writer->revision) {
-        set_stored(writer, record->deleted ? NULL : json_incref(record->value),
+        set_stored(writer,
+                   record->deleted ? NULL : json_deep_copy(record->value),
                    record->deleted ? 0 : record->revision);
         pthread_cond_signal(&writer->wake);
     }
--- a/standin/object_server.c
+++ b/standin/object_server.c
@@ -369,7 +369,7 @@
 
     pthread_mutex_lock(&server->lock);
     object = find(server, kind, name);
-    value = object ? json_incref(object->value) : NULL;
+    value = object ? json_deep_copy(object->value) : NULL;
     pthread_mutex_unlock(&server->lock);
     return value;
 }
--- a/standin/object_server.h
+++ b/standin/object_server.h
@@ -38,7 +38,7 @@
 gint64 ObjectServer_Write(ObjectServer *server, const char *kind,
                           const char *name, json_t *value);
 
-/* A new reference to the value, NULL if there is no such object. */
+/* A copy of the value, NULL if there is no such object. */
 json_t *ObjectServer_Read(ObjectServer *server, const char *kind,
                           const char *name);
 void ObjectServer_SetFault(ObjectServer *server, ObjectFault fault);
