--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -1,18 +1,14 @@
 #include "http/http_server.h"
 
 #include <errno.h>
-#include <jansson.h>
-#include <microhttpd.h>
 #include <poll.h>
-#include <pthread.h>
-#include <stdatomic.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "http/http_executor.h"
+#include "http/http_server_private.h"
 #include "http/http_tls.h"
 
 /* How often deadlines are looked at while a request in flight has one. */
@@ -29,50 +25,6 @@
 /* Bytes of a connection's memory, which bounds the size of all headers. */
 #define CONNECTION_MEMORY_BYTES (64 * 1024)
 
-struct HttpRequest {
-    HttpServer *server;
-    struct MHD_Connection *connection;
-    _Atomic int references; /* connection, handler */
-    char *method;
-    char *target; /* path, NUL, query */
-    char *query;
-    HttpHeaders headers;
-    GByteArray *body;
-    gboolean too_large;
-    ClockMs arrived;
-
-    /* Under the server's lock. */
-    gboolean suspended;
-    gboolean answered;
-    gboolean ended; /* the connection no longer needs the request */
-    gboolean hung_up;
-    ClockMs deadline;
-    HttpHangUp hang_up;
-    void *hang_up_context;
-    void *data;
-    GDestroyNotify data_end;
-    HttpAnswer answer;
-    unsigned in_flight_index;
-    int watched_fd; /* in the watcher's epoll set, or -1 */
-};
-
-struct HttpServer {
-    HttpServer_desc desc;
-    struct MHD_Daemon *daemon;
-    HttpExecutor *executor;
-    uint16_t port;
-    pthread_mutex_t lock;
-    GPtrArray *in_flight; /* HttpRequest *, those that a handler may hold */
-    atomic_uint connections;
-    atomic_bool leaving;  /* answers close their connections */
-    atomic_bool draining; /* no new connections */
-    pthread_t watcher;
-    int hang_ups;       /* epoll set of suspended connections */
-    int watcher_wake;   /* eventfd */
-    unsigned deadlines; /* requests in flight that have one; with the lock */
-    atomic_bool stopping;
-};
-
 static void
 release_request(HttpRequest *request)
 {
@@ -109,27 +61,6 @@
     request->in_flight_index = UINT_MAX;
 }
 
-void
-HttpAnswer_SetRefusal(HttpAnswer *answer, Result result, RunState run,
-                      const char *request_id, const char *message)
-{
-    json_t *body = json_pack("{s:i, s:s, s:s, s:s, s:s}", "code", (int)result,
-                             "name", Result_Name(result), "message",
-                             message ? message : Result_Text(result), "run",
-                             Result_RunName(run), "request_id",
-                             request_id ? request_id : "");
-    char *text = json_dumps(body, JSON_COMPACT);
-
-    HttpAnswer_SetJson(answer, Result_HttpStatus(result), g_strdup(text));
-    free(text);
-    json_decref(body);
-    HttpHeaders_AddNumber(&answer->headers, "Radishknot-Result", (int)result);
-    HttpHeaders_Add(&answer->headers, "Radishknot-Run", Result_RunName(run));
-    if (request_id != NULL) {
-        HttpHeaders_Add(&answer->headers, "Radishknot-Request-Id", request_id);
-    }
-}
-
 static enum MHD_Result
 queue_answer(HttpRequest *request)
 {
@@ -515,14 +446,6 @@
     return NULL;
 }
 
-static void
-wake_watcher(HttpServer *server)
-{
-    uint64_t one = 1;
-
-    (void)!write(server->watcher_wake, &one, sizeof(one));
-}
-
 static gboolean
 start_watcher(HttpServer *server)
 {
@@ -589,7 +512,7 @@
 stop_watcher(HttpServer *server)
 {
     atomic_store(&server->stopping, TRUE);
-    wake_watcher(server);
+    _HttpServer_WakeWatcher(server);
     pthread_join(server->watcher, NULL);
     close(server->hang_ups);
     close(server->watcher_wake);
@@ -727,116 +650,3 @@
     pthread_mutex_destroy(&server->lock);
     g_free(server);
 }
-
-const char *
-HttpRequest_Method(const HttpRequest *request)
-{
-    return request->method;
-}
-
-const char *
-HttpRequest_Path(const HttpRequest *request)
-{
-    return request->target;
-}
-
-const char *
-HttpRequest_Query(const HttpRequest *request)
-{
-    return request->query;
-}
-
-char *
-HttpRequest_Target(const HttpRequest *request)
-{
-    return request->query[0] != '\0'
-               ? g_strconcat(request->target, "?", request->query, NULL)
-               : g_strdup(request->target);
-}
-
-const HttpHeaders *
-HttpRequest_Headers(const HttpRequest *request)
-{
-    return &request->headers;
-}
-
-const char *
-HttpRequest_Body(const HttpRequest *request, size_t *bytes)
-{
-    *bytes = request->body->len;
-    return request->body->data ? (const char *)request->body->data : "";
-}
-
-ClockMs
-HttpRequest_Arrived(const HttpRequest *request)
-{
-    return request->arrived;
-}
-
-char *
-HttpRequest_Argument(const HttpRequest *request, const char *name)
-{
-    char **parts = g_strsplit(request->query, "&", 0);
-    size_t length = strlen(name);
-    char *value = NULL;
-
-    for (char **part = parts; *part != NULL && value == NULL; part++) {
-        if (strncmp(*part, name, length) == 0 && (*part)[length] == '=') {
-            value = g_uri_unescape_string(*part + length + 1, NULL);
-        }
-    }
-    g_strfreev(parts);
-    return value;
-}
-
-void
-HttpRequest_SetData(HttpRequest *request, void *data, GDestroyNotify end)
-{
-    pthread_mutex_lock(&request->server->lock);
-    request->data = data;
-    request->data_end = end;
-    pthread_mutex_unlock(&request->server->lock);
-}
-
-void *
-HttpRequest_Data(const HttpRequest *request)
-{
-    return request->data;
-}
-
-void
-HttpRequest_SetDeadline(HttpRequest *request, ClockMs deadline)
-{
-    HttpServer *server = request->server;
-
-    pthread_mutex_lock(&server->lock);
-    if (request->deadline == CLOCK_NEVER && !request->answered) {
-        server->deadlines++;
-        wake_watcher(server);
-    }
-    request->deadline = deadline;
-    pthread_mutex_unlock(&server->lock);
-}
-
-gboolean
-HttpRequest_IsOver(const HttpRequest *request)
-{
-    gboolean over;
-
-    pthread_mutex_lock(&request->server->lock);
-    over = request->answered || request->hung_up;
-    pthread_mutex_unlock(&request->server->lock);
-    return over;
-}
-
-void
-HttpRequest_OnHangUp(HttpRequest *request, HttpHangUp callback, void *context)
-{
-    pthread_mutex_lock(&request->server->lock);
-    request->hang_up = callback;
-    request->hang_up_context = context;
-    if (request->hung_up && callback != NULL) {
-        callback(context);
-    }
-    pthread_mutex_unlock(&request->server->lock);
-}
