--- a/src/health/gray_filter.c
+++ b/src/health/gray_filter.c
@@ -2,6 +2,10 @@
 
 #include <math.h>
 
+/* From the users' description of their backend servers: at any time about a
+ * third is in a gray spell of several seconds and fails most of its requests;
+ * sound ones fail one or two in a hundred, and a little more with the failures
+ * of their calls. */
 static const GrayFilter_desc defaults = {
     .sound_ms = 20000,
     .gray_ms = 8000,
