--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "base/condition.h"
 #include "base/counter.h"
 #include "base/log.h"
 
@@ -62,14 +63,10 @@
 Backend_Create(const Backend_desc *desc)
 {
     Backend *backend = g_new0(Backend, 1);
-    pthread_condattr_t attributes;
 
     backend->desc = *desc;
     pthread_mutex_init(&backend->lock, NULL);
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(&backend->wake, &attributes);
-    pthread_condattr_destroy(&attributes);
+    Condition_Init(&backend->wake);
     GrayFilter_Init(&backend->filter, &desc->gray, Clock_Now());
     backend->service_ms = FIRST_SERVICE_MS;
     backend->last_sent = Clock_Now();
@@ -316,16 +313,6 @@
     g_ptr_array_insert(backend->queue, (gint)place, waiter);
 }
 
-static void
-wait_a_while(Backend *backend, ClockMs milliseconds)
-{
-    gint64 end = g_get_monotonic_time() + milliseconds * 1000;
-    struct timespec until = {.tv_sec = end / G_USEC_PER_SEC,
-                             .tv_nsec = (end % G_USEC_PER_SEC) * 1000};
-
-    (void)pthread_cond_timedwait(&backend->wake, &backend->lock, &until);
-}
-
 /* Takes a slot, in turn; with the lock held. On failure the request has not
  * left the queue for the backend server. */
 static Result
@@ -352,7 +339,8 @@
             result = RESULT_DEADLINE_EXPIRED;
         }
         else {
-            wait_a_while(backend, MIN(call->deadline - now, CANCEL_CHECK_MS));
+            (void)Condition_Wait(&backend->wake, &backend->lock,
+                                 MIN(call->deadline - now, CANCEL_CHECK_MS));
         }
     }
     if (waiter.admitted) {
--- a/src/base/test_base.c
+++ b/src/base/test_base.c
@@ -2,6 +2,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "base/condition.h"
 #include "base/counter.h"
 #include "base/log.h"
 #include "base/pool.h"
@@ -42,6 +43,28 @@
     g_assert_cmpint(Counter_Quantile(HISTOGRAM_ENTRY_TOTAL, 0.99), <=, 1114);
 }
 
+/* Guards against a wait that ends at once, or that takes a time in the past
+ * for one to come. */
+static void
+test_condition(void)
+{
+    static const ClockMs waits[] = {-1500, 0, 20, 1020};
+    pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+    pthread_cond_t condition;
+
+    Condition_Init(&condition);
+    for (size_t i = 0; i < G_N_ELEMENTS(waits); i++) {
+        gint64 end = g_get_monotonic_time() + waits[i] * 1000;
+
+        pthread_mutex_lock(&lock);
+        while (Condition_Wait(&condition, &lock, waits[i])) {
+        }
+        pthread_mutex_unlock(&lock);
+        g_assert_cmpint(g_get_monotonic_time(), >=, end);
+    }
+    pthread_cond_destroy(&condition);
+}
+
 static void
 collect_result(void *context, Result result, const char *name, int http_status,
                const char *text)
@@ -173,6 +196,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/base/pool/stale-handle", test_pool_stale_handle);
     g_test_add_func("/base/counter/histogram", test_histogram);
+    g_test_add_func("/base/condition", test_condition);
     g_test_add_func("/base/result/numbers", test_result_numbers);
     g_test_add_func("/base/docs", test_docs);
     g_test_add_func("/base/operations-page", test_operations_page);
--- a/src/config/config_sync.c
+++ b/src/config/config_sync.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <urcu.h>
 
+#include "base/condition.h"
 #include "base/counter.h"
 #include "base/log.h"
 #include "config/config_sync_private.h"
@@ -32,7 +33,6 @@
     ConfigSync *sync = g_new0(ConfigSync, 1);
     Store_desc store_desc = {.addresses = desc->store_addresses,
                              .timeout_ms = desc->store_timeout_ms};
-    pthread_condattr_t attributes;
 
     if (desc->store_addresses != NULL) {
         sync->store = Store_Create(&store_desc, error);
@@ -55,10 +55,7 @@
     }
     pthread_mutex_init(&sync->lock, NULL);
     pthread_mutex_init(&sync->served_lock, NULL);
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(&sync->wake, &attributes);
-    pthread_condattr_destroy(&attributes);
+    Condition_Init(&sync->wake);
     sync->contact = CONFIG_NO_CONTACT;
     sync->tickets_after = -1;
     sync->unwritten = g_array_new(FALSE, FALSE, sizeof(ConfigKeyHash));
@@ -513,19 +510,14 @@
 {
     ClockMs now = Clock_Now();
     ClockMs delay = TICK_MS;
-    struct timespec until;
 
     if (sync->next_store > now) {
         delay = MIN(delay, sync->next_store - now);
     }
-    clock_gettime(CLOCK_MONOTONIC, &until);
-    until.tv_nsec += delay % 1000 * 1000000;
-    until.tv_sec += delay / 1000 + until.tv_nsec / 1000000000;
-    until.tv_nsec %= 1000000000;
     pthread_mutex_lock(&sync->lock);
     if (!sync->stopping && sync->offer_count == 0 &&
         (sync->unwritten->len == 0 || sync->next_store > now)) {
-        pthread_cond_timedwait(&sync->wake, &sync->lock, &until);
+        (void)Condition_Wait(&sync->wake, &sync->lock, delay);
     }
     pthread_mutex_unlock(&sync->lock);
 }
--- a/src/issue/run_table.c
+++ b/src/issue/run_table.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "base/condition.h"
 #include "base/counter.h"
 #include "base/rng.h"
 #include "issue/run_table_private.h"
@@ -21,7 +22,6 @@
 RunTable_Create(const RunTable_desc *desc)
 {
     RunTable *table = g_new0(RunTable, 1);
-    pthread_condattr_t attributes;
     uint32_t buckets = 4;
 
     table->desc = *desc;
@@ -44,10 +44,7 @@
         table->desc.keep_ms = DEFAULT_KEEP_MS;
     }
     pthread_mutex_init(&table->lock, NULL);
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(&table->changed, &attributes);
-    pthread_condattr_destroy(&attributes);
+    Condition_Init(&table->changed);
     table->now = INT64_MIN;
     table->records = Pool_Create(sizeof(_RunRecord), table->desc.max_runs);
     while (buckets < table->desc.max_runs) {
@@ -362,19 +359,10 @@
 wait_for_change(RunTable *table, ClockMs deadline)
 {
     ClockMs left = deadline - Clock_Now();
-    struct timespec until;
 
     /* The condition cannot use CLOCK_BOOTTIME. It is asked again at least
      * every second, so a suspended host overshoots by that at most. */
-    left = CLAMP(left, 0, 1000);
-    clock_gettime(CLOCK_MONOTONIC, &until);
-    until.tv_sec += left / 1000;
-    until.tv_nsec += left % 1000 * 1000000;
-    if (until.tv_nsec >= 1000000000) {
-        until.tv_sec++;
-        until.tv_nsec -= 1000000000;
-    }
-    pthread_cond_timedwait(&table->changed, &table->lock, &until);
+    (void)Condition_Wait(&table->changed, &table->lock, CLAMP(left, 0, 1000));
 }
 
 RunBegin
--- a/src/member/gossip.c
+++ b/src/member/gossip.c
@@ -6,6 +6,7 @@
 #include <time.h>
 #include <urcu.h>
 
+#include "base/condition.h"
 #include "base/log.h"
 #include "member/member_wire.h"
 
@@ -462,28 +463,12 @@
     (void)ping(gossip, &any, &responder);
 }
 
-static struct timespec
-monotonic_after(ClockMs milliseconds)
-{
-    struct timespec time;
-
-    clock_gettime(CLOCK_MONOTONIC, &time);
-    time.tv_sec += milliseconds / 1000;
-    time.tv_nsec += (milliseconds % 1000) * 1000000L;
-    if (time.tv_nsec >= 1000000000L) {
-        time.tv_sec++;
-        time.tv_nsec -= 1000000000L;
-    }
-    return time;
-}
-
 /* Waits for a change or for the time to pass. Called with the lock held. */
 static void
 wait_for(Gossip *gossip, ClockMs milliseconds)
 {
-    struct timespec until = monotonic_after(CLAMP(milliseconds, 1, TICK_MS));
-
-    pthread_cond_timedwait(&gossip->changed, &gossip->lock, &until);
+    (void)Condition_Wait(&gossip->changed, &gossip->lock,
+                         CLAMP(milliseconds, 1, TICK_MS));
 }
 
 /* Ends suspicions in time and publishes changes, also while the prober waits
@@ -583,7 +568,6 @@
 Gossip_Create(const Gossip_desc *desc)
 {
     Gossip *gossip = g_new0(Gossip, 1);
-    pthread_condattr_t attributes;
     Member_desc member = desc->member;
 
     gossip->desc = *desc;
@@ -596,10 +580,7 @@
         gossip->desc.digest_period_ms = DEFAULT_DIGEST_PERIOD_MS;
     }
     pthread_mutex_init(&gossip->lock, NULL);
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(&gossip->changed, &attributes);
-    pthread_condattr_destroy(&attributes);
+    Condition_Init(&gossip->changed);
     member.notify = take_event;
     member.context = gossip;
     member.self.incarnation = Rpc_GetIncarnation(desc->rpc);
--- a/src/mirror/mirror_cache.c
+++ b/src/mirror/mirror_cache.c
@@ -3,6 +3,8 @@
 #include <pthread.h>
 #include <time.h>
 
+#include "base/condition.h"
+
 typedef struct Entry {
     ObjectRecord record;
     int64_t seen;  /* revision of the answer that brought it */
@@ -33,13 +35,9 @@
 MirrorCache_Create(void)
 {
     MirrorCache *cache = g_new0(MirrorCache, 1);
-    pthread_condattr_t attributes;
 
     pthread_mutex_init(&cache->lock, NULL);
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(&cache->changed, &attributes);
-    pthread_condattr_destroy(&attributes);
+    Condition_Init(&cache->changed);
     cache->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
     cache->revision = -1;
@@ -145,9 +143,7 @@
 void
 MirrorCache_Wait(MirrorCache *cache, int64_t revision, ClockMs wait_ms)
 {
-    gint64 end = g_get_monotonic_time() + wait_ms * 1000;
-    struct timespec until = {.tv_sec = end / G_USEC_PER_SEC,
-                             .tv_nsec = (end % G_USEC_PER_SEC) * 1000};
+    struct timespec until = Condition_After(wait_ms);
 
     uint64_t confirmations;
 
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -5,6 +5,7 @@
 #include <stdatomic.h>
 #include <urcu.h>
 
+#include "base/condition.h"
 #include "base/log.h"
 #include "base/rng.h"
 
@@ -38,9 +39,7 @@
 static gboolean
 pause_for(ObjectSync *sync, ClockMs milliseconds)
 {
-    gint64 end = g_get_monotonic_time() + milliseconds * 1000;
-    struct timespec until = {.tv_sec = end / G_USEC_PER_SEC,
-                             .tv_nsec = (end % G_USEC_PER_SEC) * 1000};
+    struct timespec until = Condition_After(milliseconds);
     gboolean stopping;
 
     pthread_mutex_lock(&sync->lock);
@@ -228,7 +227,6 @@
 ObjectSync_Start(const ObjectSync_desc *desc)
 {
     ObjectSync *sync = g_new0(ObjectSync, 1);
-    pthread_condattr_t attributes;
 
     sync->desc = *desc;
     if (sync->desc.wait_ms == 0) {
@@ -238,10 +236,7 @@
     sync->revision = -1;
     Rng_Seed(&sync->rng, Rng_ProcessSeed());
     pthread_mutex_init(&sync->lock, NULL);
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(&sync->wake, &attributes);
-    pthread_condattr_destroy(&attributes);
+    Condition_Init(&sync->wake);
     pthread_create(&sync->thread, NULL, follow, sync);
     return sync;
 }
--- a/src/objects/object_writer.c
+++ b/src/objects/object_writer.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <pthread.h>
 
+#include "base/condition.h"
 #include "base/log.h"
 #include "base/rng.h"
 
@@ -112,9 +113,7 @@
 static gboolean
 wait_for_work(ObjectWriter *writer, ClockMs backoff_ms, gboolean *known)
 {
-    gint64 end = g_get_monotonic_time() + backoff_ms * 1000;
-    struct timespec until = {.tv_sec = end / G_USEC_PER_SEC,
-                             .tv_nsec = (end % G_USEC_PER_SEC) * 1000};
+    struct timespec until = Condition_After(backoff_ms);
     gboolean stopping;
 
     pthread_mutex_lock(&writer->lock);
@@ -162,17 +161,13 @@
 ObjectWriter_Start(const ObjectWriter_desc *desc)
 {
     ObjectWriter *writer = g_new0(ObjectWriter, 1);
-    pthread_condattr_t attributes;
 
     writer->desc = *desc;
     /* Most often the object does not exist yet; the store says so if not. */
     writer->known = TRUE;
     Rng_Seed(&writer->rng, Rng_ProcessSeed());
     pthread_mutex_init(&writer->lock, NULL);
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(&writer->wake, &attributes);
-    pthread_condattr_destroy(&attributes);
+    Condition_Init(&writer->wake);
     pthread_create(&writer->thread, NULL, run, writer);
     return writer;
 }
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "base/condition.h"
 #include "base/counter.h"
 #include "base/log.h"
 #include "base/rng.h"
@@ -92,7 +93,6 @@
                               .backend_server = announcement->name,
                               .host = owner->desc.host,
                               .incarnation = owner->desc.incarnation};
-    pthread_condattr_t attributes;
     Server *server;
 
     if (owner->count == MEMBER_MAX_SERVERS) {
@@ -104,10 +104,7 @@
     server->health = Health_Create(&owner->desc.health, now);
     server->claim = PermitClaim_Create(&claim);
     server->verdict.weight = HEALTH_WEIGHT_FULL;
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(&server->freed, &attributes);
-    pthread_condattr_destroy(&attributes);
+    Condition_Init(&server->freed);
     owner->servers[owner->count++] = server;
     return server;
 }
@@ -261,26 +258,11 @@
                : server->announcement.slots;
 }
 
-static struct timespec
-monotonic_after(ClockMs wait_ms)
-{
-    struct timespec time;
-
-    clock_gettime(CLOCK_MONOTONIC, &time);
-    time.tv_sec += wait_ms / 1000;
-    time.tv_nsec += (wait_ms % 1000) * 1000000;
-    if (time.tv_nsec >= 1000000000) {
-        time.tv_sec++;
-        time.tv_nsec -= 1000000000;
-    }
-    return time;
-}
-
 /* Waits in the server's queue for a slot. */
 static Result
 wait_for_slot(Owner *owner, Server *server, ClockMs deadline)
 {
-    struct timespec until = monotonic_after(MAX(deadline - Clock_Now(), 0));
+    struct timespec until = Condition_After(MAX(deadline - Clock_Now(), 0));
     unsigned limit = (unsigned)__atomic_load_n(owner->desc.queue_per_server,
                                                __ATOMIC_RELAXED);
     Result result = RESULT_OK;
--- a/src/rate/rate_service.c
+++ b/src/rate/rate_service.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "base/condition.h"
 #include "base/counter.h"
 #include "rate/rate_service_private.h"
 
@@ -19,27 +20,11 @@
                                      : Clock_Now();
 }
 
-void
-_RateService_Wait(pthread_cond_t *condition, pthread_mutex_t *lock, int64_t ms)
-{
-    struct timespec until;
-
-    clock_gettime(CLOCK_MONOTONIC, &until);
-    until.tv_sec += ms / 1000;
-    until.tv_nsec += ms % 1000 * 1000000;
-    if (until.tv_nsec >= 1000000000) {
-        until.tv_nsec -= 1000000000;
-        until.tv_sec++;
-    }
-    pthread_cond_timedwait(condition, lock, &until);
-}
-
 RateService *
 RateService_Create(const RateService_desc *desc)
 {
     RateService *service = g_new0(RateService, 1);
     RateService_desc *d = &service->desc;
-    pthread_condattr_t attributes;
 
     *d = *desc;
     d->fleet_slots = d->fleet_slots > 0 ? d->fleet_slots : RATE_SLOTS_MAX;
@@ -47,13 +32,10 @@
     pthread_mutex_init(&service->hold_lock, NULL);
     pthread_mutex_init(&service->wallet_lock, NULL);
     pthread_mutex_init(&service->holder_lock, NULL);
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(&service->answered, &attributes);
-    pthread_cond_init(&service->settle, &attributes);
-    pthread_cond_init(&service->draw_wake, &attributes);
-    pthread_cond_init(&service->hold_wake, &attributes);
-    pthread_condattr_destroy(&attributes);
+    Condition_Init(&service->answered);
+    Condition_Init(&service->settle);
+    Condition_Init(&service->draw_wake);
+    Condition_Init(&service->hold_wake);
     service->hold =
         RateHold_Create(&(RateHold_desc){.self = d->self,
                                          .fleet_slots = d->fleet_slots,
@@ -393,7 +375,8 @@
         return FALSE;
     }
     RateWallet_GiveBack(service->wallet, team, now);
-    _RateService_Wait(&service->answered, &service->wallet_lock, retry_ms + 1);
+    (void)Condition_Wait(&service->answered, &service->wallet_lock,
+                         retry_ms + 1);
     return TRUE;
 }
 
@@ -431,8 +414,8 @@
             }
         }
         else if (!draw(service, team, waiting, now)) {
-            _RateService_Wait(&service->answered, &service->wallet_lock,
-                              MIN(WALLET_TICK_MS, deadline - now));
+            (void)Condition_Wait(&service->answered, &service->wallet_lock,
+                                 MIN(WALLET_TICK_MS, deadline - now));
         }
         now = _RateService_Now(service);
     }
@@ -554,8 +537,8 @@
 
         pthread_mutex_lock(&service->wallet_lock);
         if (!service->stop) {
-            _RateService_Wait(&service->settle, &service->wallet_lock,
-                              wait_ms);
+            (void)Condition_Wait(&service->settle, &service->wallet_lock,
+                                 wait_ms);
         }
         if (service->stop) {
             pthread_mutex_unlock(&service->wallet_lock);
@@ -608,8 +591,8 @@
         pthread_mutex_lock(&service->hold_lock);
         left = RateHold_Count(service->hold);
         if (left > 0 && _RateService_Now(service) < until) {
-            _RateService_Wait(&service->hold_wake, &service->hold_lock,
-                              CLAMP(wait_ms, 1, 100));
+            (void)Condition_Wait(&service->hold_wake, &service->hold_lock,
+                                 CLAMP(wait_ms, 1, 100));
         }
         pthread_mutex_unlock(&service->hold_lock);
         if (left == 0 || _RateService_Now(service) >= until) {
--- a/src/rate/rate_service_holds.c
+++ b/src/rate/rate_service_holds.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/condition.h"
 #include "base/log.h"
 #include "rate/rate_service_private.h"
 
@@ -263,8 +264,8 @@
 
         pthread_mutex_lock(&service->hold_lock);
         if (!service->stop && wait_ms > 0) {
-            _RateService_Wait(&service->hold_wake, &service->hold_lock,
-                              wait_ms);
+            (void)Condition_Wait(&service->hold_wake, &service->hold_lock,
+                                 wait_ms);
         }
         if (service->stop) {
             pthread_mutex_unlock(&service->hold_lock);
--- a/src/rate/rate_service_private.h
+++ b/src/rate/rate_service_private.h
@@ -49,8 +49,6 @@
 };
 
 ClockMs _RateService_Now(const RateService *service);
-void _RateService_Wait(pthread_cond_t *condition, pthread_mutex_t *lock,
-                       int64_t ms);
 gboolean _RateService_IsSelf(const RateService *service, uint64_t host,
                              uint64_t incarnation);
 void _RateService_SendSettlement(RateService *service, uint64_t holder,
--- a/src/rpc/client.c
+++ b/src/rpc/client.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "base/condition.h"
 #include "base/counter.h"
 #include "rpc/seal.h"
 
@@ -39,16 +40,12 @@
 RpcClient_Create(uint32_t max_handles, int retransmit_ms)
 {
     RpcClient *client = g_new0(RpcClient, 1);
-    pthread_condattr_t attributes;
 
     client->max_handles = max_handles;
     client->retransmit_ms = retransmit_ms;
     client->handles = g_new0(Handle, max_handles);
     pthread_mutex_init(&client->lock, NULL);
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(&client->returned, &attributes);
-    pthread_condattr_destroy(&attributes);
+    Condition_Init(&client->returned);
     return client;
 }
 
--- a/standin/object_server.c
+++ b/standin/object_server.c
@@ -4,6 +4,7 @@
 #include <stdatomic.h>
 #include <string.h>
 
+#include "base/condition.h"
 #include "http/http_server.h"
 
 #define PATH "/radishknot/objects/"
@@ -151,9 +152,7 @@
 watch_kind(ObjectServer *server, const char *kind, gint64 since,
            gint64 wait_ms, json_t **body)
 {
-    gint64 end = g_get_monotonic_time() + wait_ms * 1000;
-    struct timespec until = {.tv_sec = end / G_USEC_PER_SEC,
-                             .tv_nsec = (end % G_USEC_PER_SEC) * 1000};
+    struct timespec until = Condition_After(wait_ms);
     json_t *events = changes(server, kind, since);
 
     while (json_array_size(events) == 0 && since >= server->forgotten &&
@@ -314,14 +313,10 @@
                             .worker_threads = THREADS,
                             .handler = serve,
                             .context = server};
-    pthread_condattr_t attributes;
 
     server->desc = *desc;
     pthread_mutex_init(&server->lock, NULL);
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(&server->changed, &attributes);
-    pthread_condattr_destroy(&attributes);
+    Condition_Init(&server->changed);
     server->objects = g_ptr_array_new_with_free_func(free_object);
     server->server = HttpServer_Create(&http, NULL);
     g_assert_nonnull(server->server);
--- a/standin/rk_backend_work.c
+++ b/standin/rk_backend_work.c
@@ -5,6 +5,7 @@
 #include <time.h>
 
 #include "base/clock.h"
+#include "base/condition.h"
 #include "rk_backend.h"
 
 /* libmicrohttpd does not watch a connection that is suspended, so it is looked
@@ -14,12 +15,7 @@
 void
 Work_Init(Backend *backend)
 {
-    pthread_condattr_t attributes;
-
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(&backend->changed, &attributes);
-    pthread_condattr_destroy(&attributes);
+    Condition_Init(&backend->changed);
     pthread_mutex_init(&backend->lock, NULL);
     Rng_Seed(&backend->rng, backend->seed);
     g_snprintf(backend->session, sizeof(backend->session),
--- a/standin/store_standin.c
+++ b/standin/store_standin.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/condition.h"
 #include "base/rng.h"
 #include "store_objects.h"
 
@@ -175,7 +176,6 @@
     while (!standin->stopping) {
         ClockMs now = Clock_Now();
         ClockMs next = now + 1000;
-        struct timespec until;
 
         resume_calls(standin, NULL, now);
         for (guint i = 0; i < standin->suspended->len; i++) {
@@ -183,11 +183,7 @@
 
             next = MIN(next, call->resume_at);
         }
-        clock_gettime(CLOCK_MONOTONIC, &until);
-        until.tv_nsec += (next - now) % 1000 * 1000000;
-        until.tv_sec += (next - now) / 1000 + until.tv_nsec / 1000000000;
-        until.tv_nsec %= 1000000000;
-        pthread_cond_timedwait(&standin->changed, &standin->lock, &until);
+        (void)Condition_Wait(&standin->changed, &standin->lock, next - now);
     }
     pthread_mutex_unlock(&standin->lock);
     return NULL;
@@ -510,13 +506,9 @@
 StoreStandin_Create(void)
 {
     StoreStandin *standin = g_new0(StoreStandin, 1);
-    pthread_condattr_t attributes;
 
     pthread_mutex_init(&standin->lock, NULL);
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(&standin->changed, &attributes);
-    pthread_condattr_destroy(&attributes);
+    Condition_Init(&standin->changed);
     standin->objects = StoreObjects_Create(STORE_STANDIN_HISTORY);
     standin->suspended = g_ptr_array_new();
     Rng_Seed(&standin->rng, 1);
