http, gateway: one copy of the header rules and of passing an answer on

The entry and the peer port each moved a backend server's answer into their own, and two modules knew the prefix of the system's headers. The predicates and HttpHeaders_AddAll() go to http_message, PeerWire_TakeAnswer() serves both ports. OwnerWire keeps its own, shorter list of connection headers: merging it would drop more headers of answers in the other mode.

--- a/src/backend/backend_call.c
+++ b/src/backend/backend_call.c
@@ -16,10 +16,7 @@
 {
     const WireNames *names = exchange->names;
 
-    for (size_t i = 0; i < call->headers->count; i++) {
-        HttpHeaders_Add(headers, call->headers->items[i].name,
-                        call->headers->items[i].value);
-    }
+    HttpHeaders_AddAll(headers, call->headers);
     HttpHeaders_Add(headers, names->request_id, call->request_id);
     HttpHeaders_AddNumber(headers, names->time_left_ms,
                           MAX(call->deadline - now, 1));
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -69,26 +69,6 @@
     Counter_Refusal(result);
 }
 
-/* Passes a backend server's answer on as it is. */
-static void
-fill_answer(BackendReply *reply, HttpAnswer *answer)
-{
-    const HttpHeaders *headers = &reply->answer.headers;
-
-    answer->status = reply->answer.status;
-    for (size_t i = 0; i < headers->count; i++) {
-        if (!PeerWire_IsHopHeader(headers->items[i].name) &&
-            !PeerWire_IsOwnHeader(headers->items[i].name)) {
-            HttpHeaders_Add(&answer->headers, headers->items[i].name,
-                            headers->items[i].value);
-        }
-    }
-    answer->body = reply->answer.body;
-    answer->body_bytes = reply->answer.body_bytes;
-    reply->answer.body = NULL;
-    Counter_Add(COUNTER_ENTRY_ANSWERS, 1);
-}
-
 static void
 log_request(const GatewayRequest *request, const BackendReply *reply,
             int status)
@@ -138,7 +118,8 @@
     }
     HttpRequest_OnHangUp(http, NULL, NULL);
     if (is_answer(&reply)) {
-        fill_answer(&reply, &answer);
+        PeerWire_TakeAnswer(&answer, &reply);
+        Counter_Add(COUNTER_ENTRY_ANSWERS, 1);
     }
     else {
         fill_refusal(gateway, &request, reply.result, reply.run, &answer);
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -257,10 +257,7 @@
                      .cancel = call->cancel};
     gboolean sent;
 
-    for (size_t i = 0; i < call->headers->count; i++) {
-        HttpHeaders_Add(&headers, call->headers->items[i].name,
-                        call->headers->items[i].value);
-    }
+    HttpHeaders_AddAll(&headers, call->headers);
     HttpHeaders_Add(&headers, request->gateway->desc.names->request_id,
                     call->request_id);
     PeerWire_EncodeCall(call, now, &headers);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -53,8 +53,7 @@
         const HttpHeader *header = &headers->items[i];
 
         if (!is_set_by_system(names, header->name) &&
-            !PeerWire_IsOwnHeader(header->name) &&
-            !PeerWire_IsHopHeader(header->name)) {
+            PeerWire_IsPassedOn(header->name)) {
             HttpHeaders_Add(&request->forwarded, header->name, header->value);
         }
     }
--- a/src/gateway/peer_port.c
+++ b/src/gateway/peer_port.c
@@ -15,15 +15,16 @@
     HttpCancelSet *cancels; /* of the requests in flight */
 };
 
+/* The caller's headers, without the id, which goes apart. */
 static void
-copy_headers(const HttpHeaders *from, HttpHeaders *to)
+copy_headers(const PeerPort *port, const HttpHeaders *from, HttpHeaders *to)
 {
     for (size_t i = 0; i < from->count; i++) {
-        if (!PeerWire_IsOwnHeader(from->items[i].name) &&
-            !PeerWire_IsHopHeader(from->items[i].name)) {
+        if (PeerWire_IsPassedOn(from->items[i].name)) {
             HttpHeaders_Add(to, from->items[i].name, from->items[i].value);
         }
     }
+    HttpHeaders_Remove(to, port->desc.names->request_id);
 }
 
 /* Turns the reply into the answer for the other daemon. */
@@ -34,12 +35,7 @@
         answer->status = 503;
     }
     else {
-        answer->status = reply->answer.status;
-        copy_headers(&reply->answer.headers, &answer->headers);
-        answer->body = reply->answer.body;
-        answer->body_bytes = reply->answer.body_bytes;
-        reply->answer.body = NULL;
-        HttpAnswer_Clear(&reply->answer);
+        PeerWire_TakeAnswer(answer, reply);
     }
     PeerWire_EncodeReply(reply, &answer->headers);
 }
@@ -85,8 +81,7 @@
                               call.request_id, NULL);
     }
     else {
-        copy_headers(received, &headers);
-        HttpHeaders_Remove(&headers, port->desc.names->request_id);
+        copy_headers(port, received, &headers);
         HttpRequest_OnHangUp(request, HttpCancel_Trigger, cancel);
         Backend_Run(port->desc.backend, &call, &reply);
         HttpRequest_OnHangUp(request, NULL, NULL);
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -2,9 +2,7 @@
 
 #include <inttypes.h>
 #include <stdio.h>
-#include <string.h>
 
-#define OWN_PREFIX "Radishknot-"
 #define CALL_HEADER "Radishknot-Call"
 #define TEAM_HEADER "Radishknot-Team"
 #define CALLER_HEADER "Radishknot-Caller"
@@ -16,33 +14,28 @@
 /* Longest wait that a call may state; keeps sums of times small. */
 #define MOST_WAIT_MS 600000
 
-gboolean
-PeerWire_IsOwnHeader(const char *name)
+void
+PeerWire_TakeAnswer(HttpAnswer *answer, BackendReply *reply)
 {
-    return g_ascii_strncasecmp(name, OWN_PREFIX, strlen(OWN_PREFIX)) == 0;
+    const HttpHeaders *headers = &reply->answer.headers;
+
+    answer->status = reply->answer.status;
+    for (size_t i = 0; i < headers->count; i++) {
+        if (PeerWire_IsPassedOn(headers->items[i].name)) {
+            HttpHeaders_Add(&answer->headers, headers->items[i].name,
+                            headers->items[i].value);
+        }
+    }
+    answer->body = reply->answer.body;
+    answer->body_bytes = reply->answer.body_bytes;
+    reply->answer.body = NULL;
+    HttpAnswer_Clear(&reply->answer);
 }
 
 gboolean
-PeerWire_IsHopHeader(const char *name)
+PeerWire_IsPassedOn(const char *name)
 {
-    static const char *const names[] = {"Connection",
-                                        "Keep-Alive",
-                                        "Proxy-Connection",
-                                        "Transfer-Encoding",
-                                        "TE",
-                                        "Trailer",
-                                        "Upgrade",
-                                        "Expect",
-                                        "Content-Length",
-                                        "Host",
-                                        "Date"};
-
-    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-        if (g_ascii_strcasecmp(name, names[i]) == 0) {
-            return TRUE;
-        }
-    }
-    return FALSE;
+    return !HttpHeader_IsHopByHop(name) && !HttpHeader_IsOwn(name);
 }
 
 void
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -31,10 +31,11 @@
 void PeerWire_EncodeReply(const BackendReply *reply, HttpHeaders *headers);
 gboolean PeerWire_DecodeReply(const HttpHeaders *headers, BackendReply *reply);
 
-/* TRUE for headers that only daemons may set. */
-gboolean PeerWire_IsOwnHeader(const char *name);
+/* Moves a backend server's answer out of the reply, with the headers that are
+ * passed on. */
+void PeerWire_TakeAnswer(HttpAnswer *answer, BackendReply *reply);
 
-/* TRUE for headers that concern one connection only. */
-gboolean PeerWire_IsHopHeader(const char *name);
+/* FALSE for headers of one connection and for the system's own. */
+gboolean PeerWire_IsPassedOn(const char *name);
 
 #endif
--- a/src/http/http_message.c
+++ b/src/http/http_message.c
@@ -4,6 +4,9 @@
 #include <string.h>
 #include <strings.h>
 
+/* Begins the names of the system's own headers. */
+#define OWN_PREFIX "Radishknot-"
+
 void
 HttpHeaders_Add(HttpHeaders *headers, const char *name, const char *value)
 {
@@ -26,6 +29,14 @@
     HttpHeaders_Add(headers, name, text);
 }
 
+void
+HttpHeaders_AddAll(HttpHeaders *headers, const HttpHeaders *from)
+{
+    for (size_t i = 0; i < from->count; i++) {
+        HttpHeaders_Add(headers, from->items[i].name, from->items[i].value);
+    }
+}
+
 const char *
 HttpHeaders_Get(const HttpHeaders *headers, const char *name)
 {
@@ -79,6 +90,37 @@
     memset(headers, 0, sizeof(*headers));
 }
 
+gboolean
+HttpHeader_IsHopByHop(const char *name)
+{
+    static const char *const names[] = {
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Connection",
+        "Transfer-Encoding",
+        "TE",
+        "Trailer",
+        "Upgrade",
+        "Expect",
+        "Content-Length",
+        "Host",
+        "Date",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (g_ascii_strcasecmp(name, names[i]) == 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+gboolean
+HttpHeader_IsOwn(const char *name)
+{
+    return g_ascii_strncasecmp(name, OWN_PREFIX, strlen(OWN_PREFIX)) == 0;
+}
+
 void
 HttpAnswer_SetBody(HttpAnswer *answer, const void *body, size_t bytes)
 {
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -37,6 +37,9 @@
 void HttpHeaders_AddNumber(HttpHeaders *headers, const char *name,
                            int64_t value);
 
+/* Adds all headers of another list, in their order. */
+void HttpHeaders_AddAll(HttpHeaders *headers, const HttpHeaders *from);
+
 /* First value with this name, or NULL. */
 const char *HttpHeaders_Get(const HttpHeaders *headers, const char *name);
 
@@ -46,6 +49,13 @@
 void HttpHeaders_Remove(HttpHeaders *headers, const char *name);
 void HttpHeaders_Clear(HttpHeaders *headers);
 
+/* TRUE for the headers that concern one connection only, and for those that
+ * the sender of a message writes itself (Host, Date). */
+gboolean HttpHeader_IsHopByHop(const char *name);
+
+/* TRUE for headers that only daemons may set ("Radishknot-..."). */
+gboolean HttpHeader_IsOwn(const char *name);
+
 /* Copies the body. */
 void HttpAnswer_SetBody(HttpAnswer *answer, const void *body, size_t bytes);
 
--- a/src/owner/owner_wire.c
+++ b/src/owner/owner_wire.c
@@ -23,7 +23,7 @@
             return TRUE;
         }
     }
-    return strncasecmp(name, "Radishknot-", 11) == 0;
+    return HttpHeader_IsOwn(name);
 }
 
 static void
