mirror: drop forwarders that nothing calls

An ObjectSync only lists and watches; reads of single objects and writes go to the store itself, so the mirror's get, put and remove were dead.

--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -231,44 +231,14 @@
     return store->watch(store->context, kind, revision, wait_ms, page);
 }
 
-static Result
-get(void *context, const char *kind, const char *name, ObjectRecord *record)
-{
-    const ObjectStore *store = ((Mirror *)context)->desc.store;
-
-    return store->get(store->context, kind, name, record);
-}
-
-static Result
-put(void *context, const char *kind, const char *name, const json_t *value,
-    int64_t *revision)
-{
-    const ObjectStore *store = ((Mirror *)context)->desc.store;
-
-    return store->put(store->context, kind, name, value, revision);
-}
-
-static Result
-remove_object(void *context, const char *kind, const char *name,
-              int64_t revision)
-{
-    const ObjectStore *store = ((Mirror *)context)->desc.store;
-
-    return store->remove(store->context, kind, name, revision);
-}
-
 Mirror *
 Mirror_Create(const Mirror_desc *desc)
 {
     Mirror *mirror = g_new0(Mirror, 1);
 
     mirror->desc = *desc;
-    mirror->functions = (ObjectStore){.context = mirror,
-                                      .list = list,
-                                      .watch = watch,
-                                      .get = get,
-                                      .put = put,
-                                      .remove = remove_object};
+    mirror->functions =
+        (ObjectStore){.context = mirror, .list = list, .watch = watch};
     mirror->group_seed = Rng_HashString(desc->host);
     return mirror;
 }
--- a/src/mirror/mirror.h
+++ b/src/mirror/mirror.h
@@ -10,8 +10,8 @@
  *
  * Use:
  *  1. Mirror_Create() with the store and the roster.
- *  2. Give Mirror_AsStore() to an ObjectSync; one Mirror for each kind. Reads
- * of single objects and writes go to the store.
+ *  2. Give Mirror_AsStore() to an ObjectSync; one Mirror for each kind. It has
+ *     only lists and watches.
  *  3. Mirror_IsDirect() tells others whether the last answer came from the
  *     store.
  *
