--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -153,6 +153,13 @@
     return available;
 }
 
+/* Of the next attempt, as a share of the request's worth. */
+static double
+failure_cost(const GatewayRequest *request)
+{
+    return request->has_repeat ? FAILURE_COST_REPEATABLE : FAILURE_COST_ONCE;
+}
+
 static gboolean
 choose(GatewayRequest *request, RosterChoice *choice)
 {
@@ -164,9 +171,7 @@
     RosterReport own;
 
     request->has_repeat = has_repeat(request);
-    request->failure_cost =
-        request->has_repeat ? FAILURE_COST_REPEATABLE : FAILURE_COST_ONCE;
-    query.failure_cost = request->failure_cost;
+    query.failure_cost = failure_cost(request);
     query.may_explore = request->has_repeat && request->arrivals == 0;
     memcpy(query.tried, request->avoided, sizeof(query.tried));
     Backend_GetReport(gateway->desc.backend, &own);
@@ -190,7 +195,7 @@
         call->max_wait_ms = MAX(request->deadline - now, 0);
         return;
     }
-    call->max_risk = CLAMP(slack / request->failure_cost, LEAST_RISK_LIMIT, 1);
+    call->max_risk = CLAMP(slack / failure_cost(request), LEAST_RISK_LIMIT, 1);
     call->max_wait_ms = MAX((request->target_time - now) / 2, 0);
 }
 
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -38,7 +38,6 @@
     ClockMs target_time; /* an answer is in time until then */
     ClockMs proof_age;
     QuotaSource quota_source;
-    double failure_cost;   /* of the next attempt, as a share of the worth */
     gboolean has_repeat;   /* a failure of it could be repaired */
     gboolean repeat_taken; /* from the budget, for an attempt given up */
     uint32_t arrivals;     /* attempts that reached a backend server */
