gateway: a malformed reply header fills nothing

PeerWire_DecodeReply() scanned into the reply, so a header that was refused left some of its fields behind, among them whether the request had arrived at a backend server. The caller takes such an answer for that of another program and states that nothing ran. The test failed before the change.

--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -96,19 +96,24 @@
 PeerWire_DecodeReply(const HttpHeaders *headers, BackendReply *reply)
 {
     const char *line = HttpHeaders_Get(headers, REPLY_HEADER);
-    RosterReport *report = &reply->report;
+    RosterReport report = {0};
+    gboolean arrived;
+    Result known;
     int result;
     int run;
 
     if (line == NULL ||
         sscanf(line, "%d %d %d %lf %u %u %u %" SCNd64 " %" SCNd64 " %d",
-               &result, &run, &reply->arrived, &report->risk, &report->slots,
-               &report->in_flight, &report->waiting, &report->service_ms,
-               &report->idle_ms, &report->leaving) != 10 ||
+               &result, &run, &arrived, &report.risk, &report.slots,
+               &report.in_flight, &report.waiting, &report.service_ms,
+               &report.idle_ms, &report.leaving) != 10 ||
         run < RUN_NO || run > RUN_UNKNOWN ||
-        !Result_FromNumber(result, &reply->result)) {
+        !Result_FromNumber(result, &known)) {
         return FALSE;
     }
+    reply->result = known;
     reply->run = (RunState)run;
+    reply->arrived = arrived;
+    reply->report = report;
     return TRUE;
 }
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -13,7 +13,8 @@
  * Use: the sender PeerWire_EncodeCall() and PeerWire_DecodeReply(), the
  * receiver the other two.
  *
- * Errors: FALSE for a header that is missing or malformed.
+ * Errors: FALSE for a header that is missing or malformed; what it should have
+ * filled is left as it was.
  */
 #ifndef GATEWAY_PEER_WIRE_H
 #define GATEWAY_PEER_WIRE_H
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -89,6 +89,7 @@
 {
     static const char *const malformed[] = {"", "0 1", "0 9 1 0 1 1 1 1 1 0",
                                             "99999 1 1 0 1 1 1 1 1 0"};
+    static const BackendReply empty = {0};
     BackendReply decoded = {0};
     HttpHeaders headers = {0};
 
@@ -96,6 +97,7 @@
     for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++) {
         HttpHeaders_Add(&headers, "Radishknot-Reply", malformed[i]);
         g_assert_false(PeerWire_DecodeReply(&headers, &decoded));
+        g_assert_cmpmem(&decoded, sizeof(decoded), &empty, sizeof(empty));
         HttpHeaders_Clear(&headers);
     }
 }
