--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -1,5 +1,6 @@
 #include "base/clock.h"
 
+#include <string.h>
 #include <time.h>
 
 static int64_t
@@ -28,3 +29,23 @@
 {
     return read_microseconds(CLOCK_REALTIME) / 1000;
 }
+
+gboolean
+Clock_ParseText(const char *text, ClockMs *time)
+{
+    char *unit;
+    double number = g_ascii_strtod(text, &unit);
+
+    /* Written so that it also turns away NaN. */
+    if (unit == text || !(number >= 0 && number <= G_MAXINT32)) {
+        return FALSE;
+    }
+    if (strcmp(unit, "s") == 0) {
+        number *= 1000;
+    }
+    else if (strcmp(unit, "ms") != 0) {
+        return FALSE;
+    }
+    *time = (ClockMs)number;
+    return TRUE;
+}
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -10,6 +10,7 @@
 #ifndef BASE_CLOCK_H
 #define BASE_CLOCK_H
 
+#include <glib.h>
 #include <stdint.h>
 
 /* Milliseconds. */
@@ -28,4 +29,8 @@
 /* Milliseconds since 1970 by the wall clock, for display only. */
 ClockMs Clock_WallMs(void);
 
+/* Reads a time such as "250ms" or "2.5s"; FALSE for any other text, a negative
+ * time or a number above G_MAXINT32. */
+gboolean Clock_ParseText(const char *text, ClockMs *time);
+
 #endif
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -180,23 +180,12 @@
 static gboolean
 read_time(const json_t *value, ClockMs *time)
 {
-    const char *text = json_string_value(value);
-    char *unit;
-    double number;
-
     if (json_is_integer(value)) {
         *time = json_integer_value(value);
         return TRUE;
     }
-    if (text == NULL) {
-        return FALSE;
-    }
-    number = g_ascii_strtod(text, &unit);
-    if (unit == text || (strcmp(unit, "ms") != 0 && strcmp(unit, "s") != 0)) {
-        return FALSE;
-    }
-    *time = (ClockMs)(unit[0] == 's' ? number * 1000 : number);
-    return TRUE;
+    return json_is_string(value) &&
+           Clock_ParseText(json_string_value(value), time);
 }
 
 static void
