--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -7,15 +7,10 @@
 
 #include "base/condition.h"
 #include "base/log.h"
-#include "base/rng.h"
+#include "objects/object_backoff.h"
 
 #define DEFAULT_WAIT_MS 20000
 
-/* Pause after a failed call: the first, and the longest. The longest keeps
- * the return of the store from being noticed late. */
-#define FIRST_BACKOFF_MS 100
-#define MOST_BACKOFF_MS 800
-
 /* After a change the next watch ends early, because a watch that returns with
  * a change confirms only the state at its start. */
 #define CONFIRM_WAIT_MS 400
@@ -27,12 +22,11 @@
     pthread_cond_t wake;
     gboolean stopping;
     atomic_bool complete;
-    Rng rng;
     int64_t revision; /* -1: list first */
     ClockMs next_wait_ms;
     gboolean failing;
     ClockMs failed_since;
-    ClockMs backoff_ms;
+    ObjectBackoff backoff;
 };
 
 /* Sleeps; TRUE if the thread has to end. */
@@ -60,15 +54,12 @@
         Log_Event(LOG_STORE_LOST, "kind=%s result=%s revision=%" PRId64,
                   sync->desc.kind, Result_Name(result), sync->revision);
     }
-    sync->backoff_ms = sync->backoff_ms == 0
-                           ? FIRST_BACKOFF_MS
-                           : MIN(2 * sync->backoff_ms, MOST_BACKOFF_MS);
 }
 
 static void
 note_success(ObjectSync *sync)
 {
-    sync->backoff_ms = 0;
+    ObjectBackoff_Reset(&sync->backoff);
     if (sync->failing) {
         sync->failing = FALSE;
         Log_Event(LOG_STORE_REGAINED,
@@ -213,10 +204,7 @@
         }
         else {
             note_failure(sync, result);
-            stopping = pause_for(
-                sync, sync->backoff_ms / 2 +
-                          (ClockMs)Rng_Below(&sync->rng,
-                                             (uint64_t)sync->backoff_ms));
+            stopping = pause_for(sync, ObjectBackoff_Next(&sync->backoff));
         }
     }
     rcu_unregister_thread();
@@ -234,7 +222,7 @@
     }
     sync->next_wait_ms = sync->desc.wait_ms;
     sync->revision = -1;
-    Rng_Seed(&sync->rng, Rng_ProcessSeed());
+    ObjectBackoff_Init(&sync->backoff);
     pthread_mutex_init(&sync->lock, NULL);
     Condition_Init(&sync->wake);
     pthread_create(&sync->thread, NULL, follow, sync);
--- a/src/objects/object_writer.c
+++ b/src/objects/object_writer.c
@@ -5,11 +5,7 @@
 
 #include "base/condition.h"
 #include "base/log.h"
-#include "base/rng.h"
-
-/* Pause after a failed write: the first, and the longest. */
-#define FIRST_BACKOFF_MS 100
-#define MOST_BACKOFF_MS 800
+#include "objects/object_backoff.h"
 
 struct ObjectWriter {
     ObjectWriter_desc desc;
@@ -22,7 +18,7 @@
     json_t *value;   /* NULL: the object should not exist */
     json_t *stored;  /* NULL: it does not exist */
     int64_t revision;
-    Rng rng;
+    ObjectBackoff backoff; /* of the thread */
 };
 
 static gboolean
@@ -111,13 +107,13 @@
 
 /* Waits until there is something to write; FALSE when the thread ends. */
 static gboolean
-wait_for_work(ObjectWriter *writer, ClockMs backoff_ms, gboolean *known)
+wait_for_work(ObjectWriter *writer, ClockMs pause_ms, gboolean *known)
 {
-    struct timespec until = Condition_After(backoff_ms);
+    struct timespec until = Condition_After(pause_ms);
     gboolean stopping;
 
     pthread_mutex_lock(&writer->lock);
-    while (!writer->stopping && backoff_ms > 0 &&
+    while (!writer->stopping && pause_ms > 0 &&
            pthread_cond_timedwait(&writer->wake, &writer->lock, &until) == 0) {
     }
     while (!writer->stopping && is_settled(writer)) {
@@ -133,7 +129,6 @@
 run(void *context)
 {
     ObjectWriter *writer = context;
-    ClockMs backoff_ms = 0;
     ClockMs pause_ms = 0;
     gboolean known;
     Result result;
@@ -141,18 +136,12 @@
     while (wait_for_work(writer, pause_ms, &known)) {
         result = known ? write_once(writer) : read_back(writer);
         if (result == RESULT_OK || result == RESULT_STORE_CONFLICT) {
-            backoff_ms = 0;
+            ObjectBackoff_Reset(&writer->backoff);
+            pause_ms = 0;
         }
         else {
-            backoff_ms = backoff_ms == 0
-                             ? FIRST_BACKOFF_MS
-                             : MIN(2 * backoff_ms, MOST_BACKOFF_MS);
+            pause_ms = ObjectBackoff_Next(&writer->backoff);
         }
-        pause_ms =
-            backoff_ms == 0
-                ? 0
-                : backoff_ms / 2 +
-                      (ClockMs)Rng_Below(&writer->rng, (uint64_t)backoff_ms);
     }
     return NULL;
 }
@@ -165,7 +154,7 @@
     writer->desc = *desc;
     /* Most often the object does not exist yet; the store says so if not. */
     writer->known = TRUE;
-    Rng_Seed(&writer->rng, Rng_ProcessSeed());
+    ObjectBackoff_Init(&writer->backoff);
     pthread_mutex_init(&writer->lock, NULL);
     Condition_Init(&writer->wake);
     pthread_create(&writer->thread, NULL, run, writer);
