--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -72,6 +72,7 @@
 
 struct Roster {
     Roster_desc desc;
+    uint64_t self; /* hash of the own host */
     pthread_mutex_t lock;
     GHashTable *rows;      /* &RosterRow.host -> RosterRow */
     GHashTable *services;  /* service hash -> GPtrArray of RosterRow */
@@ -85,6 +86,7 @@
     Roster *roster = g_new0(Roster, 1);
 
     roster->desc = *desc;
+    roster->self = Rng_HashString(desc->host);
     if (roster->desc.data_centre_cost == 0) {
         roster->desc.data_centre_cost = DEFAULT_DATA_CENTRE_COST;
     }
@@ -498,9 +500,8 @@
 Roster_Rank(Roster *roster, uint64_t key, gboolean all, ClockMs now,
             RosterPeer *peers, uint32_t most)
 {
-    RosterPeer peer = {.host = Rng_HashString(roster->desc.host),
-                       .is_self = TRUE,
-                       .is_reachable = TRUE};
+    RosterPeer peer = {
+        .host = roster->self, .is_self = TRUE, .is_reachable = TRUE};
     uint32_t count = insert_peer(peers, 0, most, key, &peer);
 
     pthread_mutex_lock(&roster->lock);
