route: always compare two servers; follow a run of slow answers

process_gray_slow (KNOWN-RED): a backend server that is 10 times slower gets 1 or 2 requests later than 2 s after the fault.

Cause, in two parts. Choosing the second candidate drew at most three times, so with 4 candidates one choice in 64 met the first one again and took it without a comparison. And an entry that has one slow answer, or none, does not know: one latency moves its mean by an eighth, and the class in the member record is the median of all recent answers.

The second draw leaves the first candidate out; from the second slow answer in a row the mean follows by half; an owner that is degraded for slowness reports the class of its latest answers, and entries take the larger of that and their own. /route/latency_step fails without the first two.

Ruled out: time in place of load in the comparison (docs/decisions/route.md).

--- a/src/health/health.c
+++ b/src/health/health.c
@@ -289,6 +289,29 @@
     return MIN(length, health->desc.ejection_max_ms);
 }
 
+/* The class of the latest answers: soon after a fault begins, the median of
+ * all recent ones is still that of the time before it. */
+static int
+fresh_class(const Health *health)
+{
+    if (health->baseline_class == HEALTH_CLASS_UNKNOWN) {
+        return health->own_class;
+    }
+    return CLAMP(health->baseline_class + (int)lround(4 * health->score.fresh),
+                 1, HEALTH_CLASS_MAX);
+}
+
+/* The class for the member record. Entries with few answers of their own learn
+ * from it that a backend server has become much slower. */
+static int
+reported_class(const Health *health)
+{
+    return health->state == HEALTH_STATE_DEGRADED &&
+                   health->reason == HEALTH_REASON_SLOW
+               ? MAX(health->own_class, fresh_class(health))
+               : health->own_class;
+}
+
 static void
 eject(Health *health, ClockMs now)
 {
@@ -296,14 +319,7 @@
 
     health->state = HEALTH_STATE_EJECTED;
     health->ejected_until = now + length;
-    /* The class of the answers that led here: the median of all recent ones is
-     * still that of the time before the fault. */
-    health->ejected_class =
-        health->baseline_class != HEALTH_CLASS_UNKNOWN
-            ? CLAMP(health->baseline_class +
-                        (int)lround(4 * health->score.fresh),
-                    1, HEALTH_CLASS_MAX)
-            : health->own_class;
+    health->ejected_class = fresh_class(health);
     if (length < health->desc.ejection_max_ms) {
         health->level++;
     }
@@ -532,7 +548,7 @@
         .reason = health->reason,
         .weight = weight_of(health, evidence, now),
         .permit_wanted = permit_of(health),
-        .latency_class = health->own_class,
+        .latency_class = reported_class(health),
         .evidence_nats = evidence,
         .ejected_until =
             health->state == HEALTH_STATE_EJECTED ? health->ejected_until : 0,
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -20,6 +20,7 @@
     const RouteSet *set;
     const uint64_t *excluded;
     uint32_t excluded_count;
+    int drawn; /* not to be drawn again; -1 = none */
     ClockMs now;
 } Choice;
 
@@ -97,9 +98,12 @@
 }
 
 static gboolean
-is_usable(const Choice *choice, const RouteCandidate *candidate)
+is_usable(const Choice *choice, uint32_t index)
 {
-    if (candidate->state != ROUTE_READY || candidate->weight == 0 ||
+    const RouteCandidate *candidate = &choice->set->candidates[index];
+
+    if ((int)index == choice->drawn || candidate->state != ROUTE_READY ||
+        candidate->weight == 0 ||
         Route_IsAvoided(choice->route, candidate->host, choice->now)) {
         return FALSE;
     }
@@ -119,7 +123,7 @@
     uint64_t target;
 
     for (uint32_t i = from; i < to; i++) {
-        if (is_usable(choice, &choice->set->candidates[i])) {
+        if (is_usable(choice, i)) {
             total += choice->set->candidates[i].weight;
         }
     }
@@ -130,7 +134,7 @@
     for (uint32_t i = from; i < to; i++) {
         const RouteCandidate *candidate = &choice->set->candidates[i];
 
-        if (!is_usable(choice, candidate)) {
+        if (!is_usable(choice, i)) {
             continue;
         }
         if (target < candidate->weight) {
@@ -155,7 +159,7 @@
 
         if ((candidate->weight >= 100 ||
              Rng_Below(rng, 100) < candidate->weight) &&
-            is_usable(choice, candidate)) {
+            is_usable(choice, index)) {
             return (int)index;
         }
     }
@@ -181,13 +185,12 @@
     /* The weight has its effect in the draws; here it would count twice, and
      * a backend server on probation would get no trials. */
     offer.load = (offer.load + 1) / slots;
-    if (server && server->latency_us > 0 &&
-        choice->now - server->latency_at < LATENCY_AGE_MS) {
-        offer.latency_us = server->latency_us;
-    }
-    else if (candidate->latency_class > 0) {
+    if (candidate->latency_class > 0) {
         offer.latency_us = exp2((candidate->latency_class - 1) / 4.0);
     }
+    if (server && choice->now - server->latency_at < LATENCY_AGE_MS) {
+        offer.latency_us = MAX(offer.latency_us, server->latency_us);
+    }
     return offer;
 }
 
@@ -212,17 +215,14 @@
 static Offer
 choose_two(const Choice *choice, uint32_t from, uint32_t to)
 {
+    Choice others = *choice;
     Offer first = look_at(choice, draw_by_weight(choice, from, to));
-    int second = first.index;
 
-    if (first.index < 0 || to - from < 2) {
+    if (first.index < 0) {
         return first;
     }
-    for (int i = 0; i < 3 && second == first.index; i++) {
-        second = draw_by_weight(choice, from, to);
-    }
-    return second == first.index ? first
-                                 : better(first, look_at(choice, second));
+    others.drawn = first.index;
+    return better(first, look_at(&others, draw_by_weight(&others, from, to)));
 }
 
 /* Counts whether the best of a tier was full, and begins and ends spilling. */
@@ -302,6 +302,7 @@
                      .set = set,
                      .excluded = excluded,
                      .excluded_count = excluded_count,
+                     .drawn = -1,
                      .now = now};
     Offer best =
         choose_anywhere(&choice, RouteLoad_AddSpill(route, set->id, now));
--- a/src/route/route_load.c
+++ b/src/route/route_load.c
@@ -19,6 +19,12 @@
 #define REPORT_HALF_LIVES 8
 /* Weight of one latency in the moving mean. */
 #define LATENCY_SHARE 0.125
+/* From the second slow answer in a row the mean follows faster: a long tail
+ * gives one now and then, a backend server that has become slow gives only
+ * such. Slow is above twice the mean, as in Health_desc.slow_factor. */
+#define SLOW_FACTOR 2.0
+#define STEP_ANSWERS 2
+#define STEP_SHARE 0.5
 
 #define USE_DEFAULT(field)                  \
     if (route->desc.field == 0) {           \
@@ -202,6 +208,23 @@
     return server->in_flight + others;
 }
 
+static void
+add_latency(RouteServer *server, double latency_us, ClockMs now)
+{
+    double share;
+
+    server->latency_at = now;
+    if (server->latency_us == 0) {
+        server->latency_us = latency_us;
+        return;
+    }
+    server->slow_in_row = latency_us > SLOW_FACTOR * server->latency_us
+                              ? server->slow_in_row + 1
+                              : 0;
+    share = server->slow_in_row >= STEP_ANSWERS ? STEP_SHARE : LATENCY_SHARE;
+    server->latency_us += (latency_us - server->latency_us) * share;
+}
+
 void
 Route_Start(Route *route, uint64_t backend_server, ClockMs now)
 {
@@ -224,13 +247,7 @@
     server->reported_in_flight = server->in_flight;
     server->reported_at = now;
     if (load->latency_us > 0) {
-        server->latency_us =
-            server->latency_us > 0
-                ? server->latency_us +
-                      ((double)load->latency_us - server->latency_us) *
-                          LATENCY_SHARE
-                : (double)load->latency_us;
-        server->latency_at = now;
+        add_latency(server, (double)load->latency_us, now);
     }
 }
 
--- a/src/route/route_load.h
+++ b/src/route/route_load.h
@@ -21,6 +21,7 @@
     ClockMs reported_at;
     double latency_us; /* moving mean; 0 = unknown */
     ClockMs latency_at;
+    uint32_t slow_in_row; /* latest answers far above the mean */
 } RouteServer;
 
 typedef struct RouteHost {
--- a/src/route/test_route.c
+++ b/src/route/test_route.c
@@ -59,6 +59,14 @@
     return NULL;
 }
 
+/* One request that ends with an answer after `latency_us`. */
+static void
+finish(World *world, uint64_t id, int64_t latency_us)
+{
+    Route_Start(world->route, id, 0);
+    Route_End(world->route, id, &(RouteLoad){.latency_us = latency_us}, 1);
+}
+
 /* Guards against choices of backend servers that take no new work, that
  * failed in this request, or that are ejected. */
 static void
@@ -293,6 +301,44 @@
     Route_Destroy(route);
 }
 
+/* Guards against a backend server that has become 10 times slower and goes on
+ * getting work whenever the others are a little loaded, because one latency in
+ * eight moves the mean too slowly; and against one slow answer of a long tail
+ * that takes a healthy backend server's work away. */
+static void
+test_latency_step(void)
+{
+    static const struct {
+        int slow_answers;
+        gboolean chosen;
+    } cases[] = {{1, TRUE}, {2, FALSE}, {3, FALSE}};
+
+    for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
+        World world = {0};
+        int chosen = 0;
+
+        set_up(&world, 4, 0, 0);
+        for (uint64_t id = 1; id <= 4; id++) {
+            finish(&world, id, 20000);
+        }
+        for (int i = 0; i < cases[c].slow_answers; i++) {
+            finish(&world, 1, 200000);
+        }
+        /* The others have 3 requests of this entry in flight each. */
+        for (uint64_t id = 2; id <= 4; id++) {
+            for (int i = 0; i < 3; i++) {
+                Route_Start(world.route, id, 1);
+            }
+        }
+        for (int i = 0; i < 1000; i++) {
+            chosen += choose(&world, 2, NULL) == 1;
+        }
+        g_test_message("%d slow: chosen %d", cases[c].slow_answers, chosen);
+        g_assert_cmpint(chosen > 0, ==, cases[c].chosen);
+        Route_Destroy(world.route);
+    }
+}
+
 /* Guards against a gray backend server that sets the tail latency, as it does
  * under round robin, and against load that is spread unevenly over the rest.
  */
@@ -356,6 +402,7 @@
     g_test_add_func("/route/avoid", test_avoid);
     g_test_add_func("/route/pools", test_pools);
     g_test_add_func("/route/full_cache", test_full_cache);
+    g_test_add_func("/route/latency_step", test_latency_step);
     g_test_add_func("/route/gray_server", test_gray_server);
     g_test_add_func("/route/overload", test_overload);
     return g_test_run();
