http: a server that ends refuses what still comes on open connections

A daemon that stops had drained its gateway and waited for its peer port; a request that came on an open connection in that time was sent on, and the process ended before its answer (20.973 s sent, 20.977 s at a backend server, 20.982 s closed).

HttpServer_Close() refuses such requests as not run and waits until each request that was read has its answer sent; the daemon calls it after both ports are drained, so until then they are served. The other mode uses it too. /http/close is the test; before, the request went to the handler.

Ruled out: the retry itself (its first attempt had a true answer 500).

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -482,7 +482,9 @@
 gboolean
 Entry_Drain(Entry *entry, ClockMs until)
 {
-    return HttpServer_Drain(entry->server, until);
+    gboolean drained = HttpServer_Drain(entry->server, until);
+
+    return HttpServer_Close(entry->server, until) && drained;
 }
 
 void
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -196,6 +196,12 @@
     return HttpServer_Drain(gateway->server, until);
 }
 
+gboolean
+Gateway_Close(Gateway *gateway, ClockMs until)
+{
+    return HttpServer_Close(gateway->server, until);
+}
+
 void
 Gateway_Abandon(Gateway *gateway)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,8 +7,9 @@
  *
  * Use: Gateway_Create(), which listens at once; Gateway_Leave() when a
  * graceful stop begins: answers then close their connections; Gateway_Drain()
- * stops accepting and waits; Gateway_Abandon() gives all requests that are
- * still unanswered their final answer; Gateway_Destroy().
+ * stops accepting and waits; Gateway_Close() refuses what still comes on open
+ * connections; Gateway_Abandon() gives all requests that are still unanswered
+ * their final answer; Gateway_Destroy().
  *
  * What may have run is never answered with a status that promises otherwise:
  * 429 and 503 only while every attempt is known not to have run, else 502, or
@@ -53,6 +54,7 @@
 /* Requests that arrive from now on end by the given time. */
 void Gateway_Leave(Gateway *gateway, ClockMs until);
 gboolean Gateway_Drain(Gateway *gateway, ClockMs until);
+gboolean Gateway_Close(Gateway *gateway, ClockMs until);
 void Gateway_Abandon(Gateway *gateway);
 unsigned Gateway_InFlight(const Gateway *gateway);
 void Gateway_Destroy(Gateway *gateway);
--- a/src/gateway/peer_port.c
+++ b/src/gateway/peer_port.c
@@ -132,6 +132,12 @@
     return HttpServer_Drain(port->server, until);
 }
 
+gboolean
+PeerPort_Close(PeerPort *port, ClockMs until)
+{
+    return HttpServer_Close(port->server, until);
+}
+
 void
 PeerPort_Abandon(PeerPort *port)
 {
--- a/src/gateway/peer_port.h
+++ b/src/gateway/peer_port.h
@@ -1,8 +1,9 @@
 /* PeerPort: takes requests of other daemons for the backend server here.
  *
  * Use: PeerPort_Create(); PeerPort_Leave() when a graceful stop begins,
- * PeerPort_Drain() before its end, PeerPort_Abandon() to hand back what can
- * run elsewhere, PeerPort_Destroy().
+ * PeerPort_Drain() before its end, PeerPort_Close() to refuse what still
+ * comes on open connections, PeerPort_Abandon() to hand back what can run
+ * elsewhere, PeerPort_Destroy().
  *
  * The network between the daemons is taken to be closed to others.
  */
@@ -29,6 +30,7 @@
 
 /* Waits for what is in flight; TRUE if nothing is left. */
 gboolean PeerPort_Drain(PeerPort *port, ClockMs until);
+gboolean PeerPort_Close(PeerPort *port, ClockMs until);
 
 /* Ends the requests that wait or may run more than once; their senders get
  * SHUTTING_DOWN and repeat them elsewhere. */
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -160,7 +160,12 @@
     if (request->too_large) {
         refusal = RESULT_REQUEST_TOO_LARGE;
     }
+    request->whole = TRUE;
+    atomic_fetch_add(&server->unsent, 1);
     pthread_mutex_lock(&server->lock);
+    if (refusal == RESULT_OK && atomic_load(&server->closed)) {
+        refusal = RESULT_SHUTTING_DOWN;
+    }
     if (refusal == RESULT_OK &&
         server->in_flight->len >= server->desc.max_in_flight) {
         refusal = RESULT_OVERLOADED;
@@ -332,6 +337,9 @@
     request->ended = TRUE;
     request->answered = TRUE;
     pthread_mutex_unlock(&server->lock);
+    if (request->whole) {
+        atomic_fetch_sub(&server->unsent, 1);
+    }
     release_request(request);
     *connection_context = NULL;
 }
@@ -636,6 +644,20 @@
     return HttpServer_InFlight(server) == 0;
 }
 
+gboolean
+HttpServer_Close(HttpServer *server, ClockMs until)
+{
+    atomic_store(&server->leaving, TRUE);
+    /* With the lock, so that a request is either refused or seen below. */
+    pthread_mutex_lock(&server->lock);
+    atomic_store(&server->closed, TRUE);
+    pthread_mutex_unlock(&server->lock);
+    while (Clock_Now() < until && atomic_load(&server->unsent) > 0) {
+        (void)poll(NULL, 0, WATCH_PERIOD_MS);
+    }
+    return atomic_load(&server->unsent) == 0;
+}
+
 void
 HttpServer_Destroy(HttpServer *server)
 {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -8,6 +8,7 @@
  *     answered in any case (HttpRequest_SetDeadline()).
  *  3. HttpServer_Leave() lets answers close their connections,
  *     HttpServer_Drain() stops accepting and waits for what is in flight,
+ *     HttpServer_Close() refuses what still comes on open connections,
  *     HttpServer_Destroy() ends it.
  *
  * A request that was answered at its deadline keeps its handler running; the
@@ -66,6 +67,11 @@
  * moment for open connections to end. Returns TRUE if nothing was left in
  * flight. */
 gboolean HttpServer_Drain(HttpServer *server, ClockMs until);
+
+/* From now on refuses requests with SHUTTING_DOWN, as not run, and waits, at
+ * most until the given time, until each request that was read has its answer
+ * sent. Returns TRUE if so. */
+gboolean HttpServer_Close(HttpServer *server, ClockMs until);
 void HttpServer_Destroy(HttpServer *server);
 
 const char *HttpRequest_Method(const HttpRequest *request);
--- a/src/http/http_server_private.h
+++ b/src/http/http_server_private.h
@@ -19,6 +19,7 @@
     HttpHeaders headers;
     GByteArray *body;
     gboolean too_large;
+    gboolean whole; /* read; counts as unsent until it ends */
     ClockMs arrived;
 
     /* Under the server's lock. */
@@ -44,8 +45,10 @@
     pthread_mutex_t lock;
     GPtrArray *in_flight; /* HttpRequest *, those that a handler may hold */
     atomic_uint connections;
+    atomic_uint unsent;   /* whole requests whose answer is not sent yet */
     atomic_bool leaving;  /* answers close their connections */
     atomic_bool draining; /* no new connections */
+    atomic_bool closed;   /* with the lock; no request reaches the handler */
     pthread_t watcher;
     int hang_ups;       /* epoll set of suspended connections */
     int watcher_wake;   /* eventfd */
--- a/src/http/test_http.c
+++ b/src/http/test_http.c
@@ -335,6 +335,31 @@
     HttpServer_Destroy(server);
 }
 
+/* Guards against a request that is passed on by a server that is about to
+ * end, and whose connection then closes without an answer: it came on an open
+ * connection after the last look at what is in flight. */
+static void
+test_close(void)
+{
+    static const char request[] = "GET /late HTTP/1.1\r\nHost: h\r\n\r\n";
+    HttpServer *server = start_echo();
+    struct sockaddr_in address = loopback(HttpServer_Port(server));
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    char answer[2000] = "";
+
+    g_assert_cmpint(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                    ==, 0);
+    g_assert_true(HttpServer_Drain(server, Clock_Now() + 1000));
+    g_assert_true(HttpServer_Close(server, Clock_Now() + 1000));
+    g_assert_cmpint(send(fd, request, strlen(request), MSG_NOSIGNAL), >, 0);
+    g_assert_cmpint(recv(fd, answer, sizeof(answer) - 1, 0), >, 0);
+    g_test_message("%s", answer);
+    g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 503"));
+    g_assert_nonnull(strstr(answer, "Connection: close"));
+    close(fd);
+    HttpServer_Destroy(server);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -344,5 +369,6 @@
     g_test_add_func("/http/deadlines", test_deadlines);
     g_test_add_func("/http/broken-answers", test_broken_answers);
     g_test_add_func("/http/ambiguous-framing", test_ambiguous_framing);
+    g_test_add_func("/http/close", test_close);
     return g_test_run();
 }
--- a/src/owner/owner_port.c
+++ b/src/owner/owner_port.c
@@ -209,7 +209,9 @@
 gboolean
 OwnerPort_Drain(OwnerPort *port, ClockMs until)
 {
-    return HttpServer_Drain(port->server, until);
+    gboolean drained = HttpServer_Drain(port->server, until);
+
+    return HttpServer_Close(port->server, until) && drained;
 }
 
 void
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -207,11 +207,14 @@
     Backend_Close(sidecar->backend);
     done = Gateway_Drain(sidecar->gateway, abandon);
     done = PeerPort_Drain(sidecar->peer_port, abandon) && done;
+    /* Requests that came on open connections meanwhile were served. */
+    done = Gateway_Close(sidecar->gateway, abandon) && done;
+    done = PeerPort_Close(sidecar->peer_port, abandon) && done;
     if (!done) {
         PeerPort_Abandon(sidecar->peer_port);
         Gateway_Abandon(sidecar->gateway);
-        (void)Gateway_Drain(sidecar->gateway, end);
-        (void)PeerPort_Drain(sidecar->peer_port, end);
+        (void)Gateway_Close(sidecar->gateway, end);
+        (void)PeerPort_Close(sidecar->peer_port, end);
     }
     Log_Event(LOG_STOPPED, "drained=%d after_ms=%" PRId64, done,
               Clock_Now() - started);
