quota: a deputy passes draws on to the keeper

Cause: with the path from a host to a team's keeper cut, the deputy counts a tenth of the data centre's part although it reaches the keeper itself.

--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -9,8 +9,10 @@
 #include "base/counter.h"
 #include "base/log.h"
 
-/* Longest wait for one keeper's answer. */
+/* Longest wait for one keeper's answer, and for the keeper's answer to a draw
+ * that its deputy passes on, while the drawing host waits for the deputy. */
 #define QUOTA_DRAW_MS 250
+#define QUOTA_RELAY_MS 100
 
 /* Keeper and deputy. */
 #define COUNTERS 2
@@ -56,8 +58,9 @@
 /* Body of a draw. */
 typedef struct QuotaDraw {
     uint64_t team;      /* hash of the name */
-    uint64_t taken;     /* by the sender in the last window */
-    uint64_t uptime_ms; /* of the sender */
+    uint64_t host;      /* that draws */
+    uint64_t taken;     /* by this host in the last window */
+    uint64_t uptime_ms; /* of this host */
     uint64_t as_deputy; /* the receiver is asked as the deputy */
 } QuotaDraw;
 
@@ -114,6 +117,7 @@
 xdr_draw(XDR *stream, QuotaDraw *draw)
 {
     return xdr_uint64_t(stream, &draw->team) &&
+           xdr_uint64_t(stream, &draw->host) &&
            xdr_uint64_t(stream, &draw->taken) &&
            xdr_uint64_t(stream, &draw->uptime_ms) &&
            xdr_uint64_t(stream, &draw->as_deputy);
@@ -151,24 +155,23 @@
 
 /* Counts what a host took before this keeper started; with the lock held. */
 static void
-note_report(Quota *quota, TeamCount *count, uint64_t host,
-            const QuotaDraw *draw, ClockMs now)
+note_report(Quota *quota, TeamCount *count, const QuotaDraw *draw, ClockMs now)
 {
     ClockMs uptime = now - quota->started;
 
     if (uptime >= quota->desc.window_ms ||
         draw->uptime_ms < (uint64_t)uptime + RESTART_MS ||
-        g_hash_table_contains(count->reporters, &host)) {
+        g_hash_table_contains(count->reporters, &draw->host)) {
         return;
     }
-    g_hash_table_add(count->reporters, g_memdup2(&host, sizeof(host)));
+    g_hash_table_add(count->reporters,
+                     g_memdup2(&draw->host, sizeof(draw->host)));
     count->reported += (int64_t)draw->taken;
     QuotaWindow_Add(&count->kept, (int64_t)draw->taken, now);
 }
 
 static Result
-take_as_keeper(Quota *quota, const CatalogTeam *team, uint64_t host,
-               const QuotaDraw *draw)
+take_as_keeper(Quota *quota, const CatalogTeam *team, const QuotaDraw *draw)
 {
     ClockMs now = Clock_Now();
     uint32_t hosts = Roster_CountDataCentre(quota->desc.roster);
@@ -181,7 +184,7 @@
 
     pthread_mutex_lock(&quota->lock);
     count = find_count(quota, team->hash, now);
-    note_report(quota, count, host, draw, now);
+    note_report(quota, count, draw, now);
     reports = g_hash_table_size(count->reporters);
     limit = llround(_Quota_StartLimit(&quota->desc, team, now - quota->started,
                                       MAX(hosts, reports), reports,
@@ -194,40 +197,85 @@
     return taken ? RESULT_OK : RESULT_RATE_EXCEEDED;
 }
 
+/* Sends a draw to a neighbour and notes whether that can be reached. */
+static Result
+ask_peer(Quota *quota, const RosterPeer *asked, QuotaDraw *draw, int wait_ms)
+{
+    RpcPeer peer = {.ip = ntohl(asked->rpc.sin_addr.s_addr),
+                    .port = ntohs(asked->rpc.sin_port)};
+    GByteArray *body = g_byte_array_new();
+    uint64_t refused;
+    Result result = RESULT_RPC_TIMEOUT;
+
+    if (Rpc_Encode(body, (xdrproc_t)xdr_draw, draw)) {
+        Counter_Add(COUNTER_RATE_DRAWS, 1);
+        result = Rpc_Call(quota->desc.rpc, &peer, RPC_KIND_QUOTA_DRAW, body,
+                          NULL, wait_ms);
+    }
+    if (result == RESULT_RPC_OLD_SESSION) {
+        /* The wall clock has gone back since an earlier start. */
+        refused = Rpc_GetRefusedIncarnation(quota->desc.rpc);
+        Rpc_SetIncarnation(quota->desc.rpc, refused + 1);
+    }
+    g_byte_array_unref(body);
+    if (result == RESULT_RPC_TIMEOUT) {
+        Roster_NoteUnreachable(quota->desc.roster, asked->host, Clock_Now());
+    }
+    else {
+        Roster_NoteReached(quota->desc.roster, asked->host);
+    }
+    return result;
+}
+
 /* Whether the keeper has been out of this host's reach for a window. */
 static gboolean
-has_lost_keeper(Quota *quota, const CatalogTeam *team)
+has_lost(const Quota *quota, const RosterPeer *keeper)
 {
-    RosterPeer keeper;
-    uint32_t count = Roster_Rank(quota->desc.roster, team->hash, TRUE,
-                                 Clock_Now(), &keeper, 1);
+    return !keeper->is_self && keeper->unreachable_ms > quota->desc.window_ms;
+}
+
+/* Passes a draw on to the keeper, which the drawing host does not reach: a
+ * path can be cut that is whole from here. */
+static Result
+relay(Quota *quota, const RosterPeer *keeper, const QuotaDraw *draw)
+{
+    QuotaDraw passed_on = *draw;
 
-    return count == 1 && !keeper.is_self &&
-           keeper.unreachable_ms > quota->desc.window_ms;
+    passed_on.as_deputy = 0;
+    return keeper->is_reachable && !keeper->is_self
+               ? ask_peer(quota, keeper, &passed_on, QUOTA_RELAY_MS)
+               : RESULT_RPC_TIMEOUT;
 }
 
 static Result
-take_as_deputy(Quota *quota, const CatalogTeam *team)
+take_as_deputy(Quota *quota, const CatalogTeam *team, const QuotaDraw *draw)
 {
-    ClockMs now = Clock_Now();
-    double share = has_lost_keeper(quota, team) ? KEEPER_SHARE : DEPUTY_SHARE;
-    int64_t limit = llround(_Quota_SteadyLimit(&quota->desc, team) * share);
+    RosterPeer keeper;
+    Result result;
+    double share;
     gboolean taken;
 
+    (void)Roster_Rank(quota->desc.roster, team->hash, TRUE, Clock_Now(),
+                      &keeper, 1);
+    result = relay(quota, &keeper, draw);
+    if (result == RESULT_OK || result == RESULT_RATE_EXCEEDED) {
+        return result;
+    }
+    share = has_lost(quota, &keeper) ? KEEPER_SHARE : DEPUTY_SHARE;
     pthread_mutex_lock(&quota->lock);
-    taken = QuotaWindow_Take(&find_count(quota, team->hash, now)->deputed,
-                             limit, now);
+    taken = QuotaWindow_Take(
+        &find_count(quota, team->hash, Clock_Now())->deputed,
+        llround(_Quota_SteadyLimit(&quota->desc, team) * share), Clock_Now());
     pthread_mutex_unlock(&quota->lock);
     return taken ? RESULT_OK : RESULT_RATE_EXCEEDED;
 }
 
 /* Counts a request of a host in the role that it asks for. */
 static Result
-take_for(Quota *quota, const CatalogTeam *team, uint64_t host,
-         const QuotaDraw *draw)
+take_for(Quota *quota, const CatalogTeam *team, const QuotaDraw *draw)
 {
-    return draw->as_deputy ? take_as_deputy(quota, team)
-                           : take_as_keeper(quota, team, host, draw);
+    return draw->as_deputy ? take_as_deputy(quota, team, draw)
+                           : take_as_keeper(quota, team, draw);
 }
 
 static Result
@@ -258,14 +306,14 @@
     QuotaDraw draw = {0};
     Result result = RESULT_NOT_CONFIGURED;
 
+    (void)sender;
     (void)reply;
     if (!Rpc_Decode(body, (xdrproc_t)xdr_draw, &draw)) {
         result = RESULT_MALFORMED;
     }
     else if (table != NULL) {
         team = CatalogTable_FindTeam(table, draw.team);
-        result = team ? take_for(quota, team, sender->host, &draw)
-                      : RESULT_NOT_FOUND;
+        result = team ? take_for(quota, team, &draw) : RESULT_NOT_FOUND;
     }
     CatalogTable_Unref(table);
     return result;
@@ -295,34 +343,12 @@
     }
 }
 
-static Result
-ask_keeper(Quota *quota, const RosterPeer *keeper, QuotaDraw *draw)
-{
-    RpcPeer peer = {.ip = ntohl(keeper->rpc.sin_addr.s_addr),
-                    .port = ntohs(keeper->rpc.sin_port)};
-    GByteArray *body = g_byte_array_new();
-    uint64_t refused;
-    Result result = RESULT_RPC_TIMEOUT;
-
-    if (Rpc_Encode(body, (xdrproc_t)xdr_draw, draw)) {
-        Counter_Add(COUNTER_RATE_DRAWS, 1);
-        result = Rpc_Call(quota->desc.rpc, &peer, RPC_KIND_QUOTA_DRAW, body,
-                          NULL, QUOTA_DRAW_MS);
-    }
-    if (result == RESULT_RPC_OLD_SESSION) {
-        /* The wall clock has gone back since an earlier start. */
-        refused = Rpc_GetRefusedIncarnation(quota->desc.rpc);
-        Rpc_SetIncarnation(quota->desc.rpc, refused + 1);
-    }
-    g_byte_array_unref(body);
-    return result;
-}
-
 static QuotaDraw
 make_draw(Quota *quota, const CatalogTeam *team)
 {
     ClockMs now = Clock_Now();
     QuotaDraw draw = {.team = team->hash,
+                      .host = quota->desc.host,
                       .uptime_ms = (uint64_t)(now - quota->started)};
 
     pthread_mutex_lock(&quota->lock);
@@ -352,20 +378,12 @@
 
     draw.as_deputy = as_deputy;
     if (peer->is_self) {
-        result = take_for(quota, team, peer->host, &draw);
-    }
-    else if (!peer->is_reachable) {
-        return RESULT_RPC_TIMEOUT;
+        result = take_for(quota, team, &draw);
     }
     else {
-        result = ask_keeper(quota, peer, &draw);
-        if (result == RESULT_RPC_TIMEOUT) {
-            Roster_NoteUnreachable(quota->desc.roster, peer->host,
-                                   Clock_Now());
-        }
-        else {
-            Roster_NoteReached(quota->desc.roster, peer->host);
-        }
+        result = peer->is_reachable
+                     ? ask_peer(quota, peer, &draw, QUOTA_DRAW_MS)
+                     : RESULT_RPC_TIMEOUT;
     }
     if (result == RESULT_OK) {
         note_taken(quota, team);
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -4,8 +4,9 @@
  * window, so the sum holds however the data centres are cut off from each
  * other. Inside a data centre that part is split beforehand: the first host in
  * the team's rendezvous order, the keeper, counts most of it; the second, the
- * deputy, counts a small share for those that cannot reach the first; each
- * host counts a still smaller one for itself when neither answers. A deputy
+ * deputy, passes on the draws of hosts that cannot reach the first, and counts
+ * a small share for them when it cannot either; each host counts a still
+ * smaller one for itself when neither answers. A deputy
  * that has not reached the keeper for a whole window takes the keeper's share.
  *
  * Use:
@@ -34,6 +35,7 @@
 typedef struct Quota Quota;
 
 typedef struct Quota_desc {
+    uint64_t host; /* own */
     Catalog *catalog;
     Roster *roster;
     Rpc *rpc;
--- a/src/quota/test_quota.c
+++ b/src/quota/test_quota.c
@@ -1,5 +1,8 @@
 /* Tests of the sliding window and of what a keeper lets through. */
+#include <arpa/inet.h>
 #include <glib.h>
+#include <string.h>
+#include <urcu.h>
 
 #include "quota/quota.h"
 
@@ -110,14 +113,151 @@
     g_assert_cmpfloat(used, <, told);
 }
 
+#define HOSTS 3
+#define SECRET "a secret of the test"
+
+/* Hosts of one data centre, in the team's order: keeper, deputy, other. */
+typedef struct Neighbours {
+    Catalog *catalog;
+    const CatalogTeam *team;
+    Roster *rosters[HOSTS];
+    Rpc *rpcs[HOSTS];
+    Quota *quotas[HOSTS];
+} Neighbours;
+
+static const char *const host_names[HOSTS] = {"h0", "h1", "h2"};
+
+static void
+start_host(Neighbours *all, int i, const Quota_desc *desc)
+{
+    Roster_desc roster = {
+        .host = host_names[i], .data_centre = "d", .region = "r"};
+    Rpc_desc rpc = {.host = Rng_HashString(host_names[i]),
+                    .incarnation = 1,
+                    .secret = SECRET,
+                    .secret_bytes = strlen(SECRET)};
+    Quota_desc quota = *desc;
+
+    all->rosters[i] = Roster_Create(&roster);
+    all->rpcs[i] = Rpc_Create(&rpc, NULL);
+    quota.host = rpc.host;
+    quota.catalog = all->catalog;
+    quota.roster = all->rosters[i];
+    quota.rpc = all->rpcs[i];
+    all->quotas[i] = Quota_Create(&quota);
+    g_assert_true(Rpc_Start(all->rpcs[i], NULL));
+}
+
+static void
+introduce(Neighbours *all)
+{
+    for (int i = 0; i < HOSTS * HOSTS; i++) {
+        int from = i % HOSTS;
+        RosterEntry entry = {.data_centre = "d", .region = "r"};
+
+        g_strlcpy(entry.host, host_names[from], sizeof(entry.host));
+        entry.peer.sin_family = AF_INET;
+        entry.peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        entry.rpc_port = Rpc_GetPort(all->rpcs[from]);
+        if (from != i / HOSTS) {
+            Roster_Set(all->rosters[i / HOSTS], &entry, Clock_Now());
+        }
+    }
+}
+
+static void
+start_neighbours(Neighbours *all, const Quota_desc *desc,
+                 const CatalogTeam *team)
+{
+    CatalogTable *table =
+        CatalogTable_Create(&(CatalogTable_desc){.version = 1});
+
+    all->team = CatalogTable_AddTeam(table, team);
+    all->catalog = Catalog_Create();
+    g_assert_true(Catalog_Publish(all->catalog, table));
+    for (int i = 0; i < HOSTS; i++) {
+        start_host(all, i, desc);
+    }
+    introduce(all);
+}
+
+static void
+stop_neighbours(Neighbours *all)
+{
+    for (int i = 0; i < HOSTS; i++) {
+        Rpc_Stop(all->rpcs[i]);
+    }
+    for (int i = 0; i < HOSTS; i++) {
+        Quota_Destroy(all->quotas[i]);
+        Rpc_Destroy(all->rpcs[i]);
+        Roster_Destroy(all->rosters[i]);
+    }
+    Catalog_Destroy(all->catalog);
+}
+
+/* Index of the host with this rank for the team. */
+static int
+find_rank(const Neighbours *all, uint32_t rank)
+{
+    RosterPeer peers[HOSTS];
+
+    g_assert_cmpuint(Roster_Rank(all->rosters[0], all->team->hash, TRUE,
+                                 Clock_Now(), peers, HOSTS),
+                     ==, HOSTS);
+    for (int i = 0; i < HOSTS; i++) {
+        if (peers[rank].host == Rng_HashString(host_names[i])) {
+            return i;
+        }
+    }
+    g_assert_not_reached();
+}
+
+/* Guards against wrongful refusals while the path from one host to the keeper
+ * is cut and the deputy still reaches the keeper: the deputy's own share is a
+ * tenth of the part. */
+static void
+test_relayed_draws(void)
+{
+    static const Quota_desc desc = {.data_centres = 1, .window_ms = 200};
+    CatalogTeam team = {
+        .name = g_strdup("crews"), .rate_per_s = 100, .burst = 400};
+    Neighbours all = {0};
+    int keeper;
+    int other;
+    int taken = 0;
+
+    start_neighbours(&all, &desc, &team);
+    keeper = find_rank(&all, 0);
+    other = find_rank(&all, 2);
+    /* A keeper that has just started takes its part for used up. */
+    g_usleep((gulong)(desc.window_ms + 800) * 1000);
+    for (int i = 0; i < 70; i++) {
+        QuotaSource source;
+
+        Roster_NoteUnreachable(all.rosters[other],
+                               Rng_HashString(host_names[keeper]),
+                               Clock_Now());
+        taken += Quota_Take(all.quotas[other], all.team, &source) == RESULT_OK;
+        g_assert_cmpint(source, ==, QUOTA_DEPUTY);
+    }
+    g_assert_cmpint(taken, ==, 70);
+    stop_neighbours(&all);
+}
+
 int
 main(int argc, char **argv)
 {
+    int result;
+
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/quota/window", test_window);
     g_test_add_func("/quota/sliding", test_sliding);
     g_test_add_func("/quota/limits", test_limits);
     g_test_add_func("/quota/start-after-kill", test_start_after_kill);
     g_test_add_func("/quota/start-with-reports", test_start_with_reports);
-    return g_test_run();
+    g_test_add_func("/quota/relayed-draws", test_relayed_draws);
+    rcu_register_thread();
+    result = g_test_run();
+    rcu_unregister_thread();
+    return result;
 }
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -73,7 +73,8 @@
                             .client = sidecar->client,
                             .changed = _Sidecar_PublishBackend,
                             .context = sidecar};
-    Quota_desc quota = {.data_centres = settings->data_centres.count,
+    Quota_desc quota = {.host = Rng_HashString(settings->host),
+                        .data_centres = settings->data_centres.count,
                         .window_ms = settings->quota_window_ms,
                         .overage = settings->quota_overage,
                         .slack = settings->quota_slack};
