quota: a keeper that stops hands its counts over to the deputies

At the end of a graceful stop the keeper sends the counts by age, one message a team, for 200 ms at most; the deputy counts in its place for a window, or until the keeper answers again. Counts of a keeper that has not seen a whole window itself are not handed over. /quota/handover fails without the handover (12 taken after the stop, 18 expected at least) and covers the young keeper.

--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -60,6 +60,10 @@
     LOG(SLOT_RELEASED, 272, INFO, "rate slot released") \
     LOG(QUOTA_KEEPER_SILENT, 273, WARNING, \
         "the keeper of a team's quota does not answer") \
+    LOG(QUOTA_HANDED_OVER, 274, INFO, \
+        "quota counts handed over to the deputies") \
+    LOG(QUOTA_TAKEN_OVER, 275, INFO, \
+        "quota counts taken over from a keeper that leaves") \
     \
     \
     /* rpc 300-319 */ \
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <math.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <tirpc/rpc/rpc.h>
 #include <urcu.h>
 
@@ -14,6 +15,9 @@
 #define QUOTA_DRAW_MS 250
 #define QUOTA_RELAY_MS 100
 
+/* Longest wait for a deputy that takes over the counts of one team. */
+#define HANDOVER_MS 100
+
 /* Keeper and deputy. */
 #define COUNTERS 2
 
@@ -53,6 +57,7 @@
     QuotaWindow taken;     /* by this host, whoever counted */
     GHashTable *reporters; /* hosts that told what they took */
     int64_t reported;      /* the sum of it */
+    ClockMs handed_until;  /* counts in place of a keeper that left */
 } TeamCount;
 
 /* Body of a draw. */
@@ -64,11 +69,18 @@
     uint64_t as_deputy; /* the receiver is asked as the deputy */
 } QuotaDraw;
 
+/* Body of a handover. */
+typedef struct QuotaHandover {
+    uint64_t team;
+    int64_t counts[QUOTA_BUCKETS + 1]; /* QuotaWindow_Read() */
+} QuotaHandover;
+
 struct Quota {
     Quota_desc desc;
     ClockMs started;
     pthread_mutex_t lock;
     GHashTable *teams; /* &TeamCount.team -> TeamCount */
+    atomic_bool leaving;
 };
 
 const char *
@@ -123,6 +135,14 @@
            xdr_uint64_t(stream, &draw->as_deputy);
 }
 
+static bool_t
+xdr_handover(XDR *stream, QuotaHandover *handover)
+{
+    return xdr_uint64_t(stream, &handover->team) &&
+           xdr_vector(stream, (char *)handover->counts, QUOTA_BUCKETS + 1,
+                      sizeof(handover->counts[0]), (xdrproc_t)xdr_int64_t);
+}
+
 static void
 free_count(gpointer data)
 {
@@ -170,26 +190,43 @@
     QuotaWindow_Add(&count->kept, (int64_t)draw->taken, now);
 }
 
+/* What the keeper may let through in the window; with the lock held. Counts
+ * that were handed over are whole: nothing is unknown, however young the
+ * process. */
+static int64_t
+keeper_limit(Quota *quota, const CatalogTeam *team, TeamCount *count,
+             ClockMs now)
+{
+    uint32_t hosts = Roster_CountDataCentre(quota->desc.roster);
+    uint32_t reports = g_hash_table_size(count->reporters);
+    double limit =
+        now < count->handed_until
+            ? _Quota_SteadyLimit(&quota->desc, team)
+            : _Quota_StartLimit(&quota->desc, team, now - quota->started,
+                                MAX(hosts, reports), reports, count->reported);
+
+    return llround(limit * KEEPER_SHARE);
+}
+
 static Result
 take_as_keeper(Quota *quota, const CatalogTeam *team, const QuotaDraw *draw)
 {
     ClockMs now = Clock_Now();
-    uint32_t hosts = Roster_CountDataCentre(quota->desc.roster);
     double steady = _Quota_SteadyLimit(&quota->desc, team) * KEEPER_SHARE;
     int64_t surge = (int64_t)(steady * SURGE_SHARE) + SURGE_REQUESTS;
     int64_t limit;
     TeamCount *count;
-    uint32_t reports;
     gboolean taken;
 
+    if (atomic_load(&quota->leaving)) {
+        return RESULT_SHUTTING_DOWN;
+    }
     pthread_mutex_lock(&quota->lock);
     count = find_count(quota, team->hash, now);
-    note_report(quota, count, draw, now);
-    reports = g_hash_table_size(count->reporters);
-    limit = llround(_Quota_StartLimit(&quota->desc, team, now - quota->started,
-                                      MAX(hosts, reports), reports,
-                                      count->reported) *
-                    KEEPER_SHARE);
+    if (now >= count->handed_until) {
+        note_report(quota, count, draw, now);
+    }
+    limit = keeper_limit(quota, team, count, now);
     taken = QuotaWindow_Count(&count->kept, now) < limit &&
             QuotaWindow_Take(&count->surge, surge, now) &&
             QuotaWindow_Take(&count->kept, limit, now);
@@ -247,27 +284,58 @@
                : RESULT_RPC_TIMEOUT;
 }
 
+/* Whether a keeper that left has handed its counts over to this deputy. */
+static gboolean
+has_counts_of(Quota *quota, const CatalogTeam *team)
+{
+    ClockMs now = Clock_Now();
+    gboolean handed;
+
+    pthread_mutex_lock(&quota->lock);
+    handed = now < find_count(quota, team->hash, now)->handed_until;
+    pthread_mutex_unlock(&quota->lock);
+    return handed;
+}
+
+/* A keeper that answers again counts itself. */
+static void
+end_handover(Quota *quota, const CatalogTeam *team)
+{
+    pthread_mutex_lock(&quota->lock);
+    find_count(quota, team->hash, Clock_Now())->handed_until = 0;
+    pthread_mutex_unlock(&quota->lock);
+}
+
+static Result
+take_deputy_part(Quota *quota, const CatalogTeam *team)
+{
+    ClockMs now = Clock_Now();
+    double limit = _Quota_SteadyLimit(&quota->desc, team) * DEPUTY_SHARE;
+    gboolean taken;
+
+    pthread_mutex_lock(&quota->lock);
+    taken = QuotaWindow_Take(&find_count(quota, team->hash, now)->deputed,
+                             llround(limit), now);
+    pthread_mutex_unlock(&quota->lock);
+    return taken ? RESULT_OK : RESULT_RATE_EXCEEDED;
+}
+
 static Result
 take_as_deputy(Quota *quota, const CatalogTeam *team, const QuotaDraw *draw)
 {
     RosterPeer keeper;
     Result result;
-    double share;
-    gboolean taken;
 
     (void)Roster_Rank(quota->desc.roster, team->hash, TRUE, Clock_Now(),
                       &keeper, 1);
     result = relay(quota, &keeper, draw);
     if (result == RESULT_OK || result == RESULT_RATE_EXCEEDED) {
+        end_handover(quota, team);
         return result;
     }
-    share = has_lost(quota, &keeper) ? KEEPER_SHARE : DEPUTY_SHARE;
-    pthread_mutex_lock(&quota->lock);
-    taken = QuotaWindow_Take(
-        &find_count(quota, team->hash, Clock_Now())->deputed,
-        llround(_Quota_SteadyLimit(&quota->desc, team) * share), Clock_Now());
-    pthread_mutex_unlock(&quota->lock);
-    return taken ? RESULT_OK : RESULT_RATE_EXCEEDED;
+    return has_counts_of(quota, team) || has_lost(quota, &keeper)
+               ? take_as_keeper(quota, team, draw)
+               : take_deputy_part(quota, team);
 }
 
 /* Counts a request of a host in the role that it asks for. */
@@ -319,6 +387,115 @@
     return result;
 }
 
+/* Takes over the counts of a keeper that leaves. */
+static Result
+serve_handover(void *context, const RpcPeer *sender, const GByteArray *body,
+               GByteArray *reply)
+{
+    Quota *quota = context;
+    QuotaHandover handover;
+    ClockMs now = Clock_Now();
+    TeamCount *count;
+
+    (void)reply;
+    if (!Rpc_Decode(body, (xdrproc_t)xdr_handover, &handover)) {
+        return RESULT_MALFORMED;
+    }
+    pthread_mutex_lock(&quota->lock);
+    count = find_count(quota, handover.team, now);
+    QuotaWindow_Merge(&count->kept, now, handover.counts);
+    count->handed_until = now + quota->desc.window_ms;
+    pthread_mutex_unlock(&quota->lock);
+    Log_Event(LOG_QUOTA_TAKEN_OVER,
+              "team=%016" PRIx64 " host=%016" PRIx64 " until_ms=%" PRId64,
+              handover.team, sender->host, quota->desc.window_ms);
+    return RESULT_OK;
+}
+
+/* Whether this keeper has counted all of the last window. */
+static gboolean
+is_whole(const Quota *quota, const TeamCount *count, ClockMs now)
+{
+    return now - quota->started >= quota->desc.window_ms ||
+           now < count->handed_until;
+}
+
+/* All teams whose last window is known. */
+static GArray *
+read_counts(Quota *quota)
+{
+    GArray *all = g_array_new(FALSE, FALSE, sizeof(QuotaHandover));
+    ClockMs now = Clock_Now();
+    GHashTableIter iterator;
+    gpointer value;
+
+    pthread_mutex_lock(&quota->lock);
+    g_hash_table_iter_init(&iterator, quota->teams);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        TeamCount *count = value;
+        QuotaHandover handover = {.team = count->team};
+
+        if (is_whole(quota, count, now) &&
+            QuotaWindow_Count(&count->kept, now) > 0) {
+            QuotaWindow_Read(&count->kept, now, handover.counts);
+            g_array_append_val(all, handover);
+        }
+    }
+    pthread_mutex_unlock(&quota->lock);
+    return all;
+}
+
+/* Returns FALSE if the deputy did not take the counts over. */
+static gboolean
+hand_over(Quota *quota, QuotaHandover *handover)
+{
+    RosterPeer order[COUNTERS];
+    uint32_t count = Roster_Rank(quota->desc.roster, handover->team, TRUE,
+                                 Clock_Now(), order, COUNTERS);
+    RpcPeer deputy;
+    GByteArray *body;
+    Result result = RESULT_RPC_TIMEOUT;
+
+    if (!order[0].is_self) {
+        return TRUE;
+    }
+    if (count < COUNTERS || !order[1].is_reachable) {
+        return FALSE;
+    }
+    deputy = (RpcPeer){.ip = ntohl(order[1].rpc.sin_addr.s_addr),
+                       .port = ntohs(order[1].rpc.sin_port)};
+    body = g_byte_array_new();
+    if (Rpc_Encode(body, (xdrproc_t)xdr_handover, handover)) {
+        result = Rpc_Call(quota->desc.rpc, &deputy, RPC_KIND_QUOTA_HANDOVER,
+                          body, NULL, HANDOVER_MS);
+    }
+    g_byte_array_unref(body);
+    if (result == RESULT_RPC_TIMEOUT) {
+        Roster_NoteUnreachable(quota->desc.roster, order[1].host, Clock_Now());
+    }
+    return result == RESULT_OK;
+}
+
+void
+Quota_Leave(Quota *quota, ClockMs until)
+{
+    GArray *all;
+    guint left = 0;
+
+    atomic_store(&quota->leaving, TRUE);
+    all = read_counts(quota);
+    for (guint i = 0; i < all->len; i++) {
+        QuotaHandover *handover = &g_array_index(all, QuotaHandover, i);
+
+        if (Clock_Now() >= until || !hand_over(quota, handover)) {
+            left++;
+        }
+    }
+    Log_Event(LOG_QUOTA_HANDED_OVER, "teams=%u not_handed_over=%u", all->len,
+              left);
+    g_array_free(all, TRUE);
+}
+
 Quota *
 Quota_Create(const Quota_desc *desc)
 {
@@ -330,6 +507,7 @@
     quota->teams =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_count);
     Rpc_Handle(desc->rpc, RPC_KIND_QUOTA_DRAW, serve_draw, quota);
+    Rpc_Handle(desc->rpc, RPC_KIND_QUOTA_HANDOVER, serve_handover, quota);
     return quota;
 }
 
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -13,7 +13,10 @@
  *  1. Quota_Create(), which registers its message with Rpc.
  *  2. Quota_Take() for each request of a team, from any thread. It may block
  *     for some 250 ms for each of keeper and deputy.
- *  3. Quota_Destroy().
+ *  3. Quota_Leave() at the end of a graceful stop, then Quota_Destroy().
+ *
+ * A keeper that leaves hands its counts over to the deputies, which then count
+ * in its place at once.
  *
  * A keeper that has just started does not know what another counted before.
  * With each draw a host tells how many requests it took for the team in the
@@ -55,6 +58,10 @@
 Quota *Quota_Create(const Quota_desc *desc);
 void Quota_Destroy(Quota *quota);
 
+/* Hands the counts of the teams that this host keeps over to their deputies,
+ * until the given time at most, and counts for nobody from now on. */
+void Quota_Leave(Quota *quota, ClockMs until);
+
 /* RESULT_OK or RESULT_RATE_EXCEEDED; *source tells who counted. */
 Result Quota_Take(Quota *quota, const CatalogTeam *team, QuotaSource *source);
 
--- a/src/quota/quota_window.c
+++ b/src/quota/quota_window.c
@@ -64,3 +64,28 @@
     advance(window, now);
     return window->total;
 }
+
+void
+QuotaWindow_Read(QuotaWindow *window, ClockMs now,
+                 int64_t counts[QUOTA_BUCKETS + 1])
+{
+    int64_t newest = now / window->bucket_ms;
+
+    advance(window, now);
+    for (int age = 0; age <= QUOTA_BUCKETS; age++) {
+        counts[age] = *count_of(window, newest - age);
+    }
+}
+
+void
+QuotaWindow_Merge(QuotaWindow *window, ClockMs now,
+                  const int64_t counts[QUOTA_BUCKETS + 1])
+{
+    int64_t newest = now / window->bucket_ms;
+
+    advance(window, now);
+    for (int age = 0; age <= QUOTA_BUCKETS; age++) {
+        *count_of(window, newest - MAX(age - 1, 0)) += counts[age];
+        window->total += counts[age];
+    }
+}
--- a/src/quota/quota_window.h
+++ b/src/quota/quota_window.h
@@ -35,4 +35,13 @@
 void QuotaWindow_Add(QuotaWindow *window, int64_t requests, ClockMs now);
 int64_t QuotaWindow_Count(QuotaWindow *window, ClockMs now);
 
+/* The counts by age, the youngest part first. */
+void QuotaWindow_Read(QuotaWindow *window, ClockMs now,
+                      int64_t counts[QUOTA_BUCKETS + 1]);
+
+/* Adds what QuotaWindow_Read() gave for a window of the same length, on a host
+ * with another clock: each part counts up to one part's time too long. */
+void QuotaWindow_Merge(QuotaWindow *window, ClockMs now,
+                       const int64_t counts[QUOTA_BUCKETS + 1]);
+
 #endif
--- a/src/quota/test_quota.c
+++ b/src/quota/test_quota.c
@@ -244,6 +244,62 @@
     stop_neighbours(&all);
 }
 
+/* Requests that another host takes at once. */
+static int
+take_many(const Neighbours *all, int host, int requests, QuotaSource expected)
+{
+    QuotaSource source = QUOTA_UNLIMITED;
+    int taken = 0;
+
+    for (int i = 0; i < requests; i++) {
+        taken +=
+            Quota_Take(all->quotas[host], all->team, &source) == RESULT_OK;
+    }
+    g_assert_cmpint(source, ==, expected);
+    return taken;
+}
+
+/* Guards against wrongful refusals after a keeper's planned stop, when its
+ * deputy has a tenth of the part; against a deputy that takes the whole part
+ * once more; and against counts of a keeper that has just started itself and
+ * does not know the whole window. */
+static void
+test_handover(void)
+{
+    static const Quota_desc desc = {.data_centres = 1, .window_ms = 2000};
+    static const struct {
+        ClockMs uptime_ms;
+        int least; /* taken by the deputy */
+        int most;
+    } cases[] = {
+        {2800, 18, 60},
+        /* The deputy's own part, a tenth of 10 x 2 + 100. */
+        {1200, 0, 12},
+    };
+
+    for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
+        CatalogTeam team = {
+            .name = g_strdup("crews"), .rate_per_s = 10, .burst = 100};
+        Neighbours all = {0};
+        int other;
+        int before;
+        int after;
+
+        start_neighbours(&all, &desc, &team);
+        other = find_rank(&all, 2);
+        g_usleep((gulong)cases[c].uptime_ms * 1000);
+        before = take_many(&all, other, 30, QUOTA_KEEPER);
+        Quota_Leave(all.quotas[find_rank(&all, 0)], Clock_Now() + 1000);
+        Rpc_Stop(all.rpcs[find_rank(&all, 0)]);
+        after = take_many(&all, other, 200, QUOTA_DEPUTY);
+        g_test_message("%d before, %d after the stop", before, after);
+        g_assert_cmpint(after, >=, cases[c].least);
+        g_assert_cmpint(after, <=, cases[c].most);
+        g_assert_cmpint(before + after, <=, 120);
+        stop_neighbours(&all);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -256,6 +312,7 @@
     g_test_add_func("/quota/start-after-kill", test_start_after_kill);
     g_test_add_func("/quota/start-with-reports", test_start_with_reports);
     g_test_add_func("/quota/relayed-draws", test_relayed_draws);
+    g_test_add_func("/quota/handover", test_handover);
     rcu_register_thread();
     result = g_test_run();
     rcu_unregister_thread();
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -29,6 +29,10 @@
 
 #define MS_PER_MINUTE 60000
 
+/* Time for handing quota counts over; the grace period has STOP_MARGIN_MS
+ * left at least. */
+#define HANDOVER_MS 200
+
 /* Pause between two looks at what is still in flight. */
 #define STOP_POLL_MS 50
 
@@ -208,6 +212,7 @@
     Backend_Close(sidecar->backend);
     done = Gateway_Drain(sidecar->gateway, abandon);
     done = PeerPort_Drain(sidecar->peer_port, abandon) && done;
+    Quota_Leave(sidecar->quota, Clock_Now() + HANDOVER_MS);
     /* Requests that came on open connections meanwhile were served. */
     done = Gateway_Close(sidecar->gateway, abandon) && done;
     done = PeerPort_Close(sidecar->peer_port, abandon) && done;
