sidecar: remove the entries of hosts that are gone for good

Cause: a host that vanishes, or that is cut from the store when its backend server leaves, keeps its entry in the store for ever.

A neighbour asks hosts that nothing went to for 5 s whether they live. The first in the lost host's order that reaches as many as it misses removes the entry after 15 s, unless the host answers a last ping; a host that lives nevertheless writes its entry again. /sidecar/lost-host fails before (entry still there after 30 s), /roster/lost has the cases.

--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -71,7 +71,6 @@
     \
     \
     /* member 320-349 */ \
-    LOG(ROSTER_CHANGED, 328, INFO, "backend server in the store changed") \
     LOG(MEMBER_JOINED, 320, INFO, "host joined") \
     LOG(MEMBER_SUSPECTED, 321, INFO, "host suspected") \
     LOG(MEMBER_DEAD, 322, WARNING, "host declared dead") \
@@ -82,6 +81,10 @@
     LOG(MEMBER_REACHED, 326, INFO, "host acks pings from here again") \
     LOG(MEMBER_SUPERSEDED, 327, ERROR, \
         "a later incarnation of this host is in the fleet") \
+    LOG(ROSTER_CHANGED, 328, INFO, "backend server in the store changed") \
+    LOG(ROSTER_SILENT, 329, WARNING, "host does not answer a ping") \
+    LOG(ROSTER_LOST_REMOVED, 330, WARNING, \
+        "entry of a host that is out of reach removed from the store") \
     \
     \
     /* health 350-379 */ \
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -259,7 +259,7 @@
         Roster_NoteUnreachable(quota->desc.roster, asked->host, Clock_Now());
     }
     else {
-        Roster_NoteReached(quota->desc.roster, asked->host);
+        Roster_NoteReached(quota->desc.roster, asked->host, Clock_Now());
     }
     return result;
 }
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -57,7 +57,9 @@
     RosterTier tier;
     GrayFilter filter;
     RosterReport report;
-    ClockMs reported; /* 0: never */
+    ClockMs reported;  /* 0: never */
+    ClockMs contacted; /* last contact or attempt of one; at first when the row
+                          was made */
     ClockMs avoid_until;
     ClockMs avoid_ms;
     ClockMs unreachable_since; /* 0: the last contact went well */
@@ -163,6 +165,7 @@
     if (row == NULL) {
         row = g_new0(RosterRow, 1);
         row->host = host;
+        row->contacted = now;
         g_hash_table_insert(roster->rows, &row->host, row);
     }
     else {
@@ -434,6 +437,7 @@
         GrayFilter_Set(&row->filter, report->risk, now);
         row->report = *report;
         row->reported = now;
+        row->contacted = now;
         row->avoid_ms = 0;
         row->unreachable_since = 0;
         row->avoid_until = report->leaving ? now + LEAVING_AVOID_MS : 0;
@@ -453,6 +457,7 @@
                             ? FIRST_AVOID_MS
                             : MIN(2 * row->avoid_ms, MOST_AVOID_MS);
         row->avoid_until = now + row->avoid_ms;
+        row->contacted = now;
         if (row->unreachable_since == 0) {
             row->unreachable_since = now;
         }
@@ -517,8 +522,79 @@
     return count;
 }
 
+/* Whether this host is the first in the order of the key among those of the
+ * data centre that it reaches; with the lock held. */
+static gboolean
+is_first(const Roster *roster, uint64_t key, ClockMs now)
+{
+    uint64_t own = Rng_Mix(roster->self, key);
+
+    for (guint i = 0; i < roster->neighbours->len; i++) {
+        const RosterRow *row = g_ptr_array_index(roster->neighbours, i);
+
+        if (row->host != key && now >= row->avoid_until &&
+            Rng_Mix(row->host, key) < own) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+uint32_t
+Roster_FindLost(Roster *roster, ClockMs lost_ms, ClockMs now, RosterLost *lost,
+                uint32_t most)
+{
+    RosterPeer peer;
+    uint32_t count = 0;
+    uint32_t reached = 1;
+    uint32_t missing = 0;
+
+    pthread_mutex_lock(&roster->lock);
+    for (guint i = 0; i < roster->neighbours->len; i++) {
+        const RosterRow *row = g_ptr_array_index(roster->neighbours, i);
+
+        fill_peer(row, now, &peer);
+        reached += peer.unreachable_ms == 0;
+        missing += peer.unreachable_ms >= lost_ms;
+        if (count < most && peer.unreachable_ms >= lost_ms &&
+            is_first(roster, row->host, now)) {
+            lost[count] = (RosterLost){.host = row->host,
+                                       .rpc = peer.rpc,
+                                       .unreachable_ms = peer.unreachable_ms};
+            g_strlcpy(lost[count++].name, row->entry.host, ROSTER_NAME_BYTES);
+        }
+    }
+    pthread_mutex_unlock(&roster->lock);
+    return reached >= missing ? count : 0;
+}
+
+gboolean
+Roster_FindSilent(Roster *roster, ClockMs silent_ms, ClockMs now,
+                  RosterLost *silent)
+{
+    const RosterRow *longest = NULL;
+    RosterPeer peer;
+
+    pthread_mutex_lock(&roster->lock);
+    for (guint i = 0; i < roster->neighbours->len; i++) {
+        const RosterRow *row = g_ptr_array_index(roster->neighbours, i);
+
+        if (row->host != roster->self && now - row->contacted >= silent_ms &&
+            (longest == NULL || row->contacted < longest->contacted)) {
+            longest = row;
+        }
+    }
+    if (longest != NULL) {
+        fill_peer(longest, now, &peer);
+        *silent = (RosterLost){.host = longest->host, .rpc = peer.rpc};
+        g_strlcpy(silent->name, longest->entry.host, ROSTER_NAME_BYTES);
+    }
+    pthread_mutex_unlock(&roster->lock);
+    return longest != NULL;
+}
+
 void
-Roster_NoteReached(Roster *roster, uint64_t host)
+Roster_NoteReached(Roster *roster, uint64_t host, ClockMs now)
 {
     RosterRow *row;
 
@@ -527,6 +603,7 @@
     if (row != NULL) {
         row->unreachable_since = 0;
         row->avoid_ms = 0;
+        row->contacted = now;
     }
     pthread_mutex_unlock(&roster->lock);
 }
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -91,6 +91,14 @@
     struct sockaddr_in mirror; /* port 0: mirrors nothing */
 } RosterPeer;
 
+/* A host that has been out of reach or silent for long. */
+typedef struct RosterLost {
+    char name[ROSTER_NAME_BYTES];
+    uint64_t host;
+    struct sockaddr_in rpc;
+    ClockMs unreachable_ms;
+} RosterLost;
+
 Roster *Roster_Create(const Roster_desc *desc);
 void Roster_Destroy(Roster *roster);
 
@@ -110,7 +118,7 @@
 void Roster_NoteUnreachable(Roster *roster, uint64_t host, ClockMs now);
 
 /* The host has answered something other than a request. */
-void Roster_NoteReached(Roster *roster, uint64_t host);
+void Roster_NoteReached(Roster *roster, uint64_t host, ClockMs now);
 
 /* The first hosts in the rendezvous order of a key among those of the own data
  * centre, the own one included. With `all` those that cannot be reached are
@@ -118,6 +126,18 @@
 uint32_t Roster_Rank(Roster *roster, uint64_t key, gboolean all, ClockMs now,
                      RosterPeer *peers, uint32_t most);
 
+/* Hosts of the own data centre that this one has not reached for so long and
+ * is the one to look after: the first in the rendezvous order of the lost host
+ * among those that it reaches. None while this host reaches fewer than it has
+ * lost, since then it may be the one that is cut off. Returns their number. */
+uint32_t Roster_FindLost(Roster *roster, ClockMs lost_ms, ClockMs now,
+                         RosterLost *lost, uint32_t most);
+
+/* The host of the own data centre that was contacted longest ago, if that is
+ * so long. */
+gboolean Roster_FindSilent(Roster *roster, ClockMs silent_ms, ClockMs now,
+                           RosterLost *silent);
+
 /* Hosts of the own data centre, the own one included. */
 uint32_t Roster_CountDataCentre(Roster *roster);
 
--- a/src/roster/test_roster.c
+++ b/src/roster/test_roster.c
@@ -254,7 +254,7 @@
         g_assert_cmpuint(Roster_Rank(roster, key, FALSE, 1001, reachable, 4),
                          ==, 1);
         g_assert_true(reachable[0].is_self);
-        Roster_NoteReached(roster, Rng_HashString("near"));
+        Roster_NoteReached(roster, Rng_HashString("near"), 2000);
         g_assert_cmpuint(Roster_Rank(roster, key, TRUE, 9000, after, 1), ==,
                          1);
         g_assert_cmpuint(before[0].host, ==, after[0].host);
@@ -277,6 +277,53 @@
     Roster_Destroy(roster);
 }
 
+/* Guards against entries of dead hosts that nobody removes, against two hosts
+ * that both do, and against a host that is cut off itself and removes all
+ * others. */
+static void
+test_lost(void)
+{
+    static const char *const names[] = {"self", "a", "b", "c", "d"};
+    static const struct {
+        uint32_t unreachable; /* bits: of a, b, c, d */
+        ClockMs after_ms;
+        uint32_t most;
+        uint32_t least; /* found by all hosts that are reached, together */
+    } cases[] = {
+        {0x0, 60000, 0, 0}, {0x1, 14999, 0, 0}, {0x1, 15000, 1, 1},
+        {0x3, 15000, 2, 2}, {0x7, 15000, 0, 0}, {0xf, 15000, 0, 0},
+    };
+
+    for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
+        uint32_t found = 0;
+
+        for (size_t viewer = 0; viewer < G_N_ELEMENTS(names); viewer++) {
+            Roster *roster = Roster_Create(&(Roster_desc){
+                .host = names[viewer], .data_centre = "dc1", .region = "r1"});
+            RosterLost lost[G_N_ELEMENTS(names)];
+
+            for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+                if (i != viewer) {
+                    add(roster, names[i], "dc1", "r1", "i");
+                }
+                if (i > 0 && (cases[c].unreachable >> (i - 1) & 1)) {
+                    Roster_NoteUnreachable(roster, Rng_HashString(names[i]),
+                                           1000);
+                }
+            }
+            if (viewer == 0 || !(cases[c].unreachable >> (viewer - 1) & 1)) {
+                found +=
+                    Roster_FindLost(roster, 15000, 1000 + cases[c].after_ms,
+                                    lost, G_N_ELEMENTS(lost));
+            }
+            Roster_Destroy(roster);
+        }
+        g_test_message("case %zu: %u", c, found);
+        g_assert_cmpuint(found, <=, cases[c].most);
+        g_assert_cmpuint(found, >=, cases[c].least);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -289,5 +336,6 @@
     g_test_add_func("/roster/unknown-far", test_unknown_far);
     g_test_add_func("/roster/rank", test_rank);
     g_test_add_func("/roster/retain", test_retain);
+    g_test_add_func("/roster/lost", test_lost);
     return g_test_run();
 }
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -157,6 +157,7 @@
         Sidecar_Destroy(sidecar);
         return NULL;
     }
+    _Sidecar_StartLost(sidecar);
     Log_Event(LOG_STARTED,
               "mode=platform service=%s backend_server=%s data_centre=%s "
               "region=%s proof_ms=%" PRId64,
@@ -232,6 +233,7 @@
     if (sidecar == NULL) {
         return;
     }
+    _Sidecar_StopLost(sidecar);
     Gateway_Destroy(sidecar->gateway);
     PeerPort_Destroy(sidecar->peer_port);
     _Sidecar_ClosePorts(sidecar);
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -2,6 +2,7 @@
 #ifndef SIDECAR_SIDECAR_INTERNAL_H
 #define SIDECAR_SIDECAR_INTERNAL_H
 
+#include <pthread.h>
 #include <stdatomic.h>
 
 #include "catalog/catalog.h"
@@ -47,6 +48,11 @@
     ObjectWriter *writer;
     ClockMs proof_ms; /* age up to which the configuration is fresh */
     atomic_bool leaving;
+    pthread_t lost_thread;
+    pthread_mutex_t lost_lock;
+    pthread_cond_t lost_wake;
+    gboolean lost_started;
+    gboolean lost_stopping;
     gboolean was_ready; /* of the thread that answers readiness */
 };
 
@@ -55,6 +61,10 @@
 void _Sidecar_StopState(Sidecar *sidecar);
 void _Sidecar_PublishBackend(void *context);
 
+/* sidecar_lost.c: removes the entries of neighbours that are gone. */
+void _Sidecar_StartLost(Sidecar *sidecar);
+void _Sidecar_StopLost(Sidecar *sidecar);
+
 /* sidecar_ports.c: announcements, readiness, metrics. */
 gboolean _Sidecar_OpenPorts(Sidecar *sidecar, GError **error);
 void _Sidecar_ClosePorts(Sidecar *sidecar);
--- a/tests/process_sidecar.c
+++ b/tests/process_sidecar.c
@@ -13,6 +13,13 @@
  * revocation_ms of the daemons). */
 #define REVOCATION_MS 5000
 
+/* Objects of the store that name the hosts with a backend server. */
+#define ENTRY_KIND "backend-servers"
+
+/* Longest time for which the entry of a host that is gone stays: twice that
+ * in which its neighbours wait for it. */
+#define LOST_ENTRY_MS 30000
+
 static Site *
 make_site(int hosts)
 {
@@ -257,6 +264,45 @@
     Site_Destroy(site);
 }
 
+/* Guards against entries of hosts that are gone for good and stay in the
+ * store: each new process reads them, tries them, and may take one for the
+ * keeper of a team's quota. One that has only stopped for a moment keeps its
+ * entry. */
+static void
+test_lost_host(void)
+{
+    static const SiteHost_desc place = {.data_centre = "n1"};
+    Site *site = Site_Create();
+    ClockMs until;
+    Load load;
+    json_t *entry;
+
+    Site_Configure(site, 1, KEYS, 0);
+    for (int i = 0; i < 3; i++) {
+        Site_AddHost(site, &place);
+    }
+    Site_AwaitReady(site);
+    start_load(&load, site, 0, "GET", "/read/1");
+    Site_Signal(site, 1, SIGSTOP);
+    Site_Signal(site, 2, SIGKILL);
+    g_assert_true(Site_AwaitExit(site, 2, 1000));
+    g_usleep(3000000);
+    Site_Signal(site, 1, SIGCONT);
+    until = Clock_Now() + LOST_ENTRY_MS;
+    while ((entry = ObjectServer_Read(Site_Store(site), ENTRY_KIND,
+                                      "host-2")) != NULL &&
+           Clock_Now() < until) {
+        json_decref(entry);
+        g_usleep(100000);
+    }
+    stop_load(&load);
+    g_assert_null(entry);
+    entry = ObjectServer_Read(Site_Store(site), ENTRY_KIND, "host-1");
+    g_assert_nonnull(entry);
+    json_decref(entry);
+    Site_Destroy(site);
+}
+
 /* Guards against a team that gets more than its rate by asking many hosts. */
 static void
 test_quota(void)
@@ -320,6 +366,7 @@
     g_test_add_func("/sidecar/gray", test_gray);
     g_test_add_func("/sidecar/graceful-stop", test_graceful_stop);
     g_test_add_func("/sidecar/kills", test_kills);
+    g_test_add_func("/sidecar/lost-host", test_lost_host);
     g_test_add_func("/sidecar/quota", test_quota);
     g_test_add_func("/sidecar/explanation", test_explanation);
     return g_test_run();
