--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -150,6 +150,7 @@
         HttpClient_Create(&(HttpClient_desc){.silence_ms = SILENCE_MS});
     sidecar->mirror_client = HttpClient_Create(&(HttpClient_desc){0});
     create_state(sidecar);
+    _Sidecar_StartLost(sidecar);
     if (!_Sidecar_StartState(sidecar, error) ||
         !Rpc_Start(sidecar->rpc, error) ||
         !open_request_path(sidecar, error) ||
@@ -157,7 +158,6 @@
         Sidecar_Destroy(sidecar);
         return NULL;
     }
-    _Sidecar_StartLost(sidecar);
     Log_Event(LOG_STARTED,
               "mode=platform service=%s backend_server=%s data_centre=%s "
               "region=%s proof_ms=%" PRId64,
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -61,7 +61,8 @@
 void _Sidecar_StopState(Sidecar *sidecar);
 void _Sidecar_PublishBackend(void *context);
 
-/* sidecar_lost.c: removes the entries of neighbours that are gone. */
+/* sidecar_lost.c: removes the entries of neighbours that are gone. To be
+ * started before the RPC server. */
 void _Sidecar_StartLost(Sidecar *sidecar);
 void _Sidecar_StopLost(Sidecar *sidecar);
 
--- a/src/sidecar/sidecar_lost.c
+++ b/src/sidecar/sidecar_lost.c
@@ -120,9 +120,21 @@
     return NULL;
 }
 
+static Result
+answer_ping(void *context, const RpcPeer *sender, const GByteArray *body,
+            GByteArray *reply)
+{
+    (void)context;
+    (void)sender;
+    (void)body;
+    (void)reply;
+    return RESULT_OK;
+}
+
 void
 _Sidecar_StartLost(Sidecar *sidecar)
 {
+    Rpc_Handle(sidecar->rpc, RPC_KIND_PING, answer_ping, NULL);
     pthread_mutex_init(&sidecar->lost_lock, NULL);
     Condition_Init(&sidecar->lost_wake);
     pthread_create(&sidecar->lost_thread, NULL, run, sidecar);
--- a/tests/process_sidecar.c
+++ b/tests/process_sidecar.c
@@ -276,6 +276,7 @@
     ClockMs until;
     Load load;
     json_t *entry;
+    char *log;
 
     Site_Configure(site, 1, KEYS, 0);
     for (int i = 0; i < 3; i++) {
@@ -297,6 +298,9 @@
     }
     stop_load(&load);
     g_assert_null(entry);
+    log = Site_ReadLog(site, 1);
+    g_assert_null(strstr(log, "RPC_REFUSED"));
+    g_free(log);
     entry = ObjectServer_Read(Site_Store(site), ENTRY_KIND, "host-1");
     g_assert_nonnull(entry);
     json_decref(entry);
