--- a/src/quota/test_quota.c
+++ b/src/quota/test_quota.c
@@ -115,6 +115,8 @@
 
 #define HOSTS 3
 #define SECRET "a secret of the test"
+/* Milliseconds of the wall clock, as in the daemon. */
+#define FIRST_INCARNATION UINT64_C(1000000)
 
 /* Hosts of one data centre, in the team's order: keeper, deputy, other. */
 typedef struct Neighbours {
@@ -128,12 +130,13 @@
 static const char *const host_names[HOSTS] = {"h0", "h1", "h2"};
 
 static void
-start_host(Neighbours *all, int i, const Quota_desc *desc)
+start_host(Neighbours *all, int i, const Quota_desc *desc,
+           uint64_t incarnation)
 {
     Roster_desc roster = {
         .host = host_names[i], .data_centre = "d", .region = "r"};
     Rpc_desc rpc = {.host = Rng_HashString(host_names[i]),
-                    .incarnation = 1,
+                    .incarnation = incarnation,
                     .secret = SECRET,
                     .secret_bytes = strlen(SECRET)};
     Quota_desc quota = *desc;
@@ -176,21 +179,25 @@
     all->catalog = Catalog_Create();
     g_assert_true(Catalog_Publish(all->catalog, table));
     for (int i = 0; i < HOSTS; i++) {
-        start_host(all, i, desc);
+        start_host(all, i, desc, FIRST_INCARNATION);
     }
     introduce(all);
 }
 
+static void
+stop_host(Neighbours *all, int i)
+{
+    Rpc_Stop(all->rpcs[i]);
+    Quota_Destroy(all->quotas[i]);
+    Rpc_Destroy(all->rpcs[i]);
+    Roster_Destroy(all->rosters[i]);
+}
+
 static void
 stop_neighbours(Neighbours *all)
 {
     for (int i = 0; i < HOSTS; i++) {
-        Rpc_Stop(all->rpcs[i]);
-    }
-    for (int i = 0; i < HOSTS; i++) {
-        Quota_Destroy(all->quotas[i]);
-        Rpc_Destroy(all->rpcs[i]);
-        Roster_Destroy(all->rosters[i]);
+        stop_host(all, i);
     }
     Catalog_Destroy(all->catalog);
 }
@@ -300,6 +307,40 @@
     }
 }
 
+/* Guards against a host whose draws its neighbours refuse for good because its
+ * wall clock, which names its sessions, jumped between two starts. */
+static void
+test_clock_jumps(void)
+{
+    static const Quota_desc desc = {.data_centres = 1, .window_ms = 200};
+    static const int64_t jumps_ms[] = {5000, -100000, -2000, 0, 1, 3000};
+    CatalogTeam team = {
+        .name = g_strdup("crews"), .rate_per_s = 100, .burst = 400};
+    Neighbours all = {0};
+    int other;
+
+    start_neighbours(&all, &desc, &team);
+    other = find_rank(&all, 2);
+    g_usleep((gulong)(desc.window_ms + 800) * 1000);
+    (void)take_many(&all, other, 1, QUOTA_KEEPER);
+    for (size_t i = 0; i < G_N_ELEMENTS(jumps_ms); i++) {
+        QuotaSource source = QUOTA_UNLIMITED;
+
+        stop_host(&all, other);
+        start_host(&all, other, &desc,
+                   FIRST_INCARNATION + (uint64_t)jumps_ms[i]);
+        introduce(&all);
+        for (int draw = 0; draw < 3; draw++) {
+            g_assert_cmpint(Quota_Take(all.quotas[other], all.team, &source),
+                            ==, RESULT_OK);
+        }
+        g_test_message("%" G_GINT64_FORMAT " ms: %s", jumps_ms[i],
+                       Quota_SourceName(source));
+        g_assert_cmpint(source, ==, QUOTA_KEEPER);
+    }
+    stop_neighbours(&all);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -313,6 +354,7 @@
     g_test_add_func("/quota/start-with-reports", test_start_with_reports);
     g_test_add_func("/quota/relayed-draws", test_relayed_draws);
     g_test_add_func("/quota/handover", test_handover);
+    g_test_add_func("/quota/clock-jumps", test_clock_jumps);
     rcu_register_thread();
     result = g_test_run();
     rcu_unregister_thread();
