quota, roster: split counting and neighbours into files of their own

No change of behaviour. quota.c keeps the messages between hosts, quota_count.c what a host counts in each role; roster_neighbours.c what a host knows of those of its data centre.

--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -1,14 +1,11 @@
 #include "quota/quota.h"
 
 #include <inttypes.h>
-#include <math.h>
-#include <pthread.h>
-#include <stdatomic.h>
 #include <tirpc/rpc/rpc.h>
-#include <urcu.h>
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "quota/quota_internal.h"
 
 /* Longest wait for one keeper's answer, and for the keeper's answer to a draw
  * that its deputy passes on, while the drawing host waits for the deputy. */
@@ -21,68 +18,6 @@
 /* Keeper and deputy. */
 #define COUNTERS 2
 
-/* Shares of a data centre's part that keeper and deputy count; the hosts' own
- * parts share the rest. */
-#define KEEPER_SHARE 0.85
-#define DEPUTY_SHARE 0.1
-
-/* Shares of the tolerated excess that are planned with: in the long run, and
- * after a start, when an earlier process may have used up the first. The rest
- * covers requests that are counted in one window and run in the next. */
-#define STEADY_EXCESS 0.8
-#define START_EXCESS 0.95
-
-/* Least time between the end of a process and the start of the next. */
-#define RESTART_MS 600
-
-/* Bound of the surge: of the window's limit so much, and so many requests for
- * the chance of small numbers, within SURGE_MS. */
-#define SURGE_MS 1000
-#define SURGE_SHARE 0.22
-#define SURGE_REQUESTS 4
-
-/* How much faster than evenly an earlier process may have used its part. */
-#define START_SURGE 1.1
-
-/* Hosts that an own part is sized for at least, so that a host with an empty
- * roster does not take the part of all. */
-#define LEAST_HOSTS 6
-
-typedef struct TeamCount {
-    uint64_t team;
-    QuotaWindow kept;      /* as the keeper */
-    QuotaWindow surge;     /* the same, over SURGE_MS */
-    QuotaWindow deputed;   /* as the deputy */
-    QuotaWindow own;       /* the own part */
-    QuotaWindow taken;     /* by this host, whoever counted */
-    GHashTable *reporters; /* hosts that told what they took */
-    int64_t reported;      /* the sum of it */
-    ClockMs handed_until;  /* counts in place of a keeper that left */
-} TeamCount;
-
-/* Body of a draw. */
-typedef struct QuotaDraw {
-    uint64_t team;      /* hash of the name */
-    uint64_t host;      /* that draws */
-    uint64_t taken;     /* by this host in the last window */
-    uint64_t uptime_ms; /* of this host */
-    uint64_t as_deputy; /* the receiver is asked as the deputy */
-} QuotaDraw;
-
-/* Body of a handover. */
-typedef struct QuotaHandover {
-    uint64_t team;
-    int64_t counts[QUOTA_BUCKETS + 1]; /* QuotaWindow_Read() */
-} QuotaHandover;
-
-struct Quota {
-    Quota_desc desc;
-    ClockMs started;
-    pthread_mutex_t lock;
-    GHashTable *teams; /* &TeamCount.team -> TeamCount */
-    atomic_bool leaving;
-};
-
 const char *
 Quota_SourceName(QuotaSource source)
 {
@@ -92,39 +27,6 @@
     return (size_t)source < G_N_ELEMENTS(names) ? names[source] : "?";
 }
 
-static double
-limit_with(const Quota_desc *desc, const CatalogTeam *team, double share)
-{
-    double owed = (double)team->rate_per_s * (double)desc->window_ms / 1000 +
-                  (double)team->burst;
-    double excess = owed * desc->overage + (double)desc->slack;
-
-    return (owed + excess * share) / MAX(desc->data_centres, 1);
-}
-
-double
-_Quota_SteadyLimit(const Quota_desc *desc, const CatalogTeam *team)
-{
-    return limit_with(desc, team, STEADY_EXCESS);
-}
-
-double
-_Quota_StartLimit(const Quota_desc *desc, const CatalogTeam *team,
-                  ClockMs uptime_ms, uint32_t hosts, uint32_t reports,
-                  int64_t reported)
-{
-    double steady = _Quota_SteadyLimit(desc, team);
-    double left =
-        1 - (double)(uptime_ms + RESTART_MS) / (double)MAX(desc->window_ms, 1);
-    double unknown = steady * CLAMP(START_SURGE * left, 0, 1);
-
-    if (reports > 0) {
-        unknown = MIN(unknown, (double)reported * (double)(hosts - reports) /
-                                   (double)reports);
-    }
-    return MIN(steady, limit_with(desc, team, START_EXCESS) - unknown);
-}
-
 static bool_t
 xdr_draw(XDR *stream, QuotaDraw *draw)
 {
@@ -143,97 +45,6 @@
                       sizeof(handover->counts[0]), (xdrproc_t)xdr_int64_t);
 }
 
-static void
-free_count(gpointer data)
-{
-    TeamCount *count = data;
-
-    g_hash_table_destroy(count->reporters);
-    g_free(count);
-}
-
-/* Called with the lock held. */
-static TeamCount *
-find_count(Quota *quota, uint64_t team, ClockMs now)
-{
-    TeamCount *count = g_hash_table_lookup(quota->teams, &team);
-
-    if (count == NULL) {
-        count = g_new0(TeamCount, 1);
-        count->team = team;
-        QuotaWindow_Init(&count->kept, quota->desc.window_ms, now);
-        QuotaWindow_Init(&count->surge, SURGE_MS, now);
-        QuotaWindow_Init(&count->deputed, quota->desc.window_ms, now);
-        QuotaWindow_Init(&count->own, quota->desc.window_ms, now);
-        QuotaWindow_Init(&count->taken, quota->desc.window_ms, now);
-        count->reporters =
-            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-        g_hash_table_insert(quota->teams, &count->team, count);
-    }
-    return count;
-}
-
-/* Counts what a host took before this keeper started; with the lock held. */
-static void
-note_report(Quota *quota, TeamCount *count, const QuotaDraw *draw, ClockMs now)
-{
-    ClockMs uptime = now - quota->started;
-
-    if (uptime >= quota->desc.window_ms ||
-        draw->uptime_ms < (uint64_t)uptime + RESTART_MS ||
-        g_hash_table_contains(count->reporters, &draw->host)) {
-        return;
-    }
-    g_hash_table_add(count->reporters,
-                     g_memdup2(&draw->host, sizeof(draw->host)));
-    count->reported += (int64_t)draw->taken;
-    QuotaWindow_Add(&count->kept, (int64_t)draw->taken, now);
-}
-
-/* What the keeper may let through in the window; with the lock held. Counts
- * that were handed over are whole: nothing is unknown, however young the
- * process. */
-static int64_t
-keeper_limit(Quota *quota, const CatalogTeam *team, TeamCount *count,
-             ClockMs now)
-{
-    uint32_t hosts = Roster_CountDataCentre(quota->desc.roster);
-    uint32_t reports = g_hash_table_size(count->reporters);
-    double limit =
-        now < count->handed_until
-            ? _Quota_SteadyLimit(&quota->desc, team)
-            : _Quota_StartLimit(&quota->desc, team, now - quota->started,
-                                MAX(hosts, reports), reports, count->reported);
-
-    return llround(limit * KEEPER_SHARE);
-}
-
-static Result
-take_as_keeper(Quota *quota, const CatalogTeam *team, const QuotaDraw *draw)
-{
-    ClockMs now = Clock_Now();
-    double steady = _Quota_SteadyLimit(&quota->desc, team) * KEEPER_SHARE;
-    int64_t surge = (int64_t)(steady * SURGE_SHARE) + SURGE_REQUESTS;
-    int64_t limit;
-    TeamCount *count;
-    gboolean taken;
-
-    if (atomic_load(&quota->leaving)) {
-        return RESULT_SHUTTING_DOWN;
-    }
-    pthread_mutex_lock(&quota->lock);
-    count = find_count(quota, team->hash, now);
-    if (now >= count->handed_until) {
-        note_report(quota, count, draw, now);
-    }
-    limit = keeper_limit(quota, team, count, now);
-    taken = QuotaWindow_Count(&count->kept, now) < limit &&
-            QuotaWindow_Take(&count->surge, surge, now) &&
-            QuotaWindow_Take(&count->kept, limit, now);
-    pthread_mutex_unlock(&quota->lock);
-    return taken ? RESULT_OK : RESULT_RATE_EXCEEDED;
-}
-
 /* Sends a draw to a neighbour and notes whether that can be reached. */
 static Result
 ask_peer(Quota *quota, const RosterPeer *asked, QuotaDraw *draw, int wait_ms)
@@ -284,42 +95,6 @@
                : RESULT_RPC_TIMEOUT;
 }
 
-/* Whether a keeper that left has handed its counts over to this deputy. */
-static gboolean
-has_counts_of(Quota *quota, const CatalogTeam *team)
-{
-    ClockMs now = Clock_Now();
-    gboolean handed;
-
-    pthread_mutex_lock(&quota->lock);
-    handed = now < find_count(quota, team->hash, now)->handed_until;
-    pthread_mutex_unlock(&quota->lock);
-    return handed;
-}
-
-/* A keeper that answers again counts itself. */
-static void
-end_handover(Quota *quota, const CatalogTeam *team)
-{
-    pthread_mutex_lock(&quota->lock);
-    find_count(quota, team->hash, Clock_Now())->handed_until = 0;
-    pthread_mutex_unlock(&quota->lock);
-}
-
-static Result
-take_deputy_part(Quota *quota, const CatalogTeam *team)
-{
-    ClockMs now = Clock_Now();
-    double limit = _Quota_SteadyLimit(&quota->desc, team) * DEPUTY_SHARE;
-    gboolean taken;
-
-    pthread_mutex_lock(&quota->lock);
-    taken = QuotaWindow_Take(&find_count(quota, team->hash, now)->deputed,
-                             llround(limit), now);
-    pthread_mutex_unlock(&quota->lock);
-    return taken ? RESULT_OK : RESULT_RATE_EXCEEDED;
-}
-
 static Result
 take_as_deputy(Quota *quota, const CatalogTeam *team, const QuotaDraw *draw)
 {
@@ -330,12 +105,12 @@
                       &keeper, 1);
     result = relay(quota, &keeper, draw);
     if (result == RESULT_OK || result == RESULT_RATE_EXCEEDED) {
-        end_handover(quota, team);
+        _Quota_EndHandover(quota, team);
         return result;
     }
-    return has_counts_of(quota, team) || has_lost(quota, &keeper)
-               ? take_as_keeper(quota, team, draw)
-               : take_deputy_part(quota, team);
+    return _Quota_HasCountsOf(quota, team) || has_lost(quota, &keeper)
+               ? _Quota_TakeAsKeeper(quota, team, draw)
+               : _Quota_TakeDeputyPart(quota, team);
 }
 
 /* Counts a request of a host in the role that it asks for. */
@@ -343,24 +118,7 @@
 take_for(Quota *quota, const CatalogTeam *team, const QuotaDraw *draw)
 {
     return draw->as_deputy ? take_as_deputy(quota, team, draw)
-                           : take_as_keeper(quota, team, draw);
-}
-
-static Result
-take_own_part(Quota *quota, const CatalogTeam *team)
-{
-    ClockMs now = Clock_Now();
-    double limit = _Quota_SteadyLimit(&quota->desc, team);
-    uint32_t hosts = Roster_CountDataCentre(quota->desc.roster);
-    double part =
-        limit * (1 - KEEPER_SHARE - DEPUTY_SHARE) / MAX(hosts, LEAST_HOSTS);
-    gboolean taken;
-
-    pthread_mutex_lock(&quota->lock);
-    taken = QuotaWindow_Take(&find_count(quota, team->hash, now)->own,
-                             (int64_t)part, now);
-    pthread_mutex_unlock(&quota->lock);
-    return taken ? RESULT_OK : RESULT_RATE_EXCEEDED;
+                           : _Quota_TakeAsKeeper(quota, team, draw);
 }
 
 /* Serves a draw of a neighbour. */
@@ -394,57 +152,18 @@
 {
     Quota *quota = context;
     QuotaHandover handover;
-    ClockMs now = Clock_Now();
-    TeamCount *count;
 
     (void)reply;
     if (!Rpc_Decode(body, (xdrproc_t)xdr_handover, &handover)) {
         return RESULT_MALFORMED;
     }
-    pthread_mutex_lock(&quota->lock);
-    count = find_count(quota, handover.team, now);
-    QuotaWindow_Merge(&count->kept, now, handover.counts);
-    count->handed_until = now + quota->desc.window_ms;
-    pthread_mutex_unlock(&quota->lock);
+    _Quota_MergeCounts(quota, &handover);
     Log_Event(LOG_QUOTA_TAKEN_OVER,
               "team=%016" PRIx64 " host=%016" PRIx64 " until_ms=%" PRId64,
               handover.team, sender->host, quota->desc.window_ms);
     return RESULT_OK;
 }
 
-/* Whether this keeper has counted all of the last window. */
-static gboolean
-is_whole(const Quota *quota, const TeamCount *count, ClockMs now)
-{
-    return now - quota->started >= quota->desc.window_ms ||
-           now < count->handed_until;
-}
-
-/* All teams whose last window is known. */
-static GArray *
-read_counts(Quota *quota)
-{
-    GArray *all = g_array_new(FALSE, FALSE, sizeof(QuotaHandover));
-    ClockMs now = Clock_Now();
-    GHashTableIter iterator;
-    gpointer value;
-
-    pthread_mutex_lock(&quota->lock);
-    g_hash_table_iter_init(&iterator, quota->teams);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        TeamCount *count = value;
-        QuotaHandover handover = {.team = count->team};
-
-        if (is_whole(quota, count, now) &&
-            QuotaWindow_Count(&count->kept, now) > 0) {
-            QuotaWindow_Read(&count->kept, now, handover.counts);
-            g_array_append_val(all, handover);
-        }
-    }
-    pthread_mutex_unlock(&quota->lock);
-    return all;
-}
-
 /* Returns FALSE if the deputy did not take the counts over. */
 static gboolean
 hand_over(Quota *quota, QuotaHandover *handover)
@@ -483,7 +202,7 @@
     guint left = 0;
 
     atomic_store(&quota->leaving, TRUE);
-    all = read_counts(quota);
+    all = _Quota_ReadCounts(quota);
     for (guint i = 0; i < all->len; i++) {
         QuotaHandover *handover = &g_array_index(all, QuotaHandover, i);
 
@@ -504,8 +223,7 @@
     quota->desc = *desc;
     quota->started = Clock_Now();
     pthread_mutex_init(&quota->lock, NULL);
-    quota->teams =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_count);
+    quota->teams = _Quota_CreateTeams();
     Rpc_Handle(desc->rpc, RPC_KIND_QUOTA_DRAW, serve_draw, quota);
     Rpc_Handle(desc->rpc, RPC_KIND_QUOTA_HANDOVER, serve_handover, quota);
     return quota;
@@ -521,39 +239,15 @@
     }
 }
 
-static QuotaDraw
-make_draw(Quota *quota, const CatalogTeam *team)
-{
-    ClockMs now = Clock_Now();
-    QuotaDraw draw = {.team = team->hash,
-                      .host = quota->desc.host,
-                      .uptime_ms = (uint64_t)(now - quota->started)};
-
-    pthread_mutex_lock(&quota->lock);
-    draw.taken = (uint64_t)QuotaWindow_Count(
-        &find_count(quota, team->hash, now)->taken, now);
-    pthread_mutex_unlock(&quota->lock);
-    return draw;
-}
-
-static void
-note_taken(Quota *quota, const CatalogTeam *team)
-{
-    ClockMs now = Clock_Now();
-
-    pthread_mutex_lock(&quota->lock);
-    QuotaWindow_Add(&find_count(quota, team->hash, now)->taken, 1, now);
-    pthread_mutex_unlock(&quota->lock);
-}
-
 /* Draws at keeper or deputy. */
 static Result
 draw_at(Quota *quota, const CatalogTeam *team, const RosterPeer *peer,
         gboolean as_deputy)
 {
-    QuotaDraw draw = make_draw(quota, team);
+    QuotaDraw draw;
     Result result;
 
+    _Quota_MakeDraw(quota, team, &draw);
     draw.as_deputy = as_deputy;
     if (peer->is_self) {
         result = take_for(quota, team, &draw);
@@ -564,7 +258,7 @@
                      : RESULT_RPC_TIMEOUT;
     }
     if (result == RESULT_OK) {
-        note_taken(quota, team);
+        _Quota_NoteTaken(quota, team);
     }
     return result;
 }
@@ -594,5 +288,5 @@
                   Result_Name(result));
     }
     *source = QUOTA_OWN_PART;
-    return take_own_part(quota, team);
+    return _Quota_TakeOwnPart(quota, team);
 }
--- /dev/null
+++ b/src/roster/roster_neighbours.c
@@ -0,0 +1,182 @@
+#include <string.h>
+
+#include "roster/roster.h"
+#include "roster/roster_internal.h"
+
+/* How long an unreachable host is left out: at first, and at most. */
+#define FIRST_AVOID_MS 400
+#define MOST_AVOID_MS 4000
+
+void
+Roster_NoteUnreachable(Roster *roster, uint64_t host, ClockMs now)
+{
+    RosterRow *row;
+
+    pthread_mutex_lock(&roster->lock);
+    row = g_hash_table_lookup(roster->rows, &host);
+    if (row != NULL) {
+        row->avoid_ms = row->avoid_ms == 0
+                            ? FIRST_AVOID_MS
+                            : MIN(2 * row->avoid_ms, MOST_AVOID_MS);
+        row->avoid_until = now + row->avoid_ms;
+        row->contacted = now;
+        if (row->unreachable_since == 0) {
+            row->unreachable_since = now;
+        }
+    }
+    pthread_mutex_unlock(&roster->lock);
+}
+
+static void
+fill_peer(const RosterRow *row, ClockMs now, RosterPeer *peer)
+{
+    *peer = (RosterPeer){.host = row->host,
+                         .is_reachable = now >= row->avoid_until,
+                         .unreachable_ms = row->unreachable_since > 0
+                                               ? now - row->unreachable_since
+                                               : 0,
+                         .rpc = row->entry.peer,
+                         .mirror = row->entry.peer};
+    peer->rpc.sin_port = htons(row->entry.rpc_port);
+    peer->mirror.sin_port = htons(row->entry.mirror_port);
+}
+
+/* Puts a peer into the list, which is kept in the order of the key and at most
+ * `most` long. Returns the new length. */
+static uint32_t
+insert_peer(RosterPeer *peers, uint32_t count, uint32_t most, uint64_t key,
+            const RosterPeer *peer)
+{
+    uint64_t rank = Rng_Mix(peer->host, key);
+    uint32_t place = count;
+
+    while (place > 0 && Rng_Mix(peers[place - 1].host, key) > rank) {
+        place--;
+    }
+    if (place >= most) {
+        return count;
+    }
+    count = MIN(count + 1, most);
+    memmove(&peers[place + 1], &peers[place],
+            (count - place - 1) * sizeof(RosterPeer));
+    peers[place] = *peer;
+    return count;
+}
+
+uint32_t
+Roster_Rank(Roster *roster, uint64_t key, gboolean all, ClockMs now,
+            RosterPeer *peers, uint32_t most)
+{
+    RosterPeer peer = {
+        .host = roster->self, .is_self = TRUE, .is_reachable = TRUE};
+    uint32_t count = insert_peer(peers, 0, most, key, &peer);
+
+    pthread_mutex_lock(&roster->lock);
+    for (guint i = 0; i < roster->neighbours->len; i++) {
+        const RosterRow *row = g_ptr_array_index(roster->neighbours, i);
+
+        fill_peer(row, now, &peer);
+        if (row->entry.rpc_port > 0 && (all || peer.is_reachable)) {
+            count = insert_peer(peers, count, most, key, &peer);
+        }
+    }
+    pthread_mutex_unlock(&roster->lock);
+    return count;
+}
+
+/* Whether this host is the first in the order of the key among those of the
+ * data centre that it reaches; with the lock held. */
+static gboolean
+is_first(const Roster *roster, uint64_t key, ClockMs now)
+{
+    uint64_t own = Rng_Mix(roster->self, key);
+
+    for (guint i = 0; i < roster->neighbours->len; i++) {
+        const RosterRow *row = g_ptr_array_index(roster->neighbours, i);
+
+        if (row->host != key && now >= row->avoid_until &&
+            Rng_Mix(row->host, key) < own) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+uint32_t
+Roster_FindLost(Roster *roster, ClockMs lost_ms, ClockMs now, RosterLost *lost,
+                uint32_t most)
+{
+    RosterPeer peer;
+    uint32_t count = 0;
+    uint32_t reached = 1;
+    uint32_t missing = 0;
+
+    pthread_mutex_lock(&roster->lock);
+    for (guint i = 0; i < roster->neighbours->len; i++) {
+        const RosterRow *row = g_ptr_array_index(roster->neighbours, i);
+
+        fill_peer(row, now, &peer);
+        reached += peer.unreachable_ms == 0;
+        missing += peer.unreachable_ms >= lost_ms;
+        if (count < most && peer.unreachable_ms >= lost_ms &&
+            is_first(roster, row->host, now)) {
+            lost[count] = (RosterLost){.host = row->host,
+                                       .rpc = peer.rpc,
+                                       .unreachable_ms = peer.unreachable_ms};
+            g_strlcpy(lost[count++].name, row->entry.host, ROSTER_NAME_BYTES);
+        }
+    }
+    pthread_mutex_unlock(&roster->lock);
+    return reached >= missing ? count : 0;
+}
+
+gboolean
+Roster_FindSilent(Roster *roster, ClockMs silent_ms, ClockMs now,
+                  RosterLost *silent)
+{
+    const RosterRow *longest = NULL;
+    RosterPeer peer;
+
+    pthread_mutex_lock(&roster->lock);
+    for (guint i = 0; i < roster->neighbours->len; i++) {
+        const RosterRow *row = g_ptr_array_index(roster->neighbours, i);
+
+        if (row->host != roster->self && now - row->contacted >= silent_ms &&
+            (longest == NULL || row->contacted < longest->contacted)) {
+            longest = row;
+        }
+    }
+    if (longest != NULL) {
+        fill_peer(longest, now, &peer);
+        *silent = (RosterLost){.host = longest->host, .rpc = peer.rpc};
+        g_strlcpy(silent->name, longest->entry.host, ROSTER_NAME_BYTES);
+    }
+    pthread_mutex_unlock(&roster->lock);
+    return longest != NULL;
+}
+
+void
+Roster_NoteReached(Roster *roster, uint64_t host, ClockMs now)
+{
+    RosterRow *row;
+
+    pthread_mutex_lock(&roster->lock);
+    row = g_hash_table_lookup(roster->rows, &host);
+    if (row != NULL) {
+        row->unreachable_since = 0;
+        row->avoid_ms = 0;
+        row->contacted = now;
+    }
+    pthread_mutex_unlock(&roster->lock);
+}
+
+uint32_t
+Roster_CountDataCentre(Roster *roster)
+{
+    uint32_t count;
+
+    pthread_mutex_lock(&roster->lock);
+    count = roster->neighbours->len + 1;
+    pthread_mutex_unlock(&roster->lock);
+    return count;
+}
