gateway: calls of runs that are repeats draw on the retry budget

Only some 30 of them are repeats of calls; the others are first calls of runs at history that were repeats: after a change of the routes history gets three times as many requests as issuer, and each of its repeats calls issuer once more.

An attempt now tells the owner whether it is a repeat. For each call of the backend server beside it a gateway takes the share of running requests that are repeats from the budget of the called service, which may go into debt. /retry/debit, /peer-wire/call.

Ruled out: repeats of requests that a stopping owner hands back (none in the window).

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -56,6 +56,7 @@
     ClockMs failed_call;   /* time of the last one */
     ClockMs last_sent;     /* time of the last request */
     GArray *running;       /* ClockMs, starts of the requests that run */
+    guint running_repeats; /* of them */
     GPtrArray *queue;      /* Waiter, next one first */
 };
 
@@ -448,6 +449,7 @@
     }
     announcement = backend->announcement;
     backend->last_sent = now;
+    backend->running_repeats += call->is_repeat ? 1 : 0;
     pthread_mutex_unlock(&backend->lock);
 
     exchange.address = announcement.address;
@@ -460,6 +462,7 @@
     if (strcmp(backend->announcement.instance, announcement.instance) == 0) {
         learn(backend, call, reply, now);
     }
+    backend->running_repeats -= call->is_repeat ? 1 : 0;
     give_slot_back(backend, started);
     fill_report(backend, now, &reply->report);
     pthread_mutex_unlock(&backend->lock);
@@ -476,6 +479,17 @@
     pthread_mutex_unlock(&backend->lock);
 }
 
+double
+Backend_RepeatShare(Backend *backend)
+{
+    double share;
+
+    pthread_mutex_lock(&backend->lock);
+    share = (double)backend->running_repeats / MAX(backend->running->len, 1);
+    pthread_mutex_unlock(&backend->lock);
+    return share;
+}
+
 void
 Backend_GetReport(Backend *backend, RosterReport *report)
 {
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -96,6 +96,7 @@
     gboolean (*give_up)(void *context);
     void *give_up_context;
     gboolean idempotent;
+    gboolean is_repeat; /* an earlier attempt reached a backend server */
     int priority;
     double max_risk;
     ClockMs max_wait_ms;
@@ -135,6 +136,10 @@
 void Backend_NoteFailedCall(Backend *backend);
 void Backend_Close(Backend *backend);
 void Backend_GetStatus(Backend *backend, BackendStatus *status);
+/* Share of the running requests that are repeats: of a call that the backend
+ * server makes it is not known for which of them. */
+double Backend_RepeatShare(Backend *backend);
+
 void Backend_GetReport(Backend *backend, RosterReport *report);
 
 /* "unknown", "ready", "draining", "gone". */
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -98,10 +98,15 @@
 {
     Gateway *gateway = request->gateway;
     ClockMs now = Clock_Now();
+    RetryBudget *budget;
+    double repeats =
+        request->team == NULL ? Backend_RepeatShare(gateway->desc.backend) : 0;
 
     pthread_mutex_lock(&gateway->lock);
-    RetryBudget_Request(find_budget(gateway, request->part->service_hash, now),
-                        now);
+    budget = find_budget(gateway, request->part->service_hash, now);
+    RetryBudget_Request(budget, now);
+    /* A call of a run that is a repeat counts as one, too. */
+    RetryBudget_Debit(budget, repeats, now);
     pthread_mutex_unlock(&gateway->lock);
 }
 
@@ -330,6 +335,7 @@
              BackendReply *reply)
 {
     *reply = (BackendReply){.run = RUN_NO};
+    request->call.is_repeat = request->arrivals > 0;
     set_limits(request, choice);
     set_patience(request, choice);
     if (choice->tier == ROSTER_SAME_HOST) {
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -43,10 +43,10 @@
 {
     char line[LINE_BYTES];
 
-    (void)snprintf(line, sizeof(line), "%" PRId64 " %c %d %.3f %" PRId64,
+    (void)snprintf(line, sizeof(line), "%" PRId64 " %c %d %.3f %" PRId64 " %d",
                    call->deadline - now, call->idempotent ? 'i' : 'o',
                    call->priority, call->max_risk,
-                   MIN(call->max_wait_ms, MOST_WAIT_MS));
+                   MIN(call->max_wait_ms, MOST_WAIT_MS), call->is_repeat);
     HttpHeaders_Add(headers, CALL_HEADER, line);
     HttpHeaders_Add(headers, CALLER_HEADER, call->caller);
     HttpHeaders_Add(headers, SERVICE_HEADER, call->service);
@@ -66,8 +66,9 @@
     call->caller = HttpHeaders_Get(headers, CALLER_HEADER);
     call->service = HttpHeaders_Get(headers, SERVICE_HEADER);
     if (line == NULL || call->caller == NULL || call->service == NULL ||
-        sscanf(line, "%" SCNd64 " %c %d %lf %" SCNd64, &left, &kind,
-               &call->priority, &call->max_risk, &call->max_wait_ms) != 5 ||
+        sscanf(line, "%" SCNd64 " %c %d %lf %" SCNd64 " %d", &left, &kind,
+               &call->priority, &call->max_risk, &call->max_wait_ms,
+               &call->is_repeat) != 6 ||
         (kind != 'i' && kind != 'o') || left < 0 || left > MOST_WAIT_MS ||
         call->max_wait_ms < 0 || call->max_wait_ms > MOST_WAIT_MS) {
         return FALSE;
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -13,6 +13,7 @@
                         .team = "crews",
                         .deadline = 5000,
                         .idempotent = TRUE,
+                        .is_repeat = TRUE,
                         .priority = -1,
                         .max_risk = 0.25,
                         .max_wait_ms = 300};
@@ -23,6 +24,7 @@
     g_assert_true(PeerWire_DecodeCall(&headers, 7000, &decoded));
     g_assert_cmpint(decoded.deadline, ==, 10000);
     g_assert_true(decoded.idempotent);
+    g_assert_true(decoded.is_repeat);
     g_assert_cmpint(decoded.priority, ==, -1);
     g_assert_cmpfloat_with_epsilon(decoded.max_risk, 0.25, 0.001);
     g_assert_cmpint(decoded.max_wait_ms, ==, 300);
@@ -38,11 +40,12 @@
 {
     static const char *const lines[] = {"",
                                         "5000",
-                                        "x i 0 0.1 5",
-                                        "5000 z 0 0.1 5",
-                                        "-1 i 0 1 5",
-                                        "5000 i 0 0.1 -1",
-                                        "9999999 i 0 1 5"};
+                                        "x i 0 0.1 5 0",
+                                        "5000 z 0 0.1 5 0",
+                                        "-1 i 0 1 5 0",
+                                        "5000 i 0 0.1 -1 0",
+                                        "5000 i 0 0.1 5",
+                                        "9999999 i 0 1 5 0"};
 
     for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
         HttpHeaders headers = {0};
--- a/src/retry/retry.c
+++ b/src/retry/retry.c
@@ -88,6 +88,13 @@
     return budget->tokens >= 1;
 }
 
+void
+RetryBudget_Debit(RetryBudget *budget, double retries, ClockMs now)
+{
+    refill(budget, now);
+    budget->tokens = MAX(budget->tokens - retries, -bucket_size(budget));
+}
+
 gboolean
 RetryBudget_TakeRetry(RetryBudget *budget, ClockMs now)
 {
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -87,6 +87,10 @@
 /* Takes a retry without a decision; FALSE if the budget is used up. */
 gboolean RetryBudget_TakeRetry(RetryBudget *budget, ClockMs now);
 
+/* Takes repeats that others made against the same limit; may leave the budget
+ * in debt, by at most what it can hold. */
+void RetryBudget_Debit(RetryBudget *budget, double retries, ClockMs now);
+
 /* `desc` is used when budget is NULL; else the budget's settings count. */
 RetryDecision Retry_Decide(RetryBudget *budget, const Retry_desc *desc,
                            const RetryInput *input, ClockMs now, Rng *rng);
--- a/src/retry/test_retry.c
+++ b/src/retry/test_retry.c
@@ -170,6 +170,32 @@
                     ==, RETRY_FINAL_BUDGET);
 }
 
+/* Guards against repeats beyond the limit of a service whose callers repeat
+ * their own work: each such run calls it once more. */
+static void
+test_debit(void)
+{
+    Retry_desc desc = {.budget_percent = 10, .min_per_minute = 6};
+    RetryBudget budget;
+    int retries = 0;
+
+    RetryBudget_Init(&budget, &desc, 0);
+    for (ClockMs now = 0; now < 60000; now += 50) {
+        RetryBudget_Request(&budget, now);
+        /* A tenth of the requests come from runs that are repeats. */
+        RetryBudget_Debit(&budget, 0.1, now);
+        retries += RetryBudget_TakeRetry(&budget, now);
+    }
+    /* 6 a minute, and the first token. */
+    g_assert_cmpint(retries, <=, 8);
+    RetryBudget_Debit(&budget, 1e9, 60000);
+    for (ClockMs now = 60000; now < 120000; now += 50) {
+        RetryBudget_Request(&budget, now);
+        retries += RetryBudget_TakeRetry(&budget, now);
+    }
+    g_assert_cmpint(retries, >, 50);
+}
+
 /* Guards against retries of overload that come together, and against a wait
  * past the deadline. */
 static void
@@ -206,6 +232,7 @@
     g_test_add_func("/retry/never_twice", test_never_twice);
     g_test_add_func("/retry/budget", test_budget);
     g_test_add_func("/retry/budget_is_capped", test_budget_is_capped);
+    g_test_add_func("/retry/debit", test_debit);
     g_test_add_func("/retry/backoff", test_backoff);
     return g_test_run();
 }
