--- a/src/backend/test_backend.c
+++ b/src/backend/test_backend.c
@@ -449,14 +449,22 @@
 }
 
 static void
-start_caller(Caller *caller, Backend *backend, int priority)
+start_attempt(Caller *caller, Backend *backend, int priority,
+              gboolean is_repeat)
 {
     caller->backend = backend;
     caller->call = make_call();
     caller->call.priority = priority;
+    caller->call.is_repeat = is_repeat;
     pthread_create(&caller->thread, NULL, run_caller, caller);
 }
 
+static void
+start_caller(Caller *caller, Backend *backend, int priority)
+{
+    start_attempt(caller, backend, priority, FALSE);
+}
+
 static void
 wait_for_load(Backend *backend, uint32_t in_flight, uint32_t waiting)
 {
@@ -496,6 +504,30 @@
     close_fixture(&fixture);
 }
 
+/* Guards against calls of repeated runs that no budget counts, and against a
+ * share that stays after these runs. */
+static void
+test_repeat_share(void)
+{
+    Fixture fixture = {.script = {.answer = ANSWER_OK, .delay_ms = 150}};
+    Caller callers[2] = {0};
+
+    open_fixture(&fixture);
+    g_assert_cmpfloat(Backend_RepeatShare(fixture.backend), ==, 0);
+    start_attempt(&callers[0], fixture.backend, 1, TRUE);
+    wait_for_load(fixture.backend, 1, 0);
+    g_assert_cmpfloat(Backend_RepeatShare(fixture.backend), ==, 1);
+    start_attempt(&callers[1], fixture.backend, 1, FALSE);
+    wait_for_load(fixture.backend, 2, 0);
+    g_assert_cmpfloat(Backend_RepeatShare(fixture.backend), ==, 0.5);
+    for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
+        pthread_join(callers[i].thread, NULL);
+        HttpAnswer_Clear(&callers[i].reply.answer);
+    }
+    g_assert_cmpfloat(Backend_RepeatShare(fixture.backend), ==, 0);
+    close_fixture(&fixture);
+}
+
 /* Guards against a request that is sent after its caller left, and against one
  * that waits in vain for a slot. */
 static void
@@ -589,6 +621,7 @@
     g_test_add_func("/backend/refusals", test_refusals);
     g_test_add_func("/backend/risk", test_risk);
     g_test_add_func("/backend/slots-and-order", test_slots_and_order);
+    g_test_add_func("/backend/repeat-share", test_repeat_share);
     g_test_add_func("/backend/waiting", test_waiting);
     g_test_add_func("/backend/patience", test_patience);
     return g_test_run();
