--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -13,7 +13,6 @@
                         .team = "crews",
                         .deadline = 5000,
                         .idempotent = TRUE,
-                        .is_repeat = TRUE,
                         .priority = -1,
                         .max_risk = 0.25,
                         .max_wait_ms = 300};
@@ -24,7 +23,6 @@
     g_assert_true(PeerWire_DecodeCall(&headers, 7000, &decoded));
     g_assert_cmpint(decoded.deadline, ==, 10000);
     g_assert_true(decoded.idempotent);
-    g_assert_true(decoded.is_repeat);
     g_assert_cmpint(decoded.priority, ==, -1);
     g_assert_cmpfloat_with_epsilon(decoded.max_risk, 0.25, 0.001);
     g_assert_cmpint(decoded.max_wait_ms, ==, 300);
@@ -34,6 +32,23 @@
     HttpHeaders_Clear(&headers);
 }
 
+/* Guards against a repeat that the owner takes for a first attempt. */
+static void
+test_repeat(void)
+{
+    for (int repeat = 0; repeat < 2; repeat++) {
+        BackendCall call = {
+            .service = "permits", .caller = "desk", .is_repeat = repeat};
+        BackendCall decoded = {0};
+        HttpHeaders headers = {0};
+
+        PeerWire_EncodeCall(&call, 0, &headers);
+        g_assert_true(PeerWire_DecodeCall(&headers, 0, &decoded));
+        g_assert_cmpint(decoded.is_repeat, ==, repeat);
+        HttpHeaders_Clear(&headers);
+    }
+}
+
 /* Guards against a malformed call that runs. */
 static void
 test_malformed_calls(void)
@@ -110,6 +125,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/peer-wire/call", test_call);
+    g_test_add_func("/peer-wire/repeat", test_repeat);
     g_test_add_func("/peer-wire/malformed-calls", test_malformed_calls);
     g_test_add_func("/peer-wire/reply", test_reply);
     g_test_add_func("/peer-wire/malformed-replies", test_malformed_replies);
