entry, owner: a drained port of mode "fleet" serves its open connections again

A daemon of this mode lives on for seconds after it has drained its entry, so refusing there is wrong; HttpServer_Close() is for the end of mode "platform" only.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -482,9 +482,7 @@
 gboolean
 Entry_Drain(Entry *entry, ClockMs until)
 {
-    gboolean drained = HttpServer_Drain(entry->server, until);
-
-    return HttpServer_Close(entry->server, until) && drained;
+    return HttpServer_Drain(entry->server, until);
 }
 
 void
--- a/src/owner/owner_port.c
+++ b/src/owner/owner_port.c
@@ -209,9 +209,7 @@
 gboolean
 OwnerPort_Drain(OwnerPort *port, ClockMs until)
 {
-    gboolean drained = HttpServer_Drain(port->server, until);
-
-    return HttpServer_Close(port->server, until) && drained;
+    return HttpServer_Drain(port->server, until);
 }
 
 void
