route: small differences of latency do not decide

Latencies now count only where one is above twice the other. /route/idle_pair fails before (0 of 1,000 choices).

Ruled out: the former draws, with which a backend server that is slow by 10 is chosen without a comparison (/route/latency_step).

--- a/src/route/route.c
+++ b/src/route/route.c
@@ -194,6 +194,17 @@
     return offer;
 }
 
+/* Whether one of two known latencies is slow against the other. Less says
+ * little, and an idle fleet would send everything to the backend server that
+ * was the fastest last. */
+static gboolean
+differ(const Offer *a, const Offer *b)
+{
+    return a->latency_us > 0 && b->latency_us > 0 &&
+           MAX(a->latency_us, b->latency_us) >
+               ROUTE_SLOW_FACTOR * MIN(a->latency_us, b->latency_us);
+}
+
 /* The offer with the lower expected wait. */
 static Offer
 better(Offer a, Offer b)
@@ -204,7 +215,7 @@
     if (a.index < 0 || b.index < 0) {
         return a.index < 0 ? b : a;
     }
-    if (a.latency_us > 0 && b.latency_us > 0) {
+    if (differ(&a, &b)) {
         wait_a *= a.latency_us;
         wait_b *= b.latency_us;
     }
--- a/src/route/route_load.c
+++ b/src/route/route_load.c
@@ -21,8 +21,7 @@
 #define LATENCY_SHARE 0.125
 /* From the second slow answer in a row the mean follows faster: a long tail
  * gives one now and then, a backend server that has become slow gives only
- * such. Slow is above twice the mean, as in Health_desc.slow_factor. */
-#define SLOW_FACTOR 2.0
+ * such. */
 #define STEP_ANSWERS 2
 #define STEP_SHARE 0.5
 
@@ -218,7 +217,7 @@
         server->latency_us = latency_us;
         return;
     }
-    server->slow_in_row = latency_us > SLOW_FACTOR * server->latency_us
+    server->slow_in_row = latency_us > ROUTE_SLOW_FACTOR * server->latency_us
                               ? server->slow_in_row + 1
                               : 0;
     share = server->slow_in_row >= STEP_ANSWERS ? STEP_SHARE : LATENCY_SHARE;
--- a/src/route/route_load.h
+++ b/src/route/route_load.h
@@ -12,6 +12,10 @@
 
 #define ROUTE_WAYS 8
 
+/* A latency above another one by more than this factor is slow, as in
+ * Health_desc.slow_factor. */
+#define ROUTE_SLOW_FACTOR 2.0
+
 typedef struct RouteServer {
     uint64_t id; /* 0 = vacant */
     ClockMs used;
--- a/src/route/test_route.c
+++ b/src/route/test_route.c
@@ -339,6 +339,26 @@
     }
 }
 
+/* Guards against a backend server that is a little slower than the others and
+ * gets no work at all while they are idle: nobody would see that it has become
+ * faster, or that it has failed. */
+static void
+test_idle_pair(void)
+{
+    World world = {0};
+    int chosen = 0;
+
+    set_up(&world, 2, 0, 0);
+    finish(&world, 1, 24000);
+    finish(&world, 2, 20000);
+    for (int i = 0; i < 1000; i++) {
+        chosen += choose(&world, 2, NULL) == 1;
+    }
+    g_test_message("chosen %d of 1000", chosen);
+    g_assert_cmpint(chosen, >, 100);
+    Route_Destroy(world.route);
+}
+
 /* Guards against a gray backend server that sets the tail latency, as it does
  * under round robin, and against load that is spread unevenly over the rest.
  */
@@ -403,6 +423,7 @@
     g_test_add_func("/route/pools", test_pools);
     g_test_add_func("/route/full_cache", test_full_cache);
     g_test_add_func("/route/latency_step", test_latency_step);
+    g_test_add_func("/route/idle_pair", test_idle_pair);
     g_test_add_func("/route/gray_server", test_gray_server);
     g_test_add_func("/route/overload", test_overload);
     return g_test_run();
