Review of the change: one piece of code where it had two

- quota: draws and handovers share one call to a neighbour, which notes whether it can be reached; so a handover, too, raises the incarnation after a jump of the clock.
The two parts that a host counts for others and for itself share their tail, and the question whether counts were handed over has one place.
- rpc: Rpc_PeerAt() in place of five conversions.
- roster: RosterLost holds a RosterPeer in place of copies of its fields; one function marks a host as reached.
- http: the count of unsent answers and the closed flag stand under the server's lock like the rest.
- sidecar: what looks after lost hosts is a type of its own in place of five fields of Sidecar.
- base: Log_Append() in place of the same function in gateway and entry.
- gateway: no debit of nothing.

--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -136,6 +136,7 @@
 void Backend_NoteFailedCall(Backend *backend);
 void Backend_Close(Backend *backend);
 void Backend_GetStatus(Backend *backend, BackendStatus *status);
+
 /* Share of the running requests that are repeats: of a call that the backend
  * server makes it is not known for which of them. */
 double Backend_RepeatShare(Backend *backend);
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -180,6 +180,17 @@
     return FALSE;
 }
 
+void
+Log_Append(char *text, size_t bytes, const char *format, ...)
+{
+    size_t used = strlen(text);
+    va_list arguments;
+
+    va_start(arguments, format);
+    (void)vsnprintf(text + used, bytes - used, format, arguments);
+    va_end(arguments);
+}
+
 void
 Log_ForEach(void (*callback)(void *context, LogEvent event, const char *name,
                              const char *level, const char *text),
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -41,6 +41,11 @@
 
 void Log_Event(LogEvent event, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
+/* Appends to a text of bounded size that goes into an event later; what does
+ * not fit is left out. */
+void Log_Append(char *text, size_t bytes, const char *format, ...)
+    G_GNUC_PRINTF(3, 4);
+
 /* Parses "error", "warning", "info" or "debug". */
 gboolean Log_LevelFromName(const char *name, LogLevel *level);
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -210,9 +210,7 @@
     struct sockaddr_in address = listen_address(daemon, 0);
 
     for (unsigned i = 0; i < settings->seeds.count; i++) {
-        seeds[i] =
-            (RpcPeer){.ip = ntohl(settings->seeds.items[i].sin_addr.s_addr),
-                      .port = ntohs(settings->seeds.items[i].sin_port)};
+        seeds[i] = Rpc_PeerAt(&settings->seeds.items[i]);
     }
     desc.member.self = (MemberSelf){
         .id = daemon->host,
--- a/src/daemon/daemon_peers.c
+++ b/src/daemon/daemon_peers.c
@@ -347,9 +347,7 @@
 
             if (count < max && rpc != NULL &&
                 HttpAddress_Parse(rpc, &address)) {
-                entries[count++] =
-                    (RpcPeer){.ip = ntohl(address.sin_addr.s_addr),
-                              .port = ntohs(address.sin_port)};
+                entries[count++] = Rpc_PeerAt(&address);
             }
         }
     }
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -223,7 +223,8 @@
                             NULL, &input, Clock_Now(), &entry->rng);
     pthread_mutex_unlock(&entry->lock);
     if (decision.reason != RETRY_AGAIN) {
-        _Entry_Trace(request, "; final %s", Retry_ReasonName(decision.reason));
+        Log_Append(request->trace, sizeof(request->trace), "; final %s",
+                   Retry_ReasonName(decision.reason));
         return FALSE;
     }
     Counter_Retry(reply->result);
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -105,8 +105,6 @@
 
 /* Makes the text the one in use; FALSE after ENTRY_MAX_TOKENS tokens. */
 gboolean _Entry_SetToken(EntryRequest *request, const char *text);
-void _Entry_Trace(EntryRequest *request, const char *format, ...)
-    G_GNUC_PRINTF(2, 3);
 
 /* entry_target.c: chooses places and makes attempts. */
 Result _Entry_ChooseTarget(EntryRequest *request, EntryTarget *target);
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -1,4 +1,3 @@
-#include <stdarg.h>
 #include <string.h>
 
 #include "base/counter.h"
@@ -280,15 +279,3 @@
     g_free(request->target);
     g_free(request);
 }
-
-void
-_Entry_Trace(EntryRequest *request, const char *format, ...)
-{
-    size_t used = strlen(request->trace);
-    va_list arguments;
-
-    va_start(arguments, format);
-    (void)vsnprintf(request->trace + used, sizeof(request->trace) - used,
-                    format, arguments);
-    va_end(arguments);
-}
--- a/src/entry/entry_target.c
+++ b/src/entry/entry_target.c
@@ -2,6 +2,7 @@
 #include <urcu.h>
 
 #include "base/counter.h"
+#include "base/log.h"
 #include "entry/entry_internal.h"
 #include "owner/owner_wire.h"
 
@@ -327,9 +328,9 @@
     atomic_store(&request->run,
                  (int)(reply->run == RUN_NO ? before : reply->run));
     report_to_route(request, target, reply, Clock_NowMicroseconds() - started);
-    _Entry_Trace(request,
-                 "; attempt host=%016" G_GINT64_MODIFIER
-                 "x server=%016" G_GINT64_MODIFIER "x %s run=%s",
-                 target->host, target->backend_server,
-                 Result_Name(reply->result), Result_RunName(reply->run));
+    Log_Append(request->trace, sizeof(request->trace),
+               "; attempt host=%016" G_GINT64_MODIFIER
+               "x server=%016" G_GINT64_MODIFIER "x %s run=%s",
+               target->host, target->backend_server,
+               Result_Name(reply->result), Result_RunName(reply->run));
 }
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/log.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/peer_wire.h"
 
@@ -105,8 +106,10 @@
     pthread_mutex_lock(&gateway->lock);
     budget = find_budget(gateway, request->part->service_hash, now);
     RetryBudget_Request(budget, now);
-    /* A call of a run that is a repeat counts as one, too. */
-    RetryBudget_Debit(budget, repeats, now);
+    if (repeats > 0) {
+        /* A call of a run that is a repeat counts as one, too. */
+        RetryBudget_Debit(budget, repeats, now);
+    }
     pthread_mutex_unlock(&gateway->lock);
 }
 
@@ -349,14 +352,14 @@
     }
     request->arrivals += reply->arrived ? 1 : 0;
     note_reply(request, choice, reply);
-    _Gateway_Trace(request,
-                   " [%s tier=%d cost=%.2f age_ms=%" PRId64
-                   " max_risk=%.2f risk=%.2f ms=%" PRId64 " %s run=%s]",
-                   choice->entry.host, (int)choice->tier, choice->cost,
-                   choice->age_ms == CLOCK_NEVER ? -1 : choice->age_ms,
-                   request->call.max_risk, reply->report.risk,
-                   reply->queue_ms + reply->server_ms,
-                   Result_Name(reply->result), Result_RunName(reply->run));
+    Log_Append(request->trace, sizeof(request->trace),
+               " [%s tier=%d cost=%.2f age_ms=%" PRId64
+               " max_risk=%.2f risk=%.2f ms=%" PRId64 " %s run=%s]",
+               choice->entry.host, (int)choice->tier, choice->cost,
+               choice->age_ms == CLOCK_NEVER ? -1 : choice->age_ms,
+               request->call.max_risk, reply->report.risk,
+               reply->queue_ms + reply->server_ms, Result_Name(reply->result),
+               Result_RunName(reply->run));
 }
 
 /* A stopping owner handed back a request that can run elsewhere. Stops are
@@ -389,7 +392,8 @@
     }
     reason = may_repeat(request, reply);
     if (reason != RETRY_AGAIN) {
-        _Gateway_Trace(request, " final=%s", Retry_ReasonName(reason));
+        Log_Append(request->trace, sizeof(request->trace), " final=%s",
+                   Retry_ReasonName(reason));
     }
     return reason != RETRY_AGAIN;
 }
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -55,7 +55,4 @@
 /* gateway_attempt.c: attempts until the request is answered or given up. */
 void _Gateway_Attempt(GatewayRequest *request, BackendReply *reply);
 
-void _Gateway_Trace(GatewayRequest *request, const char *format, ...)
-    G_GNUC_PRINTF(2, 3);
-
 #endif
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -1,4 +1,3 @@
-#include <stdarg.h>
 #include <string.h>
 
 #include "base/counter.h"
@@ -15,18 +14,6 @@
  * one may lack what the newest has, so the request is refused as not run. */
 #define DENY_AGE_MS 3000
 
-void
-_Gateway_Trace(GatewayRequest *request, const char *format, ...)
-{
-    size_t used = strlen(request->trace);
-    va_list arguments;
-
-    va_start(arguments, format);
-    (void)vsnprintf(request->trace + used, sizeof(request->trace) - used,
-                    format, arguments);
-    va_end(arguments);
-}
-
 /* Headers that the system sets itself, whatever the caller sent. */
 static gboolean
 is_set_by_system(const WireNames *names, const char *name)
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -161,9 +161,9 @@
         refusal = RESULT_REQUEST_TOO_LARGE;
     }
     request->whole = TRUE;
-    atomic_fetch_add(&server->unsent, 1);
     pthread_mutex_lock(&server->lock);
-    if (refusal == RESULT_OK && atomic_load(&server->closed)) {
+    server->unsent++;
+    if (refusal == RESULT_OK && server->closed) {
         refusal = RESULT_SHUTTING_DOWN;
     }
     if (refusal == RESULT_OK &&
@@ -336,10 +336,8 @@
     pthread_mutex_lock(&server->lock);
     request->ended = TRUE;
     request->answered = TRUE;
+    server->unsent -= request->whole ? 1 : 0;
     pthread_mutex_unlock(&server->lock);
-    if (request->whole) {
-        atomic_fetch_sub(&server->unsent, 1);
-    }
     release_request(request);
     *connection_context = NULL;
 }
@@ -647,15 +645,18 @@
 gboolean
 HttpServer_Close(HttpServer *server, ClockMs until)
 {
+    unsigned unsent;
+
     atomic_store(&server->leaving, TRUE);
-    /* With the lock, so that a request is either refused or seen below. */
     pthread_mutex_lock(&server->lock);
-    atomic_store(&server->closed, TRUE);
-    pthread_mutex_unlock(&server->lock);
-    while (Clock_Now() < until && atomic_load(&server->unsent) > 0) {
+    server->closed = TRUE;
+    while ((unsent = server->unsent) > 0 && Clock_Now() < until) {
+        pthread_mutex_unlock(&server->lock);
         (void)poll(NULL, 0, WATCH_PERIOD_MS);
+        pthread_mutex_lock(&server->lock);
     }
-    return atomic_load(&server->unsent) == 0;
+    pthread_mutex_unlock(&server->lock);
+    return unsent == 0;
 }
 
 void
--- a/src/http/http_server_private.h
+++ b/src/http/http_server_private.h
@@ -44,11 +44,11 @@
     uint16_t port;
     pthread_mutex_t lock;
     GPtrArray *in_flight; /* HttpRequest *, those that a handler may hold */
+    unsigned unsent;      /* whole requests whose answer is not sent yet */
+    gboolean closed;      /* no request reaches the handler */
     atomic_uint connections;
-    atomic_uint unsent;   /* whole requests whose answer is not sent yet */
     atomic_bool leaving;  /* answers close their connections */
     atomic_bool draining; /* no new connections */
-    atomic_bool closed;   /* with the lock; no request reaches the handler */
     pthread_t watcher;
     int hang_ups;       /* epoll set of suspended connections */
     int watcher_wake;   /* eventfd */
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -45,33 +45,42 @@
                       sizeof(handover->counts[0]), (xdrproc_t)xdr_int64_t);
 }
 
-/* Sends a draw to a neighbour and notes whether that can be reached. */
+/* Calls a neighbour and notes whether it can be reached. */
 static Result
-ask_peer(Quota *quota, const RosterPeer *asked, QuotaDraw *draw, int wait_ms)
+call_neighbour(Quota *quota, const RosterPeer *neighbour, uint32_t kind,
+               const GByteArray *body, int wait_ms)
 {
-    RpcPeer peer = {.ip = ntohl(asked->rpc.sin_addr.s_addr),
-                    .port = ntohs(asked->rpc.sin_port)};
-    GByteArray *body = g_byte_array_new();
-    uint64_t refused;
-    Result result = RESULT_RPC_TIMEOUT;
+    RpcPeer peer = Rpc_PeerAt(&neighbour->rpc);
+    Result result =
+        Rpc_Call(quota->desc.rpc, &peer, kind, body, NULL, wait_ms);
 
-    if (Rpc_Encode(body, (xdrproc_t)xdr_draw, draw)) {
-        Counter_Add(COUNTER_RATE_DRAWS, 1);
-        result = Rpc_Call(quota->desc.rpc, &peer, RPC_KIND_QUOTA_DRAW, body,
-                          NULL, wait_ms);
-    }
     if (result == RESULT_RPC_OLD_SESSION) {
         /* The wall clock has gone back since an earlier start. */
-        refused = Rpc_GetRefusedIncarnation(quota->desc.rpc);
-        Rpc_SetIncarnation(quota->desc.rpc, refused + 1);
+        Rpc_SetIncarnation(quota->desc.rpc,
+                           Rpc_GetRefusedIncarnation(quota->desc.rpc) + 1);
     }
-    g_byte_array_unref(body);
     if (result == RESULT_RPC_TIMEOUT) {
-        Roster_NoteUnreachable(quota->desc.roster, asked->host, Clock_Now());
+        Roster_NoteUnreachable(quota->desc.roster, neighbour->host,
+                               Clock_Now());
     }
     else {
-        Roster_NoteReached(quota->desc.roster, asked->host, Clock_Now());
+        Roster_NoteReached(quota->desc.roster, neighbour->host, Clock_Now());
+    }
+    return result;
+}
+
+static Result
+ask_peer(Quota *quota, const RosterPeer *asked, QuotaDraw *draw, int wait_ms)
+{
+    GByteArray *body = g_byte_array_new();
+    Result result = RESULT_TOO_LARGE;
+
+    if (Rpc_Encode(body, (xdrproc_t)xdr_draw, draw)) {
+        Counter_Add(COUNTER_RATE_DRAWS, 1);
+        result =
+            call_neighbour(quota, asked, RPC_KIND_QUOTA_DRAW, body, wait_ms);
     }
+    g_byte_array_unref(body);
     return result;
 }
 
@@ -171,9 +180,8 @@
     RosterPeer order[COUNTERS];
     uint32_t count = Roster_Rank(quota->desc.roster, handover->team, TRUE,
                                  Clock_Now(), order, COUNTERS);
-    RpcPeer deputy;
     GByteArray *body;
-    Result result = RESULT_RPC_TIMEOUT;
+    Result result = RESULT_TOO_LARGE;
 
     if (!order[0].is_self) {
         return TRUE;
@@ -181,17 +189,12 @@
     if (count < COUNTERS || !order[1].is_reachable) {
         return FALSE;
     }
-    deputy = (RpcPeer){.ip = ntohl(order[1].rpc.sin_addr.s_addr),
-                       .port = ntohs(order[1].rpc.sin_port)};
     body = g_byte_array_new();
     if (Rpc_Encode(body, (xdrproc_t)xdr_handover, handover)) {
-        result = Rpc_Call(quota->desc.rpc, &deputy, RPC_KIND_QUOTA_HANDOVER,
-                          body, NULL, HANDOVER_MS);
+        result = call_neighbour(quota, &order[1], RPC_KIND_QUOTA_HANDOVER,
+                                body, HANDOVER_MS);
     }
     g_byte_array_unref(body);
-    if (result == RESULT_RPC_TIMEOUT) {
-        Roster_NoteUnreachable(quota->desc.roster, order[1].host, Clock_Now());
-    }
     return result == RESULT_OK;
 }
 
--- a/src/quota/quota_count.c
+++ b/src/quota/quota_count.c
@@ -116,6 +116,14 @@
     QuotaWindow_Add(&count->kept, (int64_t)draw->taken, now);
 }
 
+/* Whether a keeper that left has handed its counts over; with the lock held.
+ */
+static gboolean
+is_handed_over(const TeamCount *count, ClockMs now)
+{
+    return now < count->handed_until;
+}
+
 /* What the keeper may let through in the window; with the lock held. Counts
  * that were handed over are whole: nothing is unknown, however young the
  * process. */
@@ -126,7 +134,7 @@
     uint32_t hosts = Roster_CountDataCentre(quota->desc.roster);
     uint32_t reports = g_hash_table_size(count->reporters);
     double limit =
-        now < count->handed_until
+        is_handed_over(count, now)
             ? _Quota_SteadyLimit(&quota->desc, team)
             : _Quota_StartLimit(&quota->desc, team, now - quota->started,
                                 MAX(hosts, reports), reports, count->reported);
@@ -150,7 +158,7 @@
     }
     pthread_mutex_lock(&quota->lock);
     count = find_count(quota, team->hash, now);
-    if (now >= count->handed_until) {
+    if (!is_handed_over(count, now)) {
         note_report(quota, count, draw, now);
     }
     limit = keeper_limit(quota, team, count, now);
@@ -169,7 +177,7 @@
     gboolean handed;
 
     pthread_mutex_lock(&quota->lock);
-    handed = now < find_count(quota, team->hash, now)->handed_until;
+    handed = is_handed_over(find_count(quota, team->hash, now), now);
     pthread_mutex_unlock(&quota->lock);
     return handed;
 }
@@ -183,35 +191,41 @@
     pthread_mutex_unlock(&quota->lock);
 }
 
-Result
-_Quota_TakeDeputyPart(Quota *quota, const CatalogTeam *team)
+/* Counts a request in the window that the caller holds the limit of: TRUE for
+ * the deputy's part, else the own part. */
+static Result
+take_part(Quota *quota, const CatalogTeam *team, gboolean as_deputy,
+          int64_t limit)
 {
     ClockMs now = Clock_Now();
-    double limit = _Quota_SteadyLimit(&quota->desc, team) * DEPUTY_SHARE;
+    TeamCount *count;
     gboolean taken;
 
     pthread_mutex_lock(&quota->lock);
-    taken = QuotaWindow_Take(&find_count(quota, team->hash, now)->deputed,
-                             llround(limit), now);
+    count = find_count(quota, team->hash, now);
+    taken = QuotaWindow_Take(as_deputy ? &count->deputed : &count->own, limit,
+                             now);
     pthread_mutex_unlock(&quota->lock);
     return taken ? RESULT_OK : RESULT_RATE_EXCEEDED;
 }
 
+Result
+_Quota_TakeDeputyPart(Quota *quota, const CatalogTeam *team)
+{
+    double limit = _Quota_SteadyLimit(&quota->desc, team) * DEPUTY_SHARE;
+
+    return take_part(quota, team, TRUE, llround(limit));
+}
+
 Result
 _Quota_TakeOwnPart(Quota *quota, const CatalogTeam *team)
 {
-    ClockMs now = Clock_Now();
     double limit = _Quota_SteadyLimit(&quota->desc, team);
     uint32_t hosts = Roster_CountDataCentre(quota->desc.roster);
     double part =
         limit * (1 - KEEPER_SHARE - DEPUTY_SHARE) / MAX(hosts, LEAST_HOSTS);
-    gboolean taken;
 
-    pthread_mutex_lock(&quota->lock);
-    taken = QuotaWindow_Take(&find_count(quota, team->hash, now)->own,
-                             (int64_t)part, now);
-    pthread_mutex_unlock(&quota->lock);
-    return taken ? RESULT_OK : RESULT_RATE_EXCEEDED;
+    return take_part(quota, team, FALSE, (int64_t)part);
 }
 
 void
@@ -243,7 +257,7 @@
 is_whole(const Quota *quota, const TeamCount *count, ClockMs now)
 {
     return now - quota->started >= quota->desc.window_ms ||
-           now < count->handed_until;
+           is_handed_over(count, now);
 }
 
 /* All teams whose last window is known. */
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -395,6 +395,14 @@
     return best != NULL;
 }
 
+void
+_Roster_MarkReached(RosterRow *row, ClockMs now)
+{
+    row->contacted = now;
+    row->avoid_ms = 0;
+    row->unreachable_since = 0;
+}
+
 void
 Roster_Report(Roster *roster, uint64_t host, const RosterReport *report,
               ClockMs now)
@@ -407,9 +415,7 @@
         GrayFilter_Set(&row->filter, report->risk, now);
         row->report = *report;
         row->reported = now;
-        row->contacted = now;
-        row->avoid_ms = 0;
-        row->unreachable_since = 0;
+        _Roster_MarkReached(row, now);
         row->avoid_until = report->leaving ? now + LEAVING_AVOID_MS : 0;
     }
     pthread_mutex_unlock(&roster->lock);
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -93,10 +93,8 @@
 
 /* A host that has been out of reach or silent for long. */
 typedef struct RosterLost {
+    RosterPeer peer;
     char name[ROSTER_NAME_BYTES];
-    uint64_t host;
-    struct sockaddr_in rpc;
-    ClockMs unreachable_ms;
 } RosterLost;
 
 Roster *Roster_Create(const Roster_desc *desc);
--- a/src/roster/roster_internal.h
+++ b/src/roster/roster_internal.h
@@ -32,4 +32,7 @@
     Rng rng;
 };
 
+/* Notes that the host has answered; with the lock held. */
+void _Roster_MarkReached(RosterRow *row, ClockMs now);
+
 #endif
--- a/src/roster/roster_neighbours.c
+++ b/src/roster/roster_neighbours.c
@@ -41,6 +41,13 @@
     peer->mirror.sin_port = htons(row->entry.mirror_port);
 }
 
+static void
+fill_lost(const RosterRow *row, ClockMs now, RosterLost *lost)
+{
+    fill_peer(row, now, &lost->peer);
+    g_strlcpy(lost->name, row->entry.host, ROSTER_NAME_BYTES);
+}
+
 /* Puts a peer into the list, which is kept in the order of the key and at most
  * `most` long. Returns the new length. */
 static uint32_t
@@ -120,10 +127,7 @@
         missing += peer.unreachable_ms >= lost_ms;
         if (count < most && peer.unreachable_ms >= lost_ms &&
             is_first(roster, row->host, now)) {
-            lost[count] = (RosterLost){.host = row->host,
-                                       .rpc = peer.rpc,
-                                       .unreachable_ms = peer.unreachable_ms};
-            g_strlcpy(lost[count++].name, row->entry.host, ROSTER_NAME_BYTES);
+            fill_lost(row, now, &lost[count++]);
         }
     }
     pthread_mutex_unlock(&roster->lock);
@@ -135,7 +139,6 @@
                   RosterLost *silent)
 {
     const RosterRow *longest = NULL;
-    RosterPeer peer;
 
     pthread_mutex_lock(&roster->lock);
     for (guint i = 0; i < roster->neighbours->len; i++) {
@@ -147,9 +150,7 @@
         }
     }
     if (longest != NULL) {
-        fill_peer(longest, now, &peer);
-        *silent = (RosterLost){.host = longest->host, .rpc = peer.rpc};
-        g_strlcpy(silent->name, longest->entry.host, ROSTER_NAME_BYTES);
+        fill_lost(longest, now, silent);
     }
     pthread_mutex_unlock(&roster->lock);
     return longest != NULL;
@@ -163,9 +164,7 @@
     pthread_mutex_lock(&roster->lock);
     row = g_hash_table_lookup(roster->rows, &host);
     if (row != NULL) {
-        row->unreachable_since = 0;
-        row->avoid_ms = 0;
-        row->contacted = now;
+        _Roster_MarkReached(row, now);
     }
     pthread_mutex_unlock(&roster->lock);
 }
--- a/src/rpc/rpc.c
+++ b/src/rpc/rpc.c
@@ -582,6 +582,13 @@
     return RESULT_RPC_TIMEOUT;
 }
 
+RpcPeer
+Rpc_PeerAt(const struct sockaddr_in *address)
+{
+    return (RpcPeer){.ip = ntohl(address->sin_addr.s_addr),
+                     .port = ntohs(address->sin_port)};
+}
+
 Result
 Rpc_Call(Rpc *rpc, const RpcPeer *peer, uint32_t kind, const GByteArray *body,
          GByteArray *reply, int timeout_ms)
--- a/src/rpc/rpc.h
+++ b/src/rpc/rpc.h
@@ -40,6 +40,7 @@
 #define RPC_RPC_H
 
 #include <glib.h>
+#include <netinet/in.h>
 #include <stdint.h>
 #include <tirpc/rpc/rpc.h>
 
@@ -114,6 +115,9 @@
 void Rpc_Stop(Rpc *rpc);
 void Rpc_Destroy(Rpc *rpc);
 
+/* The peer at an address; any incarnation, and any host until .host is set. */
+RpcPeer Rpc_PeerAt(const struct sockaddr_in *address);
+
 /* Calls a peer and waits up to timeout_ms in all, with retransmissions.
  * `body` may be NULL (empty); `reply` may be NULL (dropped). */
 Result Rpc_Call(Rpc *rpc, const RpcPeer *peer, uint32_t kind,
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -150,7 +150,7 @@
         HttpClient_Create(&(HttpClient_desc){.silence_ms = SILENCE_MS});
     sidecar->mirror_client = HttpClient_Create(&(HttpClient_desc){0});
     create_state(sidecar);
-    _Sidecar_StartLost(sidecar);
+    sidecar->lost = _Sidecar_StartLost(sidecar);
     if (!_Sidecar_StartState(sidecar, error) ||
         !Rpc_Start(sidecar->rpc, error) ||
         !open_request_path(sidecar, error) ||
@@ -233,7 +233,7 @@
     if (sidecar == NULL) {
         return;
     }
-    _Sidecar_StopLost(sidecar);
+    _Sidecar_StopLost(sidecar->lost);
     Gateway_Destroy(sidecar->gateway);
     PeerPort_Destroy(sidecar->peer_port);
     _Sidecar_ClosePorts(sidecar);
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -2,7 +2,6 @@
 #ifndef SIDECAR_SIDECAR_INTERNAL_H
 #define SIDECAR_SIDECAR_INTERNAL_H
 
-#include <pthread.h>
 #include <stdatomic.h>
 
 #include "catalog/catalog.h"
@@ -23,6 +22,8 @@
 /* Kinds that neighbours may follow through this host. */
 enum { SIDECAR_CATALOG, SIDECAR_ROSTER, SIDECAR_KINDS };
 
+typedef struct SidecarLost SidecarLost;
+
 struct Sidecar {
     Settings *settings;
     const SidecarAdapter *adapter;
@@ -48,11 +49,7 @@
     ObjectWriter *writer;
     ClockMs proof_ms; /* age up to which the configuration is fresh */
     atomic_bool leaving;
-    pthread_t lost_thread;
-    pthread_mutex_t lost_lock;
-    pthread_cond_t lost_wake;
-    gboolean lost_started;
-    gboolean lost_stopping;
+    SidecarLost *lost;
     gboolean was_ready; /* of the thread that answers readiness */
 };
 
@@ -63,8 +60,8 @@
 
 /* sidecar_lost.c: removes the entries of neighbours that are gone. To be
  * started before the RPC server. */
-void _Sidecar_StartLost(Sidecar *sidecar);
-void _Sidecar_StopLost(Sidecar *sidecar);
+SidecarLost *_Sidecar_StartLost(Sidecar *sidecar);
+void _Sidecar_StopLost(SidecarLost *self);
 
 /* sidecar_ports.c: announcements, readiness, metrics. */
 gboolean _Sidecar_OpenPorts(Sidecar *sidecar, GError **error);
--- a/src/sidecar/sidecar_lost.c
+++ b/src/sidecar/sidecar_lost.c
@@ -20,17 +20,28 @@
 /* Longest wait for the answer. */
 #define PING_MS 500
 
+struct SidecarLost {
+    Sidecar *sidecar;
+    pthread_t thread;
+    pthread_mutex_t lock;
+    pthread_cond_t wake;
+    gboolean stopping;
+};
+
 /* Whether the host answers by RPC, as whatever it may be. */
 static gboolean
 is_alive(Sidecar *sidecar, const RosterLost *lost)
 {
-    RpcPeer peer = {.host = lost->host,
-                    .ip = ntohl(lost->rpc.sin_addr.s_addr),
-                    .port = ntohs(lost->rpc.sin_port)};
-    Result result =
-        Rpc_Call(sidecar->rpc, &peer, RPC_KIND_PING, NULL, NULL, PING_MS);
+    RpcPeer peer = Rpc_PeerAt(&lost->peer.rpc);
+    Result result;
 
-    return result != RESULT_RPC_TIMEOUT && result != RESULT_RPC_WRONG_RECEIVER;
+    peer.host = lost->peer.host;
+    result = Rpc_Call(sidecar->rpc, &peer, RPC_KIND_PING, NULL, NULL, PING_MS);
+    if (result == RESULT_RPC_TIMEOUT || result == RESULT_RPC_WRONG_RECEIVER) {
+        return FALSE;
+    }
+    Roster_NoteReached(sidecar->roster, peer.host, Clock_Now());
+    return TRUE;
 }
 
 /* Removes the entry unless it changes meanwhile. */
@@ -56,13 +67,12 @@
     Result result;
 
     if (is_alive(sidecar, lost)) {
-        Roster_NoteReached(sidecar->roster, lost->host, Clock_Now());
         return;
     }
     result = remove_entry(sidecar, lost->name);
     Log_Event(LOG_ROSTER_LOST_REMOVED,
               "host=%s unreachable_ms=%" PRId64 " result=%s", lost->name,
-              lost->unreachable_ms, Result_Name(result));
+              lost->peer.unreachable_ms, Result_Name(result));
     if (result == RESULT_OK || result == RESULT_NOT_FOUND) {
         /* Others learn it from the store, this host need not ask again. */
         Roster_Remove(sidecar->roster, lost->name);
@@ -74,41 +84,36 @@
 {
     RosterLost silent;
 
-    if (!Roster_FindSilent(sidecar->roster, SILENT_MS, Clock_Now(), &silent)) {
-        return;
-    }
-    if (is_alive(sidecar, &silent)) {
-        Roster_NoteReached(sidecar->roster, silent.host, Clock_Now());
-    }
-    else {
+    if (Roster_FindSilent(sidecar->roster, SILENT_MS, Clock_Now(), &silent) &&
+        !is_alive(sidecar, &silent)) {
         Log_Event(LOG_ROSTER_SILENT, "host=%s", silent.name);
-        Roster_NoteUnreachable(sidecar->roster, silent.host, Clock_Now());
+        Roster_NoteUnreachable(sidecar->roster, silent.peer.host, Clock_Now());
     }
 }
 
 static gboolean
-wait_to_look(Sidecar *sidecar)
+wait_to_look(SidecarLost *self)
 {
     struct timespec until = Condition_After(LOOK_MS);
     gboolean stopping;
 
-    pthread_mutex_lock(&sidecar->lost_lock);
-    while (!sidecar->lost_stopping &&
-           pthread_cond_timedwait(&sidecar->lost_wake, &sidecar->lost_lock,
-                                  &until) == 0) {
+    pthread_mutex_lock(&self->lock);
+    while (!self->stopping &&
+           pthread_cond_timedwait(&self->wake, &self->lock, &until) == 0) {
     }
-    stopping = sidecar->lost_stopping;
-    pthread_mutex_unlock(&sidecar->lost_lock);
+    stopping = self->stopping;
+    pthread_mutex_unlock(&self->lock);
     return !stopping;
 }
 
 static void *
 run(void *context)
 {
-    Sidecar *sidecar = context;
+    SidecarLost *self = context;
+    Sidecar *sidecar = self->sidecar;
     RosterLost lost[LOST_MOST];
 
-    while (wait_to_look(sidecar)) {
+    while (wait_to_look(self)) {
         uint32_t count = Roster_FindLost(sidecar->roster, LOST_MS, Clock_Now(),
                                          lost, LOST_MOST);
 
@@ -131,27 +136,31 @@
     return RESULT_OK;
 }
 
-void
+SidecarLost *
 _Sidecar_StartLost(Sidecar *sidecar)
 {
+    SidecarLost *self = g_new0(SidecarLost, 1);
+
+    self->sidecar = sidecar;
     Rpc_Handle(sidecar->rpc, RPC_KIND_PING, answer_ping, NULL);
-    pthread_mutex_init(&sidecar->lost_lock, NULL);
-    Condition_Init(&sidecar->lost_wake);
-    pthread_create(&sidecar->lost_thread, NULL, run, sidecar);
-    sidecar->lost_started = TRUE;
+    pthread_mutex_init(&self->lock, NULL);
+    Condition_Init(&self->wake);
+    pthread_create(&self->thread, NULL, run, self);
+    return self;
 }
 
 void
-_Sidecar_StopLost(Sidecar *sidecar)
+_Sidecar_StopLost(SidecarLost *self)
 {
-    if (!sidecar->lost_started) {
+    if (self == NULL) {
         return;
     }
-    pthread_mutex_lock(&sidecar->lost_lock);
-    sidecar->lost_stopping = TRUE;
-    pthread_cond_signal(&sidecar->lost_wake);
-    pthread_mutex_unlock(&sidecar->lost_lock);
-    pthread_join(sidecar->lost_thread, NULL);
-    pthread_cond_destroy(&sidecar->lost_wake);
-    pthread_mutex_destroy(&sidecar->lost_lock);
+    pthread_mutex_lock(&self->lock);
+    self->stopping = TRUE;
+    pthread_cond_signal(&self->wake);
+    pthread_mutex_unlock(&self->lock);
+    pthread_join(self->thread, NULL);
+    pthread_cond_destroy(&self->wake);
+    pthread_mutex_destroy(&self->lock);
+    g_free(self);
 }
