Accept routes of kind upload and of kinds unknown to this version

Cause: the decoder of the platform's configuration knew two kinds of routes and rejected the whole configuration (CATALOG_REJECTED) for any other one.

Change: only the known idempotent kind may run more than once. Uploads run at most once, and so does a kind that this version does not know; a warning names the route. Weighed: refusing the version stops all other routes and keys over one word; dropping the route answers 404 to requests that are configured.

--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -44,6 +44,8 @@
     LOG(CATALOG_IN_FORCE, 228, INFO, "configuration of the store is in force") \
     LOG(CATALOG_REJECTED, 229, ERROR, \
         "configuration of the store is not used; the one in force stays") \
+    LOG(ROUTE_KIND_UNKNOWN, 230, WARNING, \
+        "kind of a route is unknown; its requests run at most once") \
     LOG(BUNDLE_REJECTED, 225, WARNING, "configuration from a peer is invalid") \
     LOG(CONFIG_MISSING, 226, WARNING, \
         "no configuration received from the store or a peer yet") \
