Owner admits one exploration of an idle backend server at a time

Cause: each gateway explores a backend server of which it has heard nothing for a second, whatever its risk. Each one judges by its own, old report, so many explore the same gray one.

Change: an exploration carries the idle time that it relies on. The owner lets it pass the limit of risk only if its backend server has really been idle for that long; the others get the usual limit. Daemons of earlier versions ignore the field, and their calls without it are accepted.

/backend/exploration fails if the owner takes the idle time for granted.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -258,6 +258,15 @@
     return (ClockMs)((ahead + 1) * backend->service_ms / slots);
 }
 
+/* Whether the request explores the backend server, and no other one has been
+ * sent for long enough. Called with the lock held. */
+static gboolean
+is_exploration(const Backend *backend, const BackendCall *call, ClockMs now)
+{
+    return call->explore_idle_ms > 0 &&
+           now - backend->last_sent >= call->explore_idle_ms;
+}
+
 /* Whether the request may queue for a slot. Called with the lock held. */
 static Result
 check_admission(const Backend *backend, const BackendCall *call, ClockMs now)
@@ -268,7 +277,8 @@
     if (backend->closed || backend->state != BACKEND_READY) {
         return RESULT_BACKEND_SERVER_LEAVING;
     }
-    if (current_risk(backend, now) > call->max_risk) {
+    if (current_risk(backend, now) > call->max_risk &&
+        !is_exploration(backend, call, now)) {
         return RESULT_BACKEND_SERVER_EJECTED;
     }
     if (expected_wait(backend, call) > call->max_wait_ms) {
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -18,7 +18,10 @@
  *    another host before, and the sender's roster is out of date;
  *  - if the backend server is stopping or has not announced itself;
  *  - if its risk of a gray failure or the expected wait for a slot exceeds the
- *    sender's limit.
+ *    sender's limit. A request that explores an idle backend server is exempt
+ *    from the limit of risk. Only the owner knows how long the backend server
+ *    has been idle, so it lets one exploration through where many senders
+ *    choose the same one.
  * Otherwise it waits for a slot, in the order of priority and deadline.
  *
  * Announcements are ordered by the start time of the instance, then by
@@ -102,6 +105,9 @@
     int priority;
     double max_risk;
     ClockMs max_wait_ms;
+    /* Above 0: the request explores, so max_risk does not apply if no request
+     * has been sent to the backend server for this long. */
+    ClockMs explore_idle_ms;
     HttpCancel *cancel;
 } BackendCall;
 
--- a/src/backend/test_backend.c
+++ b/src/backend/test_backend.c
@@ -481,6 +481,51 @@
     g_assert_cmpuint(report.waiting, ==, waiting);
 }
 
+#define EXPLORERS 8
+#define EXPLORE_IDLE_MS 300
+
+/* Replays many senders that explore the same gray backend server at once.
+ * Guards against running more than one of their requests, each of which would
+ * probably fail, and against exploring a backend server that is not idle. */
+static void
+test_exploration(void)
+{
+    Fixture fixture = {.script = {.answer = ANSWER_BAD, .delay_ms = 20}};
+    Caller callers[EXPLORERS] = {0};
+    ClockMs sent = 0;
+    ClockMs begin;
+    BackendCall call;
+    BackendReply reply;
+
+    open_fixture(&fixture);
+    g_assert_cmpfloat(risk_after(&fixture, ANSWER_BAD, 3), >, 0.85);
+    call = make_call();
+    call.max_risk = 0.25;
+    call.explore_idle_ms = 60000;
+    Backend_Run(fixture.backend, &call, &reply);
+    g_assert_cmpint(reply.result, ==, RESULT_BACKEND_SERVER_EJECTED);
+    g_usleep(EXPLORE_IDLE_MS * 1000);
+    begin = Clock_Now();
+    for (int i = 0; i < EXPLORERS; i++) {
+        callers[i].backend = fixture.backend;
+        callers[i].call = make_call();
+        callers[i].call.max_risk = 0.25;
+        callers[i].call.explore_idle_ms = EXPLORE_IDLE_MS;
+        pthread_create(&callers[i].thread, NULL, run_caller, &callers[i]);
+    }
+    for (int i = 0; i < EXPLORERS; i++) {
+        pthread_join(callers[i].thread, NULL);
+        g_assert_true(callers[i].reply.arrived ||
+                      callers[i].reply.result ==
+                          RESULT_BACKEND_SERVER_EJECTED);
+        sent += callers[i].reply.arrived ? 1 : 0;
+        HttpAnswer_Clear(&callers[i].reply.answer);
+    }
+    g_assert_cmpint(sent, >=, 1);
+    g_assert_cmpint(sent, <=, 1 + (Clock_Now() - begin) / EXPLORE_IDLE_MS);
+    close_fixture(&fixture);
+}
+
 /* Guards against more running requests than slots, and against requests that
  * are admitted before those of a higher priority. */
 static void
@@ -621,6 +666,7 @@
     g_test_add_func("/backend/announcements", test_order_of_announcements);
     g_test_add_func("/backend/refusals", test_refusals);
     g_test_add_func("/backend/risk", test_risk);
+    g_test_add_func("/backend/exploration", test_exploration);
     g_test_add_func("/backend/slots-and-order", test_slots_and_order);
     g_test_add_func("/backend/repeat-share", test_retry_share);
     g_test_add_func("/backend/waiting", test_waiting);
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -190,9 +190,8 @@
 }
 
 /* Sets the risk and the wait above which the owner refuses the request. An
- * exploration has the widest limits, since it is sent whatever the risk. So
- * has an owner that was asked before: its current state is known, and it is
- * still the best choice. */
+ * owner that was asked before gets the widest limits: its current state is
+ * known, and it is still the best choice. */
 static void
 set_limits(GatewayRequest *request, const RosterChoice *choice)
 {
@@ -201,8 +200,8 @@
     double slack = choice->other_cost + RISK_MARGIN - choice->distance_cost;
 
     call->deadline = request->deadline;
-    if (choice->is_exploration ||
-        contains_host(request->asked, request->asked_count, choice->host)) {
+    call->explore_idle_ms = choice->explore_idle_ms;
+    if (contains_host(request->asked, request->asked_count, choice->host)) {
         call->max_risk = 1;
         call->max_wait_ms = MAX(request->deadline - now, 0);
         return;
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -43,10 +43,11 @@
 {
     char line[LINE_BYTES];
 
-    (void)snprintf(line, sizeof(line), "%" PRId64 " %c %d %.3f %" PRId64 " %d",
-                   call->deadline - now, call->idempotent ? 'i' : 'o',
-                   call->priority, call->max_risk,
-                   MIN(call->max_wait_ms, MAX_WAIT_MS), call->is_retry);
+    (void)snprintf(
+        line, sizeof(line), "%" PRId64 " %c %d %.3f %" PRId64 " %d %" PRId64,
+        call->deadline - now, call->idempotent ? 'i' : 'o', call->priority,
+        call->max_risk, MIN(call->max_wait_ms, MAX_WAIT_MS), call->is_retry,
+        call->explore_idle_ms);
     HttpHeaders_Add(headers, CALL_HEADER, line);
     HttpHeaders_Add(headers, CALLER_HEADER, call->caller);
     HttpHeaders_Add(headers, SERVICE_HEADER, call->service);
@@ -62,15 +63,17 @@
     int64_t left;
     char kind;
 
+    call->explore_idle_ms = 0; /* earlier versions do not send it */
     call->team = HttpHeaders_Get(headers, TEAM_HEADER);
     call->caller = HttpHeaders_Get(headers, CALLER_HEADER);
     call->service = HttpHeaders_Get(headers, SERVICE_HEADER);
     if (line == NULL || call->caller == NULL || call->service == NULL ||
-        sscanf(line, "%" SCNd64 " %c %d %lf %" SCNd64 " %d", &left, &kind,
-               &call->priority, &call->max_risk, &call->max_wait_ms,
-               &call->is_retry) != 6 ||
+        sscanf(line, "%" SCNd64 " %c %d %lf %" SCNd64 " %d %" SCNd64, &left,
+               &kind, &call->priority, &call->max_risk, &call->max_wait_ms,
+               &call->is_retry, &call->explore_idle_ms) < 6 ||
         (kind != 'i' && kind != 'o') || left < 0 || left > MAX_WAIT_MS ||
-        call->max_wait_ms < 0 || call->max_wait_ms > MAX_WAIT_MS) {
+        call->max_wait_ms < 0 || call->max_wait_ms > MAX_WAIT_MS ||
+        call->explore_idle_ms < 0 || call->explore_idle_ms > MAX_WAIT_MS) {
         return FALSE;
     }
     call->deadline = now + left;
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -15,7 +15,8 @@
                         .idempotent = TRUE,
                         .priority = -1,
                         .max_risk = 0.25,
-                        .max_wait_ms = 300};
+                        .max_wait_ms = 300,
+                        .explore_idle_ms = 1000};
     BackendCall decoded = {0};
     HttpHeaders headers = {0};
 
@@ -26,6 +27,7 @@
     g_assert_cmpint(decoded.priority, ==, -1);
     g_assert_cmpfloat_with_epsilon(decoded.max_risk, 0.25, 0.001);
     g_assert_cmpint(decoded.max_wait_ms, ==, 300);
+    g_assert_cmpint(decoded.explore_idle_ms, ==, 1000);
     g_assert_cmpstr(decoded.service, ==, "permits");
     g_assert_cmpstr(decoded.caller, ==, "desk");
     g_assert_cmpstr(decoded.team, ==, "crews");
@@ -49,6 +51,22 @@
     }
 }
 
+/* Guards against refusing calls of daemons of an earlier version while a fleet
+ * is upgraded. */
+static void
+test_earlier_version(void)
+{
+    HttpHeaders headers = {0};
+    BackendCall call = {.explore_idle_ms = 7};
+
+    HttpHeaders_Add(&headers, "Radishknot-Call", "5000 i 0 0.1 5 0");
+    HttpHeaders_Add(&headers, "Radishknot-Caller", "desk");
+    HttpHeaders_Add(&headers, "Radishknot-Service", "permits");
+    g_assert_true(PeerWire_DecodeCall(&headers, 0, &call));
+    g_assert_cmpint(call.explore_idle_ms, ==, 0);
+    HttpHeaders_Clear(&headers);
+}
+
 /* Guards against a malformed call that is accepted. */
 static void
 test_malformed_calls(void)
@@ -60,6 +78,7 @@
                                         "-1 i 0 1 5 0",
                                         "5000 i 0 0.1 -1 0",
                                         "5000 i 0 0.1 5",
+                                        "5000 i 0 0.1 5 0 -1",
                                         "9999999 i 0 1 5 0"};
 
     for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
@@ -126,6 +145,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/peer-wire/call", test_call);
     g_test_add_func("/peer-wire/repeat", test_retry);
+    g_test_add_func("/peer-wire/earlier-version", test_earlier_version);
     g_test_add_func("/peer-wire/malformed-calls", test_malformed_calls);
     g_test_add_func("/peer-wire/reply", test_reply);
     g_test_add_func("/peer-wire/malformed-replies", test_malformed_replies);
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -288,19 +288,22 @@
            row->tier <= ROSTER_SAME_DATA_CENTRE;
 }
 
-/* Whether to send the request to this backend server for a fresh report. */
-static gboolean
-should_explore(const RosterRow *row, const RosterQuery *query, ClockMs now)
+/* Returns the idle time after which the request is sent to this backend server
+ * for a fresh report; 0 if it is not. */
+static ClockMs
+explore_idle_ms(const RosterRow *row, const RosterQuery *query, ClockMs now)
 {
     ClockMs limit =
         row->tier == ROSTER_SAME_REGION ? EXPLORE_REGION_MS : EXPLORE_NEAR_MS;
 
     if (!query->may_explore) {
-        return FALSE;
+        return 0;
     }
     return is_new(row) ||
-           (row->tier <= ROSTER_SAME_REGION && row->reported > 0 &&
-            row->report.idle_ms + (now - row->reported) > limit);
+                   (row->tier <= ROSTER_SAME_REGION && row->reported > 0 &&
+                    row->report.idle_ms + (now - row->reported) > limit)
+               ? limit
+               : 0;
 }
 
 static double
@@ -323,7 +326,7 @@
            LOAD_COST * MIN(load, 1) * load_weight(row, now) +
            JITTER_COST * Rng_Unit(&roster->rng);
 
-    if (should_explore(row, query, now)) {
+    if (explore_idle_ms(row, query, now) > 0) {
         return JITTER_COST * Rng_Unit(&roster->rng);
     }
     cost += MIN(wait_ms / left, 1) * LATE_COST;
@@ -337,7 +340,7 @@
 fill_choice(const Roster *roster, const RosterRow *row,
             const RosterQuery *query, ClockMs now, RosterChoice *choice)
 {
-    choice->is_exploration = should_explore(row, query, now);
+    choice->explore_idle_ms = explore_idle_ms(row, query, now);
     choice->entry = row->entry;
     choice->host = row->host;
     choice->tier = row->tier;
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -78,7 +78,8 @@
     double distance_cost;
     ClockMs wait_ms;         /* expected wait for a slot */
     ClockMs service_ms;      /* mean service time of a request; 0: unknown */
-    gboolean is_exploration; /* chosen for a fresh report, whatever its risk */
+    ClockMs explore_idle_ms; /* above 0: chosen for a fresh report, if it has
+                                been idle for this long; 0: for its cost */
     ClockMs age_ms; /* age of the last report; CLOCK_NEVER if there is none */
 } RosterChoice;
 
