Placement: distance cost in proportion to the bytes that a request moves

Cause: another region cost each request a fifth of its value, whatever its size. Traffic between regions is billed by volume, so uploads (65 KB, a price above their whole value) went as readily as orders, while small requests and calls stayed with failing or full backend servers of their own region.

Change: the cost of a choice is a module of its own (roster/placement.h). The distance counts by the request's size relative to the mean, with answers learned for each route (gateway/size_estimate.h); the time on the way, learned for each tier from the owner's share of the time, counts as wait. The two prices of a mean request are settings of the operator now.

--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -119,6 +119,7 @@
     RosterReport report;
     ClockMs queue_ms;
     ClockMs server_ms;
+    ClockMs owner_ms; /* time at the owner of another host; -1: unknown */
 } BackendReply;
 
 typedef struct BackendStatus {
--- a/src/catalog/catalog_table.c
+++ b/src/catalog/catalog_table.c
@@ -108,6 +108,7 @@
     CatalogRoute *copy = g_memdup2(route, sizeof(*route));
     GPtrArray *routes = g_hash_table_lookup(table->hosts, copy->host);
 
+    copy->hash = Rng_HashString(copy->name);
     for (uint32_t i = 0; i < copy->destination_count; i++) {
         copy->destinations[i].service_hash =
             Rng_HashString(copy->destinations[i].service);
--- a/src/catalog/catalog_table.h
+++ b/src/catalog/catalog_table.h
@@ -44,6 +44,7 @@
 
 typedef struct CatalogRoute {
     char *name;
+    uint64_t hash; /* Rng_HashString() of the name */
     char *host;
     char *prefix;
     gboolean idempotent; /* requests may run more than once */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -100,6 +100,20 @@
             reply->result == RESULT_BACKEND_SERVER_ERROR);
 }
 
+static void
+note_size(const GatewayRequest *request, const BackendReply *reply)
+{
+    Gateway *gateway = request->gateway;
+
+    if (reply->result == RESULT_OK) {
+        pthread_mutex_lock(&gateway->lock);
+        SizeEstimate_Observe(gateway->sizes, request->route->hash,
+                             request->call.body_bytes,
+                             reply->answer.body_bytes, request->team == NULL);
+        pthread_mutex_unlock(&gateway->lock);
+    }
+}
+
 static void
 serve(void *context, HttpRequest *http)
 {
@@ -119,6 +133,7 @@
     }
     HttpRequest_OnDisconnect(http, NULL, NULL);
     if (is_answer(&reply)) {
+        note_size(&request, &reply);
         PeerWire_TakeAnswer(&answer, &reply);
         Counter_Add(COUNTER_ENTRY_ANSWERS, 1);
     }
@@ -168,11 +183,13 @@
     pthread_mutex_init(&gateway->lock, NULL);
     gateway->budgets =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    gateway->sizes = SizeEstimate_Create();
     gateway->cancels = HttpCancelSet_Create();
     gateway->leave_until = CLOCK_NEVER;
     Rng_Seed(&gateway->rng, Rng_ProcessSeed());
     gateway->server = HttpServer_Create(&server, error);
     if (gateway->server == NULL) {
+        SizeEstimate_Destroy(gateway->sizes);
         g_hash_table_destroy(gateway->budgets);
         HttpCancelSet_Destroy(gateway->cancels);
         pthread_mutex_destroy(&gateway->lock);
@@ -220,6 +237,7 @@
 {
     if (gateway != NULL) {
         HttpServer_Destroy(gateway->server);
+        SizeEstimate_Destroy(gateway->sizes);
         g_hash_table_destroy(gateway->budgets);
         HttpCancelSet_Destroy(gateway->cancels);
         pthread_mutex_destroy(&gateway->lock);
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -170,18 +170,32 @@
     return request->can_retry ? FAILURE_COST_RETRYABLE : FAILURE_COST_FINAL;
 }
 
+static double
+relative_size(GatewayRequest *request)
+{
+    Gateway *gateway = request->gateway;
+    double size;
+
+    pthread_mutex_lock(&gateway->lock);
+    size = SizeEstimate_Relative(gateway->sizes, request->route->hash,
+                                 request->call.body_bytes);
+    pthread_mutex_unlock(&gateway->lock);
+    return size;
+}
+
 static gboolean
 choose(GatewayRequest *request, RosterChoice *choice)
 {
     Gateway *gateway = request->gateway;
     ClockMs now = Clock_Now();
     RosterQuery query = {.service = request->destination->service_hash,
-                         .time_left_ms = request->target_time - now,
+                         .request.time_left_ms = request->target_time - now,
                          .excluded_count = request->excluded_count};
     RosterReport own;
 
     request->can_retry = can_retry(request);
-    query.failure_cost = failure_cost(request);
+    query.request.failure_cost = failure_cost(request);
+    query.request.relative_size = relative_size(request);
     query.may_explore = request->can_retry && request->attempts == 0;
     memcpy(query.excluded, request->excluded, sizeof(query.excluded));
     Backend_GetReport(gateway->desc.backend, &own);
@@ -290,6 +304,10 @@
             reply->run = RUN_NO;
             sent = FALSE;
         }
+        else if (reply->owner_ms >= 0) {
+            Roster_NoteTransit(request->gateway->desc.roster, choice->host,
+                               MAX(reply->server_ms - reply->owner_ms, 0));
+        }
         return;
     }
     reply->run = sent ? RUN_UNKNOWN : RUN_NO;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -5,6 +5,7 @@
 #include <pthread.h>
 
 #include "gateway/gateway.h"
+#include "gateway/size_estimate.h"
 #include "http/http_cancel_set.h"
 #include "http/http_server.h"
 #include "retry/retry.h"
@@ -18,7 +19,8 @@
     HttpCancelSet *cancels; /* cancellation of the requests in flight */
     pthread_mutex_t lock;   /* protects the fields below */
     GHashTable *budgets;    /* service hash -> RetryBudget */
-    ClockMs leave_until;    /* latest deadline of a request, or CLOCK_NEVER */
+    SizeEstimate *sizes;
+    ClockMs leave_until; /* latest deadline of a request, or CLOCK_NEVER */
     Rng rng;
 };
 
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -87,12 +87,12 @@
     const RosterReport *report = &reply->report;
     char line[LINE_BYTES];
 
-    (void)snprintf(line, sizeof(line),
-                   "%d %d %d %.3f %u %u %u %" PRId64 " %" PRId64 " %d",
-                   (int)reply->result, (int)reply->run, reply->arrived,
-                   report->risk, report->slots, report->in_flight,
-                   report->waiting, report->service_ms, report->idle_ms,
-                   report->leaving);
+    (void)snprintf(
+        line, sizeof(line),
+        "%d %d %d %.3f %u %u %u %" PRId64 " %" PRId64 " %d %" PRId64,
+        (int)reply->result, (int)reply->run, reply->arrived, report->risk,
+        report->slots, report->in_flight, report->waiting, report->service_ms,
+        report->idle_ms, report->leaving, reply->queue_ms + reply->server_ms);
     HttpHeaders_Add(headers, REPLY_HEADER, line);
 }
 
@@ -101,16 +101,18 @@
 {
     const char *line = HttpHeaders_Get(headers, REPLY_HEADER);
     RosterReport report = {0};
+    ClockMs owner_ms = -1; /* earlier versions do not send it */
     gboolean arrived;
     Result known;
     int result;
     int run;
 
     if (line == NULL ||
-        sscanf(line, "%d %d %d %lf %u %u %u %" SCNd64 " %" SCNd64 " %d",
+        sscanf(line,
+               "%d %d %d %lf %u %u %u %" SCNd64 " %" SCNd64 " %d %" SCNd64,
                &result, &run, &arrived, &report.risk, &report.slots,
                &report.in_flight, &report.waiting, &report.service_ms,
-               &report.idle_ms, &report.leaving) != 10 ||
+               &report.idle_ms, &report.leaving, &owner_ms) < 10 ||
         run < RUN_NO || run > RUN_UNKNOWN ||
         !Result_FromNumber(result, &known)) {
         return FALSE;
@@ -119,5 +121,6 @@
     reply->run = (RunState)run;
     reply->arrived = arrived;
     reply->report = report;
+    reply->owner_ms = owner_ms;
     return TRUE;
 }
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -6,11 +6,15 @@
  *                    <retry> <explore idle ms>
  *   Radishknot-Team, Radishknot-Caller, Radishknot-Service
  * where kind is "i" if the request may run more than once, otherwise "o", and
- * retry is 1 if an earlier attempt reached a backend server, otherwise 0. The
- * last field may be missing. The answer is the backend server's, or a 503
- * without a body, with Radishknot-Reply: <result> <run> <arrived> <risk>
- * <slots> <in flight> <waiting> <service ms> <idle ms> <leaving> The headers
- * are short because traffic between regions is billed by volume.
+ * retry is 1 if an earlier attempt reached a backend server, otherwise 0.
+ *
+ * The answer is the backend server's, or a 503 without a body, with
+ *   Radishknot-Reply: <result> <run> <arrived> <risk> <slots> <in flight>
+ *                     <waiting> <service ms> <idle ms> <leaving> <owner ms>
+ *
+ * The last field of a call and of a reply may be missing: earlier versions do
+ * not send it. The headers are short because traffic between regions is billed
+ * by volume.
  *
  * Use: the sender calls PeerWire_EncodeCall() and PeerWire_DecodeReply(), the
  * receiver PeerWire_DecodeCall() and PeerWire_EncodeReply().
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -51,19 +51,23 @@
     }
 }
 
-/* Guards against refusing calls of daemons of an earlier version while a fleet
- * is upgraded. */
+/* Guards against refusing calls and replies of daemons of an earlier version
+ * while a fleet is upgraded. */
 static void
 test_earlier_version(void)
 {
     HttpHeaders headers = {0};
     BackendCall call = {.explore_idle_ms = 7};
+    BackendReply reply = {0};
 
     HttpHeaders_Add(&headers, "Radishknot-Call", "5000 i 0 0.1 5 0");
     HttpHeaders_Add(&headers, "Radishknot-Caller", "desk");
     HttpHeaders_Add(&headers, "Radishknot-Service", "permits");
     g_assert_true(PeerWire_DecodeCall(&headers, 0, &call));
     g_assert_cmpint(call.explore_idle_ms, ==, 0);
+    HttpHeaders_Add(&headers, "Radishknot-Reply", "0 1 1 0.1 4 1 0 300 0 0");
+    g_assert_true(PeerWire_DecodeReply(&headers, &reply));
+    g_assert_cmpint(reply.owner_ms, ==, -1);
     HttpHeaders_Clear(&headers);
 }
 
@@ -100,6 +104,8 @@
     BackendReply reply = {.result = RESULT_BACKEND_SERVER_SHED,
                           .run = RUN_NO,
                           .arrived = TRUE,
+                          .queue_ms = 40,
+                          .server_ms = 200,
                           .report = {.risk = 0.5,
                                      .slots = 5,
                                      .in_flight = 4,
@@ -117,6 +123,7 @@
     g_assert_true(decoded.arrived);
     g_assert_cmpmem(&decoded.report, sizeof(decoded.report), &reply.report,
                     sizeof(reply.report));
+    g_assert_cmpint(decoded.owner_ms, ==, 240);
     HttpHeaders_Clear(&headers);
 }
 
--- /dev/null
+++ b/src/roster/placement.c
@@ -0,0 +1,53 @@
+#include "roster/placement.h"
+
+#define DEFAULT_DATA_CENTRE_COST 0.03
+#define DEFAULT_REGION_COST 0.2
+
+/* Cost of the network hop to another host of the data centre, with its
+ * processor time. */
+#define HOP_COST 0.002
+
+/* Extra cost of a fully loaded backend server over an idle one. */
+#define LOAD_COST 0.04
+
+/* Cost of an answer that is expected to arrive too late. */
+#define LATE_COST 0.5
+
+double
+Placement_DistanceCost(const Placement_desc *desc, RosterTier tier,
+                       double relative_size)
+{
+    double data_centre_cost = desc->data_centre_cost > 0
+                                  ? desc->data_centre_cost
+                                  : DEFAULT_DATA_CENTRE_COST;
+    double region_cost =
+        desc->region_cost > 0 ? desc->region_cost : DEFAULT_REGION_COST;
+
+    switch (tier) {
+    case ROSTER_SAME_HOST:
+        return 0;
+    case ROSTER_SAME_DATA_CENTRE:
+        return HOP_COST;
+    case ROSTER_SAME_REGION:
+        return HOP_COST + data_centre_cost * relative_size;
+    default:
+        return HOP_COST + region_cost * relative_size;
+    }
+}
+
+double
+Placement_Cost(const Placement_desc *desc, const PlacementRequest *request,
+               const PlacementCandidate *candidate)
+{
+    double left = (double)MAX(request->time_left_ms, 1);
+    double delay = candidate->wait_ms + candidate->transit_ms;
+    double cost =
+        request->failure_cost * candidate->fail_share +
+        Placement_DistanceCost(desc, candidate->tier, request->relative_size) +
+        LOAD_COST * MIN(candidate->load, 1) + LATE_COST * MIN(delay / left, 1);
+
+    if (delay + candidate->service_ms > left) {
+        cost += LATE_COST;
+    }
+    return cost;
+}
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -5,26 +5,9 @@
 
 #include "roster/roster_internal.h"
 
-/* Traffic cost of a request and its answer between two data centres and
- * between two regions, at the users' prices. This and all costs below are
- * shares of the request's value. */
-#define DEFAULT_DATA_CENTRE_COST 0.03
-#define DEFAULT_REGION_COST 0.2
-
-/* Cost of the network hop to another host of the data centre, with its
- * processor time. */
-#define HOP_COST 0.002
-
-/* Extra cost of a fully loaded backend server over an idle one; spreads the
- * load. */
-#define LOAD_COST 0.04
-
 /* Maximum random addition to a cost; breaks ties. */
 #define JITTER_COST 0.01
 
-/* Cost of an answer that is expected to arrive too late. */
-#define LATE_COST 0.5
-
 /* Idle time after which a backend server is explored: in this data centre, and
  * in the other ones of the region. */
 #define EXPLORE_NEAR_MS 1000
@@ -38,6 +21,9 @@
 #define PRIOR_RISK_REPORTS 8
 #define PRIOR_WAIT_REPORTS 2
 
+/* Weight of the newest sample in the moving average of the transit time. */
+#define TRANSIT_WEIGHT 0.1
+
 /* Time constant of the exponential decay of a reported load. */
 #define LOAD_DECAY_MS 1000
 
@@ -63,12 +49,6 @@
 
     roster->desc = *desc;
     roster->self = Rng_HashString(desc->host);
-    if (roster->desc.data_centre_cost == 0) {
-        roster->desc.data_centre_cost = DEFAULT_DATA_CENTRE_COST;
-    }
-    if (roster->desc.region_cost == 0) {
-        roster->desc.region_cost = DEFAULT_REGION_COST;
-    }
     pthread_mutex_init(&roster->lock, NULL);
     roster->rows =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -209,21 +189,6 @@
     return FALSE;
 }
 
-static double
-distance_cost(const Roster *roster, RosterTier tier)
-{
-    switch (tier) {
-    case ROSTER_SAME_HOST:
-        return 0;
-    case ROSTER_SAME_DATA_CENTRE:
-        return HOP_COST;
-    case ROSTER_SAME_REGION:
-        return roster->desc.data_centre_cost;
-    default:
-        return roster->desc.region_cost;
-    }
-}
-
 /* Weight of the reported load, which decays with the report's age. */
 static double
 load_weight(const RosterRow *row, ClockMs now)
@@ -310,30 +275,27 @@
 cost_of(Roster *roster, const RosterRow *row, const RosterQuery *query,
         const ServiceMean *mean, ClockMs now)
 {
-    gboolean recent = is_recent(row, now);
+    double jitter = JITTER_COST * Rng_Unit(&roster->rng);
     double risk = GrayFilter_Risk(&row->filter, now);
-    double wait_ms = (double)expected_wait(row, now);
-    double left = (double)MAX(query->time_left_ms, 1);
     double load = (double)row->report.in_flight / MAX(row->entry.slots, 1);
-    double cost;
-
-    if (!recent && !is_new(row)) {
-        risk = MAX(risk, mean->risk);
-        wait_ms = MAX(wait_ms, mean->wait_ms);
-    }
-    cost = query->failure_cost * GrayFilter_FailShare(&row->filter, risk) +
-           distance_cost(roster, row->tier) +
-           LOAD_COST * MIN(load, 1) * load_weight(row, now) +
-           JITTER_COST * Rng_Unit(&roster->rng);
+    PlacementCandidate candidate = {
+        .tier = row->tier,
+        .load = MIN(load, 1) * load_weight(row, now),
+        .wait_ms = (double)expected_wait(row, now),
+        .service_ms = (double)row->report.service_ms,
+        .transit_ms = roster->transit_ms[row->tier]};
 
     if (explore_idle_ms(row, query, now) > 0) {
-        return JITTER_COST * Rng_Unit(&roster->rng);
+        return jitter;
     }
-    cost += MIN(wait_ms / left, 1) * LATE_COST;
-    if (wait_ms + (double)row->report.service_ms > left) {
-        cost += LATE_COST;
+    if (!is_recent(row, now) && !is_new(row)) {
+        risk = MAX(risk, mean->risk);
+        candidate.wait_ms = MAX(candidate.wait_ms, mean->wait_ms);
     }
-    return cost;
+    candidate.fail_share = GrayFilter_FailShare(&row->filter, risk);
+    return Placement_Cost(&roster->desc.placement, &query->request,
+                          &candidate) +
+           jitter;
 }
 
 static void
@@ -344,7 +306,8 @@
     choice->entry = row->entry;
     choice->host = row->host;
     choice->tier = row->tier;
-    choice->distance_cost = distance_cost(roster, row->tier);
+    choice->distance_cost = Placement_DistanceCost(
+        &roster->desc.placement, row->tier, query->request.relative_size);
     choice->wait_ms = expected_wait(row, now);
     choice->service_ms = row->report.service_ms;
     choice->age_ms = row->reported > 0 ? now - row->reported : CLOCK_NEVER;
@@ -430,6 +393,21 @@
     pthread_mutex_unlock(&roster->lock);
 }
 
+void
+Roster_NoteTransit(Roster *roster, uint64_t host, ClockMs transit_ms)
+{
+    RosterRow *row;
+
+    pthread_mutex_lock(&roster->lock);
+    row = g_hash_table_lookup(roster->rows, &host);
+    if (row != NULL) {
+        double *average = &roster->transit_ms[row->tier];
+
+        *average += TRANSIT_WEIGHT * ((double)transit_ms - *average);
+    }
+    pthread_mutex_unlock(&roster->lock);
+}
+
 uint32_t
 Roster_Count(Roster *roster)
 {
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -8,12 +8,11 @@
  *     owner of the chosen backend server; Roster_Report() with the load and
  *     risk that it reported, or Roster_NoteUnreachable().
  *
- * The choice minimises an expected cost, a share of the request's value: the
- * expected share of failures times the cost of a failure, plus the cost of the
- * distance and of the wait for a slot. A backend server that has been idle for
- * a while is explored with requests that can be retried, so that one that has
- * recovered is used again and none is excluded for long. Reports age: the risk
- * drifts to the fleet's long-term mean and the weight of the load decays.
+ * The choice minimises the expected cost (roster/placement.h). A backend
+ * server that has been idle for a while is explored with requests that can be
+ * retried, so that one that has recovered is used again and none is excluded
+ * for long. Reports age: the risk drifts to the fleet's long-term mean and the
+ * weight of the load decays.
  *
  * Limits: ROSTER_MAX_EXCLUDED hosts can be excluded from one choice. Thread
  * safe.
@@ -26,6 +25,7 @@
 
 #include "base/clock.h"
 #include "health/gray_filter.h"
+#include "roster/placement.h"
 #include "roster/roster_entry.h"
 
 #define ROSTER_MAX_EXCLUDED 16
@@ -37,18 +37,9 @@
     const char *data_centre;
     const char *region;
     GrayFilter_desc gray;
-    double data_centre_cost; /* cost of another data centre in the region
-                                (default 0.03) */
-    double region_cost;      /* cost of another region (default 0.2) */
+    Placement_desc placement;
 } Roster_desc;
 
-typedef enum RosterTier {
-    ROSTER_SAME_HOST,
-    ROSTER_SAME_DATA_CENTRE,
-    ROSTER_SAME_REGION,
-    ROSTER_OTHER_REGION
-} RosterTier;
-
 /* Load and risk that an owner reports of its backend server. */
 typedef struct RosterReport {
     double risk;
@@ -61,10 +52,9 @@
 } RosterReport;
 
 typedef struct RosterQuery {
-    uint64_t service;     /* hash of the service name */
-    double failure_cost;  /* cost of a failure, share of the request's value */
+    uint64_t service; /* hash of the service name */
+    PlacementRequest request;
     gboolean may_explore; /* a retry could follow a failure */
-    ClockMs time_left_ms; /* time until an answer is too late */
     uint64_t excluded[ROSTER_MAX_EXCLUDED]; /* hashes of the excluded hosts */
     uint32_t excluded_count;
 } RosterQuery;
@@ -114,6 +104,10 @@
 void Roster_Report(Roster *roster, uint64_t host, const RosterReport *report,
                    ClockMs now);
 
+/* Records the time that a request to the host and its answer spent on the way,
+ * without the wait for a slot and the service time. */
+void Roster_NoteTransit(Roster *roster, uint64_t host, ClockMs transit_ms);
+
 /* A connection to the host failed or timed out: the host is avoided for a time
  * that grows with each consecutive failure, unless no other host is left. */
 void Roster_NoteUnreachable(Roster *roster, uint64_t host, ClockMs now);
--- a/src/roster/roster_internal.h
+++ b/src/roster/roster_internal.h
@@ -29,6 +29,7 @@
     GHashTable *rows;      /* &RosterRow.host -> RosterRow */
     GHashTable *services;  /* service hash -> GPtrArray of RosterRow */
     GPtrArray *neighbours; /* RosterRow of this data centre's other hosts */
+    double transit_ms[ROSTER_TIERS]; /* moving average for each tier */
     Rng rng;
 };
 
--- a/src/roster/test_roster.c
+++ b/src/roster/test_roster.c
@@ -53,8 +53,9 @@
 query(void)
 {
     return (RosterQuery){.service = Rng_HashString(SERVICE),
-                         .failure_cost = 1,
-                         .time_left_ms = 2000};
+                         .request = {.failure_cost = 1,
+                                     .relative_size = 1,
+                                     .time_left_ms = 2000}};
 }
 
 static const char *
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -71,9 +71,12 @@
 create_state(Sidecar *sidecar)
 {
     const Settings *settings = sidecar->settings;
-    Roster_desc roster = {.host = settings->host,
-                          .data_centre = settings->data_centre,
-                          .region = settings->region};
+    Roster_desc roster = {
+        .host = settings->host,
+        .data_centre = settings->data_centre,
+        .region = settings->region,
+        .placement = {.data_centre_cost = settings->data_centre_cost,
+                      .region_cost = settings->region_cost}};
     Backend_desc backend = {.names = sidecar->adapter->names,
                             .service = settings->service,
                             .client = sidecar->client,
