Admission: a module of its own; waiters leave when their turn comes too late

Cause: an owner estimated the wait once, on arrival, by the mean over long requests and short calls.

Change: which requests wait, in which order, and which leave is decided in src/admission, without lock or clock; the owner keeps the lock, the wait and the exchange. In-time requests come before late ones; the wait is estimated by kind and by the share of slots that calls take; a waiter leaves as not run once it cannot finish before its deadline, also when slots are freed slowly. The target travels with the call.

--- /dev/null
+++ b/src/admission/admission.c
@@ -0,0 +1,295 @@
+#include "admission/admission.h"
+
+#include <math.h>
+
+/* Service time assumed before the first answer. */
+#define INITIAL_SERVICE_MS 400
+
+/* Weight of the newest sample in the moving averages of the service times. */
+#define SERVICE_WEIGHT 0.1
+
+/* Time constant of the exponential decay of the slot time that was used. */
+#define WORK_DECAY_MS 5000
+
+/* Maximum share of the slots that calls are expected to take. */
+#define MAX_NESTED_SHARE 0.8
+
+/* Share of the mean service time below which a waiting request is not expected
+ * to finish before its deadline. */
+#define MIN_SERVICE_SHARE 0.5
+
+/* Number of slots assumed until it is known. */
+#define MIN_SLOTS 1
+
+/* Calls of running requests and other requests differ in length and in their
+ * place in the queue. */
+typedef enum Kind { KIND_REQUEST, KIND_NESTED, KINDS } Kind;
+
+struct Admission {
+    guint slots;
+    double mean_ms;           /* mean service time */
+    double service_ms[KINDS]; /* mean service time of each kind */
+    double work_ms[KINDS];    /* slot time used lately by each kind */
+    ClockMs work_updated;
+    ClockMs last_change; /* time at which a slot was last taken or freed */
+    GPtrArray *running;  /* AdmissionTicket that were admitted */
+    GPtrArray *queue;    /* AdmissionTicket that wait, in order of admission */
+};
+
+static Kind
+kind_of(const AdmissionTicket *ticket)
+{
+    return ticket->priority <= ADMISSION_PRIORITY_NESTED ? KIND_NESTED
+                                                         : KIND_REQUEST;
+}
+
+Admission *
+Admission_Create(void)
+{
+    Admission *admission = g_new0(Admission, 1);
+
+    admission->slots = MIN_SLOTS;
+    admission->mean_ms = INITIAL_SERVICE_MS;
+    for (int kind = 0; kind < KINDS; kind++) {
+        admission->service_ms[kind] = INITIAL_SERVICE_MS;
+    }
+    admission->running = g_ptr_array_new();
+    admission->queue = g_ptr_array_new();
+    return admission;
+}
+
+void
+Admission_Destroy(Admission *admission)
+{
+    if (admission != NULL) {
+        g_ptr_array_unref(admission->running);
+        g_ptr_array_unref(admission->queue);
+        g_free(admission);
+    }
+}
+
+void
+Admission_SetSlots(Admission *admission, guint slots)
+{
+    admission->slots = MAX(slots, MIN_SLOTS);
+}
+
+/* Whether the ticket would be answered after its target if it were admitted
+ * now. */
+static gboolean
+is_late(const Admission *admission, const AdmissionTicket *ticket, ClockMs now)
+{
+    return now + (ClockMs)admission->service_ms[kind_of(ticket)] >
+           ticket->target;
+}
+
+/* Whether `a` is admitted before `b`. */
+static gboolean
+comes_before(const Admission *admission, const AdmissionTicket *a,
+             const AdmissionTicket *b, ClockMs now)
+{
+    gboolean late_a = is_late(admission, a, now);
+    gboolean late_b = is_late(admission, b, now);
+
+    if (kind_of(a) != kind_of(b)) {
+        return kind_of(a) == KIND_NESTED;
+    }
+    if (late_a != late_b) {
+        return late_b;
+    }
+    if (a->priority != b->priority) {
+        return a->priority < b->priority;
+    }
+    return a->deadline < b->deadline;
+}
+
+/* Share of the slots that is left for requests beside calls, which come
+ * first. */
+static double
+request_share(const Admission *admission)
+{
+    double work =
+        admission->work_ms[KIND_REQUEST] + admission->work_ms[KIND_NESTED];
+
+    return work > 0 ? 1 - MIN(admission->work_ms[KIND_NESTED] / work,
+                              MAX_NESTED_SHARE)
+                    : 1;
+}
+
+/* Expected wait with a number of tickets of each kind ahead, including the
+ * ticket itself. */
+static double
+wait_behind(const Admission *admission, const guint *ahead)
+{
+    double calls = ahead[KIND_NESTED] * admission->service_ms[KIND_NESTED];
+    double requests =
+        ahead[KIND_REQUEST] * admission->service_ms[KIND_REQUEST];
+
+    return (calls + requests / request_share(admission)) / admission->slots;
+}
+
+ClockMs
+Admission_ExpectedWait(const Admission *admission,
+                       const AdmissionTicket *ticket, ClockMs now)
+{
+    guint ahead[KINDS] = {0};
+
+    if (admission->running->len < admission->slots &&
+        admission->queue->len == 0) {
+        return 0;
+    }
+    for (guint i = 0; i < admission->queue->len; i++) {
+        const AdmissionTicket *other = g_ptr_array_index(admission->queue, i);
+
+        if (!comes_before(admission, ticket, other, now)) {
+            ahead[kind_of(other)]++;
+        }
+    }
+    ahead[kind_of(ticket)]++;
+    return (ClockMs)wait_behind(admission, ahead);
+}
+
+gboolean
+Admission_Arrive(Admission *admission, AdmissionTicket *ticket,
+                 ClockMs max_wait_ms, ClockMs now)
+{
+    if (Admission_ExpectedWait(admission, ticket, now) > max_wait_ms) {
+        return FALSE;
+    }
+    ticket->state = ADMISSION_WAITING;
+    g_ptr_array_add(admission->queue, ticket);
+    return TRUE;
+}
+
+static void
+sort_queue(Admission *admission, ClockMs now)
+{
+    GPtrArray *queue = admission->queue;
+
+    /* Insertion sort: the order changes little between two calls. */
+    for (guint i = 1; i < queue->len; i++) {
+        gpointer ticket = queue->pdata[i];
+        guint place = i;
+
+        while (place > 0 &&
+               comes_before(admission, ticket, queue->pdata[place - 1], now)) {
+            queue->pdata[place] = queue->pdata[place - 1];
+            place--;
+        }
+        queue->pdata[place] = ticket;
+    }
+}
+
+static gboolean
+admit(Admission *admission, ClockMs now)
+{
+    gboolean admitted = FALSE;
+
+    while (admission->queue->len > 0 &&
+           admission->running->len < admission->slots) {
+        AdmissionTicket *ticket = g_ptr_array_index(admission->queue, 0);
+
+        g_ptr_array_remove_index(admission->queue, 0);
+        ticket->state = ADMISSION_ADMITTED;
+        ticket->started = now;
+        g_ptr_array_add(admission->running, ticket);
+        admission->last_change = now;
+        admitted = TRUE;
+    }
+    return admitted;
+}
+
+/* Removes the tickets whose turn comes too late: by the mean service times, or
+ * because slots are freed more slowly than these let expect. */
+static gboolean
+remove_hopeless(Admission *admission, ClockMs now)
+{
+    guint ahead[KINDS] = {0};
+    double gap = admission->running->len < admission->slots
+                     ? 0
+                     : (double)(now - admission->last_change);
+    gboolean removed = FALSE;
+    guint place = 0;
+
+    while (place < admission->queue->len) {
+        AdmissionTicket *ticket = g_ptr_array_index(admission->queue, place);
+        Kind kind = kind_of(ticket);
+        double end;
+
+        ahead[kind]++;
+        end = (double)now +
+              MAX(wait_behind(admission, ahead), (place + 1) * gap) +
+              MIN_SERVICE_SHARE * admission->service_ms[kind];
+        if (end > (double)ticket->deadline) {
+            g_ptr_array_remove_index(admission->queue, place);
+            ticket->state = ADMISSION_HOPELESS;
+            ahead[kind]--;
+            removed = TRUE;
+        }
+        else {
+            place++;
+        }
+    }
+    return removed;
+}
+
+gboolean
+Admission_Advance(Admission *admission, ClockMs now)
+{
+    gboolean changed;
+
+    sort_queue(admission, now);
+    changed = admit(admission, now);
+    return remove_hopeless(admission, now) || changed;
+}
+
+void
+Admission_Withdraw(Admission *admission, const AdmissionTicket *ticket)
+{
+    g_ptr_array_remove(admission->queue, (gpointer)ticket);
+}
+
+void
+Admission_Release(Admission *admission, const AdmissionTicket *ticket,
+                  ClockMs now)
+{
+    g_ptr_array_remove_fast(admission->running, (gpointer)ticket);
+    admission->last_change = now;
+}
+
+void
+Admission_NoteService(Admission *admission, const AdmissionTicket *ticket,
+                      ClockMs service_ms, ClockMs now)
+{
+    Kind kind = kind_of(ticket);
+    double decay =
+        exp(-(double)(now - admission->work_updated) / WORK_DECAY_MS);
+
+    for (int i = 0; i < KINDS; i++) {
+        admission->work_ms[i] *= decay;
+    }
+    admission->work_ms[kind] += (double)service_ms;
+    admission->work_updated = now;
+    admission->mean_ms +=
+        SERVICE_WEIGHT * ((double)service_ms - admission->mean_ms);
+    admission->service_ms[kind] +=
+        SERVICE_WEIGHT * ((double)service_ms - admission->service_ms[kind]);
+}
+
+AdmissionLoad
+Admission_Load(const Admission *admission)
+{
+    AdmissionLoad load = {.slots = admission->slots,
+                          .running = admission->running->len,
+                          .waiting = admission->queue->len,
+                          .service_ms = (ClockMs)admission->mean_ms,
+                          .oldest = CLOCK_NEVER};
+
+    for (guint i = 0; i < admission->running->len; i++) {
+        const AdmissionTicket *ticket =
+            g_ptr_array_index(admission->running, i);
+
+        load.oldest = MIN(load.oldest, ticket->started);
+    }
+    return load;
+}
--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "admission/admission.h"
 #include "base/condition.h"
 #include "base/counter.h"
 #include "base/log.h"
@@ -13,15 +14,6 @@
  */
 #define CANCEL_CHECK_MS 50
 
-/* Service time assumed before the first answer. */
-#define INITIAL_SERVICE_MS 400
-
-/* Weight of the newest sample in the moving average of the service time. */
-#define SERVICE_WEIGHT 0.1
-
-/* Number of slots assumed until the first announcement. */
-#define MIN_SLOTS 1
-
 /* A request is stalled if it has been running for more than this many mean
  * service times and for more than MIN_STALL_MS; the backend server probably
  * hangs. */
@@ -35,16 +27,6 @@
  * failed is attributed to that call. */
 #define CALL_FAILURE_WINDOW_MS 200
 
-/* Minimum time before the deadline at which a request is still started. */
-#define MIN_TIME_LEFT_MS 10
-
-typedef struct Waiter {
-    int priority;
-    ClockMs deadline;
-    gboolean admitted;
-    ClockMs started; /* time of admission */
-} Waiter;
-
 struct Backend {
     Backend_desc desc;
     pthread_mutex_t lock;
@@ -53,13 +35,11 @@
     BackendState state;
     gboolean closed;
     GrayFilter filter;
-    double service_ms;
     unsigned failed_calls;    /* failed calls not yet matched to a failure */
     ClockMs last_failed_call; /* time of the last failed call */
     ClockMs last_sent;        /* time of the last request */
-    GArray *running;       /* ClockMs, start times of the running requests */
     guint running_retries; /* number of retries among the running requests */
-    GPtrArray *queue;      /* Waiter, in the order of admission */
+    Admission *admission;
 };
 
 Backend *
@@ -71,10 +51,8 @@
     pthread_mutex_init(&backend->lock, NULL);
     Condition_Init(&backend->wake);
     GrayFilter_Init(&backend->filter, &desc->gray, Clock_Now());
-    backend->service_ms = INITIAL_SERVICE_MS;
     backend->last_sent = Clock_Now();
-    backend->running = g_array_new(FALSE, FALSE, sizeof(ClockMs));
-    backend->queue = g_ptr_array_new();
+    backend->admission = Admission_Create();
     return backend;
 }
 
@@ -84,8 +62,7 @@
     if (backend == NULL) {
         return;
     }
-    g_array_free(backend->running, TRUE);
-    g_ptr_array_free(backend->queue, TRUE);
+    Admission_Destroy(backend->admission);
     pthread_cond_destroy(&backend->wake);
     pthread_mutex_destroy(&backend->lock);
     g_free(backend);
@@ -153,6 +130,7 @@
         backend->state = state;
     }
     backend->announcement = *announcement;
+    Admission_SetSlots(backend->admission, announcement->slots);
     changed = changed || backend->state != old;
     if (changed) {
         Log_Event(LOG_BACKEND_SERVER_STATE,
@@ -201,7 +179,8 @@
 static ClockMs
 stall_limit(const Backend *backend)
 {
-    return MAX(MIN_STALL_MS, (ClockMs)(STALL_FACTOR * backend->service_ms));
+    return MAX(MIN_STALL_MS,
+               STALL_FACTOR * Admission_Load(backend->admission).service_ms);
 }
 
 /* Called with the lock held. */
@@ -209,55 +188,30 @@
 current_risk(const Backend *backend, ClockMs now)
 {
     double risk = GrayFilter_Risk(&backend->filter, now);
-    ClockMs limit = stall_limit(backend);
+    ClockMs oldest = Admission_Load(backend->admission).oldest;
 
-    for (guint i = 0; i < backend->running->len; i++) {
-        if (now - g_array_index(backend->running, ClockMs, i) > limit) {
-            return MAX(risk, STALL_RISK);
-        }
-    }
-    return risk;
-}
-
-static uint32_t
-slots_of(const Backend *backend)
-{
-    return MAX(backend->announcement.slots, MIN_SLOTS);
+    return oldest != CLOCK_NEVER && now - oldest > stall_limit(backend)
+               ? MAX(risk, STALL_RISK)
+               : risk;
 }
 
 /* Called with the lock held. */
 static void
 fill_report(const Backend *backend, ClockMs now, RosterReport *report)
 {
+    AdmissionLoad load = Admission_Load(backend->admission);
+
     *report = (RosterReport){
         .risk = current_risk(backend, now),
-        .slots = slots_of(backend),
-        .in_flight = backend->running->len,
-        .waiting = backend->queue->len,
-        .service_ms = (ClockMs)backend->service_ms,
-        .idle_ms = backend->running->len > 0 ? 0 : now - backend->last_sent,
+        .slots = load.slots,
+        .in_flight = load.running,
+        .waiting = load.waiting,
+        .service_ms = load.service_ms,
+        .idle_ms = load.running > 0 ? 0 : now - backend->last_sent,
         .leaving = backend->closed || backend->state != BACKEND_READY,
     };
 }
 
-/* Called with the lock held. */
-static ClockMs
-expected_wait(const Backend *backend, const BackendCall *call)
-{
-    uint32_t slots = slots_of(backend);
-    uint32_t ahead = 0;
-
-    if (backend->running->len < slots && backend->queue->len == 0) {
-        return 0;
-    }
-    for (guint i = 0; i < backend->queue->len; i++) {
-        const Waiter *waiter = g_ptr_array_index(backend->queue, i);
-
-        ahead += waiter->priority <= call->priority;
-    }
-    return (ClockMs)((ahead + 1) * backend->service_ms / slots);
-}
-
 /* Whether the request explores the backend server, and no other one has been
  * sent for long enough. Called with the lock held. */
 static gboolean
@@ -269,7 +223,7 @@
 
 /* Whether the request may queue for a slot. Called with the lock held. */
 static Result
-check_admission(const Backend *backend, const BackendCall *call, ClockMs now)
+check_call(const Backend *backend, const BackendCall *call, ClockMs now)
 {
     if (strcmp(call->service, backend->desc.service) != 0) {
         return RESULT_BACKEND_SERVER_OTHER;
@@ -281,101 +235,65 @@
         !is_exploration(backend, call, now)) {
         return RESULT_BACKEND_SERVER_EJECTED;
     }
-    if (expected_wait(backend, call) > call->max_wait_ms) {
-        return RESULT_BACKEND_SERVER_BUSY;
-    }
     return RESULT_OK;
 }
 
-/* Admits waiters while slots are free. Called with the lock held. */
+/* Called with the lock held. */
 static void
-admit_waiters(Backend *backend, ClockMs now)
+advance(Backend *backend)
 {
-    gboolean admitted = FALSE;
-
-    while (backend->queue->len > 0 &&
-           backend->running->len < slots_of(backend)) {
-        Waiter *waiter = g_ptr_array_index(backend->queue, 0);
-
-        g_ptr_array_remove_index(backend->queue, 0);
-        waiter->admitted = TRUE;
-        waiter->started = now;
-        g_array_append_val(backend->running, now);
-        admitted = TRUE;
-    }
-    if (admitted) {
+    if (Admission_Advance(backend->admission, Clock_Now())) {
         pthread_cond_broadcast(&backend->wake);
     }
 }
 
-static void
-enqueue(Backend *backend, Waiter *waiter)
+/* Reason for which a waiting request ends; OK while it waits on. Called with
+ * the lock held. */
+static Result
+check_wait(const Backend *backend, const BackendCall *call,
+           const AdmissionTicket *ticket, ClockMs now)
 {
-    guint place = 0;
-
-    while (place < backend->queue->len) {
-        const Waiter *other = g_ptr_array_index(backend->queue, place);
-
-        if (other->priority > waiter->priority ||
-            (other->priority == waiter->priority &&
-             other->deadline > waiter->deadline)) {
-            break;
-        }
-        place++;
+    if (call->cancel != NULL && HttpCancel_IsTriggered(call->cancel)) {
+        return RESULT_CANCELLED;
     }
-    g_ptr_array_insert(backend->queue, (gint)place, waiter);
+    if (backend->closed || backend->state != BACKEND_READY) {
+        return RESULT_BACKEND_SERVER_LEAVING;
+    }
+    if (now >= call->deadline) {
+        return RESULT_DEADLINE_EXPIRED;
+    }
+    return ticket->state == ADMISSION_HOPELESS ? RESULT_BACKEND_SERVER_BUSY
+                                               : RESULT_OK;
 }
 
 /* Waits for a slot and takes it. On failure the request has not been sent.
  * Called with the lock held. */
 static Result
-take_slot(Backend *backend, const BackendCall *call, ClockMs *started)
+take_slot(Backend *backend, const BackendCall *call, AdmissionTicket *ticket)
 {
-    Waiter waiter = {.priority = call->priority, .deadline = call->deadline};
-    Result result = check_admission(backend, call, Clock_Now());
-    ClockMs now;
+    ClockMs now = Clock_Now();
+    Result result = check_call(backend, call, now);
 
     if (result != RESULT_OK) {
         return result;
     }
-    enqueue(backend, &waiter);
-    admit_waiters(backend, Clock_Now());
-    while (!waiter.admitted && result == RESULT_OK) {
-        now = Clock_Now();
-        if (call->cancel != NULL && HttpCancel_IsTriggered(call->cancel)) {
-            result = RESULT_CANCELLED;
-        }
-        else if (backend->closed || backend->state != BACKEND_READY) {
-            result = RESULT_BACKEND_SERVER_LEAVING;
-        }
-        else if (call->deadline - now < MIN_TIME_LEFT_MS) {
-            result = RESULT_DEADLINE_EXPIRED;
-        }
-        else {
-            (void)Condition_Wait(&backend->wake, &backend->lock,
-                                 MIN(call->deadline - now, CANCEL_CHECK_MS));
-        }
-    }
-    if (waiter.admitted) {
-        *started = waiter.started;
-        return RESULT_OK;
+    if (!Admission_Arrive(backend->admission, ticket, call->max_wait_ms,
+                          now)) {
+        return RESULT_BACKEND_SERVER_BUSY;
     }
-    g_ptr_array_remove(backend->queue, &waiter);
-    return result;
-}
-
-/* Releases the slot of a request that was started at the given time. Called
- * with the lock held. */
-static void
-release_slot(Backend *backend, ClockMs started)
-{
-    for (guint i = 0; i < backend->running->len; i++) {
-        if (g_array_index(backend->running, ClockMs, i) == started) {
-            g_array_remove_index_fast(backend->running, i);
-            break;
+    advance(backend);
+    while (ticket->state != ADMISSION_ADMITTED) {
+        now = Clock_Now();
+        result = check_wait(backend, call, ticket, now);
+        if (result != RESULT_OK) {
+            Admission_Withdraw(backend->admission, ticket);
+            return result;
         }
+        (void)Condition_Wait(&backend->wake, &backend->lock,
+                             MIN(call->deadline - now, CANCEL_CHECK_MS));
+        advance(backend);
     }
-    admit_waiters(backend, Clock_Now());
+    return RESULT_OK;
 }
 
 void
@@ -406,13 +324,14 @@
 /* Updates the risk and the mean service time. Called with the lock held. */
 static void
 record_outcome(Backend *backend, const BackendCall *call,
-               const BackendReply *reply, ClockMs now)
+               const AdmissionTicket *ticket, const BackendReply *reply,
+               ClockMs now)
 {
     switch (reply->result) {
     case RESULT_OK:
         GrayFilter_Observe(&backend->filter, FALSE, now);
-        backend->service_ms +=
-            SERVICE_WEIGHT * ((double)reply->server_ms - backend->service_ms);
+        Admission_NoteService(backend->admission, ticket, reply->server_ms,
+                              now);
         return;
     case RESULT_CANCELLED:
     case RESULT_DEADLINE_EXPIRED:
@@ -450,12 +369,14 @@
     BackendAnnouncement announcement;
     BackendExchange exchange = {.names = backend->desc.names,
                                 .client = backend->desc.client};
-    ClockMs started = 0;
+    AdmissionTicket ticket = {.priority = call->priority,
+                              .target = call->target_time,
+                              .deadline = call->deadline};
     ClockMs now;
 
     *reply = (BackendReply){.run = RUN_NO};
     pthread_mutex_lock(&backend->lock);
-    reply->result = take_slot(backend, call, &started);
+    reply->result = take_slot(backend, call, &ticket);
     now = Clock_Now();
     reply->queue_ms = now - arrived;
     if (reply->result != RESULT_OK) {
@@ -476,10 +397,11 @@
     now = Clock_Now();
     pthread_mutex_lock(&backend->lock);
     if (strcmp(backend->announcement.instance, announcement.instance) == 0) {
-        record_outcome(backend, call, reply, now);
+        record_outcome(backend, call, &ticket, reply, now);
     }
     backend->running_retries -= call->is_retry ? 1 : 0;
-    release_slot(backend, started);
+    Admission_Release(backend->admission, &ticket, now);
+    advance(backend);
     fill_report(backend, now, &reply->report);
     pthread_mutex_unlock(&backend->lock);
     Counter_Observe(HISTOGRAM_OWNER_QUEUE, reply->queue_ms * 1000);
@@ -501,7 +423,8 @@
     double share;
 
     pthread_mutex_lock(&backend->lock);
-    share = (double)backend->running_retries / MAX(backend->running->len, 1);
+    share = (double)backend->running_retries /
+            MAX(Admission_Load(backend->admission).running, 1);
     pthread_mutex_unlock(&backend->lock);
     return share;
 }
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -22,7 +22,8 @@
  *    from the limit of risk. Only the owner knows how long the backend server
  *    has been idle, so it lets one exploration through where many senders
  *    choose the same one.
- * Otherwise it waits for a slot, in the order of priority and deadline.
+ * Otherwise it waits for a slot, as admission/admission.h has it, and is
+ * refused as not run once it cannot be finished before its deadline.
  *
  * Announcements are ordered by the start time of the instance, then by
  * sequence number. One that is not newer than the last is ignored.
@@ -40,6 +41,7 @@
 #include <glib.h>
 #include <netinet/in.h>
 
+#include "admission/admission.h"
 #include "backend/wire_names.h"
 #include "base/clock.h"
 #include "base/result.h"
@@ -50,9 +52,8 @@
 
 #define BACKEND_NAME_BYTES 64
 
-/* Priority of calls made by a running request. They run before new requests,
- * since the calling request holds a slot while it waits for them. */
-#define BACKEND_PRIORITY_NESTED (-1)
+/* Priority of calls made by a running request. */
+#define BACKEND_PRIORITY_NESTED ADMISSION_PRIORITY_NESTED
 
 typedef struct Backend Backend;
 
@@ -94,6 +95,7 @@
     const HttpHeaders *headers; /* caller's headers without the proxy's own */
     const void *body;
     size_t body_bytes;
+    ClockMs target_time; /* time until which an answer is in time */
     ClockMs deadline;
     /* give_up() is called attempt_timeout_ms after the start of the attempt;
      * TRUE abandons it. NULL: the attempt lasts until the deadline. */
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -113,6 +113,7 @@
     call->headers = &request->forwarded;
     call->body = HttpRequest_Body(request->http, &call->body_bytes);
     call->deadline = request->deadline;
+    call->target_time = request->target_time;
     call->idempotent = request->route->idempotent;
     call->priority = request->route->priority;
     if (team != NULL && team->has_priority) {
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -11,7 +11,7 @@
 
 #define LINE_BYTES 128
 
-/* Maximum wait and time left in a call; keeps sums of times small. */
+/* Maximum of each time in a call; keeps sums of times small. */
 #define MAX_WAIT_MS 600000
 
 void
@@ -44,10 +44,11 @@
     char line[LINE_BYTES];
 
     (void)snprintf(
-        line, sizeof(line), "%" PRId64 " %c %d %.3f %" PRId64 " %d %" PRId64,
+        line, sizeof(line),
+        "%" PRId64 " %c %d %.3f %" PRId64 " %d %" PRId64 " %" PRId64,
         call->deadline - now, call->idempotent ? 'i' : 'o', call->priority,
         call->max_risk, MIN(call->max_wait_ms, MAX_WAIT_MS), call->is_retry,
-        call->explore_idle_ms);
+        call->explore_idle_ms, MAX(call->target_time - now, 0));
     HttpHeaders_Add(headers, CALL_HEADER, line);
     HttpHeaders_Add(headers, CALLER_HEADER, call->caller);
     HttpHeaders_Add(headers, SERVICE_HEADER, call->service);
@@ -56,27 +57,37 @@
     }
 }
 
+static gboolean
+is_time(int64_t time)
+{
+    return time >= 0 && time <= MAX_WAIT_MS;
+}
+
 gboolean
 PeerWire_DecodeCall(const HttpHeaders *headers, ClockMs now, BackendCall *call)
 {
     const char *line = HttpHeaders_Get(headers, CALL_HEADER);
     int64_t left;
+    int64_t target_left = MAX_WAIT_MS;
     char kind;
 
-    call->explore_idle_ms = 0; /* earlier versions do not send it */
     call->team = HttpHeaders_Get(headers, TEAM_HEADER);
     call->caller = HttpHeaders_Get(headers, CALLER_HEADER);
     call->service = HttpHeaders_Get(headers, SERVICE_HEADER);
+    /* Earlier versions do not send the last two fields. */
+    call->explore_idle_ms = 0;
     if (line == NULL || call->caller == NULL || call->service == NULL ||
-        sscanf(line, "%" SCNd64 " %c %d %lf %" SCNd64 " %d %" SCNd64, &left,
-               &kind, &call->priority, &call->max_risk, &call->max_wait_ms,
-               &call->is_retry, &call->explore_idle_ms) < 6 ||
-        (kind != 'i' && kind != 'o') || left < 0 || left > MAX_WAIT_MS ||
-        call->max_wait_ms < 0 || call->max_wait_ms > MAX_WAIT_MS ||
-        call->explore_idle_ms < 0 || call->explore_idle_ms > MAX_WAIT_MS) {
+        sscanf(
+            line, "%" SCNd64 " %c %d %lf %" SCNd64 " %d %" SCNd64 " %" SCNd64,
+            &left, &kind, &call->priority, &call->max_risk, &call->max_wait_ms,
+            &call->is_retry, &call->explore_idle_ms, &target_left) < 6 ||
+        (kind != 'i' && kind != 'o') || !is_time(left) ||
+        !is_time(target_left) || !is_time(call->max_wait_ms) ||
+        !is_time(call->explore_idle_ms)) {
         return FALSE;
     }
     call->deadline = now + left;
+    call->target_time = now + MIN(target_left, left);
     call->idempotent = kind == 'i';
     return TRUE;
 }
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -3,7 +3,7 @@
  * A request carries the caller's method, target, host, body and headers, and
  * these:
  *   Radishknot-Call: <ms left> <kind> <priority> <max risk> <max wait ms>
- *                    <retry> <explore idle ms>
+ *                    <retry> <explore idle ms> <ms to target>
  *   Radishknot-Team, Radishknot-Caller, Radishknot-Service
  * where kind is "i" if the request may run more than once, otherwise "o", and
  * retry is 1 if an earlier attempt reached a backend server, otherwise 0.
@@ -12,8 +12,8 @@
  *   Radishknot-Reply: <result> <run> <arrived> <risk> <slots> <in flight>
  *                     <waiting> <service ms> <idle ms> <leaving> <owner ms>
  *
- * The last field of a call and of a reply may be missing: earlier versions do
- * not send it. The headers are short because traffic between regions is billed
+ * The last two fields of a call and the last one of a reply may be missing:
+ * earlier versions do not send them. The headers are short because traffic between regions is billed
  * by volume.
  *
  * Use: the sender calls PeerWire_EncodeCall() and PeerWire_DecodeReply(), the
