Retry budget: refill by the fleet's measured use

Cause: each host had an even part of the fleet's retry budget, with a bucket of one or two retries at its rate of requests.

Change: owners measure the rates of requests and retries that they receive and report them with their answers. Senders refill up to three times as fast while the fleet uses less than 0.4 of its limit, and not above 0.75. Calls of a run that is a retry are marked as retries in the same proportion in which they were debited before.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -39,6 +39,7 @@
     ClockMs last_failed_call; /* time of the last failed call */
     ClockMs last_sent;        /* time of the last request */
     guint running_retries; /* number of retries among the running requests */
+    RetryRates rates;
     Admission *admission;
 };
 
@@ -200,6 +201,7 @@
 fill_report(const Backend *backend, ClockMs now, RosterReport *report)
 {
     AdmissionLoad load = Admission_Load(backend->admission);
+    RetryRates rates = RetryRates_At(&backend->rates, now);
 
     *report = (RosterReport){
         .risk = current_risk(backend, now),
@@ -209,6 +211,8 @@
         .service_ms = load.service_ms,
         .idle_ms = load.running > 0 ? 0 : now - backend->last_sent,
         .leaving = backend->closed || backend->state != BACKEND_READY,
+        .per_s = rates.per_s,
+        .retries_per_s = rates.retries_per_s,
     };
 }
 
@@ -387,6 +391,7 @@
     announcement = backend->announcement;
     backend->last_sent = now;
     backend->running_retries += call->is_retry ? 1 : 0;
+    RetryRates_Add(&backend->rates, call->is_retry, now);
     pthread_mutex_unlock(&backend->lock);
 
     exchange.address = announcement.address;
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -104,9 +104,18 @@
     RetryBudget *budget;
     double retry_share =
         request->team == NULL ? Backend_RetryShare(gateway->desc.backend) : 0;
+    RetryRates rates;
+    double coverage = Roster_RetryRates(
+        gateway->desc.roster, request->destination->service_hash, now, &rates);
 
     pthread_mutex_lock(&gateway->lock);
     budget = find_budget(gateway, request->destination->service_hash, now);
+    RetryBudget_SetRefill(
+        budget,
+        RetryRates_Refill(&rates, gateway->desc.retry_ratio,
+                          coverage * gateway->desc.retry_per_minute / 60),
+        now);
+    request->is_retried_call = Rng_Unit(&gateway->rng) < retry_share;
     RetryBudget_Request(budget, now);
     if (retry_share > 0) {
         /* A call made by a request that is a retry counts as a retry, too. */
@@ -359,7 +368,7 @@
              BackendReply *reply)
 {
     *reply = (BackendReply){.run = RUN_NO};
-    request->call.is_retry = request->attempts > 0;
+    request->call.is_retry = request->attempts > 0 || request->is_retried_call;
     set_limits(request, choice);
     set_attempt_timeout(request, choice);
     if (choice->tier == ROSTER_SAME_HOST) {
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -41,7 +41,8 @@
     QuotaSource quota_source;
     gboolean can_retry;   /* a retry could follow a failed next attempt */
     gboolean retry_taken; /* retry already debited for a timed-out attempt */
-    uint32_t attempts;    /* attempts that reached a backend server */
+    gboolean is_retried_call; /* call of a request that is a retry */
+    uint32_t attempts;        /* attempts that reached a backend server */
     uint64_t excluded[ROSTER_MAX_EXCLUDED]; /* hosts that cannot serve it */
     uint32_t excluded_count;
     uint64_t asked[ROSTER_MAX_EXCLUDED]; /* hosts already asked to serve it */
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -98,12 +98,14 @@
     const RosterReport *report = &reply->report;
     char line[LINE_BYTES];
 
-    (void)snprintf(
-        line, sizeof(line),
-        "%d %d %d %.3f %u %u %u %" PRId64 " %" PRId64 " %d %" PRId64,
-        (int)reply->result, (int)reply->run, reply->arrived, report->risk,
-        report->slots, report->in_flight, report->waiting, report->service_ms,
-        report->idle_ms, report->leaving, reply->queue_ms + reply->server_ms);
+    (void)snprintf(line, sizeof(line),
+                   "%d %d %d %.3f %u %u %u %" PRId64 " %" PRId64 " %d %" PRId64
+                   " %.2f %.2f",
+                   (int)reply->result, (int)reply->run, reply->arrived,
+                   report->risk, report->slots, report->in_flight,
+                   report->waiting, report->service_ms, report->idle_ms,
+                   report->leaving, reply->queue_ms + reply->server_ms,
+                   report->per_s, report->retries_per_s);
     HttpHeaders_Add(headers, REPLY_HEADER, line);
 }
 
@@ -120,10 +122,12 @@
 
     if (line == NULL ||
         sscanf(line,
-               "%d %d %d %lf %u %u %u %" SCNd64 " %" SCNd64 " %d %" SCNd64,
+               "%d %d %d %lf %u %u %u %" SCNd64 " %" SCNd64 " %d %" SCNd64
+               " %lf %lf",
                &result, &run, &arrived, &report.risk, &report.slots,
                &report.in_flight, &report.waiting, &report.service_ms,
-               &report.idle_ms, &report.leaving, &owner_ms) < 10 ||
+               &report.idle_ms, &report.leaving, &owner_ms, &report.per_s,
+               &report.retries_per_s) < 10 ||
         run < RUN_NO || run > RUN_UNKNOWN ||
         !Result_FromNumber(result, &known)) {
         return FALSE;
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -11,8 +11,9 @@
  * The answer is the backend server's, or a 503 without a body, with
  *   Radishknot-Reply: <result> <run> <arrived> <risk> <slots> <in flight>
  *                     <waiting> <service ms> <idle ms> <leaving> <owner ms>
+ *                     <requests per s> <retries per s>
  *
- * The last two fields of a call and the last one of a reply may be missing:
+ * The last two fields of a call and the last three of a reply may be missing:
  * earlier versions do not send them. The headers are short because traffic between regions is billed
  * by volume.
  *
--- a/src/retry/retry.c
+++ b/src/retry/retry.c
@@ -6,6 +6,15 @@
  * size of the bucket. */
 #define RATE_TIME_CONSTANT_S 5.0
 
+/* Time constant of the rates that owners measure. */
+#define MEASURE_TIME_CONSTANT_S 5.0
+
+/* Maximum factor of the refill, used while the fleet makes few retries. It
+ * falls to 0 between these two shares of the fleet's limit. */
+#define MAX_REFILL 3.0
+#define FULL_REFILL_USAGE 0.4
+#define NO_REFILL_USAGE 0.75
+
 static const Retry_desc defaults = {
     .budget_percent = 10,
     .min_per_s = 1,
@@ -49,7 +58,8 @@
 void
 RetryBudget_Init(RetryBudget *budget, const Retry_desc *desc, ClockMs now)
 {
-    *budget = (RetryBudget){.desc = resolve(desc), .updated = now};
+    *budget =
+        (RetryBudget){.desc = resolve(desc), .refill = 1, .updated = now};
     budget->tokens = MAX(min_rate(&budget->desc), 1);
 }
 
@@ -62,14 +72,14 @@
 }
 
 static void
-refill(RetryBudget *budget, ClockMs now)
+refill_tokens(RetryBudget *budget, ClockMs now)
 {
     double seconds = (double)MAX(now - budget->updated, 0) / 1000;
 
     if (seconds > 0) {
         budget->updated = now;
         budget->rate_per_s *= exp(-seconds / RATE_TIME_CONSTANT_S);
-        budget->tokens += seconds * min_rate(&budget->desc);
+        budget->tokens += seconds * min_rate(&budget->desc) * budget->refill;
     }
     budget->tokens = MIN(budget->tokens, bucket_size(budget));
 }
@@ -78,21 +88,58 @@
 RetryBudget_Request(RetryBudget *budget, ClockMs now)
 {
     budget->rate_per_s += 1 / RATE_TIME_CONSTANT_S;
-    budget->tokens += budget->desc.budget_percent / 100.0;
-    refill(budget, now);
+    budget->tokens += budget->desc.budget_percent / 100.0 * budget->refill;
+    refill_tokens(budget, now);
+}
+
+void
+RetryBudget_SetRefill(RetryBudget *budget, double refill, ClockMs now)
+{
+    refill_tokens(budget, now);
+    budget->refill = refill;
+}
+
+RetryRates
+RetryRates_At(const RetryRates *rates, ClockMs now)
+{
+    double seconds = (double)MAX(now - rates->updated, 0) / 1000;
+    double decay = exp(-seconds / MEASURE_TIME_CONSTANT_S);
+
+    return (RetryRates){.per_s = rates->per_s * decay,
+                        .retries_per_s = rates->retries_per_s * decay,
+                        .updated = now};
+}
+
+void
+RetryRates_Add(RetryRates *rates, gboolean is_retry, ClockMs now)
+{
+    *rates = RetryRates_At(rates, now);
+    rates->per_s += 1 / MEASURE_TIME_CONSTANT_S;
+    rates->retries_per_s += is_retry ? 1 / MEASURE_TIME_CONSTANT_S : 0;
+}
+
+double
+RetryRates_Refill(const RetryRates *rates, double ratio, double slack_per_s)
+{
+    double limit = ratio * (rates->per_s - rates->retries_per_s) + slack_per_s;
+    double usage = limit > 0 ? rates->retries_per_s / limit : 1;
+    double left =
+        (NO_REFILL_USAGE - usage) / (NO_REFILL_USAGE - FULL_REFILL_USAGE);
+
+    return MAX_REFILL * CLAMP(left, 0, 1);
 }
 
 gboolean
 RetryBudget_HasRetry(RetryBudget *budget, ClockMs now)
 {
-    refill(budget, now);
+    refill_tokens(budget, now);
     return budget->tokens >= 1;
 }
 
 void
 RetryBudget_Debit(RetryBudget *budget, double retries, ClockMs now)
 {
-    refill(budget, now);
+    refill_tokens(budget, now);
     budget->tokens = MAX(budget->tokens - retries, -bucket_size(budget));
 }
 
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -12,6 +12,14 @@
  * of a retry, and elapsed time adds `min_per_s` retries per second, up to
  * `burst_s` seconds of both.
  *
+ * A fleet's budget is divided evenly, but failures are not: some senders run
+ * out while others keep what they do not need. Each owner therefore measures
+ * the rates of requests and retries that it receives (RetryRates_Add()), and
+ * the senders refill faster while the fleet as a whole is below its limit, and
+ * stop when it gets near (RetryRates_Refill(), RetryBudget_SetRefill()). Load
+ * pattern: a service that sheds or fails part of its requests for some
+ * seconds.
+ *
  * An issuance is retried only if its run state is RUN_NO. Other requests are
  * retried if their run state is RUN_NO or they are idempotent.
  *
@@ -46,9 +54,17 @@
     Retry_desc desc;
     double tokens;
     double rate_per_s; /* moving rate of first attempts */
+    double refill;     /* factor of the refill, see RetryBudget_SetRefill() */
     ClockMs updated;
 } RetryBudget;
 
+/* Rates of requests and of retries among them, moving averages. */
+typedef struct RetryRates {
+    double per_s;         /* requests that reached a backend server */
+    double retries_per_s; /* of these, retries */
+    ClockMs updated;
+} RetryRates;
+
 typedef struct RetryInput {
     Result result;          /* result of the failed attempt */
     RunState run;           /* whether the failed attempt ran */
@@ -92,6 +108,20 @@
  * may become negative, down to minus the size of the bucket. */
 void RetryBudget_Debit(RetryBudget *budget, double retries, ClockMs now);
 
+/* Sets the factor by which the refill differs from the sender's even share. */
+void RetryBudget_SetRefill(RetryBudget *budget, double refill, ClockMs now);
+
+/* Counts a request that reached a backend server. */
+void RetryRates_Add(RetryRates *rates, gboolean is_retry, ClockMs now);
+
+/* Returns the rates at `now`. */
+RetryRates RetryRates_At(const RetryRates *rates, ClockMs now);
+
+/* Returns the factor of the refill for the rates of a whole service, where the
+ * fleet may retry `ratio` of the first attempts and `slack_per_s` on top. */
+double RetryRates_Refill(const RetryRates *rates, double ratio,
+                         double slack_per_s);
+
 /* `desc` is used only if budget is NULL; otherwise the budget's settings
  * apply. */
 RetryDecision Retry_Decide(RetryBudget *budget, const Retry_desc *desc,
--- a/src/retry/test_retry.c
+++ b/src/retry/test_retry.c
@@ -225,6 +225,128 @@
     }
 }
 
+#define SENDERS 48
+#define STEP_MS 100
+#define STEPS 600
+#define WINDOW_STEPS 100 /* 10 s */
+#define RATIO 0.2
+#define SLACK_PER_S 6.4
+#define OWN_SHARE 0.6
+
+typedef struct Spell {
+    const char *name;
+    int callers;       /* senders that have requests for the service */
+    double rate_per_s; /* requests of all senders */
+    double fail_share; /* during the spell, from 20 s to 30 s */
+    double calm_share; /* at other times */
+    int report_steps;  /* age of the rates that senders have */
+} Spell;
+
+typedef struct Retries {
+    double wanted;
+    double made;
+    double max_usage; /* of the fleet's limit, in any window */
+} Retries;
+
+/* Replays one spell of failures with one budget for each sender. `feedback` is
+ * FALSE for the baseline, an even division of the fleet's budget. */
+static Retries
+replay_spell(const Spell *spell, gboolean feedback)
+{
+    RetryBudget budgets[SENDERS];
+    RetryRates rates[STEPS + 1] = {{0}};
+    double firsts[STEPS] = {0};
+    double retries[STEPS] = {0};
+    Retries result = {0};
+    Retry_desc desc = {.budget_percent = (uint32_t)(RATIO * 100 * OWN_SHARE),
+                       .min_per_minute =
+                           (uint32_t)(SLACK_PER_S * 60 * OWN_SHARE / SENDERS) +
+                           1};
+    Rng rng;
+
+    Rng_Seed(&rng, 11);
+    for (int i = 0; i < SENDERS; i++) {
+        RetryBudget_Init(&budgets[i], &desc, 0);
+    }
+    for (int step = 0; step < STEPS; step++) {
+        ClockMs now = (step + 1) * STEP_MS;
+        gboolean in_spell = now > 20000 && now <= 30000;
+        double fail = in_spell ? spell->fail_share : spell->calm_share;
+        RetryRates known = rates[MAX(step - spell->report_steps, 0)];
+
+        rates[step + 1] = RetryRates_At(&rates[step], now);
+        for (int i = 0; i < spell->callers; i++) {
+            double each = spell->rate_per_s * STEP_MS / 1000 / spell->callers;
+
+            if (Rng_Unit(&rng) >= each) {
+                continue;
+            }
+            if (feedback) {
+                RetryBudget_SetRefill(
+                    &budgets[i], RetryRates_Refill(&known, RATIO, SLACK_PER_S),
+                    now);
+            }
+            RetryBudget_Request(&budgets[i], now);
+            RetryRates_Add(&rates[step + 1], FALSE, now);
+            firsts[step]++;
+            for (int attempt = 1; attempt < 3 && Rng_Unit(&rng) < fail;
+                 attempt++) {
+                result.wanted++;
+                if (!RetryBudget_TakeRetry(&budgets[i], now)) {
+                    break;
+                }
+                RetryRates_Add(&rates[step + 1], TRUE, now);
+                retries[step]++;
+                result.made++;
+            }
+        }
+    }
+    for (int end = WINDOW_STEPS; end <= STEPS; end++) {
+        double first = 0;
+        double again = 0;
+
+        for (int step = end - WINDOW_STEPS; step < end; step++) {
+            first += firsts[step];
+            again += retries[step];
+        }
+        result.max_usage =
+            MAX(result.max_usage,
+                again / (RATIO * first +
+                         SLACK_PER_S * WINDOW_STEPS * STEP_MS / 1000));
+    }
+    return result;
+}
+
+/* Replays services that shed or fail for 10 s, with all senders or a few
+ * calling them, and with reports that are up to 2 s old. Guards against
+ * retries that are denied although the fleet's budget is hardly used, and
+ * against exceeding it. */
+static void
+test_uneven_senders(void)
+{
+    static const Spell spells[] = {
+        {"few callers", 13, 95, 0.55, 0.05, 5},
+        {"few callers, old reports", 13, 95, 0.55, 0.05, 20},
+        {"all callers", 48, 95, 0.55, 0.05, 5},
+        {"all callers, many requests", 48, 320, 0.55, 0.05, 10},
+        {"everything fails", 13, 95, 1, 0.05, 20},
+        {"always failing", 48, 95, 0.3, 0.3, 20},
+        {"calm", 13, 95, 0.05, 0.05, 5},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(spells); i++) {
+        Retries even = replay_spell(&spells[i], FALSE);
+        Retries shared = replay_spell(&spells[i], TRUE);
+
+        g_test_message("%s: wanted %.0f made %.0f (even %.0f) usage %.2f "
+                       "(even %.2f)",
+                       spells[i].name, shared.wanted, shared.made, even.made,
+                       shared.max_usage, even.max_usage);
+        g_assert_cmpfloat(shared.max_usage, <=, 1);
+        g_assert_cmpfloat(shared.made, >=, even.made);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -234,6 +356,7 @@
     g_test_add_func("/retry/budget", test_budget);
     g_test_add_func("/retry/budget_is_capped", test_budget_is_capped);
     g_test_add_func("/retry/debit", test_debit);
+    g_test_add_func("/retry/uneven-senders", test_uneven_senders);
     g_test_add_func("/retry/backoff", test_backoff);
     return g_test_run();
 }
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -393,6 +393,31 @@
     pthread_mutex_unlock(&roster->lock);
 }
 
+double
+Roster_RetryRates(Roster *roster, uint64_t service, ClockMs now,
+                  RetryRates *rates)
+{
+    GPtrArray *rows;
+    guint reported = 0;
+    guint count = 0;
+
+    *rates = (RetryRates){.updated = now};
+    pthread_mutex_lock(&roster->lock);
+    rows = g_hash_table_lookup(roster->services, &service);
+    count = rows != NULL ? rows->len : 0;
+    for (guint i = 0; i < count; i++) {
+        const RosterRow *row = g_ptr_array_index(rows, i);
+
+        if (is_recent(row, now)) {
+            rates->per_s += row->report.per_s;
+            rates->retries_per_s += row->report.retries_per_s;
+            reported++;
+        }
+    }
+    pthread_mutex_unlock(&roster->lock);
+    return count > 0 ? (double)reported / count : 0;
+}
+
 void
 Roster_NoteTransit(Roster *roster, uint64_t host, ClockMs transit_ms)
 {
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -25,6 +25,7 @@
 
 #include "base/clock.h"
 #include "health/gray_filter.h"
+#include "retry/retry.h"
 #include "roster/placement.h"
 #include "roster/roster_entry.h"
 
@@ -49,6 +50,8 @@
     ClockMs service_ms; /* mean service time of a request */
     ClockMs idle_ms;    /* time since the last request was sent */
     gboolean leaving;   /* accepts no new requests */
+    double per_s;       /* RetryRates of the backend server */
+    double retries_per_s;
 } RosterReport;
 
 typedef struct RosterQuery {
@@ -104,6 +107,11 @@
 void Roster_Report(Roster *roster, uint64_t host, const RosterReport *report,
                    ClockMs now);
 
+/* Sums the rates that the owners of a service have reported lately. Returns
+ * the share of the service's backend servers that they stand for. */
+double Roster_RetryRates(Roster *roster, uint64_t service, ClockMs now,
+                         RetryRates *rates);
+
 /* Records the time that a request to the host and its answer spent on the way,
  * without the wait for a slot and the service time. */
 void Roster_NoteTransit(Roster *roster, uint64_t host, ClockMs transit_ms);
