Admission: calls of running requests keep the order of their deadlines

Cause: calls that had missed their own target went behind newer ones.

Change: only requests of callers are split into in-time and late ones.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -79,8 +79,8 @@
 static gboolean
 is_late(const Admission *admission, const AdmissionTicket *ticket, ClockMs now)
 {
-    return now + (ClockMs)admission->service_ms[kind_of(ticket)] >
-           ticket->target;
+    return kind_of(ticket) == KIND_REQUEST &&
+           now + (ClockMs)admission->service_ms[KIND_REQUEST] > ticket->target;
 }
 
 /* Whether `a` is admitted before `b`. */
