Placement: a refusal far away does not bring the distance back

Cause: an owner in another region refused a request as soon as the sender's second best choice would have cost less, distance included. Owners without a recent report were chosen as if they were like the others.

Change: the limits sent to an owner leave the distance out, which is spent either way. The distance to an owner whose state is not known costs half as much again, for the case that it refuses.

--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -212,15 +212,16 @@
     return Roster_Choose(gateway->desc.roster, &query, now, choice);
 }
 
-/* Sets the risk and the wait above which the owner refuses the request. An
- * owner that was asked before gets the widest limits: its current state is
- * known, and it is still the best choice. */
+/* Sets the risk and the wait above which the owner refuses the request. The
+ * distance does not count, since a refusal does not bring it back. An owner
+ * that was asked before gets the widest limits: its current state is known,
+ * and it is still the best choice. */
 static void
 set_limits(GatewayRequest *request, const RosterChoice *choice)
 {
     BackendCall *call = &request->call;
     ClockMs now = Clock_Now();
-    double slack = choice->other_cost + RISK_MARGIN - choice->distance_cost;
+    double slack = choice->other_cost + RISK_MARGIN;
 
     call->deadline = request->deadline;
     call->explore_idle_ms = choice->explore_idle_ms;
--- a/src/roster/placement.c
+++ b/src/roster/placement.c
@@ -10,6 +10,10 @@
 /* Extra cost of a fully loaded backend server over an idle one. */
 #define LOAD_COST 0.04
 
+/* Share of the requests that an owner without a recent report is expected to
+ * refuse. */
+#define REFUSED_SHARE 0.5
+
 /* Cost of an answer that is expected to arrive too late. */
 #define LATE_COST 0.5
 
@@ -41,10 +45,12 @@
 {
     double left = (double)MAX(request->time_left_ms, 1);
     double delay = candidate->wait_ms + candidate->transit_ms;
-    double cost =
-        request->failure_cost * candidate->fail_share +
-        Placement_DistanceCost(desc, candidate->tier, request->relative_size) +
-        LOAD_COST * MIN(candidate->load, 1) + LATE_COST * MIN(delay / left, 1);
+    double distance =
+        Placement_DistanceCost(desc, candidate->tier, request->relative_size);
+    double cost = request->failure_cost * candidate->fail_share +
+                  (candidate->is_known ? 1 : 1 + REFUSED_SHARE) * distance +
+                  LOAD_COST * MIN(candidate->load, 1) +
+                  LATE_COST * MIN(delay / left, 1);
 
     if (delay + candidate->service_ms > left) {
         cost += LATE_COST;
--- a/src/roster/placement.h
+++ b/src/roster/placement.h
@@ -10,7 +10,9 @@
  * Use: Placement_Cost() for each candidate; the lowest cost wins. All costs
  * are shares of the request's value:
  *  - the expected share of failures times the cost of a failure;
- *  - the distance, in proportion to the bytes that will be moved;
+ *  - the distance, in proportion to the bytes that will be moved, and more for
+ *    a candidate whose state is not known, since its owner may refuse the
+ *    request after the bytes have been moved;
  *  - the wait for a slot and the time on the way, as a share of the time left,
  *    and more if the answer is expected to be too late;
  *  - the load, so that requests spread while several candidates are idle.
@@ -51,6 +53,7 @@
 
 typedef struct PlacementCandidate {
     RosterTier tier;
+    gboolean is_known; /* has reported lately */
     double fail_share; /* expected share of failed requests, 0 to 1 */
     double load;       /* slots in use, 0 to 1 */
     double wait_ms;    /* expected wait for a slot */
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -275,11 +275,13 @@
 cost_of(Roster *roster, const RosterRow *row, const RosterQuery *query,
         const ServiceMean *mean, ClockMs now)
 {
+    gboolean recent = is_recent(row, now);
     double jitter = JITTER_COST * Rng_Unit(&roster->rng);
     double risk = GrayFilter_Risk(&row->filter, now);
     double load = (double)row->report.in_flight / MAX(row->entry.slots, 1);
     PlacementCandidate candidate = {
         .tier = row->tier,
+        .is_known = recent,
         .load = MIN(load, 1) * load_weight(row, now),
         .wait_ms = (double)expected_wait(row, now),
         .service_ms = (double)row->report.service_ms,
@@ -288,7 +290,7 @@
     if (explore_idle_ms(row, query, now) > 0) {
         return jitter;
     }
-    if (!is_recent(row, now) && !is_new(row)) {
+    if (!recent && !is_new(row)) {
         risk = MAX(risk, mean->risk);
         candidate.wait_ms = MAX(candidate.wait_ms, mean->wait_ms);
     }
@@ -299,15 +301,13 @@
 }
 
 static void
-fill_choice(const Roster *roster, const RosterRow *row,
-            const RosterQuery *query, ClockMs now, RosterChoice *choice)
+fill_choice(const RosterRow *row, const RosterQuery *query, ClockMs now,
+            RosterChoice *choice)
 {
     choice->explore_idle_ms = explore_idle_ms(row, query, now);
     choice->entry = row->entry;
     choice->host = row->host;
     choice->tier = row->tier;
-    choice->distance_cost = Placement_DistanceCost(
-        &roster->desc.placement, row->tier, query->request.relative_size);
     choice->wait_ms = expected_wait(row, now);
     choice->service_ms = row->report.service_ms;
     choice->age_ms = row->reported > 0 ? now - row->reported : CLOCK_NEVER;
@@ -361,7 +361,7 @@
         }
     }
     if (best != NULL) {
-        fill_choice(roster, best, query, now, choice);
+        fill_choice(best, query, now, choice);
     }
     pthread_mutex_unlock(&roster->lock);
     return best != NULL;
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -67,8 +67,7 @@
     uint64_t host; /* hash of the host name */
     RosterTier tier;
     double cost;
-    double other_cost; /* cost of the second best; HUGE_VAL if none */
-    double distance_cost;
+    double other_cost;       /* cost of the second best; HUGE_VAL if none */
     ClockMs wait_ms;         /* expected wait for a slot */
     ClockMs service_ms;      /* mean service time of a request; 0: unknown */
     ClockMs explore_idle_ms; /* above 0: chosen for a fresh report, if it has
--- a/src/roster/test_placement.c
+++ b/src/roster/test_placement.c
@@ -12,6 +12,7 @@
     static const double transit_ms[] = {0, 0.4, 2.8, 60};
 
     return (PlacementCandidate){.tier = tier,
+                                .is_known = TRUE,
                                 .fail_share = 0.03,
                                 .service_ms = 300,
                                 .transit_ms = transit_ms[tier]};
@@ -79,6 +80,23 @@
     }
 }
 
+/* Guards against moving a request to a far owner that has not reported lately
+ * while another one of the same region has. */
+static void
+test_unknown(void)
+{
+    PlacementRequest request = {
+        .failure_cost = 1, .relative_size = 1, .time_left_ms = 2000};
+    PlacementCandidate known = candidate_in(ROSTER_OTHER_REGION);
+    PlacementCandidate unknown = known;
+
+    unknown.is_known = FALSE;
+    unknown.load = 0;
+    known.load = 0.9;
+    g_assert_cmpfloat(Placement_Cost(&defaults, &request, &unknown), >,
+                      Placement_Cost(&defaults, &request, &known));
+}
+
 /* Guards against a cost that falls when one of its inputs gets worse. */
 static void
 test_monotony(void)
@@ -106,6 +124,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/placement/spill", test_spill);
+    g_test_add_func("/placement/unknown", test_unknown);
     g_test_add_func("/placement/monotony", test_monotony);
     return g_test_run();
 }
