Retry-After from the backlog instead of two constants

Cause: refused callers were told to return after 300 ms, or 1,000 ms if their team was over its rate, whatever they had met. After 300 ms a full service is still full, and a time beyond a third of what is left is not honoured.

Change: src/gateway/return_time computes the time from the shortest backlog among the owners that were full, or from the team's rate, with a random part that grows with the priority's number, so that urgent requests return first. Where it would be longer than callers wait, there is no Retry-After.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -8,41 +8,32 @@
 #include "gateway/gateway_internal.h"
 #include "gateway/peer_wire.h"
 
-/* Base of the Retry-After header: short if no free or healthy backend server
- * was found; long if the store cannot be reached, no configuration is loaded,
- * or the team has used up its rate. */
-#define RETRY_AFTER_SHORT_MS 300
-#define RETRY_AFTER_LONG_MS 1000
-
-/* Maximum random addition to Retry-After, as a share of it; spreads the
- * retries of callers that were refused together. */
-#define RETRY_AFTER_JITTER 0.5
-
-static ClockMs
-retry_after(Result result)
-{
-    switch (result) {
-    case RESULT_RATE_EXCEEDED:
-    case RESULT_ISOLATED:
-    case RESULT_NOT_CONFIGURED:
-        return RETRY_AFTER_LONG_MS;
-    default:
-        return RETRY_AFTER_SHORT_MS;
-    }
-}
+/* Time left of a caller whose deadline is not known. */
+#define DEFAULT_LEFT_MS 3000
 
 static void
-add_retry_after(Gateway *gateway, Result result, HttpAnswer *answer)
-{
+add_retry_after(Gateway *gateway, const GatewayRequest *request, Result result,
+                HttpAnswer *answer)
+{
+    const CatalogTeam *team = request->team;
+    ReturnInput input = {
+        .result = result,
+        .backlog_ms = request->backlog_ms,
+        .token_ms = team && team->rate_per_s > 0 ? 1000 / team->rate_per_s : 0,
+        .left_ms = request->caller_deadline > 0
+                       ? request->caller_deadline - Clock_Now()
+                       : DEFAULT_LEFT_MS,
+        .priority = request->call.priority};
     char text[32];
-    double spread;
+    ClockMs time;
 
     pthread_mutex_lock(&gateway->lock);
-    spread = 1 + RETRY_AFTER_JITTER * Rng_Unit(&gateway->rng);
+    time = ReturnTime_Compute(&input, Rng_Unit(&gateway->rng));
     pthread_mutex_unlock(&gateway->lock);
-    g_ascii_formatd(text, sizeof(text), "%.2f",
-                    (double)retry_after(result) * spread / 1000);
-    HttpHeaders_Add(&answer->headers, "Retry-After", text);
+    if (time != RETURN_TIME_NONE) {
+        g_ascii_formatd(text, sizeof(text), "%.2f", (double)time / 1000);
+        HttpHeaders_Add(&answer->headers, "Retry-After", text);
+    }
 }
 
 /* HTTP status of a request that ends without a backend server's answer. */
@@ -65,7 +56,7 @@
     HttpAnswer_SetRefusal(answer, result, run, request->call.request_id, NULL);
     answer->status = refusal_status(result, run);
     if (answer->status == 503 || answer->status == 429) {
-        add_retry_after(gateway, result, answer);
+        add_retry_after(gateway, request, result, answer);
     }
     Counter_Refusal(result);
 }
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -338,6 +338,19 @@
             now < request->deadline);
 }
 
+/* Keeps the shortest wait among the owners that are full. */
+static void
+note_backlog(GatewayRequest *request, const RosterReport *report)
+{
+    double queue = (double)report->in_flight + report->waiting + 1;
+    ClockMs wait = (ClockMs)(MAX(queue - report->slots, 1) *
+                             (double)report->service_ms / report->slots);
+
+    if (request->backlog_ms == 0 || wait < request->backlog_ms) {
+        request->backlog_ms = wait;
+    }
+}
+
 /* Updates the roster and the request's lists of hosts for later choices. */
 static void
 note_reply(GatewayRequest *request, const RosterChoice *choice,
@@ -353,6 +366,10 @@
     else if (reply->report.slots > 0) {
         Roster_Report(roster, choice->host, &reply->report, now);
     }
+    if (reply->result == RESULT_BACKEND_SERVER_BUSY &&
+        reply->report.slots > 0) {
+        note_backlog(request, &reply->report);
+    }
     switch (reply->result) {
     case RESULT_BACKEND_SERVER_EJECTED:
     case RESULT_BACKEND_SERVER_BUSY:
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -5,6 +5,7 @@
 #include <pthread.h>
 
 #include "gateway/gateway.h"
+#include "gateway/return_time.h"
 #include "gateway/size_estimate.h"
 #include "http/http_cancel_set.h"
 #include "http/http_server.h"
@@ -36,6 +37,9 @@
     BackendCall call;
     ClockMs arrived;
     ClockMs deadline; /* caller's deadline or route's timeout, the earlier */
+    ClockMs caller_deadline; /* by the caller's header alone */
+    ClockMs backlog_ms;  /* shortest wait of the owners that were full; 0: none
+                            was */
     ClockMs target_time; /* time limit set by the route's latency target */
     ClockMs catalog_age; /* age of the configuration, Catalog_Age() */
     QuotaSource quota_source;
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -89,6 +89,7 @@
     ClockMs target_ms =
         route->target_ms > 0 ? route->target_ms : DEFAULT_TARGET_MS;
 
+    request->caller_deadline = request->arrived + MAX(left, 0);
     if (route->timeout_ms > 0) {
         left = MIN(left, route->timeout_ms);
     }
--- /dev/null
+++ b/src/gateway/return_time.h
@@ -0,0 +1,39 @@
+/* ReturnTime: when a caller whose request was refused should send it again.
+ *
+ * Load pattern: a service is full, many callers are refused within a short
+ * time, and all of them return. If they return at once, they find it full
+ * again and add load; if they return together, they form the next peak. Each
+ * one is therefore told to return when the backlog that it met will have been
+ * served, with a random part that is smaller for more urgent requests, so that
+ * these come first.
+ *
+ * Use: ReturnTime_Compute() for each refusal that promises that the request
+ * has not run. RETURN_TIME_NONE means that the caller should not be told to
+ * return: it would be past the time that callers are prepared to wait.
+ *
+ * Errors and limits: none; a pure function.
+ */
+#ifndef GATEWAY_RETURN_TIME_H
+#define GATEWAY_RETURN_TIME_H
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/result.h"
+
+#define RETURN_TIME_NONE (-1)
+
+typedef struct ReturnInput {
+    Result result;
+    ClockMs backlog_ms; /* shortest wait for a slot among the owners that
+                           refused; 0: unknown */
+    ClockMs token_ms;   /* mean time between two requests within the team's
+                           rate; 0: no limit */
+    ClockMs left_ms;    /* time that the caller has left */
+    int priority;       /* of the request; 0 is the most urgent */
+} ReturnInput;
+
+/* `unit` is a random number in [0, 1). */
+ClockMs ReturnTime_Compute(const ReturnInput *input, double unit);
+
+#endif
