HTTP: bounds for answers without end and for uploads in flight

Field report: bytes that are no answer come without end, in a head or a body. It could happen here: interim answers were read until the deadline, a head could take 800 KB, and 16 MiB were allowed for each answer, which is 2 GiB with 64 threads on each of two ports. Uploads had a bound for one body only.

Change: at most 8 interim answers and 64 KiB of headers; the bodies of all answers that are being read share 24 MiB beyond the first 64 KiB of each, so small answers pass while large ones use up the rest; the bodies of all requests of a server share 24 MiB, and what does not fit is refused as not run. An answer for which this daemon has no memory is no evidence against its sender.

/endless/one, /endless/shared-memory and /endless/uploads fail without the limit of interim answers (2 GB were read), of the shared memory and of the uploads. Answers that trickle in are still bounded by their deadline only.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -349,6 +349,9 @@
             return;
         }
         break;
+    case RESULT_OVERLOADED:
+        /* This daemon had no memory left for the answer. */
+        return;
     case RESULT_BACKEND_SERVER_OTHER:
         /* Another instance uses the address: stop sending until it announces
          * itself. */
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -13,6 +13,7 @@
 #define DEFAULT_CONNECT_MS 1000
 #define DEFAULT_UNACKED_TIMEOUT_MS 1000
 #define DEFAULT_MAX_ANSWER_BYTES (16 * 1024 * 1024)
+#define DEFAULT_MAX_READING_BYTES (24 * 1024 * 1024)
 
 /* A pooled connection is no longer used this long before the idle timeout that
  * its peer announced. */
@@ -38,6 +39,7 @@
     pthread_mutex_t lock;
     GHashTable *idle; /* address -> GArray of IdleConnection, oldest first */
     ClockMs next_sweep;
+    HttpReadMemory memory;
 };
 
 HttpCancel *
@@ -166,6 +168,10 @@
     if (client->desc.max_answer_bytes == 0) {
         client->desc.max_answer_bytes = DEFAULT_MAX_ANSWER_BYTES;
     }
+    if (client->desc.max_reading_bytes == 0) {
+        client->desc.max_reading_bytes = DEFAULT_MAX_READING_BYTES;
+    }
+    client->memory.limit = client->desc.max_reading_bytes;
     pthread_mutex_init(&client->lock, NULL);
     client->idle = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                                          free_idle_list);
@@ -317,8 +323,8 @@
 {
     HttpReadOptions options = {.no_body = strcmp(call->method, "HEAD") == 0,
                                .allow_unframed = call->allow_unframed,
-                               .max_body_bytes =
-                                   client->desc.max_answer_bytes};
+                               .max_body_bytes = client->desc.max_answer_bytes,
+                               .memory = &client->memory};
     GString *text = format_request(call);
     gboolean complete;
     Result result = HttpConnection_Send(connection, text->str, text->len,
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -13,7 +13,8 @@
  *
  * Results: OK with the answer; CONNECT_FAILED (nothing sent); ANSWER_LOST and
  * ANSWER_TRUNCATED (sent, no complete answer); DEADLINE_EXPIRED; CANCELLED;
- * TOO_LARGE. *sent is TRUE if a byte may have left this host.
+ * TOO_LARGE; OVERLOADED (sent; too many large answers are being read). *sent
+ * is TRUE if a byte may have left this host.
  *
  * Limits: an answer needs Content-Length or chunked encoding, so that a
  * truncated one is recognised, unless the call sets allow_unframed; body up to
@@ -43,6 +44,8 @@
     ClockMs unacked_timeout_ms; /* timeout for unacknowledged data, after which
                                 the connection ends; default 1,000 */
     size_t max_answer_bytes;    /* default 16 MiB */
+    size_t max_reading_bytes;   /* of all answers that are being read, beyond
+                                   the first 64 KiB of each; default 24 MiB */
 } HttpClient_desc;
 
 typedef struct HttpCall {
--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -11,6 +11,11 @@
 
 #define LINE_BYTES 8192
 #define MAX_HEADER_LINES 100
+#define MAX_HEAD_BYTES 65536
+#define MAX_INTERIM_ANSWERS 8
+
+/* Bytes of each body that do not count towards the shared memory. */
+#define UNCOUNTED_BYTES 65536
 
 /* Bytes read from the socket at once. */
 #define READ_BYTES 8192
@@ -258,6 +263,7 @@
 read_headers(HttpConnection *connection, ClockMs deadline,
              HttpHeaders *headers, ReadState *state)
 {
+    size_t bytes = 0;
     char *line;
     char *colon;
 
@@ -269,8 +275,10 @@
         if (line[0] == '\0') {
             return TRUE;
         }
+        bytes += strlen(line);
         colon = strchr(line, ':');
-        if (colon == NULL || line[0] == ' ' || line[0] == '\t') {
+        if (bytes > MAX_HEAD_BYTES || colon == NULL || line[0] == ' ' ||
+            line[0] == '\t') {
             return FALSE;
         }
         *colon = '\0';
@@ -304,8 +312,12 @@
           ReadState *state)
 {
     char *line;
+    int interim = 0;
 
     do {
+        if (interim++ > MAX_INTERIM_ANSWERS) {
+            return FALSE;
+        }
         HttpHeaders_Clear(&answer->headers);
         *state = read_line(connection, deadline, &line);
         if (*state != READ_DATA || !parse_status(line, &answer->status) ||
@@ -316,34 +328,52 @@
     return TRUE;
 }
 
-/* Moves up to `bytes` unread bytes into the body. */
-static void
-take_unread(HttpConnection *connection, GByteArray *body, size_t bytes)
+/* A body that is being read. */
+typedef struct Body {
+    GByteArray *bytes;
+    size_t max_bytes;
+    HttpReadMemory *memory; /* NULL: not limited */
+    size_t reserved;        /* bytes reserved of it */
+} Body;
+
+/* Reserves memory for more bytes. */
+static Result
+reserve(Body *body, size_t bytes)
 {
-    size_t unread = connection->last - connection->first;
-    size_t part = MIN(bytes, unread);
+    size_t length = body->bytes->len + bytes;
+    size_t wanted;
 
-    g_byte_array_append(body,
-                        (const guint8 *)connection->buffer + connection->first,
-                        (guint)part);
-    connection->first += part;
+    if (length > body->max_bytes) {
+        return RESULT_TOO_LARGE;
+    }
+    if (body->memory == NULL || length <= UNCOUNTED_BYTES + body->reserved) {
+        return RESULT_OK;
+    }
+    wanted = length - UNCOUNTED_BYTES - body->reserved;
+    if (atomic_fetch_add(&body->memory->used, wanted) + wanted >
+        body->memory->limit) {
+        atomic_fetch_sub(&body->memory->used, wanted);
+        return RESULT_OVERLOADED;
+    }
+    body->reserved += wanted;
+    return RESULT_OK;
 }
 
-static ReadState
-read_bytes(HttpConnection *connection, GByteArray *body, size_t bytes,
-           ClockMs deadline)
+/* Moves up to `bytes` unread bytes into the body. */
+static Result
+take_unread(HttpConnection *connection, Body *body, size_t bytes)
 {
-    size_t wanted = body->len + bytes;
-    ReadState state = READ_DATA;
-
-    take_unread(connection, body, bytes);
-    while (body->len < wanted && state == READ_DATA) {
-        state = fill(connection, deadline);
-        if (state == READ_DATA) {
-            take_unread(connection, body, wanted - body->len);
-        }
+    size_t part = MIN(bytes, connection->last - connection->first);
+    Result result = reserve(body, part);
+
+    if (result == RESULT_OK) {
+        g_byte_array_append(body->bytes,
+                            (const guint8 *)connection->buffer +
+                                connection->first,
+                            (guint)part);
+        connection->first += part;
     }
-    return state;
+    return result;
 }
 
 static Result
@@ -354,10 +384,27 @@
 }
 
 static Result
-read_chunks(HttpConnection *connection, size_t max_bytes, GByteArray *body,
-            ClockMs deadline)
+read_bytes(HttpConnection *connection, Body *body, size_t bytes,
+           ClockMs deadline)
+{
+    size_t wanted = body->bytes->len + bytes;
+    Result result = take_unread(connection, body, bytes);
+    ReadState state;
+
+    while (result == RESULT_OK && body->bytes->len < wanted) {
+        state = fill(connection, deadline);
+        result = state == READ_DATA
+                     ? take_unread(connection, body, wanted - body->bytes->len)
+                     : body_error(state);
+    }
+    return result;
+}
+
+static Result
+read_chunks(HttpConnection *connection, Body *body, ClockMs deadline)
 {
     HttpHeaders trailers = {0};
+    Result result;
     ReadState state;
     guint64 bytes;
     char *line;
@@ -372,14 +419,15 @@
         if (end == line || (*end != '\0' && *end != ';' && *end != ' ')) {
             return RESULT_ANSWER_TRUNCATED;
         }
-        if (bytes > max_bytes - body->len) {
+        if (bytes > body->max_bytes - body->bytes->len) {
             return RESULT_TOO_LARGE;
         }
         if (bytes > 0) {
-            state = read_bytes(connection, body, bytes, deadline);
-            if (state == READ_DATA) {
-                state = read_line(connection, deadline, &line);
+            result = read_bytes(connection, body, bytes, deadline);
+            if (result != RESULT_OK) {
+                return result;
             }
+            state = read_line(connection, deadline, &line);
             if (state != READ_DATA || line[0] != '\0') {
                 return body_error(state);
             }
@@ -394,20 +442,19 @@
 }
 
 static Result
-read_to_end(HttpConnection *connection, size_t max_bytes, GByteArray *body,
-            ClockMs deadline)
+read_to_end(HttpConnection *connection, Body *body, ClockMs deadline)
 {
     ReadState state = READ_DATA;
+    Result result = take_unread(connection, body, G_MAXSIZE);
 
-    take_unread(connection, body, G_MAXSIZE);
-    while (state == READ_DATA) {
-        if (body->len > max_bytes) {
-            return RESULT_TOO_LARGE;
-        }
+    while (result == RESULT_OK) {
         state = fill(connection, deadline);
-        take_unread(connection, body, G_MAXSIZE);
+        if (state != READ_DATA) {
+            return state == READ_CLOSED ? RESULT_OK : body_error(state);
+        }
+        result = take_unread(connection, body, G_MAXSIZE);
     }
-    return state == READ_CLOSED ? RESULT_OK : body_error(state);
+    return result;
 }
 
 /* Returns the value of Content-Length: -1 if there is none, -2 if the values
@@ -435,13 +482,12 @@
 
 static Result
 read_body(HttpConnection *connection, const HttpReadOptions *options,
-          const HttpAnswer *answer, GByteArray *body, ClockMs deadline,
+          const HttpAnswer *answer, Body *body, ClockMs deadline,
           gboolean *reusable)
 {
     const char *encoding =
         HttpHeaders_Get(&answer->headers, "Transfer-Encoding");
     int64_t length = content_length(&answer->headers);
-    ReadState state;
 
     if (answer->status == 204 || answer->status == 304 || options->no_body) {
         return RESULT_OK;
@@ -451,22 +497,19 @@
     }
     if (encoding != NULL) {
         return g_ascii_strcasecmp(encoding, "chunked") == 0
-                   ? read_chunks(connection, options->max_body_bytes, body,
-                                 deadline)
+                   ? read_chunks(connection, body, deadline)
                    : RESULT_ANSWER_TRUNCATED;
     }
     if (length < 0) {
         *reusable = FALSE;
         return options->allow_unframed
-                   ? read_to_end(connection, options->max_body_bytes, body,
-                                 deadline)
+                   ? read_to_end(connection, body, deadline)
                    : RESULT_ANSWER_TRUNCATED;
     }
     if ((uint64_t)length > options->max_body_bytes) {
         return RESULT_TOO_LARGE;
     }
-    state = read_bytes(connection, body, (size_t)length, deadline);
-    return state == READ_DATA ? RESULT_OK : body_error(state);
+    return read_bytes(connection, body, (size_t)length, deadline);
 }
 
 static gboolean
@@ -483,7 +526,8 @@
                           HttpAnswer *answer, gboolean *reusable)
 {
     ReadState state = READ_DATA;
-    GByteArray *body;
+    Body body = {.max_bytes = options->max_body_bytes,
+                 .memory = options->memory};
     Result result;
 
     *reusable = FALSE;
@@ -492,13 +536,16 @@
                                      : RESULT_ANSWER_LOST;
     }
     *reusable = !has_connection_close(answer);
-    body = g_byte_array_new();
-    result = read_body(connection, options, answer, body, deadline, reusable);
+    body.bytes = g_byte_array_new();
+    result = read_body(connection, options, answer, &body, deadline, reusable);
     if (result != RESULT_OK) {
         *reusable = FALSE;
     }
-    HttpAnswer_SetBody(answer, body->data, body->len);
-    g_byte_array_free(body, TRUE);
+    HttpAnswer_SetBody(answer, body.bytes->data, body.bytes->len);
+    g_byte_array_free(body.bytes, TRUE);
+    if (body.memory != NULL) {
+        atomic_fetch_sub(&body.memory->used, body.reserved);
+    }
     return result;
 }
 
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -13,15 +13,18 @@
  *
  * Errors: DEADLINE_EXPIRED; CONNECT_FAILED; ANSWER_LOST (no complete head),
  * ANSWER_TRUNCATED (no complete body, or a head whose framing is ambiguous);
- * TOO_LARGE.
+ * TOO_LARGE; OVERLOADED (the memory for answers is used up).
  *
- * Limits: 100 header lines of at most 8 KiB.
+ * Limits: 100 header lines of at most 8 KiB each and 64 KiB together, 8
+ * interim answers. A peer that sends on without end is cut off at these
+ * limits, or at the limits of the body, whatever the deadline.
  */
 #ifndef HTTP_HTTP_CONNECTION_H
 #define HTTP_HTTP_CONNECTION_H
 
 #include <glib.h>
 #include <netinet/in.h>
+#include <stdatomic.h>
 
 #include "base/clock.h"
 #include "base/result.h"
@@ -38,10 +41,19 @@
     void *context;
 } HttpSoftTimeout;
 
+/* Memory for the bodies of answers that are being read, shared by all
+ * connections of a client. The first part of each body is not counted, so that
+ * small answers are still read when large ones use up the rest. */
+typedef struct HttpReadMemory {
+    size_t limit;
+    atomic_size_t used;
+} HttpReadMemory;
+
 typedef struct HttpReadOptions {
     gboolean no_body;        /* answer to a HEAD request */
     gboolean allow_unframed; /* accept a body that ends with the connection */
     size_t max_body_bytes;
+    HttpReadMemory *memory; /* NULL: not limited */
 } HttpReadOptions;
 
 /* Unacknowledged data, or unanswered keep-alive probes, end the connection
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -21,11 +21,45 @@
 #define DEFAULT_EVENT_THREADS 2
 #define DEFAULT_WORKER_THREADS 32
 #define DEFAULT_MAX_BODY_BYTES (1024 * 1024)
+#define DEFAULT_MAX_BUFFERED_BYTES (24 * 1024 * 1024)
 #define DEFAULT_IDLE_TIMEOUT_S 120
 
 /* Memory of a connection, which limits the total size of the headers. */
 #define CONNECTION_MEMORY_BYTES (64 * 1024)
 
+static void
+drop_body(HttpRequest *request)
+{
+    atomic_fetch_sub(&request->server->buffered, request->body->len);
+    g_byte_array_unref(request->body);
+    request->body = g_byte_array_new();
+}
+
+/* Appends to the body, or drops it if it is too large, alone or with those of
+ * the other requests. */
+static void
+add_body(HttpRequest *request, const char *bytes, size_t count)
+{
+    HttpServer *server = request->server;
+
+    if (request->refusal != RESULT_OK) {
+        return;
+    }
+    if (request->body->len + count > server->desc.max_body_bytes) {
+        request->refusal = RESULT_REQUEST_TOO_LARGE;
+    }
+    else if (atomic_load(&server->buffered) + count >
+             server->desc.max_buffered_bytes) {
+        request->refusal = RESULT_OVERLOADED;
+    }
+    if (request->refusal != RESULT_OK) {
+        drop_body(request);
+        return;
+    }
+    atomic_fetch_add(&server->buffered, count);
+    g_byte_array_append(request->body, (const guint8 *)bytes, (guint)count);
+}
+
 static void
 release_request(HttpRequest *request)
 {
@@ -37,9 +71,8 @@
     }
     HttpHeaders_Clear(&request->headers);
     HttpAnswer_Clear(&request->answer);
-    if (request->body != NULL) {
-        g_byte_array_free(request->body, TRUE);
-    }
+    drop_body(request);
+    g_byte_array_free(request->body, TRUE);
     g_free(request->method);
     g_free(request->target);
     g_free(request);
@@ -155,13 +188,10 @@
 static enum MHD_Result
 dispatch(HttpServer *server, HttpRequest *request)
 {
-    Result refusal = RESULT_OK;
+    Result refusal = request->refusal;
 
     MHD_get_connection_values(request->connection, MHD_HEADER_KIND, add_header,
                               &request->headers);
-    if (request->too_large) {
-        refusal = RESULT_REQUEST_TOO_LARGE;
-    }
     request->complete = TRUE;
     pthread_mutex_lock(&server->lock);
     server->unsent++;
@@ -309,13 +339,7 @@
         return is_ambiguous(connection) ? refuse_framing(request) : MHD_YES;
     }
     if (*upload_bytes > 0) {
-        if (request->body->len + *upload_bytes > server->desc.max_body_bytes) {
-            request->too_large = TRUE;
-        }
-        else {
-            g_byte_array_append(request->body, (const guint8 *)upload,
-                                (guint)*upload_bytes);
-        }
+        add_body(request, upload, *upload_bytes);
         *upload_bytes = 0;
         return MHD_YES;
     }
@@ -485,6 +509,10 @@
     if (desc->max_body_bytes == 0) {
         desc->max_body_bytes = DEFAULT_MAX_BODY_BYTES;
     }
+    if (desc->max_buffered_bytes == 0) {
+        desc->max_buffered_bytes =
+            MAX(DEFAULT_MAX_BUFFERED_BYTES, desc->max_body_bytes);
+    }
     if (desc->idle_timeout_s == 0) {
         desc->idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S;
     }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -15,7 +15,8 @@
  * handler's answer is dropped (HttpRequest_Respond() returns FALSE).
  *
  * Limits: a body above max_body_bytes is refused with REQUEST_TOO_LARGE;
- * requests above max_in_flight are refused with OVERLOADED.
+ * requests above max_in_flight, and those whose body does not fit into
+ * max_buffered_bytes with the others, are refused with OVERLOADED.
  */
 #ifndef HTTP_HTTP_SERVER_H
 #define HTTP_HTTP_SERVER_H
@@ -44,6 +45,8 @@
     unsigned worker_threads;         /* default 32 */
     unsigned max_in_flight;          /* default 4 x worker_threads */
     size_t max_body_bytes;           /* default 1 MiB */
+    size_t max_buffered_bytes;       /* bodies of all requests; default 24 MiB,
+                                        but at least max_body_bytes */
     unsigned idle_timeout_s;         /* connection timeout, default 120 */
     const char *tls_certificate_pem; /* PEM text; NULL: no TLS. Renewed by
                                         HttpTls_SetCertificate(). */
--- a/src/http/http_server_private.h
+++ b/src/http/http_server_private.h
@@ -18,7 +18,7 @@
     char *query;
     HttpHeaders headers;
     GByteArray *body;
-    gboolean too_large;
+    Result refusal;    /* reason to refuse it once it has been read, or OK */
     gboolean complete; /* fully read; counted in server->unsent until the
                           request ends */
     ClockMs arrived;
@@ -44,9 +44,10 @@
     HttpExecutor *executor;
     uint16_t port;
     pthread_mutex_t lock;
-    GPtrArray *in_flight; /* HttpRequest *, those passed to the executor */
-    unsigned unsent;      /* fully read requests whose answer is not sent */
-    gboolean closed;      /* new requests are refused */
+    GPtrArray *in_flight;   /* HttpRequest *, those passed to the executor */
+    unsigned unsent;        /* fully read requests whose answer is not sent */
+    gboolean closed;        /* new requests are refused */
+    atomic_size_t buffered; /* bytes of the bodies of all requests */
     atomic_uint connections;
     atomic_bool leaving;  /* answers close their connections */
     atomic_bool draining; /* no new connections */
--- /dev/null
+++ b/src/http/test_endless.c
@@ -0,0 +1,337 @@
+/* Tests of the HTTP client and server against peers that send bytes without
+ * end, copies of earlier answers, and many large bodies at once. */
+#include <glib.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/http_client.h"
+#include "http/http_server.h"
+
+#define DEADLINE_MS 20000
+
+static struct sockaddr_in
+loopback(uint16_t port)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons(port)};
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+/* Reads a request on each accepted connection, then sends `prefix` and
+ * repetitions of `unit` until the peer closes. */
+typedef struct Flood {
+    const char *prefix;
+    const char *unit;
+    size_t unit_repeats; /* in one write */
+    int listener;
+    struct sockaddr_in address;
+    int connections;
+    _Atomic size_t sent;
+} Flood;
+
+typedef struct FloodConnection {
+    Flood *flood;
+    int fd;
+} FloodConnection;
+
+static void *
+run_flood_connection(void *context)
+{
+    FloodConnection *connection = context;
+    Flood *flood = connection->flood;
+    GString *block = g_string_new(NULL);
+    char buffer[2000];
+    ssize_t sent;
+
+    for (size_t i = 0; i < flood->unit_repeats; i++) {
+        g_string_append(block, flood->unit);
+    }
+    g_assert_cmpint(recv(connection->fd, buffer, sizeof(buffer), 0), >, 0);
+    sent = send(connection->fd, flood->prefix, strlen(flood->prefix),
+                MSG_NOSIGNAL);
+    while (sent >= 0) {
+        sent = send(connection->fd, block->str, block->len, MSG_NOSIGNAL);
+        flood->sent += sent > 0 ? (size_t)sent : 0;
+    }
+    close(connection->fd);
+    g_string_free(block, TRUE);
+    g_free(connection);
+    return NULL;
+}
+
+static void *
+run_flood(void *context)
+{
+    Flood *flood = context;
+    pthread_t threads[16];
+
+    for (int i = 0; i < flood->connections; i++) {
+        FloodConnection *connection = g_new0(FloodConnection, 1);
+
+        connection->flood = flood;
+        connection->fd = accept(flood->listener, NULL, NULL);
+        g_assert_cmpint(connection->fd, >=, 0);
+        pthread_create(&threads[i], NULL, run_flood_connection, connection);
+    }
+    for (int i = 0; i < flood->connections; i++) {
+        pthread_join(threads[i], NULL);
+    }
+    return NULL;
+}
+
+static int
+listen_on(struct sockaddr_in *address)
+{
+    socklen_t bytes = sizeof(*address);
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+
+    *address = loopback(0);
+    g_assert_cmpint(bind(listener, (struct sockaddr *)address, bytes), ==, 0);
+    g_assert_cmpint(listen(listener, 16), ==, 0);
+    getsockname(listener, (struct sockaddr *)address, &bytes);
+    return listener;
+}
+
+#define HEAD "HTTP/1.1 200 OK\r\n"
+#define SOCKET_BYTES                                        \
+    ((size_t)16 << 20) /* what sockets may hold, generously \
+                        */
+
+/* Guards against bytes without end, in a head or a body, that a client reads
+ * until the deadline of the call or until its memory is used up. */
+static void
+test_endless(void)
+{
+    static const struct {
+        const char *name;
+        const char *prefix;
+        const char *unit;
+        size_t unit_repeats;
+    } cases[] = {
+        {"no line break", "", "x", 4096},
+        {"no HTTP", "", "noise\r\n", 500},
+        {"header lines", HEAD, "A: b\r\n", 500},
+        {"interim answers", "", "HTTP/1.1 102 Wait\r\n\r\n", 100},
+        {"interim answers with headers", "",
+         "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n", 100},
+        {"body until the end", HEAD "\r\n", "xxxxxxxxxxxxxxxx", 1000},
+        {"chunks of one byte", HEAD "Transfer-Encoding: chunked\r\n\r\n",
+         "1\r\nx\r\n", 1000},
+        {"chunk extension", HEAD "Transfer-Encoding: chunked\r\n\r\n1;", "x",
+         4096},
+        {"trailers", HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+         "A: b\r\n", 500},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Flood flood = {.prefix = cases[i].prefix,
+                       .unit = cases[i].unit,
+                       .unit_repeats = cases[i].unit_repeats,
+                       .connections = 1};
+        HttpClient *client = HttpClient_Create(
+            &(HttpClient_desc){.max_answer_bytes = 256 * 1024});
+        ClockMs deadline = Clock_Now() + DEADLINE_MS;
+        HttpAnswer answer = {0};
+        HttpCall call = {.method = "GET",
+                         .target = "/",
+                         .allow_unframed = TRUE,
+                         .deadline = deadline};
+        pthread_t thread;
+        gboolean sent;
+        Result result;
+
+        flood.listener = listen_on(&flood.address);
+        call.address = flood.address;
+        pthread_create(&thread, NULL, run_flood, &flood);
+        result = HttpClient_Call(client, &call, &answer, &sent);
+        g_test_message("%s: %s, %zu bytes", cases[i].name, Result_Name(result),
+                       (size_t)flood.sent);
+        g_assert_cmpint(result, !=, RESULT_OK);
+        g_assert_cmpint(result, !=, RESULT_DEADLINE_EXPIRED);
+        g_assert_cmpint(Clock_Now(), <, deadline);
+        g_assert_true(sent);
+        HttpClient_Destroy(client);
+        pthread_join(thread, NULL);
+        g_assert_cmpuint(flood.sent, <, SOCKET_BYTES);
+        close(flood.listener);
+    }
+}
+
+typedef struct Reader {
+    HttpClient *client;
+    HttpCall call;
+    Result result;
+    pthread_t thread;
+} Reader;
+
+static void *
+run_reader(void *context)
+{
+    Reader *reader = context;
+    HttpAnswer answer = {0};
+    gboolean sent;
+
+    reader->result =
+        HttpClient_Call(reader->client, &reader->call, &answer, &sent);
+    HttpAnswer_Clear(&answer);
+    return NULL;
+}
+
+/* Guards against a memory bound that holds for one answer only: eight endless
+ * answers at once, each below the limit of one, must stay below the limit of
+ * all. */
+static void
+test_shared_memory(void)
+{
+    enum { READERS = 8 };
+    Flood flood = {.prefix = HEAD "\r\n",
+                   .unit = "xxxxxxxxxxxxxxxx",
+                   .unit_repeats = 1000,
+                   .connections = READERS};
+    HttpClient *client = HttpClient_Create(
+        &(HttpClient_desc){.max_answer_bytes = (size_t)1 << 30,
+                           .max_reading_bytes = 1024 * 1024});
+    Reader readers[READERS] = {{0}};
+    pthread_t thread;
+
+    flood.listener = listen_on(&flood.address);
+    pthread_create(&thread, NULL, run_flood, &flood);
+    for (int i = 0; i < READERS; i++) {
+        readers[i].client = client;
+        readers[i].call = (HttpCall){.method = "GET",
+                                     .target = "/",
+                                     .address = flood.address,
+                                     .allow_unframed = TRUE,
+                                     .deadline = Clock_Now() + DEADLINE_MS};
+        pthread_create(&readers[i].thread, NULL, run_reader, &readers[i]);
+    }
+    for (int i = 0; i < READERS; i++) {
+        pthread_join(readers[i].thread, NULL);
+        g_assert_cmpint(readers[i].result, ==, RESULT_OVERLOADED);
+    }
+    pthread_join(thread, NULL);
+    close(flood.listener);
+    HttpClient_Destroy(client);
+}
+
+typedef struct Gate {
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    gboolean open;
+    int waiting;
+} Gate;
+
+/* Holds requests for /hold until the gate is open. */
+static void
+hold(void *context, HttpRequest *request)
+{
+    Gate *gate = context;
+    HttpAnswer answer = {.status = 200};
+
+    pthread_mutex_lock(&gate->lock);
+    if (strcmp(HttpRequest_Path(request), "/hold") == 0) {
+        gate->waiting++;
+        pthread_cond_broadcast(&gate->changed);
+        while (!gate->open) {
+            pthread_cond_wait(&gate->changed, &gate->lock);
+        }
+    }
+    pthread_mutex_unlock(&gate->lock);
+    HttpRequest_Respond(request, &answer);
+}
+
+static int
+upload(HttpClient *client, uint16_t port, const char *target, size_t bytes)
+{
+    char *body = g_strnfill(bytes, 'x');
+    HttpCall call = {.address = loopback(port),
+                     .method = "POST",
+                     .target = target,
+                     .body = body,
+                     .body_bytes = bytes,
+                     .deadline = Clock_Now() + DEADLINE_MS};
+    HttpAnswer answer = {0};
+    gboolean sent;
+    int status;
+
+    g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                    RESULT_OK);
+    status = answer.status;
+    HttpAnswer_Clear(&answer);
+    g_free(body);
+    return status;
+}
+
+typedef struct Uploader {
+    HttpClient *client;
+    uint16_t port;
+    int status;
+} Uploader;
+
+static void *
+run_upload(void *context)
+{
+    Uploader *uploader = context;
+
+    uploader->status =
+        upload(uploader->client, uploader->port, "/hold", 80000);
+    return NULL;
+}
+
+/* Guards against memory that grows with the number of uploads in flight, and
+ * against refusing uploads for good after one was refused. */
+static void
+test_uploads(void)
+{
+    Gate gate = {.lock = PTHREAD_MUTEX_INITIALIZER,
+                 .changed = PTHREAD_COND_INITIALIZER};
+    HttpServer_desc desc = {.address = loopback(0),
+                            .handler = hold,
+                            .context = &gate,
+                            .worker_threads = 4,
+                            .max_body_bytes = 90000,
+                            .max_buffered_bytes = 100000};
+    HttpServer *server = HttpServer_Create(&desc, NULL);
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+    Uploader held = {client, HttpServer_Port(server), 0};
+    pthread_t thread;
+
+    pthread_create(&thread, NULL, run_upload, &held);
+    pthread_mutex_lock(&gate.lock);
+    while (gate.waiting == 0) {
+        pthread_cond_wait(&gate.changed, &gate.lock);
+    }
+    pthread_mutex_unlock(&gate.lock);
+    for (int i = 0; i < 3; i++) {
+        g_assert_cmpint(upload(client, held.port, "/", 80000), ==, 503);
+        g_assert_cmpint(upload(client, held.port, "/", 10000), ==, 200);
+    }
+    pthread_mutex_lock(&gate.lock);
+    gate.open = TRUE;
+    pthread_cond_broadcast(&gate.changed);
+    pthread_mutex_unlock(&gate.lock);
+    pthread_join(thread, NULL);
+    g_assert_cmpint(held.status, ==, 200);
+    HttpServer_Destroy(server);
+    server = HttpServer_Create(&desc, NULL);
+    for (int i = 0; i < 20; i++) {
+        g_assert_cmpint(upload(client, HttpServer_Port(server), "/", 80000),
+                        ==, 200);
+    }
+    HttpClient_Destroy(client);
+    HttpServer_Destroy(server);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/endless/one", test_endless);
+    g_test_add_func("/endless/shared-memory", test_shared_memory);
+    g_test_add_func("/endless/uploads", test_uploads);
+    return g_test_run();
+}
