HTTP: an answer without id on a used connection belongs to no request

Field report: a server sent a second copy of an answer, late, on a connection that was in use again. Copies with the id of the earlier request were dropped already; one without any id went to the next caller.

Change: on a pooled connection the answer has to carry the id of its request, else it is discarded and the next one is read. On a fresh connection no earlier answer can come. Connections between daemons and to the store carry no ids; both ends there are daemons or the store, which answer each request once.

/endless/late-copy fails with the old check (case "no id").

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -305,8 +305,10 @@
     return text;
 }
 
+/* Whether the answer belongs to the call. One without an id on a connection
+ * that was used before may be a late copy of an earlier answer. */
 static gboolean
-matches_call(const HttpCall *call, const HttpAnswer *answer)
+matches_call(const HttpCall *call, const HttpAnswer *answer, gboolean reused)
 {
     const char *value;
 
@@ -314,12 +316,12 @@
         return TRUE;
     }
     value = HttpHeaders_Get(&answer->headers, call->match_header);
-    return value == NULL || strcmp(value, call->match_value) == 0;
+    return value == NULL ? !reused : strcmp(value, call->match_value) == 0;
 }
 
 static Result
 exchange(HttpClient *client, HttpConnection *connection, const HttpCall *call,
-         HttpAnswer *answer, gboolean *reusable)
+         gboolean reused, HttpAnswer *answer, gboolean *reusable)
 {
     HttpReadOptions options = {.no_body = strcmp(call->method, "HEAD") == 0,
                                .allow_unframed = call->allow_unframed,
@@ -339,7 +341,7 @@
         result = HttpConnection_ReadAnswer(connection, &options,
                                            call->deadline, answer, reusable);
         *reusable = *reusable && complete;
-        if (result != RESULT_OK || matches_call(call, answer)) {
+        if (result != RESULT_OK || matches_call(call, answer, reused)) {
             return result;
         }
         HttpAnswer_Clear(answer);
@@ -371,6 +373,7 @@
 {
     HttpConnection *connection = NULL;
     gboolean reusable = FALSE;
+    gboolean reused;
     Result result = RESULT_OK;
 
     *sent = FALSE;
@@ -380,7 +383,8 @@
     if (!call->fresh_connection) {
         connection = take_idle(client, call);
     }
-    if (connection == NULL) {
+    reused = connection != NULL;
+    if (!reused) {
         result = open_connection(client, call, &connection);
     }
     if (result != RESULT_OK) {
@@ -393,7 +397,7 @@
     else {
         *sent = TRUE;
         HttpConnection_SetSoftTimeout(connection, call->soft_timeout);
-        result = exchange(client, connection, call, answer, &reusable);
+        result = exchange(client, connection, call, reused, answer, &reusable);
         HttpConnection_SetSoftTimeout(connection, NULL);
     }
     set_cancel_fd(call->cancel, -1);
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -66,7 +66,8 @@
                                   connection */
     const char *match_header;  /* name of a header that identifies the request:
                                   an answer with another value of it belongs to
-                                  another request and is discarded; NULL: all
+                                  another request and is discarded, also one
+                                  without it on a pooled connection; NULL: all
                                   answers are accepted */
     const char *match_value;   /* expected value of match_header */
     const HttpSoftTimeout *soft_timeout; /* NULL: none */
--- a/src/http/test_endless.c
+++ b/src/http/test_endless.c
@@ -218,6 +218,91 @@
     HttpClient_Destroy(client);
 }
 
+/* A server that answers the first request on a connection, and sends `late`
+ * before its answer to the second one. */
+typedef struct LateServer {
+    const char *late;
+    const char *second;
+    int listener;
+} LateServer;
+
+#define ANSWER(id, body) HEAD id "Content-Length: 3\r\n\r\n" body
+
+static void *
+run_late(void *context)
+{
+    static const char first[] = ANSWER("X-Id: r1\r\n", "one");
+    LateServer *server = context;
+    char buffer[2000];
+    int fd = accept(server->listener, NULL, NULL);
+
+    g_assert_cmpint(recv(fd, buffer, sizeof(buffer), 0), >, 0);
+    g_assert_cmpint(send(fd, first, strlen(first), MSG_NOSIGNAL), >, 0);
+    if (recv(fd, buffer, sizeof(buffer), 0) > 0) {
+        (void)!send(fd, server->late, strlen(server->late), MSG_NOSIGNAL);
+        (void)!send(fd, server->second, strlen(server->second), MSG_NOSIGNAL);
+    }
+    while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
+    }
+    close(fd);
+    return NULL;
+}
+
+/* Replays a second copy of an answer that arrives when its connection is in
+ * use again. Guards against handing it to the next caller. */
+static void
+test_late_copy(void)
+{
+    static const struct {
+        const char *name;
+        const char *late;
+        const char *second;
+        Result result;
+        const char *body;
+    } cases[] = {
+        {"id of the earlier request", ANSWER("X-Id: r1\r\n", "one"),
+         ANSWER("X-Id: r2\r\n", "two"), RESULT_OK, "two"},
+        {"no id", ANSWER("", "one"), ANSWER("X-Id: r2\r\n", "two"), RESULT_OK,
+         "two"},
+        {"two copies",
+         ANSWER("X-Id: r1\r\n", "one") ANSWER("X-Id: r1\r\n", "one"),
+         ANSWER("X-Id: r2\r\n", "two"), RESULT_OK, "two"},
+        {"closed after the copy",
+         HEAD "X-Id: r1\r\nConnection: close\r\nContent-Length: 3\r\n\r\none",
+         "", RESULT_ANSWER_LOST, NULL},
+        {"no copy", "", ANSWER("X-Id: r2\r\n", "two"), RESULT_OK, "two"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+        LateServer server = {.late = cases[i].late, .second = cases[i].second};
+        HttpAnswer answer = {0};
+        HttpCall call = {.method = "GET",
+                         .target = "/",
+                         .match_header = "X-Id",
+                         .match_value = "r1",
+                         .deadline = Clock_Now() + DEADLINE_MS};
+        pthread_t thread;
+        gboolean sent;
+
+        server.listener = listen_on(&call.address);
+        pthread_create(&thread, NULL, run_late, &server);
+        g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                        RESULT_OK);
+        g_assert_cmpstr(answer.body, ==, "one");
+        HttpAnswer_Clear(&answer);
+        call.match_value = "r2";
+        g_test_message("%s", cases[i].name);
+        g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                        cases[i].result);
+        g_assert_cmpstr(answer.body, ==, cases[i].body);
+        HttpAnswer_Clear(&answer);
+        HttpClient_Destroy(client);
+        pthread_join(thread, NULL);
+        close(server.listener);
+    }
+}
+
 typedef struct Gate {
     pthread_mutex_t lock;
     pthread_cond_t changed;
@@ -332,6 +417,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/endless/one", test_endless);
     g_test_add_func("/endless/shared-memory", test_shared_memory);
+    g_test_add_func("/endless/late-copy", test_late_copy);
     g_test_add_func("/endless/uploads", test_uploads);
     return g_test_run();
 }
