--- a/src/settings/settings_list.h
+++ b/src/settings/settings_list.h
@@ -130,11 +130,11 @@
            "repeats that it may make on top of it in one budget window") \
     TIME(retry_window_ms, 100, 600000, 10000, \
          "sliding window over which repeats are counted") \
-    REAL(data_centre_cost, "share", 0.001, 100, 0.03, \
+    REAL(data_centre_cost, "share", 0, 100, 0.03, \
          "cost of moving a request of mean size, with its answer, to another " \
          "data centre of the region, as a share of the request's value") \
-    REAL(region_cost, "share", 0.001, 100, 0.2, \
-         "the same for another region")
+    REAL(region_cost, "share", 0, 100, 0.2, \
+         "the same for another region; 0: the default, of both")
 /* clang-format on */
 
 #endif
