Admission: requests of callers keep a quarter of the slots beside calls

Cause: calls of running requests came first whatever the load.

Change: while less than a quarter of the slots runs requests of callers, the next free slot goes to one of them; the expected wait knows it.

/admission/called-service fails without the reserve (0 of 37 requests served) and without the change of the expected wait (1 of 37).

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -11,8 +11,8 @@
 /* Time constant of the exponential decay of the slot time that was used. */
 #define WORK_DECAY_MS 5000
 
-/* Maximum share of the slots that calls are expected to take. */
-#define MAX_NESTED_SHARE 0.8
+/* Requests of callers keep one of this many slots. */
+#define RESERVED_PART 4
 
 /* Share of the mean service time below which a waiting request is not expected
  * to finish before its deadline. */
@@ -103,29 +103,39 @@
     return a->deadline < b->deadline;
 }
 
-/* Share of the slots that is left for requests beside calls, which come
- * first. */
+/* Slots that calls leave to requests of callers. */
+static guint
+reserved_slots(const Admission *admission)
+{
+    return admission->slots / RESERVED_PART;
+}
+
+/* Share of the slots that requests of callers use beside calls. */
 static double
 request_share(const Admission *admission)
 {
     double work =
         admission->work_ms[KIND_REQUEST] + admission->work_ms[KIND_NESTED];
 
-    return work > 0 ? 1 - MIN(admission->work_ms[KIND_NESTED] / work,
-                              MAX_NESTED_SHARE)
+    return work > 0 ? MAX(admission->work_ms[KIND_REQUEST] / work,
+                          1.0 / RESERVED_PART)
                     : 1;
 }
 
-/* Expected wait with a number of tickets of each kind ahead, including the
- * ticket itself. */
+/* Expected wait of a ticket with a number of tickets of each kind ahead,
+ * including the ticket itself. */
 static double
-wait_behind(const Admission *admission, const guint *ahead)
+wait_behind(const Admission *admission, Kind kind, const guint *ahead)
 {
     double calls = ahead[KIND_NESTED] * admission->service_ms[KIND_NESTED];
     double requests =
         ahead[KIND_REQUEST] * admission->service_ms[KIND_REQUEST];
+    double wait =
+        (calls + requests / request_share(admission)) / admission->slots;
 
-    return (calls + requests / request_share(admission)) / admission->slots;
+    return kind == KIND_REQUEST && reserved_slots(admission) > 0
+               ? MIN(wait, requests / reserved_slots(admission))
+               : wait;
 }
 
 ClockMs
@@ -146,7 +156,7 @@
         }
     }
     ahead[kind_of(ticket)]++;
-    return (ClockMs)wait_behind(admission, ahead);
+    return (ClockMs)wait_behind(admission, kind_of(ticket), ahead);
 }
 
 gboolean
@@ -180,6 +190,29 @@
     }
 }
 
+/* Place of the next ticket to be admitted. Calls come first, but requests of
+ * callers keep a part of the slots, so that the ones that a service makes do
+ * not shut out its own. */
+static guint
+next_place(const Admission *admission)
+{
+    guint requests = 0;
+
+    for (guint i = 0; i < admission->running->len; i++) {
+        requests +=
+            kind_of(g_ptr_array_index(admission->running, i)) == KIND_REQUEST;
+    }
+    if (requests >= reserved_slots(admission)) {
+        return 0;
+    }
+    for (guint i = 0; i < admission->queue->len; i++) {
+        if (kind_of(g_ptr_array_index(admission->queue, i)) == KIND_REQUEST) {
+            return i;
+        }
+    }
+    return 0;
+}
+
 static gboolean
 admit(Admission *admission, ClockMs now)
 {
@@ -187,9 +220,10 @@
 
     while (admission->queue->len > 0 &&
            admission->running->len < admission->slots) {
-        AdmissionTicket *ticket = g_ptr_array_index(admission->queue, 0);
+        guint place = next_place(admission);
+        AdmissionTicket *ticket = g_ptr_array_index(admission->queue, place);
 
-        g_ptr_array_remove_index(admission->queue, 0);
+        g_ptr_array_remove_index(admission->queue, place);
         ticket->state = ADMISSION_ADMITTED;
         ticket->started = now;
         g_ptr_array_add(admission->running, ticket);
@@ -218,7 +252,7 @@
 
         ahead[kind]++;
         end = (double)now +
-              MAX(wait_behind(admission, ahead), (place + 1) * gap) +
+              MAX(wait_behind(admission, kind, ahead), (place + 1) * gap) +
               MIN_SERVICE_SHARE * admission->service_ms[kind];
         if (end > (double)ticket->deadline) {
             g_ptr_array_remove_index(admission->queue, place);
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -13,7 +13,9 @@
  *    deadline, also if slots are freed more slowly than expected; its sender
  *    can then try elsewhere, or tell the caller when to return.
  * Calls made by running requests come first, since the calling request holds a
- * slot elsewhere while it waits for them.
+ * slot elsewhere while it waits for them. Requests of callers keep a quarter
+ * of the slots, so that a service that others call more than it can serve
+ * still serves its own callers.
  *
  * In calm the queue is empty and a request takes a slot at once.
  *
--- a/src/admission/test_admission.c
+++ b/src/admission/test_admission.c
@@ -260,6 +260,27 @@
     g_assert_cmpfloat(shares[2], >, 0);
 }
 
+/* Replays a service that is called more than it can serve and has callers of
+ * its own, who need less than a quarter of the slots. Guards against calls
+ * that shut these out. */
+static void
+test_called_service(void)
+{
+    static const Stream streams[] = {{60, 100, ADMISSION_PRIORITY_NESTED},
+                                     {1.5, SERVICE_MS, 1}};
+    Load load = {.streams = streams, .stream_count = 2};
+    Outcome outcomes[2] = {{0}};
+
+    replay(&load, outcomes);
+    g_test_message("calls %u of %u, requests %u in time and %u late of %u",
+                   outcomes[0].in_time + outcomes[0].late, outcomes[0].asked,
+                   outcomes[1].in_time, outcomes[1].late, outcomes[1].asked);
+    g_assert_cmpfloat((double)(outcomes[1].in_time + outcomes[1].late) /
+                          outcomes[1].asked,
+                      >=, 0.75);
+    g_assert_cmpuint(outcomes[0].in_time, >, outcomes[0].asked / 2);
+}
+
 /* Guards against a wait or a refusal while slots are free. */
 static void
 test_calm(void)
@@ -290,6 +311,7 @@
     g_test_add_func("/admission/overload", test_overload);
     g_test_add_func("/admission/stall", test_stall);
     g_test_add_func("/admission/classes", test_classes);
+    g_test_add_func("/admission/called-service", test_called_service);
     g_test_add_func("/admission/calm", test_calm);
     return g_test_run();
 }
