tool: report on load from the logs of daemons

`radishknot load FILE` reads REQUEST_ENDED and CALL_RUN lines and prints, for each service and second, arrivals, what became of them, retries, owners asked in another region, the longest time before a refusal and the longest queue, then the times of each result.

--- a/src/tool/tool.c
+++ b/src/tool/tool.c
@@ -45,6 +45,10 @@
     {"host retire", "HOST",
      "declare that a host will not return; its rate slots move at once", 1, 1,
      Tool_HostRetire},
+    {"load", "FILE",
+     "show from the logs of daemons, for each service and second, what became "
+     "of the requests; - reads standard input",
+     1, 1, Tool_Load},
     {"counters", "", "show the counters that are not zero", 0, 0,
      Tool_Counters},
 };
