backend: a test for a pause between the acceptance of a request and its write

Field report: a process that had been paused acted on a permission that had run out meanwhile. The client reads the clock again before the first byte, so a request whose time has run out is not sent, also on an open connection, and ends as not run. /backend/paused fails without that check. Nothing found, no change.

--- a/src/backend/test_backend.c
+++ b/src/backend/test_backend.c
@@ -617,6 +617,37 @@
     close_fixture(&fixture);
 }
 
+/* Replays a process that stands still between the acceptance of a request and
+ * its write to a connection that is open already. Guards against sending a
+ * request whose time has run out meanwhile, and against reporting that it may
+ * have run. */
+static void
+test_paused(void)
+{
+    Fixture fixture = {.script = {.answer = ANSWER_OK}};
+    BackendCall call;
+    BackendReply reply;
+
+    open_fixture(&fixture);
+    call = make_call();
+    Backend_Run(fixture.backend, &call, &reply);
+    g_assert_cmpint(reply.result, ==, RESULT_OK);
+    HttpAnswer_Clear(&reply.answer);
+    for (int idempotent = 0; idempotent < 2; idempotent++) {
+        for (ClockMs late = 0; late <= 5000; late += 2500) {
+            call = make_call();
+            call.idempotent = idempotent;
+            call.deadline = Clock_Now() - late;
+            Backend_Run(fixture.backend, &call, &reply);
+            g_assert_cmpint(reply.result, !=, RESULT_OK);
+            g_assert_cmpint(reply.run, ==, RUN_NO);
+            g_assert_false(reply.arrived);
+        }
+    }
+    g_assert_cmpint(fixture.script.requests, ==, 1);
+    close_fixture(&fixture);
+}
+
 static gboolean
 count_and_decline(void *context)
 {
@@ -673,6 +704,7 @@
     g_test_add_func("/backend/slots-and-order", test_slots_and_order);
     g_test_add_func("/backend/repeat-share", test_retry_share);
     g_test_add_func("/backend/waiting", test_waiting);
+    g_test_add_func("/backend/paused", test_paused);
     g_test_add_func("/backend/patience", test_attempt_timeout);
     return g_test_run();
 }
