peer wire: refuse replies with a risk or rate that is no number

Field report: one malformed message. A reply between daemons with a risk of NaN was accepted; no comparison orders it, so its backend server was left out of every choice until another report came. Risks have to lie between 0 and 1, rates and times to be finite and not negative. /peer-wire/malformed-replies has the cases; they fail on the code before.

--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -11,6 +11,9 @@
 
 #define LINE_BYTES 128
 
+/* Maximum of a rate in a reply. */
+#define MAX_RATE_PER_S 1e9
+
 /* Maximum of each time in a call; keeps sums of times small. */
 #define MAX_WAIT_MS 600000
 
@@ -92,6 +95,20 @@
     return TRUE;
 }
 
+/* Both are FALSE for a NaN, which no comparison orders: a backend server with
+ * such a risk would never be chosen again. */
+static gboolean
+is_share(double value)
+{
+    return value >= 0 && value <= 1;
+}
+
+static gboolean
+is_rate(double value)
+{
+    return value >= 0 && value <= MAX_RATE_PER_S;
+}
+
 void
 PeerWire_EncodeReply(const BackendReply *reply, HttpHeaders *headers)
 {
@@ -128,7 +145,9 @@
                &report.in_flight, &report.waiting, &report.service_ms,
                &report.idle_ms, &report.leaving, &owner_ms, &report.per_s,
                &report.retries_per_s) < 10 ||
-        run < RUN_NO || run > RUN_UNKNOWN ||
+        run < RUN_NO || run > RUN_UNKNOWN || !is_share(report.risk) ||
+        !is_rate(report.per_s) || !is_rate(report.retries_per_s) ||
+        !is_time(report.service_ms) || report.idle_ms < 0 ||
         !Result_FromNumber(result, &known)) {
         return FALSE;
     }
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -127,12 +127,23 @@
     HttpHeaders_Clear(&headers);
 }
 
-/* Guards against another program's answer that is accepted as a daemon's. */
+/* Guards against another program's answer that is accepted as a daemon's, and
+ * against numbers that make the choice leave a backend server out for good. */
 static void
 test_malformed_replies(void)
 {
-    static const char *const malformed[] = {"", "0 1", "0 9 1 0 1 1 1 1 1 0",
-                                            "99999 1 1 0 1 1 1 1 1 0"};
+    static const char *const malformed[] = {"",
+                                            "0 1",
+                                            "0 9 1 0 1 1 1 1 1 0",
+                                            "99999 1 1 0 1 1 1 1 1 0",
+                                            "0 1 1 nan 4 1 0 300 0 0",
+                                            "0 1 1 inf 4 1 0 300 0 0",
+                                            "0 1 1 -1 4 1 0 300 0 0",
+                                            "0 1 1 0.1 4 1 0 -300 0 0",
+                                            "0 1 1 0.1 4 1 0 300 -5 0",
+                                            "0 1 1 0.1 4 1 0 300 0 0 9 nan 0",
+                                            "0 1 1 0.1 4 1 0 300 0 0 9 1 inf",
+                                            "0 1 1 0.1 4 1 0 300 0 0 9 -1 0"};
     static const BackendReply empty = {0};
     BackendReply decoded = {0};
     HttpHeaders headers = {0};
