Tests of admission and peer wire: split long functions

The replay of load is split into steps; the times of a call have a test of their own, with targets in the past and beyond the deadline.

--- a/src/admission/test_admission.c
+++ b/src/admission/test_admission.c
@@ -17,7 +17,7 @@
     AdmissionTicket ticket;
     ClockMs arrived;
     ClockMs ends; /* 0: not admitted yet */
-    gboolean gone;
+    size_t stream;
 } Request;
 
 typedef struct Outcome {
@@ -45,138 +45,166 @@
                        requests wait until their deadline */
 } Load;
 
-static void
-finish(Request *request, Outcome *outcome, ClockMs now)
-{
-    ClockMs took = now - request->arrived;
+typedef struct Replay {
+    const Load *load;
+    Outcome *outcomes;    /* for each stream */
+    Admission *admission; /* NULL: the baseline */
+    GPtrArray *waiting;   /* Request */
+    GPtrArray *running;   /* Request */
+    Request *requests;
+    size_t count;
+    Rng rng;
+} Replay;
 
-    request->gone = TRUE;
-    outcome->in_time += took <= TARGET_MS;
-    outcome->late += took > TARGET_MS && took <= DEADLINE_MS;
+static Outcome *
+outcome_of(const Replay *replay, const Request *request)
+{
+    return &replay->outcomes[request->stream];
 }
 
-/* Ends requests whose service is over. Returns the number of freed slots. */
-static guint
-end_requests(Admission *admission, GPtrArray *running, Outcome *outcomes,
-             const GHashTable *streams, ClockMs now)
+/* Ends the requests whose service is over. */
+static void
+end_requests(Replay *replay, ClockMs now)
 {
-    guint freed = 0;
-
-    for (guint i = running->len; i > 0; i--) {
-        Request *request = g_ptr_array_index(running, i - 1);
-        guint stream = GPOINTER_TO_UINT(
-            g_hash_table_lookup((GHashTable *)streams, request));
+    for (guint i = replay->running->len; i > 0; i--) {
+        Request *request = g_ptr_array_index(replay->running, i - 1);
+        ClockMs took = now - request->arrived;
 
         if (now < request->ends) {
             continue;
         }
-        finish(request, &outcomes[stream], now);
-        g_ptr_array_remove_index_fast(running, i - 1);
-        freed++;
-        if (admission != NULL) {
-            Admission_NoteService(admission, &request->ticket,
+        outcome_of(replay, request)->in_time += took <= TARGET_MS;
+        outcome_of(replay, request)->late +=
+            took > TARGET_MS && took <= DEADLINE_MS;
+        g_ptr_array_remove_index_fast(replay->running, i - 1);
+        if (replay->admission != NULL) {
+            Admission_NoteService(replay->admission, &request->ticket,
                                   now - request->ticket.started, now);
-            Admission_Release(admission, &request->ticket, now);
+            Admission_Release(replay->admission, &request->ticket, now);
         }
     }
-    return freed;
 }
 
 static void
-start(Request *request, const Load *load, const Stream *stream, ClockMs now)
+start(Replay *replay, Request *request, ClockMs now)
 {
-    request->ends = now + stream->service_ms;
+    const Load *load = replay->load;
+
+    request->ends = now + load->streams[request->stream].service_ms;
     if (request->ends > load->stall_begin && now < load->stall_end) {
         request->ends = MAX(request->ends, load->stall_end);
     }
+    g_ptr_array_add(replay->running, request);
 }
 
 static void
-refuse(Request *request, Outcome *outcome, ClockMs now)
+refuse(Replay *replay, const Request *request, ClockMs now)
 {
-    request->gone = TRUE;
+    Outcome *outcome = outcome_of(replay, request);
+
     outcome->left++;
     outcome->longest_refusal =
         MAX(outcome->longest_refusal, now - request->arrived);
 }
 
 static void
-replay(const Load *load, Outcome *outcomes)
+arrive(Replay *replay, size_t stream, ClockMs now)
 {
-    Admission *admission = load->plain ? NULL : Admission_Create();
-    GHashTable *streams = g_hash_table_new(NULL, NULL);
-    GPtrArray *waiting = g_ptr_array_new();
-    GPtrArray *running = g_ptr_array_new();
-    Request *requests = g_new0(Request, MAX_REQUESTS);
-    size_t count = 0;
-    Rng rng;
+    const Stream *source = &replay->load->streams[stream];
+    Request *request = &replay->requests[replay->count];
 
-    Rng_Seed(&rng, 17);
-    if (admission != NULL) {
-        Admission_SetSlots(admission, SLOTS);
+    if (now > ARRIVALS_MS || Rng_Unit(&replay->rng) >= source->per_s / 1000) {
+        return;
     }
-    for (ClockMs now = 1; now <= STEPS; now++) {
-        end_requests(admission, running, outcomes, streams, now);
-        for (size_t s = 0; s < load->stream_count; s++) {
-            Request *request = &requests[count];
-
-            if (now > ARRIVALS_MS ||
-                Rng_Unit(&rng) >= load->streams[s].per_s / 1000) {
-                continue;
-            }
-            g_assert_cmpuint(count, <, MAX_REQUESTS);
-            count++;
-            outcomes[s].asked++;
-            request->arrived = now;
-            request->ticket =
-                (AdmissionTicket){.priority = load->streams[s].priority,
-                                  .target = now + TARGET_MS,
-                                  .deadline = now + DEADLINE_MS};
-            g_hash_table_insert(streams, request, GUINT_TO_POINTER(s));
-            if (admission != NULL &&
-                !Admission_Arrive(admission, &request->ticket, TARGET_MS / 2,
-                                  now)) {
-                refuse(request, &outcomes[s], now);
-                continue;
-            }
-            g_ptr_array_add(waiting, request);
-        }
-        if (admission != NULL) {
-            Admission_Advance(admission, now);
-        }
-        for (guint i = 0; i < waiting->len;) {
-            Request *request = g_ptr_array_index(waiting, i);
-            guint s = GPOINTER_TO_UINT(g_hash_table_lookup(streams, request));
-            gboolean admitted =
-                load->plain ? running->len < SLOTS
+    g_assert_cmpuint(replay->count, <, MAX_REQUESTS);
+    replay->count++;
+    *request = (Request){.stream = stream,
+                         .arrived = now,
+                         .ticket = {.priority = source->priority,
+                                    .target = now + TARGET_MS,
+                                    .deadline = now + DEADLINE_MS}};
+    outcome_of(replay, request)->asked++;
+    if (replay->admission != NULL &&
+        !Admission_Arrive(replay->admission, &request->ticket, TARGET_MS / 2,
+                          now)) {
+        refuse(replay, request, now);
+        return;
+    }
+    g_ptr_array_add(replay->waiting, request);
+}
+
+/* Starts, refuses or expires a waiting request; FALSE if it waits on. */
+static gboolean
+settle(Replay *replay, Request *request, ClockMs now)
+{
+    gboolean admitted = replay->admission == NULL
+                            ? replay->running->len < SLOTS
                             : request->ticket.state == ADMISSION_ADMITTED;
 
-            if (admitted) {
-                start(request, load, &load->streams[s], now);
-                g_ptr_array_add(running, request);
-            }
-            else if (request->ticket.state == ADMISSION_HOPELESS) {
-                refuse(request, &outcomes[s], now);
-            }
-            else if (now >= request->ticket.deadline) {
-                outcomes[s].expired++;
-                if (admission != NULL) {
-                    Admission_Withdraw(admission, &request->ticket);
-                }
-            }
-            else {
-                i++;
-                continue;
-            }
-            g_ptr_array_remove_index(waiting, i);
+    if (admitted) {
+        start(replay, request, now);
+    }
+    else if (request->ticket.state == ADMISSION_HOPELESS) {
+        refuse(replay, request, now);
+    }
+    else if (now >= request->ticket.deadline) {
+        outcome_of(replay, request)->expired++;
+        if (replay->admission != NULL) {
+            Admission_Withdraw(replay->admission, &request->ticket);
         }
-        g_assert_cmpuint(running->len, <=, SLOTS);
     }
-    g_free(requests);
-    g_ptr_array_unref(running);
-    g_ptr_array_unref(waiting);
-    g_hash_table_destroy(streams);
-    Admission_Destroy(admission);
+    else {
+        return FALSE;
+    }
+    return TRUE;
+}
+
+static void
+step(Replay *replay, ClockMs now)
+{
+    guint place = 0;
+
+    end_requests(replay, now);
+    for (size_t stream = 0; stream < replay->load->stream_count; stream++) {
+        arrive(replay, stream, now);
+    }
+    if (replay->admission != NULL) {
+        (void)Admission_Advance(replay->admission, now);
+    }
+    while (place < replay->waiting->len) {
+        Request *request = g_ptr_array_index(replay->waiting, place);
+
+        if (settle(replay, request, now)) {
+            g_ptr_array_remove_index(replay->waiting, place);
+        }
+        else {
+            place++;
+        }
+    }
+    g_assert_cmpuint(replay->running->len, <=, SLOTS);
+}
+
+static void
+replay_load(const Load *load, Outcome *outcomes)
+{
+    Replay replay = {.load = load,
+                     .outcomes = outcomes,
+                     .admission = load->plain ? NULL : Admission_Create(),
+                     .waiting = g_ptr_array_new(),
+                     .running = g_ptr_array_new(),
+                     .requests = g_new0(Request, MAX_REQUESTS)};
+
+    Rng_Seed(&replay.rng, 17);
+    if (replay.admission != NULL) {
+        Admission_SetSlots(replay.admission, SLOTS);
+    }
+    for (ClockMs now = 1; now <= STEPS; now++) {
+        step(&replay, now);
+    }
+    g_free(replay.requests);
+    g_ptr_array_unref(replay.running);
+    g_ptr_array_unref(replay.waiting);
+    Admission_Destroy(replay.admission);
 }
 
 /* Replays a rate above what the slots can serve, for 20 s. Guards against a
@@ -194,9 +222,9 @@
         Outcome plain = {0};
         Outcome outcome = {0};
 
-        replay(&load, &outcome);
+        replay_load(&load, &outcome);
         load.plain = TRUE;
-        replay(&load, &plain);
+        replay_load(&load, &plain);
         g_test_message("rate %.0f: in time %u (plain %u) late %u expired %u "
                        "(plain %u) refused %u longest %" G_GINT64_FORMAT,
                        rates[i], outcome.in_time, plain.in_time, outcome.late,
@@ -222,9 +250,9 @@
     Outcome outcome = {0};
     Outcome plain = {0};
 
-    replay(&load, &outcome);
+    replay_load(&load, &outcome);
     load.plain = TRUE;
-    replay(&load, &plain);
+    replay_load(&load, &plain);
     g_test_message("in time %u (plain %u) expired %u (plain %u) refused %u",
                    outcome.in_time, plain.in_time, outcome.expired,
                    plain.expired, outcome.left);
@@ -246,7 +274,7 @@
     Outcome outcomes[3] = {{0}};
     double shares[3];
 
-    replay(&load, outcomes);
+    replay_load(&load, outcomes);
     for (int i = 0; i < 3; i++) {
         shares[i] = (double)(outcomes[i].in_time + outcomes[i].late) /
                     outcomes[i].asked;
@@ -271,7 +299,7 @@
     Load load = {.streams = streams, .stream_count = 2};
     Outcome outcomes[2] = {{0}};
 
-    replay(&load, outcomes);
+    replay_load(&load, outcomes);
     g_test_message("calls %u of %u, requests %u in time and %u late of %u",
                    outcomes[0].in_time + outcomes[0].late, outcomes[0].asked,
                    outcomes[1].in_time, outcomes[1].late, outcomes[1].asked);
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -15,8 +15,7 @@
                         .idempotent = TRUE,
                         .priority = -1,
                         .max_risk = 0.25,
-                        .max_wait_ms = 300,
-                        .explore_idle_ms = 1000};
+                        .max_wait_ms = 300};
     BackendCall decoded = {0};
     HttpHeaders headers = {0};
 
@@ -27,13 +26,39 @@
     g_assert_cmpint(decoded.priority, ==, -1);
     g_assert_cmpfloat_with_epsilon(decoded.max_risk, 0.25, 0.001);
     g_assert_cmpint(decoded.max_wait_ms, ==, 300);
-    g_assert_cmpint(decoded.explore_idle_ms, ==, 1000);
     g_assert_cmpstr(decoded.service, ==, "permits");
     g_assert_cmpstr(decoded.caller, ==, "desk");
     g_assert_cmpstr(decoded.team, ==, "crews");
     HttpHeaders_Clear(&headers);
 }
 
+/* Guards against an exploration or a target that gets lost on the way, and
+ * against a target beyond the deadline. */
+static void
+test_times(void)
+{
+    static const struct {
+        ClockMs target_ms;
+        ClockMs expected_ms;
+    } cases[] = {{800, 800}, {-50, 0}, {9000, 3000}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        BackendCall call = {.service = "permits",
+                            .caller = "desk",
+                            .deadline = 5000,
+                            .target_time = 2000 + cases[i].target_ms,
+                            .explore_idle_ms = 1000};
+        BackendCall decoded = {0};
+        HttpHeaders headers = {0};
+
+        PeerWire_EncodeCall(&call, 2000, &headers);
+        g_assert_true(PeerWire_DecodeCall(&headers, 7000, &decoded));
+        g_assert_cmpint(decoded.target_time, ==, 7000 + cases[i].expected_ms);
+        g_assert_cmpint(decoded.explore_idle_ms, ==, 1000);
+        HttpHeaders_Clear(&headers);
+    }
+}
+
 /* Guards against a retry that arrives at the owner as a first attempt. */
 static void
 test_retry(void)
@@ -162,6 +187,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/peer-wire/call", test_call);
+    g_test_add_func("/peer-wire/times", test_times);
     g_test_add_func("/peer-wire/repeat", test_retry);
     g_test_add_func("/peer-wire/earlier-version", test_earlier_version);
     g_test_add_func("/peer-wire/malformed-calls", test_malformed_calls);
