retry: a sender without recent reports refills by its even share

Cause: where no owner of a service had reported within 3 s, the fleet's limit was taken for 0 and the budget did not refill at all. Senders with little traffic, whose reports are always old, would have got no retries. Found when the diff was read again.

Change: the factor is 1 if nothing is known. /retry/unknown-rates fails on the code before.

--- a/src/retry/retry.c
+++ b/src/retry/retry.c
@@ -122,10 +122,13 @@
 RetryRates_Refill(const RetryRates *rates, double ratio, double slack_per_s)
 {
     double limit = ratio * (rates->per_s - rates->retries_per_s) + slack_per_s;
-    double usage = limit > 0 ? rates->retries_per_s / limit : 1;
-    double left =
-        (NO_REFILL_USAGE - usage) / (NO_REFILL_USAGE - FULL_REFILL_USAGE);
+    double left;
 
+    if (limit <= 0) {
+        return 1;
+    }
+    left = (NO_REFILL_USAGE - rates->retries_per_s / limit) /
+           (NO_REFILL_USAGE - FULL_REFILL_USAGE);
     return MAX_REFILL * CLAMP(left, 0, 1);
 }
 
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -118,7 +118,8 @@
 RetryRates RetryRates_At(const RetryRates *rates, ClockMs now);
 
 /* Returns the factor of the refill for the rates of a whole service, where the
- * fleet may retry `ratio` of the first attempts and `slack_per_s` on top. */
+ * fleet may retry `ratio` of the first attempts and `slack_per_s` on top; 1 if
+ * nothing is known of the service. */
 double RetryRates_Refill(const RetryRates *rates, double ratio,
                          double slack_per_s);
 
--- a/src/retry/test_retry.c
+++ b/src/retry/test_retry.c
@@ -347,6 +347,21 @@
     }
 }
 
+/* Guards against a sender with little traffic, whose reports are always old,
+ * that gets no retries at all. */
+static void
+test_unknown_rates(void)
+{
+    RetryRates none = {0};
+    RetryBudget budget;
+
+    g_assert_cmpfloat(RetryRates_Refill(&none, RATIO, 0), ==, 1);
+    RetryBudget_Init(&budget, &(Retry_desc){.min_per_minute = 60}, 0);
+    g_assert_true(RetryBudget_TakeRetry(&budget, 0));
+    RetryBudget_SetRefill(&budget, RetryRates_Refill(&none, RATIO, 0), 0);
+    g_assert_true(RetryBudget_TakeRetry(&budget, 2000));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -357,6 +372,7 @@
     g_test_add_func("/retry/budget_is_capped", test_budget_is_capped);
     g_test_add_func("/retry/debit", test_debit);
     g_test_add_func("/retry/uneven-senders", test_uneven_senders);
+    g_test_add_func("/retry/unknown-rates", test_unknown_rates);
     g_test_add_func("/retry/backoff", test_backoff);
     return g_test_run();
 }
