HTTP: a limit for answers of other requests on one connection

Found when the diff was read again: answers with another id were discarded and the next one was read, without a limit, so a peer that sends complete answers without end held the call until its deadline. /endless/one lacked that kind.

Change: at most 8 answers are discarded, then the answer is lost. The new row of /endless/one fails without the limit (DEADLINE_EXPIRED after 20 s).

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -19,6 +19,9 @@
  * its peer announced. */
 #define KEEP_ALIVE_MARGIN_MS 1000
 
+/* Maximum number of answers of other requests that are read and discarded. */
+#define MAX_DISCARDED 8
+
 /* Interval at which expired connections are removed from the whole pool. */
 #define SWEEP_PERIOD_MS 5000
 
@@ -337,7 +340,7 @@
     if (result != RESULT_OK) {
         return result;
     }
-    for (;;) {
+    for (int discarded = 0; discarded <= MAX_DISCARDED; discarded++) {
         result = HttpConnection_ReadAnswer(connection, &options,
                                            call->deadline, answer, reusable);
         *reusable = *reusable && complete;
@@ -349,6 +352,8 @@
             return RESULT_ANSWER_LOST;
         }
     }
+    *reusable = FALSE;
+    return RESULT_ANSWER_LOST;
 }
 
 static Result
--- a/src/http/test_endless.c
+++ b/src/http/test_endless.c
@@ -123,6 +123,8 @@
          "1\r\nx\r\n", 1000},
         {"chunk extension", HEAD "Transfer-Encoding: chunked\r\n\r\n1;", "x",
          4096},
+        {"answers of other requests", "",
+         HEAD "X-Id: r0\r\nContent-Length: 0\r\n\r\n", 100},
         {"trailers", HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n",
          "A: b\r\n", 500},
     };
@@ -139,6 +141,8 @@
         HttpCall call = {.method = "GET",
                          .target = "/",
                          .allow_unframed = TRUE,
+                         .match_header = "X-Id",
+                         .match_value = "r1",
                          .deadline = deadline};
         pthread_t thread;
         gboolean sent;
