--- a/src/gateway/size_estimate.c
+++ b/src/gateway/size_estimate.c
@@ -2,8 +2,8 @@
 
 #define MAX_ROUTES 4096
 
-/* Bytes of the headers of a request and its answer between two daemons. */
-#define HEADER_BYTES 1100
+/* Mean bytes of the heads of a request and its answer between two daemons. */
+#define HEADER_BYTES 520
 
 /* Weight of the newest sample in the moving averages. The first samples weigh
  * as in a plain average. */
