replay: tables of load and faults against all decisions together

Cause: each decision had a test of its own, and two of these carried simulations inside the test. None played the decisions together, and whoever changes a policy had nothing to see its price with.

Change: src/replay plays services, streams with calls, and phases of faults in simulated time against the roster, the admission, the exploration, the gray filter, the retry budget and the return time as they are, or with plain policies. Placement_FailureCost(), ReturnTime_Backlog() and RETRY_EVEN_SHARE left the gateway so that there is one of each.

--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -7,11 +7,6 @@
 #include "gateway/gateway_internal.h"
 #include "gateway/peer_wire.h"
 
-/* Cost of a failed attempt as a share of the request's value: all of it if no
- * retry can follow, otherwise the lost time and the load of the retry. */
-#define FAILURE_COST_FINAL 1.0
-#define FAILURE_COST_RETRYABLE 0.2
-
 /* Maximum number of times that owners are asked to run one request; refusals
  * count, too. */
 #define MAX_ROUNDS 12
@@ -34,10 +29,6 @@
  * this long after the request's deadline. */
 #define ANSWER_TRANSIT_MS 20
 
-/* Share of the fleet's retry budget that the hosts use. The rest covers calls
- * made by requests that are retries themselves, and uneven traffic. */
-#define BUDGET_SHARE 0.6
-
 /* Minimum number of hosts assumed when the fleet's budget is divided, so that
  * a host with an empty roster does not use the budget of the whole fleet. */
 #define MIN_HOSTS 12
@@ -74,9 +65,9 @@
     uint32_t hosts = MAX(Roster_Count(gateway->desc.roster), MIN_HOSTS);
     Retry_desc desc = {
         .budget_percent =
-            (uint32_t)(gateway->desc.retry_ratio * 100 * BUDGET_SHARE),
+            (uint32_t)(gateway->desc.retry_ratio * 100 * RETRY_EVEN_SHARE),
         .min_per_minute = (uint32_t)ceil(gateway->desc.retry_per_minute *
-                                         BUDGET_SHARE / hosts)};
+                                         RETRY_EVEN_SHARE / hosts)};
 
     if (budget == NULL) {
         budget = g_new0(RetryBudget, 1);
@@ -163,13 +154,6 @@
     return available;
 }
 
-/* Cost of a failed next attempt, as a share of the request's value. */
-static double
-failure_cost(const GatewayRequest *request)
-{
-    return request->can_retry ? FAILURE_COST_RETRYABLE : FAILURE_COST_FINAL;
-}
-
 static double
 relative_size(GatewayRequest *request)
 {
@@ -194,7 +178,7 @@
     RosterReport own;
 
     request->can_retry = can_retry(request);
-    query.request.failure_cost = failure_cost(request);
+    query.request.failure_cost = Placement_FailureCost(request->can_retry);
     query.request.relative_size = relative_size(request);
     query.may_explore = request->can_retry && request->attempts == 0;
     memcpy(query.excluded, request->excluded, sizeof(query.excluded));
@@ -208,8 +192,9 @@
 {
     BackendCall *call = &request->call;
     ClockMs now = Clock_Now();
-    PlacementRequest placement = {.failure_cost = failure_cost(request),
-                                  .time_left_ms = request->target_time - now};
+    PlacementRequest placement = {
+        .failure_cost = Placement_FailureCost(request->can_retry),
+        .time_left_ms = request->target_time - now};
     PlacementAsk ask = {
         .other_cost = choice->other_cost,
         .asked_before =
@@ -331,9 +316,7 @@
 static void
 note_backlog(GatewayRequest *request, const RosterReport *report)
 {
-    double queue = (double)report->in_flight + report->waiting + 1;
-    ClockMs wait = (ClockMs)(MAX(queue - report->slots, 1) *
-                             (double)report->service_ms / report->slots);
+    ClockMs wait = ReturnTime_Backlog(report);
 
     if (request->backlog_ms == 0 || wait < request->backlog_ms) {
         request->backlog_ms = wait;
--- a/src/gateway/return_time.c
+++ b/src/gateway/return_time.c
@@ -35,6 +35,15 @@
     }
 }
 
+ClockMs
+ReturnTime_Backlog(const RosterReport *report)
+{
+    double queue = (double)report->in_flight + report->waiting + 1;
+
+    return (ClockMs)(MAX(queue - report->slots, 1) *
+                     (double)report->service_ms / report->slots);
+}
+
 ClockMs
 ReturnTime_Compute(const ReturnInput *input, double unit)
 {
--- a/src/gateway/return_time.h
+++ b/src/gateway/return_time.h
@@ -7,9 +7,10 @@
  * served, with a random part that is smaller for more urgent requests, so that
  * these come first.
  *
- * Use: ReturnTime_Compute() for each refusal that promises that the request
- * has not run. RETURN_TIME_NONE means that the caller should not be told to
- * return: it would be past the time that callers are prepared to wait.
+ * Use: ReturnTime_Backlog() for each owner that is full, ReturnTime_Compute()
+ * for each refusal that promises that the request has not run.
+ * RETURN_TIME_NONE means that the caller should not be told to return: it
+ * would be past the time that callers are prepared to wait.
  *
  * Errors and limits: none; a pure function.
  */
@@ -20,6 +21,7 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "roster/roster.h"
 
 #define RETURN_TIME_NONE (-1)
 
@@ -33,6 +35,10 @@
     int priority;       /* of the request; 0 is the most urgent */
 } ReturnInput;
 
+/* Wait for a slot of an owner that is full, by its report; its slots must not
+ * be 0. */
+ClockMs ReturnTime_Backlog(const RosterReport *report);
+
 /* `unit` is a random number in [0, 1). */
 ClockMs ReturnTime_Compute(const ReturnInput *input, double unit);
 
--- /dev/null
+++ b/src/replay/replay_owner.c
@@ -0,0 +1,181 @@
+#include "replay/replay_private.h"
+#include "roster/exploration.h"
+
+/* Time after which a sender notices that a host does not accept. */
+#define CONNECT_MS 250
+
+/* Sends the request back to its sender with the owner's report. */
+static void
+answer(Replay *replay, ReplayRequest *request, Result result, ClockMs now)
+{
+    ReplayServer *server = request->server;
+    AdmissionLoad load = Admission_Load(server->admission);
+    RetryRates rates = RetryRates_At(&server->rates, now);
+    gboolean is_far = request->sender->region != server->region;
+
+    request->result = result;
+    request->state = REPLAY_TO_SENDER;
+    request->due = now + (is_far ? replay->desc.transit_ms / 2 : 0);
+    request->report = (RosterReport){
+        .risk = GrayFilter_Risk(&server->filter, now),
+        .slots = load.slots,
+        .in_flight = load.running,
+        .waiting =
+            replay->desc.plain_queue ? server->waiting->len : load.waiting,
+        .service_ms = load.service_ms,
+        .idle_ms = load.running > 0 ? 0 : now - server->last_sent,
+        .per_s = rates.per_s,
+        .retries_per_s = rates.retries_per_s};
+}
+
+void
+_Replay_Arrive(Replay *replay, ReplayRequest *request, ClockMs now)
+{
+    ReplayServer *server = request->server;
+
+    if (_Replay_FaultAt(replay, server, REPLAY_GONE, now) > 0) {
+        answer(replay, request, RESULT_CONNECT_FAILED, now);
+        request->due = now + CONNECT_MS;
+        return;
+    }
+    if (GrayFilter_Risk(&server->filter, now) > request->limits.max_risk &&
+        !Exploration_IsAllowed(request->explore_idle_ms,
+                               now - server->last_sent)) {
+        answer(replay, request, RESULT_BACKEND_SERVER_EJECTED, now);
+        return;
+    }
+    if (!replay->desc.plain_queue &&
+        !Admission_Arrive(server->admission, &request->ticket,
+                          request->limits.max_wait_ms, now)) {
+        answer(replay, request, RESULT_BACKEND_SERVER_BUSY, now);
+        return;
+    }
+    request->state = REPLAY_WAITING;
+    g_ptr_array_add(server->waiting, request);
+}
+
+static void
+release(Replay *replay, ReplayRequest *request, ClockMs now)
+{
+    ReplayServer *server = request->server;
+
+    server->running--;
+    if (!replay->desc.plain_queue) {
+        Admission_Release(server->admission, &request->ticket, now);
+    }
+}
+
+static void
+start(Replay *replay, ReplayRequest *request, ClockMs now)
+{
+    const ReplayStream *stream = _Replay_Stream(replay, request);
+    ReplayServer *server = request->server;
+    double slow = _Replay_FaultAt(replay, server, REPLAY_SLOW, now);
+    gboolean is_retry = request->is_retry || request->attempts > 0;
+
+    server->running++;
+    server->last_sent = now;
+    RetryRates_Add(&server->rates, is_retry, now);
+    if (is_retry) {
+        _Replay_Bin(replay, server->service, now)->retries++;
+    }
+    _Replay_OutcomeOf(replay, request)->retries += request->attempts > 0;
+    request->state = REPLAY_RUNNING;
+    if (Rng_Unit(&replay->rng) <
+        _Replay_FaultAt(replay, server, REPLAY_SHED, now)) {
+        GrayFilter_Observe(&server->filter, TRUE, now);
+        release(replay, request, now);
+        answer(replay, request, RESULT_BACKEND_SERVER_SHED, now);
+        return;
+    }
+    if (Rng_Unit(&replay->rng) <
+        _Replay_FaultAt(replay, server, REPLAY_FAIL, now)) {
+        GrayFilter_Observe(&server->filter, TRUE, now);
+        release(replay, request, now);
+        answer(replay, request, RESULT_BACKEND_SERVER_ERROR, now);
+        return;
+    }
+    request->due = now + (ClockMs)((double)stream->service_ms * MAX(slow, 1));
+    request->pending = stream->calls;
+    request->call_failed = FALSE;
+    for (guint i = 0; i < stream->calls; i++) {
+        guint host = server->index % replay->desc.senders;
+
+        _Replay_AddRequest(replay, stream->called, &replay->senders[host],
+                           request, now);
+    }
+}
+
+void
+_Replay_EndRun(Replay *replay, ReplayRequest *request, ClockMs now)
+{
+    ReplayServer *server = request->server;
+    ClockMs took = now - request->ticket.started;
+
+    if (!request->call_failed) {
+        GrayFilter_Observe(&server->filter, FALSE, now);
+        Admission_NoteService(server->admission, &request->ticket, took, now);
+    }
+    release(replay, request, now);
+    answer(replay, request,
+           request->call_failed ? RESULT_BACKEND_SERVER_ERROR : RESULT_OK,
+           now);
+}
+
+void
+_Replay_LeaveOwner(Replay *replay, ReplayRequest *request, ClockMs now)
+{
+    ReplayServer *server = request->server;
+
+    if (request->state == REPLAY_RUNNING) {
+        release(replay, request, now);
+    }
+    else if (request->state == REPLAY_WAITING) {
+        g_ptr_array_remove(server->waiting, request);
+        if (!replay->desc.plain_queue) {
+            Admission_Withdraw(server->admission, &request->ticket);
+        }
+    }
+}
+
+/* The owner of the baseline: in the order of arrival. */
+static void
+advance_plain(Replay *replay, ReplayServer *server, ClockMs now)
+{
+    guint slots = replay->desc.services[server->service].slots;
+
+    while (server->waiting->len > 0 && server->running < slots) {
+        ReplayRequest *request = g_ptr_array_index(server->waiting, 0);
+
+        g_ptr_array_remove_index(server->waiting, 0);
+        request->ticket.started = now;
+        start(replay, request, now);
+    }
+}
+
+void
+_Replay_AdvanceOwner(Replay *replay, ReplayServer *server, ClockMs now)
+{
+    guint place = 0;
+
+    if (replay->desc.plain_queue) {
+        advance_plain(replay, server, now);
+        return;
+    }
+    (void)Admission_Advance(server->admission, now);
+    while (place < server->waiting->len) {
+        ReplayRequest *request = g_ptr_array_index(server->waiting, place);
+
+        if (request->ticket.state == ADMISSION_WAITING) {
+            place++;
+            continue;
+        }
+        g_ptr_array_remove_index(server->waiting, place);
+        if (request->ticket.state == ADMISSION_ADMITTED) {
+            start(replay, request, now);
+        }
+        else {
+            answer(replay, request, RESULT_BACKEND_SERVER_BUSY, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/replay/replay_private.h
@@ -0,0 +1,119 @@
+/* Types shared by the source files of the replay. */
+#ifndef REPLAY_REPLAY_PRIVATE_H
+#define REPLAY_REPLAY_PRIVATE_H
+
+#include "admission/admission.h"
+#include "base/result.h"
+#include "base/rng.h"
+#include "health/gray_filter.h"
+#include "replay/replay.h"
+#include "retry/retry.h"
+#include "roster/roster.h"
+
+/* Time of the first step; some modules take 0 for "never". */
+#define REPLAY_START_MS 1000
+
+typedef struct ReplayServer {
+    guint service;
+    guint index; /* within the service */
+    guint region;
+    uint64_t host;
+    Admission *admission;
+    GPtrArray *waiting; /* ReplayRequest, in the order of arrival */
+    guint running;
+    GrayFilter filter;
+    RetryRates rates;
+    ClockMs last_sent;
+} ReplayServer;
+
+/* A host that sends requests. */
+typedef struct ReplaySender {
+    guint region;
+    Roster *roster;
+    RetryBudget *budgets; /* one for each service */
+} ReplaySender;
+
+typedef enum ReplayState {
+    REPLAY_AT_SENDER, /* chooses at `due` */
+    REPLAY_TO_OWNER,  /* arrives at `due` */
+    REPLAY_WAITING,
+    REPLAY_RUNNING, /* ends at `due`, when its calls have ended */
+    REPLAY_TO_SENDER,
+    REPLAY_DONE
+} ReplayState;
+
+typedef struct ReplayRequest ReplayRequest;
+
+struct ReplayRequest {
+    guint stream;
+    ReplaySender *sender;
+    ReplayRequest *parent; /* NULL: sent by a caller */
+    guint pending;         /* calls that have not ended */
+    gboolean call_failed;
+    gboolean is_retry; /* or a call of one */
+    gboolean has_returned;
+    ReplayState state;
+    ClockMs due;
+    ClockMs asked;    /* first arrival */
+    ClockMs arrived;  /* of this try of the caller */
+    ClockMs deadline; /* of the caller */
+    ReplayServer *server;
+    Result result; /* on the way to the sender */
+    RosterReport report;
+    ClockMs backlog_ms; /* shortest wait of the owners that were full */
+    guint attempts;
+    guint rounds;
+    gboolean can_retry;
+    PlacementLimits limits;
+    ClockMs explore_idle_ms;
+    RosterQuery query; /* its list of excluded hosts is kept */
+    uint64_t asked_hosts[ROSTER_MAX_EXCLUDED];
+    guint asked_count;
+    AdmissionTicket ticket;
+};
+
+typedef struct ReplayBin {
+    guint firsts;
+    guint retries;
+} ReplayBin;
+
+struct Replay {
+    Replay_desc desc;
+    ReplayServer *servers;
+    guint server_count;
+    ReplaySender *senders;
+    GPtrArray *active;   /* ReplayRequest */
+    GHashTable *by_host; /* &ReplayServer.host -> ReplayServer */
+    GArray **bins;       /* ReplayBin for each 100 ms, one for each service */
+    ReplayOutcome *outcomes;
+    Rng rng;
+};
+
+const ReplayStream *_Replay_Stream(const Replay *replay,
+                                   const ReplayRequest *request);
+ReplayOutcome *_Replay_OutcomeOf(const Replay *replay,
+                                 const ReplayRequest *request);
+
+/* Value of a fault at a backend server; 0 if there is none. */
+double _Replay_FaultAt(const Replay *replay, const ReplayServer *server,
+                       ReplayFault fault, ClockMs now);
+ReplayBin *_Replay_Bin(const Replay *replay, guint service, ClockMs now);
+
+/* Adds a request, or a call of `parent`. */
+void _Replay_AddRequest(Replay *replay, guint stream, ReplaySender *sender,
+                        ReplayRequest *parent, ClockMs now);
+
+/* replay_sender.c */
+void _Replay_Choose(Replay *replay, ReplayRequest *request, ClockMs now);
+void _Replay_TakeResult(Replay *replay, ReplayRequest *request, ClockMs now);
+void _Replay_Expire(Replay *replay, ReplayRequest *request);
+
+/* replay_owner.c */
+void _Replay_Arrive(Replay *replay, ReplayRequest *request, ClockMs now);
+void _Replay_AdvanceOwner(Replay *replay, ReplayServer *server, ClockMs now);
+void _Replay_EndRun(Replay *replay, ReplayRequest *request, ClockMs now);
+
+/* Takes the request from its owner, whether it waits or runs. */
+void _Replay_LeaveOwner(Replay *replay, ReplayRequest *request, ClockMs now);
+
+#endif
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -58,6 +58,11 @@
     ClockMs updated;
 } RetryBudget;
 
+/* Part of the fleet's limit that the even shares of all senders add up to. The
+ * rest covers calls made by requests that are retries themselves, and uneven
+ * traffic. */
+#define RETRY_EVEN_SHARE 0.6
+
 /* Rates of requests and of retries among them, moving averages. */
 typedef struct RetryRates {
     double per_s;         /* requests that reached a backend server */
--- a/src/roster/placement.c
+++ b/src/roster/placement.c
@@ -10,6 +10,11 @@
 /* Extra cost of a fully loaded backend server over an idle one. */
 #define LOAD_COST 0.04
 
+/* Cost of a failed attempt as a share of the request's value: all of it if no
+ * retry can follow, otherwise the lost time and the load of the retry. */
+#define FAILURE_COST_FINAL 1.0
+#define FAILURE_COST_RETRYABLE 0.2
+
 /* Share of the requests that an owner without a recent report is expected to
  * refuse. */
 #define REFUSED_SHARE 0.5
@@ -25,6 +30,12 @@
 /* Cost of an answer that is expected to arrive too late. */
 #define LATE_COST 0.5
 
+double
+Placement_FailureCost(gboolean can_retry)
+{
+    return can_retry ? FAILURE_COST_RETRYABLE : FAILURE_COST_FINAL;
+}
+
 double
 Placement_DistanceCost(const Placement_desc *desc, RosterTier tier,
                        double relative_size)
--- a/src/roster/placement.h
+++ b/src/roster/placement.h
@@ -74,6 +74,9 @@
     ClockMs deadline_ms;   /* time until an answer is of no use */
 } PlacementAsk;
 
+/* Cost of a failed attempt, as a share of the request's value. */
+double Placement_FailureCost(gboolean can_retry);
+
 /* Distance part of the cost. */
 double Placement_DistanceCost(const Placement_desc *desc, RosterTier tier,
                               double relative_size);
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -52,7 +52,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                               (GDestroyNotify)g_ptr_array_unref);
     roster->neighbours = g_ptr_array_new();
-    Rng_Seed(&roster->rng, Rng_ProcessSeed());
+    Rng_Seed(&roster->rng, desc->seed > 0 ? desc->seed : Rng_ProcessSeed());
     return roster;
 }
 
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -39,6 +39,7 @@
     const char *region;
     GrayFilter_desc gray;
     Placement_desc placement;
+    uint64_t seed; /* of the random part of a choice; 0: of the process */
 } Roster_desc;
 
 /* Load and risk that an owner reports of its backend server. */
--- a/src/tool/tool.c
+++ b/src/tool/tool.c
@@ -49,6 +49,10 @@
      "show from the logs of daemons, for each service and second, what became "
      "of the requests; - reads standard input",
      1, 1, Tool_Load},
+    {"replay", "FILE",
+     "play a table of load and faults against the decisions, in simulated "
+     "time, with this version's policies and with plain ones",
+     1, 1, Tool_Replay},
     {"counters", "", "show the counters that are not zero", 0, 0,
      Tool_Counters},
 };
--- a/src/tool/tool_internal.h
+++ b/src/tool/tool_internal.h
@@ -43,6 +43,7 @@
 int Tool_Undrain(Tool *tool, int count, char **words);
 int Tool_HostRetire(Tool *tool, int count, char **words);
 int Tool_Counters(Tool *tool, int count, char **words);
+int Tool_Replay(Tool *tool, int count, char **words);
 int Tool_Load(Tool *tool, int count, char **words);
 
 /* Prints the message and returns the result's exit code. */
