Admission: calls ahead do not count against requests with kept slots

Cause: a waiting request left when its place in the queue, times the time since a slot was last freed, passed its deadline. The place counted the calls ahead of it, which the kept slots let it pass. The test's earlier bound, 0.75 without a source, had hidden it.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -234,7 +234,8 @@
 }
 
 /* Removes the tickets whose turn comes too late: by the mean service times, or
- * because slots are freed more slowly than these let expect. */
+ * because slots are freed more slowly than these let expect. Calls ahead do
+ * not delay the turn of a request while slots are kept for requests. */
 static gboolean
 remove_hopeless(Admission *admission, ClockMs now)
 {
@@ -248,11 +249,15 @@
     while (place < admission->queue->len) {
         AdmissionTicket *ticket = g_ptr_array_index(admission->queue, place);
         Kind kind = kind_of(ticket);
+        guint turns;
         double end;
 
         ahead[kind]++;
+        turns = kind == KIND_REQUEST && reserved_slots(admission) > 0
+                    ? ahead[KIND_REQUEST]
+                    : place + 1;
         end = (double)now +
-              MAX(wait_behind(admission, kind, ahead), (place + 1) * gap) +
+              MAX(wait_behind(admission, kind, ahead), turns * gap) +
               MIN_SERVICE_SHARE * admission->service_ms[kind];
         if (end > (double)ticket->deadline) {
             g_ptr_array_remove_index(admission->queue, place);
--- a/src/admission/test_admission.c
+++ b/src/admission/test_admission.c
@@ -146,7 +146,7 @@
 
 /* Replays a service that is called more than it can serve and has callers of
  * its own, who need less than a quarter of the slots. Guards against calls
- * that shut these out: three quarters of what a quarter of the slots serves
+ * that shut these out: nine of ten of what a quarter of the slots serves
  * without any calls have to be served beside them, and the calls get the rest.
  */
 static void
@@ -169,7 +169,7 @@
                    served_share(&beside[0]), served_share(&without),
                    served_share(&beside[1]));
     g_assert_cmpfloat(served_share(&beside[0]), >=,
-                      0.75 * served_share(&without));
+                      0.9 * served_share(&without));
     /* The calls need six slots, and three are left for them. */
     g_assert_cmpfloat(served_share(&beside[1]), >=, 0.9 * 3 / 6);
 }
