--- a/src/gateway/size_estimate.h
+++ b/src/gateway/size_estimate.h
@@ -1,4 +1,7 @@
 /* SizeEstimate: bytes that a request will move, relative to the mean request.
+ *
+ * Load pattern: uploads, orders and small calls share links that are billed by
+ * volume; placement has to know which of them is large before it sends one.
  *
  * The size of an answer is learned for each route, because it is not known
  * when a backend server is chosen. The mean is taken over the requests of
