--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -70,19 +70,21 @@
     uint64_t version =
         request->table ? CatalogTable_Version(request->table) : 0;
 
-    Log_Event(LOG_REQUEST_ENDED,
-              "request=%s route=%s service=%s team=%s version=%" PRIu64
-              " proof_age_ms=%" PRId64 " quota=%s attempts=%u%s result=%s "
-              "run=%s status=%d ms=%" PRId64,
-              request->call.request_id ? request->call.request_id : "-",
-              request->route ? request->route->name : "-",
-              request->destination ? request->destination->service : "-",
-              request->team ? request->team->name : "-", version,
-              request->catalog_age == CLOCK_NEVER ? -1 : request->catalog_age,
-              Quota_SourceName(request->quota_source), request->attempts,
-              request->trace, Result_Name(reply->result),
-              Result_RunName(reply->run), status,
-              Clock_Now() - request->arrived);
+    Log_Event(
+        LOG_REQUEST_ENDED,
+        "request=%s route=%s service=%s team=%s version=%" PRIu64
+        " proof_age_ms=%" PRId64 " quota=%s stop_ms=%" PRId64
+        " left_ms=%" PRId64 " attempts=%u%s result=%s "
+        "run=%s status=%d ms=%" PRId64,
+        request->call.request_id ? request->call.request_id : "-",
+        request->route ? request->route->name : "-",
+        request->destination ? request->destination->service : "-",
+        request->team ? request->team->name : "-", version,
+        request->catalog_age == CLOCK_NEVER ? -1 : request->catalog_age,
+        Quota_SourceName(request->quota_source), request->stop_ms,
+        request->deadline > 0 ? request->deadline - request->arrived : -1,
+        request->attempts, request->trace, Result_Name(reply->result),
+        Result_RunName(reply->run), status, Clock_Now() - request->arrived);
 }
 
 static gboolean
@@ -111,7 +113,7 @@
 serve(void *context, HttpRequest *http)
 {
     Gateway *gateway = context;
-    GatewayRequest request = {.gateway = gateway, .http = http};
+    GatewayRequest request = {.gateway = gateway, .http = http, .stop_ms = -1};
     HttpCancel *cancel = HttpCancelSet_Begin(gateway->cancels);
     BackendReply reply = {.run = RUN_NO};
     HttpAnswer answer = {0};
@@ -178,6 +180,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     gateway->sizes = SizeEstimate_Create();
     gateway->cancels = HttpCancelSet_Create();
+    gateway->leave_since = CLOCK_NEVER;
     gateway->leave_until = CLOCK_NEVER;
     Rng_Seed(&gateway->rng, Rng_ProcessSeed());
     gateway->server = HttpServer_Create(&server, error);
@@ -196,6 +199,7 @@
 Gateway_Leave(Gateway *gateway, ClockMs until)
 {
     pthread_mutex_lock(&gateway->lock);
+    gateway->leave_since = Clock_Now();
     gateway->leave_until = until;
     pthread_mutex_unlock(&gateway->lock);
     HttpServer_Leave(gateway->server);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -21,6 +21,7 @@
     pthread_mutex_t lock;   /* protects the fields below */
     GHashTable *budgets;    /* service hash -> RetryBudget */
     SizeEstimate *sizes;
+    ClockMs leave_since; /* start of a graceful stop, or CLOCK_NEVER */
     ClockMs leave_until; /* latest deadline of a request, or CLOCK_NEVER */
     Rng rng;
 };
@@ -41,6 +42,8 @@
     ClockMs backlog_ms;  /* shortest wait of the owners that were full; 0: none
                             was */
     ClockMs target_time; /* time limit set by the route's latency target */
+    ClockMs stop_ms;     /* time from the start of a graceful stop to the
+                            arrival; -1: arrived before, or no stop */
     ClockMs catalog_age; /* age of the configuration, Catalog_Age() */
     QuotaSource quota_source;
     gboolean can_retry;   /* a retry could follow a failed next attempt */
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -158,6 +158,9 @@
     request->destination =
         CatalogRoute_ChooseDestination(request->route, &gateway->rng);
     request->deadline = gateway->leave_until;
+    if (gateway->leave_since <= request->arrived) {
+        request->stop_ms = request->arrived - gateway->leave_since;
+    }
     pthread_mutex_unlock(&gateway->lock);
     if (request->destination == NULL) {
         return RESULT_NO_BACKEND_SERVER;
--- a/src/gateway/peer_port.c
+++ b/src/gateway/peer_port.c
@@ -1,6 +1,7 @@
 #include "gateway/peer_port.h"
 
 #include <inttypes.h>
+#include <stdatomic.h>
 #include <string.h>
 
 #include "base/counter.h"
@@ -12,7 +13,8 @@
 struct PeerPort {
     PeerPort_desc desc;
     HttpServer *server;
-    HttpCancelSet *cancels; /* cancellation of the requests in flight */
+    HttpCancelSet *cancels;      /* cancellation of the requests in flight */
+    _Atomic ClockMs leave_since; /* start of a graceful stop, or CLOCK_NEVER */
 };
 
 /* Copies the caller's headers without the request id, which the call carries
@@ -42,19 +44,25 @@
 }
 
 static void
-log_call(const BackendCall *call, const BackendReply *reply)
+log_call(const PeerPort *port, const HttpRequest *request,
+         const BackendCall *call, const BackendReply *reply)
 {
+    ClockMs arrived = HttpRequest_Arrived(request);
+    ClockMs leave_since = atomic_load(&port->leave_since);
+
     Log_Event(LOG_CALL_RUN,
               "request=%s caller=%s team=%s priority=%d max_risk=%.2f "
-              "max_wait_ms=%" PRId64 " risk=%.2f in_flight=%u waiting=%u "
+              "max_wait_ms=%" PRId64 " stop_ms=%" PRId64 " left_ms=%" PRId64
+              " risk=%.2f in_flight=%u waiting=%u "
               "queue_ms=%" PRId64 " server_ms=%" PRId64
               " result=%s run=%s status=%d",
               call->request_id, call->caller, call->team ? call->team : "-",
               call->priority, call->max_risk, call->max_wait_ms,
-              reply->report.risk, reply->report.in_flight,
-              reply->report.waiting, reply->queue_ms, reply->server_ms,
-              Result_Name(reply->result), Result_RunName(reply->run),
-              reply->answer.status);
+              leave_since <= arrived ? arrived - leave_since : -1,
+              call->deadline - arrived, reply->report.risk,
+              reply->report.in_flight, reply->report.waiting, reply->queue_ms,
+              reply->server_ms, Result_Name(reply->result),
+              Result_RunName(reply->run), reply->answer.status);
 }
 
 static void
@@ -90,7 +98,7 @@
             HttpCancelSet_IsTriggered(port->cancels)) {
             reply.result = RESULT_SHUTTING_DOWN;
         }
-        log_call(&call, &reply);
+        log_call(port, request, &call, &reply);
         fill_answer(&reply, &answer);
     }
     HttpRequest_Respond(request, &answer);
@@ -112,6 +120,7 @@
 
     port->desc = *desc;
     port->cancels = HttpCancelSet_Create();
+    atomic_store(&port->leave_since, CLOCK_NEVER);
     port->server = HttpServer_Create(&server, error);
     if (port->server == NULL) {
         HttpCancelSet_Destroy(port->cancels);
@@ -124,6 +133,7 @@
 void
 PeerPort_Leave(PeerPort *port)
 {
+    atomic_store(&port->leave_since, Clock_Now());
     HttpServer_Leave(port->server);
 }
 
