Test: requests that arrive late in a stop are cut at its end

/stop/late-requests keeps connections open from before the stop and sends requests on them until the process has ended. It fails on this code, at 4.2 s after SIGTERM: 504 after 1,001 ms while the backend server was at work.

--- /dev/null
+++ b/tests/process_stop.c
@@ -0,0 +1,153 @@
+/* Tests of graceful stops of daemons in mode "platform", while callers go on
+ * using their open connections until the process has ended. */
+#include <glib.h>
+#include <pthread.h>
+#include <signal.h>
+#include <string.h>
+
+#include "site.h"
+
+#define HOSTS 3
+#define GRACE_MS 6000
+#define KEYS "[\"" SITE_KEY "\"]"
+
+/* Time in which a request that cannot be served is refused. */
+#define REFUSAL_MS 250
+
+/* A request that is sent at a time after the SIGTERM of its host. */
+typedef struct Request {
+    Site *site;
+    ClockMs start; /* time of SIGTERM */
+    ClockMs at_ms;
+    const char *method;
+    const char *path;
+    gboolean must_be_served;
+    SiteReply reply;
+    ClockMs took_ms;
+    char id[SITE_ID_BYTES];
+    pthread_t thread;
+} Request;
+
+static void *
+send_request(void *context)
+{
+    Request *request = context;
+    ClockMs sent;
+
+    while (Clock_Now() < request->start + request->at_ms) {
+        g_usleep(1000);
+    }
+    sent = Clock_Now();
+    request->reply = Site_RequestPooled(request->site, 0, request->method,
+                                        request->path, SITE_KEY, request->id);
+    request->took_ms = Clock_Now() - sent;
+    return NULL;
+}
+
+/* Sends all requests, each at its time, and waits for their answers. */
+static void
+send_all(Request *requests, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        pthread_create(&requests[i].thread, NULL, send_request, &requests[i]);
+    }
+    for (size_t i = 0; i < count; i++) {
+        pthread_join(requests[i].thread, NULL);
+    }
+}
+
+static void
+check(const Request *request)
+{
+    const SiteReply *reply = &request->reply;
+
+    g_test_message("%s %s at %" G_GINT64_FORMAT " ms: result %d status %d "
+                   "after %" G_GINT64_FORMAT " ms, Retry-After %s",
+                   request->method, request->path, request->at_ms,
+                   (int)reply->result, reply->status, request->took_ms,
+                   reply->retry_after);
+    if (reply->result == RESULT_CONNECT_FAILED && !request->must_be_served) {
+        return;
+    }
+    g_assert_cmpint(reply->result, ==, RESULT_OK);
+    if (reply->status == 503 && !request->must_be_served) {
+        g_assert_cmpint(request->took_ms, <=, REFUSAL_MS);
+        g_assert_false(Site_HasRun(request->site, request->id));
+        return;
+    }
+    g_assert_cmpint(reply->status, ==, 200);
+    g_assert_true(reply->is_signed);
+    g_assert_true(reply->matches);
+}
+
+static Site *
+make_site(int work_ms)
+{
+    static const SiteHost_desc place = {.data_centre = "n1"};
+    Site *site = Site_Create();
+
+    Site_Configure(site, 1, KEYS, 0);
+    for (int i = 0; i < HOSTS; i++) {
+        Site_SetWorkMs(site, Site_AddHost(site, &place), work_ms);
+    }
+    Site_AwaitReady(site);
+    return site;
+}
+
+/* Guards against a request that is taken late in a stop, passed on, and cut at
+ * the end of the grace period: it must be served, or refused at once as not
+ * run. */
+static void
+test_late_requests(void)
+{
+    static const struct {
+        ClockMs at_ms;
+        gboolean must_be_served;
+    } times[] = {{500, TRUE},   {1500, TRUE},  {2600, FALSE}, {3200, FALSE},
+                 {3700, FALSE}, {4200, FALSE}, {4600, FALSE}, {5100, FALSE}};
+    static const struct {
+        const char *method;
+        const char *path;
+    } kinds[] = {{"GET", "/read/1"}, {"POST", "/issue/1"}};
+    enum { COUNT = G_N_ELEMENTS(times) * G_N_ELEMENTS(kinds) };
+    Request requests[COUNT];
+    Site *site = make_site(300);
+    ClockMs start = Clock_Now();
+
+    /* Opens the connections that are used during the stop. */
+    for (size_t i = 0; i < COUNT; i++) {
+        requests[i] = (Request){.site = site,
+                                .start = start,
+                                .method = kinds[i % 2].method,
+                                .path = kinds[i % 2].path,
+                                .must_be_served = TRUE};
+    }
+    send_all(requests, COUNT);
+    for (int host = 0; host < HOSTS; host++) {
+        Site_SetWorkMs(site, host, 1200);
+    }
+    start = Clock_Now();
+    for (size_t i = 0; i < COUNT; i++) {
+        check(&requests[i]);
+        requests[i].start = start;
+        requests[i].at_ms = times[i / 2].at_ms;
+        requests[i].must_be_served = times[i / 2].must_be_served;
+    }
+    Site_Signal(site, 0, SIGTERM);
+    send_all(requests, COUNT);
+    g_assert_true(
+        Site_AwaitExit(site, 0, MAX(start + GRACE_MS - Clock_Now(), 0)));
+    for (size_t i = 0; i < COUNT; i++) {
+        check(&requests[i]);
+    }
+    g_assert_cmpuint(Site_MaxRunsPerId(site), ==, 1);
+    Site_Destroy(site);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/stop/late-requests", test_late_requests);
+    return g_test_run();
+}
--- a/tests/site.c
+++ b/tests/site.c
@@ -386,9 +386,14 @@
     g_usleep(1000000);
 }
 
-SiteReply
-Site_RequestAs(Site *site, int host, const char *method, const char *path,
-               const char *key, char *id)
+typedef enum Connections {
+    CONNECTIONS_POOLED,   /* a pooled one if there is one */
+    CONNECTIONS_ALTERNATE /* pooled and new ones in turn */
+} Connections;
+
+static SiteReply
+send_request(Site *site, int host, const char *method, const char *path,
+             const char *key, Connections connections, char *id)
 {
     HttpHeaders headers = {0};
     HttpAnswer answer = {0};
@@ -405,7 +410,8 @@
 
     pthread_mutex_lock(&site->lock);
     g_snprintf(id, SITE_ID_BYTES, "id-%u", site->next_id++);
-    call.fresh_connection = site->next_id % 2 == 0;
+    call.fresh_connection =
+        connections == CONNECTIONS_ALTERNATE && site->next_id % 2 == 0;
     pthread_mutex_unlock(&site->lock);
     HttpHeaders_Add(&headers, "Attempt-Id", id);
     HttpHeaders_AddNumber(&headers, "Deadline-Ms", DEADLINE_MS);
@@ -426,6 +432,21 @@
     return reply;
 }
 
+SiteReply
+Site_RequestAs(Site *site, int host, const char *method, const char *path,
+               const char *key, char *id)
+{
+    return send_request(site, host, method, path, key, CONNECTIONS_ALTERNATE,
+                        id);
+}
+
+SiteReply
+Site_RequestPooled(Site *site, int host, const char *method, const char *path,
+                   const char *key, char *id)
+{
+    return send_request(site, host, method, path, key, CONNECTIONS_POOLED, id);
+}
+
 SiteReply
 Site_Request(Site *site, int host, const char *method, const char *path,
              const char *key)
--- a/tests/site.h
+++ b/tests/site.h
@@ -68,6 +68,11 @@
 SiteReply Site_RequestAs(Site *site, int host, const char *method,
                          const char *path, const char *key, char *id);
 
+/* As Site_RequestAs(), on a connection that an earlier request left open if
+ * there is one. */
+SiteReply Site_RequestPooled(Site *site, int host, const char *method,
+                             const char *path, const char *key, char *id);
+
 /* Returns the number of requests that the backend server of the host ran. */
 unsigned Site_Runs(Site *site, int host);
 
