Stop: late requests are refused at once, not passed on and cut

Callers saw 502 or 504 for requests that they sent 3.1 to 5.0 s after SIGTERM on an open connection, while most hosts of their data centre were stopping; a backend server was at work on them and some may not be repeated.

Cause: the entry took requests until its process ended and only limited their deadline to the moment of abandoning. A request that arrives 4 s after SIGTERM was passed on with 1.2 s left, also one that needs 2 s. The class of fault: a limit of time that is known when the request is taken is enforced by a cut later.

Change: src/stop has the times of a stop and decides by the arrival and the request's own deadline. In the first 2.3 s (at most half of the grace period) every request is taken. Afterwards only one whose own deadline ends before the requests are abandoned; the others get 503 at once, as not run, before their team's quota is used. The moment of abandoning is never before the last sixth of the grace period, also when that is short.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -180,8 +180,10 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     gateway->sizes = SizeEstimate_Create();
     gateway->cancels = HttpCancelSet_Create();
-    gateway->leave_since = CLOCK_NEVER;
-    gateway->leave_until = CLOCK_NEVER;
+    gateway->stop = (StopPlan){.begin = CLOCK_NEVER,
+                               .take_until = CLOCK_NEVER,
+                               .abandon = CLOCK_NEVER,
+                               .end = CLOCK_NEVER};
     Rng_Seed(&gateway->rng, Rng_ProcessSeed());
     gateway->server = HttpServer_Create(&server, error);
     if (gateway->server == NULL) {
@@ -196,11 +198,10 @@
 }
 
 void
-Gateway_Leave(Gateway *gateway, ClockMs until)
+Gateway_Leave(Gateway *gateway, const StopPlan *plan)
 {
     pthread_mutex_lock(&gateway->lock);
-    gateway->leave_since = Clock_Now();
-    gateway->leave_until = until;
+    gateway->stop = *plan;
     pthread_mutex_unlock(&gateway->lock);
     HttpServer_Leave(gateway->server);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -35,6 +35,7 @@
 #include "http/http_client.h"
 #include "quota/quota.h"
 #include "roster/roster.h"
+#include "stop/stop_plan.h"
 
 typedef struct Gateway Gateway;
 
@@ -57,9 +58,9 @@
 
 Gateway *Gateway_Create(const Gateway_desc *desc, GError **error);
 
-/* Begins a graceful stop. Limits the deadline of requests that arrive from now
- * on to `until`. */
-void Gateway_Leave(Gateway *gateway, ClockMs until);
+/* Begins a graceful stop. From now on requests that the plan does not take are
+ * refused as not run, and the others end when the plan abandons them. */
+void Gateway_Leave(Gateway *gateway, const StopPlan *plan);
 
 /* Wait up to `until`; return TRUE if no request is in flight any more. */
 gboolean Gateway_Drain(Gateway *gateway, ClockMs until);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -21,8 +21,7 @@
     pthread_mutex_t lock;   /* protects the fields below */
     GHashTable *budgets;    /* service hash -> RetryBudget */
     SizeEstimate *sizes;
-    ClockMs leave_since; /* start of a graceful stop, or CLOCK_NEVER */
-    ClockMs leave_until; /* latest deadline of a request, or CLOCK_NEVER */
+    StopPlan stop; /* of a graceful stop; all CLOCK_NEVER before */
     Rng rng;
 };
 
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -93,12 +93,27 @@
     if (route->timeout_ms > 0) {
         left = MIN(left, route->timeout_ms);
     }
-    request->deadline =
-        MIN(request->deadline, request->arrived + MAX(left, 0));
+    request->deadline = request->arrived + MAX(left, 0);
     request->target_time =
         MIN(request->arrived + target_ms, request->deadline);
 }
 
+/* Refuses a request that a graceful stop does not take, and limits the
+ * deadline of one that it takes. */
+static Result
+apply_stop(GatewayRequest *request, const StopPlan *stop)
+{
+    if (request->arrived >= stop->begin) {
+        request->stop_ms = request->arrived - stop->begin;
+    }
+    if (!StopPlan_Takes(stop, request->deadline, request->arrived)) {
+        return RESULT_SHUTTING_DOWN;
+    }
+    request->deadline = MIN(request->deadline, stop->abandon);
+    request->target_time = MIN(request->target_time, request->deadline);
+    return RESULT_OK;
+}
+
 static void
 fill_call(GatewayRequest *request)
 {
@@ -132,6 +147,7 @@
     const HttpHeaders *headers = HttpRequest_Headers(request->http);
     const char *host = HttpHeaders_Get(headers, "Host");
     const char *id = HttpHeaders_Get(headers, gateway->desc.names->request_id);
+    StopPlan stop;
     Result result;
 
     request->call.request_id = id;
@@ -157,15 +173,16 @@
     pthread_mutex_lock(&gateway->lock);
     request->destination =
         CatalogRoute_ChooseDestination(request->route, &gateway->rng);
-    request->deadline = gateway->leave_until;
-    if (gateway->leave_since <= request->arrived) {
-        request->stop_ms = request->arrived - gateway->leave_since;
-    }
+    stop = gateway->stop;
     pthread_mutex_unlock(&gateway->lock);
     if (request->destination == NULL) {
         return RESULT_NO_BACKEND_SERVER;
     }
     set_times(request);
+    result = apply_stop(request, &stop);
+    if (result != RESULT_OK) {
+        return result;
+    }
     copy_headers(request);
     fill_call(request);
     if (request->team != NULL) {
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -7,32 +7,21 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "sidecar/sidecar_internal.h"
+#include "stop/stop_plan.h"
+
 
 /* The maximum age of the configuration is the time in which a revoked key may
  * still be used, less this margin for a delayed watch and for queued requests.
  */
 #define FRESHNESS_MARGIN_MS 1500
 
-/* Time from the start of a stop until the platform routes no more callers to
- * this host: it polls readiness once a second and needs two consecutive
- * answers that are not ready. Until then the backend server accepts new work,
- * too; afterwards it is unreachable until the next process has received its
- * announcement. */
-#define READY_LAG_MS 2300
-
-/* Time before the end of the grace period at which pending requests get their
- * final answer, and at which the process ends. */
-#define ABANDON_MARGIN_MS 800
-#define STOP_MARGIN_MS 400
-
 /* Connections to other daemons are closed when sent data stays unacknowledged
  * for this long. */
 #define UNACKED_TIMEOUT_MS 800
 
 #define MS_PER_MINUTE 60000
 
-/* Timeout of the handover of quota counts. At least STOP_MARGIN_MS of the
- * grace period remain after it. */
+/* Timeout of the handover of quota counts. */
 #define HANDOVER_TIMEOUT_MS 200
 
 /* Longest sleep between two checks of the clock. */
@@ -204,34 +193,31 @@
 void
 Sidecar_Stop(Sidecar *sidecar)
 {
-    ClockMs started = Clock_Now();
-    ClockMs kill_time = started + sidecar->settings->grace_ms;
-    ClockMs abandon_time = kill_time - ABANDON_MARGIN_MS;
-    ClockMs end_time = kill_time - STOP_MARGIN_MS;
+    StopPlan plan = StopPlan_Make(Clock_Now(), sidecar->settings->grace_ms);
     gboolean done;
 
     Log_Event(LOG_STOPPING, "in_flight=%u peers_in_flight=%u",
               Gateway_InFlight(sidecar->gateway),
               PeerPort_InFlight(sidecar->peer_port));
     atomic_store(&sidecar->leaving, TRUE);
-    Gateway_Leave(sidecar->gateway, abandon_time);
+    Gateway_Leave(sidecar->gateway, &plan);
     PeerPort_Leave(sidecar->peer_port);
-    sleep_until(MIN(started + READY_LAG_MS, abandon_time));
+    sleep_until(plan.take_until);
     Backend_Close(sidecar->backend);
-    done = Gateway_Drain(sidecar->gateway, abandon_time);
-    done = PeerPort_Drain(sidecar->peer_port, abandon_time) && done;
+    done = Gateway_Drain(sidecar->gateway, plan.abandon);
+    done = PeerPort_Drain(sidecar->peer_port, plan.abandon) && done;
     Quota_Leave(sidecar->quota, Clock_Now() + HANDOVER_TIMEOUT_MS);
     /* Requests that arrived on open connections meanwhile have been served. */
-    done = Gateway_Close(sidecar->gateway, abandon_time) && done;
-    done = PeerPort_Close(sidecar->peer_port, abandon_time) && done;
+    done = Gateway_Close(sidecar->gateway, plan.abandon) && done;
+    done = PeerPort_Close(sidecar->peer_port, plan.abandon) && done;
     if (!done) {
         PeerPort_CancelRequests(sidecar->peer_port);
         Gateway_CancelRequests(sidecar->gateway);
-        (void)Gateway_Close(sidecar->gateway, end_time);
-        (void)PeerPort_Close(sidecar->peer_port, end_time);
+        (void)Gateway_Close(sidecar->gateway, plan.end);
+        (void)PeerPort_Close(sidecar->peer_port, plan.end);
     }
     Log_Event(LOG_STOPPED, "drained=%d after_ms=%" PRId64, done,
-              Clock_Now() - started);
+              Clock_Now() - plan.begin);
 }
 
 void
--- /dev/null
+++ b/src/stop/stop_plan.h
@@ -0,0 +1,43 @@
+/* StopPlan: the times of a graceful stop, and which requests are still taken
+ * in it.
+ *
+ * Load pattern: many hosts stop within a short time, in a planned roll of the
+ * fleet. Callers then go on using a host that is not ready, because the other
+ * hosts of its data centre are stopping, too. A request that is taken late is
+ * passed on and cut at the end of the grace period, when its backend server is
+ * at work and the request may not be sent again. Here
+ *  - a request is taken in the first part of the stop, so that the rest is
+ * left for it to end in;
+ *  - later only a request that ends by itself before the stop does, because
+ * its own deadline is earlier; calls of running requests are mostly of this
+ *    kind;
+ *  - any other one is refused as not run at once, so that its caller can
+ * return when the host has started again.
+ *
+ * Use: StopPlan_Make() when the stop begins; StopPlan_Takes() for each request
+ * that arrives.
+ *
+ * Errors and limits: none; pure functions.
+ */
+#ifndef STOP_STOP_PLAN_H
+#define STOP_STOP_PLAN_H
+
+#include <glib.h>
+
+#include "base/clock.h"
+
+typedef struct StopPlan {
+    ClockMs begin;
+    ClockMs take_until; /* every request that arrives until then is taken */
+    ClockMs abandon;    /* requests in flight get their final answer */
+    ClockMs end;        /* the process has ended */
+} StopPlan;
+
+/* `grace_ms` is the time from `begin` until the process is killed. */
+StopPlan StopPlan_Make(ClockMs begin, ClockMs grace_ms);
+
+/* Whether to take a request that arrives now and ends by `deadline`, whatever
+ * happens. */
+gboolean StopPlan_Takes(const StopPlan *plan, ClockMs deadline, ClockMs now);
+
+#endif
--- /dev/null
+++ b/src/stop/test_stop_plan.c
@@ -0,0 +1,58 @@
+/* Tests of the times of a graceful stop. */
+#include <glib.h>
+
+#include "stop/stop_plan.h"
+
+/* Guards against a request that is taken so late in a stop that it is cut at
+ * the end, and against a refusal of one that can still be served. */
+static void
+test_takes(void)
+{
+    static const struct {
+        ClockMs grace_ms;
+        ClockMs now;
+        ClockMs deadline;
+        gboolean taken;
+    } cases[] = {
+        {6000, 0, 8000, TRUE},      {6000, 2300, 15000, TRUE},
+        {6000, 2301, 8000, FALSE},  {6000, 4000, 5201, FALSE},
+        {6000, 4000, 5200, TRUE},   {6000, 5100, 5150, TRUE},
+        {6000, 5300, 5400, FALSE},  {10000, 2300, 9300, TRUE},
+        {10000, 2400, 9300, FALSE}, {10000, 8900, 9100, TRUE},
+        {2000, 1000, 5000, TRUE},   {2000, 1001, 5000, FALSE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        StopPlan plan = StopPlan_Make(0, cases[i].grace_ms);
+
+        g_assert_cmpint(StopPlan_Takes(&plan, cases[i].deadline, cases[i].now),
+                        ==, cases[i].taken);
+    }
+}
+
+/* Guards against times out of order for any grace period, against a run that
+ * is cut before the last sixth of the grace period, and against a process that
+ * is killed because it does not end in time. */
+static void
+test_order(void)
+{
+    for (ClockMs grace = 100; grace <= 60000; grace += 100) {
+        StopPlan plan = StopPlan_Make(7, grace);
+
+        g_assert_cmpint(plan.begin, ==, 7);
+        g_assert_cmpint(plan.take_until, >, plan.begin);
+        g_assert_cmpint(plan.take_until, <, plan.abandon);
+        g_assert_cmpint(6 * (plan.abandon - 7), >=, 5 * grace);
+        g_assert_cmpint(plan.abandon, <, plan.end);
+        g_assert_cmpint(plan.end, <, plan.begin + grace);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/stop-plan/takes", test_takes);
+    g_test_add_func("/stop-plan/order", test_order);
+    return g_test_run();
+}
