Stop: an owner takes up only runs that it expects to end

A backend server's daemon that stops, in calm, took requests of other daemons for 2.3 s and cut at the end of the grace period what had not ended.

Cause: the owner looked at its state only, not at the time that a run takes. The same class as the late requests at the entry.

Change: the backend gets the plan of the stop. A run is taken up, and waits on for a slot, only if its own deadline ends before requests are abandoned, or if the expected wait and two mean service times do. Any other one is refused as not run, and its sender asks another owner.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -159,6 +159,12 @@
     return (ClockMs)wait_behind(admission, kind_of(ticket), ahead);
 }
 
+ClockMs
+Admission_ServiceMs(const Admission *admission, const AdmissionTicket *ticket)
+{
+    return (ClockMs)admission->service_ms[kind_of(ticket)];
+}
+
 gboolean
 Admission_Arrive(Admission *admission, AdmissionTicket *ticket,
                  ClockMs max_wait_ms, ClockMs now)
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -76,6 +76,10 @@
 ClockMs Admission_ExpectedWait(const Admission *admission,
                                const AdmissionTicket *ticket, ClockMs now);
 
+/* Mean service time of requests of the ticket's kind. */
+ClockMs Admission_ServiceMs(const Admission *admission,
+                            const AdmissionTicket *ticket);
+
 /* Adds the ticket to the queue. Returns FALSE if its expected wait is longer
  * than `max_wait_ms`. */
 gboolean Admission_Arrive(Admission *admission, AdmissionTicket *ticket,
--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -21,6 +21,9 @@
 #define STALL_FACTOR 4
 #define MIN_STALL_MS 1500
 
+/* Nearly all runs end within this many mean service times. */
+#define LONG_RUN_FACTOR 2
+
 /* Minimum risk reported while a running request is stalled. */
 #define STALL_RISK 0.8
 
@@ -35,6 +38,7 @@
     BackendAnnouncement announcement;
     BackendState state;
     gboolean closed;
+    StopPlan stop;
     GrayFilter filter;
     unsigned failed_calls;    /* failed calls not yet matched to a failure */
     ClockMs last_failed_call; /* time of the last failed call */
@@ -54,6 +58,7 @@
     Condition_Init(&backend->wake);
     GrayFilter_Init(&backend->filter, &desc->gray, Clock_Now());
     backend->last_sent = Clock_Now();
+    backend->stop = StopPlan_None();
     backend->admission = Admission_Create();
     return backend;
 }
@@ -169,6 +174,15 @@
     }
 }
 
+void
+Backend_Leave(Backend *backend, const StopPlan *plan)
+{
+    pthread_mutex_lock(&backend->lock);
+    backend->stop = *plan;
+    pthread_cond_broadcast(&backend->wake);
+    pthread_mutex_unlock(&backend->lock);
+}
+
 void
 Backend_Close(Backend *backend)
 {
@@ -217,14 +231,30 @@
     };
 }
 
+/* Whether this host or its backend server stops too early for the request.
+ * Called with the lock held. */
+static gboolean
+is_leaving(const Backend *backend, const BackendCall *call,
+           const AdmissionTicket *ticket, ClockMs now)
+{
+    ClockMs expected_ms =
+        Admission_ExpectedWait(backend->admission, ticket, now) +
+        LONG_RUN_FACTOR * Admission_ServiceMs(backend->admission, ticket);
+
+    return backend->closed || backend->state != BACKEND_READY ||
+           !StopPlan_TakesRun(&backend->stop, call->deadline, expected_ms,
+                              now);
+}
+
 /* Whether the request may queue for a slot. Called with the lock held. */
 static Result
-check_call(const Backend *backend, const BackendCall *call, ClockMs now)
+check_call(const Backend *backend, const BackendCall *call,
+           const AdmissionTicket *ticket, ClockMs now)
 {
     if (strcmp(call->service, backend->desc.service) != 0) {
         return RESULT_BACKEND_SERVER_OTHER;
     }
-    if (backend->closed || backend->state != BACKEND_READY) {
+    if (is_leaving(backend, call, ticket, now)) {
         return RESULT_BACKEND_SERVER_LEAVING;
     }
     if (current_risk(backend, now) > call->max_risk &&
@@ -253,7 +283,7 @@
     if (call->cancel != NULL && HttpCancel_IsTriggered(call->cancel)) {
         return RESULT_CANCELLED;
     }
-    if (backend->closed || backend->state != BACKEND_READY) {
+    if (is_leaving(backend, call, ticket, now)) {
         return RESULT_BACKEND_SERVER_LEAVING;
     }
     if (now >= call->deadline) {
@@ -269,7 +299,7 @@
 take_slot(Backend *backend, const BackendCall *call, AdmissionTicket *ticket)
 {
     ClockMs now = Clock_Now();
-    Result result = check_call(backend, call, now);
+    Result result = check_call(backend, call, ticket, now);
 
     if (result != RESULT_OK) {
         return result;
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -10,13 +10,15 @@
  *     Backend_MarkStopped() when it reports that it stops.
  *  3. Backend_Run() for each request, from any thread; it blocks while the
  *     request waits for a slot and runs.
- *  4. Backend_Close() refuses all requests that are not running yet.
+ *  4. Backend_Leave() when a graceful stop begins; Backend_Close() refuses all
+ *     requests that are not running yet.
  *  5. Backend_Destroy() once no Backend_Run() is active.
  *
  * Admission: a request is refused as not run
  *  - if it is for another service: the address of this host was used by
  *    another host before, and the sender's roster is out of date;
- *  - if the backend server is stopping or has not announced itself;
+ *  - if the backend server is stopping or has not announced itself, or if this
+ *    host stops before the request can be expected to end;
  *  - if its risk of a gray failure or the expected wait for a slot exceeds the
  *    sender's limit. A request that explores an idle backend server is exempt
  *    from the limit of risk. Only the owner knows how long the backend server
@@ -49,6 +51,7 @@
 #include "http/http_client.h"
 #include "http/http_message.h"
 #include "roster/roster.h"
+#include "stop/stop_plan.h"
 
 #define BACKEND_NAME_BYTES 64
 
@@ -147,6 +150,10 @@
  * has failed. A failure of the backend server right after it is attributed to
  * the call and does not raise the backend server's risk. */
 void Backend_NoteFailedCall(Backend *backend);
+
+/* Begins a graceful stop: runs that cannot be expected to end before it does
+ * are refused as not run. */
+void Backend_Leave(Backend *backend, const StopPlan *plan);
 void Backend_Close(Backend *backend);
 void Backend_GetStatus(Backend *backend, BackendStatus *status);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -180,10 +180,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     gateway->sizes = SizeEstimate_Create();
     gateway->cancels = HttpCancelSet_Create();
-    gateway->stop = (StopPlan){.begin = CLOCK_NEVER,
-                               .take_until = CLOCK_NEVER,
-                               .abandon = CLOCK_NEVER,
-                               .end = CLOCK_NEVER};
+    gateway->stop = StopPlan_None();
     Rng_Seed(&gateway->rng, Rng_ProcessSeed());
     gateway->server = HttpServer_Create(&server, error);
     if (gateway->server == NULL) {
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -21,7 +21,7 @@
     pthread_mutex_t lock;   /* protects the fields below */
     GHashTable *budgets;    /* service hash -> RetryBudget */
     SizeEstimate *sizes;
-    StopPlan stop; /* of a graceful stop; all CLOCK_NEVER before */
+    StopPlan stop;
     Rng rng;
 };
 
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -200,6 +200,7 @@
               Gateway_InFlight(sidecar->gateway),
               PeerPort_InFlight(sidecar->peer_port));
     atomic_store(&sidecar->leaving, TRUE);
+    Backend_Leave(sidecar->backend, &plan);
     Gateway_Leave(sidecar->gateway, &plan);
     PeerPort_Leave(sidecar->peer_port);
     sleep_until(plan.take_until);
--- a/src/stop/stop_plan.c
+++ b/src/stop/stop_plan.c
@@ -17,6 +17,15 @@
 #define MAX_ABANDON_SHARE 6
 #define STOP_MARGIN_MS 400
 
+StopPlan
+StopPlan_None(void)
+{
+    return (StopPlan){.begin = CLOCK_NEVER,
+                      .take_until = CLOCK_NEVER,
+                      .abandon = CLOCK_NEVER,
+                      .end = CLOCK_NEVER};
+}
+
 StopPlan
 StopPlan_Make(ClockMs begin, ClockMs grace_ms)
 {
@@ -34,3 +43,10 @@
 {
     return now <= plan->take_until || deadline <= plan->abandon;
 }
+
+gboolean
+StopPlan_TakesRun(const StopPlan *plan, ClockMs deadline, ClockMs expected_ms,
+                  ClockMs now)
+{
+    return deadline <= plan->abandon || expected_ms <= plan->abandon - now;
+}
--- a/src/stop/stop_plan.h
+++ b/src/stop/stop_plan.h
@@ -14,8 +14,12 @@
  *  - any other one is refused as not run at once, so that its caller can
  * return when the host has started again.
  *
- * Use: StopPlan_Make() when the stop begins; StopPlan_Takes() for each request
- * that arrives.
+ *  - an owner takes up a run only if it expects it to end before the stop
+ * does, so that it goes to another backend server in time.
+ *
+ * Use: StopPlan_None() until a stop begins, then StopPlan_Make();
+ * StopPlan_Takes() for each request that arrives, StopPlan_TakesRun() before
+ * each run.
  *
  * Errors and limits: none; pure functions.
  */
@@ -33,6 +37,9 @@
     ClockMs end;        /* the process has ended */
 } StopPlan;
 
+/* The plan of a daemon that does not stop; takes everything. */
+StopPlan StopPlan_None(void);
+
 /* `grace_ms` is the time from `begin` until the process is killed. */
 StopPlan StopPlan_Make(ClockMs begin, ClockMs grace_ms);
 
@@ -40,4 +47,9 @@
  * happens. */
 gboolean StopPlan_Takes(const StopPlan *plan, ClockMs deadline, ClockMs now);
 
+/* Whether to take up a run that is expected to last `expected_ms` from now,
+ * and ends by `deadline`, whatever happens. */
+gboolean StopPlan_TakesRun(const StopPlan *plan, ClockMs deadline,
+                           ClockMs expected_ms, ClockMs now);
+
 #endif
--- a/src/stop/test_stop_plan.c
+++ b/src/stop/test_stop_plan.c
@@ -30,6 +30,34 @@
     }
 }
 
+/* Guards against a run that is taken up although it cannot be expected to end
+ * before the stop does. */
+static void
+test_takes_run(void)
+{
+    static const struct {
+        ClockMs now;
+        ClockMs deadline;
+        ClockMs expected_ms;
+        gboolean taken;
+    } cases[] = {
+        {0, 8000, 5200, TRUE},     {0, 8000, 5201, FALSE},
+        {0, 5200, 9000, TRUE},     {2000, 8000, 3200, TRUE},
+        {2000, 8000, 3300, FALSE}, {5300, 8000, 0, FALSE},
+    };
+    StopPlan plan = StopPlan_Make(0, 6000);
+    StopPlan none = StopPlan_None();
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_assert_cmpint(StopPlan_TakesRun(&plan, cases[i].deadline,
+                                          cases[i].expected_ms, cases[i].now),
+                        ==, cases[i].taken);
+        g_assert_true(StopPlan_TakesRun(&none, cases[i].deadline,
+                                        cases[i].expected_ms, cases[i].now));
+        g_assert_true(StopPlan_Takes(&none, cases[i].deadline, cases[i].now));
+    }
+}
+
 /* Guards against times out of order for any grace period, against a run that
  * is cut before the last sixth of the grace period, and against a process that
  * is killed because it does not end in time. */
@@ -53,6 +81,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/stop-plan/takes", test_takes);
+    g_test_add_func("/stop-plan/takes-run", test_takes_run);
     g_test_add_func("/stop-plan/order", test_order);
     return g_test_run();
 }
--- a/tests/process_stop.c
+++ b/tests/process_stop.c
@@ -8,6 +8,7 @@
 #include "site.h"
 
 #define HOSTS 3
+#define SLOTS 5 /* of each backend server */
 #define GRACE_MS 6000
 #define KEYS "[\"" SITE_KEY "\"]"
 
@@ -80,6 +81,14 @@
     g_assert_true(reply->matches);
 }
 
+static void
+set_work(Site *site, int work_ms)
+{
+    for (int host = 0; host < HOSTS; host++) {
+        Site_SetWorkMs(site, host, work_ms);
+    }
+}
+
 static Site *
 make_site(int work_ms)
 {
@@ -113,6 +122,11 @@
     Request requests[COUNT];
     Site *site = make_site(300);
     ClockMs start = Clock_Now();
+    /* Keeps the process running until shortly before the end. */
+    Request longest = {.site = site,
+                       .method = "POST",
+                       .path = "/issue/1",
+                       .must_be_served = TRUE};
 
     /* Opens the connections that are used during the stop. */
     for (size_t i = 0; i < COUNT; i++) {
@@ -123,9 +137,11 @@
                                 .must_be_served = TRUE};
     }
     send_all(requests, COUNT);
-    for (int host = 0; host < HOSTS; host++) {
-        Site_SetWorkMs(site, host, 1200);
-    }
+    set_work(site, 4700);
+    longest.start = Clock_Now();
+    pthread_create(&longest.thread, NULL, send_request, &longest);
+    g_usleep(200000);
+    set_work(site, 1200);
     start = Clock_Now();
     for (size_t i = 0; i < COUNT; i++) {
         check(&requests[i]);
@@ -135,6 +151,8 @@
     }
     Site_Signal(site, 0, SIGTERM);
     send_all(requests, COUNT);
+    pthread_join(longest.thread, NULL);
+    check(&longest);
     g_assert_true(
         Site_AwaitExit(site, 0, MAX(start + GRACE_MS - Clock_Now(), 0)));
     for (size_t i = 0; i < COUNT; i++) {
@@ -144,10 +162,47 @@
     Site_Destroy(site);
 }
 
+/* Guards against an owner that takes a request in its stop, from a host that
+ * does not stop, and cuts it at the end: the last runs took so long that it
+ * cannot expect the request to end before. */
+static void
+test_late_at_owner(void)
+{
+    enum { ROUNDS = 2, WORK_MS = 2500, LONG_MS = 4800 };
+    Site *site = Site_Create();
+    Request requests[ROUNDS * SLOTS];
+    Request last = {
+        .site = site, .at_ms = 2000, .method = "POST", .path = "/issue/1"};
+
+    Site_Configure(site, 1, KEYS, 0);
+    Site_AddHost(site, &(SiteHost_desc){.service = "other"});
+    Site_SetWorkMs(site, Site_AddHost(site, &(SiteHost_desc){0}), WORK_MS);
+    Site_AwaitReady(site);
+    for (int i = 0; i < ROUNDS * SLOTS; i++) {
+        requests[i] = last;
+        requests[i].start = Clock_Now();
+        requests[i].at_ms = i / SLOTS * (WORK_MS + 200);
+        requests[i].must_be_served = TRUE;
+    }
+    send_all(requests, ROUNDS * SLOTS);
+    for (int i = 0; i < ROUNDS * SLOTS; i++) {
+        check(&requests[i]);
+    }
+    Site_SetWorkMs(site, 1, LONG_MS);
+    last.start = Clock_Now();
+    Site_Signal(site, 1, SIGTERM);
+    send_all(&last, 1);
+    check(&last);
+    g_assert_true(
+        Site_AwaitExit(site, 1, MAX(last.start + GRACE_MS - Clock_Now(), 0)));
+    Site_Destroy(site);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/stop/late-requests", test_late_requests);
+    g_test_add_func("/stop/late-at-owner", test_late_at_owner);
     return g_test_run();
 }
