Stop: connections are accepted while requests run

The entry closed its port 2.3 s after SIGTERM, while requests ran on. The calls that a running request made on new connections were refused, and it failed. Callers of a host whose neighbours were stopping, too, found a closed port for up to 3 s and were not told when to return.

Change: the port is closed once nothing is in flight.

/stop/calls failed before (no connection at 2.4 s) and passes.

--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -27,6 +27,9 @@
 /* Longest sleep between two checks of the clock. */
 #define STOP_POLL_MS 50
 
+/* Interval at which a stop checks whether requests are in flight. */
+#define IDLE_POLL_MS 10
+
 /* Sets the ports that are 0 to consecutive numbers from first_port. */
 static void
 set_ports(Settings *settings)
@@ -190,6 +193,20 @@
     }
 }
 
+/* Waits until no request is in flight. New connections are still accepted, for
+ * calls of the running requests and for callers, who are told when to return.
+ */
+static void
+await_idle(Sidecar *sidecar, ClockMs until)
+{
+    while (Clock_Now() < until &&
+           Gateway_InFlight(sidecar->gateway) +
+                   PeerPort_InFlight(sidecar->peer_port) >
+               0) {
+        (void)poll(NULL, 0, IDLE_POLL_MS);
+    }
+}
+
 void
 Sidecar_Stop(Sidecar *sidecar)
 {
@@ -205,6 +222,7 @@
     PeerPort_Leave(sidecar->peer_port);
     sleep_until(plan.take_until);
     Backend_Close(sidecar->backend);
+    await_idle(sidecar, plan.abandon);
     done = Gateway_Drain(sidecar->gateway, plan.abandon);
     done = PeerPort_Drain(sidecar->peer_port, plan.abandon) && done;
     Quota_Leave(sidecar->quota, Clock_Now() + HANDOVER_TIMEOUT_MS);
--- a/tests/process_stop.c
+++ b/tests/process_stop.c
@@ -162,6 +162,44 @@
     Site_Destroy(site);
 }
 
+/* Guards against a stop that refuses connections while requests run: their
+ * calls, which end before the stop does, would fail, and with them the
+ * requests. */
+static void
+test_calls_in_stop(void)
+{
+    enum { CALLS = 8, EVERY_MS = 200 };
+    Site *site = make_site(4000);
+    Request calls[CALLS];
+    Request running = {.site = site,
+                       .method = "POST",
+                       .path = "/issue/1",
+                       .start = Clock_Now(),
+                       .must_be_served = TRUE};
+
+    pthread_create(&running.thread, NULL, send_request, &running);
+    g_usleep(200000);
+    set_work(site, 100);
+    Site_SetDeadline(site, 600);
+    Site_Signal(site, 0, SIGTERM);
+    for (int i = 0; i < CALLS; i++) {
+        calls[i] = (Request){.site = site,
+                             .method = "GET",
+                             .path = "/open/1",
+                             .start = Clock_Now(),
+                             .at_ms = 2000 + i * EVERY_MS,
+                             .must_be_served = TRUE};
+    }
+    send_all(calls, CALLS);
+    for (int i = 0; i < CALLS; i++) {
+        check(&calls[i]);
+    }
+    pthread_join(running.thread, NULL);
+    check(&running);
+    g_assert_true(Site_AwaitExit(site, 0, GRACE_MS));
+    Site_Destroy(site);
+}
+
 /* Guards against an owner that takes a request in its stop, from a host that
  * does not stop, and cuts it at the end: the last runs took so long that it
  * cannot expect the request to end before. */
@@ -203,6 +241,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/stop/late-requests", test_late_requests);
+    g_test_add_func("/stop/calls", test_calls_in_stop);
     g_test_add_func("/stop/late-at-owner", test_late_at_owner);
     return g_test_run();
 }
--- a/tests/site.c
+++ b/tests/site.c
@@ -50,6 +50,7 @@
     int host_count;
     pthread_t heartbeats;
     atomic_bool stopping;
+    atomic_int deadline_ms; /* of requests */
     pthread_mutex_t lock;
     GHashTable *runs; /* request id -> number of runs */
     unsigned next_id;
@@ -188,6 +189,7 @@
     g_assert_nonnull(site->folder);
     site->store = ObjectServer_Create(&store);
     site->client = HttpClient_Create(&(HttpClient_desc){0});
+    atomic_store(&site->deadline_ms, DEADLINE_MS);
     site->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     pthread_mutex_init(&site->lock, NULL);
     pthread_create(&site->heartbeats, NULL, run_heartbeats, site);
@@ -414,7 +416,8 @@
         connections == CONNECTIONS_ALTERNATE && site->next_id % 2 == 0;
     pthread_mutex_unlock(&site->lock);
     HttpHeaders_Add(&headers, "Attempt-Id", id);
-    HttpHeaders_AddNumber(&headers, "Deadline-Ms", DEADLINE_MS);
+    HttpHeaders_AddNumber(&headers, "Deadline-Ms",
+                          atomic_load(&site->deadline_ms));
     if (key != NULL) {
         HttpHeaders_Add(&headers, "Api-Key", key);
     }
@@ -505,6 +508,12 @@
     atomic_store(&site->hosts[host].work_ms, milliseconds);
 }
 
+void
+Site_SetDeadline(Site *site, int milliseconds)
+{
+    atomic_store(&site->deadline_ms, milliseconds);
+}
+
 void
 Site_Drain(Site *site, int host)
 {
--- a/tests/site.h
+++ b/tests/site.h
@@ -86,6 +86,9 @@
 /* Returns the id of the last Site_Request(). */
 const char *Site_LastId(Site *site);
 
+/* Sets the time that callers state for their further requests (6,000 ms). */
+void Site_SetDeadline(Site *site, int milliseconds);
+
 /* Control the backend server of a host: the percentage of its requests that
  * fail, the service time of each, and a drain, which it announces at once. */
 void Site_SetFailing(Site *site, int host, int percent);
