Return time: a host that stops is back after its restart

Callers that a stopping host refused were told to return after 0.3 to 0.4 s, when it was still stopping, and were refused again. They are now told 1.5 s or more, the rest of the stop and a start, if that is within the time that they wait.

/return-time/times has the cases; before, 300 to 375 ms.

--- a/src/gateway/return_time.c
+++ b/src/gateway/return_time.c
@@ -11,6 +11,10 @@
 #define HOST_RETURN_MS 300
 #define CONFIG_RETURN_MS 1000
 
+/* Time after which a host that refuses because it stops has started again: the
+ * rest of its running requests, and the start. */
+#define RESTART_RETURN_MS 1500
+
 /* Requests of a team beyond its rate return in the order of their arrival
  * after this many token intervals. */
 #define TOKEN_INTERVALS 10
@@ -26,6 +30,8 @@
     switch (input->result) {
     case RESULT_RATE_EXCEEDED:
         return MAX(TOKEN_INTERVALS * input->token_ms, MIN_RETURN_MS);
+    case RESULT_SHUTTING_DOWN:
+        return RESTART_RETURN_MS;
     case RESULT_ISOLATED:
     case RESULT_NOT_CONFIGURED:
         return CONFIG_RETURN_MS;
--- a/src/gateway/test_return_time.c
+++ b/src/gateway/test_return_time.c
@@ -24,6 +24,8 @@
         {{RESULT_RATE_EXCEEDED, 0, 3000, 6000, 0}, -1, -1},
         {{RESULT_NOT_CONFIGURED, 0, 0, 6000, 0}, 1000, 1250},
         {{RESULT_NOT_CONFIGURED, 0, 0, -5, 0}, -1, -1},
+        {{RESULT_SHUTTING_DOWN, 0, 0, 8000, 0}, 1500, 1875},
+        {{RESULT_SHUTTING_DOWN, 0, 0, 4000, 0}, -1, -1},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
