Attempts: a first one goes on while a second is tried

Callers saw 502 or 504 for requests that a backend server was working on, before their deadline: the first attempt had lasted long and was cut for a retry, and nobody took the retry.

Cause: the running attempt was given up before another owner had accepted. The class: an exchange of a thing held for one that is only hoped for.

Change: at that time other owners are tried while the first attempt goes on, if the retry budget allows and one of them can be expected to have a free slot. The first ends when another backend server has answered; if none takes the request or answers, it continues to its deadline. A cancel object covers both calls.

/stop/retry-not-taken: before, 504 after 1,502 ms; now 200 after 3.0 s.

--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -208,24 +208,81 @@
     call->max_wait_ms = limits.max_wait_ms;
 }
 
-/* Debits the budget for the retry that follows a timed-out attempt. Returns
- * FALSE to let the attempt continue: if the budget is used up, or while the
- * daemon stops, when running requests are left to finish. */
+static void try_owners(GatewayRequest *request, BackendReply *reply);
+
+/* Debits the budget for a retry; FALSE if it is used up. */
 static gboolean
-give_up_attempt(void *context)
+take_retry(GatewayRequest *request)
 {
-    GatewayRequest *request = context;
     Gateway *gateway = request->gateway;
     ClockMs now = Clock_Now();
+    gboolean taken;
 
-    if (HttpServer_IsLeaving(gateway->server)) {
-        return FALSE;
-    }
     pthread_mutex_lock(&gateway->lock);
-    request->retry_taken = RetryBudget_TakeRetry(
+    taken = RetryBudget_TakeRetry(
         find_budget(gateway, request->destination->service_hash, now), now);
     pthread_mutex_unlock(&gateway->lock);
-    return request->retry_taken;
+    return taken;
+}
+
+/* Takes over what the copy `other` of the request has learned. */
+static void
+merge_request(GatewayRequest *request, GatewayRequest *other)
+{
+    request->attempts = other->attempts - 1;
+    memcpy(request->excluded, other->excluded, sizeof(request->excluded));
+    request->excluded_count = other->excluded_count;
+    memcpy(request->asked, other->asked, sizeof(request->asked));
+    request->asked_count = other->asked_count;
+    request->backlog_ms = other->backlog_ms;
+    request->maybe_run = request->maybe_run || other->maybe_run;
+    memcpy(request->trace, other->trace, sizeof(request->trace));
+    if (other->failure.status != 0) {
+        HttpAnswer_Clear(&request->failure);
+        HttpAnswer_Move(&request->failure, &other->failure);
+    }
+}
+
+/* Whether another owner can be expected to have a free slot soon. */
+static gboolean
+has_free_owner(GatewayRequest *request)
+{
+    RosterChoice choice;
+
+    return choose(request, &choice) &&
+           choice.wait_ms <= choice.service_ms / MIN_ATTEMPT_SERVICE_TIMES;
+}
+
+/* Called when the first attempt has lasted long. Tries other owners while it
+ * goes on, so that it is not cut for a retry that nobody takes. Returns TRUE
+ * to end it if another backend server has answered. Returns FALSE to let it
+ * continue if none has, if none has room, if the budget is used up, or while
+ * the daemon stops, when running requests are left to finish. */
+static gboolean
+give_up_attempt(void *context)
+{
+    GatewayRequest *request = context;
+    GatewayRequest other;
+    BackendReply reply;
+
+    /* The first attempt still reads its own call. */
+    other = *request;
+    other.failure = (HttpAnswer){0};
+    other.attempts++;
+    add_host(other.excluded, &other.excluded_count, other.current_host);
+    if (HttpServer_IsLeaving(request->gateway->server) ||
+        !has_free_owner(&other) || !take_retry(request)) {
+        return FALSE;
+    }
+    Counter_Retry(RESULT_DEADLINE_EXPIRED);
+    try_owners(&other, &reply);
+    merge_request(request, &other);
+    if (reply.result != RESULT_OK) {
+        HttpAnswer_Clear(&reply.answer);
+        return FALSE;
+    }
+    request->other_reply = g_memdup2(&reply, sizeof(reply));
+    return TRUE;
 }
 
 /* Limits the first attempt so that enough time is left for a second one. */
@@ -358,6 +415,7 @@
              BackendReply *reply)
 {
     *reply = (BackendReply){.run = RUN_NO};
+    request->current_host = choice->host;
     request->call.is_retry = request->attempts > 0 || request->is_retried_call;
     set_limits(request, choice);
     set_attempt_timeout(request, choice);
@@ -380,6 +438,13 @@
                request->call.max_risk, reply->report.risk,
                reply->queue_ms + reply->server_ms, Result_Name(reply->result),
                Result_RunName(reply->run));
+    request->maybe_run = request->maybe_run || reply->run != RUN_NO;
+    if (request->other_reply != NULL) {
+        HttpAnswer_Clear(&reply->answer);
+        *reply = *request->other_reply;
+        g_free(request->other_reply);
+        request->other_reply = NULL;
+    }
 }
 
 /* Whether a stopping owner returned a request that can run elsewhere. Hosts
@@ -406,8 +471,7 @@
     if (!reply->arrived) {
         return FALSE;
     }
-    if (request->retry_taken || is_retry_after_shutdown(request, reply)) {
-        request->retry_taken = FALSE;
+    if (is_retry_after_shutdown(request, reply)) {
         Counter_Retry(reply->result);
         return FALSE;
     }
@@ -419,15 +483,12 @@
     return reason != RETRY_AGAIN;
 }
 
-void
-_Gateway_Attempt(GatewayRequest *request, BackendReply *reply)
+static void
+try_owners(GatewayRequest *request, BackendReply *reply)
 {
-    HttpAnswer failure = {0}; /* last error answer of a backend server */
     RosterChoice choice;
-    gboolean maybe_run = FALSE;
 
     *reply = (BackendReply){.result = RESULT_NO_BACKEND_SERVER, .run = RUN_NO};
-    count_request(request);
     for (int round = 0; round < MAX_ROUNDS; round++) {
         if (Clock_Now() >= request->deadline) {
             reply->result = RESULT_DEADLINE_EXPIRED;
@@ -438,22 +499,30 @@
         }
         HttpAnswer_Clear(&reply->answer);
         attempt_once(request, &choice, reply);
-        maybe_run = maybe_run || reply->run != RUN_NO;
         if (is_final(request, reply)) {
             break;
         }
         if (reply->result == RESULT_BACKEND_SERVER_ERROR) {
-            HttpAnswer_Clear(&failure);
-            HttpAnswer_Move(&failure, &reply->answer);
+            HttpAnswer_Clear(&request->failure);
+            HttpAnswer_Move(&request->failure, &reply->answer);
         }
     }
+}
+
+void
+_Gateway_Attempt(GatewayRequest *request, BackendReply *reply)
+{
+    HttpAnswer *failure = &request->failure;
+
+    count_request(request);
+    try_owners(request, reply);
     if (reply->result != RESULT_OK && reply->answer.status == 0 &&
-        failure.status != 0) {
-        HttpAnswer_Move(&reply->answer, &failure);
+        failure->status != 0) {
+        HttpAnswer_Move(&reply->answer, failure);
         reply->result = RESULT_BACKEND_SERVER_ERROR;
     }
-    HttpAnswer_Clear(&failure);
-    if (maybe_run && reply->run == RUN_NO) {
+    HttpAnswer_Clear(failure);
+    if (request->maybe_run && reply->run == RUN_NO) {
         reply->run = RUN_UNKNOWN;
     }
 }
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -45,10 +45,14 @@
                             arrival; -1: arrived before, or no stop */
     ClockMs catalog_age; /* age of the configuration, Catalog_Age() */
     QuotaSource quota_source;
-    gboolean can_retry;   /* a retry could follow a failed next attempt */
-    gboolean retry_taken; /* retry already debited for a timed-out attempt */
-    gboolean is_retried_call; /* call of a request that is a retry */
-    uint32_t attempts;        /* attempts that reached a backend server */
+    gboolean can_retry;        /* a retry could follow a failed next attempt */
+    BackendReply *other_reply; /* answer of a second attempt that was made
+                                  while the first one ran; NULL: none */
+    HttpAnswer failure;        /* last error answer of a backend server */
+    gboolean maybe_run;        /* an attempt may have run */
+    uint64_t current_host;     /* host of the attempt in progress */
+    gboolean is_retried_call;  /* call of a request that is a retry */
+    uint32_t attempts;         /* attempts that reached a backend server */
     uint64_t excluded[ROSTER_MAX_EXCLUDED]; /* hosts that cannot serve it */
     uint32_t excluded_count;
     uint64_t asked[ROSTER_MAX_EXCLUDED]; /* hosts already asked to serve it */
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -34,7 +34,8 @@
 struct HttpCancel {
     pthread_mutex_t lock;
     gboolean triggered;
-    int fd; /* socket of the running call, or -1 */
+    int fds[HTTP_CANCEL_CALLS]; /* sockets of the running calls */
+    unsigned count;
 };
 
 struct HttpClient {
@@ -51,7 +52,6 @@
     HttpCancel *cancel = g_new0(HttpCancel, 1);
 
     pthread_mutex_init(&cancel->lock, NULL);
-    cancel->fd = -1;
     return cancel;
 }
 
@@ -71,8 +71,8 @@
 
     pthread_mutex_lock(&cancel->lock);
     cancel->triggered = TRUE;
-    if (cancel->fd >= 0) {
-        shutdown(cancel->fd, SHUT_RDWR);
+    for (unsigned i = 0; i < cancel->count; i++) {
+        shutdown(cancel->fds[i], SHUT_RDWR);
     }
     pthread_mutex_unlock(&cancel->lock);
 }
@@ -88,18 +88,36 @@
     return triggered;
 }
 
-/* Binds the cancel object to a socket, or unbinds it with -1. */
-static void
-set_cancel_fd(HttpCancel *cancel, int fd)
+/* Binds the cancel object to a socket. Returns FALSE if it is bound to
+ * HTTP_CANCEL_CALLS of them. */
+static gboolean
+bind_cancel(HttpCancel *cancel, int fd)
 {
+    gboolean bound = TRUE;
+
     if (cancel != NULL) {
         pthread_mutex_lock(&cancel->lock);
-        cancel->fd = fd;
-        if (fd >= 0 && cancel->triggered) {
+        bound = cancel->count < HTTP_CANCEL_CALLS;
+        if (bound) {
+            cancel->fds[cancel->count++] = fd;
+        }
+        if (cancel->triggered) {
             shutdown(fd, SHUT_RDWR);
         }
         pthread_mutex_unlock(&cancel->lock);
     }
+    return bound;
+}
+
+/* Unbinds the socket that was bound last. */
+static void
+unbind_cancel(HttpCancel *cancel)
+{
+    if (cancel != NULL) {
+        pthread_mutex_lock(&cancel->lock);
+        cancel->count--;
+        pthread_mutex_unlock(&cancel->lock);
+    }
 }
 
 static gboolean
@@ -395,7 +413,10 @@
     if (result != RESULT_OK) {
         return result;
     }
-    set_cancel_fd(call->cancel, HttpConnection_Fd(connection));
+    if (!bind_cancel(call->cancel, HttpConnection_Fd(connection))) {
+        HttpConnection_Close(connection);
+        return RESULT_OVERLOADED;
+    }
     if (is_cancelled(call)) {
         result = RESULT_CANCELLED;
     }
@@ -405,7 +426,7 @@
         result = exchange(client, connection, call, reused, answer, &reusable);
         HttpConnection_SetSoftTimeout(connection, NULL);
     }
-    set_cancel_fd(call->cancel, -1);
+    unbind_cancel(call->cancel);
     if (result != RESULT_OK && result != RESULT_TOO_LARGE &&
         is_cancelled(call)) {
         result = RESULT_CANCELLED;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -34,9 +34,12 @@
 typedef struct HttpClient HttpClient;
 
 /* Lets another thread cancel a call. Create one for each call or sequence of
- * calls. */
+ * calls. A soft timeout's give_up() may make further calls with the same
+ * object; they are cancelled together, HTTP_CANCEL_CALLS at most. */
 typedef struct HttpCancel HttpCancel;
 
+#define HTTP_CANCEL_CALLS 2
+
 typedef struct HttpClient_desc {
     unsigned max_idle_per_address; /* default 16 */
     ClockMs max_idle_ms;           /* default 10,000 */
--- a/tests/process_stop.c
+++ b/tests/process_stop.c
@@ -236,6 +236,34 @@
     Site_Destroy(site);
 }
 
+/* Guards against a running attempt that is cut for a retry which no other
+ * backend server takes: here all others drain. The host begins to stop after
+ * the time at which the first attempt is given up. */
+static void
+test_retry_not_taken(void)
+{
+    enum { WORK_MS = 3000, STOP_AT_MS = 2000 };
+    Site *site = make_site(100);
+    Request request = {.site = site,
+                       .method = "GET",
+                       .path = "/read/1",
+                       .must_be_served = TRUE};
+
+    for (int host = 1; host < HOSTS; host++) {
+        Site_Drain(site, host);
+    }
+    Site_SetWorkMs(site, 0, WORK_MS);
+    g_usleep(1000000); /* the watches report the removed entries */
+    request.start = Clock_Now();
+    pthread_create(&request.thread, NULL, send_request, &request);
+    g_usleep(STOP_AT_MS * 1000);
+    Site_Signal(site, 0, SIGTERM);
+    pthread_join(request.thread, NULL);
+    check(&request);
+    g_assert_true(Site_AwaitExit(site, 0, GRACE_MS));
+    Site_Destroy(site);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -243,5 +271,6 @@
     g_test_add_func("/stop/late-requests", test_late_requests);
     g_test_add_func("/stop/calls", test_calls_in_stop);
     g_test_add_func("/stop/late-at-owner", test_late_at_owner);
+    g_test_add_func("/stop/retry-not-taken", test_retry_not_taken);
     return g_test_run();
 }
