Gateway: deliver an earlier error answer after a refusal with a status

A caller got 502 of our own instead of the backend server's complete error answer when a later attempt was refused by another daemon, shed by a backend server, or answered without a signature (log: BACKEND_SERVER_ERROR run=yes, then result=BACKEND_SERVER_LEAVING run=unknown status=502).

The earlier answer was delivered only if the last reply had no HTTP status. Another daemon's refusal has one (503, from fill_answer()), and so has a backend server's own refusal.

The choice is now a function of its own, _Gateway_ChooseAnswer(), which asks whether the last reply holds an answer that is passed on. The run state of a delivered answer is "yes".

Test: /gateway-answer/choice. With the earlier condition in that function it fails in "refused by another daemon", "shed by a backend server" and "unsigned answer", each after an error (no answer instead of 500).

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -87,14 +87,6 @@
         Result_RunName(reply->run), status, Clock_Now() - request->arrived);
 }
 
-static gboolean
-is_answer(const BackendReply *reply)
-{
-    return reply->answer.status != 0 &&
-           (reply->result == RESULT_OK ||
-            reply->result == RESULT_BACKEND_SERVER_ERROR);
-}
-
 static void
 note_size(const GatewayRequest *request, const BackendReply *reply)
 {
@@ -127,7 +119,7 @@
         _Gateway_Attempt(&request, &reply);
     }
     HttpRequest_OnDisconnect(http, NULL, NULL);
-    if (is_answer(&reply)) {
+    if (_Gateway_IsAnswer(&reply)) {
         note_size(&request, &reply);
         PeerWire_TakeAnswer(&answer, &reply);
         Counter_Add(COUNTER_ENTRY_ANSWERS, 1);
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -512,17 +512,7 @@
 void
 _Gateway_Attempt(GatewayRequest *request, BackendReply *reply)
 {
-    HttpAnswer *failure = &request->failure;
-
     count_request(request);
     try_owners(request, reply);
-    if (reply->result != RESULT_OK && reply->answer.status == 0 &&
-        failure->status != 0) {
-        HttpAnswer_Move(&reply->answer, failure);
-        reply->result = RESULT_BACKEND_SERVER_ERROR;
-    }
-    HttpAnswer_Clear(failure);
-    if (request->maybe_run && reply->run == RUN_NO) {
-        reply->run = RUN_UNKNOWN;
-    }
+    _Gateway_ChooseAnswer(reply, &request->failure, request->maybe_run);
 }
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -68,4 +68,15 @@
  * further attempt is allowed. */
 void _Gateway_Attempt(GatewayRequest *request, BackendReply *reply);
 
+/* gateway_answer.c: what the caller receives after the last attempt. */
+
+/* Whether the reply holds an answer of a backend server that is passed on. */
+gboolean _Gateway_IsAnswer(const BackendReply *reply);
+
+/* Completes the reply of the last attempt: an error answer of an earlier one
+ * is delivered if the last one brought no answer to pass on. Clears `failure`;
+ * maybe_run is TRUE if any attempt may have run. */
+void _Gateway_ChooseAnswer(BackendReply *reply, HttpAnswer *failure,
+                           gboolean maybe_run);
+
 #endif
--- /dev/null
+++ b/src/gateway/test_gateway_answer.c
@@ -0,0 +1,73 @@
+/* Tests of the answer that a caller receives after the last attempt. */
+#include <glib.h>
+
+#include "gateway/gateway_internal.h"
+
+/* Guards against an error answer of a backend server that is lost because
+ * later attempts were refused, and against reporting a request as not run that
+ * an earlier attempt may have run. */
+static void
+test_choice(void)
+{
+    static const struct {
+        const char *name;
+        int failure;   /* status of an earlier error answer; 0: none */
+        Result result; /* of the last attempt */
+        RunState run;
+        int status; /* of its answer; 0: none */
+        gboolean maybe_run;
+        int expected; /* status passed on; 0: an answer of our own */
+        RunState expected_run;
+    } cases[] = {
+        {"success", 0, RESULT_OK, RUN_YES, 200, TRUE, 200, RUN_YES},
+        {"success after an error", 500, RESULT_OK, RUN_YES, 200, TRUE, 200,
+         RUN_YES},
+        {"error", 0, RESULT_BACKEND_SERVER_ERROR, RUN_YES, 500, TRUE, 500,
+         RUN_YES},
+        {"two errors", 500, RESULT_BACKEND_SERVER_ERROR, RUN_YES, 504, TRUE,
+         504, RUN_YES},
+        {"refused", 0, RESULT_BACKEND_SERVER_BUSY, RUN_NO, 0, FALSE, 0,
+         RUN_NO},
+        {"refused by another daemon", 0, RESULT_BACKEND_SERVER_LEAVING, RUN_NO,
+         503, FALSE, 0, RUN_NO},
+        {"refused after an error", 500, RESULT_BACKEND_SERVER_BUSY, RUN_NO, 0,
+         TRUE, 500, RUN_YES},
+        {"refused by another daemon after an error", 500,
+         RESULT_BACKEND_SERVER_LEAVING, RUN_NO, 503, TRUE, 500, RUN_YES},
+        {"shed by a backend server after an error", 500,
+         RESULT_BACKEND_SERVER_SHED, RUN_NO, 503, TRUE, 500, RUN_YES},
+        {"unsigned answer after an error", 500, RESULT_ANSWER_MISMATCH,
+         RUN_UNKNOWN, 200, TRUE, 500, RUN_YES},
+        {"lost after an error", 500, RESULT_ANSWER_LOST, RUN_UNKNOWN, 0, TRUE,
+         500, RUN_YES},
+        {"refused after a lost answer", 0, RESULT_BACKEND_SERVER_LEAVING,
+         RUN_NO, 503, TRUE, 0, RUN_UNKNOWN},
+        {"unsigned answer", 0, RESULT_ANSWER_MISMATCH, RUN_UNKNOWN, 200, TRUE,
+         0, RUN_UNKNOWN},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        BackendReply reply = {.result = cases[i].result,
+                              .run = cases[i].run,
+                              .answer.status = cases[i].status};
+        HttpAnswer failure = {.status = cases[i].failure};
+
+        g_test_message("%s", cases[i].name);
+        _Gateway_ChooseAnswer(&reply, &failure, cases[i].maybe_run);
+        g_assert_cmpint(_Gateway_IsAnswer(&reply), ==, cases[i].expected != 0);
+        if (cases[i].expected != 0) {
+            g_assert_cmpint(reply.answer.status, ==, cases[i].expected);
+        }
+        g_assert_cmpint(reply.run, ==, cases[i].expected_run);
+        g_assert_cmpint(failure.status, ==, 0);
+        HttpAnswer_Clear(&reply.answer);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/gateway-answer/choice", test_choice);
+    return g_test_run();
+}
