HTTP: a cancelled call never ends an answer without a length

A daemon that stops cancels the calls in flight, and a caller that hangs up cancels its own. A backend server's answer without a length, of which a part had arrived, was then taken as complete: the next daemon and the caller got a 200 with a short body, framed as whole.

Cause: HttpCancel_Trigger() shuts the socket down, which reads like the orderly end of the stream, and only failed calls were reported as cancelled.

A call whose body ended with the connection is CANCELLED if it was cancelled. An answer that has a length or chunks and is complete is still delivered.

Tests: /answers/cancelled failed before (OK with "half" and with an empty body instead of CANCELLED). /answers/cut stops four kinds of framing and interim answers at each byte, closed and reset; it passed before. An answer without a length that is closed early cannot be told from a shorter one.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -427,8 +427,8 @@
         HttpConnection_SetSoftTimeout(connection, NULL);
     }
     unbind_cancel(call->cancel);
-    if (result != RESULT_OK && result != RESULT_TOO_LARGE &&
-        is_cancelled(call)) {
+    if ((result != RESULT_OK || HttpConnection_HasEndedBody(connection)) &&
+        result != RESULT_TOO_LARGE && is_cancelled(call)) {
         result = RESULT_CANCELLED;
     }
     if (result == RESULT_OK && reusable && HttpConnection_IsIdle(connection)) {
--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -30,6 +30,7 @@
     const HttpSoftTimeout *soft_timeout; /* NULL: none, or expired already */
     size_t first; /* unread bytes: buffer[first..last) */
     size_t last;
+    gboolean ended_body; /* a body ended with the connection */
     char buffer[READ_BYTES];
 };
 
@@ -450,6 +451,7 @@
     while (result == RESULT_OK) {
         state = fill(connection, deadline);
         if (state != READ_DATA) {
+            connection->ended_body = state == READ_CLOSED;
             return state == READ_CLOSED ? RESULT_OK : body_error(state);
         }
         result = take_unread(connection, body, G_MAXSIZE);
@@ -549,6 +551,12 @@
     return result;
 }
 
+gboolean
+HttpConnection_HasEndedBody(const HttpConnection *connection)
+{
+    return connection->ended_body;
+}
+
 gboolean
 HttpConnection_IsIdle(const HttpConnection *connection)
 {
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -82,6 +82,10 @@
                                  ClockMs deadline, HttpAnswer *answer,
                                  gboolean *reusable);
 
+/* Returns TRUE if the end of the connection was the end of a body. shutdown()
+ * by another thread causes the same end, at any byte of the body. */
+gboolean HttpConnection_HasEndedBody(const HttpConnection *connection);
+
 /* Returns TRUE if no bytes are unread and the peer has not closed the
  * connection. */
 gboolean HttpConnection_IsIdle(const HttpConnection *connection);
--- /dev/null
+++ b/src/http/test_answers.c
@@ -0,0 +1,230 @@
+/* Tests of the HTTP client against answers that are cut or end with the
+ * client's own cancellation. */
+#include <glib.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/http_client.h"
+
+#define DEADLINE_MS 5000
+#define HEAD "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
+
+/* A server that sends the same bytes to each request on a connection of its
+ * own, then closes or resets the connection. */
+typedef struct Server {
+    int listener;
+    struct sockaddr_in address;
+    pthread_t thread;
+    pthread_mutex_t lock;
+    const char *bytes;
+    size_t length;
+    gboolean reset;
+    gboolean hold; /* wait for the client to close */
+} Server;
+
+static void
+serve_one(Server *server, int fd)
+{
+    struct linger now = {.l_onoff = 1};
+    char buffer[2000];
+
+    (void)!recv(fd, buffer, sizeof(buffer), 0);
+    pthread_mutex_lock(&server->lock);
+    if (server->length > 0) {
+        (void)!send(fd, server->bytes, server->length, MSG_NOSIGNAL);
+    }
+    while (server->hold && recv(fd, buffer, sizeof(buffer), 0) > 0) {
+    }
+    if (server->reset) {
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    }
+    pthread_mutex_unlock(&server->lock);
+    close(fd);
+}
+
+static void *
+run_server(void *context)
+{
+    Server *server = context;
+    int fd;
+
+    while ((fd = accept(server->listener, NULL, NULL)) >= 0) {
+        serve_one(server, fd);
+    }
+    return NULL;
+}
+
+static void
+start_server(Server *server)
+{
+    socklen_t bytes = sizeof(server->address);
+
+    *server = (Server){.lock = PTHREAD_MUTEX_INITIALIZER};
+    server->address.sin_family = AF_INET;
+    server->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    server->listener = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert_cmpint(
+        bind(server->listener, (struct sockaddr *)&server->address, bytes), ==,
+        0);
+    g_assert_cmpint(listen(server->listener, 16), ==, 0);
+    getsockname(server->listener, (struct sockaddr *)&server->address, &bytes);
+    pthread_create(&server->thread, NULL, run_server, server);
+}
+
+static void
+stop_server(Server *server)
+{
+    shutdown(server->listener, SHUT_RDWR);
+    pthread_join(server->thread, NULL);
+    close(server->listener);
+}
+
+static void
+set_answer(Server *server, const char *bytes, size_t length, gboolean reset)
+{
+    pthread_mutex_lock(&server->lock);
+    server->bytes = bytes;
+    server->length = length;
+    server->reset = reset;
+    pthread_mutex_unlock(&server->lock);
+}
+
+static Result
+call_server(HttpClient *client, const Server *server, HttpCancel *cancel,
+            HttpAnswer *answer)
+{
+    HttpCall call = {.address = server->address,
+                     .method = "GET",
+                     .target = "/",
+                     .allow_unframed = TRUE,
+                     .fresh_connection = TRUE,
+                     .match_header = "X-Id",
+                     .match_value = "r1",
+                     .deadline = Clock_Now() + DEADLINE_MS,
+                     .cancel = cancel};
+    gboolean sent;
+
+    return HttpClient_Call(client, &call, answer, &sent);
+}
+
+/* Replays a server that stops at each byte of its answer, and closes or resets
+ * the connection. Guards against an answer that is accepted although it ended
+ * early. One without a length that ends with the connection cannot be told
+ * from a shorter one, unless the connection is reset. */
+static void
+test_cut(void)
+{
+    static const struct {
+        const char *answer;
+        const char *body;
+        gboolean unframed;
+    } cases[] = {
+        {HEAD "Content-Length: 12\r\n\r\nhello, world", "hello, world", FALSE},
+        {HEAD "Content-Length: 0\r\n\r\n", "", FALSE},
+        {HEAD CHUNKED "5\r\nhello\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n",
+         "hello0123456789abcdef", FALSE},
+        {HEAD CHUNKED "5\r\nhello\r\n0\r\nX-Sum: 1\r\nX-End: 2\r\n\r\n",
+         "hello", FALSE},
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: "
+         "x\r\n\r\n" HEAD "Content-Length: 5\r\n\r\nhello",
+         "hello", FALSE},
+        {"HTTP/1.1 204 No Content\r\nX-Id: r1\r\n\r\n", "", FALSE},
+        {HEAD "Connection: close\r\n\r\nhello", "hello", TRUE},
+    };
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+    Server server;
+
+    start_server(&server);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        const char *text = cases[i].answer;
+        const char *end_of_head = strstr(text, "close\r\n\r\n");
+
+        for (size_t cut = 0; cut <= strlen(text); cut++) {
+            for (int reset = 0; reset < 2; reset++) {
+                HttpAnswer answer = {0};
+                gboolean whole = cut == strlen(text);
+                Result result;
+
+                set_answer(&server, text, cut, reset);
+                result = call_server(client, &server, NULL, &answer);
+                if (!reset && cases[i].unframed) {
+                    whole = text + cut >= end_of_head + 9;
+                }
+                if (whole && !reset) {
+                    g_assert_cmpint(result, ==, RESULT_OK);
+                }
+                if (!whole || (cases[i].unframed && reset)) {
+                    g_assert_cmpint(result, !=, RESULT_OK);
+                }
+                if (result == RESULT_OK && cut == strlen(text)) {
+                    g_assert_cmpstr(answer.body, ==, cases[i].body);
+                }
+                HttpAnswer_Clear(&answer);
+            }
+        }
+    }
+    stop_server(&server);
+    HttpClient_Destroy(client);
+}
+
+typedef struct Trigger {
+    HttpCancel *cancel;
+    int delay_ms;
+} Trigger;
+
+static void *
+trigger_cancel(void *context)
+{
+    Trigger *trigger = context;
+
+    g_usleep((gulong)trigger->delay_ms * 1000);
+    HttpCancel_Trigger(trigger->cancel);
+    return NULL;
+}
+
+/* Replays a daemon that ends its calls while an answer without a length
+ * arrives. Guards against taking the end that the cancellation itself causes
+ * for the end of the body. */
+static void
+test_cancelled(void)
+{
+    static const char *const answers[] = {
+        HEAD "Connection: close\r\n\r\nhalf",
+        HEAD "\r\n",
+        HEAD "Content-Length: 9\r\n\r\nhalf",
+        HEAD CHUNKED "4\r\nhalf\r\n",
+        HEAD,
+    };
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+    Server server;
+
+    start_server(&server);
+    server.hold = TRUE;
+    for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+        Trigger trigger = {.cancel = HttpCancel_Create(), .delay_ms = 50};
+        HttpAnswer answer = {0};
+        pthread_t thread;
+
+        set_answer(&server, answers[i], strlen(answers[i]), FALSE);
+        pthread_create(&thread, NULL, trigger_cancel, &trigger);
+        g_assert_cmpint(call_server(client, &server, trigger.cancel, &answer),
+                        ==, RESULT_CANCELLED);
+        g_assert_cmpint(answer.status, ==, 0);
+        pthread_join(thread, NULL);
+        HttpCancel_Destroy(trigger.cancel);
+    }
+    stop_server(&server);
+    HttpClient_Destroy(client);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/answers/cut", test_cut);
+    g_test_add_func("/answers/cancelled", test_cancelled);
+    return g_test_run();
+}
