HTTP: reject an answer whose length is not understood

A backend server's answer with a damaged head was accepted, and the caller got a 200 with a part of the body, or with a part of the head in front of it, framed as whole.

Cause: a header with white space in its name ("Content-Length : 9"), or without one, was kept under that name and the length went unnoticed; the body then ended with the connection. A NUL byte ended a line for all that followed, so that "5\0 9" was a length of 5 and a NUL in place of a line the end of the head. A fourth digit of the status, a second Transfer-Encoding and signs or a prefix in a chunk size were ignored.

Each of these ends the call as ANSWER_LOST or ANSWER_TRUNCATED: the request may have run, and no part of the answer is used.

--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -251,6 +251,9 @@
             return state;
         }
     }
+    if (memchr(start, '\0', (size_t)(end - start)) != NULL) {
+        return READ_RESET; /* the rest of the line would be lost */
+    }
     connection->first = (size_t)(end - connection->buffer) + 1;
     if (end > start && end[-1] == '\r') {
         end--;
@@ -260,6 +263,24 @@
     return READ_DATA;
 }
 
+/* Whether the name consists of the characters that RFC 9110, section 5.1,
+ * allows. A header such as "Content-Length : 5" must not go unnoticed: without
+ * it, the body would end with the connection. */
+static gboolean
+is_header_name(const char *name)
+{
+    if (name[0] == '\0') {
+        return FALSE;
+    }
+    for (; *name != '\0'; name++) {
+        if (!g_ascii_isalnum(*name) &&
+            strchr("!#$%&'*+-.^_`|~", *name) == NULL) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
 static gboolean
 read_headers(HttpConnection *connection, ClockMs deadline,
              HttpHeaders *headers, ReadState *state)
@@ -278,11 +299,13 @@
         }
         bytes += strlen(line);
         colon = strchr(line, ':');
-        if (bytes > MAX_HEAD_BYTES || colon == NULL || line[0] == ' ' ||
-            line[0] == '\t') {
+        if (bytes > MAX_HEAD_BYTES || colon == NULL) {
             return FALSE;
         }
         *colon = '\0';
+        if (!is_header_name(line)) {
+            return FALSE;
+        }
         HttpHeaders_Add(headers, line, g_strstrip(colon + 1));
     }
     return FALSE;
@@ -300,7 +323,8 @@
         return FALSE;
     }
     g_strlcpy(digits, line + 9, sizeof(digits));
-    if (!g_ascii_string_to_unsigned(digits, 10, 100, 599, &number, NULL)) {
+    if (!g_ascii_string_to_unsigned(digits, 10, 100, 599, &number, NULL) ||
+        (line[12] != ' ' && line[12] != '\0')) {
         return FALSE;
     }
     *status = (int)number;
@@ -401,6 +425,19 @@
     return result;
 }
 
+/* Parses hexadecimal digits, which may be followed by white space and by
+ * extensions. */
+static gboolean
+parse_chunk_size(const char *line, guint64 *bytes)
+{
+    size_t digits = strspn(line, "0123456789abcdefABCDEF");
+    const char *rest = line + digits;
+
+    rest += strspn(rest, " \t");
+    *bytes = g_ascii_strtoull(line, NULL, 16);
+    return digits > 0 && (*rest == '\0' || *rest == ';');
+}
+
 static Result
 read_chunks(HttpConnection *connection, Body *body, ClockMs deadline)
 {
@@ -409,15 +446,13 @@
     ReadState state;
     guint64 bytes;
     char *line;
-    char *end;
 
     do {
         state = read_line(connection, deadline, &line);
         if (state != READ_DATA) {
             return body_error(state);
         }
-        bytes = g_ascii_strtoull(line, &end, 16);
-        if (end == line || (*end != '\0' && *end != ';' && *end != ' ')) {
+        if (!parse_chunk_size(line, &bytes)) {
             return RESULT_ANSWER_TRUNCATED;
         }
         if (bytes > body->max_bytes - body->bytes->len) {
@@ -459,6 +494,17 @@
     return result;
 }
 
+static size_t
+count_headers(const HttpHeaders *headers, const char *name)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < headers->count; i++) {
+        count += g_ascii_strcasecmp(headers->items[i].name, name) == 0;
+    }
+    return count;
+}
+
 /* Returns the value of Content-Length: -1 if there is none, -2 if the values
  * differ or one is not a number. */
 static int64_t
@@ -498,7 +544,9 @@
         return RESULT_ANSWER_TRUNCATED;
     }
     if (encoding != NULL) {
-        return g_ascii_strcasecmp(encoding, "chunked") == 0
+        return g_ascii_strcasecmp(encoding, "chunked") == 0 &&
+                       count_headers(&answer->headers, "Transfer-Encoding") ==
+                           1
                    ? read_chunks(connection, body, deadline)
                    : RESULT_ANSWER_TRUNCATED;
     }
--- a/src/http/test_answers.c
+++ b/src/http/test_answers.c
@@ -1,5 +1,5 @@
-/* Tests of the HTTP client against answers that are cut or end with the
- * client's own cancellation. */
+/* Tests of the HTTP client against answers that are cut, malformed or end with
+ * the client's own cancellation. */
 #include <glib.h>
 #include <pthread.h>
 #include <string.h>
@@ -170,6 +170,58 @@
     HttpClient_Destroy(client);
 }
 
+#define TEXT(text) text, sizeof(text) - 1
+
+/* Guards against an answer whose length is not understood, so that a part of
+ * its body or of its head is accepted as the whole body. */
+static void
+test_malformed(void)
+{
+    static const struct {
+        const char *name;
+        const char *bytes;
+        size_t length;
+    } cases[] = {
+        {"white space before the colon",
+         TEXT(HEAD "Content-Length : 9\r\n\r\nhello")},
+        {"white space in a name", TEXT(HEAD "Content Length: 9\r\n\r\nhello")},
+        {"no name", TEXT(HEAD ": 9\r\n\r\nhello")},
+        {"NUL instead of a line", TEXT(HEAD "\0\r\nContent-Length: 5\r\n\r\n"
+                                            "hello")},
+        {"NUL in the length", TEXT(HEAD "Content-Length: 5\0 9\r\n\r\nhello")},
+        {"NUL in a chunk size", TEXT(HEAD CHUNKED "5\0 9\r\nhello\r\n0\r\n"
+                                                  "\r\n")},
+        {"status of four digits",
+         TEXT("HTTP/1.1 2000 OK\r\nX-Id: r1\r\nContent-Length: 5\r\n\r\n"
+              "hello")},
+        {"sign in a chunk size", TEXT(HEAD CHUNKED "+5\r\nhello\r\n-0\r\n"
+                                                   "\r\n")},
+        {"prefix of a chunk size",
+         TEXT(HEAD CHUNKED "0x5\r\nhello\r\n0\r\n\r\n")},
+        {"two chunk sizes", TEXT(HEAD CHUNKED "5 9\r\nhello\r\n0\r\n\r\n")},
+        {"two codings",
+         TEXT(HEAD "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n"
+                   "\r\n5\r\nhello\r\n0\r\n\r\n")},
+    };
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+    Server server;
+
+    start_server(&server);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        HttpAnswer answer = {0};
+        Result result;
+
+        set_answer(&server, cases[i].bytes, cases[i].length, FALSE);
+        result = call_server(client, &server, NULL, &answer);
+        g_test_message("%s: %s", cases[i].name, Result_Name(result));
+        g_assert_true(result == RESULT_ANSWER_LOST ||
+                      result == RESULT_ANSWER_TRUNCATED);
+        HttpAnswer_Clear(&answer);
+    }
+    stop_server(&server);
+    HttpClient_Destroy(client);
+}
+
 typedef struct Trigger {
     HttpCancel *cancel;
     int delay_ms;
@@ -225,6 +277,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/answers/cut", test_cut);
+    g_test_add_func("/answers/malformed", test_malformed);
     g_test_add_func("/answers/cancelled", test_cancelled);
     return g_test_run();
 }
