HTTP: a cut head is not joined with the answer that follows it

A backend server wrote the beginning of an earlier refusal on a connection that stayed open, then the answer to the request in flight. Callers were told "not run" for a request that had run, or it ran at a second backend server; the beginning of a success before an error made the error a 200.

Cause: a head that is cut within a line goes on with the next answer's status line, as a part of that line. The result had the status and X-Not-Run of the one, the id and the signature of the other, so the check of the id passed.

A line in which "HTTP/1.x NNN" begins ends the call as ANSWER_LOST (run unknown) and closes the connection.

--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -263,6 +263,40 @@
     return READ_DATA;
 }
 
+/* Parses "HTTP/1.x NNN"; FALSE for anything else. */
+static gboolean
+parse_status(const char *line, int *status)
+{
+    guint64 number;
+    char digits[4] = {0};
+
+    if (strncmp(line, "HTTP/1.", 7) != 0 || !g_ascii_isdigit(line[7]) ||
+        line[8] != ' ') {
+        return FALSE;
+    }
+    g_strlcpy(digits, line + 9, sizeof(digits));
+    if (!g_ascii_string_to_unsigned(digits, 10, 100, 599, &number, NULL) ||
+        (line[12] != ' ' && line[12] != '\0')) {
+        return FALSE;
+    }
+    *status = (int)number;
+    return TRUE;
+}
+
+/* Whether another answer begins within the line, which is not empty: the head
+ * before it was cut, and the lines that follow belong to the other answer. */
+static gboolean
+contains_answer(const char *line)
+{
+    const char *start = strstr(line + 1, "HTTP/1.");
+    int status;
+
+    while (start != NULL && !parse_status(start, &status)) {
+        start = strstr(start + 1, "HTTP/1.");
+    }
+    return start != NULL;
+}
+
 /* Whether the name consists of the characters that RFC 9110, section 5.1,
  * allows. A header such as "Content-Length : 5" must not go unnoticed: without
  * it, the body would end with the connection. */
@@ -299,7 +333,7 @@
         }
         bytes += strlen(line);
         colon = strchr(line, ':');
-        if (bytes > MAX_HEAD_BYTES || colon == NULL) {
+        if (bytes > MAX_HEAD_BYTES || colon == NULL || contains_answer(line)) {
             return FALSE;
         }
         *colon = '\0';
@@ -311,26 +345,6 @@
     return FALSE;
 }
 
-/* Parses "HTTP/1.x NNN"; FALSE for anything else. */
-static gboolean
-parse_status(const char *line, int *status)
-{
-    guint64 number;
-    char digits[4] = {0};
-
-    if (strncmp(line, "HTTP/1.", 7) != 0 || !g_ascii_isdigit(line[7]) ||
-        line[8] != ' ') {
-        return FALSE;
-    }
-    g_strlcpy(digits, line + 9, sizeof(digits));
-    if (!g_ascii_string_to_unsigned(digits, 10, 100, 599, &number, NULL) ||
-        (line[12] != ' ' && line[12] != '\0')) {
-        return FALSE;
-    }
-    *status = (int)number;
-    return TRUE;
-}
-
 /* Reads status line and headers; discards interim (1xx) answers. */
 static gboolean
 read_head(HttpConnection *connection, ClockMs deadline, HttpAnswer *answer,
@@ -346,6 +360,7 @@
         HttpHeaders_Clear(&answer->headers);
         *state = read_line(connection, deadline, &line);
         if (*state != READ_DATA || !parse_status(line, &answer->status) ||
+            contains_answer(line) ||
             !read_headers(connection, deadline, &answer->headers, state)) {
             return FALSE;
         }
