HTTP: an answer without an id behind one of another request is discarded

A backend server that writes answers of other requests first, the second of them without an id, got its second one reported as the request's own: "not run" for a request that ran.

Cause: an answer without an id was doubted on a pooled connection only. A connection that has brought an answer of another request carries such answers, too, even if it is new.

Test: /extra-answers/new-connection; its fourth and fifth cases were BACKEND_SERVER_SHED and BACKEND_SERVER_OTHER, run=no, before. A refusal without an id as the first answer on a new connection still counts.

--- a/src/backend/test_extra_answers.c
+++ b/src/backend/test_extra_answers.c
@@ -391,10 +391,48 @@
     }
 }
 
+/* Replays answers in front of the first one on a connection. Guards against
+ * taking a refusal without an id for the request's own once an answer of
+ * another request has shown that the connection carries those, too. */
+static void
+test_new_connection(void)
+{
+    static const struct {
+        const char *first;
+        Result result;
+        RunState run;
+    } cases[] = {
+        {SHED(""), RESULT_BACKEND_SERVER_SHED, RUN_NO},
+        {OTHER(""), RESULT_BACKEND_SERVER_OTHER, RUN_NO},
+        {SHED(ID("r0")) DONE(ID("r1")), RESULT_OK, RUN_YES},
+        {SHED(ID("r0")) SHED("") DONE(ID("r1")), RESULT_OK, RUN_YES},
+        {DONE(ID("r0")) OTHER("") DONE(ID("r1")), RESULT_OK, RUN_YES},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Server server = {.script.first = cases[i].first};
+        HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+        Backend *backend;
+        BackendReply reply;
+
+        start_server(&server);
+        backend = create_backend(&server, client);
+        run_once(backend, "r1", &reply);
+        g_test_message("case %zu: %s", i, Result_Name(reply.result));
+        g_assert_cmpint(reply.result, ==, cases[i].result);
+        g_assert_cmpint(reply.run, ==, cases[i].run);
+        HttpAnswer_Clear(&reply.answer);
+        Backend_Destroy(backend);
+        HttpClient_Destroy(client);
+        stop_server(&server);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/extra-answers/repeated-refusal", test_repeated_refusal);
+    g_test_add_func("/extra-answers/new-connection", test_new_connection);
     return g_test_run();
 }
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -326,10 +326,11 @@
     return text;
 }
 
-/* Whether the answer belongs to the call. One without an id on a connection
- * that was used before may be a late copy of an earlier answer. */
+/* Whether the answer belongs to the call. One without an id may be a late copy
+ * of an earlier answer if the connection was used before, or has brought an
+ * answer of another request. */
 static gboolean
-matches_call(const HttpCall *call, const HttpAnswer *answer, gboolean reused)
+matches_call(const HttpCall *call, const HttpAnswer *answer, gboolean shared)
 {
     const char *value;
 
@@ -337,7 +338,7 @@
         return TRUE;
     }
     value = HttpHeaders_Get(&answer->headers, call->match_header);
-    return value == NULL ? !reused : strcmp(value, call->match_value) == 0;
+    return value == NULL ? !shared : strcmp(value, call->match_value) == 0;
 }
 
 static Result
@@ -362,7 +363,8 @@
         result = HttpConnection_ReadAnswer(connection, &options,
                                            call->deadline, answer, reusable);
         *reusable = *reusable && complete;
-        if (result != RESULT_OK || matches_call(call, answer, reused)) {
+        if (result != RESULT_OK ||
+            matches_call(call, answer, reused || discarded > 0)) {
             return result;
         }
         HttpAnswer_Clear(answer);
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -70,8 +70,9 @@
     const char *match_header;  /* name of a header that identifies the request:
                                   an answer with another value of it belongs to
                                   another request and is discarded, also one
-                                  without it on a pooled connection; NULL: all
-                                  answers are accepted */
+                                  without it on a pooled connection or behind
+                                  a discarded one; NULL: all answers are
+                                  accepted */
     const char *match_value;   /* expected value of match_header */
     const HttpSoftTimeout *soft_timeout; /* NULL: none */
     HttpCancel *cancel;                  /* NULL: cannot be cancelled */
