HTTP: a pooled connection carries a request id once

A request that a backend server has shed and that is sent to it once more goes out on the same kept connection. A repeated copy of the refusal, with the id of the request, then tells the caller "not run" while the request runs.

A connection remembers the last 32 request ids (hashes), and a call with one of them uses another connection. The first answer on that belongs to this sending.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -220,9 +220,10 @@
     pthread_mutex_unlock(&client->lock);
 }
 
-/* Returns the most recently used connection that the call may use, or NULL. A
- * readable idle connection is not used: its peer has closed it, or has sent
- * bytes that belong to no pending request. */
+/* Returns the most recently used connection that the call may use, or NULL.
+ * One that has carried the call's id is left for other calls. A readable idle
+ * connection is not used: its peer has closed it, or has sent bytes that
+ * belong to no pending request. */
 static HttpConnection *
 take_idle(HttpClient *client, const HttpCall *call)
 {
@@ -238,12 +239,16 @@
         g_hash_table_foreach_remove(client->idle, remove_expired, &now);
     }
     list = g_hash_table_lookup(client->idle, &key);
-    while (list != NULL && list->len > 0 && found == NULL) {
-        idle = g_array_index(list, IdleConnection, list->len - 1);
+    for (guint i = list ? list->len : 0; i > 0 && found == NULL; i--) {
+        idle = g_array_index(list, IdleConnection, i - 1);
         if (call->max_idle_ms > 0 && now - idle.since > call->max_idle_ms) {
             break;
         }
-        g_array_set_size(list, list->len - 1);
+        if (call->match_value != NULL &&
+            HttpConnection_HasCarried(idle.connection, call->match_value)) {
+            continue;
+        }
+        g_array_remove_index(list, i - 1);
         if (now < idle.until && HttpConnection_IsIdle(idle.connection)) {
             found = idle.connection;
         }
@@ -356,6 +361,9 @@
 
     g_string_free(text, TRUE);
     *reusable = FALSE;
+    if (call->match_value != NULL) {
+        HttpConnection_NoteId(connection, call->match_value);
+    }
     if (result != RESULT_OK) {
         return result;
     }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -73,7 +73,9 @@
                                   without it on a pooled connection or behind
                                   a discarded one; NULL: all answers are
                                   accepted */
-    const char *match_value;   /* expected value of match_header */
+    const char *match_value;   /* expected value of match_header; a pooled
+                                  connection that has carried it is not used
+                                  for it again */
     const HttpSoftTimeout *soft_timeout; /* NULL: none */
     HttpCancel *cancel;                  /* NULL: cannot be cancelled */
 } HttpCall;
--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -9,6 +9,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/rng.h"
+
 #define LINE_BYTES 8192
 #define MAX_HEADER_LINES 100
 #define MAX_HEAD_BYTES 65536
@@ -20,6 +22,9 @@
 /* Bytes read from the socket at once. */
 #define READ_BYTES 8192
 
+/* Number of request ids that a connection remembers. */
+#define MAX_IDS 32
+
 /* A connection ends after two unanswered keep-alive probes, the first of them
  * sent after one second without traffic. */
 #define PROBE_IDLE_S 1
@@ -30,7 +35,9 @@
     const HttpSoftTimeout *soft_timeout; /* NULL: none, or expired already */
     size_t first; /* unread bytes: buffer[first..last) */
     size_t last;
-    gboolean ended_body; /* a body ended with the connection */
+    gboolean ended_body;   /* a body ended with the connection */
+    uint64_t ids[MAX_IDS]; /* hashes of the last request ids, a ring */
+    unsigned id_count;
     char buffer[READ_BYTES];
 };
 
@@ -614,6 +621,25 @@
     return result;
 }
 
+void
+HttpConnection_NoteId(HttpConnection *connection, const char *id)
+{
+    connection->ids[connection->id_count++ % MAX_IDS] = Rng_HashString(id);
+}
+
+gboolean
+HttpConnection_HasCarried(const HttpConnection *connection, const char *id)
+{
+    uint64_t hash = Rng_HashString(id);
+
+    for (unsigned i = 0; i < MIN(connection->id_count, MAX_IDS); i++) {
+        if (connection->ids[i] == hash) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 gboolean
 HttpConnection_HasEndedBody(const HttpConnection *connection)
 {
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -82,6 +82,13 @@
                                  ClockMs deadline, HttpAnswer *answer,
                                  gboolean *reusable);
 
+/* Remembers the id of a request. HasCarried() returns TRUE if one of the last
+ * 32 requests had it: an answer with the id may then be a copy of the earlier
+ * request's. */
+void HttpConnection_NoteId(HttpConnection *connection, const char *id);
+gboolean HttpConnection_HasCarried(const HttpConnection *connection,
+                                   const char *id);
+
 /* Returns TRUE if the end of the connection was the end of a body. shutdown()
  * by another thread causes the same end, at any byte of the body. */
 gboolean HttpConnection_HasEndedBody(const HttpConnection *connection);
