Backend: "not run" only for answers that state it without contradiction

A caller was told 429 or 503, a promise that its request has not run, for a request that may not be repeated and that the backend server had answered. Or such a request ran at a second backend server.

Cause: an answer with X-Not-Run counted as not run whatever else it said, also with a signature or a 200. Statuses that callers read as a promise (408, 429, 503) were passed on although the answer did not state that the request had not run: only X-Not-Run, or 421 for another instance, states this.

A refusal that is signed or no failure, and a promise without the statement, are ANSWER_MISMATCH with run unknown; the caller gets 502 of our own or, if the request may run twice, another attempt. A signed 429 or 503 to a request that may run twice is passed on unchanged, as before.

Test: /extra-answers/statements, cases 5 to 14 failed before (run no, or an answer that is passed on).

--- a/src/backend/backend_call.c
+++ b/src/backend/backend_call.c
@@ -27,21 +27,37 @@
     }
 }
 
-/* Sets result and run state for a complete answer. */
+/* Whether callers read the status as a promise that the request has not run
+ * and never will. */
+static gboolean
+is_promise(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/* Sets result and run state for a complete answer. A refusal with a signature
+ * or a success contradicts itself. A status that is a promise is passed on
+ * only for requests that may run twice. */
 static void
-classify_answer(const WireNames *names, BackendReply *reply)
+classify_answer(const WireNames *names, gboolean idempotent,
+                BackendReply *reply)
 {
     const HttpAnswer *answer = &reply->answer;
     gboolean is_signed =
         HttpHeaders_Get(&answer->headers, names->signature) != NULL;
+    gboolean is_refusal =
+        answer->status == 421 ||
+        HttpHeaders_Get(&answer->headers, names->not_run) != NULL;
 
-    if (answer->status == 421) {
-        reply->result = RESULT_BACKEND_SERVER_OTHER;
+    if (is_refusal && !is_signed && answer->status >= 400) {
+        reply->result = answer->status == 421 ? RESULT_BACKEND_SERVER_OTHER
+                                              : RESULT_BACKEND_SERVER_SHED;
         reply->run = RUN_NO;
     }
-    else if (HttpHeaders_Get(&answer->headers, names->not_run) != NULL) {
-        reply->result = RESULT_BACKEND_SERVER_SHED;
-        reply->run = RUN_NO;
+    else if (is_refusal ||
+             (is_promise(answer->status) && !(is_signed && idempotent))) {
+        reply->result = RESULT_ANSWER_MISMATCH;
+        reply->run = RUN_UNKNOWN;
     }
     else if (answer->status >= 500) {
         reply->result = RESULT_BACKEND_SERVER_ERROR;
@@ -89,7 +105,7 @@
     reply->server_ms = Clock_Now() - started;
     reply->arrived = sent;
     if (reply->result == RESULT_OK) {
-        classify_answer(exchange->names, reply);
+        classify_answer(exchange->names, call->idempotent, reply);
     }
     else {
         reply->run = sent ? RUN_UNKNOWN : RUN_NO;
--- a/src/backend/test_extra_answers.c
+++ b/src/backend/test_extra_answers.c
@@ -1,5 +1,6 @@
 /* Tests of the owner against a backend server that writes further answers, or
- * parts of them, on a connection that stays open. */
+ * parts of them, on a connection that stays open, and against answers that
+ * contradict themselves. */
 #include <glib.h>
 #include <pthread.h>
 #include <string.h>
@@ -157,9 +158,9 @@
     return backend;
 }
 
-/* Runs a request that must not run twice. */
 static void
-run_once(Backend *backend, const char *id, BackendReply *reply)
+run_request(Backend *backend, const char *id, gboolean idempotent,
+            BackendReply *reply)
 {
     static const HttpHeaders no_headers;
     BackendCall call = {.request_id = id,
@@ -173,12 +174,20 @@
                         .body = "body",
                         .body_bytes = 4,
                         .deadline = Clock_Now() + 2000,
+                        .idempotent = idempotent,
                         .max_risk = 1,
                         .max_wait_ms = 2000};
 
     Backend_Run(backend, &call, reply);
 }
 
+/* Runs a request that must not run twice. */
+static void
+run_once(Backend *backend, const char *id, BackendReply *reply)
+{
+    run_request(backend, id, FALSE, reply);
+}
+
 /* Replays a backend server that writes an earlier refusal once more, whole or
  * in part. Guards against reporting the next request on the connection as not
  * run while it runs. */
@@ -436,11 +445,82 @@
     }
 }
 
+#define STATED "X-Not-Run: 1\r\n"
+#define SIGNED "X-Signature: s\r\n"
+#define ANSWER(status, headers) \
+    "HTTP/1.1 " status "\r\n" ID("r1") headers EMPTY
+
+/* Guards against the promise "not run" for an answer that does not state it,
+ * or that also states the opposite. */
+static void
+test_statements(void)
+{
+    static const struct {
+        const char *answer;
+        gboolean idempotent;
+        Result result;
+        RunState run;
+    } cases[] = {
+        {ANSWER("503 Busy", STATED), FALSE, RESULT_BACKEND_SERVER_SHED,
+         RUN_NO},
+        {ANSWER("429 Many", STATED), FALSE, RESULT_BACKEND_SERVER_SHED,
+         RUN_NO},
+        {ANSWER("400 Bad", STATED), FALSE, RESULT_BACKEND_SERVER_SHED, RUN_NO},
+        {ANSWER("421 Other", STATED), FALSE, RESULT_BACKEND_SERVER_OTHER,
+         RUN_NO},
+        {ANSWER("421 Other", ""), FALSE, RESULT_BACKEND_SERVER_OTHER, RUN_NO},
+        {ANSWER("503 Busy", STATED SIGNED), FALSE, RESULT_ANSWER_MISMATCH,
+         RUN_UNKNOWN},
+        {ANSWER("421 Other", SIGNED), FALSE, RESULT_ANSWER_MISMATCH,
+         RUN_UNKNOWN},
+        {ANSWER("200 OK", STATED), FALSE, RESULT_ANSWER_MISMATCH, RUN_UNKNOWN},
+        {ANSWER("200 OK", STATED SIGNED), TRUE, RESULT_ANSWER_MISMATCH,
+         RUN_UNKNOWN},
+        {ANSWER("503 Busy", ""), FALSE, RESULT_ANSWER_MISMATCH, RUN_UNKNOWN},
+        {ANSWER("429 Many", ""), FALSE, RESULT_ANSWER_MISMATCH, RUN_UNKNOWN},
+        {ANSWER("408 Late", ""), FALSE, RESULT_ANSWER_MISMATCH, RUN_UNKNOWN},
+        {ANSWER("503 Busy", ""), TRUE, RESULT_ANSWER_MISMATCH, RUN_UNKNOWN},
+        {ANSWER("503 Busy", SIGNED), FALSE, RESULT_ANSWER_MISMATCH,
+         RUN_UNKNOWN},
+        {ANSWER("429 Many", SIGNED), FALSE, RESULT_ANSWER_MISMATCH,
+         RUN_UNKNOWN},
+        /* The caller may send these again in any case. */
+        {ANSWER("503 Busy", SIGNED), TRUE, RESULT_BACKEND_SERVER_ERROR,
+         RUN_YES},
+        {ANSWER("429 Many", SIGNED), TRUE, RESULT_OK, RUN_YES},
+        {ANSWER("500 Bad", SIGNED), FALSE, RESULT_BACKEND_SERVER_ERROR,
+         RUN_YES},
+        {ANSWER("504 Late", SIGNED), FALSE, RESULT_BACKEND_SERVER_ERROR,
+         RUN_YES},
+        {ANSWER("404 No", SIGNED), FALSE, RESULT_OK, RUN_YES},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Server server = {.script.first = cases[i].answer};
+        HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+        Backend *backend;
+        BackendReply reply;
+
+        start_server(&server);
+        backend = create_backend(&server, client);
+        run_request(backend, "r1", cases[i].idempotent, &reply);
+        g_test_message("case %zu: %s %s", i, Result_Name(reply.result),
+                       Result_RunName(reply.run));
+        g_assert_cmpint(reply.result, ==, cases[i].result);
+        g_assert_cmpint(reply.run, ==, cases[i].run);
+        HttpAnswer_Clear(&reply.answer);
+        Backend_Destroy(backend);
+        HttpClient_Destroy(client);
+        stop_server(&server);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/extra-answers/repeated-refusal", test_repeated_refusal);
     g_test_add_func("/extra-answers/new-connection", test_new_connection);
+    g_test_add_func("/extra-answers/statements", test_statements);
     return g_test_run();
 }
