Gateway: a daemon's reply that cannot be read leaves the run open

A daemon passed a request on to its backend server and answered; if a field of its reply was unknown or out of range here, for example a result code of a later version, the request counted as not run. It was sent to a second backend server, or its caller was told 503, also if it may not be repeated.

Cause: a reply that could not be decoded was taken for an answer of another program at the address, which cannot run requests. Only an answer without the Radishknot-Reply header shows that.

PeerWire_DecodeReply() now tells the two apart: without the header CONNECT_FAILED and not run, with one that cannot be read ANSWER_MISMATCH and run unknown.

--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -338,12 +338,7 @@
     HttpHeaders_Clear(&headers);
     if (reply->result == RESULT_OK) {
         if (!PeerWire_DecodeReply(&reply->answer.headers, reply)) {
-            /* Another program uses the address. It received the request, but
-             * it cannot have passed it to a backend server. */
             HttpAnswer_Clear(&reply->answer);
-            reply->result = RESULT_CONNECT_FAILED;
-            reply->run = RUN_NO;
-            sent = FALSE;
         }
         else if (reply->owner_ms >= 0) {
             Roster_NoteTransit(request->gateway->desc.roster, choice->host,
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -126,10 +126,10 @@
     HttpHeaders_Add(headers, REPLY_HEADER, line);
 }
 
-gboolean
-PeerWire_DecodeReply(const HttpHeaders *headers, BackendReply *reply)
+/* Reads the values of the header; FALSE if one is missing or malformed. */
+static gboolean
+parse_reply(const char *line, BackendReply *reply)
 {
-    const char *line = HttpHeaders_Get(headers, REPLY_HEADER);
     RosterReport report = {0};
     ClockMs owner_ms = -1; /* earlier versions do not send it */
     gboolean arrived;
@@ -137,8 +137,7 @@
     int result;
     int run;
 
-    if (line == NULL ||
-        sscanf(line,
+    if (sscanf(line,
                "%d %d %d %lf %u %u %u %" SCNd64 " %" SCNd64 " %d %" SCNd64
                " %lf %lf",
                &result, &run, &arrived, &report.risk, &report.slots,
@@ -158,3 +157,20 @@
     reply->owner_ms = owner_ms;
     return TRUE;
 }
+
+gboolean
+PeerWire_DecodeReply(const HttpHeaders *headers, BackendReply *reply)
+{
+    const char *line = HttpHeaders_Get(headers, REPLY_HEADER);
+
+    if (line != NULL && parse_reply(line, reply)) {
+        return TRUE;
+    }
+    /* A daemon may have passed the request on to its backend server; another
+     * program cannot. */
+    reply->result =
+        line != NULL ? RESULT_ANSWER_MISMATCH : RESULT_CONNECT_FAILED;
+    reply->run = line != NULL ? RUN_UNKNOWN : RUN_NO;
+    reply->arrived = line != NULL;
+    return FALSE;
+}
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -20,8 +20,10 @@
  * Use: the sender calls PeerWire_EncodeCall() and PeerWire_DecodeReply(), the
  * receiver PeerWire_DecodeCall() and PeerWire_EncodeReply().
  *
- * Errors: decoding returns FALSE if a header is missing or malformed. A reply
- * is then unchanged; the call must not be used.
+ * Errors: decoding returns FALSE if a header is missing or malformed; the call
+ * must then not be used. A reply becomes CONNECT_FAILED, not run, without the
+ * header: another program uses the address. It becomes ANSWER_MISMATCH, run
+ * unknown, with a header that cannot be read, for example of another version.
  */
 #ifndef GATEWAY_PEER_WIRE_H
 #define GATEWAY_PEER_WIRE_H
