Owner: a connection that brought another request's answer is closed

A backend server that wrote an answer once more made its requests fail one after the other: each later request on the connection got the answer of the one before, and 502.

Cause: the owner compared the id after the call had returned the connection to the pool, with the right answer still to come. (The owner of mode "platform" lets the HTTP client compare, and goes on to the right answer.)

The HTTP client compares the id here, too, and with match_strictly ends the call as ANSWER_MISMATCH and closes the connection. The run stays unknown, and requests that must not run twice have a connection of their own, as before.

Test: /owner/late-copy; before, the third request got ANSWER_MISMATCH.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -343,7 +343,8 @@
         return TRUE;
     }
     value = HttpHeaders_Get(&answer->headers, call->match_header);
-    return value == NULL ? !shared : strcmp(value, call->match_value) == 0;
+    return value == NULL ? !shared && !call->match_strictly
+                         : strcmp(value, call->match_value) == 0;
 }
 
 static Result
@@ -376,6 +377,10 @@
             return result;
         }
         HttpAnswer_Clear(answer);
+        if (call->match_strictly) {
+            *reusable = FALSE;
+            return RESULT_ANSWER_MISMATCH;
+        }
         if (!*reusable) {
             return RESULT_ANSWER_LOST;
         }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -13,6 +13,7 @@
  *
  * Results: OK with the answer; CONNECT_FAILED (nothing sent); ANSWER_LOST and
  * ANSWER_TRUNCATED (sent, no complete answer); DEADLINE_EXPIRED; CANCELLED;
+ * ANSWER_MISMATCH (sent; the answer to another request, match_strictly);
  * TOO_LARGE; OVERLOADED (sent; too many large answers are being read). *sent
  * is TRUE if a byte may have left this host.
  *
@@ -76,6 +77,8 @@
     const char *match_value;   /* expected value of match_header; a pooled
                                   connection that has carried it is not used
                                   for it again */
+    gboolean match_strictly;   /* an answer of another request, or without
+                                  the id, ends the call and the connection */
     const HttpSoftTimeout *soft_timeout; /* NULL: none */
     HttpCancel *cancel;                  /* NULL: cannot be cancelled */
 } HttpCall;
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -361,15 +361,8 @@
 
 /* Returns the result and the run state of a complete answer. */
 static Result
-classify_answer(const OwnerCall *call, const HttpAnswer *answer, RunState *run)
+classify_answer(const HttpAnswer *answer, RunState *run)
 {
-    const char *echo =
-        HttpHeaders_Get(&answer->headers, "Radishknot-Request-Id");
-
-    if (echo == NULL || strcmp(echo, call->request_id) != 0) {
-        *run = RUN_UNKNOWN;
-        return RESULT_ANSWER_MISMATCH;
-    }
     if (is_shed(answer)) {
         *run = RUN_NO;
         return RESULT_BACKEND_SERVER_SHED;
@@ -388,6 +381,9 @@
                      .body = call->body,
                      .body_bytes = call->body_bytes,
                      .deadline = call->deadline,
+                     .match_header = "Radishknot-Request-Id",
+                     .match_value = call->request_id,
+                     .match_strictly = TRUE,
                      .cancel = call->issuance ? NULL : call->cancel,
                      .fresh_connection = call->issuance};
     HttpHeaders headers = {0};
@@ -410,7 +406,7 @@
     reply->result =
         HttpClient_Call(owner->desc.client, &http, &reply->answer, &sent);
     if (reply->result == RESULT_OK) {
-        reply->result = classify_answer(call, &reply->answer, &reply->run);
+        reply->result = classify_answer(&reply->answer, &reply->run);
     }
     else {
         reply->run = sent ? RUN_UNKNOWN : RUN_NO;
--- a/src/owner/test_owner.c
+++ b/src/owner/test_owner.c
@@ -4,6 +4,8 @@
 #include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/rng.h"
 #include "http/http_server.h"
@@ -197,6 +199,83 @@
     g_assert_cmpint(reply.run, ==, RUN_NO);
 }
 
+#define COPY(id)                                    \
+    "HTTP/1.1 200 OK\r\nRadishknot-Request-Id: " id \
+    "\r\nContent-Length: 6\r\n\r\npermit"
+
+static void
+send_text(int fd, const char *text)
+{
+    (void)!send(fd, text, strlen(text), MSG_NOSIGNAL);
+}
+
+/* Answers three requests. The second gets a copy of the first answer while it
+ * runs; its own follows when the third arrives on the same connection. */
+static void *
+serve_copies(void *context)
+{
+    int listener = *(int *)context;
+    char buffer[2000];
+    int received = 0;
+    int on_connection;
+    int fd;
+
+    while (received < 3) {
+        fd = accept(listener, NULL, NULL);
+        on_connection = 0;
+        while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
+            received++;
+            on_connection++;
+            if (received == 3 && on_connection > 1) {
+                send_text(fd, COPY("r2"));
+            }
+            send_text(fd, received == 3 ? COPY("r3") : COPY("r1"));
+        }
+        close(fd);
+    }
+    return NULL;
+}
+
+/* Replays a backend server that writes an earlier answer once more. Guards
+ * against a connection on which each later answer is the one of the request
+ * before. */
+static void
+test_late_copy(Fixture *fixture, gconstpointer data)
+{
+    static const struct {
+        const char *id;
+        Result result;
+        RunState run;
+    } steps[] = {{"r1", RESULT_OK, RUN_YES},
+                 {"r2", RESULT_ANSWER_MISMATCH, RUN_UNKNOWN},
+                 {"r3", RESULT_OK, RUN_YES}};
+    struct sockaddr_in *address = &fixture->announcement.address;
+    socklen_t bytes = sizeof(*address);
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    pthread_t thread;
+
+    (void)data;
+    address->sin_port = 0;
+    g_assert_cmpint(bind(listener, (struct sockaddr *)address, bytes), ==, 0);
+    g_assert_cmpint(listen(listener, 4), ==, 0);
+    getsockname(listener, (struct sockaddr *)address, &bytes);
+    Owner_Announce(fixture->owner, &fixture->announcement, Clock_Now());
+    pthread_create(&thread, NULL, serve_copies, &listener);
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        OwnerCall call = make_call();
+        OwnerReply reply;
+
+        call.request_id = steps[i].id;
+        Owner_Execute(fixture->owner, &call, &reply);
+        g_assert_cmpint(reply.result, ==, steps[i].result);
+        g_assert_cmpint(reply.run, ==, steps[i].run);
+        HttpAnswer_Clear(&reply.answer);
+    }
+    HttpClient_CloseIdle(fixture->client, address);
+    pthread_join(thread, NULL);
+    close(listener);
+}
+
 static void
 mint(Fixture *fixture, const OwnerCall *call, char *text)
 {
@@ -476,6 +555,7 @@
     g_test_init(&argc, &argv, NULL);
     ADD("/owner/outcomes", test_outcomes);
     ADD("/owner/connect-failed", test_connect_failed);
+    ADD("/owner/late-copy", test_late_copy);
     ADD("/owner/issuance-once", test_issuance_once);
     ADD("/owner/slots-and-queue", test_slots_and_queue);
     ADD("/owner/announcements-stop", test_announcements_stop);
