HTTP: tests of one answer for each request, and of heads in the fuzzer

/http/one-answer guards against a second answer to a request, by the handler after the server's own at the deadline: between daemons, the next request on the connection would get it. It passed on the code before. The fuzzer of the answer parser checks the names and values of accepted heads.

--- a/src/http/fuzz_http.c
+++ b/src/http/fuzz_http.c
@@ -3,7 +3,8 @@
  *
  * Guards against answers that crash the parser, that keep it busy until the
  * deadline, that are accepted although larger than the limit, and against an
- * accepted answer whose length differs from its Content-Length.
+ * accepted answer whose length differs from its Content-Length, or whose head
+ * has a name with white space or another status line in it.
  */
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -91,6 +92,15 @@
     return &peer;
 }
 
+static void
+check_header(const HttpHeader *header)
+{
+    if (header->name[0] == '\0' || strpbrk(header->name, " \t\r") != NULL ||
+        strstr(header->value, "HTTP/1.1 200 ") != NULL) {
+        abort();
+    }
+}
+
 static void
 check_answer(const HttpAnswer *answer)
 {
@@ -101,6 +111,9 @@
         answer->body_bytes > MAX_ANSWER_BYTES) {
         abort();
     }
+    for (size_t i = 0; i < answer->headers.count; i++) {
+        check_header(&answer->headers.items[i]);
+    }
     if (HttpHeaders_Get(&answer->headers, "Transfer-Encoding") == NULL &&
         answer->status != 204 && answer->status != 304 &&
         stated != (int64_t)answer->body_bytes) {
--- a/src/http/test_http.c
+++ b/src/http/test_http.c
@@ -338,6 +338,32 @@
     HttpServer_Destroy(server);
 }
 
+/* Guards against a second answer to a request: the handler's, after the server
+ * has answered at the request's deadline. The caller would take it for the
+ * answer to its next request on the connection. */
+static void
+test_one_answer(void)
+{
+    static const char bytes[] = "GET /hang HTTP/1.1\r\nHost: h\r\n\r\n"
+                                "GET /next HTTP/1.1\r\nHost: h\r\n\r\n"
+                                "GET /hang HTTP/1.1\r\nHost: h\r\n\r\n"
+                                "GET /last HTTP/1.1\r\nHost: h\r\n\r\n";
+    static const int statuses[] = {504, 200, 504, 200};
+    HttpServer *server = start_echo();
+    char *text = send_raw(HttpServer_Port(server), bytes);
+    const char *answer = text;
+
+    g_test_message("%s", text);
+    g_assert_cmpint(count_answers(text), ==, G_N_ELEMENTS(statuses));
+    for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+        answer = strstr(answer, "HTTP/1.1 ") + strlen("HTTP/1.1 ");
+        g_assert_cmpint(g_ascii_strtoll(answer, NULL, 10), ==, statuses[i]);
+    }
+    g_assert_nonnull(strstr(answer, "GET /last"));
+    g_free(text);
+    HttpServer_Destroy(server);
+}
+
 /* Guards against a stopping server that runs a request and then closes the
  * connection without an answer: the request arrived on an open connection
  * after the last check of the requests in flight. */
@@ -372,6 +398,7 @@
     g_test_add_func("/http/deadlines", test_deadlines);
     g_test_add_func("/http/broken-answers", test_broken_answers);
     g_test_add_func("/http/ambiguous-framing", test_ambiguous_framing);
+    g_test_add_func("/http/one-answer", test_one_answer);
     g_test_add_func("/http/close", test_close);
     return g_test_run();
 }
