Objects: the store's generation in revisions, pages and log lines

The platform's store can be restored from an older copy: its revisions go back and are given out again, and the header Store-Era rises by one. Nothing in the daemon read it, so no line showed a restoration, or which history a revision belonged to.

Revisions are ordered as before.

--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -31,6 +31,8 @@
     LOG(OBJECT_WRITTEN, 205, INFO, "object written to the store") \
     LOG(MIRROR_CHANGED, 207, INFO, \
         "objects of this kind are watched through another source") \
+    LOG(STORE_RESTORED, 208, WARNING, \
+        "the store was restored from an older copy") \
     LOG(OBJECT_REJECTED, 206, WARNING, "object in the store is malformed") \
     \
     \
--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -97,16 +97,17 @@
     json_t *root = json_loadb(body, bytes, 0, NULL);
     json_t *objects = NULL;
     json_t *item;
+    json_int_t generation = 0;
     json_int_t revision;
     json_int_t held;
     json_int_t age;
     size_t index;
     gboolean valid;
 
-    valid =
-        root != NULL && json_unpack(root, "{s:I, s:I, s:I, s:o}", "revision",
-                                    &revision, "held_ms", &held, "age_ms",
-                                    &age, "objects", &objects) == 0;
+    valid = root != NULL &&
+            json_unpack(root, "{s?I, s:I, s:I, s:I, s:o}", "generation",
+                        &generation, "revision", &revision, "held_ms", &held,
+                        "age_ms", &age, "objects", &objects) == 0;
     json_array_foreach(objects, index, item)
     {
         ObjectRecord record = {0};
@@ -120,12 +121,14 @@
             break;
         }
         record.name = g_strdup(name);
-        record.revision = changed;
+        record.revision =
+            (ObjectRevision){.generation = generation, .number = changed};
         json_incref(record.value);
         g_array_append_val(page->records, record);
     }
     if (valid) {
-        page->revision = revision;
+        page->revision =
+            (ObjectRevision){.generation = generation, .number = revision};
         page->held_ms = held;
         page->age_ms = age;
     }
@@ -135,11 +138,11 @@
 
 static Result
 request_page(Mirror *mirror, const RosterPeer *peer, const char *kind,
-             int64_t since, ClockMs wait_ms, ObjectPage *page)
+             ObjectRevision since, ClockMs wait_ms, ObjectPage *page)
 {
     char *target =
         g_strdup_printf(MIRROR_PATH "%s?since=%" PRId64 "&wait_ms=%" PRId64,
-                        kind, since, wait_ms);
+                        kind, since.number, wait_ms);
     HttpAnswer answer = {0};
     HttpCall call = {.address = peer->mirror,
                      .method = "GET",
@@ -175,7 +178,7 @@
 
 /* Reads from a neighbour. Returns FALSE if the store has to be read. */
 static gboolean
-read_neighbour(Mirror *mirror, const char *kind, int64_t since,
+read_neighbour(Mirror *mirror, const char *kind, ObjectRevision since,
                ClockMs wait_ms, ObjectPage *page, Result *result)
 {
     RosterPeer peer;
@@ -200,10 +203,11 @@
 {
     Mirror *mirror = context;
     const ObjectStore *store = mirror->desc.store;
+    ObjectRevision all = {.number = -1};
     Result result;
 
     if (after[0] == '\0' &&
-        read_neighbour(mirror, kind, -1, 0, page, &result)) {
+        read_neighbour(mirror, kind, all, 0, page, &result)) {
         return result;
     }
     result = store->list(store->context, kind, after, page);
@@ -214,8 +218,8 @@
 }
 
 static Result
-watch(void *context, const char *kind, int64_t revision, ClockMs wait_ms,
-      ObjectPage *page)
+watch(void *context, const char *kind, ObjectRevision revision,
+      ClockMs wait_ms, ObjectPage *page)
 {
     Mirror *mirror = context;
     const ObjectStore *store = mirror->desc.store;
--- a/src/mirror/mirror_cache.c
+++ b/src/mirror/mirror_cache.c
@@ -15,6 +15,7 @@
     pthread_mutex_t lock;
     pthread_cond_t changed;
     GHashTable *entries; /* name -> Entry */
+    int64_t generation;  /* of the last confirmation */
     int64_t revision;    /* all changes up to it are present; -1: none yet */
     int64_t newest;      /* revision of the last change */
     int64_t discarded;   /* deletions up to it have been discarded */
@@ -57,7 +58,8 @@
 
 /* Called with the lock held. */
 static void
-put_entry(MirrorCache *cache, const ObjectRecord *record, int64_t revision)
+put_entry(MirrorCache *cache, const ObjectRecord *record,
+          ObjectRevision revision)
 {
     Entry *entry = g_new0(Entry, 1);
 
@@ -66,29 +68,30 @@
     /* A deep copy, because jansson's reference counts are not shared between
      * threads. */
     entry->record.value = json_deep_copy(record->value);
-    entry->answer_revision = revision;
+    entry->answer_revision = revision.number;
     entry->updated = Clock_Now();
     g_hash_table_replace(cache->entries, entry->record.name, entry);
-    cache->newest = MAX(cache->newest, revision);
+    cache->newest = MAX(cache->newest, revision.number);
 }
 
 void
 MirrorCache_Update(MirrorCache *cache, const ObjectRecord *record,
-                   int64_t revision)
+                   ObjectRevision revision)
 {
     const Entry *entry;
 
     pthread_mutex_lock(&cache->lock);
     entry = g_hash_table_lookup(cache->entries, record->name);
     if (entry == NULL || record->deleted || entry->record.deleted ||
-        entry->record.revision != record->revision) {
+        entry->record.revision.number != record->revision.number) {
         put_entry(cache, record, revision);
     }
     pthread_mutex_unlock(&cache->lock);
 }
 
 void
-MirrorCache_Retain(MirrorCache *cache, GHashTable *names, int64_t revision)
+MirrorCache_Retain(MirrorCache *cache, GHashTable *names,
+                   ObjectRevision revision)
 {
     GList *values;
 
@@ -128,14 +131,15 @@
 }
 
 void
-MirrorCache_Confirm(MirrorCache *cache, ClockMs as_of, int64_t revision)
+MirrorCache_Confirm(MirrorCache *cache, ClockMs as_of, ObjectRevision revision)
 {
     pthread_mutex_lock(&cache->lock);
     if (cache->revision < 0) {
         /* Deletions before the first list are unknown. */
-        cache->discarded = revision - 1;
+        cache->discarded = revision.number - 1;
     }
-    cache->revision = MAX(cache->revision, revision);
+    cache->generation = revision.generation;
+    cache->revision = MAX(cache->revision, revision.number);
     cache->confirmed = MAX(cache->confirmed, as_of);
     cache->confirmations++;
     pthread_cond_broadcast(&cache->changed);
@@ -144,16 +148,15 @@
 }
 
 void
-MirrorCache_Wait(MirrorCache *cache, int64_t revision, ClockMs wait_ms)
+MirrorCache_Wait(MirrorCache *cache, ObjectRevision revision, ClockMs wait_ms)
 {
     struct timespec until = Condition_After(wait_ms);
-
     uint64_t confirmations;
 
     pthread_mutex_lock(&cache->lock);
     confirmations = cache->confirmations;
     while ((cache->revision < 0 ||
-            MIN(cache->newest, cache->revision) <= revision) &&
+            MIN(cache->newest, cache->revision) <= revision.number) &&
            cache->confirmations == confirmations &&
            pthread_cond_timedwait(&cache->changed, &cache->lock, &until) ==
                0) {
@@ -184,7 +187,7 @@
 }
 
 Result
-MirrorCache_Read(MirrorCache *cache, int64_t revision, ObjectPage *page)
+MirrorCache_Read(MirrorCache *cache, ObjectRevision revision, ObjectPage *page)
 {
     Result result = RESULT_OK;
 
@@ -192,12 +195,13 @@
     if (cache->revision < 0) {
         result = RESULT_STORE_UNAVAILABLE;
     }
-    else if (revision >= 0 && revision < cache->discarded) {
+    else if (revision.number >= 0 && revision.number < cache->discarded) {
         result = RESULT_STORE_HISTORY_GONE;
     }
     else {
-        copy_entries(cache, revision, page);
-        page->revision = cache->revision;
+        copy_entries(cache, revision.number, page);
+        page->revision = (ObjectRevision){.generation = cache->generation,
+                                          .number = cache->revision};
         page->age_ms = MAX(Clock_Now() - cache->confirmed, 0);
     }
     pthread_mutex_unlock(&cache->lock);
--- a/src/mirror/mirror_cache.h
+++ b/src/mirror/mirror_cache.h
@@ -27,25 +27,27 @@
 void MirrorCache_Destroy(MirrorCache *cache);
 
 void MirrorCache_Update(MirrorCache *cache, const ObjectRecord *record,
-                        int64_t revision);
+                        ObjectRevision revision);
 
 /* Marks all objects that are not among the names as deleted. */
 void MirrorCache_Retain(MirrorCache *cache, GHashTable *names,
-                        int64_t revision);
+                        ObjectRevision revision);
 
 /* States that the cache has all changes up to the revision, and that this was
  * the newest state at the time as_of. */
-void MirrorCache_Confirm(MirrorCache *cache, ClockMs as_of, int64_t revision);
+void MirrorCache_Confirm(MirrorCache *cache, ClockMs as_of,
+                         ObjectRevision revision);
 
 /* Blocks until there is a change after the revision, until the next
  * confirmation or for wait_ms, whichever comes first. */
-void MirrorCache_Wait(MirrorCache *cache, int64_t revision, ClockMs wait_ms);
+void MirrorCache_Wait(MirrorCache *cache, ObjectRevision revision,
+                      ClockMs wait_ms);
 
 /* Fills the page with all changes after the revision, or with all objects if
  * it is negative. Returns RESULT_STORE_HISTORY_GONE if deletions after the
  * revision have been discarded, RESULT_STORE_UNAVAILABLE if there is no
  * complete state yet. */
-Result MirrorCache_Read(MirrorCache *cache, int64_t revision,
+Result MirrorCache_Read(MirrorCache *cache, ObjectRevision revision,
                         ObjectPage *page);
 
 #endif
--- a/src/mirror/mirror_port.c
+++ b/src/mirror/mirror_port.c
@@ -49,11 +49,12 @@
         json_array_append_new(
             objects,
             json_pack("{s:s, s:I, s:b, s:O?}", "name", record->name,
-                      "revision", (json_int_t)record->revision, "deleted",
-                      record->deleted, "value", record->value));
+                      "revision", (json_int_t)record->revision.number,
+                      "deleted", record->deleted, "value", record->value));
     }
-    return json_pack("{s:I, s:I, s:I, s:o}", "revision",
-                     (json_int_t)page->revision, "held_ms",
+    return json_pack("{s:I, s:I, s:I, s:I, s:o}", "generation",
+                     (json_int_t)page->revision.generation, "revision",
+                     (json_int_t)page->revision.number, "held_ms",
                      (json_int_t)page->held_ms, "age_ms",
                      (json_int_t)page->age_ms, "objects", objects);
 }
@@ -65,15 +66,17 @@
           ObjectPage *page)
 {
     ClockMs started = Clock_Now();
+    ObjectRevision revision = {.number = since};
     Result result;
 
     if (!kind->is_direct(kind->context)) {
         return RESULT_STORE_UNAVAILABLE;
     }
     if (since >= 0) {
-        MirrorCache_Wait(kind->cache, since, CLAMP(wait_ms, 0, MAX_WAIT_MS));
+        MirrorCache_Wait(kind->cache, revision,
+                         CLAMP(wait_ms, 0, MAX_WAIT_MS));
     }
-    result = MirrorCache_Read(kind->cache, since, page);
+    result = MirrorCache_Read(kind->cache, revision, page);
     page->held_ms = Clock_Now() - started;
     if (result == RESULT_OK &&
         (page->age_ms > kind->max_age_ms || !kind->is_direct(kind->context))) {
--- a/src/mirror/mirror_port.h
+++ b/src/mirror/mirror_port.h
@@ -2,11 +2,11 @@
  * centre.
  *
  *   GET /radishknot/mirror/<kind>?since=<revision>&wait_ms=<ms>
- * answers {"revision", "held_ms", "age_ms", "objects": [{"name", "revision",
- * "deleted", "value"}]} as soon as there is a change after the revision, or
- * after wait_ms; since=-1 requests all objects. The status is 410 if the host
- * no longer has that history, 503 if it does not watch the store itself or its
- * state is older than max_age_ms.
+ * answers {"generation", "revision", "held_ms", "age_ms", "objects": [{"name",
+ * "revision", "deleted", "value"}]} as soon as there is a change after the
+ * revision, or after wait_ms; since=-1 requests all objects. The status is 410
+ * if the host no longer has that history, 503 if it does not watch the store
+ * itself or its state is older than max_age_ms.
  *
  * Use: MirrorPort_Create() with the caches, MirrorPort_Destroy().
  *
--- a/src/mirror/test_mirror.c
+++ b/src/mirror/test_mirror.c
@@ -13,11 +13,11 @@
        gboolean deleted)
 {
     ObjectRecord record = {.name = (char *)name,
-                           .revision = own,
+                           .revision.number = own,
                            .deleted = deleted,
                            .value = json_pack("{s:I}", "n", (json_int_t)own)};
 
-    MirrorCache_Update(cache, &record, revision);
+    MirrorCache_Update(cache, &record, (ObjectRevision){.number = revision});
     json_decref(record.value);
 }
 
@@ -38,8 +38,9 @@
     ObjectPage page;
 
     ObjectPage_Init(&page);
-    *result = MirrorCache_Read(cache, since, &page);
-    *revision = page.revision;
+    *result =
+        MirrorCache_Read(cache, (ObjectRevision){.number = since}, &page);
+    *revision = page.revision.number;
     for (guint i = 0; i < page.records->len; i++) {
         const ObjectRecord *record =
             &g_array_index(page.records, ObjectRecord, i);
@@ -78,12 +79,12 @@
     g_assert_cmpint(result, ==, RESULT_STORE_UNAVAILABLE);
     g_free(names);
     change(cache, "b", 5, 10, FALSE);
-    MirrorCache_Confirm(cache, 1000, 10);
+    MirrorCache_Confirm(cache, 1000, (ObjectRevision){.number = 10});
     change(cache, "a", 12, 15, FALSE);
-    MirrorCache_Confirm(cache, 1100, 15);
+    MirrorCache_Confirm(cache, 1100, (ObjectRevision){.number = 15});
     change(cache, "c", 16, 20, FALSE);
     change(cache, "b", 18, 20, TRUE);
-    MirrorCache_Confirm(cache, 1200, 20);
+    MirrorCache_Confirm(cache, 1200, (ObjectRevision){.number = 20});
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         names = read_names(cache, cases[i].since, &result, &revision);
         g_assert_cmpint(result, ==, cases[i].result);
@@ -108,10 +109,10 @@
 
     change(cache, "a", 1, 5, FALSE);
     change(cache, "b", 2, 5, FALSE);
-    MirrorCache_Confirm(cache, 1000, 5);
+    MirrorCache_Confirm(cache, 1000, (ObjectRevision){.number = 5});
     g_hash_table_add(names, "a");
-    MirrorCache_Retain(cache, names, 9);
-    MirrorCache_Confirm(cache, 1000, 9);
+    MirrorCache_Retain(cache, names, (ObjectRevision){.number = 9});
+    MirrorCache_Confirm(cache, 1000, (ObjectRevision){.number = 9});
     found = read_names(cache, 5, &result, &revision);
     g_assert_cmpstr(found, ==, "b!");
     g_free(found);
@@ -132,13 +133,13 @@
     (void)kind;
     (void)after;
     ((FakeStore *)context)->lists++;
-    page->revision = 50;
+    page->revision.number = 50;
     return RESULT_OK;
 }
 
 static Result
-fake_watch(void *context, const char *kind, int64_t revision, ClockMs wait_ms,
-           ObjectPage *page)
+fake_watch(void *context, const char *kind, ObjectRevision revision,
+           ClockMs wait_ms, ObjectPage *page)
 {
     (void)kind;
     (void)wait_ms;
@@ -233,7 +234,8 @@
 {
     const ObjectStore *store = Mirror_AsStore(fixture->mirror);
 
-    return store->watch(store->context, "k", since, 50, page);
+    return store->watch(store->context, "k", (ObjectRevision){.number = since},
+                        50, page);
 }
 
 /* Guards against a follower that reads the store although its neighbour
@@ -258,9 +260,11 @@
         ObjectPage page;
 
         open_fixture(&fixture);
-        MirrorCache_Confirm(fixture.cache, Clock_Now() - cases[i].age_ms, 2);
+        MirrorCache_Confirm(fixture.cache, Clock_Now() - cases[i].age_ms,
+                            (ObjectRevision){.number = 2});
         change(fixture.cache, "a", 3, 5, FALSE);
-        MirrorCache_Confirm(fixture.cache, Clock_Now() - cases[i].age_ms, 5);
+        MirrorCache_Confirm(fixture.cache, Clock_Now() - cases[i].age_ms,
+                            (ObjectRevision){.number = 5});
         fixture.direct = cases[i].direct;
         ObjectPage_Init(&page);
         g_assert_cmpint(watch(&fixture, 2, &page), ==, RESULT_OK);
@@ -269,7 +273,7 @@
                         cases[i].through_store);
         if (!cases[i].through_store) {
             g_assert_cmpuint(page.records->len, ==, 1);
-            g_assert_cmpint(page.revision, ==, 5);
+            g_assert_cmpint(page.revision.number, ==, 5);
             g_assert_cmpint(page.age_ms, >=, cases[i].age_ms);
             g_assert_cmpint(page.held_ms, <=, 60);
         }
--- a/src/objects/object_store.c
+++ b/src/objects/object_store.c
@@ -1,5 +1,14 @@
 #include "objects/object_store.h"
 
+int
+ObjectRevision_Compare(ObjectRevision a, ObjectRevision b)
+{
+    if (a.generation != b.generation) {
+        return a.generation < b.generation ? -1 : 1;
+    }
+    return (a.number > b.number) - (a.number < b.number);
+}
+
 void
 ObjectRecord_Clear(ObjectRecord *record)
 {
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -1,8 +1,12 @@
 /* ObjectStore: interface to a versioned object store.
  *
  * An implementation fills an ObjectStore with its functions; platform/ has the
- * one for the users' platform. Objects are identified by kind and name. The
- * revision is one counter for the whole store that rises with each change.
+ * one for the users' platform. Objects are identified by kind and name.
+ *
+ * A revision is one counter for the whole store that rises with each change.
+ * A store that is restored from an older copy loses the changes after it and
+ * gives out their revisions again. Its generation rises each time, so two
+ * revisions are ordered by generation first.
  *
  * Results: OK; NOT_FOUND; STORE_CONFLICT (the object has another revision, or
  * already exists); STORE_UNAVAILABLE (the call had no effect); STORE_UNCERTAIN
@@ -22,19 +26,24 @@
 #include "base/clock.h"
 #include "base/result.h"
 
+typedef struct ObjectRevision {
+    int64_t generation; /* 0: the store does not name any */
+    int64_t number;
+} ObjectRevision;
+
 typedef struct ObjectRecord {
     char *name;
-    int64_t revision;
+    ObjectRevision revision;
     gboolean deleted; /* in a watch: the object was deleted */
     json_t *value;    /* NULL if it could not be read */
 } ObjectRecord;
 
 typedef struct ObjectPage {
-    GArray *records;  /* ObjectRecord */
-    int64_t revision; /* store revision of the answer */
-    gboolean more;    /* a list has further objects after the last name */
-    ClockMs held_ms;  /* lower bound of the time from call to answer */
-    ClockMs age_ms;   /* age of the state when the answer was made */
+    GArray *records;         /* ObjectRecord */
+    ObjectRevision revision; /* store revision of the answer */
+    gboolean more;   /* a list has further objects after the last name */
+    ClockMs held_ms; /* lower bound of the time from call to answer */
+    ClockMs age_ms;  /* age of the state when the answer was made */
 } ObjectPage;
 
 typedef struct ObjectStore {
@@ -45,18 +54,22 @@
                    ObjectPage *page);
     /* Returns as soon as an object of the kind has changed after the revision,
      * or without records after wait_ms. */
-    Result (*watch)(void *context, const char *kind, int64_t revision,
+    Result (*watch)(void *context, const char *kind, ObjectRevision revision,
                     ClockMs wait_ms, ObjectPage *page);
+    /* Sets the generation of the record also with NOT_FOUND. */
     Result (*get)(void *context, const char *kind, const char *name,
                   ObjectRecord *record);
-    /* Writes if the object has *revision, or does not exist if that is 0.
-     * Stores the new revision in *revision. */
+    /* Writes if the object has the number of *revision, or does not exist if
+     * that is 0. Stores the new revision in *revision. */
     Result (*put)(void *context, const char *kind, const char *name,
-                  const json_t *value, int64_t *revision);
+                  const json_t *value, ObjectRevision *revision);
     Result (*remove)(void *context, const char *kind, const char *name,
-                     int64_t revision);
+                     ObjectRevision revision);
 } ObjectStore;
 
+/* Returns a value below, equal to or above 0. */
+int ObjectRevision_Compare(ObjectRevision a, ObjectRevision b);
+
 void ObjectPage_Init(ObjectPage *page);
 void ObjectPage_Clear(ObjectPage *page);
 void ObjectRecord_Clear(ObjectRecord *record);
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -22,7 +22,7 @@
     pthread_cond_t wake;
     gboolean stopping;
     atomic_bool complete;
-    int64_t revision; /* revision to watch from; -1: list first */
+    ObjectRevision revision; /* revision to watch from; -1: list first */
     ClockMs next_wait_ms;
     gboolean failing;
     ClockMs failed_since;
@@ -52,8 +52,10 @@
     if (!sync->failing) {
         sync->failing = TRUE;
         sync->failed_since = Clock_Now();
-        Log_Event(LOG_STORE_LOST, "kind=%s result=%s revision=%" PRId64,
-                  sync->desc.kind, Result_Name(result), sync->revision);
+        Log_Event(LOG_STORE_LOST,
+                  "kind=%s result=%s generation=%" PRId64 " revision=%" PRId64,
+                  sync->desc.kind, Result_Name(result),
+                  sync->revision.generation, sync->revision.number);
     }
 }
 
@@ -64,9 +66,26 @@
     if (sync->failing) {
         sync->failing = FALSE;
         Log_Event(LOG_STORE_REGAINED,
-                  "kind=%s revision=%" PRId64 " away_ms=%" PRId64,
-                  sync->desc.kind, sync->revision,
-                  Clock_Now() - sync->failed_since);
+                  "kind=%s generation=%" PRId64 " revision=%" PRId64
+                  " away_ms=%" PRId64,
+                  sync->desc.kind, sync->revision.generation,
+                  sync->revision.number, Clock_Now() - sync->failed_since);
+    }
+}
+
+/* Records the revision of an answer. */
+static void
+note_revision(ObjectSync *sync, ObjectRevision revision)
+{
+    int64_t known = sync->revision.generation;
+
+    (void)ObjectGeneration_Note(sync->desc.generation, revision.generation);
+    if (known > 0 && revision.generation > known) {
+        Log_Event(LOG_STORE_RESTORED,
+                  "kind=%s generation=%" PRId64 " revision=%" PRId64
+                  " from_generation=%" PRId64 " from_revision=%" PRId64,
+                  sync->desc.kind, revision.generation, revision.number, known,
+                  sync->revision.number);
     }
 }
 
@@ -142,6 +161,7 @@
     }
     g_free(after);
     if (result == RESULT_OK) {
+        note_revision(sync, first.revision);
         sync->revision = first.revision;
         sync->next_wait_ms = CONFIRM_WAIT_MS;
         if (sync->desc.listed != NULL && !is_stopping(sync)) {
@@ -169,15 +189,20 @@
                           wait_ms, &page);
     if (result == RESULT_OK) {
         *changed = page.records->len > 0;
+        note_revision(sync, page.revision);
         report_records(sync, &page, NULL);
-        sync->revision = MAX(sync->revision, page.revision);
+        sync->revision.generation = page.revision.generation;
+        sync->revision.number =
+            MAX(sync->revision.number, page.revision.number);
         report_confirmation(sync, started, &page);
         sync->next_wait_ms = *changed ? CONFIRM_WAIT_MS : sync->desc.wait_ms;
     }
     else if (result == RESULT_STORE_HISTORY_GONE) {
-        Log_Event(LOG_STORE_HISTORY_GONE, "kind=%s revision=%" PRId64,
-                  sync->desc.kind, sync->revision);
-        sync->revision = -1;
+        Log_Event(LOG_STORE_HISTORY_GONE,
+                  "kind=%s generation=%" PRId64 " revision=%" PRId64,
+                  sync->desc.kind, sync->revision.generation,
+                  sync->revision.number);
+        sync->revision.number = -1;
     }
     ObjectPage_Clear(&page);
     return result;
@@ -194,8 +219,8 @@
     rcu_register_thread();
     while (!stopping) {
         changed = FALSE;
-        result =
-            sync->revision < 0 ? list_all(sync) : watch_once(sync, &changed);
+        result = sync->revision.number < 0 ? list_all(sync)
+                                           : watch_once(sync, &changed);
         if (result == RESULT_OK) {
             note_success(sync);
             stopping = sleep_for(sync, changed ? sync->desc.pause_ms : 0);
@@ -222,7 +247,7 @@
         sync->desc.wait_ms = DEFAULT_WAIT_MS;
     }
     sync->next_wait_ms = sync->desc.wait_ms;
-    sync->revision = -1;
+    sync->revision.number = -1;
     ObjectBackoff_Init(&sync->backoff);
     pthread_mutex_init(&sync->lock, NULL);
     Condition_Init(&sync->wake);
--- a/src/objects/object_sync.h
+++ b/src/objects/object_sync.h
@@ -18,23 +18,25 @@
 #ifndef OBJECTS_OBJECT_SYNC_H
 #define OBJECTS_OBJECT_SYNC_H
 
+#include "objects/object_generation.h"
 #include "objects/object_store.h"
 
 typedef struct ObjectSync ObjectSync;
 
 typedef struct ObjectSync_desc {
     const ObjectStore *store;
+    ObjectGeneration *generation;
     const char *kind;
     ClockMs wait_ms;          /* duration of one watch; zero means 20,000 ms */
     gboolean confirm_changes; /* confirm soon after each change, too */
     ClockMs pause_ms; /* pause after a watch that returned changes, so that a
                          series of changes costs few calls; zero: none */
     void (*changed)(void *context, const ObjectRecord *record,
-                    int64_t revision);
+                    ObjectRevision revision);
     void (*listed)(void *context, GHashTable *names,
-                   int64_t revision); /* may be NULL */
+                   ObjectRevision revision); /* may be NULL */
     void (*confirmed)(void *context, ClockMs as_of,
-                      int64_t revision); /* may be NULL */
+                      ObjectRevision revision); /* may be NULL */
     void *context;
 } ObjectSync_desc;
 
--- a/src/objects/object_writer.c
+++ b/src/objects/object_writer.c
@@ -17,7 +17,7 @@
     gboolean stored_known; /* `stored` and `revision` are up to date */
     json_t *desired;       /* desired value; NULL: the object must not exist */
     json_t *stored;        /* value in the store; NULL: no such object */
-    int64_t revision;
+    ObjectRevision revision;
     ObjectBackoff backoff; /* used by the thread only */
 };
 
@@ -38,7 +38,7 @@
 
 /* Called with the lock held. */
 static void
-set_stored(ObjectWriter *writer, json_t *value, int64_t revision)
+set_stored(ObjectWriter *writer, json_t *value, ObjectRevision revision)
 {
     json_decref(writer->stored);
     writer->stored = value;
@@ -59,7 +59,7 @@
         set_stored(writer, json_incref(record.value), record.revision);
     }
     else if (result == RESULT_NOT_FOUND) {
-        set_stored(writer, NULL, 0);
+        set_stored(writer, NULL, record.revision);
         result = RESULT_OK;
     }
     pthread_mutex_unlock(&writer->lock);
@@ -72,7 +72,7 @@
 write_once(ObjectWriter *writer)
 {
     const ObjectStore *store = writer->desc.store;
-    int64_t revision;
+    ObjectRevision revision;
     json_t *value;
     Result result;
 
@@ -87,7 +87,7 @@
     else {
         result = store->remove(store->context, writer->desc.kind,
                                writer->desc.name, revision);
-        revision = 0;
+        revision.number = 0;
     }
     pthread_mutex_lock(&writer->lock);
     if (result == RESULT_OK) {
@@ -99,8 +99,10 @@
     }
     pthread_mutex_unlock(&writer->lock);
     Log_Event(LOG_OBJECT_WRITTEN,
-              "kind=%s name=%s result=%s revision=%" PRId64, writer->desc.kind,
-              writer->desc.name, Result_Name(result), revision);
+              "kind=%s name=%s result=%s generation=%" PRId64
+              " revision=%" PRId64,
+              writer->desc.kind, writer->desc.name, Result_Name(result),
+              revision.generation, revision.number);
     json_decref(value);
     return result;
 }
@@ -178,10 +180,13 @@
 ObjectWriter_Observe(ObjectWriter *writer, const ObjectRecord *record)
 {
     pthread_mutex_lock(&writer->lock);
-    if (record->revision > writer->revision) {
+    if (record->revision.number > writer->revision.number) {
+        ObjectRevision revision = record->revision;
+
+        revision.number = record->deleted ? 0 : revision.number;
         set_stored(writer,
                    record->deleted ? NULL : json_deep_copy(record->value),
-                   record->deleted ? 0 : record->revision);
+                   revision);
         pthread_cond_signal(&writer->wake);
     }
     pthread_mutex_unlock(&writer->lock);
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -28,6 +28,7 @@
     Settings *settings;
     const SidecarAdapter *adapter;
     ObjectStore *store;
+    ObjectGeneration *generation;
     HttpClient *client;
     Catalog *catalog;
     Roster *roster;
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -27,7 +27,8 @@
 #define MIRROR_THREADS (2 * MIRROR_GROUP)
 
 static void
-catalog_changed(void *context, const ObjectRecord *record, int64_t revision)
+catalog_changed(void *context, const ObjectRecord *record,
+                ObjectRevision revision)
 {
     Sidecar *sidecar = context;
     CatalogTable *table;
@@ -42,21 +43,24 @@
     }
     table = sidecar->adapter->decode_catalog(record->value, &error);
     if (table == NULL) {
-        Log_Event(LOG_CATALOG_REJECTED, "revision=%" PRId64 " reason=\"%s\"",
-                  record->revision, error->message);
+        Log_Event(LOG_CATALOG_REJECTED,
+                  "generation=%" PRId64 " revision=%" PRId64 " reason=\"%s\"",
+                  record->revision.generation, record->revision.number,
+                  error->message);
         g_error_free(error);
         return;
     }
     version = CatalogTable_Version(table);
     if (Catalog_Publish(sidecar->catalog, table)) {
-        Log_Event(LOG_CATALOG_IN_FORCE,
-                  "version=%" PRIu64 " revision=%" PRId64, version,
-                  record->revision);
+        Log_Event(
+            LOG_CATALOG_IN_FORCE,
+            "version=%" PRIu64 " generation=%" PRId64 " revision=%" PRId64,
+            version, record->revision.generation, record->revision.number);
     }
 }
 
 static void
-catalog_listed(void *context, GHashTable *names, int64_t revision)
+catalog_listed(void *context, GHashTable *names, ObjectRevision revision)
 {
     Sidecar *sidecar = context;
 
@@ -64,7 +68,7 @@
 }
 
 static void
-catalog_confirmed(void *context, ClockMs as_of, int64_t revision)
+catalog_confirmed(void *context, ClockMs as_of, ObjectRevision revision)
 {
     Sidecar *sidecar = context;
 
@@ -74,7 +78,8 @@
 }
 
 static void
-roster_changed(void *context, const ObjectRecord *record, int64_t revision)
+roster_changed(void *context, const ObjectRecord *record,
+               ObjectRevision revision)
 {
     Sidecar *sidecar = context;
     gboolean is_own = strcmp(record->name, sidecar->settings->host) == 0;
@@ -92,20 +97,23 @@
         Roster_Set(sidecar->roster, &entry, Clock_Now());
     }
     else {
-        Log_Event(LOG_OBJECT_REJECTED, "kind=%s name=%s revision=%" PRId64,
-                  SIDECAR_ROSTER_KIND, record->name, record->revision);
+        Log_Event(LOG_OBJECT_REJECTED,
+                  "kind=%s name=%s generation=%" PRId64 " revision=%" PRId64,
+                  SIDECAR_ROSTER_KIND, record->name,
+                  record->revision.generation, record->revision.number);
         return;
     }
     Log_Event(LOG_ROSTER_CHANGED,
-              "host=%s instance=%s service=%s revision=%" PRId64
-              " deleted=%d hosts=%u",
+              "host=%s instance=%s service=%s generation=%" PRId64
+              " revision=%" PRId64 " deleted=%d hosts=%u",
               record->name, record->deleted ? "-" : entry.instance,
-              record->deleted ? "-" : entry.service, record->revision,
+              record->deleted ? "-" : entry.service,
+              record->revision.generation, record->revision.number,
               record->deleted, Roster_Count(sidecar->roster));
 }
 
 static void
-roster_listed(void *context, GHashTable *names, int64_t revision)
+roster_listed(void *context, GHashTable *names, ObjectRevision revision)
 {
     Sidecar *sidecar = context;
 
@@ -114,7 +122,7 @@
 }
 
 static void
-roster_confirmed(void *context, ClockMs as_of, int64_t revision)
+roster_confirmed(void *context, ClockMs as_of, ObjectRevision revision)
 {
     Sidecar *sidecar = context;
 
@@ -210,9 +218,12 @@
                               .confirmed = roster_confirmed,
                               .context = sidecar};
 
+    sidecar->generation = ObjectGeneration_Create();
     if (!open_mirror(sidecar, error)) {
         return FALSE;
     }
+    catalog.generation = sidecar->generation;
+    roster.generation = sidecar->generation;
     catalog.store = Mirror_AsStore(sidecar->catalog_mirror);
     roster.store = Mirror_AsStore(sidecar->roster_mirror);
     sidecar->catalog_sync = ObjectSync_Start(&catalog);
@@ -231,4 +242,5 @@
     for (int i = 0; i < SIDECAR_KINDS; i++) {
         MirrorCache_Destroy(sidecar->kinds[i].cache);
     }
+    ObjectGeneration_Destroy(sidecar->generation);
 }
