Tests: daemons while the store is restored from an older copy

The stand-in store goes back to a copy: the changes after it are lost, their revisions are given out again, a watch from a revision that it lacks gets 410, waiting watches end, and Store-Era rises by one.

--- a/src/mirror/test_mirror.c
+++ b/src/mirror/test_mirror.c
@@ -27,10 +27,19 @@
     return strcmp(*(const char *const *)a, *(const char *const *)b);
 }
 
+static void
+change_in(MirrorCache *cache, const char *name, ObjectRevision own,
+          ObjectRevision revision)
+{
+    ObjectRecord record = {.name = (char *)name, .revision = own};
+
+    MirrorCache_Update(cache, &record, revision);
+}
+
 /* Reads the cache and returns the names in sorted order without separators,
  * each deleted one followed by "!". */
 static char *
-read_names(MirrorCache *cache, int64_t since, Result *result,
+read_names(MirrorCache *cache, ObjectRevision since, Result *result,
            int64_t *revision)
 {
     GString *text = g_string_new(NULL);
@@ -38,8 +47,7 @@
     ObjectPage page;
 
     ObjectPage_Init(&page);
-    *result =
-        MirrorCache_Read(cache, (ObjectRevision){.number = since}, &page);
+    *result = MirrorCache_Read(cache, since, &page);
     *revision = page.revision.number;
     for (guint i = 0; i < page.records->len; i++) {
         const ObjectRecord *record =
@@ -57,6 +65,19 @@
     return g_string_free(text, FALSE);
 }
 
+static void
+expect_names(MirrorCache *cache, ObjectRevision since, Result expected,
+             const char *names)
+{
+    Result result;
+    int64_t revision;
+    char *found = read_names(cache, since, &result, &revision);
+
+    g_assert_cmpint(result, ==, expected);
+    g_assert_cmpstr(found, ==, names);
+    g_free(found);
+}
+
 /* Guards against a follower that misses a change or a deletion, whichever
  * source it read from before. */
 static void
@@ -74,7 +95,8 @@
     MirrorCache *cache = MirrorCache_Create();
     Result result;
     int64_t revision;
-    char *names = read_names(cache, -1, &result, &revision);
+    char *names =
+        read_names(cache, (ObjectRevision){.number = -1}, &result, &revision);
 
     g_assert_cmpint(result, ==, RESULT_STORE_UNAVAILABLE);
     g_free(names);
@@ -86,7 +108,8 @@
     change(cache, "b", 18, 20, TRUE);
     MirrorCache_Confirm(cache, 1200, (ObjectRevision){.number = 20});
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        names = read_names(cache, cases[i].since, &result, &revision);
+        names = read_names(cache, (ObjectRevision){.number = cases[i].since},
+                           &result, &revision);
         g_assert_cmpint(result, ==, cases[i].result);
         if (result == RESULT_OK) {
             g_assert_cmpint(revision, ==, 20);
@@ -113,13 +136,52 @@
     g_hash_table_add(names, "a");
     MirrorCache_Retain(cache, names, (ObjectRevision){.number = 9});
     MirrorCache_Confirm(cache, 1000, (ObjectRevision){.number = 9});
-    found = read_names(cache, 5, &result, &revision);
+    found =
+        read_names(cache, (ObjectRevision){.number = 5}, &result, &revision);
     g_assert_cmpstr(found, ==, "b!");
     g_free(found);
     g_hash_table_destroy(names);
     MirrorCache_Destroy(cache);
 }
 
+/* Guards against a reader that misses changes because their revisions were
+ * given out before the store was restored, and against one that is taken back
+ * by a neighbour that does not know of the restoration. */
+static void
+test_restored_cache(void)
+{
+    static const struct {
+        ObjectRevision since;
+        Result result;
+        const char *names;
+    } cases[] = {
+        {{2, -1}, RESULT_OK, "bc"},
+        {{2, 18}, RESULT_OK, "c"},
+        {{2, 20}, RESULT_OK, ""},
+        {{1, 20}, RESULT_STORE_HISTORY_GONE, ""},
+        {{1, 18}, RESULT_STORE_HISTORY_GONE, ""},
+        {{3, 10}, RESULT_STORE_UNAVAILABLE, ""},
+        {{3, -1}, RESULT_STORE_UNAVAILABLE, ""},
+        /* readers of a version without generations */
+        {{-1, 25}, RESULT_STORE_HISTORY_GONE, ""},
+        {{-1, 18}, RESULT_OK, "c"},
+    };
+    MirrorCache *cache = MirrorCache_Create();
+
+    change_in(cache, "a", (ObjectRevision){1, 19}, (ObjectRevision){1, 25});
+    MirrorCache_Confirm(cache, 1000, (ObjectRevision){1, 25});
+    change_in(cache, "b", (ObjectRevision){2, 5}, (ObjectRevision){2, 18});
+    /* The list is not complete. */
+    expect_names(cache, (ObjectRevision){2, -1}, RESULT_STORE_UNAVAILABLE, "");
+    MirrorCache_Confirm(cache, 1100, (ObjectRevision){2, 18});
+    change_in(cache, "c", (ObjectRevision){2, 20}, (ObjectRevision){2, 20});
+    MirrorCache_Confirm(cache, 1200, (ObjectRevision){2, 20});
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        expect_names(cache, cases[i].since, cases[i].result, cases[i].names);
+    }
+    MirrorCache_Destroy(cache);
+}
+
 /* Store of the follower; counts calls. */
 typedef struct FakeStore {
     ObjectStore functions;
@@ -315,6 +377,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/mirror/cache", test_cache);
+    g_test_add_func("/mirror/restored-cache", test_restored_cache);
     g_test_add_func("/mirror/list", test_list);
     g_test_add_func("/mirror/follower", test_follower);
     g_test_add_func("/mirror/neighbour-gone", test_neighbour_stopped);
--- a/standin/object_server.c
+++ b/standin/object_server.c
@@ -27,6 +27,9 @@
     pthread_cond_t changed;
     GPtrArray *objects; /* Object, sorted by name */
     gint64 revision;
+    gint64 era; /* rises with each restoration */
+    GPtrArray *saved_objects;
+    gint64 saved_revision;
     gint64 history_start; /* oldest revision from which a watch may start */
     atomic_bool stopping;
     _Atomic ObjectFault fault;
@@ -156,17 +159,26 @@
 {
     struct timespec until = Condition_After(wait_ms);
     json_t *events = list_changes(server, kind, since);
+    gint64 era = server->era;
+    int status = 200;
 
     while (json_array_size(events) == 0 && since >= server->history_start &&
+           since <= server->revision && era == server->era &&
            !atomic_load(&server->stopping) &&
            pthread_cond_timedwait(&server->changed, &server->lock, &until) ==
                0) {
         json_decref(events);
         events = list_changes(server, kind, since);
     }
-    if (since < server->history_start) {
+    if (era != server->era) {
+        status = 503;
+    }
+    else if (since < server->history_start || since > server->revision) {
+        status = 410;
+    }
+    if (status != 200) {
         json_decref(events);
-        return 410;
+        return status;
     }
     *body = json_pack("{s:o, s:I}", "events", events, "current_rev",
                       (json_int_t)server->revision);
@@ -247,7 +259,8 @@
 }
 
 static int
-dispatch(ObjectServer *server, const HttpRequest *request, json_t **body)
+dispatch(ObjectServer *server, const HttpRequest *request, json_t **body,
+         gint64 *era)
 {
     const char *path = HttpRequest_Path(request);
     char **parts;
@@ -264,6 +277,7 @@
     else {
         status = handle_write(server, request, parts[0], parts[1], body);
     }
+    *era = server->era;
     pthread_mutex_unlock(&server->lock);
     g_strfreev(parts);
     return status;
@@ -287,6 +301,7 @@
     gboolean is_write = strcmp(HttpRequest_Method(request), "GET") != 0;
     HttpAnswer answer = {0};
     json_t *body = NULL;
+    gint64 era = 0;
     char *text;
     int status = 503;
 
@@ -295,13 +310,16 @@
         hold_call(server);
     }
     else if (fault != OBJECT_FAULT_REFUSE) {
-        status = dispatch(server, request, &body);
+        status = dispatch(server, request, &body, &era);
     }
     if (fault == OBJECT_FAULT_LOSE_ANSWERS && is_write) {
         hold_call(server);
     }
     text = body ? json_dumps(body, JSON_COMPACT) : NULL;
     HttpAnswer_SetJson(&answer, status, g_strdup(text ? text : "{}"));
+    if (era > 0) {
+        HttpHeaders_AddNumber(&answer.headers, "Store-Era", era);
+    }
     free(text);
     json_decref(body);
     HttpRequest_Respond(request, &answer);
@@ -320,6 +338,8 @@
     pthread_mutex_init(&server->lock, NULL);
     Condition_Init(&server->changed);
     server->objects = g_ptr_array_new_with_free_func(free_object);
+    server->saved_objects = g_ptr_array_new_with_free_func(free_object);
+    server->era = 1;
     server->server = HttpServer_Create(&http, NULL);
     g_assert_nonnull(server->server);
     server->desc.address.sin_port = htons(HttpServer_Port(server->server));
@@ -335,6 +355,7 @@
     pthread_mutex_unlock(&server->lock);
     HttpServer_Destroy(server->server);
     g_ptr_array_unref(server->objects);
+    g_ptr_array_unref(server->saved_objects);
     pthread_cond_destroy(&server->changed);
     pthread_mutex_destroy(&server->lock);
     g_free(server);
@@ -386,6 +407,46 @@
     pthread_mutex_unlock(&server->lock);
 }
 
+static gpointer
+copy_object(gconstpointer source, gpointer data)
+{
+    const Object *object = source;
+    Object *copy = g_new0(Object, 1);
+
+    (void)data;
+    copy->kind = g_strdup(object->kind);
+    copy->name = g_strdup(object->name);
+    copy->value = json_deep_copy(object->value);
+    copy->revision = object->revision;
+    return copy;
+}
+
+void
+ObjectServer_Save(ObjectServer *server)
+{
+    pthread_mutex_lock(&server->lock);
+    g_ptr_array_unref(server->saved_objects);
+    server->saved_objects =
+        g_ptr_array_copy(server->objects, copy_object, NULL);
+    g_ptr_array_set_free_func(server->saved_objects, free_object);
+    server->saved_revision = server->revision;
+    pthread_mutex_unlock(&server->lock);
+}
+
+void
+ObjectServer_Restore(ObjectServer *server)
+{
+    pthread_mutex_lock(&server->lock);
+    g_ptr_array_unref(server->objects);
+    server->objects =
+        g_ptr_array_copy(server->saved_objects, copy_object, NULL);
+    g_ptr_array_set_free_func(server->objects, free_object);
+    server->revision = server->saved_revision;
+    server->era++;
+    pthread_cond_broadcast(&server->changed);
+    pthread_mutex_unlock(&server->lock);
+}
+
 unsigned
 ObjectServer_Calls(const ObjectServer *server)
 {
--- a/standin/object_server.h
+++ b/standin/object_server.h
@@ -2,7 +2,7 @@
  *
  * It implements the part of the store's protocol that radishknot uses: lists,
  * watches, single objects and conditional writes. The test that owns it can
- * inject faults.
+ * inject faults and restore it from an older copy.
  *
  * Use: ObjectServer_Create(), ObjectServer_Write() in place of the operator,
  * ObjectServer_SetFault(), ObjectServer_Destroy().
@@ -46,6 +46,14 @@
 
 /* Drops all past revisions: a watch from one of them now gets status 410. */
 void ObjectServer_DropHistory(ObjectServer *server);
+
+/* Copies the objects and the revision. */
+void ObjectServer_Save(ObjectServer *server);
+
+/* Goes back to the last copy: the changes after it are lost, their revisions
+ * are given out again, waiting watches end with status 503, and Store-Era
+ * rises by one. */
+void ObjectServer_Restore(ObjectServer *server);
 unsigned ObjectServer_Calls(const ObjectServer *server);
 
 #endif
