ObjectSync: list again when the store has been restored

The thread watched from the highest revision number that it had seen. After a restoration the numbers are given out again: a watch whose start belongs to the earlier history misses what was written below it, and its empty answer was taken for a proof that the state was the newest.

Answers are accepted by generation first. An answer of a newer generation discards the watch, unreported and unconfirmed, and the kind is listed again; so does a generation that another part of the daemon has noticed, without waiting for the watch. An answer of an earlier generation is dropped as if the store had not answered, and a list whose pages are of two generations begins anew.

/objects/generations and /objects/shared-generation failed before and pass.

--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -73,20 +73,30 @@
     }
 }
 
-/* Records the revision of an answer. */
-static void
-note_revision(ObjectSync *sync, ObjectRevision revision)
+/* Checks the revision of an answer. Returns RESULT_STORE_UNAVAILABLE for an
+ * answer from before a restoration, RESULT_STORE_HISTORY_GONE if the store has
+ * been restored since the last list. */
+static Result
+check_revision(ObjectSync *sync, ObjectRevision revision)
 {
-    int64_t known = sync->revision.generation;
+    ObjectRevision known = sync->revision;
 
-    (void)ObjectGeneration_Note(sync->desc.generation, revision.generation);
-    if (known > 0 && revision.generation > known) {
+    if (!ObjectGeneration_Note(sync->desc.generation, revision.generation)) {
+        return RESULT_STORE_UNAVAILABLE;
+    }
+    if (revision.generation == known.generation) {
+        return RESULT_OK;
+    }
+    sync->revision =
+        (ObjectRevision){.generation = revision.generation, .number = -1};
+    if (known.generation > 0) {
         Log_Event(LOG_STORE_RESTORED,
                   "kind=%s generation=%" PRId64 " revision=%" PRId64
                   " from_generation=%" PRId64 " from_revision=%" PRId64,
-                  sync->desc.kind, revision.generation, revision.number, known,
-                  sync->revision.number);
+                  sync->desc.kind, revision.generation, revision.number,
+                  known.generation, known.number);
     }
+    return RESULT_STORE_HISTORY_GONE;
 }
 
 static gboolean
@@ -128,12 +138,27 @@
     }
 }
 
+/* Reads one page of a list. The first one may begin a new generation. */
+static Result
+list_page(ObjectSync *sync, const char *after, ObjectPage *page)
+{
+    const ObjectStore *store = sync->desc.store;
+    Result result = store->list(store->context, sync->desc.kind, after, page);
+
+    if (result == RESULT_OK) {
+        result = check_revision(sync, page->revision);
+        if (result == RESULT_STORE_HISTORY_GONE && after[0] == '\0') {
+            result = RESULT_OK;
+        }
+    }
+    return result;
+}
+
 /* Lists the whole kind. Watching starts at the revision of the first page, so
  * the watch also reports changes made between two pages. */
 static Result
 list_all(ObjectSync *sync)
 {
-    const ObjectStore *store = sync->desc.store;
     GHashTable *names =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     char *after = g_strdup("");
@@ -145,7 +170,7 @@
 
     while (more && result == RESULT_OK) {
         ObjectPage_Init(&page);
-        result = store->list(store->context, sync->desc.kind, after, &page);
+        result = list_page(sync, after, &page);
         if (result == RESULT_OK) {
             report_records(sync, &page, names);
             first = after[0] == '\0' ? page : first;
@@ -161,7 +186,6 @@
     }
     g_free(after);
     if (result == RESULT_OK) {
-        note_revision(sync, first.revision);
         sync->revision = first.revision;
         sync->next_wait_ms = CONFIRM_WAIT_MS;
         if (sync->desc.listed != NULL && !is_stopping(sync)) {
@@ -187,27 +211,38 @@
     ObjectPage_Init(&page);
     result = store->watch(store->context, sync->desc.kind, sync->revision,
                           wait_ms, &page);
+    if (result == RESULT_STORE_HISTORY_GONE) {
+        Log_Event(LOG_STORE_HISTORY_GONE,
+                  "kind=%s generation=%" PRId64 " revision=%" PRId64,
+                  sync->desc.kind, sync->revision.generation,
+                  sync->revision.number);
+        sync->revision.number = -1;
+    }
+    else if (result == RESULT_OK) {
+        result = check_revision(sync, page.revision);
+    }
     if (result == RESULT_OK) {
         *changed = page.records->len > 0;
-        note_revision(sync, page.revision);
         report_records(sync, &page, NULL);
-        sync->revision.generation = page.revision.generation;
         sync->revision.number =
             MAX(sync->revision.number, page.revision.number);
         report_confirmation(sync, started, &page);
         sync->next_wait_ms = *changed ? CONFIRM_WAIT_MS : sync->desc.wait_ms;
     }
-    else if (result == RESULT_STORE_HISTORY_GONE) {
-        Log_Event(LOG_STORE_HISTORY_GONE,
-                  "kind=%s generation=%" PRId64 " revision=%" PRId64,
-                  sync->desc.kind, sync->revision.generation,
-                  sync->revision.number);
-        sync->revision.number = -1;
-    }
     ObjectPage_Clear(&page);
     return result;
 }
 
+/* Whether the state is unknown, or from before a restoration that another part
+ * of the daemon has noticed. */
+static gboolean
+needs_list(const ObjectSync *sync)
+{
+    return sync->revision.number < 0 ||
+           sync->revision.generation <
+               ObjectGeneration_Newest(sync->desc.generation);
+}
+
 static void *
 run(void *context)
 {
@@ -219,8 +254,8 @@
     rcu_register_thread();
     while (!stopping) {
         changed = FALSE;
-        result = sync->revision.number < 0 ? list_all(sync)
-                                           : watch_once(sync, &changed);
+        result =
+            needs_list(sync) ? list_all(sync) : watch_once(sync, &changed);
         if (result == RESULT_OK) {
             note_success(sync);
             stopping = sleep_for(sync, changed ? sync->desc.pause_ms : 0);
