Mirror: hosts read from a neighbour in the order of generations

MirrorCache ordered changes by revision number alone. Its own number never fell, so the first changes of the restored store were filed under numbers that its readers had, and the empty pages that they got counted as proofs of freshness. Readers whose number was beyond the restored store were not told.

The cache holds one generation: the first update of a newer one discards it. A reader of an earlier generation gets 410 and lists again, one of a newer generation is never taken back: the neighbour waits up to 0.5 s for a list, then answers 503, and the reader turns to the store. Requests and pages between hosts carry the generation. A reader of an earlier version sends none and gets 410 when it is ahead of the cache; a page without one is generation 0.

--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -20,6 +20,10 @@
  * daemon that has become the leader of its group starts to watch the store. */
 #define MAX_WAIT_MS 2000
 
+/* Maximum time for which a list waits for a neighbour that has not noticed a
+ * restoration of the store yet. */
+#define RESTORED_WAIT_MS 500
+
 /* Duration of the first watch at the store after a neighbour has failed. It is
  * short because the age of the state is unknown until the watch returns. */
 #define TAKEOVER_WAIT_MS 100
@@ -141,8 +145,9 @@
              ObjectRevision since, ClockMs wait_ms, ObjectPage *page)
 {
     char *target =
-        g_strdup_printf(MIRROR_PATH "%s?since=%" PRId64 "&wait_ms=%" PRId64,
-                        kind, since.number, wait_ms);
+        g_strdup_printf(MIRROR_PATH "%s?generation=%" PRId64 "&since=%" PRId64
+                                    "&wait_ms=%" PRId64,
+                        kind, since.generation, since.number, wait_ms);
     HttpAnswer answer = {0};
     HttpCall call = {.address = peer->mirror,
                      .method = "GET",
@@ -157,7 +162,8 @@
         result = RESULT_STORE_HISTORY_GONE;
     }
     else if (result != RESULT_OK || answer.status != 200 ||
-             !decode_page(answer.body, answer.body_bytes, page)) {
+             !decode_page(answer.body, answer.body_bytes, page) ||
+             page->revision.generation < since.generation) {
         result = RESULT_STORE_UNAVAILABLE;
     }
     HttpAnswer_Clear(&answer);
@@ -203,11 +209,13 @@
 {
     Mirror *mirror = context;
     const ObjectStore *store = mirror->desc.store;
-    ObjectRevision all = {.number = -1};
+    ObjectRevision all = {.generation =
+                              ObjectGeneration_Newest(mirror->desc.generation),
+                          .number = -1};
     Result result;
 
     if (after[0] == '\0' &&
-        read_neighbour(mirror, kind, all, 0, page, &result)) {
+        read_neighbour(mirror, kind, all, RESTORED_WAIT_MS, page, &result)) {
         return result;
     }
     result = store->list(store->context, kind, after, page);
--- a/src/mirror/mirror.h
+++ b/src/mirror/mirror.h
@@ -5,8 +5,9 @@
  * the store and traffic between regions are billed, traffic inside a data
  * centre is not. The leader is the first host in the rendezvous order of kind
  * and group. A neighbour that fails, that does not watch the store itself or
- * whose state is too old is skipped for MIRROR_AVOID_MS, and the store is read
- * at once.
+ * whose state is too old, or from before a restoration of the store that this
+ * daemon knows of, is skipped for MIRROR_AVOID_MS, and the store is read at
+ * once.
  *
  * Use:
  *  1. Mirror_Create() with the store and the roster.
@@ -20,6 +21,7 @@
 #define MIRROR_MIRROR_H
 
 #include "http/http_client.h"
+#include "objects/object_generation.h"
 #include "objects/object_store.h"
 #include "roster/roster.h"
 
@@ -30,6 +32,7 @@
 
 typedef struct Mirror_desc {
     const ObjectStore *store;
+    ObjectGeneration *generation; /* shared by the whole daemon */
     Roster *roster;
     const char *host; /* name of this host */
     HttpClient *client;
--- a/src/mirror/mirror_cache.c
+++ b/src/mirror/mirror_cache.c
@@ -14,11 +14,11 @@
 struct MirrorCache {
     pthread_mutex_t lock;
     pthread_cond_t changed;
-    GHashTable *entries; /* name -> Entry */
-    int64_t generation;  /* of the last confirmation */
-    int64_t revision;    /* all changes up to it are present; -1: none yet */
-    int64_t newest;      /* revision of the last change */
-    int64_t discarded;   /* deletions up to it have been discarded */
+    GHashTable *entries;     /* name -> Entry */
+    ObjectRevision revision; /* all changes up to it are present; number -1:
+                                none yet in this generation */
+    int64_t newest;          /* revision of the last change */
+    int64_t discarded;       /* deletions up to it have been discarded */
     ClockMs confirmed;
     uint64_t confirmations;
 };
@@ -41,7 +41,7 @@
     Condition_Init(&cache->changed);
     cache->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
-    cache->revision = -1;
+    cache->revision.number = -1;
     return cache;
 }
 
@@ -56,6 +56,21 @@
     }
 }
 
+/* Discards the state of an earlier generation. Returns FALSE if the revision
+ * is of an earlier generation itself. Called with the lock held. */
+static gboolean
+enter_generation(MirrorCache *cache, ObjectRevision revision)
+{
+    if (revision.generation > cache->revision.generation) {
+        g_hash_table_remove_all(cache->entries);
+        cache->revision =
+            (ObjectRevision){.generation = revision.generation, .number = -1};
+        cache->newest = 0;
+        cache->discarded = 0;
+    }
+    return revision.generation == cache->revision.generation;
+}
+
 /* Called with the lock held. */
 static void
 put_entry(MirrorCache *cache, const ObjectRecord *record,
@@ -81,10 +96,12 @@
     const Entry *entry;
 
     pthread_mutex_lock(&cache->lock);
-    entry = g_hash_table_lookup(cache->entries, record->name);
-    if (entry == NULL || record->deleted || entry->record.deleted ||
-        entry->record.revision.number != record->revision.number) {
-        put_entry(cache, record, revision);
+    if (enter_generation(cache, revision)) {
+        entry = g_hash_table_lookup(cache->entries, record->name);
+        if (entry == NULL || record->deleted || entry->record.deleted ||
+            entry->record.revision.number != record->revision.number) {
+            put_entry(cache, record, revision);
+        }
     }
     pthread_mutex_unlock(&cache->lock);
 }
@@ -93,10 +110,12 @@
 MirrorCache_Retain(MirrorCache *cache, GHashTable *names,
                    ObjectRevision revision)
 {
-    GList *values;
+    GList *values = NULL;
 
     pthread_mutex_lock(&cache->lock);
-    values = g_hash_table_get_values(cache->entries);
+    if (enter_generation(cache, revision)) {
+        values = g_hash_table_get_values(cache->entries);
+    }
     for (GList *item = values; item != NULL; item = item->next) {
         Entry *entry = item->data;
         ObjectRecord deletion = {.name = entry->record.name, .deleted = TRUE};
@@ -134,19 +153,34 @@
 MirrorCache_Confirm(MirrorCache *cache, ClockMs as_of, ObjectRevision revision)
 {
     pthread_mutex_lock(&cache->lock);
-    if (cache->revision < 0) {
-        /* Deletions before the first list are unknown. */
-        cache->discarded = revision.number - 1;
+    if (enter_generation(cache, revision)) {
+        if (cache->revision.number < 0) {
+            /* Deletions before the first list are unknown. */
+            cache->discarded = revision.number - 1;
+        }
+        cache->revision.number = MAX(cache->revision.number, revision.number);
+        cache->confirmed = MAX(cache->confirmed, as_of);
+        cache->confirmations++;
+        pthread_cond_broadcast(&cache->changed);
+        discard_deletions(cache, Clock_Now());
     }
-    cache->generation = revision.generation;
-    cache->revision = MAX(cache->revision, revision.number);
-    cache->confirmed = MAX(cache->confirmed, as_of);
-    cache->confirmations++;
-    pthread_cond_broadcast(&cache->changed);
-    discard_deletions(cache, Clock_Now());
     pthread_mutex_unlock(&cache->lock);
 }
 
+/* Called with the lock held. */
+static gboolean
+has_news(const MirrorCache *cache, ObjectRevision since)
+{
+    if (cache->revision.number < 0 ||
+        since.generation > cache->revision.generation) {
+        return FALSE;
+    }
+    return since.number < 0 ||
+           (since.generation >= 0 &&
+            since.generation < cache->revision.generation) ||
+           MIN(cache->newest, cache->revision.number) > since.number;
+}
+
 void
 MirrorCache_Wait(MirrorCache *cache, ObjectRevision revision, ClockMs wait_ms)
 {
@@ -155,9 +189,9 @@
 
     pthread_mutex_lock(&cache->lock);
     confirmations = cache->confirmations;
-    while ((cache->revision < 0 ||
-            MIN(cache->newest, cache->revision) <= revision.number) &&
-           cache->confirmations == confirmations &&
+    while (!has_news(cache, revision) &&
+           (cache->confirmations == confirmations ||
+            revision.generation > cache->revision.generation) &&
            pthread_cond_timedwait(&cache->changed, &cache->lock, &until) ==
                0) {
     }
@@ -186,22 +220,39 @@
     }
 }
 
+/* Called with the lock held. */
+static Result
+check_reader(const MirrorCache *cache, ObjectRevision since)
+{
+    ObjectRevision own = cache->revision;
+
+    if (since.generation > own.generation) {
+        return RESULT_STORE_UNAVAILABLE;
+    }
+    if (since.number >= 0 && since.generation >= 0 &&
+        since.generation < own.generation) {
+        return RESULT_STORE_HISTORY_GONE;
+    }
+    if (own.number < 0) {
+        return RESULT_STORE_UNAVAILABLE;
+    }
+    if ((since.number >= 0 && since.number < cache->discarded) ||
+        (since.generation < 0 && since.number > own.number)) {
+        return RESULT_STORE_HISTORY_GONE;
+    }
+    return RESULT_OK;
+}
+
 Result
 MirrorCache_Read(MirrorCache *cache, ObjectRevision revision, ObjectPage *page)
 {
-    Result result = RESULT_OK;
+    Result result;
 
     pthread_mutex_lock(&cache->lock);
-    if (cache->revision < 0) {
-        result = RESULT_STORE_UNAVAILABLE;
-    }
-    else if (revision.number >= 0 && revision.number < cache->discarded) {
-        result = RESULT_STORE_HISTORY_GONE;
-    }
-    else {
+    result = check_reader(cache, revision);
+    if (result == RESULT_OK) {
         copy_entries(cache, revision.number, page);
-        page->revision = (ObjectRevision){.generation = cache->generation,
-                                          .number = cache->revision};
+        page->revision = cache->revision;
         page->age_ms = MAX(Clock_Now() - cache->confirmed, 0);
     }
     pthread_mutex_unlock(&cache->lock);
--- a/src/mirror/mirror_cache.h
+++ b/src/mirror/mirror_cache.h
@@ -12,6 +12,11 @@
  * changes up to some revision, from any source, misses none. Deletions are
  * kept for MIRROR_DELETION_MS.
  *
+ * The cache holds one generation of the store. The first update of a newer one
+ * discards it, and updates of an earlier one are ignored. A reader of an
+ * earlier generation has to read all objects; one of a newer generation gets
+ * nothing, so it is never taken back.
+ *
  * Limits: thread safe.
  */
 #ifndef MIRROR_MIRROR_CACHE_H
@@ -39,14 +44,17 @@
                          ObjectRevision revision);
 
 /* Blocks until there is a change after the revision, until the next
- * confirmation or for wait_ms, whichever comes first. */
+ * confirmation or for wait_ms, whichever comes first. If the cache does not
+ * have the reader's generation yet, it waits for that. */
 void MirrorCache_Wait(MirrorCache *cache, ObjectRevision revision,
                       ClockMs wait_ms);
 
 /* Fills the page with all changes after the revision, or with all objects if
- * it is negative. Returns RESULT_STORE_HISTORY_GONE if deletions after the
- * revision have been discarded, RESULT_STORE_UNAVAILABLE if there is no
- * complete state yet. */
+ * its number is negative. Returns RESULT_STORE_HISTORY_GONE if the revision is
+ * of an earlier generation or deletions after it have been discarded,
+ * RESULT_STORE_UNAVAILABLE if there is no complete state yet or the reader's
+ * generation is newer. A reader of unknown generation, -1, must not be ahead
+ * of the cache. */
 Result MirrorCache_Read(MirrorCache *cache, ObjectRevision revision,
                         ObjectPage *page);
 
--- a/src/mirror/mirror_port.c
+++ b/src/mirror/mirror_port.c
@@ -28,10 +28,10 @@
 }
 
 static int64_t
-read_argument(const HttpRequest *request, const char *name)
+read_argument(const HttpRequest *request, const char *name, int64_t fallback)
 {
     char *text = HttpRequest_Argument(request, name);
-    int64_t value = text ? g_ascii_strtoll(text, NULL, 10) : 0;
+    int64_t value = text ? g_ascii_strtoll(text, NULL, 10) : fallback;
 
     g_free(text);
     return value;
@@ -62,21 +62,19 @@
 /* Waits for a change and reads it. The host must be direct before and after
  * the wait, because its source may change meanwhile. */
 static Result
-read_kind(const MirrorKind *kind, int64_t since, ClockMs wait_ms,
+read_kind(const MirrorKind *kind, ObjectRevision since, ClockMs wait_ms,
           ObjectPage *page)
 {
     ClockMs started = Clock_Now();
-    ObjectRevision revision = {.number = since};
     Result result;
 
     if (!kind->is_direct(kind->context)) {
         return RESULT_STORE_UNAVAILABLE;
     }
-    if (since >= 0) {
-        MirrorCache_Wait(kind->cache, revision,
-                         CLAMP(wait_ms, 0, MAX_WAIT_MS));
+    if (since.number >= 0 || since.generation > 0) {
+        MirrorCache_Wait(kind->cache, since, CLAMP(wait_ms, 0, MAX_WAIT_MS));
     }
-    result = MirrorCache_Read(kind->cache, revision, page);
+    result = MirrorCache_Read(kind->cache, since, page);
     page->held_ms = Clock_Now() - started;
     if (result == RESULT_OK &&
         (page->age_ms > kind->max_age_ms || !kind->is_direct(kind->context))) {
@@ -91,14 +89,17 @@
     const MirrorPort *port = context;
     const MirrorKind *kind = find_kind(port, HttpRequest_Path(request));
     HttpAnswer answer = {0};
+    ObjectRevision since = {.generation =
+                                read_argument(request, "generation", -1),
+                            .number = read_argument(request, "since", 0)};
     ObjectPage page;
     Result result = RESULT_NOT_FOUND;
     json_t *body;
 
     ObjectPage_Init(&page);
     if (kind != NULL) {
-        result = read_kind(kind, read_argument(request, "since"),
-                           read_argument(request, "wait_ms"), &page);
+        result = read_kind(kind, since, read_argument(request, "wait_ms", 0),
+                           &page);
     }
     if (result == RESULT_OK) {
         body = encode_page(&page);
--- a/src/mirror/mirror_port.h
+++ b/src/mirror/mirror_port.h
@@ -1,12 +1,14 @@
 /* MirrorPort: serves the objects of the store to other hosts of the data
  * centre.
  *
- *   GET /radishknot/mirror/<kind>?since=<revision>&wait_ms=<ms>
+ *   GET /radishknot/mirror/<kind>?generation=<n>&since=<revision>&wait_ms=<ms>
  * answers {"generation", "revision", "held_ms", "age_ms", "objects": [{"name",
  * "revision", "deleted", "value"}]} as soon as there is a change after the
  * revision, or after wait_ms; since=-1 requests all objects. The status is 410
  * if the host no longer has that history, 503 if it does not watch the store
- * itself or its state is older than max_age_ms.
+ * itself, or its state is older than max_age_ms or from before the reader's
+ * generation. Daemons of earlier versions neither send nor expect the
+ * generation; a reader takes an answer without it for generation 0.
  *
  * Use: MirrorPort_Create() with the caches, MirrorPort_Destroy().
  *
--- a/src/mirror/test_mirror.c
+++ b/src/mirror/test_mirror.c
@@ -1,10 +1,12 @@
 /* Tests of the mirror: the cache, and a follower that reads from a host that
  * watches the store. */
 #include <glib.h>
+#include <pthread.h>
 #include <string.h>
 
 #include "base/rng.h"
 #include "http/http_message.h"
+#include "http/http_server.h"
 #include "mirror/mirror.h"
 #include "mirror/mirror_port.h"
 
@@ -224,6 +226,7 @@
     Roster *roster;
     HttpClient *client;
     FakeStore store;
+    ObjectGeneration *generation;
     Mirror *mirror;
     MirrorKind kind;
 } Fixture;
@@ -274,8 +277,10 @@
             Roster_Destroy(fixture->roster);
         }
     }
+    fixture->generation = ObjectGeneration_Create();
     fixture->mirror =
         Mirror_Create(&(Mirror_desc){.store = &fixture->store.functions,
+                                     .generation = fixture->generation,
                                      .roster = fixture->roster,
                                      .host = "self",
                                      .client = fixture->client});
@@ -285,6 +290,7 @@
 close_fixture(Fixture *fixture)
 {
     Mirror_Destroy(fixture->mirror);
+    ObjectGeneration_Destroy(fixture->generation);
     MirrorPort_Destroy(fixture->port);
     HttpClient_Destroy(fixture->client);
     Roster_Destroy(fixture->roster);
@@ -292,12 +298,34 @@
 }
 
 static Result
-watch(Fixture *fixture, int64_t since, ObjectPage *page)
+watch(Fixture *fixture, ObjectRevision since, ObjectPage *page)
 {
     const ObjectStore *store = Mirror_AsStore(fixture->mirror);
 
-    return store->watch(store->context, "k", (ObjectRevision){.number = since},
-                        50, page);
+    return store->watch(store->context, "k", since, 50, page);
+}
+
+/* The neighbour reads generation 2 a moment later. */
+static void *
+confirm_restored(void *context)
+{
+    g_usleep(50000);
+    MirrorCache_Confirm(context, Clock_Now(), (ObjectRevision){1, 9});
+    MirrorCache_Confirm(context, Clock_Now(), (ObjectRevision){2, 5});
+    return NULL;
+}
+
+/* Mirror port of a daemon without generations. */
+static void
+serve_earlier(void *context, HttpRequest *request)
+{
+    HttpAnswer answer = {0};
+
+    (void)context;
+    HttpAnswer_SetJson(&answer, 200,
+                       g_strdup("{\"revision\":7,\"held_ms\":0,"
+                                "\"age_ms\":0,\"objects\":[]}"));
+    HttpRequest_Respond(request, &answer);
 }
 
 /* Guards against a follower that reads the store although its neighbour
@@ -310,38 +338,44 @@
         const char *what;
         gboolean direct;
         ClockMs age_ms;
+        int64_t generation; /* of the follower */
         gboolean through_store;
     } cases[] = {
-        {"fresh", TRUE, 100, FALSE},
-        {"old", TRUE, 5000, TRUE},
-        {"not direct", FALSE, 100, TRUE},
+        {"fresh", TRUE, 100, 1, FALSE},
+        {"old", TRUE, 5000, 1, TRUE},
+        {"not direct", FALSE, 100, 1, TRUE},
+        {"before a restoration", TRUE, 100, 2, TRUE},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         Fixture fixture = {0};
+        ObjectRevision since = {.generation = cases[i].generation,
+                                .number = 2};
         ObjectPage page;
 
         open_fixture(&fixture);
         MirrorCache_Confirm(fixture.cache, Clock_Now() - cases[i].age_ms,
-                            (ObjectRevision){.number = 2});
-        change(fixture.cache, "a", 3, 5, FALSE);
+                            (ObjectRevision){1, 2});
+        change_in(fixture.cache, "a", (ObjectRevision){1, 3},
+                  (ObjectRevision){1, 5});
         MirrorCache_Confirm(fixture.cache, Clock_Now() - cases[i].age_ms,
-                            (ObjectRevision){.number = 5});
+                            (ObjectRevision){1, 5});
         fixture.direct = cases[i].direct;
         ObjectPage_Init(&page);
-        g_assert_cmpint(watch(&fixture, 2, &page), ==, RESULT_OK);
+        g_assert_cmpint(watch(&fixture, since, &page), ==, RESULT_OK);
         g_assert_cmpint(fixture.store.watches, ==, cases[i].through_store);
         g_assert_cmpint(Mirror_IsDirect(fixture.mirror), ==,
                         cases[i].through_store);
         if (!cases[i].through_store) {
             g_assert_cmpuint(page.records->len, ==, 1);
+            g_assert_cmpint(page.revision.generation, ==, 1);
             g_assert_cmpint(page.revision.number, ==, 5);
             g_assert_cmpint(page.age_ms, >=, cases[i].age_ms);
             g_assert_cmpint(page.held_ms, <=, 60);
         }
         else {
             /* The neighbour is skipped for MIRROR_AVOID_MS. */
-            g_assert_cmpint(watch(&fixture, 2, &page), ==, RESULT_OK);
+            g_assert_cmpint(watch(&fixture, since, &page), ==, RESULT_OK);
             g_assert_cmpint(fixture.store.watches, ==, 2);
         }
         ObjectPage_Clear(&page);
@@ -349,6 +383,66 @@
     }
 }
 
+/* Guards against a list that goes to the store because the neighbour has not
+ * noticed a restoration yet. */
+static void
+test_list_after_restoration(void)
+{
+    Fixture fixture = {0};
+    const ObjectStore *store;
+    pthread_t thread;
+    ObjectPage page;
+
+    open_fixture(&fixture);
+    store = Mirror_AsStore(fixture.mirror);
+    MirrorCache_Confirm(fixture.cache, Clock_Now(), (ObjectRevision){1, 9});
+    (void)ObjectGeneration_Note(fixture.generation, 2);
+    pthread_create(&thread, NULL, confirm_restored, fixture.cache);
+    ObjectPage_Init(&page);
+    g_assert_cmpint(store->list(store->context, "k", "", &page), ==,
+                    RESULT_OK);
+    g_assert_cmpint(page.revision.generation, ==, 2);
+    g_assert_cmpint(fixture.store.lists, ==, 0);
+    ObjectPage_Clear(&page);
+    pthread_join(thread, NULL);
+    close_fixture(&fixture);
+}
+
+/* Guards against a reader that cannot read from a daemon without generations,
+ * and against one that such a daemon takes back. */
+static void
+test_earlier_version(void)
+{
+    static const struct {
+        int64_t generation; /* of the reader */
+        gboolean through_store;
+    } cases[] = {{0, FALSE}, {2, TRUE}};
+    HttpServer_desc desc = {.worker_threads = 1, .handler = serve_earlier};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        ObjectRevision since = {.generation = cases[i].generation,
+                                .number = 2};
+        Fixture fixture = {0};
+        HttpServer *server;
+        ObjectPage page;
+
+        g_assert_true(HttpAddress_Parse("127.0.0.1:0", &desc.address));
+        server = HttpServer_Create(&desc, NULL);
+        open_fixture(&fixture);
+        fixture.neighbour.mirror_port = HttpServer_Port(server);
+        Roster_Set(fixture.roster, &fixture.neighbour, Clock_Now());
+        ObjectPage_Init(&page);
+        g_assert_cmpint(watch(&fixture, since, &page), ==, RESULT_OK);
+        g_assert_cmpint(fixture.store.watches, ==, cases[i].through_store);
+        if (!cases[i].through_store) {
+            g_assert_cmpint(page.revision.number, ==, 7);
+        }
+        ObjectPage_Clear(&page);
+        close_fixture(&fixture);
+        HttpServer_Destroy(server);
+    }
+}
+
 /* Guards against a follower that waits for a neighbour that has stopped. */
 static void
 test_neighbour_stopped(void)
@@ -380,6 +474,9 @@
     g_test_add_func("/mirror/restored-cache", test_restored_cache);
     g_test_add_func("/mirror/list", test_list);
     g_test_add_func("/mirror/follower", test_follower);
+    g_test_add_func("/mirror/list-after-restoration",
+                    test_list_after_restoration);
+    g_test_add_func("/mirror/earlier-version", test_earlier_version);
     g_test_add_func("/mirror/neighbour-gone", test_neighbour_stopped);
     return g_test_run();
 }
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -173,6 +173,7 @@
 {
     const Settings *settings = sidecar->settings;
     Mirror_desc mirror = {.store = sidecar->store,
+                          .generation = sidecar->generation,
                           .roster = sidecar->roster,
                           .host = settings->host,
                           .client = sidecar->mirror_client};
