ObjectWriter: write the own entry again when the store has lost it

The writer compared revision numbers, which had gone back, so it took what the restored store had for old. A list that lacked the entry was not shown to it at all, and the revision of a removed object was forgotten, so that an older record could pass for a new one.

The writer keeps the newest state seen, by generation and number, apart from the number that its next write is conditional on. A list that lacks the entry counts as its removal. A late answer to a write of an earlier generation no longer hides what has been observed since: the object is read back.

--- a/src/objects/object_writer.c
+++ b/src/objects/object_writer.c
@@ -14,10 +14,11 @@
     pthread_cond_t wake;
     gboolean stopping;
     gboolean is_set;       /* ObjectWriter_Set() has been called */
-    gboolean stored_known; /* `stored` and `revision` are up to date */
+    gboolean stored_known; /* `stored` is up to date */
     json_t *desired;       /* desired value; NULL: the object must not exist */
     json_t *stored;        /* value in the store; NULL: no such object */
-    ObjectRevision revision;
+    ObjectRevision seen;   /* newest known state of the object */
+    int64_t condition;     /* revision number of `stored`; 0: none */
     ObjectBackoff backoff; /* used by the thread only */
 };
 
@@ -36,13 +37,20 @@
     return json_equal(writer->desired, writer->stored);
 }
 
-/* Called with the lock held. */
+/* Records a state of the object in the store, unless a newer one is known.
+ * Called with the lock held. */
 static void
 set_stored(ObjectWriter *writer, json_t *value, ObjectRevision revision)
 {
+    if (ObjectRevision_Compare(revision, writer->seen) < 0) {
+        writer->stored_known = FALSE;
+        json_decref(value);
+        return;
+    }
     json_decref(writer->stored);
     writer->stored = value;
-    writer->revision = revision;
+    writer->seen = revision;
+    writer->condition = value != NULL ? revision.number : 0;
     writer->stored_known = TRUE;
 }
 
@@ -55,12 +63,14 @@
                                writer->desc.name, &record);
 
     pthread_mutex_lock(&writer->lock);
+    if (result == RESULT_NOT_FOUND) {
+        /* The absence has no revision of its own. */
+        record.revision.number = writer->seen.number;
+        result = RESULT_OK;
+    }
     if (result == RESULT_OK) {
         set_stored(writer, json_incref(record.value), record.revision);
-    }
-    else if (result == RESULT_NOT_FOUND) {
-        set_stored(writer, NULL, record.revision);
-        result = RESULT_OK;
+        result = writer->stored_known ? RESULT_OK : RESULT_STORE_UNAVAILABLE;
     }
     pthread_mutex_unlock(&writer->lock);
     ObjectRecord_Clear(&record);
@@ -77,7 +87,8 @@
     Result result;
 
     pthread_mutex_lock(&writer->lock);
-    revision = writer->revision;
+    revision = writer->seen;
+    revision.number = writer->condition;
     value = json_deep_copy(writer->desired);
     pthread_mutex_unlock(&writer->lock);
     if (value != NULL) {
@@ -87,7 +98,6 @@
     else {
         result = store->remove(store->context, writer->desc.kind,
                                writer->desc.name, revision);
-        revision.number = 0;
     }
     pthread_mutex_lock(&writer->lock);
     if (result == RESULT_OK) {
@@ -102,7 +112,7 @@
               "kind=%s name=%s result=%s generation=%" PRId64
               " revision=%" PRId64,
               writer->desc.kind, writer->desc.name, Result_Name(result),
-              revision.generation, revision.number);
+              revision.generation, value != NULL ? revision.number : 0);
     json_decref(value);
     return result;
 }
@@ -180,13 +190,10 @@
 ObjectWriter_Observe(ObjectWriter *writer, const ObjectRecord *record)
 {
     pthread_mutex_lock(&writer->lock);
-    if (record->revision.number > writer->revision.number) {
-        ObjectRevision revision = record->revision;
-
-        revision.number = record->deleted ? 0 : revision.number;
+    if (ObjectRevision_Compare(record->revision, writer->seen) > 0) {
         set_stored(writer,
                    record->deleted ? NULL : json_deep_copy(record->value),
-                   revision);
+                   record->revision);
         pthread_cond_signal(&writer->wake);
     }
     pthread_mutex_unlock(&writer->lock);
--- a/src/objects/object_writer.h
+++ b/src/objects/object_writer.h
@@ -5,8 +5,9 @@
  *  2. ObjectWriter_Set() with the value whenever it changes, NULL to remove
  *     the object.
  *  3. ObjectWriter_Observe() with each record of the object that a watch of
- *     the kind returns. If it differs, because a late write or another writer
- *     replaced the object, the value is written again.
+ *     the kind returns, and with a deletion if a list lacks it. If it differs,
+ *     because a late write or another writer replaced the object or the store
+ *     was restored from an older copy, the value is written again.
  *  4. ObjectWriter_Stop().
  *
  * Each write is conditional on the revision read before, so a write that
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -118,6 +118,13 @@
     Sidecar *sidecar = context;
 
     MirrorCache_Retain(sidecar->kinds[SIDECAR_ROSTER].cache, names, revision);
+    if (!g_hash_table_contains(names, sidecar->settings->host)) {
+        ObjectRecord absent = {.name = sidecar->settings->host,
+                               .revision = revision,
+                               .deleted = TRUE};
+
+        ObjectWriter_Observe(sidecar->writer, &absent);
+    }
     Roster_Retain(sidecar->roster, names);
 }
 
