Catalog: a restored store does not confirm a version that it lacks

A version that the daemon had not read before the restoration, with a key withdrawn, could have been lost with it: the key would have been accepted as long as the operator had not written the version again.

A confirmation counts only in the generation of the store in which the version in force, or a newer one, was last read. Until then the proof grows old: requests with a key and denials get 503, the others are served by the version in force, which is never replaced by an older one. CATALOG_OLDER shows an older configuration in the store.

--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -44,6 +44,8 @@
     LOG(SNAPSHOT_REJECTED, 224, WARNING, \
         "configuration snapshot is invalid or incomplete") \
     LOG(CATALOG_IN_FORCE, 228, INFO, "configuration of the store is in force") \
+    LOG(CATALOG_OLDER, 231, WARNING, \
+        "the store holds an older configuration than the one in force") \
     LOG(CATALOG_REJECTED, 229, ERROR, \
         "configuration of the store is not used; the one in force stays") \
     LOG(ROUTE_KIND_UNKNOWN, 230, WARNING, \
--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -8,6 +8,8 @@
 
 struct Catalog {
     CatalogTable *table; /* published by RCU */
+    int64_t generation; /* of the store, when it last had the version in force;
+                           used by the writer only */
     _Atomic ClockMs confirmed;
 };
 
@@ -30,7 +32,7 @@
 }
 
 gboolean
-Catalog_Publish(Catalog *catalog, CatalogTable *table)
+Catalog_Publish(Catalog *catalog, CatalogTable *table, int64_t generation)
 {
     CatalogTable *old = catalog->table;
 
@@ -39,6 +41,7 @@
         CatalogTable_Unref(table);
         return FALSE;
     }
+    catalog->generation = generation;
     rcu_assign_pointer(catalog->table, table);
     /* Afterwards all readers that loaded the old pointer hold a reference. */
     synchronize_rcu();
@@ -47,8 +50,11 @@
 }
 
 void
-Catalog_Confirm(Catalog *catalog, ClockMs as_of)
+Catalog_Confirm(Catalog *catalog, ClockMs as_of, int64_t generation)
 {
+    if (catalog->table != NULL && generation != catalog->generation) {
+        return;
+    }
     if (as_of > atomic_load(&catalog->confirmed)) {
         atomic_store(&catalog->confirmed, as_of);
     }
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -14,7 +14,11 @@
  * be cut off. The age counts from a time at which the store's state is known.
  * It is measured by CLOCK_BOOTTIME, so it includes time in suspend.
  *
- * Versions only rise: a table with an older version is discarded.
+ * Versions only rise: a table with an older version is discarded. A store that
+ * was restored from an older copy holds one until the operator has written the
+ * newest again. Until the version in force has been read in the store's new
+ * generation, nothing confirms it: a version that this daemon never read, with
+ * a key withdrawn, may have been lost, too.
  */
 #ifndef CATALOG_CATALOG_H
 #define CATALOG_CATALOG_H
@@ -26,11 +30,14 @@
 Catalog *Catalog_Create(void);
 void Catalog_Destroy(Catalog *catalog);
 
-/* Takes ownership of the table. Returns FALSE if a newer one is in force. */
-gboolean Catalog_Publish(Catalog *catalog, CatalogTable *table);
+/* Publishes a table that was read in the given generation of the store. Takes
+ * ownership of the table. Returns FALSE if a newer one is in force. */
+gboolean Catalog_Publish(Catalog *catalog, CatalogTable *table,
+                         int64_t generation);
 
-/* States that the table in force was the newest one at the time as_of. */
-void Catalog_Confirm(Catalog *catalog, ClockMs as_of);
+/* States that the last table read in the generation was the newest one in the
+ * store at the time as_of. */
+void Catalog_Confirm(Catalog *catalog, ClockMs as_of, int64_t generation);
 
 /* Returns a new reference to the table in force, NULL if there is none yet. */
 CatalogTable *Catalog_Acquire(Catalog *catalog);
--- a/src/catalog/test_catalog.c
+++ b/src/catalog/test_catalog.c
@@ -96,10 +96,10 @@
     CatalogTable *acquired;
 
     g_assert_null(Catalog_Acquire(catalog));
-    g_assert_true(Catalog_Publish(catalog, make_table(8)));
+    g_assert_true(Catalog_Publish(catalog, make_table(8), 1));
     acquired = Catalog_Acquire(catalog);
-    g_assert_false(Catalog_Publish(catalog, make_table(7)));
-    g_assert_true(Catalog_Publish(catalog, make_table(9)));
+    g_assert_false(Catalog_Publish(catalog, make_table(7), 1));
+    g_assert_true(Catalog_Publish(catalog, make_table(9), 1));
     g_assert_cmpuint(CatalogTable_Version(acquired), ==, 8);
     CatalogTable_Unref(acquired);
     acquired = Catalog_Acquire(catalog);
@@ -116,14 +116,52 @@
     Catalog *catalog = Catalog_Create();
 
     g_assert_cmpint(Catalog_Age(catalog, 100), ==, CLOCK_NEVER);
-    Catalog_Confirm(catalog, 1000);
-    Catalog_Confirm(catalog, 900);
+    Catalog_Confirm(catalog, 1000, 1);
+    Catalog_Confirm(catalog, 900, 1);
     g_assert_cmpint(Catalog_Age(catalog, 1500), ==, 500);
     /* The age starts at 0 even if the uptime is below the maximum age. */
     g_assert_cmpint(Catalog_Age(catalog, 1000), ==, 0);
     Catalog_Destroy(catalog);
 }
 
+/* Guards against a proof of freshness from a store that was restored and does
+ * not have the version in force: a key withdrawn by a version that was lost
+ * before it was read would live on. */
+static void
+test_restored(void)
+{
+    static const struct {
+        const char *what;
+        uint64_t version; /* read after the restoration; 0: none */
+        ClockMs age;
+    } cases[] = {
+        {"older", 8, 1000},
+        {"not read", 0, 1000},
+        {"the same", 9, 0},
+        {"newer", 10, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Catalog *catalog = Catalog_Create();
+
+        g_test_message("%s", cases[i].what);
+        g_assert_true(Catalog_Publish(catalog, make_table(9), 1));
+        Catalog_Confirm(catalog, 1000, 1);
+        if (cases[i].version > 0) {
+            g_assert_cmpint(
+                Catalog_Publish(catalog, make_table(cases[i].version), 2), ==,
+                cases[i].version >= 9);
+        }
+        Catalog_Confirm(catalog, 2000, 2);
+        g_assert_cmpint(Catalog_Age(catalog, 2000), ==, cases[i].age);
+        /* The operator writes the version again. */
+        g_assert_true(Catalog_Publish(catalog, make_table(10), 2));
+        Catalog_Confirm(catalog, 3000, 2);
+        g_assert_cmpint(Catalog_Age(catalog, 3000), ==, 0);
+        Catalog_Destroy(catalog);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -135,6 +173,7 @@
     g_test_add_func("/catalog/split", test_split);
     g_test_add_func("/catalog/versions", test_versions);
     g_test_add_func("/catalog/age", test_age);
+    g_test_add_func("/catalog/restored", test_restored);
     result = g_test_run();
     rcu_unregister_thread();
     return result;
--- a/src/quota/test_quota.c
+++ b/src/quota/test_quota.c
@@ -180,7 +180,7 @@
 
     all->team = CatalogTable_AddTeam(table, team);
     all->catalog = Catalog_Create();
-    g_assert_true(Catalog_Publish(all->catalog, table));
+    g_assert_true(Catalog_Publish(all->catalog, table, 1));
     for (int i = 0; i < HOSTS; i++) {
         start_host(all, i, desc, FIRST_INCARNATION);
     }
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -51,12 +51,19 @@
         return;
     }
     version = CatalogTable_Version(table);
-    if (Catalog_Publish(sidecar->catalog, table)) {
+    if (Catalog_Publish(sidecar->catalog, table,
+                        record->revision.generation)) {
         Log_Event(
             LOG_CATALOG_IN_FORCE,
             "version=%" PRIu64 " generation=%" PRId64 " revision=%" PRId64,
             version, record->revision.generation, record->revision.number);
     }
+    else {
+        Log_Event(
+            LOG_CATALOG_OLDER,
+            "version=%" PRIu64 " generation=%" PRId64 " revision=%" PRId64,
+            version, record->revision.generation, record->revision.number);
+    }
 }
 
 static void
@@ -72,7 +79,7 @@
 {
     Sidecar *sidecar = context;
 
-    Catalog_Confirm(sidecar->catalog, as_of);
+    Catalog_Confirm(sidecar->catalog, as_of, revision.generation);
     MirrorCache_Confirm(sidecar->kinds[SIDECAR_CATALOG].cache, as_of,
                         revision);
 }
