Roster: keep hosts whose entries a restored store lacks until they write them

After the store was restored from an older copy, each host that listed it removed all backend servers whose entries were younger than the copy, although they ran.

The first list of a new generation of the store does not remove hosts that it lacks at once. They stay for 6 s, in which an owner learns of the restoration and writes; a host that has not come back by then is removed. One that has failed is avoided meanwhile like any other, and an entry that is removed in the new generation goes at once.

--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -129,6 +129,7 @@
         row->avoid_ms = 0;
         row->unreachable_since = 0;
     }
+    row->keep_until = 0;
     row->entry = *entry;
     row->service = service;
     row->tier = tier_of(roster, entry);
@@ -155,7 +156,7 @@
 }
 
 void
-Roster_Retain(Roster *roster, GHashTable *names)
+Roster_Retain(Roster *roster, GHashTable *names, ClockMs keep_until)
 {
     GHashTableIter iterator;
     gpointer value;
@@ -165,8 +166,33 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         RosterRow *row = value;
 
-        if (row->tier != ROSTER_SAME_HOST &&
-            !g_hash_table_contains(names, row->entry.host)) {
+        if (row->tier == ROSTER_SAME_HOST ||
+            g_hash_table_contains(names, row->entry.host)) {
+            continue;
+        }
+        if (keep_until > 0) {
+            row->keep_until = keep_until;
+        }
+        else if (row->keep_until == 0) {
+            unlink_row(roster, row);
+            g_hash_table_iter_remove(&iterator);
+        }
+    }
+    pthread_mutex_unlock(&roster->lock);
+}
+
+void
+Roster_Expire(Roster *roster, ClockMs now)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    pthread_mutex_lock(&roster->lock);
+    g_hash_table_iter_init(&iterator, roster->rows);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        RosterRow *row = value;
+
+        if (row->keep_until > 0 && now >= row->keep_until) {
             unlink_row(roster, row);
             g_hash_table_iter_remove(&iterator);
         }
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -98,8 +98,11 @@
 void Roster_Set(Roster *roster, const RosterEntry *entry, ClockMs now);
 void Roster_Remove(Roster *roster, const char *host);
 
-/* Removes all hosts except the named ones and this host. */
-void Roster_Retain(Roster *roster, GHashTable *names);
+/* Removes all hosts except the named ones and this host. With a keep_until
+ * above 0 they stay until Roster_Expire() is called at that time or later,
+ * unless they are set again. */
+void Roster_Retain(Roster *roster, GHashTable *names, ClockMs keep_until);
+void Roster_Expire(Roster *roster, ClockMs now);
 
 /* Fills the choice; FALSE if no host is left to choose from. */
 gboolean Roster_Choose(Roster *roster, const RosterQuery *query, ClockMs now,
--- a/src/roster/roster_internal.h
+++ b/src/roster/roster_internal.h
@@ -20,6 +20,7 @@
     ClockMs avoid_until;
     ClockMs avoid_ms; /* avoidance time after the last failure; 0: none */
     ClockMs unreachable_since; /* 0: the last contact succeeded */
+    ClockMs keep_until;        /* time of removal, unless set again; 0: none */
 } RosterRow;
 
 struct Roster {
--- a/src/roster/test_roster.c
+++ b/src/roster/test_roster.c
@@ -273,12 +273,33 @@
     GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
 
     g_hash_table_add(names, "far");
-    Roster_Retain(roster, names);
+    Roster_Retain(roster, names, 0);
     g_assert_cmpuint(Roster_Count(roster), ==, 2); /* far and self */
     g_hash_table_destroy(names);
     Roster_Destroy(roster);
 }
 
+/* Guards against a live host that is removed because the restored store lacks
+ * its entry, and against one that stays without an entry. */
+static void
+test_retain_later(void)
+{
+    Roster *roster = make_fleet();
+    GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+    uint32_t all = Roster_Count(roster);
+
+    g_hash_table_add(names, "far");
+    Roster_Retain(roster, names, 5000);
+    Roster_Retain(roster, names, 0); /* a second list changes nothing */
+    Roster_Expire(roster, 4999);
+    g_assert_cmpuint(Roster_Count(roster), ==, all);
+    add(roster, "near", "dc1", "r1", "i1"); /* its entry is back */
+    Roster_Expire(roster, 5000);
+    g_assert_cmpuint(Roster_Count(roster), ==, 3); /* far, near and self */
+    g_hash_table_destroy(names);
+    Roster_Destroy(roster);
+}
+
 /* Guards against entries of failed hosts that no host removes, against two
  * hosts that remove the same entry, and against a partitioned host that
  * removes all others. */
@@ -338,6 +359,7 @@
     g_test_add_func("/roster/unknown-far", test_unknown_far);
     g_test_add_func("/roster/rank", test_rank);
     g_test_add_func("/roster/retain", test_retain);
+    g_test_add_func("/roster/retain-later", test_retain_later);
     g_test_add_func("/roster/lost", test_lost);
     return g_test_run();
 }
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -47,6 +47,7 @@
     Mirror *roster_mirror;
     ObjectSync *catalog_sync;
     ObjectSync *roster_sync;
+    int64_t roster_generation; /* of the last list of backend servers */
     ObjectWriter *writer;
     ClockMs max_catalog_age_ms; /* maximum age of a usable configuration */
     atomic_bool leaving;
--- a/src/sidecar/sidecar_monitor.c
+++ b/src/sidecar/sidecar_monitor.c
@@ -123,6 +123,7 @@
         uint32_t count = Roster_FindLost(sidecar->roster, REMOVE_AFTER_MS,
                                          Clock_Now(), suspects, MAX_SUSPECTS);
 
+        Roster_Expire(sidecar->roster, Clock_Now());
         for (uint32_t i = 0; i < count; i++) {
             check_unreachable(sidecar, &suspects[i]);
         }
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -17,6 +17,11 @@
  * entries within a second. */
 #define ROSTER_PAUSE_MS 300
 
+/* Time in which a host writes its entry again after the store was restored
+ * from a copy that lacks it. It covers one watch of a neighbour, a list and a
+ * few refused writes. */
+#define REWRITE_MS 6000
+
 /* Maximum age of a state that is served to neighbours: one watch, the round
  * trip to the store, and a slow answer. */
 #define MAX_CATALOG_AGE_MS (CATALOG_WAIT_MS + 500)
@@ -123,6 +128,7 @@
 roster_listed(void *context, GHashTable *names, ObjectRevision revision)
 {
     Sidecar *sidecar = context;
+    ClockMs keep_until = 0;
 
     MirrorCache_Retain(sidecar->kinds[SIDECAR_ROSTER].cache, names, revision);
     if (!g_hash_table_contains(names, sidecar->settings->host)) {
@@ -132,7 +138,12 @@
 
         ObjectWriter_Observe(sidecar->writer, &absent);
     }
-    Roster_Retain(sidecar->roster, names);
+    if (sidecar->roster_generation > 0 &&
+        revision.generation > sidecar->roster_generation) {
+        keep_until = Clock_Now() + REWRITE_MS;
+    }
+    sidecar->roster_generation = revision.generation;
+    Roster_Retain(sidecar->roster, names, keep_until);
 }
 
 static void
--- a/tests/process_restore.c
+++ b/tests/process_restore.c
@@ -212,7 +212,8 @@
 }
 
 /* Guards against a host that stays unknown because its entry was lost, and
- * against refusing its requests until it has written the entry again. */
+ * against refusing its requests until it has written the entry again, here
+ * delayed because the host is cut off from the store. */
 static void
 test_lost_entry(void)
 {
@@ -229,9 +230,13 @@
     Site_AddHost(site, &desk);
     Site_AwaitReady(site);
     begin_restore(site);
+    Site_CutStore(site, 2, TRUE);
     end_restore(site);
     end = Clock_Now() + REWRITE_MS;
     while (Clock_Now() < end) {
+        if (Clock_Now() > end - REWRITE_MS / 2) {
+            Site_CutStore(site, 2, FALSE);
+        }
         for (int i = 0; i < 2; i++) {
             g_assert_cmpint(
                 Site_Request(site, i, "GET", "/open/1", NULL).status, ==, 200);
