Sidecar: a new process asks its neighbours for their configuration version

The store can't tell such a daemon, but the neighbours can. A ping is answered with the version of the configuration in force. Once in each generation of a store that has been restored, a daemon asks three hosts of its data centre, and as long as it has an older version than they have, it is not known to be the newest: requests with a key and denials get 503, the host is not ready. This also covers a running daemon that had not read the last version before the restoration. If no neighbour answers, the store's word counts. Daemons of earlier versions answer with an empty body, which tells nothing.

/restore/start failed before (401 for a key of the later version) and passes. /catalog/required is new.

--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -10,6 +10,8 @@
     CatalogTable *table; /* published by RCU */
     int64_t generation; /* of the store, when it last had the version in force;
                            used by the writer only */
+    _Atomic uint64_t version;  /* in force; 0: none */
+    _Atomic uint64_t required; /* newest version known of another host */
     _Atomic ClockMs confirmed;
 };
 
@@ -42,6 +44,7 @@
         return FALSE;
     }
     catalog->generation = generation;
+    atomic_store(&catalog->version, CatalogTable_Version(table));
     rcu_assign_pointer(catalog->table, table);
     /* Afterwards all readers that loaded the old pointer hold a reference. */
     synchronize_rcu();
@@ -60,6 +63,20 @@
     }
 }
 
+void
+Catalog_Require(Catalog *catalog, uint64_t version)
+{
+    if (version > atomic_load(&catalog->required)) {
+        atomic_store(&catalog->required, version);
+    }
+}
+
+uint64_t
+Catalog_Version(const Catalog *catalog)
+{
+    return atomic_load(&catalog->version);
+}
+
 CatalogTable *
 Catalog_Acquire(Catalog *catalog)
 {
@@ -79,5 +96,9 @@
 {
     ClockMs confirmed = atomic_load(&catalog->confirmed);
 
-    return confirmed == UNCONFIRMED ? CLOCK_NEVER : MAX(now - confirmed, 0);
+    if (confirmed == UNCONFIRMED ||
+        atomic_load(&catalog->version) < atomic_load(&catalog->required)) {
+        return CLOCK_NEVER;
+    }
+    return MAX(now - confirmed, 0);
 }
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -39,6 +39,13 @@
  * store at the time as_of. */
 void Catalog_Confirm(Catalog *catalog, ClockMs as_of, int64_t generation);
 
+/* States that another host has had this version in force. As long as an older
+ * one is in force here, it is not known to be the newest. */
+void Catalog_Require(Catalog *catalog, uint64_t version);
+
+/* Returns the version in force, 0 if there is none yet. */
+uint64_t Catalog_Version(const Catalog *catalog);
+
 /* Returns a new reference to the table in force, NULL if there is none yet. */
 CatalogTable *Catalog_Acquire(Catalog *catalog);
 
--- a/src/catalog/test_catalog.c
+++ b/src/catalog/test_catalog.c
@@ -162,6 +162,26 @@
     }
 }
 
+/* Guards against a daemon that started after the store was restored and takes
+ * an older version for the newest although another host has had a newer one.
+ */
+static void
+test_required(void)
+{
+    Catalog *catalog = Catalog_Create();
+
+    g_assert_cmpuint(Catalog_Version(catalog), ==, 0);
+    g_assert_true(Catalog_Publish(catalog, make_table(8), 2));
+    Catalog_Require(catalog, 9);
+    Catalog_Require(catalog, 7);
+    Catalog_Confirm(catalog, 1000, 2);
+    g_assert_cmpuint(Catalog_Version(catalog), ==, 8);
+    g_assert_cmpint(Catalog_Age(catalog, 1000), ==, CLOCK_NEVER);
+    g_assert_true(Catalog_Publish(catalog, make_table(9), 2));
+    g_assert_cmpint(Catalog_Age(catalog, 1000), ==, 0);
+    Catalog_Destroy(catalog);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -174,6 +194,7 @@
     g_test_add_func("/catalog/versions", test_versions);
     g_test_add_func("/catalog/age", test_age);
     g_test_add_func("/catalog/restored", test_restored);
+    g_test_add_func("/catalog/required", test_required);
     result = g_test_run();
     rcu_unregister_thread();
     return result;
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -48,6 +48,9 @@
     ObjectSync *catalog_sync;
     ObjectSync *roster_sync;
     int64_t roster_generation; /* of the last list of backend servers */
+    atomic_bool roster_known;  /* the backend servers have been listed */
+    int64_t asked_generation;  /* in which the neighbours were last asked for
+                                  their version */
     ObjectWriter *writer;
     ClockMs max_catalog_age_ms; /* maximum age of a usable configuration */
     atomic_bool leaving;
@@ -65,6 +68,10 @@
 SidecarMonitor *_Sidecar_StartMonitor(Sidecar *sidecar);
 void _Sidecar_StopMonitor(SidecarMonitor *monitor);
 
+/* Asks some neighbours for their versions of the configuration. Returns the
+ * newest one, 0 if none answered. */
+uint64_t _Sidecar_FindNewestVersion(Sidecar *sidecar);
+
 /* sidecar_ports.c: announcements, readiness, metrics. */
 gboolean _Sidecar_OpenPorts(Sidecar *sidecar, GError **error);
 void _Sidecar_ClosePorts(Sidecar *sidecar);
--- a/src/sidecar/sidecar_monitor.c
+++ b/src/sidecar/sidecar_monitor.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <string.h>
 
 #include "base/condition.h"
 #include "base/log.h"
@@ -20,6 +21,11 @@
 
 #define PING_TIMEOUT_MS 500
 
+/* Number of neighbours that are asked for their version of the configuration,
+ * and timeout of each answer. */
+#define MAX_ASKED 3
+#define ASK_TIMEOUT_MS 200
+
 struct SidecarMonitor {
     Sidecar *sidecar;
     pthread_t thread;
@@ -132,24 +138,66 @@
     return NULL;
 }
 
+/* Answers with the version of the configuration in force. Earlier versions of
+ * the daemon answer with an empty body. */
 static Result
 answer_ping(void *context, const RpcPeer *sender, const GByteArray *body,
             GByteArray *reply)
 {
-    (void)context;
+    const Sidecar *sidecar = context;
+    uint64_t version = GUINT64_TO_BE(Catalog_Version(sidecar->catalog));
+
     (void)sender;
     (void)body;
-    (void)reply;
+    g_byte_array_append(reply, (const guint8 *)&version, sizeof(version));
     return RESULT_OK;
 }
 
+/* Returns the version of the configuration that the host has in force, 0 if
+ * that is unknown. */
+static uint64_t
+ask_version(Sidecar *sidecar, const RosterPeer *neighbour)
+{
+    RpcPeer peer = Rpc_PeerAt(&neighbour->rpc);
+    GByteArray *reply = g_byte_array_new();
+    uint64_t version = 0;
+
+    peer.host = neighbour->host;
+    if (Rpc_Call(sidecar->rpc, &peer, RPC_KIND_PING, NULL, reply,
+                 ASK_TIMEOUT_MS) == RESULT_OK &&
+        reply->len == sizeof(version)) {
+        memcpy(&version, reply->data, sizeof(version));
+    }
+    g_byte_array_unref(reply);
+    return GUINT64_FROM_BE(version);
+}
+
+uint64_t
+_Sidecar_FindNewestVersion(Sidecar *sidecar)
+{
+    RosterPeer peers[MAX_ASKED + 1];
+    uint64_t key = Rng_HashString(sidecar->settings->host);
+    uint64_t newest = 0;
+    uint32_t count = Roster_Rank(sidecar->roster, key, FALSE, Clock_Now(),
+                                 peers, G_N_ELEMENTS(peers));
+
+    for (uint32_t i = 0; i < count && !atomic_load(&sidecar->leaving); i++) {
+        if (!peers[i].is_self) {
+            uint64_t version = ask_version(sidecar, &peers[i]);
+
+            newest = MAX(newest, version);
+        }
+    }
+    return newest;
+}
+
 SidecarMonitor *
 _Sidecar_StartMonitor(Sidecar *sidecar)
 {
     SidecarMonitor *monitor = g_new0(SidecarMonitor, 1);
 
     monitor->sidecar = sidecar;
-    Rpc_Handle(sidecar->rpc, RPC_KIND_PING, answer_ping, NULL);
+    Rpc_Handle(sidecar->rpc, RPC_KIND_PING, answer_ping, sidecar);
     pthread_mutex_init(&monitor->lock, NULL);
     Condition_Init(&monitor->wake);
     pthread_create(&monitor->thread, NULL, run, monitor);
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -10,6 +10,14 @@
  */
 #define CATALOG_WAIT_MS 800
 
+/* Lowest generation of a store that has been restored. */
+#define FIRST_RESTORED 2
+
+/* Maximum time for which a new process waits for the list of its neighbours
+ * before it takes the store's word for the newest configuration. */
+#define ROSTER_KNOWN_MS 500
+#define ROSTER_POLL_MS 10
+
 /* Duration of one watch of the backend servers. */
 #define ROSTER_WAIT_MS 25000
 
@@ -79,11 +87,38 @@
     MirrorCache_Retain(sidecar->kinds[SIDECAR_CATALOG].cache, names, revision);
 }
 
+/* Waits until the neighbours are known, for a short time. */
+static void
+await_roster(const Sidecar *sidecar)
+{
+    ClockMs end = Clock_Now() + ROSTER_KNOWN_MS;
+
+    while (!atomic_load(&sidecar->roster_known) && Clock_Now() < end) {
+        g_usleep(ROSTER_POLL_MS * 1000);
+    }
+}
+
+/* A store that was restored may hold an older version than the neighbours have
+ * read. Asks them once in each generation. */
+static void
+require_neighbours_version(Sidecar *sidecar, int64_t generation)
+{
+    if (generation == sidecar->asked_generation) {
+        return;
+    }
+    sidecar->asked_generation = generation;
+    if (generation >= FIRST_RESTORED) {
+        await_roster(sidecar);
+        Catalog_Require(sidecar->catalog, _Sidecar_FindNewestVersion(sidecar));
+    }
+}
+
 static void
 catalog_confirmed(void *context, ClockMs as_of, ObjectRevision revision)
 {
     Sidecar *sidecar = context;
 
+    require_neighbours_version(sidecar, revision.generation);
     Catalog_Confirm(sidecar->catalog, as_of, revision.generation);
     MirrorCache_Confirm(sidecar->kinds[SIDECAR_CATALOG].cache, as_of,
                         revision);
@@ -144,6 +179,7 @@
     }
     sidecar->roster_generation = revision.generation;
     Roster_Retain(sidecar->roster, names, keep_until);
+    atomic_store(&sidecar->roster_known, TRUE);
 }
 
 static void
--- a/tests/process_restore.c
+++ b/tests/process_restore.c
@@ -190,6 +190,38 @@
     Site_Destroy(site);
 }
 
+/* Guards against a daemon that starts while the restored store holds an older
+ * version and accepts a withdrawn key, or denies what a later version allows:
+ * its neighbours know of that version. */
+static void
+test_start(void)
+{
+    Site *site = make_site(3);
+    ClockMs end;
+
+    ObjectServer_Save(Site_Store(site));
+    configure(site, 2);
+    expect_version(site, 3, 2);
+    begin_restore(site);
+    end_restore(site);
+    Site_Signal(site, 2, SIGKILL);
+    g_assert_true(Site_AwaitExit(site, 2, 1000));
+    Site_Restart(site, 2);
+    end = Clock_Now() + REVOCATION_MS;
+    while (Clock_Now() < end) {
+        g_assert_cmpint(status_with_key(site, 2, 1), !=, 200);
+        g_assert_cmpint(status_with_key(site, 2, 2), !=, 401);
+        g_assert_cmpint(
+            Site_Request(site, 2, "GET", "/none/1", "key-2").status, !=, 404);
+        g_usleep(20000);
+    }
+    g_assert_cmpint(Site_Request(site, 2, "GET", "/open/1", NULL).status, ==,
+                    200);
+    configure(site, 3);
+    expect_version(site, 3, 3);
+    Site_Destroy(site);
+}
+
 static gboolean
 has_entry(Site *site, const char *name)
 {
@@ -271,6 +303,7 @@
     g_test_add_func("/restore/changes", test_changes);
     g_test_add_func("/restore/cut-neighbour", test_cut_neighbour);
     g_test_add_func("/restore/older-version", test_older_version);
+    g_test_add_func("/restore/start", test_start);
     g_test_add_func("/restore/lost-entry", test_lost_entry);
     g_test_add_func("/restore/left-entry", test_left_entry);
     return g_test_run();
