Store: watches end when the store is found to have been restored

A host that watched the backend servers over a connection that had died learned of a restoration through the configuration, but its watch of the backend servers lasted until its timeout of 26 s.

When the configuration is confirmed in a new generation, the other watches at the store end as unavailable and are begun anew.

--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -65,6 +65,8 @@
                   const json_t *value, ObjectRevision *revision);
     Result (*remove)(void *context, const char *kind, const char *name,
                      ObjectRevision revision);
+    /* Ends the watches in progress with STORE_UNAVAILABLE. */
+    void (*end_watches)(void *context);
 } ObjectStore;
 
 /* Returns a value below, equal to or above 0. */
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -98,14 +98,19 @@
     }
 }
 
-/* A store that was restored may hold an older version than the neighbours have
- * read. Asks them once in each generation. */
+/* Called with each confirmed generation of the store. A store that was
+ * restored may hold an older version than the neighbours have read: asks them
+ * once in each generation. */
 static void
-require_neighbours_version(Sidecar *sidecar, int64_t generation)
+enter_generation(Sidecar *sidecar, int64_t generation)
 {
     if (generation == sidecar->asked_generation) {
         return;
     }
+    if (sidecar->asked_generation > 0) {
+        /* A watch of the backend servers may wait on a dead connection. */
+        sidecar->store->end_watches(sidecar->store->context);
+    }
     sidecar->asked_generation = generation;
     if (generation >= FIRST_RESTORED) {
         await_roster(sidecar);
@@ -118,7 +123,7 @@
 {
     Sidecar *sidecar = context;
 
-    require_neighbours_version(sidecar, revision.generation);
+    enter_generation(sidecar, revision.generation);
     Catalog_Confirm(sidecar->catalog, as_of, revision.generation);
     MirrorCache_Confirm(sidecar->kinds[SIDECAR_CATALOG].cache, as_of,
                         revision);
