Backend: a stop reported before the first announcement is kept

Callers' requests reached a backend server up to 3.5 s after its daemon had acknowledged that it leaves (DRAIN).

Cause: a daemon that has just started knows no instance. A backend server that deregisters then gets its acknowledgement, but Backend_MarkStopped() dropped the report, since no instance of that name was announced. An announcement that the server had sent before arrives seconds later and made it ready until its next report.

Change: the report is kept, and an announcement by an instance that was started no later does not make it ready. A later start under the same name does.

/backend/stop-before-announcement failed before (READY instead of STOPPED) and passes.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -37,6 +37,10 @@
     pthread_cond_t wake; /* signals an admitted waiter or a state change */
     BackendAnnouncement announcement;
     BackendState state;
+    char left[BACKEND_NAME_BYTES]; /* instance that stopped without having been
+                                      announced; "": none */
+    int64_t left_born; /* its start time, Unix ms; if that was not given, the
+                          time of the report */
     gboolean closed;
     StopPlan stop;
     GrayFilter filter;
@@ -99,6 +103,25 @@
     return announcement->sequence > last->sequence;
 }
 
+/* Whether the instance reported its stop before this announcement of it
+ * arrived. Called with the lock held. */
+static gboolean
+has_left(const Backend *backend, const BackendAnnouncement *announcement)
+{
+    return strcmp(backend->left, announcement->instance) == 0 &&
+           announcement->born <= backend->left_born;
+}
+
+static BackendState
+announced_state(const Backend *backend,
+                const BackendAnnouncement *announcement)
+{
+    if (has_left(backend, announcement)) {
+        return BACKEND_STOPPED;
+    }
+    return announcement->draining ? BACKEND_DRAINING : BACKEND_READY;
+}
+
 /* Called with the lock held. */
 static void
 start_instance(Backend *backend, const BackendAnnouncement *announcement)
@@ -114,8 +137,7 @@
 gboolean
 Backend_Announce(Backend *backend, const BackendAnnouncement *announcement)
 {
-    BackendState state =
-        announcement->draining ? BACKEND_DRAINING : BACKEND_READY;
+    BackendState state;
     BackendState old;
     gboolean changed;
 
@@ -132,6 +154,7 @@
         start_instance(backend, announcement);
     }
     old = backend->state;
+    state = announced_state(backend, announcement);
     /* An instance that drains or has stopped never becomes ready again. */
     if (state > old) {
         backend->state = state;
@@ -153,15 +176,42 @@
     return TRUE;
 }
 
+/* Whether a stop is reported by the instance that was announced last. Called
+ * with the lock held. */
+static gboolean
+is_current(const Backend *backend, const char *instance, int64_t born)
+{
+    return backend->state != BACKEND_UNKNOWN &&
+           strcmp(backend->announcement.instance, instance) == 0 &&
+           (born == 0 || born == backend->announcement.born);
+}
+
+/* Called with the lock held. */
+static void
+note_left(Backend *backend, const char *instance, int64_t born)
+{
+    gboolean is_earlier = backend->state != BACKEND_UNKNOWN && born != 0 &&
+                          born < backend->announcement.born;
+
+    if (!is_earlier) {
+        Log_Event(LOG_BACKEND_SERVER_STATE,
+                  "instance=%s old=unknown new=gone born=%" PRId64, instance,
+                  born);
+        g_strlcpy(backend->left, instance, sizeof(backend->left));
+        backend->left_born = born > 0 ? born : Clock_WallMs();
+    }
+}
+
 void
 Backend_MarkStopped(Backend *backend, const char *instance, int64_t born)
 {
     gboolean changed = FALSE;
 
     pthread_mutex_lock(&backend->lock);
-    if (strcmp(backend->announcement.instance, instance) == 0 &&
-        (born == 0 || born == backend->announcement.born) &&
-        backend->state != BACKEND_STOPPED) {
+    if (!is_current(backend, instance, born)) {
+        note_left(backend, instance, born);
+    }
+    else if (backend->state != BACKEND_STOPPED) {
         Log_Event(LOG_BACKEND_SERVER_STATE, "instance=%s old=%s new=gone",
                   instance, Backend_StateName(backend->state));
         backend->state = BACKEND_STOPPED;
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -28,7 +28,9 @@
  * refused as not run once it cannot be finished before its deadline.
  *
  * Announcements are ordered by the start time of the instance, then by
- * sequence number. One that is not newer than the last is ignored.
+ * sequence number. One that is not newer than the last is ignored. They may
+ * arrive later than the report that their instance stops; such an instance
+ * does not become ready.
  *
  * Results: OK with an answer; BACKEND_SERVER_ERROR with the backend server's
  * error answer; BACKEND_SERVER_LEAVING, _EJECTED, _BUSY, _SHED, _OTHER,
@@ -140,8 +142,9 @@
                           const BackendAnnouncement *announcement);
 
 /* Marks the instance as stopped, whether or not it announced that it drains.
- * Ignored if the current instance has another name or was started at another
- * time than `born` (0: unknown). */
+ * `born` is the time of its start (0: unknown). If the instance has not been
+ * announced yet, an announcement that arrives later does not make it ready.
+ * Ignored if it was started before the current instance. */
 void Backend_MarkStopped(Backend *backend, const char *instance, int64_t born);
 void Backend_Run(Backend *backend, const BackendCall *call,
                  BackendReply *reply);
--- a/src/backend/test_backend.c
+++ b/src/backend/test_backend.c
@@ -164,15 +164,21 @@
     return result;
 }
 
+static void
+create_backend(Fixture *fixture)
+{
+    fixture->client = HttpClient_Create(&(HttpClient_desc){0});
+    fixture->backend = Backend_Create(&(Backend_desc){
+        .names = &names, .service = SERVICE, .client = fixture->client});
+}
+
 static void
 open_fixture(Fixture *fixture)
 {
     BackendAnnouncement first;
 
     start_script(&fixture->script);
-    fixture->client = HttpClient_Create(&(HttpClient_desc){0});
-    fixture->backend = Backend_Create(&(Backend_desc){
-        .names = &names, .service = SERVICE, .client = fixture->client});
+    create_backend(fixture);
     first = announcement(fixture, "i1", 100, 1, FALSE);
     g_assert_true(Backend_Announce(fixture->backend, &first));
 }
@@ -355,6 +361,56 @@
     close_fixture(&fixture);
 }
 
+/* Guards against sending requests to an instance that reported its stop before
+ * this process had its first announcement: an announcement that was sent
+ * earlier may arrive later. */
+static void
+test_stop_before_announcement(void)
+{
+    static const struct {
+        const char *known; /* instance announced before; NULL: none */
+        const char *stopped;
+        int64_t stopped_born; /* 0: not given */
+        const char *announced;
+        int64_t announced_born;
+        BackendState state;
+    } cases[] = {
+        {NULL, "i1", 100, "i1", 100, BACKEND_STOPPED},
+        {NULL, "i1", 0, "i1", 100, BACKEND_STOPPED},
+        {NULL, "i1", 0, "i1", 0, BACKEND_STOPPED},
+        {NULL, "i1", 0, "i1", INT64_MAX, BACKEND_READY}, /* restart */
+        {NULL, "i1", 100, "i1", 200, BACKEND_READY}, /* restart, same name */
+        {NULL, "i1", 100, "i2", 200, BACKEND_READY},
+        {NULL, "i1", 0, "i2", 0, BACKEND_READY},
+        {"i0", "i1", 100, "i1", 100, BACKEND_STOPPED},
+        {"i0", "i0", 10, "i1", 100, BACKEND_READY}, /* of an earlier start */
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Fixture fixture = {.script = {.answer = ANSWER_OK}};
+        BackendAnnouncement step;
+        BackendStatus status;
+
+        g_test_message("case %zu", i);
+        start_script(&fixture.script);
+        create_backend(&fixture);
+        if (cases[i].known != NULL) {
+            step = announcement(&fixture, cases[i].known, 50, 7, FALSE);
+            g_assert_true(Backend_Announce(fixture.backend, &step));
+        }
+        Backend_MarkStopped(fixture.backend, cases[i].stopped,
+                            cases[i].stopped_born);
+        for (int64_t sequence = 1; sequence <= 2; sequence++) {
+            step = announcement(&fixture, cases[i].announced,
+                                cases[i].announced_born, sequence, FALSE);
+            (void)Backend_Announce(fixture.backend, &step);
+            Backend_GetStatus(fixture.backend, &status);
+            g_assert_cmpint(status.state, ==, cases[i].state);
+        }
+        close_fixture(&fixture);
+    }
+}
+
 /* Guards against running a request that is meant for another service because
  * its sender's roster still holds the previous user of this address. Also
  * covers refusals by risk and after Backend_Close(). */
@@ -698,6 +754,8 @@
     g_test_add_func("/backend/answers", test_answers);
     g_test_add_func("/backend/headers", test_headers);
     g_test_add_func("/backend/announcements", test_order_of_announcements);
+    g_test_add_func("/backend/stop-before-announcement",
+                    test_stop_before_announcement);
     g_test_add_func("/backend/refusals", test_refusals);
     g_test_add_func("/backend/risk", test_risk);
     g_test_add_func("/backend/exploration", test_exploration);
