Logs: ready announcements of an instance that has left

A delayed announcement of an instance that drains or has stopped changes nothing and left no trace. ANNOUNCEMENT_REFUSED with reason=left shows it, and its sequence number.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -159,6 +159,12 @@
     if (state > old) {
         backend->state = state;
     }
+    else if (state < old) {
+        Log_Event(LOG_ANNOUNCEMENT_REFUSED,
+                  "instance=%s born=%" PRId64 " seq=%" PRId64 " reason=left",
+                  announcement->instance, announcement->born,
+                  announcement->sequence);
+    }
     backend->announcement = *announcement;
     Admission_SetSlots(backend->admission, announcement->slots);
     changed = changed || backend->state != old;
