Departure: an acknowledged leaving binds the next process, too

Callers' requests reached a backend server up to 3.5 s after its daemon had acknowledged that it leaves (DRAIN).

Cause: which instance leaves was known in the memory of the daemon's process only.

Change: src/departure keeps one object for each host in the store with the instance that left last. It is written before the report is acknowledged (for 0.6 s at most: an acknowledgement has to arrive within a second) and read at the start, before the first announcement is taken. While the store cannot be read, an instance is taken as ready from its second announcement on: one that has left sends no further ones. Records older than ten minutes are removed by the next process that starts anywhere.

/sidecar/leave-before-restart failed before (15 requests ran where none may) and passes.

--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -111,7 +111,9 @@
     LOG(ANNOUNCEMENT_REFUSED, 404, WARNING, \
         "announcement is malformed or out of date") \
     LOG(REQUEST_ENDED, 405, INFO, "request of a caller ended") \
-    LOG(CALL_RUN, 406, INFO, "request of another daemon ended")
+    LOG(CALL_RUN, 406, INFO, "request of another daemon ended") \
+    LOG(DEPARTURE_NOT_RECORDED, 407, WARNING, \
+        "acknowledged that a backend server leaves without a record of it")
 /* clang-format on */
 
 #endif
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -59,6 +59,15 @@
     return sidecar->rpc != NULL;
 }
 
+/* Called with the instance that left while an earlier process ran. */
+static void
+note_departure(void *context, const char *instance, int64_t born)
+{
+    Sidecar *sidecar = context;
+
+    Backend_MarkStopped(sidecar->backend, instance, born);
+}
+
 static void
 create_state(Sidecar *sidecar)
 {
@@ -82,6 +91,10 @@
     ObjectWriter_desc writer = {.store = sidecar->store,
                                 .kind = SIDECAR_ROSTER_KIND,
                                 .name = settings->host};
+    Departure_desc departure = {.store = sidecar->store,
+                                .host = settings->host,
+                                .left = note_departure,
+                                .context = sidecar};
 
     sidecar->catalog = Catalog_Create();
     sidecar->roster = Roster_Create(&roster);
@@ -91,6 +104,7 @@
     quota.rpc = sidecar->rpc;
     sidecar->quota = Quota_Create(&quota);
     sidecar->writer = ObjectWriter_Start(&writer);
+    sidecar->departure = Departure_Create(&departure);
 }
 
 static gboolean
@@ -251,6 +265,7 @@
     _Sidecar_ClosePorts(sidecar);
     _Sidecar_StopState(sidecar);
     ObjectWriter_Stop(sidecar->writer);
+    Departure_Destroy(sidecar->departure);
     Rpc_Stop(sidecar->rpc);
     Quota_Destroy(sidecar->quota);
     Rpc_Destroy(sidecar->rpc);
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -5,6 +5,7 @@
 #include <stdatomic.h>
 
 #include "catalog/catalog.h"
+#include "departure/departure.h"
 #include "gateway/gateway.h"
 #include "gateway/peer_port.h"
 #include "mirror/mirror.h"
@@ -52,6 +53,7 @@
     int64_t asked_generation;  /* in which the neighbours were last asked for
                                   their version */
     ObjectWriter *writer;
+    Departure *departure;
     ClockMs max_catalog_age_ms; /* maximum age of a usable configuration */
     atomic_bool leaving;
     SidecarMonitor *monitor;
--- a/src/sidecar/sidecar_ports.c
+++ b/src/sidecar/sidecar_ports.c
@@ -28,6 +28,49 @@
            strcmp(address, sidecar->settings->backend_server) == 0;
 }
 
+static gboolean
+is_known(const Sidecar *sidecar, const BackendAnnouncement *announcement)
+{
+    BackendStatus status;
+
+    Backend_GetStatus(sidecar->backend, &status);
+    return status.state != BACKEND_UNKNOWN &&
+           status.announcement.born == announcement->born &&
+           strcmp(status.announcement.instance, announcement->instance) == 0;
+}
+
+/* Passes a heartbeat to the backend. Returns the reason for which it is
+ * refused; NULL: it is not. */
+static const char *
+apply_heartbeat(Sidecar *sidecar, const BackendAnnouncement *announcement)
+{
+    if (!announcement->draining && !is_known(sidecar, announcement) &&
+        !Departure_Admits(sidecar->departure, announcement->instance,
+                          announcement->born, announcement->sequence)) {
+        return "departures_unknown";
+    }
+    return Backend_Announce(sidecar->backend, announcement) ? NULL
+                                                            : "out_of_date";
+}
+
+/* Stops new requests to the instance, then records that it leaves, so that the
+ * acknowledgement binds the next process, too. It is given even if the record
+ * cannot be written: without it the backend server stays for longer. */
+static void
+apply_leave(Sidecar *sidecar, AnnounceKind kind,
+            const BackendAnnouncement *announcement)
+{
+    if (kind == ANNOUNCE_DEREGISTER) {
+        Backend_MarkStopped(sidecar->backend, announcement->instance,
+                            announcement->born);
+    }
+    if (!Departure_Record(sidecar->departure, announcement->instance,
+                          announcement->born)) {
+        Log_Event(LOG_DEPARTURE_NOT_RECORDED, "instance=%s born=%" PRId64,
+                  announcement->instance, announcement->born);
+    }
+}
+
 static void
 serve_announcement(void *context, HttpRequest *request)
 {
@@ -35,26 +78,28 @@
     BackendAnnouncement announcement = {0};
     AnnounceKind kind =
         sidecar->adapter->decode_announcement(request, &announcement);
+    const char *refused = NULL;
 
-    if (kind == ANNOUNCE_DEREGISTER) {
-        Backend_MarkStopped(sidecar->backend, announcement.instance,
-                            announcement.born);
-        answer_status(request, 200, "{}");
-        return;
-    }
     if (kind == ANNOUNCE_NONE ||
-        !is_for_local_server(sidecar, &announcement)) {
+        (kind == ANNOUNCE_HEARTBEAT &&
+         !is_for_local_server(sidecar, &announcement))) {
         Log_Event(LOG_ANNOUNCEMENT_REFUSED, "path=%s service=%s reason=%s",
                   HttpRequest_Path(request), announcement.service,
                   kind == ANNOUNCE_NONE ? "malformed" : "other_server");
         answer_status(request, 400, "{}");
         return;
     }
-    if (!Backend_Announce(sidecar->backend, &announcement)) {
-        Log_Event(
-            LOG_ANNOUNCEMENT_REFUSED,
-            "instance=%s born=%" PRId64 " seq=%" PRId64 " reason=out_of_date",
-            announcement.instance, announcement.born, announcement.sequence);
+    if (kind == ANNOUNCE_HEARTBEAT) {
+        refused = apply_heartbeat(sidecar, &announcement);
+    }
+    if (refused != NULL) {
+        Log_Event(LOG_ANNOUNCEMENT_REFUSED,
+                  "instance=%s born=%" PRId64 " seq=%" PRId64 " reason=%s",
+                  announcement.instance, announcement.born,
+                  announcement.sequence, refused);
+    }
+    else if (kind == ANNOUNCE_DEREGISTER || announcement.draining) {
+        apply_leave(sidecar, kind, &announcement);
     }
     answer_status(request, 200, "{}");
 }
--- a/tests/process_sidecar.c
+++ b/tests/process_sidecar.c
@@ -135,6 +135,50 @@
     Site_Destroy(site);
 }
 
+/* Guards against sending requests to a backend server whose leaving an earlier
+ * process has acknowledged, when a ready announcement that was sent before
+ * arrives at the next process. */
+static void
+test_leave_before_restart(void)
+{
+    static const struct {
+        gboolean drains; /* announces its draining; else deregisters */
+        int signal;
+    } cases[] = {
+        {FALSE, SIGTERM}, {FALSE, SIGKILL}, {TRUE, SIGTERM}, {TRUE, SIGKILL}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Site *site = make_site(2);
+        unsigned before;
+
+        g_test_message("case %zu", i);
+        Site_Silence(site, 0);
+        if (cases[i].drains) {
+            Site_Drain(site, 0);
+        }
+        else {
+            Site_Deregister(site, 0);
+        }
+        Site_Signal(site, 0, cases[i].signal);
+        g_assert_true(Site_AwaitExit(site, 0, 6000));
+        before = Site_Runs(site, 0);
+        Site_Restart(site, 0);
+        for (ClockMs end = Clock_Now() + 5000;
+             !Site_IsReady(site, 0) && Clock_Now() < end;) {
+            g_usleep(20000);
+        }
+        Site_AnnounceLate(site, 0);
+        g_usleep(500000);
+        for (int request = 0; request < 30; request++) {
+            g_assert_cmpint(
+                request_status(site, request % 2, "/read/1", SITE_KEY), ==,
+                200);
+        }
+        g_assert_cmpuint(Site_Runs(site, 0), ==, before);
+        Site_Destroy(site);
+    }
+}
+
 /* Guards against sending non-idempotent requests to a backend server with a
  * gray failure: one of three fails four of five requests, so an even
  * distribution would fail one request in four. */
@@ -369,6 +413,8 @@
     g_test_add_func("/sidecar/calm", test_without_faults);
     g_test_add_func("/sidecar/withdrawal", test_withdrawal);
     g_test_add_func("/sidecar/drain", test_drain);
+    g_test_add_func("/sidecar/leave-before-restart",
+                    test_leave_before_restart);
     g_test_add_func("/sidecar/gray", test_gray);
     g_test_add_func("/sidecar/graceful-stop", test_graceful_stop);
     g_test_add_func("/sidecar/kills", test_kills);
--- a/tests/site.c
+++ b/tests/site.c
@@ -37,6 +37,7 @@
     atomic_int failing_percent;
     atomic_int work_ms;
     atomic_bool draining;
+    atomic_bool silent; /* sends no announcements of its own */
     atomic_uint runs;
     gint64 born;
     atomic_int sequence;
@@ -132,19 +133,10 @@
 }
 
 static void
-send_heartbeat(Host *host)
+post_announcement(Host *host, const char *action, const char *body)
 {
     char *target =
-        g_strdup_printf("/radishknot/instances/%s/heartbeat", host->name);
-    char *body = g_strdup_printf(
-        "{\"address\":\"%s:%d\",\"born\":%" G_GINT64_FORMAT
-        ",\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":\"%s\","
-        "\"slots\":5},\"status\":{\"state\":\"%s\",\"seq\":%d,"
-        "\"cold_left\":\"0ms\"}}",
-        host->address, BACKEND_PORT, host->born, host->desc.service,
-        host->desc.data_centre,
-        atomic_load(&host->draining) ? "draining" : "ready",
-        atomic_fetch_add(&host->sequence, 1));
+        g_strdup_printf("/radishknot/instances/%s/%s", host->name, action);
     HttpAnswer answer = {0};
     gboolean sent;
     HttpCall call = {.address = parse_address(host->address, ANNOUNCE_PORT),
@@ -157,10 +149,25 @@
 
     (void)HttpClient_Call(host->site->client, &call, &answer, &sent);
     HttpAnswer_Clear(&answer);
-    g_free(body);
     g_free(target);
 }
 
+static void
+send_heartbeat(Host *host, gboolean draining)
+{
+    char *body = g_strdup_printf(
+        "{\"address\":\"%s:%d\",\"born\":%" G_GINT64_FORMAT
+        ",\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":\"%s\","
+        "\"slots\":5},\"status\":{\"state\":\"%s\",\"seq\":%d,"
+        "\"cold_left\":\"0ms\"}}",
+        host->address, BACKEND_PORT, host->born, host->desc.service,
+        host->desc.data_centre, draining ? "draining" : "ready",
+        atomic_fetch_add(&host->sequence, 1));
+
+    post_announcement(host, "heartbeat", body);
+    g_free(body);
+}
+
 static void *
 run_heartbeats(void *context)
 {
@@ -172,7 +179,11 @@
         count = site->host_count;
         pthread_mutex_unlock(&site->lock);
         for (int i = 0; i < count; i++) {
-            send_heartbeat(&site->hosts[i]);
+            Host *host = &site->hosts[i];
+
+            if (!atomic_load(&host->silent)) {
+                send_heartbeat(host, atomic_load(&host->draining));
+            }
         }
         g_usleep(HEARTBEAT_MS * 1000);
     }
@@ -518,7 +529,30 @@
 Site_Drain(Site *site, int host)
 {
     atomic_store(&site->hosts[host].draining, TRUE);
-    send_heartbeat(&site->hosts[host]);
+    send_heartbeat(&site->hosts[host], TRUE);
+}
+
+void
+Site_Deregister(Site *site, int host)
+{
+    char *body = g_strdup_printf("{\"born\":%" G_GINT64_FORMAT "}",
+                                 site->hosts[host].born);
+
+    atomic_store(&site->hosts[host].silent, TRUE);
+    post_announcement(&site->hosts[host], "deregister", body);
+    g_free(body);
+}
+
+void
+Site_Silence(Site *site, int host)
+{
+    atomic_store(&site->hosts[host].silent, TRUE);
+}
+
+void
+Site_AnnounceLate(Site *site, int host)
+{
+    send_heartbeat(&site->hosts[host], FALSE);
 }
 
 void
--- a/tests/site.h
+++ b/tests/site.h
@@ -95,6 +95,16 @@
 void Site_SetWorkMs(Site *site, int host, int milliseconds);
 void Site_Drain(Site *site, int host);
 
+/* The backend server of the host deregisters and sends no more announcements.
+ */
+void Site_Deregister(Site *site, int host);
+
+/* The backend server of the host sends no more announcements by itself. */
+void Site_Silence(Site *site, int host);
+
+/* Delivers a ready announcement that the backend server has sent before. */
+void Site_AnnounceLate(Site *site, int host);
+
 /* With TRUE, discards all bytes between the host and the store, on open and on
  * new connections. */
 void Site_CutStore(Site *site, int host, gboolean cut);
