--- a/src/backend/backend_call.c
+++ b/src/backend/backend_call.c
@@ -54,21 +54,14 @@
                                               : RESULT_BACKEND_SERVER_SHED;
         reply->run = RUN_NO;
     }
-    else if (is_refusal ||
+    else if (is_refusal || (!is_signed && answer->status < 300) ||
              (is_promise(answer->status) && !(is_signed && idempotent))) {
         reply->result = RESULT_ANSWER_MISMATCH;
         reply->run = RUN_UNKNOWN;
     }
-    else if (answer->status >= 500) {
-        reply->result = RESULT_BACKEND_SERVER_ERROR;
-        reply->run = RUN_YES;
-    }
-    else if (!is_signed && answer->status < 300) {
-        reply->result = RESULT_ANSWER_MISMATCH;
-        reply->run = RUN_UNKNOWN;
-    }
     else {
-        reply->result = RESULT_OK;
+        reply->result =
+            answer->status >= 500 ? RESULT_BACKEND_SERVER_ERROR : RESULT_OK;
         reply->run = RUN_YES;
     }
 }
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -152,10 +152,23 @@
     HttpHeaders_Clear(&headers);
 }
 
-/* Guards against another program's answer that is accepted as a daemon's,
- * against numbers that make the choice leave a backend server out for good,
- * and against "not run" for a request that a daemon of another version has
- * run. */
+/* Guards against another program's answer that is accepted as a daemon's, and
+ * against counting a request that it received as one that may have run. */
+static void
+test_other_program(void)
+{
+    HttpHeaders headers = {0};
+    BackendReply decoded = {0};
+
+    g_assert_false(PeerWire_DecodeReply(&headers, &decoded));
+    g_assert_cmpint(decoded.result, ==, RESULT_CONNECT_FAILED);
+    g_assert_cmpint(decoded.run, ==, RUN_NO);
+    g_assert_false(decoded.arrived);
+}
+
+/* Guards against numbers that make the choice leave a backend server out for
+ * good, and against "not run" for a request that a daemon of another version
+ * has run. */
 static void
 test_malformed_replies(void)
 {
@@ -172,14 +185,11 @@
                                             "0 1 1 0.1 4 1 0 300 0 0 9 1 inf",
                                             "0 1 1 0.1 4 1 0 300 0 0 9 -1 0"};
     static const RosterReport empty = {0};
-    BackendReply decoded = {0};
-    HttpHeaders headers = {0};
 
-    g_assert_false(PeerWire_DecodeReply(&headers, &decoded));
-    g_assert_cmpint(decoded.result, ==, RESULT_CONNECT_FAILED);
-    g_assert_cmpint(decoded.run, ==, RUN_NO);
-    g_assert_false(decoded.arrived);
     for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++) {
+        HttpHeaders headers = {0};
+        BackendReply decoded = {0};
+
         HttpHeaders_Add(&headers, "Radishknot-Reply", malformed[i]);
         g_assert_false(PeerWire_DecodeReply(&headers, &decoded));
         g_assert_cmpint(decoded.result, ==, RESULT_ANSWER_MISMATCH);
@@ -201,6 +211,7 @@
     g_test_add_func("/peer-wire/earlier-version", test_earlier_version);
     g_test_add_func("/peer-wire/malformed-calls", test_malformed_calls);
     g_test_add_func("/peer-wire/reply", test_reply);
+    g_test_add_func("/peer-wire/other-program", test_other_program);
     g_test_add_func("/peer-wire/malformed-replies", test_malformed_replies);
     return g_test_run();
 }
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -244,7 +244,7 @@
         if (call->max_idle_ms > 0 && now - idle.since > call->max_idle_ms) {
             break;
         }
-        if (call->match_value != NULL &&
+        if (call->match_header != NULL &&
             HttpConnection_HasCarried(idle.connection, call->match_value)) {
             continue;
         }
@@ -362,7 +362,7 @@
 
     g_string_free(text, TRUE);
     *reusable = FALSE;
-    if (call->match_value != NULL) {
+    if (call->match_header != NULL) {
         HttpConnection_NoteId(connection, call->match_value);
     }
     if (result != RESULT_OK) {
