--- a/src/mirror/test_mirror.c
+++ b/src/mirror/test_mirror.c
@@ -328,6 +328,16 @@
     HttpRequest_Respond(request, &answer);
 }
 
+static void
+check_page(const ObjectPage *page, ClockMs min_age_ms)
+{
+    g_assert_cmpuint(page->records->len, ==, 1);
+    g_assert_cmpint(page->revision.generation, ==, 1);
+    g_assert_cmpint(page->revision.number, ==, 5);
+    g_assert_cmpint(page->age_ms, >=, min_age_ms);
+    g_assert_cmpint(page->held_ms, <=, 60);
+}
+
 /* Guards against a follower that reads the store although its neighbour
  * answers, that accepts an old state as fresh, or that reads from a host which
  * does not watch the store itself. */
@@ -367,11 +377,7 @@
         g_assert_cmpint(Mirror_IsDirect(fixture.mirror), ==,
                         cases[i].through_store);
         if (!cases[i].through_store) {
-            g_assert_cmpuint(page.records->len, ==, 1);
-            g_assert_cmpint(page.revision.generation, ==, 1);
-            g_assert_cmpint(page.revision.number, ==, 5);
-            g_assert_cmpint(page.age_ms, >=, cases[i].age_ms);
-            g_assert_cmpint(page.held_ms, <=, 60);
+            check_page(&page, cases[i].age_ms);
         }
         else {
             /* The neighbour is skipped for MIRROR_AVOID_MS. */
--- a/src/objects/test_objects.c
+++ b/src/objects/test_objects.c
@@ -108,99 +108,107 @@
     return ended;
 }
 
+typedef struct GenerationCase {
+    const char *what;
+    Answer answers[5];
+    size_t count;
+    int64_t newest; /* generation that another part has noticed */
+    int reported;
+    unsigned confirmations;
+    ObjectRevision confirmed;
+} GenerationCase;
+
+static const GenerationCase generation_cases[] = {
+    {"a watch is answered by the next generation",
+     {{CALL_LIST, {1, 40}, 1},
+      {CALL_WATCH, {2, 41}, 2},
+      {CALL_LIST, {2, 41}, 3}},
+     3,
+     0,
+     3,
+     2,
+     {2, 41}},
+    {"an empty watch is answered by the next generation",
+     {{CALL_LIST, {1, 40}, 1},
+      {CALL_WATCH, {2, 38}, 0},
+      {CALL_LIST, {2, 38}, 3}},
+     3,
+     0,
+     3,
+     2,
+     {2, 38}},
+    {"two restorations in a row",
+     {{CALL_LIST, {1, 40}, 1},
+      {CALL_WATCH, {2, 40}, 0},
+      {CALL_LIST, {3, 39}, 3},
+      {CALL_WATCH, {3, 40}, 4}},
+     4,
+     0,
+     4,
+     3,
+     {3, 40}},
+    {"a late answer of an earlier generation",
+     {{CALL_LIST, {2, 40}, 1},
+      {CALL_WATCH, {1, 60}, 2},
+      {CALL_WATCH, {2, 41}, 3}},
+     3,
+     0,
+     3,
+     2,
+     {2, 41}},
+    {"a late list of an earlier generation",
+     {{CALL_LIST, {1, 60}, 1}, {CALL_LIST, {2, 40}, 2}},
+     2,
+     2,
+     2,
+     1,
+     {2, 40}},
+};
+
+/* Plays the answers until the thread has used all of them. */
+static void
+play_case(const GenerationCase *played)
+{
+    Script script = {.lock = PTHREAD_MUTEX_INITIALIZER,
+                     .answers = played->answers,
+                     .count = played->count};
+    ObjectGeneration *generation = ObjectGeneration_Create();
+    ObjectSync_desc desc = {.store = &script.functions,
+                            .generation = generation,
+                            .kind = "k",
+                            .changed = note_change,
+                            .confirmed = note_confirmation,
+                            .context = &script};
+    ClockMs end = Clock_Now() + MAX_WAIT_MS;
+    ObjectSync *sync;
+
+    script.functions =
+        (ObjectStore){.context = &script, .list = list, .watch = watch};
+    (void)ObjectGeneration_Note(generation, played->newest);
+    sync = ObjectSync_Start(&desc);
+    while (!has_ended(&script) && Clock_Now() < end) {
+        g_usleep(2000);
+    }
+    g_usleep(20000); /* the last answer is reported */
+    ObjectSync_Stop(sync);
+    g_assert_true(has_ended(&script));
+    g_assert_false(script.mismatch);
+    g_assert_cmpint(script.reported, ==, played->reported);
+    g_assert_cmpuint(script.confirmations, ==, played->confirmations);
+    g_assert_cmpint(
+        ObjectRevision_Compare(script.confirmed, played->confirmed), ==, 0);
+    ObjectGeneration_Destroy(generation);
+}
+
 /* Guards against a watch that goes on from a revision of an earlier
  * generation, that takes a late answer of one for new, or that confirms a
  * state with either. */
 static void
 test_generations(void)
 {
-    static const struct {
-        const char *what;
-        Answer answers[5];
-        size_t count;
-        int64_t newest; /* generation that another part has noticed */
-        int reported;
-        unsigned confirmations;
-        ObjectRevision confirmed;
-    } cases[] = {
-        {"a watch is answered by the next generation",
-         {{CALL_LIST, {1, 40}, 1},
-          {CALL_WATCH, {2, 41}, 2},
-          {CALL_LIST, {2, 41}, 3}},
-         3,
-         0,
-         3,
-         2,
-         {2, 41}},
-        {"an empty watch is answered by the next generation",
-         {{CALL_LIST, {1, 40}, 1},
-          {CALL_WATCH, {2, 38}, 0},
-          {CALL_LIST, {2, 38}, 3}},
-         3,
-         0,
-         3,
-         2,
-         {2, 38}},
-        {"two restorations in a row",
-         {{CALL_LIST, {1, 40}, 1},
-          {CALL_WATCH, {2, 40}, 0},
-          {CALL_LIST, {3, 39}, 3},
-          {CALL_WATCH, {3, 40}, 4}},
-         4,
-         0,
-         4,
-         3,
-         {3, 40}},
-        {"a late answer of an earlier generation",
-         {{CALL_LIST, {2, 40}, 1},
-          {CALL_WATCH, {1, 60}, 2},
-          {CALL_WATCH, {2, 41}, 3}},
-         3,
-         0,
-         3,
-         2,
-         {2, 41}},
-        {"a late list of an earlier generation",
-         {{CALL_LIST, {1, 60}, 1}, {CALL_LIST, {2, 40}, 2}},
-         2,
-         2,
-         2,
-         1,
-         {2, 40}},
-    };
-
-    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        Script script = {.lock = PTHREAD_MUTEX_INITIALIZER,
-                         .answers = cases[i].answers,
-                         .count = cases[i].count};
-        ObjectGeneration *generation = ObjectGeneration_Create();
-        ObjectSync_desc desc = {.store = &script.functions,
-                                .generation = generation,
-                                .kind = "k",
-                                .changed = note_change,
-                                .confirmed = note_confirmation,
-                                .context = &script};
-        ClockMs end = Clock_Now() + MAX_WAIT_MS;
-        ObjectSync *sync;
-
-        g_test_message("%s", cases[i].what);
-        script.functions =
-            (ObjectStore){.context = &script, .list = list, .watch = watch};
-        (void)ObjectGeneration_Note(generation, cases[i].newest);
-        sync = ObjectSync_Start(&desc);
-        while (!has_ended(&script) && Clock_Now() < end) {
-            g_usleep(2000);
-        }
-        g_usleep(20000); /* the last answer is reported */
-        ObjectSync_Stop(sync);
-        g_assert_true(has_ended(&script));
-        g_assert_false(script.mismatch);
-        g_assert_cmpint(script.reported, ==, cases[i].reported);
-        g_assert_cmpuint(script.confirmations, ==, cases[i].confirmations);
-        g_assert_cmpint(
-            ObjectRevision_Compare(script.confirmed, cases[i].confirmed), ==,
-            0);
-        ObjectGeneration_Destroy(generation);
+    for (size_t i = 0; i < G_N_ELEMENTS(generation_cases); i++) {
+        g_test_message("%s", generation_cases[i].what);
+        play_case(&generation_cases[i]);
     }
 }
 
