soak: restore the store from an older copy

The soak refused, silenced and cut off the store and dropped its history, but never lost what it had acknowledged. A tenth of the faults now loses a change of a key for up to 3 s, until the operator writes the configuration again.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -223,13 +223,32 @@
     ObjectServer_SetFault(Site_Store(soak->site), OBJECT_FAULT_NONE);
 }
 
+/* Restores the store from a copy that lacks the last change of a key. It holds
+ * the older configuration until the operator writes the newest again. */
+static void
+restore_store(Soak *soak)
+{
+    ObjectServer *store = Site_Store(soak->site);
+
+    ObjectServer_Save(store);
+    change_key(soak);
+    g_usleep((gulong)Rng_Below(&soak->rng, 2000000));
+    ObjectServer_SetFault(store, OBJECT_FAULT_REFUSE);
+    ObjectServer_Restore(store);
+    g_usleep((gulong)Rng_Below(&soak->rng, 1500000));
+    ObjectServer_SetFault(store, OBJECT_FAULT_NONE);
+    g_usleep((gulong)Rng_Below(&soak->rng, 1500000));
+    soak->version--;
+    configure(soak);
+}
+
 /* Injects a random fault, waits for its end if it has a duration, and then for
  * up to 0.7 s. */
 static void
 inject_fault(Soak *soak)
 {
     int host = (int)Rng_Below(&soak->rng, (uint64_t)soak->hosts);
-    int kind = (int)Rng_Below(&soak->rng, 9);
+    int kind = (int)Rng_Below(&soak->rng, 10);
 
     printf("%" G_GINT64_FORMAT " fault=%d host=%d\n", Clock_Now(), kind, host);
     switch (kind) {
@@ -262,6 +281,9 @@
         g_usleep((gulong)Rng_Below(&soak->rng, 7000000));
         Site_CutStore(soak->site, host, FALSE);
         break;
+    case 8:
+        restore_store(soak);
+        break;
     default:
         Site_Signal(soak->site, host, SIGHUP);
         break;
