Sidecar: a stop does not wait for the list of neighbours

A daemon that got SIGTERM right after its start could wait up to the whole time for which it waits for its neighbours before it asks them for their version, and be killed at the end of the grace period. The wait ends when the stop begins. By reading; no run showed it.

--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -93,7 +93,8 @@
 {
     ClockMs end = Clock_Now() + ROSTER_KNOWN_MS;
 
-    while (!atomic_load(&sidecar->roster_known) && Clock_Now() < end) {
+    while (!atomic_load(&sidecar->roster_known) &&
+           !atomic_load(&sidecar->leaving) && Clock_Now() < end) {
         g_usleep(ROSTER_POLL_MS * 1000);
     }
 }
