Stop: a request arrives in a stop when its body has ended

Callers saw 504 for an upload that was sent while a host stopped: its head had arrived before the last time at which requests are taken, its body long after. The request was passed on 4.0 s after SIGTERM and cut at the end of the stop, 1.2 s later.

Cause: the stop decided by the arrival of the head, which is when the HTTP server creates the request. The same held for a request that had waited for a thread.

Change: decide when the request is complete and its handler runs. The deadline still counts from the head.

/stop/late-body: before, 504 and run once; now 503 and not run.

--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -99,14 +99,15 @@
 }
 
 /* Refuses a request that a graceful stop does not take, and limits the
- * deadline of one that it takes. */
+ * deadline of one that it takes. The body may have ended long after the head
+ * arrived. */
 static Result
-apply_stop(GatewayRequest *request, const StopPlan *stop)
+apply_stop(GatewayRequest *request, const StopPlan *stop, ClockMs now)
 {
     if (request->arrived >= stop->begin) {
         request->stop_ms = request->arrived - stop->begin;
     }
-    if (!StopPlan_Takes(stop, request->deadline, request->arrived)) {
+    if (!StopPlan_Takes(stop, request->deadline, now)) {
         return RESULT_SHUTTING_DOWN;
     }
     request->deadline = MIN(request->deadline, stop->abandon);
@@ -179,7 +180,7 @@
         return RESULT_NO_BACKEND_SERVER;
     }
     set_times(request);
-    result = apply_stop(request, &stop);
+    result = apply_stop(request, &stop, Clock_Now());
     if (result != RESULT_OK) {
         return result;
     }
--- a/src/stop/stop_plan.h
+++ b/src/stop/stop_plan.h
@@ -43,8 +43,8 @@
 /* `grace_ms` is the time from `begin` until the process is killed. */
 StopPlan StopPlan_Make(ClockMs begin, ClockMs grace_ms);
 
-/* Whether to take a request that arrives now and ends by `deadline`, whatever
- * happens. */
+/* Whether to take a request that has arrived, with its body, now and ends by
+ * `deadline`, whatever happens. */
 gboolean StopPlan_Takes(const StopPlan *plan, ClockMs deadline, ClockMs now);
 
 /* Whether to take up a run that is expected to last `expected_ms` from now,
--- a/tests/process_stop.c
+++ b/tests/process_stop.c
@@ -162,6 +162,39 @@
     Site_Destroy(site);
 }
 
+/* Guards against a request whose head arrives early in a stop and whose body
+ * arrives late: it must be refused, not passed on and cut at the end. */
+static void
+test_late_body(void)
+{
+    enum { HEAD_AT_MS = 1500, BODY_AFTER_MS = 2500, WORK_MS = 2500 };
+    Site *site = make_site(4700);
+    Request longest = {.site = site,
+                       .method = "POST",
+                       .path = "/issue/1",
+                       .start = Clock_Now(),
+                       .must_be_served = TRUE};
+    char id[SITE_ID_BYTES];
+    SiteReply reply;
+
+    pthread_create(&longest.thread, NULL, send_request, &longest);
+    g_usleep(200000);
+    set_work(site, WORK_MS);
+    Site_Signal(site, 0, SIGTERM);
+    g_usleep(HEAD_AT_MS * 1000);
+    reply =
+        Site_UploadSlowly(site, 0, "/issue/1", SITE_KEY, BODY_AFTER_MS, id);
+    g_test_message("result %d status %d Retry-After %s", (int)reply.result,
+                   reply.status, reply.retry_after);
+    g_assert_cmpint(reply.result, ==, RESULT_OK);
+    g_assert_cmpint(reply.status, ==, 503);
+    g_assert_false(Site_HasRun(site, id));
+    pthread_join(longest.thread, NULL);
+    check(&longest);
+    g_assert_true(Site_AwaitExit(site, 0, GRACE_MS));
+    Site_Destroy(site);
+}
+
 /* Guards against a stop that refuses connections while requests run: their
  * calls, which end before the stop does, would fail, and with them the
  * requests. */
@@ -269,6 +302,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/stop/late-requests", test_late_requests);
+    g_test_add_func("/stop/late-body", test_late_body);
     g_test_add_func("/stop/calls", test_calls_in_stop);
     g_test_add_func("/stop/late-at-owner", test_late_at_owner);
     g_test_add_func("/stop/retry-not-taken", test_retry_not_taken);
--- a/tests/site.c
+++ b/tests/site.c
@@ -5,6 +5,7 @@
 #include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -468,6 +469,71 @@
     return Site_RequestAs(site, host, method, path, key, site->last_id);
 }
 
+/* Reads until the peer closes the connection or REQUEST_MS have passed. */
+static GString *
+read_to_end(int fd)
+{
+    struct timeval limit = {.tv_sec = REQUEST_MS / 1000};
+    GString *text = g_string_new(NULL);
+    char buffer[2000];
+    ssize_t length;
+
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    while ((length = recv(fd, buffer, sizeof(buffer), 0)) > 0) {
+        g_string_append_len(text, buffer, length);
+    }
+    return text;
+}
+
+static SiteReply
+parse_reply(const char *text)
+{
+    SiteReply reply = {.result = RESULT_ANSWER_LOST};
+    const char *value = strstr(text, "Retry-After: ");
+
+    if (sscanf(text, "HTTP/1.1 %d ", &reply.status) == 1 &&
+        strstr(text, "\r\n\r\n") != NULL) {
+        reply.result = RESULT_OK;
+    }
+    reply.is_signed = strstr(text, "Response-Signature: ") != NULL;
+    if (value != NULL) {
+        (void)sscanf(value, "Retry-After: %31s", reply.retry_after);
+    }
+    return reply;
+}
+
+SiteReply
+Site_UploadSlowly(Site *site, int host, const char *path, const char *key,
+                  ClockMs body_after_ms, char *id)
+{
+    struct sockaddr_in address =
+        parse_address(site->hosts[host].address, ENTRY_PORT);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    SiteReply reply = {.result = RESULT_CONNECT_FAILED};
+    GString *text;
+    char *head;
+
+    pthread_mutex_lock(&site->lock);
+    g_snprintf(id, SITE_ID_BYTES, "id-%u", site->next_id++);
+    pthread_mutex_unlock(&site->lock);
+    head = g_strdup_printf("POST %s HTTP/1.1\r\nHost: %s\r\n"
+                           "Attempt-Id: %s\r\nDeadline-Ms: %d\r\n"
+                           "Api-Key: %s\r\nContent-Length: 1\r\n\r\n",
+                           path, SITE_HOST_HEADER, id,
+                           atomic_load(&site->deadline_ms), key);
+    if (connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0) {
+        (void)send(fd, head, strlen(head), MSG_NOSIGNAL);
+        g_usleep((gulong)body_after_ms * 1000);
+        (void)send(fd, "x", 1, MSG_NOSIGNAL);
+        text = read_to_end(fd);
+        reply = parse_reply(text->str);
+        g_string_free(text, TRUE);
+    }
+    close(fd);
+    g_free(head);
+    return reply;
+}
+
 unsigned
 Site_Runs(Site *site, int host)
 {
--- a/tests/site.h
+++ b/tests/site.h
@@ -73,6 +73,11 @@
 SiteReply Site_RequestPooled(Site *site, int host, const char *method,
                              const char *path, const char *key, char *id);
 
+/* Sends a POST with a body of one byte on a new connection, the byte
+ * `body_after_ms` after the head. Of the reply, `matches` is not set. */
+SiteReply Site_UploadSlowly(Site *site, int host, const char *path,
+                            const char *key, ClockMs body_after_ms, char *id);
+
 /* Returns the number of requests that the backend server of the host ran. */
 unsigned Site_Runs(Site *site, int host);
 
