Peer wire: a deadline that has passed or is far away is sent within its range

An owner refused a call as malformed if its deadline had passed between the entry's check and the encoding, or was more than 600 s away (a route without a timeout, and a caller that states more). The entry takes such an answer for one of another program and notes the owner's host as unreachable: one request could do that to each owner that it asked.

Change: the time left is limited to the range that owners accept, as the wait is.

/peer-wire/deadlines: before, not decoded at -20 ms; now decoded for all cases.

--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -49,9 +49,10 @@
     (void)snprintf(
         line, sizeof(line),
         "%" PRId64 " %c %d %.3f %" PRId64 " %d %" PRId64 " %" PRId64,
-        call->deadline - now, call->idempotent ? 'i' : 'o', call->priority,
-        call->max_risk, MIN(call->max_wait_ms, MAX_WAIT_MS), call->is_retry,
-        call->explore_idle_ms, MAX(call->target_time - now, 0));
+        CLAMP(call->deadline - now, 0, MAX_WAIT_MS),
+        call->idempotent ? 'i' : 'o', call->priority, call->max_risk,
+        MIN(call->max_wait_ms, MAX_WAIT_MS), call->is_retry,
+        call->explore_idle_ms, CLAMP(call->target_time - now, 0, MAX_WAIT_MS));
     HttpHeaders_Add(headers, CALL_HEADER, line);
     HttpHeaders_Add(headers, CALLER_HEADER, call->caller);
     HttpHeaders_Add(headers, SERVICE_HEADER, call->service);
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -59,6 +59,35 @@
     }
 }
 
+/* Guards against a call that the owner takes for malformed, and its host for
+ * unreachable, because the deadline has just passed or is far away. */
+static void
+test_deadlines(void)
+{
+    static const struct {
+        ClockMs left_ms;
+        ClockMs expected_ms;
+    } cases[] = {{-20, 0},
+                 {0, 0},
+                 {600000, 600000},
+                 {600001, 600000},
+                 {G_MAXINT32, 600000}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        BackendCall call = {.service = "permits",
+                            .caller = "desk",
+                            .deadline = 5000 + cases[i].left_ms,
+                            .target_time = 5000 + cases[i].left_ms};
+        BackendCall decoded = {0};
+        HttpHeaders headers = {0};
+
+        PeerWire_EncodeCall(&call, 5000, &headers);
+        g_assert_true(PeerWire_DecodeCall(&headers, 7000, &decoded));
+        g_assert_cmpint(decoded.deadline, ==, 7000 + cases[i].expected_ms);
+        HttpHeaders_Clear(&headers);
+    }
+}
+
 /* Guards against a retry that arrives at the owner as a first attempt. */
 static void
 test_retry(void)
@@ -205,6 +234,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/peer-wire/deadlines", test_deadlines);
     g_test_add_func("/peer-wire/call", test_call);
     g_test_add_func("/peer-wire/times", test_times);
     g_test_add_func("/peer-wire/repeat", test_retry);
