HTTP: what arrives while a soft timeout's callback runs is read

A request that two backend servers worked on was answered 504 although the first one had answered in time: its answer waited in the socket while give_up() tried another server, which lasted until the deadline, and the call then ended without a look at the socket.

Change: after give_up() returns FALSE the socket is polled at least once.

/http/answer-during-give-up: before, DEADLINE_EXPIRED; now the answer.

--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -48,6 +48,15 @@
     READ_EXPIRED
 } ReadState;
 
+/* Returns the events that have occurred. */
+static int
+poll_events(int fd, short events)
+{
+    struct pollfd poll_fd = {.fd = fd, .events = events};
+
+    return poll(&poll_fd, 1, 0) > 0 ? poll_fd.revents : 0;
+}
+
 /* Waits for events and returns them; 0 at the deadline. */
 static int
 wait_for(int fd, short events, ClockMs deadline)
@@ -70,7 +79,8 @@
 }
 
 /* Same as wait_for(), but also returns 0 if the soft timeout expires and
- * give_up() returns TRUE. */
+ * give_up() returns TRUE. What arrived while give_up() ran is read, also if it
+ * lasted beyond the deadline. */
 static int
 wait_with_soft_timeout(HttpConnection *connection, short events,
                        ClockMs deadline)
@@ -86,9 +96,11 @@
         return ready;
     }
     connection->soft_timeout = NULL;
-    return soft_timeout->give_up(soft_timeout->context)
-               ? 0
-               : wait_for(connection->fd, events, deadline);
+    if (soft_timeout->give_up(soft_timeout->context)) {
+        return 0;
+    }
+    ready = wait_for(connection->fd, events, deadline);
+    return ready != 0 ? ready : poll_events(connection->fd, events);
 }
 
 /* Data that stays unacknowledged, or unanswered keep-alive probes, end the
--- a/src/http/test_http.c
+++ b/src/http/test_http.c
@@ -166,6 +166,41 @@
     HttpServer_Destroy(server);
 }
 
+/* A give_up() that lasts beyond the deadline of the call. */
+static gboolean
+try_elsewhere(void *context)
+{
+    (void)context;
+    g_usleep(300000);
+    return FALSE;
+}
+
+/* Guards against an answer that is thrown away although it arrived before the
+ * deadline: it came while give_up() tried another server. */
+static void
+test_answer_during_give_up(void)
+{
+    HttpServer *server = start_echo();
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+    HttpSoftTimeout timeout = {.until = Clock_Now() + 50,
+                               .give_up = try_elsewhere};
+    HttpAnswer answer = {0};
+    gboolean sent;
+    /* /hang is answered after 100 ms. */
+    HttpCall call = {.address = loopback(HttpServer_Port(server)),
+                     .method = "GET",
+                     .target = "/hang",
+                     .soft_timeout = &timeout,
+                     .deadline = Clock_Now() + 250};
+
+    g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                    RESULT_OK);
+    g_assert_cmpint(answer.status, ==, 504);
+    HttpAnswer_Clear(&answer);
+    HttpClient_Destroy(client);
+    HttpServer_Destroy(server);
+}
+
 typedef struct RawServer {
     int listener;
     const char *answer;
@@ -396,6 +431,7 @@
     g_test_add_func("/http/round-trip", test_round_trip);
     g_test_add_func("/http/body-limit", test_body_limit);
     g_test_add_func("/http/deadlines", test_deadlines);
+    g_test_add_func("/http/answer-during-give-up", test_answer_during_give_up);
     g_test_add_func("/http/broken-answers", test_broken_answers);
     g_test_add_func("/http/ambiguous-framing", test_ambiguous_framing);
     g_test_add_func("/http/one-answer", test_one_answer);
