Attempts: a second one ends when the first one is answered

A caller waited until its deadline for an answer that the first backend server had given long before: while a second attempt ran beside the first, the first one's socket was not read until the second had ended. The slot stayed taken meanwhile, and the owner counted the whole time as service time.

Change: the second attempt also waits for the first one's socket, and ends when the beginning of a successful answer is there; that answer is then read. A refusal, a failure or a closed connection does not end it. It is not noticed while the second attempt waits for a slot of this host's own backend server.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -109,6 +109,20 @@
     return bound;
 }
 
+/* Socket of the call whose give_up() makes this one, or -1. */
+static int
+outer_fd(HttpCancel *cancel)
+{
+    int fd = -1;
+
+    if (cancel != NULL) {
+        pthread_mutex_lock(&cancel->lock);
+        fd = cancel->count > 1 ? cancel->fds[cancel->count - 2] : -1;
+        pthread_mutex_unlock(&cancel->lock);
+    }
+    return fd;
+}
+
 /* Unbinds the socket that was bound last. */
 static void
 unbind_cancel(HttpCancel *cancel)
@@ -438,10 +452,15 @@
     else {
         *sent = TRUE;
         HttpConnection_SetSoftTimeout(connection, call->soft_timeout);
+        HttpConnection_SetOther(connection, outer_fd(call->cancel));
         result = exchange(client, connection, call, reused, answer, &reusable);
         HttpConnection_SetSoftTimeout(connection, NULL);
+        HttpConnection_SetOther(connection, -1);
     }
     unbind_cancel(call->cancel);
+    if (result != RESULT_OK && HttpConnection_HasYielded(connection)) {
+        result = RESULT_CANCELLED;
+    }
     if ((result != RESULT_OK || HttpConnection_HasEndedBody(connection)) &&
         result != RESULT_TOO_LARGE && is_cancelled(call)) {
         result = RESULT_CANCELLED;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -36,7 +36,9 @@
 
 /* Lets another thread cancel a call. Create one for each call or sequence of
  * calls. A soft timeout's give_up() may make further calls with the same
- * object; they are cancelled together, HTTP_CANCEL_CALLS at most. */
+ * object; they are cancelled together, HTTP_CANCEL_CALLS at most. Such a call
+ * also ends with RESULT_CANCELLED when the first one gets a successful answer,
+ * which is then read when give_up() returns FALSE. */
 typedef struct HttpCancel HttpCancel;
 
 #define HTTP_CANCEL_CALLS 2
--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -33,6 +33,8 @@
 struct HttpConnection {
     int fd;
     const HttpSoftTimeout *soft_timeout; /* NULL: none, or expired already */
+    int other_fd;                        /* see HttpConnection_SetOther() */
+    gboolean yielded;
     size_t first; /* unread bytes: buffer[first..last) */
     size_t last;
     gboolean ended_body;   /* a body ended with the connection */
@@ -78,6 +80,48 @@
     return 0;
 }
 
+/* Whether the socket holds the begin of a successful answer. */
+static gboolean
+has_success(int fd)
+{
+    static const char start[] = "HTTP/1.1 2";
+    char bytes[sizeof(start) - 1];
+
+    return recv(fd, bytes, sizeof(bytes), MSG_PEEK | MSG_DONTWAIT) ==
+               (ssize_t)sizeof(bytes) &&
+           memcmp(bytes, start, sizeof(bytes)) == 0;
+}
+
+/* Same as wait_for(), but also returns 0 when a successful answer arrives at
+ * the other socket. */
+static int
+wait_beside(HttpConnection *connection, short events, ClockMs deadline)
+{
+    struct pollfd fds[] = {{.fd = connection->fd, .events = events},
+                           {.fd = connection->other_fd, .events = POLLIN}};
+    ClockMs left = deadline - Clock_Now();
+
+    while (left > 0) {
+        if (poll(fds, G_N_ELEMENTS(fds), (int)MIN(left, G_MAXINT)) < 0 &&
+            errno != EINTR) {
+            return POLLERR;
+        }
+        if (fds[0].revents != 0) {
+            return fds[0].revents;
+        }
+        if (fds[1].revents != 0) {
+            connection->yielded = has_success(connection->other_fd);
+            if (connection->yielded) {
+                return 0;
+            }
+            connection->other_fd = -1;
+            fds[1] = (struct pollfd){.fd = -1};
+        }
+        left = deadline - Clock_Now();
+    }
+    return 0;
+}
+
 /* Same as wait_for(), but also returns 0 if the soft timeout expires and
  * give_up() returns TRUE. What arrived while give_up() ran is read, also if it
  * lasted beyond the deadline. */
@@ -88,6 +132,9 @@
     const HttpSoftTimeout *soft_timeout = connection->soft_timeout;
     int ready;
 
+    if (connection->other_fd >= 0) {
+        return wait_beside(connection, events, deadline);
+    }
     if (soft_timeout == NULL || soft_timeout->until >= deadline) {
         return wait_for(connection->fd, events, deadline);
     }
@@ -159,6 +206,7 @@
     }
     *connection = g_new0(HttpConnection, 1);
     (*connection)->fd = fd;
+    (*connection)->other_fd = -1;
     return RESULT_OK;
 }
 
@@ -184,6 +232,18 @@
     connection->soft_timeout = soft_timeout;
 }
 
+void
+HttpConnection_SetOther(HttpConnection *connection, int fd)
+{
+    connection->other_fd = fd;
+}
+
+gboolean
+HttpConnection_HasYielded(const HttpConnection *connection)
+{
+    return connection->yielded;
+}
+
 Result
 HttpConnection_Send(HttpConnection *connection, const char *bytes,
                     size_t length, ClockMs deadline, gboolean *complete)
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -69,6 +69,12 @@
 void HttpConnection_SetSoftTimeout(HttpConnection *connection,
                                    const HttpSoftTimeout *soft_timeout);
 
+/* While a call on this connection waits, a successful answer that arrives at
+ * the other socket ends it as at its deadline; HttpConnection_HasYielded() is
+ * then TRUE. -1: none. A connection without a soft timeout only. */
+void HttpConnection_SetOther(HttpConnection *connection, int fd);
+gboolean HttpConnection_HasYielded(const HttpConnection *connection);
+
 /* Writes until all bytes are sent, or until an answer begins to arrive. In the
  * latter case *complete is FALSE and the connection must not be kept. */
 Result HttpConnection_Send(HttpConnection *connection, const char *bytes,
--- a/tests/process_stop.c
+++ b/tests/process_stop.c
@@ -343,6 +343,29 @@
     Site_Destroy(site);
 }
 
+/* Guards against an answer of the first backend server that waits until a
+ * second one, which is slower, has ended. */
+static void
+test_first_answers(void)
+{
+    enum { FIRST_MS = 1800, SECOND_MS = 4000, SLACK_MS = 400 };
+    Site *site = make_site(100);
+    Request request = {.site = site,
+                       .method = "GET",
+                       .path = "/read/1",
+                       .must_be_served = TRUE};
+
+    set_work(site, FIRST_MS);
+    request.start = Clock_Now();
+    pthread_create(&request.thread, NULL, send_request, &request);
+    g_usleep(1000000); /* the first run has begun, the second one has not */
+    set_work(site, SECOND_MS);
+    pthread_join(request.thread, NULL);
+    check(&request);
+    g_assert_cmpint(request.took_ms, <=, FIRST_MS + SLACK_MS);
+    Site_Destroy(site);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -353,5 +376,6 @@
     g_test_add_func("/stop/late-at-owner", test_late_at_owner);
     g_test_add_func("/stop/short-at-owner", test_short_at_owner);
     g_test_add_func("/stop/retry-not-taken", test_retry_not_taken);
+    g_test_add_func("/stop/first-answers", test_first_answers);
     return g_test_run();
 }
