Attempts: the error answer of a second attempt is kept

A caller got 504 at its deadline although a second backend server had answered with an error: if no further attempt was allowed, the answer was dropped while the first attempt went on, and that one was not answered.

Change: it is kept like that of any other attempt, and delivered if the first one brings no answer.

/stop/second-fails: before, 504; now the backend server's 500.

--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -243,6 +243,18 @@
     }
 }
 
+/* Keeps the reply's answer, if it is an error answer of a backend server, for
+ * the case that no later attempt is answered. */
+static void
+keep_failure(GatewayRequest *request, BackendReply *reply)
+{
+    if (reply->result == RESULT_BACKEND_SERVER_ERROR &&
+        reply->answer.status != 0) {
+        HttpAnswer_Clear(&request->failure);
+        HttpAnswer_Move(&request->failure, &reply->answer);
+    }
+}
+
 /* Whether another owner can be expected to have a free slot soon. */
 static gboolean
 has_free_owner(GatewayRequest *request)
@@ -276,6 +288,7 @@
     }
     Counter_Retry(RESULT_DEADLINE_EXPIRED);
     try_owners(&other, &reply);
+    keep_failure(&other, &reply);
     merge_request(request, &other);
     if (reply.result != RESULT_OK) {
         HttpAnswer_Clear(&reply.answer);
@@ -497,10 +510,7 @@
         if (is_final(request, reply)) {
             break;
         }
-        if (reply->result == RESULT_BACKEND_SERVER_ERROR) {
-            HttpAnswer_Clear(&request->failure);
-            HttpAnswer_Move(&request->failure, &reply->answer);
-        }
+        keep_failure(request, reply);
     }
 }
 
--- a/tests/process_stop.c
+++ b/tests/process_stop.c
@@ -366,6 +366,32 @@
     Site_Destroy(site);
 }
 
+/* Guards against a second backend server's error answer that gets lost while
+ * the first one goes on until the deadline. */
+static void
+test_second_fails(void)
+{
+    enum { FIRST_MS = 5500 };
+    Site *site = make_site(100);
+    Request request = {.site = site, .method = "GET", .path = "/read/1"};
+
+    set_work(site, FIRST_MS);
+    request.start = Clock_Now();
+    pthread_create(&request.thread, NULL, send_request, &request);
+    g_usleep(1000000); /* the first run has begun, the second one has not */
+    set_work(site, 0);
+    for (int host = 0; host < HOSTS; host++) {
+        Site_SetFailing(site, host, 100);
+    }
+    pthread_join(request.thread, NULL);
+    g_test_message("status %d after %" G_GINT64_FORMAT " ms",
+                   request.reply.status, request.took_ms);
+    g_assert_cmpint(request.reply.result, ==, RESULT_OK);
+    g_assert_cmpint(request.reply.status, ==, 500);
+    g_assert_true(request.reply.is_signed);
+    Site_Destroy(site);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -377,5 +403,6 @@
     g_test_add_func("/stop/short-at-owner", test_short_at_owner);
     g_test_add_func("/stop/retry-not-taken", test_retry_not_taken);
     g_test_add_func("/stop/first-answers", test_first_answers);
+    g_test_add_func("/stop/second-fails", test_second_fails);
     return g_test_run();
 }
