--- a/src/backend/test_extra_answers.c
+++ b/src/backend/test_extra_answers.c
@@ -52,6 +52,7 @@
     int fds[MAX_CONNECTIONS];
     gint connections; /* atomic */
     gint requests;    /* atomic */
+    gint sent_behind; /* atomic: all bytes behind the first answer are sent */
 } Server;
 
 typedef struct Connection {
@@ -81,6 +82,7 @@
             send_text(fd, script->first);
             g_usleep(PAUSE_MS * 1000);
             send_text(fd, script->behind);
+            g_atomic_int_set(&connection->server->sent_behind, TRUE);
         }
         else {
             for (size_t i = 0; kept && i < G_N_ELEMENTS(script->extra); i++) {
@@ -387,7 +389,9 @@
         g_assert_cmpint(reply.result, ==, RESULT_BACKEND_SERVER_SHED);
         g_assert_cmpint(reply.run, ==, RUN_NO);
         HttpAnswer_Clear(&reply.answer);
-        g_usleep(2 * PAUSE_MS * 1000);
+        while (!g_atomic_int_get(&server.sent_behind)) {
+            g_usleep(1000);
+        }
         run_once(backend,
                  repeated_refusals[i].id ? repeated_refusals[i].id : "r2",
                  &reply);
