Stop: late runs at an owner also need the time in which their answer is due

Cause: from 2.3 s after SIGTERM on, an owner took up a run if four mean service times were left. The owner had started 6 s before: its mean came from the initial value and a few short runs.

Change: from then on the time until the request's latency target has to be left, too, besides two mean service times. Calls, whose answers are due soon, are still taken up; other requests mostly are not.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -21,10 +21,8 @@
 #define STALL_FACTOR 4
 #define MIN_STALL_MS 1500
 
-/* Nearly all runs end within this many mean service times, and over 99 in 100
- * within the second number of them. */
+/* Nearly all runs end within this many mean service times. */
 #define LONG_RUN_FACTOR 2
-#define LONGEST_RUN_FACTOR 4
 
 /* Minimum risk reported while a running request is stalled. */
 #define STALL_RISK 0.8
@@ -291,17 +289,20 @@
 
 /* Whether this host or its backend server stops too early for the request.
  * Late in a stop, most senders are stopping, too, and could not send a run
- * that is cut to another owner. Called with the lock held. */
+ * that is cut to another owner. The mean, which may come from few or shorter
+ * runs, does not suffice then: the time in which the answer is due has to be
+ * left as well. Called with the lock held. */
 static gboolean
 is_leaving(const Backend *backend, const BackendCall *call,
            const AdmissionTicket *ticket, ClockMs now)
 {
-    ClockMs factor =
-        now > backend->stop.take_until ? LONGEST_RUN_FACTOR : LONG_RUN_FACTOR;
     ClockMs expected_ms =
         Admission_ExpectedWait(backend->admission, ticket, now) +
-        factor * Admission_ServiceMs(backend->admission, ticket);
+        LONG_RUN_FACTOR * Admission_ServiceMs(backend->admission, ticket);
 
+    if (now > backend->stop.take_until) {
+        expected_ms = MAX(expected_ms, call->target_time - now);
+    }
     return backend->closed || backend->state != BACKEND_READY ||
            !StopPlan_TakesRun(&backend->stop, call->deadline, expected_ms,
                               now);
