--- a/src/stop/stop_plan.h
+++ b/src/stop/stop_plan.h
@@ -6,20 +6,18 @@
  * hosts of its data centre are stopping, too. A request that is taken late is
  * passed on and cut at the end of the grace period, when its backend server is
  * at work and the request may not be sent again. Here
- *  - a request is taken in the first part of the stop, so that the rest is
- * left for it to end in;
+ *  - a request is taken in the first part of the stop, so that it can end in
+ *    the rest;
  *  - later only a request that ends by itself before the stop does, because
- * its own deadline is earlier; calls of running requests are mostly of this
- *    kind;
+ *    its own deadline is earlier; most calls of running requests are so;
  *  - any other one is refused as not run at once, so that its caller can
- * return when the host has started again.
- *
+ *    return when the host has started again;
  *  - an owner takes up a run only if it expects it to end before the stop
- * does, so that it goes to another backend server in time.
+ *    does, so that any other one goes to another backend server in time.
  *
  * Use: StopPlan_None() until a stop begins, then StopPlan_Make();
- * StopPlan_Takes() for each request that arrives, StopPlan_TakesRun() before
- * each run.
+ * StopPlan_Takes() for each request once it has been read whole,
+ * StopPlan_TakesRun() before each run.
  *
  * Errors and limits: none; pure functions.
  */
