Departure: the record of a leaving is written again in a restored store

The departure's thread takes its record for written once the store has acknowledged it, and nothing told it that the store had gone back.

It now learns of a new generation when the configuration is confirmed in it, reads its record again and writes it if the store has another one or none: one read for each restoration on the hosts that have a record, no call without a restoration. An answer of an earlier generation, to a read or a write, does not count. A process that ended before the restoration still leaves no record.

The store of test_departure gave an absent record a revision number, unlike the platform's; it gives none now.

--- a/src/departure/departure.c
+++ b/src/departure/departure.c
@@ -30,7 +30,8 @@
     gboolean stopping;
     gboolean is_read;        /* the record of earlier processes is known */
     gboolean is_written;     /* the store has `left` */
-    gboolean is_conflict;    /* the record's revision has to be read again */
+    gboolean is_conflict;    /* the record has to be read again */
+    int64_t generation;      /* newest known one of the store */
     Instance left;           /* instance that left last */
     ObjectRevision revision; /* of the record; number 0: there is none */
     Instance held;           /* instance that was not admitted */
@@ -70,6 +71,17 @@
     return strcmp(instance->name, name) == 0 && instance->born == born;
 }
 
+/* Notes the revision of the record as read or written. In a later generation
+ * the store may have another record or none. Called with the lock held. */
+static void
+set_revision(Departure *departure, ObjectRevision revision,
+             gboolean is_written)
+{
+    departure->revision = revision;
+    departure->is_conflict = revision.generation < departure->generation;
+    departure->is_written = is_written && !departure->is_conflict;
+}
+
 /* Takes the record of an earlier process, unless a later instance has left
  * meanwhile. */
 static void
@@ -78,15 +90,18 @@
     Instance instance;
     ClockMs at;
     gboolean is_valid = decode(record->value, &instance, &at);
+    gboolean is_newest;
 
     pthread_mutex_lock(&departure->lock);
-    departure->revision = record->revision;
-    if (is_valid && (departure->left.name[0] == '\0' ||
+    is_newest =
+        is_valid && (departure->left.name[0] == '\0' ||
                      is_same(&departure->left, instance.name, instance.born) ||
-                     instance.born > departure->left.born)) {
+                     instance.born > departure->left.born);
+    if (is_newest) {
         departure->left = instance;
-        departure->is_written = TRUE;
     }
+    set_revision(departure, record->revision,
+                 is_newest || departure->is_written);
     pthread_mutex_unlock(&departure->lock);
     if (is_valid) {
         departure->desc.left(departure->desc.context, instance.name,
@@ -163,13 +178,18 @@
         stored = (Instance){0};
     }
     pthread_mutex_lock(&departure->lock);
-    departure->revision = record.revision;
-    departure->is_conflict = FALSE;
-    departure->is_written =
-        is_same(&departure->left, stored.name, stored.born);
+    if (record.revision.generation < departure->generation) {
+        /* A late answer from before a restoration. */
+        result = RESULT_STORE_UNAVAILABLE;
+    }
+    else {
+        set_revision(departure, record.revision,
+                     is_same(&departure->left, stored.name, stored.born));
+        result = RESULT_OK;
+    }
     pthread_mutex_unlock(&departure->lock);
     ObjectRecord_Clear(&record);
-    return RESULT_OK;
+    return result;
 }
 
 static Result
@@ -191,9 +211,8 @@
     json_decref(value);
     pthread_mutex_lock(&departure->lock);
     if (result == RESULT_OK) {
-        departure->revision = revision;
-        departure->is_written =
-            is_same(&departure->left, instance.name, instance.born);
+        set_revision(departure, revision,
+                     is_same(&departure->left, instance.name, instance.born));
     }
     else {
         departure->is_conflict = TRUE;
@@ -360,3 +379,19 @@
     pthread_mutex_unlock(&departure->lock);
     return is_recorded;
 }
+
+void
+Departure_NoteGeneration(Departure *departure, int64_t generation)
+{
+    pthread_mutex_lock(&departure->lock);
+    if (generation > departure->generation) {
+        departure->generation = generation;
+        if (departure->left.name[0] != '\0' &&
+            departure->revision.generation < generation) {
+            departure->is_conflict = TRUE;
+            departure->is_written = FALSE;
+            pthread_cond_broadcast(&departure->wake);
+        }
+    }
+    pthread_mutex_unlock(&departure->lock);
+}
--- a/src/departure/departure.h
+++ b/src/departure/departure.h
@@ -12,7 +12,9 @@
  *     yet: FALSE while it may be one that left.
  *  3. Departure_Record() when an instance leaves; acknowledge the report
  *     afterwards.
- *  4. Departure_Destroy().
+ *  4. Departure_NoteGeneration() when the store has been restored from an
+ * older copy, which may lack the record.
+ *  5. Departure_Destroy().
  *
  * While the store cannot be read, an instance is admitted with its second
  * announcement: one that has left sends no further ones, so only a single
@@ -65,4 +67,9 @@
 gboolean Departure_Record(Departure *departure, const char *instance,
                           int64_t born);
 
+/* States the generation of the store. If it is newer than the one in which the
+ * record was read or written, the record is read again, and written if the
+ * store has another one or none. */
+void Departure_NoteGeneration(Departure *departure, int64_t generation);
+
 #endif
--- a/src/departure/test_departure.c
+++ b/src/departure/test_departure.c
@@ -15,10 +15,22 @@
     pthread_mutex_t lock;
     GHashTable *values; /* name -> json_t */
     int64_t revision;
+    int64_t generation;
     gboolean is_away;
     int lost_answers; /* writes that are done but not answered */
+    int calls;
+    Departure *restored_at; /* told of a restoration during the next write */
 } Store;
 
+/* Restores the store from a copy without records. Called with the lock held.
+ */
+static void
+restore_locked(Store *store)
+{
+    g_hash_table_remove_all(store->values);
+    store->generation++;
+}
+
 static Result
 list(void *context, const char *kind, const char *after, ObjectPage *page)
 {
@@ -31,13 +43,15 @@
     g_assert_cmpstr(kind, ==, DEPARTURE_KIND);
     g_assert_cmpstr(after, ==, "");
     pthread_mutex_lock(&store->lock);
+    store->calls++;
     if (!store->is_away) {
         result = RESULT_OK;
         g_hash_table_iter_init(&iterator, store->values);
         while (g_hash_table_iter_next(&iterator, &name, &value)) {
-            ObjectRecord record = {.name = g_strdup(name),
-                                   .revision.number = store->revision,
-                                   .value = json_deep_copy(value)};
+            ObjectRecord record = {
+                .name = g_strdup(name),
+                .revision = {store->generation, store->revision},
+                .value = json_deep_copy(value)};
 
             g_array_append_val(page->records, record);
         }
@@ -55,10 +69,12 @@
 
     (void)kind;
     pthread_mutex_lock(&store->lock);
+    store->calls++;
     if (!store->is_away) {
         value = g_hash_table_lookup(store->values, name);
         record->value = json_deep_copy(value);
-        record->revision.number = store->revision;
+        record->revision = (ObjectRevision){
+            store->generation, value != NULL ? store->revision : 0};
         result = value != NULL ? RESULT_OK : RESULT_NOT_FOUND;
     }
     pthread_mutex_unlock(&store->lock);
@@ -70,11 +86,13 @@
     ObjectRevision *revision)
 {
     Store *store = context;
+    Departure *restored_at = NULL;
     Result result = RESULT_STORE_UNAVAILABLE;
     int64_t expected;
 
     (void)kind;
     pthread_mutex_lock(&store->lock);
+    store->calls++;
     expected =
         g_hash_table_contains(store->values, name) ? store->revision : 0;
     if (!store->is_away && revision->number != expected) {
@@ -83,11 +101,19 @@
     else if (!store->is_away) {
         g_hash_table_insert(store->values, g_strdup(name),
                             json_deep_copy(value));
-        revision->number = ++store->revision;
+        *revision = (ObjectRevision){store->generation, ++store->revision};
         result =
             store->lost_answers-- > 0 ? RESULT_STORE_UNCERTAIN : RESULT_OK;
+        restored_at = store->restored_at;
+    }
+    if (restored_at != NULL) {
+        store->restored_at = NULL;
+        restore_locked(store);
     }
     pthread_mutex_unlock(&store->lock);
+    if (restored_at != NULL) {
+        Departure_NoteGeneration(restored_at, revision->generation + 1);
+    }
     return result;
 }
 
@@ -121,7 +147,8 @@
                                    .remove = remove_record},
                      .values = g_hash_table_new_full(g_str_hash, g_str_equal,
                                                      g_free, free_value),
-                     .revision = 7};
+                     .revision = 7,
+                     .generation = 1};
     pthread_mutex_init(&store->lock, NULL);
 }
 
@@ -306,6 +333,88 @@
     close_store(&store);
 }
 
+static void
+expect_record(Store *store, const char *instance)
+{
+    gboolean found = FALSE;
+
+    for (ClockMs end = Clock_Now() + WAIT_MS; !found && Clock_Now() < end;) {
+        const json_t *value;
+
+        g_usleep(5000);
+        pthread_mutex_lock(&store->lock);
+        value = json_object_get(g_hash_table_lookup(store->values, HOST),
+                                "instance");
+        found = g_strcmp0(json_string_value(value), instance) == 0;
+        pthread_mutex_unlock(&store->lock);
+    }
+    g_assert_true(found);
+}
+
+static int
+count_calls(Store *store)
+{
+    int calls;
+
+    pthread_mutex_lock(&store->lock);
+    calls = store->calls;
+    pthread_mutex_unlock(&store->lock);
+    return calls;
+}
+
+/* Guards against a record that is lost, or replaced by an earlier one, because
+ * the store was restored from an older copy, and against calls on the store
+ * without a restoration. */
+static void
+test_restored(void)
+{
+    static const struct {
+        gboolean at_start; /* a process before left the record */
+        gboolean at_write; /* the store is restored as the record is written */
+        const char *copied; /* instance in the copy; NULL: no record */
+    } cases[] = {{FALSE, FALSE, NULL},
+                 {FALSE, FALSE, "i0"},
+                 {FALSE, FALSE, "i1"},
+                 {TRUE, FALSE, NULL},
+                 {FALSE, TRUE, NULL}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Departure *departure;
+        Store store;
+        Heard heard;
+        int calls;
+
+        g_test_message("case %zu", i);
+        open_store(&store);
+        if (cases[i].at_start) {
+            add_record(&store, HOST, "i1", 100, 1000);
+        }
+        departure = start(&store, &heard, WAIT_MS);
+        g_assert_true(Departure_Admits(departure, "i2", 200, 1));
+        Departure_NoteGeneration(departure, 1);
+        pthread_mutex_lock(&store.lock);
+        store.restored_at = cases[i].at_write ? departure : NULL;
+        pthread_mutex_unlock(&store.lock);
+        g_assert_true(Departure_Record(departure, "i1", 100));
+        calls = count_calls(&store);
+        Departure_NoteGeneration(departure, 1);
+        g_usleep(20000);
+        g_assert_cmpint(count_calls(&store), ==, calls);
+        if (!cases[i].at_write) {
+            pthread_mutex_lock(&store.lock);
+            restore_locked(&store);
+            if (cases[i].copied != NULL) {
+                add_record(&store, HOST, cases[i].copied, 50, 1000);
+            }
+            pthread_mutex_unlock(&store.lock);
+            Departure_NoteGeneration(departure, 2);
+        }
+        expect_record(&store, "i1");
+        Departure_Destroy(departure);
+        close_store(&store);
+    }
+}
+
 /* Guards against records that stay of hosts which were removed, and against
  * the removal of one that still matters or that another writer made. */
 static void
@@ -339,6 +448,7 @@
     g_test_add_func("/departure/earlier-instance", test_earlier_instance);
     g_test_add_func("/departure/unreadable", test_unreadable);
     g_test_add_func("/departure/unwritable", test_unwritable);
+    g_test_add_func("/departure/restored", test_restored);
     g_test_add_func("/departure/sweep", test_sweep);
     return g_test_run();
 }
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -100,8 +100,8 @@
 }
 
 /* Called with each confirmed generation of the store. A store that was
- * restored may hold an older version than the neighbours have read: asks them
- * once in each generation. */
+ * restored may lack the record of this host's departure, and may hold an older
+ * version than the neighbours have read: asks them once in each generation. */
 static void
 enter_generation(Sidecar *sidecar, int64_t generation)
 {
@@ -113,6 +113,7 @@
         sidecar->store->end_watches(sidecar->store->context);
     }
     sidecar->asked_generation = generation;
+    Departure_NoteGeneration(sidecar->departure, generation);
     if (generation >= FIRST_RESTORED) {
         await_roster(sidecar);
         Catalog_Require(sidecar->catalog, _Sidecar_FindNewestVersion(sidecar));
--- a/tests/process_restore.c
+++ b/tests/process_restore.c
@@ -18,6 +18,10 @@
 
 #define AWAY_MS 300
 #define ENTRY_KIND "backend-servers"
+#define DEPARTURE_KIND "departures"
+
+/* Maximum time until a process that was started is ready. */
+#define START_MS 5000
 
 static Site *
 make_site(int hosts)
@@ -223,15 +227,21 @@
 }
 
 static gboolean
-has_entry(Site *site, const char *name)
+has_object(Site *site, const char *kind, const char *name)
 {
-    json_t *value = ObjectServer_Read(Site_Store(site), ENTRY_KIND, name);
+    json_t *value = ObjectServer_Read(Site_Store(site), kind, name);
     gboolean found = value != NULL;
 
     json_decref(value);
     return found;
 }
 
+static gboolean
+has_entry(Site *site, const char *name)
+{
+    return has_object(site, ENTRY_KIND, name);
+}
+
 static void
 expect_entry(Site *site, const char *name, gboolean found)
 {
@@ -296,6 +306,53 @@
     Site_Destroy(site);
 }
 
+/* Guards against requests to a backend server that has left: the record of it
+ * was lost with the restoration, so the next process on the host takes an
+ * announcement that was sent before. */
+static void
+test_lost_departure(void)
+{
+    static const gboolean drains[] = {FALSE, TRUE};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(drains); i++) {
+        Site *site = make_site(2);
+        unsigned before;
+        ClockMs end;
+
+        g_test_message("drains %d", drains[i]);
+        ObjectServer_Save(Site_Store(site));
+        Site_Silence(site, 0);
+        if (drains[i]) {
+            Site_Drain(site, 0);
+        }
+        else {
+            Site_Deregister(site, 0);
+        }
+        begin_restore(site);
+        end_restore(site);
+        end = Clock_Now() + REWRITE_MS;
+        while (!has_object(site, DEPARTURE_KIND, "host-0") &&
+               Clock_Now() < end) {
+            g_usleep(20000);
+        }
+        Site_Signal(site, 0, SIGKILL);
+        g_assert_true(Site_AwaitExit(site, 0, 1000));
+        before = Site_Runs(site, 0);
+        Site_Restart(site, 0);
+        for (end = Clock_Now() + START_MS;
+             !Site_IsReady(site, 0) && Clock_Now() < end;) {
+            g_usleep(20000);
+        }
+        Site_AnnounceLate(site, 0);
+        g_usleep(500000);
+        for (int request = 0; request < 30; request++) {
+            g_assert_cmpint(status_with_key(site, request % 2, 1), ==, 200);
+        }
+        g_assert_cmpuint(Site_Runs(site, 0), ==, before);
+        Site_Destroy(site);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -306,5 +363,6 @@
     g_test_add_func("/restore/start", test_start);
     g_test_add_func("/restore/lost-entry", test_lost_entry);
     g_test_add_func("/restore/left-entry", test_left_entry);
+    g_test_add_func("/restore/lost-departure", test_lost_departure);
     return g_test_run();
 }
