ObjectWriter: an absence found in a restored store has no revision from before

Cause: the writer reads its object back after a refused write. An absence has no revision, so the number of the newest state seen was kept, but it was combined with the new generation. The next write of the object got a lower number, and its answer and every read of it counted as older than what had been seen. Only within one generation is it kept now.

/objects/writer-absent is new; it failed before (value 10 stayed in the store instead of 11) and passes, 3 of 3 runs, with /objects/writer and /platform/writer.

--- a/src/objects/object_writer.c
+++ b/src/objects/object_writer.c
@@ -64,8 +64,11 @@
 
     pthread_mutex_lock(&writer->lock);
     if (result == RESULT_NOT_FOUND) {
-        /* The absence has no revision of its own. */
-        record.revision.number = writer->seen.number;
+        /* The absence has no revision of its own. After a restoration the
+         * next one may be below that of the earlier generation. */
+        if (record.revision.generation == writer->seen.generation) {
+            record.revision.number = writer->seen.number;
+        }
         result = RESULT_OK;
     }
     if (result == RESULT_OK) {
--- a/src/objects/test_objects.c
+++ b/src/objects/test_objects.c
@@ -370,6 +370,36 @@
     }
 }
 
+/* Guards against a writer that no longer writes, since a write found that the
+ * restored store lacks the object before a list did, and the next revisions
+ * were below those of before. */
+static void
+test_writer_absent(void)
+{
+    OneObject object = {
+        .lock = PTHREAD_MUTEX_INITIALIZER, .revision = {1, 0}, .next = 51};
+    ObjectWriter_desc desc = {
+        .store = &object.functions, .kind = "k", .name = "own"};
+    ObjectWriter *writer;
+
+    object.functions =
+        (ObjectStore){.context = &object, .get = get_one, .put = put_one};
+    writer = ObjectWriter_Start(&desc);
+    ObjectWriter_Set(writer, json_integer(9));
+    expect_number(&object, 9);
+    g_usleep(20000); /* the writer has seen the answer */
+
+    pthread_mutex_lock(&object.lock);
+    object.revision = (ObjectRevision){.generation = 2};
+    object.next = 30;
+    pthread_mutex_unlock(&object.lock);
+    for (int number = 10; number < 13; number++) {
+        ObjectWriter_Set(writer, json_integer(number));
+        expect_number(&object, number);
+    }
+    ObjectWriter_Stop(writer);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -380,6 +410,7 @@
     g_test_add_func("/objects/generations", test_generations);
     g_test_add_func("/objects/shared-generation", test_shared_generation);
     g_test_add_func("/objects/writer", test_writer);
+    g_test_add_func("/objects/writer-absent", test_writer_absent);
     result = g_test_run();
     rcu_unregister_thread();
     return result;
