Rpc: late replies to a call that timed out no longer take the next calls' time

A host whose call to another one timed out, since that one did not run for a moment, got no reply from it any more: each further call with the same socket timed out at once.

Cause: a call that times out has been sent several times, and each copy is answered. The late replies stay in the socket. The RPC library discards one as a reply to another call, but counts a whole retransmit interval for it and sends the request again, whose replies are late for the call after. With a timeout of a few retransmit intervals it never catches up.

The socket of a failed call is closed, and its slot is reused first. In calm nothing changes: one socket is kept for each peer.

--- a/src/rpc/client.c
+++ b/src/rpc/client.c
@@ -160,10 +160,17 @@
     return handle;
 }
 
+/* Late replies to a call that failed would arrive at the socket and take the
+ * time of the next calls: after a failure it is closed. */
 static void
-release_handle(RpcClient *client, Handle *handle)
+release_handle(RpcClient *client, Handle *handle, gboolean failed)
 {
+    if (failed && handle->rpc != NULL) {
+        clnt_destroy(handle->rpc);
+        handle->rpc = NULL;
+    }
     pthread_mutex_lock(&client->lock);
+    handle->used = handle->rpc != NULL ? handle->used : 0;
     handle->is_busy = FALSE;
     pthread_cond_signal(&client->released);
     pthread_mutex_unlock(&client->lock);
@@ -209,7 +216,7 @@
                            (caddr_t)request, (xdrproc_t)xdr_RpcSealed,
                            (caddr_t)reply, timeval_of((int)left));
     }
-    release_handle(client, handle);
+    release_handle(client, handle, status != RPC_SUCCESS);
     if (status != RPC_SUCCESS) {
         xdr_free((xdrproc_t)xdr_RpcSealed, reply);
         return FALSE;
--- a/src/rpc/test_rpc.c
+++ b/src/rpc/test_rpc.c
@@ -677,6 +677,36 @@
     tear_down(&fixture);
 }
 
+/* Guards against a host that gets no reply any more from one that did not run
+ * for a while, because late replies to earlier calls take the time of each
+ * further one. */
+static void
+test_late_replies(void)
+{
+    enum { TIMEOUT_MS = 200 };
+    Fixture fixture;
+    RpcPeer to = {.host = SERVER_HOST, .incarnation = 7, .ip = LOOPBACK};
+    Rpc *server;
+
+    set_up(&fixture, FALSE);
+    server = create_rpc(SERVER_HOST, 7, secret, FALSE);
+    Rpc_Handle(server, ECHO_KIND, echo, &fixture);
+    to.port = Rpc_GetPort(server);
+    g_assert_cmpint(
+        Rpc_Call(fixture.client, &to, ECHO_KIND, NULL, NULL, TIMEOUT_MS), ==,
+        RESULT_RPC_TIMEOUT);
+    g_assert_true(Rpc_Start(server, NULL));
+    g_usleep(50000); /* the late replies have arrived */
+    for (int i = 0; i < 5; i++) {
+        g_assert_cmpint(
+            Rpc_Call(fixture.client, &to, ECHO_KIND, NULL, NULL, TIMEOUT_MS),
+            ==, RESULT_OK);
+    }
+    Rpc_Stop(server);
+    Rpc_Destroy(server);
+    tear_down(&fixture);
+}
+
 /* Guards against unbounded memory for the windows and replies of many senders,
  * and against a new sender that evicts a recently active one. */
 static void
@@ -758,6 +788,7 @@
     g_test_add_func("/rpc/lost-and-crossed", test_lost_and_crossed);
     g_test_add_func("/rpc/concurrent", test_concurrent);
     g_test_add_func("/rpc/timeout", test_timeout);
+    g_test_add_func("/rpc/late-replies", test_late_replies);
     g_test_add_func("/rpc/session-bounds", test_session_bounds);
     g_test_add_func("/rpc/session-floor", test_session_floor);
     return g_test_run();
