Sidecar: a new process asks for the neighbours' version until one answers

Cause: they were asked once in each generation, and no answer counted as an answer. The monitor, which pings neighbours anyway, now asks again once a second until one has named a version. As before the store's word counts meanwhile, so a host without reachable neighbours starts. Two threads may require a version now, so the higher one is kept.

--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -66,8 +66,10 @@
 void
 Catalog_Require(Catalog *catalog, uint64_t version)
 {
-    if (version > atomic_load(&catalog->required)) {
-        atomic_store(&catalog->required, version);
+    uint64_t required = atomic_load(&catalog->required);
+
+    while (version > required && !atomic_compare_exchange_weak(
+                                     &catalog->required, &required, version)) {
     }
 }
 
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -52,6 +52,7 @@
     atomic_bool roster_known;  /* the backend servers have been listed */
     int64_t asked_generation;  /* in which the neighbours were last asked for
                                   their version */
+    atomic_bool must_ask;      /* no neighbour has answered yet */
     ObjectWriter *writer;
     Departure *departure;
     ClockMs max_catalog_age_ms; /* maximum age of a usable configuration */
@@ -70,9 +71,9 @@
 SidecarMonitor *_Sidecar_StartMonitor(Sidecar *sidecar);
 void _Sidecar_StopMonitor(SidecarMonitor *monitor);
 
-/* Asks some neighbours for their versions of the configuration. Returns the
- * newest one, 0 if none answered. */
-uint64_t _Sidecar_FindNewestVersion(Sidecar *sidecar);
+/* Asks some neighbours for their versions of the configuration and requires
+ * the newest one. If none has one, the monitor asks again. */
+void _Sidecar_AskVersions(Sidecar *sidecar);
 
 /* sidecar_ports.c: announcements, readiness, metrics. */
 gboolean _Sidecar_OpenPorts(Sidecar *sidecar, GError **error);
--- a/src/sidecar/sidecar_monitor.c
+++ b/src/sidecar/sidecar_monitor.c
@@ -134,6 +134,9 @@
             check_unreachable(sidecar, &suspects[i]);
         }
         ping_silent(sidecar);
+        if (atomic_load(&sidecar->must_ask)) {
+            _Sidecar_AskVersions(sidecar);
+        }
     }
     return NULL;
 }
@@ -172,15 +175,17 @@
     return GUINT64_FROM_BE(version);
 }
 
-uint64_t
-_Sidecar_FindNewestVersion(Sidecar *sidecar)
+void
+_Sidecar_AskVersions(Sidecar *sidecar)
 {
     RosterPeer peers[MAX_ASKED + 1];
     uint64_t key = Rng_HashString(sidecar->settings->host);
     uint64_t newest = 0;
-    uint32_t count = Roster_Rank(sidecar->roster, key, FALSE, Clock_Now(),
-                                 peers, G_N_ELEMENTS(peers));
+    uint32_t count;
 
+    atomic_store(&sidecar->must_ask, TRUE);
+    count = Roster_Rank(sidecar->roster, key, FALSE, Clock_Now(), peers,
+                        G_N_ELEMENTS(peers));
     for (uint32_t i = 0; i < count && !atomic_load(&sidecar->leaving); i++) {
         if (!peers[i].is_self) {
             uint64_t version = ask_version(sidecar, &peers[i]);
@@ -188,7 +193,10 @@
             newest = MAX(newest, version);
         }
     }
-    return newest;
+    if (newest > 0) {
+        Catalog_Require(sidecar->catalog, newest);
+        atomic_store(&sidecar->must_ask, FALSE);
+    }
 }
 
 SidecarMonitor *
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -101,7 +101,7 @@
 
 /* Called with each confirmed generation of the store. A store that was
  * restored may lack the record of this host's departure, and may hold an older
- * version than the neighbours have read: asks them once in each generation. */
+ * version than the neighbours have read: asks them in each generation. */
 static void
 enter_generation(Sidecar *sidecar, int64_t generation)
 {
@@ -116,7 +116,7 @@
     Departure_NoteGeneration(sidecar->departure, generation);
     if (generation >= FIRST_RESTORED) {
         await_roster(sidecar);
-        Catalog_Require(sidecar->catalog, _Sidecar_FindNewestVersion(sidecar));
+        _Sidecar_AskVersions(sidecar);
     }
 }
 
--- a/tests/process_restore.c
+++ b/tests/process_restore.c
@@ -226,6 +226,44 @@
     Site_Destroy(site);
 }
 
+/* Guards against a daemon that starts while its neighbours do not answer and
+ * that goes on accepting a withdrawn key when they do. */
+static void
+test_start_unanswered(void)
+{
+    Site *site = make_site(3);
+    ClockMs end;
+
+    ObjectServer_Save(Site_Store(site));
+    configure(site, 2);
+    expect_version(site, 3, 2);
+    begin_restore(site);
+    end_restore(site);
+    Site_Signal(site, 0, SIGSTOP);
+    Site_Signal(site, 1, SIGSTOP);
+    Site_Signal(site, 2, SIGKILL);
+    g_assert_true(Site_AwaitExit(site, 2, 1000));
+    Site_Restart(site, 2);
+    for (end = Clock_Now() + START_MS;
+         !Site_IsReady(site, 2) && Clock_Now() < end;) {
+        g_usleep(20000);
+    }
+    Site_Signal(site, 0, SIGCONT);
+    Site_Signal(site, 1, SIGCONT);
+    for (end = Clock_Now() + REVOCATION_MS;
+         status_with_key(site, 2, 1) == 200 && Clock_Now() < end;) {
+        g_usleep(20000);
+    }
+    for (int n = 0; n < 20; n++) {
+        g_assert_cmpint(status_with_key(site, 2, 1), !=, 200);
+        g_assert_cmpint(status_with_key(site, 2, 2), !=, 401);
+        g_usleep(20000);
+    }
+    configure(site, 3);
+    expect_version(site, 3, 3);
+    Site_Destroy(site);
+}
+
 static gboolean
 has_object(Site *site, const char *kind, const char *name)
 {
@@ -361,6 +399,7 @@
     g_test_add_func("/restore/cut-neighbour", test_cut_neighbour);
     g_test_add_func("/restore/older-version", test_older_version);
     g_test_add_func("/restore/start", test_start);
+    g_test_add_func("/restore/start-unanswered", test_start_unanswered);
     g_test_add_func("/restore/lost-entry", test_lost_entry);
     g_test_add_func("/restore/left-entry", test_left_entry);
     g_test_add_func("/restore/lost-departure", test_lost_departure);
