HTTP: stricter tests of repeated and cut answers

Nothing in the table of each test failed when these lines were taken out of the code, so callers could have got a part of a body as whole, or a backend server the next request as the rest of a body that it had not read: - an upload that was answered early keeps its connection (`*reusable && complete` in exchange()); - a coding that is not known, a length beside chunks, two lengths that differ, a length that is no number, a chunk size without digits and text behind a chunk (read_body(), content_length(), parse_chunk_size(), read_chunks()).

All pass on the present code.

--- a/src/backend/test_extra_answers.c
+++ b/src/backend/test_extra_answers.c
@@ -2,6 +2,7 @@
  * parts of them, on a connection that stays open, and against answers that
  * contradict themselves. */
 #include <glib.h>
+#include <netinet/tcp.h>
 #include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -12,8 +13,10 @@
 #define SERVICE "permits"
 #define MAX_CONNECTIONS 4
 #define PAUSE_MS 30
+#define UPLOAD_BYTES (8 * 1024 * 1024)
 
 #define ID(id) "X-Id: " id "\r\n"
+#define SIGNED "X-Signature: s\r\n"
 #define EMPTY "Content-Length: 0\r\n\r\n"
 #define REFUSAL(status, id) \
     "HTTP/1.1 " status "\r\n" id "X-Not-Run: 1\r\n" EMPTY
@@ -41,6 +44,7 @@
     const char *behind;
     const char *extra[2];
     const char *second;
+    int pause_ms; /* 0: PAUSE_MS */
 } Script;
 
 typedef struct Server {
@@ -68,6 +72,14 @@
     }
 }
 
+static void
+make_pause(const Script *script)
+{
+    int pause_ms = script->pause_ms > 0 ? script->pause_ms : PAUSE_MS;
+
+    g_usleep((gulong)pause_ms * 1000);
+}
+
 static void *
 run_connection(void *context)
 {
@@ -76,18 +88,20 @@
     int fd = connection->fd;
     gboolean kept = FALSE;
     char buffer[4000];
+    int on = 1;
 
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
         if (g_atomic_int_add(&connection->server->requests, 1) == 0) {
             send_text(fd, script->first);
-            g_usleep(PAUSE_MS * 1000);
+            make_pause(script);
             send_text(fd, script->behind);
             g_atomic_int_set(&connection->server->sent_behind, TRUE);
         }
         else {
             for (size_t i = 0; kept && i < G_N_ELEMENTS(script->extra); i++) {
                 send_text(fd, script->extra[i]);
-                g_usleep(PAUSE_MS * 1000);
+                make_pause(script);
             }
             send_text(fd, script->second);
         }
@@ -120,9 +134,12 @@
 start_server(Server *server)
 {
     socklen_t bytes = sizeof(server->address);
+    int receive_bytes = 4096;
 
     g_assert_true(HttpAddress_Parse("127.0.0.1:0", &server->address));
     server->listener = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(server->listener, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+               sizeof(receive_bytes));
     g_assert_cmpint(
         bind(server->listener, (struct sockaddr *)&server->address, bytes), ==,
         0);
@@ -144,37 +161,47 @@
     }
 }
 
-static Backend *
-create_backend(const Server *server, HttpClient *client)
+static void
+announce(Backend *backend, const Server *server, const char *instance,
+         int64_t born)
 {
-    Backend *backend = Backend_Create(&(Backend_desc){
-        .names = &names, .service = SERVICE, .client = client});
     BackendAnnouncement announcement = {.address = server->address,
-                                        .instance = "i1",
                                         .service = SERVICE,
                                         .slots = 2,
-                                        .born = 100,
+                                        .born = born,
                                         .sequence = 1};
 
+    g_strlcpy(announcement.instance, instance, sizeof(announcement.instance));
     g_assert_true(Backend_Announce(backend, &announcement));
+}
+
+static Backend *
+create_backend(const Server *server, HttpClient *client)
+{
+    Backend *backend = Backend_Create(&(Backend_desc){
+        .names = &names, .service = SERVICE, .client = client});
+
+    announce(backend, server, "i1", 100);
     return backend;
 }
 
 static void
-run_request(Backend *backend, const char *id, gboolean idempotent,
-            BackendReply *reply)
+run_body(Backend *backend, const char *method, const char *id,
+         gboolean idempotent, GBytes *body, BackendReply *reply)
 {
     static const HttpHeaders no_headers;
+    size_t bytes;
+    const char *data = g_bytes_get_data(body, &bytes);
     BackendCall call = {.request_id = id,
                         .service = SERVICE,
                         .caller = "desk",
                         .team = "crews",
-                        .method = "POST",
+                        .method = method,
                         .target = "/x",
                         .host = "a.example",
                         .headers = &no_headers,
-                        .body = "body",
-                        .body_bytes = 4,
+                        .body = data,
+                        .body_bytes = bytes,
                         .deadline = Clock_Now() + 2000,
                         .idempotent = idempotent,
                         .max_risk = 1,
@@ -183,6 +210,16 @@
     Backend_Run(backend, &call, reply);
 }
 
+static void
+run_request(Backend *backend, const char *id, gboolean idempotent,
+            BackendReply *reply)
+{
+    GBytes *body = g_bytes_new_static("body", 4);
+
+    run_body(backend, "POST", id, idempotent, body, reply);
+    g_bytes_unref(body);
+}
+
 /* Runs a request that must not run twice. */
 static void
 run_once(Backend *backend, const char *id, BackendReply *reply)
@@ -369,6 +406,74 @@
      RESULT_ANSWER_LOST,
      RUN_UNKNOWN,
      1},
+    {"after a 421",
+     {.first = OTHER(ID("r1")),
+      .extra = {OTHER(""), OTHER(ID("r1"))},
+      .second = DONE(ID("r2"))},
+     NULL,
+     RESULT_OK,
+     RUN_YES,
+     1},
+    {"after the end of the connection was announced",
+     {.first = "HTTP/1.1 503 Busy\r\n" ID("r1") "X-Not-Run: 1\r\n"
+                                                "Connection: close\r\n" EMPTY,
+      .behind = SHED(""),
+      .second = DONE(ID("r2"))},
+     NULL,
+     RESULT_OK,
+     RUN_YES,
+     2},
+    {"without a length",
+     {.first = SHED(ID("r1")),
+      .extra = {"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n\r\n"},
+      .second = DONE(ID("r2"))},
+     NULL,
+     RESULT_DEADLINE_EXPIRED,
+     RUN_UNKNOWN,
+     1},
+    {"204 and 304",
+     {.first = SHED(ID("r1")),
+      .extra = {"HTTP/1.1 204 No\r\nX-Not-Run: 1\r\n\r\n",
+                "HTTP/1.1 304 No\r\n" ID("r1") "Content-Length: 9\r\n\r\n"},
+      .second = DONE(ID("r2"))},
+     NULL,
+     RESULT_OK,
+     RUN_YES,
+     1},
+    {"in front of the end of the connection",
+     {.first = SHED(ID("r1")),
+      .extra = {SHED("") SHED(ID("r1"))},
+      .second = "HTTP/1.1 200 OK\r\n" ID(
+          "r2") "X-Signature: s\r\n"
+                "Connection: close\r\nContent-Length: 2\r\n\r\nok"},
+     NULL,
+     RESULT_OK,
+     RUN_YES,
+     1},
+    {"interim answers on both sides",
+     {.first = SHED(ID("r1")),
+      .extra = {"HTTP/1.1 100 Continue\r\n\r\n" SHED(""),
+                "HTTP/1.1 103 Hints\r\n" ID("r1") "X-Not-Run: 1\r\n\r\n"},
+      .second = DONE(ID("r2"))},
+     NULL,
+     RESULT_OK,
+     RUN_YES,
+     1},
+    {"behind the answer with the same id",
+     {.first = SHED(ID("r1")), .second = DONE(ID("r2")) SHED(ID("r2"))},
+     NULL,
+     RESULT_OK,
+     RUN_YES,
+     1},
+    {"nine of them",
+     {.first = SHED(ID("r1")),
+      .extra = {SHED("") SHED("") SHED("") SHED("") SHED(""),
+                SHED("") SHED("") SHED("") SHED("")},
+      .second = DONE(ID("r2"))},
+     NULL,
+     RESULT_ANSWER_LOST,
+     RUN_UNKNOWN,
+     1},
 };
 
 /* Replays a backend server that writes an earlier refusal once more, whole or
@@ -386,7 +491,13 @@
         start_server(&server);
         backend = create_backend(&server, client);
         run_once(backend, "r1", &reply);
-        g_assert_cmpint(reply.result, ==, RESULT_BACKEND_SERVER_SHED);
+        if (reply.answer.status == 421) {
+            g_assert_cmpint(reply.result, ==, RESULT_BACKEND_SERVER_OTHER);
+            announce(backend, &server, "i9", 200);
+        }
+        else {
+            g_assert_cmpint(reply.result, ==, RESULT_BACKEND_SERVER_SHED);
+        }
         g_assert_cmpint(reply.run, ==, RUN_NO);
         HttpAnswer_Clear(&reply.answer);
         while (!g_atomic_int_get(&server.sent_behind)) {
@@ -408,6 +519,151 @@
     }
 }
 
+/* Runs two requests on one connection, and a third one if asked. Returns the
+ * outcome of the second one, which need not be POST. */
+static void
+run_second(const Script *script, const char *method, GBytes *body,
+           gboolean third, BackendReply *reply, int *connections)
+{
+    Server server = {.script = *script};
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+    Backend *backend;
+
+    start_server(&server);
+    backend = create_backend(&server, client);
+    run_once(backend, "r1", reply);
+    g_assert_cmpint(reply->run, ==, RUN_NO);
+    HttpAnswer_Clear(&reply->answer);
+    while (!g_atomic_int_get(&server.sent_behind)) {
+        g_usleep(100);
+    }
+    run_body(backend, method, "r2", FALSE, body, reply);
+    if (third) {
+        BackendReply other;
+
+        run_once(backend, "r3", &other);
+        HttpAnswer_Clear(&other.answer);
+    }
+    *connections = g_atomic_int_get(&server.connections);
+    Backend_Destroy(backend);
+    HttpClient_Destroy(client);
+    stop_server(&server);
+}
+
+/* Checks the second answer behind a part of a copy, and behind the whole copy
+ * in two segments. */
+static void
+check_cut_copy(const char *copy, size_t cut, gboolean whole)
+{
+    GBytes *body = g_bytes_new_static("body", 4);
+    g_autofree char *part = g_strndup(copy, cut);
+    g_autofree char *rest =
+        g_strconcat(whole ? copy + cut : "", DONE(ID("r2")), NULL);
+    Script script = {.first = SHED(ID("r1")),
+                     .extra = {part},
+                     .second = rest,
+                     .pause_ms = 1};
+    BackendReply reply;
+    int connections;
+
+    run_second(&script, "POST", body, FALSE, &reply, &connections);
+    g_assert_cmpint(reply.run, !=, RUN_NO);
+    g_assert_cmpint(connections, ==, 1);
+    if (whole || cut == 0 || cut == strlen(copy)) {
+        g_assert_cmpint(reply.result, ==, RESULT_OK);
+    }
+    if (reply.result == RESULT_OK) {
+        g_assert_cmpint(reply.answer.status, ==, 200);
+        g_assert_cmpstr(reply.answer.body, ==, "ok");
+        g_assert_cmpstr(HttpHeaders_Get(&reply.answer.headers, "X-Signature"),
+                        ==, "s");
+    }
+    HttpAnswer_Clear(&reply.answer);
+    g_bytes_unref(body);
+}
+
+/* Replays earlier answers that are written once more up to each of their
+ * bytes, on a kept connection. Guards against a part of such a copy that
+ * becomes a part of the answer in flight. */
+static void
+test_cut_copies(void)
+{
+    static const char *const copies[] = {
+        SHED(""),
+        SHED(ID("r1")),
+        OTHER(""),
+        "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n2;a=b\r\nno\r\n0\r\nX-End: 1\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n" REFUSAL("429 Many", ""),
+        "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 3\r\n\r\nold",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(copies); i++) {
+        for (size_t cut = 0; cut <= strlen(copies[i]); cut++) {
+            g_test_message("copy %zu to byte %zu", i, cut);
+            check_cut_copy(copies[i], cut, FALSE);
+            check_cut_copy(copies[i], cut, TRUE);
+        }
+    }
+}
+
+/* Guards against a copy that is taken for the answer to a request whose body
+ * is still being sent, or to a HEAD request, whose answer has no body, and
+ * against a request that is read as the rest of an earlier body. */
+static void
+test_other_requests(void)
+{
+    static const struct {
+        const char *name;
+        const char *method;
+        size_t body_bytes;
+        const char *extra;
+        const char *second;
+        Result result;
+        RunState run;
+        int connections; /* 2: of a third request, too */
+    } cases[] = {
+        {"copy during an upload", "POST", UPLOAD_BYTES, SHED(""),
+         DONE(ID("r2")), RESULT_ANSWER_LOST, RUN_UNKNOWN, 1},
+        {"copy with the earlier id during an upload", "POST", UPLOAD_BYTES,
+         SHED(ID("r1")), DONE(ID("r2")), RESULT_ANSWER_LOST, RUN_UNKNOWN, 1},
+        {"refusal during an upload", "POST", UPLOAD_BYTES, NULL,
+         SHED(ID("r2")), RESULT_BACKEND_SERVER_SHED, RUN_NO, 1},
+        {"answer during an upload", "POST", UPLOAD_BYTES, NULL, DONE(ID("r2")),
+         RESULT_OK, RUN_YES, 2},
+        {"HEAD", "HEAD", 0, SHED(""),
+         "HTTP/1.1 200 OK\r\n" ID("r2") SIGNED "Content-Length: 9\r\n\r\n",
+         RESULT_OK, RUN_YES, 1},
+        {"copy with a body before HEAD", "HEAD", 0,
+         "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\n"
+         "full",
+         "HTTP/1.1 200 OK\r\n" ID("r2") SIGNED "Content-Length: 9\r\n\r\n",
+         RESULT_ANSWER_LOST, RUN_UNKNOWN, 1},
+        {"204", "POST", 4, SHED(""),
+         "HTTP/1.1 204 No\r\n" ID("r2") SIGNED "\r\n", RESULT_OK, RUN_YES, 1},
+    };
+    char *bytes = g_malloc0(UPLOAD_BYTES);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GBytes *body = g_bytes_new_static(bytes, cases[i].body_bytes);
+        Script script = {.first = SHED(ID("r1")),
+                         .extra = {cases[i].extra},
+                         .second = cases[i].second};
+        BackendReply reply;
+        int connections;
+
+        run_second(&script, cases[i].method, body, cases[i].connections > 1,
+                   &reply, &connections);
+        g_test_message("%s: %s", cases[i].name, Result_Name(reply.result));
+        g_assert_cmpint(reply.result, ==, cases[i].result);
+        g_assert_cmpint(reply.run, ==, cases[i].run);
+        g_assert_cmpint(connections, ==, cases[i].connections);
+        HttpAnswer_Clear(&reply.answer);
+        g_bytes_unref(body);
+    }
+    g_free(bytes);
+}
+
 /* Replays answers in front of the first one on a connection. Guards against
  * taking a refusal without an id for the request's own once an answer of
  * another request has shown that the connection carries those, too. */
@@ -446,7 +702,6 @@
 }
 
 #define STATED "X-Not-Run: 1\r\n"
-#define SIGNED "X-Signature: s\r\n"
 #define ANSWER(status, headers) \
     "HTTP/1.1 " status "\r\n" ID("r1") headers EMPTY
 
@@ -520,6 +775,8 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/extra-answers/repeated-refusal", test_repeated_refusal);
+    g_test_add_func("/extra-answers/cut-copies", test_cut_copies);
+    g_test_add_func("/extra-answers/other-requests", test_other_requests);
     g_test_add_func("/extra-answers/new-connection", test_new_connection);
     g_test_add_func("/extra-answers/statements", test_statements);
     return g_test_run();
--- a/src/http/test_answers.c
+++ b/src/http/test_answers.c
@@ -10,10 +10,12 @@
 
 #define DEADLINE_MS 5000
 #define HEAD "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\n"
+#define WARM "HTTP/1.1 200 OK\r\nX-Id: r0\r\nContent-Length: 4\r\n\r\nwarm"
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 
-/* A server that sends the same bytes to each request on a connection of its
- * own, then closes or resets the connection. */
+/* A server that sends the same bytes to one request on each connection, then
+ * closes or resets the connection. On a kept connection that is the second
+ * request, and the first one gets WARM. */
 typedef struct Server {
     int listener;
     struct sockaddr_in address;
@@ -22,6 +24,7 @@
     const char *bytes;
     size_t length;
     gboolean reset;
+    gboolean kept;
     gboolean hold; /* wait for the client to close */
 } Server;
 
@@ -30,9 +33,17 @@
 {
     struct linger now = {.l_onoff = 1};
     char buffer[2000];
+    gboolean kept;
 
     (void)!recv(fd, buffer, sizeof(buffer), 0);
     pthread_mutex_lock(&server->lock);
+    kept = server->kept;
+    pthread_mutex_unlock(&server->lock);
+    if (kept) {
+        (void)!send(fd, WARM, strlen(WARM), MSG_NOSIGNAL);
+        (void)!recv(fd, buffer, sizeof(buffer), 0);
+    }
+    pthread_mutex_lock(&server->lock);
     if (server->length > 0) {
         (void)!send(fd, server->bytes, server->length, MSG_NOSIGNAL);
     }
@@ -83,9 +94,11 @@
 }
 
 static void
-set_answer(Server *server, const char *bytes, size_t length, gboolean reset)
+set_answer(Server *server, const char *bytes, size_t length, gboolean reset,
+           gboolean kept)
 {
     pthread_mutex_lock(&server->lock);
+    server->kept = kept;
     server->bytes = bytes;
     server->length = length;
     server->reset = reset;
@@ -93,8 +106,8 @@
 }
 
 static Result
-call_server(HttpClient *client, const Server *server, HttpCancel *cancel,
-            HttpAnswer *answer)
+call_server(HttpClient *client, const Server *server, const char *method,
+            HttpCancel *cancel, HttpAnswer *answer)
 {
     HttpCall call = {.address = server->address,
                      .method = "GET",
@@ -102,67 +115,93 @@
                      .allow_unframed = TRUE,
                      .fresh_connection = TRUE,
                      .match_header = "X-Id",
-                     .match_value = "r1",
+                     .match_value = "r0",
                      .deadline = Clock_Now() + DEADLINE_MS,
                      .cancel = cancel};
     gboolean sent;
 
+    if (server->kept) {
+        g_assert_cmpint(HttpClient_Call(client, &call, answer, &sent), ==,
+                        RESULT_OK);
+        HttpAnswer_Clear(answer);
+        call.fresh_connection = FALSE;
+    }
+    call.method = method;
+    call.match_value = "r1";
     return HttpClient_Call(client, &call, answer, &sent);
 }
 
+typedef struct CutCase {
+    const char *answer;
+    const char *body;
+    gboolean unframed;
+    const char *method; /* NULL: GET */
+} CutCase;
+
+/* Calls a server that stops before the byte `cut` of its answer. */
+static void
+check_cut(HttpClient *client, Server *server, const CutCase *cut_case,
+          size_t cut, gboolean reset)
+{
+    const char *text = cut_case->answer;
+    HttpAnswer answer = {0};
+    gboolean whole = cut == strlen(text);
+    Result result = call_server(client, server,
+                                cut_case->method ? cut_case->method : "GET",
+                                NULL, &answer);
+
+    if (!reset && cut_case->unframed) {
+        whole = text + cut >= strstr(text, "close\r\n\r\n") + 9;
+    }
+    if (whole && !reset) {
+        g_assert_cmpint(result, ==, RESULT_OK);
+    }
+    if (!whole || (cut_case->unframed && reset)) {
+        g_assert_cmpint(result, !=, RESULT_OK);
+    }
+    if (result == RESULT_OK && cut == strlen(text)) {
+        g_assert_cmpstr(answer.body, ==, cut_case->body);
+    }
+    HttpAnswer_Clear(&answer);
+}
+
 /* Replays a server that stops at each byte of its answer, and closes or resets
- * the connection. Guards against an answer that is accepted although it ended
- * early. One without a length that ends with the connection cannot be told
- * from a shorter one, unless the connection is reset. */
+ * the connection, which is new or kept. Guards against an answer that is
+ * accepted although it ended early. One without a length that ends with the
+ * connection cannot be told from a shorter one, unless the connection is
+ * reset. */
 static void
 test_cut(void)
 {
-    static const struct {
-        const char *answer;
-        const char *body;
-        gboolean unframed;
-    } cases[] = {
-        {HEAD "Content-Length: 12\r\n\r\nhello, world", "hello, world", FALSE},
-        {HEAD "Content-Length: 0\r\n\r\n", "", FALSE},
+    static const CutCase cases[] = {
+        {HEAD "Content-Length: 12\r\n\r\nhello, world", "hello, world", FALSE,
+         NULL},
+        {HEAD "Content-Length: 0\r\n\r\n", "", FALSE, NULL},
         {HEAD CHUNKED "5\r\nhello\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n",
-         "hello0123456789abcdef", FALSE},
+         "hello0123456789abcdef", FALSE, NULL},
         {HEAD CHUNKED "5\r\nhello\r\n0\r\nX-Sum: 1\r\nX-End: 2\r\n\r\n",
-         "hello", FALSE},
+         "hello", FALSE, NULL},
         {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: "
          "x\r\n\r\n" HEAD "Content-Length: 5\r\n\r\nhello",
-         "hello", FALSE},
-        {"HTTP/1.1 204 No Content\r\nX-Id: r1\r\n\r\n", "", FALSE},
-        {HEAD "Connection: close\r\n\r\nhello", "hello", TRUE},
+         "hello", FALSE, NULL},
+        {"HTTP/1.1 204 No Content\r\nX-Id: r1\r\n\r\n", "", FALSE, NULL},
+        {"HTTP/1.1 304 Not Modified\r\nX-Id: r1\r\nContent-Length: 12\r\n\r\n",
+         "", FALSE, NULL},
+        {HEAD "Content-Length: 12\r\n\r\n", "", FALSE, "HEAD"},
+        {HEAD "Connection: close\r\n\r\nhello", "hello", TRUE, NULL},
     };
     HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
     Server server;
 
     start_server(&server);
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        const char *text = cases[i].answer;
-        const char *end_of_head = strstr(text, "close\r\n\r\n");
-
-        for (size_t cut = 0; cut <= strlen(text); cut++) {
-            for (int reset = 0; reset < 2; reset++) {
-                HttpAnswer answer = {0};
-                gboolean whole = cut == strlen(text);
-                Result result;
+        for (size_t cut = 0; cut <= strlen(cases[i].answer); cut++) {
+            for (int variant = 0; variant < 4; variant++) {
+                gboolean reset = (variant & 1) != 0;
 
-                set_answer(&server, text, cut, reset);
-                result = call_server(client, &server, NULL, &answer);
-                if (!reset && cases[i].unframed) {
-                    whole = text + cut >= end_of_head + 9;
-                }
-                if (whole && !reset) {
-                    g_assert_cmpint(result, ==, RESULT_OK);
-                }
-                if (!whole || (cases[i].unframed && reset)) {
-                    g_assert_cmpint(result, !=, RESULT_OK);
-                }
-                if (result == RESULT_OK && cut == strlen(text)) {
-                    g_assert_cmpstr(answer.body, ==, cases[i].body);
-                }
-                HttpAnswer_Clear(&answer);
+                set_answer(&server, cases[i].answer, cut, reset,
+                           (variant & 2) != 0);
+                check_cut(client, &server, &cases[i], cut, reset);
             }
         }
     }
@@ -202,6 +241,30 @@
         {"two codings",
          TEXT(HEAD "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n"
                    "\r\n5\r\nhello\r\n0\r\n\r\n")},
+        {"unknown coding", TEXT(HEAD "Transfer-Encoding: gzip\r\n\r\n5\r\n"
+                                     "hello\r\n0\r\n\r\n")},
+        {"list of codings",
+         TEXT(HEAD "Transfer-Encoding: gzip, chunked\r\n\r\n5\r\n"
+                   "hello\r\n0\r\n\r\n")},
+        {"no coding", TEXT(HEAD "Transfer-Encoding:\r\n\r\nhello")},
+        {"length and chunks",
+         TEXT(HEAD "Content-Length: 5\r\n" CHUNKED "5\r\nhello\r\n0\r\n\r\n")},
+        {"chunks and length",
+         TEXT(HEAD "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n"
+                   "5\r\nhello\r\n0\r\n\r\n")},
+        {"two lengths", TEXT(HEAD "Content-Length: 9\r\nContent-Length: 5\r\n"
+                                  "\r\nhello")},
+        {"list of lengths", TEXT(HEAD "Content-Length: 5, 5\r\n\r\nhello")},
+        {"text behind the length",
+         TEXT(HEAD "Content-Length: 5 bytes\r\n\r\nhello")},
+        {"empty length", TEXT(HEAD "Content-Length:\r\n\r\nhello")},
+        {"sign in the length", TEXT(HEAD "Content-Length: +5\r\n\r\nhello")},
+        {"empty chunk size", TEXT(HEAD CHUNKED "\r\n\r\n")},
+        {"extension without a chunk size", TEXT(HEAD CHUNKED ";a\r\n\r\n")},
+        {"text behind a chunk",
+         TEXT(HEAD CHUNKED "5\r\nhello, world\r\n0\r\n\r\n")},
+        {"text behind the last chunk",
+         TEXT(HEAD CHUNKED "5\r\nhello\r\n0\r\nworld\r\n\r\n")},
     };
     HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
     Server server;
@@ -211,8 +274,8 @@
         HttpAnswer answer = {0};
         Result result;
 
-        set_answer(&server, cases[i].bytes, cases[i].length, FALSE);
-        result = call_server(client, &server, NULL, &answer);
+        set_answer(&server, cases[i].bytes, cases[i].length, FALSE, FALSE);
+        result = call_server(client, &server, "GET", NULL, &answer);
         g_test_message("%s: %s", cases[i].name, Result_Name(result));
         g_assert_true(result == RESULT_ANSWER_LOST ||
                       result == RESULT_ANSWER_TRUNCATED);
@@ -260,10 +323,11 @@
         HttpAnswer answer = {0};
         pthread_t thread;
 
-        set_answer(&server, answers[i], strlen(answers[i]), FALSE);
+        set_answer(&server, answers[i], strlen(answers[i]), FALSE, FALSE);
         pthread_create(&thread, NULL, trigger_cancel, &trigger);
-        g_assert_cmpint(call_server(client, &server, trigger.cancel, &answer),
-                        ==, RESULT_CANCELLED);
+        g_assert_cmpint(
+            call_server(client, &server, "GET", trigger.cancel, &answer), ==,
+            RESULT_CANCELLED);
         g_assert_cmpint(answer.status, ==, 0);
         pthread_join(thread, NULL);
         HttpCancel_Destroy(trigger.cancel);
