HTTP: "close" among several options of a Connection header ends the connection

A backend server that announces the end of a connection as one option of several ("Connection: x-option, close"), or in a second header, got the next request on it. If it closed first, the request's answer was lost, with the run unknown.

Cause: the value was compared with "close" as a whole. It is a list of options (RFC 9110, section 7.6.1).

Test: "after the end was announced among other options" in /extra-answers/repeated-refusal; before, one connection instead of two. By reading of the protocol; not seen from a backend server.

--- a/src/backend/test_extra_answers.c
+++ b/src/backend/test_extra_answers.c
@@ -423,6 +423,15 @@
      RESULT_OK,
      RUN_YES,
      2},
+    {"after the end was announced among other options",
+     {.first = "HTTP/1.1 503 Busy\r\n" ID(
+          "r1") "X-Not-Run: 1\r\n"
+                "Connection: x-option, Close\r\n" EMPTY,
+      .second = DONE(ID("r2"))},
+     NULL,
+     RESULT_OK,
+     RUN_YES,
+     2},
     {"without a length",
      {.first = SHED(ID("r1")),
       .extra = {"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n\r\n"},
--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -656,12 +656,28 @@
     return read_bytes(connection, body, (size_t)length, deadline);
 }
 
+/* Whether a Connection header has "close" among its options. */
 static gboolean
 has_connection_close(const HttpAnswer *answer)
 {
-    const char *value = HttpHeaders_Get(&answer->headers, "Connection");
+    for (size_t i = 0; i < answer->headers.count; i++) {
+        const char *option = answer->headers.items[i].value;
+        size_t length;
 
-    return value != NULL && g_ascii_strcasecmp(value, "close") == 0;
+        if (g_ascii_strcasecmp(answer->headers.items[i].name, "Connection") !=
+            0) {
+            continue;
+        }
+        for (; *option != '\0'; option += length) {
+            option += strspn(option, ", \t");
+            length = strcspn(option, ", \t");
+            if (length == strlen("close") &&
+                g_ascii_strncasecmp(option, "close", length) == 0) {
+                return TRUE;
+            }
+        }
+    }
+    return FALSE;
 }
 
 Result
