HTTP: an answer with ids of two requests is not the answer of either

A refusal with the id of the request in flight and that of an earlier one was taken as the request's own: "not run" for a request that ran.

Cause: only the first value of the header was compared. Now each one has to be the request's id; an answer with another one is passed over, as one of another request.

Test: "two ids" in /extra-answers/repeated-refusal; before, BACKEND_SERVER_SHED run=no, now the answer that follows it. Found in review; not seen from a backend server.

--- a/src/backend/test_extra_answers.c
+++ b/src/backend/test_extra_answers.c
@@ -483,6 +483,14 @@
      RESULT_ANSWER_LOST,
      RUN_UNKNOWN,
      1},
+    {"two ids",
+     {.first = SHED(ID("r1")),
+      .extra = {SHED(ID("r2") ID("r1"))},
+      .second = DONE(ID("r2"))},
+     NULL,
+     RESULT_OK,
+     RUN_YES,
+     1},
 };
 
 /* Replays a backend server that writes an earlier refusal once more, whole or
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -347,18 +347,24 @@
 
 /* Whether the answer belongs to the call. One without an id may be a late copy
  * of an earlier answer if the connection was used before, or has brought an
- * answer of another request. */
+ * answer of another request. One with several ids is not identified. */
 static gboolean
 matches_call(const HttpCall *call, const HttpAnswer *answer, gboolean shared)
 {
-    const char *value;
+    gboolean matches = !shared && !call->match_strictly;
 
-    if (call->match_header == NULL) {
-        return TRUE;
+    for (size_t i = 0; call->match_header != NULL && i < answer->headers.count;
+         i++) {
+        const HttpHeader *header = &answer->headers.items[i];
+
+        if (g_ascii_strcasecmp(header->name, call->match_header) == 0) {
+            matches = TRUE;
+            if (strcmp(header->value, call->match_value) != 0) {
+                return FALSE;
+            }
+        }
     }
-    value = HttpHeaders_Get(&answer->headers, call->match_header);
-    return value == NULL ? !shared && !call->match_strictly
-                         : strcmp(value, call->match_value) == 0;
+    return call->match_header == NULL || matches;
 }
 
 static Result
