Stop: an attempt that a stopping host would cut is refused as not run

What callers saw: 504 or 502 at the end of a stop, for requests that arrived in its first 2.3 s, or whose next attempt began late in it, while their backend server was at work.

Cause: the entry sent owners the moment at which it abandons requests as the deadline of the request. An owner takes a deadline before the end of its own stop for the request's own, so its check of the expected run never refused: neither at the stopping host itself nor at an owner that stops later, and one that does not stop had nothing to check. A request from before SIGTERM kept its own deadline in attempts that began during the stop, so owners did not know of the cut at all.

Fix: the deadline of every attempt that begins in a stop is limited, and the call says whether its deadline is such a limit (a new last field of Radishknot-Call; daemons of earlier versions neither send nor read it). The owner then takes the run only if the wait and two mean service times fit, the same condition as in its own stop, on arrival and while the request waits; otherwise it answers SHUTTING_DOWN, not run. The caller gets a 503 with the time of the restart.

Not covered: an attempt that began before SIGTERM and still waits in the queue of another host's owner, which does not learn of the stop.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -287,25 +287,31 @@
     };
 }
 
-/* Whether this host or its backend server stops too early for the request.
- * Late in a stop, most senders are stopping, too, and could not send a run
- * that is cut to another owner. The mean, which may come from few or shorter
- * runs, does not suffice then: the time in which the answer is due has to be
- * left as well. Called with the lock held. */
-static gboolean
-is_leaving(const Backend *backend, const BackendCall *call,
+/* Whether this host, its backend server or the sender's host stops too early
+ * for the request. Late in a stop, most senders are stopping, too, and could
+ * not send a run that is cut to another owner. The mean, which may come from
+ * few or shorter runs, does not suffice then: the time in which the answer is
+ * due has to be left as well. Called with the lock held. */
+static Result
+check_stop(const Backend *backend, const BackendCall *call,
            const AdmissionTicket *ticket, ClockMs now)
 {
     ClockMs expected_ms =
         Admission_ExpectedWait(backend->admission, ticket, now) +
         LONG_RUN_FACTOR * Admission_ServiceMs(backend->admission, ticket);
+    ClockMs own_deadline = call->ends_by_stop ? CLOCK_NEVER : call->deadline;
 
+    if (call->ends_by_stop && expected_ms > call->deadline - now) {
+        return RESULT_SHUTTING_DOWN;
+    }
     if (now > backend->stop.take_until) {
         expected_ms = MAX(expected_ms, call->target_time - now);
     }
     return backend->closed || backend->state != BACKEND_READY ||
-           !StopPlan_TakesRun(&backend->stop, call->deadline, expected_ms,
-                              now);
+                   !StopPlan_TakesRun(&backend->stop, own_deadline,
+                                      expected_ms, now)
+               ? RESULT_BACKEND_SERVER_LEAVING
+               : RESULT_OK;
 }
 
 /* Whether the request may queue for a slot. Called with the lock held. */
@@ -313,11 +319,14 @@
 check_call(const Backend *backend, const BackendCall *call,
            const AdmissionTicket *ticket, ClockMs now)
 {
+    Result result;
+
     if (strcmp(call->service, backend->desc.service) != 0) {
         return RESULT_BACKEND_SERVER_OTHER;
     }
-    if (is_leaving(backend, call, ticket, now)) {
-        return RESULT_BACKEND_SERVER_LEAVING;
+    result = check_stop(backend, call, ticket, now);
+    if (result != RESULT_OK) {
+        return result;
     }
     if (current_risk(backend, now) > call->max_risk &&
         !Exploration_IsAllowed(call->explore_idle_ms,
@@ -342,11 +351,14 @@
 check_wait(const Backend *backend, const BackendCall *call,
            const AdmissionTicket *ticket, ClockMs now)
 {
+    Result result;
+
     if (call->cancel != NULL && HttpCancel_IsTriggered(call->cancel)) {
         return RESULT_CANCELLED;
     }
-    if (is_leaving(backend, call, ticket, now)) {
-        return RESULT_BACKEND_SERVER_LEAVING;
+    result = check_stop(backend, call, ticket, now);
+    if (result != RESULT_OK) {
+        return result;
     }
     if (now >= call->deadline) {
         return RESULT_DEADLINE_EXPIRED;
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -18,7 +18,7 @@
  *  - if it is for another service: the address of this host was used by
  *    another host before, and the sender's roster is out of date;
  *  - if the backend server is stopping or has not announced itself, or if this
- *    host stops before the request can be expected to end;
+ *    host or the sender's stops before the request can be expected to end;
  *  - if its risk of a gray failure or the expected wait for a slot exceeds the
  *    sender's limit. A request that explores an idle backend server is exempt
  *    from the limit of risk. Only the owner knows how long the backend server
@@ -34,8 +34,9 @@
  *
  * Results: OK with an answer; BACKEND_SERVER_ERROR with the backend server's
  * error answer; BACKEND_SERVER_LEAVING, _EJECTED, _BUSY, _SHED, _OTHER,
- * CONNECT_FAILED (not run); DEADLINE_EXPIRED and CANCELLED with the run state;
- * ANSWER_LOST, ANSWER_TRUNCATED, ANSWER_MISMATCH (may have run).
+ * CONNECT_FAILED, SHUTTING_DOWN (not run; the last if the sender's host stops
+ * too early); DEADLINE_EXPIRED and CANCELLED with the run state; ANSWER_LOST,
+ * ANSWER_TRUNCATED, ANSWER_MISMATCH (may have run).
  *
  * Limits: one backend server. Thread safe.
  */
@@ -102,6 +103,9 @@
     size_t body_bytes;
     ClockMs target_time; /* time until which an answer is in time */
     ClockMs deadline;
+    /* The sender's host stops: it abandons the request at `deadline`, and the
+     * request's own deadline is later. */
+    gboolean ends_by_stop;
     /* give_up() is called attempt_timeout_ms after the start of the attempt;
      * TRUE abandons it. NULL: the attempt lasts until the deadline. */
     ClockMs attempt_timeout_ms;
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -202,7 +202,6 @@
         .deadline_ms = request->deadline - now};
     PlacementLimits limits = Placement_Limits(&placement, &ask);
 
-    call->deadline = request->deadline;
     call->explore_idle_ms = choice->explore_idle_ms;
     call->max_risk = limits.max_risk;
     call->max_wait_ms = limits.max_wait_ms;
@@ -498,6 +497,7 @@
 
     *reply = (BackendReply){.result = RESULT_NO_BACKEND_SERVER, .run = RUN_NO};
     for (int round = 0; round < MAX_ROUNDS; round++) {
+        _Gateway_LimitToStop(request);
         if (Clock_Now() >= request->deadline) {
             reply->result = RESULT_DEADLINE_EXPIRED;
             break;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -36,7 +36,8 @@
     HttpHeaders forwarded;
     BackendCall call;
     ClockMs arrived;
-    ClockMs deadline; /* caller's deadline or route's timeout, the earlier */
+    ClockMs deadline; /* the earliest of the caller's deadline, the route's
+                         timeout and the end of a stop */
     ClockMs caller_deadline; /* by the caller's header alone */
     ClockMs backlog_ms;  /* shortest wait of the owners that were full; 0: none
                             was */
@@ -68,6 +69,10 @@
  * further attempt is allowed. */
 void _Gateway_Attempt(GatewayRequest *request, BackendReply *reply);
 
+/* Limits the deadline to the moment at which a stop that has begun abandons
+ * the requests. */
+void _Gateway_LimitToStop(GatewayRequest *request);
+
 /* gateway_answer.c: what the caller receives after the last attempt. */
 
 /* Whether the reply holds an answer of a backend server that is passed on. */
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -98,21 +98,34 @@
         MIN(request->arrived + target_ms, request->deadline);
 }
 
-/* Refuses a request that a graceful stop does not take, and limits the
- * deadline of one that it takes. The body may have ended long after the head
- * arrived. */
+/* Refuses a request that a graceful stop does not take. The body may have
+ * ended long after the head arrived. */
 static Result
 apply_stop(GatewayRequest *request, const StopPlan *stop, ClockMs now)
 {
     if (request->arrived >= stop->begin) {
         request->stop_ms = request->arrived - stop->begin;
     }
-    if (!StopPlan_Takes(stop, request->deadline, now)) {
-        return RESULT_SHUTTING_DOWN;
+    return StopPlan_Takes(stop, request->deadline, now) ? RESULT_OK
+                                                        : RESULT_SHUTTING_DOWN;
+}
+
+void
+_Gateway_LimitToStop(GatewayRequest *request)
+{
+    Gateway *gateway = request->gateway;
+    ClockMs abandon;
+
+    pthread_mutex_lock(&gateway->lock);
+    abandon = gateway->stop.abandon;
+    pthread_mutex_unlock(&gateway->lock);
+    if (abandon < request->deadline) {
+        request->deadline = abandon;
+        request->target_time = MIN(request->target_time, abandon);
+        request->call.ends_by_stop = TRUE;
     }
-    request->deadline = MIN(request->deadline, stop->abandon);
-    request->target_time = MIN(request->target_time, request->deadline);
-    return RESULT_OK;
+    request->call.deadline = request->deadline;
+    request->call.target_time = request->target_time;
 }
 
 static void
@@ -129,8 +142,6 @@
     call->host = HttpHeaders_Get(HttpRequest_Headers(request->http), "Host");
     call->headers = &request->forwarded;
     call->body = HttpRequest_Body(request->http, &call->body_bytes);
-    call->deadline = request->deadline;
-    call->target_time = request->target_time;
     call->idempotent = request->route->idempotent;
     call->priority = request->route->priority;
     if (team != NULL && team->has_priority) {
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -48,11 +48,12 @@
 
     (void)snprintf(
         line, sizeof(line),
-        "%" PRId64 " %c %d %.3f %" PRId64 " %d %" PRId64 " %" PRId64,
+        "%" PRId64 " %c %d %.3f %" PRId64 " %d %" PRId64 " %" PRId64 " %d",
         CLAMP(call->deadline - now, 0, MAX_WAIT_MS),
         call->idempotent ? 'i' : 'o', call->priority, call->max_risk,
         MIN(call->max_wait_ms, MAX_WAIT_MS), call->is_retry,
-        call->explore_idle_ms, CLAMP(call->target_time - now, 0, MAX_WAIT_MS));
+        call->explore_idle_ms, CLAMP(call->target_time - now, 0, MAX_WAIT_MS),
+        call->ends_by_stop);
     HttpHeaders_Add(headers, CALL_HEADER, line);
     HttpHeaders_Add(headers, CALLER_HEADER, call->caller);
     HttpHeaders_Add(headers, SERVICE_HEADER, call->service);
@@ -78,13 +79,16 @@
     call->team = HttpHeaders_Get(headers, TEAM_HEADER);
     call->caller = HttpHeaders_Get(headers, CALLER_HEADER);
     call->service = HttpHeaders_Get(headers, SERVICE_HEADER);
-    /* Earlier versions do not send the last two fields. */
+    /* Earlier versions do not send the last three fields. */
     call->explore_idle_ms = 0;
+    call->ends_by_stop = FALSE;
     if (line == NULL || call->caller == NULL || call->service == NULL ||
-        sscanf(
-            line, "%" SCNd64 " %c %d %lf %" SCNd64 " %d %" SCNd64 " %" SCNd64,
-            &left, &kind, &call->priority, &call->max_risk, &call->max_wait_ms,
-            &call->is_retry, &call->explore_idle_ms, &target_left) < 6 ||
+        sscanf(line,
+               "%" SCNd64 " %c %d %lf %" SCNd64 " %d %" SCNd64 " %" SCNd64
+               " %d",
+               &left, &kind, &call->priority, &call->max_risk,
+               &call->max_wait_ms, &call->is_retry, &call->explore_idle_ms,
+               &target_left, &call->ends_by_stop) < 6 ||
         (kind != 'i' && kind != 'o') || !is_time(left) ||
         !is_time(target_left) || !is_time(call->max_wait_ms) ||
         !is_time(call->explore_idle_ms)) {
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -105,13 +105,32 @@
     }
 }
 
+/* Guards against an owner that takes the moment at which a stopping host
+ * abandons a request for the request's own deadline. */
+static void
+test_stop(void)
+{
+    for (int ends_by_stop = 0; ends_by_stop < 2; ends_by_stop++) {
+        BackendCall call = {.service = "permits",
+                            .caller = "desk",
+                            .ends_by_stop = ends_by_stop};
+        BackendCall decoded = {.ends_by_stop = !ends_by_stop};
+        HttpHeaders headers = {0};
+
+        PeerWire_EncodeCall(&call, 0, &headers);
+        g_assert_true(PeerWire_DecodeCall(&headers, 0, &decoded));
+        g_assert_cmpint(decoded.ends_by_stop, ==, ends_by_stop);
+        HttpHeaders_Clear(&headers);
+    }
+}
+
 /* Guards against refusing calls and replies of daemons of an earlier version
  * while a fleet is upgraded. */
 static void
 test_earlier_version(void)
 {
     HttpHeaders headers = {0};
-    BackendCall call = {.explore_idle_ms = 7};
+    BackendCall call = {.explore_idle_ms = 7, .ends_by_stop = TRUE};
     BackendReply reply = {0};
 
     HttpHeaders_Add(&headers, "Radishknot-Call", "5000 i 0 0.1 5 0");
@@ -119,6 +138,7 @@
     HttpHeaders_Add(&headers, "Radishknot-Service", "permits");
     g_assert_true(PeerWire_DecodeCall(&headers, 0, &call));
     g_assert_cmpint(call.explore_idle_ms, ==, 0);
+    g_assert_false(call.ends_by_stop);
     HttpHeaders_Add(&headers, "Radishknot-Reply", "0 1 1 0.1 4 1 0 300 0 0");
     g_assert_true(PeerWire_DecodeReply(&headers, &reply));
     g_assert_cmpint(reply.owner_ms, ==, -1);
@@ -236,6 +256,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/peer-wire/deadlines", test_deadlines);
     g_test_add_func("/peer-wire/call", test_call);
+    g_test_add_func("/peer-wire/stop", test_stop);
     g_test_add_func("/peer-wire/times", test_times);
     g_test_add_func("/peer-wire/repeat", test_retry);
     g_test_add_func("/peer-wire/earlier-version", test_earlier_version);
--- a/tests/process_stop.c
+++ b/tests/process_stop.c
@@ -20,6 +20,7 @@
     Site *site;
     ClockMs start; /* time of SIGTERM */
     ClockMs at_ms;
+    int host; /* receives it */
     const char *method;
     const char *path;
     gboolean must_be_served;
@@ -39,8 +40,9 @@
         g_usleep(1000);
     }
     sent = Clock_Now();
-    request->reply = Site_RequestPooled(request->site, 0, request->method,
-                                        request->path, SITE_KEY, request->id);
+    request->reply =
+        Site_RequestPooled(request->site, request->host, request->method,
+                           request->path, SITE_KEY, request->id);
     request->took_ms = Clock_Now() - sent;
     return NULL;
 }
@@ -233,17 +235,21 @@
     Site_Destroy(site);
 }
 
-/* Guards against an owner that takes a request in its stop, from a host that
- * does not stop, and cuts it at the end: the last runs took so long that it
- * cannot expect the request to end before. */
+/* Guards against a request that reaches an owner 2 s after the SIGTERM of the
+ * owner, of the host that received it, or of both in one, and that is cut at
+ * the end: the last runs took so long that it cannot be expected to end
+ * before. */
 static void
-test_late_at_owner(void)
+check_late_at_owner(int entry, int stopping)
 {
     enum { ROUNDS = 2, WORK_MS = 2500, LONG_MS = 4800 };
     Site *site = Site_Create();
     Request requests[ROUNDS * SLOTS];
-    Request last = {
-        .site = site, .at_ms = 2000, .method = "POST", .path = "/issue/1"};
+    Request last = {.site = site,
+                    .at_ms = 2000,
+                    .host = entry,
+                    .method = "POST",
+                    .path = "/issue/1"};
 
     Site_Configure(site, 1, KEYS, 0);
     Site_AddHost(site, &(SiteHost_desc){.service = "other"});
@@ -261,11 +267,62 @@
     }
     Site_SetWorkMs(site, 1, LONG_MS);
     last.start = Clock_Now();
-    Site_Signal(site, 1, SIGTERM);
+    Site_Signal(site, stopping, SIGTERM);
     send_all(&last, 1);
     check(&last);
-    g_assert_true(
-        Site_AwaitExit(site, 1, MAX(last.start + GRACE_MS - Clock_Now(), 0)));
+    g_assert_true(Site_AwaitExit(site, stopping,
+                                 MAX(last.start + GRACE_MS - Clock_Now(), 0)));
+    Site_Destroy(site);
+}
+
+static void
+test_late_at_owner(void)
+{
+    check_late_at_owner(0, 1);
+}
+
+static void
+test_late_from_entry(void)
+{
+    check_late_at_owner(0, 0);
+}
+
+static void
+test_late_at_both(void)
+{
+    check_late_at_owner(1, 1);
+}
+
+/* Guards against a second attempt at a request from before SIGTERM that begins
+ * late in the stop and is cut at the end: here 0.6 s before the end, at a
+ * backend server that is expected to need 0.8 s. */
+static void
+test_late_second_attempt(void)
+{
+    enum { FIRST_MS = 5100, STOP_AT_MS = 500, SECOND_MS = 2000 };
+    Site *site = make_site(FIRST_MS);
+    Request request = {.site = site, .method = "GET", .path = "/patient/1"};
+    unsigned runs = 0;
+
+    Site_SetDeadline(site, 9000);
+    for (int host = 0; host < HOSTS; host++) {
+        Site_SetFailing(site, host, 100);
+    }
+    request.start = Clock_Now();
+    pthread_create(&request.thread, NULL, send_request, &request);
+    g_usleep(STOP_AT_MS * 1000);
+    Site_Signal(site, 0, SIGTERM);
+    set_work(site, SECOND_MS);
+    pthread_join(request.thread, NULL);
+    for (int host = 0; host < HOSTS; host++) {
+        runs += Site_Runs(site, host);
+    }
+    g_test_message("status %d after %" G_GINT64_FORMAT " ms, %u runs",
+                   request.reply.status, request.took_ms, runs);
+    g_assert_cmpint(request.reply.status, ==, 500);
+    g_assert_cmpint(request.took_ms, <=, FIRST_MS + REFUSAL_MS);
+    g_assert_cmpuint(runs, ==, 1);
+    g_assert_true(Site_AwaitExit(site, 0, GRACE_MS));
     Site_Destroy(site);
 }
 
@@ -400,6 +457,9 @@
     g_test_add_func("/stop/late-body", test_late_body);
     g_test_add_func("/stop/calls", test_calls_in_stop);
     g_test_add_func("/stop/late-at-owner", test_late_at_owner);
+    g_test_add_func("/stop/late-from-entry", test_late_from_entry);
+    g_test_add_func("/stop/late-at-both", test_late_at_both);
+    g_test_add_func("/stop/late-second-attempt", test_late_second_attempt);
     g_test_add_func("/stop/short-at-owner", test_short_at_owner);
     g_test_add_func("/stop/retry-not-taken", test_retry_not_taken);
     g_test_add_func("/stop/first-answers", test_first_answers);
--- a/tests/site.c
+++ b/tests/site.c
@@ -245,11 +245,12 @@
 }
 
 static json_t *
-make_route(const char *prefix, const char *kind, gboolean anonymous)
+make_route(const char *prefix, const char *kind, gboolean anonymous,
+           const char *timeout)
 {
     return json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:b}", "host",
                      SITE_HOST_HEADER, "path_prefix", prefix, "kind", kind,
-                     "service", "desk", "timeout", "5000ms", "target_latency",
+                     "service", "desk", "timeout", timeout, "target_latency",
                      "2000ms", "priority", 1, "attempts", 3, "allow_anonymous",
                      anonymous);
 }
@@ -258,13 +259,14 @@
 Site_Configure(Site *site, unsigned version, const char *keys, int rate_per_s)
 {
     char *text = g_strdup_printf("%08x", version);
-    json_t *value =
-        json_pack("{s:s, s:{s:o, s:o, s:o}, s:{s:{s:o, s:i, s:i}}}", "version",
-                  text, "routes", "read", make_route("/read/", "safe", FALSE),
-                  "issue", make_route("/issue/", "non_idempotent", FALSE),
-                  "open", make_route("/open/", "safe", TRUE), "tenants",
-                  "crews", "api_keys", json_loads(keys, 0, NULL), "rate_per_s",
-                  rate_per_s, "burst", rate_per_s);
+    json_t *value = json_pack(
+        "{s:s, s:{s:o, s:o, s:o, s:o}, s:{s:{s:o, s:i, s:i}}}", "version",
+        text, "routes", "read", make_route("/read/", "safe", FALSE, "5000ms"),
+        "issue", make_route("/issue/", "non_idempotent", FALSE, "5000ms"),
+        "open", make_route("/open/", "safe", TRUE, "5000ms"), "patient",
+        make_route("/patient/", "safe", TRUE, "20000ms"), "tenants", "crews",
+        "api_keys", json_loads(keys, 0, NULL), "rate_per_s", rate_per_s,
+        "burst", rate_per_s);
 
     g_assert_nonnull(value);
     ObjectServer_Write(site->store, "config", "main", value);
