Gateway: a request that a closed host refuses gets the time of its return

What callers saw: a 503 without Retry-After from a host in the last milliseconds of its process, although they had several seconds left.

Cause: the HTTP server refuses a request that arrives after it has closed. The gateway filled that answer without reading the caller's deadline and assumed 3 s, of which a third is less than the time in which a host starts again.

Fix: the refusal reads the caller's deadline as any other request does.

Test /gateway-refusal/closed: 8,000 ms left, before no Retry-After, now 1.68 s; 2,000 ms left, none before and now.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -150,6 +150,7 @@
 
     request.call.request_id = HttpHeaders_Get(HttpRequest_Headers(http),
                                               gateway->desc.names->request_id);
+    request.caller_deadline = _Gateway_CallerDeadline(gateway, http);
     fill_refusal(gateway, &request, result, RUN_NO, answer);
 }
 
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -61,18 +61,22 @@
     char trace[GATEWAY_TRACE_BYTES];
 } GatewayRequest;
 
-/* gateway_request.c: checks route, team, configuration age and quota. */
+/* gateway_request.c: the time until which the caller waits. */
+ClockMs _Gateway_CallerDeadline(const Gateway *gateway,
+                                const HttpRequest *http);
+
+/* Checks route, team, configuration age and quota. */
 Result _Gateway_Prepare(GatewayRequest *request);
 void _Gateway_ClearRequest(GatewayRequest *request);
 
-/* gateway_attempt.c: sends the request to owners until one answers or no
- * further attempt is allowed. */
-void _Gateway_Attempt(GatewayRequest *request, BackendReply *reply);
-
 /* Limits the deadline to the moment at which a stop that has begun abandons
  * the requests. */
 void _Gateway_LimitToStop(GatewayRequest *request);
 
+/* gateway_attempt.c: sends the request to owners until one answers or no
+ * further attempt is allowed. */
+void _Gateway_Attempt(GatewayRequest *request, BackendReply *reply);
+
 /* gateway_answer.c: what the caller receives after the last attempt. */
 
 /* Whether the reply holds an answer of a backend server that is passed on. */
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -78,22 +78,30 @@
     return RESULT_OK;
 }
 
+ClockMs
+_Gateway_CallerDeadline(const Gateway *gateway, const HttpRequest *http)
+{
+    int64_t left = HttpHeaders_GetNumber(HttpRequest_Headers(http),
+                                         gateway->desc.names->time_left_ms,
+                                         DEFAULT_DEADLINE_MS);
+
+    return HttpRequest_Arrived(http) + MAX(left, 0);
+}
+
 static void
 set_times(GatewayRequest *request)
 {
-    const HttpHeaders *headers = HttpRequest_Headers(request->http);
     const CatalogRoute *route = request->route;
-    int64_t left = HttpHeaders_GetNumber(
-        headers, request->gateway->desc.names->time_left_ms,
-        DEFAULT_DEADLINE_MS);
     ClockMs target_ms =
         route->target_ms > 0 ? route->target_ms : DEFAULT_TARGET_MS;
 
-    request->caller_deadline = request->arrived + MAX(left, 0);
+    request->caller_deadline =
+        _Gateway_CallerDeadline(request->gateway, request->http);
+    request->deadline = request->caller_deadline;
     if (route->timeout_ms > 0) {
-        left = MIN(left, route->timeout_ms);
+        request->deadline =
+            MIN(request->deadline, request->arrived + route->timeout_ms);
     }
-    request->deadline = request->arrived + MAX(left, 0);
     request->target_time =
         MIN(request->arrived + target_ms, request->deadline);
 }
