Retry: a retry that reaches no backend server is returned to the budget

What callers saw: an error answer or a timeout without a second attempt, with `final=budget` in the log, although hardly any retry had been sent.

Cause: the budget is debited when another attempt is decided on, before the owners are asked: after a failed attempt, and for the second attempt beside a slow first one. If all owners refuse, stop or cannot be reached, nothing arrives at a backend server, but the retry was used up. In a roll of the fleet, when most owners refuse, the budget is empty for the requests that could be retried.

Fix: the retry is returned if no attempt that follows has reached a backend server. It stays debited meanwhile, so that no more retries are under way than the budget has.

--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -130,6 +130,7 @@
         &input, now, &gateway->rng);
     pthread_mutex_unlock(&gateway->lock);
     if (decision.reason == RETRY_AGAIN) {
+        request->has_taken_retry = TRUE;
         Counter_Retry(reply->result);
     }
     return decision.reason;
@@ -224,6 +225,21 @@
     return taken;
 }
 
+/* Returns the retry that was taken if it has not reached a backend server. */
+static void
+return_unused_retry(GatewayRequest *request)
+{
+    Gateway *gateway = request->gateway;
+
+    if (request->has_taken_retry) {
+        pthread_mutex_lock(&gateway->lock);
+        RetryBudget_ReturnRetry(find_budget(
+            gateway, request->destination->service_hash, Clock_Now()));
+        pthread_mutex_unlock(&gateway->lock);
+        request->has_taken_retry = FALSE;
+    }
+}
+
 /* Takes over what the copy `other` of the request has learned. */
 static void
 merge_request(GatewayRequest *request, GatewayRequest *other)
@@ -285,6 +301,7 @@
         !has_free_owner(&other) || !take_retry(request)) {
         return FALSE;
     }
+    other.has_taken_retry = TRUE;
     Counter_Retry(RESULT_DEADLINE_EXPIRED);
     try_owners(&other, &reply);
     keep_failure(&other, &reply);
@@ -435,7 +452,10 @@
     if (choice->tier == ROSTER_OTHER_REGION) {
         Counter_Add(COUNTER_ROUTE_CROSS_REGION, 1);
     }
-    request->attempts += reply->arrived ? 1 : 0;
+    if (reply->arrived) {
+        request->attempts++;
+        request->has_taken_retry = FALSE;
+    }
     note_reply(request, choice, reply);
     Log_Append(request->trace, sizeof(request->trace),
                " [%s tier=%d cost=%.2f age_ms=%" PRId64
@@ -512,6 +532,7 @@
         }
         keep_failure(request, reply);
     }
+    return_unused_retry(request);
 }
 
 void
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -46,6 +46,8 @@
                             arrival; -1: arrived before, or no stop */
     ClockMs catalog_age; /* age of the configuration, Catalog_Age() */
     QuotaSource quota_source;
+    gboolean has_taken_retry;  /* from the budget, and no attempt since has
+                                  reached a backend server */
     gboolean can_retry;        /* a retry could follow a failed next attempt */
     BackendReply *other_reply; /* answer of a second attempt that was made
                                   while the first one ran; NULL: none */
--- a/src/retry/retry.c
+++ b/src/retry/retry.c
@@ -156,6 +156,12 @@
     return TRUE;
 }
 
+void
+RetryBudget_ReturnRetry(RetryBudget *budget)
+{
+    budget->tokens += 1;
+}
+
 /* Results for which an attempt at another target may succeed. All other
  * results concern the request or the caller. */
 static gboolean
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -109,6 +109,9 @@
 /* Takes a retry without a decision; FALSE if the budget is exhausted. */
 gboolean RetryBudget_TakeRetry(RetryBudget *budget, ClockMs now);
 
+/* Returns a retry that was taken and has not been sent. */
+void RetryBudget_ReturnRetry(RetryBudget *budget);
+
 /* Deducts retries that other senders made against the same limit. The balance
  * may become negative, down to minus the size of the bucket. */
 void RetryBudget_Debit(RetryBudget *budget, double retries, ClockMs now);
--- a/src/retry/test_retry.c
+++ b/src/retry/test_retry.c
@@ -114,6 +114,20 @@
     }
 }
 
+/* Guards against a budget that is used up by retries that were not sent. */
+static void
+test_return(void)
+{
+    RetryBudget budget;
+
+    RetryBudget_Init(&budget, NULL, 0);
+    for (int i = 0; i < 10; i++) {
+        g_assert_true(RetryBudget_TakeRetry(&budget, 0));
+        g_assert_false(RetryBudget_TakeRetry(&budget, 0));
+        RetryBudget_ReturnRetry(&budget);
+    }
+}
+
 /* Guards against a budget that permits more retries than its share, or none at
  * low traffic. */
 static void
@@ -374,5 +388,6 @@
     g_test_add_func("/retry/uneven-senders", test_uneven_senders);
     g_test_add_func("/retry/unknown-rates", test_unknown_rates);
     g_test_add_func("/retry/backoff", test_backoff);
+    g_test_add_func("/retry/return", test_return);
     return g_test_run();
 }
--- a/tests/process_sidecar.c
+++ b/tests/process_sidecar.c
@@ -280,6 +280,33 @@
     Site_Destroy(site);
 }
 
+/* Guards against a retry budget that is used up by retries which no other
+ * backend server received: here the other hosts are down. */
+static void
+test_unsent_retries(void)
+{
+    enum { COUNT = 20 };
+    Site *site = make_site(3);
+    char *log;
+
+    Site_SetFailing(site, 0, 100);
+    for (int host = 1; host < 3; host++) {
+        Site_Signal(site, host, SIGKILL);
+        g_assert_true(Site_AwaitExit(site, host, 1000));
+    }
+    for (int i = 0; i < COUNT; i++) {
+        SiteReply reply = Site_Request(site, 0, "GET", "/read/1", SITE_KEY);
+
+        g_assert_cmpint(reply.result, ==, RESULT_OK);
+        g_assert_cmpint(reply.status, ==, 500);
+    }
+    g_assert_cmpuint(Site_Runs(site, 0), ==, COUNT);
+    log = Site_ReadLog(site, 0);
+    g_assert_null(strstr(log, "final=budget"));
+    g_free(log);
+    Site_Destroy(site);
+}
+
 /* Guards against running a request twice, and against falsely reporting a
  * request as not run, while owners are killed and restarted. */
 static void
@@ -417,6 +444,7 @@
                     test_leave_before_restart);
     g_test_add_func("/sidecar/gray", test_gray);
     g_test_add_func("/sidecar/graceful-stop", test_graceful_stop);
+    g_test_add_func("/sidecar/unsent-retries", test_unsent_retries);
     g_test_add_func("/sidecar/kills", test_kills);
     g_test_add_func("/sidecar/lost-host", test_failed_host);
     g_test_add_func("/sidecar/quota", test_quota);
