Mirror: no watch at the store from before a restoration after a failed neighbour

A host that was waiting for a neighbour's page when another part of its daemon noticed that the store had been restored, and that then turned to the store, began a watch of up to 25 s from a revision of the earlier generation.

Such a watch is now refused as one whose history is gone, so the kind is listed at once.

/mirror/watch-after-restoration is new; it failed before (the watch went to the store) and passes, 3 of 3 runs. A thread that is suspended between this check and the call has the same effect; that is not shown by a test.

--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -236,6 +236,11 @@
     if (read_neighbour(mirror, kind, revision, wait_ms, page, &result)) {
         return result;
     }
+    if (revision.generation <
+        ObjectGeneration_Newest(mirror->desc.generation)) {
+        /* The store has been restored while the neighbour was read. */
+        return RESULT_STORE_HISTORY_GONE;
+    }
     if (mirror->source != 0) {
         wait_ms = MIN(wait_ms, TAKEOVER_WAIT_MS);
     }
--- a/src/mirror/test_mirror.c
+++ b/src/mirror/test_mirror.c
@@ -414,6 +414,45 @@
     close_fixture(&fixture);
 }
 
+/* Mirror port of a host that fails after another part of the reader's daemon
+ * has noticed a restoration. */
+static void
+fail_restored(void *context, HttpRequest *request)
+{
+    HttpAnswer answer = {0};
+
+    (void)ObjectGeneration_Note(context, 2);
+    HttpAnswer_SetJson(&answer, 503, g_strdup("{}"));
+    HttpRequest_Respond(request, &answer);
+}
+
+/* Guards against a long watch at the store from a revision of the earlier
+ * generation, begun when the watches had been ended because of a restoration.
+ */
+static void
+test_watch_after_restoration(void)
+{
+    HttpServer_desc desc = {.worker_threads = 1, .handler = fail_restored};
+    Fixture fixture = {0};
+    HttpServer *server;
+    ObjectPage page;
+
+    open_fixture(&fixture);
+    (void)ObjectGeneration_Note(fixture.generation, 1);
+    g_assert_true(HttpAddress_Parse("127.0.0.1:0", &desc.address));
+    desc.context = fixture.generation;
+    server = HttpServer_Create(&desc, NULL);
+    fixture.neighbour.mirror_port = HttpServer_Port(server);
+    Roster_Set(fixture.roster, &fixture.neighbour, Clock_Now());
+    ObjectPage_Init(&page);
+    g_assert_cmpint(watch(&fixture, (ObjectRevision){1, 9}, &page), ==,
+                    RESULT_STORE_HISTORY_GONE);
+    g_assert_cmpint(fixture.store.watches, ==, 0);
+    ObjectPage_Clear(&page);
+    close_fixture(&fixture);
+    HttpServer_Destroy(server);
+}
+
 /* Guards against a reader that cannot read from a daemon without generations,
  * and against one that such a daemon takes back. */
 static void
@@ -482,6 +521,8 @@
     g_test_add_func("/mirror/follower", test_follower);
     g_test_add_func("/mirror/list-after-restoration",
                     test_list_after_restoration);
+    g_test_add_func("/mirror/watch-after-restoration",
+                    test_watch_after_restoration);
     g_test_add_func("/mirror/earlier-version", test_earlier_version);
     g_test_add_func("/mirror/neighbour-gone", test_neighbour_stopped);
     return g_test_run();
