Stop: a run that outlasts the process ends with an answer

What callers saw: a closed connection, 5.6 s after SIGTERM, for a request from before SIGTERM that may not be repeated, whose backend server is on the stopping host and whose own deadline is later than the end of the stop.

Cause: a run that may not be repeated goes on when its caller leaves. The cancellation of a stop used the same means, so it did not end the run either: the process waited for the request until its end and exited without an answer.

Fix: a cancellation of its own, 100 ms before the process ends. The run keeps the time that it had, since an answer is still delivered until then.

Test /stop/outlasting-run: before result ANSWER_LOST, 5,612 ms after SIGTERM; now 502, 5,506 ms after SIGTERM.

--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -120,6 +120,9 @@
      * has been sent to the backend server for this long. */
     ClockMs explore_idle_ms;
     HttpCancel *cancel;
+    /* Ends a run that may not be repeated, which `cancel` leaves to finish;
+     * NULL: nothing does. */
+    HttpCancel *cancel_run;
 } BackendCall;
 
 typedef struct BackendReply {
--- a/src/backend/backend_call.c
+++ b/src/backend/backend_call.c
@@ -89,7 +89,8 @@
                      .match_header = exchange->names->request_id,
                      .match_value = call->request_id,
                      .soft_timeout = call->give_up ? &timeout : NULL,
-                     .cancel = call->idempotent ? call->cancel : NULL};
+                     .cancel =
+                         call->idempotent ? call->cancel : call->cancel_run};
     gboolean sent;
 
     fill_headers(exchange, call, started, &headers);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -113,6 +113,7 @@
 
     Counter_Add(COUNTER_ENTRY_REQUESTS, 1);
     request.call.cancel = cancel;
+    request.call.cancel_run = HttpCancelSet_Begin(gateway->run_cancels);
     HttpRequest_OnDisconnect(http, HttpCancel_Trigger, cancel);
     reply.result = _Gateway_Prepare(&request);
     if (reply.result == RESULT_OK) {
@@ -138,6 +139,7 @@
                     (Clock_Now() - request.arrived) * 1000);
     HttpAnswer_Clear(&reply.answer);
     HttpCancelSet_End(gateway->cancels, cancel);
+    HttpCancelSet_End(gateway->run_cancels, request.call.cancel_run);
     _Gateway_ClearRequest(&request);
 }
 
@@ -173,6 +175,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     gateway->sizes = SizeEstimate_Create();
     gateway->cancels = HttpCancelSet_Create();
+    gateway->run_cancels = HttpCancelSet_Create();
     gateway->stop = StopPlan_None();
     Rng_Seed(&gateway->rng, Rng_ProcessSeed());
     gateway->server = HttpServer_Create(&server, error);
@@ -180,6 +183,7 @@
         SizeEstimate_Destroy(gateway->sizes);
         g_hash_table_destroy(gateway->budgets);
         HttpCancelSet_Destroy(gateway->cancels);
+        HttpCancelSet_Destroy(gateway->run_cancels);
         pthread_mutex_destroy(&gateway->lock);
         g_free(gateway);
         return NULL;
@@ -214,6 +218,12 @@
     HttpCancelSet_TriggerAll(gateway->cancels);
 }
 
+void
+Gateway_CancelRuns(Gateway *gateway)
+{
+    HttpCancelSet_TriggerAll(gateway->run_cancels);
+}
+
 unsigned
 Gateway_InFlight(const Gateway *gateway)
 {
@@ -228,6 +238,7 @@
         SizeEstimate_Destroy(gateway->sizes);
         g_hash_table_destroy(gateway->budgets);
         HttpCancelSet_Destroy(gateway->cancels);
+        HttpCancelSet_Destroy(gateway->run_cancels);
         pthread_mutex_destroy(&gateway->lock);
         g_free(gateway);
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,9 +13,10 @@
  *  3. Gateway_Drain() stops accepting connections and waits for the requests
  *     in flight.
  *  4. Gateway_Close() refuses requests that still arrive on open connections.
- *  5. Gateway_CancelRequests() ends all requests that are still in flight with
- *     their final answer.
- *  6. Gateway_Destroy().
+ *  5. Gateway_CancelRequests() ends the requests that are still in flight with
+ *     their final answer. Runs on this host that may not be repeated go on.
+ *  6. Gateway_CancelRuns() ends these, too.
+ *  7. Gateway_Destroy().
  *
  * Errors: 429 and 503 promise that the request has not run, so they are sent
  * only if every attempt is known not to have run. Otherwise the status is 502,
@@ -67,6 +68,7 @@
 gboolean Gateway_Close(Gateway *gateway, ClockMs until);
 
 void Gateway_CancelRequests(Gateway *gateway);
+void Gateway_CancelRuns(Gateway *gateway);
 unsigned Gateway_InFlight(const Gateway *gateway);
 void Gateway_Destroy(Gateway *gateway);
 
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -17,9 +17,10 @@
     Gateway_desc desc;
     uint64_t host; /* hash of this host's name */
     HttpServer *server;
-    HttpCancelSet *cancels; /* cancellation of the requests in flight */
-    pthread_mutex_t lock;   /* protects the fields below */
-    GHashTable *budgets;    /* service hash -> RetryBudget */
+    HttpCancelSet *cancels;     /* cancellation of the requests in flight */
+    HttpCancelSet *run_cancels; /* of their runs that may not be repeated */
+    pthread_mutex_t lock;       /* protects the fields below */
+    GHashTable *budgets;        /* service hash -> RetryBudget */
     SizeEstimate *sizes;
     StopPlan stop;
     Rng rng;
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -24,6 +24,10 @@
 /* Timeout of the handover of quota counts. */
 #define HANDOVER_TIMEOUT_MS 200
 
+/* Time before the end of a stop at which the last runs are cut, so that their
+ * callers get an answer. */
+#define FINAL_ANSWER_MS 100
+
 /* Longest sleep between two checks of the clock. */
 #define STOP_POLL_MS 50
 
@@ -247,6 +251,8 @@
     if (!done) {
         PeerPort_CancelRequests(sidecar->peer_port);
         Gateway_CancelRequests(sidecar->gateway);
+        (void)Gateway_Close(sidecar->gateway, plan.end - FINAL_ANSWER_MS);
+        Gateway_CancelRuns(sidecar->gateway);
         (void)Gateway_Close(sidecar->gateway, plan.end);
         (void)PeerPort_Close(sidecar->peer_port, plan.end);
     }
--- a/tests/process_stop.c
+++ b/tests/process_stop.c
@@ -326,6 +326,33 @@
     Site_Destroy(site);
 }
 
+/* Guards against a closed connection instead of an answer, for a request that
+ * must not run twice and whose run outlasts the stop. */
+static void
+test_outlasting_run(void)
+{
+    enum { WORK_MS = 8000 };
+    Site *site = Site_Create();
+    Request request = {.site = site, .method = "POST", .path = "/commit/1"};
+
+    Site_Configure(site, 1, KEYS, 0);
+    Site_SetWorkMs(site, Site_AddHost(site, &(SiteHost_desc){0}), WORK_MS);
+    Site_AwaitReady(site);
+    Site_SetDeadline(site, 9000);
+    request.start = Clock_Now();
+    pthread_create(&request.thread, NULL, send_request, &request);
+    g_usleep(200000);
+    Site_Signal(site, 0, SIGTERM);
+    pthread_join(request.thread, NULL);
+    g_test_message("result %d status %d after %" G_GINT64_FORMAT " ms",
+                   (int)request.reply.result, request.reply.status,
+                   request.took_ms);
+    g_assert_cmpint(request.reply.result, ==, RESULT_OK);
+    g_assert_cmpint(request.reply.status, ==, 502);
+    g_assert_true(Site_AwaitExit(site, 0, GRACE_MS));
+    Site_Destroy(site);
+}
+
 /* Guards against a backend server that no caller can use for seconds, since
  * its owner, which still waits for a long run, refuses short ones that would
  * end before the stop does. In a roll of the fleet most owners are in this
@@ -460,6 +487,7 @@
     g_test_add_func("/stop/late-from-entry", test_late_from_entry);
     g_test_add_func("/stop/late-at-both", test_late_at_both);
     g_test_add_func("/stop/late-second-attempt", test_late_second_attempt);
+    g_test_add_func("/stop/outlasting-run", test_outlasting_run);
     g_test_add_func("/stop/short-at-owner", test_short_at_owner);
     g_test_add_func("/stop/retry-not-taken", test_retry_not_taken);
     g_test_add_func("/stop/first-answers", test_first_answers);
--- a/tests/site.c
+++ b/tests/site.c
@@ -260,13 +260,14 @@
 {
     char *text = g_strdup_printf("%08x", version);
     json_t *value = json_pack(
-        "{s:s, s:{s:o, s:o, s:o, s:o}, s:{s:{s:o, s:i, s:i}}}", "version",
+        "{s:s, s:{s:o, s:o, s:o, s:o, s:o}, s:{s:{s:o, s:i, s:i}}}", "version",
         text, "routes", "read", make_route("/read/", "safe", FALSE, "5000ms"),
         "issue", make_route("/issue/", "non_idempotent", FALSE, "5000ms"),
         "open", make_route("/open/", "safe", TRUE, "5000ms"), "patient",
-        make_route("/patient/", "safe", TRUE, "20000ms"), "tenants", "crews",
-        "api_keys", json_loads(keys, 0, NULL), "rate_per_s", rate_per_s,
-        "burst", rate_per_s);
+        make_route("/patient/", "safe", TRUE, "20000ms"), "commit",
+        make_route("/commit/", "non_idempotent", FALSE, "20000ms"), "tenants",
+        "crews", "api_keys", json_loads(keys, 0, NULL), "rate_per_s",
+        rate_per_s, "burst", rate_per_s);
 
     g_assert_nonnull(value);
     ObjectServer_Write(site->store, "config", "main", value);
--- a/tests/site.h
+++ b/tests/site.h
@@ -48,10 +48,10 @@
 void Site_Destroy(Site *site);
 ObjectServer *Site_Store(Site *site);
 
-/* Writes a configuration with four routes to the service "desk": /read/ (may
+/* Writes a configuration with five routes to the service "desk": /read/ (may
  * be retried) and /issue/ (non-idempotent) need a key, /open/ (may be retried)
- * and /patient/ (the same, with a timeout of 20 s instead of 5 s) need none.
- * `keys` is a JSON list. */
+ * needs none. /patient/ is as /open/ and /commit/ as /issue/, but with a
+ * timeout of 20 s instead of 5 s. `keys` is a JSON list. */
 void Site_Configure(Site *site, unsigned version, const char *keys,
                     int rate_per_s);
 
