HTTP: test of late answers on connections between daemons

Answers between daemons carry no id of the request. A call that ends at its deadline or at its soft timeout, or that is cancelled, closes its connection, so the answer that arrives later belongs to no request.

/http/late-answers: passes on the present code. Fails (the next request gets the 504 of the earlier one) if HttpClient_Call() keeps the connection of a call that has failed.

--- a/src/http/test_http.c
+++ b/src/http/test_http.c
@@ -201,6 +201,83 @@
     HttpServer_Destroy(server);
 }
 
+static gboolean
+give_up(void *context)
+{
+    (void)context;
+    return TRUE;
+}
+
+static void *
+trigger_soon(void *context)
+{
+    g_usleep(30000);
+    HttpCancel_Trigger(context);
+    return NULL;
+}
+
+/* Ends a call to /hang after 30 ms in one of three ways, 70 ms before its
+ * answer. */
+static void
+end_early(HttpClient *client, HttpCall call, int way)
+{
+    HttpSoftTimeout timeout = {.until = Clock_Now() + 30, .give_up = give_up};
+    HttpCancel *cancel = HttpCancel_Create();
+    HttpAnswer answer = {0};
+    pthread_t thread;
+    gboolean sent;
+
+    call.target = "/hang";
+    call.cancel = cancel;
+    call.soft_timeout = way == 1 ? &timeout : NULL;
+    call.deadline = Clock_Now() + (way == 0 ? 30 : 5000);
+    if (way == 2) {
+        pthread_create(&thread, NULL, trigger_soon, cancel);
+    }
+    g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                    way == 2 ? RESULT_CANCELLED : RESULT_DEADLINE_EXPIRED);
+    g_assert_true(sent);
+    if (way == 2) {
+        pthread_join(thread, NULL);
+    }
+    HttpCancel_Destroy(cancel);
+}
+
+/* Guards against a late answer that is taken for that of the next request:
+ * answers between daemons carry no id. The call of the earlier request ended
+ * at its deadline, at its soft timeout or was cancelled. */
+static void
+test_late_answers(void)
+{
+    HttpServer *server = start_echo();
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+
+    for (int way = 0; way < 3; way++) {
+        for (int wait_ms = 0; wait_ms <= 100; wait_ms += 50) {
+            HttpAnswer answer = {0};
+            gboolean sent;
+            HttpCall call = {.address = loopback(HttpServer_Port(server)),
+                             .method = "GET",
+                             .target = "/next",
+                             .deadline = Clock_Now() + 5000};
+
+            /* Leaves a connection in the pool for the call that ends early. */
+            g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                            RESULT_OK);
+            HttpAnswer_Clear(&answer);
+            end_early(client, call, way);
+            g_usleep((gulong)wait_ms * 1000);
+            g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                            RESULT_OK);
+            g_assert_cmpint(answer.status, ==, 200);
+            g_assert_cmpstr(answer.body, ==, "GET /next? - ");
+            HttpAnswer_Clear(&answer);
+        }
+    }
+    HttpClient_Destroy(client);
+    HttpServer_Destroy(server);
+}
+
 typedef struct RawServer {
     int listener;
     const char *answer;
@@ -432,6 +509,7 @@
     g_test_add_func("/http/body-limit", test_body_limit);
     g_test_add_func("/http/deadlines", test_deadlines);
     g_test_add_func("/http/answer-during-give-up", test_answer_during_give_up);
+    g_test_add_func("/http/late-answers", test_late_answers);
     g_test_add_func("/http/broken-answers", test_broken_answers);
     g_test_add_func("/http/ambiguous-framing", test_ambiguous_framing);
     g_test_add_func("/http/one-answer", test_one_answer);
