--- a/tests/site.c
+++ b/tests/site.c
@@ -312,6 +312,15 @@
     g_free(command);
 }
 
+struct sockaddr_in
+Site_BackendAddress(int host)
+{
+    char address[32];
+
+    make_address(host, address, sizeof(address));
+    return parse_address(address, BACKEND_PORT);
+}
+
 int
 Site_AddHost(Site *site, const SiteHost_desc *desc)
 {
@@ -335,8 +344,10 @@
     host->settings = g_build_filename(site->folder, host->name, NULL);
     host->log = g_strconcat(host->settings, ".log", NULL);
     backend.address = parse_address(host->address, BACKEND_PORT);
-    host->backend = HttpServer_Create(&backend, NULL);
-    g_assert_nonnull(host->backend);
+    if (!desc->no_server) {
+        host->backend = HttpServer_Create(&backend, NULL);
+        g_assert_nonnull(host->backend);
+    }
     host->store_relay = Relay_Create();
     Relay_SetTarget(host->store_relay,
                     ntohs(ObjectServer_Address(site->store).sin_port));
--- a/tests/site.h
+++ b/tests/site.h
@@ -33,6 +33,7 @@
     const char *service;     /* default "desk" */
     const char *data_centre; /* default "n1" */
     const char *region;      /* default "norte" */
+    gboolean no_server;      /* the test serves Site_BackendAddress() itself */
 } SiteHost_desc;
 
 typedef struct SiteReply {
@@ -57,6 +58,7 @@
 
 /* Returns the number of the host. */
 int Site_AddHost(Site *site, const SiteHost_desc *desc);
+struct sockaddr_in Site_BackendAddress(int host);
 void Site_AwaitReady(Site *site);
 gboolean Site_IsReady(Site *site, int host);
 
