Stop: a repeatable run is taken at one mean service time before the cut

What callers saw (trial): since "an attempt that a stopping host would cut is refused as not run", requests that may be repeated were refused although most of them would have ended in time. The condition, twice the mean, is meant for runs whose cut the caller cannot repair.

Fix: for a repeatable run the wait and one mean service time have to fit before the sender's host abandons it.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -296,12 +296,15 @@
 check_stop(const Backend *backend, const BackendCall *call,
            const AdmissionTicket *ticket, ClockMs now)
 {
-    ClockMs expected_ms =
-        Admission_ExpectedWait(backend->admission, ticket, now) +
-        LONG_RUN_FACTOR * Admission_ServiceMs(backend->admission, ticket);
+    ClockMs wait_ms = Admission_ExpectedWait(backend->admission, ticket, now);
+    ClockMs service_ms = Admission_ServiceMs(backend->admission, ticket);
+    ClockMs expected_ms = wait_ms + LONG_RUN_FACTOR * service_ms;
     ClockMs own_deadline = call->ends_by_stop ? CLOCK_NEVER : call->deadline;
 
-    if (call->ends_by_stop && expected_ms > call->deadline - now) {
+    /* If a repeatable run is cut, its caller sends it again. */
+    if (call->ends_by_stop &&
+        (call->idempotent ? wait_ms + service_ms : expected_ms) >
+            call->deadline - now) {
         return RESULT_SHUTTING_DOWN;
     }
     if (now > backend->stop.take_until) {
