--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -107,21 +107,15 @@
 }
 
 /* Refuses a request that a graceful stop does not take. The body may have
- * ended long after the head arrived. A call has the deadline of its request,
- * which fails with it, so what counts is when the answer is due. */
+ * ended long after the head arrived. */
 static Result
 apply_stop(GatewayRequest *request, const StopPlan *stop, ClockMs now)
 {
-    ClockMs due = request->team == NULL
-                      ? now + request->target_time - request->arrived
-                      : CLOCK_NEVER;
-
     if (request->arrived >= stop->begin) {
         request->stop_ms = request->arrived - stop->begin;
     }
-    return StopPlan_Takes(stop, due, request->deadline, now)
-               ? RESULT_OK
-               : RESULT_SHUTTING_DOWN;
+    return StopPlan_Takes(stop, request->deadline, now) ? RESULT_OK
+                                                        : RESULT_SHUTTING_DOWN;
 }
 
 void
--- a/src/stop/stop_plan.c
+++ b/src/stop/stop_plan.c
@@ -37,10 +37,9 @@
 }
 
 gboolean
-StopPlan_Takes(const StopPlan *plan, ClockMs due, ClockMs deadline,
-               ClockMs now)
+StopPlan_Takes(const StopPlan *plan, ClockMs deadline, ClockMs now)
 {
-    return now <= plan->take_until || MIN(due, deadline) <= plan->abandon;
+    return now <= plan->take_until || deadline <= plan->abandon;
 }
 
 gboolean
--- a/src/stop/stop_plan.h
+++ b/src/stop/stop_plan.h
@@ -9,8 +9,7 @@
  *  - a request is taken in the first part of the stop, so that it can end in
  *    the rest;
  *  - later only a request that ends by itself before the stop does, because
- *    its own deadline is earlier, or a call of a running request whose answer
- *    is due before the stop ends;
+ *    its own deadline is earlier; most calls of running requests are so;
  *  - any other one is refused as not run at once, so that its caller can
  *    return when the host has started again;
  *  - an owner takes up a run only if it expects it to end before the stop
@@ -42,11 +41,9 @@
 /* `grace_ms` is the time from `begin` until the process is killed. */
 StopPlan StopPlan_Make(ClockMs begin, ClockMs grace_ms);
 
-/* Whether to take a request that has arrived, with its body, now, whose answer
- * is due at `due` (CLOCK_NEVER: that does not count) and which ends by
+/* Whether to take a request that has arrived, with its body, now and ends by
  * `deadline`, whatever happens. */
-gboolean StopPlan_Takes(const StopPlan *plan, ClockMs due, ClockMs deadline,
-                        ClockMs now);
+gboolean StopPlan_Takes(const StopPlan *plan, ClockMs deadline, ClockMs now);
 
 /* Whether to take up a run that is expected to last `expected_ms` from now,
  * and ends by `deadline`, whatever happens. */
