Stop: an owner's estimate of a run covers how much runs vary

What callers saw: 502 or 504 in a stop of their host, for requests whose backend server was at work, mostly at another host that had begun to stop earlier and cut the run.

Cause: an owner that stops took a run if twice the mean service time was left. The mean itself is too low in a process that has just started: it rises from 400 ms by a tenth of the difference with each answer, and the shortest runs end first.

Fix: Admission keeps the mean deviation of the service times beside the mean. A run has to fit with three deviations, one that may not be repeated with six if it begins late in the stop or its sender stops, too, because nobody can send it elsewhere when it is cut. A deadline that comes from the sender's stop binds the owner only if the owner stops earlier; a run is refused as not run if it can't be expected to end before the sender stops: one deviation for runs that may be repeated, two for others.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -5,6 +5,11 @@
 /* Service time assumed before the first answer. */
 #define INITIAL_SERVICE_MS 400
 
+/* Mean deviation assumed before the first answer. It is as large as the
+ * service time, because the first answers of a process come from the shortest
+ * of its runs. */
+#define INITIAL_DEVIATION_MS INITIAL_SERVICE_MS
+
 /* Weight of the newest sample in the moving averages of the service times. */
 #define SERVICE_WEIGHT 0.1
 
@@ -27,9 +32,10 @@
 
 struct Admission {
     guint slots;
-    double mean_ms;           /* mean service time */
-    double service_ms[KINDS]; /* mean service time of each kind */
-    double work_ms[KINDS];    /* slot time used lately by each kind */
+    double mean_ms;             /* mean service time */
+    double service_ms[KINDS];   /* mean service time of each kind */
+    double deviation_ms[KINDS]; /* mean absolute deviation from it */
+    double work_ms[KINDS];      /* slot time used lately by each kind */
     ClockMs work_updated;
     ClockMs last_change; /* time at which a slot was last taken or freed */
     GPtrArray *running;  /* AdmissionTicket that were admitted */
@@ -52,6 +58,7 @@
     admission->mean_ms = INITIAL_SERVICE_MS;
     for (int kind = 0; kind < KINDS; kind++) {
         admission->service_ms[kind] = INITIAL_SERVICE_MS;
+        admission->deviation_ms[kind] = INITIAL_DEVIATION_MS;
     }
     admission->running = g_ptr_array_new();
     admission->queue = g_ptr_array_new();
@@ -165,6 +172,16 @@
     return (ClockMs)admission->service_ms[kind_of(ticket)];
 }
 
+ClockMs
+Admission_LongRunMs(const Admission *admission, const AdmissionTicket *ticket,
+                    double deviations)
+{
+    Kind kind = kind_of(ticket);
+
+    return (ClockMs)(admission->service_ms[kind] +
+                     deviations * admission->deviation_ms[kind]);
+}
+
 gboolean
 Admission_Arrive(Admission *admission, AdmissionTicket *ticket,
                  ClockMs max_wait_ms, ClockMs now)
@@ -307,6 +324,7 @@
                       ClockMs service_ms, ClockMs now)
 {
     Kind kind = kind_of(ticket);
+    double error_ms;
     double decay =
         exp(-(double)(now - admission->work_updated) / WORK_DECAY_MS);
 
@@ -317,8 +335,10 @@
     admission->work_updated = now;
     admission->mean_ms +=
         SERVICE_WEIGHT * ((double)service_ms - admission->mean_ms);
-    admission->service_ms[kind] +=
-        SERVICE_WEIGHT * ((double)service_ms - admission->service_ms[kind]);
+    error_ms = (double)service_ms - admission->service_ms[kind];
+    admission->deviation_ms[kind] +=
+        SERVICE_WEIGHT * (fabs(error_ms) - admission->deviation_ms[kind]);
+    admission->service_ms[kind] += SERVICE_WEIGHT * error_ms;
 }
 
 AdmissionLoad
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -80,6 +80,11 @@
 ClockMs Admission_ServiceMs(const Admission *admission,
                             const AdmissionTicket *ticket);
 
+/* Time in which runs of the ticket's kind end, except for a few: the mean
+ * service time and this many times the mean deviation from it. */
+ClockMs Admission_LongRunMs(const Admission *admission,
+                            const AdmissionTicket *ticket, double deviations);
+
 /* Adds the ticket to the queue. Returns FALSE if its expected wait is longer
  * than `max_wait_ms`. */
 gboolean Admission_Arrive(Admission *admission, AdmissionTicket *ticket,
--- a/src/admission/test_admission.c
+++ b/src/admission/test_admission.c
@@ -1,8 +1,10 @@
 /* Tests of the admission of requests to a backend server's slots, with the
  * replay of load. */
 #include <glib.h>
+#include <math.h>
 
 #include "admission/admission.h"
+#include "base/rng.h"
 #include "replay/replay.h"
 
 #define SLOTS 4
@@ -197,6 +199,80 @@
     Admission_Destroy(admission);
 }
 
+static double
+draw_even(Rng *rng)
+{
+    return 2 * SERVICE_MS * Rng_Unit(rng);
+}
+
+/* A run in two steps, each of an exponential distribution. */
+static double
+draw_tail(Rng *rng)
+{
+    return -SERVICE_MS / 2.0 * log((1 - Rng_Unit(rng)) * (1 - Rng_Unit(rng)));
+}
+
+/* Guards against taking a multiple of the mean for the time in which nearly
+ * all runs end: how far runs exceed it depends on the backend server. */
+static void
+test_long_runs(void)
+{
+    enum { RUNS = 20000 };
+    static const struct {
+        const char *name;
+        double (*draw)(Rng *rng);
+        double deviations;
+        double max_longer; /* share of the runs that take longer */
+    } cases[] = {
+        {"even, any run", draw_even, 3, 0.05},
+        {"even, last run", draw_even, 6, 0.01},
+        {"long tail, any run", draw_tail, 3, 0.05},
+        {"long tail, last run", draw_tail, 6, 0.01},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Admission *admission = Admission_Create();
+        AdmissionTicket ticket = {.priority = 1};
+        int longer = 0;
+        Rng rng;
+
+        Rng_Seed(&rng, 5);
+        for (int k = 0; k < RUNS; k++) {
+            double run_ms = cases[i].draw(&rng);
+
+            longer += run_ms > (double)Admission_LongRunMs(
+                                   admission, &ticket, cases[i].deviations);
+            Admission_NoteService(admission, &ticket, (ClockMs)run_ms, 0);
+        }
+        g_test_message("%s: %d of %d longer", cases[i].name, longer, RUNS);
+        g_assert_cmpfloat(longer, <=, cases[i].max_longer * RUNS);
+        Admission_Destroy(admission);
+    }
+}
+
+/* Guards against an estimate that stays at the short answers of a time without
+ * load: as soon as runs take longer, the limit is above them. */
+static void
+test_long_runs_follow(void)
+{
+    enum { SHORT_MS = 100, LONG_MS = 1000, FEW = 5 };
+    Admission *admission = Admission_Create();
+    AdmissionTicket ticket = {.priority = 1};
+
+    for (int k = 0; k < FEW; k++) {
+        Admission_NoteService(admission, &ticket, SHORT_MS, 0);
+    }
+    g_assert_cmpint(Admission_LongRunMs(admission, &ticket, 6), >=, LONG_MS);
+    for (int k = 0; k < 100; k++) {
+        Admission_NoteService(admission, &ticket, SHORT_MS, 0);
+    }
+    for (int k = 0; k < FEW; k++) {
+        Admission_NoteService(admission, &ticket, LONG_MS, 0);
+    }
+    g_assert_cmpint(Admission_LongRunMs(admission, &ticket, 6), >=, LONG_MS);
+    Admission_Destroy(admission);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -206,5 +282,7 @@
     g_test_add_func("/admission/classes", test_classes);
     g_test_add_func("/admission/called-service", test_called_service);
     g_test_add_func("/admission/calm", test_calm);
+    g_test_add_func("/admission/long-runs", test_long_runs);
+    g_test_add_func("/admission/long-runs-follow", test_long_runs_follow);
     return g_test_run();
 }
--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -21,8 +21,15 @@
 #define STALL_FACTOR 4
 #define MIN_STALL_MS 1500
 
-/* Nearly all runs end within this many mean service times. */
-#define LONG_RUN_FACTOR 2
+/* Mean deviations from the mean service time within which a run is expected to
+ * end before this host stops: any run, and one that is lost if it is cut. */
+#define RUN_DEVIATIONS 3
+#define LAST_RUN_DEVIATIONS 6
+
+/* The same before the sender's host stops: a run that may be repeated, and one
+ * that may not be. */
+#define SENDER_REPEATABLE_DEVIATIONS 1
+#define SENDER_DEVIATIONS 2
 
 /* Minimum risk reported while a running request is stalled. */
 #define STALL_RISK 0.8
@@ -287,32 +294,60 @@
     };
 }
 
-/* Whether this host, its backend server or the sender's host stops too early
- * for the request. Late in a stop, most senders are stopping, too, and could
- * not send a run that is cut to another owner. The mean, which may come from
- * few or shorter runs, does not suffice then: the time in which the answer is
- * due has to be left as well. Called with the lock held. */
+/* Time in which the run is expected to end, with its wait for a slot. Called
+ * with the lock held. */
+static ClockMs
+expect_end(const Backend *backend, const AdmissionTicket *ticket,
+           double deviations, ClockMs now)
+{
+    return Admission_ExpectedWait(backend->admission, ticket, now) +
+           Admission_LongRunMs(backend->admission, ticket, deviations);
+}
+
+/* Whether the sender's host stops before the run can be expected to end.
+ * Called with the lock held. */
+static gboolean
+is_sender_leaving(const Backend *backend, const BackendCall *call,
+                  const AdmissionTicket *ticket, ClockMs now)
+{
+    double deviations =
+        call->idempotent ? SENDER_REPEATABLE_DEVIATIONS : SENDER_DEVIATIONS;
+
+    return call->ends_by_stop &&
+           expect_end(backend, ticket, deviations, now) > call->deadline - now;
+}
+
+/* Whether this host or its backend server stops before the run can be expected
+ * to end. Late in the stop most senders are stopping, too, and could not send
+ * a run that is cut to another owner: the time in which the answer is due has
+ * to be left as well. Called with the lock held. */
+static gboolean
+is_leaving(const Backend *backend, const BackendCall *call,
+           const AdmissionTicket *ticket, ClockMs now)
+{
+    gboolean is_late = now > backend->stop.take_until;
+    gboolean is_last = !call->idempotent && (is_late || call->ends_by_stop);
+    ClockMs expected_ms = expect_end(
+        backend, ticket, is_last ? LAST_RUN_DEVIATIONS : RUN_DEVIATIONS, now);
+
+    if (is_late) {
+        expected_ms = MAX(expected_ms, call->target_time - now);
+    }
+    return backend->closed || backend->state != BACKEND_READY ||
+           !StopPlan_TakesRun(&backend->stop, call->deadline, expected_ms,
+                              now);
+}
+
+/* Result for a request that a stop ends too early; OK if none does. Called
+ * with the lock held. */
 static Result
 check_stop(const Backend *backend, const BackendCall *call,
            const AdmissionTicket *ticket, ClockMs now)
 {
-    ClockMs wait_ms = Admission_ExpectedWait(backend->admission, ticket, now);
-    ClockMs service_ms = Admission_ServiceMs(backend->admission, ticket);
-    ClockMs expected_ms = wait_ms + LONG_RUN_FACTOR * service_ms;
-    ClockMs own_deadline = call->ends_by_stop ? CLOCK_NEVER : call->deadline;
-
-    /* If a repeatable run is cut, its caller sends it again. */
-    if (call->ends_by_stop &&
-        (call->idempotent ? wait_ms + service_ms : expected_ms) >
-            call->deadline - now) {
+    if (is_sender_leaving(backend, call, ticket, now)) {
         return RESULT_SHUTTING_DOWN;
     }
-    if (now > backend->stop.take_until) {
-        expected_ms = MAX(expected_ms, call->target_time - now);
-    }
-    return backend->closed || backend->state != BACKEND_READY ||
-                   !StopPlan_TakesRun(&backend->stop, own_deadline,
-                                      expected_ms, now)
+    return is_leaving(backend, call, ticket, now)
                ? RESULT_BACKEND_SERVER_LEAVING
                : RESULT_OK;
 }
