Soak: modes of planned work and of a restored store

The mixed mode is unchanged but for its file. RADISHKNOT_DAEMON names another daemon. Site keeps begin and end of runs.

--- a/Makefile
+++ b/Makefile
@@ -46,12 +46,14 @@
 fuzz:
 	tests/run_fuzz
 
-# Fault-injection soak: make soak SEED=7, or make soak SEED=1 SEEDS=50 SECONDS=20.
+# Fault-injection soak: make soak SEED=7, or make soak SEED=1 SEEDS=50 SECONDS=20,
+# also with MODE=planned or MODE=restored.
 SEED ?= 1
 SEEDS ?= 1
 SECONDS ?= 20
+MODE ?= mixed
 soak: build
-	soak/run $(SEED) $(SEEDS) $(SECONDS)
+	soak/run $(SEED) $(SEEDS) $(SECONDS) 5 $(MODE)
 
 lint: setup
 	@cmake -S . -B build >/dev/null
--- a/tests/site.c
+++ b/tests/site.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdatomic.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -41,7 +42,8 @@
     atomic_bool silent; /* sends no announcements of its own */
     atomic_uint runs;
     gint64 born;
-    atomic_int sequence;
+    int sequence;
+    _Atomic ClockMs left; /* time of the acknowledgement, 0 if none */
 } Host;
 
 struct Site {
@@ -54,7 +56,7 @@
     atomic_bool stopping;
     atomic_int deadline_ms; /* of requests */
     pthread_mutex_t lock;
-    GHashTable *runs; /* request id -> number of runs */
+    GHashTable *runs; /* request id -> SiteRun */
     unsigned next_id;
     char last_id[SITE_ID_BYTES];
     gboolean keep_files;
@@ -88,18 +90,46 @@
 count_run(Host *host, const char *id, const char *path)
 {
     Site *site = host->site;
-    gpointer run_count;
+    ClockMs left = atomic_load(&host->left);
+    ClockMs now = Clock_Now();
+    SiteRun *run;
 
     atomic_fetch_add(&host->runs, 1);
     pthread_mutex_lock(&site->lock);
-    run_count = g_hash_table_lookup(site->runs, id);
-    if (run_count == NULL || g_str_has_prefix(path, "/issue/")) {
-        g_hash_table_insert(site->runs, g_strdup(id),
-                            GINT_TO_POINTER(GPOINTER_TO_INT(run_count) + 1));
+    run = g_hash_table_lookup(site->runs, id);
+    if (run == NULL) {
+        run = g_new0(SiteRun, 1);
+        g_hash_table_insert(site->runs, g_strdup(id), run);
     }
+    if (run->count == 0 || g_str_has_prefix(path, "/issue/")) {
+        run->count++;
+    }
+    run->host = host->number;
+    run->begin = now;
+    run->after_leave_ms = left > 0 ? now - left : 0;
+    run->at_work++;
+    pthread_mutex_unlock(&site->lock);
+}
+
+static void
+end_run(Site *site, const char *id)
+{
+    SiteRun *run;
+
+    pthread_mutex_lock(&site->lock);
+    run = g_hash_table_lookup(site->runs, id);
+    run->at_work--;
     pthread_mutex_unlock(&site->lock);
 }
 
+static int
+get_work_ms(Host *host, const char *path)
+{
+    const char *work = strstr(path, "/work-");
+
+    return work ? atoi(work + strlen("/work-")) : atomic_load(&host->work_ms);
+}
+
 /* Handler of the backend server. Refuses requests for another instance, fails
  * the configured share of requests, and answers with the id of the request. */
 static void
@@ -122,7 +152,8 @@
     }
     else {
         count_run(host, id, HttpRequest_Path(request));
-        g_usleep((gulong)atomic_load(&host->work_ms) * 1000);
+        g_usleep((gulong)get_work_ms(host, HttpRequest_Path(request)) * 1000);
+        end_run(host->site, id);
         if (g_random_int_range(0, 100) < atomic_load(&host->failing_percent)) {
             answer.status = 500;
         }
@@ -133,13 +164,15 @@
     HttpRequest_Respond(request, &answer);
 }
 
-static void
+/* Returns whether the host has acknowledged the announcement. */
+static gboolean
 post_announcement(Host *host, const char *action, const char *body)
 {
     char *target =
         g_strdup_printf("/radishknot/instances/%s/%s", host->name, action);
     HttpAnswer answer = {0};
     gboolean sent;
+    gboolean acknowledged;
     HttpCall call = {.address = parse_address(host->address, ANNOUNCE_PORT),
                      .method = "POST",
                      .target = target,
@@ -148,24 +181,47 @@
                      .connect_ms = 200,
                      .deadline = Clock_Now() + 1000};
 
-    (void)HttpClient_Call(host->site->client, &call, &answer, &sent);
+    acknowledged = HttpClient_Call(host->site->client, &call, &answer,
+                                   &sent) == RESULT_OK &&
+                   answer.status / 100 == 2;
     HttpAnswer_Clear(&answer);
     g_free(target);
+    return acknowledged;
 }
 
 static void
-send_heartbeat(Host *host, gboolean draining)
+note_departure(Host *host, gint64 born)
 {
-    char *body = g_strdup_printf(
+    pthread_mutex_lock(&host->site->lock);
+    if (host->born == born && atomic_load(&host->left) == 0) {
+        atomic_store(&host->left, Clock_Now());
+    }
+    pthread_mutex_unlock(&host->site->lock);
+}
+
+/* Announces that the backend server is ready, or is draining if it is. */
+static void
+send_heartbeat(Host *host, gboolean ready)
+{
+    gboolean draining;
+    gint64 born;
+    char *body;
+
+    pthread_mutex_lock(&host->site->lock);
+    draining = !ready && atomic_load(&host->draining);
+    born = host->born;
+    body = g_strdup_printf(
         "{\"address\":\"%s:%d\",\"born\":%" G_GINT64_FORMAT
         ",\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":\"%s\","
         "\"slots\":5},\"status\":{\"state\":\"%s\",\"seq\":%d,"
         "\"cold_left\":\"0ms\"}}",
-        host->address, BACKEND_PORT, host->born, host->desc.service,
+        host->address, BACKEND_PORT, born, host->desc.service,
         host->desc.data_centre, draining ? "draining" : "ready",
-        atomic_fetch_add(&host->sequence, 1));
-
-    post_announcement(host, "heartbeat", body);
+        host->sequence++);
+    pthread_mutex_unlock(&host->site->lock);
+    if (post_announcement(host, "heartbeat", body) && draining) {
+        note_departure(host, born);
+    }
     g_free(body);
 }
 
@@ -183,7 +239,7 @@
             Host *host = &site->hosts[i];
 
             if (!atomic_load(&host->silent)) {
-                send_heartbeat(host, atomic_load(&host->draining));
+                send_heartbeat(host, FALSE);
             }
         }
         g_usleep(HEARTBEAT_MS * 1000);
@@ -202,7 +258,8 @@
     site->store = ObjectServer_Create(&store);
     site->client = HttpClient_Create(&(HttpClient_desc){0});
     atomic_store(&site->deadline_ms, DEADLINE_MS);
-    site->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    site->runs =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     pthread_mutex_init(&site->lock, NULL);
     pthread_create(&site->heartbeats, NULL, run_heartbeats, site);
     return site;
@@ -244,36 +301,6 @@
     return site->store;
 }
 
-static json_t *
-make_route(const char *prefix, const char *kind, gboolean anonymous,
-           const char *timeout)
-{
-    return json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:b}", "host",
-                     SITE_HOST_HEADER, "path_prefix", prefix, "kind", kind,
-                     "service", "desk", "timeout", timeout, "target_latency",
-                     "2000ms", "priority", 1, "attempts", 3, "allow_anonymous",
-                     anonymous);
-}
-
-void
-Site_Configure(Site *site, unsigned version, const char *keys, int rate_per_s)
-{
-    char *text = g_strdup_printf("%08x", version);
-    json_t *value = json_pack(
-        "{s:s, s:{s:o, s:o, s:o, s:o, s:o}, s:{s:{s:o, s:i, s:i}}}", "version",
-        text, "routes", "read", make_route("/read/", "safe", FALSE, "5000ms"),
-        "issue", make_route("/issue/", "non_idempotent", FALSE, "5000ms"),
-        "open", make_route("/open/", "safe", TRUE, "5000ms"), "patient",
-        make_route("/patient/", "safe", TRUE, "20000ms"), "commit",
-        make_route("/commit/", "non_idempotent", FALSE, "20000ms"), "tenants",
-        "crews", "api_keys", json_loads(keys, 0, NULL), "rate_per_s",
-        rate_per_s, "burst", rate_per_s);
-
-    g_assert_nonnull(value);
-    ObjectServer_Write(site->store, "config", "main", value);
-    g_free(text);
-}
-
 static void
 write_settings(Host *host)
 {
@@ -298,10 +325,11 @@
 static void
 spawn(Host *host)
 {
-    char *command =
-        g_strdup_printf("exec '%s/src/daemon/radishknotd' '%s' "
-                        ">>'%s' 2>&1",
-                        BINARY_DIRECTORY, host->settings, host->log);
+    const char *named = g_getenv("RADISHKNOT_DAEMON");
+    char *command = g_strdup_printf(
+        "exec '%s' '%s' >>'%s' 2>&1",
+        named ? named : BINARY_DIRECTORY "/src/daemon/radishknotd",
+        host->settings, host->log);
     char *arguments[] = {(char *)"/bin/sh", (char *)"-c", command, NULL};
     GPid pid;
 
@@ -338,7 +366,7 @@
     host->desc.data_centre = desc->data_centre ? desc->data_centre : "n1";
     host->desc.region = desc->region ? desc->region : "norte";
     host->born = Clock_WallMs();
-    atomic_store(&host->sequence, 1);
+    host->sequence = 1;
     g_snprintf(host->name, sizeof(host->name), "host-%d", number);
     make_address(number, host->address, sizeof(host->address));
     host->settings = g_build_filename(site->folder, host->name, NULL);
@@ -420,8 +448,9 @@
 } Connections;
 
 static SiteReply
-send_request(Site *site, int host, const char *method, const char *path,
-             const char *key, Connections connections, char *id)
+send_request(Site *site, HttpClient *client, int host, const char *method,
+             const char *path, const char *key, Connections connections,
+             char *id)
 {
     HttpHeaders headers = {0};
     HttpAnswer answer = {0};
@@ -447,7 +476,7 @@
     if (key != NULL) {
         HttpHeaders_Add(&headers, "Api-Key", key);
     }
-    reply.result = HttpClient_Call(site->client, &call, &answer, &sent);
+    reply.result = HttpClient_Call(client, &call, &answer, &sent);
     reply.status = answer.status;
     reply.may_reuse_connection = !call.fresh_connection;
     reply.is_signed =
@@ -465,15 +494,23 @@
 Site_RequestAs(Site *site, int host, const char *method, const char *path,
                const char *key, char *id)
 {
-    return send_request(site, host, method, path, key, CONNECTIONS_ALTERNATE,
-                        id);
+    return send_request(site, site->client, host, method, path, key,
+                        CONNECTIONS_ALTERNATE, id);
 }
 
 SiteReply
 Site_RequestPooled(Site *site, int host, const char *method, const char *path,
                    const char *key, char *id)
 {
-    return send_request(site, host, method, path, key, CONNECTIONS_POOLED, id);
+    return Site_RequestWith(site, site->client, host, method, path, key, id);
+}
+
+SiteReply
+Site_RequestWith(Site *site, HttpClient *client, int host, const char *method,
+                 const char *path, const char *key, char *id)
+{
+    return send_request(site, client, host, method, path, key,
+                        CONNECTIONS_POOLED, id);
 }
 
 SiteReply
@@ -564,21 +601,30 @@
     pthread_mutex_lock(&site->lock);
     g_hash_table_iter_init(&iterator, site->runs);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        max = MAX(max, GPOINTER_TO_INT(value));
+        max = MAX(max, ((const SiteRun *)value)->count);
     }
     pthread_mutex_unlock(&site->lock);
     return (unsigned)max;
 }
 
 gboolean
-Site_HasRun(Site *site, const char *id)
+Site_GetRun(Site *site, const char *id, SiteRun *run)
 {
-    gboolean found;
+    const SiteRun *found;
 
     pthread_mutex_lock(&site->lock);
-    found = g_hash_table_contains(site->runs, id);
+    found = g_hash_table_lookup(site->runs, id);
+    if (found != NULL) {
+        *run = *found;
+    }
     pthread_mutex_unlock(&site->lock);
-    return found;
+    return found != NULL;
+}
+
+gboolean
+Site_HasRun(Site *site, const char *id)
+{
+    return Site_GetRun(site, id, &(SiteRun){0});
 }
 
 const char *
@@ -609,7 +655,28 @@
 Site_Drain(Site *site, int host)
 {
     atomic_store(&site->hosts[host].draining, TRUE);
-    send_heartbeat(&site->hosts[host], TRUE);
+    send_heartbeat(&site->hosts[host], FALSE);
+}
+
+void
+Site_Rejoin(Site *site, int host)
+{
+    Host *self = &site->hosts[host];
+
+    pthread_mutex_lock(&site->lock);
+    atomic_store(&self->draining, FALSE);
+    atomic_store(&self->silent, FALSE);
+    atomic_store(&self->left, 0);
+    self->born = Clock_WallMs();
+    self->sequence = 1;
+    pthread_mutex_unlock(&site->lock);
+    send_heartbeat(self, FALSE);
+}
+
+gboolean
+Site_HasEntry(Site *site, int host)
+{
+    return is_published(site, &site->hosts[host]);
 }
 
 void
@@ -619,7 +686,9 @@
                                  site->hosts[host].born);
 
     atomic_store(&site->hosts[host].silent, TRUE);
-    post_announcement(&site->hosts[host], "deregister", body);
+    if (post_announcement(&site->hosts[host], "deregister", body)) {
+        note_departure(&site->hosts[host], site->hosts[host].born);
+    }
     g_free(body);
 }
 
@@ -632,7 +701,7 @@
 void
 Site_AnnounceLate(Site *site, int host)
 {
-    send_heartbeat(&site->hosts[host], FALSE);
+    send_heartbeat(&site->hosts[host], TRUE);
 }
 
 void
--- a/tests/site.h
+++ b/tests/site.h
@@ -11,6 +11,9 @@
  * Each host has its own loopback address, derived from the process id of the
  * test, so that tests can run in parallel.
  *
+ * The environment variable RADISHKNOT_DAEMON names the program of the daemons;
+ * default is that of this build.
+ *
  * Errors abort the test. The Await functions poll for a state.
  */
 #ifndef TESTS_SITE_H
@@ -45,6 +48,16 @@
     char retry_after[32];
 } SiteReply;
 
+/* The runs of one request. */
+typedef struct SiteRun {
+    int count;              /* repeated ones only below /issue/ */
+    int host;               /* of the last run */
+    ClockMs begin;          /* of the last run */
+    ClockMs after_leave_ms; /* begin after the acknowledgement that the server
+                               drains or is gone; 0 if it had not left */
+    int at_work;            /* runs that have not ended */
+} SiteRun;
+
 Site *Site_Create(void);
 void Site_Destroy(Site *site);
 ObjectServer *Site_Store(Site *site);
@@ -56,6 +69,11 @@
 void Site_Configure(Site *site, unsigned version, const char *keys,
                     int rate_per_s);
 
+/* As Site_Configure(), with one more route like /open/ below `prefix`; NULL
+ * for none. */
+void Site_ConfigureRoute(Site *site, unsigned version, const char *keys,
+                         int rate_per_s, const char *prefix);
+
 /* Returns the number of the host. */
 int Site_AddHost(Site *site, const SiteHost_desc *desc);
 struct sockaddr_in Site_BackendAddress(int host);
@@ -76,6 +94,11 @@
 SiteReply Site_RequestPooled(Site *site, int host, const char *method,
                              const char *path, const char *key, char *id);
 
+/* As Site_RequestPooled(), on the connections of a client of the caller's. */
+SiteReply Site_RequestWith(Site *site, HttpClient *client, int host,
+                           const char *method, const char *path,
+                           const char *key, char *id);
+
 /* Sends a POST with a body of one byte on a new connection, the byte
  * `body_after_ms` after the head. Of the reply, `matches` is not set. */
 SiteReply Site_UploadSlowly(Site *site, int host, const char *path,
@@ -91,6 +114,9 @@
 /* Returns whether any backend server ran the request. */
 gboolean Site_HasRun(Site *site, const char *id);
 
+/* As Site_HasRun(). Fills `run` if it returns TRUE. */
+gboolean Site_GetRun(Site *site, const char *id, SiteRun *run);
+
 /* Returns the id of the last Site_Request(). */
 const char *Site_LastId(Site *site);
 
@@ -98,7 +124,8 @@
 void Site_SetDeadline(Site *site, int milliseconds);
 
 /* Control the backend server of a host: the percentage of its requests that
- * fail, the service time of each, and a drain, which it announces at once. */
+ * fail, the service time of each (a path that ends in /work-N takes N ms), and
+ * a drain, which it announces at once. */
 void Site_SetFailing(Site *site, int host, int percent);
 void Site_SetWorkMs(Site *site, int host, int milliseconds);
 void Site_Drain(Site *site, int host);
@@ -107,6 +134,13 @@
  */
 void Site_Deregister(Site *site, int host);
 
+/* The backend server of the host starts anew after a drain or deregistration
+ * and announces itself. */
+void Site_Rejoin(Site *site, int host);
+
+/* Returns whether the store contains the backend server of the host. */
+gboolean Site_HasEntry(Site *site, int host);
+
 /* The backend server of the host sends no more announcements by itself. */
 void Site_Silence(Site *site, int host);
 
--- /dev/null
+++ b/tests/site_config.c
@@ -0,0 +1,48 @@
+/* The configurations of a site. */
+#include <jansson.h>
+
+#include "site.h"
+
+static json_t *
+make_route(const char *prefix, const char *kind, gboolean anonymous,
+           const char *timeout)
+{
+    return json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:b}", "host",
+                     SITE_HOST_HEADER, "path_prefix", prefix, "kind", kind,
+                     "service", "desk", "timeout", timeout, "target_latency",
+                     "2000ms", "priority", 1, "attempts", 3, "allow_anonymous",
+                     anonymous);
+}
+
+void
+Site_ConfigureRoute(Site *site, unsigned version, const char *keys,
+                    int rate_per_s, const char *prefix)
+{
+    char *text = g_strdup_printf("%08x", version);
+    json_t *routes = json_pack(
+        "{s:o, s:o, s:o, s:o, s:o}", "read",
+        make_route("/read/", "safe", FALSE, "5000ms"), "issue",
+        make_route("/issue/", "non_idempotent", FALSE, "5000ms"), "open",
+        make_route("/open/", "safe", TRUE, "5000ms"), "patient",
+        make_route("/patient/", "safe", TRUE, "20000ms"), "commit",
+        make_route("/commit/", "non_idempotent", FALSE, "20000ms"));
+    json_t *value = json_pack("{s:s, s:O, s:{s:{s:o, s:i, s:i}}}", "version",
+                              text, "routes", routes, "tenants", "crews",
+                              "api_keys", json_loads(keys, 0, NULL),
+                              "rate_per_s", rate_per_s, "burst", rate_per_s);
+
+    g_assert_nonnull(value);
+    if (prefix != NULL) {
+        json_object_set_new(routes, "probe",
+                            make_route(prefix, "safe", TRUE, "5000ms"));
+    }
+    json_decref(routes);
+    ObjectServer_Write(Site_Store(site), "config", "main", value);
+    g_free(text);
+}
+
+void
+Site_Configure(Site *site, unsigned version, const char *keys, int rate_per_s)
+{
+    Site_ConfigureRoute(site, version, keys, rate_per_s, NULL);
+}
