ObjectSync: the check of an answer's generation is a function of its own

ObjectGeneration_Check() and ObjectGeneration_NeedsList() take what the thread of ObjectSync decided in check_revision() and needs_list(), so that a search of a state model can drive them.

--- a/src/objects/object_generation.c
+++ b/src/objects/object_generation.c
@@ -40,3 +40,25 @@
 {
     return atomic_load(&generation->newest);
 }
+
+Result
+ObjectGeneration_Check(ObjectGeneration *generation, ObjectRevision *known,
+                       ObjectRevision answer)
+{
+    if (!ObjectGeneration_Note(generation, answer.generation)) {
+        return RESULT_STORE_UNAVAILABLE;
+    }
+    if (answer.generation == known->generation) {
+        return RESULT_OK;
+    }
+    *known = (ObjectRevision){.generation = answer.generation, .number = -1};
+    return RESULT_STORE_HISTORY_GONE;
+}
+
+gboolean
+ObjectGeneration_NeedsList(const ObjectGeneration *generation,
+                           ObjectRevision known)
+{
+    return known.number < 0 ||
+           known.generation < ObjectGeneration_Newest(generation);
+}
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -73,30 +73,22 @@
     }
 }
 
-/* Checks the revision of an answer. Returns RESULT_STORE_UNAVAILABLE for an
- * answer from before a restoration, RESULT_STORE_HISTORY_GONE if the store has
- * been restored since the last list. */
+/* Checks the revision of an answer, and logs a restoration. */
 static Result
 check_revision(ObjectSync *sync, ObjectRevision revision)
 {
     ObjectRevision known = sync->revision;
+    Result result = ObjectGeneration_Check(sync->desc.generation,
+                                           &sync->revision, revision);
 
-    if (!ObjectGeneration_Note(sync->desc.generation, revision.generation)) {
-        return RESULT_STORE_UNAVAILABLE;
-    }
-    if (revision.generation == known.generation) {
-        return RESULT_OK;
-    }
-    sync->revision =
-        (ObjectRevision){.generation = revision.generation, .number = -1};
-    if (known.generation > 0) {
+    if (result == RESULT_STORE_HISTORY_GONE && known.generation > 0) {
         Log_Event(LOG_STORE_RESTORED,
                   "kind=%s generation=%" PRId64 " revision=%" PRId64
                   " from_generation=%" PRId64 " from_revision=%" PRId64,
                   sync->desc.kind, revision.generation, revision.number,
                   known.generation, known.number);
     }
-    return RESULT_STORE_HISTORY_GONE;
+    return result;
 }
 
 static gboolean
@@ -233,16 +225,6 @@
     return result;
 }
 
-/* Whether the state is unknown, or from before a restoration that another part
- * of the daemon has noticed. */
-static gboolean
-needs_list(const ObjectSync *sync)
-{
-    return sync->revision.number < 0 ||
-           sync->revision.generation <
-               ObjectGeneration_Newest(sync->desc.generation);
-}
-
 static void *
 run(void *context)
 {
@@ -255,7 +237,9 @@
     while (!stopping) {
         changed = FALSE;
         result =
-            needs_list(sync) ? list_all(sync) : watch_once(sync, &changed);
+            ObjectGeneration_NeedsList(sync->desc.generation, sync->revision)
+                ? list_all(sync)
+                : watch_once(sync, &changed);
         if (result == RESULT_OK) {
             note_success(sync);
             stopping = sleep_for(sync, changed ? sync->desc.pause_ms : 0);
