Peer wire: an answer of another program may mean that the request has run

What callers could have seen: 503, not run, or a second run elsewhere, for a request that may not be repeated and that a backend server had run: one that uses the address of a host that was removed and takes the request of a daemon for one of its own.

Cause: an answer without the daemons' reply header counted as not run whatever its status, on the assumption that only a daemon passes requests on.

Fix: only a refusal without that header is "not run", as a daemon's port sends it that no longer takes requests; a success, a redirection and an error other than 503 leave the run open.

Test: /peer-wire/other-program is a table now, its earlier case among the rows; before, it fails with CONNECT_FAILED instead of ANSWER_MISMATCH for 200.

--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -163,19 +163,29 @@
     return TRUE;
 }
 
+/* Whether another program than a daemon answered that it did something with
+ * the request: it may be a backend server at the address of a host that was
+ * removed. */
+static gboolean
+is_other_program_run(int status)
+{
+    return (status >= 200 && status < 400) || (status >= 500 && status != 503);
+}
+
 gboolean
 PeerWire_DecodeReply(const HttpHeaders *headers, BackendReply *reply)
 {
     const char *line = HttpHeaders_Get(headers, REPLY_HEADER);
+    gboolean may_have_run;
 
     if (line != NULL && parse_reply(line, reply)) {
         return TRUE;
     }
-    /* A daemon may have passed the request on to its backend server; another
-     * program cannot. */
+    /* A daemon may have passed the request on to its backend server. */
+    may_have_run = line != NULL || is_other_program_run(reply->answer.status);
     reply->result =
-        line != NULL ? RESULT_ANSWER_MISMATCH : RESULT_CONNECT_FAILED;
-    reply->run = line != NULL ? RUN_UNKNOWN : RUN_NO;
-    reply->arrived = line != NULL;
+        may_have_run ? RESULT_ANSWER_MISMATCH : RESULT_CONNECT_FAILED;
+    reply->run = may_have_run ? RUN_UNKNOWN : RUN_NO;
+    reply->arrived = may_have_run;
     return FALSE;
 }
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -201,18 +201,32 @@
     HttpHeaders_Clear(&headers);
 }
 
-/* Guards against another program's answer that is accepted as a daemon's, and
- * against counting a request that it received as one that may have run. */
+/* Guards against another program's answer that is accepted as a daemon's,
+ * against counting a request that it refused as one that may have run, and
+ * against "not run" for one that a backend server at the address has run. */
 static void
 test_other_program(void)
 {
-    HttpHeaders headers = {0};
-    BackendReply decoded = {0};
+    static const struct {
+        int status; /* 0: no answer was read */
+        RunState run;
+    } cases[] = {{0, RUN_NO},        {400, RUN_NO},      {404, RUN_NO},
+                 {421, RUN_NO},      {429, RUN_NO},      {503, RUN_NO},
+                 {200, RUN_UNKNOWN}, {302, RUN_UNKNOWN}, {500, RUN_UNKNOWN},
+                 {504, RUN_UNKNOWN}};
 
-    g_assert_false(PeerWire_DecodeReply(&headers, &decoded));
-    g_assert_cmpint(decoded.result, ==, RESULT_CONNECT_FAILED);
-    g_assert_cmpint(decoded.run, ==, RUN_NO);
-    g_assert_false(decoded.arrived);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        HttpHeaders headers = {0};
+        BackendReply decoded = {.answer.status = cases[i].status};
+
+        g_test_message("status %d", cases[i].status);
+        g_assert_false(PeerWire_DecodeReply(&headers, &decoded));
+        g_assert_cmpint(decoded.result, ==,
+                        cases[i].run == RUN_NO ? RESULT_CONNECT_FAILED
+                                               : RESULT_ANSWER_MISMATCH);
+        g_assert_cmpint(decoded.run, ==, cases[i].run);
+        g_assert_cmpint(decoded.arrived, ==, cases[i].run != RUN_NO);
+    }
 }
 
 /* Guards against numbers that make the choice leave a backend server out for
