Gateway: a request that the stop cancels is not answered as given up by its caller

What callers could see: 499 at the end of a stop, for a request whose attempt had not been sent when the stop cancelled it, for example while it connected to an owner.

Cause: the stop and a caller that hangs up cancel a request by the same means. The peer port tells them apart, the gateway did not: CANCELLED, not run, became 499, which promises nothing and is no answer for a caller that waits.

Fix: CANCELLED after a cancellation by the stop counts as SHUTTING_DOWN: 503 if the request has not run, 502 as before if it may have.

Test: /gateway-answer/cancelled-by-stop, new with the function; the connection attempt at the time of abandoning has no test of its own.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -118,6 +118,8 @@
     reply.result = _Gateway_Prepare(&request);
     if (reply.result == RESULT_OK) {
         _Gateway_Attempt(&request, &reply);
+        reply.result = _Gateway_EndResult(
+            reply.result, HttpCancelSet_IsTriggered(gateway->cancels));
     }
     HttpRequest_OnDisconnect(http, NULL, NULL);
     if (_Gateway_IsAnswer(&reply)) {
--- a/src/gateway/gateway_answer.c
+++ b/src/gateway/gateway_answer.c
@@ -8,6 +8,14 @@
             reply->result == RESULT_BACKEND_SERVER_ERROR);
 }
 
+Result
+_Gateway_EndResult(Result result, gboolean is_cancelled_by_stop)
+{
+    return result == RESULT_CANCELLED && is_cancelled_by_stop
+               ? RESULT_SHUTTING_DOWN
+               : result;
+}
+
 void
 _Gateway_ChooseAnswer(BackendReply *reply, HttpAnswer *failure,
                       gboolean maybe_run)
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -85,6 +85,10 @@
 /* Whether the reply holds an answer of a backend server that is passed on. */
 gboolean _Gateway_IsAnswer(const BackendReply *reply);
 
+/* Result of a request whose attempts have ended. If the stop has cancelled it,
+ * it does not count as given up by its caller, who waits for the answer. */
+Result _Gateway_EndResult(Result result, gboolean is_cancelled_by_stop);
+
 /* Completes the reply of the last attempt: an error answer of an earlier one
  * is delivered if the last one brought no answer to pass on. Clears `failure`;
  * maybe_run is TRUE if any attempt may have run. */
--- a/src/gateway/test_gateway_answer.c
+++ b/src/gateway/test_gateway_answer.c
@@ -64,10 +64,35 @@
     }
 }
 
+/* Guards against 499 for a caller that waits for its answer: the stop has
+ * cancelled its request, which is refused as not run if no run had begun. */
+static void
+test_cancelled_by_stop(void)
+{
+    static const struct {
+        Result result;
+        gboolean by_stop;
+        int status;
+    } cases[] = {{RESULT_CANCELLED, TRUE, 503},
+                 {RESULT_CANCELLED, FALSE, 499},
+                 {RESULT_BACKEND_SERVER_BUSY, TRUE, 503},
+                 {RESULT_RATE_EXCEEDED, TRUE, 429}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Result result = _Gateway_EndResult(cases[i].result, cases[i].by_stop);
+
+        g_test_message("%s: %s", Result_Name(cases[i].result),
+                       Result_Name(result));
+        g_assert_cmpint(Result_HttpStatus(result), ==, cases[i].status);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/gateway-answer/choice", test_choice);
+    g_test_add_func("/gateway-answer/cancelled-by-stop",
+                    test_cancelled_by_stop);
     return g_test_run();
 }
