--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -166,12 +166,6 @@
     return (ClockMs)wait_behind(admission, kind_of(ticket), ahead);
 }
 
-ClockMs
-Admission_ServiceMs(const Admission *admission, const AdmissionTicket *ticket)
-{
-    return (ClockMs)admission->service_ms[kind_of(ticket)];
-}
-
 ClockMs
 Admission_LongRunMs(const Admission *admission, const AdmissionTicket *ticket,
                     double deviations)
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -76,11 +76,7 @@
 ClockMs Admission_ExpectedWait(const Admission *admission,
                                const AdmissionTicket *ticket, ClockMs now);
 
-/* Mean service time of requests of the ticket's kind. */
-ClockMs Admission_ServiceMs(const Admission *admission,
-                            const AdmissionTicket *ticket);
-
-/* Time in which runs of the ticket's kind end, except for a few: the mean
+/* Time in which runs of the ticket's kind are expected to end: the mean
  * service time and this many times the mean deviation from it. */
 ClockMs Admission_LongRunMs(const Admission *admission,
                             const AdmissionTicket *ticket, double deviations);
--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -22,12 +22,13 @@
 #define MIN_STALL_MS 1500
 
 /* Mean deviations from the mean service time within which a run is expected to
- * end before this host stops: any run, and one that is lost if it is cut. */
+ * end before this host stops. A run that is cut is sent to another owner if it
+ * may be repeated and its sender does not stop; else it is lost. */
 #define RUN_DEVIATIONS 3
-#define LAST_RUN_DEVIATIONS 6
+#define LOST_RUN_DEVIATIONS 6
 
-/* The same before the sender's host stops: a run that may be repeated, and one
- * that may not be. */
+/* The same before the sender's host stops. Less is asked for, because no other
+ * owner could give the run more time. */
 #define SENDER_REPEATABLE_DEVIATIONS 1
 #define SENDER_DEVIATIONS 2
 
@@ -318,17 +319,18 @@
 }
 
 /* Whether this host or its backend server stops before the run can be expected
- * to end. Late in the stop most senders are stopping, too, and could not send
- * a run that is cut to another owner: the time in which the answer is due has
- * to be left as well. Called with the lock held. */
+ * to end. If the sender stops earlier, its limit counts. Late in the stop most
+ * senders are stopping, too, and could not send a run that is cut to another
+ * owner: the time in which the answer is due has to be left as well. Called
+ * with the lock held. */
 static gboolean
 is_leaving(const Backend *backend, const BackendCall *call,
            const AdmissionTicket *ticket, ClockMs now)
 {
     gboolean is_late = now > backend->stop.take_until;
-    gboolean is_last = !call->idempotent && (is_late || call->ends_by_stop);
+    gboolean is_lost = !call->idempotent && (is_late || call->ends_by_stop);
     ClockMs expected_ms = expect_end(
-        backend, ticket, is_last ? LAST_RUN_DEVIATIONS : RUN_DEVIATIONS, now);
+        backend, ticket, is_lost ? LOST_RUN_DEVIATIONS : RUN_DEVIATIONS, now);
 
     if (is_late) {
         expected_ms = MAX(expected_ms, call->target_time - now);
