Backend: the test of runs in a stop has a file of its own

The scripted backend server is in test_script.h; no test changed but for the name, /stop-runs/expected-end instead of /backend/runs-in-stop.

--- /dev/null
+++ b/src/backend/test_stop_runs.c
@@ -0,0 +1,77 @@
+/* Tests of which runs an owner takes up while it or the sender stops. */
+#include <glib.h>
+
+#include "backend/test_script.h"
+#include "stop/stop_plan.h"
+
+/* Guards against a run that a stopping host begins and cuts at its end, and
+ * against refusing one that ends in time. No run has been answered yet: 400 ms
+ * are expected, and as much deviation. */
+static void
+test_runs_in_stop(void)
+{
+    static const struct {
+        const char *name;
+        ClockMs abandon_ms; /* of this host; 0: does not stop */
+        gboolean is_late;   /* in this host's stop */
+        gboolean idempotent;
+        ClockMs sender_ms; /* time until the sender abandons; 0: never */
+        Result result;
+    } cases[] = {
+        {"no stop", 0, FALSE, FALSE, 0, RESULT_OK},
+        {"enough time", 2000, FALSE, FALSE, 0, RESULT_OK},
+        {"too little", 1200, FALSE, TRUE, 0, RESULT_BACKEND_SERVER_LEAVING},
+        {"late, can be repeated", 2000, TRUE, TRUE, 0, RESULT_OK},
+        {"late, cannot", 2000, TRUE, FALSE, 0, RESULT_BACKEND_SERVER_LEAVING},
+        {"late, cannot, enough time", 3200, TRUE, FALSE, 0, RESULT_OK},
+        {"sender stops later, can be repeated", 2000, FALSE, TRUE, 2500,
+         RESULT_OK},
+        {"sender stops later, cannot", 2000, FALSE, FALSE, 2500,
+         RESULT_BACKEND_SERVER_LEAVING},
+        {"sender stops earlier", 3000, FALSE, FALSE, 2000, RESULT_OK},
+        {"sender leaves too little, can be repeated", 0, FALSE, TRUE, 700,
+         RESULT_SHUTTING_DOWN},
+        {"sender leaves enough, can be repeated", 0, FALSE, TRUE, 1000,
+         RESULT_OK},
+        {"sender leaves too little, cannot", 0, FALSE, FALSE, 1000,
+         RESULT_SHUTTING_DOWN},
+        {"sender leaves enough, cannot", 0, FALSE, FALSE, 1500, RESULT_OK},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Fixture fixture = {.script = {.answer = ANSWER_OK}};
+        ClockMs now = Clock_Now();
+        StopPlan plan = {.begin = now,
+                         .take_until = now + (cases[i].is_late ? -1 : 1000),
+                         .abandon = now + cases[i].abandon_ms,
+                         .end = now + cases[i].abandon_ms};
+        BackendCall call = make_call();
+        BackendReply reply;
+
+        open_fixture(&fixture);
+        if (cases[i].abandon_ms > 0) {
+            Backend_Leave(fixture.backend, &plan);
+        }
+        call.deadline = now + 8000;
+        call.idempotent = cases[i].idempotent;
+        if (cases[i].sender_ms > 0) {
+            call.deadline = now + cases[i].sender_ms;
+            call.ends_by_stop = TRUE;
+        }
+        Backend_Run(fixture.backend, &call, &reply);
+        g_test_message("%s: %s", cases[i].name, Result_Name(reply.result));
+        g_assert_cmpint(reply.result, ==, cases[i].result);
+        g_assert_cmpint(reply.run, ==,
+                        reply.result == RESULT_OK ? RUN_YES : RUN_NO);
+        HttpAnswer_Clear(&reply.answer);
+        close_fixture(&fixture);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/stop-runs/expected-end", test_runs_in_stop);
+    return g_test_run();
+}
