Gateway: a deadline far away does not overflow

What callers could see since: a request whose time left is near the largest number was taken for one whose deadline has passed, and refused.

Cause: the time left was added to the arrival before the route's timeout limited it.

Test: two further cases of /gateway-refusal/closed; before, the largest number got no time to return.

--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -7,6 +7,9 @@
 /* Deadline of a caller that sends none. */
 #define DEFAULT_DEADLINE_MS 10000
 
+/* Longest time that a caller waits, whatever it sends. */
+#define MAX_DEADLINE_MS 86400000
+
 /* Latency target of a route that has none. */
 #define DEFAULT_TARGET_MS 2000
 
@@ -85,7 +88,7 @@
                                          gateway->desc.names->time_left_ms,
                                          DEFAULT_DEADLINE_MS);
 
-    return HttpRequest_Arrived(http) + MAX(left, 0);
+    return HttpRequest_Arrived(http) + CLAMP(left, 0, MAX_DEADLINE_MS);
 }
 
 static void
--- a/src/gateway/test_gateway_refusal.c
+++ b/src/gateway/test_gateway_refusal.c
@@ -31,14 +31,18 @@
 }
 
 /* Guards against a caller that gives up, or returns before the host has
- * started again, because its request arrived when the gateway had closed. */
+ * started again, because its request arrived when the gateway had closed, and
+ * against a deadline that overflows. */
 static void
 test_closed(void)
 {
     static const struct {
         const char *left_ms;
         gboolean returns;
-    } cases[] = {{"8000", TRUE}, {"2000", FALSE}};
+    } cases[] = {{"8000", TRUE},
+                 {"2000", FALSE},
+                 {"9223372036854775807", TRUE},
+                 {"-1", FALSE}};
     Gateway_desc desc = {.threads = 1, .host = "a", .names = &names};
     HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
     Gateway *gateway;
