objects, mirror, platform: one odd object hides no other

Cause: an answer of the store was decoded as a whole. The JSON library rejects a text for one number out of range, one invalid string or one value nested over 2,048 levels, so one odd object made its page, and each watch that had it, unreadable: a daemon that started beside it was never ready, a running one followed no change and logged an outage of the store. A neighbour's page had the same way in. Ports were cut to 32 and then 16 bits.

An object whose value cannot be decoded is reported with its name and revision, so its removal is followed; one without a usable name is left out and counted. Each is logged once for each revision. ObjectWriter writes an own object again that another program made unreadable (before, it created it anew, which conflicts). A list goes on behind the last usable name and fails, in place of ending early, if a page has none. Numbers from outside are checked for their range before they are narrowed.

--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -16,6 +16,8 @@
     COUNTER(STORE_READS, "read calls on the store") \
     COUNTER(STORE_WRITES, "write calls on the store") \
     COUNTER(STORE_FAILURES, "calls on the store that failed") \
+    COUNTER(STORE_OBJECTS_REJECTED, \
+            "malformed objects found in the store, once for each revision") \
     COUNTER(STORE_RESTORATIONS, \
             "restorations of the store from an older copy") \
     \
--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -33,7 +33,10 @@
         "objects of this kind are watched through another source") \
     LOG(STORE_RESTORED, 208, WARNING, \
         "the store was restored from an older copy") \
-    LOG(OBJECT_REJECTED, 206, WARNING, "object in the store is malformed") \
+    LOG(OBJECT_REJECTED, 206, WARNING, \
+        "object in the store is malformed and not used") \
+    LOG(OBJECTS_UNNAMED, 209, WARNING, \
+        "objects in the store without a usable name or revision are left out") \
     \
     \
     /* config 220-249 */ \
--- a/src/departure/departure.c
+++ b/src/departure/departure.c
@@ -138,7 +138,6 @@
 
         ObjectPage_Init(&page);
         result = store->list(store->context, DEPARTURE_KIND, after, &page);
-        more = page.more && page.records->len > 0;
         for (guint i = 0; i < page.records->len; i++) {
             const ObjectRecord *record =
                 &g_array_index(page.records, ObjectRecord, i);
@@ -149,10 +148,9 @@
             else {
                 sweep(departure, record);
             }
-            if (i + 1 == page.records->len) {
-                g_free(after);
-                after = g_strdup(record->name);
-            }
+        }
+        if (result == RESULT_OK) {
+            result = ObjectPage_Advance(&page, &after, &more);
         }
         ObjectPage_Clear(&page);
     }
--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/rng.h"
 #include "mirror/mirror_port.h"
+#include "json/json_text.h"
 
 /* Number of hosts examined in rendezvous order, and number of neighbours that
  * can be skipped at a time. */
@@ -96,50 +97,86 @@
 }
 
 static gboolean
-decode_page(const char *body, size_t bytes, ObjectPage *page)
+read_integer(JsonText object, const char *name, int64_t min, int64_t *result)
 {
-    json_t *root = json_loadb(body, bytes, 0, NULL);
-    json_t *objects = NULL;
-    json_t *item;
-    json_int_t generation = 0;
-    json_int_t revision;
-    json_int_t held;
-    json_int_t age;
-    size_t index;
+    JsonText text;
+    json_t *value;
     gboolean valid;
 
-    valid = root != NULL &&
-            json_unpack(root, "{s?I, s:I, s:I, s:I, s:o}", "generation",
-                        &generation, "revision", &revision, "held_ms", &held,
-                        "age_ms", &age, "objects", &objects) == 0;
-    json_array_foreach(objects, index, item)
-    {
-        ObjectRecord record = {0};
-        const char *name;
-        json_int_t changed;
-
-        if (json_unpack(item, "{s:s, s:I, s:b, s:o}", "name", &name,
-                        "revision", &changed, "deleted", &record.deleted,
-                        "value", &record.value) != 0) {
-            valid = FALSE;
-            break;
-        }
-        record.name = g_strdup(name);
-        record.revision =
-            (ObjectRevision){.generation = generation, .number = changed};
-        json_incref(record.value);
-        g_array_append_val(page->records, record);
+    if (!JsonText_Member(object, name, &text)) {
+        return FALSE;
     }
+    value = JsonText_Decode(text);
+    valid = Json_ReadInteger(value, min, INT64_MAX, result);
+    json_decref(value);
+    return valid;
+}
+
+/* Reads an object of a page. Returns FALSE if its name or revision cannot be
+ * used; a value that cannot be decoded is NULL. */
+static gboolean
+decode_object(JsonText object, int64_t generation, ObjectRecord *record)
+{
+    JsonText text = {0};
+    json_t *name;
+    json_t *deleted;
+    gboolean valid;
+
+    (void)JsonText_Member(object, "name", &text);
+    name = JsonText_Decode(text);
+    (void)JsonText_Member(object, "deleted", &text);
+    deleted = JsonText_Decode(text);
+    *record = (ObjectRecord){.revision.generation = generation,
+                             .deleted = json_is_true(deleted)};
+    valid = ObjectName_IsValid(json_string_value(name)) &&
+            json_is_boolean(deleted) &&
+            read_integer(object, "revision", 0, &record->revision.number);
     if (valid) {
-        page->revision =
-            (ObjectRevision){.generation = generation, .number = revision};
-        page->held_ms = held;
-        page->age_ms = age;
+        record->name = g_strdup(json_string_value(name));
+        (void)JsonText_Member(object, "value", &text);
+        record->value = JsonText_Decode(text);
+    }
+    if (json_is_null(record->value)) {
+        record->value = NULL;
     }
-    json_decref(root);
+    json_decref(name);
+    json_decref(deleted);
     return valid;
 }
 
+gboolean
+_Mirror_ReadPage(const char *body, size_t bytes, ObjectPage *page)
+{
+    ObjectRevision revision = {0};
+    JsonTextItems items;
+    JsonText objects;
+    JsonText root;
+    JsonText item;
+
+    if (!JsonText_FromBody(body, bytes, &root) ||
+        !read_integer(root, "revision", INT64_MIN, &revision.number) ||
+        !read_integer(root, "held_ms", 0, &page->held_ms) ||
+        !read_integer(root, "age_ms", 0, &page->age_ms) ||
+        !JsonText_Member(root, "objects", &objects) ||
+        objects.start[0] != '[') {
+        return FALSE;
+    }
+    (void)read_integer(root, "generation", 0, &revision.generation);
+    JsonTextItems_Init(&items, objects);
+    while (JsonTextItems_Next(&items, &item)) {
+        ObjectRecord record;
+
+        if (decode_object(item, revision.generation, &record)) {
+            g_array_append_val(page->records, record);
+        }
+        else {
+            page->unnamed++;
+        }
+    }
+    page->revision = revision;
+    return !items.is_broken;
+}
+
 static Result
 request_page(Mirror *mirror, const RosterPeer *peer, const char *kind,
              ObjectRevision since, ClockMs wait_ms, ObjectPage *page)
@@ -162,7 +199,7 @@
         result = RESULT_STORE_HISTORY_GONE;
     }
     else if (result != RESULT_OK || answer.status != 200 ||
-             !decode_page(answer.body, answer.body_bytes, page) ||
+             !_Mirror_ReadPage(answer.body, answer.body_bytes, page) ||
              page->revision.generation < since.generation) {
         result = RESULT_STORE_UNAVAILABLE;
     }
--- a/src/mirror/mirror.h
+++ b/src/mirror/mirror.h
@@ -43,4 +43,8 @@
 const ObjectStore *Mirror_AsStore(Mirror *mirror);
 gboolean Mirror_IsDirect(void *mirror);
 
+/* Reads the answer of a neighbour. An object that cannot be read affects no
+ * others. Returns FALSE if the answer as a whole is malformed. */
+gboolean _Mirror_ReadPage(const char *body, size_t bytes, ObjectPage *page);
+
 #endif
--- a/src/mirror/test_mirror.c
+++ b/src/mirror/test_mirror.c
@@ -511,6 +511,71 @@
     close_fixture(&fixture);
 }
 
+/* An object in a neighbour's page. */
+static const struct OddObject {
+    const char *object;
+    gboolean has_name;
+} odd_objects[] = {
+    {"{\"name\":\"odd\",\"revision\":3,\"deleted\":false,\"value\":null}",
+     TRUE},
+    {"{\"name\":\"odd\",\"revision\":3,\"deleted\":false,\"value\":1e999}",
+     TRUE},
+    {"{\"name\":\"odd\",\"revision\":3,\"deleted\":false,\"value\":"
+     "\"\xff\"}",
+     TRUE},
+    {"{\"name\":\"odd\",\"revision\":3,\"deleted\":false,\"value\":"
+     "123456789012345678901}",
+     TRUE},
+    {"{\"name\":\"odd\",\"revision\":3,\"deleted\":true}", TRUE},
+    {"{\"name\":\"odd\",\"revision\":3}", FALSE},
+    {"{\"name\":\"odd\",\"revision\":-3,\"deleted\":false}", FALSE},
+    {"{\"name\":\"odd\",\"revision\":1e999,\"deleted\":false}", FALSE},
+    {"{\"name\":\"a/b\",\"revision\":3,\"deleted\":false}", FALSE},
+    {"{\"name\":7,\"revision\":3,\"deleted\":false}", FALSE},
+    {"[]", FALSE},
+    {"null", FALSE},
+};
+
+/* Reads the object between two good ones. */
+static void
+check_odd_object(const char *object, gboolean has_name)
+{
+    char *body = g_strdup_printf(
+        "{\"generation\":2,\"revision\":9,\"held_ms\":1,\"age_ms\":4,"
+        "\"objects\":[{\"name\":\"a\",\"revision\":1,\"deleted\":false,"
+        "\"value\":{}},%s,{\"name\":\"z\",\"revision\":2,\"deleted\":"
+        "true,\"value\":null}]}",
+        object);
+    const ObjectRecord *last;
+    ObjectPage page;
+
+    ObjectPage_Init(&page);
+    g_assert_true(_Mirror_ReadPage(body, strlen(body), &page));
+    g_assert_cmpint(page.revision.number, ==, 9);
+    g_assert_cmpint(page.revision.generation, ==, 2);
+    g_assert_cmpuint(page.records->len, ==, has_name ? 3 : 2);
+    g_assert_cmpuint(page.unnamed, ==, !has_name);
+    last = &g_array_index(page.records, ObjectRecord, page.records->len - 1);
+    g_assert_cmpstr(last->name, ==, "z");
+    g_assert_true(last->deleted);
+    if (has_name) {
+        g_assert_null(g_array_index(page.records, ObjectRecord, 1).value);
+    }
+    ObjectPage_Clear(&page);
+    g_free(body);
+}
+
+/* Guards against one odd object in a neighbour's page that hides the others.
+ */
+static void
+test_odd_object(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(odd_objects); i++) {
+        g_test_message("%s", odd_objects[i].object);
+        check_odd_object(odd_objects[i].object, odd_objects[i].has_name);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -525,5 +590,6 @@
                     test_watch_after_restoration);
     g_test_add_func("/mirror/earlier-version", test_earlier_version);
     g_test_add_func("/mirror/neighbour-gone", test_neighbour_stopped);
+    g_test_add_func("/mirror/odd-object", test_odd_object);
     return g_test_run();
 }
--- a/src/objects/object_store.c
+++ b/src/objects/object_store.c
@@ -1,5 +1,22 @@
 #include "objects/object_store.h"
 
+#include <string.h>
+
+gboolean
+ObjectName_IsValid(const char *name)
+{
+    size_t bytes = name != NULL ? strlen(name) : 0;
+
+    for (size_t i = 0; i < bytes; i++) {
+        if (name[i] == '/' || (unsigned char)name[i] <= ' ' ||
+            name[i] == '\x7f') {
+            return FALSE;
+        }
+    }
+    return bytes > 0 && bytes <= OBJECT_NAME_BYTES && strcmp(name, ".") != 0 &&
+           strcmp(name, "..") != 0;
+}
+
 int
 ObjectRevision_Compare(ObjectRevision a, ObjectRevision b)
 {
@@ -31,6 +48,26 @@
     g_array_set_clear_func(page->records, clear_record);
 }
 
+Result
+ObjectPage_Advance(const ObjectPage *page, char **after, gboolean *more)
+{
+    const ObjectRecord *last;
+
+    *more = page->more;
+    if (!page->more) {
+        return RESULT_OK;
+    }
+    for (guint i = page->records->len; i > 0; i--) {
+        last = &g_array_index(page->records, ObjectRecord, i - 1);
+        if (strcmp(last->name, *after) > 0) {
+            g_free(*after);
+            *after = g_strdup(last->name);
+            return RESULT_OK;
+        }
+    }
+    return RESULT_STORE_UNAVAILABLE;
+}
+
 void
 ObjectPage_Clear(ObjectPage *page)
 {
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -26,6 +26,8 @@
 #include "base/clock.h"
 #include "base/result.h"
 
+#define OBJECT_NAME_BYTES 255
+
 typedef struct ObjectRevision {
     int64_t generation; /* 0: the store does not name any */
     int64_t number;
@@ -35,11 +37,12 @@
     char *name;
     ObjectRevision revision;
     gboolean deleted; /* in a watch: the object was deleted */
-    json_t *value;    /* NULL if it could not be read */
+    json_t *value;    /* NULL if it could not be decoded */
 } ObjectRecord;
 
 typedef struct ObjectPage {
     GArray *records;         /* ObjectRecord */
+    unsigned unnamed;        /* objects left out: no usable name or revision */
     ObjectRevision revision; /* store revision of the answer */
     gboolean more;   /* a list has further objects after the last name */
     ClockMs held_ms; /* lower bound of the time from call to answer */
@@ -69,11 +72,21 @@
     void (*end_watches)(void *context);
 } ObjectStore;
 
+/* Whether a name is one to OBJECT_NAME_BYTES printable characters long and no
+ * part of a path. Objects with other names are left out of pages. */
+gboolean ObjectName_IsValid(const char *name);
+
 /* Returns a value below, equal to or above 0. */
 int ObjectRevision_Compare(ObjectRevision a, ObjectRevision b);
 
 void ObjectPage_Init(ObjectPage *page);
 void ObjectPage_Clear(ObjectPage *page);
+
+/* Moves `after`, the name after which the page of a list starts, to that of
+ * the next page. Sets `more` if there is one. Returns RESULT_STORE_UNAVAILABLE
+ * if the page has no later name. */
+Result ObjectPage_Advance(const ObjectPage *page, char **after,
+                          gboolean *more);
 void ObjectRecord_Clear(ObjectRecord *record);
 
 #endif
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -6,6 +6,7 @@
 #include <urcu.h>
 
 #include "base/condition.h"
+#include "base/counter.h"
 #include "base/log.h"
 #include "objects/object_backoff.h"
 
@@ -24,6 +25,8 @@
     atomic_bool complete;
     ObjectRevision revision; /* revision to watch from; -1: list first */
     ClockMs next_wait_ms;
+    GHashTable *rejected; /* name -> ObjectRevision, of malformed objects */
+    unsigned unnamed;     /* in the last page that had some */
     gboolean failing;
     ClockMs failed_since;
     ObjectBackoff backoff;
@@ -102,12 +105,51 @@
     return stopping;
 }
 
+static void
+note_unnamed(ObjectSync *sync, const ObjectPage *page)
+{
+    if (page->unnamed > 0 && page->unnamed != sync->unnamed) {
+        sync->unnamed = page->unnamed;
+        Counter_Add(COUNTER_STORE_OBJECTS_REJECTED, page->unnamed);
+        Log_Event(LOG_OBJECTS_UNNAMED,
+                  "kind=%s count=%u generation=%" PRId64 " revision=%" PRId64,
+                  sync->desc.kind, page->unnamed, page->revision.generation,
+                  page->revision.number);
+    }
+}
+
+/* Logs and counts a malformed object, once for each revision. */
+static void
+note_rejected(ObjectSync *sync, const ObjectRecord *record)
+{
+    const ObjectRevision *known =
+        g_hash_table_lookup(sync->rejected, record->name);
+
+    if (known != NULL &&
+        ObjectRevision_Compare(*known, record->revision) == 0) {
+        return;
+    }
+    if (g_hash_table_size(sync->rejected) >= OBJECT_SYNC_REJECTED) {
+        g_hash_table_remove_all(sync->rejected);
+    }
+    g_hash_table_replace(
+        sync->rejected, g_strdup(record->name),
+        g_memdup2(&record->revision, sizeof(record->revision)));
+    Counter_Add(COUNTER_STORE_OBJECTS_REJECTED, 1);
+    Log_Event(LOG_OBJECT_REJECTED,
+              "kind=%s name=%s generation=%" PRId64 " revision=%" PRId64
+              " decoded=%d",
+              sync->desc.kind, record->name, record->revision.generation,
+              record->revision.number, record->value != NULL);
+}
+
 static void
 report_records(ObjectSync *sync, const ObjectPage *page, GHashTable *names)
 {
     if (is_stopping(sync)) {
         return;
     }
+    note_unnamed(sync, page);
     for (guint i = 0; i < page->records->len; i++) {
         const ObjectRecord *record =
             &g_array_index(page->records, ObjectRecord, i);
@@ -115,7 +157,13 @@
         if (names != NULL) {
             g_hash_table_add(names, g_strdup(record->name));
         }
-        sync->desc.changed(sync->desc.context, record, page->revision);
+        if (sync->desc.changed(sync->desc.context, record, page->revision) &&
+            (record->deleted || record->value != NULL)) {
+            g_hash_table_remove(sync->rejected, record->name);
+        }
+        else {
+            note_rejected(sync, record);
+        }
     }
 }
 
@@ -166,13 +214,7 @@
         if (result == RESULT_OK) {
             report_records(sync, &page, names);
             first = after[0] == '\0' ? page : first;
-            more = page.more && page.records->len > 0;
-        }
-        if (more && result == RESULT_OK) {
-            g_free(after);
-            after = g_strdup(g_array_index(page.records, ObjectRecord,
-                                           page.records->len - 1)
-                                 .name);
+            result = ObjectPage_Advance(&page, &after, &more);
         }
         ObjectPage_Clear(&page);
     }
@@ -267,6 +309,8 @@
     }
     sync->next_wait_ms = sync->desc.wait_ms;
     sync->revision.number = -1;
+    sync->rejected =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     ObjectBackoff_Init(&sync->backoff);
     pthread_mutex_init(&sync->lock, NULL);
     Condition_Init(&sync->wake);
@@ -287,6 +331,7 @@
     pthread_join(sync->thread, NULL);
     pthread_cond_destroy(&sync->wake);
     pthread_mutex_destroy(&sync->lock);
+    g_hash_table_destroy(sync->rejected);
     g_free(sync);
 }
 
--- a/src/objects/object_sync.h
+++ b/src/objects/object_sync.h
@@ -11,10 +11,12 @@
  * store are logged once each.
  *
  * Callbacks run on the thread, each with the store revision of the answer.
- * `changed` receives each object and each deletion. After a full list `listed`
- * receives the names that exist, so that all others can be removed.
- * `confirmed` receives a time at which the state reported so far was the
- * newest one.
+ * `changed` receives each object and each deletion. An object that cannot be
+ * decoded or that `changed` does not accept is logged and counted once for
+ * each of its revisions, by name for up to OBJECT_SYNC_REJECTED names. After a
+ * full list `listed` receives the names that exist, so that all others can be
+ * removed. `confirmed` receives a time at which the state reported so far was
+ * the newest one.
  */
 #ifndef OBJECTS_OBJECT_SYNC_H
 #define OBJECTS_OBJECT_SYNC_H
@@ -22,6 +24,9 @@
 #include "objects/object_generation.h"
 #include "objects/object_store.h"
 
+/* Maximum number of rejected objects that are remembered. */
+#define OBJECT_SYNC_REJECTED 256
+
 typedef struct ObjectSync ObjectSync;
 
 typedef struct ObjectSync_desc {
@@ -32,8 +37,9 @@
     gboolean confirm_changes; /* confirm soon after each change, too */
     ClockMs pause_ms; /* pause after a watch that returned changes, so that a
                          series of changes costs few calls; zero: none */
-    void (*changed)(void *context, const ObjectRecord *record,
-                    ObjectRevision revision);
+    /* Returns FALSE if the object is malformed; its value may be NULL. */
+    gboolean (*changed)(void *context, const ObjectRecord *record,
+                        ObjectRevision revision);
     void (*listed)(void *context, GHashTable *names,
                    ObjectRevision revision); /* may be NULL */
     void (*confirmed)(void *context, ClockMs as_of,
--- a/src/objects/object_writer.c
+++ b/src/objects/object_writer.c
@@ -16,7 +16,8 @@
     gboolean is_set;       /* ObjectWriter_Set() has been called */
     gboolean stored_known; /* `stored` is up to date */
     json_t *desired;       /* desired value; NULL: the object must not exist */
-    json_t *stored;        /* value in the store; NULL: no such object */
+    json_t *stored;        /* value in the store, JSON null if it cannot be
+                              decoded; NULL: no such object */
     ObjectRevision seen;   /* newest known state of the object */
     int64_t condition;     /* revision number of `stored`; 0: none */
     ObjectBackoff backoff; /* used by the thread only */
@@ -54,6 +55,13 @@
     writer->stored_known = TRUE;
 }
 
+/* Returns the value of an object that exists. */
+static json_t *
+existing_value(const ObjectRecord *record)
+{
+    return record->value != NULL ? json_deep_copy(record->value) : json_null();
+}
+
 static Result
 read_back(ObjectWriter *writer)
 {
@@ -61,6 +69,7 @@
     ObjectRecord record = {0};
     Result result = store->get(store->context, writer->desc.kind,
                                writer->desc.name, &record);
+    json_t *value = result == RESULT_OK ? existing_value(&record) : NULL;
 
     pthread_mutex_lock(&writer->lock);
     if (result == RESULT_NOT_FOUND) {
@@ -72,7 +81,7 @@
         result = RESULT_OK;
     }
     if (result == RESULT_OK) {
-        set_stored(writer, json_incref(record.value), record.revision);
+        set_stored(writer, value, record.revision);
         result = writer->stored_known ? RESULT_OK : RESULT_STORE_UNAVAILABLE;
     }
     pthread_mutex_unlock(&writer->lock);
@@ -194,8 +203,7 @@
 {
     pthread_mutex_lock(&writer->lock);
     if (ObjectRevision_Compare(record->revision, writer->seen) > 0) {
-        set_stored(writer,
-                   record->deleted ? NULL : json_deep_copy(record->value),
+        set_stored(writer, record->deleted ? NULL : existing_value(record),
                    record->revision);
         pthread_cond_signal(&writer->wake);
     }
--- a/src/objects/object_writer.h
+++ b/src/objects/object_writer.h
@@ -6,7 +6,8 @@
  *     the object.
  *  3. ObjectWriter_Observe() with each record of the object that a watch of
  *     the kind returns, and with a deletion if a list lacks it. If it differs,
- *     because a late write or another writer replaced the object or the store
+ *     because a late write or another writer replaced the object, also by a
+ *     value that cannot be decoded, or the store
  *     was restored from an older copy, the value is written again.
  *  4. ObjectWriter_Stop().
  *
--- a/src/objects/test_objects.c
+++ b/src/objects/test_objects.c
@@ -74,7 +74,7 @@
     return answer(context, CALL_WATCH, page);
 }
 
-static void
+static gboolean
 note_change(void *context, const ObjectRecord *record, ObjectRevision revision)
 {
     Script *script = context;
@@ -83,6 +83,7 @@
     pthread_mutex_lock(&script->lock);
     script->reported = (int)json_integer_value(record->value);
     pthread_mutex_unlock(&script->lock);
+    return TRUE;
 }
 
 static void
--- a/src/roster/roster_entry.c
+++ b/src/roster/roster_entry.c
@@ -36,15 +36,15 @@
     const char *data_centre;
     const char *region;
     const char *peer;
-    int rpc_port;
-    int mirror_port;
-    int slots;
+    json_int_t rpc_port;
+    json_int_t mirror_port;
+    json_int_t slots;
     int leaving;
 
     *entry = (RosterEntry){0};
     if (value == NULL ||
         json_unpack(
-            (json_t *)value, "{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:b}",
+            (json_t *)value, "{s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:b}",
             "instance", &instance, "service", &service, "dc", &data_centre,
             "region", &region, "peer", &peer, "rpc", &rpc_port, "mirror",
             &mirror_port, "slots", &slots, "leaving", &leaving) != 0) {
@@ -61,5 +61,5 @@
            copy_name(entry->service, service) &&
            copy_name(entry->data_centre, data_centre) &&
            copy_name(entry->region, region) &&
-           HttpAddress_Parse(peer, &entry->peer);
+           HttpAddress_Parse(peer, &entry->peer) && entry->peer.sin_port != 0;
 }
--- a/src/roster/test_roster.c
+++ b/src/roster/test_roster.c
@@ -110,6 +110,55 @@
     }
 }
 
+/* Guards against a number in an entry that is cut to fewer bits: it would name
+ * another port, or another number of slots. */
+static void
+test_entry_ranges(void)
+{
+    static const struct {
+        const char *peer;
+        const char *rpc;
+        const char *mirror;
+        const char *slots;
+        gboolean valid;
+    } cases[] = {
+        {"10.0.0.1:80", "7", "8", "5", TRUE},
+        {"10.0.0.1:65535", "65535", "0", "100000", TRUE},
+        {"10.0.0.1:4294975376", "7", "8", "5", FALSE},
+        {"10.0.0.1:65536", "7", "8", "5", FALSE},
+        {"10.0.0.1:-1", "7", "8", "5", FALSE},
+        {"10.0.0.1:0", "7", "8", "5", FALSE},
+        {"10.0.0.1", "7", "8", "5", FALSE},
+        {"10.0.0.1:80", "4294975376", "8", "5", FALSE},
+        {"10.0.0.1:80", "65536", "8", "5", FALSE},
+        {"10.0.0.1:80", "-1", "8", "5", FALSE},
+        {"10.0.0.1:80", "\"7\"", "8", "5", FALSE},
+        {"10.0.0.1:80", "7.5", "8", "5", FALSE},
+        {"10.0.0.1:80", "7", "4294975376", "5", FALSE},
+        {"10.0.0.1:80", "7", "8", "0", FALSE},
+        {"10.0.0.1:80", "7", "8", "-1", FALSE},
+        {"10.0.0.1:80", "7", "8", "4294967301", FALSE},
+        {"10.0.0.1:80", "7", "8", "1099511627776", FALSE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *text = g_strdup_printf(
+            "{\"instance\":\"i\",\"service\":\"s\",\"dc\":\"d\",\"region\":"
+            "\"r\",\"peer\":\"%s\",\"rpc\":%s,\"mirror\":%s,\"slots\":%s,"
+            "\"leaving\":false}",
+            cases[i].peer, cases[i].rpc, cases[i].mirror, cases[i].slots);
+        json_t *value = json_loads(text, 0, NULL);
+        RosterEntry entry;
+
+        g_test_message("%s", text);
+        g_assert_nonnull(value);
+        g_assert_cmpint(RosterEntry_Decode("h", value, &entry), ==,
+                        cases[i].valid);
+        json_decref(value);
+        g_free(text);
+    }
+}
+
 /* Guards against paying for a distant backend server needlessly, and against
  * staying with a near one that is failing or overloaded. */
 static void
@@ -352,6 +401,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/roster/entry", test_entry);
+    g_test_add_func("/roster/entry-ranges", test_entry_ranges);
     g_test_add_func("/roster/choice", test_choice);
     g_test_add_func("/roster/unreachable", test_unreachable);
     g_test_add_func("/roster/exploration", test_exploration);
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -39,7 +39,7 @@
  * group and each of the two kinds. */
 #define MIRROR_THREADS (2 * MIRROR_GROUP)
 
-static void
+static gboolean
 catalog_changed(void *context, const ObjectRecord *record,
                 ObjectRevision revision)
 {
@@ -52,7 +52,7 @@
                        revision);
     if (record->deleted ||
         strcmp(record->name, sidecar->adapter->catalog_name) != 0) {
-        return;
+        return TRUE;
     }
     table = sidecar->adapter->decode_catalog(record->value, &error);
     if (table == NULL) {
@@ -61,7 +61,7 @@
                   record->revision.generation, record->revision.number,
                   error->message);
         g_error_free(error);
-        return;
+        return TRUE;
     }
     version = CatalogTable_Version(table);
     if (Catalog_Publish(sidecar->catalog, table,
@@ -77,6 +77,7 @@
             "version=%" PRIu64 " generation=%" PRId64 " revision=%" PRId64,
             version, record->revision.generation, record->revision.number);
     }
+    return TRUE;
 }
 
 static void
@@ -131,7 +132,7 @@
                         revision);
 }
 
-static void
+static gboolean
 roster_changed(void *context, const ObjectRecord *record,
                ObjectRevision revision)
 {
@@ -142,7 +143,8 @@
     MirrorCache_Update(sidecar->kinds[SIDECAR_ROSTER].cache, record, revision);
     if (is_own) {
         ObjectWriter_Observe(sidecar->writer, record);
-        return;
+        return record->deleted ||
+               RosterEntry_Decode(record->name, record->value, &entry);
     }
     if (record->deleted) {
         Roster_Remove(sidecar->roster, record->name);
@@ -151,11 +153,7 @@
         Roster_Set(sidecar->roster, &entry, Clock_Now());
     }
     else {
-        Log_Event(LOG_OBJECT_REJECTED,
-                  "kind=%s name=%s generation=%" PRId64 " revision=%" PRId64,
-                  SIDECAR_ROSTER_KIND, record->name,
-                  record->revision.generation, record->revision.number);
-        return;
+        return FALSE;
     }
     Log_Event(LOG_ROSTER_CHANGED,
               "host=%s instance=%s service=%s generation=%" PRId64
@@ -164,6 +162,7 @@
               record->deleted ? "-" : entry.service,
               record->revision.generation, record->revision.number,
               record->deleted, Roster_Count(sidecar->roster));
+    return TRUE;
 }
 
 static void
--- a/standin/object_server.c
+++ b/standin/object_server.c
@@ -13,10 +13,14 @@
 /* Time for which a silent server holds a call. */
 #define SILENCE_MS 3000
 
+/* Stands in an answer for the text of an object that was written as a text. */
+#define TEXT_MARK "text-of-object-"
+
 typedef struct Object {
     char *kind;
     char *name;
     json_t *value; /* NULL: removed */
+    char *text;    /* replaces the whole object in answers; NULL: none */
     gint64 revision;
 } Object;
 
@@ -43,6 +47,7 @@
 
     g_free(object->kind);
     g_free(object->name);
+    g_free(object->text);
     json_decref(object->value);
     g_free(object);
 }
@@ -85,6 +90,7 @@
         g_ptr_array_sort(server->objects, compare_names);
     }
     json_decref(object->value);
+    g_clear_pointer(&object->text, g_free);
     object->value = value;
     object->revision = ++server->revision;
     pthread_cond_broadcast(&server->changed);
@@ -94,6 +100,9 @@
 static json_t *
 encode_object(const Object *object)
 {
+    if (object->text != NULL) {
+        return json_sprintf(TEXT_MARK "%" G_GINT64_FORMAT, object->revision);
+    }
     return json_pack("{s:{s:s, s:I}, s:O?}", "metadata", "name", object->name,
                      "revision", (json_int_t)object->revision, "spec",
                      object->value);
@@ -185,6 +194,28 @@
     return 200;
 }
 
+/* Called with the lock held. Returns the text of an answer. */
+static char *
+encode_answer(ObjectServer *server, const json_t *body)
+{
+    char *dumped = json_dumps(body, JSON_COMPACT | JSON_ENCODE_ANY);
+    GString *text = g_string_new(dumped);
+
+    free(dumped);
+    for (guint i = 0; i < server->objects->len; i++) {
+        const Object *object = g_ptr_array_index(server->objects, i);
+
+        if (object->text != NULL) {
+            char *mark = g_strdup_printf(
+                "\"" TEXT_MARK "%" G_GINT64_FORMAT "\"", object->revision);
+
+            g_string_replace(text, mark, object->text, 0);
+            g_free(mark);
+        }
+    }
+    return g_string_free(text, FALSE);
+}
+
 /* Called with the lock held. Returns the HTTP status. */
 static int
 handle_read(ObjectServer *server, const HttpRequest *request, const char *kind,
@@ -258,10 +289,12 @@
     return status;
 }
 
+/* Sets the text of the answer unless it has none. Returns the HTTP status. */
 static int
-dispatch(ObjectServer *server, const HttpRequest *request, json_t **body,
+dispatch(ObjectServer *server, const HttpRequest *request, char **text,
          gint64 *era)
 {
+    json_t *body = NULL;
     const char *path = HttpRequest_Path(request);
     char **parts;
     int status;
@@ -272,13 +305,15 @@
     parts = g_strsplit(path + strlen(OBJECTS_PATH), "/", 2);
     pthread_mutex_lock(&server->lock);
     if (strcmp(HttpRequest_Method(request), "GET") == 0) {
-        status = handle_read(server, request, parts[0], parts[1], body);
+        status = handle_read(server, request, parts[0], parts[1], &body);
     }
     else {
-        status = handle_write(server, request, parts[0], parts[1], body);
+        status = handle_write(server, request, parts[0], parts[1], &body);
     }
+    *text = body != NULL ? encode_answer(server, body) : NULL;
     *era = server->era;
     pthread_mutex_unlock(&server->lock);
+    json_decref(body);
     g_strfreev(parts);
     return status;
 }
@@ -300,9 +335,8 @@
     ObjectFault fault = atomic_load(&server->fault);
     gboolean is_write = strcmp(HttpRequest_Method(request), "GET") != 0;
     HttpAnswer answer = {0};
-    json_t *body = NULL;
+    char *text = NULL;
     gint64 era = 0;
-    char *text;
     int status = 503;
 
     atomic_fetch_add(&server->calls, 1);
@@ -310,18 +344,15 @@
         hold_call(server);
     }
     else if (fault != OBJECT_FAULT_REFUSE) {
-        status = dispatch(server, request, &body, &era);
+        status = dispatch(server, request, &text, &era);
     }
     if (fault == OBJECT_FAULT_LOSE_ANSWERS && is_write) {
         hold_call(server);
     }
-    text = body ? json_dumps(body, JSON_COMPACT) : NULL;
-    HttpAnswer_SetJson(&answer, status, g_strdup(text ? text : "{}"));
+    HttpAnswer_SetJson(&answer, status, text ? text : g_strdup("{}"));
     if (era > 0) {
         HttpHeaders_AddNumber(&answer.headers, "Store-Era", era);
     }
-    free(text);
-    json_decref(body);
     HttpRequest_Respond(request, &answer);
 }
 
@@ -379,6 +410,26 @@
     return revision;
 }
 
+gint64
+ObjectServer_WriteText(ObjectServer *server, const char *kind,
+                       const char *name, const char *text)
+{
+    GString *copy = g_string_new(text);
+    gint64 revision;
+    Object *object;
+    char *number;
+
+    pthread_mutex_lock(&server->lock);
+    object = put_object(server, kind, name, json_null());
+    revision = object->revision;
+    number = g_strdup_printf("%" G_GINT64_FORMAT, revision);
+    g_string_replace(copy, "%d", number, 0);
+    object->text = g_string_free(copy, FALSE);
+    pthread_mutex_unlock(&server->lock);
+    g_free(number);
+    return revision;
+}
+
 json_t *
 ObjectServer_Read(ObjectServer *server, const char *kind, const char *name)
 {
@@ -417,6 +468,7 @@
     copy->kind = g_strdup(object->kind);
     copy->name = g_strdup(object->name);
     copy->value = json_deep_copy(object->value);
+    copy->text = g_strdup(object->text);
     copy->revision = object->revision;
     return copy;
 }
--- a/standin/object_server.h
+++ b/standin/object_server.h
@@ -39,6 +39,11 @@
 gint64 ObjectServer_Write(ObjectServer *server, const char *kind,
                           const char *name, json_t *value);
 
+/* Writes an object that answers contain as this text, which need not be JSON.
+ * A "%d" in it stands for the object's revision. Returns the revision. */
+gint64 ObjectServer_WriteText(ObjectServer *server, const char *kind,
+                              const char *name, const char *text);
+
 /* Returns a copy of the value, or NULL if there is no such object. */
 json_t *ObjectServer_Read(ObjectServer *server, const char *kind,
                           const char *name);
--- a/tests/process_sidecar.c
+++ b/tests/process_sidecar.c
@@ -407,6 +407,114 @@
     Site_Destroy(site);
 }
 
+/* An odd entry, by another writer, in place of a good one. */
+static void
+write_odd_entry(Site *site, const char *kind, const char *name,
+                const char *value)
+{
+    char *text = g_strdup_printf(
+        "{\"metadata\":{\"name\":\"%s\",\"revision\":%%d},\"spec\":%s}", name,
+        value);
+
+    ObjectServer_WriteText(Site_Store(site), kind, name, text);
+    g_free(text);
+}
+
+static void
+write_odd_entries(Site *site, const char *prefix)
+{
+    static const char *const kinds[] = {ENTRY_KIND, "config", "departures"};
+    static const char port[] =
+        "{\"instance\":\"i\",\"service\":\"desk\",\"dc\":\"n1\",\"region\":"
+        "\"norte\",\"peer\":\"127.0.0.1:70000\",\"rpc\":4294975376,"
+        "\"mirror\":-1,\"slots\":1099511627776,\"leaving\":false}";
+    char *open = g_strnfill(100000, '[');
+    char *close = g_strnfill(100000, ']');
+    char *nested = g_strconcat(open, close, NULL);
+    const char *const values[] = {
+        nested, "1e999",        "123456789012345678901",
+        port,   "\"\xff\xfe\"", "\"\\u0000\""};
+
+    for (size_t kind = 0; kind < G_N_ELEMENTS(kinds); kind++) {
+        for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+            char *name = g_strdup_printf("%s-%zu", prefix, i);
+
+            write_odd_entry(site, kinds[kind], name, values[i]);
+            g_free(name);
+        }
+    }
+    g_free(nested);
+    g_free(close);
+    g_free(open);
+}
+
+/* Whether the entry of the host in the store can be read, within 3 s. */
+static gboolean
+await_own_entry(Site *site, const char *name)
+{
+    ClockMs end = Clock_Now() + 3000;
+    gboolean found = FALSE;
+
+    while (!found && Clock_Now() < end) {
+        json_t *value = ObjectServer_Read(Site_Store(site), ENTRY_KIND, name);
+
+        found = json_is_object(value);
+        json_decref(value);
+        g_usleep(10000);
+    }
+    return found;
+}
+
+/* Sends requests to `hosts` hosts in turn, each of which is served. Returns
+ * how many the backend server of one host ran. */
+static unsigned
+serve_all(Site *site, int hosts, int watched)
+{
+    unsigned before = Site_Runs(site, watched);
+
+    for (int i = 0; i < 60; i++) {
+        g_assert_cmpint(request_status(site, i % hosts, "/read/1", "other"),
+                        ==, 200);
+    }
+    return Site_Runs(site, watched) - before;
+}
+
+/* Guards against an odd entry, written before the start, while daemons run, or
+ * under the name of a running host, that ends a daemon, keeps it from
+ * starting, or keeps it from following the others: requests reach a host that
+ * joins later and none that leaves. */
+static void
+test_odd_entries(void)
+{
+    static const SiteHost_desc place = {.data_centre = "n1"};
+    Site *site = Site_Create();
+    char *log;
+
+    write_odd_entries(site, "a-odd");
+    Site_Configure(site, 1, KEYS, 0);
+    for (int i = 0; i < 3; i++) {
+        Site_AddHost(site, &place);
+    }
+    Site_AwaitReady(site);
+    write_odd_entries(site, "z-odd");
+    write_odd_entry(site, ENTRY_KIND, "host-1", "1e999");
+    g_assert_true(await_own_entry(site, "host-1"));
+    Site_AddHost(site, &place);
+    Site_AwaitReady(site);
+    Site_Configure(site, 2, "[\"other\"]", 0);
+    g_usleep(1500000);
+    g_assert_cmpuint(serve_all(site, 3, 3), >, 0);
+    Site_Drain(site, 3);
+    g_assert_cmpuint(serve_all(site, 4, 3), ==, 0);
+    for (int i = 0; i < 4; i++) {
+        g_assert_false(Site_AwaitExit(site, i, 1));
+    }
+    log = Site_ReadLog(site, 0);
+    g_assert_nonnull(strstr(log, "E206 OBJECT_REJECTED"));
+    g_free(log);
+    Site_Destroy(site);
+}
+
 /* Guards against a request that cannot be traced in the logs, and against
  * metrics that are not served. */
 static void
@@ -448,6 +556,7 @@
     g_test_add_func("/sidecar/kills", test_kills);
     g_test_add_func("/sidecar/lost-host", test_failed_host);
     g_test_add_func("/sidecar/quota", test_quota);
+    g_test_add_func("/sidecar/odd-entries", test_odd_entries);
     g_test_add_func("/sidecar/explanation", test_explanation);
     return g_test_run();
 }
