backend: a suspension of the owner is not held against its backend server

Cause: a daemon that was suspended for some seconds found the requests at work past their deadlines when it ran again.

Runs count for what the owner could see of them; failures of runs that a pause interrupted are no evidence.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -57,6 +57,7 @@
     ClockMs last_sent;        /* time of the last request */
     guint running_retries; /* number of retries among the running requests */
     RetryRates rates;
+    PauseLog pauses;
     Admission *admission;
 };
 
@@ -263,6 +264,14 @@
                STALL_FACTOR * Admission_Load(backend->admission).service_ms);
 }
 
+/* Time since `from` in which this process could see an answer. Called with the
+ * lock held. */
+static ClockMs
+seen_ms(const Backend *backend, ClockMs from, ClockMs now)
+{
+    return now - from - PauseLog_Between(&backend->pauses, from, now);
+}
+
 /* Called with the lock held. */
 static double
 current_risk(const Backend *backend, ClockMs now)
@@ -270,7 +279,8 @@
     double risk = GrayFilter_Risk(&backend->filter, now);
     ClockMs oldest = Admission_Load(backend->admission).oldest;
 
-    return oldest != CLOCK_NEVER && now - oldest > stall_limit(backend)
+    return oldest != CLOCK_NEVER &&
+                   seen_ms(backend, oldest, now) > stall_limit(backend)
                ? MAX(risk, STALL_RISK)
                : risk;
 }
@@ -437,6 +447,14 @@
     return RESULT_OK;
 }
 
+void
+Backend_Tick(Backend *backend)
+{
+    pthread_mutex_lock(&backend->lock);
+    PauseLog_Tick(&backend->pauses, Clock_Now());
+    pthread_mutex_unlock(&backend->lock);
+}
+
 void
 Backend_NoteFailedCall(Backend *backend)
 {
@@ -468,16 +486,18 @@
                const AdmissionTicket *ticket, const BackendReply *reply,
                ClockMs now)
 {
+    ClockMs began = now - reply->server_ms;
+    ClockMs seen = seen_ms(backend, began, now);
+
     switch (reply->result) {
     case RESULT_OK:
         GrayFilter_Observe(&backend->filter, FALSE, now);
-        Admission_NoteService(backend->admission, ticket, reply->server_ms,
-                              now);
+        Admission_NoteService(backend->admission, ticket, seen, now);
         return;
     case RESULT_CANCELLED:
     case RESULT_DEADLINE_EXPIRED:
         /* A short deadline or early cancellation indicates no failure. */
-        if (reply->server_ms < stall_limit(backend)) {
+        if (seen < stall_limit(backend)) {
             return;
         }
         break;
@@ -501,6 +521,10 @@
         }
         return;
     default:
+        if (seen < reply->server_ms) {
+            /* Connections may have ended while nobody read from them. */
+            return;
+        }
         break;
     }
     GrayFilter_Observe(&backend->filter, TRUE, now);
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -10,9 +10,11 @@
  *     Backend_MarkStopped() when it reports that it stops.
  *  3. Backend_Run() for each request, from any thread; it blocks while the
  *     request waits for a slot and runs.
- *  4. Backend_Leave() when a graceful stop begins; Backend_Close() refuses all
+ *  4. Backend_Tick() at least every PAUSE_TICK_MS, so that time in which this
+ *     process did not run is not held against the backend server.
+ *  5. Backend_Leave() when a graceful stop begins; Backend_Close() refuses all
  *     requests that are not running yet.
- *  5. Backend_Destroy() once no Backend_Run() is active.
+ *  6. Backend_Destroy() once no Backend_Run() is active.
  *
  * Admission: a request is refused as not run
  *  - if it is for another service: the address of this host was used by
@@ -47,6 +49,7 @@
 #include <netinet/in.h>
 
 #include "admission/admission.h"
+#include "backend/pause_log.h"
 #include "backend/wire_names.h"
 #include "base/clock.h"
 #include "base/result.h"
@@ -156,6 +159,8 @@
 void Backend_Run(Backend *backend, const BackendCall *call,
                  BackendReply *reply);
 
+void Backend_Tick(Backend *backend);
+
 /* Records that a call which the backend server made while running a request
  * has failed. A failure of the backend server right after it is attributed to
  * the call and does not raise the backend server's risk. */
--- a/src/backend/test_backend.c
+++ b/src/backend/test_backend.c
@@ -546,6 +546,39 @@
     close_fixture(&fixture);
 }
 
+/* Guards against an owner that takes the time in which it was suspended itself
+ * for a backend server that hangs, and refuses requests for seconds after. */
+static void
+test_suspended(void)
+{
+    static const struct {
+        gboolean suspended; /* no tick while the request is at work */
+        gboolean is_gray;
+    } cases[] = {{FALSE, TRUE}, {TRUE, FALSE}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Fixture fixture = {.script = {.answer = NULL}};
+        Caller caller = {0};
+        RosterReport report;
+
+        open_fixture(&fixture);
+        Backend_Tick(fixture.backend);
+        start_caller(&caller, fixture.backend, 0);
+        for (ClockMs end = Clock_Now() + 1900; Clock_Now() < end;) {
+            g_usleep(PAUSE_TICK_MS * 1000);
+            if (!cases[i].suspended) {
+                Backend_Tick(fixture.backend);
+            }
+            Backend_GetReport(fixture.backend, &report);
+        }
+        g_assert_cmpint(report.risk > 0.5, ==, cases[i].is_gray);
+        pthread_join(caller.thread, NULL);
+        Backend_GetReport(fixture.backend, &report);
+        g_assert_cmpint(report.risk > 0.5, ==, cases[i].is_gray);
+        close_fixture(&fixture);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -563,5 +596,6 @@
     g_test_add_func("/backend/waiting", test_waiting);
     g_test_add_func("/backend/paused", test_paused);
     g_test_add_func("/backend/patience", test_attempt_timeout);
+    g_test_add_func("/backend/suspended", test_suspended);
     return g_test_run();
 }
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -167,6 +167,7 @@
     sidecar->mirror_client = HttpClient_Create(&(HttpClient_desc){0});
     create_state(sidecar);
     sidecar->monitor = _Sidecar_StartMonitor(sidecar);
+    sidecar->ticker = _Sidecar_StartTicker(sidecar);
     if (!_Sidecar_StartState(sidecar, error) ||
         !Rpc_Start(sidecar->rpc, error) ||
         !open_request_path(sidecar, error) ||
@@ -267,6 +268,7 @@
         return;
     }
     _Sidecar_StopMonitor(sidecar->monitor);
+    _Sidecar_StopTicker(sidecar->ticker);
     Gateway_Destroy(sidecar->gateway);
     PeerPort_Destroy(sidecar->peer_port);
     _Sidecar_ClosePorts(sidecar);
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -24,6 +24,7 @@
 enum { SIDECAR_CATALOG, SIDECAR_ROSTER, SIDECAR_KINDS };
 
 typedef struct SidecarMonitor SidecarMonitor;
+typedef struct SidecarTicker SidecarTicker;
 
 struct Sidecar {
     Settings *settings;
@@ -58,6 +59,7 @@
     ClockMs max_catalog_age_ms; /* maximum age of a usable configuration */
     atomic_bool leaving;
     SidecarMonitor *monitor;
+    SidecarTicker *ticker;
     gboolean was_ready; /* used by the readiness port's thread only */
 };
 
@@ -71,6 +73,11 @@
 SidecarMonitor *_Sidecar_StartMonitor(Sidecar *sidecar);
 void _Sidecar_StopMonitor(SidecarMonitor *monitor);
 
+/* sidecar_ticker.c: calls Backend_Tick(). A thread of its own, because the
+ * monitor waits for other hosts. */
+SidecarTicker *_Sidecar_StartTicker(Sidecar *sidecar);
+void _Sidecar_StopTicker(SidecarTicker *ticker);
+
 /* Asks some neighbours for their versions of the configuration and requires
  * the newest one. If none has one, the monitor asks again. */
 void _Sidecar_AskVersions(Sidecar *sidecar);
