roster, gateway: requests of a larger fleet are refused by fewer owners

The limit that a request carries was a share of failures, but its owner compared the risk with it: where all of a service fails, owners refused what the sender had accepted. 2. A request explored one idle backend server after the other. With many senders each knows of the same idle ones, and all but one are refused. 3. A sender that knows few owners of a service does not know that most of it fails, and asks one after the other.

Change: the limit is converted to a risk; a request explores once; after one refusal for risk (a retry could follow) or two, the risk does not count.

--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/peer_wire.h"
+#include "roster/exploration.h"
 
 /* Maximum number of times that owners are asked to run one request; refusals
  * count, too. */
@@ -181,7 +182,8 @@
     request->can_retry = can_retry(request);
     query.request.failure_cost = Placement_FailureCost(request->can_retry);
     query.request.relative_size = relative_size(request);
-    query.may_explore = request->can_retry && request->attempts == 0;
+    query.may_explore = Exploration_MayBegin(
+        request->can_retry, request->attempts, request->has_explored);
     memcpy(query.excluded, request->excluded, sizeof(query.excluded));
     Backend_GetReport(gateway->desc.backend, &own);
     Roster_Report(gateway->desc.roster, gateway->host, &own, now);
@@ -200,11 +202,15 @@
         .other_cost = choice->other_cost,
         .asked_before =
             contains_host(request->asked, request->asked_count, choice->host),
+        .risky_owners = request->risky_owners,
         .deadline_ms = request->deadline - now};
     PlacementLimits limits = Placement_Limits(&placement, &ask);
 
     call->explore_idle_ms = choice->explore_idle_ms;
-    call->max_risk = limits.max_risk;
+    request->has_explored =
+        request->has_explored || choice->explore_idle_ms > 0;
+    call->max_risk =
+        Roster_RiskAt(request->gateway->desc.roster, limits.max_fail_share);
     call->max_wait_ms = limits.max_wait_ms;
 }
 
@@ -245,6 +251,8 @@
 merge_request(GatewayRequest *request, GatewayRequest *other)
 {
     request->attempts = other->attempts - 1;
+    request->has_explored = request->has_explored || other->has_explored;
+    request->risky_owners = other->risky_owners;
     memcpy(request->excluded, other->excluded, sizeof(request->excluded));
     request->excluded_count = other->excluded_count;
     memcpy(request->asked, other->asked, sizeof(request->asked));
@@ -425,6 +433,8 @@
     }
     switch (reply->result) {
     case RESULT_BACKEND_SERVER_EJECTED:
+        request->risky_owners++;
+        break;
     case RESULT_BACKEND_SERVER_BUSY:
         /* The host stays a candidate: it may still be the best choice. */
         break;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -57,6 +57,8 @@
     uint64_t current_host;     /* host of the attempt in progress */
     gboolean is_retried_call;  /* call of a request that is a retry */
     uint32_t attempts;         /* attempts that reached a backend server */
+    gboolean has_explored;     /* an attempt was an exploration */
+    unsigned risky_owners;     /* owners that refused it for their risk */
     uint64_t excluded[ROSTER_MAX_EXCLUDED]; /* hosts that cannot serve it */
     uint32_t excluded_count;
     uint64_t asked[ROSTER_MAX_EXCLUDED]; /* hosts already asked to serve it */
--- a/src/health/gray_filter.c
+++ b/src/health/gray_filter.c
@@ -23,22 +23,30 @@
     return (double)desc->gray_ms / (double)(desc->gray_ms + desc->sound_ms);
 }
 
-void
-GrayFilter_Init(GrayFilter *filter, const GrayFilter_desc *desc, ClockMs now)
+static GrayFilter_desc
+with_defaults(const GrayFilter_desc *desc)
 {
-    *filter = (GrayFilter){.desc = desc ? *desc : defaults, .updated = now};
-    if (filter->desc.sound_ms == 0) {
-        filter->desc.sound_ms = defaults.sound_ms;
+    GrayFilter_desc full = desc != NULL ? *desc : defaults;
+
+    if (full.sound_ms == 0) {
+        full.sound_ms = defaults.sound_ms;
     }
-    if (filter->desc.gray_ms == 0) {
-        filter->desc.gray_ms = defaults.gray_ms;
+    if (full.gray_ms == 0) {
+        full.gray_ms = defaults.gray_ms;
     }
-    if (filter->desc.sound_failed == 0) {
-        filter->desc.sound_failed = defaults.sound_failed;
+    if (full.sound_failed == 0) {
+        full.sound_failed = defaults.sound_failed;
     }
-    if (filter->desc.gray_failed == 0) {
-        filter->desc.gray_failed = defaults.gray_failed;
+    if (full.gray_failed == 0) {
+        full.gray_failed = defaults.gray_failed;
     }
+    return full;
+}
+
+void
+GrayFilter_Init(GrayFilter *filter, const GrayFilter_desc *desc, ClockMs now)
+{
+    *filter = (GrayFilter){.desc = with_defaults(desc), .updated = now};
     filter->risk = stationary(&filter->desc) / 2;
 }
 
@@ -85,3 +93,13 @@
     return risk * filter->desc.gray_failed +
            (1 - risk) * filter->desc.sound_failed;
 }
+
+double
+GrayFilter_RiskAt(const GrayFilter_desc *desc, double fail_share)
+{
+    GrayFilter_desc full = with_defaults(desc);
+    double risk = (fail_share - full.sound_failed) /
+                  (full.gray_failed - full.sound_failed);
+
+    return CLAMP(risk, 0, 1);
+}
--- a/src/health/gray_filter.h
+++ b/src/health/gray_filter.h
@@ -54,4 +54,8 @@
 /* Expected share of failed requests at this risk. */
 double GrayFilter_FailShare(const GrayFilter *filter, double risk);
 
+/* Highest risk, 0 to 1, whose expected share of failed requests is at most
+ * `fail_share`. */
+double GrayFilter_RiskAt(const GrayFilter_desc *desc, double fail_share);
+
 #endif
--- a/src/health/test_gray_filter.c
+++ b/src/health/test_gray_filter.c
@@ -62,11 +62,35 @@
                       GrayFilter_FailShare(&filter, 1));
 }
 
+/* Guards against a limit of risk that is compared with a share of failures: a
+ * backend server at the limit fails exactly that share. */
+static void
+test_risk_at(void)
+{
+    static const struct {
+        double fail_share;
+        double risk;
+    } cases[] = {{0, 0}, {0.03, 0}, {0.21, 0.25}, {0.75, 1}, {1, 1}};
+    GrayFilter filter;
+
+    GrayFilter_Init(&filter, NULL, 0);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        double risk = GrayFilter_RiskAt(NULL, cases[i].fail_share);
+
+        g_assert_cmpfloat_with_epsilon(risk, cases[i].risk, 1e-9);
+        if (risk > 0 && risk < 1) {
+            g_assert_cmpfloat_with_epsilon(GrayFilter_FailShare(&filter, risk),
+                                           cases[i].fail_share, 1e-9);
+        }
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/gray-filter/sequences", test_sequences);
     g_test_add_func("/gray-filter/ageing", test_ageing);
+    g_test_add_func("/gray-filter/risk-at", test_risk_at);
     return g_test_run();
 }
--- a/src/replay/replay.h
+++ b/src/replay/replay.h
@@ -108,6 +108,7 @@
     guint expired;      /* still waiting at its deadline */
     guint returned;     /* came back after a refusal */
     guint retries;      /* attempts beyond the first of each request */
+    guint asks;         /* times that an owner was asked to run a request */
     guint far;          /* times that a request went to another region */
     ClockMs longest_ms; /* longest time that a request was held before it was
                            refused */
--- a/src/replay/replay_owner.c
+++ b/src/replay/replay_owner.c
@@ -38,7 +38,9 @@
         request->due = now + CONNECT_MS;
         return;
     }
-    if (GrayFilter_Risk(&server->filter, now) > request->limits.max_risk &&
+    if (GrayFilter_FailShare(&server->filter,
+                             GrayFilter_Risk(&server->filter, now)) >
+            request->limits.max_fail_share &&
         !Exploration_IsAllowed(request->explore_idle_ms,
                                now - server->last_sent)) {
         answer(replay, request, RESULT_BACKEND_SERVER_EJECTED, now);
--- a/src/replay/replay_private.h
+++ b/src/replay/replay_private.h
@@ -64,6 +64,8 @@
     guint attempts;
     guint rounds;
     gboolean can_retry;
+    gboolean has_explored;
+    guint risky_owners; /* that refused it for their risk */
     PlacementLimits limits;
     ClockMs explore_idle_ms;
     RosterQuery query; /* its list of excluded hosts is kept */
--- a/src/replay/replay_sender.c
+++ b/src/replay/replay_sender.c
@@ -3,6 +3,7 @@
 
 #include "gateway/return_time.h"
 #include "replay/replay_private.h"
+#include "roster/exploration.h"
 
 /* Return time of the baseline. */
 #define PLAIN_RETURN_MS 300
@@ -129,6 +130,7 @@
                         .asked_before =
                             is_listed(request->asked_hosts,
                                       request->asked_count, choice->host),
+                        .risky_owners = request->risky_owners,
                         .deadline_ms = request->deadline - now};
     gboolean is_far;
 
@@ -137,6 +139,9 @@
     _Replay_OutcomeOf(replay, request)->far += is_far;
     request->limits = Placement_Limits(&request->query.request, &ask);
     request->explore_idle_ms = choice->explore_idle_ms;
+    request->has_explored =
+        request->has_explored || choice->explore_idle_ms > 0;
+    _Replay_OutcomeOf(replay, request)->asks++;
     request->ticket = (AdmissionTicket){
         .priority = request->parent != NULL ? ADMISSION_PRIORITY_NESTED
                                             : stream->priority,
@@ -167,7 +172,8 @@
                          RetryBudget_HasRetry(budget_of(replay, request), now);
     request->query.service =
         Rng_HashString(replay->desc.services[stream->service].name);
-    request->query.may_explore = request->can_retry && request->attempts == 0;
+    request->query.may_explore = Exploration_MayBegin(
+        request->can_retry, request->attempts, request->has_explored);
     request->query.request = (PlacementRequest){
         .failure_cost = Placement_FailureCost(request->can_retry),
         .relative_size = stream->relative_size > 0 ? stream->relative_size : 1,
@@ -258,6 +264,7 @@
         note_backlog(request);
         break;
     case RESULT_BACKEND_SERVER_EJECTED:
+        request->risky_owners++;
         break;
     default:
         if (request->query.excluded_count < ROSTER_MAX_EXCLUDED) {
--- a/src/replay/test_replay.c
+++ b/src/replay/test_replay.c
@@ -49,13 +49,17 @@
 /* Difference in worth that the random arrivals of two runs can make. */
 #define NOISE 0.01
 
+/* Maximum growth of the asks for each request from a small fleet to one that
+ * is ten times as large. */
+#define MAX_ASKS_GROWTH 1.2
+
 typedef struct Result {
     ReplayOutcome outcomes[STREAMS];
     double usage[SERVICES];
 } Result;
 
 static Result
-play(const ReplayPhase *phase, gboolean plain)
+play_senders(const ReplayPhase *phase, gboolean plain, guint senders)
 {
     Replay_desc desc = {.services = services,
                         .service_count = SERVICES,
@@ -64,7 +68,7 @@
                         .phases = phase,
                         .phase_count = phase != NULL,
                         .regions = 3,
-                        .senders = 24,
+                        .senders = senders,
                         .length_ms = 20000,
                         .plain_queue = plain,
                         .plain_budget = plain,
@@ -79,13 +83,13 @@
 
         result.outcomes[i] = *outcome;
         g_test_message("%s %s: asked %u in time %u late %u refused %u failed "
-                       "%u expired %u returned %u retries %u far %u held "
-                       "%" G_GINT64_FORMAT,
+                       "%u expired %u returned %u retries %u asks %u far %u "
+                       "held %" G_GINT64_FORMAT,
                        plain ? "plain" : "     ", streams[i].name,
                        outcome->asked, outcome->in_time, outcome->late,
                        outcome->refused, outcome->failed, outcome->expired,
-                       outcome->returned, outcome->retries, outcome->far,
-                       outcome->longest_ms);
+                       outcome->returned, outcome->retries, outcome->asks,
+                       outcome->far, outcome->longest_ms);
     }
     for (guint i = 0; i < SERVICES; i++) {
         result.usage[i] = Replay_BudgetUsage(replay, i);
@@ -94,6 +98,12 @@
     return result;
 }
 
+static Result
+play(const ReplayPhase *phase, gboolean plain)
+{
+    return play_senders(phase, plain, 24);
+}
+
 /* Worth earned of what the callers asked; calls earn nothing by themselves. */
 static double
 worth(const Result *result)
@@ -254,6 +264,86 @@
     }
 }
 
+/* Times that an owner was asked, for each request and call. */
+static double
+asks(const Result *result)
+{
+    guint count = 0;
+    guint requests = 0;
+
+    for (guint i = 0; i < STREAMS; i++) {
+        count += result->outcomes[i].asks;
+        requests += result->outcomes[i].asked;
+    }
+    return (double)count / requests;
+}
+
+/* Replays a fleet of `scale` times 12 backend servers for each service, each
+ * of them with the same load, some of which fail at any time. */
+static Result
+play_fleet(const ReplayPhase *phases, guint phase_count, guint scale)
+{
+    ReplayService larger[SERVICES];
+    ReplayStream loads[STREAMS];
+    Replay_desc desc = {.services = larger,
+                        .service_count = SERVICES,
+                        .streams = loads,
+                        .stream_count = STREAMS,
+                        .phases = phases,
+                        .phase_count = phase_count,
+                        .regions = 3,
+                        .senders = 24 * scale,
+                        .retry_slack = 60 * scale,
+                        .length_ms = 15000,
+                        .seed = 7};
+    Replay *replay;
+    Result result = {0};
+
+    memcpy(larger, services, sizeof(larger));
+    memcpy(loads, streams, sizeof(loads));
+    for (guint i = 0; i < SERVICES; i++) {
+        larger[i].servers *= scale;
+    }
+    for (guint i = 0; i < STREAMS; i++) {
+        loads[i].per_s *= scale;
+    }
+    replay = Replay_Create(&desc);
+    Replay_Run(replay);
+    for (guint i = 0; i < STREAMS; i++) {
+        result.outcomes[i] = *Replay_Outcome(replay, i);
+    }
+    Replay_Destroy(replay);
+    return result;
+}
+
+/* Guards against requests that are refused by one owner after the other the
+ * more often, the more hosts a fleet has, because each sender knows less of
+ * each owner. */
+static void
+test_fleet_size(void)
+{
+    static const ReplayPhase phases[][3] = {
+        {{REPLAY_FAIL, ORDERS, 2000, 8000, 0.1, 0.75},
+         {REPLAY_FAIL, PHOTOS, 4000, 11000, 0.1, 0.75},
+         {REPLAY_FAIL, ORDERS, 8000, 13000, 0.2, 0.75}},
+        {{REPLAY_SHED, PHOTOS, 3000, 11000, 0, 0.5},
+         {REPLAY_FAIL, ORDERS, 2000, 8000, 0.1, 0.75}},
+        {{REPLAY_BURST, ORDERS, 3000, 9000, 0, 2.5},
+         {REPLAY_FAIL, PHOTOS, 4000, 11000, 0.1, 0.75}},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(phases); i++) {
+        Result small = play_fleet(phases[i], G_N_ELEMENTS(phases[i]), 1);
+        Result large = play_fleet(phases[i], G_N_ELEMENTS(phases[i]), 10);
+
+        g_test_message("case %zu: asks %.3f and %.3f, worth %.3f and %.3f", i,
+                       asks(&small), asks(&large), worth(&small),
+                       worth(&large));
+        g_assert_cmpfloat(asks(&large), <=, MAX_ASKS_GROWTH * asks(&small));
+        g_assert_cmpfloat(worth(&large), >=, worth(&small) - 2 * NOISE);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -262,5 +352,6 @@
     g_test_add_func("/replay/counts", test_counts);
     g_test_add_func("/replay/files", test_files);
     g_test_add_func("/replay/patterns", test_patterns);
+    g_test_add_func("/replay/fleet-size", test_fleet_size);
     return g_test_run();
 }
--- a/src/roster/exploration.c
+++ b/src/roster/exploration.c
@@ -5,6 +5,13 @@
 #define NEAR_IDLE_MS 1000
 #define REGION_IDLE_MS 1500
 
+gboolean
+Exploration_MayBegin(gboolean can_retry, unsigned attempts,
+                     gboolean has_explored)
+{
+    return can_retry && attempts == 0 && !has_explored;
+}
+
 ClockMs
 Exploration_IdleMs(const ExplorationInput *input)
 {
--- a/src/roster/exploration.h
+++ b/src/roster/exploration.h
@@ -8,7 +8,8 @@
  * owner, who knows when the last request was sent, lets one of them through.
  *
  * Use:
- *  1. Sender: Exploration_IdleMs(); above 0 the request explores and carries
+ *  1. Sender: Exploration_MayBegin() for the request, Exploration_IdleMs() for
+ *     each backend server; above 0 the request explores and carries
  *     this time.
  *  2. Owner: Exploration_IsAllowed(); if FALSE, the usual limit of risk
  * applies.
@@ -26,12 +27,19 @@
 
 typedef struct ExplorationInput {
     RosterTier tier;
-    gboolean may_retry;  /* a retry could follow a failure */
+    gboolean may_retry;  /* Exploration_MayBegin() */
     gboolean is_new;     /* near, and neither reported nor unreachable yet */
     gboolean has_report; /* has reported at some time */
     ClockMs idle_ms;     /* time without a request, as far as is known */
 } ExplorationInput;
 
+/* Whether a request may explore: a retry could follow a failure, and neither
+ * an attempt nor an exploration has been made for it. A second exploration
+ * would only add a refusal, since other senders know of the same idle backend
+ * servers. */
+gboolean Exploration_MayBegin(gboolean can_retry, unsigned attempts,
+                              gboolean has_explored);
+
 /* Returns the idle time after which the request explores the backend server; 0
  * if it does not. */
 ClockMs Exploration_IdleMs(const ExplorationInput *input);
--- a/src/roster/placement.c
+++ b/src/roster/placement.c
@@ -23,9 +23,14 @@
  * owner has to refuse; keeps small differences from costing another round. */
 #define RISK_MARGIN 0.05
 
-/* Minimum risk limit sent to an owner; healthy backend servers report risks up
- * to about this value. */
-#define MIN_RISK_LIMIT 0.25
+/* Minimum limit sent to an owner; healthy backend servers are expected to fail
+ * up to about this share. */
+#define MIN_FAIL_LIMIT 0.21
+
+/* Number of owners that may refuse a request for their risk, and one that can
+ * be retried. */
+#define MAX_RISKY_OWNERS 2
+#define MAX_RISKY_OWNERS_RETRYABLE 1
 
 /* Cost of an answer that is expected to arrive too late. */
 #define LATE_COST 0.5
@@ -80,12 +85,19 @@
 PlacementLimits
 Placement_Limits(const PlacementRequest *request, const PlacementAsk *ask)
 {
-    double max_risk = (ask->other_cost + RISK_MARGIN) / request->failure_cost;
+    double fail_share =
+        (ask->other_cost + RISK_MARGIN) / request->failure_cost;
 
     if (ask->asked_before) {
-        return (PlacementLimits){.max_risk = 1,
+        return (PlacementLimits){.max_fail_share = 1,
                                  .max_wait_ms = MAX(ask->deadline_ms, 0)};
     }
-    return (PlacementLimits){.max_risk = CLAMP(max_risk, MIN_RISK_LIMIT, 1),
+    if (ask->risky_owners >= (request->failure_cost < FAILURE_COST_FINAL
+                                  ? MAX_RISKY_OWNERS_RETRYABLE
+                                  : MAX_RISKY_OWNERS)) {
+        fail_share = 1;
+    }
+    return (PlacementLimits){.max_fail_share =
+                                 CLAMP(fail_share, MIN_FAIL_LIMIT, 1),
                              .max_wait_ms = MAX(request->time_left_ms / 2, 0)};
 }
--- a/src/roster/placement.h
+++ b/src/roster/placement.h
@@ -8,9 +8,9 @@
  * idle backend servers of other regions.
  *
  * Use: Placement_Cost() for each candidate; the lowest cost wins.
- * Placement_Limits() gives the risk and the wait above which its owner, who
- * knows more, is to refuse the request. All costs are shares of the request's
- * value:
+ * Placement_Limits() gives the expected share of failures and the wait above
+ * which its owner, who knows more, is to refuse the request. All costs are
+ * shares of the request's value:
  *  - the expected share of failures times the cost of a failure;
  *  - the distance, in proportion to the bytes that will be moved, and more for
  *    a candidate whose state is not known, since its owner may refuse the
@@ -64,13 +64,14 @@
 } PlacementCandidate;
 
 typedef struct PlacementLimits {
-    double max_risk; /* of a gray failure */
+    double max_fail_share; /* expected share of failed requests, 0 to 1 */
     ClockMs max_wait_ms;
 } PlacementLimits;
 
 typedef struct PlacementAsk {
     double other_cost;     /* cost of the second best choice; HUGE_VAL: none */
     gboolean asked_before; /* the owner has refused this request already */
+    unsigned risky_owners; /* owners that refused it for their risk */
     ClockMs deadline_ms;   /* time until an answer is of no use */
 } PlacementAsk;
 
@@ -84,7 +85,10 @@
 /* Limits for the owner of the chosen candidate: where the second best choice
  * would be better. The distance does not count, since a refusal does not bring
  * it back. An owner that was asked before gets the widest limits: its state is
- * known, and it is still the best choice. */
+ * known, and it is still the best choice. After one or two refusals for
+ * risk, by whether a retry could follow, the risk does not count: most of the
+ * service fails, which the sender did not know, and the next owner would
+ * refuse as well. */
 PlacementLimits Placement_Limits(const PlacementRequest *request,
                                  const PlacementAsk *ask);
 double Placement_Cost(const Placement_desc *desc,
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -410,6 +410,12 @@
     pthread_mutex_unlock(&roster->lock);
 }
 
+double
+Roster_RiskAt(const Roster *roster, double fail_share)
+{
+    return GrayFilter_RiskAt(&roster->desc.gray, fail_share);
+}
+
 double
 Roster_RetryRates(Roster *roster, uint64_t service, ClockMs now,
                   RetryRates *rates)
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -110,6 +110,9 @@
 void Roster_Report(Roster *roster, uint64_t host, const RosterReport *report,
                    ClockMs now);
 
+/* Highest risk at which this share of requests is expected to fail. */
+double Roster_RiskAt(const Roster *roster, double fail_share);
+
 /* Sums the rates that the owners of a service have reported lately. Returns
  * the share of the service's backend servers that they stand for. */
 double Roster_RetryRates(Roster *roster, uint64_t service, ClockMs now,
--- a/src/roster/test_placement.c
+++ b/src/roster/test_placement.c
@@ -111,7 +111,7 @@
         double other_cost;
         ClockMs left_ms;
         gboolean asked_before;
-        double risk; /* at the owner */
+        double fail_share; /* at the owner */
         gboolean runs;
         ClockMs max_wait_ms;
     } cases[] = {
@@ -134,7 +134,8 @@
         PlacementLimits limits = Placement_Limits(&request, &ask);
 
         g_test_message("case %zu", i);
-        g_assert_cmpint(cases[i].risk <= limits.max_risk, ==, cases[i].runs);
+        g_assert_cmpint(cases[i].fail_share <= limits.max_fail_share, ==,
+                        cases[i].runs);
         g_assert_cmpint(limits.max_wait_ms, ==, cases[i].max_wait_ms);
     }
 }
