mirror, objects: fewer calls on the store when a neighbour fails and at start

Cause: calls on the store are billed. When the host that a group reads from fails, all readers turn to the store at once, and find the next neighbour not yet following the store, so that it is skipped for 3 s as well. At start each host watches the store several times before it knows its neighbours.

Change: a reader asks the second neighbour before the store. A host that is asked waits up to 400 ms until it has taken over. One that answers but cannot serve is skipped for 1 s. Without known neighbours a watch lasts 2 s, within the age of the proof; the pause after the first changes is 1 s.

Test: /mirror/takeover (1 call on the store before, 0 after).

--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -21,6 +21,17 @@
  * daemon that has become the leader of its group starts to watch the store. */
 #define MAX_WAIT_MS 2000
 
+/* Number of neighbours that one call asks, and the duration of a watch at
+ * those after the first. It is short because the first one has taken its time.
+ */
+#define MAX_ASKED 2
+#define NEXT_WAIT_MS 400
+
+/* Duration of a watch at the store while no neighbour is known: nobody reads
+ * from this host, and its own proof of freshness may be older than a watch of
+ * the usual length. */
+#define ALONE_WAIT_MS 2000
+
 /* Maximum time for which a list waits for a neighbour that has not noticed a
  * restoration of the store yet. */
 #define RESTORED_WAIT_MS 500
@@ -57,10 +68,10 @@
 }
 
 static void
-avoid(Mirror *mirror, uint64_t host, ClockMs now)
+avoid(Mirror *mirror, uint64_t host, ClockMs until)
 {
     mirror->avoided[mirror->next_avoided++ % MAX_NEIGHBOURS] =
-        (Avoided){.host = host, .until = now + MIRROR_AVOID_MS};
+        (Avoided){.host = host, .until = until};
 }
 
 /* Returns the rendezvous key that ranks the hosts of this host's group. */
@@ -177,9 +188,11 @@
     return !items.is_broken;
 }
 
+/* Sets `avoid_ms` to the time for which a neighbour that fails is skipped. */
 static Result
 request_page(Mirror *mirror, const RosterPeer *peer, const char *kind,
-             ObjectRevision since, ClockMs wait_ms, ObjectPage *page)
+             ObjectRevision since, ClockMs wait_ms, ObjectPage *page,
+             ClockMs *avoid_ms)
 {
     char *target =
         g_strdup_printf(MIRROR_PATH "%s?generation=%" PRId64 "&since=%" PRId64
@@ -195,6 +208,8 @@
     Result result =
         HttpClient_Call(mirror->desc.client, &call, &answer, &sent);
 
+    *avoid_ms = result == RESULT_OK && answer.status == 503 ? MIRROR_REFUSED_MS
+                                                            : MIRROR_AVOID_MS;
     if (result == RESULT_OK && answer.status == 410) {
         result = RESULT_STORE_HISTORY_GONE;
     }
@@ -225,20 +240,23 @@
                ClockMs wait_ms, ObjectPage *page, Result *result)
 {
     RosterPeer peer;
-
-    if (!find_neighbour(mirror, kind, &peer)) {
-        return FALSE;
-    }
-    *result = request_page(mirror, &peer, kind, since,
-                           MIN(wait_ms, MAX_WAIT_MS), page);
-    if (*result == RESULT_STORE_UNAVAILABLE) {
-        avoid(mirror, peer.host, Clock_Now());
+    ClockMs avoid_ms;
+
+    wait_ms = MIN(wait_ms, MAX_WAIT_MS);
+    for (int asked = 0;
+         asked < MAX_ASKED && find_neighbour(mirror, kind, &peer); asked++) {
+        *result =
+            request_page(mirror, &peer, kind, since, wait_ms, page, &avoid_ms);
+        if (*result != RESULT_STORE_UNAVAILABLE) {
+            record_source(mirror, kind, peer.host);
+            return TRUE;
+        }
+        avoid(mirror, peer.host, Clock_Now() + avoid_ms);
         ObjectPage_Clear(page);
         ObjectPage_Init(page);
-        return FALSE;
+        wait_ms = MIN(wait_ms, NEXT_WAIT_MS);
     }
-    record_source(mirror, kind, peer.host);
-    return TRUE;
+    return FALSE;
 }
 
 static Result
@@ -281,6 +299,9 @@
     if (mirror->source != 0) {
         wait_ms = MIN(wait_ms, TAKEOVER_WAIT_MS);
     }
+    else if (Roster_CountDataCentre(mirror->desc.roster) == 1) {
+        wait_ms = MAX(wait_ms, ALONE_WAIT_MS);
+    }
     /* Set before the watch returns, so that neighbours can watch this host
      * while the call is in progress. */
     record_source(mirror, kind, 0);
--- a/src/mirror/mirror.h
+++ b/src/mirror/mirror.h
@@ -6,8 +6,10 @@
  * centre is not. The leader is the first host in the rendezvous order of kind
  * and group. A neighbour that fails, that does not watch the store itself or
  * whose state is too old, or from before a restoration of the store that this
- * daemon knows of, is skipped for MIRROR_AVOID_MS, and the store is read at
- * once.
+ * daemon knows of, is skipped for MIRROR_AVOID_MS, one that answers but cannot
+ * serve for MIRROR_REFUSED_MS. The next one in the order is asked before the
+ * store is read: it takes over the watch on the store, while the others of the
+ * group wait for it.
  *
  * Use:
  *  1. Mirror_Create() with the store and the roster.
@@ -27,6 +29,7 @@
 
 #define MIRROR_GROUP 32
 #define MIRROR_AVOID_MS 3000
+#define MIRROR_REFUSED_MS 1000
 
 typedef struct Mirror Mirror;
 
--- a/src/mirror/mirror_port.c
+++ b/src/mirror/mirror_port.c
@@ -7,6 +7,10 @@
 /* Upper bound of the wait_ms argument. */
 #define MAX_WAIT_MS 30000
 
+/* Maximum wait for a takeover, and the interval at which it is checked. */
+#define MAX_TAKEOVER_MS 400
+#define TAKEOVER_POLL_MS 20
+
 struct MirrorPort {
     MirrorPort_desc desc;
     HttpServer *server;
@@ -59,6 +63,19 @@
                      (json_int_t)page->age_ms, "objects", objects);
 }
 
+/* Waits until the host watches the kind at the store, for a short time: it may
+ * be about to take over from a neighbour that failed. */
+static gboolean
+await_direct(const MirrorKind *kind, ClockMs wait_ms)
+{
+    ClockMs end = Clock_Now() + MIN(wait_ms, MAX_TAKEOVER_MS);
+
+    while (!kind->is_direct(kind->context) && Clock_Now() < end) {
+        g_usleep(TAKEOVER_POLL_MS * 1000);
+    }
+    return kind->is_direct(kind->context);
+}
+
 /* Waits for a change and reads it. The host must be direct before and after
  * the wait, because its source may change meanwhile. */
 static Result
@@ -68,7 +85,7 @@
     ClockMs started = Clock_Now();
     Result result;
 
-    if (!kind->is_direct(kind->context)) {
+    if (!await_direct(kind, wait_ms)) {
         return RESULT_STORE_UNAVAILABLE;
     }
     if (since.number >= 0 || since.generation > 0) {
--- a/src/mirror/mirror_port.h
+++ b/src/mirror/mirror_port.h
@@ -6,9 +6,10 @@
  * "revision", "deleted", "value"}]} as soon as there is a change after the
  * revision, or after wait_ms; since=-1 requests all objects. The status is 410
  * if the host no longer has that history, 503 if it does not watch the store
- * itself, or its state is older than max_age_ms or from before the reader's
- * generation. Daemons of earlier versions neither send nor expect the
- * generation; a reader takes an answer without it for generation 0.
+ * itself, nor begins to within a short time, or its state is older than
+ * max_age_ms or from before the reader's generation. Daemons of earlier
+ * versions neither send nor expect the generation; a reader takes an answer
+ * without it for generation 0.
  *
  * Use: MirrorPort_Create() with the caches, MirrorPort_Destroy().
  *
--- a/src/mirror/test_mirror.c
+++ b/src/mirror/test_mirror.c
@@ -215,7 +215,7 @@
 static gboolean
 read_flag(void *context)
 {
-    return *(gboolean *)context;
+    return g_atomic_int_get((gint *)context);
 }
 
 typedef struct Fixture {
@@ -298,11 +298,18 @@
 }
 
 static Result
-watch(Fixture *fixture, ObjectRevision since, ObjectPage *page)
+watch_for(Fixture *fixture, ObjectRevision since, ClockMs wait_ms,
+          ObjectPage *page)
 {
     const ObjectStore *store = Mirror_AsStore(fixture->mirror);
 
-    return store->watch(store->context, "k", since, 50, page);
+    return store->watch(store->context, "k", since, wait_ms, page);
+}
+
+static Result
+watch(Fixture *fixture, ObjectRevision since, ObjectPage *page)
+{
+    return watch_for(fixture, since, 50, page);
 }
 
 /* The neighbour reads generation 2 a moment later. */
@@ -511,6 +518,78 @@
     close_fixture(&fixture);
 }
 
+/* The second neighbour takes over a moment later. */
+static void *
+become_direct(void *context)
+{
+    Fixture *fixture = context;
+
+    g_usleep(150000);
+    MirrorCache_Confirm(fixture->cache, Clock_Now(), (ObjectRevision){1, 9});
+    g_atomic_int_set(&fixture->direct, TRUE);
+    return NULL;
+}
+
+/* Adds a neighbour out of reach that ranks before the one of the fixture. */
+static void
+add_first_neighbour(Fixture *fixture)
+{
+    RosterEntry first = fixture->neighbour;
+    RosterPeer order[2];
+
+    first.mirror_port = 9;
+    for (int i = 0; i < 1000; i++) {
+        g_snprintf(first.host, ROSTER_NAME_BYTES, "f%d", i);
+        Roster_Set(fixture->roster, &first, Clock_Now());
+        Roster_Rank(fixture->roster, Rng_Mix(Rng_HashString("k"), 0), FALSE,
+                    Clock_Now(), order, 2);
+        if (order[0].host == Rng_HashString(first.host)) {
+            return;
+        }
+        Roster_Remove(fixture->roster, first.host);
+    }
+    g_assert_not_reached();
+}
+
+/* Load pattern: the host that a group reads from fails, and all others of the
+ * group turn elsewhere at the same time. Guards against each of them calling
+ * the store, which bills each call, in place of the one that takes over; and
+ * against waiting for it without end. */
+static void
+test_takeover(void)
+{
+    static const struct {
+        gboolean takes_over;
+        int watches; /* calls on the store */
+    } cases[] = {{TRUE, 0}, {FALSE, 1}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Fixture fixture = {0};
+        ClockMs started;
+        ObjectPage page;
+        pthread_t thread;
+
+        open_fixture(&fixture);
+        add_first_neighbour(&fixture);
+        fixture.direct = FALSE;
+        started = Clock_Now();
+        if (cases[i].takes_over) {
+            pthread_create(&thread, NULL, become_direct, &fixture);
+        }
+        ObjectPage_Init(&page);
+        g_assert_cmpint(
+            watch_for(&fixture, (ObjectRevision){1, 9}, 800, &page), ==,
+            RESULT_OK);
+        ObjectPage_Clear(&page);
+        g_assert_cmpint(fixture.store.watches, ==, cases[i].watches);
+        g_assert_cmpint(Clock_Now() - started, <, 1500);
+        if (cases[i].takes_over) {
+            pthread_join(thread, NULL);
+        }
+        close_fixture(&fixture);
+    }
+}
+
 /* An object in a neighbour's page. */
 static const struct OddObject {
     const char *object;
@@ -591,5 +670,6 @@
     g_test_add_func("/mirror/earlier-version", test_earlier_version);
     g_test_add_func("/mirror/neighbour-gone", test_neighbour_stopped);
     g_test_add_func("/mirror/odd-object", test_odd_object);
+    g_test_add_func("/mirror/takeover", test_takeover);
     return g_test_run();
 }
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -25,6 +25,8 @@
     atomic_bool complete;
     ObjectRevision revision; /* revision to watch from; -1: list first */
     ClockMs next_wait_ms;
+    gboolean
+        has_listed; /* no watch has returned changes since the last list */
     GHashTable *rejected; /* name -> ObjectRevision, of malformed objects */
     unsigned unnamed;     /* in the last page that had some */
     gboolean failing;
@@ -221,6 +223,7 @@
     g_free(after);
     if (result == RESULT_OK) {
         sync->revision = first.revision;
+        sync->has_listed = TRUE;
         sync->next_wait_ms = CONFIRM_WAIT_MS;
         if (sync->desc.listed != NULL && !is_stopping(sync)) {
             sync->desc.listed(sync->desc.context, names, first.revision);
@@ -267,6 +270,16 @@
     return result;
 }
 
+/* Pause after a watch that returned changes. */
+static ClockMs
+next_pause(ObjectSync *sync)
+{
+    ClockMs pause_ms = sync->has_listed ? sync->desc.first_pause_ms : 0;
+
+    sync->has_listed = FALSE;
+    return MAX(pause_ms, sync->desc.pause_ms);
+}
+
 static void *
 run(void *context)
 {
@@ -284,7 +297,7 @@
                 : watch_once(sync, &changed);
         if (result == RESULT_OK) {
             note_success(sync);
-            stopping = sleep_for(sync, changed ? sync->desc.pause_ms : 0);
+            stopping = sleep_for(sync, changed ? next_pause(sync) : 0);
         }
         else if (result == RESULT_STORE_HISTORY_GONE) {
             stopping = is_stopping(sync);
--- a/src/objects/object_sync.h
+++ b/src/objects/object_sync.h
@@ -37,6 +37,7 @@
     gboolean confirm_changes; /* confirm soon after each change, too */
     ClockMs pause_ms; /* pause after a watch that returned changes, so that a
                          series of changes costs few calls; zero: none */
+    ClockMs first_pause_ms; /* the same for the first one after a list */
     /* Returns FALSE if the object is malformed; its value may be NULL. */
     gboolean (*changed)(void *context, const ObjectRecord *record,
                         ObjectRevision revision);
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -25,6 +25,10 @@
  * entries within a second. */
 #define ROSTER_PAUSE_MS 300
 
+/* The same after the first watch: when all hosts start, each learns of few
+ * others by it, and of the rest shortly after. */
+#define ROSTER_FIRST_PAUSE_MS 1000
+
 /* Time in which a host writes its entry again after the store was restored
  * from a copy that lacks it. It covers one watch of a neighbour, a list and a
  * few refused writes. */
@@ -281,6 +285,7 @@
     ObjectSync_desc roster = {.kind = SIDECAR_ROSTER_KIND,
                               .wait_ms = ROSTER_WAIT_MS,
                               .pause_ms = ROSTER_PAUSE_MS,
+                              .first_pause_ms = ROSTER_FIRST_PAUSE_MS,
                               .changed = roster_changed,
                               .listed = roster_listed,
                               .confirmed = roster_confirmed,
