base: counters of asks at owners and of calls on the store by kind

What grows with the number of hosts is on the metrics address: asks of owners, those refused for risk or lack of slots, those on an old report, explorations; lists, watches and single reads of the store.

Test: /sidecar/explanation.

--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -15,6 +15,9 @@
     /* store */ \
     COUNTER(STORE_READS, "read calls on the store") \
     COUNTER(STORE_WRITES, "write calls on the store") \
+    COUNTER(STORE_LISTS, "read calls that listed a kind of objects") \
+    COUNTER(STORE_WATCHES, "read calls that watched a kind of objects") \
+    COUNTER(STORE_GETS, "read calls for one object") \
     COUNTER(STORE_FAILURES, "calls on the store that failed") \
     COUNTER(STORE_OBJECTS_REJECTED, \
             "malformed objects found in the store, once for each revision") \
@@ -75,6 +78,13 @@
     /* http, entry, owner */ \
     COUNTER(ENTRY_REQUESTS, "requests received from callers") \
     COUNTER(ENTRY_ANSWERS, "requests answered by a backend server") \
+    COUNTER(OWNER_ASKS, "times that an owner was asked to run a request") \
+    COUNTER(OWNER_ASKS_RISKY, "of these, refused for the risk") \
+    COUNTER(OWNER_ASKS_BUSY, "of these, refused for lack of slots") \
+    COUNTER(OWNER_ASKS_UNKNOWN, \
+            "of these, at owners without a report of the last 3 s") \
+    COUNTER(OWNER_EXPLORATIONS, \
+            "of these, sent for a fresh report of an idle backend server") \
     COUNTER(OWNER_REQUESTS, "requests received from entries") \
     COUNTER(OWNER_SENT, "requests sent to backend servers")
 /* clang-format on */
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -34,6 +34,9 @@
  * a host with an empty roster does not use the budget of the whole fleet. */
 #define MIN_HOSTS 12
 
+/* Age above which a report counts as none. */
+#define RECENT_MS 3000
+
 /* A pooled connection to an owner that was idle for longer is not used for a
  * request that must not run twice. */
 #define MAX_IDLE_MS 4000
@@ -412,6 +415,18 @@
     }
 }
 
+static void
+count_ask(const RosterChoice *choice, const BackendReply *reply)
+{
+    Counter_Add(COUNTER_OWNER_ASKS, 1);
+    Counter_Add(COUNTER_OWNER_ASKS_RISKY,
+                reply->result == RESULT_BACKEND_SERVER_EJECTED);
+    Counter_Add(COUNTER_OWNER_ASKS_BUSY,
+                reply->result == RESULT_BACKEND_SERVER_BUSY);
+    Counter_Add(COUNTER_OWNER_ASKS_UNKNOWN, choice->age_ms > RECENT_MS);
+    Counter_Add(COUNTER_OWNER_EXPLORATIONS, choice->explore_idle_ms > 0);
+}
+
 /* Updates the roster and the request's lists of hosts for later choices. */
 static void
 note_reply(GatewayRequest *request, const RosterChoice *choice,
@@ -421,6 +436,7 @@
     ClockMs now = Clock_Now();
 
     add_host(request->asked, &request->asked_count, choice->host);
+    count_ask(choice, reply);
     if (is_unreachable(request, reply, now)) {
         Roster_NoteUnreachable(roster, choice->host, now);
     }
--- a/tests/process_sidecar.c
+++ b/tests/process_sidecar.c
@@ -535,6 +535,8 @@
     metrics = Site_ReadMetrics(site, 0);
     g_assert_nonnull(strstr(metrics, "radishknot_entry_requests_total 1\n"));
     g_assert_nonnull(strstr(metrics, "radishknot_entry_total_microseconds"));
+    g_assert_nonnull(strstr(metrics, "radishknot_owner_asks_total 1\n"));
+    g_assert_nonnull(strstr(metrics, "radishknot_store_watches_total"));
     g_free(metrics);
     g_free(log);
     g_free(line);
