roster, backend: an owner lets a repeatable request explore by itself

Cause: with 233 hosts no sender knows that a backend server is idle, because it has few reports of each.

Change: an owner whose backend server has had no request for 1.5 s takes any request that may run more than once, above the sender's limit of risk.

Test: /roster/owner-explores.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -379,8 +379,8 @@
         return result;
     }
     if (current_risk(backend, now) > call->max_risk &&
-        !Exploration_IsAllowed(call->explore_idle_ms,
-                               now - backend->last_sent)) {
+        !Exploration_IsAllowed(call->explore_idle_ms, now - backend->last_sent,
+                               call->idempotent)) {
         return RESULT_BACKEND_SERVER_EJECTED;
     }
     return RESULT_OK;
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -25,7 +25,8 @@
  *    sender's limit. A request that explores an idle backend server is exempt
  *    from the limit of risk. Only the owner knows how long the backend server
  *    has been idle, so it lets one exploration through where many senders
- *    choose the same one.
+ *    choose the same one, and makes one of a request that may run more than
+ *    once where none does.
  * Otherwise it waits for a slot, as admission/admission.h has it, and is
  * refused as not run once it cannot be finished before its deadline.
  *
--- a/src/replay/replay_owner.c
+++ b/src/replay/replay_owner.c
@@ -42,7 +42,8 @@
                              GrayFilter_Risk(&server->filter, now)) >
             request->limits.max_fail_share &&
         !Exploration_IsAllowed(request->explore_idle_ms,
-                               now - server->last_sent)) {
+                               now - server->last_sent,
+                               _Replay_Stream(replay, request)->idempotent)) {
         answer(replay, request, RESULT_BACKEND_SERVER_EJECTED, now);
         return;
     }
--- a/src/roster/exploration.c
+++ b/src/roster/exploration.c
@@ -5,6 +5,9 @@
 #define NEAR_IDLE_MS 1000
 #define REGION_IDLE_MS 1500
 
+/* Idle time after which the owner takes a request that does not explore. */
+#define OWNER_IDLE_MS 1500
+
 gboolean
 Exploration_MayBegin(gboolean can_retry, unsigned attempts,
                      gboolean has_explored)
@@ -29,7 +32,9 @@
 }
 
 gboolean
-Exploration_IsAllowed(ClockMs wanted_ms, ClockMs idle_ms)
+Exploration_IsAllowed(ClockMs wanted_ms, ClockMs idle_ms,
+                      gboolean is_idempotent)
 {
-    return wanted_ms > 0 && idle_ms >= wanted_ms;
+    return (wanted_ms > 0 && idle_ms >= wanted_ms) ||
+           (is_idempotent && idle_ms >= OWNER_IDLE_MS);
 }
--- a/src/roster/exploration.h
+++ b/src/roster/exploration.h
@@ -11,8 +11,8 @@
  *  1. Sender: Exploration_MayBegin() for the request, Exploration_IdleMs() for
  *     each backend server; above 0 the request explores and carries
  *     this time.
- *  2. Owner: Exploration_IsAllowed(); if FALSE, the usual limit of risk
- * applies.
+ *  2. Owner: Exploration_IsAllowed(), also for a request that carries no such
+ *     time; if FALSE, the usual limit of risk applies.
  *
  * In calm every backend server is used more often than this, so none is
  * explored. Errors and limits: none; pure functions.
@@ -44,7 +44,11 @@
  * if it does not. */
 ClockMs Exploration_IdleMs(const ExplorationInput *input);
 
-/* `wanted_ms` is the time that the request carries, `idle_ms` the true one. */
-gboolean Exploration_IsAllowed(ClockMs wanted_ms, ClockMs idle_ms);
+/* Whether the owner lets a request explore. `wanted_ms` is the time that it
+ * carries, `idle_ms` the true one. In a large fleet few senders know that a
+ * backend server is idle, so after a longer time the owner takes any request
+ * that may run more than once. */
+gboolean Exploration_IsAllowed(ClockMs wanted_ms, ClockMs idle_ms,
+                               gboolean is_idempotent);
 
 #endif
--- a/src/roster/test_roster.c
+++ b/src/roster/test_roster.c
@@ -4,6 +4,7 @@
 
 #include "base/rng.h"
 #include "http/http_message.h"
+#include "roster/exploration.h"
 #include "roster/roster.h"
 
 #define SERVICE "permits"
@@ -396,6 +397,31 @@
     }
 }
 
+/* Guards against a backend server that nobody tries again: in a large fleet no
+ * sender knows that it is idle. Also checks that what must not run twice never
+ * explores unasked. */
+static void
+test_owner_explores(void)
+{
+    static const struct {
+        ClockMs wanted_ms;
+        ClockMs idle_ms;
+        gboolean is_idempotent;
+        gboolean allowed;
+    } cases[] = {{0, 1400, TRUE, FALSE},     {0, 1500, TRUE, TRUE},
+                 {0, 60000, FALSE, FALSE},   {1000, 1000, TRUE, TRUE},
+                 {1000, 900, TRUE, FALSE},   {2000, 1500, TRUE, TRUE},
+                 {2000, 1900, FALSE, FALSE}, {2000, 2000, FALSE, TRUE}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_test_message("case %zu", i);
+        g_assert_cmpint(Exploration_IsAllowed(cases[i].wanted_ms,
+                                              cases[i].idle_ms,
+                                              cases[i].is_idempotent),
+                        ==, cases[i].allowed);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -411,5 +437,6 @@
     g_test_add_func("/roster/retain", test_retain);
     g_test_add_func("/roster/retain-later", test_retain_later);
     g_test_add_func("/roster/lost", test_lost);
+    g_test_add_func("/roster/owner-explores", test_owner_explores);
     return g_test_run();
 }
