mirror: the first watches last half of the age of the proof, not a constant

A deployment with a shorter time to revoke would not have been ready while a host knows no neighbour. The age from which a report counts as none is one constant of the roster. Test: /mirror/alone.

--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -34,9 +34,6 @@
  * a host with an empty roster does not use the budget of the whole fleet. */
 #define MIN_HOSTS 12
 
-/* Age above which a report counts as none. */
-#define RECENT_MS 3000
-
 /* A pooled connection to an owner that was idle for longer is not used for a
  * request that must not run twice. */
 #define MAX_IDLE_MS 4000
@@ -423,7 +420,7 @@
                 reply->result == RESULT_BACKEND_SERVER_EJECTED);
     Counter_Add(COUNTER_OWNER_ASKS_BUSY,
                 reply->result == RESULT_BACKEND_SERVER_BUSY);
-    Counter_Add(COUNTER_OWNER_ASKS_UNKNOWN, choice->age_ms > RECENT_MS);
+    Counter_Add(COUNTER_OWNER_ASKS_UNKNOWN, choice->age_ms > ROSTER_RECENT_MS);
     Counter_Add(COUNTER_OWNER_EXPLORATIONS, choice->explore_idle_ms > 0);
 }
 
--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -27,11 +27,6 @@
 #define MAX_ASKED 2
 #define NEXT_WAIT_MS 400
 
-/* Duration of a watch at the store while no neighbour is known: nobody reads
- * from this host, and its own proof of freshness may be older than a watch of
- * the usual length. */
-#define ALONE_WAIT_MS 2000
-
 /* Maximum time for which a list waits for a neighbour that has not noticed a
  * restoration of the store yet. */
 #define RESTORED_WAIT_MS 500
@@ -300,7 +295,7 @@
         wait_ms = MIN(wait_ms, TAKEOVER_WAIT_MS);
     }
     else if (Roster_CountDataCentre(mirror->desc.roster) == 1) {
-        wait_ms = MAX(wait_ms, ALONE_WAIT_MS);
+        wait_ms = MAX(wait_ms, mirror->desc.alone_wait_ms);
     }
     /* Set before the watch returns, so that neighbours can watch this host
      * while the call is in progress. */
--- a/src/mirror/mirror.h
+++ b/src/mirror/mirror.h
@@ -39,6 +39,10 @@
     Roster *roster;
     const char *host; /* name of this host */
     HttpClient *client;
+    /* Minimum duration of a watch at the store while no neighbour is known, so
+     * that nobody reads from this host; 0: as the caller of the watch has it.
+     */
+    ClockMs alone_wait_ms;
 } Mirror_desc;
 
 Mirror *Mirror_Create(const Mirror_desc *desc);
--- a/src/mirror/test_mirror.c
+++ b/src/mirror/test_mirror.c
@@ -189,6 +189,7 @@
     ObjectStore functions;
     int lists;
     int watches;
+    ClockMs wait_ms; /* of the last watch */
 } FakeStore;
 
 static Result
@@ -206,8 +207,8 @@
            ClockMs wait_ms, ObjectPage *page)
 {
     (void)kind;
-    (void)wait_ms;
     ((FakeStore *)context)->watches++;
+    ((FakeStore *)context)->wait_ms = wait_ms;
     page->revision = revision;
     return RESULT_OK;
 }
@@ -590,6 +591,54 @@
     }
 }
 
+/* Load pattern: all hosts start at once and know no neighbours yet. Guards
+ * against short watches of each of them, and against long ones of a host that
+ * others read from. */
+static void
+test_alone(void)
+{
+    static const struct {
+        gboolean has_neighbour;
+        ClockMs alone_wait_ms;
+        ClockMs wait_ms; /* that the store gets */
+    } cases[] = {{FALSE, 1750, 1750},
+                 {FALSE, 100, 800},
+                 {FALSE, 0, 800},
+                 {TRUE, 1750, 800}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Fixture fixture = {0};
+        Mirror_desc desc;
+        ObjectPage page;
+        const ObjectStore *store;
+
+        open_fixture(&fixture);
+        Mirror_Destroy(fixture.mirror);
+        desc = (Mirror_desc){.store = &fixture.store.functions,
+                             .generation = fixture.generation,
+                             .roster = fixture.roster,
+                             .host = "self",
+                             .client = fixture.client,
+                             .alone_wait_ms = cases[i].alone_wait_ms};
+        fixture.mirror = Mirror_Create(&desc);
+        if (cases[i].has_neighbour) {
+            fixture.neighbour.mirror_port = 0;
+            Roster_Set(fixture.roster, &fixture.neighbour, Clock_Now());
+        }
+        else {
+            Roster_Remove(fixture.roster, fixture.neighbour.host);
+        }
+        store = Mirror_AsStore(fixture.mirror);
+        ObjectPage_Init(&page);
+        g_assert_cmpint(store->watch(store->context, "k",
+                                     (ObjectRevision){1, 9}, 800, &page),
+                        ==, RESULT_OK);
+        ObjectPage_Clear(&page);
+        g_assert_cmpint(fixture.store.wait_ms, ==, cases[i].wait_ms);
+        close_fixture(&fixture);
+    }
+}
+
 /* An object in a neighbour's page. */
 static const struct OddObject {
     const char *object;
@@ -671,5 +720,6 @@
     g_test_add_func("/mirror/neighbour-gone", test_neighbour_stopped);
     g_test_add_func("/mirror/odd-object", test_odd_object);
     g_test_add_func("/mirror/takeover", test_takeover);
+    g_test_add_func("/mirror/alone", test_alone);
     return g_test_run();
 }
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -25,8 +25,7 @@
     atomic_bool complete;
     ObjectRevision revision; /* revision to watch from; -1: list first */
     ClockMs next_wait_ms;
-    gboolean
-        has_listed; /* no watch has returned changes since the last list */
+    gboolean has_listed;  /* no changes since the last list */
     GHashTable *rejected; /* name -> ObjectRevision, of malformed objects */
     unsigned unnamed;     /* in the last page that had some */
     gboolean failing;
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -9,9 +9,6 @@
 /* Maximum random addition to a cost; breaks ties. */
 #define JITTER_COST 0.01
 
-/* Maximum age of a report that counts towards the mean of a service. */
-#define RECENT_MS 3000
-
 /* Prior of a service's mean: it is computed as if there were this many more
  * reports, with the long-term mean of the risk and with no wait. */
 #define PRIOR_RISK_REPORTS 8
@@ -238,7 +235,7 @@
 static gboolean
 is_recent(const RosterRow *row, ClockMs now)
 {
-    return row->reported > 0 && now - row->reported <= RECENT_MS;
+    return row->reported > 0 && now - row->reported <= ROSTER_RECENT_MS;
 }
 
 static ServiceMean
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -31,6 +31,10 @@
 
 #define ROSTER_MAX_EXCLUDED 16
 
+/* Maximum age of a report that tells the state of a backend server and counts
+ * towards the mean of its service. */
+#define ROSTER_RECENT_MS 3000
+
 typedef struct Roster Roster;
 
 typedef struct Roster_desc {
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -18,6 +18,10 @@
 #define ROSTER_KNOWN_MS 500
 #define ROSTER_POLL_MS 10
 
+/* Number of watches in the maximum age of the configuration while no neighbour
+ * is known; all hosts of a fleet that starts watch the store at once. */
+#define ALONE_WATCHES 2
+
 /* Duration of one watch of the backend servers. */
 #define ROSTER_WAIT_MS 25000
 
@@ -247,7 +251,9 @@
                           .generation = sidecar->generation,
                           .roster = sidecar->roster,
                           .host = settings->host,
-                          .client = sidecar->mirror_client};
+                          .client = sidecar->mirror_client,
+                          .alone_wait_ms =
+                              sidecar->max_catalog_age_ms / ALONE_WATCHES};
     MirrorPort_desc port = {.threads = MIRROR_THREADS,
                             .kinds = sidecar->kinds,
                             .kind_count = SIDECAR_KINDS};
