--- a/soak/soak.c
+++ b/soak/soak.c
@@ -116,11 +116,13 @@
 {
     static Caller callers[MAX_CALLERS];
     int count = mode->callers + mode->callers_per_host * soak->hosts;
+    pthread_t writer;
 
     for (int i = 0; i < count; i++) {
         callers[i] = (Caller){.soak = soak, .number = i};
         pthread_create(&callers[i].thread, NULL, mode->call, &callers[i]);
     }
+    pthread_create(&writer, NULL, Writer_Run, soak);
     soak->end = Clock_Now() + (ClockMs)seconds * 1000;
     mode->run(soak);
     Checks_Recovery(soak);
@@ -129,6 +131,7 @@
     for (int i = 0; i < count; i++) {
         pthread_join(callers[i].thread, NULL);
     }
+    pthread_join(writer, NULL);
     Checks_Refusals(soak);
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -91,6 +91,10 @@
  * requests are found too. */
 void Checks_Refusals(Soak *soak);
 
+/* Writes entries that name no backend server into the store, as another
+ * program might, until `stopping`. The context is the Soak. */
+void *Writer_Run(void *context);
+
 /* Run the schedule of a mode until `end`. */
 void Mixed_Run(Soak *soak);
 void Planned_Run(Soak *soak);
