--- a/src/objects/object_store.c
+++ b/src/objects/object_store.c
@@ -57,15 +57,16 @@
     if (!page->more) {
         return RESULT_OK;
     }
-    for (guint i = page->records->len; i > 0; i--) {
-        last = &g_array_index(page->records, ObjectRecord, i - 1);
-        if (strcmp(last->name, *after) > 0) {
-            g_free(*after);
-            *after = g_strdup(last->name);
-            return RESULT_OK;
-        }
+    if (page->records->len == 0) {
+        return RESULT_STORE_UNAVAILABLE;
+    }
+    last = &g_array_index(page->records, ObjectRecord, page->records->len - 1);
+    if (strcmp(last->name, *after) == 0) {
+        return RESULT_STORE_UNAVAILABLE;
     }
-    return RESULT_STORE_UNAVAILABLE;
+    g_free(*after);
+    *after = g_strdup(last->name);
+    return RESULT_OK;
 }
 
 void
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -84,7 +84,7 @@
 
 /* Moves `after`, the name after which the page of a list starts, to that of
  * the next page. Sets `more` if there is one. Returns RESULT_STORE_UNAVAILABLE
- * if the page has no later name. */
+ * if the page names no other object; the order of names is the store's. */
 Result ObjectPage_Advance(const ObjectPage *page, char **after,
                           gboolean *more);
 void ObjectRecord_Clear(ObjectRecord *record);
--- a/src/objects/test_objects.c
+++ b/src/objects/test_objects.c
@@ -401,6 +401,47 @@
     ObjectWriter_Stop(writer);
 }
 
+/* Guards against a list that ends before its last page, or never, and against
+ * assuming an order of names that the store does not have. */
+static void
+test_pages(void)
+{
+    static const struct {
+        const char *names[2]; /* NULL: none */
+        gboolean more;
+        const char *after;
+        Result result;
+        const char *next;
+    } cases[] = {
+        {{"b", "c"}, TRUE, "a", RESULT_OK, "c"},
+        {{"b", "B"}, TRUE, "a", RESULT_OK, "B"},
+        {{"b", NULL}, TRUE, "b", RESULT_STORE_UNAVAILABLE, "b"},
+        {{NULL, NULL}, TRUE, "a", RESULT_STORE_UNAVAILABLE, "a"},
+        {{"b", "c"}, FALSE, "a", RESULT_OK, "a"},
+        {{NULL, NULL}, FALSE, "", RESULT_OK, ""},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *after = g_strdup(cases[i].after);
+        gboolean more = !cases[i].more;
+        ObjectPage page;
+
+        ObjectPage_Init(&page);
+        page.more = cases[i].more;
+        for (int n = 0; n < 2 && cases[i].names[n] != NULL; n++) {
+            ObjectRecord record = {.name = g_strdup(cases[i].names[n])};
+
+            g_array_append_val(page.records, record);
+        }
+        g_assert_cmpint(ObjectPage_Advance(&page, &after, &more), ==,
+                        cases[i].result);
+        g_assert_cmpint(more, ==, cases[i].more);
+        g_assert_cmpstr(after, ==, cases[i].next);
+        ObjectPage_Clear(&page);
+        g_free(after);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -410,6 +451,7 @@
     rcu_register_thread();
     g_test_add_func("/objects/generations", test_generations);
     g_test_add_func("/objects/shared-generation", test_shared_generation);
+    g_test_add_func("/objects/pages", test_pages);
     g_test_add_func("/objects/writer", test_writer);
     g_test_add_func("/objects/writer-absent", test_writer_absent);
     result = g_test_run();
