catalog, objects: an unusable configuration ends the proof of freshness

What callers could see: while the store holds a configuration that cannot be read, a key which it has withdrawn is accepted for as long as that lasts, in place of 503 from 3.5 s on.

Cause: since one object that cannot be decoded no longer fails the whole answer of the store. The watch of the configuration went on, and each of its answers confirmed the version in force as the newest one. A configuration that was decoded but not accepted had been confirmed before that, too. A change whose object has no usable name could not even be attributed, and was passed over.

Why it works: Catalog_Reject() marks the store's configuration as unusable; no confirmation counts until a table is published. After a change without a name the kind is listed again, and nothing is confirmed before the list. Requests without a key go on by the version in force.

--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -10,6 +10,8 @@
     CatalogTable *table; /* published by RCU */
     int64_t generation; /* of the store, when it last had the version in force;
                            used by the writer only */
+    gboolean is_rejected; /* the store's configuration cannot be used; used by
+                             the writer only */
     _Atomic uint64_t version;  /* in force; 0: none */
     _Atomic uint64_t required; /* newest version known of another host */
     _Atomic ClockMs confirmed;
@@ -44,6 +46,7 @@
         return FALSE;
     }
     catalog->generation = generation;
+    catalog->is_rejected = FALSE;
     atomic_store(&catalog->version, CatalogTable_Version(table));
     rcu_assign_pointer(catalog->table, table);
     /* Afterwards all readers that loaded the old pointer hold a reference. */
@@ -52,10 +55,17 @@
     return TRUE;
 }
 
+void
+Catalog_Reject(Catalog *catalog)
+{
+    catalog->is_rejected = TRUE;
+}
+
 void
 Catalog_Confirm(Catalog *catalog, ClockMs as_of, int64_t generation)
 {
-    if (catalog->table != NULL && generation != catalog->generation) {
+    if (catalog->is_rejected ||
+        (catalog->table != NULL && generation != catalog->generation)) {
         return;
     }
     if (as_of > atomic_load(&catalog->confirmed)) {
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -5,7 +5,8 @@
  *  1. Catalog_Create().
  *  2. The single writer calls Catalog_Publish() for each configuration that it
  *     reads, and Catalog_Confirm() whenever the store has shown that no newer
- *     one existed at some time.
+ *     one existed at some time. Catalog_Reject() for a configuration that
+ *     cannot be used.
  *  3. Readers, in threads registered with liburcu, call Catalog_Acquire() and
  *     finally CatalogTable_Unref(). They call Catalog_Age() before an
  *     operation that must not rely on a revoked key.
@@ -16,7 +17,9 @@
  *
  * Versions only rise: a table with an older version is discarded. A store that
  * was restored from an older copy holds one until the operator has written the
- * newest again. Until the version in force has been read in the store's new
+ * newest again. A configuration in the store that cannot be used may have
+ * withdrawn a key, so nothing confirms the one in force until a table is
+ * published again. Until the version in force has been read in the store's new
  * generation, nothing confirms it: a version that this daemon never read, with
  * a key withdrawn, may have been lost, too.
  */
@@ -39,6 +42,9 @@
  * store at the time as_of. */
 void Catalog_Confirm(Catalog *catalog, ClockMs as_of, int64_t generation);
 
+/* States that the store holds a configuration that cannot be used. */
+void Catalog_Reject(Catalog *catalog);
+
 /* States that another host has had this version in force. As long as an older
  * one is in force here, it is not known to be the newest. */
 void Catalog_Require(Catalog *catalog, uint64_t version);
--- a/src/catalog/test_catalog.c
+++ b/src/catalog/test_catalog.c
@@ -162,6 +162,28 @@
     }
 }
 
+/* Guards against a proof of freshness while the store holds a configuration
+ * that cannot be used and may have withdrawn a key. */
+static void
+test_rejected(void)
+{
+    Catalog *catalog = Catalog_Create();
+
+    Catalog_Reject(catalog);
+    Catalog_Confirm(catalog, 500, 1);
+    g_assert_cmpint(Catalog_Age(catalog, 1000), ==, CLOCK_NEVER);
+    g_assert_true(Catalog_Publish(catalog, make_table(8), 1));
+    Catalog_Confirm(catalog, 1000, 1);
+    g_assert_cmpint(Catalog_Age(catalog, 1000), ==, 0);
+    Catalog_Reject(catalog);
+    Catalog_Confirm(catalog, 2000, 1);
+    g_assert_cmpint(Catalog_Age(catalog, 2000), ==, 1000);
+    g_assert_true(Catalog_Publish(catalog, make_table(9), 1));
+    Catalog_Confirm(catalog, 3000, 1);
+    g_assert_cmpint(Catalog_Age(catalog, 3000), ==, 0);
+    Catalog_Destroy(catalog);
+}
+
 /* Guards against a daemon that started after the store was restored and takes
  * an older version for the newest although another host has had a newer one.
  */
@@ -195,6 +217,7 @@
     g_test_add_func("/catalog/age", test_age);
     g_test_add_func("/catalog/restored", test_restored);
     g_test_add_func("/catalog/required", test_required);
+    g_test_add_func("/catalog/rejected", test_rejected);
     result = g_test_run();
     rcu_unregister_thread();
     return result;
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -260,9 +260,15 @@
     if (result == RESULT_OK) {
         *changed = page.records->len > 0;
         report_records(sync, &page, NULL);
-        sync->revision.number =
-            MAX(sync->revision.number, page.revision.number);
-        report_confirmation(sync, started, &page);
+        if (page.unnamed > 0) {
+            /* Which objects have changed is found in a list only. */
+            sync->revision.number = -1;
+        }
+        else {
+            sync->revision.number =
+                MAX(sync->revision.number, page.revision.number);
+            report_confirmation(sync, started, &page);
+        }
         sync->next_wait_ms = *changed ? CONFIRM_WAIT_MS : sync->desc.wait_ms;
     }
     ObjectPage_Clear(&page);
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -69,6 +69,7 @@
                   record->revision.generation, record->revision.number,
                   error->message);
         g_error_free(error);
+        Catalog_Reject(sidecar->catalog);
         return TRUE;
     }
     version = CatalogTable_Version(table);
--- a/tests/process_sidecar.c
+++ b/tests/process_sidecar.c
@@ -465,6 +465,39 @@
     return found;
 }
 
+/* Guards against a proof of freshness while the store holds a configuration
+ * that cannot be used: it may have withdrawn a key. Requests without a key go
+ * on. */
+static void
+test_unusable_configuration(void)
+{
+    static const char *const values[] = {
+        "1e999", "{\"version\":\"00000002\",\"routes\":{\"r\":7}}"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+        Site *site = make_site(2);
+        ClockMs end;
+
+        g_assert_cmpint(request_status(site, 0, "/read/1", SITE_KEY), ==, 200);
+        write_odd_entry(site, "config", "main", values[i]);
+        g_usleep((REVOCATION_MS + 200) * 1000);
+        for (int host = 0; host < 2; host++) {
+            g_assert_cmpint(request_status(site, host, "/read/1", SITE_KEY),
+                            ==, 503);
+            g_assert_cmpint(request_status(site, host, "/open/1", NULL), ==,
+                            200);
+        }
+        Site_Configure(site, 3, KEYS, 0);
+        end = Clock_Now() + 2500;
+        while (request_status(site, 0, "/read/1", SITE_KEY) != 200 &&
+               Clock_Now() < end) {
+            g_usleep(10000);
+        }
+        g_assert_cmpint(request_status(site, 0, "/read/1", SITE_KEY), ==, 200);
+        Site_Destroy(site);
+    }
+}
+
 /* Sends requests to `hosts` hosts in turn, each of which is served. Returns
  * how many the backend server of one host ran. */
 static unsigned
@@ -572,6 +605,8 @@
     g_test_add_func("/sidecar/lost-host", test_failed_host);
     g_test_add_func("/sidecar/quota", test_quota);
     g_test_add_func("/sidecar/odd-entries", test_odd_entries);
+    g_test_add_func("/sidecar/unusable-configuration",
+                    test_unusable_configuration);
     g_test_add_func("/sidecar/explanation", test_explanation);
     return g_test_run();
 }
