gateway: a suspension of the sender is not held against the hosts it called

What callers could see: after their host had been suspended for seconds, their requests could go past a whole data centre or to refusals, because the time on the way to it seemed to be seconds.

The moving average of the time on the way took the whole time of a call that spanned the suspension of the sender itself (4.5 s add 0.45 s at once), and connections that had ended meanwhile made their hosts count as out of reach.

Why it works: the sender uses the owner's log of pauses; a call during which the process did not run tells neither.

Evidence: by reading, and /gateway-answer/suspended, which fails without the check of the pause.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -455,6 +455,17 @@
     pthread_mutex_unlock(&backend->lock);
 }
 
+ClockMs
+Backend_PausedMs(Backend *backend, ClockMs from)
+{
+    ClockMs paused;
+
+    pthread_mutex_lock(&backend->lock);
+    paused = PauseLog_Between(&backend->pauses, from, Clock_Now());
+    pthread_mutex_unlock(&backend->lock);
+    return paused;
+}
+
 void
 Backend_NoteFailedCall(Backend *backend)
 {
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -162,6 +162,9 @@
 
 void Backend_Tick(Backend *backend);
 
+/* Returns how long this process has not run since `from`. */
+ClockMs Backend_PausedMs(Backend *backend, ClockMs from);
+
 /* Records that a call which the backend server made while running a request
  * has failed. A failure of the backend server right after it is attributed to
  * the call and does not raise the backend server's risk. */
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -377,28 +377,30 @@
         if (!PeerWire_DecodeReply(&reply->answer.headers, reply)) {
             HttpAnswer_Clear(&reply->answer);
         }
-        else if (reply->owner_ms >= 0) {
-            Roster_NoteTransit(request->gateway->desc.roster, choice->host,
-                               MAX(reply->server_ms - reply->owner_ms, 0));
-        }
         return;
     }
     reply->run = sent ? RUN_UNKNOWN : RUN_NO;
     reply->arrived = sent;
 }
 
-/* Whether the reply shows that the host cannot be reached or does not serve
- * what the roster says. */
-static gboolean
-is_unreachable(const GatewayRequest *request, const BackendReply *reply,
-               ClockMs now)
+gboolean
+_Gateway_IsUnreachable(const BackendReply *reply, ClockMs left_ms,
+                       ClockMs paused_ms)
 {
     if (reply->result == RESULT_BACKEND_SERVER_OTHER) {
         return !reply->arrived;
     }
-    return reply->report.slots == 0 && reply->result != RESULT_CANCELLED &&
-           (reply->result != RESULT_DEADLINE_EXPIRED ||
-            now < request->deadline);
+    return paused_ms == 0 && reply->report.slots == 0 &&
+           reply->result != RESULT_CANCELLED &&
+           (reply->result != RESULT_DEADLINE_EXPIRED || left_ms > 0);
+}
+
+ClockMs
+_Gateway_TransitMs(const BackendReply *reply, ClockMs paused_ms)
+{
+    return paused_ms == 0 && reply->report.slots > 0 && reply->owner_ms >= 0
+               ? MAX(reply->server_ms - reply->owner_ms, 0)
+               : -1;
 }
 
 /* Keeps the shortest wait among the owners that are full. */
@@ -427,14 +429,20 @@
 /* Updates the roster and the request's lists of hosts for later choices. */
 static void
 note_reply(GatewayRequest *request, const RosterChoice *choice,
-           const BackendReply *reply)
+           const BackendReply *reply, ClockMs began)
 {
     Roster *roster = request->gateway->desc.roster;
     ClockMs now = Clock_Now();
+    ClockMs paused_ms =
+        Backend_PausedMs(request->gateway->desc.backend, began);
+    ClockMs transit_ms = _Gateway_TransitMs(reply, paused_ms);
 
     add_host(request->asked, &request->asked_count, choice->host);
     count_ask(choice, reply);
-    if (is_unreachable(request, reply, now)) {
+    if (choice->tier != ROSTER_SAME_HOST && transit_ms >= 0) {
+        Roster_NoteTransit(roster, choice->host, transit_ms);
+    }
+    if (_Gateway_IsUnreachable(reply, request->deadline - now, paused_ms)) {
         Roster_NoteUnreachable(roster, choice->host, now);
     }
     else if (reply->report.slots > 0) {
@@ -461,6 +469,8 @@
 attempt_once(GatewayRequest *request, const RosterChoice *choice,
              BackendReply *reply)
 {
+    ClockMs began = Clock_Now();
+
     *reply = (BackendReply){.run = RUN_NO};
     request->current_host = choice->host;
     request->call.is_retry = request->attempts > 0 || request->is_retried_call;
@@ -479,7 +489,7 @@
         request->attempts++;
         request->has_taken_retry = FALSE;
     }
-    note_reply(request, choice, reply);
+    note_reply(request, choice, reply, began);
     Log_Append(request->trace, sizeof(request->trace),
                " [%s tier=%d cost=%.2f age_ms=%" PRId64
                " max_risk=%.2f risk=%.2f ms=%" PRId64 " %s run=%s]",
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -82,6 +82,15 @@
  * further attempt is allowed. */
 void _Gateway_Attempt(GatewayRequest *request, BackendReply *reply);
 
+/* Whether the reply shows that the owner's host cannot be reached or does not
+ * serve what the roster says. `paused_ms` is the part of the call in which
+ * this process did not run; connections may have ended meanwhile. */
+gboolean _Gateway_IsUnreachable(const BackendReply *reply, ClockMs left_ms,
+                                ClockMs paused_ms);
+
+/* Returns the time of an answered call on the way, -1 if it is unknown. */
+ClockMs _Gateway_TransitMs(const BackendReply *reply, ClockMs paused_ms);
+
 /* gateway_answer.c: what the caller receives after the last attempt. */
 
 /* Whether the reply holds an answer of a backend server that is passed on. */
--- a/src/gateway/test_gateway_answer.c
+++ b/src/gateway/test_gateway_answer.c
@@ -87,11 +87,58 @@
     }
 }
 
+/* Guards against a sender that takes the time in which it was suspended itself
+ * for the time on the way, or for hosts out of reach, and sends requests
+ * elsewhere for seconds after. */
+static void
+test_suspended(void)
+{
+    static const struct {
+        Result result;
+        gboolean arrived;
+        uint32_t slots; /* 0: no report of the owner */
+        ClockMs owner_ms;
+        ClockMs left_ms;
+        ClockMs paused_ms;
+        gboolean unreachable;
+        ClockMs transit_ms;
+    } cases[] = {
+        {RESULT_OK, TRUE, 4, 440, 1000, 0, FALSE, 60},
+        {RESULT_OK, TRUE, 4, 440, 1000, 4000, FALSE, -1},
+        {RESULT_OK, TRUE, 4, 600, 1000, 0, FALSE, 0},
+        {RESULT_OK, TRUE, 4, -1, 1000, 0, FALSE, -1},
+        {RESULT_CONNECT_FAILED, FALSE, 0, 0, 1000, 0, TRUE, -1},
+        {RESULT_CONNECT_FAILED, FALSE, 0, 0, 1000, 4000, FALSE, -1},
+        {RESULT_ANSWER_LOST, TRUE, 0, 0, 1000, 0, TRUE, -1},
+        {RESULT_ANSWER_LOST, TRUE, 0, 0, 1000, 4000, FALSE, -1},
+        {RESULT_DEADLINE_EXPIRED, TRUE, 0, 0, 0, 0, FALSE, -1},
+        {RESULT_DEADLINE_EXPIRED, TRUE, 0, 0, 1000, 0, TRUE, -1},
+        {RESULT_CANCELLED, TRUE, 0, 0, 1000, 0, FALSE, -1},
+        {RESULT_BACKEND_SERVER_OTHER, FALSE, 4, 1, 1000, 4000, TRUE, -1},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        BackendReply reply = {.result = cases[i].result,
+                              .arrived = cases[i].arrived,
+                              .report.slots = cases[i].slots,
+                              .server_ms = 500,
+                              .owner_ms = cases[i].owner_ms};
+
+        g_test_message("case %zu", i);
+        g_assert_cmpint(_Gateway_IsUnreachable(&reply, cases[i].left_ms,
+                                               cases[i].paused_ms),
+                        ==, cases[i].unreachable);
+        g_assert_cmpint(_Gateway_TransitMs(&reply, cases[i].paused_ms), ==,
+                        cases[i].transit_ms);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/gateway-answer/choice", test_choice);
+    g_test_add_func("/gateway-answer/suspended", test_suspended);
     g_test_add_func("/gateway-answer/cancelled-by-stop",
                     test_cancelled_by_stop);
     return g_test_run();
