--- a/src/objects/object_sync.h
+++ b/src/objects/object_sync.h
@@ -5,8 +5,8 @@
  *  2. ObjectSync_Stop() ends the thread and waits for the call in progress.
  *
  * The thread lists the kind, then watches from the list's revision. It lists
- * again when a change has no usable name, and when the store no longer has that
- * history or has been restored from an older copy; answers from before a
+ * again when a change has no usable name, and when the store no longer has
+ * that history or has been restored from an older copy; answers from before a
  * restoration are dropped. A failed call is retried after a growing, jittered
  * pause; the loss and the recovery of the store are logged once each.
  *
