gateway: CALL_RUN says what the owner expected of a run

A run that a stop has cut could have been longer than its owner's estimate or have begun too late; the log did not tell which. CALL_RUN has expected_ms, the longest run that the owner expected, and by_stop, whether the sender's stop limits its time. No decision changes.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -563,6 +563,8 @@
         pthread_mutex_unlock(&backend->lock);
         return;
     }
+    reply->expected_ms =
+        Admission_LongRunMs(backend->admission, &ticket, LOST_RUN_DEVIATIONS);
     announcement = backend->announcement;
     backend->last_sent = now;
     backend->running_retries += call->is_retry ? 1 : 0;
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -137,7 +137,9 @@
     RosterReport report;
     ClockMs queue_ms;
     ClockMs server_ms;
-    ClockMs owner_ms; /* time at the owner of another host; -1: unknown */
+    ClockMs expected_ms; /* longest run that the owner expected when it took
+                            the request up; 0: it did not */
+    ClockMs owner_ms;    /* time at the owner of another host; -1: unknown */
 } BackendReply;
 
 typedef struct BackendStatus {
--- a/src/gateway/peer_port.c
+++ b/src/gateway/peer_port.c
@@ -53,15 +53,15 @@
     Log_Event(LOG_CALL_RUN,
               "request=%s caller=%s team=%s priority=%d max_risk=%.2f "
               "max_wait_ms=%" PRId64 " stop_ms=%" PRId64 " left_ms=%" PRId64
-              " risk=%.2f in_flight=%u waiting=%u "
-              "queue_ms=%" PRId64 " server_ms=%" PRId64
+              " by_stop=%d risk=%.2f in_flight=%u waiting=%u "
+              "queue_ms=%" PRId64 " expected_ms=%" PRId64 " server_ms=%" PRId64
               " result=%s run=%s status=%d",
               call->request_id, call->caller, call->team ? call->team : "-",
               call->priority, call->max_risk, call->max_wait_ms,
               leave_since <= arrived ? arrived - leave_since : -1,
-              call->deadline - arrived, reply->report.risk,
+              call->deadline - arrived, call->ends_by_stop, reply->report.risk,
               reply->report.in_flight, reply->report.waiting, reply->queue_ms,
-              reply->server_ms, Result_Name(reply->result),
+              reply->expected_ms, reply->server_ms, Result_Name(reply->result),
               Result_RunName(reply->run), reply->answer.status);
 }
 
