sidecar: requests end before the quota counts are handed over

At the moment of abandoning, a stop handed its quota counts over first and cancelled the requests in flight afterwards. Where the backup does not reply, their callers got the answer up to 0.2 s late, of the 0.4 s that are left until the process ends.

--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -227,6 +227,15 @@
     }
 }
 
+/* Ends the requests in flight with an answer, except for runs that may not be
+ * repeated. */
+static void
+cancel_requests(Sidecar *sidecar)
+{
+    PeerPort_CancelRequests(sidecar->peer_port);
+    Gateway_CancelRequests(sidecar->gateway);
+}
+
 void
 Sidecar_Stop(Sidecar *sidecar)
 {
@@ -243,15 +252,17 @@
     sleep_until(plan.take_until);
     await_idle(sidecar, plan.abandon);
     Backend_Close(sidecar->backend);
-    done = Gateway_Drain(sidecar->gateway, plan.abandon);
-    done = PeerPort_Drain(sidecar->peer_port, plan.abandon) && done;
+    (void)Gateway_Drain(sidecar->gateway, plan.abandon);
+    (void)PeerPort_Drain(sidecar->peer_port, plan.abandon);
+    if (Clock_Now() >= plan.abandon) {
+        cancel_requests(sidecar);
+    }
     Quota_Leave(sidecar->quota, Clock_Now() + HANDOVER_TIMEOUT_MS);
     /* Requests that arrived on open connections meanwhile have been served. */
-    done = Gateway_Close(sidecar->gateway, plan.abandon) && done;
+    done = Gateway_Close(sidecar->gateway, plan.abandon);
     done = PeerPort_Close(sidecar->peer_port, plan.abandon) && done;
     if (!done) {
-        PeerPort_CancelRequests(sidecar->peer_port);
-        Gateway_CancelRequests(sidecar->gateway);
+        cancel_requests(sidecar);
         (void)Gateway_Close(sidecar->gateway, plan.end - FINAL_ANSWER_MS);
         Gateway_CancelRuns(sidecar->gateway);
         (void)Gateway_Close(sidecar->gateway, plan.end);
--- a/tests/process_stop.c
+++ b/tests/process_stop.c
@@ -353,6 +353,58 @@
     Site_Destroy(site);
 }
 
+/* Guards against an answer that comes late, or not before the process is
+ * killed, because the quota counts are handed over first, to hosts that do not
+ * reply: here all others are suspended just before. One of the hosts has the
+ * counts. */
+static void
+test_answer_before_handover(void)
+{
+    enum { WORK_MS = 9000, ABANDON_MS = 5200, SLACK_MS = 100 };
+    enum { SUSPEND_MS = 5000, RATE = 100 };
+
+    for (int host = 0; host < HOSTS; host++) {
+        Site *site = make_site(10);
+        Request request = {
+            .site = site, .host = host, .method = "GET", .path = "/patient/1"};
+        ClockMs stopped;
+
+        Site_Configure(site, 2, KEYS, RATE);
+        g_usleep(1000000); /* in force on all hosts */
+        Site_SetDeadline(site, WORK_MS);
+        set_work(site, WORK_MS);
+        request.start = Clock_Now();
+        pthread_create(&request.thread, NULL, send_request, &request);
+        g_usleep(300000);
+        stopped = Clock_Now();
+        Site_Signal(site, host, SIGTERM);
+        g_usleep(SUSPEND_MS * 1000);
+        for (int i = 0; i < HOSTS; i++) {
+            if (i != host) {
+                (void)Site_Request(site, i, "GET", "/read/work-10", SITE_KEY);
+            }
+        }
+        for (int i = 0; i < HOSTS; i++) {
+            if (i != host) {
+                Site_Signal(site, i, SIGSTOP);
+            }
+        }
+        pthread_join(request.thread, NULL);
+        g_test_message("host %d: status %d, %" G_GINT64_FORMAT
+                       " ms after SIGTERM",
+                       host, request.reply.status, Clock_Now() - stopped);
+        g_assert_cmpint(request.reply.result, ==, RESULT_OK);
+        g_assert_cmpint(Clock_Now() - stopped, <=, ABANDON_MS + SLACK_MS);
+        g_assert_true(Site_AwaitExit(site, host, GRACE_MS));
+        for (int i = 0; i < HOSTS; i++) {
+            if (i != host) {
+                Site_Signal(site, i, SIGCONT);
+            }
+        }
+        Site_Destroy(site);
+    }
+}
+
 /* Guards against a backend server that no caller can use for seconds, since
  * its owner, which still waits for a long run, refuses short ones that would
  * end before the stop does. In a roll of the fleet most owners are in this
@@ -511,6 +563,8 @@
     g_test_add_func("/stop/late-at-both", test_late_at_both);
     g_test_add_func("/stop/late-second-attempt", test_late_second_attempt);
     g_test_add_func("/stop/outlasting-run", test_outlasting_run);
+    g_test_add_func("/stop/answer-before-handover",
+                    test_answer_before_handover);
     g_test_add_func("/stop/short-at-owner", test_short_at_owner);
     g_test_add_func("/stop/retry-not-taken", test_retry_not_taken);
     g_test_add_func("/stop/first-answers", test_first_answers);
