standin: free an answer's values under the store's lock

Cause: an answer's JSON refers to the values of the objects, not to copies of them, and dispatch() released it after the lock. A writer that replaced such a value meanwhile and the answer then dropped their references to the same value at the same time, one of them freeing it. jansson counts references atomically but reads the count before without that, and the order between the two threads rests on the lock alone. Only the stand-in of the tests is concerned; it is no report about the library that would need a suppression.

Change: the answer is released before the lock. All other uses of a value are under the lock already.

--- a/standin/object_server.c
+++ b/standin/object_server.c
@@ -312,8 +312,8 @@
     }
     *text = body != NULL ? encode_answer(server, body) : NULL;
     *era = server->era;
+    json_decref(body); /* holds values of the objects */
     pthread_mutex_unlock(&server->lock);
-    json_decref(body);
     g_strfreev(parts);
     return status;
 }
