daemon: freed blocks of answers return to the system

Cause: the C library raises its mmap and trim thresholds to the size of the largest block that was freed, up to 32 MiB and 64 MiB, and gives each thread an arena. A large body that one of 70 threads read and freed stayed in that thread's arena.

Seen from outside: after 48 callers of a backend server that sends bytes without end, VmRSS of the daemon beside it stayed at its maximum.

Change: Heap_Bound() at the start of the daemon fixes both thresholds at 128 KiB and limits the number of arenas to 4. A body of that size or more is mapped by itself; growing it moves its pages and copies nothing.

--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -11,6 +11,7 @@
 #include "base/log.h"
 #include "base/result.h"
 #include "daemon/daemon.h"
+#include "memory/heap.h"
 #include "platform/platform.h"
 #include "sidecar/sidecar.h"
 
@@ -162,6 +163,7 @@
     int signals;
     int code;
 
+    Heap_Bound();
     argp_parse(&argp, argc, argv, 0, NULL, &options);
     settings = Settings_Load(options.settings, &error);
     if (settings == NULL) {
