attempt: ask the owner about an order whose connection broke

Callers saw an order given up that ran nowhere.

Each attempt at another host that must not run twice has a random id in the Radishknot-Call header. The owner's peer port notes it before anything else (src/attempt). When such a call ends with ANSWER_LOST and time is left, the entry asks the owner by RPC (kind 23, up to 250 ms). If the attempt has not arrived, the owner voids it and refuses a late copy as not run, so the entry goes on to another owner. The owner says so only if its process has run, and has dropped no record, since before the attempt was sent; else, and without a reply, the order ends as before. Earlier versions send no id and do not know the kind. A stopping process answers questions until 250 ms after its peer port has closed. The trace of REQUEST_ENDED has owner=, and there is a counter for each outcome.

Each case also checks owner= in the log.

--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -105,6 +105,9 @@
     const HttpHeaders *headers; /* caller's headers without the proxy's own */
     const void *body;
     size_t body_bytes;
+    /* Identifies one attempt at another host, so that its owner can be asked
+     * about it; 0: none. */
+    uint64_t attempt_id;
     ClockMs target_time; /* time until which an answer is in time */
     ClockMs deadline;
     /* The sender's host stops: it abandons the request at `deadline`, and the
--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -86,7 +86,16 @@
     COUNTER(OWNER_EXPLORATIONS, \
             "of these, sent for a fresh report of an idle backend server") \
     COUNTER(OWNER_REQUESTS, "requests received from entries") \
-    COUNTER(OWNER_SENT, "requests sent to backend servers")
+    COUNTER(OWNER_SENT, "requests sent to backend servers") \
+    COUNTER(ATTEMPTS_NOT_SEEN, \
+            "broken calls of which the owner said that they did not arrive") \
+    COUNTER(ATTEMPTS_SEEN, "broken calls that had reached the owner") \
+    COUNTER(ATTEMPTS_UNKNOWN, \
+            "broken calls of which the owner could not say if they arrived") \
+    COUNTER(ATTEMPTS_NO_REPLY, \
+            "broken calls about which the owner could not be asked") \
+    COUNTER(ATTEMPTS_REFUSED, \
+            "calls that arrived after their sender was told that they had not")
 /* clang-format on */
 
 #endif
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -21,7 +21,8 @@
  * Errors: 429 and 503 promise that the request has not run, so they are sent
  * only if every attempt is known not to have run. Otherwise the status is 502,
  * or 504 at the deadline. A request that must not run twice is sent again only
- * if the previous attempt is known not to have run.
+ * if the previous attempt is known not to have run. If the connection of one
+ * breaks, its owner is asked whether it has arrived (attempt/attempt_rpc.h).
  *
  * Limits: handles up to `threads` requests at once. Thread safe.
  */
@@ -36,6 +37,7 @@
 #include "http/http_client.h"
 #include "quota/quota.h"
 #include "roster/roster.h"
+#include "rpc/rpc.h"
 #include "stop/stop_plan.h"
 
 typedef struct Gateway Gateway;
@@ -52,6 +54,7 @@
     Backend *backend;
     Quota *quota;
     HttpClient *client;
+    Rpc *rpc; /* asks owners about attempts whose connection broke */
     ClockMs max_catalog_age_ms; /* maximum age of a usable configuration */
     double retry_ratio;         /* maximum retries as a share of requests */
     double retry_per_minute;    /* fleet's retries allowed at any traffic */
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -339,6 +339,49 @@
     call->give_up_context = request;
 }
 
+/* Returns an id for an attempt that the owner can be asked about; 0 if the
+ * request may run more than once. */
+static uint64_t
+make_attempt_id(GatewayRequest *request)
+{
+    Gateway *gateway = request->gateway;
+    uint64_t random;
+
+    if (request->call.idempotent) {
+        return 0;
+    }
+    pthread_mutex_lock(&gateway->lock);
+    random = Rng_Next(&gateway->rng);
+    pthread_mutex_unlock(&gateway->lock);
+    return MAX(Rng_Mix(gateway->host, random), 1);
+}
+
+/* Asks the owner whether the attempt, sent at `sent` or later, has reached it.
+ * If not, the attempt has not run and never will. */
+static void
+ask_owner(GatewayRequest *request, const RosterChoice *choice, ClockMs sent,
+          BackendReply *reply)
+{
+    ClockMs left = request->deadline - Clock_Now();
+    struct sockaddr_in address = choice->entry.peer;
+    RpcPeer owner;
+
+    if (request->gateway->desc.rpc == NULL || choice->entry.rpc_port == 0 ||
+        left <= 0) {
+        return;
+    }
+    address.sin_port = htons(choice->entry.rpc_port);
+    owner = Rpc_PeerAt(&address);
+    owner.host = choice->host;
+    request->asked_owner = AttemptRpc_Ask(request->gateway->desc.rpc, &owner,
+                                          request->call.attempt_id, sent,
+                                          (int)MIN(left, ATTEMPT_ASK_MS));
+    if (request->asked_owner == ATTEMPT_ASK_NOT_SEEN) {
+        reply->run = RUN_NO;
+        reply->arrived = FALSE;
+    }
+}
+
 static void
 call_owner(GatewayRequest *request, const RosterChoice *choice,
            BackendReply *reply)
@@ -365,6 +408,7 @@
                      .cancel = call->cancel};
     gboolean sent;
 
+    request->call.attempt_id = make_attempt_id(request);
     HttpHeaders_AddAll(&headers, call->headers);
     HttpHeaders_Add(&headers, request->gateway->desc.names->request_id,
                     call->request_id);
@@ -381,6 +425,9 @@
     }
     reply->run = sent ? RUN_UNKNOWN : RUN_NO;
     reply->arrived = sent;
+    if (reply->result == RESULT_ANSWER_LOST && call->attempt_id != 0) {
+        ask_owner(request, choice, now, reply);
+    }
 }
 
 gboolean
@@ -473,6 +520,7 @@
 
     *reply = (BackendReply){.run = RUN_NO};
     request->current_host = choice->host;
+    request->asked_owner = ATTEMPT_ASK_NONE;
     request->call.is_retry = request->attempts > 0 || request->is_retried_call;
     set_limits(request, choice);
     set_attempt_timeout(request, choice);
@@ -492,12 +540,16 @@
     note_reply(request, choice, reply, began);
     Log_Append(request->trace, sizeof(request->trace),
                " [%s tier=%d cost=%.2f age_ms=%" PRId64
-               " max_risk=%.2f risk=%.2f ms=%" PRId64 " %s run=%s]",
+               " max_risk=%.2f risk=%.2f ms=%" PRId64 " %s run=%s%s%s]",
                choice->entry.host, (int)choice->tier, choice->cost,
                choice->age_ms == CLOCK_NEVER ? -1 : choice->age_ms,
                request->call.max_risk, reply->report.risk,
                reply->queue_ms + reply->server_ms, Result_Name(reply->result),
-               Result_RunName(reply->run));
+               Result_RunName(reply->run),
+               request->asked_owner == ATTEMPT_ASK_NONE ? "" : " owner=",
+               request->asked_owner == ATTEMPT_ASK_NONE
+                   ? ""
+                   : AttemptRpc_AskName(request->asked_owner));
     request->maybe_run = request->maybe_run || reply->run != RUN_NO;
     if (request->other_reply != NULL) {
         HttpAnswer_Clear(&reply->answer);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -4,6 +4,7 @@
 
 #include <pthread.h>
 
+#include "attempt/attempt_rpc.h"
 #include "gateway/gateway.h"
 #include "gateway/return_time.h"
 #include "gateway/size_estimate.h"
@@ -55,6 +56,7 @@
     HttpAnswer failure;        /* last error answer of a backend server */
     gboolean maybe_run;        /* an attempt may have run */
     uint64_t current_host;     /* host of the attempt in progress */
+    AttemptAsk asked_owner;    /* what its owner said of a broken call */
     gboolean is_retried_call;  /* call of a request that is a retry */
     uint32_t attempts;         /* attempts that reached a backend server */
     gboolean has_explored;     /* an attempt was an exploration */
--- a/src/gateway/peer_port.c
+++ b/src/gateway/peer_port.c
@@ -65,6 +65,19 @@
               Result_RunName(reply->run), reply->answer.status);
 }
 
+/* Notes the attempt. Returns FALSE if it must not run: its sender was told
+ * that it did not arrive. */
+static gboolean
+begin_attempt(const PeerPort *port, const BackendCall *call)
+{
+    gboolean may_run =
+        call->attempt_id == 0 ||
+        AttemptLog_Note(port->desc.attempts, call->attempt_id, Clock_Now());
+
+    Counter_Add(COUNTER_ATTEMPTS_REFUSED, !may_run);
+    return may_run;
+}
+
 static void
 serve(void *context, HttpRequest *request)
 {
@@ -74,7 +87,7 @@
     HttpCancel *cancel = HttpCancelSet_Begin(port->cancels);
     HttpHeaders headers = {0};
     HttpAnswer answer = {0};
-    BackendReply reply;
+    BackendReply reply = {.result = RESULT_REQUEST_ID_VOID, .run = RUN_NO};
     char *target = HttpRequest_Target(request);
 
     Counter_Add(COUNTER_OWNER_REQUESTS, 1);
@@ -90,10 +103,12 @@
                               call.request_id, NULL);
     }
     else {
-        copy_headers(port, received, &headers);
-        HttpRequest_OnDisconnect(request, HttpCancel_Trigger, cancel);
-        Backend_Run(port->desc.backend, &call, &reply);
-        HttpRequest_OnDisconnect(request, NULL, NULL);
+        if (begin_attempt(port, &call)) {
+            copy_headers(port, received, &headers);
+            HttpRequest_OnDisconnect(request, HttpCancel_Trigger, cancel);
+            Backend_Run(port->desc.backend, &call, &reply);
+            HttpRequest_OnDisconnect(request, NULL, NULL);
+        }
         if (reply.result == RESULT_CANCELLED &&
             HttpCancelSet_IsTriggered(port->cancels)) {
             reply.result = RESULT_SHUTTING_DOWN;
--- a/src/gateway/peer_port.h
+++ b/src/gateway/peer_port.h
@@ -9,6 +9,9 @@
  *  5. PeerPort_CancelRequests() cancels requests that can run elsewhere.
  *  6. PeerPort_Destroy().
  *
+ * Each attempt that must not run twice is noted in the AttemptLog before
+ * anything else is done with it; one that is void is refused as not run.
+ *
  * Limits: senders are not authenticated; the network between the daemons must
  * be closed to others.
  */
@@ -18,6 +21,7 @@
 #include <glib.h>
 #include <netinet/in.h>
 
+#include "attempt/attempt_log.h"
 #include "backend/backend.h"
 
 typedef struct PeerPort PeerPort;
@@ -28,6 +32,7 @@
     size_t max_body_bytes;
     const WireNames *names;
     Backend *backend;
+    AttemptLog *attempts;
 } PeerPort_desc;
 
 PeerPort *PeerPort_Create(const PeerPort_desc *desc, GError **error);
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -44,17 +44,23 @@
 void
 PeerWire_EncodeCall(const BackendCall *call, ClockMs now, HttpHeaders *headers)
 {
-    char line[LINE_BYTES];
+    /* Never truncated: an attempt whose id is lost on the way is not noted,
+     * and its owner would say that it did not arrive. */
+    GString *line = g_string_sized_new(LINE_BYTES);
 
-    (void)snprintf(
-        line, sizeof(line),
+    g_string_printf(
+        line,
         "%" PRId64 " %c %d %.3f %" PRId64 " %d %" PRId64 " %" PRId64 " %d",
         CLAMP(call->deadline - now, 0, MAX_WAIT_MS),
         call->idempotent ? 'i' : 'o', call->priority, call->max_risk,
         MIN(call->max_wait_ms, MAX_WAIT_MS), call->is_retry,
         call->explore_idle_ms, CLAMP(call->target_time - now, 0, MAX_WAIT_MS),
         call->ends_by_stop);
-    HttpHeaders_Add(headers, CALL_HEADER, line);
+    if (call->attempt_id != 0) {
+        g_string_append_printf(line, " %" PRIx64, call->attempt_id);
+    }
+    HttpHeaders_Add(headers, CALL_HEADER, line->str);
+    g_string_free(line, TRUE);
     HttpHeaders_Add(headers, CALLER_HEADER, call->caller);
     HttpHeaders_Add(headers, SERVICE_HEADER, call->service);
     if (call->team != NULL) {
@@ -79,16 +85,17 @@
     call->team = HttpHeaders_Get(headers, TEAM_HEADER);
     call->caller = HttpHeaders_Get(headers, CALLER_HEADER);
     call->service = HttpHeaders_Get(headers, SERVICE_HEADER);
-    /* Earlier versions do not send the last three fields. */
+    /* Earlier versions do not send the last four fields. */
     call->explore_idle_ms = 0;
     call->ends_by_stop = FALSE;
+    call->attempt_id = 0;
     if (line == NULL || call->caller == NULL || call->service == NULL ||
         sscanf(line,
                "%" SCNd64 " %c %d %lf %" SCNd64 " %d %" SCNd64 " %" SCNd64
-               " %d",
+               " %d %" SCNx64,
                &left, &kind, &call->priority, &call->max_risk,
                &call->max_wait_ms, &call->is_retry, &call->explore_idle_ms,
-               &target_left, &call->ends_by_stop) < 6 ||
+               &target_left, &call->ends_by_stop, &call->attempt_id) < 6 ||
         (kind != 'i' && kind != 'o') || !is_time(left) ||
         !is_time(target_left) || !is_time(call->max_wait_ms) ||
         !is_time(call->explore_idle_ms)) {
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -4,20 +4,22 @@
  * these:
  *   Radishknot-Call: <ms left> <kind> <priority> <max risk> <max wait ms>
  *                    <retry> <explore idle ms> <ms to target> <cut>
+ *                    <attempt>
  *   Radishknot-Team, Radishknot-Caller, Radishknot-Service
  * where kind is "i" if the request may run more than once, otherwise "o";
- * retry is 1 if an earlier attempt reached a backend server, otherwise 0; and
- * cut is 1 if the sender stops and abandons the request when the time left is
- * over, otherwise 0.
+ * retry is 1 if an earlier attempt reached a backend server, otherwise 0; cut
+ * is 1 if the sender stops and abandons the request when the time left is
+ * over, otherwise 0; and attempt is a random hexadecimal number, only if the
+ * request must not run more than once (attempt/attempt_log.h).
  *
  * The answer is the backend server's, or a 503 without a body, with
  *   Radishknot-Reply: <result> <run> <arrived> <risk> <slots> <in flight>
  *                     <waiting> <service ms> <idle ms> <leaving> <owner ms>
  *                     <requests per s> <retries per s>
  *
- * The last three fields of a call and of a reply may be missing: earlier
- * versions do not send them. The headers are short because traffic between
- * regions is billed by volume.
+ * The last four fields of a call and the last three of a reply may be missing:
+ * earlier versions do not send them. The headers are short because traffic
+ * between regions is billed by volume.
  *
  * Use: the sender calls PeerWire_EncodeCall() and PeerWire_DecodeReply(), the
  * receiver PeerWire_DecodeCall() and PeerWire_EncodeReply().
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -1,5 +1,6 @@
 /* Tests of the headers that daemons exchange. */
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
 #include "gateway/peer_wire.h"
@@ -124,13 +125,47 @@
     }
 }
 
+/* Guards against an attempt that arrives under another id or under none: its
+ * owner would say that it has not arrived. */
+static void
+test_attempt(void)
+{
+    static const struct {
+        uint64_t id;
+        double max_risk;
+    } cases[] = {{0, 1},
+                 {1, 0.25},
+                 {0xfedcba9876543210, 1},
+                 {UINT64_MAX, 1e300},
+                 {7, HUGE_VAL}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        BackendCall call = {.service = "permits",
+                            .caller = "desk",
+                            .deadline = G_MAXINT64,
+                            .priority = G_MININT32,
+                            .max_risk = cases[i].max_risk,
+                            .max_wait_ms = G_MAXINT64,
+                            .explore_idle_ms = 600000,
+                            .attempt_id = cases[i].id};
+        BackendCall decoded = {.attempt_id = 9};
+        HttpHeaders headers = {0};
+
+        PeerWire_EncodeCall(&call, 0, &headers);
+        g_assert_true(PeerWire_DecodeCall(&headers, 0, &decoded));
+        g_assert_cmpuint(decoded.attempt_id, ==, cases[i].id);
+        HttpHeaders_Clear(&headers);
+    }
+}
+
 /* Guards against refusing calls and replies of daemons of an earlier version
  * while a fleet is upgraded. */
 static void
 test_earlier_version(void)
 {
     HttpHeaders headers = {0};
-    BackendCall call = {.explore_idle_ms = 7, .ends_by_stop = TRUE};
+    BackendCall call = {
+        .explore_idle_ms = 7, .ends_by_stop = TRUE, .attempt_id = 9};
     BackendReply reply = {0};
 
     HttpHeaders_Add(&headers, "Radishknot-Call", "5000 i 0 0.1 5 0");
@@ -138,6 +173,7 @@
     HttpHeaders_Add(&headers, "Radishknot-Service", "permits");
     g_assert_true(PeerWire_DecodeCall(&headers, 0, &call));
     g_assert_cmpint(call.explore_idle_ms, ==, 0);
+    g_assert_cmpuint(call.attempt_id, ==, 0);
     g_assert_false(call.ends_by_stop);
     HttpHeaders_Add(&headers, "Radishknot-Reply", "0 1 1 0.1 4 1 0 300 0 0");
     g_assert_true(PeerWire_DecodeReply(&headers, &reply));
@@ -273,6 +309,7 @@
     g_test_add_func("/peer-wire/stop", test_stop);
     g_test_add_func("/peer-wire/times", test_times);
     g_test_add_func("/peer-wire/repeat", test_retry);
+    g_test_add_func("/peer-wire/attempt", test_attempt);
     g_test_add_func("/peer-wire/earlier-version", test_earlier_version);
     g_test_add_func("/peer-wire/malformed-calls", test_malformed_calls);
     g_test_add_func("/peer-wire/reply", test_reply);
--- a/src/rpc/rpc.h
+++ b/src/rpc/rpc.h
@@ -68,6 +68,7 @@
     RPC_KIND_MINT_TOKEN = 20,
     RPC_KIND_TOKEN_STATE = 21,
     RPC_KIND_ATTEMPT_STATE = 22,
+    RPC_KIND_ATTEMPT_VOID = 23,
     RPC_KIND_VERSION_NOTICE = 30,
     RPC_KIND_KEY_WITHDRAWAL = 31,
     RPC_KIND_LIMIT = 64 /* kinds are below this number */
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -109,6 +109,10 @@
     sidecar->quota = Quota_Create(&quota);
     sidecar->writer = ObjectWriter_Start(&writer);
     sidecar->departure = Departure_Create(&departure);
+    /* Without a fixed RPC port, an earlier process may still run. */
+    sidecar->attempts = AttemptLog_Create(&(AttemptLog_desc){
+        .started = settings->rpc_port > 0 ? Clock_Now() : CLOCK_NEVER});
+    AttemptRpc_Serve(sidecar->rpc, sidecar->attempts);
 }
 
 static gboolean
@@ -118,7 +122,8 @@
     PeerPort_desc peer = {.threads = (unsigned)settings->owner_threads,
                           .max_body_bytes = (size_t)settings->max_body_bytes,
                           .names = sidecar->adapter->names,
-                          .backend = sidecar->backend};
+                          .backend = sidecar->backend,
+                          .attempts = sidecar->attempts};
     Gateway_desc gateway = {.threads = (unsigned)settings->entry_threads,
                             .max_body_bytes = (size_t)settings->max_body_bytes,
                             .host = settings->host,
@@ -129,6 +134,7 @@
                             .backend = sidecar->backend,
                             .quota = sidecar->quota,
                             .client = sidecar->client,
+                            .rpc = sidecar->rpc,
                             .max_catalog_age_ms = sidecar->max_catalog_age_ms,
                             .retry_ratio = settings->retry_ratio,
                             .retry_per_minute =
@@ -240,6 +246,7 @@
 Sidecar_Stop(Sidecar *sidecar)
 {
     StopPlan plan = StopPlan_Make(Clock_Now(), sidecar->settings->grace_ms);
+    ClockMs closed;
     gboolean done;
 
     Log_Event(LOG_STOPPING, "in_flight=%u peers_in_flight=%u",
@@ -253,6 +260,7 @@
     await_idle(sidecar, plan.abandon);
     Backend_Close(sidecar->backend);
     (void)Gateway_Drain(sidecar->gateway, plan.abandon);
+    closed = Clock_Now();
     (void)PeerPort_Drain(sidecar->peer_port, plan.abandon);
     if (Clock_Now() >= plan.abandon) {
         cancel_requests(sidecar);
@@ -268,6 +276,9 @@
         (void)Gateway_Close(sidecar->gateway, plan.end);
         (void)PeerPort_Close(sidecar->peer_port, plan.end);
     }
+    /* Requests that met the closed port are sent elsewhere only if this
+     * process still says that they did not arrive. */
+    sleep_until(MIN(closed + ATTEMPT_LAST_QUESTIONS_MS, plan.end));
     Log_Event(LOG_STOPPED, "drained=%d after_ms=%" PRId64, done,
               Clock_Now() - plan.begin);
 }
@@ -289,6 +300,7 @@
     Rpc_Stop(sidecar->rpc);
     Quota_Destroy(sidecar->quota);
     Rpc_Destroy(sidecar->rpc);
+    AttemptLog_Destroy(sidecar->attempts);
     Backend_Destroy(sidecar->backend);
     Roster_Destroy(sidecar->roster);
     Catalog_Destroy(sidecar->catalog);
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -4,6 +4,7 @@
 
 #include <stdatomic.h>
 
+#include "attempt/attempt_rpc.h"
 #include "catalog/catalog.h"
 #include "departure/departure.h"
 #include "gateway/gateway.h"
@@ -37,6 +38,7 @@
     Backend *backend;
     Rpc *rpc;
     Quota *quota;
+    AttemptLog *attempts;
     Gateway *gateway;
     PeerPort *peer_port;
     HttpServer *announce_port;
--- a/tests/process_reset.c
+++ b/tests/process_reset.c
@@ -29,7 +29,8 @@
     RESET_UNREAD,  /* nobody has read the request */
     RESET_CLOSED,  /* the same, once the stopping owner has closed its port */
     RESET_RUNNING, /* the request runs at the owner */
-    RESET_EARLY    /* the owner gets the request after the caller's answer */
+    RESET_RESTARTED, /* the same, once the owner's process was replaced */
+    RESET_EARLY      /* the owner gets the request after the caller's answer */
 } ResetAt;
 
 typedef struct Port {
@@ -110,6 +111,31 @@
     g_assert_cmpint(recv(fd.fd, answer, sizeof(answer), 0), >, 0);
 }
 
+static void
+await_open_port(const Port *port)
+{
+    ClockMs end = Clock_Now() + AWAIT_MS;
+    int connection = connect_to_owner(port);
+
+    while (connection < 0 && Clock_Now() < end) {
+        g_usleep(5000);
+        connection = connect_to_owner(port);
+    }
+    g_assert_cmpint(connection, >=, 0);
+    close(connection);
+}
+
+static void
+await_run(const Port *port)
+{
+    ClockMs end = Clock_Now() + AWAIT_MS;
+
+    while (Site_Runs(port->site, OWNER) == 0 && Clock_Now() < end) {
+        g_usleep(2000);
+    }
+    g_assert_cmpuint(Site_Runs(port->site, OWNER), >, 0);
+}
+
 static size_t
 read_request(int connection, char *request)
 {
@@ -158,9 +184,17 @@
     bytes = read_request(connection, request);
     if (port->at == RESET_RUNNING) {
         deliver(port, request, bytes);
-        while (Site_Runs(port->site, OWNER) == 0) {
-            g_usleep(2000);
-        }
+        await_run(port);
+        reset(connection);
+        return;
+    }
+    if (port->at == RESET_RESTARTED) {
+        deliver(port, request, bytes);
+        await_run(port);
+        Site_Signal(port->site, OWNER, SIGKILL);
+        g_assert_true(Site_AwaitExit(port->site, OWNER, AWAIT_MS));
+        Site_Restart(port->site, OWNER);
+        await_open_port(port);
         reset(connection);
         return;
     }
@@ -261,9 +295,11 @@
 }
 
 /* Sends a request that must not run twice to a host whose nearest owner is
- * behind the port, and one owner far away. */
+ * behind the port, and one owner far away. `said` is what the nearest one is
+ * to say of the attempt. */
 static void
-check_reset(ResetAt at, int expected_status, int expected_host)
+check_reset(ResetAt at, const char *said, int expected_status,
+            int expected_host)
 {
     Site *site = Site_Create();
     Port port = {.site = site, .at = at};
@@ -274,7 +310,7 @@
     Site_Configure(site, 1, KEYS, 0);
     Site_AddHost(site, &(SiteHost_desc){.service = "other"});
     Site_SetWorkMs(site, Site_AddHost(site, &(SiteHost_desc){0}),
-                   at == RESET_RUNNING ? 500 : 0);
+                   at == RESET_RUNNING || at == RESET_RESTARTED ? 500 : 0);
     Site_AddHost(site, &(SiteHost_desc){.data_centre = "s1", .region = "sur"});
     Site_AwaitReady(site);
     start_port(&port);
@@ -297,6 +333,7 @@
     g_assert_cmpint(run.count, ==, 1);
     g_assert_cmpint(order.reply.status, ==, expected_status);
     g_assert_cmpint(run.host, ==, expected_host);
+    await_log(site, ENTRY, said);
     stop_port(&port);
     Site_Destroy(site);
 }
@@ -306,7 +343,7 @@
 static void
 test_unread(void)
 {
-    check_reset(RESET_UNREAD, 200, OTHER);
+    check_reset(RESET_UNREAD, " owner=not_seen]", 200, OTHER);
 }
 
 /* Guards against the same in a graceful stop of the owner, whose process must
@@ -314,14 +351,22 @@
 static void
 test_closed(void)
 {
-    check_reset(RESET_CLOSED, 200, OTHER);
+    check_reset(RESET_CLOSED, " owner=not_seen]", 200, OTHER);
 }
 
 /* Guards against a second run of a request that the owner has received. */
 static void
 test_running(void)
 {
-    check_reset(RESET_RUNNING, 502, OWNER);
+    check_reset(RESET_RUNNING, " owner=seen]", 502, OWNER);
+}
+
+/* Guards against the same after a restart of the owner: the new process knows
+ * nothing of the attempt. */
+static void
+test_restarted(void)
+{
+    check_reset(RESET_RESTARTED, " owner=unknown]", 502, OWNER);
 }
 
 /* Guards against a second run by a copy that reaches the owner after it has
@@ -329,7 +374,7 @@
 static void
 test_early(void)
 {
-    check_reset(RESET_EARLY, 200, OTHER);
+    check_reset(RESET_EARLY, " owner=not_seen]", 200, OTHER);
 }
 
 int
@@ -339,6 +384,7 @@
     g_test_add_func("/reset/unread", test_unread);
     g_test_add_func("/reset/closed", test_closed);
     g_test_add_func("/reset/running", test_running);
+    g_test_add_func("/reset/restarted", test_restarted);
     g_test_add_func("/reset/early", test_early);
     return g_test_run();
 }
