tests: question and order in the buffers of a suspended owner

An owner that is suspended while an order and the question about it arrive may read either first when it goes on. /reset/suspended of process_reset suspends the owner for 100 ms, and asks for one run in the whole: at the owner with 502, or at another one with 200. It waits for the owner's answer to the copy, so no run can follow.

No change of the product.

--- a/tests/process_reset.c
+++ b/tests/process_reset.c
@@ -22,6 +22,14 @@
 /* Transit time of a reset and of the bytes before it, as between regions. */
 #define TRANSIT_MS 32
 
+/* Time for which the owner is suspended while it is asked. */
+#define SUSPENDED_MS 100
+
+/* What the owner says of the attempt. */
+#define NOT_SEEN " owner=not_seen]"
+#define SEEN " owner=seen]"
+#define UNKNOWN " owner=unknown]"
+
 enum { ENTRY, OWNER, OTHER };
 
 /* When the port resets the entry's connection. */
@@ -30,6 +38,7 @@
     RESET_CLOSED,  /* the same, once the stopping owner has closed its port */
     RESET_RUNNING, /* the request runs at the owner */
     RESET_RESTARTED, /* the same, once the owner's process was replaced */
+    RESET_SUSPENDED, /* the request is in a buffer of the suspended owner */
     RESET_EARLY      /* the owner gets the request after the caller's answer */
 } ResetAt;
 
@@ -198,9 +207,18 @@
         reset(connection);
         return;
     }
-    reset(connection);
-    await_flag(&port->is_answered);
-    deliver(port, request, bytes);
+    if (port->at == RESET_SUSPENDED) {
+        Site_Signal(port->site, OWNER, SIGSTOP);
+        deliver(port, request, bytes);
+        reset(connection);
+        g_usleep((gulong)SUSPENDED_MS * 1000);
+        Site_Signal(port->site, OWNER, SIGCONT);
+    }
+    else {
+        reset(connection);
+        await_flag(&port->is_answered);
+        deliver(port, request, bytes);
+    }
     read_answer(port);
     atomic_store(&port->is_delivered, TRUE);
 }
@@ -296,7 +314,8 @@
 
 /* Sends a request that must not run twice to a host whose nearest owner is
  * behind the port, and one owner far away. `said` is what the nearest one is
- * to say of the attempt. */
+ * to say of the attempt. A suspended owner may take up the request or the
+ * question first. */
 static void
 check_reset(ResetAt at, const char *said, int expected_status,
             int expected_host)
@@ -322,7 +341,7 @@
     }
     pthread_join(thread, NULL);
     atomic_store(&port.is_answered, TRUE);
-    if (at == RESET_EARLY) {
+    if (at == RESET_EARLY || at == RESET_SUSPENDED) {
         await_flag(&port.is_delivered);
     }
     (void)Site_GetRun(site, order.id, &run);
@@ -331,6 +350,11 @@
                    run.host);
     g_assert_cmpint(order.reply.result, ==, RESULT_OK);
     g_assert_cmpint(run.count, ==, 1);
+    if (at == RESET_SUSPENDED && order.reply.status == 200) {
+        expected_status = 200;
+        expected_host = OTHER;
+        said = NOT_SEEN;
+    }
     g_assert_cmpint(order.reply.status, ==, expected_status);
     g_assert_cmpint(run.host, ==, expected_host);
     await_log(site, ENTRY, said);
@@ -343,7 +367,7 @@
 static void
 test_unread(void)
 {
-    check_reset(RESET_UNREAD, " owner=not_seen]", 200, OTHER);
+    check_reset(RESET_UNREAD, NOT_SEEN, 200, OTHER);
 }
 
 /* Guards against the same in a graceful stop of the owner, whose process must
@@ -351,14 +375,14 @@
 static void
 test_closed(void)
 {
-    check_reset(RESET_CLOSED, " owner=not_seen]", 200, OTHER);
+    check_reset(RESET_CLOSED, NOT_SEEN, 200, OTHER);
 }
 
 /* Guards against a second run of a request that the owner has received. */
 static void
 test_running(void)
 {
-    check_reset(RESET_RUNNING, " owner=seen]", 502, OWNER);
+    check_reset(RESET_RUNNING, SEEN, 502, OWNER);
 }
 
 /* Guards against the same after a restart of the owner: the new process knows
@@ -366,7 +390,7 @@
 static void
 test_restarted(void)
 {
-    check_reset(RESET_RESTARTED, " owner=unknown]", 502, OWNER);
+    check_reset(RESET_RESTARTED, UNKNOWN, 502, OWNER);
 }
 
 /* Guards against a second run by a copy that reaches the owner after it has
@@ -374,7 +398,15 @@
 static void
 test_early(void)
 {
-    check_reset(RESET_EARLY, " owner=not_seen]", 200, OTHER);
+    check_reset(RESET_EARLY, NOT_SEEN, 200, OTHER);
+}
+
+/* Guards against a second run when question and request wait in buffers of a
+ * suspended owner, which may read either first. */
+static void
+test_suspended(void)
+{
+    check_reset(RESET_SUSPENDED, SEEN, 502, OWNER);
 }
 
 int
@@ -386,5 +418,6 @@
     g_test_add_func("/reset/running", test_running);
     g_test_add_func("/reset/restarted", test_restarted);
     g_test_add_func("/reset/early", test_early);
+    g_test_add_func("/reset/suspended", test_suspended);
     return g_test_run();
 }
