--- a/tests/site.c
+++ b/tests/site.c
@@ -305,7 +305,7 @@
 write_settings(Host *host)
 {
     char *text = g_strdup_printf(
-        "{\"mode\":\"platform\",\"host\":\"%s\",\"data_centre\":\"%s\","
+        "{%s\"mode\":\"platform\",\"host\":\"%s\",\"data_centre\":\"%s\","
         "\"region\":\"%s\",\"data_centres\":[\"n1\",\"n2\",\"s1\"],"
         "\"address\":\"%s\",\"service\":\"%s\","
         "\"backend_server\":\"%s:%d\",\"entry_address\":\"%s:%d\","
@@ -314,7 +314,8 @@
         "%d\"],"
         "\"fleet_secret\":\"0123456789abcdef\",\"grace_ms\":\"6s\","
         "\"revocation_ms\":\"5s\"}",
-        host->name, host->desc.data_centre, host->desc.region, host->address,
+        host->desc.settings ? host->desc.settings : "", host->name,
+        host->desc.data_centre, host->desc.region, host->address,
         host->desc.service, host->address, BACKEND_PORT, host->address,
         ENTRY_PORT, host->address, PEER_PORT, host->address, ANNOUNCE_PORT,
         host->address, READY_PORT, FIRST_PORT, Relay_Port(host->store_relay));
@@ -349,6 +350,15 @@
     return parse_address(address, BACKEND_PORT);
 }
 
+struct sockaddr_in
+Site_EntryAddress(int host)
+{
+    char address[32];
+
+    make_address(host, address, sizeof(address));
+    return parse_address(address, ENTRY_PORT);
+}
+
 int
 Site_AddHost(Site *site, const SiteHost_desc *desc)
 {
@@ -724,6 +734,12 @@
     g_assert_cmpint(kill(site->hosts[host].pid, signal), ==, 0);
 }
 
+pid_t
+Site_Pid(Site *site, int host)
+{
+    return site->hosts[host].pid;
+}
+
 gboolean
 Site_AwaitExit(Site *site, int host, ClockMs milliseconds)
 {
--- a/tests/site.h
+++ b/tests/site.h
@@ -20,6 +20,7 @@
 #define TESTS_SITE_H
 
 #include <glib.h>
+#include <sys/types.h>
 
 #include "base/clock.h"
 #include "http/http_client.h"
@@ -37,6 +38,8 @@
     const char *data_centre; /* default "n1" */
     const char *region;      /* default "norte" */
     gboolean no_server;      /* the test serves Site_BackendAddress() itself */
+    const char *settings;    /* further members of the settings, each followed
+                                by a comma */
 } SiteHost_desc;
 
 typedef struct SiteReply {
@@ -77,6 +80,7 @@
 /* Returns the number of the host. */
 int Site_AddHost(Site *site, const SiteHost_desc *desc);
 struct sockaddr_in Site_BackendAddress(int host);
+struct sockaddr_in Site_EntryAddress(int host);
 void Site_AwaitReady(Site *site);
 gboolean Site_IsReady(Site *site, int host);
 
@@ -153,6 +157,9 @@
 
 void Site_Signal(Site *site, int host, int signal);
 
+/* Returns the process id of the daemon, 0 after it has ended. */
+pid_t Site_Pid(Site *site, int host);
+
 /* Waits for the end of the process. Returns FALSE if it still runs after the
  * timeout. */
 gboolean Site_AwaitExit(Site *site, int host, ClockMs milliseconds);
