test_backend: the order of admission is that of the requests received

/backend/slots-and-order failed beside other work: two waiting requests got their slots within a millisecond of each other, and the test compared the times at which their threads woke up. Nothing orders these: the admission decides under the lock, each thread then reads the clock for itself.

The test now goes by events. The scripted backend server holds its answers; both requests wait before the first slot is freed; the next request that it receives must be the call, and the other one comes only after the second slot is freed. In-flight and waiting counts are checked at each step as before, and the number of received requests as well. The deadline of 2 s of these requests is no target and is 10 s now, also for waits on the load.

--- a/src/backend/test_backend.c
+++ b/src/backend/test_backend.c
@@ -321,11 +321,14 @@
     start_call(caller, backend, priority, FALSE);
 }
 
+/* Limit of waits that are part of no stated time. */
+#define LONG_WAIT_MS 10000
+
 static void
 wait_for_load(Backend *backend, uint32_t in_flight, uint32_t waiting)
 {
     RosterReport report;
-    ClockMs end = Clock_Now() + 2000;
+    ClockMs end = Clock_Now() + LONG_WAIT_MS;
 
     do {
         g_usleep(1000);
@@ -381,27 +384,64 @@
     close_fixture(&fixture);
 }
 
+static void
+start_waiting(Caller *caller, Backend *backend, int priority,
+              const char *target)
+{
+    caller->backend = backend;
+    caller->call = make_call();
+    caller->call.priority = priority;
+    caller->call.target = target;
+    caller->call.deadline = Clock_Now() + LONG_WAIT_MS;
+    caller->call.max_wait_ms = LONG_WAIT_MS;
+    pthread_create(&caller->thread, NULL, run_caller, caller);
+}
+
+/* Waits until the backend server has received that many requests, the last of
+ * them for `target`. */
+static void
+await_request(const Script *script, gint requests, const char *target)
+{
+    ClockMs end = Clock_Now() + LONG_WAIT_MS;
+
+    while (g_atomic_int_get(&script->requests) < requests &&
+           Clock_Now() < end) {
+        g_usleep(1000);
+    }
+    g_assert_cmpint(g_atomic_int_get(&script->requests), ==, requests);
+    g_assert_nonnull(strstr(script->received, target));
+}
+
 /* Guards against more running requests than slots, and against requests that
  * are admitted before those of a higher priority. */
 static void
 test_slots_and_order(void)
 {
-    Fixture fixture = {.script = {.answer = ANSWER_OK, .delay_ms = 150}};
+    Fixture fixture = {.script = {.answer = ANSWER_OK, .gated = TRUE}};
+    Script *script = &fixture.script;
     Caller callers[4] = {0};
 
     open_fixture(&fixture);
-    start_caller(&callers[0], fixture.backend, 1);
-    start_caller(&callers[1], fixture.backend, 1);
-    wait_for_load(fixture.backend, 2, 0);
-    start_caller(&callers[2], fixture.backend, 5);
+    start_waiting(&callers[0], fixture.backend, 1, "/first");
+    await_request(script, 1, "/first");
+    start_waiting(&callers[1], fixture.backend, 1, "/second");
+    await_request(script, 2, "/second");
+    start_waiting(&callers[2], fixture.backend, 5, "/low");
+    wait_for_load(fixture.backend, 2, 1);
+    start_waiting(&callers[3], fixture.backend, BACKEND_PRIORITY_NESTED,
+                  "/nested");
+    wait_for_load(fixture.backend, 2, 2);
+    g_atomic_int_set(&script->opened, 1);
+    await_request(script, 3, "/nested");
     wait_for_load(fixture.backend, 2, 1);
-    start_caller(&callers[3], fixture.backend, BACKEND_PRIORITY_NESTED);
+    g_atomic_int_set(&script->opened, 2);
+    await_request(script, 4, "/low");
+    g_atomic_int_set(&script->opened, 4);
     for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
         pthread_join(callers[i].thread, NULL);
         g_assert_cmpint(callers[i].reply.result, ==, RESULT_OK);
         HttpAnswer_Clear(&callers[i].reply.answer);
     }
-    g_assert_cmpint(callers[3].reply.queue_ms, <=, callers[2].reply.queue_ms);
     close_fixture(&fixture);
 }
 
--- a/src/backend/test_script.h
+++ b/src/backend/test_script.h
@@ -36,6 +36,8 @@
     _Atomic(const char *) answer;
     gboolean reset; /* reset the connection after the answer */
     int delay_ms;
+    gboolean gated; /* an answer waits until `opened` exceeds its number */
+    gint opened;    /* atomic */
     char received[4000];
     gint requests; /* atomic */
     pthread_t thread;
@@ -51,11 +53,15 @@
     char buffer[4000];
     const char *answer;
     ssize_t bytes;
+    gint number;
 
     while ((bytes = recv(fd, buffer, sizeof(buffer) - 1, 0)) > 0) {
         buffer[bytes] = '\0';
         g_strlcpy(script->received, buffer, sizeof(script->received));
-        g_atomic_int_inc(&script->requests);
+        number = g_atomic_int_add(&script->requests, 1);
+        while (script->gated && g_atomic_int_get(&script->opened) <= number) {
+            g_usleep(1000);
+        }
         g_usleep((gulong)script->delay_ms * 1000);
         answer = atomic_load(&script->answer);
         if (answer == NULL) {
