http: bodies of answers and requests are on lease from one account

Cause: HttpClient counted the length of the bodies being read beyond 64 KiB of each, and gave it back when a body had been read, before it was copied into the answer and while that waited for its reader. HttpServer had an account of its own. A request was copied whole behind its head.

Seen from outside: the memory of a daemon followed the number of callers and of slow readers, whatever max_reading_bytes and max_buffered_bytes said.

Change: the block of a body is on lease from its first byte until libmicrohttpd has sent or dropped it. It becomes the body of the answer without a copy, and its lease moves with HttpAnswer_Move() and HttpAnswer_TakeBody(). One with Content-Length is on lease before it is read; what was read before an error is dropped at once. Uploads draw on the same account, as they arrive up to 64 KiB, then at once by the announced length, and are given back when the handler returns. A request body above 4 KiB is sent from the caller's block. max_reading_bytes and max_buffered_bytes are gone; both descriptors take an account, by default that of the process.

Tests: test_endless /shared-memory also checks the peak and that nothing stays on lease; its limit is the same. /uploads had 100,000 bytes for bodies counted by length; it has 160,000 counted by capacity, in which one upload of 80,000 (149,633 while its block moves) fits and two do not, as before. New: /known-length, /held, /lease-moves.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -313,8 +313,7 @@
                 HttpHeaders_Add(&answer->headers, header->name, header->value);
             }
         }
-        answer->body = g_steal_pointer(&reply->answer.body);
-        answer->body_bytes = reply->answer.body_bytes;
+        HttpAnswer_TakeBody(answer, &reply->answer);
         HttpHeaders_Add(&answer->headers, "Radishknot-Request-Id",
                         request->id);
         HttpHeaders_AddNumber(&answer->headers, "Radishknot-Result",
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -29,9 +29,7 @@
                             headers->items[i].value);
         }
     }
-    answer->body = reply->answer.body;
-    answer->body_bytes = reply->answer.body_bytes;
-    reply->answer.body = NULL;
+    HttpAnswer_TakeBody(answer, &reply->answer);
     HttpAnswer_Clear(&reply->answer);
 }
 
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -13,7 +13,6 @@
 #define DEFAULT_CONNECT_MS 1000
 #define DEFAULT_UNACKED_TIMEOUT_MS 1000
 #define DEFAULT_MAX_ANSWER_BYTES (16 * 1024 * 1024)
-#define DEFAULT_MAX_READING_BYTES (24 * 1024 * 1024)
 
 /* A pooled connection is no longer used this long before the idle timeout that
  * its peer announced. */
@@ -22,6 +21,10 @@
 /* Maximum number of answers of other requests that are read and discarded. */
 #define MAX_DISCARDED 8
 
+/* A longer body is sent from the caller's block, not copied behind the head.
+ */
+#define MAX_JOINED_BYTES 4096
+
 /* Interval at which expired connections are removed from the whole pool. */
 #define SWEEP_PERIOD_MS 5000
 
@@ -43,7 +46,6 @@
     pthread_mutex_t lock;
     GHashTable *idle; /* address -> GArray of IdleConnection, oldest first */
     ClockMs next_sweep;
-    HttpReadMemory memory;
 };
 
 HttpCancel *
@@ -203,10 +205,6 @@
     if (client->desc.max_answer_bytes == 0) {
         client->desc.max_answer_bytes = DEFAULT_MAX_ANSWER_BYTES;
     }
-    if (client->desc.max_reading_bytes == 0) {
-        client->desc.max_reading_bytes = DEFAULT_MAX_READING_BYTES;
-    }
-    client->memory.limit = client->desc.max_reading_bytes;
     pthread_mutex_init(&client->lock, NULL);
     client->idle = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                                          free_idle_list);
@@ -315,10 +313,11 @@
     HttpConnection_Close(connection);
 }
 
+/* Formats the head, and the body behind it if that is short. */
 static GString *
 format_request(const HttpCall *call)
 {
-    GString *text = g_string_sized_new(512 + call->body_bytes);
+    GString *text = g_string_sized_new(512 + MAX_JOINED_BYTES);
     char address[32];
     const char *host = call->host;
 
@@ -339,12 +338,29 @@
                                call->body_bytes);
     }
     g_string_append(text, "\r\n");
-    if (call->body_bytes > 0) {
+    if (call->body_bytes > 0 && call->body_bytes <= MAX_JOINED_BYTES) {
         g_string_append_len(text, call->body, (gssize)call->body_bytes);
     }
     return text;
 }
 
+static Result
+send_request(HttpConnection *connection, const HttpCall *call,
+             gboolean *complete)
+{
+    GString *text = format_request(call);
+    Result result = HttpConnection_Send(connection, text->str, text->len,
+                                        call->deadline, complete);
+
+    g_string_free(text, TRUE);
+    if (result == RESULT_OK && *complete &&
+        call->body_bytes > MAX_JOINED_BYTES) {
+        result = HttpConnection_Send(connection, call->body, call->body_bytes,
+                                     call->deadline, complete);
+    }
+    return result;
+}
+
 /* Whether the answer belongs to the call. One without an id may be a late copy
  * of an earlier answer if the connection was used before, or has brought an
  * answer of another request. One with several ids is not identified. */
@@ -374,13 +390,11 @@
     HttpReadOptions options = {.no_body = strcmp(call->method, "HEAD") == 0,
                                .allow_unframed = call->allow_unframed,
                                .max_body_bytes = client->desc.max_answer_bytes,
-                               .memory = &client->memory};
-    GString *text = format_request(call);
+                               .memory = client->desc.memory,
+                               .sender = address_key(&call->address)};
     gboolean complete;
-    Result result = HttpConnection_Send(connection, text->str, text->len,
-                                        call->deadline, &complete);
+    Result result = send_request(connection, call, &complete);
 
-    g_string_free(text, TRUE);
     *reusable = FALSE;
     if (call->match_header != NULL) {
         HttpConnection_NoteId(connection, call->match_value);
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -14,7 +14,7 @@
  * Results: OK with the answer; CONNECT_FAILED (nothing sent); ANSWER_LOST and
  * ANSWER_TRUNCATED (sent, no complete answer); DEADLINE_EXPIRED; CANCELLED;
  * ANSWER_MISMATCH (sent; the answer to another request, match_strictly);
- * TOO_LARGE; OVERLOADED (sent; too many large answers are being read). *sent
+ * TOO_LARGE; OVERLOADED (sent; no memory for the body of the answer). *sent
  * is TRUE if a byte may have left this host.
  *
  * Limits: an answer needs Content-Length or chunked encoding, so that a
@@ -50,8 +50,8 @@
     ClockMs unacked_timeout_ms; /* timeout for unacknowledged data, after which
                                 the connection ends; default 1,000 */
     size_t max_answer_bytes;    /* default 16 MiB */
-    size_t max_reading_bytes;   /* of all answers that are being read, beyond
-                                   the first 64 KiB of each; default 24 MiB */
+    Memory *memory; /* lends the bodies of answers, which may outlive the
+                       client; NULL: the account of the process */
 } HttpClient_desc;
 
 typedef struct HttpCall {
--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -10,15 +10,13 @@
 #include <unistd.h>
 
 #include "base/rng.h"
+#include "memory/memory_buffer.h"
 
 #define LINE_BYTES 8192
 #define MAX_HEADER_LINES 100
 #define MAX_HEAD_BYTES 65536
 #define MAX_INTERIM_ANSWERS 8
 
-/* Bytes of each body that do not count towards the shared memory. */
-#define UNCOUNTED_BYTES 65536
-
 /* Bytes read from the socket at once. */
 #define READ_BYTES 8192
 
@@ -449,52 +447,28 @@
 
 /* A body that is being read. */
 typedef struct Body {
-    GByteArray *bytes;
+    MemoryBuffer buffer;
     size_t max_bytes;
-    HttpReadMemory *memory; /* NULL: not limited */
-    size_t reserved;        /* bytes reserved of it */
 } Body;
 
-/* Reserves memory for more bytes. */
+/* Moves up to `bytes` unread bytes into the body. */
 static Result
-reserve(Body *body, size_t bytes)
+take_unread(HttpConnection *connection, Body *body, size_t bytes)
 {
-    size_t length = body->bytes->len + bytes;
-    size_t wanted;
+    size_t part = MIN(bytes, connection->last - connection->first);
 
-    if (length > body->max_bytes) {
+    if (part > body->max_bytes - body->buffer.length) {
         return RESULT_TOO_LARGE;
     }
-    if (body->memory == NULL || length <= UNCOUNTED_BYTES + body->reserved) {
-        return RESULT_OK;
-    }
-    wanted = length - UNCOUNTED_BYTES - body->reserved;
-    if (atomic_fetch_add(&body->memory->used, wanted) + wanted >
-        body->memory->limit) {
-        atomic_fetch_sub(&body->memory->used, wanted);
+    if (!MemoryBuffer_Append(&body->buffer,
+                             connection->buffer + connection->first, part,
+                             body->max_bytes)) {
         return RESULT_OVERLOADED;
     }
-    body->reserved += wanted;
+    connection->first += part;
     return RESULT_OK;
 }
 
-/* Moves up to `bytes` unread bytes into the body. */
-static Result
-take_unread(HttpConnection *connection, Body *body, size_t bytes)
-{
-    size_t part = MIN(bytes, connection->last - connection->first);
-    Result result = reserve(body, part);
-
-    if (result == RESULT_OK) {
-        g_byte_array_append(body->bytes,
-                            (const guint8 *)connection->buffer +
-                                connection->first,
-                            (guint)part);
-        connection->first += part;
-    }
-    return result;
-}
-
 static Result
 body_error(ReadState state)
 {
@@ -506,15 +480,15 @@
 read_bytes(HttpConnection *connection, Body *body, size_t bytes,
            ClockMs deadline)
 {
-    size_t wanted = body->bytes->len + bytes;
+    size_t wanted = body->buffer.length + bytes;
     Result result = take_unread(connection, body, bytes);
     ReadState state;
 
-    while (result == RESULT_OK && body->bytes->len < wanted) {
+    while (result == RESULT_OK && body->buffer.length < wanted) {
         state = fill(connection, deadline);
-        result = state == READ_DATA
-                     ? take_unread(connection, body, wanted - body->bytes->len)
-                     : body_error(state);
+        result = state == READ_DATA ? take_unread(connection, body,
+                                                  wanted - body->buffer.length)
+                                    : body_error(state);
     }
     return result;
 }
@@ -549,7 +523,7 @@
         if (!parse_chunk_size(line, &bytes)) {
             return RESULT_ANSWER_TRUNCATED;
         }
-        if (bytes > body->max_bytes - body->bytes->len) {
+        if (bytes > body->max_bytes - body->buffer.length) {
             return RESULT_TOO_LARGE;
         }
         if (bytes > 0) {
@@ -653,6 +627,9 @@
     if ((uint64_t)length > options->max_body_bytes) {
         return RESULT_TOO_LARGE;
     }
+    if (!MemoryBuffer_Reserve(&body->buffer, (size_t)length)) {
+        return RESULT_OVERLOADED;
+    }
     return read_bytes(connection, body, (size_t)length, deadline);
 }
 
@@ -686,8 +663,7 @@
                           HttpAnswer *answer, gboolean *reusable)
 {
     ReadState state = READ_DATA;
-    Body body = {.max_bytes = options->max_body_bytes,
-                 .memory = options->memory};
+    Body body = {.max_bytes = options->max_body_bytes};
     Result result;
 
     *reusable = FALSE;
@@ -696,16 +672,21 @@
                                      : RESULT_ANSWER_LOST;
     }
     *reusable = !has_connection_close(answer);
-    body.bytes = g_byte_array_new();
+    MemoryBuffer_Init(&body.buffer, options->memory, MEMORY_ANSWERS_READ,
+                      options->sender);
     result = read_body(connection, options, answer, &body, deadline, reusable);
     if (result != RESULT_OK) {
         *reusable = FALSE;
+        MemoryBuffer_Clear(&body.buffer);
+        return result;
     }
-    HttpAnswer_SetBody(answer, body.bytes->data, body.bytes->len);
-    g_byte_array_free(body.bytes, TRUE);
-    if (body.memory != NULL) {
-        atomic_fetch_sub(&body.memory->used, body.reserved);
+    if (body.buffer.length == 0) {
+        MemoryBuffer_Clear(&body.buffer);
+        HttpAnswer_SetBody(answer, NULL, 0);
+        return result;
     }
+    answer->body_bytes = body.buffer.length;
+    answer->body = MemoryBuffer_Steal(&body.buffer, &answer->lease);
     return result;
 }
 
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -13,18 +13,19 @@
  *
  * Errors: DEADLINE_EXPIRED; CONNECT_FAILED; ANSWER_LOST (no complete head),
  * ANSWER_TRUNCATED (no complete body, or a head whose framing is ambiguous);
- * TOO_LARGE; OVERLOADED (the memory for answers is used up).
+ * TOO_LARGE; OVERLOADED (the account of memory does not lend enough). What was
+ * read of a body before an error is dropped.
  *
  * Limits: 100 header lines of at most 8 KiB each and 64 KiB together, 8
  * interim answers. A peer that sends on without end is cut off at these
- * limits, or at the limits of the body, whatever the deadline.
+ * limits, or at the limits of the body, whatever the deadline. The block of a
+ * body with Content-Length is on lease before the body is read.
  */
 #ifndef HTTP_HTTP_CONNECTION_H
 #define HTTP_HTTP_CONNECTION_H
 
 #include <glib.h>
 #include <netinet/in.h>
-#include <stdatomic.h>
 
 #include "base/clock.h"
 #include "base/result.h"
@@ -41,19 +42,12 @@
     void *context;
 } HttpSoftTimeout;
 
-/* Memory for the bodies of answers that are being read, shared by all
- * connections of a client. The first part of each body is not counted, so that
- * small answers are still read when large ones use up the rest. */
-typedef struct HttpReadMemory {
-    size_t limit;
-    atomic_size_t used;
-} HttpReadMemory;
-
 typedef struct HttpReadOptions {
     gboolean no_body;        /* answer to a HEAD request */
     gboolean allow_unframed; /* accept a body that ends with the connection */
     size_t max_body_bytes;
-    HttpReadMemory *memory; /* NULL: not limited */
+    Memory *memory;  /* lends the block of the body; NULL: the process's */
+    uint64_t sender; /* whose share of the account the body takes */
 } HttpReadOptions;
 
 /* Unacknowledged data, or unanswered keep-alive probes, end the connection
--- a/src/http/http_message.c
+++ b/src/http/http_message.c
@@ -122,10 +122,19 @@
                                strlen(RESERVED_PREFIX)) == 0;
 }
 
+static void
+drop_body(HttpAnswer *answer)
+{
+    g_free(answer->body);
+    answer->body = NULL;
+    answer->body_bytes = 0;
+    MemoryLease_End(&answer->lease);
+}
+
 void
 HttpAnswer_SetBody(HttpAnswer *answer, const void *body, size_t bytes)
 {
-    g_free(answer->body);
+    drop_body(answer);
     answer->body = g_malloc(bytes + 1);
     if (bytes > 0) {
         memcpy(answer->body, body, bytes);
@@ -137,7 +146,7 @@
 void
 HttpAnswer_SetJson(HttpAnswer *answer, int status, char *json_text)
 {
-    g_free(answer->body);
+    drop_body(answer);
     answer->status = status;
     answer->body = json_text;
     answer->body_bytes = strlen(json_text);
@@ -145,6 +154,17 @@
     HttpHeaders_Add(&answer->headers, "Content-Type", "application/json");
 }
 
+void
+HttpAnswer_TakeBody(HttpAnswer *answer, HttpAnswer *from)
+{
+    answer->body = from->body;
+    answer->body_bytes = from->body_bytes;
+    answer->lease = from->lease;
+    from->body = NULL;
+    from->body_bytes = 0;
+    memset(&from->lease, 0, sizeof(from->lease));
+}
+
 void
 HttpAnswer_Move(HttpAnswer *to, HttpAnswer *from)
 {
@@ -156,7 +176,7 @@
 HttpAnswer_Clear(HttpAnswer *answer)
 {
     HttpHeaders_Clear(&answer->headers);
-    g_free(answer->body);
+    drop_body(answer);
     memset(answer, 0, sizeof(*answer));
 }
 
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -1,7 +1,9 @@
 /* HttpMessage: header lists, answers and numeric addresses.
  *
  * Use: zero-initialise HttpHeaders or HttpAnswer, fill it, free what it holds
- * with HttpHeaders_Clear() or HttpAnswer_Clear(). Names are compared without
+ * with HttpHeaders_Clear() or HttpAnswer_Clear(). The body of an answer that a
+ * client has read is on lease from an account of memory (memory/memory.h); the
+ * lease goes with the body. Names are compared without
  * regard to case; the order of headers is kept.
  */
 #ifndef HTTP_HTTP_MESSAGE_H
@@ -13,6 +15,7 @@
 #include <stdint.h>
 
 #include "base/result.h"
+#include "memory/memory.h"
 
 typedef struct HttpHeader {
     char *name;
@@ -30,6 +33,7 @@
     HttpHeaders headers;
     char *body; /* NUL-terminated for convenience */
     size_t body_bytes;
+    MemoryLease lease; /* of the body; none for one that was set */
 } HttpAnswer;
 
 void HttpHeaders_Add(HttpHeaders *headers, const char *name,
@@ -63,6 +67,9 @@
 /* Sets status and a JSON body; takes ownership of the text. */
 void HttpAnswer_SetJson(HttpAnswer *answer, int status, char *json_text);
 
+/* Moves the body with its lease to an answer that has none. */
+void HttpAnswer_TakeBody(HttpAnswer *answer, HttpAnswer *from);
+
 /* Moves the contents of `from` to `to`, which must be clear. */
 void HttpAnswer_Move(HttpAnswer *to, HttpAnswer *from);
 void HttpAnswer_Clear(HttpAnswer *answer);
--- a/src/http/http_request.c
+++ b/src/http/http_request.c
@@ -70,8 +70,8 @@
 const char *
 HttpRequest_Body(const HttpRequest *request, size_t *bytes)
 {
-    *bytes = request->body->len;
-    return request->body->data ? (const char *)request->body->data : "";
+    *bytes = request->body.length;
+    return request->body.bytes ? request->body.bytes : "";
 }
 
 ClockMs
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -21,43 +21,49 @@
 #define DEFAULT_EVENT_THREADS 2
 #define DEFAULT_WORKER_THREADS 32
 #define DEFAULT_MAX_BODY_BYTES (1024 * 1024)
-#define DEFAULT_MAX_BUFFERED_BYTES (24 * 1024 * 1024)
 #define DEFAULT_IDLE_TIMEOUT_S 120
 
 /* Memory of a connection, which limits the total size of the headers. */
 #define CONNECTION_MEMORY_BYTES (64 * 1024)
 
-static void
-drop_body(HttpRequest *request)
+/* Makes room for more bytes of the body. The first ones get small blocks. Then
+ * the rest of the announced length is taken at once, so that a caller who only
+ * announces a large body holds little. */
+static Result
+reserve_body(HttpRequest *request, size_t count)
 {
-    atomic_fetch_sub(&request->server->buffered, request->body->len);
-    g_byte_array_unref(request->body);
-    request->body = g_byte_array_new();
+    size_t max = request->server->desc.max_body_bytes;
+    size_t length = request->body.length + count;
+
+    if (MAX(length, request->announced) > max) {
+        return RESULT_REQUEST_TOO_LARGE;
+    }
+    if (length > MEMORY_SMALL_BODY_BYTES && length < request->announced &&
+        !MemoryBuffer_Reserve(&request->body, request->announced)) {
+        return RESULT_OVERLOADED;
+    }
+    return RESULT_OK;
 }
 
-/* Appends to the body, or drops it if it is too large, alone or with those of
- * the other requests. */
+/* Appends to the body, or drops it if it is too large, alone or with all else
+ * that is on lease. */
 static void
 add_body(HttpRequest *request, const char *bytes, size_t count)
 {
-    HttpServer *server = request->server;
+    size_t max = request->announced ? request->announced
+                                    : request->server->desc.max_body_bytes;
 
     if (request->refusal != RESULT_OK) {
         return;
     }
-    if (request->body->len + count > server->desc.max_body_bytes) {
-        request->refusal = RESULT_REQUEST_TOO_LARGE;
-    }
-    else if (atomic_load(&server->buffered) + count >
-             server->desc.max_buffered_bytes) {
+    request->refusal = reserve_body(request, count);
+    if (request->refusal == RESULT_OK &&
+        !MemoryBuffer_Append(&request->body, bytes, count, max)) {
         request->refusal = RESULT_OVERLOADED;
     }
     if (request->refusal != RESULT_OK) {
-        drop_body(request);
-        return;
+        MemoryBuffer_Clear(&request->body);
     }
-    atomic_fetch_add(&server->buffered, count);
-    g_byte_array_append(request->body, (const guint8 *)bytes, (guint)count);
 }
 
 static void
@@ -71,8 +77,7 @@
     }
     HttpHeaders_Clear(&request->headers);
     HttpAnswer_Clear(&request->answer);
-    drop_body(request);
-    g_byte_array_free(request->body, TRUE);
+    MemoryBuffer_Clear(&request->body);
     g_free(request->method);
     g_free(request->target);
     g_free(request);
@@ -95,19 +100,54 @@
     request->in_flight_index = UINT_MAX;
 }
 
+/* A body that libmicrohttpd sends, with its lease. */
+typedef struct HeldBody {
+    char *bytes;
+    MemoryLease lease;
+} HeldBody;
+
+static void
+free_held_body(void *context)
+{
+    HeldBody *held = context;
+
+    g_free(held->bytes);
+    MemoryLease_End(&held->lease);
+    g_free(held);
+}
+
+/* Hands the body over; it is freed when it has been sent or dropped. */
+static struct MHD_Response *
+create_response(HttpAnswer *answer)
+{
+    HeldBody *held = g_new0(HeldBody, 1);
+    size_t bytes = answer->body_bytes;
+    struct MHD_Response *response;
+
+    MemoryLease_SetHolder(&answer->lease, MEMORY_ANSWERS_HELD);
+    held->bytes = answer->body;
+    held->lease = answer->lease;
+    answer->body = NULL;
+    answer->body_bytes = 0;
+    memset(&answer->lease, 0, sizeof(answer->lease));
+    response = MHD_create_response_from_buffer_with_free_callback_cls(
+        bytes, held->bytes, free_held_body, held);
+    if (response == NULL) {
+        free_held_body(held);
+    }
+    return response;
+}
+
 static enum MHD_Result
 queue_answer(HttpRequest *request)
 {
     HttpAnswer *answer = &request->answer;
-    struct MHD_Response *response;
+    struct MHD_Response *response = create_response(answer);
     enum MHD_Result queued;
 
-    response = MHD_create_response_from_buffer(
-        answer->body_bytes, answer->body, MHD_RESPMEM_MUST_FREE);
     if (response == NULL) {
         return MHD_NO;
     }
-    answer->body = NULL;
     for (size_t i = 0; i < answer->headers.count; i++) {
         (void)MHD_add_response_header(response, answer->headers.items[i].name,
                                       answer->headers.items[i].value);
@@ -146,6 +186,7 @@
     request->on_disconnect = NULL;
     remove_in_flight(server, request);
     pthread_mutex_unlock(&server->lock);
+    MemoryBuffer_Clear(&request->body);
     release_request(request);
 }
 
@@ -230,6 +271,20 @@
     return queue_answer(request);
 }
 
+/* The caller's address, which shares of memory are counted by. */
+static uint64_t
+sender_of(struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    const struct sockaddr_in *address =
+        info ? (const struct sockaddr_in *)info->client_addr : NULL;
+
+    return address != NULL && address->sin_family == AF_INET
+               ? ntohl(address->sin_addr.s_addr)
+               : 0;
+}
+
 static HttpRequest *
 create_request(HttpServer *server, struct MHD_Connection *connection,
                char *target)
@@ -246,7 +301,8 @@
     if (question_mark != NULL) {
         *question_mark = '\0';
     }
-    request->body = g_byte_array_new();
+    MemoryBuffer_Init(&request->body, server->desc.memory, MEMORY_UPLOADS,
+                      sender_of(connection));
     request->arrived = Clock_Now();
     request->deadline = CLOCK_NEVER;
     request->in_flight_index = UINT_MAX;
@@ -294,16 +350,19 @@
     return MHD_YES;
 }
 
-/* Returns TRUE if two HTTP implementations could disagree on where the request
- * ends, so that one of them treats the bytes that follow as another request
- * (request smuggling). */
+/* Notes the announced length. Returns TRUE if two HTTP implementations could
+ * disagree on where the request ends, so that one of them treats the bytes
+ * that follow as another request (request smuggling). */
 static gboolean
-is_ambiguous(struct MHD_Connection *connection)
+is_ambiguous(HttpRequest *request)
 {
     Framing framing = {0};
 
-    MHD_get_connection_values(connection, MHD_HEADER_KIND, read_framing,
-                              &framing);
+    MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
+                              read_framing, &framing);
+    if (framing.length != NULL) {
+        request->announced = g_ascii_strtoull(framing.length, NULL, 10);
+    }
     return framing.ambiguous || (framing.chunked && framing.length != NULL);
 }
 
@@ -329,6 +388,7 @@
     HttpRequest *request = *connection_context;
     gboolean answered;
 
+    (void)connection;
     (void)url;
     (void)version;
     if (request == NULL) {
@@ -336,7 +396,7 @@
     }
     if (request->method == NULL) {
         request->method = g_strdup(method);
-        return is_ambiguous(connection) ? refuse_framing(request) : MHD_YES;
+        return is_ambiguous(request) ? refuse_framing(request) : MHD_YES;
     }
     if (*upload_bytes > 0) {
         add_body(request, upload, *upload_bytes);
@@ -509,10 +569,6 @@
     if (desc->max_body_bytes == 0) {
         desc->max_body_bytes = DEFAULT_MAX_BODY_BYTES;
     }
-    if (desc->max_buffered_bytes == 0) {
-        desc->max_buffered_bytes =
-            MAX(DEFAULT_MAX_BUFFERED_BYTES, desc->max_body_bytes);
-    }
     if (desc->idle_timeout_s == 0) {
         desc->idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S;
     }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -15,8 +15,10 @@
  * handler's answer is dropped (HttpRequest_Respond() returns FALSE).
  *
  * Limits: a body above max_body_bytes is refused with REQUEST_TOO_LARGE;
- * requests above max_in_flight, and those whose body does not fit into
- * max_buffered_bytes with the others, are refused with OVERLOADED.
+ * requests above max_in_flight, and those for whose body the account of memory
+ * does not lend enough, are refused with OVERLOADED. A request body is on
+ * lease until the handler returns, the body of an answer until it has been
+ * sent.
  */
 #ifndef HTTP_HTTP_SERVER_H
 #define HTTP_HTTP_SERVER_H
@@ -40,13 +42,13 @@
                             HttpAnswer *answer);
 
 typedef struct HttpServer_desc {
-    struct sockaddr_in address;      /* port 0: the kernel chooses */
-    unsigned event_threads;          /* default 2 */
-    unsigned worker_threads;         /* default 32 */
-    unsigned max_in_flight;          /* default 4 x worker_threads */
-    size_t max_body_bytes;           /* default 1 MiB */
-    size_t max_buffered_bytes;       /* bodies of all requests; default 24 MiB,
-                                        but at least max_body_bytes */
+    struct sockaddr_in address; /* port 0: the kernel chooses */
+    unsigned event_threads;     /* default 2 */
+    unsigned worker_threads;    /* default 32 */
+    unsigned max_in_flight;     /* default 4 x worker_threads */
+    size_t max_body_bytes;      /* default 1 MiB */
+    Memory *memory; /* lends the bodies of requests; NULL: the account of the
+                       process */
     unsigned idle_timeout_s;         /* connection timeout, default 120 */
     const char *tls_certificate_pem; /* PEM text; NULL: no TLS. Renewed by
                                         HttpTls_SetCertificate(). */
--- a/src/http/http_server_private.h
+++ b/src/http/http_server_private.h
@@ -8,6 +8,7 @@
 
 #include "http/http_executor.h"
 #include "http/http_server.h"
+#include "memory/memory_buffer.h"
 
 struct HttpRequest {
     HttpServer *server;
@@ -17,7 +18,8 @@
     char *target; /* path, NUL, query */
     char *query;
     HttpHeaders headers;
-    GByteArray *body;
+    MemoryBuffer body;
+    size_t announced;  /* Content-Length, or 0 */
     Result refusal;    /* reason to refuse it once it has been read, or OK */
     gboolean complete; /* fully read; counted in server->unsent until the
                           request ends */
@@ -44,10 +46,9 @@
     HttpExecutor *executor;
     uint16_t port;
     pthread_mutex_t lock;
-    GPtrArray *in_flight;   /* HttpRequest *, those passed to the executor */
-    unsigned unsent;        /* fully read requests whose answer is not sent */
-    gboolean closed;        /* new requests are refused */
-    atomic_size_t buffered; /* bytes of the bodies of all requests */
+    GPtrArray *in_flight; /* HttpRequest *, those passed to the executor */
+    unsigned unsent;      /* fully read requests whose answer is not sent */
+    gboolean closed;      /* new requests are refused */
     atomic_uint connections;
     atomic_bool leaving;  /* answers close their connections */
     atomic_bool draining; /* no new connections */
--- a/src/http/test_endless.c
+++ b/src/http/test_endless.c
@@ -8,6 +8,7 @@
 
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "memory/memory_buffer.h"
 
 #define DEADLINE_MS 20000
 
@@ -172,6 +173,17 @@
     pthread_t thread;
 } Reader;
 
+static Reader
+make_reader(HttpClient *client, struct sockaddr_in address)
+{
+    return (Reader){.client = client,
+                    .call = {.method = "GET",
+                             .target = "/",
+                             .address = address,
+                             .allow_unframed = TRUE,
+                             .deadline = Clock_Now() + DEADLINE_MS}};
+}
+
 static void *
 run_reader(void *context)
 {
@@ -185,32 +197,27 @@
     return NULL;
 }
 
-/* Guards against a memory bound that holds for one answer only: eight endless
- * answers at once, each below the limit of one, must stay below the limit of
- * all. */
+/* Guards against a memory bound that holds for one answer only, and against
+ * memory that refused answers keep: eight endless answers at once, each below
+ * the limit of one, must stay below the limit of all. */
 static void
 test_shared_memory(void)
 {
     enum { READERS = 8 };
+    Memory *memory = Memory_Create(&(Memory_desc){.limit_bytes = 1024 * 1024});
     Flood flood = {.prefix = HEAD "\r\n",
                    .unit = "xxxxxxxxxxxxxxxx",
                    .unit_repeats = 1000,
                    .connections = READERS};
-    HttpClient *client = HttpClient_Create(
-        &(HttpClient_desc){.max_answer_bytes = (size_t)1 << 30,
-                           .max_reading_bytes = 1024 * 1024});
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){
+        .max_answer_bytes = (size_t)1 << 30, .memory = memory});
     Reader readers[READERS] = {{0}};
     pthread_t thread;
 
     flood.listener = listen_on(&flood.address);
     pthread_create(&thread, NULL, run_flood, &flood);
     for (int i = 0; i < READERS; i++) {
-        readers[i].client = client;
-        readers[i].call = (HttpCall){.method = "GET",
-                                     .target = "/",
-                                     .address = flood.address,
-                                     .allow_unframed = TRUE,
-                                     .deadline = Clock_Now() + DEADLINE_MS};
+        readers[i] = make_reader(client, flood.address);
         pthread_create(&readers[i].thread, NULL, run_reader, &readers[i]);
     }
     for (int i = 0; i < READERS; i++) {
@@ -220,6 +227,58 @@
     pthread_join(thread, NULL);
     close(flood.listener);
     HttpClient_Destroy(client);
+    g_assert_cmpuint(Memory_Peak(memory), <=, 1024 * 1024);
+    g_assert_cmpuint(Memory_Used(memory), ==, 0);
+    Memory_Destroy(memory);
+}
+
+/* Guards against a body that is read although its announced length does not
+ * fit, and against small answers refused, or large ones accepted, while large
+ * ones of another sender use up the rest. */
+static void
+test_known_length(void)
+{
+    static const struct {
+        const char *prefix;
+        size_t used;
+        Result result;
+    } cases[] = {
+        {HEAD "Content-Length: 60000\r\n\r\n", 0, RESULT_OK},
+        {HEAD "Content-Length: 950000\r\n\r\n", 0, RESULT_OVERLOADED},
+        {HEAD "Content-Length: 400000\r\n\r\n", 0, RESULT_OK},
+        {HEAD "Content-Length: 400000\r\n\r\n", 920000, RESULT_OVERLOADED},
+        {HEAD "Content-Length: 60000\r\n\r\n", 920000, RESULT_OK},
+        {HEAD "Transfer-Encoding: chunked\r\n\r\nea60\r\n", 920000,
+         RESULT_ANSWER_TRUNCATED},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Memory *memory = Memory_Create(
+            &(Memory_desc){.limit_bytes = 1024 * 1024, .sender_percent = 100});
+        HttpClient *client = HttpClient_Create(
+            &(HttpClient_desc){.max_answer_bytes = 1000000, .memory = memory});
+        Flood flood = {.prefix = cases[i].prefix,
+                       .unit = "x",
+                       .unit_repeats = 1000,
+                       .connections = 1};
+        MemoryLease other = MemoryLease_Begin(memory, MEMORY_ANSWERS_READ, 0);
+        Reader reader;
+        pthread_t thread;
+
+        g_assert_true(MemoryLease_Take(&other, cases[i].used));
+        flood.listener = listen_on(&flood.address);
+        pthread_create(&thread, NULL, run_flood, &flood);
+        reader = make_reader(client, flood.address);
+        run_reader(&reader);
+        HttpClient_Destroy(client);
+        pthread_join(thread, NULL);
+        close(flood.listener);
+        g_test_message("%zu: %s", i, Result_Name(reader.result));
+        g_assert_cmpint(reader.result, ==, cases[i].result);
+        g_assert_cmpuint(Memory_Used(memory), ==, cases[i].used);
+        MemoryLease_End(&other);
+        Memory_Destroy(memory);
+    }
 }
 
 /* A server that answers the first request on a connection, and sends `late`
@@ -386,10 +445,13 @@
 }
 
 /* Guards against memory that grows with the number of uploads in flight, and
- * against refusing uploads for good after one was refused. */
+ * against refusing uploads for good after one was refused. An upload of 80,000
+ * bytes takes 149,633 while its block grows, and bodies of requests have half
+ * of the account. */
 static void
 test_uploads(void)
 {
+    Memory *memory = Memory_Create(&(Memory_desc){.limit_bytes = 320000});
     Gate gate = {.lock = PTHREAD_MUTEX_INITIALIZER,
                  .changed = PTHREAD_COND_INITIALIZER};
     HttpServer_desc desc = {.address = loopback(0),
@@ -397,7 +459,7 @@
                             .context = &gate,
                             .worker_threads = 4,
                             .max_body_bytes = 90000,
-                            .max_buffered_bytes = 100000};
+                            .memory = memory};
     HttpServer *server = HttpServer_Create(&desc, NULL);
     HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
     Uploader held = {client, HttpServer_Port(server), 0};
@@ -427,6 +489,94 @@
     }
     HttpClient_Destroy(client);
     HttpServer_Destroy(server);
+    g_assert_cmpuint(Memory_Used(memory), ==, 0);
+    g_assert_cmpuint(Memory_Peak(memory), <=, 160000 + 320000 / 8);
+    Memory_Destroy(memory);
+}
+
+#define LARGE_BYTES ((size_t)8 << 20)
+
+/* Answers with a body on lease from the account. */
+static void
+answer_large(void *context, HttpRequest *request)
+{
+    HttpAnswer answer = {.status = 200};
+    MemoryBuffer buffer;
+
+    MemoryBuffer_Init(&buffer, context, MEMORY_ANSWERS_READ, 1);
+    g_assert_true(MemoryBuffer_Reserve(&buffer, LARGE_BYTES));
+    memset(buffer.bytes, 'x', LARGE_BYTES);
+    buffer.length = LARGE_BYTES;
+    answer.body_bytes = LARGE_BYTES;
+    answer.body = MemoryBuffer_Steal(&buffer, &answer.lease);
+    HttpRequest_Respond(request, &answer);
+}
+
+/* Waits for up to two seconds until the holder holds so much. */
+static void
+await_held(const Memory *memory, MemoryHolder holder, size_t bytes)
+{
+    ClockMs end = Clock_Now() + 2000;
+
+    while (Memory_Held(memory, holder) != bytes && Clock_Now() < end) {
+        g_usleep(1000);
+    }
+    g_assert_cmpuint(Memory_Held(memory, holder), ==, bytes);
+}
+
+/* Guards against an answer that is no longer counted while a caller who reads
+ * nothing makes the server hold it, and against one that is still counted when
+ * that caller has left. */
+static void
+test_held(void)
+{
+    static const char request[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    Memory *memory =
+        Memory_Create(&(Memory_desc){.limit_bytes = 3 * LARGE_BYTES});
+    HttpServer_desc desc = {.address = loopback(0),
+                            .handler = answer_large,
+                            .context = memory,
+                            .worker_threads = 1};
+    HttpServer *server = HttpServer_Create(&desc, NULL);
+    struct sockaddr_in address = loopback(HttpServer_Port(server));
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    g_assert_cmpint(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                    ==, 0);
+    g_assert_cmpint(send(fd, request, strlen(request), MSG_NOSIGNAL), >, 0);
+    await_held(memory, MEMORY_ANSWERS_HELD, LARGE_BYTES + 1);
+    g_assert_cmpuint(Memory_Used(memory), ==, LARGE_BYTES + 1);
+    close(fd);
+    await_held(memory, MEMORY_ANSWERS_HELD, 0);
+    g_assert_cmpuint(Memory_Used(memory), ==, 0);
+    HttpServer_Destroy(server);
+    Memory_Destroy(memory);
+}
+
+/* Guards against a body that is counted twice or no longer once it has moved
+ * to another answer, or is still counted when another body has replaced it. */
+static void
+test_lease_moves(void)
+{
+    Memory *memory = Memory_Create(&(Memory_desc){.limit_bytes = 1000000});
+    HttpAnswer answers[3] = {{0}};
+    MemoryBuffer buffer;
+
+    MemoryBuffer_Init(&buffer, memory, MEMORY_ANSWERS_READ, 1);
+    g_assert_true(MemoryBuffer_Append(&buffer, "abc", 3, 3));
+    answers[0].body_bytes = 3;
+    answers[0].body = MemoryBuffer_Steal(&buffer, &answers[0].lease);
+    HttpAnswer_Move(&answers[1], &answers[0]);
+    HttpAnswer_Clear(&answers[0]);
+    g_assert_cmpuint(Memory_Used(memory), ==, 4);
+    HttpAnswer_TakeBody(&answers[2], &answers[1]);
+    HttpAnswer_Clear(&answers[1]);
+    g_assert_cmpuint(Memory_Used(memory), ==, 4);
+    g_assert_cmpstr(answers[2].body, ==, "abc");
+    HttpAnswer_SetBody(&answers[2], "d", 1);
+    g_assert_cmpuint(Memory_Used(memory), ==, 0);
+    HttpAnswer_Clear(&answers[2]);
+    Memory_Destroy(memory);
 }
 
 int
@@ -436,6 +586,9 @@
     g_test_add_func("/endless/one", test_endless);
     g_test_add_func("/endless/shared-memory", test_shared_memory);
     g_test_add_func("/endless/late-copy", test_late_copy);
+    g_test_add_func("/endless/known-length", test_known_length);
     g_test_add_func("/endless/uploads", test_uploads);
+    g_test_add_func("/endless/held", test_held);
+    g_test_add_func("/endless/lease-moves", test_lease_moves);
     return g_test_run();
 }
--- a/src/memory/memory_buffer.c
+++ b/src/memory/memory_buffer.c
@@ -29,7 +29,7 @@
 gboolean
 MemoryBuffer_Reserve(MemoryBuffer *buffer, size_t length)
 {
-    if (length < buffer->capacity) {
+    if (length == 0 || length < buffer->capacity) {
         return TRUE;
     }
     if (length == G_MAXSIZE || !resize(buffer, length + 1)) {
