settings: memory_mb sizes the account of message bodies

Cause: the bounds of bodies were constants; limits.memory_mb of a host (160, 260 or 512) was read nowhere.

Two fifths of it are lent to bodies, the rest is for code, stacks, control and the system. The account is on the metrics page: its limit, its peak and what each holder has.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -11,6 +11,7 @@
 #include "daemon/daemon_internal.h"
 #include "http/http_tls.h"
 #include "issue/run_rpc.h"
+#include "memory/memory.h"
 
 #define BACKGROUND_THREADS 3
 #define BACKGROUND_QUEUE 256
@@ -392,6 +393,13 @@
     return daemon;
 }
 
+static void
+set_memory(const Settings *settings)
+{
+    Memory_SetLimit(Memory_Process(),
+                    Memory_LimitOfHost(Settings_Read(&settings->memory_mb)));
+}
+
 Daemon *
 Daemon_Create(Settings *settings, GError **error)
 {
@@ -399,6 +407,7 @@
     uint64_t incarnation;
     GError *cause = NULL;
 
+    set_memory(settings);
     while (!start(daemon, &cause)) {
         incarnation =
             daemon->rpc != NULL ? Rpc_GetIncarnation(daemon->rpc) : 0;
@@ -461,6 +470,7 @@
     }
     else {
         Settings_Reload(daemon->settings, settings, unchanged);
+        set_memory(daemon->settings);
         renew_certificate(daemon);
         Log_Event(LOG_SETTINGS_RELOADED, "need_restart=%s",
                   unchanged->len > 0 ? unchanged->str : "none");
--- a/src/daemon/daemon_admin.c
+++ b/src/daemon/daemon_admin.c
@@ -10,6 +10,7 @@
 #include "base/log.h"
 #include "base/rng.h"
 #include "daemon/daemon_internal.h"
+#include "memory/memory.h"
 #include "owner/owner_wire.h"
 
 #define ADMIN_THREADS 4
@@ -172,6 +173,7 @@
 
     (void)daemon;
     Counter_Write(out);
+    Memory_Write(Memory_Process(), out);
     HttpAnswer_SetBody(&answer, out->str, out->len);
     HttpHeaders_Add(&answer.headers, "Content-Type",
                     "text/plain; version=0.0.4");
--- a/src/memory/test_memory.c
+++ b/src/memory/test_memory.c
@@ -119,6 +119,25 @@
     Memory_Destroy(memory);
 }
 
+/* Guards against an account that leaves a host less than three fifths of its
+ * memory. */
+static void
+test_hosts(void)
+{
+    static const int64_t hosts_mb[] = {64, 160, 260, 512, 1048576};
+    Memory *memory = Memory_Create(&(Memory_desc){0});
+
+    for (size_t i = 0; i < G_N_ELEMENTS(hosts_mb); i++) {
+        size_t host = (size_t)hosts_mb[i] * KB * KB;
+
+        g_assert_cmpuint(Memory_LimitOfHost(hosts_mb[i]), <=, host / 5 * 2);
+        g_assert_cmpuint(Memory_LimitOfHost(hosts_mb[i]), >,
+                         host / 5 * 2 - KB);
+    }
+    g_assert_cmpuint(Memory_Limit(memory), ==, Memory_LimitOfHost(160));
+    Memory_Destroy(memory);
+}
+
 #define THREADS 8
 #define ROUNDS 20000
 
@@ -282,6 +301,7 @@
     g_test_add_func("/memory/shares", test_shares);
     g_test_add_func("/memory/growth", test_growth);
     g_test_add_func("/memory/changes", test_changes);
+    g_test_add_func("/memory/hosts", test_hosts);
     g_test_add_func("/memory/threads", test_threads);
     g_test_add_func("/memory/buffer", test_buffer);
     g_test_add_func("/memory/buffer-refused", test_buffer_refused);
--- a/src/settings/settings_list.h
+++ b/src/settings/settings_list.h
@@ -114,6 +114,9 @@
     NUMBER(mirror_port, "port", 0, 65535, 0, 0, \
            "port through which neighbours follow the store; 0: the kernel " \
            "chooses") \
+    NUMBER(memory_mb, "MB", 64, 1048576, 160, 1, \
+           "memory of the host; two fifths of it are lent to the bodies of " \
+           "requests and answers, the rest is for code, stacks and control") \
     TIME(revocation_ms, 500, 600000, 5000, \
          "time after which a withdrawn key must be refused everywhere") \
     TIME(grace_ms, 500, 600000, 6000, \
--- a/src/settings/test_settings.c
+++ b/src/settings/test_settings.c
@@ -40,6 +40,9 @@
         {"{" REQUIRED ",\"quota_window_ms\":\"nanms\"}", "$.quota_window_ms"},
         {"{" REQUIRED ",\"quota_window_ms\":\"9e9s\"}", "$.quota_window_ms"},
         {"{" REQUIRED ",\"quota_window_ms\":true}", "$.quota_window_ms"},
+        {"{" REQUIRED ",\"memory_mb\":260}", NULL},
+        {"{" REQUIRED ",\"memory_mb\":20}", "$.memory_mb: expected"},
+        {"{" REQUIRED ",\"memory_mb\":\"160\"}", "$.memory_mb: expected"},
         {"{" REQUIRED ",\"log_level\":\"loud\"}", "$.log_level: expected"},
         {"{" REQUIRED ",\"host\":\"h2\"}", "duplicate"},
         {"{" REQUIRED ",\"tls_key_file\":\"k\"}", "must be given together"},
@@ -83,12 +86,14 @@
 {
     Settings *old = Settings_Parse("{" REQUIRED "}", "f", NULL);
     Settings *new = Settings_Parse(
-        "{" REQUIRED ",\"drain_ms\":5,\"rate_slots\":8}", "f", NULL);
+        "{" REQUIRED ",\"drain_ms\":5,\"rate_slots\":8,\"memory_mb\":260}",
+        "f", NULL);
     GString *unchanged = g_string_new(NULL);
 
     g_assert_cmpint(Settings_Reload(old, new, unchanged), ==, 1);
     g_assert_cmpstr(unchanged->str, ==, "rate_slots");
     g_assert_cmpint(Settings_Read(&old->drain_ms), ==, 5);
+    g_assert_cmpint(Settings_Read(&old->memory_mb), ==, 260);
     g_assert_cmpint(old->rate_slots, ==, 512);
     g_string_free(unchanged, TRUE);
     Settings_Destroy(old);
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -6,6 +6,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "memory/memory.h"
 #include "sidecar/sidecar_internal.h"
 #include "stop/stop_plan.h"
 
@@ -48,6 +49,13 @@
     }
 }
 
+static void
+set_memory(const Settings *settings)
+{
+    Memory_SetLimit(Memory_Process(),
+                    Memory_LimitOfHost(Settings_Read(&settings->memory_mb)));
+}
+
 static gboolean
 open_rpc(Sidecar *sidecar, GError **error)
 {
@@ -163,6 +171,7 @@
         MAX(settings->revocation_ms - FRESHNESS_MARGIN_MS,
             settings->revocation_ms / 2);
     set_ports(settings);
+    set_memory(settings);
     if (!open_rpc(sidecar, error)) {
         g_free(sidecar);
         return NULL;
@@ -203,6 +212,7 @@
     }
     else {
         Settings_Reload(sidecar->settings, loaded, needs_restart);
+        set_memory(sidecar->settings);
         Log_Event(LOG_SETTINGS_RELOADED, "needs_restart=\"%s\"",
                   needs_restart->str);
         Settings_Destroy(loaded);
--- a/src/sidecar/sidecar_ports.c
+++ b/src/sidecar/sidecar_ports.c
@@ -3,6 +3,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "memory/memory.h"
 #include "sidecar/sidecar_internal.h"
 
 #define METRICS_PATH "/metrics"
@@ -147,6 +148,7 @@
     }
     else {
         Counter_Write(text);
+        Memory_Write(Memory_Process(), text);
         HttpHeaders_Add(&answer.headers, "Content-Type",
                         "text/plain; version=0.0.4");
     }
