http: a body of known length waits for its memory for half a second

Cause: an answer whose announced length did not fit was refused within a millisecond. The slot at its backend server was free at once, so the owner looked idle and got the next request, which ended in the same way.

Change: a length that could never fit, whatever else is on lease, is refused at once as before. For any other one the client waits until the memory is there, at most 500 ms, and not beyond the deadline or the soft timeout; a cancelled or broken connection ends the wait. The body stays with its sender and the request keeps its slot. Bodies without a length do not wait: each could wait for another that never ends.

--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -20,6 +20,11 @@
 /* Bytes read from the socket at once. */
 #define READ_BYTES 8192
 
+/* Longest wait for the memory of a body of known length, and the interval of
+ * its tries. */
+#define MEMORY_WAIT_MS 500
+#define MEMORY_POLL_MS 5
+
 /* Number of request ids that a connection remembers. */
 #define MAX_IDS 32
 
@@ -596,6 +601,37 @@
     return length;
 }
 
+/* Takes the memory for a body of known length. If there is none now, waits for
+ * bodies that are being read or held; meanwhile the sender's bytes fill its
+ * connection and then stop. */
+static Result
+reserve(HttpConnection *connection, Body *body, size_t length,
+        ClockMs deadline)
+{
+    ClockMs now = Clock_Now();
+    ClockMs until = MIN(deadline, now + MEMORY_WAIT_MS);
+    int events;
+
+    if (connection->soft_timeout != NULL) {
+        until = MIN(until, connection->soft_timeout->until);
+    }
+    while (!MemoryBuffer_Reserve(&body->buffer, length)) {
+        now = Clock_Now();
+        if (now >= until || connection->yielded ||
+            !MemoryLease_CouldTake(&body->buffer.lease, length + 1)) {
+            return RESULT_OVERLOADED;
+        }
+        deadline = MIN(until, now + MEMORY_POLL_MS);
+        events = connection->other_fd >= 0
+                     ? wait_beside(connection, 0, deadline)
+                     : wait_for(connection->fd, 0, deadline);
+        if (events != 0) {
+            return RESULT_ANSWER_TRUNCATED;
+        }
+    }
+    return RESULT_OK;
+}
+
 static Result
 read_body(HttpConnection *connection, const HttpReadOptions *options,
           const HttpAnswer *answer, Body *body, ClockMs deadline,
@@ -604,6 +640,7 @@
     const char *encoding =
         HttpHeaders_Get(&answer->headers, "Transfer-Encoding");
     int64_t length = content_length(&answer->headers);
+    Result result;
 
     if (answer->status == 204 || answer->status == 304 || options->no_body) {
         return RESULT_OK;
@@ -627,10 +664,10 @@
     if ((uint64_t)length > options->max_body_bytes) {
         return RESULT_TOO_LARGE;
     }
-    if (!MemoryBuffer_Reserve(&body->buffer, (size_t)length)) {
-        return RESULT_OVERLOADED;
-    }
-    return read_bytes(connection, body, (size_t)length, deadline);
+    result = reserve(connection, body, (size_t)length, deadline);
+    return result == RESULT_OK
+               ? read_bytes(connection, body, (size_t)length, deadline)
+               : result;
 }
 
 /* Whether a Connection header has "close" among its options. */
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -19,7 +19,8 @@
  * Limits: 100 header lines of at most 8 KiB each and 64 KiB together, 8
  * interim answers. A peer that sends on without end is cut off at these
  * limits, or at the limits of the body, whatever the deadline. The block of a
- * body with Content-Length is on lease before the body is read.
+ * body with Content-Length is on lease before the body is read: refused at
+ * once if it could never fit, else after a wait of up to half a second.
  */
 #ifndef HTTP_HTTP_CONNECTION_H
 #define HTTP_HTTP_CONNECTION_H
--- a/src/http/test_endless.c
+++ b/src/http/test_endless.c
@@ -281,6 +281,40 @@
     }
 }
 
+/* Guards against an answer that is refused although memory for it becomes free
+ * a moment later. */
+static void
+test_wait(void)
+{
+    Memory *memory = Memory_Create(&(Memory_desc){.limit_bytes = 1000000});
+    HttpClient *client =
+        HttpClient_Create(&(HttpClient_desc){.memory = memory});
+    MemoryLease other = MemoryLease_Begin(memory, MEMORY_ANSWERS_READ, 0);
+    Flood flood = {.prefix = HEAD "Content-Length: 450000\r\n\r\n",
+                   .unit = "x",
+                   .unit_repeats = 1000,
+                   .connections = 1};
+    Reader reader;
+    pthread_t thread;
+
+    g_assert_true(MemoryLease_Take(&other, 490000));
+    flood.listener = listen_on(&flood.address);
+    pthread_create(&thread, NULL, run_flood, &flood);
+    reader = make_reader(client, flood.address);
+    pthread_create(&reader.thread, NULL, run_reader, &reader);
+    while (flood.sent == 0) {
+        g_usleep(1000);
+    }
+    g_assert_cmpuint(Memory_Used(memory), ==, 490000);
+    MemoryLease_End(&other);
+    pthread_join(reader.thread, NULL);
+    g_assert_cmpint(reader.result, ==, RESULT_OK);
+    HttpClient_Destroy(client);
+    pthread_join(thread, NULL);
+    close(flood.listener);
+    Memory_Destroy(memory);
+}
+
 /* A server that answers the first request on a connection, and sends `late`
  * before its answer to the second one. */
 typedef struct LateServer {
@@ -587,6 +621,7 @@
     g_test_add_func("/endless/shared-memory", test_shared_memory);
     g_test_add_func("/endless/late-copy", test_late_copy);
     g_test_add_func("/endless/known-length", test_known_length);
+    g_test_add_func("/endless/wait", test_wait);
     g_test_add_func("/endless/uploads", test_uploads);
     g_test_add_func("/endless/held", test_held);
     g_test_add_func("/endless/lease-moves", test_lease_moves);
--- a/src/memory/memory.c
+++ b/src/memory/memory.c
@@ -149,28 +149,43 @@
                          .sender = sender};
 }
 
-gboolean
-MemoryLease_Take(MemoryLease *lease, size_t bytes)
+/* What the sums may reach with the lease. */
+typedef struct Bounds {
+    size_t used;
+    size_t held;
+    size_t sent;
+} Bounds;
+
+static Bounds
+bounds_of(const MemoryLease *lease, size_t bytes)
 {
-    Memory *memory = lease->memory;
-    size_t limit = Memory_Limit(memory);
+    size_t limit = Memory_Limit(lease->memory);
     size_t set_aside = percent_of(limit, SET_ASIDE_PERCENT);
     gboolean small = bytes <= MEMORY_SMALL_BYTES &&
                      lease->bytes <= MEMORY_SMALL_BYTES - bytes;
     size_t more = small ? set_aside : 0;
+
+    return (Bounds){
+        .used = limit - set_aside + more,
+        .held = percent_of(limit, holder_percent[lease->holder]) + more,
+        .sent = percent_of(limit, lease->memory->sender_percent) + more};
+}
+
+gboolean
+MemoryLease_Take(MemoryLease *lease, size_t bytes)
+{
+    Memory *memory = lease->memory;
+    Bounds bounds = bounds_of(lease, bytes);
     atomic_size_t *held = &memory->held[lease->holder];
-    atomic_size_t *sent = sender_sum(lease);
 
-    if (!add_below(&memory->used, bytes, limit - set_aside + more)) {
+    if (!add_below(&memory->used, bytes, bounds.used)) {
         return FALSE;
     }
-    if (!add_below(held, bytes,
-                   percent_of(limit, holder_percent[lease->holder]) + more)) {
+    if (!add_below(held, bytes, bounds.held)) {
         subtract(&memory->used, bytes);
         return FALSE;
     }
-    if (!add_below(sent, bytes,
-                   percent_of(limit, memory->sender_percent) + more)) {
+    if (!add_below(sender_sum(lease), bytes, bounds.sent)) {
         subtract(held, bytes);
         subtract(&memory->used, bytes);
         return FALSE;
@@ -180,6 +195,14 @@
     return TRUE;
 }
 
+gboolean
+MemoryLease_CouldTake(const MemoryLease *lease, size_t bytes)
+{
+    Bounds bounds = bounds_of(lease, bytes);
+
+    return bytes <= MIN(bounds.used, MIN(bounds.held, bounds.sent));
+}
+
 void
 MemoryLease_Return(MemoryLease *lease, size_t bytes)
 {
--- a/src/memory/memory.h
+++ b/src/memory/memory.h
@@ -21,7 +21,7 @@
  *    holder at most that holder's share (memory/memory_list.h), both without
  *    what is set aside. The bodies of requests have a smaller share than those
  *    of answers: what is refused before it has run can be sent again.
- *  - Nobody waits for memory: what does not fit is refused at once.
+ *  - The account keeps no queue: what does not fit is refused at once.
  *
  * Errors: MemoryLease_Take() returns FALSE and takes nothing.
  *
@@ -87,6 +87,10 @@
 MemoryLease MemoryLease_Begin(Memory *memory, MemoryHolder holder,
                               uint64_t sender);
 gboolean MemoryLease_Take(MemoryLease *lease, size_t bytes);
+
+/* Whether MemoryLease_Take() would return TRUE if nothing else was on lease.
+ */
+gboolean MemoryLease_CouldTake(const MemoryLease *lease, size_t bytes);
 void MemoryLease_Return(MemoryLease *lease, size_t bytes);
 
 /* Does not check the share of the new holder: the block exists already. */
--- a/src/memory/test_memory.c
+++ b/src/memory/test_memory.c
@@ -63,6 +63,8 @@
             g_test_message("%s %zu", cases[i].name, k);
             leases[k] = MemoryLease_Begin(memory, cases[i].takes[k].holder,
                                           cases[i].takes[k].sender);
+            g_assert_cmpint(MemoryLease_CouldTake(&leases[k], bytes), ==,
+                            lent || bytes <= LIMIT / 2);
             g_assert_cmpint(MemoryLease_Take(&leases[k], bytes), ==, lent);
             sum += lent ? bytes : 0;
             g_assert_cmpuint(leases[k].bytes, ==, lent ? bytes : 0);
