backend: test of answers refused for lack of memory

Nothing checked what becomes of a request whose answer does not fit: it has run for all that is known, so it is reported as unknown (502), not as not run; no part of the body is kept; bytes without end (TOO_LARGE) raise the risk of their backend server, a lack of memory (OVERLOADED) does not.

No code of the product changes.

--- a/src/backend/test_backend.c
+++ b/src/backend/test_backend.c
@@ -192,7 +192,7 @@
 
         g_test_message("case %zu", i);
         start_script(&fixture.script);
-        create_backend(&fixture);
+        create_backend(&fixture, NULL);
         if (cases[i].known != NULL) {
             step = announcement(&fixture, cases[i].known, 50, 7, FALSE);
             g_assert_true(Backend_Announce(fixture.backend, &step));
@@ -289,6 +289,64 @@
     close_fixture(&fixture);
 }
 
+typedef struct RefusedBody {
+    const char *length;
+    size_t used; /* by others */
+    Result result;
+    gboolean is_risk;
+} RefusedBody;
+
+/* Runs three requests whose answers announce the length. */
+static void
+check_refused_body(const RefusedBody *c, Memory *memory)
+{
+    char *bad = g_strconcat("HTTP/1.1 200 OK\r\nX-Id: r1\r\n"
+                            "X-Signature: s\r\nContent-Length: ",
+                            c->length, "\r\n\r\nxx", NULL);
+    Fixture fixture = {.script = {.answer = bad}};
+    BackendReply reply;
+
+    open_fixture_with(&fixture, memory);
+    for (int i = 0; i < 3; i++) {
+        BackendCall call = make_call();
+
+        Backend_Run(fixture.backend, &call, &reply);
+        g_test_message("%s: %s", c->length, Result_Name(reply.result));
+        g_assert_cmpint(reply.result, ==, c->result);
+        g_assert_cmpint(reply.run, ==, RUN_UNKNOWN);
+        g_assert_true(reply.arrived);
+        g_assert_null(reply.answer.body);
+    }
+    g_assert_cmpint(reply.report.risk > 0.5, ==, c->is_risk);
+    close_fixture(&fixture);
+    g_free(bad);
+}
+
+/* Guards against a body that does not fit reported as not run or as complete,
+ * against a sender of bytes without end that stays without risk, and against
+ * a risk for a lack of memory that others have caused. */
+static void
+test_body_refused(void)
+{
+    static const RefusedBody cases[] = {
+        {"400000", 900000, RESULT_OVERLOADED, FALSE},
+        {"1000000", 0, RESULT_OVERLOADED, FALSE},
+        {"99999999999", 0, RESULT_TOO_LARGE, TRUE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Memory *memory = Memory_Create(
+            &(Memory_desc){.limit_bytes = 1100000, .sender_percent = 100});
+        MemoryLease other = MemoryLease_Begin(memory, MEMORY_ANSWERS_READ, 0);
+
+        g_assert_true(MemoryLease_Take(&other, cases[i].used));
+        check_refused_body(&cases[i], memory);
+        g_assert_cmpuint(Memory_Used(memory), ==, cases[i].used);
+        MemoryLease_End(&other);
+        Memory_Destroy(memory);
+    }
+}
+
 typedef struct Caller {
     Backend *backend;
     BackendCall call;
@@ -630,6 +688,7 @@
                     test_stop_before_announcement);
     g_test_add_func("/backend/refusals", test_refusals);
     g_test_add_func("/backend/risk", test_risk);
+    g_test_add_func("/backend/body-refused", test_body_refused);
     g_test_add_func("/backend/exploration", test_exploration);
     g_test_add_func("/backend/slots-and-order", test_slots_and_order);
     g_test_add_func("/backend/repeat-share", test_retry_share);
--- a/src/backend/test_script.h
+++ b/src/backend/test_script.h
@@ -173,25 +173,32 @@
     return result;
 }
 
+/* `memory` lends the bodies of answers; NULL: the account of the process. */
 static void
-create_backend(Fixture *fixture)
+create_backend(Fixture *fixture, Memory *memory)
 {
-    fixture->client = HttpClient_Create(&(HttpClient_desc){0});
+    fixture->client = HttpClient_Create(&(HttpClient_desc){.memory = memory});
     fixture->backend = Backend_Create(&(Backend_desc){
         .names = &names, .service = SERVICE, .client = fixture->client});
 }
 
 static void
-open_fixture(Fixture *fixture)
+open_fixture_with(Fixture *fixture, Memory *memory)
 {
     BackendAnnouncement first;
 
     start_script(&fixture->script);
-    create_backend(fixture);
+    create_backend(fixture, memory);
     first = announcement(fixture, "i1", 100, 1, FALSE);
     g_assert_true(Backend_Announce(fixture->backend, &first));
 }
 
+static void
+open_fixture(Fixture *fixture)
+{
+    open_fixture_with(fixture, NULL);
+}
+
 static void
 close_fixture(Fixture *fixture)
 {
