--- a/tests/endless_server.c
+++ b/tests/endless_server.c
@@ -13,6 +13,7 @@
 #define HEAD "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nAttempt-Id: %s\r\n"
 #define CHUNKED HEAD "Transfer-Encoding: chunked\r\n\r\n"
 #define WHOLE_LENGTH "15728640"
+#define LARGE_LENGTH "4194304"
 #define BLOCK_BYTES 16384
 #define SEND_TIMEOUT_US 200000
 #define ID_BYTES 64
@@ -23,6 +24,9 @@
     [ENDLESS_WHOLE] = {"whole",
                        HEAD "Content-Length: " WHOLE_LENGTH "\r\n\r\n", "",
                        4096, "", ENDLESS_WHOLE_BYTES},
+    [ENDLESS_LARGE] = {"large",
+                       HEAD "Content-Length: " LARGE_LENGTH "\r\n\r\n", "",
+                       4096, "", ENDLESS_LARGE_BYTES},
     [ENDLESS_SMALL_CHUNKS] = {"small-chunks", CHUNKED, "1\r\n", 1, "\r\n", 0},
     [ENDLESS_HEADER_LINE] = {"header-line", HEAD "A: ", "", 4096, "", 0},
     [ENDLESS_HEADER_LINES] = {"header-lines", HEAD, "A: b\r\n", 0, "", 0},
@@ -72,7 +76,7 @@
 
 /* Reads a request up to its end; FALSE if the daemon closes. */
 static gboolean
-read_request(int fd, char *id)
+read_request(int fd, char *id, gboolean *small)
 {
     char text[8192];
     size_t length = 0;
@@ -93,6 +97,8 @@
     g_assert_nonnull(value);
     value += strlen("Attempt-Id: ");
     g_snprintf(id, ID_BYTES, "%.*s", (int)strcspn(value, "\r"), value);
+    value = strstr(text, "/small ");
+    *small = value != NULL && value < strchr(text, '\r');
     return read_body(fd, text, length - (size_t)(end + 4 - text));
 }
 
@@ -177,12 +183,13 @@
     struct timeval limit = {.tv_usec = SEND_TIMEOUT_US};
     int fd = connection->fd;
     gboolean open = TRUE;
+    gboolean small;
     char id[ID_BYTES];
 
     g_free(connection);
     setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
-    while (open && read_request(fd, id)) {
-        const EndlessKind *kind = atomic_load(&server->kind);
+    while (open && read_request(fd, id, &small)) {
+        const EndlessKind *kind = small ? NULL : atomic_load(&server->kind);
 
         atomic_fetch_add(&server->requests, 1);
         open = kind != NULL ? send_kind(server, fd, kind, id)
--- a/tests/endless_server.h
+++ b/tests/endless_server.h
@@ -3,7 +3,8 @@
  * Use:
  *  1. EndlessServer_Create() with the address. It answers each
  *     request with its id.
- *  2. EndlessServer_SetKind() makes it send bytes of that kind instead.
+ *  2. EndlessServer_SetKind() makes it send bytes of that kind instead, except
+ * for paths that end in /small.
  *  3. EndlessServer_Destroy() after the daemons have closed their connections.
  *
  * Errors abort the test.
@@ -21,8 +22,9 @@
 #define ENDLESS_MS 10000
 #define ENDLESS_BYTES ((size_t)64 << 20)
 
-/* Body of ENDLESS_WHOLE. */
+/* Bodies of ENDLESS_WHOLE and ENDLESS_LARGE. */
 #define ENDLESS_WHOLE_BYTES ((size_t)15 << 20)
+#define ENDLESS_LARGE_BYTES ((size_t)4 << 20)
 
 /* What is sent: the prefix, in which %s is the id of the request, then
  * repetitions of a unit: `head`, `fill` bytes, `tail`. */
@@ -40,6 +42,7 @@
     ENDLESS_BODY, /* ends with the connection */
     ENDLESS_CHUNKS,
     ENDLESS_WHOLE, /* a complete answer with its length */
+    ENDLESS_LARGE, /* the same, smaller */
     ENDLESS_SMALL_CHUNKS,
     ENDLESS_HEADER_LINE,
     ENDLESS_HEADER_LINES,
--- a/tests/memory_site.c
+++ b/tests/memory_site.c
@@ -76,13 +76,16 @@
 {
     gboolean served =
         reply->status == 200 && reply->complete &&
-        (reply->has_id || reply->body_bytes >= ENDLESS_WHOLE_BYTES);
+        (reply->has_id || reply->body_bytes >= ENDLESS_LARGE_BYTES);
     gboolean sound = Site_HasRun(caller->self->site, id);
     MemoryCounts *counts = &caller->counts;
 
     counts->requests++;
+    counts->longest_ms = MAX(counts->longest_ms, reply->took_ms);
     counts->served += served;
     counts->refused += is_refused(reply);
+    counts->unanswered += reply->status == 0;
+    counts->status = served ? counts->status : reply->status;
     counts->sound += sound;
     counts->sound_lost += sound && !served;
     if (sound && !served) {
@@ -148,8 +151,11 @@
         sum.requests += counts->requests;
         sum.served += counts->served;
         sum.refused += counts->refused;
+        sum.unanswered += counts->unanswered;
+        sum.status = MAX(sum.status, counts->status);
         sum.sound += counts->sound;
         sum.sound_lost += counts->sound_lost;
+        sum.longest_ms = MAX(sum.longest_ms, counts->longest_ms);
     }
     sum.faulty = (int)(EndlessServer_Requests(self->server) - before);
     g_free(callers);
@@ -164,7 +170,11 @@
                                              .requests = MEMORY_REQUESTS,
                                              .repeats = WARM_REPEATS});
 
-    g_assert_cmpint(counts.served, ==, counts.requests);
+    MemorySite_CheckCounts(&counts, "warm-up");
+    if (counts.served != counts.requests) {
+        g_test_fail_printf("warm-up: %d of %d served, status %d",
+                           counts.served, counts.requests, counts.status);
+    }
     for (int i = 0; i < MEMORY_HOSTS; i++) {
         self->base_kb[i] = read_memory(self->site, i, "\nVmRSS:");
     }
@@ -246,11 +256,12 @@
 void
 MemorySite_CheckCounts(const MemoryCounts *counts, const char *name)
 {
-    g_test_message("%s: %d requests, %d served, %d refused; %d received by "
-                   "the faulty backend server, %d run by the sound one, %d of "
-                   "these not served",
+    g_test_message("%s: %d requests, %d served, %d refused, %d unanswered, "
+                   "longest %d ms; %d received by the faulty backend server, "
+                   "%d run by the sound one, %d of these not served",
                    name, counts->requests, counts->served, counts->refused,
-                   counts->faulty, counts->sound, counts->sound_lost);
+                   counts->unanswered, (int)counts->longest_ms, counts->faulty,
+                   counts->sound, counts->sound_lost);
     if (counts->sound_lost > 0) {
         g_test_fail_printf("%s: %d requests that ran at the sound backend "
                            "server were not served",
--- a/tests/memory_site.h
+++ b/tests/memory_site.h
@@ -41,11 +41,14 @@
 
 typedef struct MemoryCounts {
     int requests;
-    int served;     /* with status 200 and a complete body */
-    int refused;    /* with status 429 or 503 */
-    int sound;      /* ran at the sound backend server */
-    int sound_lost; /* of these, not served */
-    int faulty;     /* received by the EndlessServer, repeated ones too */
+    int served;         /* with status 200 and a complete body */
+    int refused;        /* with status 429 or 503 */
+    int unanswered;     /* without a whole head */
+    int status;         /* of a request that was not served, the highest */
+    int sound;          /* ran at the sound backend server */
+    int sound_lost;     /* of these, not served */
+    int faulty;         /* received by the EndlessServer, repeated ones too */
+    ClockMs longest_ms; /* of a request, until its caller has ended */
 } MemoryCounts;
 
 MemorySite *MemorySite_Create(void);
--- a/tests/slow_caller.c
+++ b/tests/slow_caller.c
@@ -1,5 +1,6 @@
 #include "slow_caller.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,6 +10,34 @@
 #define MAX_HEAD_BYTES 4000
 #define LAST_CHUNK "0\r\n\r\n"
 #define TAIL_BYTES 5
+#define WAIT_STEP_MS 20
+
+static gboolean
+is_released(const SlowCaller_desc *desc)
+{
+    return desc->released != NULL && atomic_load(desc->released);
+}
+
+/* Waits, but not for longer than until the caller is released. */
+static void
+wait(const SlowCaller_desc *desc, ClockMs milliseconds)
+{
+    ClockMs end = Clock_Now() + milliseconds;
+
+    while (Clock_Now() < end && !is_released(desc)) {
+        g_usleep((gulong)MIN(end - Clock_Now(), WAIT_STEP_MS) * 1000);
+    }
+}
+
+/* Returns whether the daemon has answered or closed the connection. */
+static gboolean
+has_reply(int fd)
+{
+    char byte;
+    ssize_t got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+    return got >= 0 || errno != EAGAIN;
+}
 
 static gboolean
 send_request(int fd, const SlowCaller_desc *desc)
@@ -23,12 +52,13 @@
     size_t left = desc->body_bytes;
     gboolean open = send(fd, head, strlen(head), MSG_NOSIGNAL) > 0;
 
-    while (open && left > 0) {
+    while (open && left > 0 && !is_released(desc) &&
+           !(desc->stops_at_reply && has_reply(fd))) {
         ssize_t sent = send(fd, body, MIN(piece, left), MSG_NOSIGNAL);
 
         open = sent > 0;
         left -= open ? (size_t)sent : 0;
-        g_usleep((gulong)desc->pause_ms * 1000);
+        wait(desc, desc->pause_ms);
     }
     g_free(body);
     g_free(head);
@@ -93,6 +123,7 @@
 SlowCaller_Run(const SlowCaller_desc *desc)
 {
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    ClockMs begin = Clock_Now();
     SlowReply reply = {0};
 
     if (desc->receive_bytes > 0) {
@@ -103,9 +134,12 @@
                 sizeof(desc->address)) == 0) {
         /* An early answer may arrive before the whole body is sent. */
         (void)send_request(fd, desc);
-        g_usleep((gulong)desc->unread_ms * 1000);
-        reply = read_reply(fd, desc);
+        wait(desc, desc->unread_ms);
+        if (!is_released(desc)) {
+            reply = read_reply(fd, desc);
+        }
     }
     close(fd);
+    reply.took_ms = Clock_Now() - begin;
     return reply;
 }
