tests of src/backend: servers that count have an address of their own

/extra-answers/cut-copies counted 2 connections where 1 is expected, beside other work only. Traced: the second connection came from another process. Its first bytes were "GET /radishknot/objects/config?watch=5&wait_ms=800" with the port of the test's server: the daemon of some other test, whose stand-in store had ended and whose port of 127.0.0.1 the kernel gave out again. The client under test had made one connection, and kept it. The test is wrong, not the product: it took for granted that nobody else connects.

The scripted server also takes such a request for the first one of its script.

Change: own_address() in src/http/test_address.h gives each test process an address in 127.64.0.0/10 made from its process id. test_extra_answers and the scripted server of test_backend bind to it, port 0 as before. All connections still count, so the checks are as strict.

--- a/src/backend/test_extra_answers.c
+++ b/src/backend/test_extra_answers.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "backend/backend.h"
+#include "http/test_address.h"
 
 #define SERVICE "permits"
 #define MAX_CONNECTIONS 4
@@ -136,7 +137,7 @@
     socklen_t bytes = sizeof(server->address);
     int receive_bytes = 4096;
 
-    g_assert_true(HttpAddress_Parse("127.0.0.1:0", &server->address));
+    server->address = own_address();
     server->listener = socket(AF_INET, SOCK_STREAM, 0);
     setsockopt(server->listener, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
                sizeof(receive_bytes));
--- a/src/backend/test_script.h
+++ b/src/backend/test_script.h
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "backend/backend.h"
+#include "http/test_address.h"
 
 #define SERVICE "permits"
 #define ANSWER_OK                                                       \
@@ -125,7 +126,7 @@
 {
     socklen_t bytes = sizeof(script->address);
 
-    g_assert_true(HttpAddress_Parse("127.0.0.1:0", &script->address));
+    script->address = own_address();
     script->listener = socket(AF_INET, SOCK_STREAM, 0);
     g_assert_cmpint(
         bind(script->listener, (struct sockaddr *)&script->address, bytes), ==,
