http: answers and requests without memory are logged and counted

Cause: an answer that was cut off left only the result of its request, and a request refused for its body no trace of who sent it.

Counters for both.

Tests: /known-length and /uploads of test_endless check the counters.

--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -95,7 +95,12 @@
     COUNTER(ATTEMPTS_NO_REPLY, \
             "broken calls about which the owner could not be asked") \
     COUNTER(ATTEMPTS_REFUSED, \
-            "calls that arrived after their sender was told that they had not")
+            "calls that arrived after their sender was told that they had not") \
+    COUNTER(ANSWERS_TOO_LARGE, "answers cut off at the largest size") \
+    COUNTER(ANSWERS_WITHOUT_MEMORY, \
+            "answers cut off because the account lent no memory") \
+    COUNTER(UPLOADS_WITHOUT_MEMORY, \
+            "requests refused because the account lent no memory")
 /* clang-format on */
 
 #endif
--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -116,7 +116,11 @@
     LOG(REQUEST_ENDED, 405, INFO, "request of a caller ended") \
     LOG(CALL_RUN, 406, INFO, "request of another daemon ended") \
     LOG(DEPARTURE_NOT_RECORDED, 407, WARNING, \
-        "acknowledged that a backend server leaves without a record of it")
+        "acknowledged that a backend server leaves without a record of it") \
+    LOG(ANSWER_CUT_OFF, 408, WARNING, \
+        "answer is too large, or there is no memory for it") \
+    LOG(UPLOAD_REFUSED, 409, WARNING, \
+        "no memory for the body of a request")
 /* clang-format on */
 
 #endif
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/counter.h"
+#include "base/log.h"
 #include "http/http_connection.h"
 
 #define DEFAULT_MAX_IDLE 16
@@ -439,6 +441,28 @@
     return result;
 }
 
+/* Counts and logs an answer that was not read to its end. */
+static void
+note_cut_off(const HttpClient *client, const HttpCall *call, Result result)
+{
+    const Memory *memory =
+        client->desc.memory ? client->desc.memory : Memory_Process();
+    char sender[32];
+
+    if (result != RESULT_TOO_LARGE && result != RESULT_OVERLOADED) {
+        return;
+    }
+    Counter_Add(result == RESULT_TOO_LARGE ? COUNTER_ANSWERS_TOO_LARGE
+                                           : COUNTER_ANSWERS_WITHOUT_MEMORY,
+                1);
+    HttpAddress_Format(&call->address, sender, sizeof(sender));
+    Log_Event(LOG_ANSWER_CUT_OFF,
+              "sender=%s request=%s result=%s used=%zu "
+              "limit=%zu",
+              sender, call->match_value ? call->match_value : "-",
+              Result_Name(result), Memory_Used(memory), Memory_Limit(memory));
+}
+
 Result
 HttpClient_Call(HttpClient *client, const HttpCall *call, HttpAnswer *answer,
                 gboolean *sent)
@@ -494,6 +518,7 @@
     }
     if (result != RESULT_OK) {
         HttpAnswer_Clear(answer);
+        note_cut_off(client, call, result);
     }
     return result;
 }
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -1,5 +1,6 @@
 #include "http/http_server.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <poll.h>
 #include <string.h>
@@ -8,6 +9,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/counter.h"
+#include "base/log.h"
 #include "http/http_server_private.h"
 #include "http/http_tls.h"
 
@@ -45,6 +48,20 @@
     return RESULT_OK;
 }
 
+static void
+note_refused_upload(const HttpRequest *request)
+{
+    const MemoryLease *lease = &request->body.lease;
+    struct in_addr address = {.s_addr = htonl((uint32_t)lease->sender)};
+    char sender[INET_ADDRSTRLEN] = "";
+
+    (void)inet_ntop(AF_INET, &address, sender, sizeof(sender));
+    Counter_Add(COUNTER_UPLOADS_WITHOUT_MEMORY, 1);
+    Log_Event(LOG_UPLOAD_REFUSED, "sender=%s announced=%zu used=%zu limit=%zu",
+              sender, request->announced, Memory_Used(lease->memory),
+              Memory_Limit(lease->memory));
+}
+
 /* Appends to the body, or drops it if it is too large, alone or with all else
  * that is on lease. */
 static void
@@ -64,6 +81,9 @@
     if (request->refusal != RESULT_OK) {
         MemoryBuffer_Clear(&request->body);
     }
+    if (request->refusal == RESULT_OVERLOADED) {
+        note_refused_upload(request);
+    }
 }
 
 static void
--- a/src/http/test_endless.c
+++ b/src/http/test_endless.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/counter.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "memory/memory_buffer.h"
@@ -262,6 +263,7 @@
                        .unit_repeats = 1000,
                        .connections = 1};
         MemoryLease other = MemoryLease_Begin(memory, MEMORY_ANSWERS_READ, 0);
+        uint64_t counted = Counter_Get(COUNTER_ANSWERS_WITHOUT_MEMORY);
         Reader reader;
         pthread_t thread;
 
@@ -276,6 +278,8 @@
         g_test_message("%zu: %s", i, Result_Name(reader.result));
         g_assert_cmpint(reader.result, ==, cases[i].result);
         g_assert_cmpuint(Memory_Used(memory), ==, cases[i].used);
+        counted = Counter_Get(COUNTER_ANSWERS_WITHOUT_MEMORY) - counted;
+        g_assert_cmpuint(counted, ==, cases[i].result == RESULT_OVERLOADED);
         MemoryLease_End(&other);
         Memory_Destroy(memory);
     }
@@ -515,6 +519,7 @@
     pthread_mutex_unlock(&gate.lock);
     pthread_join(thread, NULL);
     g_assert_cmpint(held.status, ==, 200);
+    g_assert_cmpuint(Counter_Get(COUNTER_UPLOADS_WITHOUT_MEMORY), >=, 3);
     HttpServer_Destroy(server);
     server = HttpServer_Create(&desc, NULL);
     for (int i = 0; i < 20; i++) {
