tool: radishknot odd shows the odd entries of the store

An entry that another program wrote and that cannot be used costs one log line for each revision on each host.

Change: "radishknot odd FILE" reads the logs of any number of daemons, as "radishknot load" does, and prints for each entry its kind, name, newest revision, whether the value or only its fields were at fault, the number of daemons and the last time; entries without a usable name are counted by kind. The mode "platform" has no admin port, so that logs are the source both modes have.

--- a/src/tool/tool.c
+++ b/src/tool/tool.c
@@ -49,6 +49,10 @@
      "show from the logs of daemons, for each service and second, what became "
      "of the requests; - reads standard input",
      1, 1, Tool_Load},
+    {"odd", "FILE",
+     "show from the logs of daemons the objects of the platform's store that "
+     "another program wrote and that are not used; - reads standard input",
+     1, 1, Tool_Odd},
     {"replay", "FILE",
      "play a table of load and faults against the decisions, in simulated "
      "time, with this version's policies and with plain ones",
--- a/src/tool/tool_internal.h
+++ b/src/tool/tool_internal.h
@@ -45,6 +45,7 @@
 int Tool_Counters(Tool *tool, int count, char **words);
 int Tool_Replay(Tool *tool, int count, char **words);
 int Tool_Load(Tool *tool, int count, char **words);
+int Tool_Odd(Tool *tool, int count, char **words);
 
 /* Prints the message and returns the result's exit code. */
 int _Tool_Fail(Result result, const char *format, ...) G_GNUC_PRINTF(2, 3);
