gateway: a host is not unreachable because this one had no room

A call to an owner that ended with OVERLOADED or TOO_LARGE brought no report, so the entry took the owner's host for unreachable and kept away from it for 0.4 s and more, although the host had answered. While large answers used up the account of one host, all its requests went past the nearer backend servers.

--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -434,8 +434,15 @@
 _Gateway_IsUnreachable(const BackendReply *reply, ClockMs left_ms,
                        ClockMs paused_ms)
 {
-    if (reply->result == RESULT_BACKEND_SERVER_OTHER) {
+    switch (reply->result) {
+    case RESULT_BACKEND_SERVER_OTHER:
         return !reply->arrived;
+    case RESULT_OVERLOADED:
+    case RESULT_TOO_LARGE:
+        /* The host answered; this one had no room for it. */
+        return FALSE;
+    default:
+        break;
     }
     return paused_ms == 0 && reply->report.slots == 0 &&
            reply->result != RESULT_CANCELLED &&
--- a/src/gateway/test_gateway_answer.c
+++ b/src/gateway/test_gateway_answer.c
@@ -133,12 +133,35 @@
     }
 }
 
+/* Guards against a host that is taken for unreachable because this one had no
+ * room for its answer. */
+static void
+test_answer_without_room(void)
+{
+    static const struct {
+        Result result;
+        gboolean unreachable;
+    } cases[] = {{RESULT_OVERLOADED, FALSE},
+                 {RESULT_TOO_LARGE, FALSE},
+                 {RESULT_ANSWER_LOST, TRUE},
+                 {RESULT_CONNECT_FAILED, TRUE}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        BackendReply reply = {.result = cases[i].result, .arrived = TRUE};
+
+        g_test_message("%s", Result_Name(reply.result));
+        g_assert_cmpint(_Gateway_IsUnreachable(&reply, 1000, 0), ==,
+                        cases[i].unreachable);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/gateway-answer/choice", test_choice);
     g_test_add_func("/gateway-answer/suspended", test_suspended);
+    g_test_add_func("/gateway-answer/without-room", test_answer_without_room);
     g_test_add_func("/gateway-answer/cancelled-by-stop",
                     test_cancelled_by_stop);
     return g_test_run();
