--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -26,6 +26,9 @@
 #define DEFAULT_MAX_BODY_BYTES (1024 * 1024)
 #define DEFAULT_IDLE_TIMEOUT_S 120
 
+/* A connection ends if its peer takes nothing of an answer for so long. */
+#define SEND_STALL_S 5
+
 /* Memory of a connection, which limits the total size of the headers. */
 #define CONNECTION_MEMORY_BYTES (64 * 1024)
 
@@ -158,6 +161,13 @@
     return response;
 }
 
+static void
+set_timeout(struct MHD_Connection *connection, unsigned seconds)
+{
+    (void)MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                                    seconds);
+}
+
 static enum MHD_Result
 queue_answer(HttpRequest *request)
 {
@@ -175,6 +185,8 @@
     if (atomic_load(&request->server->leaving)) {
         (void)MHD_add_response_header(response, "Connection", "close");
     }
+    set_timeout(request->connection,
+                MIN(SEND_STALL_S, request->server->desc.idle_timeout_s));
     queued = MHD_queue_response(request->connection, (unsigned)answer->status,
                                 response);
     MHD_destroy_response(response);
@@ -436,11 +448,11 @@
     HttpServer *server = context;
     HttpRequest *request = *connection_context;
 
-    (void)connection;
     (void)code;
     if (request == NULL) {
         return;
     }
+    set_timeout(connection, server->desc.idle_timeout_s);
     pthread_mutex_lock(&server->lock);
     request->ended = TRUE;
     request->answered = TRUE;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -18,7 +18,7 @@
  * requests above max_in_flight, and those for whose body the account of memory
  * does not lend enough, are refused with OVERLOADED. A request body is on
  * lease until the handler returns, the body of an answer until it has been
- * sent.
+ * sent. A connection whose peer takes nothing of an answer for 5 s is closed.
  */
 #ifndef HTTP_HTTP_SERVER_H
 #define HTTP_HTTP_SERVER_H
