backend: an answer is not lost with a report of negative time

Seen once: /endless/no-line-break, beside load, one of 192 requests ran at the sound backend server and its caller got 502. The body of the answer, 129 bytes, has the length of ANSWER_MISMATCH with run=unknown and of no other result: the entry could not read the owner's reply. 24 further runs of it (three at a time) did not fail, so the cause is found by reading.

Backend_Run() read the clock, then waited for the lock. A run that began and ended meanwhile set last_sent to a later time, so the report said that the backend server had been idle for -1 ms. The entry rejects a negative time, and with the report the whole reply: a request that was served ended with 502.

The clock is read under the lock, and a negative time is sent as 0. /peer-wire/report-times failed before.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -576,8 +576,8 @@
     Counter_Add(COUNTER_OWNER_SENT, 1);
     _Backend_Exchange(&exchange, call, reply);
 
-    now = Clock_Now();
     pthread_mutex_lock(&backend->lock);
+    now = Clock_Now(); /* not before last_sent of a run that began meanwhile */
     if (strcmp(backend->announcement.instance, announcement.instance) == 0) {
         record_outcome(backend, call, &ticket, reply, now);
     }
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -130,9 +130,10 @@
                    " %.2f %.2f",
                    (int)reply->result, (int)reply->run, reply->arrived,
                    report->risk, report->slots, report->in_flight,
-                   report->waiting, report->service_ms, report->idle_ms,
-                   report->leaving, reply->queue_ms + reply->server_ms,
-                   report->per_s, report->retries_per_s);
+                   report->waiting, report->service_ms,
+                   MAX(report->idle_ms, 0), report->leaving,
+                   reply->queue_ms + reply->server_ms, report->per_s,
+                   report->retries_per_s);
     HttpHeaders_Add(headers, REPLY_HEADER, line);
 }
 
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -300,6 +300,28 @@
     }
 }
 
+/* Guards against an answer that is thrown away because its report has a time
+ * that is negative: the owner read the clock before another run began. */
+static void
+test_report_times(void)
+{
+    static const ClockMs idle_ms[] = {-700000, -1, 0, 1, 700000};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(idle_ms); i++) {
+        BackendReply reply = {.result = RESULT_OK,
+                              .run = RUN_YES,
+                              .report = {.slots = 5, .idle_ms = idle_ms[i]}};
+        BackendReply decoded = {0};
+        HttpHeaders headers = {0};
+
+        PeerWire_EncodeReply(&reply, &headers);
+        g_assert_true(PeerWire_DecodeReply(&headers, &decoded));
+        g_assert_cmpint(decoded.result, ==, RESULT_OK);
+        g_assert_cmpint(decoded.report.idle_ms, ==, MAX(idle_ms[i], 0));
+        HttpHeaders_Clear(&headers);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -315,5 +337,6 @@
     g_test_add_func("/peer-wire/reply", test_reply);
     g_test_add_func("/peer-wire/other-program", test_other_program);
     g_test_add_func("/peer-wire/malformed-replies", test_malformed_replies);
+    g_test_add_func("/peer-wire/report-times", test_report_times);
     return g_test_run();
 }
