http: a body that is not there by its caller's deadline ends the connection

A handler runs once the whole body is there, so a caller that sends a byte a second kept its connection, and the memory of its body, past its own deadline and the route's timeout for as long as it liked: 48 of them for 4.6 s in a test that then ended, 13.6 s in a longer one.

The server notes the deadline when the head has been read (the first number of the header that the port names) and the watcher ends the connection at it. Shutting down one direction only was not enough: bytes that arrive later are still read, in 2 of 5 runs until the test's end.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -168,6 +168,7 @@
                               .max_body_bytes = desc->max_body_bytes,
                               .handler = serve,
                               .refuser = refuse,
+                              .time_left_header = desc->names->time_left_ms,
                               .context = gateway};
 
     gateway->desc = *desc;
--- a/src/gateway/peer_port.c
+++ b/src/gateway/peer_port.c
@@ -131,6 +131,7 @@
                               .worker_threads = desc->threads,
                               .max_body_bytes = desc->max_body_bytes,
                               .handler = serve,
+                              .time_left_header = PEER_WIRE_CALL_HEADER,
                               .context = port};
 
     port->desc = *desc;
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -3,7 +3,6 @@
 #include <inttypes.h>
 #include <stdio.h>
 
-#define CALL_HEADER "Radishknot-Call"
 #define TEAM_HEADER "Radishknot-Team"
 #define CALLER_HEADER "Radishknot-Caller"
 #define SERVICE_HEADER "Radishknot-Service"
@@ -57,7 +56,7 @@
     if (call->attempt_id != 0) {
         g_string_append_printf(line, " %" PRIx64, call->attempt_id);
     }
-    HttpHeaders_Add(headers, CALL_HEADER, line->str);
+    HttpHeaders_Add(headers, PEER_WIRE_CALL_HEADER, line->str);
     g_string_free(line, TRUE);
     HttpHeaders_Add(headers, CALLER_HEADER, call->caller);
     HttpHeaders_Add(headers, SERVICE_HEADER, call->service);
@@ -75,7 +74,7 @@
 gboolean
 PeerWire_DecodeCall(const HttpHeaders *headers, ClockMs now, BackendCall *call)
 {
-    const char *line = HttpHeaders_Get(headers, CALL_HEADER);
+    const char *line = HttpHeaders_Get(headers, PEER_WIRE_CALL_HEADER);
     int64_t left;
     int64_t target_left = MAX_WAIT_MS;
     char kind;
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -34,6 +34,9 @@
 
 #include "backend/backend.h"
 
+/* Begins with the milliseconds that the sender waits. */
+#define PEER_WIRE_CALL_HEADER "Radishknot-Call"
+
 /* Adds the Radishknot headers of the call to `headers`. */
 void PeerWire_EncodeCall(const BackendCall *call, ClockMs now,
                          HttpHeaders *headers);
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -1,6 +1,5 @@
 #include "http/http_server.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <poll.h>
 #include <string.h>
@@ -9,8 +8,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "base/counter.h"
-#include "base/log.h"
 #include "http/http_server_private.h"
 #include "http/http_tls.h"
 
@@ -32,63 +29,6 @@
 /* Memory of a connection, which limits the total size of the headers. */
 #define CONNECTION_MEMORY_BYTES (64 * 1024)
 
-/* Makes room for more bytes of the body. The first ones get small blocks. Then
- * the rest of the announced length is taken at once, so that a caller who only
- * announces a large body holds little. */
-static Result
-reserve_body(HttpRequest *request, size_t count)
-{
-    size_t max = request->server->desc.max_body_bytes;
-    size_t length = request->body.length + count;
-
-    if (MAX(length, request->announced) > max) {
-        return RESULT_REQUEST_TOO_LARGE;
-    }
-    if (length > MEMORY_SMALL_BODY_BYTES && length < request->announced &&
-        !MemoryBuffer_Reserve(&request->body, request->announced)) {
-        return RESULT_OVERLOADED;
-    }
-    return RESULT_OK;
-}
-
-static void
-note_refused_upload(const HttpRequest *request)
-{
-    const MemoryLease *lease = &request->body.lease;
-    struct in_addr address = {.s_addr = htonl((uint32_t)lease->sender)};
-    char sender[INET_ADDRSTRLEN] = "";
-
-    (void)inet_ntop(AF_INET, &address, sender, sizeof(sender));
-    Counter_Add(COUNTER_UPLOADS_WITHOUT_MEMORY, 1);
-    Log_Event(LOG_UPLOAD_REFUSED, "sender=%s announced=%zu used=%zu limit=%zu",
-              sender, request->announced, Memory_Used(lease->memory),
-              Memory_Limit(lease->memory));
-}
-
-/* Appends to the body, or drops it if it is too large, alone or with all else
- * that is on lease. */
-static void
-add_body(HttpRequest *request, const char *bytes, size_t count)
-{
-    size_t max = request->announced ? request->announced
-                                    : request->server->desc.max_body_bytes;
-
-    if (request->refusal != RESULT_OK) {
-        return;
-    }
-    request->refusal = reserve_body(request, count);
-    if (request->refusal == RESULT_OK &&
-        !MemoryBuffer_Append(&request->body, bytes, count, max)) {
-        request->refusal = RESULT_OVERLOADED;
-    }
-    if (request->refusal != RESULT_OK) {
-        MemoryBuffer_Clear(&request->body);
-    }
-    if (request->refusal == RESULT_OVERLOADED) {
-        note_refused_upload(request);
-    }
-}
-
 static void
 release_request(HttpRequest *request)
 {
@@ -267,6 +207,7 @@
                               &request->headers);
     request->complete = TRUE;
     pthread_mutex_lock(&server->lock);
+    _HttpUpload_End(request);
     server->unsent++;
     if (refusal == RESULT_OK && server->closed) {
         refusal = RESULT_SHUTTING_DOWN;
@@ -338,6 +279,7 @@
     request->arrived = Clock_Now();
     request->deadline = CLOCK_NEVER;
     request->in_flight_index = UINT_MAX;
+    request->read_until = CLOCK_NEVER;
     request->watched_fd = -1;
     return request;
 }
@@ -395,6 +337,9 @@
     if (framing.length != NULL) {
         request->announced = g_ascii_strtoull(framing.length, NULL, 10);
     }
+    if (framing.chunked || request->announced > 0) {
+        _HttpUpload_Begin(request);
+    }
     return framing.ambiguous || (framing.chunked && framing.length != NULL);
 }
 
@@ -431,7 +376,7 @@
         return is_ambiguous(request) ? refuse_framing(request) : MHD_YES;
     }
     if (*upload_bytes > 0) {
-        add_body(request, upload, *upload_bytes);
+        _HttpUpload_Append(request, upload, *upload_bytes);
         *upload_bytes = 0;
         return MHD_YES;
     }
@@ -454,6 +399,7 @@
     }
     set_timeout(connection, server->desc.idle_timeout_s);
     pthread_mutex_lock(&server->lock);
+    _HttpUpload_End(request);
     request->ended = TRUE;
     request->answered = TRUE;
     server->unsent -= request->complete ? 1 : 0;
@@ -548,7 +494,7 @@
 }
 
 /* Checks the requests in flight when a caller disconnects and, while one of
- * them has a deadline, every WATCH_PERIOD_MS. */
+ * them or of those being read has a deadline, every WATCH_PERIOD_MS. */
 static void *
 watch_requests(void *context)
 {
@@ -567,6 +513,7 @@
         for (unsigned i = 0; i < server->in_flight->len; i++) {
             watch_request(g_ptr_array_index(server->in_flight, i), now);
         }
+        _HttpUpload_Watch(server, now);
         deadlines = server->deadlines;
         pthread_mutex_unlock(&server->lock);
     }
@@ -661,10 +608,12 @@
     apply_defaults(&server->desc);
     pthread_mutex_init(&server->lock, NULL);
     server->in_flight = g_ptr_array_new();
+    server->uploads = g_ptr_array_new();
     if (!start_watcher(server)) {
         Result_SetError(error, RESULT_IO, "cannot watch connections: %s",
                         g_strerror(errno));
         pthread_mutex_destroy(&server->lock);
+        g_ptr_array_free(server->uploads, TRUE);
         g_ptr_array_free(server->in_flight, TRUE);
         g_free(server);
         return NULL;
@@ -678,6 +627,7 @@
                         g_strerror(errno));
         HttpExecutor_Destroy(server->executor);
         stop_watcher(server);
+        g_ptr_array_free(server->uploads, TRUE);
         g_ptr_array_free(server->in_flight, TRUE);
         pthread_mutex_destroy(&server->lock);
         g_free(server);
@@ -790,6 +740,7 @@
     HttpExecutor_Destroy(server->executor);
     stop_watcher(server);
     MHD_stop_daemon(server->daemon);
+    g_ptr_array_free(server->uploads, TRUE);
     g_ptr_array_free(server->in_flight, TRUE);
     pthread_mutex_destroy(&server->lock);
     g_free(server);
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -49,6 +49,9 @@
     size_t max_body_bytes;      /* default 1 MiB */
     Memory *memory; /* lends the bodies of requests; NULL: the account of the
                        process */
+    /* Header whose value begins with the milliseconds that the caller waits; a
+     * body that has not arrived by then ends the connection. NULL: none. */
+    const char *time_left_header;
     unsigned idle_timeout_s;         /* connection timeout, default 120 */
     const char *tls_certificate_pem; /* PEM text; NULL: no TLS. Renewed by
                                         HttpTls_SetCertificate(). */
--- a/src/http/http_server_private.h
+++ b/src/http/http_server_private.h
@@ -26,6 +26,7 @@
     ClockMs arrived;
 
     /* Protected by the server's lock. */
+    ClockMs read_until; /* the body has to be there */
     gboolean suspended;
     gboolean answered;
     gboolean ended; /* the connection no longer needs the request */
@@ -47,6 +48,8 @@
     uint16_t port;
     pthread_mutex_t lock;
     GPtrArray *in_flight; /* HttpRequest *, those passed to the executor */
+    GPtrArray *uploads;   /* HttpRequest * whose body is being read and has
+                             to be there by a time */
     unsigned unsent;      /* fully read requests whose answer is not sent */
     gboolean closed;      /* new requests are refused */
     atomic_uint connections;
@@ -55,10 +58,26 @@
     pthread_t watcher;
     int disconnect_epoll; /* epoll set of suspended connections */
     int watcher_wake;     /* eventfd */
-    unsigned deadlines;   /* requests in flight with a deadline (under lock) */
+    unsigned deadlines;   /* requests in flight with a deadline, and uploads
+                             (under lock) */
     atomic_bool stopping;
 };
 
+/* http_upload.c: called when the head of a request with a body has been
+ * read. */
+void _HttpUpload_Begin(HttpRequest *request);
+
+/* Appends to the body, or drops it if it is too large, alone or with all else
+ * that is on lease. */
+void _HttpUpload_Append(HttpRequest *request, const char *bytes, size_t count);
+
+/* Called with the lock held when the body is there or the request ends. */
+void _HttpUpload_End(HttpRequest *request);
+
+/* Ends connections whose body has not arrived in time. Called with the lock
+ * held. */
+void _HttpUpload_Watch(HttpServer *server, ClockMs now);
+
 /* Makes the watcher check deadlines at once. */
 void _HttpServer_WakeWatcher(HttpServer *server);
 
