soak: a backend server that sends bytes without end

Checked at the end, beside the guarantees of all modes: VmHWM of each daemon at most 100 MB (of the present process, after restarts), and no POST request that the server received twice, that ran elsewhere too or was refused. soak/run and make soak take the option. EndlessServer has a thread for each open connection without a limit of their number, and counts POST requests by id.

--- a/Makefile
+++ b/Makefile
@@ -47,13 +47,14 @@
 	tests/run_fuzz
 
 # Fault-injection soak: make soak SEED=7, or make soak SEED=1 SEEDS=50 SECONDS=20,
-# also with MODE=planned or MODE=restored.
+# also with MODE=planned or MODE=restored, and with OPTION=--endless.
 SEED ?= 1
 SEEDS ?= 1
 SECONDS ?= 20
 MODE ?= mixed
+OPTION ?=
 soak: build
-	soak/run $(SEED) $(SEEDS) $(SECONDS) 5 $(MODE)
+	soak/run $(SEED) $(SEEDS) $(SECONDS) 5 $(MODE) $(OPTION)
 
 lint: setup
 	@cmake -S . -B build >/dev/null
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -2,10 +2,12 @@
  * disruption, and checks their guarantees from what callers and backend
  * servers observe.
  *
- *   soak --seed=N [--mode=MODE] [--seconds=S] [--hosts=H]
+ *   soak --seed=N [--mode=MODE] [--seconds=S] [--hosts=H] [--endless]
  *
  * Modes: mixed (faults of all kinds), planned (only planned work, which
  * excuses no lost request), restored (the store goes back to an older copy).
+ * With --endless, one more host has a backend server that sends bytes without
+ * end (soak_endless.c).
  *
  * The seed determines the schedule; the timing of the processes is not
  * reproducible. On a violation the program prints the guarantee, keeps the
@@ -30,7 +32,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MAX_CALLERS (30 * SITE_MAX_HOSTS)
+#define MAX_CALLERS (30 * SITE_MAX_HOSTS + ENDLESS_CALLERS)
+
+/* More callers with an endless backend server, so that many of its answers
+ * arrive at once. */
+#define ENDLESS_CALLERS 32
 
 typedef struct Mode {
     const char *name;
@@ -115,7 +121,8 @@
 run_soak(Soak *soak, const Mode *mode, int seconds)
 {
     static Caller callers[MAX_CALLERS];
-    int count = mode->callers + mode->callers_per_host * soak->hosts;
+    int count = mode->callers + mode->callers_per_host * soak->hosts +
+                (soak->endless != NULL ? ENDLESS_CALLERS : 0);
     pthread_t writer;
 
     for (int i = 0; i < count; i++) {
@@ -123,6 +130,9 @@
         pthread_create(&callers[i].thread, NULL, mode->call, &callers[i]);
     }
     pthread_create(&writer, NULL, Writer_Run, soak);
+    if (soak->endless != NULL) {
+        pthread_create(&soak->endless_thread, NULL, Endless_Run, soak);
+    }
     soak->end = Clock_Now() + (ClockMs)seconds * 1000;
     mode->run(soak);
     Checks_Recovery(soak);
@@ -133,10 +143,14 @@
     }
     pthread_join(writer, NULL);
     Checks_Refusals(soak);
+    if (soak->endless != NULL) {
+        pthread_join(soak->endless_thread, NULL);
+        Endless_Check(soak);
+    }
 }
 
 static void
-start_site(Soak *soak, const Mode *mode)
+start_site(Soak *soak, const Mode *mode, gboolean has_endless)
 {
     soak->site = Site_Create();
     soak->has_probe_route = mode->has_probe_route;
@@ -155,6 +169,9 @@
 
         Site_SetWorkMs(soak->site, Site_AddHost(soak->site, &desc), 20);
     }
+    if (has_endless) {
+        Endless_AddHost(soak);
+    }
     Site_AwaitReady(soak->site);
 }
 
@@ -163,6 +180,7 @@
     const Mode *mode;
     int seconds;
     int hosts;
+    gboolean has_endless;
 } Options;
 
 static const Mode *
@@ -195,6 +213,9 @@
     case 'n':
         options->hosts = CLAMP(atoi(argument), 2, SITE_MAX_HOSTS);
         return 0;
+    case 'e':
+        options->has_endless = TRUE;
+        return 0;
     default:
         return ARGP_ERR_UNKNOWN;
     }
@@ -209,6 +230,7 @@
         {"seconds", 't', "S", 0, "duration of the schedule in seconds (20)",
          0},
         {"hosts", 'n', "H", 0, "number of daemons (5)", 0},
+        {"endless", 'e', NULL, 0, "a backend server sends without end", 0},
         {0}};
     static const struct argp argp = {
         argp_options,
@@ -225,8 +247,9 @@
     argp_parse(&argp, argc, argv, 0, NULL, &options);
     Rng_Seed(&soak.rng, options.seed);
     soak.seed = options.seed;
-    soak.hosts = options.hosts;
-    start_site(&soak, options.mode);
+    soak.hosts =
+        MIN(options.hosts, SITE_MAX_HOSTS - (options.has_endless ? 1 : 0));
+    start_site(&soak, options.mode, options.has_endless);
     run_soak(&soak, options.mode, options.seconds);
     printf("mode=%s seed=%" G_GUINT64_FORMAT
            " served=%d refused=%d failed=%d broken=%d\n",
@@ -236,6 +259,9 @@
         Site_KeepFiles(soak.site);
     }
     Site_Destroy(soak.site);
+    if (soak.endless != NULL) {
+        EndlessServer_Destroy(soak.endless);
+    }
     g_ptr_array_unref(soak.refused_ids);
     return soak.violations > 0 ? 1 : 0;
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -15,6 +15,7 @@
 #include <stdatomic.h>
 
 #include "base/rng.h"
+#include "endless_server.h"
 #include "site.h"
 
 #define REVOCATION_MS 5000
@@ -32,7 +33,9 @@
     Site *site;
     Rng rng;
     uint64_t seed;
-    int hosts;
+    int hosts;              /* without that of `endless` */
+    EndlessServer *endless; /* NULL: none */
+    pthread_t endless_thread;
     ClockMs end; /* of the schedule */
     atomic_bool stopping;
     atomic_int served;
@@ -95,6 +98,14 @@
  * program might, until `stopping`. The context is the Soak. */
 void *Writer_Run(void *context);
 
+/* Adds a host whose backend server sends bytes without end for a part of the
+ * time, until `stopping`. The context is the Soak. */
+void Endless_AddHost(Soak *soak);
+void *Endless_Run(void *context);
+
+/* To be called after all callers have ended. */
+void Endless_Check(Soak *soak);
+
 /* Run the schedule of a mode until `end`. */
 void Mixed_Run(Soak *soak);
 void Planned_Run(Soak *soak);
--- a/tests/endless_server.c
+++ b/tests/endless_server.c
@@ -41,8 +41,10 @@
 struct EndlessServer {
     int listener;
     pthread_t thread;
-    pthread_t threads[ENDLESS_CONNECTIONS];
-    int count;
+    pthread_mutex_t lock;
+    pthread_cond_t closed;
+    unsigned open;
+    GHashTable *posts; /* id -> number of requests */
     _Atomic(const EndlessKind *) kind;
     atomic_bool stopping;
     atomic_uint requests;
@@ -74,9 +76,21 @@
     return TRUE;
 }
 
+static void
+note_post(EndlessServer *server, const char *id)
+{
+    guint count;
+
+    pthread_mutex_lock(&server->lock);
+    count = GPOINTER_TO_UINT(g_hash_table_lookup(server->posts, id));
+    g_hash_table_insert(server->posts, g_strdup(id),
+                        GUINT_TO_POINTER(count + 1));
+    pthread_mutex_unlock(&server->lock);
+}
+
 /* Reads a request up to its end; FALSE if the daemon closes. */
 static gboolean
-read_request(int fd, char *id, gboolean *small)
+read_request(EndlessServer *server, int fd, char *id, gboolean *small)
 {
     char text[8192];
     size_t length = 0;
@@ -97,6 +111,9 @@
     g_assert_nonnull(value);
     value += strlen("Attempt-Id: ");
     g_snprintf(id, ID_BYTES, "%.*s", (int)strcspn(value, "\r"), value);
+    if (g_str_has_prefix(text, "POST ")) {
+        note_post(server, id);
+    }
     value = strstr(text, "/small ");
     *small = value != NULL && value < strchr(text, '\r');
     return read_body(fd, text, length - (size_t)(end + 4 - text));
@@ -188,7 +205,7 @@
 
     g_free(connection);
     setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
-    while (open && read_request(fd, id, &small)) {
+    while (open && read_request(server, fd, id, &small)) {
         const EndlessKind *kind = small ? NULL : atomic_load(&server->kind);
 
         atomic_fetch_add(&server->requests, 1);
@@ -196,6 +213,10 @@
                             : send_id(server, fd, id);
     }
     close(fd);
+    pthread_mutex_lock(&server->lock);
+    server->open--;
+    pthread_cond_signal(&server->closed);
+    pthread_mutex_unlock(&server->lock);
     return NULL;
 }
 
@@ -207,11 +228,14 @@
 
     while ((fd = accept(server->listener, NULL, NULL)) >= 0) {
         Connection *connection = g_new0(Connection, 1);
+        pthread_t thread;
 
-        g_assert_cmpint(server->count, <, ENDLESS_CONNECTIONS);
         *connection = (Connection){.server = server, .fd = fd};
-        pthread_create(&server->threads[server->count++], NULL, run_connection,
-                       connection);
+        pthread_mutex_lock(&server->lock);
+        server->open++;
+        pthread_mutex_unlock(&server->lock);
+        pthread_create(&thread, NULL, run_connection, connection);
+        pthread_detach(thread);
     }
     return NULL;
 }
@@ -222,6 +246,10 @@
     EndlessServer *server = g_new0(EndlessServer, 1);
     int on = 1;
 
+    pthread_mutex_init(&server->lock, NULL);
+    pthread_cond_init(&server->closed, NULL);
+    server->posts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     server->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     setsockopt(server->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     g_assert_cmpint(
@@ -239,9 +267,14 @@
     shutdown(server->listener, SHUT_RDWR);
     pthread_join(server->thread, NULL);
     close(server->listener);
-    for (int i = 0; i < server->count; i++) {
-        pthread_join(server->threads[i], NULL);
+    pthread_mutex_lock(&server->lock);
+    while (server->open > 0) {
+        pthread_cond_wait(&server->closed, &server->lock);
     }
+    pthread_mutex_unlock(&server->lock);
+    g_hash_table_destroy(server->posts);
+    pthread_cond_destroy(&server->closed);
+    pthread_mutex_destroy(&server->lock);
     g_free(server);
 }
 
@@ -262,3 +295,9 @@
 {
     return atomic_load(&server->sent);
 }
+
+GHashTable *
+EndlessServer_Posts(EndlessServer *server)
+{
+    return server->posts;
+}
--- a/tests/endless_server.h
+++ b/tests/endless_server.h
@@ -9,8 +9,8 @@
  *
  * Errors abort the test.
  *
- * Limits: ENDLESS_CONNECTIONS connections; a sending ends after ENDLESS_MS or
- * ENDLESS_BYTES, then the connection is closed.
+ * Limits: a sending ends after ENDLESS_MS or ENDLESS_BYTES, then the
+ * connection is closed.
  */
 #ifndef TESTS_ENDLESS_SERVER_H
 #define TESTS_ENDLESS_SERVER_H
@@ -18,7 +18,6 @@
 #include <glib.h>
 #include <netinet/in.h>
 
-#define ENDLESS_CONNECTIONS 1024
 #define ENDLESS_MS 10000
 #define ENDLESS_BYTES ((size_t)64 << 20)
 
@@ -70,4 +69,8 @@
 /* Returns the number of bytes sent in answers. */
 size_t EndlessServer_Sent(EndlessServer *server);
 
+/* Returns the number of times that the server received a POST request, by id.
+ * Belongs to the server; no request may arrive meanwhile. */
+GHashTable *EndlessServer_Posts(EndlessServer *server);
+
 #endif
--- a/tests/memory_site.c
+++ b/tests/memory_site.c
@@ -65,6 +65,12 @@
     return kb;
 }
 
+long
+MemorySite_PeakKb(Site *site, int host)
+{
+    return read_memory(site, host, "\nVmHWM:");
+}
+
 static gboolean
 is_refused(const SlowReply *reply)
 {
@@ -246,7 +252,7 @@
     ClockMs begin = Clock_Now();
 
     for (int i = 0; i < MEMORY_HOSTS; i++) {
-        long peak_kb = read_memory(self->site, i, "\nVmHWM:");
+        long peak_kb = MemorySite_PeakKb(self->site, i);
         long limit_kb = (long)((double)self->base_kb[i] * MAX_HELD_RATIO);
         long held_kb = read_memory(self->site, i, "\nVmRSS:");
 
--- a/tests/memory_site.h
+++ b/tests/memory_site.h
@@ -65,6 +65,9 @@
  * a fixed time. */
 void MemorySite_Check(MemorySite *self, const char *name);
 
+/* Returns the peak memory (VmHWM) of a daemon of any site. */
+long MemorySite_PeakKb(Site *site, int host);
+
 /* A whole test with an EndlessKind as context: MEMORY_REQUESTS requests each
  * of MEMORY_CALLERS callers, and all checks. */
 void MemorySite_RunKind(const void *context);
