http: no descriptor left is no evidence against a backend server

Found in review: with no file descriptor left, a call ended with CONNECT_FAILED, which raised the risk of the backend server (0.98 after three calls) and took another host for unreachable.

The call ends with OVERLOADED, not sent, which neither does. /backend/no-descriptors failed before (0.98, 0.14 at the start).

--- a/src/backend/test_backend.c
+++ b/src/backend/test_backend.c
@@ -3,6 +3,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -347,6 +348,37 @@
     }
 }
 
+/* Guards against a risk of the backend server that rises while this process
+ * has no file descriptor left. */
+static void
+test_no_descriptors(void)
+{
+    Fixture fixture = {.script = {.answer = ANSWER_OK}};
+    struct rlimit limit;
+    struct rlimit low;
+    RosterReport before;
+    BackendReply reply;
+
+    open_fixture(&fixture);
+    Backend_GetReport(fixture.backend, &before);
+    getrlimit(RLIMIT_NOFILE, &limit);
+    low = limit;
+    low.rlim_cur = 3;
+    setrlimit(RLIMIT_NOFILE, &low);
+    for (int i = 0; i < 3; i++) {
+        BackendCall call = make_call();
+
+        Backend_Run(fixture.backend, &call, &reply);
+        g_test_message("%s run=%d risk %.3f", Result_Name(reply.result),
+                       reply.run, reply.report.risk);
+        g_assert_cmpint(reply.run, ==, RUN_NO);
+        HttpAnswer_Clear(&reply.answer);
+    }
+    setrlimit(RLIMIT_NOFILE, &limit);
+    g_assert_cmpfloat(reply.report.risk, <=, before.risk);
+    close_fixture(&fixture);
+}
+
 typedef struct Caller {
     Backend *backend;
     BackendCall call;
@@ -689,6 +721,7 @@
     g_test_add_func("/backend/refusals", test_refusals);
     g_test_add_func("/backend/risk", test_risk);
     g_test_add_func("/backend/body-refused", test_body_refused);
+    g_test_add_func("/backend/no-descriptors", test_no_descriptors);
     g_test_add_func("/backend/exploration", test_exploration);
     g_test_add_func("/backend/slots-and-order", test_slots_and_order);
     g_test_add_func("/backend/repeat-share", test_retry_share);
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -14,8 +14,8 @@
  * Results: OK with the answer; CONNECT_FAILED (nothing sent); ANSWER_LOST and
  * ANSWER_TRUNCATED (sent, no complete answer); DEADLINE_EXPIRED; CANCELLED;
  * ANSWER_MISMATCH (sent; the answer to another request, match_strictly);
- * TOO_LARGE; OVERLOADED (sent; no memory for the body of the answer). *sent
- * is TRUE if a byte may have left this host.
+ * TOO_LARGE; OVERLOADED (sent: no memory for the body of the answer; not sent:
+ * no descriptor left). *sent is TRUE if a byte may have left this host.
  *
  * Limits: an answer needs Content-Length or chunked encoding, so that a
  * truncated one is recognised, unless the call sets allow_unframed; body up to
--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -188,6 +188,14 @@
     return RESULT_OK;
 }
 
+/* Whether this process or host lacks something, whatever the peer does. */
+static gboolean
+is_own_shortage(int error)
+{
+    return error == EMFILE || error == ENFILE || error == ENOBUFS ||
+           error == ENOMEM || error == EADDRNOTAVAIL;
+}
+
 Result
 HttpConnection_Open(const struct sockaddr_in *address, ClockMs deadline,
                     ClockMs unacked_timeout_ms, HttpConnection **connection)
@@ -196,12 +204,14 @@
     Result result = RESULT_OK;
 
     if (fd < 0) {
-        return RESULT_CONNECT_FAILED;
+        return is_own_shortage(errno) ? RESULT_OVERLOADED
+                                      : RESULT_CONNECT_FAILED;
     }
     set_options(fd, unacked_timeout_ms);
     if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) != 0) {
-        result = errno == EINPROGRESS ? finish_connect(fd, deadline)
-                                      : RESULT_CONNECT_FAILED;
+        result = errno == EINPROGRESS     ? finish_connect(fd, deadline)
+                 : is_own_shortage(errno) ? RESULT_OVERLOADED
+                                          : RESULT_CONNECT_FAILED;
     }
     if (result != RESULT_OK) {
         close(fd);
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -13,8 +13,9 @@
  *
  * Errors: DEADLINE_EXPIRED; CONNECT_FAILED; ANSWER_LOST (no complete head),
  * ANSWER_TRUNCATED (no complete body, or a head whose framing is ambiguous);
- * TOO_LARGE; OVERLOADED (the account of memory does not lend enough). What was
- * read of a body before an error is dropped.
+ * TOO_LARGE; OVERLOADED (the account of memory does not lend enough, or this
+ * process has no descriptor left). What was read of a body before an error is
+ * dropped.
  *
  * Limits: 100 header lines of at most 8 KiB each and 64 KiB together, 8
  * interim answers. A peer that sends on without end is cut off at these
