sidecar: STOPPED says drained=0 if requests were cut

Found in review: since requests are cancelled before the quota handover, they are answered when the stop looks, so the line said drained=1.

--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -257,6 +257,7 @@
 {
     StopPlan plan = StopPlan_Make(Clock_Now(), sidecar->settings->grace_ms);
     ClockMs closed;
+    gboolean is_cut;
     gboolean done;
 
     Log_Event(LOG_STOPPING, "in_flight=%u peers_in_flight=%u",
@@ -272,7 +273,11 @@
     (void)Gateway_Drain(sidecar->gateway, plan.abandon);
     closed = Clock_Now();
     (void)PeerPort_Drain(sidecar->peer_port, plan.abandon);
-    if (Clock_Now() >= plan.abandon) {
+    is_cut = Gateway_InFlight(sidecar->gateway) +
+                     PeerPort_InFlight(sidecar->peer_port) >
+                 0 &&
+             Clock_Now() >= plan.abandon;
+    if (is_cut) {
         cancel_requests(sidecar);
     }
     Quota_Leave(sidecar->quota, Clock_Now() + HANDOVER_TIMEOUT_MS);
@@ -289,7 +294,7 @@
     /* Requests that met the closed port are sent elsewhere only if this
      * process still says that they did not arrive. */
     sleep_until(MIN(closed + ATTEMPT_LAST_QUESTIONS_MS, plan.end));
-    Log_Event(LOG_STOPPED, "drained=%d after_ms=%" PRId64, done,
+    Log_Event(LOG_STOPPED, "drained=%d after_ms=%" PRId64, done && !is_cut,
               Clock_Now() - plan.begin);
 }
 
