--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -20,7 +20,11 @@
  *  - if it is for another service: the address of this host was used by
  *    another host before, and the sender's roster is out of date;
  *  - if the backend server is stopping or has not announced itself, or if this
- *    host or the sender's stops before the request can be expected to end;
+ *    host or the sender's stops before the request can be expected to end, by
+ *    the runs answered lately and those at work. One that may not be repeated
+ *    is not expected to end sooner than the longest run seen lately, and not
+ *    at all in a stop until a few runs have been answered, unless its own
+ *    deadline is earlier;
  *  - if its risk of a gray failure or the expected wait for a slot exceeds the
  *    sender's limit. A request that explores an idle backend server is exempt
  *    from the limit of risk. Only the owner knows how long the backend server
