standin: a change at the end of a watch's wait is in its answer

/sidecar/unusable-configuration failed once in 8 runs beside other work: 503 for 2.5 s after the good configuration was written. The logs of both hosts say that they watched from its revision (5), and that neither put it in force or rejected it.

Cause: when the wait of a watch had run out, but a writer got the lock first, the stand-in answered with the events from before the wait and with the revision after it. The client then watched on from a revision that it had never been told of, and missed the change until the next list. That the failure was this one is concluded from the logs; it was not played again. Only the stand-in of the tests is concerned.

Change: the events are read again after each wait, also after the last one.

--- a/standin/object_server.c
+++ b/standin/object_server.c
@@ -169,13 +169,15 @@
     struct timespec until = Condition_After(wait_ms);
     json_t *events = list_changes(server, kind, since);
     gint64 era = server->era;
+    gboolean expired = FALSE;
     int status = 200;
 
+    /* The answer's revision includes what was written while the wait ended. */
     while (json_array_size(events) == 0 && since >= server->history_start &&
            since <= server->revision && era == server->era &&
-           !atomic_load(&server->stopping) &&
-           pthread_cond_timedwait(&server->changed, &server->lock, &until) ==
-               0) {
+           !atomic_load(&server->stopping) && !expired) {
+        expired = pthread_cond_timedwait(&server->changed, &server->lock,
+                                         &until) != 0;
         json_decref(events);
         events = list_changes(server, kind, since);
     }
