--- a/src/backend/test_extra_answers.c
+++ b/src/backend/test_extra_answers.c
@@ -1,6 +1,5 @@
 /* Tests of the owner against a backend server that writes further answers, or
- * parts of them, on a connection that stays open, and against answers that
- * contradict themselves. */
+ * parts of them, on an open connection, and contradictory answers. */
 #include <glib.h>
 #include <netinet/tcp.h>
 #include <pthread.h>
