--- a/src/memory/memory.c
+++ b/src/memory/memory.c
@@ -1,5 +1,6 @@
 #include "memory/memory.h"
 
+#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
 
@@ -46,17 +47,21 @@
     g_free(memory);
 }
 
+static Memory *process_memory;
+
+static void
+create_process_memory(void)
+{
+    process_memory = Memory_Create(&(Memory_desc){0});
+}
+
 Memory *
 Memory_Process(void)
 {
-    static gsize initialised;
-    static Memory *process;
+    static pthread_once_t once = PTHREAD_ONCE_INIT;
 
-    if (g_once_init_enter(&initialised)) {
-        process = Memory_Create(&(Memory_desc){0});
-        g_once_init_leave(&initialised, 1);
-    }
-    return process;
+    pthread_once(&once, create_process_memory);
+    return process_memory;
 }
 
 static size_t
