--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -13,9 +13,8 @@
 /* Weight of the newest sample in the moving averages of the service times. */
 #define SERVICE_WEIGHT 0.1
 
-/* Number of answers after which the moving averages are known. It is the
- * number that they span: until then the assumed values are a large part of
- * them, and most answers are those of the shortest runs. */
+/* Number of answers before which the moving averages tell nothing: they are
+ * the assumed values, and the first answers come from the shortest runs. */
 #define MIN_KNOWN_RUNS 3
 
 /* Weight of the newest sample in the longest run if it is shorter. Of a run of
--- a/src/backend/test_stop_runs.c
+++ b/src/backend/test_stop_runs.c
@@ -4,7 +4,8 @@
 #include "backend/test_script.h"
 #include "stop/stop_plan.h"
 
-/* Number of answers after which an owner knows how long its runs take. */
+/* Number of answers before the runs of a case: enough for an owner to know how
+ * long they take. */
 #define KNOWN_RUNS 10
 
 static void
