memory: bodies do not keep a daemon from reading the store

While two faulty senders used that up, an answer of the store above 64 KiB was refused, the store counted as lost, and after 3.5 s without a proof of freshness keyed requests would be refused.

Both clients draw on a second account of 24 MiB. It holds whatever bodies do, as no lease of theirs counts there. /platform/store-beside-bodies failed before with STORE_UNAVAILABLE.

--- a/src/memory/memory.c
+++ b/src/memory/memory.c
@@ -47,23 +47,32 @@
     g_free(memory);
 }
 
+static pthread_once_t once = PTHREAD_ONCE_INIT;
 static Memory *process_memory;
+static Memory *control_memory;
 
 static void
-create_process_memory(void)
+create_accounts(void)
 {
     process_memory = Memory_Create(&(Memory_desc){0});
+    control_memory = Memory_Create(&(Memory_desc){
+        .limit_bytes = MEMORY_CONTROL_BYTES, .sender_percent = 100});
 }
 
 Memory *
 Memory_Process(void)
 {
-    static pthread_once_t once = PTHREAD_ONCE_INIT;
-
-    pthread_once(&once, create_process_memory);
+    pthread_once(&once, create_accounts);
     return process_memory;
 }
 
+Memory *
+Memory_Control(void)
+{
+    pthread_once(&once, create_accounts);
+    return control_memory;
+}
+
 static size_t
 percent_of(size_t bytes, unsigned percent)
 {
--- a/src/memory/memory.h
+++ b/src/memory/memory.h
@@ -43,6 +43,9 @@
 #define MEMORY_SMALL_BYTES (96 * 1024)
 #define MEMORY_SMALL_BODY_BYTES (64 * 1024)
 
+/* A page of the store has 1 MB, and a few are read at the same time. */
+#define MEMORY_CONTROL_BYTES ((size_t)24 << 20)
+
 #define _MEMORY_ENUM(name, share_percent, help) MEMORY_##name,
 typedef enum MemoryHolder {
     MEMORY_HOLDER_LIST(_MEMORY_ENUM) MEMORY_HOLDER_COUNT
@@ -67,6 +70,11 @@
 void Memory_Destroy(Memory *memory);
 Memory *Memory_Process(void);
 
+/* Returns a second account of the process, of MEMORY_CONTROL_BYTES, for what
+ * the daemon reads itself: lists of the store and pages of neighbours. Bodies
+ * of callers and backend servers cannot use it up. */
+Memory *Memory_Control(void);
+
 /* Returns the limit of the account on a host with so much memory: two fifths.
  * The rest is for code, stacks, control and the system. */
 size_t Memory_LimitOfHost(int64_t memory_mb);
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -179,7 +179,8 @@
     sidecar->store = adapter->open_store(&settings->store.items[0]);
     sidecar->client = HttpClient_Create(
         &(HttpClient_desc){.unacked_timeout_ms = UNACKED_TIMEOUT_MS});
-    sidecar->mirror_client = HttpClient_Create(&(HttpClient_desc){0});
+    sidecar->mirror_client =
+        HttpClient_Create(&(HttpClient_desc){.memory = Memory_Control()});
     create_state(sidecar);
     sidecar->monitor = _Sidecar_StartMonitor(sidecar);
     sidecar->ticker = _Sidecar_StartTicker(sidecar);
