owner: a run at work is not reported as not arrived

Mode "fleet": the record of an attempt was dropped 30 s after its arrival, also while it ran. An entry that then asked was told VOID, reported the request as not run and sent it elsewhere. No caller is known to have seen it; issuances have the run table beside it, by reading.

Records of running attempts are kept; the 30 s count from the answer or the voiding. An earlier process of the host is not asked, as the question names its incarnation, so the review's second case cannot occur. /owner/running-is-not-void failed before (VOID for a run at work).

--- a/src/owner/owner_port.c
+++ b/src/owner/owner_port.c
@@ -10,7 +10,7 @@
 
 typedef struct Attempt {
     OwnerAttempt id;
-    ClockMs arrived;
+    ClockMs ended; /* time at which it was answered or voided */
     OwnerAttemptState state;
 } Attempt;
 
@@ -19,7 +19,7 @@
     HttpServer *server;
     pthread_mutex_t lock;
     GHashTable *attempts; /* &Attempt.id -> Attempt */
-    GQueue order;         /* Attempt, oldest first */
+    GQueue order;         /* Attempt that is answered or void, oldest first */
 };
 
 /* Called with the lock held. */
@@ -28,7 +28,7 @@
 {
     Attempt *oldest = g_queue_peek_head(&port->order);
 
-    while (oldest != NULL && (oldest->arrived < now - ATTEMPT_RETENTION_MS ||
+    while (oldest != NULL && (oldest->ended < now - ATTEMPT_RETENTION_MS ||
                               port->order.length > MAX_ATTEMPTS)) {
         g_queue_pop_head(&port->order);
         g_hash_table_remove(port->attempts, &oldest->id);
@@ -38,18 +38,26 @@
 
 /* Called with the lock held. */
 static Attempt *
-add_attempt(OwnerPort *port, OwnerAttempt id, OwnerAttemptState state,
-            ClockMs now)
+add_attempt(OwnerPort *port, OwnerAttempt id)
 {
     Attempt *attempt = g_new0(Attempt, 1);
 
     attempt->id = id;
-    attempt->arrived = now;
-    attempt->state = state;
+    attempt->state = OWNER_ATTEMPT_RUNNING;
     g_hash_table_insert(port->attempts, &attempt->id, attempt);
+    return attempt;
+}
+
+/* From now on the attempt may be dropped after its time of retention. Called
+ * with the lock held. */
+static void
+retire_attempt(OwnerPort *port, Attempt *attempt, OwnerAttemptState state,
+               ClockMs now)
+{
+    attempt->state = state;
+    attempt->ended = now;
     g_queue_push_tail(&port->order, attempt);
     evict_old(port, now);
-    return attempt;
 }
 
 /* Returns FALSE if the attempt was voided or is a duplicate. */
@@ -61,7 +69,7 @@
     pthread_mutex_lock(&port->lock);
     is_new = g_hash_table_lookup(port->attempts, &id) == NULL;
     if (is_new) {
-        add_attempt(port, id, OWNER_ATTEMPT_RUNNING, Clock_Now());
+        (void)add_attempt(port, id);
     }
     pthread_mutex_unlock(&port->lock);
     return is_new;
@@ -75,7 +83,7 @@
     pthread_mutex_lock(&port->lock);
     attempt = g_hash_table_lookup(port->attempts, &id);
     if (attempt != NULL) {
-        attempt->state = OWNER_ATTEMPT_ANSWERED;
+        retire_attempt(port, attempt, OWNER_ATTEMPT_ANSWERED, Clock_Now());
     }
     pthread_mutex_unlock(&port->lock);
 }
@@ -96,7 +104,7 @@
     }
     else {
         state = OWNER_ATTEMPT_VOID;
-        add_attempt(port, id, state, now);
+        retire_attempt(port, add_attempt(port, id), state, now);
     }
     pthread_mutex_unlock(&port->lock);
     return state;
--- a/src/owner/owner_port.h
+++ b/src/owner/owner_port.h
@@ -3,13 +3,17 @@
  * Use: OwnerPort_Create(), at the end OwnerPort_Drain() and
  * OwnerPort_Destroy(). OwnerPort_QueryAttempt() answers RPC kind 22.
  *
- * The port records the attempts that arrived in the last 30 s. An entry that
+ * The port records the attempts that run, and those that were answered or
+ * voided in the last 30 s. An entry that
  * waits longer than expected for an answer queries by RPC, which takes another
  * network path, whether its attempt has arrived. If not, the query voids the
  * attempt: should it arrive later, it is refused with REQUEST_ID_VOID.
  * Therefore the entry may report "not run" and send the request elsewhere.
  *
- * Limits: 16,384 attempts are recorded. Thread safe.
+ * An earlier process of the host is not asked: the query names the incarnation
+ * of the one to which the attempt was sent.
+ *
+ * Limits: 16,384 attempts that have ended are recorded. Thread safe.
  */
 #ifndef OWNER_OWNER_PORT_H
 #define OWNER_OWNER_PORT_H
--- a/src/owner/test_owner.c
+++ b/src/owner/test_owner.c
@@ -546,6 +546,70 @@
     OwnerPort_Destroy(port);
 }
 
+typedef struct LongCall {
+    HttpClient *client;
+    HttpCall http;
+    HttpAnswer answer;
+} LongCall;
+
+static void *
+run_long_call(void *context)
+{
+    LongCall *call = context;
+    gboolean sent;
+
+    (void)HttpClient_Call(call->client, &call->http, &call->answer, &sent);
+    return NULL;
+}
+
+/* Guards against an entry that is told that a run has not arrived because it
+ * lasts longer than a record is kept. */
+static void
+test_running_is_not_void(Fixture *fixture, gconstpointer data)
+{
+    OwnerPort_desc desc = {.owner = fixture->owner,
+                           .threads = 2,
+                           .secret = SECRET,
+                           .secret_bytes = strlen(SECRET)};
+    OwnerCall call = make_call();
+    HttpHeaders headers = {0};
+    LongCall running = {.client = fixture->client,
+                        .http = {.method = "POST",
+                                 .target = "/issue/1",
+                                 .headers = &headers,
+                                 .deadline = Clock_Now() + 5000}};
+    ClockMs later = Clock_Now() + 31000;
+    OwnerAttemptState states[3];
+    OwnerPort *port;
+    pthread_t thread;
+
+    (void)data;
+    fixture->mode = MODE_HANG;
+    desc.address.sin_family = AF_INET;
+    desc.address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    port = OwnerPort_Create(&desc, NULL);
+    running.http.address = desc.address;
+    running.http.address.sin_port = htons(OwnerPort_Number(port));
+    OwnerWire_EncodeCall(&call, 7, SECRET, strlen(SECRET), &headers);
+    pthread_create(&thread, NULL, run_long_call, &running);
+    while (atomic_load(&fixture->executions) == 0) {
+        g_usleep(1000);
+    }
+    /* Another attempt drops the records that are too old. */
+    (void)OwnerPort_QueryAttempt(port, 8, later);
+    states[0] = OwnerPort_QueryAttempt(port, 7, later);
+    atomic_store(&fixture->released, TRUE);
+    pthread_join(thread, NULL);
+    states[1] = OwnerPort_QueryAttempt(port, 7, Clock_Now());
+    states[2] = OwnerPort_QueryAttempt(port, 8, later);
+    HttpAnswer_Clear(&running.answer);
+    HttpHeaders_Clear(&headers);
+    OwnerPort_Destroy(port);
+    g_assert_cmpint(states[0], ==, OWNER_ATTEMPT_RUNNING);
+    g_assert_cmpint(states[1], ==, OWNER_ATTEMPT_ANSWERED);
+    g_assert_cmpint(states[2], ==, OWNER_ATTEMPT_VOID);
+}
+
 #define ADD(path, function) \
     g_test_add(path, Fixture, NULL, set_up, function, tear_down)
 
@@ -553,6 +617,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    ADD("/owner/running-is-not-void", test_running_is_not_void);
     ADD("/owner/outcomes", test_outcomes);
     ADD("/owner/connect-failed", test_connect_failed);
     ADD("/owner/late-copy", test_late_copy);
