rpc: a call during which this process was suspended blames nobody

The gateway took such pauses into account already.

A call that took more than twice its timeout says nothing of the peer. Not brought about with real processes: the reply waits in the socket and is often read first. /peer-silence/interrupted-call fails without the check.

--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -6,6 +6,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "quota/quota_internal.h"
+#include "rpc/peer_silence.h"
 
 /* Timeouts of a draw from primary or backup, and of a draw that the backup
  * relays to the primary while the drawing host waits for the backup. */
@@ -51,8 +52,10 @@
                const GByteArray *body, int wait_ms)
 {
     RpcPeer peer = Rpc_PeerAt(&neighbour->rpc);
+    ClockMs began = Clock_Now();
     Result result =
         Rpc_Call(quota->desc.rpc, &peer, kind, body, NULL, wait_ms);
+    ClockMs now = Clock_Now();
 
     if (result == RESULT_RPC_OLD_SESSION) {
         /* The wall clock, which gives the incarnation, was set back between
@@ -60,12 +63,11 @@
         Rpc_SetIncarnation(quota->desc.rpc,
                            Rpc_GetRefusedIncarnation(quota->desc.rpc) + 1);
     }
-    if (result == RESULT_RPC_TIMEOUT) {
-        Roster_NoteUnreachable(quota->desc.roster, neighbour->host,
-                               Clock_Now());
+    if (PeerSilence_IsShown(result, now - began, wait_ms)) {
+        Roster_NoteUnreachable(quota->desc.roster, neighbour->host, now);
     }
-    else {
-        Roster_NoteReached(quota->desc.roster, neighbour->host, Clock_Now());
+    else if (result != RESULT_RPC_TIMEOUT) {
+        Roster_NoteReached(quota->desc.roster, neighbour->host, now);
     }
     return result;
 }
--- a/src/sidecar/sidecar_monitor.c
+++ b/src/sidecar/sidecar_monitor.c
@@ -3,6 +3,7 @@
 
 #include "base/condition.h"
 #include "base/log.h"
+#include "rpc/peer_silence.h"
 #include "sidecar/sidecar_internal.h"
 
 /* The entry of a neighbour is removed when it has been unreachable for this
@@ -34,22 +35,26 @@
     gboolean stopping;
 };
 
-/* Returns whether the host answers a ping. Any answer counts, an error too,
+/* Whether the host does not answer a ping. Any answer counts, an error too,
  * except one from another host at its address. */
 static gboolean
-answers_ping(Sidecar *sidecar, const RosterSuspect *suspect)
+is_silent(Sidecar *sidecar, const RosterSuspect *suspect)
 {
     RpcPeer peer = Rpc_PeerAt(&suspect->peer.rpc);
+    ClockMs began = Clock_Now();
+    ClockMs now;
     Result result;
 
     peer.host = suspect->peer.host;
     result = Rpc_Call(sidecar->rpc, &peer, RPC_KIND_PING, NULL, NULL,
                       PING_TIMEOUT_MS);
+    now = Clock_Now();
     if (result == RESULT_RPC_TIMEOUT || result == RESULT_RPC_WRONG_RECEIVER) {
-        return FALSE;
+        return result == RESULT_RPC_WRONG_RECEIVER ||
+               PeerSilence_IsShown(result, now - began, PING_TIMEOUT_MS);
     }
-    Roster_NoteReached(sidecar->roster, peer.host, Clock_Now());
-    return TRUE;
+    Roster_NoteReached(sidecar->roster, peer.host, now);
+    return FALSE;
 }
 
 /* Removes the entry unless it changes after it was read. */
@@ -74,7 +79,7 @@
 {
     Result result;
 
-    if (answers_ping(sidecar, suspect)) {
+    if (!is_silent(sidecar, suspect)) {
         return;
     }
     result = remove_entry(sidecar, suspect->name);
@@ -95,7 +100,7 @@
 
     if (Roster_FindSilent(sidecar->roster, PING_AFTER_MS, Clock_Now(),
                           &suspect) &&
-        !answers_ping(sidecar, &suspect)) {
+        is_silent(sidecar, &suspect)) {
         Log_Event(LOG_ROSTER_SILENT, "host=%s", suspect.name);
         Roster_NoteUnreachable(sidecar->roster, suspect.peer.host,
                                Clock_Now());
