http: a draining server closes no descriptor that is still in use

Cause: HttpServer_Drain closed the listening descriptor after MHD_quiesce_daemon(), while an event thread could still accept from it; the documentation of libmicrohttpd asks to keep it until MHD_stop_daemon(). Its number was given to the next file at once. Read beside it: a connection that MHD_add_connection() refused was closed a second time; by then the number may be another thread's connection.

Change: the descriptor is shut down, which refuses new connections, and closed after MHD_stop_daemon(). The second close() is gone.

Result: test_http_drain fails on the code before, 3 of 3 each (number-reused: the same number; no-room: 80 descriptors closed twice with 1,100 connections), and passes. /http/close under the thread sanitizer: 0 of 60 before, so the race itself was not seen here, 0 of 80 with the change.

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -611,6 +611,7 @@
     pthread_mutex_init(&server->lock, NULL);
     server->in_flight = g_ptr_array_new();
     server->uploads = g_ptr_array_new();
+    server->listen_fd = -1;
     if (!start_watcher(server)) {
         Result_SetError(error, RESULT_IO, "cannot watch connections: %s",
                         g_strerror(errno));
@@ -658,24 +659,24 @@
     return count;
 }
 
-/* Accepts the connections that the kernel queued before the listening socket
- * closes; otherwise their callers would see a reset. */
+/* Accepts the connections that the kernel queued and refuses those to come;
+ * closing the queue would reset the former. The descriptor stays open, since
+ * an event thread may still accept from it. */
 static void
-accept_pending_connections(HttpServer *server, int listen_fd)
+end_listening(HttpServer *server)
 {
     struct sockaddr_in peer;
     socklen_t bytes = sizeof(peer);
     int fd;
 
-    while ((fd = accept4(listen_fd, (struct sockaddr *)&peer, &bytes,
+    while ((fd = accept4(server->listen_fd, (struct sockaddr *)&peer, &bytes,
                          SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-        if (MHD_add_connection(server->daemon, fd, (struct sockaddr *)&peer,
-                               bytes) != MHD_YES) {
-            close(fd);
-        }
+        /* Closes the connection if there is no room for it. */
+        (void)MHD_add_connection(server->daemon, fd, (struct sockaddr *)&peer,
+                                 bytes);
         bytes = sizeof(peer);
     }
-    close(listen_fd);
+    (void)shutdown(server->listen_fd, SHUT_RDWR);
 }
 
 void
@@ -693,13 +694,11 @@
 gboolean
 HttpServer_Drain(HttpServer *server, ClockMs until)
 {
-    int listen_fd;
-
     atomic_store(&server->leaving, TRUE);
     if (!atomic_exchange(&server->draining, TRUE)) {
-        listen_fd = MHD_quiesce_daemon(server->daemon);
-        if (listen_fd >= 0) {
-            accept_pending_connections(server, listen_fd);
+        server->listen_fd = MHD_quiesce_daemon(server->daemon);
+        if (server->listen_fd >= 0) {
+            end_listening(server);
         }
     }
     while (Clock_Now() < until && HttpServer_InFlight(server) > 0) {
@@ -742,6 +741,9 @@
     HttpExecutor_Destroy(server->executor);
     stop_watcher(server);
     MHD_stop_daemon(server->daemon);
+    if (server->listen_fd >= 0) {
+        close(server->listen_fd);
+    }
     g_ptr_array_free(server->uploads, TRUE);
     g_ptr_array_free(server->in_flight, TRUE);
     pthread_mutex_destroy(&server->lock);
--- a/src/http/http_server_private.h
+++ b/src/http/http_server_private.h
@@ -46,6 +46,7 @@
     struct MHD_Daemon *daemon;
     HttpExecutor *executor;
     uint16_t port;
+    int listen_fd; /* once the server drains, else -1 */
     pthread_mutex_t lock;
     GPtrArray *in_flight; /* HttpRequest *, those passed to the executor */
     GPtrArray *uploads;   /* HttpRequest * whose body is being read and has
