http: the server accepts its connections itself

Cause: libmicrohttpd (0.9.75) listened for us. While the server drained with its 1,020 connections in use, the queued ones were passed to MHD_add_connection(), which checks its limit before the connections that it has queued; an event thread that then finds itself over the limit waits for a mutex for good, with all requests on its connections. MHD_stop_daemon() never returned. Its event threads also change their epoll sets while MHD_quiesce_daemon() does, which ended a run under the thread sanitizer with 'Failed to remove listen FD from epoll set'.

Change: http_listener.c listens; the watcher's thread accepts, counts, pauses without room or descriptors, and closes the port, so that one thread alone uses the descriptor. libmicrohttpd's own limit is above what it is given. The limit of a port stays 1,020. /http-drain/number-reused became /http-drain/listener-in-use: the descriptor may be closed while the server drains, but only by the thread that accepts from it.

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -420,6 +420,7 @@
     (void)socket_context;
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
         atomic_fetch_add(&server->connections, 1);
+        atomic_fetch_add(&server->started, 1);
     }
     else {
         atomic_fetch_sub(&server->connections, 1);
@@ -495,22 +496,33 @@
     }
 }
 
-/* Checks the requests in flight when a caller disconnects and, while one of
- * them or of those being read has a deadline, every WATCH_PERIOD_MS. */
+/* Accepts connections. Checks the requests in flight when a caller disconnects
+ * and, while one of them or of those being read has a deadline, every
+ * WATCH_PERIOD_MS. */
 static void *
 watch_requests(void *context)
 {
     HttpServer *server = context;
     struct epoll_event event;
     unsigned deadlines = 0;
+    gboolean ready;
     uint64_t wakes;
+    ClockMs next_check = 0;
     ClockMs now;
 
     while (!atomic_load(&server->stopping)) {
-        (void)epoll_wait(server->disconnect_epoll, &event, 1,
-                         deadlines > 0 ? WATCH_PERIOD_MS : -1);
-        (void)!read(server->watcher_wake, &wakes, sizeof(wakes));
+        int timeout = deadlines > 0 || server->paused ? WATCH_PERIOD_MS : -1;
+
+        ready = epoll_wait(server->disconnect_epoll, &event, 1, timeout) > 0 &&
+                event.data.ptr == server;
         now = Clock_Now();
+        if (ready && now < next_check) {
+            _HttpListener_Watch(server, ready, now);
+            continue;
+        }
+        next_check = now + WATCH_PERIOD_MS;
+        (void)!read(server->watcher_wake, &wakes, sizeof(wakes));
+        _HttpListener_Watch(server, ready, now);
         pthread_mutex_lock(&server->lock);
         for (unsigned i = 0; i < server->in_flight->len; i++) {
             watch_request(g_ptr_array_index(server->in_flight, i), now);
@@ -529,10 +541,12 @@
 
     server->disconnect_epoll = epoll_create1(EPOLL_CLOEXEC);
     server->watcher_wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-    return server->disconnect_epoll >= 0 && server->watcher_wake >= 0 &&
-           epoll_ctl(server->disconnect_epoll, EPOLL_CTL_ADD,
-                     server->watcher_wake, &event) == 0 &&
-           pthread_create(&server->watcher, NULL, watch_requests, server) == 0;
+    server->has_watcher =
+        server->disconnect_epoll >= 0 && server->watcher_wake >= 0 &&
+        epoll_ctl(server->disconnect_epoll, EPOLL_CTL_ADD,
+                  server->watcher_wake, &event) == 0 &&
+        pthread_create(&server->watcher, NULL, watch_requests, server) == 0;
+    return server->has_watcher;
 }
 
 static void
@@ -559,8 +573,8 @@
 start_daemon(HttpServer *server)
 {
     HttpServer_desc *desc = &server->desc;
-    unsigned flags =
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
+                     MHD_USE_ITC | MHD_USE_NO_LISTEN_SOCKET;
     struct MHD_OptionItem tls[] = {
         {MHD_OPTION_HTTPS_CERT_CALLBACK, 0, (void *)_HttpTls_Retrieve},
         {MHD_OPTION_END, 0, NULL},
@@ -573,13 +587,13 @@
         tls[0].option = MHD_OPTION_END;
     }
     return MHD_start_daemon(
-        flags, 0, NULL, NULL, on_access, server, MHD_OPTION_SOCK_ADDR,
-        (struct sockaddr *)&desc->address, MHD_OPTION_THREAD_POOL_SIZE,
-        desc->event_threads, MHD_OPTION_CONNECTION_TIMEOUT,
-        desc->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-        (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_STRICT_FOR_CLIENT, 1,
-        MHD_OPTION_URI_LOG_CALLBACK, on_target, server,
-        MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+        flags, 0, NULL, NULL, on_access, server, MHD_OPTION_THREAD_POOL_SIZE,
+        desc->event_threads, MHD_OPTION_CONNECTION_LIMIT,
+        desc->event_threads * 2 * HTTP_MAX_CONNECTIONS,
+        MHD_OPTION_CONNECTION_TIMEOUT, desc->idle_timeout_s,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+        MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_URI_LOG_CALLBACK,
+        on_target, server, MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
         MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_ARRAY,
         tls, MHD_OPTION_END);
 }
@@ -587,57 +601,60 @@
 static void
 stop_watcher(HttpServer *server)
 {
-    atomic_store(&server->stopping, TRUE);
-    _HttpServer_WakeWatcher(server);
-    pthread_join(server->watcher, NULL);
-    close(server->disconnect_epoll);
-    close(server->watcher_wake);
+    if (server->has_watcher) {
+        atomic_store(&server->stopping, TRUE);
+        _HttpServer_WakeWatcher(server);
+        pthread_join(server->watcher, NULL);
+    }
+    _HttpListener_Close(server);
+    if (server->disconnect_epoll >= 0) {
+        close(server->disconnect_epoll);
+    }
+    if (server->watcher_wake >= 0) {
+        close(server->watcher_wake);
+    }
+}
+
+/* Fails with errno. */
+static gboolean
+start(HttpServer *server)
+{
+    if (!_HttpListener_Open(server) || !start_watcher(server)) {
+        return FALSE;
+    }
+    server->executor = HttpExecutor_Create(server->desc.worker_threads,
+                                           server->desc.max_in_flight);
+    server->daemon = start_daemon(server);
+    return server->daemon != NULL && _HttpListener_Start(server);
 }
 
 HttpServer *
 HttpServer_Create(const HttpServer_desc *desc, GError **error)
 {
-    HttpServer *server = g_new0(HttpServer, 1);
+    HttpServer *server;
     char address[32];
 
     if (desc->tls_certificate_pem != NULL &&
         !HttpTls_SetCertificate(desc->tls_certificate_pem, desc->tls_key_pem,
                                 Clock_Now(), error)) {
-        g_free(server);
         return NULL;
     }
+    server = g_new0(HttpServer, 1);
     server->desc = *desc;
     apply_defaults(&server->desc);
     pthread_mutex_init(&server->lock, NULL);
     server->in_flight = g_ptr_array_new();
     server->uploads = g_ptr_array_new();
     server->listen_fd = -1;
-    if (!start_watcher(server)) {
-        Result_SetError(error, RESULT_IO, "cannot watch connections: %s",
-                        g_strerror(errno));
-        pthread_mutex_destroy(&server->lock);
-        g_ptr_array_free(server->uploads, TRUE);
-        g_ptr_array_free(server->in_flight, TRUE);
-        g_free(server);
-        return NULL;
-    }
-    server->executor = HttpExecutor_Create(server->desc.worker_threads,
-                                           server->desc.max_in_flight);
-    server->daemon = start_daemon(server);
-    if (server->daemon == NULL) {
+    server->disconnect_epoll = -1;
+    server->watcher_wake = -1;
+    if (!start(server)) {
         HttpAddress_Format(&desc->address, address, sizeof(address));
         Result_SetError(error, RESULT_IO, "cannot listen on %s: %s", address,
                         g_strerror(errno));
-        HttpExecutor_Destroy(server->executor);
-        stop_watcher(server);
-        g_ptr_array_free(server->uploads, TRUE);
-        g_ptr_array_free(server->in_flight, TRUE);
-        pthread_mutex_destroy(&server->lock);
-        g_free(server);
+        HttpServer_Destroy(server);
         return NULL;
     }
-    server->port =
-        MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
     return server;
 }
 
@@ -659,26 +676,6 @@
     return count;
 }
 
-/* Accepts the connections that the kernel queued and refuses those to come;
- * closing the queue would reset the former. The descriptor stays open, since
- * an event thread may still accept from it. */
-static void
-end_listening(HttpServer *server)
-{
-    struct sockaddr_in peer;
-    socklen_t bytes = sizeof(peer);
-    int fd;
-
-    while ((fd = accept4(server->listen_fd, (struct sockaddr *)&peer, &bytes,
-                         SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-        /* Closes the connection if there is no room for it. */
-        (void)MHD_add_connection(server->daemon, fd, (struct sockaddr *)&peer,
-                                 bytes);
-        bytes = sizeof(peer);
-    }
-    (void)shutdown(server->listen_fd, SHUT_RDWR);
-}
-
 void
 HttpServer_Leave(HttpServer *server)
 {
@@ -695,11 +692,10 @@
 HttpServer_Drain(HttpServer *server, ClockMs until)
 {
     atomic_store(&server->leaving, TRUE);
-    if (!atomic_exchange(&server->draining, TRUE)) {
-        server->listen_fd = MHD_quiesce_daemon(server->daemon);
-        if (server->listen_fd >= 0) {
-            end_listening(server);
-        }
+    atomic_store(&server->draining, TRUE);
+    _HttpServer_WakeWatcher(server);
+    while (atomic_load(&server->listening)) {
+        (void)poll(NULL, 0, 1);
     }
     while (Clock_Now() < until && HttpServer_InFlight(server) > 0) {
         (void)poll(NULL, 0, WATCH_PERIOD_MS);
@@ -708,7 +704,8 @@
      * close". Idle ones get IDLE_GRACE_MS to end. */
     until = MIN(until, Clock_Now() + IDLE_GRACE_MS);
     while (Clock_Now() < until && (HttpServer_InFlight(server) > 0 ||
-                                   atomic_load(&server->connections) > 0)) {
+                                   atomic_load(&server->connections) > 0 ||
+                                   _HttpListener_Pending(server) > 0)) {
         (void)poll(NULL, 0, WATCH_PERIOD_MS);
     }
     return HttpServer_InFlight(server) == 0;
@@ -740,9 +737,8 @@
     /* Handlers must end first, since each of them resumes its connection. */
     HttpExecutor_Destroy(server->executor);
     stop_watcher(server);
-    MHD_stop_daemon(server->daemon);
-    if (server->listen_fd >= 0) {
-        close(server->listen_fd);
+    if (server->daemon != NULL) {
+        MHD_stop_daemon(server->daemon);
     }
     g_ptr_array_free(server->uploads, TRUE);
     g_ptr_array_free(server->in_flight, TRUE);
--- a/src/http/http_server_private.h
+++ b/src/http/http_server_private.h
@@ -10,6 +10,10 @@
 #include "http/http_server.h"
 #include "memory/memory_buffer.h"
 
+/* Connections that a port holds at most; further ones stay in the kernel's
+ * queue. */
+#define HTTP_MAX_CONNECTIONS 1020
+
 struct HttpRequest {
     HttpServer *server;
     struct MHD_Connection *connection;
@@ -46,7 +50,6 @@
     struct MHD_Daemon *daemon;
     HttpExecutor *executor;
     uint16_t port;
-    int listen_fd; /* once the server drains, else -1 */
     pthread_mutex_t lock;
     GPtrArray *in_flight; /* HttpRequest *, those passed to the executor */
     GPtrArray *uploads;   /* HttpRequest * whose body is being read and has
@@ -54,16 +57,42 @@
     unsigned unsent;      /* fully read requests whose answer is not sent */
     gboolean closed;      /* new requests are refused */
     atomic_uint connections;
+    atomic_uint added;   /* connections that were passed to libmicrohttpd */
+    atomic_uint started; /* those of them that it has announced */
+    atomic_bool listening;
     atomic_bool leaving;  /* answers close their connections */
     atomic_bool draining; /* no new connections */
     pthread_t watcher;
+    gboolean has_watcher;
     int disconnect_epoll; /* epoll set of suspended connections */
     int watcher_wake;     /* eventfd */
     unsigned deadlines;   /* requests in flight with a deadline, and uploads
                              (under lock) */
     atomic_bool stopping;
+
+    /* Used by the watcher's thread only. */
+    int listen_fd;      /* or -1 */
+    gboolean paused;    /* no room for further connections */
+    ClockMs last_added; /* when the last connection was accepted */
 };
 
+/* http_listener.c: opens the port, before the watcher starts. On failure errno
+ * is set. */
+gboolean _HttpListener_Open(HttpServer *server);
+
+/* From now on the watcher accepts connections. */
+gboolean _HttpListener_Start(HttpServer *server);
+void _HttpListener_Close(HttpServer *server);
+
+/* Accepts connections, if the port is readable or had no room for them. A
+ * server that drains accepts those that the kernel has queued, which it would
+ * reset otherwise, and closes the port. */
+void _HttpListener_Watch(HttpServer *server, gboolean ready, ClockMs now);
+
+/* The number of connections that were accepted and are not yet counted in
+ * server->connections. */
+unsigned _HttpListener_Pending(const HttpServer *server);
+
 /* http_upload.c: called when the head of a request with a body has been
  * read. */
 void _HttpUpload_Begin(HttpRequest *request);
--- a/src/http/test_http_drain.c
+++ b/src/http/test_http_drain.c
@@ -1,6 +1,5 @@
 /* Tests of the descriptors of an HTTP server that drains. */
 #include <errno.h>
-#include <fcntl.h>
 #include <glib.h>
 #include <poll.h>
 #include <stdatomic.h>
@@ -11,15 +10,39 @@
 
 #include "http/http_server.h"
 
+/* The functions below take the place of the C library's in this program, also
+ * for the libraries. */
 static atomic_uint closed_twice;
+static atomic_int listener = -1;
+static atomic_int accepting_thread; /* of the listener, the first */
+static atomic_int closing_thread;
+
+int
+accept4(int fd, struct sockaddr *address, socklen_t *bytes, int flags)
+{
+    int none = 0;
+
+    if (fd == atomic_load(&listener)) {
+        atomic_compare_exchange_strong(&accepting_thread, &none, gettid());
+    }
+    return (int)syscall(SYS_accept4, fd, address, bytes, flags);
+}
+
+int
+accept(int fd, struct sockaddr *address, socklen_t *bytes)
+{
+    return accept4(fd, address, bytes, 0);
+}
 
-/* Takes the place of the C library's function in this program, also for the
- * libraries. */
 int
 close(int fd)
 {
     int status = (int)syscall(SYS_close, fd);
 
+    if (fd >= 0 && fd == atomic_load(&listener)) {
+        atomic_store(&closing_thread, gettid());
+        atomic_store(&listener, -1);
+    }
     if (status != 0 && errno == EBADF && fd >= 0) {
         atomic_fetch_add(&closed_twice, 1);
     }
@@ -97,41 +120,39 @@
            (usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / 1000;
 }
 
-/* Guards against a listening descriptor whose number is given to another file
- * while an event thread can still accept from it. */
+/* Guards against a listening descriptor that is closed, so that its number is
+ * given to another file, while another thread can still accept from it. */
 static void
-test_number_reused(void)
+test_listener_in_use(void)
 {
     HttpServer *server = start_server();
     uint16_t port = HttpServer_Port(server);
-    int listener = find_listener(port);
-    int idle = connect_to(port);
-    int fds[16];
+    int idle;
     ClockMs before;
 
-    g_assert_cmpint(listener, >=, 0);
+    atomic_store(&listener, find_listener(port));
+    g_assert_cmpint(atomic_load(&listener), >=, 0);
+    idle = connect_to(port);
     g_assert_cmpint(idle, >=, 0);
+    for (int i = 0; i < 2000 && atomic_load(&accepting_thread) == 0; i++) {
+        (void)poll(NULL, 0, 1);
+    }
+    g_assert_cmpint(atomic_load(&accepting_thread), !=, 0);
     (void)HttpServer_Drain(server, Clock_Now() + 200);
     g_assert_cmpint(connect_to(port), ==, -1);
-    for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
-        fds[i] = open("/dev/null", O_RDONLY | O_CLOEXEC);
-        g_assert_cmpint(fds[i], >=, 0);
-        g_assert_cmpint(fds[i], !=, listener);
-    }
     before = processor_ms();
     (void)poll(NULL, 0, 500);
     g_assert_cmpint(processor_ms() - before, <, 100);
     HttpServer_Destroy(server);
-    g_assert_cmpint(fcntl(listener, F_GETFD), ==, -1);
-    for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
-        close(fds[i]);
-    }
+    g_assert_cmpint(atomic_load(&listener), ==, -1);
+    g_assert_cmpint(atomic_load(&closing_thread), ==,
+                    atomic_load(&accepting_thread));
     close(idle);
 }
 
 /* Guards against a descriptor closed a second time, which by then may be
- * another thread's: the server had no room for a connection that the kernel
- * had queued. */
+ * another thread's, and against an event thread that hangs: the server had no
+ * room for connections that the kernel had queued. */
 static void
 test_no_room(void)
 {
@@ -163,7 +184,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/http-drain/number-reused", test_number_reused);
+    g_test_add_func("/http-drain/listener-in-use", test_listener_in_use);
     g_test_add_func("/http-drain/no-room", test_no_room);
     return g_test_run();
 }
