http: idle connections give way to new ones at a full port

Cause: a port holds 1,020 connections. Once as many idle ones were kept open, new callers waited in the kernel's queue until one ended, up to 120 s.

Change: while the port is full, or the process has no descriptors, and a connection waits, the watcher closes those that have waited longest for a request, 16 every 20 ms, after 250 ms at the earliest and not if bytes have arrived on them (counter IDLE_CONNECTIONS_CLOSED). Any HTTP client has to expect the end of an idle connection; one whose request is under way at that instant may see it end without an answer, as at the idle timeout.

--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -100,7 +100,9 @@
     COUNTER(ANSWERS_WITHOUT_MEMORY, \
             "answers cut off because the account lent no memory") \
     COUNTER(UPLOADS_WITHOUT_MEMORY, \
-            "requests refused because the account lent no memory")
+            "requests refused because the account lent no memory") \
+    COUNTER(IDLE_CONNECTIONS_CLOSED, \
+            "idle connections closed in favour of new ones")
 /* clang-format on */
 
 #endif
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -1,9 +1,12 @@
 #include <errno.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/counter.h"
 #include "http/http_server_private.h"
 
 /* libmicrohttpd could also listen by itself. But its event threads then still
@@ -18,6 +21,18 @@
  * dropped by it. */
 #define START_MS 1000
 
+/* A connection without a request for less than this is not closed in favour of
+ * a new one. */
+#define MIN_IDLE_MS 250
+
+/* A connection that waits for a request is in server->idle. */
+typedef struct Connection {
+    struct MHD_Connection *connection;
+    ClockMs idle_since;
+    GList link;
+    gboolean is_idle;
+} Connection;
+
 gboolean
 _HttpListener_Open(HttpServer *server)
 {
@@ -112,6 +127,89 @@
     return TRUE;
 }
 
+static void
+set_idle(HttpServer *server, Connection *self, gboolean idle)
+{
+    if (self->is_idle) {
+        g_queue_unlink(&server->idle, &self->link);
+    }
+    self->is_idle = idle;
+    if (idle) {
+        self->idle_since = Clock_Now();
+        g_queue_push_tail_link(&server->idle, &self->link);
+    }
+}
+
+void
+_HttpListener_SetIdle(HttpServer *server, struct MHD_Connection *connection,
+                      gboolean idle)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+    if (info != NULL && info->socket_context != NULL) {
+        set_idle(server, info->socket_context, idle);
+    }
+}
+
+void
+_HttpListener_Add(HttpServer *server, struct MHD_Connection *connection,
+                  void **context)
+{
+    Connection *self = g_new0(Connection, 1);
+
+    self->connection = connection;
+    self->link.data = self;
+    *context = self;
+    pthread_mutex_lock(&server->lock);
+    set_idle(server, self, TRUE);
+    pthread_mutex_unlock(&server->lock);
+}
+
+void
+_HttpListener_Remove(HttpServer *server, void **context)
+{
+    Connection *self = *context;
+
+    pthread_mutex_lock(&server->lock);
+    set_idle(server, self, FALSE);
+    pthread_mutex_unlock(&server->lock);
+    g_free(self);
+    *context = NULL;
+}
+
+/* Closes the connections that have been idle longest, unless a request has
+ * just arrived on them. */
+static void
+close_idle(HttpServer *server, ClockMs now)
+{
+    struct pollfd waiting = {.fd = server->listen_fd, .events = POLLIN};
+    unsigned closed = 0;
+
+    if (poll(&waiting, 1, 0) <= 0) {
+        return;
+    }
+    pthread_mutex_lock(&server->lock);
+    while (closed < ACCEPT_BATCH && !g_queue_is_empty(&server->idle)) {
+        Connection *self = g_queue_peek_head(&server->idle);
+        const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+            self->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        int unread = 0;
+
+        if (now - self->idle_since < MIN_IDLE_MS) {
+            break;
+        }
+        set_idle(server, self, FALSE);
+        if (info != NULL && ioctl(info->connect_fd, FIONREAD, &unread) == 0 &&
+            unread == 0) {
+            (void)shutdown(info->connect_fd, SHUT_RDWR);
+            closed++;
+        }
+    }
+    pthread_mutex_unlock(&server->lock);
+    Counter_Add(COUNTER_IDLE_CONNECTIONS_CLOSED, closed);
+}
+
 static void
 set_paused(HttpServer *server, gboolean paused)
 {
@@ -136,6 +234,11 @@
         _HttpListener_Close(server);
     }
     else if (ready || server->paused) {
-        set_paused(server, !accept_connections(server, ACCEPT_BATCH, now));
+        gboolean has_room = accept_connections(server, ACCEPT_BATCH, now);
+
+        if (!has_room) {
+            close_idle(server, now);
+        }
+        set_paused(server, !has_room);
     }
 }
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -291,7 +291,12 @@
 static void *
 on_target(void *context, const char *target, struct MHD_Connection *connection)
 {
-    return create_request(context, connection, g_strdup(target));
+    HttpServer *server = context;
+
+    pthread_mutex_lock(&server->lock);
+    _HttpListener_SetIdle(server, connection, FALSE);
+    pthread_mutex_unlock(&server->lock);
+    return create_request(server, connection, g_strdup(target));
 }
 
 /* The headers that determine the end of the body. */
@@ -405,6 +410,7 @@
     request->ended = TRUE;
     request->answered = TRUE;
     server->unsent -= request->complete ? 1 : 0;
+    _HttpListener_SetIdle(server, connection, TRUE);
     pthread_mutex_unlock(&server->lock);
     release_request(request);
     *connection_context = NULL;
@@ -416,13 +422,13 @@
 {
     HttpServer *server = context;
 
-    (void)connection;
-    (void)socket_context;
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        _HttpListener_Add(server, connection, socket_context);
         atomic_fetch_add(&server->connections, 1);
         atomic_fetch_add(&server->started, 1);
     }
     else {
+        _HttpListener_Remove(server, socket_context);
         atomic_fetch_sub(&server->connections, 1);
     }
 }
@@ -645,6 +651,7 @@
     pthread_mutex_init(&server->lock, NULL);
     server->in_flight = g_ptr_array_new();
     server->uploads = g_ptr_array_new();
+    g_queue_init(&server->idle);
     server->listen_fd = -1;
     server->disconnect_epoll = -1;
     server->watcher_wake = -1;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -19,7 +19,8 @@
  * does not lend enough, are refused with OVERLOADED. A request body is on
  * lease until the handler returns, the body of an answer until it has been
  * sent. A connection on which no more of an answer can be written for 30 s is
- * closed.
+ * closed. A port holds 1,020 connections; if more arrive, those that have
+ * waited longest for a request are closed, after 250 ms at the earliest.
  */
 #ifndef HTTP_HTTP_SERVER_H
 #define HTTP_HTTP_SERVER_H
--- a/src/http/http_server_private.h
+++ b/src/http/http_server_private.h
@@ -70,6 +70,9 @@
                              (under lock) */
     atomic_bool stopping;
 
+    GQueue idle; /* connections without a request, the longest idle first
+                    (under lock) */
+
     /* Used by the watcher's thread only. */
     int listen_fd;      /* or -1 */
     gboolean paused;    /* no room for further connections */
@@ -89,6 +92,17 @@
  * reset otherwise, and closes the port. */
 void _HttpListener_Watch(HttpServer *server, gboolean ready, ClockMs now);
 
+/* Called when libmicrohttpd begins and ends a connection, with the context
+ * that it keeps for it. */
+void _HttpListener_Add(HttpServer *server, struct MHD_Connection *connection,
+                       void **context);
+void _HttpListener_Remove(HttpServer *server, void **context);
+
+/* Notes whether the connection waits for a request. Called with the lock
+ * held. */
+void _HttpListener_SetIdle(HttpServer *server,
+                           struct MHD_Connection *connection, gboolean idle);
+
 /* The number of connections that were accepted and are not yet counted in
  * server->connections. */
 unsigned _HttpListener_Pending(const HttpServer *server);
--- a/src/http/test_http.c
+++ b/src/http/test_http.c
@@ -3,9 +3,11 @@
 #include <glib.h>
 #include <pthread.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/counter.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 
@@ -501,6 +503,77 @@
     HttpServer_Destroy(server);
 }
 
+/* Raises the limit of descriptors, as far as the machine allows it. */
+static void
+allow_descriptors(rlim_t count)
+{
+    struct rlimit limit;
+
+    g_assert_cmpint(getrlimit(RLIMIT_NOFILE, &limit), ==, 0);
+    limit.rlim_cur = MAX(limit.rlim_cur, MIN(limit.rlim_max, count));
+    g_assert_cmpint(setrlimit(RLIMIT_NOFILE, &limit), ==, 0);
+}
+
+static int
+open_connection(const HttpServer *server)
+{
+    struct sockaddr_in address = loopback(HttpServer_Port(server));
+    struct timeval patience = {.tv_sec = 2};
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+    g_assert_cmpint(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                    ==, 0);
+    return fd;
+}
+
+static void
+check_answer(int fd, const char *status_line)
+{
+    char answer[500] = "";
+
+    g_assert_cmpint(recv(fd, answer, sizeof(answer) - 1, 0), >, 0);
+    g_assert_true(g_str_has_prefix(answer, status_line));
+}
+
+/* Guards against callers that are not served because others keep as many idle
+ * connections as the port has room for, and against connections with a request
+ * at work that are closed for them. */
+static void
+test_full_port(void)
+{
+    enum { CONNECTIONS = 1200, BUSY = 4 };
+    static const char hang[] = "GET /hang HTTP/1.1\r\nHost: h\r\n\r\n";
+    static const char new[] = "GET /new HTTP/1.1\r\nHost: h\r\n\r\n";
+    HttpServer *server = start_echo();
+    int *fds = g_new(int, CONNECTIONS);
+    ClockMs start;
+
+    allow_descriptors(4096);
+    for (int i = 0; i < CONNECTIONS; i++) {
+        fds[i] = open_connection(server);
+        if (i < BUSY) {
+            g_assert_cmpint(send(fds[i], hang, strlen(hang), 0), >, 0);
+        }
+    }
+    start = Clock_Now();
+    for (int i = CONNECTIONS - BUSY; i < CONNECTIONS; i++) {
+        g_assert_cmpint(send(fds[i], new, strlen(new), 0), >, 0);
+    }
+    for (int i = 0; i < BUSY; i++) {
+        check_answer(fds[i], "HTTP/1.1 504");
+        check_answer(fds[CONNECTIONS - 1 - i], "HTTP/1.1 200");
+    }
+    g_assert_cmpint(Clock_Now() - start, <, 2000);
+    g_assert_cmpuint(Counter_Get(COUNTER_IDLE_CONNECTIONS_CLOSED), >=, 180);
+    g_assert_cmpuint(Counter_Get(COUNTER_IDLE_CONNECTIONS_CLOSED), <, 300);
+    for (int i = 0; i < CONNECTIONS; i++) {
+        close(fds[i]);
+    }
+    g_free(fds);
+    HttpServer_Destroy(server);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -514,5 +587,6 @@
     g_test_add_func("/http/ambiguous-framing", test_ambiguous_framing);
     g_test_add_func("/http/one-answer", test_one_answer);
     g_test_add_func("/http/close", test_close);
+    g_test_add_func("/http/full-port", test_full_port);
     return g_test_run();
 }
