http: a server destroyed under load neither hangs nor uses what it has freed

It closed the watcher's descriptors before MHD_stop_daemon(), so that event threads wrote 8 bytes to a number that may be another file's by then. The admin port is destroyed without a drain; entry and owner ports may have open connections after theirs. rk-backend suspended requests after the thread that resumes them had ended, and aborted.

Change: requests are refused from the start of Destroy; the watcher and the event threads end before the descriptors are closed; the watcher starts last. Also from the review: a drain reads the pending connections before the started ones (without that a connection accepted in between misses the 300 ms of grace); the watcher no longer wakes every 20 ms after the port closed at its limit; a drain waits for the watcher until its own limit at most; errno is right when no thread can be started. test_http_drain: each thread that accepts is compared, not the first.

--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -37,6 +37,7 @@
 _HttpListener_Open(HttpServer *server)
 {
     struct sockaddr_in address = server->desc.address;
+    struct epoll_event event = {.events = EPOLLIN, .data.ptr = server};
     socklen_t bytes = sizeof(address);
     int one = 1;
     int saved;
@@ -52,7 +53,9 @@
              sizeof(address)) == 0 &&
         listen(server->listen_fd, SOMAXCONN) == 0 &&
         getsockname(server->listen_fd, (struct sockaddr *)&address, &bytes) ==
-            0) {
+            0 &&
+        epoll_ctl(server->disconnect_epoll, EPOLL_CTL_ADD, server->listen_fd,
+                  &event) == 0) {
         server->port = ntohs(address.sin_port);
         atomic_store(&server->listening, TRUE);
         return TRUE;
@@ -63,21 +66,13 @@
     return FALSE;
 }
 
-gboolean
-_HttpListener_Start(HttpServer *server)
-{
-    struct epoll_event event = {.events = EPOLLIN, .data.ptr = server};
-
-    return epoll_ctl(server->disconnect_epoll, EPOLL_CTL_ADD,
-                     server->listen_fd, &event) == 0;
-}
-
 void
 _HttpListener_Close(HttpServer *server)
 {
     if (server->listen_fd >= 0) {
         close(server->listen_fd);
         server->listen_fd = -1;
+        server->paused = FALSE;
         atomic_store(&server->listening, FALSE);
     }
 }
@@ -104,8 +99,9 @@
         atomic_store(&server->added, atomic_load(&server->started));
     }
     for (unsigned i = 0; i < limit; i++) {
-        if (atomic_load(&server->connections) +
-                _HttpListener_Pending(server) >=
+        unsigned pending = _HttpListener_Pending(server);
+
+        if (pending + atomic_load(&server->connections) >=
             HTTP_MAX_CONNECTIONS) {
             return FALSE;
         }
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -541,18 +541,15 @@
 }
 
 static gboolean
-start_watcher(HttpServer *server)
+open_watcher(HttpServer *server)
 {
     struct epoll_event event = {.events = EPOLLIN};
 
     server->disconnect_epoll = epoll_create1(EPOLL_CLOEXEC);
     server->watcher_wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-    server->has_watcher =
-        server->disconnect_epoll >= 0 && server->watcher_wake >= 0 &&
-        epoll_ctl(server->disconnect_epoll, EPOLL_CTL_ADD,
-                  server->watcher_wake, &event) == 0 &&
-        pthread_create(&server->watcher, NULL, watch_requests, server) == 0;
-    return server->has_watcher;
+    return server->disconnect_epoll >= 0 && server->watcher_wake >= 0 &&
+           epoll_ctl(server->disconnect_epoll, EPOLL_CTL_ADD,
+                     server->watcher_wake, &event) == 0;
 }
 
 static void
@@ -581,6 +578,8 @@
     HttpServer_desc *desc = &server->desc;
     unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
                      MHD_USE_ITC | MHD_USE_NO_LISTEN_SOCKET;
+    /* The documentation has the thread pool ignored without a listening
+     * socket; 0.9.75 starts it, and would serve with one thread otherwise. */
     struct MHD_OptionItem tls[] = {
         {MHD_OPTION_HTTPS_CERT_CALLBACK, 0, (void *)_HttpTls_Retrieve},
         {MHD_OPTION_END, 0, NULL},
@@ -613,25 +612,24 @@
         pthread_join(server->watcher, NULL);
     }
     _HttpListener_Close(server);
-    if (server->disconnect_epoll >= 0) {
-        close(server->disconnect_epoll);
-    }
-    if (server->watcher_wake >= 0) {
-        close(server->watcher_wake);
-    }
 }
 
 /* Fails with errno. */
 static gboolean
 start(HttpServer *server)
 {
-    if (!_HttpListener_Open(server) || !start_watcher(server)) {
+    if (!open_watcher(server) || !_HttpListener_Open(server)) {
         return FALSE;
     }
     server->executor = HttpExecutor_Create(server->desc.worker_threads,
                                            server->desc.max_in_flight);
     server->daemon = start_daemon(server);
-    return server->daemon != NULL && _HttpListener_Start(server);
+    if (server->daemon == NULL) {
+        return FALSE;
+    }
+    errno = pthread_create(&server->watcher, NULL, watch_requests, server);
+    server->has_watcher = errno == 0;
+    return server->has_watcher;
 }
 
 HttpServer *
@@ -639,6 +637,7 @@
 {
     HttpServer *server;
     char address[32];
+    int saved;
 
     if (desc->tls_certificate_pem != NULL &&
         !HttpTls_SetCertificate(desc->tls_certificate_pem, desc->tls_key_pem,
@@ -656,9 +655,10 @@
     server->disconnect_epoll = -1;
     server->watcher_wake = -1;
     if (!start(server)) {
+        saved = errno;
         HttpAddress_Format(&desc->address, address, sizeof(address));
         Result_SetError(error, RESULT_IO, "cannot listen on %s: %s", address,
-                        g_strerror(errno));
+                        g_strerror(saved));
         HttpServer_Destroy(server);
         return NULL;
     }
@@ -701,18 +701,19 @@
     atomic_store(&server->leaving, TRUE);
     atomic_store(&server->draining, TRUE);
     _HttpServer_WakeWatcher(server);
-    while (atomic_load(&server->listening)) {
+    while (atomic_load(&server->listening) && Clock_Now() < until) {
         (void)poll(NULL, 0, 1);
     }
     while (Clock_Now() < until && HttpServer_InFlight(server) > 0) {
         (void)poll(NULL, 0, WATCH_PERIOD_MS);
     }
     /* Connections in use end with their next answer, which has "Connection:
-     * close". Idle ones get IDLE_GRACE_MS to end. */
+     * close". Idle ones get IDLE_GRACE_MS to end. One that starts is counted
+     * before it is no longer pending. */
     until = MIN(until, Clock_Now() + IDLE_GRACE_MS);
     while (Clock_Now() < until && (HttpServer_InFlight(server) > 0 ||
-                                   atomic_load(&server->connections) > 0 ||
-                                   _HttpListener_Pending(server) > 0)) {
+                                   _HttpListener_Pending(server) > 0 ||
+                                   atomic_load(&server->connections) > 0)) {
         (void)poll(NULL, 0, WATCH_PERIOD_MS);
     }
     return HttpServer_InFlight(server) == 0;
@@ -741,12 +742,22 @@
     if (server == NULL) {
         return;
     }
+    pthread_mutex_lock(&server->lock);
+    server->closed = TRUE;
+    pthread_mutex_unlock(&server->lock);
     /* Handlers must end first, since each of them resumes its connection. */
     HttpExecutor_Destroy(server->executor);
     stop_watcher(server);
+    /* Ends the event threads, which use the descriptors below. */
     if (server->daemon != NULL) {
         MHD_stop_daemon(server->daemon);
     }
+    if (server->disconnect_epoll >= 0) {
+        close(server->disconnect_epoll);
+    }
+    if (server->watcher_wake >= 0) {
+        close(server->watcher_wake);
+    }
     g_ptr_array_free(server->uploads, TRUE);
     g_ptr_array_free(server->in_flight, TRUE);
     pthread_mutex_destroy(&server->lock);
--- a/src/http/http_server_private.h
+++ b/src/http/http_server_private.h
@@ -83,8 +83,6 @@
  * is set. */
 gboolean _HttpListener_Open(HttpServer *server);
 
-/* From now on the watcher accepts connections. */
-gboolean _HttpListener_Start(HttpServer *server);
 void _HttpListener_Close(HttpServer *server);
 
 /* Accepts connections, if the port is readable or had no room for them. A
--- a/src/http/test_http_drain.c
+++ b/src/http/test_http_drain.c
@@ -2,7 +2,10 @@
 #include <errno.h>
 #include <glib.h>
 #include <poll.h>
+#include <pthread.h>
 #include <stdatomic.h>
+#include <string.h>
+#include <sys/epoll.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
@@ -13,17 +16,21 @@
 /* The functions below take the place of the C library's in this program, also
  * for the libraries. */
 static atomic_uint closed_twice;
+static atomic_uint used_closed; /* calls with a closed descriptor */
 static atomic_int listener = -1;
-static atomic_int accepting_thread; /* of the listener, the first */
+static atomic_int accepting_thread; /* of the listener, or -1 if several */
 static atomic_int closing_thread;
 
 int
 accept4(int fd, struct sockaddr *address, socklen_t *bytes, int flags)
 {
-    int none = 0;
+    int thread = 0;
 
-    if (fd == atomic_load(&listener)) {
-        atomic_compare_exchange_strong(&accepting_thread, &none, gettid());
+    if (fd == atomic_load(&listener) &&
+        !atomic_compare_exchange_strong(&accepting_thread, &thread,
+                                        gettid()) &&
+        thread != gettid()) {
+        atomic_store(&accepting_thread, -1);
     }
     return (int)syscall(SYS_accept4, fd, address, bytes, flags);
 }
@@ -49,6 +56,32 @@
     return status;
 }
 
+static void
+note_status(gboolean is_closed)
+{
+    if (is_closed) {
+        atomic_fetch_add(&used_closed, 1);
+    }
+}
+
+ssize_t
+write(int fd, const void *bytes, size_t count)
+{
+    ssize_t written = syscall(SYS_write, fd, bytes, count);
+
+    note_status(written < 0 && errno == EBADF);
+    return written;
+}
+
+int
+epoll_ctl(int epoll_fd, int operation, int fd, struct epoll_event *event)
+{
+    int status = (int)syscall(SYS_epoll_ctl, epoll_fd, operation, fd, event);
+
+    note_status(status != 0 && errno == EBADF);
+    return status;
+}
+
 static void
 answer_nothing(void *context, HttpRequest *request)
 {
@@ -61,7 +94,9 @@
 static HttpServer *
 start_server(void)
 {
-    HttpServer_desc desc = {.handler = answer_nothing, .worker_threads = 2};
+    HttpServer_desc desc = {.handler = answer_nothing,
+                            .worker_threads = 2,
+                            .time_left_header = "Time-Left"};
     HttpServer *server;
 
     desc.address.sin_family = AF_INET;
@@ -71,20 +106,21 @@
     return server;
 }
 
-/* Returns a connected descriptor, or -1 if the port refuses. */
+/* Returns a connected descriptor, or a negative errno. */
 static int
 connect_to(uint16_t port)
 {
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_port = htons(port)};
     int fd = socket(AF_INET, SOCK_STREAM, 0);
+    int error;
 
     g_assert_cmpint(fd, >=, 0);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
-        g_assert_cmpint(errno, ==, ECONNREFUSED);
+        error = errno;
         close(fd);
-        return -1;
+        return -error;
     }
     return fd;
 }
@@ -139,7 +175,7 @@
     }
     g_assert_cmpint(atomic_load(&accepting_thread), !=, 0);
     (void)HttpServer_Drain(server, Clock_Now() + 200);
-    g_assert_cmpint(connect_to(port), ==, -1);
+    g_assert_cmpint(connect_to(port), ==, -ECONNREFUSED);
     before = processor_ms();
     (void)poll(NULL, 0, 500);
     g_assert_cmpint(processor_ms() - before, <, 100);
@@ -180,11 +216,71 @@
     g_free(fds);
 }
 
+typedef struct Hammer {
+    pthread_t thread;
+    uint16_t port;
+    atomic_bool stopping;
+} Hammer;
+
+/* Sends requests with bodies, on a new connection after each broken one. */
+static void *
+send_requests(void *context)
+{
+    static const char request[] = "POST / HTTP/1.1\r\nHost: h\r\nTime-Left: "
+                                  "500\r\nContent-Length: 1\r\n\r\nx";
+    Hammer *self = context;
+    char answer[500];
+
+    while (!atomic_load(&self->stopping)) {
+        int fd = connect_to(self->port);
+
+        while (fd >= 0 &&
+               send(fd, request, strlen(request), MSG_NOSIGNAL) > 0 &&
+               recv(fd, answer, sizeof(answer), 0) > 0) {
+        }
+        if (fd >= 0) {
+            close(fd);
+        }
+    }
+    return NULL;
+}
+
+/* Guards against a server that is destroyed under load and hangs, uses freed
+ * memory, or writes to descriptors that it has closed. */
+static void
+test_destroyed_under_load(void)
+{
+    enum { ROUNDS = 30, HAMMERS = 4 };
+
+    atomic_store(&used_closed, 0);
+    for (int round = 0; round < ROUNDS; round++) {
+        HttpServer *server = start_server();
+        Hammer hammers[HAMMERS] = {0};
+
+        for (int i = 0; i < HAMMERS; i++) {
+            hammers[i].port = HttpServer_Port(server);
+            pthread_create(&hammers[i].thread, NULL, send_requests,
+                           &hammers[i]);
+        }
+        (void)poll(NULL, 0, 20);
+        HttpServer_Destroy(server);
+        for (int i = 0; i < HAMMERS; i++) {
+            atomic_store(&hammers[i].stopping, TRUE);
+        }
+        for (int i = 0; i < HAMMERS; i++) {
+            pthread_join(hammers[i].thread, NULL);
+        }
+    }
+    g_assert_cmpuint(atomic_load(&used_closed), ==, 0);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/http-drain/listener-in-use", test_listener_in_use);
     g_test_add_func("/http-drain/no-room", test_no_room);
+    g_test_add_func("/http-drain/destroyed-under-load",
+                    test_destroyed_under_load);
     return g_test_run();
 }
--- a/standin/rk_backend.c
+++ b/standin/rk_backend.c
@@ -301,6 +301,7 @@
     Backend *backend = context;
     Request *request = *request_pointer;
 
+    (void)connection;
     (void)version;
     switch (request->phase) {
     case PHASE_NEW:
@@ -330,9 +331,7 @@
             return send_answer(backend, request);
         }
         request->phase = PHASE_WAITING;
-        MHD_suspend_connection(connection);
-        Work_Add(backend, request);
-        return MHD_YES;
+        return Work_Add(backend, request) ? MHD_YES : MHD_NO;
     case PHASE_READY:
         return request->outcome == OUTCOME_CLOSE
                    ? MHD_NO
--- a/standin/rk_backend.h
+++ b/standin/rk_backend.h
@@ -108,8 +108,9 @@
 void Work_Init(Backend *backend);
 /* Thread that assigns slots to requests and resumes completed requests. */
 void *Work_Run(void *backend);
-/* Adds a suspended request to the queue. */
-void Work_Add(Backend *backend, Request *request);
+/* Suspends a request and adds it to the queue. Returns FALSE after
+ * Work_Stop(). */
+gboolean Work_Add(Backend *backend, Request *request);
 Outcome Work_ChooseOutcome(Backend *backend);
 gboolean Work_SampleCloseBeforeRead(Backend *backend);
 void Work_RecordArrival(Backend *backend);
--- a/standin/rk_backend_work.c
+++ b/standin/rk_backend_work.c
@@ -217,10 +217,15 @@
     return NULL;
 }
 
-void
+gboolean
 Work_Add(Backend *backend, Request *request)
 {
     pthread_mutex_lock(&backend->lock);
+    if (backend->is_stopping) {
+        pthread_mutex_unlock(&backend->lock);
+        return FALSE;
+    }
+    MHD_suspend_connection(request->connection);
     if ((int)backend->running->len >= backend->slots ||
         !g_queue_is_empty(&backend->waiting)) {
         backend->over_slots++;
@@ -228,6 +233,7 @@
     g_queue_push_tail(&backend->waiting, request);
     pthread_cond_signal(&backend->changed);
     pthread_mutex_unlock(&backend->lock);
+    return TRUE;
 }
 
 static gboolean
