review: a run that may not be repeated is lost in a roll of the hosts

Cause: late in its stop an owner takes up a run that may not be repeated if recent runs were short, and ends 5.6 s after its SIGTERM, whatever the run needs. If the host that took the request from the client got its SIGTERM 2 s later, it answers 502 while the worker is at work (LOST).

Nothing outside review/ is changed.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,20 @@
+#!/bin/sh
+# Builds the stand-ins of the cases and their programs into review/build/.
+set -e
+review=$(cd "$(dirname "$0")" && pwd)
+out=$review/build
+cmake -S "$review/.." -B "$out/project" -DCMAKE_BUILD_TYPE=Release
+cmake --build "$out/project" -j8 --target site
+for source in "$review"/[0-9]/case.c; do
+    [ -e "$source" ] || continue
+    number=$(basename "$(dirname "$source")")
+    # shellcheck disable=SC2046
+    cc -std=gnu11 -O2 -Wall -Wextra -I"$review/common" -I"$review/../src" \
+        -I"$review/../tests" -I"$review/../standin" \
+        "$source" "$review/common/record.c" -o "$out/case-$number" \
+        "$out/project/tests/libsite.a" \
+        "$out/project/standin/libobject_server.a" \
+        "$out/project/libradishknot.a" "$out/project/libradishknot-core.a" \
+        $(pkg-config --cflags --libs glib-2.0 jansson libmicrohttpd libtirpc \
+            gnutls neon liburcu) -lm -lpthread
+done
