--- a/review/build.sh
+++ b/review/build.sh
@@ -5,13 +5,13 @@
 out=$review/build
 cmake -S "$review/.." -B "$out/project" -DCMAKE_BUILD_TYPE=Release
 cmake --build "$out/project" -j8 --target site
-for source in "$review"/[0-9]/case.c; do
-    [ -e "$source" ] || continue
-    number=$(basename "$(dirname "$source")")
+for folder in "$review"/[0-9]; do
+    [ -e "$folder/case.c" ] || continue
+    number=$(basename "$folder")
     # shellcheck disable=SC2046
     cc -std=gnu11 -O2 -Wall -Wextra -I"$review/common" -I"$review/../src" \
         -I"$review/../tests" -I"$review/../standin" \
-        "$source" "$review/common/record.c" -o "$out/case-$number" \
+        "$folder"/*.c "$review/common/record.c" -o "$out/case-$number" \
         "$out/project/tests/libsite.a" \
         "$out/project/standin/libobject_server.a" \
         "$out/project/libradishknot.a" "$out/project/libradishknot-core.a" \
