review: case 3 with a shorter outage and an earlier heartbeat

Cause: the case stretched its delays further than it needs: an outage of 4.4 s, a heartbeat 5.0 s late, a worker that serves for 8 s after its report.

Change: 3.0 s, 3.9 s and 6.5 s.

--- a/review/3/case.c
+++ b/review/3/case.c
@@ -16,11 +16,11 @@
 /* Times since the beginning of the outage. */
 #define HEARTBEAT_SENT_MS 300
 #define LEAVE_MS 400
-#define KILL_MS 1500
+#define KILL_MS 1200
 #define RESTART_AFTER_MS 1000
-#define OUTAGE_MS 4400
-#define HEARTBEAT_ARRIVES_MS 5300
-#define REQUESTS_MS 8900
+#define OUTAGE_MS 3000
+#define HEARTBEAT_ARRIVES_MS 4200
+#define REQUESTS_MS 7400
 
 static const char extra_settings[] =
     "\"quota_window_ms\":\"5s\",\"quota_overage\":0.1,\"quota_slack\":20,"
