--- a/review/1/case.c
+++ b/review/1/case.c
@@ -225,14 +225,16 @@
         "\"quota_window_ms\":\"5s\",\"quota_overage\":0.1,\"quota_slack\":20,"
         "\"retry_ratio\":0.2,\"retry_slack\":64,\"retry_window_ms\":\"10s\","
         "\"max_body_bytes\":16777216,\"memory_mb\":260,";
-    gboolean trouble = Record_HasTrouble();
-    Site *site = Site_Create();
+    gboolean trouble;
+    Site *site;
     Client clients[HOSTS];
     Stop stops[HOSTS];
     ClockMs begin;
     int lost;
 
     Record_Open(argc, argv);
+    trouble = Record_HasTrouble();
+    site = Site_Create();
     configure(site);
     Site_SetDeadline(site, DEADLINE_MS);
     for (int i = 0; i < HOSTS; i++) {
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -72,13 +72,15 @@
 {
     static const SiteHost_desc desc = {.data_centre = "n1",
                                        .settings = extra_settings};
-    gboolean trouble = Record_HasTrouble();
-    Site *site = Site_Create();
+    gboolean trouble;
+    Site *site;
     ClockMs acknowledged;
     ClockMs first;
     int runs;
 
     Record_Open(argc, argv);
+    trouble = Record_HasTrouble();
+    site = Site_Create();
     Site_Configure(site, 1, "[\"" SITE_KEY "\"]", 0);
     for (int i = 0; i < HOSTS; i++) {
         (void)Site_AddHost(site, &desc);
--- a/review/common/record.c
+++ b/review/record.c
@@ -8,17 +8,23 @@
 
 static FILE *file;
 static ClockMs started;
+static gboolean has_trouble;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 void
 Record_Open(int argc, char **argv)
 {
-    char *path = g_build_filename(argc > 1 ? argv[1] : ".", "record.txt", NULL);
+    char *path;
 
+    if (argc != 3) {
+        exit(CASE_NOT_RUN);
+    }
+    path = g_build_filename(argv[1], "record.txt", NULL);
     file = fopen(path, "w");
     if (file == NULL) {
         exit(CASE_NOT_RUN);
     }
+    has_trouble = strcmp(argv[2], "0") != 0;
     started = Clock_Now();
     g_free(path);
 }
@@ -61,7 +67,5 @@
 gboolean
 Record_HasTrouble(void)
 {
-    const char *trouble = g_getenv("TROUBLE");
-
-    return trouble == NULL || strcmp(trouble, "0") != 0;
+    return has_trouble;
 }
--- a/review/common/record.h
+++ b/review/record.h
@@ -10,7 +10,8 @@
 /* Exit codes of a case. */
 enum { CASE_HELD = 0, CASE_BROKEN = 1, CASE_NOT_RUN = 2 };
 
-/* Opens record.txt in the folder that the first argument names. */
+/* Opens record.txt in the folder that the first argument names. The second one
+ * is 0 for a run without the disruption, as run.sh has it from TROUBLE. */
 void Record_Open(int argc, char **argv);
 void Record_Close(void);
 
@@ -20,7 +21,7 @@
 /* Sleeps until the time since the start. */
 void Record_SleepUntil(ClockMs at);
 
-/* FALSE if the environment has TROUBLE=0. */
+/* Whether the disruption takes place. */
 gboolean Record_HasTrouble(void);
 
 #endif
