backend, roster: an order is not taken up late in a stop on an estimate

What callers saw: hosts are stopped in turn; one order in a hundred takes seven times the mean.

Cause: the length of a single run does not follow from those before it, and an owner in its stop took orders up on such an estimate.

Change: with less than 2.5 s left (STOP_ORDER_MS) an owner takes an order of another host's caller up only if its deadline lies within the stop. The reply says when the owner's process ends (a further field, which earlier versions ignore), and orders prefer hosts that stay. Owners that refuse late orders have nothing to wait for, end earlier and are back earlier.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -300,6 +300,9 @@
         .service_ms = load.service_ms,
         .idle_ms = load.running > 0 ? 0 : now - backend->last_sent,
         .leaving = backend->closed || backend->state != BACKEND_READY,
+        .stop_ms = backend->stop.begin == CLOCK_NEVER
+                       ? 0
+                       : MAX(backend->stop.end - now, 1),
         .per_s = rates.per_s,
         .retries_per_s = rates.retries_per_s,
     };
@@ -363,14 +366,14 @@
                                             now) > call->deadline - now;
 }
 
-/* Whether this host or its backend server stops before the run can be expected
- * to end. If the sender stops earlier, its limit counts. Late in the stop most
- * senders are stopping, too, and could not send a run that is cut to another
- * owner: the time in which the answer is due has to be left as well. Called
- * with the lock held. */
+/* Whether this host stops before the run can be expected to end. If the sender
+ * stops earlier, its limit counts. Late in the stop most senders are stopping,
+ * too, and could not send a run that is cut to another owner: the time in
+ * which the answer is due has to be left as well. Called with the lock held.
+ */
 static gboolean
-is_leaving(const Backend *backend, const BackendCall *call,
-           const AdmissionTicket *ticket, ClockMs now)
+is_stop_expected(const Backend *backend, const BackendCall *call,
+                 const AdmissionTicket *ticket, ClockMs now)
 {
     double deviations =
         call->idempotent ? RUN_DEVIATIONS : LOST_RUN_DEVIATIONS;
@@ -379,11 +382,31 @@
     if (now > backend->stop.take_until) {
         expected_ms = MAX(expected_ms, call->target_time - now);
     }
-    return backend->closed || backend->state != BACKEND_READY ||
-           !StopPlan_TakesRun(&backend->stop, call->deadline, expected_ms,
+    return !StopPlan_TakesRun(&backend->stop, call->deadline, expected_ms,
                               now);
 }
 
+/* Whether this host may stop before the run ends, with the run lost. One of
+ * this host's own caller is not sent elsewhere, since the host stops for the
+ * caller, too. Called with the lock held. */
+static gboolean
+may_lose_run(const Backend *backend, const BackendCall *call, ClockMs now)
+{
+    return !call->idempotent && !call->is_local &&
+           !StopPlan_TakesOrder(backend->stop.end, call->deadline, now);
+}
+
+/* Whether this host or its backend server stops too early for the run. Called
+ * with the lock held. */
+static gboolean
+is_leaving(const Backend *backend, const BackendCall *call,
+           const AdmissionTicket *ticket, ClockMs now)
+{
+    return backend->closed || backend->state != BACKEND_READY ||
+           may_lose_run(backend, call, now) ||
+           is_stop_expected(backend, call, ticket, now);
+}
+
 /* Result for a request that a stop ends too early; OK if none does. Called
  * with the lock held. */
 static Result
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -176,6 +176,8 @@
     ClockMs now = Clock_Now();
     RosterQuery query = {.service = request->destination->service_hash,
                          .request.time_left_ms = request->target_time - now,
+                         .is_order = !request->call.idempotent,
+                         .deadline = request->deadline,
                          .excluded_count = request->excluded_count};
     RosterReport own;
 
@@ -186,6 +188,8 @@
         request->can_retry, request->attempts, request->has_explored);
     memcpy(query.excluded, request->excluded, sizeof(query.excluded));
     Backend_GetReport(gateway->desc.backend, &own);
+    /* The request ends with this host in any case. */
+    own.stop_ms = 0;
     Roster_Report(gateway->desc.roster, gateway->host, &own, now);
     return Roster_Choose(gateway->desc.roster, &query, now, choice);
 }
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -154,6 +154,7 @@
     call->headers = &request->forwarded;
     call->body = HttpRequest_Body(request->http, &call->body_bytes);
     call->idempotent = request->route->idempotent;
+    call->is_local = TRUE;
     call->priority = request->route->priority;
     if (team != NULL && team->has_priority) {
         call->priority = team->priority;
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -15,9 +15,12 @@
  * The answer is the backend server's, or a 503 without a body, with
  *   Radishknot-Reply: <result> <run> <arrived> <risk> <slots> <in flight>
  *                     <waiting> <service ms> <idle ms> <leaving> <owner ms>
- *                     <requests per s> <retries per s>
+ *                     <requests per s> <retries per s> <stop ms>
  *
- * The last four fields of a call and the last three of a reply may be missing:
+ * where stop is the time until the owner's process has ended, 0 if its host
+ * does not stop.
+ *
+ * The last four fields of a call and of a reply may be missing:
  * earlier versions do not send them. The headers are short because traffic
  * between regions is billed by volume.
  *
--- a/src/model/test_model_stop.c
+++ b/src/model/test_model_stop.c
@@ -187,6 +187,10 @@
         expected_ms > deadline - NOW_MS) {
         return TRUE;
     }
+    if (!state->repeatable && !variant->owner_takes_all &&
+        !StopPlan_TakesOrder(plan.end, deadline, NOW_MS)) {
+        return TRUE;
+    }
     if (NOW_MS > plan.take_until) {
         expected_ms = MAX(expected_ms, state->target * STEP_MS);
     }
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -5,6 +5,7 @@
 
 #include "roster/exploration.h"
 #include "roster/roster_internal.h"
+#include "stop/stop_plan.h"
 
 /* Maximum random addition to a cost; breaks ties. */
 #define JITTER_COST 0.01
@@ -17,6 +18,10 @@
 /* Weight of the newest sample in the moving average of the transit time. */
 #define TRANSIT_WEIGHT 0.1
 
+/* Cost of a host that stops, for an order: more than that of another data
+ * centre, less than that of another region. */
+#define STOPPING_COST 0.1
+
 /* Time constant of the exponential decay of a reported load. */
 #define LOAD_DECAY_MS 1000
 
@@ -285,6 +290,21 @@
     return Exploration_IdleMs(&input);
 }
 
+/* Whether the host is known to stop. */
+static gboolean
+is_stopping(const RosterRow *row, ClockMs now)
+{
+    return now < row->ends;
+}
+
+/* Whether the host would refuse the request because it stops. */
+static gboolean
+stops_too_early(const RosterRow *row, const RosterQuery *query, ClockMs now)
+{
+    return query->is_order && is_stopping(row, now) &&
+           !StopPlan_TakesOrder(row->ends, query->deadline, now);
+}
+
 static double
 cost_of(Roster *roster, const RosterRow *row, const RosterQuery *query,
         const ServiceMean *mean, ClockMs now)
@@ -293,6 +313,7 @@
     double jitter = JITTER_COST * Rng_Unit(&roster->rng);
     double risk = GrayFilter_Risk(&row->filter, now);
     double load = (double)row->report.in_flight / MAX(row->entry.slots, 1);
+    double stop = query->is_order && is_stopping(row, now) ? STOPPING_COST : 0;
     PlacementCandidate candidate = {
         .tier = row->tier,
         .is_known = recent,
@@ -311,7 +332,7 @@
     candidate.fail_share = GrayFilter_FailShare(&row->filter, risk);
     return Placement_Cost(&roster->desc.placement, &query->request,
                           &candidate) +
-           jitter;
+           stop + jitter;
 }
 
 static void
@@ -328,10 +349,10 @@
 }
 
 /* Returns the row with the lowest cost; NULL if there is none. Skips hosts
- * that are being avoided, unless `include_unreachable` is set. */
+ * that are being avoided or stop too early, unless `include_all` is set. */
 static const RosterRow *
 find_best(Roster *roster, const GPtrArray *rows, const RosterQuery *query,
-          gboolean include_unreachable, ClockMs now, RosterChoice *choice)
+          gboolean include_all, ClockMs now, RosterChoice *choice)
 {
     ServiceMean mean = mean_of(rows, now);
     const RosterRow *best = NULL;
@@ -343,7 +364,8 @@
         double cost;
 
         if (row->entry.leaving || is_excluded(query, row->host) ||
-            (!include_unreachable && now < row->avoid_until)) {
+            (!include_all &&
+             (now < row->avoid_until || stops_too_early(row, query, now)))) {
             continue;
         }
         cost = cost_of(roster, row, query, &mean, now);
@@ -403,6 +425,7 @@
         row->reported = now;
         _Roster_MarkReached(row, now);
         row->avoid_until = report->leaving ? now + LEAVING_AVOID_MS : 0;
+        row->ends = report->stop_ms > 0 ? now + report->stop_ms : 0;
     }
     pthread_mutex_unlock(&roster->lock);
 }
--- a/src/roster/roster_internal.h
+++ b/src/roster/roster_internal.h
@@ -19,6 +19,7 @@
                           row's creation */
     ClockMs avoid_until;
     ClockMs avoid_ms; /* avoidance time after the last failure; 0: none */
+    ClockMs ends;     /* end of its host's process, which stops; 0: does not */
     ClockMs unreachable_since; /* 0: the last contact succeeded */
     ClockMs keep_until;        /* time of removal, unless set again; 0: none */
 } RosterRow;
--- a/src/roster/roster_neighbours.c
+++ b/src/roster/roster_neighbours.c
@@ -21,6 +21,7 @@
                             : MIN(2 * row->avoid_ms, MAX_AVOID_MS);
         row->avoid_until = now + row->avoid_ms;
         row->contacted = now;
+        row->ends = 0;
         if (row->unreachable_since == 0) {
             row->unreachable_since = now;
         }
--- a/src/roster/test_roster.c
+++ b/src/roster/test_roster.c
@@ -68,6 +68,66 @@
                                                        : NULL;
 }
 
+/* Guards against an order that goes to a host which will refuse or cut it
+ * because it stops, and against one that goes far away, or is not sent at all,
+ * because the only hosts near by or at all are stopping or have stopped. */
+static void
+test_stopping(void)
+{
+    enum { BEGIN = 1, LATE = 1000, END = 3000 };
+    static const char *const near_by[] = {"near", "region", NULL};
+    static const char *const only[] = {"near", NULL};
+    static const char *const far_away[] = {"near", "far", NULL};
+    static const struct {
+        const char *const *hosts; /* the first one stops */
+        gboolean is_order;
+        ClockMs now;
+        ClockMs deadline;
+        gboolean is_unreachable; /* since the report */
+        const char *chosen;
+    } cases[] = {
+        {near_by, FALSE, BEGIN, 8000, FALSE, "near"},
+        {near_by, TRUE, BEGIN, 8000, FALSE, "region"},
+        {far_away, TRUE, BEGIN, 8000, FALSE, "near"},
+        {far_away, TRUE, LATE, 8000, FALSE, "far"},
+        {far_away, TRUE, LATE, END, FALSE, "near"},
+        {far_away, FALSE, LATE, 8000, FALSE, "near"},
+        {only, TRUE, LATE, 8000, FALSE, "near"},
+        {far_away, TRUE, END, 8000, FALSE, "near"},
+        {far_away, TRUE, LATE, 8000, TRUE, "near"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Roster *roster = make_fleet();
+        RosterQuery wanted = query();
+        RosterReport stops = report(0, 0);
+        RosterReport stays = report(0, 0);
+
+        Roster_Remove(roster, "self");
+        Roster_Report(roster, Rng_HashString("region"), &stays, BEGIN);
+        Roster_Report(roster, Rng_HashString("far"), &stays, BEGIN);
+        for (const char *const *host = near_by; *host != NULL; host++) {
+            if (!g_strv_contains(cases[i].hosts, *host)) {
+                Roster_Remove(roster, *host);
+            }
+        }
+        if (!g_strv_contains(cases[i].hosts, "far")) {
+            Roster_Remove(roster, "far");
+        }
+        stops.stop_ms = END - BEGIN;
+        Roster_Report(roster, Rng_HashString("near"), &stops, BEGIN);
+        if (cases[i].is_unreachable) {
+            Roster_NoteUnreachable(roster, Rng_HashString("near"), BEGIN);
+        }
+        wanted.is_order = cases[i].is_order;
+        wanted.deadline = cases[i].deadline;
+        g_test_message("case %zu", i);
+        g_assert_cmpstr(choose(roster, &wanted, cases[i].now), ==,
+                        cases[i].chosen);
+        Roster_Destroy(roster);
+    }
+}
+
 /* Guards against an entry that loses a field when it is encoded and decoded,
  * and against a malformed one that is accepted. */
 static void
@@ -430,6 +490,7 @@
     g_test_add_func("/roster/entry-ranges", test_entry_ranges);
     g_test_add_func("/roster/choice", test_choice);
     g_test_add_func("/roster/unreachable", test_unreachable);
+    g_test_add_func("/roster/stopping", test_stopping);
     g_test_add_func("/roster/exploration", test_exploration);
     g_test_add_func("/roster/newcomer", test_new_backend_server);
     g_test_add_func("/roster/unknown-far", test_unknown_far);
--- a/src/stop/stop_plan.c
+++ b/src/stop/stop_plan.c
@@ -48,3 +48,9 @@
 {
     return deadline <= plan->abandon || expected_ms <= plan->abandon - now;
 }
+
+gboolean
+StopPlan_TakesOrder(ClockMs end, ClockMs deadline, ClockMs now)
+{
+    return MIN(deadline - now, STOP_ORDER_MS) <= end - now;
+}
--- a/src/stop/stop_plan.h
+++ b/src/stop/stop_plan.h
@@ -13,11 +13,15 @@
  *  - any other one is refused as not run at once, so that its caller can
  *    return when the host has started again;
  *  - an owner takes up a run only if it expects it to end before the stop
- *    does, so that any other one goes to another backend server in time.
+ *    does, so that any other one goes to another backend server in time;
+ *  - a run that may not be repeated is lost if it is cut, and a single run may
+ *    take far longer than those before it: whatever is expected, an owner
+ * takes none up that has less time left than STOP_ORDER_MS.
  *
  * Use: StopPlan_None() until a stop begins, then StopPlan_Make();
  * StopPlan_Takes() for each request once it has been read whole,
- * StopPlan_TakesRun() before each run.
+ * StopPlan_TakesRun() before each run, and StopPlan_TakesOrder() before each
+ * one of another host's caller that may not be repeated.
  *
  * Errors and limits: none; pure functions.
  */
@@ -28,6 +32,10 @@
 
 #include "base/clock.h"
 
+/* Time that is left for a run that may not be repeated, unless its deadline is
+ * earlier. */
+#define STOP_ORDER_MS 2500
+
 typedef struct StopPlan {
     ClockMs begin;
     ClockMs take_until; /* every request that arrives until then is taken */
@@ -50,4 +58,8 @@
 gboolean StopPlan_TakesRun(const StopPlan *plan, ClockMs deadline,
                            ClockMs expected_ms, ClockMs now);
 
+/* Whether a host that ends at `end` takes up a run that may not be repeated
+ * and ends by `deadline`, whatever happens. */
+gboolean StopPlan_TakesOrder(ClockMs end, ClockMs deadline, ClockMs now);
+
 #endif
--- a/src/stop/test_stop_plan.c
+++ b/src/stop/test_stop_plan.c
@@ -30,6 +30,32 @@
     }
 }
 
+/* Guards against a run that may not be repeated, taken up with less time left
+ * than a long run needs. */
+static void
+test_takes_order(void)
+{
+    static const struct {
+        ClockMs now;
+        ClockMs deadline;
+        gboolean taken;
+    } cases[] = {
+        {0, 8000, TRUE},     {3100, 8000, TRUE},  {3101, 8000, FALSE},
+        {3101, 5600, TRUE},  {3101, 5601, FALSE}, {5500, 5600, TRUE},
+        {5500, 5601, FALSE}, {5700, 5800, FALSE},
+    };
+    StopPlan plan = StopPlan_Make(0, 6000);
+    StopPlan none = StopPlan_None();
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_assert_cmpint(
+            StopPlan_TakesOrder(plan.end, cases[i].deadline, cases[i].now), ==,
+            cases[i].taken);
+        g_assert_true(
+            StopPlan_TakesOrder(none.end, cases[i].deadline, cases[i].now));
+    }
+}
+
 /* Guards against a run that is taken up although it cannot be expected to end
  * before the stop does. */
 static void
@@ -82,6 +108,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/stop-plan/takes", test_takes);
     g_test_add_func("/stop-plan/takes-run", test_takes_run);
+    g_test_add_func("/stop-plan/takes-order", test_takes_order);
     g_test_add_func("/stop-plan/order", test_order);
     return g_test_run();
 }
