departure: neighbours keep a departure while the store is away

What callers saw: a backend server leaves while the store is away, its daemon acknowledges that and ends before the store is back.

Cause: the acknowledgement binds the next process, but was also given when the record of the departure was only in the memory of this one.

Change: if the store has not answered within 0.15 s, three neighbours keep a copy before the report is acknowledged. A new process asks them before it admits an instance; they also send the copies back about once a second, since a process that starts without the store does not know them. If nobody has the record, the report is answered with 503. Nothing is sent while the store answers, but for the question of a new process.

Sidecar_Destroy() stops the RPC server before the departure that its handlers use.

--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -116,11 +116,15 @@
     LOG(REQUEST_ENDED, 405, INFO, "request of a caller ended") \
     LOG(CALL_RUN, 406, INFO, "request of another daemon ended") \
     LOG(DEPARTURE_NOT_RECORDED, 407, WARNING, \
-        "acknowledged that a backend server leaves without a record of it") \
+        "report that a backend server leaves refused: nobody keeps a record") \
     LOG(ANSWER_CUT_OFF, 408, WARNING, \
         "answer is too large, or there is no memory for it") \
     LOG(UPLOAD_REFUSED, 409, WARNING, \
-        "no memory for the body of a request")
+        "no memory for the body of a request") \
+    LOG(DEPARTURE_DEPOSITED, 410, INFO, \
+        "copies of a departure given to neighbours") \
+    LOG(DEPARTURE_RETURNED, 411, INFO, \
+        "a departure before this process learned from a neighbour")
 /* clang-format on */
 
 #endif
--- a/src/departure/departure.c
+++ b/src/departure/departure.c
@@ -13,6 +13,9 @@
 /* An acknowledgement has to arrive within a second. */
 #define RECORD_WAIT_MS 600
 
+/* Time after which a store that has not answered is taken to be away. */
+#define STORE_WAIT_MS 150
+
 /* Age by the wall clock after which a record is removed; far more than the
  * delay of an announcement and the difference of two hosts' clocks. */
 #define RETENTION_MS 600000
@@ -28,6 +31,8 @@
     pthread_mutex_t lock;
     pthread_cond_t wake; /* signals a change of the fields below */
     gboolean stopping;
+    gboolean is_listed;      /* the records in the store have been read; used
+                                by the thread only */
     gboolean is_read;        /* the record of earlier processes is known */
     gboolean is_written;     /* the store has `left` */
     gboolean is_conflict;    /* the record has to be read again */
@@ -224,28 +229,43 @@
     return result;
 }
 
+/* Learns of departures before this process. */
+static Result
+read_earlier(Departure *departure)
+{
+    if (!departure->is_listed) {
+        Result result = read_all(departure);
+
+        if (result != RESULT_OK) {
+            return result;
+        }
+        departure->is_listed = TRUE;
+    }
+    if (departure->desc.collect != NULL &&
+        !departure->desc.collect(departure->desc.context)) {
+        return RESULT_STORE_UNAVAILABLE;
+    }
+    pthread_mutex_lock(&departure->lock);
+    departure->is_read = TRUE;
+    pthread_mutex_unlock(&departure->lock);
+    return RESULT_OK;
+}
+
 /* Does the next step with the store. */
 static Result
 step(Departure *departure)
 {
     gboolean is_read;
     gboolean is_conflict;
-    Result result;
 
     pthread_mutex_lock(&departure->lock);
     is_read = departure->is_read;
     is_conflict = departure->is_conflict;
     pthread_mutex_unlock(&departure->lock);
-    if (is_read) {
-        return is_conflict ? read_back(departure) : write_once(departure);
+    if (!is_read) {
+        return read_earlier(departure);
     }
-    result = read_all(departure);
-    if (result == RESULT_OK) {
-        pthread_mutex_lock(&departure->lock);
-        departure->is_read = TRUE;
-        pthread_mutex_unlock(&departure->lock);
-    }
-    return result;
+    return is_conflict ? read_back(departure) : write_once(departure);
 }
 
 /* Sleeps for pause_ms, then waits until there is something to read or write.
@@ -359,25 +379,61 @@
     return admits;
 }
 
+/* Takes the instance for the one that left last, unless a later one has.
+ * Returns TRUE if it is new. Called with the lock held. */
+static gboolean
+set_left(Departure *departure, const char *instance, int64_t born)
+{
+    if (is_same(&departure->left, instance, born) ||
+        (born != 0 && born < departure->left.born)) {
+        return FALSE;
+    }
+    g_strlcpy(departure->left.name, instance, sizeof(departure->left.name));
+    departure->left.born = born;
+    departure->is_written = FALSE;
+    pthread_cond_broadcast(&departure->wake);
+    return TRUE;
+}
+
 gboolean
 Departure_Record(Departure *departure, const char *instance, int64_t born)
 {
+    const Departure_desc *desc = &departure->desc;
+    ClockMs end = Clock_Now() + RECORD_WAIT_MS;
     gboolean is_recorded;
 
     pthread_mutex_lock(&departure->lock);
-    if (!is_same(&departure->left, instance, born) &&
-        (born == 0 || born >= departure->left.born)) {
-        g_strlcpy(departure->left.name, instance,
-                  sizeof(departure->left.name));
-        departure->left.born = born;
-        departure->is_written = FALSE;
-        pthread_cond_broadcast(&departure->wake);
+    (void)set_left(departure, instance, born);
+    is_recorded = await(departure, &departure->is_written, STORE_WAIT_MS);
+    if (!is_recorded && desc->deposit != NULL) {
+        pthread_mutex_unlock(&departure->lock);
+        is_recorded = desc->deposit(desc->context, instance, born);
+        pthread_mutex_lock(&departure->lock);
     }
-    is_recorded = await(departure, &departure->is_written, RECORD_WAIT_MS);
+    is_recorded = is_recorded || await(departure, &departure->is_written,
+                                       MAX(end - Clock_Now(), 0));
     pthread_mutex_unlock(&departure->lock);
     return is_recorded;
 }
 
+gboolean
+Departure_Adopt(Departure *departure, const char *instance, int64_t born)
+{
+    gboolean is_new;
+    gboolean is_written;
+
+    pthread_mutex_lock(&departure->lock);
+    is_new = set_left(departure, instance, born);
+    is_written = departure->is_written;
+    pthread_mutex_unlock(&departure->lock);
+    if (is_new) {
+        Log_Event(LOG_DEPARTURE_RETURNED, "instance=%s born=%" PRId64,
+                  instance, born);
+        departure->desc.left(departure->desc.context, instance, born);
+    }
+    return is_written;
+}
+
 void
 Departure_NoteGeneration(Departure *departure, int64_t generation)
 {
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -80,6 +80,31 @@
     Backend_MarkStopped(sidecar->backend, instance, born);
 }
 
+static gboolean
+deposit_departure(void *context, const char *instance, int64_t born)
+{
+    Sidecar *sidecar = context;
+
+    return DepartureKeeper_Deposit(sidecar->keeper, instance, born);
+}
+
+static gboolean
+collect_departures(void *context)
+{
+    Sidecar *sidecar = context;
+
+    return _Sidecar_AwaitRoster(sidecar) &&
+           DepartureKeeper_Collect(sidecar->keeper);
+}
+
+static gboolean
+return_departure(void *context, const char *instance, int64_t born)
+{
+    Sidecar *sidecar = context;
+
+    return Departure_Adopt(sidecar->departure, instance, born);
+}
+
 static void
 create_state(Sidecar *sidecar)
 {
@@ -106,6 +131,8 @@
     Departure_desc departure = {.store = sidecar->store,
                                 .host = settings->host,
                                 .left = note_departure,
+                                .deposit = deposit_departure,
+                                .collect = collect_departures,
                                 .context = sidecar};
 
     sidecar->catalog = Catalog_Create();
@@ -116,6 +143,13 @@
     quota.rpc = sidecar->rpc;
     sidecar->quota = Quota_Create(&quota);
     sidecar->writer = ObjectWriter_Start(&writer);
+    sidecar->keeper = DepartureKeeper_Create(
+        &(DepartureKeeper_desc){.rpc = sidecar->rpc,
+                                .roster = sidecar->roster,
+                                .host = settings->host,
+                                .address = settings->address,
+                                .returned = return_departure,
+                                .context = sidecar});
     sidecar->departure = Departure_Create(&departure);
     /* Without a fixed RPC port, an earlier process may still run. */
     sidecar->attempts = AttemptLog_Create(&(AttemptLog_desc){
@@ -312,10 +346,12 @@
     _Sidecar_ClosePorts(sidecar);
     _Sidecar_StopState(sidecar);
     ObjectWriter_Stop(sidecar->writer);
-    Departure_Destroy(sidecar->departure);
+    /* Its handlers use the departure. */
     Rpc_Stop(sidecar->rpc);
+    Departure_Destroy(sidecar->departure);
     Quota_Destroy(sidecar->quota);
     Rpc_Destroy(sidecar->rpc);
+    DepartureKeeper_Destroy(sidecar->keeper);
     AttemptLog_Destroy(sidecar->attempts);
     Backend_Destroy(sidecar->backend);
     Roster_Destroy(sidecar->roster);
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -7,6 +7,7 @@
 #include "attempt/attempt_rpc.h"
 #include "catalog/catalog.h"
 #include "departure/departure.h"
+#include "departure/departure_keeper.h"
 #include "gateway/gateway.h"
 #include "gateway/peer_port.h"
 #include "mirror/mirror.h"
@@ -58,6 +59,7 @@
     atomic_bool must_ask;      /* no neighbour has answered yet */
     ObjectWriter *writer;
     Departure *departure;
+    DepartureKeeper *keeper;
     ClockMs max_catalog_age_ms; /* maximum age of a usable configuration */
     atomic_bool leaving;
     SidecarMonitor *monitor;
@@ -70,6 +72,10 @@
 void _Sidecar_StopState(Sidecar *sidecar);
 void _Sidecar_PublishBackend(void *context);
 
+/* Waits until the neighbours are known, for a short time. Returns FALSE if
+ * they are not. */
+gboolean _Sidecar_AwaitRoster(const Sidecar *sidecar);
+
 /* sidecar_monitor.c: removes the entries of neighbours that have failed. Must
  * be started before the RPC server. */
 SidecarMonitor *_Sidecar_StartMonitor(Sidecar *sidecar);
--- a/src/sidecar/sidecar_monitor.c
+++ b/src/sidecar/sidecar_monitor.c
@@ -139,6 +139,7 @@
             check_unreachable(sidecar, &suspects[i]);
         }
         ping_silent(sidecar);
+        DepartureKeeper_Return(sidecar->keeper);
         if (atomic_load(&sidecar->must_ask)) {
             _Sidecar_AskVersions(sidecar);
         }
--- a/src/sidecar/sidecar_ports.c
+++ b/src/sidecar/sidecar_ports.c
@@ -55,9 +55,9 @@
 }
 
 /* Stops new requests to the instance, then records that it leaves, so that the
- * acknowledgement binds the next process, too. It is given even if the record
- * cannot be written: without it the backend server stays for longer. */
-static void
+ * acknowledgement binds the next process, too. Returns FALSE if nobody has the
+ * record: the report is not acknowledged then, and may come again. */
+static gboolean
 apply_leave(Sidecar *sidecar, AnnounceKind kind,
             const BackendAnnouncement *announcement)
 {
@@ -65,11 +65,13 @@
         Backend_MarkStopped(sidecar->backend, announcement->instance,
                             announcement->born);
     }
-    if (!Departure_Record(sidecar->departure, announcement->instance,
-                          announcement->born)) {
-        Log_Event(LOG_DEPARTURE_NOT_RECORDED, "instance=%s born=%" PRId64,
-                  announcement->instance, announcement->born);
+    if (Departure_Record(sidecar->departure, announcement->instance,
+                         announcement->born)) {
+        return TRUE;
     }
+    Log_Event(LOG_DEPARTURE_NOT_RECORDED, "instance=%s born=%" PRId64,
+              announcement->instance, announcement->born);
+    return FALSE;
 }
 
 static void
@@ -80,6 +82,7 @@
     AnnounceKind kind =
         sidecar->adapter->decode_announcement(request, &announcement);
     const char *refused = NULL;
+    int status = 200;
 
     if (kind == ANNOUNCE_NONE ||
         (kind == ANNOUNCE_HEARTBEAT &&
@@ -100,9 +103,9 @@
                   announcement.sequence, refused);
     }
     else if (kind == ANNOUNCE_DEREGISTER || announcement.draining) {
-        apply_leave(sidecar, kind, &announcement);
+        status = apply_leave(sidecar, kind, &announcement) ? 200 : 503;
     }
-    answer_status(request, 200, "{}");
+    answer_status(request, status, "{}");
 }
 
 static gboolean
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -97,9 +97,8 @@
     MirrorCache_Retain(sidecar->kinds[SIDECAR_CATALOG].cache, names, revision);
 }
 
-/* Waits until the neighbours are known, for a short time. */
-static void
-await_roster(const Sidecar *sidecar)
+gboolean
+_Sidecar_AwaitRoster(const Sidecar *sidecar)
 {
     ClockMs end = Clock_Now() + ROSTER_KNOWN_MS;
 
@@ -107,6 +106,7 @@
            !atomic_load(&sidecar->leaving) && Clock_Now() < end) {
         g_usleep(ROSTER_POLL_MS * 1000);
     }
+    return atomic_load(&sidecar->roster_known);
 }
 
 /* Called with each confirmed generation of the store. A store that was
@@ -125,7 +125,7 @@
     sidecar->asked_generation = generation;
     Departure_NoteGeneration(sidecar->departure, generation);
     if (generation >= FIRST_RESTORED) {
-        await_roster(sidecar);
+        (void)_Sidecar_AwaitRoster(sidecar);
         _Sidecar_AskVersions(sidecar);
     }
 }
--- a/tests/site.c
+++ b/tests/site.c
@@ -702,6 +702,12 @@
     g_free(body);
 }
 
+gboolean
+Site_HasAcknowledged(Site *site, int host)
+{
+    return atomic_load(&site->hosts[host].left) != 0;
+}
+
 void
 Site_Silence(Site *site, int host)
 {
--- a/tests/site.h
+++ b/tests/site.h
@@ -138,6 +138,10 @@
  */
 void Site_Deregister(Site *site, int host);
 
+/* Returns whether the host has acknowledged that its backend server drains or
+ * is gone. */
+gboolean Site_HasAcknowledged(Site *site, int host);
+
 /* The backend server of the host starts anew after a drain or deregistration
  * and announces itself. */
 void Site_Rejoin(Site *site, int host);
