--- a/soak/soak.c
+++ b/soak/soak.c
@@ -3,11 +3,13 @@
  * servers observe.
  *
  *   soak --seed=N [--mode=MODE] [--seconds=S] [--hosts=H] [--endless]
+ *        [--long-runs]
  *
  * Modes: mixed (faults of all kinds), planned (only planned work, which
  * excuses no lost request), restored (the store goes back to an older copy).
  * With --endless, one more host has a backend server that sends bytes without
- * end (soak_endless.c).
+ * end (soak_endless.c). With --long-runs, a few requests of mode planned take
+ * far longer than the others, so that an estimate by these fails.
  *
  * The seed determines the schedule; the timing of the processes is not
  * reproducible. On a violation the program prints the guarantee, keeps the
@@ -181,6 +183,7 @@
     int seconds;
     int hosts;
     gboolean has_endless;
+    gboolean has_long_runs;
 } Options;
 
 static const Mode *
@@ -216,6 +219,9 @@
     case 'e':
         options->has_endless = TRUE;
         return 0;
+    case 'l':
+        options->has_long_runs = TRUE;
+        return 0;
     default:
         return ARGP_ERR_UNKNOWN;
     }
@@ -231,6 +237,7 @@
          0},
         {"hosts", 'n', "H", 0, "number of daemons (5)", 0},
         {"endless", 'e', NULL, 0, "a backend server sends without end", 0},
+        {"long-runs", 'l', NULL, 0, "a few requests take far longer", 0},
         {0}};
     static const struct argp argp = {
         argp_options,
@@ -247,6 +254,7 @@
     argp_parse(&argp, argc, argv, 0, NULL, &options);
     Rng_Seed(&soak.rng, options.seed);
     soak.seed = options.seed;
+    soak.has_long_runs = options.has_long_runs;
     soak.hosts =
         MIN(options.hosts, SITE_MAX_HOSTS - (options.has_endless ? 1 : 0));
     start_site(&soak, options.mode, options.has_endless);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -37,6 +37,7 @@
     EndlessServer *endless; /* NULL: none */
     pthread_t endless_thread;
     ClockMs end; /* of the schedule */
+    gboolean has_long_runs;
     atomic_bool stopping;
     atomic_int served;
     atomic_int refused;
--- a/soak/soak_callers.c
+++ b/soak/soak_callers.c
@@ -40,6 +40,10 @@
     return NULL;
 }
 
+/* Requests of --long-runs. */
+#define LONG_PERCENT 2
+#define LONG_WORK_MS 2300
+
 /* Mean service time of the run. It varies by a quarter, so that the owners of
  * the backend servers can expect it. */
 static int
@@ -50,6 +54,17 @@
     return work_ms[soak->seed % G_N_ELEMENTS(work_ms)];
 }
 
+/* Work of a request, from `mean_ms` and its neighbourhood. */
+static int
+draw_work_ms(const Soak *soak, int mean_ms, Rng *rng)
+{
+    int work_ms = mean_ms * 3 / 4 + (int)Rng_Below(rng, (uint64_t)mean_ms / 2);
+
+    return soak->has_long_runs && Rng_Below(rng, 100) < LONG_PERCENT
+               ? LONG_WORK_MS
+               : work_ms;
+}
+
 /* Pauses between two requests, while the connection is open and idle. Each
  * host's callers keep its backend server, of 5 slots, about full: 30 callers
  * that use 1 slot in 1 + IDLE_TIMES of their time. */
@@ -81,10 +96,9 @@
         int host = at_home ? caller->number % soak->hosts
                            : (int)Rng_Below(&rng, (uint64_t)soak->hosts);
         gboolean non_idempotent = Rng_Below(&rng, 2) == 0;
-        int work_ms =
-            mean_ms * 3 / 4 + (int)Rng_Below(&rng, (uint64_t)mean_ms / 2);
-        char *path = g_strdup_printf(
-            "%s/work-%d", non_idempotent ? "/issue" : "/read", work_ms);
+        char *path =
+            g_strdup_printf("%s/work-%d", non_idempotent ? "/issue" : "/read",
+                            draw_work_ms(soak, mean_ms, &rng));
         ClockMs sent = Clock_Now();
         char id[SITE_ID_BYTES];
         SiteReply reply = Site_RequestWith(soak->site, client, host,
