backend, roster, stop: the glossary's word for a run that may not be repeated

StopPlan_TakesIssuance(), STOP_ISSUANCE_MS and is_issuance in place of "order", which is also the word for a sequence. Names and comments only.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -393,7 +393,7 @@
 may_lose_run(const Backend *backend, const BackendCall *call, ClockMs now)
 {
     return !call->idempotent && !call->is_local &&
-           !StopPlan_TakesOrder(backend->stop.end, call->deadline, now);
+           !StopPlan_TakesIssuance(backend->stop.end, call->deadline, now);
 }
 
 /* Whether this host or its backend server stops too early for the run. Called
--- a/src/backend/test_stop_estimate.c
+++ b/src/backend/test_stop_estimate.c
@@ -131,11 +131,12 @@
     g_assert_true(Backend_Announce(fixture.backend, &slots));
     make_history(&fixture, item->history, &slow);
     now = Clock_Now();
-    plan = (StopPlan){.begin = now,
-                      .take_until = now + (item->is_late ? -1 : 1000),
-                      .abandon = now + item->abandon_ms,
-                      /* Far off: the estimate decides, not STOP_ORDER_MS. */
-                      .end = now + item->abandon_ms + STOP_ORDER_MS};
+    plan =
+        (StopPlan){.begin = now,
+                   .take_until = now + (item->is_late ? -1 : 1000),
+                   .abandon = now + item->abandon_ms,
+                   /* Far off: the estimate decides, not STOP_ISSUANCE_MS. */
+                   .end = now + item->abandon_ms + STOP_ISSUANCE_MS};
     if (item->abandon_ms > 0) {
         Backend_Leave(fixture.backend, &plan);
     }
--- a/src/backend/test_stop_runs.c
+++ b/src/backend/test_stop_runs.c
@@ -73,7 +73,7 @@
                           .take_until = now + (cases[i].is_late ? -1 : 1000),
                           .abandon = now + cases[i].abandon_ms,
                           /* Far off: the estimate decides. */
-                          .end = now + cases[i].abandon_ms + STOP_ORDER_MS};
+                          .end = now + cases[i].abandon_ms + STOP_ISSUANCE_MS};
         if (cases[i].abandon_ms > 0) {
             Backend_Leave(fixture.backend, &plan);
         }
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -176,7 +176,7 @@
     ClockMs now = Clock_Now();
     RosterQuery query = {.service = request->destination->service_hash,
                          .request.time_left_ms = request->target_time - now,
-                         .is_order = !request->call.idempotent,
+                         .is_issuance = !request->call.idempotent,
                          .deadline = request->deadline,
                          .excluded_count = request->excluded_count};
     RosterReport own;
--- a/src/model/test_model_stop.c
+++ b/src/model/test_model_stop.c
@@ -188,7 +188,7 @@
         return TRUE;
     }
     if (!state->repeatable && !variant->owner_takes_all &&
-        !StopPlan_TakesOrder(plan.end, deadline, NOW_MS)) {
+        !StopPlan_TakesIssuance(plan.end, deadline, NOW_MS)) {
         return TRUE;
     }
     if (NOW_MS > plan.take_until) {
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -18,7 +18,7 @@
 /* Weight of the newest sample in the moving average of the transit time. */
 #define TRANSIT_WEIGHT 0.1
 
-/* Cost of a host that stops, for an order: more than that of another data
+/* Cost of a host that stops, for an issuance: more than that of another data
  * centre, less than that of another region. */
 #define STOPPING_COST 0.1
 
@@ -305,8 +305,8 @@
 static gboolean
 stops_too_early(const RosterRow *row, const RosterQuery *query, ClockMs now)
 {
-    return query->is_order && is_stopping(row, now) &&
-           !StopPlan_TakesOrder(row->ends, query->deadline, now);
+    return query->is_issuance && is_stopping(row, now) &&
+           !StopPlan_TakesIssuance(row->ends, query->deadline, now);
 }
 
 static double
@@ -317,7 +317,8 @@
     double jitter = JITTER_COST * Rng_Unit(&roster->rng);
     double risk = GrayFilter_Risk(&row->filter, now);
     double load = (double)row->report.in_flight / MAX(row->entry.slots, 1);
-    double stop = query->is_order && is_stopping(row, now) ? STOPPING_COST : 0;
+    double stop =
+        query->is_issuance && is_stopping(row, now) ? STOPPING_COST : 0;
     PlacementCandidate candidate = {
         .tier = row->tier,
         .is_known = recent,
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -11,10 +11,10 @@
  * The choice minimises the expected cost (roster/placement.h). A backend
  * server that has been idle for a while is explored with requests that can be
  * retried, so that one that has recovered is used again and none is excluded
- * for long. An order goes to a backend server whose host stops only if others
- * cost more, and to one that would refuse it (StopPlan_TakesOrder()) only if
- * no other is left. Reports age: the risk drifts to the fleet's long-term mean
- * and the weight of the load decays.
+ * for long. An issuance goes to a backend server whose host stops only if
+ * others cost more, and to one that would refuse it (StopPlan_TakesIssuance())
+ * only if no other is left. Reports age: the risk drifts to the fleet's
+ * long-term mean and the weight of the load decays.
  *
  * Limits: ROSTER_MAX_EXCLUDED hosts can be excluded from one choice. Thread
  * safe.
@@ -66,9 +66,9 @@
     uint64_t service; /* hash of the service name */
     PlacementRequest request;
     gboolean may_explore; /* a retry could follow a failure */
-    gboolean is_order;    /* may not be repeated: lost if its owner's stop cuts
-                             it */
-    ClockMs deadline;     /* of an order */
+    gboolean is_issuance; /* may not be repeated: lost if its owner's stop cuts
+                          it */
+    ClockMs deadline;     /* of an issuance */
     uint64_t excluded[ROSTER_MAX_EXCLUDED]; /* hashes of the excluded hosts */
     uint32_t excluded_count;
 } RosterQuery;
--- a/src/roster/test_roster.c
+++ b/src/roster/test_roster.c
@@ -68,7 +68,7 @@
                                                        : NULL;
 }
 
-/* Guards against an order that goes to a host which will refuse or cut it
+/* Guards against an issuance that goes to a host which will refuse or cut it
  * because it stops, and against one that goes far away, or is not sent at all,
  * because the only hosts near by or at all are stopping or have stopped. */
 static void
@@ -80,7 +80,7 @@
     static const char *const far_away[] = {"near", "far", NULL};
     static const struct {
         const char *const *hosts; /* the first one stops */
-        gboolean is_order;
+        gboolean is_issuance;
         ClockMs now;
         ClockMs deadline;
         gboolean is_unreachable; /* since the report */
@@ -119,7 +119,7 @@
         if (cases[i].is_unreachable) {
             Roster_NoteUnreachable(roster, Rng_HashString("near"), BEGIN);
         }
-        wanted.is_order = cases[i].is_order;
+        wanted.is_issuance = cases[i].is_issuance;
         wanted.deadline = cases[i].deadline;
         g_test_message("case %zu", i);
         g_assert_cmpstr(choose(roster, &wanted, cases[i].now), ==,
--- a/src/stop/stop_plan.c
+++ b/src/stop/stop_plan.c
@@ -50,7 +50,7 @@
 }
 
 gboolean
-StopPlan_TakesOrder(ClockMs end, ClockMs deadline, ClockMs now)
+StopPlan_TakesIssuance(ClockMs end, ClockMs deadline, ClockMs now)
 {
-    return MIN(deadline - now, STOP_ORDER_MS) <= end - now;
+    return MIN(deadline - now, STOP_ISSUANCE_MS) <= end - now;
 }
--- a/src/stop/stop_plan.h
+++ b/src/stop/stop_plan.h
@@ -16,12 +16,12 @@
  *    does, so that any other one goes to another backend server in time;
  *  - a run that may not be repeated is lost if it is cut, and a single run may
  *    take far longer than those before it: an owner takes none up with less
- *    than STOP_ORDER_MS left, whatever is expected.
+ *    than STOP_ISSUANCE_MS left, whatever is expected.
  *
  * Use: StopPlan_None() until a stop begins, then StopPlan_Make();
  * StopPlan_Takes() for each request once it has been read whole,
- * StopPlan_TakesRun() before each run, and StopPlan_TakesOrder() before each
- * one of another host's caller that may not be repeated.
+ * StopPlan_TakesRun() before each run, and StopPlan_TakesIssuance() before
+ * each one of another host's caller that may not be repeated.
  *
  * Errors and limits: none; pure functions.
  */
@@ -34,7 +34,7 @@
 
 /* Time that is left for a run that may not be repeated, unless its deadline is
  * earlier. */
-#define STOP_ORDER_MS 2500
+#define STOP_ISSUANCE_MS 2500
 
 typedef struct StopPlan {
     ClockMs begin;
@@ -60,6 +60,6 @@
 
 /* Whether a host that ends at `end` takes up a run that may not be repeated
  * and ends by `deadline`, whatever happens. */
-gboolean StopPlan_TakesOrder(ClockMs end, ClockMs deadline, ClockMs now);
+gboolean StopPlan_TakesIssuance(ClockMs end, ClockMs deadline, ClockMs now);
 
 #endif
--- a/tests/process_stop_turn.c
+++ b/tests/process_stop_turn.c
@@ -1,5 +1,5 @@
-/* Tests of orders, which may not be repeated, while the hosts of a service are
- * stopped in turn: none is lost, however long its run, and none is refused
+/* Tests of issuances, which may not be repeated, while the hosts of a service
+ * are stopped in turn: none is lost, however long its run, and none is refused
  * that a host could have served. */
 #include <glib.h>
 #include <jansson.h>
@@ -187,7 +187,7 @@
         is_served(request) || (is_refused && !item->must_be_served);
 
     g_test_message(
-        "%s: order of %" G_GINT64_FORMAT " ms at %" G_GINT64_FORMAT
+        "%s: issuance of %" G_GINT64_FORMAT " ms at %" G_GINT64_FORMAT
         " ms: result %d status %d after %" G_GINT64_FORMAT " ms, %s%s",
         item->name, request->work_ms, request->time - begin,
         (int)request->reply.result, request->reply.status, request->took_ms,
@@ -256,8 +256,8 @@
     g_assert_cmpuint(wrong, ==, 0);
 }
 
-/* Guards against an order that an owner takes up late in its stop, since all
- * runs before were short, and cuts, although another owner stays. */
+/* Guards against an issuance that an owner takes up late in its stop, since
+ * all runs before were short, and cuts, although another owner stays. */
 static void
 test_other_stays(void)
 {
@@ -292,7 +292,7 @@
     play_all(cases, G_N_ELEMENTS(cases));
 }
 
-/* Guards against an order that is lost while no owner stays. */
+/* Guards against an issuance that is lost while no owner stays. */
 static void
 test_none_stays(void)
 {
@@ -312,7 +312,7 @@
     play_all(cases, G_N_ELEMENTS(cases));
 }
 
-/* Guards against orders that all owners refuse because they stop, although
+/* Guards against issuances that all owners refuse because they stop, although
  * their runs end long before. */
 static void
 test_short_served(void)
@@ -335,7 +335,7 @@
     play_all(cases, G_N_ELEMENTS(cases));
 }
 
-/* Guards against an order that is refused, while a host that has stopped is
+/* Guards against an issuance that is refused, while a host that has stopped is
  * back early, because it is taken for one that still stops and the other owner
  * is full. */
 static void
