--- a/src/departure/test_departure_keeper.c
+++ b/src/departure/test_departure_keeper.c
@@ -1,5 +1,6 @@
 /* Tests of departures that neighbours keep, on loopback sockets. */
 #include <glib.h>
+#include <pthread.h>
 #include <string.h>
 
 #include "base/rng.h"
@@ -15,7 +16,8 @@
     Rpc *rpc;
     Roster *roster;
     DepartureKeeper *keeper;
-    gboolean is_written; /* reported for each copy that is returned */
+    pthread_mutex_t lock; /* protects the fields below */
+    gboolean is_written;  /* reported for each copy that is returned */
     int returned;
     char instance[64];
     int64_t born;
@@ -25,11 +27,51 @@
 take(void *context, const char *instance, int64_t born)
 {
     Host *host = context;
+    gboolean is_written;
 
+    pthread_mutex_lock(&host->lock);
     host->returned++;
     g_strlcpy(host->instance, instance, sizeof(host->instance));
     host->born = born;
-    return host->is_written;
+    is_written = host->is_written;
+    pthread_mutex_unlock(&host->lock);
+    return is_written;
+}
+
+static int
+count_returned(Host *host)
+{
+    int returned;
+
+    pthread_mutex_lock(&host->lock);
+    returned = host->returned;
+    pthread_mutex_unlock(&host->lock);
+    return returned;
+}
+
+static void
+expect_instance(Host *host, const char *instance)
+{
+    pthread_mutex_lock(&host->lock);
+    g_assert_cmpstr(host->instance, ==, instance);
+    pthread_mutex_unlock(&host->lock);
+}
+
+static void
+expect_returned(Host *host, const char *instance, int64_t born)
+{
+    expect_instance(host, instance);
+    pthread_mutex_lock(&host->lock);
+    g_assert_cmpint(host->born, ==, born);
+    pthread_mutex_unlock(&host->lock);
+}
+
+static void
+set_written(Host *host)
+{
+    pthread_mutex_lock(&host->lock);
+    host->is_written = TRUE;
+    pthread_mutex_unlock(&host->lock);
 }
 
 /* Starts a process of the host; a later one has a higher incarnation. */
@@ -45,6 +87,7 @@
                     .secret_bytes = sizeof(SECRET)};
 
     *host = (Host){0};
+    pthread_mutex_init(&host->lock, NULL);
     g_snprintf(host->name, sizeof(host->name), "host-%d", number);
     rpc.host = Rng_HashString(host->name);
     host->rpc = Rpc_Create(&rpc, NULL);
@@ -69,6 +112,7 @@
     Rpc_Destroy(host->rpc);
     DepartureKeeper_Destroy(host->keeper);
     Roster_Destroy(host->roster);
+    pthread_mutex_destroy(&host->lock);
 }
 
 static void
@@ -129,10 +173,9 @@
         }
         g_assert_cmpint(DepartureKeeper_Collect(hosts[0].keeper), ==,
                         cases[i].is_collected);
-        g_assert_cmpint(hosts[0].returned > 0, ==, cases[i].is_kept);
+        g_assert_cmpint(count_returned(&hosts[0]) > 0, ==, cases[i].is_kept);
         if (cases[i].is_kept) {
-            g_assert_cmpstr(hosts[0].instance, ==, "i1");
-            g_assert_cmpint(hosts[0].born, ==, 100);
+            expect_returned(&hosts[0], "i1", 100);
         }
         for (int host = 0; host < count; host++) {
             stop(&hosts[host]);
@@ -158,14 +201,13 @@
     DepartureKeeper_Return(hosts[1].keeper);
 
     start(&hosts[0], 0, 2, port, FALSE);
-    while (hosts[0].returned < 2) {
+    while (count_returned(&hosts[0]) < 2) {
         DepartureKeeper_Return(hosts[1].keeper);
         g_usleep(10000);
     }
-    g_assert_cmpstr(hosts[0].instance, ==, "i1");
-    g_assert_cmpint(hosts[0].born, ==, 100);
-    hosts[0].is_written = TRUE;
-    while (hosts[0].returned < 3) {
+    expect_returned(&hosts[0], "i1", 100);
+    set_written(&hosts[0]);
+    while (count_returned(&hosts[0]) < 3) {
         DepartureKeeper_Return(hosts[1].keeper);
         g_usleep(10000);
     }
@@ -173,7 +215,7 @@
         DepartureKeeper_Return(hosts[1].keeper);
         g_usleep(10000);
     }
-    g_assert_cmpint(hosts[0].returned, ==, 3);
+    g_assert_cmpint(count_returned(&hosts[0]), ==, 3);
     stop(&hosts[0]);
     stop(&hosts[1]);
 }
@@ -198,7 +240,7 @@
         g_assert_true(DepartureKeeper_Deposit(
             hosts[0].keeper, steps[i].instance, steps[i].born));
         g_assert_true(DepartureKeeper_Collect(hosts[0].keeper));
-        g_assert_cmpstr(hosts[0].instance, ==, steps[i].kept);
+        expect_instance(&hosts[0], steps[i].kept);
     }
     stop(&hosts[0]);
     stop(&hosts[1]);
