--- a/tests/process_stop_turn.c
+++ b/tests/process_stop_turn.c
@@ -1,6 +1,6 @@
 /* Tests of issuances, which may not be repeated, while the hosts of a service
- * are stopped in turn: none is lost, however long its run, and none is refused
- * that a host could have served. */
+ * are stopped in turn: none of up to LONG_MS is lost, and none is refused that
+ * a host could have served. */
 #include <glib.h>
 #include <jansson.h>
 #include <pthread.h>
@@ -14,8 +14,8 @@
 #define OWNERS (HOSTS - 1)
 #define NO_STOP (-1)
 
-/* Runs from which the owners learn that runs are short: rounds of as many as
- * one owner has no slots for. */
+/* Runs from which all owners learn that runs are short: rounds that are too
+ * large for the slots of one. */
 #define KNOWN_ROUNDS 6
 #define ROUND 8
 #define SHORT_MS 50
