stop: the time left for an issuance follows its route, not one figure

Cause: the bound was a constant, while what a run may take is the route's.

Change: the sender states half of the time that the route allows (else the caller), and an owner that stops takes the issuance up only if so much is left, or if its deadline lies within the stop.

/stop-runs/expected-end and /stop-estimate/* have the ends of their stops back as on; their calls allow 1 ms, so that the estimate decides.

--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -25,8 +25,9 @@
  *    is not expected to end sooner than the longest run seen lately, and not
  *    at all in a stop until a few runs have been answered, unless its own
  *    deadline is earlier. In the stop of this host, one of another host's
- *    caller also needs the time of StopPlan_TakesIssuance(), as a single run
- * may take far longer than all before it;
+ * caller also needs the time that its sender allows for it, as a single run
+ * may take far longer than all before
+ *    it;
  *  - if its risk of a gray failure or the expected wait for a slot exceeds the
  *    sender's limit. A request that explores an idle backend server is exempt
  *    from the limit of risk. Only the owner knows how long the backend server
@@ -126,6 +127,9 @@
     void *give_up_context;
     gboolean idempotent;
     gboolean is_local; /* the caller is connected to this host */
+    /* Time allowed for a run: more than nearly all take. 0: until the
+     * deadline. */
+    ClockMs run_allowance_ms;
     gboolean is_retry; /* an earlier attempt reached a backend server */
     int priority;
     double max_risk;
--- a/src/backend/test_stop_estimate.c
+++ b/src/backend/test_stop_estimate.c
@@ -131,18 +131,17 @@
     g_assert_true(Backend_Announce(fixture.backend, &slots));
     make_history(&fixture, item->history, &slow);
     now = Clock_Now();
-    plan =
-        (StopPlan){.begin = now,
-                   .take_until = now + (item->is_late ? -1 : 1000),
-                   .abandon = now + item->abandon_ms,
-                   /* Far off: the estimate decides, not STOP_ISSUANCE_MS. */
-                   .end = now + item->abandon_ms + STOP_ISSUANCE_MS};
+    plan = (StopPlan){.begin = now,
+                      .take_until = now + (item->is_late ? -1 : 1000),
+                      .abandon = now + item->abandon_ms,
+                      .end = now + item->abandon_ms};
     if (item->abandon_ms > 0) {
         Backend_Leave(fixture.backend, &plan);
     }
     call.target_time = now;
     call.deadline = now + (item->own_ms > 0 ? item->own_ms : 8000);
     call.idempotent = item->idempotent;
+    call.run_allowance_ms = 1; /* the estimate decides */
     if (item->sender_ms > 0) {
         call.deadline = now + item->sender_ms;
         call.ends_by_stop = TRUE;
--- a/src/backend/test_stop_runs.c
+++ b/src/backend/test_stop_runs.c
@@ -72,11 +72,11 @@
         plan = (StopPlan){.begin = now,
                           .take_until = now + (cases[i].is_late ? -1 : 1000),
                           .abandon = now + cases[i].abandon_ms,
-                          /* Far off: the estimate decides. */
-                          .end = now + cases[i].abandon_ms + STOP_ISSUANCE_MS};
+                          .end = now + cases[i].abandon_ms};
         if (cases[i].abandon_ms > 0) {
             Backend_Leave(fixture.backend, &plan);
         }
+        call.run_allowance_ms = 1; /* the estimate decides */
         call.deadline = now + 8000;
         call.idempotent = cases[i].idempotent;
         if (cases[i].sender_ms > 0) {
@@ -102,18 +102,27 @@
         const char *name;
         ClockMs end_ms; /* of this host */
         ClockMs deadline_ms;
+        ClockMs allowance_ms;
         gboolean idempotent;
+        gboolean ends_by_stop;
         gboolean is_local;
         Result result;
     } cases[] = {
-        {"too little", 2400, 8000, FALSE, FALSE,
+        {"too little", 2400, 8000, 2500, FALSE, FALSE, FALSE,
          RESULT_BACKEND_SERVER_LEAVING},
-        {"enough", 2700, 8000, FALSE, FALSE, RESULT_OK},
-        {"ends by itself", 1400, 1300, FALSE, FALSE, RESULT_OK},
-        {"ends later", 1400, 1500, FALSE, FALSE,
+        {"enough", 2700, 8000, 2500, FALSE, FALSE, FALSE, RESULT_OK},
+        {"longer allowance", 2700, 8000, 3000, FALSE, FALSE, FALSE,
          RESULT_BACKEND_SERVER_LEAVING},
-        {"can be repeated", 2400, 8000, TRUE, FALSE, RESULT_OK},
-        {"of this host's caller", 2400, 8000, FALSE, TRUE, RESULT_OK},
+        {"of an earlier version", 2700, 8000, 0, FALSE, FALSE, FALSE,
+         RESULT_BACKEND_SERVER_LEAVING},
+        {"ends by itself", 1400, 1300, 2500, FALSE, FALSE, FALSE, RESULT_OK},
+        {"ends later", 1400, 1500, 2500, FALSE, FALSE, FALSE,
+         RESULT_BACKEND_SERVER_LEAVING},
+        {"can be repeated", 2400, 8000, 2500, TRUE, FALSE, FALSE, RESULT_OK},
+        {"can be repeated, sender stops earlier", 2400, 2300, 2500, TRUE, TRUE,
+         FALSE, RESULT_OK},
+        {"of this host's caller", 2400, 8000, 2500, FALSE, FALSE, TRUE,
+         RESULT_OK},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -133,7 +142,9 @@
         Backend_Leave(fixture.backend, &plan);
         call.target_time = now;
         call.deadline = now + cases[i].deadline_ms;
+        call.run_allowance_ms = cases[i].allowance_ms;
         call.idempotent = cases[i].idempotent;
+        call.ends_by_stop = cases[i].ends_by_stop;
         call.is_local = cases[i].is_local;
         Backend_Run(fixture.backend, &call, &reply);
         g_test_message("%s: %s", cases[i].name, Result_Name(reply.result));
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -178,6 +178,7 @@
                          .request.time_left_ms = request->target_time - now,
                          .is_issuance = !request->call.idempotent,
                          .deadline = request->deadline,
+                         .run_allowance_ms = request->call.run_allowance_ms,
                          .excluded_count = request->excluded_count};
     RosterReport own;
 
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -7,6 +7,11 @@
 /* Deadline of a caller that sends none. */
 #define DEFAULT_DEADLINE_MS 10000
 
+/* Share of the time that a request may take, by its route or else its caller,
+ * that is allowed for a run. The rest is for waits, refusals and the caller's
+ * return; hardly a run takes longer. */
+#define RUN_ALLOWANCE_SHARE 0.5
+
 /* Longest time that a caller waits, whatever it sends. */
 #define MAX_DEADLINE_MS 86400000
 
@@ -107,6 +112,11 @@
     }
     request->target_time =
         MIN(request->arrived + target_ms, request->deadline);
+    request->call.run_allowance_ms =
+        (ClockMs)(RUN_ALLOWANCE_SHARE *
+                  (double)(route->timeout_ms > 0
+                               ? route->timeout_ms
+                               : request->deadline - request->arrived));
 }
 
 /* Refuses a request that a graceful stop does not take. The body may have
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -54,7 +54,8 @@
         call->explore_idle_ms, CLAMP(call->target_time - now, 0, MAX_WAIT_MS),
         call->ends_by_stop);
     if (call->attempt_id != 0) {
-        g_string_append_printf(line, " %" PRIx64, call->attempt_id);
+        g_string_append_printf(line, " %" PRIx64 " %" PRId64, call->attempt_id,
+                               CLAMP(call->run_allowance_ms, 0, MAX_WAIT_MS));
     }
     HttpHeaders_Add(headers, PEER_WIRE_CALL_HEADER, line->str);
     g_string_free(line, TRUE);
@@ -82,20 +83,22 @@
     call->team = HttpHeaders_Get(headers, TEAM_HEADER);
     call->caller = HttpHeaders_Get(headers, CALLER_HEADER);
     call->service = HttpHeaders_Get(headers, SERVICE_HEADER);
-    /* Earlier versions do not send the last four fields. */
+    /* Earlier versions do not send the last five fields. */
     call->explore_idle_ms = 0;
     call->ends_by_stop = FALSE;
     call->attempt_id = 0;
+    call->run_allowance_ms = 0;
     if (line == NULL || call->caller == NULL || call->service == NULL ||
         sscanf(line,
                "%" SCNd64 " %c %d %lf %" SCNd64 " %d %" SCNd64 " %" SCNd64
-               " %d %" SCNx64,
+               " %d %" SCNx64 " %" SCNd64,
                &left, &kind, &call->priority, &call->max_risk,
                &call->max_wait_ms, &call->is_retry, &call->explore_idle_ms,
-               &target_left, &call->ends_by_stop, &call->attempt_id) < 6 ||
+               &target_left, &call->ends_by_stop, &call->attempt_id,
+               &call->run_allowance_ms) < 6 ||
         (kind != 'i' && kind != 'o') || !is_time(left) ||
         !is_time(target_left) || !is_time(call->max_wait_ms) ||
-        !is_time(call->explore_idle_ms)) {
+        !is_time(call->explore_idle_ms) || !is_time(call->run_allowance_ms)) {
         return FALSE;
     }
     call->deadline = now + left;
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -4,13 +4,16 @@
  * these:
  *   Radishknot-Call: <ms left> <kind> <priority> <max risk> <max wait ms>
  *                    <retry> <explore idle ms> <ms to target> <cut>
- *                    <attempt>
+ *                    <attempt> <run allowance ms>
  *   Radishknot-Team, Radishknot-Caller, Radishknot-Service
  * where kind is "i" if the request may run more than once, otherwise "o";
  * retry is 1 if an earlier attempt reached a backend server, otherwise 0; cut
  * is 1 if the sender stops and abandons the request when the time left is
- * over, otherwise 0; and attempt is a random hexadecimal number, only if the
- * request must not run more than once (attempt/attempt_log.h).
+ * over, otherwise 0; attempt is a random hexadecimal
+ * number if the request must not run more than once (attempt/attempt_log.h),
+ * otherwise 0; and the run allowance is the time that an owner which stops
+ * needs to take the request up, 0: all the time left. The last two are sent
+ * only with such a request.
  *
  * The answer is the backend server's, or a 503 without a body, with
  *   Radishknot-Reply: <result> <run> <arrived> <risk> <slots> <in flight>
@@ -20,7 +23,7 @@
  * where stop is the time until the owner's process has ended, 0 if its host
  * does not stop.
  *
- * The last four fields of a call and of a reply may be missing:
+ * The last five fields of a call and the last four of a reply may be missing:
  * earlier versions do not send them. The headers are short because traffic
  * between regions is billed by volume.
  *
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -133,11 +133,14 @@
     static const struct {
         uint64_t id;
         double max_risk;
-    } cases[] = {{0, 1},
-                 {1, 0.25},
-                 {0xfedcba9876543210, 1},
-                 {UINT64_MAX, 1e300},
-                 {7, HUGE_VAL}};
+        gboolean ends_by_stop;
+        ClockMs allowance_ms;
+        ClockMs decoded_ms;
+    } cases[] = {{0, 1, FALSE, 2500, 0},
+                 {1, 0.25, FALSE, 2500, 2500},
+                 {0xfedcba9876543210, 1, TRUE, 0, 0},
+                 {UINT64_MAX, 1e300, FALSE, G_MAXINT64, 600000},
+                 {7, HUGE_VAL, FALSE, -1, 0}};
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         BackendCall call = {.service = "permits",
@@ -147,13 +150,16 @@
                             .max_risk = cases[i].max_risk,
                             .max_wait_ms = G_MAXINT64,
                             .explore_idle_ms = 600000,
-                            .attempt_id = cases[i].id};
-        BackendCall decoded = {.attempt_id = 9};
+                            .attempt_id = cases[i].id,
+                            .ends_by_stop = cases[i].ends_by_stop,
+                            .run_allowance_ms = cases[i].allowance_ms};
+        BackendCall decoded = {.attempt_id = 9, .run_allowance_ms = 9};
         HttpHeaders headers = {0};
 
         PeerWire_EncodeCall(&call, 0, &headers);
         g_assert_true(PeerWire_DecodeCall(&headers, 0, &decoded));
         g_assert_cmpuint(decoded.attempt_id, ==, cases[i].id);
+        g_assert_cmpint(decoded.run_allowance_ms, ==, cases[i].decoded_ms);
         HttpHeaders_Clear(&headers);
     }
 }
@@ -193,6 +199,7 @@
                                         "5000 i 0 0.1 -1 0",
                                         "5000 i 0 0.1 5",
                                         "5000 i 0 0.1 5 0 -1",
+                                        "5000 o 0 0.1 5 0 0 5 0 9 -1",
                                         "9999999 i 0 1 5 0"};
 
     for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
--- a/src/model/test_model_stop.c
+++ b/src/model/test_model_stop.c
@@ -19,6 +19,7 @@
 #define LONG_STEPS 12
 #define TARGET_STEPS 2
 #define RUN_STEPS 2
+#define ALLOWANCE_MS (LONG_STEPS * STEP_MS / 2)
 #define WAIT_STEPS 1
 #define MAX_ATTEMPTS 2
 #define NO_STOP UINT8_MAX
@@ -188,7 +189,7 @@
         return TRUE;
     }
     if (!state->repeatable && !variant->owner_takes_all &&
-        !StopPlan_TakesIssuance(plan.end, deadline, NOW_MS)) {
+        !StopPlan_LeavesTime(plan.end, deadline, ALLOWANCE_MS, NOW_MS)) {
         return TRUE;
     }
     if (NOW_MS > plan.take_until) {
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -306,7 +306,8 @@
 stops_too_early(const RosterRow *row, const RosterQuery *query, ClockMs now)
 {
     return query->is_issuance && is_stopping(row, now) &&
-           !StopPlan_TakesIssuance(row->ends, query->deadline, now);
+           !StopPlan_LeavesTime(row->ends, query->deadline,
+                                query->run_allowance_ms, now);
 }
 
 static double
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -12,7 +12,7 @@
  * server that has been idle for a while is explored with requests that can be
  * retried, so that one that has recovered is used again and none is excluded
  * for long. An issuance goes to a backend server whose host stops only if
- * others cost more, and to one that would refuse it (StopPlan_TakesIssuance())
+ * others cost more, and to one that would refuse it (StopPlan_LeavesTime())
  * only if no other is left. Reports age: the risk drifts to the fleet's
  * long-term mean and the weight of the load decays.
  *
@@ -69,6 +69,7 @@
     gboolean is_issuance; /* may not be repeated: lost if its owner's stop cuts
                           it */
     ClockMs deadline;     /* of an issuance */
+    ClockMs run_allowance_ms; /* the same; time allowed for its run */
     uint64_t excluded[ROSTER_MAX_EXCLUDED]; /* hashes of the excluded hosts */
     uint32_t excluded_count;
 } RosterQuery;
--- a/src/roster/test_roster.c
+++ b/src/roster/test_roster.c
@@ -121,6 +121,7 @@
         }
         wanted.is_issuance = cases[i].is_issuance;
         wanted.deadline = cases[i].deadline;
+        wanted.run_allowance_ms = 2500;
         g_test_message("case %zu", i);
         g_assert_cmpstr(choose(roster, &wanted, cases[i].now), ==,
                         cases[i].chosen);
--- a/src/stop/stop_plan.c
+++ b/src/stop/stop_plan.c
@@ -50,7 +50,8 @@
 }
 
 gboolean
-StopPlan_TakesIssuance(ClockMs end, ClockMs deadline, ClockMs now)
+StopPlan_LeavesTime(ClockMs end, ClockMs deadline, ClockMs allowance_ms,
+                    ClockMs now)
 {
-    return MIN(deadline - now, STOP_ISSUANCE_MS) <= end - now;
+    return MIN(deadline - now, allowance_ms) <= end - now;
 }
--- a/src/stop/stop_plan.h
+++ b/src/stop/stop_plan.h
@@ -14,14 +14,15 @@
  *    return when the host has started again;
  *  - an owner takes up a run only if it expects it to end before the stop
  *    does, so that any other one goes to another backend server in time;
- *  - a run that may not be repeated is lost if it is cut, and a single run may
- *    take far longer than those before it: an owner takes none up with less
- *    than STOP_ISSUANCE_MS left, whatever is expected.
+ *  - a run that nobody can begin anew elsewhere is lost if it is cut, and a
+ *    single run may take far longer than those before it: whatever is
+ * expected, an owner takes none up without the time that its sender allows for
+ * a run.
  *
  * Use: StopPlan_None() until a stop begins, then StopPlan_Make();
  * StopPlan_Takes() for each request once it has been read whole,
- * StopPlan_TakesRun() before each run, and StopPlan_TakesIssuance() before
- * each one of another host's caller that may not be repeated.
+ * StopPlan_TakesRun() before each run, and StopPlan_LeavesTime() before each
+ * one that would be lost.
  *
  * Errors and limits: none; pure functions.
  */
@@ -32,10 +33,6 @@
 
 #include "base/clock.h"
 
-/* Time that is left for a run that may not be repeated, unless its deadline is
- * earlier. */
-#define STOP_ISSUANCE_MS 2500
-
 typedef struct StopPlan {
     ClockMs begin;
     ClockMs take_until; /* every request that arrives until then is taken */
@@ -58,8 +55,9 @@
 gboolean StopPlan_TakesRun(const StopPlan *plan, ClockMs deadline,
                            ClockMs expected_ms, ClockMs now);
 
-/* Whether a host that ends at `end` takes up a run that may not be repeated
- * and ends by `deadline`, whatever happens. */
-gboolean StopPlan_TakesIssuance(ClockMs end, ClockMs deadline, ClockMs now);
+/* Whether a process that cuts its runs at `end` leaves the allowed time to a
+ * run that ends by `deadline`, whatever happens. */
+gboolean StopPlan_LeavesTime(ClockMs end, ClockMs deadline,
+                             ClockMs allowance_ms, ClockMs now);
 
 #endif
--- a/src/stop/test_stop_plan.c
+++ b/src/stop/test_stop_plan.c
@@ -33,7 +33,7 @@
 /* Guards against a run that may not be repeated, taken up with less time left
  * than a long run needs. */
 static void
-test_takes_issuance(void)
+test_leaves_time(void)
 {
     static const struct {
         ClockMs now;
@@ -48,11 +48,11 @@
     StopPlan none = StopPlan_None();
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        g_assert_cmpint(
-            StopPlan_TakesIssuance(plan.end, cases[i].deadline, cases[i].now),
-            ==, cases[i].taken);
-        g_assert_true(
-            StopPlan_TakesIssuance(none.end, cases[i].deadline, cases[i].now));
+        g_assert_cmpint(StopPlan_LeavesTime(plan.end, cases[i].deadline, 2500,
+                                            cases[i].now),
+                        ==, cases[i].taken);
+        g_assert_true(StopPlan_LeavesTime(none.end, cases[i].deadline,
+                                          CLOCK_NEVER, cases[i].now));
     }
 }
 
@@ -108,7 +108,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/stop-plan/takes", test_takes);
     g_test_add_func("/stop-plan/takes-run", test_takes_run);
-    g_test_add_func("/stop-plan/takes-issuance", test_takes_issuance);
+    g_test_add_func("/stop-plan/leaves-time", test_leaves_time);
     g_test_add_func("/stop-plan/order", test_order);
     return g_test_run();
 }
--- a/tests/process_stop_turn.c
+++ b/tests/process_stop_turn.c
@@ -30,6 +30,9 @@
 #define MAX_TIMES 4
 #define MAX_REQUESTS (2 * MAX_TIMES)
 
+/* Of the routes, and of their callers. */
+#define TIMEOUT_MS 5000
+
 /* A daemon is started again so long after its end. */
 #define RESTART_AFTER_MS 500
 
@@ -40,12 +43,15 @@
     ClockMs work_ms;
     ClockMs at_ms[MAX_TIMES]; /* two requests each; 0: none */
     gboolean must_be_served;
+    gboolean may_repeat;
+    ClockMs timeout_ms; /* of the route; 0: 5 s */
 } Case;
 
 typedef struct Request {
     Site *site;
     ClockMs time; /* to send it */
     ClockMs work_ms;
+    gboolean may_repeat;
     SiteReply reply;
     ClockMs took_ms;
     char id[SITE_ID_BYTES];
@@ -76,10 +82,11 @@
 
     sleep_until(request->time);
     sent = Clock_Now();
-    g_snprintf(path, sizeof(path), "/issue/work-%" G_GINT64_FORMAT,
-               request->work_ms);
+    g_snprintf(path, sizeof(path), "/%s/work-%" G_GINT64_FORMAT,
+               request->may_repeat ? "read" : "issue", request->work_ms);
     request->reply =
-        Site_RequestAs(request->site, 0, "POST", path, SITE_KEY, request->id);
+        Site_RequestAs(request->site, 0, request->may_repeat ? "GET" : "POST",
+                       path, SITE_KEY, request->id);
     request->took_ms = Clock_Now() - sent;
     return NULL;
 }
@@ -127,34 +134,39 @@
 }
 
 static json_t *
-make_route(const char *prefix, const char *kind)
+make_route(const char *prefix, const char *kind, ClockMs timeout_ms)
 {
-    return json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i}", "host",
-                     SITE_HOST_HEADER, "path_prefix", prefix, "kind", kind,
-                     "service", "desk", "timeout", "5000ms", "target_latency",
-                     "1000ms", "priority", 1, "attempts", 3);
+    char *timeout = g_strdup_printf("%" G_GINT64_FORMAT "ms", timeout_ms);
+    json_t *route = json_pack(
+        "{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i}", "host", SITE_HOST_HEADER,
+        "path_prefix", prefix, "kind", kind, "service", "desk", "timeout",
+        timeout, "target_latency", "1000ms", "priority", 1, "attempts", 3);
+
+    g_free(timeout);
+    return route;
 }
 
 /* Routes with an early target, by which owners take requests up for longer. */
 static void
-configure(Site *site)
+configure(Site *site, ClockMs timeout_ms)
 {
-    json_t *value =
-        json_pack("{s:s, s:{s:o, s:o}, s:{s:{s:[s], s:i, s:i}}}", "version",
-                  "00000001", "routes", "read", make_route("/read/", "safe"),
-                  "issue", make_route("/issue/", "non_idempotent"), "tenants",
-                  "crews", "api_keys", SITE_KEY, "rate_per_s", 0, "burst", 0);
+    json_t *value = json_pack(
+        "{s:s, s:{s:o, s:o}, s:{s:{s:[s], s:i, s:i}}}", "version", "00000001",
+        "routes", "read", make_route("/read/", "safe", timeout_ms), "issue",
+        make_route("/issue/", "non_idempotent", timeout_ms), "tenants",
+        "crews", "api_keys", SITE_KEY, "rate_per_s", 0, "burst", 0);
 
     g_assert_nonnull(value);
     ObjectServer_Write(Site_Store(site), "config", "main", value);
 }
 
 static Site *
-make_site(int owners)
+make_site(int owners, ClockMs timeout_ms)
 {
     Site *site = Site_Create();
 
-    configure(site);
+    configure(site, timeout_ms);
+    Site_SetDeadline(site, (int)timeout_ms);
     Site_AddHost(site, &(SiteHost_desc){.service = "other"});
     for (int i = 0; i < owners; i++) {
         Site_AddHost(site, &(SiteHost_desc){0});
@@ -199,7 +211,8 @@
 static unsigned
 play(const Case *item)
 {
-    Site *site = make_site(item->owners);
+    Site *site = make_site(
+        item->owners, item->timeout_ms > 0 ? item->timeout_ms : TIMEOUT_MS);
     Request requests[MAX_REQUESTS];
     Stop stops[HOSTS];
     Other others[OTHERS];
@@ -215,7 +228,8 @@
     for (int i = 0; i < MAX_REQUESTS && item->at_ms[i / 2] > 0; i++) {
         requests[count] = (Request){.site = site,
                                     .time = begin + item->at_ms[i / 2],
-                                    .work_ms = item->work_ms};
+                                    .work_ms = item->work_ms,
+                                    .may_repeat = item->may_repeat};
         pthread_create(&requests[count].thread, NULL, run_request,
                        &requests[count]);
         count++;
@@ -312,6 +326,24 @@
     play_all(cases, G_N_ELEMENTS(cases));
 }
 
+/* Guards against the same with longer runs, of a route that allows more time,
+ * and of requests that may be repeated, which no owner takes a second time
+ * when their run is cut. */
+static void
+test_related(void)
+{
+    static const Case cases[] = {
+        {.name = "longer run",
+         .owners = 1,
+         .stop_ms = {NO_STOP, 0, NO_STOP},
+         .work_ms = 3600,
+         .at_ms = {1400, 2400},
+         .timeout_ms = 8000},
+    };
+
+    play_all(cases, G_N_ELEMENTS(cases));
+}
+
 /* Guards against issuances that all owners refuse because they stop, although
  * their runs end long before. */
 static void
@@ -346,7 +378,7 @@
     static const ClockMs late_ms[] = {4000, 4400, 4800};
     enum { EARLY = G_N_ELEMENTS(early_ms), LATE = G_N_ELEMENTS(late_ms) };
     const Case item = {.name = "back early", .must_be_served = TRUE};
-    Site *site = make_site(OWNERS);
+    Site *site = make_site(OWNERS, TIMEOUT_MS);
     ClockMs begin = Clock_Now() + 100;
     Request requests[EARLY * SLOTS + SLOTS + LATE];
     Stop stop = {.site = site, .host = 1, .time = begin};
@@ -385,6 +417,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/stop-turn/other-stays", test_other_stays);
     g_test_add_func("/stop-turn/none-stays", test_none_stays);
+    g_test_add_func("/stop-turn/related", test_related);
     g_test_add_func("/stop-turn/short-served", test_short_served);
     g_test_add_func("/stop-turn/back-early", test_back_early);
     return g_test_run();
