backend: a request whose sender stops, too, needs the time that its route allows

What callers saw: a request that may be repeated, 2.3 s of work, is taken up 3.2 s after its owner's SIGTERM and cut 2.0 s later.

A cut run that may be repeated is sent to another owner, which rests on there being one and on time left at the sender.

Change: where the sender has said that it stops, the bound of issuances holds for such a request, too, up to the moment at which its owner cuts it. The allowance is sent with it.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -386,18 +386,20 @@
                               now);
 }
 
-/* Whether this host may cut a run that may not be repeated. One of this host's
- * own caller is not sent elsewhere, since the host stops for the caller, too.
- * Called with the lock held. */
+/* Whether this host may cut the run although nobody could begin it anew: it
+ * may not be repeated, or its sender stops, too. One of this host's own caller
+ * is not sent elsewhere, since the host stops for the caller, too. Called with
+ * the lock held. */
 static gboolean
 may_lose_run(const Backend *backend, const BackendCall *call, ClockMs now)
 {
+    const StopPlan *stop = &backend->stop;
+    ClockMs cut = call->idempotent ? stop->abandon : stop->end;
     ClockMs allowance_ms =
         call->run_allowance_ms > 0 ? call->run_allowance_ms : CLOCK_NEVER;
 
-    return !call->is_local && !call->idempotent &&
-           !StopPlan_LeavesTime(backend->stop.end, call->deadline,
-                                allowance_ms, now);
+    return !call->is_local && (!call->idempotent || call->ends_by_stop) &&
+           !StopPlan_LeavesTime(cut, call->deadline, allowance_ms, now);
 }
 
 /* Whether this host or its backend server stops too early for the run. Called
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -26,8 +26,7 @@
  *    at all in a stop until a few runs have been answered, unless its own
  *    deadline is earlier. In the stop of this host, one of another host's
  * caller also needs the time that its sender allows for it, as a single run
- * may take far longer than all before
- *    it;
+ * may take far longer than all before it; so does one whose sender stops, too;
  *  - if its risk of a gray failure or the expected wait for a slot exceeds the
  *    sender's limit. A request that explores an idle backend server is exempt
  *    from the limit of risk. Only the owner knows how long the backend server
--- a/src/backend/test_stop_runs.c
+++ b/src/backend/test_stop_runs.c
@@ -119,6 +119,8 @@
         {"ends later", 1400, 1500, 2500, FALSE, FALSE, FALSE,
          RESULT_BACKEND_SERVER_LEAVING},
         {"can be repeated", 2400, 8000, 2500, TRUE, FALSE, FALSE, RESULT_OK},
+        {"can be repeated, sender stops", 2400, 4000, 2500, TRUE, TRUE, FALSE,
+         RESULT_BACKEND_SERVER_LEAVING},
         {"can be repeated, sender stops earlier", 2400, 2300, 2500, TRUE, TRUE,
          FALSE, RESULT_OK},
         {"of this host's caller", 2400, 8000, 2500, FALSE, FALSE, TRUE,
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -53,7 +53,7 @@
         MIN(call->max_wait_ms, MAX_WAIT_MS), call->is_retry,
         call->explore_idle_ms, CLAMP(call->target_time - now, 0, MAX_WAIT_MS),
         call->ends_by_stop);
-    if (call->attempt_id != 0) {
+    if (call->attempt_id != 0 || call->ends_by_stop) {
         g_string_append_printf(line, " %" PRIx64 " %" PRId64, call->attempt_id,
                                CLAMP(call->run_allowance_ms, 0, MAX_WAIT_MS));
     }
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -13,7 +13,7 @@
  * number if the request must not run more than once (attempt/attempt_log.h),
  * otherwise 0; and the run allowance is the time that an owner which stops
  * needs to take the request up, 0: all the time left. The last two are sent
- * only with such a request.
+ * only with such a request, or if cut is 1.
  *
  * The answer is the backend server's, or a 503 without a body, with
  *   Radishknot-Reply: <result> <run> <arrived> <risk> <slots> <in flight>
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -137,6 +137,7 @@
         ClockMs allowance_ms;
         ClockMs decoded_ms;
     } cases[] = {{0, 1, FALSE, 2500, 0},
+                 {0, 1, TRUE, 2500, 2500},
                  {1, 0.25, FALSE, 2500, 2500},
                  {0xfedcba9876543210, 1, TRUE, 0, 0},
                  {UINT64_MAX, 1e300, FALSE, G_MAXINT64, 600000},
--- a/tests/process_stop_turn.c
+++ b/tests/process_stop_turn.c
@@ -339,6 +339,18 @@
          .work_ms = 3600,
          .at_ms = {1400, 2400},
          .timeout_ms = 8000},
+        {.name = "may repeat, entry stops first",
+         .owners = 1,
+         .stop_ms = {0, 600, NO_STOP},
+         .work_ms = LONG_MS,
+         .at_ms = {1000, 2200},
+         .may_repeat = TRUE},
+        {.name = "may repeat, owner stops first",
+         .owners = 1,
+         .stop_ms = {1200, 0, NO_STOP},
+         .work_ms = LONG_MS,
+         .at_ms = {1800, 3200},
+         .may_repeat = TRUE},
     };
 
     play_all(cases, G_N_ELEMENTS(cases));
