departure: copies are renewed while the store is away

Cause: the acknowledgement rested on processes that may end as this one may.

Change: as long as the store does not have the record, neighbours are given it again every 2 s, by the thread that tries to write it.

--- a/src/departure/departure.c
+++ b/src/departure/departure.c
@@ -16,6 +16,10 @@
 /* Time after which a store that has not answered is taken to be away. */
 #define STORE_WAIT_MS 150
 
+/* Pause between two times at which others are given the record: those that
+ * keep it may end, too. */
+#define RENEW_MS 2000
+
 /* Age by the wall clock after which a record is removed; far more than the
  * delay of an announcement and the difference of two hosts' clocks. */
 #define RETENTION_MS 600000
@@ -36,6 +40,7 @@
     gboolean is_read;        /* the record of earlier processes is known */
     gboolean is_written;     /* the store has `left` */
     gboolean is_conflict;    /* the record has to be read again */
+    ClockMs deposited;       /* time at which others were given the record */
     int64_t generation;      /* newest known one of the store */
     Instance left;           /* instance that left last */
     ObjectRevision revision; /* of the record; number 0: there is none */
@@ -291,6 +296,35 @@
     return !stopping;
 }
 
+/* Gives the record to others, unless that was done lately. */
+static gboolean
+deposit(Departure *departure)
+{
+    const Departure_desc *desc = &departure->desc;
+    ClockMs now = Clock_Now();
+    Instance left;
+
+    pthread_mutex_lock(&departure->lock);
+    left = departure->left;
+    departure->deposited = now;
+    pthread_mutex_unlock(&departure->lock);
+    return desc->deposit != NULL &&
+           desc->deposit(desc->context, left.name, left.born);
+}
+
+/* Whether others have to be given the record again. */
+static gboolean
+is_renewal_due(Departure *departure)
+{
+    gboolean is_due;
+
+    pthread_mutex_lock(&departure->lock);
+    is_due = !departure->is_written && !departure->stopping &&
+             Clock_Now() - departure->deposited >= RENEW_MS;
+    pthread_mutex_unlock(&departure->lock);
+    return is_due;
+}
+
 static void *
 run(void *context)
 {
@@ -306,6 +340,9 @@
         }
         else {
             pause_ms = ObjectBackoff_Next(&departure->backoff);
+            if (is_renewal_due(departure)) {
+                (void)deposit(departure);
+            }
         }
     }
     return NULL;
@@ -398,16 +435,15 @@
 gboolean
 Departure_Record(Departure *departure, const char *instance, int64_t born)
 {
-    const Departure_desc *desc = &departure->desc;
     ClockMs end = Clock_Now() + RECORD_WAIT_MS;
     gboolean is_recorded;
 
     pthread_mutex_lock(&departure->lock);
     (void)set_left(departure, instance, born);
     is_recorded = await(departure, &departure->is_written, STORE_WAIT_MS);
-    if (!is_recorded && desc->deposit != NULL) {
+    if (!is_recorded) {
         pthread_mutex_unlock(&departure->lock);
-        is_recorded = desc->deposit(desc->context, instance, born);
+        is_recorded = deposit(departure);
         pthread_mutex_lock(&departure->lock);
     }
     is_recorded = is_recorded || await(departure, &departure->is_written,
--- a/src/departure/departure.h
+++ b/src/departure/departure.h
@@ -19,7 +19,8 @@
  *  6. Departure_Destroy().
  *
  * While the store cannot be written, others keep the record
- * (departure/departure_keeper.h).
+ * (departure/departure_keeper.h). They are given it again every RENEW_MS, as
+ * they may end, too.
  *
  * While the store cannot be read, an instance is admitted with its second
  * announcement: one that has left sends no further ones, and that several are
--- a/src/departure/departure_keeper.h
+++ b/src/departure/departure_keeper.h
@@ -27,8 +27,9 @@
  * 4 bytes, 1 if the store has the record.
  *
  * Limits: one copy for each host, MAX_COPIES hosts, neighbours of the same
- * data centre. If all keepers end, too, before the store is back, the record
- * is lost. Neighbours of an earlier version keep nothing. Thread safe.
+ * data centre. If a host and all its keepers end within the time in which the
+ * copies are renewed, and before the store is back, the record is lost.
+ * Neighbours of an earlier version keep nothing. Thread safe.
  */
 #ifndef DEPARTURE_DEPARTURE_KEEPER_H
 #define DEPARTURE_DEPARTURE_KEEPER_H
--- a/src/departure/test_departure.c
+++ b/src/departure/test_departure.c
@@ -440,6 +440,56 @@
     close_store(&store);
 }
 
+static gboolean
+count_deposit(void *context, const char *instance, int64_t born)
+{
+    g_assert_cmpstr(instance, ==, "i1");
+    g_assert_cmpint(born, ==, 100);
+    (void)g_atomic_int_add((gint *)context, 1);
+    return TRUE;
+}
+
+static void
+ignore_left(void *context, const char *instance, int64_t born)
+{
+    (void)context;
+    (void)instance;
+    (void)born;
+}
+
+/* Guards against copies that are given away once, to others that end before
+ * the store is back, and against copies of a record that the store has. */
+static void
+test_renewed(void)
+{
+    enum { RENEWED = 2, QUIET_US = 2500000 };
+    gint deposits = 0;
+    Departure *departure;
+    Store store;
+
+    open_store(&store);
+    departure = Departure_Create(&(Departure_desc){.store = &store.functions,
+                                                   .host = HOST,
+                                                   .left = ignore_left,
+                                                   .deposit = count_deposit,
+                                                   .context = &deposits,
+                                                   .read_wait_ms = WAIT_MS});
+    g_assert_true(Departure_Admits(departure, "i1", 100, 1));
+    set_away(&store, TRUE);
+    g_assert_true(Departure_Record(departure, "i1", 100));
+    for (ClockMs end = Clock_Now() + 2 * WAIT_MS;
+         g_atomic_int_get(&deposits) < RENEWED && Clock_Now() < end;) {
+        g_usleep(5000);
+    }
+    g_assert_cmpint(g_atomic_int_get(&deposits), ==, RENEWED);
+    set_away(&store, FALSE);
+    expect_record(&store, "i1");
+    g_usleep(QUIET_US);
+    g_assert_cmpint(g_atomic_int_get(&deposits), ==, RENEWED);
+    Departure_Destroy(departure);
+    close_store(&store);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -450,5 +500,6 @@
     g_test_add_func("/departure/unwritable", test_unwritable);
     g_test_add_func("/departure/restored", test_restored);
     g_test_add_func("/departure/sweep", test_sweep);
+    g_test_add_func("/departure/renewed", test_renewed);
     return g_test_run();
 }
--- a/tests/process_departure.c
+++ b/tests/process_departure.c
@@ -70,10 +70,10 @@
 }
 
 static void
-await_ready(Site *site)
+await_ready(Site *site, int host)
 {
     for (ClockMs end = Clock_Now() + START_MS;
-         !Site_IsReady(site, 0) && Clock_Now() < end;) {
+         !Site_IsReady(site, host) && Clock_Now() < end;) {
         g_usleep(20000);
     }
 }
@@ -125,7 +125,7 @@
         runs += Site_Runs(site, 0) - before;
     }
     set_outage(site, item->outage, FALSE);
-    await_ready(site);
+    await_ready(site, 0);
     Site_AnnounceLate(site, 0);
     g_usleep(APART_US);
     runs += send_requests(site, HOSTS);
@@ -186,12 +186,42 @@
         g_usleep(20000);
     }
     g_assert_true(Site_HasEntry(site, 0));
-    await_ready(site);
+    await_ready(site, 0);
     g_usleep(2000000); /* the neighbours return their copies */
     g_assert_cmpuint(send_requests(site, HOSTS), >, 0);
     Site_Destroy(site);
 }
 
+/* Guards against a departure that is forgotten because the hosts that keep it
+ * were replaced one after the other within the outage. */
+static void
+test_keepers_replaced(void)
+{
+    enum { HOSTS = 3, APART_US = 3500000 };
+    Site *site = make_site(HOSTS);
+
+    set_outage(site, OUTAGE_SILENT, TRUE);
+    leave(site, FALSE);
+    g_assert_true(Site_HasAcknowledged(site, 0));
+    for (int host = 1; host < HOSTS; host++) {
+        Site_Signal(site, host, SIGKILL);
+        g_assert_true(Site_AwaitExit(site, host, 1000));
+        Site_Restart(site, host);
+        g_usleep(APART_US);
+    }
+    Site_Signal(site, 0, SIGKILL);
+    g_assert_true(Site_AwaitExit(site, 0, 1000));
+    Site_Restart(site, 0);
+    set_outage(site, OUTAGE_SILENT, FALSE);
+    for (int host = 0; host < HOSTS; host++) {
+        await_ready(site, host);
+    }
+    Site_AnnounceLate(site, 0);
+    g_usleep(2000000); /* the other servers have announced themselves */
+    g_assert_cmpuint(send_requests(site, HOSTS), ==, 0);
+    Site_Destroy(site);
+}
+
 /* Guards against an acknowledgement that binds nobody: no store, and no
  * neighbour to keep the record. */
 static void
@@ -221,6 +251,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/leaving/unrecorded", test_unrecorded);
     g_test_add_func("/leaving/next-instance", test_next_instance);
+    g_test_add_func("/leaving/keepers-replaced", test_keepers_replaced);
     g_test_add_func("/leaving/nobody-keeps", test_nobody_keeps);
     return g_test_run();
 }
