backend, roster: the stop, the announcements and the choice in files of their own

Functions move without a change of logic; test_backend, test_stop_runs, test_stop_estimate, test_roster and test_replay pass.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -1,11 +1,10 @@
 #include "backend/backend.h"
 
-#include <inttypes.h>
-#include <pthread.h>
 #include <string.h>
 #include <time.h>
 
 #include "admission/admission.h"
+#include "backend/backend_internal.h"
 #include "base/condition.h"
 #include "base/counter.h"
 #include "base/log.h"
@@ -21,17 +20,6 @@
 #define STALL_FACTOR 4
 #define MIN_STALL_MS 1500
 
-/* Mean deviations from the mean service time within which a run is expected to
- * end before this host stops. A run that is cut is sent to another owner if it
- * may be repeated; else it is lost, whether or not its sender stops, too. */
-#define RUN_DEVIATIONS 3
-#define LOST_RUN_DEVIATIONS 6
-
-/* The same before the sender's host stops. Less is asked for, because no other
- * owner could give the run more time. */
-#define SENDER_REPEATABLE_DEVIATIONS 1
-#define SENDER_DEVIATIONS 2
-
 /* Minimum risk reported while a running request is stalled. */
 #define STALL_RISK 0.8
 
@@ -39,28 +27,6 @@
  * failed is attributed to that call. */
 #define CALL_FAILURE_WINDOW_MS 200
 
-struct Backend {
-    Backend_desc desc;
-    pthread_mutex_t lock;
-    pthread_cond_t wake; /* signals an admitted waiter or a state change */
-    BackendAnnouncement announcement;
-    BackendState state;
-    char left[BACKEND_NAME_BYTES]; /* instance that stopped without having been
-                                      announced; "": none */
-    int64_t left_born; /* its start time, Unix ms; if that was not given, the
-                          time of the report */
-    gboolean closed;
-    StopPlan stop;
-    GrayFilter filter;
-    unsigned failed_calls;    /* failed calls not yet matched to a failure */
-    ClockMs last_failed_call; /* time of the last failed call */
-    ClockMs last_sent;        /* time of the last request */
-    guint running_retries; /* number of retries among the running requests */
-    RetryRates rates;
-    PauseLog pauses;
-    Admission *admission;
-};
-
 Backend *
 Backend_Create(const Backend_desc *desc)
 {
@@ -97,148 +63,6 @@
     return (size_t)state < G_N_ELEMENTS(names) ? names[state] : "?";
 }
 
-/* Called with the lock held. */
-static gboolean
-is_newer(const Backend *backend, const BackendAnnouncement *announcement)
-{
-    const BackendAnnouncement *last = &backend->announcement;
-
-    if (backend->state == BACKEND_UNKNOWN) {
-        return TRUE;
-    }
-    if (announcement->born != last->born) {
-        return announcement->born > last->born;
-    }
-    return announcement->sequence > last->sequence;
-}
-
-/* Whether the instance reported its stop before this announcement of it
- * arrived. Called with the lock held. */
-static gboolean
-has_left(const Backend *backend, const BackendAnnouncement *announcement)
-{
-    return strcmp(backend->left, announcement->instance) == 0 &&
-           announcement->born <= backend->left_born;
-}
-
-static BackendState
-announced_state(const Backend *backend,
-                const BackendAnnouncement *announcement)
-{
-    if (has_left(backend, announcement)) {
-        return BACKEND_STOPPED;
-    }
-    return announcement->draining ? BACKEND_DRAINING : BACKEND_READY;
-}
-
-/* Called with the lock held. */
-static void
-start_instance(Backend *backend, const BackendAnnouncement *announcement)
-{
-    GrayFilter_Init(&backend->filter, &backend->desc.gray, Clock_Now());
-    backend->state = BACKEND_UNKNOWN;
-    Log_Event(LOG_BACKEND_SERVER_ANNOUNCED,
-              "instance=%s service=%s slots=%u born=%" PRId64 " seq=%" PRId64,
-              announcement->instance, announcement->service,
-              announcement->slots, announcement->born, announcement->sequence);
-}
-
-gboolean
-Backend_Announce(Backend *backend, const BackendAnnouncement *announcement)
-{
-    BackendState state;
-    BackendState old;
-    gboolean changed;
-
-    pthread_mutex_lock(&backend->lock);
-    if (!is_newer(backend, announcement)) {
-        pthread_mutex_unlock(&backend->lock);
-        return FALSE;
-    }
-    changed =
-        strcmp(backend->announcement.instance, announcement->instance) != 0 ||
-        backend->announcement.born != announcement->born ||
-        backend->state == BACKEND_UNKNOWN;
-    if (changed) {
-        start_instance(backend, announcement);
-    }
-    old = backend->state;
-    state = announced_state(backend, announcement);
-    /* An instance that drains or has stopped never becomes ready again. */
-    if (state > old) {
-        backend->state = state;
-    }
-    else if (state < old) {
-        Log_Event(LOG_ANNOUNCEMENT_REFUSED,
-                  "instance=%s born=%" PRId64 " seq=%" PRId64 " reason=left",
-                  announcement->instance, announcement->born,
-                  announcement->sequence);
-    }
-    backend->announcement = *announcement;
-    Admission_SetSlots(backend->admission, announcement->slots);
-    changed = changed || backend->state != old;
-    if (changed) {
-        Log_Event(LOG_BACKEND_SERVER_STATE,
-                  "instance=%s old=%s new=%s seq=%" PRId64,
-                  announcement->instance, Backend_StateName(old),
-                  Backend_StateName(backend->state), announcement->sequence);
-    }
-    pthread_cond_broadcast(&backend->wake);
-    pthread_mutex_unlock(&backend->lock);
-    if (changed && backend->desc.changed != NULL) {
-        backend->desc.changed(backend->desc.context);
-    }
-    return TRUE;
-}
-
-/* Whether a stop is reported by the instance that was announced last. Called
- * with the lock held. */
-static gboolean
-is_current(const Backend *backend, const char *instance, int64_t born)
-{
-    return backend->state != BACKEND_UNKNOWN &&
-           strcmp(backend->announcement.instance, instance) == 0 &&
-           (born == 0 || born == backend->announcement.born);
-}
-
-/* Called with the lock held. */
-static void
-note_left(Backend *backend, const char *instance, int64_t born)
-{
-    gboolean is_earlier = backend->state != BACKEND_UNKNOWN && born != 0 &&
-                          born < backend->announcement.born;
-
-    if (!is_earlier) {
-        Log_Event(LOG_BACKEND_SERVER_STATE,
-                  "instance=%s old=unknown new=gone born=%" PRId64, instance,
-                  born);
-        g_strlcpy(backend->left, instance, sizeof(backend->left));
-        backend->left_born = born > 0 ? born : Clock_WallMs();
-    }
-}
-
-void
-Backend_MarkStopped(Backend *backend, const char *instance, int64_t born)
-{
-    gboolean changed = FALSE;
-
-    pthread_mutex_lock(&backend->lock);
-    if (!is_current(backend, instance, born)) {
-        note_left(backend, instance, born);
-    }
-    else if (backend->state != BACKEND_STOPPED) {
-        Log_Event(LOG_BACKEND_SERVER_STATE, "instance=%s old=%s new=gone",
-                  instance, Backend_StateName(backend->state));
-        backend->state = BACKEND_STOPPED;
-        changed = TRUE;
-        pthread_cond_broadcast(&backend->wake);
-    }
-    pthread_mutex_unlock(&backend->lock);
-    if (changed && backend->desc.changed != NULL) {
-        backend->desc.changed(backend->desc.context);
-    }
-}
-
 void
 Backend_Leave(Backend *backend, const StopPlan *plan)
 {
@@ -308,125 +132,6 @@
     };
 }
 
-/* Longest run that is expected, by the mean and these deviations, the longest
- * one seen lately and those at work. Called with the lock held. */
-static ClockMs
-longest_run(const Backend *backend, const AdmissionTicket *ticket,
-            double deviations, ClockMs now)
-{
-    const Admission *admission = backend->admission;
-    ClockMs run_ms = MAX(Admission_LongRunMs(admission, ticket, deviations),
-                         Admission_AtWorkRunMs(admission, ticket, now));
-
-    return MAX(run_ms, Admission_LongestRunMs(admission, ticket));
-}
-
-/* Time in which the run is expected to end once it has a slot. CLOCK_NEVER for
- * one that may not be repeated, while too few runs are known. The longest run
- * does not count for others: if cut, they are sent to another owner. Called
- * with the lock held. */
-static ClockMs
-expect_run(const Backend *backend, const BackendCall *call,
-           const AdmissionTicket *ticket, double deviations, ClockMs now)
-{
-    const Admission *admission = backend->admission;
-
-    if (call->idempotent) {
-        return MAX(Admission_LongRunMs(admission, ticket, deviations),
-                   Admission_AtWorkRunMs(admission, ticket, now));
-    }
-    return Admission_KnowsRuns(admission, ticket)
-               ? longest_run(backend, ticket, deviations, now)
-               : CLOCK_NEVER;
-}
-
-/* The same with its wait for a slot. Called with the lock held. */
-static ClockMs
-expect_end(const Backend *backend, const BackendCall *call,
-           const AdmissionTicket *ticket, double deviations, ClockMs now)
-{
-    ClockMs run_ms = expect_run(backend, call, ticket, deviations, now);
-
-    return run_ms == CLOCK_NEVER
-               ? CLOCK_NEVER
-               : run_ms +
-                     Admission_ExpectedWait(backend->admission, ticket, now);
-}
-
-/* Whether the sender's host stops before the run can be expected to end.
- * Called with the lock held. */
-static gboolean
-is_sender_leaving(const Backend *backend, const BackendCall *call,
-                  const AdmissionTicket *ticket, ClockMs now)
-{
-    double deviations =
-        call->idempotent ? SENDER_REPEATABLE_DEVIATIONS : SENDER_DEVIATIONS;
-
-    return call->ends_by_stop && expect_end(backend, call, ticket, deviations,
-                                            now) > call->deadline - now;
-}
-
-/* Whether this host stops before the run can be expected to end. If the sender
- * stops earlier, its limit counts. Late in the stop most senders are stopping,
- * too, and could not send a run that is cut to another owner: the time in
- * which the answer is due has to be left as well. Called with the lock held.
- */
-static gboolean
-is_stop_expected(const Backend *backend, const BackendCall *call,
-                 const AdmissionTicket *ticket, ClockMs now)
-{
-    double deviations =
-        call->idempotent ? RUN_DEVIATIONS : LOST_RUN_DEVIATIONS;
-    ClockMs expected_ms = expect_end(backend, call, ticket, deviations, now);
-
-    if (now > backend->stop.take_until) {
-        expected_ms = MAX(expected_ms, call->target_time - now);
-    }
-    return !StopPlan_TakesRun(&backend->stop, call->deadline, expected_ms,
-                              now);
-}
-
-/* Whether this host may cut the run although nobody could begin it anew: it
- * may not be repeated, or its sender stops, too. One of this host's own caller
- * is not sent elsewhere, since the host stops for the caller, too. Called with
- * the lock held. */
-static gboolean
-may_lose_run(const Backend *backend, const BackendCall *call, ClockMs now)
-{
-    const StopPlan *stop = &backend->stop;
-    ClockMs cut = call->idempotent ? stop->abandon : stop->end;
-    ClockMs allowance_ms =
-        call->run_allowance_ms > 0 ? call->run_allowance_ms : CLOCK_NEVER;
-
-    return !call->is_local && (!call->idempotent || call->ends_by_stop) &&
-           !StopPlan_LeavesTime(cut, call->deadline, allowance_ms, now);
-}
-
-/* Whether this host or its backend server stops too early for the run. Called
- * with the lock held. */
-static gboolean
-is_leaving(const Backend *backend, const BackendCall *call,
-           const AdmissionTicket *ticket, ClockMs now)
-{
-    return backend->closed || backend->state != BACKEND_READY ||
-           may_lose_run(backend, call, now) ||
-           is_stop_expected(backend, call, ticket, now);
-}
-
-/* Result for a request that a stop ends too early; OK if none does. Called
- * with the lock held. */
-static Result
-check_stop(const Backend *backend, const BackendCall *call,
-           const AdmissionTicket *ticket, ClockMs now)
-{
-    if (is_sender_leaving(backend, call, ticket, now)) {
-        return RESULT_SHUTTING_DOWN;
-    }
-    return is_leaving(backend, call, ticket, now)
-               ? RESULT_BACKEND_SERVER_LEAVING
-               : RESULT_OK;
-}
-
 /* Whether the request may queue for a slot. Called with the lock held. */
 static Result
 check_call(const Backend *backend, const BackendCall *call,
@@ -437,7 +142,7 @@
     if (strcmp(call->service, backend->desc.service) != 0) {
         return RESULT_BACKEND_SERVER_OTHER;
     }
-    result = check_stop(backend, call, ticket, now);
+    result = _Backend_CheckStop(backend, call, ticket, now);
     if (result != RESULT_OK) {
         return result;
     }
@@ -469,7 +174,7 @@
     if (call->cancel != NULL && HttpCancel_IsTriggered(call->cancel)) {
         return RESULT_CANCELLED;
     }
-    result = check_stop(backend, call, ticket, now);
+    result = _Backend_CheckStop(backend, call, ticket, now);
     if (result != RESULT_OK) {
         return result;
     }
@@ -627,8 +332,8 @@
         pthread_mutex_unlock(&backend->lock);
         return;
     }
-    reply->expected_ms =
-        longest_run(backend, &ticket, LOST_RUN_DEVIATIONS, now);
+    reply->expected_ms = _Backend_LongestRun(backend, &ticket,
+                                             BACKEND_LOST_RUN_DEVIATIONS, now);
     announcement = backend->announcement;
     backend->last_sent = now;
     backend->running_retries += call->is_retry ? 1 : 0;
--- a/src/roster/roster_internal.h
+++ b/src/roster/roster_internal.h
@@ -35,6 +35,9 @@
     Rng rng;
 };
 
+/* roster_choice.c: whether the report is recent enough to count. */
+gboolean _Roster_IsRecent(const RosterRow *row, ClockMs now);
+
 /* Records that the host answered. Called with the lock held. */
 void _Roster_MarkReached(RosterRow *row, ClockMs now);
 
