--- a/src/settings/settings_list.h
+++ b/src/settings/settings_list.h
@@ -137,7 +137,20 @@
          "cost of moving a request of mean size, with its answer, to another " \
          "data centre of the region, as a share of the request's value") \
     REAL(region_cost, "share", 0, 100, 0.2, \
-         "the same for another region; 0: the default, of both")
+         "the same for another region; 0: the default, of both") \
+    NAMES(features, "1 to 31 letters, digits or dashes", \
+          "parts of the operator's terms in force; unknown ones are ignored") \
+    REAL(cold_overage, "factor", 0, 100, 0, \
+         "factor on a service's rate for cold backend servers up to which " \
+         "arrivals are tolerated; 0: cold backend servers have no bound") \
+    REAL(cold_slack, "requests", 0, 1000000, 0, \
+         "arrivals that are tolerated on top of it in one second") \
+    TIME(evacuate_ms, 0, 600000, 0, \
+         "time after which an evacuated data centre must get no requests; " \
+         "0: evacuations are not followed") \
+    NUMBER(even_load, "0 or 1", 0, 1, 0, 0, \
+           "1: the choice accounts for the age of reports and for requests " \
+           "under way")
 /* clang-format on */
 
 #endif
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -33,6 +33,12 @@
     ANNOUNCE_DEREGISTER
 } AnnounceKind;
 
+/* What the operator's terms ask for beyond the usual. */
+typedef struct SidecarFeatures {
+    gboolean load_by_value; /* room goes to urgent requests before calls of
+                               less urgent ones */
+} SidecarFeatures;
+
 /* Translates between the daemon and a platform. */
 typedef struct SidecarAdapter {
     const WireNames *names;
@@ -49,6 +55,9 @@
     /* Decodes an announcement of a backend server. */
     AnnounceKind (*decode_announcement)(const HttpRequest *request,
                                         BackendAnnouncement *announcement);
+
+    /* Translates the setting "features". */
+    SidecarFeatures (*decode_features)(const SettingsNames *names);
 } SidecarAdapter;
 
 Sidecar *Sidecar_Create(Settings *settings, const SidecarAdapter *adapter,
