region, catalog, platform: allowed_regions of routes and teams are read

Operators keep some routes and teams inside named regions. RegionSet is an immutable set of region hashes; CatalogRoute and CatalogTeam hold one, NULL without a restriction. A value that cannot be read allows no region, so that a restriction that is written wrongly does not become none; it is logged (REGIONS_MALFORMED). The lists gain the result, counters and log events that the choice uses next.

--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -61,6 +61,11 @@
     \
     /* route */ \
     COUNTER(ROUTE_CROSS_REGION, "requests sent to another region") \
+    COUNTER(ROUTE_RESTRICTED, "requests that are restricted to regions") \
+    COUNTER(ROUTE_REGIONS_CHANGED, \
+            "requests whose regions changed while they waited or were retried") \
+    COUNTER(ROUTE_REGIONS_LEFT, \
+            "requests an owner returned: its region is not allowed any more") \
     \
     \
     /* health */ \
--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -53,6 +53,9 @@
         "configuration of the store is not used; the one in force stays") \
     LOG(ROUTE_KIND_UNKNOWN, 230, WARNING, \
         "kind of a route is unknown; its requests run at most once") \
+    LOG(REGIONS_MALFORMED, 240, WARNING, \
+        "allowed regions of a route or team are malformed; the readable ones " \
+        "apply") \
     LOG(BUNDLE_REJECTED, 225, WARNING, "configuration from a peer is invalid") \
     LOG(CONFIG_MISSING, 226, WARNING, \
         "no configuration received from the store or a peer yet") \
@@ -124,7 +127,9 @@
     LOG(DEPARTURE_DEPOSITED, 410, INFO, \
         "copies of a departure given to neighbours") \
     LOG(DEPARTURE_RETURNED, 411, INFO, \
-        "a departure before this process learned from a neighbour")
+        "a departure before this process learned from a neighbour") \
+    LOG(REGION_NOT_ALLOWED, 430, INFO, \
+        "request returned, not run: its regions no longer include this one")
 /* clang-format on */
 
 #endif
--- a/src/base/result_list.h
+++ b/src/base/result_list.h
@@ -77,6 +77,8 @@
     RESULT(ROUTE_FORBIDDEN, 251, 403, "the team may not use this route") \
     RESULT(NO_BACKEND_SERVER, 252, 503, \
            "no backend server of the service can take the request") \
+    RESULT(HOME_REGIONS_AWAY, 253, 503, \
+           "no backend server in the allowed regions can be reached") \
     \
     \
     /* health 270-289 */ \
--- a/src/catalog/catalog_table.c
+++ b/src/catalog/catalog_table.c
@@ -22,6 +22,7 @@
     g_free(route->name);
     g_free(route->host);
     g_free(route->prefix);
+    RegionSet_Unref(route->regions);
     g_free(route);
 }
 
@@ -37,6 +38,7 @@
     CatalogTeam *team = data;
 
     g_free(team->name);
+    RegionSet_Unref(team->regions);
     g_free(team);
 }
 
--- a/src/catalog/catalog_table.h
+++ b/src/catalog/catalog_table.h
@@ -21,6 +21,7 @@
 
 #include "base/clock.h"
 #include "base/rng.h"
+#include "region/region_set.h"
 
 #define CATALOG_MAX_DESTINATIONS 16
 
@@ -32,7 +33,8 @@
     int64_t rate_per_s; /* 0: no limit */
     int64_t burst;      /* maximum burst in requests */
     gboolean has_priority;
-    int priority; /* 0 is the highest */
+    int priority;             /* 0 is the highest */
+    const RegionSet *regions; /* NULL: no restriction */
 } CatalogTeam;
 
 /* A service that a route sends a share of its requests to. */
@@ -55,6 +57,7 @@
     int priority;        /* 0 is the highest */
     CatalogDestination destinations[CATALOG_MAX_DESTINATIONS];
     uint32_t destination_count;
+    const RegionSet *regions; /* NULL: no restriction */
 } CatalogRoute;
 
 typedef struct CatalogTable_desc {
@@ -65,8 +68,9 @@
 CatalogTable *CatalogTable_Ref(CatalogTable *table);
 void CatalogTable_Unref(CatalogTable *table);
 
-/* The Add functions for teams and routes take ownership of the strings in the
- * struct; CatalogTable_AddKey() copies the key. */
+/* The Add functions for teams and routes take ownership of the strings and of
+ * the reference to the regions in the struct; CatalogTable_AddKey() copies the
+ * key. */
 const CatalogTeam *CatalogTable_AddTeam(CatalogTable *table,
                                         const CatalogTeam *team);
 void CatalogTable_AddKey(CatalogTable *table, const char *key,
