gateway, roster, backend: requests stay inside their regions

Cause: a restricted request could go to any region.

Roster_Choose() leaves out hosts outside of the sets of the route and of the team, in both passes, and says when the first of them is tried again if all are unreachable. The gateway reads the newest configuration before each attempt, also of a second one beside the first, and refuses at once with HOME_REGIONS_AWAY (503, not run) and a Retry-After. Owners check their own configuration while a request waits and when its slot is free (BackendCall.may_run), and return it as not run.

Measured: /roster/regions, test_gateway_regions, /backend/may-not-run and /sidecar/regions pass.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -163,6 +163,12 @@
     }
 }
 
+static gboolean
+may_run(const BackendCall *call)
+{
+    return call->may_run == NULL || call->may_run(call->may_run_context);
+}
+
 /* Reason for which a waiting request ends; OK while it waits on. Called with
  * the lock held. */
 static Result
@@ -181,8 +187,10 @@
     if (now >= call->deadline) {
         return RESULT_DEADLINE_EXPIRED;
     }
-    return ticket->state == ADMISSION_HOPELESS ? RESULT_BACKEND_SERVER_BUSY
-                                               : RESULT_OK;
+    if (ticket->state == ADMISSION_HOPELESS) {
+        return RESULT_BACKEND_SERVER_BUSY;
+    }
+    return may_run(call) ? RESULT_OK : RESULT_BACKEND_SERVER_LEAVING;
 }
 
 /* Waits for a slot and takes it. On failure the request has not been sent.
@@ -212,6 +220,11 @@
                              MIN(call->deadline - now, CANCEL_CHECK_MS));
         advance(backend);
     }
+    if (!may_run(call)) {
+        Admission_Release(backend->admission, ticket, Clock_Now());
+        advance(backend);
+        return RESULT_BACKEND_SERVER_LEAVING;
+    }
     return RESULT_OK;
 }
 
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -124,6 +124,11 @@
     ClockMs attempt_timeout_ms;
     gboolean (*give_up)(void *context);
     void *give_up_context;
+    /* Called when a slot is free, before the request is sent, and while it
+     * waits; FALSE refuses it as not run. Called with a lock held, so it must
+     * not call the Backend. NULL: may run. */
+    gboolean (*may_run)(void *context);
+    void *may_run_context;
     gboolean idempotent;
     gboolean is_local; /* the caller is connected to this host */
     /* Time allowed for a run: more than nearly all take. 0: until the
--- a/src/backend/test_backend.c
+++ b/src/backend/test_backend.c
@@ -603,6 +603,55 @@
     close_fixture(&fixture);
 }
 
+static gboolean
+read_permission(void *context)
+{
+    return g_atomic_int_get((gint *)context);
+}
+
+/* Guards against a request that is sent although it may not run here any more,
+ * at once or after it has waited, and against one that keeps its slot. */
+static void
+test_may_not_run(void)
+{
+    Fixture fixture = {.script = {.answer = ANSWER_OK, .gated = TRUE}};
+    Script *script = &fixture.script;
+    Caller callers[3] = {0};
+    gint permission = TRUE;
+    BackendCall call;
+    BackendReply reply;
+
+    open_fixture(&fixture);
+    start_waiting(&callers[0], fixture.backend, 1, "/first");
+    await_request(script, 1, "/first");
+    call = make_call();
+    call.may_run = read_permission;
+    call.may_run_context = &(gint){FALSE};
+    Backend_Run(fixture.backend, &call, &reply);
+    g_assert_cmpint(reply.result, ==, RESULT_BACKEND_SERVER_LEAVING);
+    g_assert_cmpint(reply.run, ==, RUN_NO);
+    start_waiting(&callers[1], fixture.backend, 1, "/second");
+    await_request(script, 2, "/second");
+    callers[2].backend = fixture.backend;
+    callers[2].call = call;
+    callers[2].call.deadline = Clock_Now() + LONG_WAIT_MS;
+    callers[2].call.max_wait_ms = LONG_WAIT_MS;
+    callers[2].call.may_run_context = &permission;
+    pthread_create(&callers[2].thread, NULL, run_caller, &callers[2]);
+    wait_for_load(fixture.backend, 2, 1);
+    g_atomic_int_set(&permission, FALSE);
+    wait_for_load(fixture.backend, 2, 0);
+    g_atomic_int_set(&script->opened, 2);
+    for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
+        pthread_join(callers[i].thread, NULL);
+        g_assert_cmpint(callers[i].reply.result, ==,
+                        i < 2 ? RESULT_OK : RESULT_BACKEND_SERVER_LEAVING);
+        HttpAnswer_Clear(&callers[i].reply.answer);
+    }
+    g_assert_cmpint(g_atomic_int_get(&script->requests), ==, 2);
+    close_fixture(&fixture);
+}
+
 /* Replays a process that stands still between the acceptance of a request and
  * its write to a connection that is open already. Guards against sending a
  * request whose time has run out meanwhile, and against reporting that it may
@@ -727,6 +776,7 @@
     g_test_add_func("/backend/slots-and-order", test_slots_and_order);
     g_test_add_func("/backend/repeat-share", test_retry_share);
     g_test_add_func("/backend/waiting", test_waiting);
+    g_test_add_func("/backend/may-not-run", test_may_not_run);
     g_test_add_func("/backend/paused", test_paused);
     g_test_add_func("/backend/patience", test_attempt_timeout);
     g_test_add_func("/backend/suspended", test_suspended);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -19,6 +19,7 @@
     ReturnInput input = {
         .result = result,
         .backlog_ms = request->backlog_ms,
+        .away_ms = request->away_ms,
         .token_ms = team && team->rate_per_s > 0 ? 1000 / team->rate_per_s : 0,
         .left_ms = request->caller_deadline > 0
                        ? request->caller_deadline - Clock_Now()
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -24,6 +24,10 @@
  * if the previous attempt is known not to have run. If the connection of one
  * breaks, its owner is asked whether it has arrived (attempt/attempt_rpc.h).
  *
+ * A request of a route or team that is restricted to regions is sent to owners
+ * in these only, by the configuration at the time of each attempt. If no owner
+ * there can be reached, it is refused at once (RESULT_HOME_REGIONS_AWAY).
+ *
  * Limits: handles up to `threads` requests at once. Thread safe.
  */
 #ifndef GATEWAY_GATEWAY_H
@@ -47,6 +51,7 @@
     unsigned threads;
     size_t max_body_bytes;
     const char *host;    /* name of this host */
+    const char *region;  /* of this host */
     const char *service; /* service of the backend server on this host */
     const WireNames *names;
     Catalog *catalog;
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -182,6 +182,11 @@
                          .excluded_count = request->excluded_count};
     RosterReport own;
 
+    Counter_Add(COUNTER_ROUTE_REGIONS_CHANGED,
+                GatewayRegions_Read(&request->regions, gateway->desc.catalog,
+                                    &request->regions_check.key));
+    query.route_regions = request->regions.route;
+    query.team_regions = request->regions.team;
     request->can_retry = can_retry(request);
     query.request.failure_cost = Placement_FailureCost(request->can_retry);
     query.request.relative_size = relative_size(request);
@@ -309,9 +314,11 @@
     other = *request;
     other.failure = (HttpAnswer){0};
     other.attempts++;
+    GatewayRegions_Ref(&other.regions);
     add_host(other.excluded, &other.excluded_count, other.current_host);
     if (HttpServer_IsLeaving(request->gateway->server) ||
         !has_free_owner(&other) || !take_retry(request)) {
+        GatewayRegions_Clear(&other.regions);
         return FALSE;
     }
     other.has_taken_retry = TRUE;
@@ -319,6 +326,7 @@
     try_owners(&other, &reply);
     keep_failure(&other, &reply);
     merge_request(request, &other);
+    GatewayRegions_Clear(&other.regions);
     if (reply.result != RESULT_OK) {
         HttpAnswer_Clear(&reply.answer);
         return FALSE;
@@ -607,6 +615,22 @@
     return reason != RETRY_AGAIN;
 }
 
+/* No host is left to choose from. If the allowed regions cannot be reached,
+ * that is the result, whatever the earlier attempts were refused for. */
+static void
+note_away(GatewayRequest *request, const RosterChoice *choice,
+          BackendReply *reply)
+{
+    if (choice->away_ms >= 0) {
+        HttpAnswer_Clear(&reply->answer);
+        *reply =
+            (BackendReply){.result = RESULT_HOME_REGIONS_AWAY, .run = RUN_NO};
+        request->away_ms = choice->away_ms;
+        Log_Append(request->trace, sizeof(request->trace), " away_ms=%" PRId64,
+                   choice->away_ms);
+    }
+}
+
 static void
 try_owners(GatewayRequest *request, BackendReply *reply)
 {
@@ -620,6 +644,7 @@
             break;
         }
         if (!choose(request, &choice)) {
+            note_away(request, &choice, reply);
             break;
         }
         HttpAnswer_Clear(&reply->answer);
@@ -637,5 +662,7 @@
 {
     count_request(request);
     try_owners(request, reply);
+    Counter_Add(COUNTER_ROUTE_RESTRICTED,
+                GatewayRegions_IsRestricted(&request->regions));
     _Gateway_ChooseAnswer(reply, &request->failure, request->maybe_run);
 }
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -6,6 +6,7 @@
 
 #include "attempt/attempt_rpc.h"
 #include "gateway/gateway.h"
+#include "gateway/gateway_regions.h"
 #include "gateway/return_time.h"
 #include "gateway/size_estimate.h"
 #include "http/http_cancel_set.h"
@@ -33,7 +34,9 @@
     CatalogTable *table; /* referenced */
     const CatalogRoute *route;
     const CatalogDestination *destination;
-    const CatalogTeam *team; /* NULL: the request needs no key */
+    const CatalogTeam *team;           /* NULL: the request needs no key */
+    GatewayRegions regions;            /* by the newest configuration */
+    GatewayRegionsCheck regions_check; /* of a run on this host */
     char *target;
     HttpHeaders forwarded;
     BackendCall call;
@@ -43,6 +46,8 @@
     ClockMs caller_deadline; /* by the caller's header alone */
     ClockMs backlog_ms;  /* shortest wait of the owners that were full; 0: none
                             was */
+    ClockMs away_ms;     /* time until a host in the allowed regions is tried
+                            again; 0: unknown */
     ClockMs target_time; /* time limit set by the route's latency target */
     ClockMs stop_ms;     /* time from the start of a graceful stop to the
                             arrival; -1: arrived before, or no stop */
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -163,6 +163,17 @@
     call->host = HttpHeaders_Get(HttpRequest_Headers(request->http), "Host");
     call->headers = &request->forwarded;
     call->body = HttpRequest_Body(request->http, &call->body_bytes);
+    request->regions_check = (GatewayRegionsCheck){
+        .catalog = request->gateway->desc.catalog,
+        .region = RegionSet_Hash(request->gateway->desc.region),
+        .key = {.host = call->host,
+                .path = HttpRequest_Path(request->http),
+                .team = call->team},
+        .request_id = call->request_id};
+    (void)GatewayRegions_Update(&request->regions, request->table,
+                                &request->regions_check.key);
+    call->may_run = GatewayRegions_Check;
+    call->may_run_context = &request->regions_check;
     call->idempotent = request->route->idempotent;
     call->is_local = TRUE;
     call->priority = request->route->priority;
@@ -232,6 +243,7 @@
 _Gateway_ClearRequest(GatewayRequest *request)
 {
     CatalogTable_Unref(request->table);
+    GatewayRegions_Clear(&request->regions);
     HttpHeaders_Clear(&request->forwarded);
     g_free(request->target);
 }
--- a/src/gateway/peer_port.c
+++ b/src/gateway/peer_port.c
@@ -6,6 +6,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "gateway/gateway_regions.h"
 #include "gateway/peer_wire.h"
 #include "http/http_cancel_set.h"
 #include "http/http_server.h"
@@ -78,6 +79,24 @@
     return may_run;
 }
 
+/* Makes the backend server's owner check the regions of the call. */
+static void
+check_regions(const PeerPort *port, const HttpRequest *request,
+              BackendCall *call, GatewayRegionsCheck *check)
+{
+    if (port->desc.catalog != NULL) {
+        *check =
+            (GatewayRegionsCheck){.catalog = port->desc.catalog,
+                                  .region = RegionSet_Hash(port->desc.region),
+                                  .key = {.host = call->host,
+                                          .path = HttpRequest_Path(request),
+                                          .team = call->team},
+                                  .request_id = call->request_id};
+        call->may_run = GatewayRegions_Check;
+        call->may_run_context = check;
+    }
+}
+
 static void
 serve(void *context, HttpRequest *request)
 {
@@ -89,6 +108,7 @@
     HttpAnswer answer = {0};
     BackendReply reply = {.result = RESULT_REQUEST_ID_VOID, .run = RUN_NO};
     char *target = HttpRequest_Target(request);
+    GatewayRegionsCheck check;
 
     Counter_Add(COUNTER_OWNER_REQUESTS, 1);
     call.target = target;
@@ -105,6 +125,7 @@
     else {
         if (begin_attempt(port, &call)) {
             copy_headers(port, received, &headers);
+            check_regions(port, request, &call, &check);
             HttpRequest_OnDisconnect(request, HttpCancel_Trigger, cancel);
             Backend_Run(port->desc.backend, &call, &reply);
             HttpRequest_OnDisconnect(request, NULL, NULL);
--- a/src/gateway/peer_port.h
+++ b/src/gateway/peer_port.h
@@ -12,6 +12,9 @@
  * Each attempt that must not run twice is noted in the AttemptLog before
  * anything else is done with it; one that is void is refused as not run.
  *
+ * A request whose route or team may not be served in this host's region, by
+ * this host's configuration, is returned as not run, also while it waits.
+ *
  * Limits: senders are not authenticated; the network between the daemons must
  * be closed to others.
  */
@@ -23,6 +26,7 @@
 
 #include "attempt/attempt_log.h"
 #include "backend/backend.h"
+#include "catalog/catalog.h"
 
 typedef struct PeerPort PeerPort;
 
@@ -32,6 +36,8 @@
     size_t max_body_bytes;
     const WireNames *names;
     Backend *backend;
+    Catalog *catalog;   /* checks the regions of requests; NULL: no check */
+    const char *region; /* of this host */
     AttemptLog *attempts;
 } PeerPort_desc;
 
--- a/src/gateway/return_time.c
+++ b/src/gateway/return_time.c
@@ -32,6 +32,9 @@
         return MAX(TOKEN_INTERVALS * input->token_ms, MIN_RETURN_MS);
     case RESULT_SHUTTING_DOWN:
         return RESTART_RETURN_MS;
+    case RESULT_HOME_REGIONS_AWAY:
+        return input->away_ms > 0 ? MAX(input->away_ms, MIN_RETURN_MS)
+                                  : CONFIG_RETURN_MS;
     case RESULT_ISOLATED:
     case RESULT_NOT_CONFIGURED:
         return CONFIG_RETURN_MS;
@@ -58,6 +61,10 @@
     double base = (double)base_time(input);
     double limit = MAX_LEFT_SHARE * (double)input->left_ms;
 
+    if (input->result == RESULT_HOME_REGIONS_AWAY && limit >= MIN_RETURN_MS) {
+        /* A ping may reach the host before it is tried again. */
+        base = MIN(base, limit);
+    }
     if (base > limit) {
         return RETURN_TIME_NONE;
     }
--- a/src/gateway/return_time.h
+++ b/src/gateway/return_time.h
@@ -8,7 +8,9 @@
  * these come first.
  *
  * Use: ReturnTime_Backlog() for each owner that is full, ReturnTime_Compute()
- * for each refusal that promises that the request has not run.
+ * for each refusal that promises that the request has not run. A request whose
+ * allowed regions are out of reach returns when a host there is tried again,
+ * or earlier if its caller does not wait that long.
  * RETURN_TIME_NONE means that the caller should not be told to return: it
  * would be past the time that callers are prepared to wait.
  *
@@ -29,6 +31,8 @@
     Result result;
     ClockMs backlog_ms; /* shortest wait for a slot among the owners that
                            refused; 0: unknown */
+    ClockMs away_ms;    /* time until a host in the allowed regions is tried
+                           again; 0: unknown */
     ClockMs token_ms;   /* mean time between two requests within the team's
                            rate; 0: no limit */
     ClockMs left_ms;    /* time that the caller has left */
--- a/src/gateway/test_return_time.c
+++ b/src/gateway/test_return_time.c
@@ -14,18 +14,23 @@
         ClockMs low;
         ClockMs high;
     } cases[] = {
-        {{RESULT_BACKEND_SERVER_BUSY, 600, 0, 6000, 0}, 600, 750},
-        {{RESULT_BACKEND_SERVER_BUSY, 600, 0, 6000, 1}, 600, 900},
-        {{RESULT_BACKEND_SERVER_BUSY, 600, 0, 1900, 9}, 600, 634},
-        {{RESULT_BACKEND_SERVER_BUSY, 600, 0, 1700, 0}, -1, -1},
-        {{RESULT_BACKEND_SERVER_BUSY, 3, 0, 6000, 0}, 100, 125},
-        {{RESULT_NO_BACKEND_SERVER, 0, 0, 6000, 0}, 300, 375},
-        {{RESULT_RATE_EXCEEDED, 0, 30, 6000, 0}, 300, 375},
-        {{RESULT_RATE_EXCEEDED, 0, 3000, 6000, 0}, -1, -1},
-        {{RESULT_NOT_CONFIGURED, 0, 0, 6000, 0}, 1000, 1250},
-        {{RESULT_NOT_CONFIGURED, 0, 0, -5, 0}, -1, -1},
-        {{RESULT_SHUTTING_DOWN, 0, 0, 8000, 0}, 1500, 1875},
-        {{RESULT_SHUTTING_DOWN, 0, 0, 4000, 0}, -1, -1},
+        {{RESULT_BACKEND_SERVER_BUSY, 600, 0, 0, 6000, 0}, 600, 750},
+        {{RESULT_BACKEND_SERVER_BUSY, 600, 0, 0, 6000, 1}, 600, 900},
+        {{RESULT_BACKEND_SERVER_BUSY, 600, 0, 0, 1900, 9}, 600, 634},
+        {{RESULT_BACKEND_SERVER_BUSY, 600, 0, 0, 1700, 0}, -1, -1},
+        {{RESULT_BACKEND_SERVER_BUSY, 3, 0, 0, 6000, 0}, 100, 125},
+        {{RESULT_NO_BACKEND_SERVER, 0, 0, 0, 6000, 0}, 300, 375},
+        {{RESULT_RATE_EXCEEDED, 0, 0, 30, 6000, 0}, 300, 375},
+        {{RESULT_RATE_EXCEEDED, 0, 0, 3000, 6000, 0}, -1, -1},
+        {{RESULT_NOT_CONFIGURED, 0, 0, 0, 6000, 0}, 1000, 1250},
+        {{RESULT_NOT_CONFIGURED, 0, 0, 0, -5, 0}, -1, -1},
+        {{RESULT_SHUTTING_DOWN, 0, 0, 0, 8000, 0}, 1500, 1875},
+        {{RESULT_SHUTTING_DOWN, 0, 0, 0, 4000, 0}, -1, -1},
+        {{RESULT_HOME_REGIONS_AWAY, 0, 800, 0, 6000, 0}, 800, 1000},
+        {{RESULT_HOME_REGIONS_AWAY, 0, 20, 0, 6000, 0}, 100, 125},
+        {{RESULT_HOME_REGIONS_AWAY, 0, 4000, 0, 6000, 0}, 2000, 2000},
+        {{RESULT_HOME_REGIONS_AWAY, 0, 0, 0, 6000, 0}, 1000, 1250},
+        {{RESULT_HOME_REGIONS_AWAY, 0, 4000, 0, 200, 0}, -1, -1},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -105,6 +105,7 @@
     row->keep_until = 0;
     row->entry = *entry;
     row->service = service;
+    row->region = RegionSet_Hash(entry->region);
     row->tier = tier_of(roster, entry);
     g_ptr_array_add(service_rows(roster, service), row);
     if (row->tier == ROSTER_SAME_DATA_CENTRE) {
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -13,8 +13,9 @@
  * retried, so that one that has recovered is used again and none is excluded
  * for long. An issuance goes to a backend server whose host stops only if
  * others cost more, and to one that would refuse it (StopPlan_LeavesTime())
- * only if no other is left. Reports age: the risk drifts to the fleet's
- * long-term mean and the weight of the load decays.
+ * only if no other is left. A request that is restricted to regions goes to no
+ * host elsewhere, whatever the cost (roster_regions.c). Reports age: the risk
+ * drifts to the fleet's long-term mean and the weight of the load decays.
  *
  * Limits: ROSTER_MAX_EXCLUDED hosts can be excluded from one choice. Thread
  * safe.
@@ -27,6 +28,7 @@
 
 #include "base/clock.h"
 #include "health/gray_filter.h"
+#include "region/region_set.h"
 #include "retry/retry.h"
 #include "roster/placement.h"
 #include "roster/roster_entry.h"
@@ -72,6 +74,8 @@
     ClockMs run_allowance_ms; /* the same; time allowed for its run */
     uint64_t excluded[ROSTER_MAX_EXCLUDED]; /* hashes of the excluded hosts */
     uint32_t excluded_count;
+    const RegionSet *route_regions; /* hosts outside of either set are not */
+    const RegionSet *team_regions;  /* chosen; NULL: no restriction */
 } RosterQuery;
 
 typedef struct RosterChoice {
@@ -84,7 +88,10 @@
     ClockMs service_ms;      /* mean service time of a request; 0: unknown */
     ClockMs explore_idle_ms; /* above 0: chosen for a fresh report, if it has
                                 been idle for this long; 0: for its cost */
-    ClockMs age_ms; /* age of the last report; CLOCK_NEVER if there is none */
+    ClockMs age_ms;  /* age of the last report; CLOCK_NEVER if there is none */
+    ClockMs away_ms; /* time until the first host in the allowed regions is
+                        tried again; 0: they have no backend server; -1: a
+                        host was chosen, or there are other reasons */
 } RosterChoice;
 
 /* A host of this data centre, possibly this host itself. */
@@ -115,7 +122,10 @@
 void Roster_Retain(Roster *roster, GHashTable *names, ClockMs keep_until);
 void Roster_Expire(Roster *roster, ClockMs now);
 
-/* Fills the choice; FALSE if no host is left to choose from. */
+/* Fills the choice; FALSE if no host is left to choose from. Then only
+ * `away_ms` of the choice is set, if the request is restricted to regions that
+ * have no backend server of the service, or none that is not being avoided as
+ * unreachable. */
 gboolean Roster_Choose(Roster *roster, const RosterQuery *query, ClockMs now,
                        RosterChoice *choice);
 void Roster_Report(Roster *roster, uint64_t host, const RosterReport *report,
--- a/src/roster/roster_choice.c
+++ b/src/roster/roster_choice.c
@@ -185,7 +185,8 @@
 }
 
 /* Returns the row with the lowest cost; NULL if there is none. Skips hosts
- * that are being avoided or stop too early, unless `include_all` is set. */
+ * that are being avoided or stop too early, unless `include_all` is set. Hosts
+ * outside the regions of the query are never chosen. */
 static const RosterRow *
 find_best(Roster *roster, const GPtrArray *rows, const RosterQuery *query,
           gboolean include_all, ClockMs now, RosterChoice *choice)
@@ -200,6 +201,7 @@
         double cost;
 
         if (row->entry.leaving || is_excluded(query, row->host) ||
+            !_Roster_IsAllowed(row, query) ||
             (!include_all &&
              (now < row->avoid_until || stops_too_early(row, query, now)))) {
             continue;
@@ -228,9 +230,10 @@
     rows = g_hash_table_lookup(roster->services, &query->service);
     if (rows != NULL) {
         best = find_best(roster, rows, query, FALSE, now, choice);
-        if (best == NULL) {
-            best = find_best(roster, rows, query, TRUE, now, choice);
-        }
+    }
+    choice->away_ms = best != NULL ? -1 : _Roster_AwayMs(rows, query, now);
+    if (rows != NULL && best == NULL && choice->away_ms < 0) {
+        best = find_best(roster, rows, query, TRUE, now, choice);
     }
     if (best != NULL) {
         fill_choice(best, query, now, choice);
--- a/src/roster/roster_internal.h
+++ b/src/roster/roster_internal.h
@@ -11,6 +11,7 @@
     RosterEntry entry;
     uint64_t host;
     uint64_t service;
+    uint64_t region;
     RosterTier tier;
     GrayFilter filter;
     RosterReport report;
@@ -38,6 +39,16 @@
 /* roster_choice.c: whether the report is recent enough to count. */
 gboolean _Roster_IsRecent(const RosterRow *row, ClockMs now);
 
+/* roster_regions.c: whether the query may be served in the host's region. */
+gboolean _Roster_IsAllowed(const RosterRow *row, const RosterQuery *query);
+
+/* For a query that is restricted to regions: time until the first host in them
+ * that is being avoided as unreachable is tried again; 0 if they have no
+ * backend server. -1 if one of them is reachable, or without a restriction.
+ * `rows` are those of the service; NULL: it has none. */
+ClockMs _Roster_AwayMs(const GPtrArray *rows, const RosterQuery *query,
+                       ClockMs now);
+
 /* Records that the host answered. Called with the lock held. */
 void _Roster_MarkReached(RosterRow *row, ClockMs now);
 
--- a/src/roster/test_roster.c
+++ b/src/roster/test_roster.c
@@ -483,6 +483,79 @@
     }
 }
 
+/* Guards against a restricted request that goes to a host outside its regions
+ * because those inside are far away, full, tried, leaving, unreachable or
+ * absent, and against the wrong time until they are tried again. */
+static void
+test_regions(void)
+{
+    enum { NONE, FULL, TRIED, LEAVING, AWAY, ABSENT };
+    static const char *const r1_r2[] = {"r1", "r2"};
+    static const struct {
+        int first; /* names of the route's set; -1: no restriction */
+        int route;
+        int team;          /* names of the team's set; -1: no restriction */
+        int trouble;       /* of the host in r2 */
+        const char *hosts; /* that may be chosen; NULL: none */
+        ClockMs away_ms;
+    } cases[] = {
+        {0, -1, -1, NONE, "self near region far", -1},
+        {1, 1, -1, NONE, "far", -1},
+        {0, 2, 1, NONE, "self near region", -1},
+        {1, 1, 2, NONE, "far", -1},
+        {1, 1, 1, NONE, NULL, 0}, /* no region is in both */
+        {1, 0, -1, NONE, NULL, 0},
+        {1, 1, -1, FULL, "far", -1},
+        {1, 1, -1, TRIED, NULL, -1},
+        {1, 1, -1, LEAVING, "far", -1},
+        {1, 1, -1, AWAY, NULL, 390},
+        {0, 2, -1, AWAY, "self near region", -1},
+        {1, 1, -1, ABSENT, NULL, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Roster *roster = make_fleet();
+        RosterQuery wanted = query();
+        RosterReport bad = report(0.99, 50);
+        RosterChoice choice;
+
+        g_test_message("case %zu", i);
+        if (cases[i].route >= 0) {
+            wanted.route_regions = RegionSet_Create(r1_r2 + cases[i].first,
+                                                    (size_t)cases[i].route);
+        }
+        if (cases[i].team >= 0) {
+            wanted.team_regions =
+                RegionSet_Create(r1_r2, (size_t)cases[i].team);
+        }
+        wanted.may_explore = TRUE;
+        bad.leaving = cases[i].trouble == LEAVING;
+        if (cases[i].trouble == FULL || cases[i].trouble == LEAVING) {
+            Roster_Report(roster, Rng_HashString("far"), &bad, 1000);
+        }
+        else if (cases[i].trouble == TRIED) {
+            wanted.excluded[wanted.excluded_count++] = Rng_HashString("far");
+        }
+        else if (cases[i].trouble == AWAY) {
+            Roster_NoteUnreachable(roster, Rng_HashString("far"), 1000);
+        }
+        else if (cases[i].trouble == ABSENT) {
+            Roster_Remove(roster, "far");
+        }
+        for (int n = 0; n < 50; n++) {
+            gboolean found = Roster_Choose(roster, &wanted, 1010, &choice);
+
+            g_assert_cmpint(found, ==, cases[i].hosts != NULL);
+            g_assert_cmpint(choice.away_ms, ==, cases[i].away_ms);
+            g_assert_true(!found ||
+                          strstr(cases[i].hosts, choice.entry.host) != NULL);
+        }
+        Roster_Destroy(roster);
+        RegionSet_Unref(wanted.route_regions);
+        RegionSet_Unref(wanted.team_regions);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -491,6 +564,7 @@
     g_test_add_func("/roster/entry-ranges", test_entry_ranges);
     g_test_add_func("/roster/choice", test_choice);
     g_test_add_func("/roster/unreachable", test_unreachable);
+    g_test_add_func("/roster/regions", test_regions);
     g_test_add_func("/roster/stopping", test_stopping);
     g_test_add_func("/roster/exploration", test_exploration);
     g_test_add_func("/roster/newcomer", test_new_backend_server);
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -165,10 +165,13 @@
                           .max_body_bytes = (size_t)settings->max_body_bytes,
                           .names = sidecar->adapter->names,
                           .backend = sidecar->backend,
+                          .catalog = sidecar->catalog,
+                          .region = settings->region,
                           .attempts = sidecar->attempts};
     Gateway_desc gateway = {.threads = (unsigned)settings->entry_threads,
                             .max_body_bytes = (size_t)settings->max_body_bytes,
                             .host = settings->host,
+                            .region = settings->region,
                             .service = settings->service,
                             .names = sidecar->adapter->names,
                             .catalog = sidecar->catalog,
--- a/tests/process_sidecar.c
+++ b/tests/process_sidecar.c
@@ -117,6 +117,58 @@
     Site_Destroy(site);
 }
 
+/* Writes the next configuration, in which a route or tenant may be served in
+ * the listed regions, and waits until the hosts have read it. */
+static void
+restrict_to(Site *site, const char *version, const char *kind,
+            const char *name, const char *list)
+{
+    json_t *value = ObjectServer_Read(Site_Store(site), "config", "main");
+
+    json_object_set_new(value, "version", json_string(version));
+    json_object_set_new(json_object_get(json_object_get(value, kind), name),
+                        "allowed_regions", json_loads(list, 0, NULL));
+    ObjectServer_Write(Site_Store(site), "config", "main", value);
+    g_usleep(1500000);
+}
+
+/* Guards against a run outside of the regions of the route or team, and
+ * against a restriction that outlives its removal. */
+static void
+test_regions(void)
+{
+    enum { FAR = 3, REQUESTS = 12 };
+    static const struct {
+        const char *version;
+        const char *kind;
+        const char *name;
+        const char *list;
+        int far;
+        int status;
+    } cases[] = {
+        {"00000002", "routes", "read", "[\"sur\"]", REQUESTS, 200},
+        {"00000003", "tenants", "crews", "[\"norte\"]", 0, 503},
+        {"00000004", "routes", "read", "[]", 0, 200},
+        {"00000005", "tenants", "crews", "[\"sur\",7]", REQUESTS, 200},
+    };
+    Site *site = make_site(FAR + 1);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        unsigned before = Site_Runs(site, FAR);
+
+        g_test_message("case %zu", i);
+        restrict_to(site, cases[i].version, cases[i].kind, cases[i].name,
+                    cases[i].list);
+        for (int n = 0; n < REQUESTS; n++) {
+            g_assert_cmpint(request_status(site, n % 3, "/read/1", SITE_KEY),
+                            ==, cases[i].status);
+        }
+        g_assert_cmpint((int)(Site_Runs(site, FAR) - before), ==,
+                        cases[i].far);
+    }
+    Site_Destroy(site);
+}
+
 /* Guards against sending requests to a backend server that has announced that
  * it drains. */
 static void
@@ -596,6 +648,7 @@
     g_test_add_func("/sidecar/calm", test_without_faults);
     g_test_add_func("/sidecar/withdrawal", test_withdrawal);
     g_test_add_func("/sidecar/drain", test_drain);
+    g_test_add_func("/sidecar/regions", test_regions);
     g_test_add_func("/sidecar/leave-before-restart",
                     test_leave_before_restart);
     g_test_add_func("/sidecar/gray", test_gray);
