cold, admission: the rate of requests to a cold backend server

Cause: a backend server that is cold crashes if it gets many more than cold_per_s requests in a second. Only its owner sees all of them.

Admission gets a pace beside the slots: how many tickets may be admitted now, and when the next ones may be. The expected wait and the removal of hopeless tickets account for it.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -44,6 +44,7 @@
 
 struct Admission {
     guint slots;
+    AdmissionPace pace;
     double mean_ms;             /* mean service time */
     double service_ms[KINDS];   /* mean service time of each kind */
     double deviation_ms[KINDS]; /* mean absolute deviation from it */
@@ -70,6 +71,7 @@
     Admission *admission = g_new0(Admission, 1);
 
     admission->slots = MIN_SLOTS;
+    admission->pace.turns = G_MAXUINT;
     admission->mean_ms = INITIAL_SERVICE_MS;
     for (int kind = 0; kind < KINDS; kind++) {
         admission->service_ms[kind] = INITIAL_SERVICE_MS;
@@ -96,6 +98,12 @@
     admission->slots = MAX(slots, MIN_SLOTS);
 }
 
+void
+Admission_SetPace(Admission *admission, const AdmissionPace *pace)
+{
+    admission->pace = *pace;
+}
+
 /* Whether the ticket would be answered after its target if it were admitted
  * now. */
 static gboolean
@@ -160,9 +168,43 @@
                : wait;
 }
 
+/* Wait by the pace alone of a ticket with this many ahead of it. */
+static ClockMs
+pace_wait(const Admission *admission, guint ahead)
+{
+    const AdmissionPace *pace = &admission->pace;
+
+    if (ahead < pace->turns) {
+        return 0;
+    }
+    return MIN(
+        pace->next_ms +
+            (ClockMs)MIN((ahead - pace->turns) * pace->interval_ms, G_MAXINT),
+        pace->end_ms);
+}
+
 ClockMs
-Admission_ExpectedWait(const Admission *admission,
-                       const AdmissionTicket *ticket, ClockMs now)
+Admission_PaceWait(const Admission *admission, const AdmissionTicket *ticket,
+                   ClockMs now)
+{
+    guint ahead = 0;
+
+    if (admission->pace.turns == G_MAXUINT) {
+        return 0;
+    }
+    for (guint i = 0; i < admission->queue->len; i++) {
+        const AdmissionTicket *other = g_ptr_array_index(admission->queue, i);
+
+        ahead +=
+            other != ticket && !comes_before(admission, ticket, other, now);
+    }
+    return pace_wait(admission, ahead);
+}
+
+/* Expected wait for a slot of a ticket that arrives now. */
+static ClockMs
+slot_wait(const Admission *admission, const AdmissionTicket *ticket,
+          ClockMs now)
 {
     guint ahead[KINDS] = {0};
 
@@ -181,6 +223,14 @@
     return (ClockMs)wait_behind(admission, kind_of(ticket), ahead);
 }
 
+ClockMs
+Admission_ExpectedWait(const Admission *admission,
+                       const AdmissionTicket *ticket, ClockMs now)
+{
+    return MAX(slot_wait(admission, ticket, now),
+               Admission_PaceWait(admission, ticket, now));
+}
+
 ClockMs
 Admission_LongRunMs(const Admission *admission, const AdmissionTicket *ticket,
                     double deviations)
@@ -285,7 +335,7 @@
 {
     gboolean admitted = FALSE;
 
-    while (admission->queue->len > 0 &&
+    while (admission->queue->len > 0 && admission->pace.turns > 0 &&
            admission->running->len < admission->slots) {
         guint place = next_place(admission);
         AdmissionTicket *ticket = g_ptr_array_index(admission->queue, place);
@@ -294,15 +344,17 @@
         ticket->state = ADMISSION_ADMITTED;
         ticket->started = now;
         g_ptr_array_add(admission->running, ticket);
+        admission->pace.turns -= admission->pace.turns < G_MAXUINT;
         admission->last_change = now;
         admitted = TRUE;
     }
     return admitted;
 }
 
-/* Removes the tickets whose turn comes too late: by the mean service times, or
- * because slots are freed more slowly than these let expect. Calls ahead do
- * not delay the turn of a request while slots are kept for requests. */
+/* Removes the tickets whose turn comes too late: by the mean service times, by
+ * the pace, or because slots are freed more slowly than these let expect.
+ * Calls ahead do not delay the turn of a request while slots are kept for
+ * requests. */
 static gboolean
 remove_hopeless(Admission *admission, ClockMs now)
 {
@@ -324,7 +376,8 @@
                     ? ahead[KIND_REQUEST]
                     : place + 1;
         end = (double)now +
-              MAX(wait_behind(admission, kind, ahead), turns * gap) +
+              MAX(MAX(wait_behind(admission, kind, ahead), turns * gap),
+                  (double)pace_wait(admission, place)) +
               MIN_SERVICE_SHARE * admission->service_ms[kind];
         if (end > (double)ticket->deadline) {
             g_ptr_array_remove_index(admission->queue, place);
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -61,6 +61,15 @@
     ClockMs started; /* time of admission */
 } AdmissionTicket;
 
+/* Pace of admissions beside the number of slots. */
+typedef struct AdmissionPace {
+    guint turns;        /* tickets that may be admitted now; G_MAXUINT: any
+                           number */
+    ClockMs next_ms;    /* time until one more may be */
+    double interval_ms; /* between later ones */
+    ClockMs end_ms;     /* time after which the pace does not apply */
+} AdmissionPace;
+
 typedef struct AdmissionLoad {
     guint slots;
     guint running;
@@ -74,6 +83,14 @@
 void Admission_Destroy(Admission *admission);
 void Admission_SetSlots(Admission *admission, guint slots);
 
+/* Limits the admissions until the next call, for a backend server that takes
+ * only some requests in a second. Without a call there is no such limit. */
+void Admission_SetPace(Admission *admission, const AdmissionPace *pace);
+
+/* Wait of a ticket, whether or not it is in the queue, by the pace alone. */
+ClockMs Admission_PaceWait(const Admission *admission,
+                           const AdmissionTicket *ticket, ClockMs now);
+
 /* Expected wait of a request that arrives now. */
 ClockMs Admission_ExpectedWait(const Admission *admission,
                                const AdmissionTicket *ticket, ClockMs now);
