backend: a cold backend server gets requests at the configured rate

Cause: cold_left of an announcement was checked and thrown away, and nothing held requests back from a backend server that is cold.

The owner reads the time from announcements and from the header Cold-Start-Ms of answers, the rate from the configuration of its service, and paces the admission while its server is cold. Requests wait for their turn like for a slot, or are refused as busy with a report, whose new field 15 (cold wait) the senders add to the wait in the choice and in Retry-After. At work are at most as many as keep the bound if the server has read none of them. Backend_TreatAsCold() is for the end of an evacuation. Off unless cold_overage and cold_per_s are above 0.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -39,6 +39,7 @@
     backend->last_sent = Clock_Now();
     backend->stop = StopPlan_None();
     backend->admission = Admission_Create();
+    _Backend_InitCold(backend, Clock_Now());
     return backend;
 }
 
@@ -111,11 +112,13 @@
 
 /* Called with the lock held. */
 static void
-fill_report(const Backend *backend, ClockMs now, RosterReport *report)
+fill_report(Backend *backend, ClockMs now, RosterReport *report)
 {
-    AdmissionLoad load = Admission_Load(backend->admission);
+    AdmissionLoad load;
     RetryRates rates = RetryRates_At(&backend->rates, now);
 
+    _Backend_SetPace(backend, now);
+    load = Admission_Load(backend->admission);
     *report = (RosterReport){
         .risk = current_risk(backend, now),
         .slots = load.slots,
@@ -129,6 +132,7 @@
                        : MAX(backend->stop.end - now, 1),
         .per_s = rates.per_s,
         .retries_per_s = rates.retries_per_s,
+        .cold_wait_ms = _Backend_ColdWait(backend, now),
     };
 }
 
@@ -154,15 +158,6 @@
     return RESULT_OK;
 }
 
-/* Called with the lock held. */
-static void
-advance(Backend *backend)
-{
-    if (Admission_Advance(backend->admission, Clock_Now())) {
-        pthread_cond_broadcast(&backend->wake);
-    }
-}
-
 /* Reason for which a waiting request ends; OK while it waits on. Called with
  * the lock held. */
 static Result
@@ -181,8 +176,10 @@
     if (now >= call->deadline) {
         return RESULT_DEADLINE_EXPIRED;
     }
-    return ticket->state == ADMISSION_HOPELESS ? RESULT_BACKEND_SERVER_BUSY
-                                               : RESULT_OK;
+    return ticket->state == ADMISSION_HOPELESS ||
+                   _Backend_WaitsTooLong(backend, call, ticket, now)
+               ? RESULT_BACKEND_SERVER_BUSY
+               : RESULT_OK;
 }
 
 /* Waits for a slot and takes it. On failure the request has not been sent.
@@ -191,8 +188,10 @@
 take_slot(Backend *backend, const BackendCall *call, AdmissionTicket *ticket)
 {
     ClockMs now = Clock_Now();
-    Result result = check_call(backend, call, ticket, now);
+    Result result;
 
+    _Backend_SetPace(backend, now);
+    result = check_call(backend, call, ticket, now);
     if (result != RESULT_OK) {
         return result;
     }
@@ -200,7 +199,7 @@
                           now)) {
         return RESULT_BACKEND_SERVER_BUSY;
     }
-    advance(backend);
+    _Backend_Advance(backend, now);
     while (ticket->state != ADMISSION_ADMITTED) {
         now = Clock_Now();
         result = check_wait(backend, call, ticket, now);
@@ -208,9 +207,11 @@
             Admission_Withdraw(backend->admission, ticket);
             return result;
         }
-        (void)Condition_Wait(&backend->wake, &backend->lock,
-                             MIN(call->deadline - now, CANCEL_CHECK_MS));
-        advance(backend);
+        (void)Condition_Wait(
+            &backend->wake, &backend->lock,
+            _Backend_NextTurn(
+                backend, MIN(call->deadline - now, CANCEL_CHECK_MS), now));
+        _Backend_Advance(backend, Clock_Now());
     }
     return RESULT_OK;
 }
@@ -220,6 +221,7 @@
 {
     pthread_mutex_lock(&backend->lock);
     PauseLog_Tick(&backend->pauses, Clock_Now());
+    _Backend_NoteCold(backend, "time", Clock_Now());
     pthread_mutex_unlock(&backend->lock);
 }
 
@@ -328,6 +330,9 @@
     now = Clock_Now();
     reply->queue_ms = now - arrived;
     if (reply->result != RESULT_OK) {
+        if (reply->result == RESULT_BACKEND_SERVER_BUSY) {
+            _Backend_CountBusy(backend, now);
+        }
         fill_report(backend, now, &reply->report);
         pthread_mutex_unlock(&backend->lock);
         return;
@@ -349,10 +354,11 @@
     now = Clock_Now(); /* not before last_sent of a run that began meanwhile */
     if (strcmp(backend->announcement.instance, announcement.instance) == 0) {
         record_outcome(backend, call, &ticket, reply, now);
+        _Backend_ReadCold(backend, reply, now);
     }
     backend->running_retries -= call->is_retry ? 1 : 0;
     Admission_Release(backend->admission, &ticket, now);
-    advance(backend);
+    _Backend_Advance(backend, now);
     fill_report(backend, now, &reply->report);
     pthread_mutex_unlock(&backend->lock);
     Counter_Observe(HISTOGRAM_OWNER_QUEUE, reply->queue_ms * 1000);
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -7,7 +7,8 @@
  * Use:
  *  1. Backend_Create().
  *  2. Backend_Announce() for each announcement of the backend server,
- *     Backend_MarkStopped() when it reports that it stops.
+ *     Backend_MarkStopped() when it reports that it stops,
+ *     Backend_SetColdRate() with each configuration.
  *  3. Backend_Run() for each request, from any thread; it blocks while the
  *     request waits for a slot and runs.
  *  4. Backend_Tick() at least every PAUSE_TICK_MS, so that time in which this
@@ -36,6 +37,10 @@
  * Otherwise it waits for a slot, as admission/admission.h has it, and is
  * refused as not run once it cannot be finished before its deadline.
  *
+ * A backend server that is cold, as its announcements and the header cold_ms
+ * of its answers state, gets requests at a limited rate (cold/cold_rate.h).
+ * The others wait or are refused as if it had no free slot.
+ *
  * Announcements are ordered by the start time of the instance, then by
  * sequence number. One that is not newer than the last is ignored. They may
  * arrive later than the report that their instance stops; such an instance
@@ -68,6 +73,11 @@
 
 #define BACKEND_NAME_BYTES 64
 
+/* Longest time for which a backend server may state that it stays cold. */
+#define BACKEND_MAX_COLD_MS 3600000
+
+#define BACKEND_COLD_UNSTATED (-1)
+
 /* Priority of calls made by a running request. */
 #define BACKEND_PRIORITY_NESTED ADMISSION_PRIORITY_NESTED
 
@@ -88,6 +98,8 @@
     gboolean draining;
     int64_t born; /* start time of the instance, Unix ms */
     int64_t sequence;
+    ClockMs cold_ms; /* time for which it stays cold; 0: it is warm;
+                        BACKEND_COLD_UNSTATED: it does not say */
 } BackendAnnouncement;
 
 typedef struct Backend_desc {
@@ -95,6 +107,10 @@
     const char *service; /* service of the backend server on this host */
     HttpClient *client;
     GrayFilter_desc gray;
+    /* Bound for a cold backend server: cold_per_s * cold_overage + cold_slack
+     * requests in any second; cold_overage 0: none. */
+    double cold_overage;
+    double cold_slack;
     /* Called without a lock when the published entry may have changed. */
     void (*changed)(void *context);
     void *context;
@@ -167,6 +183,22 @@
 gboolean Backend_Announce(Backend *backend,
                           const BackendAnnouncement *announcement);
 
+/* What the newest configuration says about the service's cold backend servers.
+ * Until the first call a cold one gets no requests, if there may be a bound.
+ */
+typedef struct BackendColdRate {
+    double per_s;     /* 0: no bound */
+    ClockMs start_ms; /* time for which an instance is cold after its start, if
+                         it does not say */
+} BackendColdRate;
+
+void Backend_SetColdRate(Backend *backend, const BackendColdRate *rate);
+
+/* Treats the backend server as cold until the next announcement of it arrives.
+ * Without a bound for cold ones: lets through half as many requests as it has
+ * slots in the first second. */
+void Backend_TreatAsCold(Backend *backend);
+
 /* Marks the instance as stopped, whether or not it announced that it drains.
  * `born` is the time of its start (0: unknown). If the instance has not been
  * announced yet, an announcement that arrives later does not make it ready.
--- a/src/backend/backend_internal.h
+++ b/src/backend/backend_internal.h
@@ -5,6 +5,7 @@
 #include <pthread.h>
 
 #include "backend/backend.h"
+#include "cold/cold_rate.h"
 
 /* Mean deviations from the mean service time within which a run that may not
  * be repeated is expected to end. */
@@ -30,8 +31,49 @@
     RetryRates rates;
     PauseLog pauses;
     Admission *admission;
+    ColdRate cold;
+    BackendColdRate cold_rate; /* of the newest configuration */
+    ClockMs unstated_since;    /* start of an instance that has not said how
+                                  long it is cold; CLOCK_NEVER: it has */
+    gboolean was_cold;         /* as the last event in the log has it */
 };
 
+/* backend_cold.c: the rate of requests while the backend server is cold. All
+ * are called with the lock held. */
+
+void _Backend_InitCold(Backend *backend, ClockMs now);
+
+/* Takes over the slots and what the announcement says about being cold. */
+void _Backend_ApplyCold(Backend *backend, gboolean is_new_instance,
+                        ClockMs now);
+
+/* Reads the header of an answer of the announced instance. */
+void _Backend_ReadCold(Backend *backend, const BackendReply *reply,
+                       ClockMs now);
+
+/* Adapts the admission to the cold state. */
+void _Backend_SetPace(Backend *backend, ClockMs now);
+
+/* Admits waiting requests, which must then be sent at once. */
+void _Backend_Advance(Backend *backend, ClockMs now);
+
+/* Whether the waiting request has to wait longer than its sender accepts,
+ * because the backend server has become cold. */
+gboolean _Backend_WaitsTooLong(const Backend *backend, const BackendCall *call,
+                               const AdmissionTicket *ticket, ClockMs now);
+
+/* Time until the backend server accepts another request; 0: it is not cold. */
+ClockMs _Backend_ColdWait(const Backend *backend, ClockMs now);
+
+/* Time until a waiting request may be sent, at most `max_ms`. */
+ClockMs _Backend_NextTurn(const Backend *backend, ClockMs max_ms, ClockMs now);
+
+/* Counts a request that was refused as busy. */
+void _Backend_CountBusy(const Backend *backend, ClockMs now);
+
+/* Writes a change of the cold state to the log. */
+void _Backend_NoteCold(Backend *backend, const char *reason, ClockMs now);
+
 /* backend_stop.c: which runs a graceful stop leaves time for. */
 
 /* Longest run that is expected, by the mean and these deviations, the longest
--- a/src/backend/test_script.h
+++ b/src/backend/test_script.h
@@ -25,7 +25,8 @@
                                 .expected = "X-Expected",
                                 .instance = "X-Instance",
                                 .signature = "X-Signature",
-                                .not_run = "X-Not-Run"};
+                                .not_run = "X-Not-Run",
+                                .cold_ms = "X-Cold"};
 
 #define MAX_CONNECTIONS 64
 
@@ -156,6 +157,10 @@
 typedef struct Fixture {
     HttpClient *client;
     Backend *backend;
+    double cold_overage;
+    double cold_slack;
+    ClockMs cold_ms; /* announced */
+    guint slots;     /* announced; 0: 2 */
     Script script;
 } Fixture;
 
@@ -164,10 +169,12 @@
              int64_t sequence, gboolean draining)
 {
     BackendAnnouncement result = {.address = fixture->script.address,
-                                  .slots = 2,
+                                  .slots =
+                                      fixture->slots > 0 ? fixture->slots : 2,
                                   .born = born,
                                   .sequence = sequence,
-                                  .draining = draining};
+                                  .draining = draining,
+                                  .cold_ms = fixture->cold_ms};
 
     g_strlcpy(result.instance, instance, sizeof(result.instance));
     g_strlcpy(result.service, SERVICE, sizeof(result.service));
@@ -179,8 +186,12 @@
 create_backend(Fixture *fixture, Memory *memory)
 {
     fixture->client = HttpClient_Create(&(HttpClient_desc){.memory = memory});
-    fixture->backend = Backend_Create(&(Backend_desc){
-        .names = &names, .service = SERVICE, .client = fixture->client});
+    fixture->backend =
+        Backend_Create(&(Backend_desc){.names = &names,
+                                       .service = SERVICE,
+                                       .client = fixture->client,
+                                       .cold_overage = fixture->cold_overage,
+                                       .cold_slack = fixture->cold_slack});
 }
 
 static void
--- a/src/backend/wire_names.h
+++ b/src/backend/wire_names.h
@@ -15,6 +15,8 @@
     const char *signature;    /* from the backend server: signature that shows
                                  the answer to be complete */
     const char *not_run;      /* from the backend server: request not run */
+    const char *cold_ms;      /* from the backend server: time for which it
+                                 stays cold, ms */
 } WireNames;
 
 #endif
--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -87,6 +87,10 @@
             "of these, sent for a fresh report of an idle backend server") \
     COUNTER(OWNER_REQUESTS, "requests received from entries") \
     COUNTER(OWNER_SENT, "requests sent to backend servers") \
+    COUNTER(OWNER_COLD, "times that the backend server became cold") \
+    COUNTER(OWNER_COLD_SENT, "requests sent to a cold backend server") \
+    COUNTER(OWNER_COLD_BUSY, \
+            "requests refused because a cold backend server has no room") \
     COUNTER(ATTEMPTS_NOT_SEEN, \
             "broken calls of which the owner said that they did not arrive") \
     COUNTER(ATTEMPTS_SEEN, "broken calls that had reached the owner") \
--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -53,6 +53,9 @@
         "configuration of the store is not used; the one in force stays") \
     LOG(ROUTE_KIND_UNKNOWN, 230, WARNING, \
         "kind of a route is unknown; its requests run at most once") \
+    LOG(COLD_RATE_IGNORED, 240, WARNING, \
+        "cold_per_s or cold_start of a service is malformed; its cold backend " \
+        "servers have no bound") \
     LOG(BUNDLE_REJECTED, 225, WARNING, "configuration from a peer is invalid") \
     LOG(CONFIG_MISSING, 226, WARNING, \
         "no configuration received from the store or a peer yet") \
@@ -124,7 +127,11 @@
     LOG(DEPARTURE_DEPOSITED, 410, INFO, \
         "copies of a departure given to neighbours") \
     LOG(DEPARTURE_RETURNED, 411, INFO, \
-        "a departure before this process learned from a neighbour")
+        "a departure before this process learned from a neighbour") \
+    LOG(BACKEND_SERVER_COLD, 440, INFO, \
+        "backend server is cold; its requests are paced") \
+    LOG(BACKEND_SERVER_WARM, 441, INFO, \
+        "backend server is warm; its requests are no longer paced")
 /* clang-format on */
 
 #endif
--- a/src/catalog/catalog_table.c
+++ b/src/catalog/catalog_table.c
@@ -9,6 +9,7 @@
     GHashTable *hosts; /* host -> GPtrArray of routes, longest prefix first */
     GHashTable *keys;  /* key -> CatalogTeam */
     GHashTable *teams; /* &CatalogTeam.hash -> CatalogTeam */
+    GHashTable *services; /* CatalogService.name -> CatalogService */
 };
 
 static void
@@ -40,6 +41,15 @@
     g_free(team);
 }
 
+static void
+free_service(gpointer data)
+{
+    CatalogService *service = data;
+
+    g_free(service->name);
+    g_free(service);
+}
+
 CatalogTable *
 CatalogTable_Create(const CatalogTable_desc *desc)
 {
@@ -52,6 +62,8 @@
     table->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     table->teams =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_team);
+    table->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
     return table;
 }
 
@@ -71,6 +83,7 @@
     g_hash_table_destroy(table->hosts);
     g_hash_table_destroy(table->keys);
     g_hash_table_destroy(table->teams);
+    g_hash_table_destroy(table->services);
     g_free(table);
 }
 
@@ -121,6 +134,15 @@
     g_ptr_array_sort(routes, compare_prefixes);
 }
 
+void
+CatalogTable_AddService(CatalogTable *table, const CatalogService *service)
+{
+    CatalogService *copy = g_memdup2(service, sizeof(*service));
+
+    copy->name = g_strdup(service->name);
+    g_hash_table_replace(table->services, copy->name, copy);
+}
+
 uint64_t
 CatalogTable_Version(const CatalogTable *table)
 {
@@ -161,6 +183,12 @@
     return g_hash_table_lookup(table->teams, &hash);
 }
 
+const CatalogService *
+CatalogTable_FindService(const CatalogTable *table, const char *name)
+{
+    return g_hash_table_lookup(table->services, name);
+}
+
 const CatalogDestination *
 CatalogRoute_ChooseDestination(const CatalogRoute *route, Rng *rng)
 {
--- a/src/catalog/catalog_table.h
+++ b/src/catalog/catalog_table.h
@@ -2,7 +2,8 @@
  *
  * Use by a decoder of the configuration:
  *  1. CatalogTable_Create() with the version.
- *  2. CatalogTable_AddTeam(), CatalogTable_AddKey(), CatalogTable_AddRoute().
+ *  2. CatalogTable_AddTeam(), CatalogTable_AddKey(), CatalogTable_AddRoute(),
+ *     CatalogTable_AddService().
  *  3. Catalog_Publish() (catalog/catalog.h).
  * Readers acquire a reference with Catalog_Acquire() and use the Find
  * functions.
@@ -57,6 +58,14 @@
     uint32_t destination_count;
 } CatalogRoute;
 
+/* What the configuration says about the backend servers of a service. */
+typedef struct CatalogService {
+    char *name;
+    ClockMs cold_start_ms; /* time for which they are cold after a start */
+    double cold_per_s;     /* requests per second that one tolerates while it
+                              is cold; 0: no bound */
+} CatalogService;
+
 typedef struct CatalogTable_desc {
     uint64_t version;
 } CatalogTable_desc;
@@ -73,6 +82,10 @@
                          const CatalogTeam *team);
 void CatalogTable_AddRoute(CatalogTable *table, const CatalogRoute *route);
 
+/* Copies the service and its name. */
+void CatalogTable_AddService(CatalogTable *table,
+                             const CatalogService *service);
+
 uint64_t CatalogTable_Version(const CatalogTable *table);
 
 /* Whether there are teams. If so, every route that is not anonymous needs a
@@ -87,6 +100,8 @@
                                               const char *key);
 const CatalogTeam *CatalogTable_FindTeam(const CatalogTable *table,
                                          uint64_t hash);
+const CatalogService *CatalogTable_FindService(const CatalogTable *table,
+                                               const char *name);
 
 /* Chooses a service of the route at random in proportion to the weights. */
 const CatalogDestination *
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -8,7 +8,7 @@
 #define SERVICE_HEADER "Radishknot-Service"
 #define REPLY_HEADER "Radishknot-Reply"
 
-#define LINE_BYTES 160
+#define LINE_BYTES 200
 
 /* Maximum of a rate in a reply. */
 #define MAX_RATE_PER_S 1e9
@@ -129,13 +129,14 @@
 
     (void)snprintf(line, sizeof(line),
                    "%d %d %d %.3f %u %u %u %" PRId64 " %" PRId64 " %d %" PRId64
-                   " %.2f %.2f %" PRId64,
+                   " %.2f %.2f %" PRId64 " %" PRId64,
                    (int)reply->result, (int)reply->run, reply->arrived,
                    report->risk, report->slots, report->in_flight,
                    report->waiting, report->service_ms,
                    MAX(report->idle_ms, 0), report->leaving,
                    reply->queue_ms + reply->server_ms, report->per_s,
-                   report->retries_per_s, MIN(report->stop_ms, MAX_WAIT_MS));
+                   report->retries_per_s, MIN(report->stop_ms, MAX_WAIT_MS),
+                   CLAMP(report->cold_wait_ms, 0, MAX_WAIT_MS));
     HttpHeaders_Add(headers, REPLY_HEADER, line);
 }
 
@@ -152,15 +153,17 @@
 
     if (sscanf(line,
                "%d %d %d %lf %u %u %u %" SCNd64 " %" SCNd64 " %d %" SCNd64
-               " %lf %lf %" SCNd64,
+               " %lf %lf %" SCNd64 " %" SCNd64,
                &result, &run, &arrived, &report.risk, &report.slots,
                &report.in_flight, &report.waiting, &report.service_ms,
                &report.idle_ms, &report.leaving, &owner_ms, &report.per_s,
-               &report.retries_per_s, &report.stop_ms) < 10 ||
+               &report.retries_per_s, &report.stop_ms,
+               &report.cold_wait_ms) < 10 ||
         run < RUN_NO || run > RUN_UNKNOWN || !is_share(report.risk) ||
         !is_rate(report.per_s) || !is_rate(report.retries_per_s) ||
         !is_time(report.service_ms) || !is_time(report.stop_ms) ||
-        report.idle_ms < 0 || !Result_FromNumber(result, &known)) {
+        !is_time(report.cold_wait_ms) || report.idle_ms < 0 ||
+        !Result_FromNumber(result, &known)) {
         return FALSE;
     }
     reply->result = known;
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -19,11 +19,13 @@
  *   Radishknot-Reply: <result> <run> <arrived> <risk> <slots> <in flight>
  *                     <waiting> <service ms> <idle ms> <leaving> <owner ms>
  *                     <requests per s> <retries per s> <stop ms>
+ *                     <cold wait ms>
  *
  * where stop is the time until the owner's process has ended, 0 if its host
- * does not stop.
+ * does not stop, and cold wait the time until the backend server accepts
+ * another request, 0 if it is not cold.
  *
- * The last five fields of a call and the last four of a reply may be missing:
+ * The last five fields of a call and the last five of a reply may be missing:
  * earlier versions do not send them. The headers are short because traffic
  * between regions is billed by volume.
  *
--- a/src/gateway/return_time.c
+++ b/src/gateway/return_time.c
@@ -46,8 +46,10 @@
 {
     double queue = (double)report->in_flight + report->waiting + 1;
 
-    return (ClockMs)(MAX(queue - report->slots, 1) *
-                     (double)report->service_ms / report->slots);
+    ClockMs slot_ms = (ClockMs)(MAX(queue - report->slots, 1) *
+                                (double)report->service_ms / report->slots);
+
+    return MAX(slot_ms, report->cold_wait_ms);
 }
 
 ClockMs
--- a/src/gateway/return_time.h
+++ b/src/gateway/return_time.h
@@ -35,8 +35,8 @@
     int priority;       /* of the request; 0 is the most urgent */
 } ReturnInput;
 
-/* Wait for a slot of an owner that is full, by its report; its slots must not
- * be 0. */
+/* Wait for a slot of an owner that is full, or for the next request that its
+ * cold backend server accepts, by its report; its slots must not be 0. */
 ClockMs ReturnTime_Backlog(const RosterReport *report);
 
 /* `unit` is a random number in [0, 1). */
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -185,6 +185,7 @@
     HttpHeaders_Add(&headers, "Radishknot-Reply", "0 1 1 0.1 4 1 0 300 0 0");
     g_assert_true(PeerWire_DecodeReply(&headers, &reply));
     g_assert_cmpint(reply.owner_ms, ==, -1);
+    g_assert_cmpint(reply.report.cold_wait_ms, ==, 0);
     HttpHeaders_Clear(&headers);
 }
 
@@ -231,7 +232,8 @@
                                      .service_ms = 250,
                                      .idle_ms = 20,
                                      .leaving = TRUE,
-                                     .stop_ms = 3100}};
+                                     .stop_ms = 3100,
+                                     .cold_wait_ms = 101}};
     BackendReply decoded = {0};
     HttpHeaders headers = {0};
 
@@ -293,7 +295,9 @@
         "0 1 1 0.1 4 1 0 300 0 0 9 nan 0",
         "0 1 1 0.1 4 1 0 300 0 0 9 1 inf",
         "0 1 1 0.1 4 1 0 300 0 0 9 -1 0",
-        "0 1 1 0.1 4 1 0 300 0 0 9 1 0 -1"};
+        "0 1 1 0.1 4 1 0 300 0 0 9 1 0 -1",
+        "0 1 1 0.1 4 1 0 300 0 0 9 1 0 0 -1",
+        "0 1 1 0.1 4 1 0 300 0 0 9 1 0 0 600001"};
     static const RosterReport empty = {0};
 
     for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++) {
--- a/src/gateway/test_return_time.c
+++ b/src/gateway/test_return_time.c
@@ -38,6 +38,20 @@
     }
 }
 
+/* Guards against a caller that returns to a cold backend server too early, and
+ * against a full one's backlog that is forgotten. */
+static void
+test_backlog(void)
+{
+    RosterReport report = {.slots = 10, .in_flight = 3, .service_ms = 400};
+
+    g_assert_cmpint(ReturnTime_Backlog(&report), ==, 40);
+    report.cold_wait_ms = 730;
+    g_assert_cmpint(ReturnTime_Backlog(&report), ==, 730);
+    report.waiting = 40;
+    g_assert_cmpint(ReturnTime_Backlog(&report), ==, 1360);
+}
+
 #define CALLERS 400
 #define SLOT_MS 10 /* a slot is freed every 10 ms */
 
@@ -75,6 +89,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/return-time/times", test_times);
+    g_test_add_func("/return-time/backlog", test_backlog);
     g_test_add_func("/return-time/herd", test_herd);
     return g_test_run();
 }
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -60,6 +60,8 @@
     ClockMs stop_ms;    /* time until its process ends; 0: does not stop */
     double per_s;       /* RetryRates of the backend server */
     double retries_per_s;
+    ClockMs cold_wait_ms; /* time until the backend server, which is cold,
+                             accepts another request; 0: it is not cold */
 } RosterReport;
 
 typedef struct RosterQuery {
--- a/src/roster/roster_choice.c
+++ b/src/roster/roster_choice.c
@@ -58,7 +58,7 @@
 }
 
 static ClockMs
-expected_wait(const RosterRow *row, ClockMs now)
+slot_wait(const RosterRow *row, ClockMs now)
 {
     double slots = MAX(row->entry.slots, 1);
     double load = (double)(row->report.in_flight + row->report.waiting) *
@@ -71,6 +71,16 @@
                : (ClockMs)((load - slots + 1) * (double)service_ms / slots);
 }
 
+/* Wait for a slot, or for the next request that a cold backend server accepts;
+ * other senders wait for it as well, so the latter decays like the load. */
+static ClockMs
+expected_wait(const RosterRow *row, ClockMs now)
+{
+    double cold_ms = (double)row->report.cold_wait_ms * load_weight(row, now);
+
+    return slot_wait(row, now) + (ClockMs)cold_ms;
+}
+
 gboolean
 _Roster_IsRecent(const RosterRow *row, ClockMs now)
 {
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -118,6 +118,8 @@
     Backend_desc backend = {.names = sidecar->adapter->names,
                             .service = settings->service,
                             .client = sidecar->client,
+                            .cold_overage = settings->cold_overage,
+                            .cold_slack = settings->cold_slack,
                             .changed = _Sidecar_PublishBackend,
                             .context = sidecar};
     Quota_desc quota = {.host = Rng_HashString(settings->host),
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -47,12 +47,26 @@
  * group and each of the two kinds. */
 #define MIRROR_THREADS (2 * MIRROR_GROUP)
 
+/* What the configuration says about this host's service; empty if nothing. */
+static BackendColdRate
+cold_rate(const Sidecar *sidecar, const CatalogTable *table)
+{
+    const CatalogService *service =
+        CatalogTable_FindService(table, sidecar->settings->service);
+
+    return service == NULL
+               ? (BackendColdRate){0}
+               : (BackendColdRate){.per_s = service->cold_per_s,
+                                   .start_ms = service->cold_start_ms};
+}
+
 static gboolean
 catalog_changed(void *context, const ObjectRecord *record,
                 ObjectRevision revision)
 {
     Sidecar *sidecar = context;
     CatalogTable *table;
+    BackendColdRate cold;
     GError *error = NULL;
     uint64_t version;
 
@@ -73,8 +87,10 @@
         return TRUE;
     }
     version = CatalogTable_Version(table);
+    cold = cold_rate(sidecar, table);
     if (Catalog_Publish(sidecar->catalog, table,
                         record->revision.generation)) {
+        Backend_SetColdRate(sidecar->backend, &cold);
         Log_Event(
             LOG_CATALOG_IN_FORCE,
             "version=%" PRIu64 " generation=%" PRId64 " revision=%" PRId64,
