--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -56,6 +56,9 @@
     LOG(REGIONS_MALFORMED, 240, WARNING, \
         "allowed regions of a route or team are malformed; the readable ones " \
         "apply") \
+    LOG(COLD_RATE_IGNORED, 241, WARNING, \
+        "cold_per_s or cold_start of a service is malformed; its cold backend " \
+        "servers have no bound") \
     LOG(BUNDLE_REJECTED, 225, WARNING, "configuration from a peer is invalid") \
     LOG(CONFIG_MISSING, 226, WARNING, \
         "no configuration received from the store or a peer yet") \
@@ -129,7 +132,11 @@
     LOG(DEPARTURE_RETURNED, 411, INFO, \
         "a departure before this process learned from a neighbour") \
     LOG(REGION_NOT_ALLOWED, 430, INFO, \
-        "request returned, not run: its regions no longer include this one")
+        "request returned, not run: its regions no longer include this one") \
+    LOG(BACKEND_SERVER_COLD, 440, INFO, \
+        "backend server is cold; its requests are paced") \
+    LOG(BACKEND_SERVER_WARM, 441, INFO, \
+        "backend server is warm; its requests are no longer paced")
 /* clang-format on */
 
 #endif
