backend, retry: each owner keeps its part of the service's retry limit

Cause: senders estimate the fleet's retries from reports that are averages over 5 s, and refuse nothing else. Before the first reports every one of 104 senders has an unused budget and refills it at its even share; afterwards at three times of it until the reported usage reaches 0.4. Calls of retried runs count as retries but are only debited, down to one bucket (some 2 retries) of the sender that makes them, so the other senders keep retrying at the full rate: a calling service at its own limit alone adds 0.2 x calls + its slack.

Retries beyond it are refused as busy (not run); the sender stops after two such refusals. Retry and call of a retried run are told apart on the wire by the retry field (2, 3), which earlier versions read as 1.

The replay now draws what a sender takes for a call of a retried run as the daemon does, apart from the arrivals.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -188,7 +188,8 @@
 /* Waits for a slot and takes it. On failure the request has not been sent.
  * Called with the lock held. */
 static Result
-take_slot(Backend *backend, const BackendCall *call, AdmissionTicket *ticket)
+wait_for_slot(Backend *backend, const BackendCall *call,
+              AdmissionTicket *ticket)
 {
     ClockMs now = Clock_Now();
     Result result = check_call(backend, call, ticket, now);
@@ -215,6 +216,34 @@
     return RESULT_OK;
 }
 
+/* Waits for a slot like wait_for_slot(), within the limit of retries. Called
+ * with the lock held. */
+static Result
+take_slot(Backend *backend, const BackendCall *call, AdmissionTicket *ticket)
+{
+    Result result;
+
+    if (!RetryLimit_Reserve(&backend->retry_limit, call->retry, Clock_Now())) {
+        Counter_Add(COUNTER_OWNER_RETRIES_REFUSED, 1);
+        return RESULT_BACKEND_SERVER_BUSY;
+    }
+    result = wait_for_slot(backend, call, ticket);
+    if (result != RESULT_OK) {
+        RetryLimit_Return(&backend->retry_limit, call->retry);
+    }
+    return result;
+}
+
+void
+Backend_SetRetryLimit(Backend *backend, double ratio, double slack,
+                      ClockMs window_ms)
+{
+    pthread_mutex_lock(&backend->lock);
+    RetryLimit_Set(&backend->retry_limit, ratio, slack, window_ms,
+                   Clock_Now());
+    pthread_mutex_unlock(&backend->lock);
+}
+
 void
 Backend_Tick(Backend *backend)
 {
@@ -336,8 +365,9 @@
                                              BACKEND_LOST_RUN_DEVIATIONS, now);
     announcement = backend->announcement;
     backend->last_sent = now;
-    backend->running_retries += call->is_retry ? 1 : 0;
-    RetryRates_Add(&backend->rates, call->is_retry, now);
+    backend->running_retries += call->retry != RETRY_KIND_FIRST;
+    RetryRates_Add(&backend->rates, call->retry != RETRY_KIND_FIRST, now);
+    RetryLimit_Send(&backend->retry_limit, call->retry, now);
     pthread_mutex_unlock(&backend->lock);
 
     exchange.address = announcement.address;
@@ -350,7 +380,7 @@
     if (strcmp(backend->announcement.instance, announcement.instance) == 0) {
         record_outcome(backend, call, &ticket, reply, now);
     }
-    backend->running_retries -= call->is_retry ? 1 : 0;
+    backend->running_retries -= call->retry != RETRY_KIND_FIRST;
     Admission_Release(backend->admission, &ticket, now);
     advance(backend);
     fill_report(backend, now, &reply->report);
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -63,6 +63,7 @@
 #include "health/gray_filter.h"
 #include "http/http_client.h"
 #include "http/http_message.h"
+#include "retry/retry_limit.h"
 #include "roster/roster.h"
 #include "stop/stop_plan.h"
 
@@ -129,7 +130,7 @@
     /* Time allowed for a run: more than nearly all take. 0: until the
      * deadline. */
     ClockMs run_allowance_ms;
-    gboolean is_retry; /* an earlier attempt reached a backend server */
+    RetryKind retry;
     int priority;
     double max_risk;
     ClockMs max_wait_ms;
@@ -177,6 +178,12 @@
 
 void Backend_Tick(Backend *backend);
 
+/* Sets the part of the service's retry limit that belongs to this backend
+ * server: `ratio` of its requests and `slack` retries in each window. Retries
+ * beyond it are refused as BACKEND_SERVER_BUSY. */
+void Backend_SetRetryLimit(Backend *backend, double ratio, double slack,
+                           ClockMs window_ms);
+
 /* Returns how long this process has not run since `from`. */
 ClockMs Backend_PausedMs(Backend *backend, ClockMs from);
 
--- a/src/backend/backend_internal.h
+++ b/src/backend/backend_internal.h
@@ -28,6 +28,7 @@
     ClockMs last_sent;        /* time of the last request */
     guint running_retries; /* number of retries among the running requests */
     RetryRates rates;
+    RetryLimit retry_limit;
     PauseLog pauses;
     Admission *admission;
 };
--- a/src/backend/test_backend.c
+++ b/src/backend/test_backend.c
@@ -402,7 +402,7 @@
     caller->backend = backend;
     caller->call = make_call();
     caller->call.priority = priority;
-    caller->call.is_retry = is_retry;
+    caller->call.retry = is_retry ? RETRY_KIND_RETRY : RETRY_KIND_FIRST;
     pthread_create(&caller->thread, NULL, run_caller, caller);
 }
 
--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -87,6 +87,8 @@
             "of these, sent for a fresh report of an idle backend server") \
     COUNTER(OWNER_REQUESTS, "requests received from entries") \
     COUNTER(OWNER_SENT, "requests sent to backend servers") \
+    COUNTER(OWNER_RETRIES_REFUSED, \
+            "retries refused because the service's retry limit is near") \
     COUNTER(ATTEMPTS_NOT_SEEN, \
             "broken calls of which the owner said that they did not arrive") \
     COUNTER(ATTEMPTS_SEEN, "broken calls that had reached the owner") \
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -12,6 +12,10 @@
  * count, too. */
 #define MAX_ROUNDS 12
 
+/* Maximum number of owners that are asked for a retry and refuse it because of
+ * the service's retry limit. */
+#define MAX_LIMIT_REFUSALS 2
+
 /* Timeout of the first attempt at a request that can be retried: this share of
  * the route's latency target, but at least this many mean service times, plus
  * the expected wait for a slot. It leaves time for a second attempt. */
@@ -34,6 +38,8 @@
  * a host with an empty roster does not use the budget of the whole fleet. */
 #define MIN_HOSTS 12
 
+#define SECONDS_PER_MINUTE 60
+
 /* A pooled connection to an owner that was idle for longer is not used for a
  * request that must not run twice. */
 #define MAX_IDLE_MS 4000
@@ -91,13 +97,16 @@
     RetryRates rates;
     double coverage = Roster_RetryRates(
         gateway->desc.roster, request->destination->service_hash, now, &rates);
-    double refill =
-        RetryRates_Refill(&rates, gateway->desc.retry_ratio,
-                          coverage * gateway->desc.retry_per_minute / 60);
+    double refill = RetryRates_Refill(
+        &rates, gateway->desc.retry_ratio,
+        coverage * gateway->desc.retry_per_minute / SECONDS_PER_MINUTE);
 
     pthread_mutex_lock(&gateway->lock);
     budget = find_budget(gateway, request->destination->service_hash, now);
     RetryBudget_SetRefill(budget, refill, now);
+    request->is_calm = RetryRates_IsCalm(
+        &rates, gateway->desc.retry_ratio,
+        coverage * gateway->desc.retry_per_minute / SECONDS_PER_MINUTE);
     request->is_retried_call = Rng_Unit(&gateway->rng) < retry_share;
     RetryBudget_Request(budget, now);
     if (retry_share > 0) {
@@ -524,6 +533,18 @@
     }
 }
 
+static RetryKind
+retry_kind(const GatewayRequest *request)
+{
+    if (request->attempts == 0 && !request->is_retried_call) {
+        return RETRY_KIND_FIRST;
+    }
+    if (request->is_calm) {
+        return RETRY_KIND_CALM;
+    }
+    return request->attempts > 0 ? RETRY_KIND_RETRY : RETRY_KIND_CALL;
+}
+
 static void
 attempt_once(GatewayRequest *request, const RosterChoice *choice,
              BackendReply *reply)
@@ -533,7 +554,7 @@
     *reply = (BackendReply){.run = RUN_NO};
     request->current_host = choice->host;
     request->asked_owner = ATTEMPT_ASK_NONE;
-    request->call.is_retry = request->attempts > 0 || request->is_retried_call;
+    request->call.retry = retry_kind(request);
     set_limits(request, choice);
     set_attempt_timeout(request, choice);
     if (choice->tier == ROSTER_SAME_HOST) {
@@ -582,6 +603,21 @@
            request->attempts < request->route->attempts;
 }
 
+/* Whether enough owners have refused a retry because of the service's retry
+ * limit. Only that makes an owner with free slots busy for a retry. */
+static gboolean
+is_over_retry_limit(GatewayRequest *request, const BackendReply *reply)
+{
+    const RosterReport *report = &reply->report;
+
+    if (reply->result == RESULT_BACKEND_SERVER_BUSY &&
+        request->call.retry != RETRY_KIND_FIRST && report->waiting == 0 &&
+        report->in_flight < report->slots) {
+        request->limit_refusals++;
+    }
+    return request->limit_refusals >= MAX_LIMIT_REFUSALS;
+}
+
 /* Whether no further attempt follows the reply. */
 static gboolean
 is_final(GatewayRequest *request, const BackendReply *reply)
@@ -593,7 +629,7 @@
         return TRUE;
     }
     if (!reply->arrived) {
-        return FALSE;
+        return is_over_retry_limit(request, reply);
     }
     if (is_retry_after_shutdown(request, reply)) {
         Counter_Retry(reply->result);
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -50,7 +50,7 @@
         "%" PRId64 " %c %d %.3f %" PRId64 " %d %" PRId64 " %" PRId64 " %d",
         CLAMP(call->deadline - now, 0, MAX_WAIT_MS),
         call->idempotent ? 'i' : 'o', call->priority, call->max_risk,
-        MIN(call->max_wait_ms, MAX_WAIT_MS), call->is_retry,
+        MIN(call->max_wait_ms, MAX_WAIT_MS), (int)call->retry,
         call->explore_idle_ms, CLAMP(call->target_time - now, 0, MAX_WAIT_MS),
         call->ends_by_stop);
     if (call->attempt_id != 0 || call->ends_by_stop) {
@@ -79,6 +79,7 @@
     int64_t left;
     int64_t target_left = MAX_WAIT_MS;
     char kind;
+    int retry;
 
     call->team = HttpHeaders_Get(headers, TEAM_HEADER);
     call->caller = HttpHeaders_Get(headers, CALLER_HEADER);
@@ -93,7 +94,7 @@
                "%" SCNd64 " %c %d %lf %" SCNd64 " %d %" SCNd64 " %" SCNd64
                " %d %" SCNx64 " %" SCNd64,
                &left, &kind, &call->priority, &call->max_risk,
-               &call->max_wait_ms, &call->is_retry, &call->explore_idle_ms,
+               &call->max_wait_ms, &retry, &call->explore_idle_ms,
                &target_left, &call->ends_by_stop, &call->attempt_id,
                &call->run_allowance_ms) < 6 ||
         (kind != 'i' && kind != 'o') || !is_time(left) ||
@@ -104,6 +105,7 @@
     call->deadline = now + left;
     call->target_time = now + MIN(target_left, left);
     call->idempotent = kind == 'i';
+    call->retry = (RetryKind)CLAMP(retry, RETRY_KIND_FIRST, RETRY_KIND_CALM);
     return TRUE;
 }
 
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -7,13 +7,15 @@
  *                    <attempt> <run allowance ms>
  *   Radishknot-Team, Radishknot-Caller, Radishknot-Service
  * where kind is "i" if the request may run more than once, otherwise "o";
- * retry is 1 if an earlier attempt reached a backend server, otherwise 0; cut
- * is 1 if the sender stops and abandons the request when the time left is
- * over, otherwise 0; attempt is a random hexadecimal
- * number if the request must not run more than once (attempt/attempt_log.h),
- * otherwise 0; and the run allowance is the time that an owner which stops
- * needs to take the request up, 0: all the time left. The last two are sent
- * only with such a request, or if cut is 1.
+ * retry is 1 if an earlier attempt reached a backend server, 2 in the first
+ * attempt of a call made by a run that was a retry, 3 in either case if the
+ * fleet is known to be below its retry limit, otherwise 0 (earlier versions
+ * send 1 for all three); cut is 1 if the sender stops and abandons
+ * the request when the time left is over, otherwise 0; attempt is a random
+ * hexadecimal number if the request must not run more than once
+ * (attempt/attempt_log.h), otherwise 0; and the run allowance is the time that
+ * an owner which stops needs to take the request up, 0: all the time left. The
+ * last two are sent only with such a request, or if cut is 1.
  *
  * The answer is the backend server's, or a 503 without a body, with
  *   Radishknot-Reply: <result> <run> <arrived> <risk> <slots> <in flight>
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -95,13 +95,13 @@
 {
     for (int retry = 0; retry < 2; retry++) {
         BackendCall call = {
-            .service = "permits", .caller = "desk", .is_retry = retry};
+            .service = "permits", .caller = "desk", .retry = retry};
         BackendCall decoded = {0};
         HttpHeaders headers = {0};
 
         PeerWire_EncodeCall(&call, 0, &headers);
         g_assert_true(PeerWire_DecodeCall(&headers, 0, &decoded));
-        g_assert_cmpint(decoded.is_retry, ==, retry);
+        g_assert_cmpint(decoded.retry, ==, retry);
         HttpHeaders_Clear(&headers);
     }
 }
--- a/src/replay/replay.c
+++ b/src/replay/replay.c
@@ -56,6 +56,12 @@
     GrayFilter_Init(&server->filter, NULL, REPLAY_START_MS);
     Admission_SetSlots(server->admission,
                        replay->desc.services[service].slots);
+    if (!replay->desc.plain_budget && !replay->desc.no_limit) {
+        RetryLimit_Set(&server->retry_limit, replay->desc.retry_ratio,
+                       replay->desc.retry_slack /
+                           replay->desc.services[service].servers,
+                       MS_PER_WINDOW, REPLAY_START_MS);
+    }
     g_hash_table_insert(replay->by_host, &server->host, server);
 }
 
@@ -137,6 +143,7 @@
     replay->senders = g_new0(ReplaySender, replay->desc.senders);
     replay->bins = g_new0(GArray *, desc->service_count);
     Rng_Seed(&replay->rng, desc->seed + 1);
+    Rng_Seed(&replay->estimates, desc->seed + 2);
     open_services(replay);
     for (guint i = 0; i < replay->desc.senders; i++) {
         open_sender(replay, i);
@@ -226,6 +233,9 @@
     if (parent != NULL) {
         request->deadline = MIN(deadline, parent->deadline);
         request->is_retry = parent->is_retry || parent->attempts > 0;
+        request->seems_retry =
+            Rng_Unit(&replay->estimates) * parent->server->running <
+            parent->server->running_retries;
     }
     replay->outcomes[stream].asked++;
     g_ptr_array_add(replay->active, request);
--- a/src/replay/replay.h
+++ b/src/replay/replay.h
@@ -94,6 +94,7 @@
     gboolean plain_queue;  /* baseline: in the order of arrival, each request
                               waits until its deadline */
     gboolean plain_budget; /* baseline: the limit of retries divided evenly */
+    gboolean no_limit;     /* baseline: owners keep no limit of retries */
     gboolean plain_return; /* baseline: refused callers return after 300 ms */
     gboolean no_return;    /* refused callers do not return */
     guint64 seed;
--- a/src/replay/replay_owner.c
+++ b/src/replay/replay_owner.c
@@ -47,9 +47,20 @@
         answer(replay, request, RESULT_BACKEND_SERVER_EJECTED, now);
         return;
     }
+    request->retry = request->attempts > 0  ? RETRY_KIND_RETRY
+                     : request->seems_retry ? RETRY_KIND_CALL
+                                            : RETRY_KIND_FIRST;
+    if (request->retry != RETRY_KIND_FIRST && request->is_calm) {
+        request->retry = RETRY_KIND_CALM;
+    }
+    if (!RetryLimit_Reserve(&server->retry_limit, request->retry, now)) {
+        answer(replay, request, RESULT_BACKEND_SERVER_BUSY, now);
+        return;
+    }
     if (!replay->desc.plain_queue &&
         !Admission_Arrive(server->admission, &request->ticket,
                           request->limits.max_wait_ms, now)) {
+        RetryLimit_Return(&server->retry_limit, request->retry);
         answer(replay, request, RESULT_BACKEND_SERVER_BUSY, now);
         return;
     }
@@ -63,6 +74,7 @@
     ReplayServer *server = request->server;
 
     server->running--;
+    server->running_retries -= request->retry != RETRY_KIND_FIRST;
     if (!replay->desc.plain_queue) {
         Admission_Release(server->admission, &request->ticket, now);
     }
@@ -74,12 +86,15 @@
     const ReplayStream *stream = _Replay_Stream(replay, request);
     ReplayServer *server = request->server;
     double slow = _Replay_FaultAt(replay, server, REPLAY_SLOW, now);
-    gboolean is_retry = request->is_retry || request->attempts > 0;
+    gboolean is_retry = request->retry != RETRY_KIND_FIRST;
+    gboolean was_retry = request->is_retry || request->attempts > 0;
 
     server->running++;
+    server->running_retries += is_retry;
     server->last_sent = now;
     RetryRates_Add(&server->rates, is_retry, now);
-    if (is_retry) {
+    RetryLimit_Send(&server->retry_limit, request->retry, now);
+    if (was_retry) {
         _Replay_Bin(replay, server->service, now)->retries++;
     }
     _Replay_OutcomeOf(replay, request)->retries += request->attempts > 0;
@@ -135,6 +150,7 @@
     }
     else if (request->state == REPLAY_WAITING) {
         g_ptr_array_remove(server->waiting, request);
+        RetryLimit_Return(&server->retry_limit, request->retry);
         if (!replay->desc.plain_queue) {
             Admission_Withdraw(server->admission, &request->ticket);
         }
@@ -178,6 +194,7 @@
             start(replay, request, now);
         }
         else {
+            RetryLimit_Return(&server->retry_limit, request->retry);
             answer(replay, request, RESULT_BACKEND_SERVER_BUSY, now);
         }
     }
--- a/src/replay/replay_private.h
+++ b/src/replay/replay_private.h
@@ -8,6 +8,7 @@
 #include "health/gray_filter.h"
 #include "replay/replay.h"
 #include "retry/retry.h"
+#include "retry/retry_limit.h"
 #include "roster/roster.h"
 
 /* Time of the first step; some modules take 0 for "never". */
@@ -21,8 +22,10 @@
     Admission *admission;
     GPtrArray *waiting; /* ReplayRequest, in the order of arrival */
     guint running;
+    guint running_retries;
     GrayFilter filter;
     RetryRates rates;
+    RetryLimit retry_limit;
     ClockMs last_sent;
 } ReplayServer;
 
@@ -50,7 +53,11 @@
     ReplayRequest *parent; /* NULL: sent by a caller */
     guint pending;         /* calls that have not ended */
     gboolean call_failed;
-    gboolean is_retry; /* or a call of one */
+    gboolean is_retry;    /* call of a run that is a retry */
+    gboolean seems_retry; /* the same by its sender's estimate */
+    gboolean is_calm;     /* the service is below its retry limit */
+    guint limit_refusals;
+    gboolean may_have_run;
     gboolean has_returned;
     ReplayState state;
     ClockMs due;
@@ -72,6 +79,7 @@
     uint64_t asked_hosts[ROSTER_MAX_EXCLUDED];
     guint asked_count;
     AdmissionTicket ticket;
+    RetryKind retry; /* of the attempt that is sent */
 };
 
 typedef struct ReplayBin {
@@ -89,6 +97,7 @@
     GArray **bins;       /* ReplayBin for each 100 ms, one for each service */
     ReplayOutcome *outcomes;
     Rng rng;
+    Rng estimates; /* of what senders do not know; apart from the arrivals */
 };
 
 const ReplayStream *_Replay_Stream(const Replay *replay,
--- a/src/replay/replay_sender.c
+++ b/src/replay/replay_sender.c
@@ -10,6 +10,9 @@
 
 #define MS_PER_WINDOW 10000
 
+/* As in gateway_attempt.c. */
+#define MAX_LIMIT_REFUSALS 2
+
 static gboolean
 is_listed(const uint64_t *hosts, guint count, uint64_t host)
 {
@@ -57,6 +60,8 @@
     request->asked_count = 0;
     request->backlog_ms = 0;
     request->query.excluded_count = 0;
+    request->limit_refusals = 0;
+    request->may_have_run = FALSE;
 }
 
 static ClockMs
@@ -113,8 +118,10 @@
                                                 coverage * slack),
                               now);
     }
+    request->is_calm =
+        RetryRates_IsCalm(&rates, replay->desc.retry_ratio, coverage * slack);
     RetryBudget_Request(budget, now);
-    if (request->is_retry) {
+    if (request->seems_retry) {
         RetryBudget_Debit(budget, 1, now);
     }
     _Replay_Bin(replay, service, now)->firsts++;
@@ -214,6 +221,29 @@
     }
 }
 
+/* Whether enough owners have refused a retry because of the retry limit. */
+static gboolean
+is_over_retry_limit(ReplayRequest *request)
+{
+    request->limit_refusals +=
+        request->retry != RETRY_KIND_FIRST && request->report.waiting == 0 &&
+        request->report.in_flight < request->report.slots;
+    return request->limit_refusals >= MAX_LIMIT_REFUSALS;
+}
+
+/* Ends the try of the caller after the last attempt. */
+static void
+end_attempts(Replay *replay, ReplayRequest *request, ClockMs now)
+{
+    if (request->may_have_run) {
+        _Replay_OutcomeOf(replay, request)->failed++;
+        finish(request, FALSE);
+    }
+    else {
+        refuse(replay, request, now);
+    }
+}
+
 /* After an attempt that reached a backend server and was not served. */
 static void
 end_attempt(Replay *replay, ReplayRequest *request, ClockMs now)
@@ -223,6 +253,7 @@
     RetryInput input;
 
     request->attempts++;
+    request->may_have_run = request->may_have_run || !was_shed;
     input = (RetryInput){.result = request->result,
                          .run = was_shed ? RUN_NO : RUN_YES,
                          .idempotent = stream->idempotent,
@@ -236,12 +267,8 @@
             .reason == RETRY_AGAIN) {
         _Replay_Choose(replay, request, now);
     }
-    else if (was_shed) {
-        refuse(replay, request, now);
-    }
     else {
-        _Replay_OutcomeOf(replay, request)->failed++;
-        finish(request, FALSE);
+        end_attempts(replay, request, now);
     }
 }
 
@@ -262,6 +289,10 @@
         return;
     case RESULT_BACKEND_SERVER_BUSY:
         note_backlog(request);
+        if (is_over_retry_limit(request)) {
+            end_attempts(replay, request, now);
+            return;
+        }
         break;
     case RESULT_BACKEND_SERVER_EJECTED:
         request->risky_owners++;
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -131,6 +131,11 @@
 double RetryRates_Refill(const RetryRates *rates, double ratio,
                          double slack_per_s);
 
+/* Whether the rates of a service show that the fleet is below its limit of
+ * retries, with enough of it left for what happens until the next reports. */
+gboolean RetryRates_IsCalm(const RetryRates *rates, double ratio,
+                           double slack_per_s);
+
 /* `desc` is used only if budget is NULL; otherwise the budget's settings
  * apply. */
 RetryDecision Retry_Decide(RetryBudget *budget, const Retry_desc *desc,
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -231,6 +231,19 @@
     return count > 0 ? (double)reported / count : 0;
 }
 
+uint32_t
+Roster_ServiceCount(Roster *roster, uint64_t service)
+{
+    const GPtrArray *rows;
+    uint32_t count;
+
+    pthread_mutex_lock(&roster->lock);
+    rows = g_hash_table_lookup(roster->services, &service);
+    count = rows != NULL ? rows->len : 0;
+    pthread_mutex_unlock(&roster->lock);
+    return count;
+}
+
 void
 Roster_NoteTransit(Roster *roster, uint64_t host, ClockMs transit_ms)
 {
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -129,6 +129,9 @@
 double Roster_RetryRates(Roster *roster, uint64_t service, ClockMs now,
                          RetryRates *rates);
 
+/* Number of known backend servers of a service. */
+uint32_t Roster_ServiceCount(Roster *roster, uint64_t service);
+
 /* Records the time that a request to the host and its answer spent on the way,
  * without the wait for a slot and the service time. */
 void Roster_NoteTransit(Roster *roster, uint64_t host, ClockMs transit_ms);
--- a/src/sidecar/sidecar_ticker.c
+++ b/src/sidecar/sidecar_ticker.c
@@ -26,6 +26,22 @@
     return !stopping;
 }
 
+/* Gives this owner its part of the retry limit of its service, once the other
+ * owners are known. */
+static void
+share_retry_limit(const Sidecar *sidecar)
+{
+    const Settings *settings = sidecar->settings;
+    uint32_t owners = Roster_ServiceCount(sidecar->roster,
+                                          Rng_HashString(settings->service));
+
+    if (owners > 0 && atomic_load(&sidecar->roster_known)) {
+        Backend_SetRetryLimit(sidecar->backend, settings->retry_ratio,
+                              (double)settings->retry_slack / owners,
+                              settings->retry_window_ms);
+    }
+}
+
 static void *
 run(void *context)
 {
@@ -33,6 +49,7 @@
 
     while (wait_for_tick(ticker)) {
         Backend_Tick(ticker->sidecar->backend);
+        share_retry_limit(ticker->sidecar);
     }
     return NULL;
 }
