--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -96,6 +96,8 @@
     COUNTER(OWNER_COLD_SENT, "requests sent to a cold backend server") \
     COUNTER(OWNER_COLD_BUSY, \
             "requests refused because a cold backend server has no room") \
+    COUNTER(OWNER_RETRIES_REFUSED, \
+            "retries refused because the service's retry limit is near") \
     COUNTER(ATTEMPTS_NOT_SEEN, \
             "broken calls of which the owner said that they did not arrive") \
     COUNTER(ATTEMPTS_SEEN, "broken calls that had reached the owner") \
