roster: a region that is cut off is recognised as a whole

Cause: each host of a region had to be found unreachable by itself. With many hosts, the first were tried again before the last had failed, so restricted requests waited for one connect timeout after the other.

Three hosts without an answer of the region between them make it count as away for restricted requests; one request at a time tries it again. Requests without a restriction are chosen for as before.

--- a/src/gateway/test_gateway_regions.c
+++ b/src/gateway/test_gateway_regions.c
@@ -176,6 +176,23 @@
     HttpRequest_Respond(request, &answer);
 }
 
+/* Adds the entry of host `number`: the first one is in r1, the others in r2.
+ */
+static void
+add_entry(Fleet *fleet, int number, int port)
+{
+    RosterEntry entry = {.slots = 5};
+
+    g_snprintf(entry.host, sizeof(entry.host), "owner-%d", number);
+    g_strlcpy(entry.region, number == 0 ? "r1" : "r2", sizeof(entry.region));
+    g_strlcpy(entry.data_centre, entry.region, sizeof(entry.data_centre));
+    g_strlcpy(entry.instance, "i", sizeof(entry.instance));
+    g_strlcpy(entry.service, "desk", sizeof(entry.service));
+    g_assert_true(HttpAddress_Parse("127.0.0.1:1", &entry.peer));
+    entry.peer.sin_port = htons((uint16_t)port);
+    Roster_Set(fleet->roster, &entry, Clock_Now());
+}
+
 static void
 add_owner(Fleet *fleet, int number, gboolean refuses)
 {
@@ -184,20 +201,12 @@
                             .worker_threads = 4,
                             .handler = serve_owner,
                             .context = owner};
-    RosterEntry entry = {.slots = 5};
 
     *owner = (FakeOwner){.fleet = fleet, .refuses = refuses};
     g_assert_true(HttpAddress_Parse("127.0.0.1:0", &desc.address));
     owner->server = HttpServer_Create(&desc, NULL);
     g_assert_nonnull(owner->server);
-    g_snprintf(entry.host, sizeof(entry.host), "owner-%d", number);
-    g_snprintf(entry.region, sizeof(entry.region), "r%d", number + 1);
-    g_strlcpy(entry.data_centre, entry.region, sizeof(entry.data_centre));
-    g_strlcpy(entry.instance, "i", sizeof(entry.instance));
-    g_strlcpy(entry.service, "desk", sizeof(entry.service));
-    entry.peer = desc.address;
-    entry.peer.sin_port = htons(HttpServer_Port(owner->server));
-    Roster_Set(fleet->roster, &entry, Clock_Now());
+    add_entry(fleet, number, HttpServer_Port(owner->server));
 }
 
 /* Opens the gateway of a host in r1, whose own service is another one. The
@@ -365,34 +374,44 @@
 test_away(void)
 {
     enum { FILLERS = 4 };
+    static const struct {
+        gboolean cut; /* else down */
+        int hosts;    /* in the region */
+        ClockMs found_ms;
+    } cases[] = {{FALSE, 1, 400}, {TRUE, 1, 1000}, {TRUE, 9, 2200}};
 
-    for (int cut = 0; cut < 2; cut++) {
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         int fillers[FILLERS];
         int listener = -1;
         Fleet fleet;
 
+        g_test_message("case %zu", i);
         open_fleet(&fleet, make_table(1, "r2", NULL));
         add_owner(&fleet, 0, FALSE);
         add_owner(&fleet, 1, FALSE);
-        if (cut) {
+        for (int n = 2; n <= cases[i].hosts; n++) {
+            add_entry(&fleet, n, HttpServer_Port(fleet.owners[1].server));
+        }
+        if (cases[i].cut) {
             listener = drop_packets(&fleet.owners[1], fillers, FILLERS);
         }
         else {
             HttpServer_Destroy(fleet.owners[1].server);
         }
         fleet.owners[1].server = NULL;
-        /* The first one finds out: 500 ms to connect to another region. */
-        check_away(&fleet, 1500);
+        /* The first one finds out: 500 ms to connect to another region, up to
+         * three times. */
+        check_away(&fleet, cases[i].found_ms);
         check_away(&fleet, 300);
         check_away(&fleet, 300);
         g_assert_cmpint(g_atomic_int_get(&fleet.owners[0].requests), ==, 0);
         close_fleet(&fleet);
-        for (int i = 0; cut && i < FILLERS; i++) {
-            close(fillers[i]);
+        for (int n = 0; cases[i].cut && n < FILLERS; n++) {
+            close(fillers[n]);
         }
         close(listener);
     }
-    g_assert_cmpuint(Counter_GetRefusals(RESULT_HOME_REGIONS_AWAY), >=, 6);
+    g_assert_cmpuint(Counter_GetRefusals(RESULT_HOME_REGIONS_AWAY), >=, 9);
 }
 
 int
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -24,6 +24,8 @@
     roster->services =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                               (GDestroyNotify)g_ptr_array_unref);
+    roster->regions =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     roster->neighbours = g_ptr_array_new();
     Rng_Seed(&roster->rng, desc->seed > 0 ? desc->seed : Rng_ProcessSeed());
     return roster;
@@ -36,6 +38,7 @@
         g_ptr_array_unref(roster->neighbours);
         g_hash_table_destroy(roster->services);
         g_hash_table_destroy(roster->rows);
+        g_hash_table_destroy(roster->regions);
         pthread_mutex_destroy(&roster->lock);
         g_free(roster);
     }
@@ -105,7 +108,7 @@
     row->keep_until = 0;
     row->entry = *entry;
     row->service = service;
-    row->region = RegionSet_Hash(entry->region);
+    row->region = _Roster_FindRegion(roster, entry->region);
     row->tier = tier_of(roster, entry);
     g_ptr_array_add(service_rows(roster, service), row);
     if (row->tier == ROSTER_SAME_DATA_CENTRE) {
@@ -180,6 +183,7 @@
     row->contacted = now;
     row->avoid_ms = 0;
     row->unreachable_since = 0;
+    _Roster_NoteRegionReached(row, now);
 }
 
 void
--- a/src/roster/roster_choice.c
+++ b/src/roster/roster_choice.c
@@ -201,7 +201,7 @@
         double cost;
 
         if (row->entry.leaving || is_excluded(query, row->host) ||
-            !_Roster_IsAllowed(row, query) ||
+            !_Roster_IsAllowed(row, query, now) ||
             (!include_all &&
              (now < row->avoid_until || stops_too_early(row, query, now)))) {
             continue;
@@ -237,6 +237,7 @@
     }
     if (best != NULL) {
         fill_choice(best, query, now, choice);
+        _Roster_BeginProbe(best, query, now);
     }
     pthread_mutex_unlock(&roster->lock);
     return best != NULL;
--- a/src/roster/roster_internal.h
+++ b/src/roster/roster_internal.h
@@ -7,11 +7,15 @@
 #include "base/rng.h"
 #include "roster/roster.h"
 
+/* State of a region, for restricted requests; roster_regions.c. */
+typedef struct RosterRegion RosterRegion;
+
 typedef struct RosterRow {
     RosterEntry entry;
     uint64_t host;
     uint64_t service;
-    uint64_t region;
+    RosterRegion *region;
+    ClockMs region_failed; /* time of the failure counted by the region */
     RosterTier tier;
     GrayFilter filter;
     RosterReport report;
@@ -31,6 +35,7 @@
     pthread_mutex_t lock;
     GHashTable *rows;      /* &RosterRow.host -> RosterRow */
     GHashTable *services;  /* service hash -> GPtrArray of RosterRow */
+    GHashTable *regions;   /* region hash -> RosterRegion */
     GPtrArray *neighbours; /* RosterRow of this data centre's other hosts */
     double transit_ms[ROSTER_TIERS]; /* moving average for each tier */
     Rng rng;
@@ -39,8 +44,24 @@
 /* roster_choice.c: whether the report is recent enough to count. */
 gboolean _Roster_IsRecent(const RosterRow *row, ClockMs now);
 
-/* roster_regions.c: whether the query may be served in the host's region. */
-gboolean _Roster_IsAllowed(const RosterRow *row, const RosterQuery *query);
+/* roster_regions.c. All functions are called with the lock held. */
+
+/* Returns the region's state; adds it if it is new. */
+RosterRegion *_Roster_FindRegion(Roster *roster, const char *name);
+
+/* A host of the region answered, or was found unreachable. */
+void _Roster_NoteRegionReached(RosterRow *row, ClockMs now);
+void _Roster_NoteRegionFailure(RosterRow *row, ClockMs now);
+
+/* The host was chosen. If its region is away, further restricted requests wait
+ * for what becomes of this one. */
+void _Roster_BeginProbe(const RosterRow *row, const RosterQuery *query,
+                        ClockMs now);
+
+/* Whether a query that is restricted to regions may be served by the host now;
+ * TRUE without a restriction. */
+gboolean _Roster_IsAllowed(const RosterRow *row, const RosterQuery *query,
+                           ClockMs now);
 
 /* For a query that is restricted to regions: time until the first host in them
  * that is being avoided as unreachable is tried again; 0 if they have no
--- a/src/roster/roster_neighbours.c
+++ b/src/roster/roster_neighbours.c
@@ -25,6 +25,7 @@
         if (row->unreachable_since == 0) {
             row->unreachable_since = now;
         }
+        _Roster_NoteRegionFailure(row, now);
     }
     pthread_mutex_unlock(&roster->lock);
 }
--- a/src/roster/test_roster.c
+++ b/src/roster/test_roster.c
@@ -556,6 +556,67 @@
     }
 }
 
+/* Checks that the region is away until `now`, and that one restricted request
+ * tries it then, without success. */
+static void
+check_probe(Roster *roster, const RosterQuery *wanted, ClockMs now,
+            ClockMs away_ms)
+{
+    RosterQuery unrestricted = query();
+    RosterChoice choice;
+
+    g_assert_false(Roster_Choose(roster, wanted, now - away_ms, &choice));
+    g_assert_cmpint(choice.away_ms, ==, away_ms);
+    g_assert_true(Roster_Choose(roster, wanted, now, &choice));
+    g_assert_true(Roster_Choose(roster, &unrestricted, now, &choice));
+    g_assert_false(Roster_Choose(roster, wanted, now, &choice));
+    Roster_NoteUnreachable(roster, Rng_HashString("h0"), now);
+    Roster_NoteUnreachable(roster, Rng_HashString("h1"), now);
+}
+
+/* Replays a region of many hosts that is cut off and returns. Guards against
+ * restricted requests that try one host of it after the other, against many
+ * that try it at once, and against a region that counts as away because of
+ * hosts that end one by one. */
+static void
+test_region_away(void)
+{
+    enum { HOSTS = 12 };
+    static const char *const names[] = {"r2"};
+    Roster *roster = make_roster();
+    const RegionSet *regions = RegionSet_Create(names, 1);
+    RosterQuery wanted = query();
+    RosterReport healthy = report(0.01, 0);
+    char hosts[HOSTS][8];
+    RosterChoice choice;
+    ClockMs now = 1000;
+
+    wanted.route_regions = regions;
+    for (int i = 0; i < HOSTS; i++) {
+        g_snprintf(hosts[i], sizeof(hosts[i]), "h%d", i);
+        add(roster, hosts[i], "dc3", "r2", "i");
+    }
+    for (int i = 1; i < HOSTS; i++) {
+        Roster_NoteUnreachable(roster, Rng_HashString(hosts[i]), now);
+        g_assert_true(Roster_Choose(roster, &wanted, now, &choice));
+        Roster_Report(roster, choice.host, &healthy, now++);
+    }
+    /* From now on nothing in the region answers. */
+    for (int i = 0; i < 3; i++) {
+        g_assert_true(Roster_Choose(roster, &wanted, now, &choice));
+        Roster_NoteUnreachable(roster, choice.host, now += 500);
+        wanted.excluded[wanted.excluded_count++] = choice.host;
+    }
+    for (ClockMs away = 400; away <= 1600; away *= 2) {
+        now += away;
+        check_probe(roster, &wanted, now, away);
+    }
+    Roster_NoteReached(roster, Rng_HashString("h2"), now);
+    g_assert_true(Roster_Choose(roster, &wanted, now, &choice));
+    Roster_Destroy(roster);
+    RegionSet_Unref(regions);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -565,6 +626,7 @@
     g_test_add_func("/roster/choice", test_choice);
     g_test_add_func("/roster/unreachable", test_unreachable);
     g_test_add_func("/roster/regions", test_regions);
+    g_test_add_func("/roster/region-away", test_region_away);
     g_test_add_func("/roster/stopping", test_stopping);
     g_test_add_func("/roster/exploration", test_exploration);
     g_test_add_func("/roster/newcomer", test_new_backend_server);
