soak: a route that is restricted to a region

A sixth of the requests of Callers_CallRandom() go to /home/, which may run in region norte only; each run is checked.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -17,6 +17,7 @@
  *
  * Guarantees checked in all modes:
  *  - a non-idempotent request runs at most once;
+ *  - a request of a route that is restricted to a region runs only there;
  *  - a request answered 429 or 503 has not run and does not run later;
  *  - a success is the complete answer to its request, signed by its server;
  *  - a request sent later than REVOCATION_MS after the withdrawal of its key
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -82,6 +82,9 @@
 void Checks_Reply(Soak *soak, const SiteReply *reply, const char *id, int key,
                   ClockMs sent);
 
+/* Checks a request of the route /home/. */
+void Checks_Region(Soak *soak, const char *id);
+
 /* Checks a request that was sent to the host while only planned work was done.
  */
 void Checks_PlannedReply(Soak *soak, const SiteReply *reply, const char *id,
--- a/soak/soak_callers.c
+++ b/soak/soak_callers.c
@@ -19,14 +19,21 @@
         int host = (int)Rng_Below(&rng, (uint64_t)soak->hosts);
         int key = (int)Rng_Below(&rng, KEYS);
         gboolean non_idempotent = Rng_Below(&rng, 2) == 0;
+        gboolean at_home = !non_idempotent && Rng_Below(&rng, 3) == 0;
         ClockMs sent = Clock_Now();
         ClockMs stopping_since = atomic_load(&soak->stopping_since[host]);
         char id[SITE_ID_BYTES];
-        SiteReply reply = Site_RequestAs(
-            soak->site, host, non_idempotent ? "POST" : "GET",
-            non_idempotent ? "/issue/1" : "/read/1", soak_keys[key], id);
+        SiteReply reply =
+            Site_RequestAs(soak->site, host, non_idempotent ? "POST" : "GET",
+                           non_idempotent ? "/issue/1"
+                           : at_home      ? "/home/1"
+                                          : "/read/1",
+                           soak_keys[key], id);
 
         Checks_Reply(soak, &reply, id, key, sent);
+        if (at_home) {
+            Checks_Region(soak, id);
+        }
         /* Counts as aborted only on a connection opened for the request. */
         if (stopping_since > 0 && sent < stopping_since + 2000 &&
             reply.result != RESULT_OK &&
--- a/soak/soak_checks.c
+++ b/soak/soak_checks.c
@@ -47,6 +47,18 @@
     }
 }
 
+void
+Checks_Region(Soak *soak, const char *id)
+{
+    SiteRun run;
+
+    if (Site_GetRun(soak->site, id, &run) &&
+        g_strcmp0(Site_Region(soak->site, run.host), "norte") != 0) {
+        Soak_ReportViolation(soak, "a request ran outside of its regions", id,
+                             NULL);
+    }
+}
+
 void
 Checks_PlannedReply(Soak *soak, const SiteReply *reply, const char *id,
                     int host, ClockMs sent)
--- a/tests/site.c
+++ b/tests/site.c
@@ -341,6 +341,12 @@
     g_free(command);
 }
 
+const char *
+Site_Region(const Site *site, int host)
+{
+    return site->hosts[host].desc.region;
+}
+
 struct sockaddr_in
 Site_BackendAddress(int host)
 {
--- a/tests/site.h
+++ b/tests/site.h
@@ -65,10 +65,11 @@
 void Site_Destroy(Site *site);
 ObjectServer *Site_Store(Site *site);
 
-/* Writes a configuration with five routes to the service "desk": /read/ (may
- * be retried) and /issue/ (non-idempotent) need a key, /open/ (may be retried)
- * needs none. /patient/ is as /open/ and /commit/ as /issue/, but with a
- * timeout of 20 s instead of 5 s. `keys` is a JSON list. */
+/* Writes a configuration with six routes to the service "desk": /read/ (may
+ * be retried), /home/ (the same, in region "norte" only) and /issue/
+ * (non-idempotent) need a key, /open/ (may be retried) needs none. /patient/
+ * is as /open/ and /commit/ as /issue/, but with a timeout of 20 s instead of
+ * 5 s. `keys` is a JSON list. */
 void Site_Configure(Site *site, unsigned version, const char *keys,
                     int rate_per_s);
 
@@ -79,6 +80,7 @@
 
 /* Returns the number of the host. */
 int Site_AddHost(Site *site, const SiteHost_desc *desc);
+const char *Site_Region(const Site *site, int host);
 struct sockaddr_in Site_BackendAddress(int host);
 struct sockaddr_in Site_EntryAddress(int host);
 void Site_AwaitReady(Site *site);
--- a/tests/site_config.c
+++ b/tests/site_config.c
@@ -19,8 +19,9 @@
                     int rate_per_s, const char *prefix)
 {
     char *text = g_strdup_printf("%08x", version);
+    json_t *home = make_route("/home/", "safe", FALSE, "5000ms");
     json_t *routes = json_pack(
-        "{s:o, s:o, s:o, s:o, s:o}", "read",
+        "{s:o, s:o, s:o, s:o, s:o, s:o}", "home", home, "read",
         make_route("/read/", "safe", FALSE, "5000ms"), "issue",
         make_route("/issue/", "non_idempotent", FALSE, "5000ms"), "open",
         make_route("/open/", "safe", TRUE, "5000ms"), "patient",
@@ -32,6 +33,7 @@
                               "rate_per_s", rate_per_s, "burst", rate_per_s);
 
     g_assert_nonnull(value);
+    json_object_set_new(home, "allowed_regions", json_pack("[s]", "norte"));
     if (prefix != NULL) {
         json_object_set_new(routes, "probe",
                             make_route(prefix, "safe", TRUE, "5000ms"));
