replay: cold backend servers

Cause: the bound and the choice were tested for one backend server only; half of a service may become cold at once, known to its owners but not to the senders.

The fault "cold" lets owners in the replay follow ColdRate; tables may set cold_overage and cold_slack. Counted is the most that one cold backend server gets in any second.

--- a/src/replay/replay.c
+++ b/src/replay/replay.c
@@ -46,14 +46,17 @@
     char host[ROSTER_NAME_BYTES];
 
     (void)g_snprintf(host, sizeof(host), "s%u-%u", service, index);
-    *server = (ReplayServer){.service = service,
-                             .index = index,
-                             .region = index % replay->desc.regions,
-                             .host = Rng_HashString(host),
-                             .admission = Admission_Create(),
-                             .waiting = g_ptr_array_new(),
-                             .last_sent = REPLAY_START_MS};
+    *server =
+        (ReplayServer){.service = service,
+                       .index = index,
+                       .region = index % replay->desc.regions,
+                       .host = Rng_HashString(host),
+                       .admission = Admission_Create(),
+                       .waiting = g_ptr_array_new(),
+                       .cold_sent = g_array_new(FALSE, FALSE, sizeof(ClockMs)),
+                       .last_sent = REPLAY_START_MS};
     GrayFilter_Init(&server->filter, NULL, REPLAY_START_MS);
+    ColdRate_Init(&server->cold, REPLAY_START_MS);
     Admission_SetSlots(server->admission,
                        replay->desc.services[service].slots);
     g_hash_table_insert(replay->by_host, &server->host, server);
@@ -150,6 +153,7 @@
     for (guint i = 0; i < replay->server_count; i++) {
         Admission_Destroy(replay->servers[i].admission);
         g_ptr_array_unref(replay->servers[i].waiting);
+        g_array_unref(replay->servers[i].cold_sent);
     }
     for (guint i = 0; i < replay->desc.senders; i++) {
         Roster_Destroy(replay->senders[i].roster);
--- a/src/replay/replay.h
+++ b/src/replay/replay.h
@@ -61,6 +61,7 @@
     REPLAY_SLOW,  /* requests take `value` times as long */
     REPLAY_STALL, /* no request ends */
     REPLAY_GONE,  /* accepts and ends nothing; its daemon does not answer */
+    REPLAY_COLD,  /* tolerates `value` requests per second; its owner knows */
     REPLAY_FAULTS
 } ReplayFault;
 
@@ -95,7 +96,10 @@
                               waits until its deadline */
     gboolean plain_budget; /* baseline: the limit of retries divided evenly */
     gboolean plain_return; /* baseline: refused callers return after 300 ms */
-    gboolean no_return;    /* refused callers do not return */
+    double cold_overage;   /* bound for cold backend servers, see
+                              cold/cold_rate.h (0: none) */
+    double cold_slack;
+    gboolean no_return; /* refused callers do not return */
     guint64 seed;
 } Replay_desc;
 
@@ -114,6 +118,12 @@
                            refused */
 } ReplayOutcome;
 
+/* Requests sent to the cold backend servers of a service. */
+typedef struct ReplayCold {
+    guint sent;
+    guint most; /* to one of them in any second */
+} ReplayCold;
+
 Replay *Replay_Create(const Replay_desc *desc);
 void Replay_Destroy(Replay *replay);
 void Replay_Run(Replay *replay);
@@ -123,4 +133,6 @@
 /* Largest share of the fleet's limit of retries that was used in any 10 s. */
 double Replay_BudgetUsage(const Replay *replay, guint service);
 
+ReplayCold Replay_Cold(const Replay *replay, guint service);
+
 #endif
--- a/src/replay/replay_file.c
+++ b/src/replay/replay_file.c
@@ -20,8 +20,8 @@
     Replay_desc desc;
 };
 
-static const char *const faults[REPLAY_FAULTS] = {"burst", "shed",  "fail",
-                                                  "slow",  "stall", "gone"};
+static const char *const faults[REPLAY_FAULTS] = {
+    "burst", "shed", "fail", "slow", "stall", "gone", "cold"};
 
 static gboolean
 fail(GError **error, const char *what, size_t index)
@@ -236,15 +236,20 @@
     json_int_t seed = 1;
 
     if (json_unpack(
-            file->root, "{s:o, s:o, s?o, s?i, s?i, s?i, s?i, s?F, s?F, s?I}",
+            file->root,
+            "{s:o, s:o, s?o, s?i, s?i, s?i, s?i, s?F, s?F, s?F, s?F, s?I}",
             "services", &services, "streams", &streams, "phases", &phases,
             "regions", &regions, "senders", &senders, "attempts", &attempts,
             "seconds", &seconds, "retry_ratio", &file->desc.retry_ratio,
-            "retry_slack", &file->desc.retry_slack, "seed", &seed) != 0 ||
+            "retry_slack", &file->desc.retry_slack, "cold_overage",
+            &file->desc.cold_overage, "cold_slack", &file->desc.cold_slack,
+            "seed", &seed) != 0 ||
         !is_between(regions, 1, 64) || !is_between(senders, 1, MAX_SENDERS) ||
         !is_between(attempts, 1, 16) || !is_between(seconds, 1, MAX_SECONDS) ||
         !is_between(file->desc.retry_ratio, 0, 10) ||
-        !is_between(file->desc.retry_slack, 0, 1e6) || seed < 0) {
+        !is_between(file->desc.retry_slack, 0, 1e6) ||
+        !is_between(file->desc.cold_overage, 0, 100) ||
+        !is_between(file->desc.cold_slack, 0, 1e6) || seed < 0) {
         return fail(error, "value of the object, or object", 1);
     }
     file->desc.regions = (guint)regions;
--- a/src/replay/replay_file.h
+++ b/src/replay/replay_file.h
@@ -12,11 +12,11 @@
  *  - "streams": objects with "name", "service" (a name), "per_s",
  *    "service_ms", "target_ms", "deadline_ms", and if wanted "priority",
  *    "idempotent", "size", "senders", "calls" and "called" (a stream's name);
- *  - "phases", if wanted: objects with "fault" (burst, shed, fail, slow, stall
- *    or gone), "service", "begin_ms", "end_ms", and if wanted "share",
- *    "value";
+ *  - "phases", if wanted: objects with "fault" (burst, shed, fail, slow,
+ * stall, gone or cold), "service", "begin_ms", "end_ms", and if wanted
+ * "share", "value";
  *  - if wanted "regions", "senders", "attempts", "seconds", "retry_ratio",
- *    "retry_slack", "seed".
+ *    "retry_slack", "cold_overage", "cold_slack", "seed".
  *
  * Errors: MALFORMED with the place. Limits: REPLAY_MAX_SERVERS, 64 services,
  * 256 streams, 256 phases, 512 senders, an hour.
--- a/src/replay/replay_owner.c
+++ b/src/replay/replay_owner.c
@@ -25,7 +25,8 @@
         .service_ms = load.service_ms,
         .idle_ms = load.running > 0 ? 0 : now - server->last_sent,
         .per_s = rates.per_s,
-        .retries_per_s = rates.retries_per_s};
+        .retries_per_s = rates.retries_per_s,
+        .cold_wait_ms = _Replay_ColdWait(server, now)};
 }
 
 void
@@ -47,6 +48,7 @@
         answer(replay, request, RESULT_BACKEND_SERVER_EJECTED, now);
         return;
     }
+    _Replay_FollowCold(replay, server, now);
     if (!replay->desc.plain_queue &&
         !Admission_Arrive(server->admission, &request->ticket,
                           request->limits.max_wait_ms, now)) {
@@ -78,6 +80,7 @@
 
     server->running++;
     server->last_sent = now;
+    _Replay_CountCold(server, now);
     RetryRates_Add(&server->rates, is_retry, now);
     if (is_retry) {
         _Replay_Bin(replay, server->service, now)->retries++;
@@ -165,6 +168,7 @@
         advance_plain(replay, server, now);
         return;
     }
+    _Replay_FollowCold(replay, server, now);
     (void)Admission_Advance(server->admission, now);
     while (place < server->waiting->len) {
         ReplayRequest *request = g_ptr_array_index(server->waiting, place);
--- a/src/replay/replay_private.h
+++ b/src/replay/replay_private.h
@@ -5,6 +5,7 @@
 #include "admission/admission.h"
 #include "base/result.h"
 #include "base/rng.h"
+#include "cold/cold_rate.h"
 #include "health/gray_filter.h"
 #include "replay/replay.h"
 #include "retry/retry.h"
@@ -24,6 +25,9 @@
     GrayFilter filter;
     RetryRates rates;
     ClockMs last_sent;
+    ColdRate cold;
+    double cold_per_s; /* 0: warm */
+    GArray *cold_sent; /* ClockMs of each request while it was cold */
 } ReplayServer;
 
 /* A host that sends requests. */
@@ -115,6 +119,11 @@
 void _Replay_AdvanceOwner(Replay *replay, ReplayServer *server, ClockMs now);
 void _Replay_EndRun(Replay *replay, ReplayRequest *request, ClockMs now);
 
+/* replay_cold.c: adapts the owner to whether its backend server is cold. */
+void _Replay_FollowCold(Replay *replay, ReplayServer *server, ClockMs now);
+void _Replay_CountCold(ReplayServer *server, ClockMs now);
+ClockMs _Replay_ColdWait(const ReplayServer *server, ClockMs now);
+
 /* Takes the request from its owner, whether it waits or runs. */
 void _Replay_LeaveOwner(Replay *replay, ReplayRequest *request, ClockMs now);
 
--- a/src/replay/test_replay.c
+++ b/src/replay/test_replay.c
@@ -224,6 +224,10 @@
         {"{" SERVICE "," STREAM("") "}", TRUE},
         {"{" SERVICE "," STREAM("") "," PHASE("stall", "9") "}", TRUE},
         {"{" SERVICE "," STREAM("") "," PHASE("stall", "4") "}", FALSE},
+        {"{" SERVICE
+         "," STREAM("") "," PHASE("cold", "9") ",\"cold_overage\":1.5}",
+         TRUE},
+        {"{" SERVICE "," STREAM("") ",\"cold_overage\":-1}", FALSE},
         {"{" SERVICE "," STREAM("") "," PHASE("melt", "9") "}", FALSE},
         {"{" SERVICE "," STREAM(",\"calls\":1,\"called\":\"a\"") "}", FALSE},
         {"{" SERVICE "," STREAM(",\"calls\":1,\"called\":\"b\"") "}", FALSE},
@@ -344,6 +348,67 @@
     }
 }
 
+/* Replays a service of which half becomes cold at once, and a little later all
+ * of it for a moment. Returns the mean number of asks for each request. */
+static double
+play_cold(double per_s, double overage, ReplayOutcome *outcome,
+          ReplayCold *cold)
+{
+    static const ReplayService desks = {"desks", 45, 15};
+    static const ReplayPhase phases[] = {
+        {REPLAY_COLD, 0, 4000, 14000, 0.5, 9.9},
+        {REPLAY_COLD, 0, 16000, 17000, 0, 9.9}};
+    ReplayStream stream = {"desk", 0, per_s, 400, 2500, 8000, 1, TRUE, 1};
+    Replay_desc desc = {.services = &desks,
+                        .service_count = 1,
+                        .streams = &stream,
+                        .stream_count = 1,
+                        .phases = phases,
+                        .phase_count = G_N_ELEMENTS(phases),
+                        .regions = 3,
+                        .senders = 108,
+                        .length_ms = 20000,
+                        .cold_overage = overage,
+                        .cold_slack = 8,
+                        .seed = 5};
+    Replay *replay = Replay_Create(&desc);
+
+    Replay_Run(replay);
+    *outcome = *Replay_Outcome(replay, 0);
+    *cold = Replay_Cold(replay, 0);
+    g_test_message("%.0f/s overage %.1f: asked %u in time %u late %u refused "
+                   "%u expired %u returned %u asks %u far %u; cold: %u, at "
+                   "most %u in a second",
+                   per_s, overage, outcome->asked, outcome->in_time,
+                   outcome->late, outcome->refused, outcome->expired,
+                   outcome->returned, outcome->asks, outcome->far, cold->sent,
+                   cold->most);
+    Replay_Destroy(replay);
+    return (double)outcome->asks / outcome->asked;
+}
+
+/* Guards against owners that send more than the bound to a cold backend
+ * server, against senders that do not use the warm half instead or keep asking
+ * the cold one, and against a cold half that gets nothing. */
+static void
+test_cold_half(void)
+{
+    static const double loads[] = {600, 750, 900};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(loads); i++) {
+        ReplayOutcome plain;
+        ReplayOutcome outcome;
+        ReplayCold cold;
+
+        (void)play_cold(loads[i], 0, &plain, &cold);
+        g_assert_cmpuint(cold.most, >, 22);
+        g_assert_cmpfloat(play_cold(loads[i], 1.5, &outcome, &cold), <=, 1.2);
+        g_assert_cmpuint(cold.most, <=, 22);
+        g_assert_cmpuint(cold.sent, >=, 22 * 5 * 10);
+        g_assert_cmpfloat(outcome.in_time, >=, 0.97 * plain.in_time);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -353,5 +418,6 @@
     g_test_add_func("/replay/files", test_files);
     g_test_add_func("/replay/patterns", test_patterns);
     g_test_add_func("/replay/fleet-size", test_fleet_size);
+    g_test_add_func("/replay/cold-half", test_cold_half);
     return g_test_run();
 }
