--- a/src/json/json_text.c
+++ b/src/json/json_text.c
@@ -114,39 +114,56 @@
     return TRUE;
 }
 
+void
+JsonTextMembers_Init(JsonTextItems *members, JsonText object)
+{
+    *members = (JsonTextItems){0};
+    if (object.bytes >= 2 && object.start[0] == '{') {
+        members->next = object.start + 1;
+        members->end = object.start + object.bytes;
+    }
+}
+
+gboolean
+JsonTextMembers_Next(JsonTextItems *members, JsonText *name, JsonText *value)
+{
+    const char *end = members->end;
+    const char *at = skip_space(members->next, end);
+    const char *after;
+
+    if (at == end || *at != '"') {
+        members->is_broken = end != NULL && (at + 1 != end || *at != '}');
+        return FALSE;
+    }
+    members->is_broken = TRUE;
+    after = skip_string(at, end);
+    if (after == NULL) {
+        return FALSE;
+    }
+    *name = (JsonText){.start = at, .bytes = (size_t)(after - at)};
+    at = skip_space(after, end);
+    if (at == end || *at != ':') {
+        return FALSE;
+    }
+    members->next = at + 1;
+    members->is_broken = !next_value(&members->next, end, value);
+    return !members->is_broken;
+}
+
 gboolean
 JsonText_Member(JsonText object, const char *name, JsonText *value)
 {
     size_t name_bytes = strlen(name);
     gboolean found = FALSE;
-    const char *at;
-    const char *end;
+    JsonTextItems members;
+    JsonText key;
+    JsonText content;
 
     *value = (JsonText){0};
-    if (object.bytes < 2 || object.start[0] != '{') {
-        return FALSE;
-    }
-    at = object.start + 1;
-    end = object.start + object.bytes;
-    while ((at = skip_space(at, end)) < end && *at == '"') {
-        const char *after = skip_string(at, end);
-        JsonText key = {.start = at + 1};
-        JsonText content;
-
-        if (after == NULL) {
-            break;
-        }
-        key.bytes = (size_t)(after - at) - 2;
-        at = skip_space(after, end);
-        if (at == end || *at != ':') {
-            break;
-        }
-        at++;
-        if (!next_value(&at, end, &content)) {
-            break;
-        }
-        if (key.bytes == name_bytes &&
-            memcmp(key.start, name, name_bytes) == 0) {
+    JsonTextMembers_Init(&members, object);
+    while (JsonTextMembers_Next(&members, &key, &content)) {
+        if (key.bytes == name_bytes + 2 &&
+            memcmp(key.start + 1, name, name_bytes) == 0) {
             *value = content;
             found = TRUE;
         }
--- a/src/json/json_text.h
+++ b/src/json/json_text.h
@@ -8,7 +8,8 @@
  * Use:
  *  1. JsonText_FromBody() with the whole text.
  *  2. JsonText_Member() for a value of an object; JsonTextItems_Init() and
- *     JsonTextItems_Next() for the values of an array.
+ *     JsonTextItems_Next() for the values of an array; JsonTextMembers_Init()
+ *     and JsonTextMembers_Next() for the members of an object.
  *  3. JsonText_Decode() for each value that is needed.
  *
  * Errors: a value that is missing or whose end is not found is reported as
@@ -37,7 +38,8 @@
 typedef struct JsonTextItems {
     const char *next;
     const char *end;
-    gboolean is_broken; /* the array is not closed; set by the last _Next() */
+    gboolean
+        is_broken; /* array or object is not closed; set by the last _Next() */
 } JsonTextItems;
 
 /* Returns FALSE unless the body is one object or array, as far as brackets and
@@ -51,6 +53,12 @@
 void JsonTextItems_Init(JsonTextItems *items, JsonText array);
 gboolean JsonTextItems_Next(JsonTextItems *items, JsonText *value);
 
+/* The members of an object, in the same way; the name is a text with quotes.
+ * Any other value has none. */
+void JsonTextMembers_Init(JsonTextItems *members, JsonText object);
+gboolean JsonTextMembers_Next(JsonTextItems *members, JsonText *name,
+                              JsonText *value);
+
 /* Decodes a value of any type. Returns NULL if it is invalid, nested too
  * deeply, or names a member twice. */
 json_t *JsonText_Decode(JsonText text);
