http: an answer with status 101 or an interim one with a body ends its call

Cause: the head of a complete answer with status 101 counted as interim, and its body as the begin of the next status line, so the call waited to its deadline. Status 101 answers a request for another protocol, which the client never makes, and interim answers have no body; such an answer is now lost at once.

Test: /answers/statuses, 20 odd status lines as the first answer, the second one on a kept connection and behind interim answers.

--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -437,6 +437,18 @@
     return FALSE;
 }
 
+/* Whether the answer can be an interim one: it has no body, and it is not 101,
+ * since no request asks for another protocol. */
+static gboolean
+is_interim(const HttpAnswer *answer)
+{
+    const char *length = HttpHeaders_Get(&answer->headers, "Content-Length");
+
+    return answer->status != 101 &&
+           (length == NULL || strcmp(length, "0") == 0) &&
+           HttpHeaders_Get(&answer->headers, "Transfer-Encoding") == NULL;
+}
+
 /* Reads status line and headers; discards interim (1xx) answers. */
 static gboolean
 read_head(HttpConnection *connection, ClockMs deadline, HttpAnswer *answer,
@@ -453,7 +465,8 @@
         *state = read_line(connection, deadline, &line);
         if (*state != READ_DATA || !parse_status(line, &answer->status) ||
             contains_answer(line) ||
-            !read_headers(connection, deadline, &answer->headers, state)) {
+            !read_headers(connection, deadline, &answer->headers, state) ||
+            (answer->status < 200 && !is_interim(answer))) {
             return FALSE;
         }
     } while (answer->status < 200);
--- a/src/http/test_answers.c
+++ b/src/http/test_answers.c
@@ -285,6 +285,51 @@
     HttpClient_Destroy(client);
 }
 
+/* Text behind "HTTP/1.1" of a status line that no answer may have. */
+static const char *const odd_statuses[] = {
+    " 000 OK", " 099 OK",  " 600 OK", " 999 OK",  " 2000 OK",
+    " 20 OK",  "  200 OK", " +20 OK", " 0x1 OK",  "",
+    " ",       " OK",      " 200x",   " 1e2 OK",  "\t200 OK",
+    " -20 OK", " 101 OK",  "200 OK",  " 200\tOK", " 199 OK"};
+
+/* Guards against an answer without a valid status that is accepted, as the
+ * first answer on a connection, as the second one, or behind an interim
+ * answer, and against one that is waited on to the deadline. */
+static void
+test_statuses(void)
+{
+    static const char *const heads[] = {
+        "", "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n"};
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+    Server server;
+
+    start_server(&server);
+    /* The connection stays open, so that its end is not the reason. */
+    server.hold = TRUE;
+    for (size_t i = 0; i < G_N_ELEMENTS(odd_statuses) * 6; i++) {
+        char *text = g_strconcat(heads[i % 3], "HTTP/1.1", odd_statuses[i / 6],
+                                 "\r\nX-Id: r1\r\nX-Signature: s\r\n"
+                                 "Content-Length: 2\r\n\r\nok",
+                                 NULL);
+        ClockMs began = Clock_Now();
+        HttpAnswer answer = {0};
+        Result result;
+
+        set_answer(&server, text, strlen(text), FALSE, i / 3 % 2 != 0);
+        result = call_server(client, &server, "GET", NULL, &answer);
+        g_test_message("\"%s\", case %zu: %s after %d ms", odd_statuses[i / 6],
+                       i % 6, Result_Name(result), (int)(Clock_Now() - began));
+        g_assert_cmpint(result, ==, RESULT_ANSWER_LOST);
+        g_assert_cmpint(answer.status, ==, 0);
+        g_assert_cmpint(Clock_Now() - began, <, DEADLINE_MS / 2);
+        HttpAnswer_Clear(&answer);
+        g_free(text);
+    }
+    stop_server(&server);
+    HttpClient_Destroy(client);
+}
+
 typedef struct Trigger {
     HttpCancel *cancel;
     int delay_ms;
@@ -342,6 +387,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/answers/cut", test_cut);
     g_test_add_func("/answers/malformed", test_malformed);
+    g_test_add_func("/answers/statuses", test_statuses);
     g_test_add_func("/answers/cancelled", test_cancelled);
     return g_test_run();
 }
