admission, gateway: calls carry their parent's priority

Cause: a call takes precedence over every request of a caller.

With load_by_value a call is sent with the priority -2 - p of a parent of priority p (earlier versions take all negative ones for calls), and the admission places it before requests of priority p or less urgent ones, and behind more urgent requests that can still be in time. The expected wait and the removal of hopeless tickets count the same tickets ahead, and the slot time of the calls and requests that overtake a ticket. Callers keep a quarter of the slots.

The same estimate replaces the share of retries among all runs for calls of retried runs: requests that make no calls no longer count (always on).

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -1,5 +1,6 @@
 #include "admission/admission.h"
 
+#include <limits.h>
 #include <math.h>
 
 /* Service time assumed before the first answer. */
@@ -38,6 +39,10 @@
 /* Number of slots assumed until it is known. */
 #define MIN_SLOTS 1
 
+/* Priorities that the slot time is counted for; less urgent ones count as the
+ * last. */
+#define LEVELS 8
+
 /* Calls of running requests and other requests differ in length and in their
  * place in the queue. */
 typedef enum Kind { KIND_REQUEST, KIND_NESTED, KINDS } Kind;
@@ -51,6 +56,8 @@
     ClockMs overtaken[KINDS];   /* latest start of a run that was answered */
     guint runs[KINDS];          /* answered, MIN_KNOWN_RUNS at most */
     double work_ms[KINDS];      /* slot time used lately by each kind */
+    double level_ms[KINDS][LEVELS]; /* the same for each priority of a request,
+                                       or of a call's parent if known */
     ClockMs work_updated;
     ClockMs last_change; /* time at which a slot was last taken or freed */
     GPtrArray *running;  /* AdmissionTicket that were admitted */
@@ -64,6 +71,30 @@
                                                          : KIND_REQUEST;
 }
 
+int
+Admission_CallPriority(int parent)
+{
+    return ADMISSION_PRIORITY_NESTED - 1 - CLAMP(parent, 0, INT_MAX - 2);
+}
+
+int
+Admission_ParentPriority(int priority)
+{
+    return priority < ADMISSION_PRIORITY_NESTED
+               ? ADMISSION_PRIORITY_NESTED - 1 - priority
+               : -1;
+}
+
+/* Priority that places a ticket among the others: its own or its parent's; -1
+ * for a call whose parent is unknown. */
+static int
+level_of(const AdmissionTicket *ticket)
+{
+    return kind_of(ticket) == KIND_NESTED
+               ? Admission_ParentPriority(ticket->priority)
+               : ticket->priority;
+}
+
 Admission *
 Admission_Create(void)
 {
@@ -113,14 +144,14 @@
     gboolean late_a = is_late(admission, a, now);
     gboolean late_b = is_late(admission, b, now);
 
-    if (kind_of(a) != kind_of(b)) {
-        return kind_of(a) == KIND_NESTED;
-    }
     if (late_a != late_b) {
         return late_b;
     }
-    if (a->priority != b->priority) {
-        return a->priority < b->priority;
+    if (level_of(a) != level_of(b)) {
+        return level_of(a) < level_of(b);
+    }
+    if (kind_of(a) != kind_of(b)) {
+        return kind_of(a) == KIND_NESTED;
     }
     return a->deadline < b->deadline;
 }
@@ -132,14 +163,35 @@
     return admission->slots / RESERVED_PART;
 }
 
-/* Share of the slots that requests of callers use beside calls. */
+/* Slot time used lately by tickets that do not come before the given one when
+ * they arrive after it. A request is overtaken by calls only, as its expected
+ * wait counts the requests ahead of it. */
+static double
+work_behind(const Admission *admission, const AdmissionTicket *ticket)
+{
+    double work = admission->work_ms[KIND_REQUEST];
+    int level = MAX(level_of(ticket), 0);
+
+    for (int i = 0; i < LEVELS; i++) {
+        if (i > level || (i == level && kind_of(ticket) == KIND_NESTED)) {
+            work += admission->level_ms[KIND_NESTED][i];
+        }
+        if (i < level && kind_of(ticket) == KIND_NESTED) {
+            work -= admission->level_ms[KIND_REQUEST][i];
+        }
+    }
+    return work;
+}
+
+/* Share of the slots that is left beside the tickets that overtake this one.
+ */
 static double
-request_share(const Admission *admission)
+slot_share(const Admission *admission, const AdmissionTicket *ticket)
 {
     double work =
         admission->work_ms[KIND_REQUEST] + admission->work_ms[KIND_NESTED];
 
-    return work > 0 ? MAX(admission->work_ms[KIND_REQUEST] / work,
+    return work > 0 ? MAX(work_behind(admission, ticket) / work,
                           1.0 / RESERVED_PART)
                     : 1;
 }
@@ -147,15 +199,23 @@
 /* Expected wait of a ticket with a number of tickets of each kind ahead,
  * including the ticket itself. */
 static double
-wait_behind(const Admission *admission, Kind kind, const guint *ahead)
+wait_behind(const Admission *admission, const AdmissionTicket *ticket,
+            const guint *ahead)
 {
     double calls = ahead[KIND_NESTED] * admission->service_ms[KIND_NESTED];
     double requests =
         ahead[KIND_REQUEST] * admission->service_ms[KIND_REQUEST];
-    double wait =
-        (calls + requests / request_share(admission)) / admission->slots;
+    double wait;
 
-    return kind == KIND_REQUEST && reserved_slots(admission) > 0
+    if (kind_of(ticket) == KIND_NESTED) {
+        return level_of(ticket) < 0
+                   ? calls / admission->slots
+                   : (calls + requests) / slot_share(admission, ticket) /
+                         admission->slots;
+    }
+    wait =
+        (calls + requests / slot_share(admission, ticket)) / admission->slots;
+    return reserved_slots(admission) > 0
                ? MIN(wait, requests / reserved_slots(admission))
                : wait;
 }
@@ -178,7 +238,7 @@
         }
     }
     ahead[kind_of(ticket)]++;
-    return (ClockMs)wait_behind(admission, kind_of(ticket), ahead);
+    return (ClockMs)wait_behind(admission, ticket, ahead);
 }
 
 ClockMs
@@ -324,7 +384,7 @@
                     ? ahead[KIND_REQUEST]
                     : place + 1;
         end = (double)now +
-              MAX(wait_behind(admission, kind, ahead), turns * gap) +
+              MAX(wait_behind(admission, ticket, ahead), turns * gap) +
               MIN_SERVICE_SHARE * admission->service_ms[kind];
         if (end > (double)ticket->deadline) {
             g_ptr_array_remove_index(admission->queue, place);
@@ -363,6 +423,17 @@
     admission->last_change = now;
 }
 
+static void
+decay_work(Admission *admission, double decay)
+{
+    for (int kind = 0; kind < KINDS; kind++) {
+        admission->work_ms[kind] *= decay;
+        for (int i = 0; i < LEVELS; i++) {
+            admission->level_ms[kind][i] *= decay;
+        }
+    }
+}
+
 void
 Admission_NoteService(Admission *admission, const AdmissionTicket *ticket,
                       ClockMs service_ms, ClockMs now)
@@ -372,10 +443,12 @@
     double decay =
         exp(-(double)(now - admission->work_updated) / WORK_DECAY_MS);
 
-    for (int i = 0; i < KINDS; i++) {
-        admission->work_ms[i] *= decay;
-    }
+    decay_work(admission, decay);
     admission->work_ms[kind] += (double)service_ms;
+    if (level_of(ticket) >= 0) {
+        admission->level_ms[kind][MIN(level_of(ticket), LEVELS - 1)] +=
+            (double)service_ms;
+    }
     admission->work_updated = now;
     admission->mean_ms +=
         SERVICE_WEIGHT * ((double)service_ms - admission->mean_ms);
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -13,9 +13,12 @@
  *    deadline, also if slots are freed more slowly than expected; its sender
  *    can then try elsewhere, or tell the caller when to return.
  * Calls made by running requests come first, since the calling request holds a
- * slot elsewhere while it waits for them. Requests of callers keep a quarter
- * of the slots, so that a service that others call more than it can serve
- * still serves its own callers.
+ * slot elsewhere while it waits for them. A call whose parent's priority is
+ * known (Admission_CallPriority()) comes before requests of this or a less
+ * urgent priority only, so that the calls of many unimportant requests do not
+ * delay the urgent requests of a service that they use, too. Requests of
+ * callers keep a quarter of the slots in any case, so that a service that
+ * others call more than it can serve still serves its own callers.
  *
  * In calm the queue is empty and a request takes a slot at once.
  *
@@ -42,7 +45,8 @@
 
 #include "base/clock.h"
 
-/* Priority of calls made by a running request. */
+/* Priority of calls made by a running request whose priority is unknown. Lower
+ * numbers are calls of a request with a known priority. */
 #define ADMISSION_PRIORITY_NESTED (-1)
 
 typedef struct Admission Admission;
@@ -54,7 +58,8 @@
 } AdmissionState;
 
 typedef struct AdmissionTicket {
-    int priority;     /* a lower number comes first */
+    int priority;     /* of a request: a lower number comes first; negative:
+                         a call */
     ClockMs target;   /* time until which an answer is in time */
     ClockMs deadline; /* time until which an answer is of any use */
     AdmissionState state;
@@ -70,6 +75,12 @@
                            none is running */
 } AdmissionLoad;
 
+/* Returns the priority of a call of a request with the priority `parent`, and
+ * the other way round; negative: unknown. A negative priority of a request
+ * counts as 0. */
+int Admission_CallPriority(int parent);
+int Admission_ParentPriority(int priority);
+
 Admission *Admission_Create(void);
 void Admission_Destroy(Admission *admission);
 void Admission_SetSlots(Admission *admission, guint slots);
--- a/src/admission/test_admission.c
+++ b/src/admission/test_admission.c
@@ -1,6 +1,7 @@
 /* Tests of the admission of requests to a backend server's slots, with the
  * replay of load. */
 #include <glib.h>
+#include <limits.h>
 #include <math.h>
 
 #include "admission/admission.h"
@@ -176,6 +177,74 @@
     g_assert_cmpfloat(served_share(&beside[1]), >=, 0.9 * 3 / 6);
 }
 
+/* Replays the called service of operator B (docs/hard-load.md) at 1.2 and 1.7
+ * times its capacity: urgent requests of its own and calls of less urgent
+ * parents. Guards against urgent requests that are served worst because calls
+ * always come first, against calls that wait behind requests less urgent than
+ * their parents, and against a slot that is left unused by either. */
+static void
+test_calls_by_value(void)
+{
+    enum { SLOTS_B = 8, URGENT_MS = 360, CALL_MS = 130 };
+    static const struct {
+        const char *name;
+        double per_s[3]; /* urgent, calls, requests less urgent than calls */
+        int parent;
+        double min_urgent;
+        double min_calls;
+    } cases[] = {
+        {"unknown parents", {6, 60, 0}, -1, 0.5, 0.75},
+        {"less urgent parents", {6, 60, 0}, 2, 0.97, 0.6},
+        {"many calls", {6, 90, 0}, 2, 0.97, 0.4},
+        {"as urgent parents", {6, 40, 3}, 0, 0.9, 0.99},
+        {"requests after calls", {3, 40, 12}, 2, 0.97, 0.9},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        int call = cases[i].parent < 0
+                       ? ADMISSION_PRIORITY_NESTED
+                       : Admission_CallPriority(cases[i].parent);
+        Load load = {.streams = {stream(cases[i].per_s[0], URGENT_MS, 0),
+                                 stream(cases[i].per_s[1], CALL_MS, call),
+                                 stream(cases[i].per_s[2], URGENT_MS, 3)},
+                     .stream_count = cases[i].per_s[2] > 0 ? 3 : 2,
+                     .slots = SLOTS_B,
+                     .length_ms = 40000};
+        ReplayOutcome outcomes[3] = {{0}};
+
+        replay_load(&load, outcomes);
+        g_test_message("%s: urgent %.3f calls %.3f of %u expired %u others %u "
+                       "of %u",
+                       cases[i].name, served_share(&outcomes[0]),
+                       served_share(&outcomes[1]), outcomes[1].asked,
+                       outcomes[1].expired, outcomes[2].in_time,
+                       outcomes[2].asked);
+        g_assert_cmpfloat(served_share(&outcomes[0]), >=, cases[i].min_urgent);
+        g_assert_cmpfloat(served_share(&outcomes[1]), >=, cases[i].min_calls);
+        g_assert_cmpuint(outcomes[1].expired, ==, 0);
+    }
+}
+
+/* Guards against a parent's priority that is lost on the way to a call's and
+ * back, also at the ends of the range. */
+static void
+test_call_priorities(void)
+{
+    static const int parents[] = {0, 1, 2, 7, 100, 1000000};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(parents); i++) {
+        int call = Admission_CallPriority(parents[i]);
+
+        g_assert_cmpint(call, ==, -2 - parents[i]);
+        g_assert_cmpint(Admission_ParentPriority(call), ==, parents[i]);
+    }
+    g_assert_cmpint(Admission_CallPriority(-5), ==, -2);
+    g_assert_cmpint(Admission_ParentPriority(ADMISSION_PRIORITY_NESTED), ==,
+                    -1);
+    g_assert_cmpint(Admission_ParentPriority(INT_MIN), >, 0);
+    g_assert_cmpint(Admission_CallPriority(INT_MAX), <, -1);
+}
+
 /* Guards against a wait or a refusal while slots are free. */
 static void
 test_calm(void)
@@ -399,6 +468,8 @@
     g_test_add_func("/admission/stall", test_stall);
     g_test_add_func("/admission/classes", test_classes);
     g_test_add_func("/admission/called-service", test_called_service);
+    g_test_add_func("/admission/calls-by-value", test_calls_by_value);
+    g_test_add_func("/admission/call-priorities", test_call_priorities);
     g_test_add_func("/admission/calm", test_calm);
     g_test_add_func("/admission/long-runs", test_long_runs);
     g_test_add_func("/admission/long-runs-follow", test_long_runs_follow);
--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -39,6 +39,7 @@
     backend->last_sent = Clock_Now();
     backend->stop = StopPlan_None();
     backend->admission = Admission_Create();
+    backend->origin = CallOrigin_Create();
     return backend;
 }
 
@@ -49,6 +50,7 @@
         return;
     }
     Admission_Destroy(backend->admission);
+    CallOrigin_Destroy(backend->origin);
     pthread_cond_destroy(&backend->wake);
     pthread_mutex_destroy(&backend->lock);
     g_free(backend);
@@ -339,6 +341,39 @@
     GrayFilter_Observe(&backend->filter, TRUE, now);
 }
 
+/* Priority of a request, or of the one that made the call; -1: unknown. */
+static int
+value_of(const BackendCall *call)
+{
+    return call->priority >= 0 ? call->priority
+                               : Admission_ParentPriority(call->priority);
+}
+
+/* Called with the lock held. */
+static void
+begin_run(Backend *backend, const BackendCall *call, ClockMs now)
+{
+    gboolean is_retry = call->retry != RETRY_KIND_FIRST;
+
+    backend->last_sent = now;
+    backend->running_retries += is_retry ? 1 : 0;
+    RetryRates_Add(&backend->rates, is_retry, now);
+    RetryLimit_Send(&backend->retry_limit, call->retry, now);
+    CallOrigin_Begin(backend->origin, call->route, value_of(call), is_retry,
+                     now);
+}
+
+/* Called with the lock held. */
+static void
+end_run(Backend *backend, const BackendCall *call, ClockMs now)
+{
+    gboolean is_retry = call->retry != RETRY_KIND_FIRST;
+
+    backend->running_retries -= is_retry ? 1 : 0;
+    CallOrigin_End(backend->origin, call->route, value_of(call), is_retry,
+                   now);
+}
+
 void
 Backend_Run(Backend *backend, const BackendCall *call, BackendReply *reply)
 {
@@ -364,10 +399,7 @@
     reply->expected_ms = _Backend_LongestRun(backend, &ticket,
                                              BACKEND_LOST_RUN_DEVIATIONS, now);
     announcement = backend->announcement;
-    backend->last_sent = now;
-    backend->running_retries += call->retry != RETRY_KIND_FIRST;
-    RetryRates_Add(&backend->rates, call->retry != RETRY_KIND_FIRST, now);
-    RetryLimit_Send(&backend->retry_limit, call->retry, now);
+    begin_run(backend, call, now);
     pthread_mutex_unlock(&backend->lock);
 
     exchange.address = announcement.address;
@@ -380,7 +412,7 @@
     if (strcmp(backend->announcement.instance, announcement.instance) == 0) {
         record_outcome(backend, call, &ticket, reply, now);
     }
-    backend->running_retries -= call->retry != RETRY_KIND_FIRST;
+    end_run(backend, call, now);
     Admission_Release(backend->admission, &ticket, now);
     advance(backend);
     fill_report(backend, now, &reply->report);
@@ -410,6 +442,17 @@
     return share;
 }
 
+CallParent
+Backend_FindParent(Backend *backend, uint64_t called)
+{
+    CallParent parent;
+
+    pthread_mutex_lock(&backend->lock);
+    parent = CallOrigin_Find(backend->origin, called, Clock_Now());
+    pthread_mutex_unlock(&backend->lock);
+    return parent;
+}
+
 void
 Backend_GetReport(Backend *backend, RosterReport *report)
 {
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -60,6 +60,7 @@
 #include "backend/wire_names.h"
 #include "base/clock.h"
 #include "base/result.h"
+#include "gateway/call_origin.h"
 #include "health/gray_filter.h"
 #include "http/http_client.h"
 #include "http/http_message.h"
@@ -131,6 +132,7 @@
      * deadline. */
     ClockMs run_allowance_ms;
     RetryKind retry;
+    uint64_t route; /* hash of the route's name; 0: unknown */
     int priority;
     double max_risk;
     ClockMs max_wait_ms;
@@ -203,6 +205,10 @@
  * running requests makes the call. */
 double Backend_RetryShare(Backend *backend);
 
+/* Counts a call that the backend server makes on a route, and returns the
+ * likely parent. */
+CallParent Backend_FindParent(Backend *backend, uint64_t called);
+
 void Backend_GetReport(Backend *backend, RosterReport *report);
 
 /* "unknown", "ready", "draining", "gone". */
--- a/src/backend/backend_internal.h
+++ b/src/backend/backend_internal.h
@@ -29,6 +29,7 @@
     guint running_retries; /* number of retries among the running requests */
     RetryRates rates;
     RetryLimit retry_limit;
+    CallOrigin *origin;
     PauseLog pauses;
     Admission *admission;
 };
--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -78,6 +78,8 @@
     /* http, entry, owner */ \
     COUNTER(ENTRY_REQUESTS, "requests received from callers") \
     COUNTER(ENTRY_ANSWERS, "requests answered by a backend server") \
+    COUNTER(CALLS_WITH_PARENT, \
+            "calls of backend servers sent with their parent's priority") \
     COUNTER(OWNER_ASKS, "times that an owner was asked to run a request") \
     COUNTER(OWNER_ASKS_RISKY, "of these, refused for the risk") \
     COUNTER(OWNER_ASKS_BUSY, "of these, refused for lack of slots") \
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -57,6 +57,7 @@
     Rpc *rpc; /* asks owners about attempts whose connection broke */
     ClockMs max_catalog_age_ms; /* maximum age of a usable configuration */
     double retry_ratio;         /* maximum retries as a share of requests */
+    gboolean load_by_value;     /* calls have their parent's priority */
     double retry_per_minute;    /* fleet's retries allowed at any traffic */
 } Gateway_desc;
 
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -86,14 +86,25 @@
     return budget;
 }
 
+/* Probability that the request is a call of a run that was a retry. */
+static double
+retried_share(const GatewayRequest *request)
+{
+    if (request->team != NULL) {
+        return 0;
+    }
+    return request->parent.is_known
+               ? request->parent.retry_share
+               : Backend_RetryShare(request->gateway->desc.backend);
+}
+
 static void
 count_request(GatewayRequest *request)
 {
     Gateway *gateway = request->gateway;
     ClockMs now = Clock_Now();
     RetryBudget *budget;
-    double retry_share =
-        request->team == NULL ? Backend_RetryShare(gateway->desc.backend) : 0;
+    double retry_share = retried_share(request);
     RetryRates rates;
     double coverage = Roster_RetryRates(
         gateway->desc.roster, request->destination->service_hash, now, &rates);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -60,6 +60,7 @@
     gboolean is_retried_call;  /* call of a request that is a retry */
     uint32_t attempts;         /* attempts that reached a backend server */
     gboolean has_explored;     /* an attempt was an exploration */
+    CallParent parent;         /* of a call, as far as it is known */
     gboolean is_calm;          /* the service's retries are below the limit */
     unsigned limit_refusals;   /* by the owners' retry limit */
     unsigned risky_owners;     /* owners that refused it for their risk */
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -149,6 +149,22 @@
     request->call.target_time = request->target_time;
 }
 
+/* Finds the likely parent of a call and its place among the requests. */
+static void
+fill_parent(GatewayRequest *request)
+{
+    const Gateway *gateway = request->gateway;
+
+    request->parent =
+        Backend_FindParent(gateway->desc.backend, request->route->hash);
+    request->call.priority = BACKEND_PRIORITY_NESTED;
+    if (gateway->desc.load_by_value && request->parent.priority >= 0) {
+        request->call.priority =
+            Admission_CallPriority(request->parent.priority);
+        Counter_Add(COUNTER_CALLS_WITH_PARENT, 1);
+    }
+}
+
 static void
 fill_call(GatewayRequest *request)
 {
@@ -165,12 +181,13 @@
     call->body = HttpRequest_Body(request->http, &call->body_bytes);
     call->idempotent = request->route->idempotent;
     call->is_local = TRUE;
+    call->route = request->route->hash;
     call->priority = request->route->priority;
     if (team != NULL && team->has_priority) {
         call->priority = team->priority;
     }
     else if (team == NULL) {
-        call->priority = BACKEND_PRIORITY_NESTED;
+        fill_parent(request);
     }
 }
 
--- a/src/gateway/peer_port.c
+++ b/src/gateway/peer_port.c
@@ -78,6 +78,23 @@
     return may_run;
 }
 
+/* Hash of the request's route by this host's configuration; 0: unknown. */
+static uint64_t
+find_route(const PeerPort *port, const HttpRequest *request, const char *host)
+{
+    CatalogTable *table =
+        port->desc.catalog ? Catalog_Acquire(port->desc.catalog) : NULL;
+    const CatalogRoute *route;
+    uint64_t hash = 0;
+
+    if (table != NULL) {
+        route = CatalogTable_FindRoute(table, host, HttpRequest_Path(request));
+        hash = route != NULL ? route->hash : 0;
+        CatalogTable_Unref(table);
+    }
+    return hash;
+}
+
 static void
 serve(void *context, HttpRequest *request)
 {
@@ -105,6 +122,7 @@
     else {
         if (begin_attempt(port, &call)) {
             copy_headers(port, received, &headers);
+            call.route = find_route(port, request, call.host);
             HttpRequest_OnDisconnect(request, HttpCancel_Trigger, cancel);
             Backend_Run(port->desc.backend, &call, &reply);
             HttpRequest_OnDisconnect(request, NULL, NULL);
--- a/src/gateway/peer_port.h
+++ b/src/gateway/peer_port.h
@@ -23,6 +23,7 @@
 
 #include "attempt/attempt_log.h"
 #include "backend/backend.h"
+#include "catalog/catalog.h"
 
 typedef struct PeerPort PeerPort;
 
@@ -32,6 +33,7 @@
     size_t max_body_bytes;
     const WireNames *names;
     Backend *backend;
+    Catalog *catalog; /* NULL: the routes of the requests stay unknown */
     AttemptLog *attempts;
 } PeerPort_desc;
 
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -7,6 +7,8 @@
  *                    <attempt> <run allowance ms>
  *   Radishknot-Team, Radishknot-Caller, Radishknot-Service
  * where kind is "i" if the request may run more than once, otherwise "o";
+ * priority is -1 for a call of a running request, -2 - p if this has the
+ * priority p (earlier versions take all negative ones for calls);
  * retry is 1 if an earlier attempt reached a backend server, 2 in the first
  * attempt of a call made by a run that was a retry, 3 in either case if the
  * fleet is known to be below its retry limit, otherwise 0 (earlier versions
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -161,10 +161,13 @@
 open_request_path(Sidecar *sidecar, GError **error)
 {
     const Settings *settings = sidecar->settings;
+    SidecarFeatures features =
+        sidecar->adapter->decode_features(&settings->features);
     PeerPort_desc peer = {.threads = (unsigned)settings->owner_threads,
                           .max_body_bytes = (size_t)settings->max_body_bytes,
                           .names = sidecar->adapter->names,
                           .backend = sidecar->backend,
+                          .catalog = sidecar->catalog,
                           .attempts = sidecar->attempts};
     Gateway_desc gateway = {.threads = (unsigned)settings->entry_threads,
                             .max_body_bytes = (size_t)settings->max_body_bytes,
@@ -178,6 +181,7 @@
                             .client = sidecar->client,
                             .rpc = sidecar->rpc,
                             .max_catalog_age_ms = sidecar->max_catalog_age_ms,
+                            .load_by_value = features.load_by_value,
                             .retry_ratio = settings->retry_ratio,
                             .retry_per_minute =
                                 (double)settings->retry_slack * MS_PER_MINUTE /
