--- a/src/gateway/peer_port.h
+++ b/src/gateway/peer_port.h
@@ -36,7 +36,8 @@
     size_t max_body_bytes;
     const WireNames *names;
     Backend *backend;
-    Catalog *catalog;   /* checks the regions of requests; NULL: no check */
+    Catalog *catalog;   /* for the routes and regions of requests; NULL: the
+                           routes stay unknown, regions are not checked */
     const char *region; /* of this host */
     AttemptLog *attempts;
 } PeerPort_desc;
