http: a second attempt ends only for an answer with a valid status

Cause: a second attempt was ended when "HTTP/1.1 2" arrived at the first one. A status such as 2000 or 200x begins like that and is then refused, so neither attempt had an answer. The whole status is read now.

Test: /answers/status-beside, 8 status lines. Before: with "2000 OK" the first call ended with ANSWER_LOST although the second would have been answered 100 ms later. Now the second is answered.

--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -83,16 +83,40 @@
     return 0;
 }
 
-/* Whether the socket holds the begin of a successful answer. */
+/* Parses "HTTP/1.x NNN"; FALSE for anything else. */
+static gboolean
+parse_status(const char *line, int *status)
+{
+    guint64 number;
+    char digits[4] = {0};
+
+    if (strncmp(line, "HTTP/1.", 7) != 0 || !g_ascii_isdigit(line[7]) ||
+        line[8] != ' ') {
+        return FALSE;
+    }
+    g_strlcpy(digits, line + 9, sizeof(digits));
+    if (!g_ascii_string_to_unsigned(digits, 10, 100, 599, &number, NULL) ||
+        (line[12] != ' ' && line[12] != '\0')) {
+        return FALSE;
+    }
+    *status = (int)number;
+    return TRUE;
+}
+
+/* Whether the socket holds the begin of a successful answer. A status that
+ * only begins like one of these must not end another call. */
 static gboolean
 has_success(int fd)
 {
-    static const char start[] = "HTTP/1.1 2";
-    char bytes[sizeof(start) - 1];
+    char line[sizeof("HTTP/1.1 200 ")] = {0};
+    const ssize_t needed = sizeof(line) - 1;
+    int status;
 
-    return recv(fd, bytes, sizeof(bytes), MSG_PEEK | MSG_DONTWAIT) ==
-               (ssize_t)sizeof(bytes) &&
-           memcmp(bytes, start, sizeof(bytes)) == 0;
+    if (recv(fd, line, (size_t)needed, MSG_PEEK | MSG_DONTWAIT) != needed) {
+        return FALSE;
+    }
+    line[strcspn(line, "\r\n")] = '\0';
+    return parse_status(line, &status) && status >= 200 && status < 300;
 }
 
 /* Same as wait_for(), but also returns 0 when a successful answer arrives at
@@ -355,26 +379,6 @@
     return READ_DATA;
 }
 
-/* Parses "HTTP/1.x NNN"; FALSE for anything else. */
-static gboolean
-parse_status(const char *line, int *status)
-{
-    guint64 number;
-    char digits[4] = {0};
-
-    if (strncmp(line, "HTTP/1.", 7) != 0 || !g_ascii_isdigit(line[7]) ||
-        line[8] != ' ') {
-        return FALSE;
-    }
-    g_strlcpy(digits, line + 9, sizeof(digits));
-    if (!g_ascii_string_to_unsigned(digits, 10, 100, 599, &number, NULL) ||
-        (line[12] != ' ' && line[12] != '\0')) {
-        return FALSE;
-    }
-    *status = (int)number;
-    return TRUE;
-}
-
 /* Whether another answer begins within the line, which is not empty: the head
  * before it was cut, and the lines that follow belong to the other answer. */
 static gboolean
--- a/src/http/test_answers.c
+++ b/src/http/test_answers.c
@@ -26,6 +26,7 @@
     gboolean reset;
     gboolean kept;
     gboolean hold; /* wait for the client to close */
+    int delay_ms;  /* before the answer */
 } Server;
 
 static void
@@ -43,6 +44,7 @@
         (void)!send(fd, WARM, strlen(WARM), MSG_NOSIGNAL);
         (void)!recv(fd, buffer, sizeof(buffer), 0);
     }
+    g_usleep((gulong)server->delay_ms * 1000);
     pthread_mutex_lock(&server->lock);
     if (server->length > 0) {
         (void)!send(fd, server->bytes, server->length, MSG_NOSIGNAL);
@@ -330,6 +332,86 @@
     HttpClient_Destroy(client);
 }
 
+typedef struct SecondCall {
+    HttpClient *client;
+    Server *server;
+    HttpCancel *cancel;
+    Result result;
+} SecondCall;
+
+static gboolean
+call_second(void *context)
+{
+    SecondCall *second = context;
+    HttpAnswer answer = {0};
+
+    second->result = call_server(second->client, second->server, "GET",
+                                 second->cancel, &answer);
+    HttpAnswer_Clear(&answer);
+    return second->result == RESULT_OK;
+}
+
+/* Replays a second attempt beside the first one, which gets its answer
+ * earlier. Guards against a second attempt that is ended in favour of an
+ * answer without a valid status, so that neither is left. */
+static void
+test_status_beside(void)
+{
+    static const struct {
+        const char *status;
+        Result first;
+        Result second;
+    } cases[] = {{" 200 OK", RESULT_OK, RESULT_CANCELLED},
+                 {" 299", RESULT_OK, RESULT_CANCELLED},
+                 {" 500 Bad", RESULT_DEADLINE_EXPIRED, RESULT_OK},
+                 {" 000 OK", RESULT_DEADLINE_EXPIRED, RESULT_OK},
+                 {" 2000 OK", RESULT_DEADLINE_EXPIRED, RESULT_OK},
+                 {" 200x OK", RESULT_DEADLINE_EXPIRED, RESULT_OK},
+                 {" 20 OK", RESULT_DEADLINE_EXPIRED, RESULT_OK},
+                 {" 2", RESULT_DEADLINE_EXPIRED, RESULT_OK}};
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+    Server servers[2];
+
+    for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+        start_server(&servers[i]);
+        servers[i].delay_ms = i == 0 ? 100 : 200;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *text =
+            g_strconcat("HTTP/1.1", cases[i].status,
+                        "\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nok", NULL);
+        HttpCancel *cancel = HttpCancel_Create();
+        SecondCall second = {client, &servers[1], cancel, RESULT_OK};
+        HttpSoftTimeout timeout = {.until = Clock_Now() + 30,
+                                   .give_up = call_second,
+                                   .context = &second};
+        HttpCall call = {.address = servers[0].address,
+                         .method = "GET",
+                         .target = "/",
+                         .fresh_connection = TRUE,
+                         .soft_timeout = &timeout,
+                         .deadline = Clock_Now() + DEADLINE_MS,
+                         .cancel = cancel};
+        HttpAnswer answer = {0};
+        gboolean sent;
+
+        set_answer(&servers[0], text, strlen(text), FALSE, FALSE);
+        set_answer(&servers[1], HEAD "Content-Length: 0\r\n\r\n",
+                   strlen(HEAD "Content-Length: 0\r\n\r\n"), FALSE, FALSE);
+        g_test_message("\"%s\"", cases[i].status);
+        g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                        cases[i].first);
+        g_assert_cmpint(second.result, ==, cases[i].second);
+        HttpAnswer_Clear(&answer);
+        HttpCancel_Destroy(cancel);
+        g_free(text);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+        stop_server(&servers[i]);
+    }
+    HttpClient_Destroy(client);
+}
+
 typedef struct Trigger {
     HttpCancel *cancel;
     int delay_ms;
@@ -388,6 +470,7 @@
     g_test_add_func("/answers/cut", test_cut);
     g_test_add_func("/answers/malformed", test_malformed);
     g_test_add_func("/answers/statuses", test_statuses);
+    g_test_add_func("/answers/status-beside", test_status_beside);
     g_test_add_func("/answers/cancelled", test_cancelled);
     return g_test_run();
 }
