http: an answer with an odd status behind a cut refusal is not lost in it

Cause: a refusal that was cut within a header, and an answer behind it with a status such as 000, were read as one refusal (503, not run), since only a valid status counted as the begin of another answer. A request that had run was reported as not run, and would have been sent again.

Any version with a number, a sign or white space behind it within a line now ends the call, and one that is joined to other text. A Via header may hold a version and an address.

--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "base/rng.h"
+#include "http/http_status.h"
 #include "memory/memory_buffer.h"
 
 #define LINE_BYTES 8192
@@ -83,26 +84,6 @@
     return 0;
 }
 
-/* Parses "HTTP/1.x NNN"; FALSE for anything else. */
-static gboolean
-parse_status(const char *line, int *status)
-{
-    guint64 number;
-    char digits[4] = {0};
-
-    if (strncmp(line, "HTTP/1.", 7) != 0 || !g_ascii_isdigit(line[7]) ||
-        line[8] != ' ') {
-        return FALSE;
-    }
-    g_strlcpy(digits, line + 9, sizeof(digits));
-    if (!g_ascii_string_to_unsigned(digits, 10, 100, 599, &number, NULL) ||
-        (line[12] != ' ' && line[12] != '\0')) {
-        return FALSE;
-    }
-    *status = (int)number;
-    return TRUE;
-}
-
 /* Whether the socket holds the begin of a successful answer. A status that
  * only begins like one of these must not end another call. */
 static gboolean
@@ -116,7 +97,7 @@
         return FALSE;
     }
     line[strcspn(line, "\r\n")] = '\0';
-    return parse_status(line, &status) && status >= 200 && status < 300;
+    return HttpStatus_Parse(line, &status) && status >= 200 && status < 300;
 }
 
 /* Same as wait_for(), but also returns 0 when a successful answer arrives at
@@ -379,20 +360,6 @@
     return READ_DATA;
 }
 
-/* Whether another answer begins within the line, which is not empty: the head
- * before it was cut, and the lines that follow belong to the other answer. */
-static gboolean
-contains_answer(const char *line)
-{
-    const char *start = strstr(line + 1, "HTTP/1.");
-    int status;
-
-    while (start != NULL && !parse_status(start, &status)) {
-        start = strstr(start + 1, "HTTP/1.");
-    }
-    return start != NULL;
-}
-
 /* Whether the name consists of the characters that RFC 9110, section 5.1,
  * allows. A header such as "Content-Length : 5" must not go unnoticed: without
  * it, the body would end with the connection. */
@@ -429,7 +396,8 @@
         }
         bytes += strlen(line);
         colon = strchr(line, ':');
-        if (bytes > MAX_HEAD_BYTES || colon == NULL || contains_answer(line)) {
+        if (bytes > MAX_HEAD_BYTES || colon == NULL ||
+            HttpStatus_BeginsWithin(line)) {
             return FALSE;
         }
         *colon = '\0';
@@ -467,8 +435,8 @@
         }
         HttpHeaders_Clear(&answer->headers);
         *state = read_line(connection, deadline, &line);
-        if (*state != READ_DATA || !parse_status(line, &answer->status) ||
-            contains_answer(line) ||
+        if (*state != READ_DATA || !HttpStatus_Parse(line, &answer->status) ||
+            HttpStatus_BeginsWithin(line) ||
             !read_headers(connection, deadline, &answer->headers, state) ||
             (answer->status < 200 && !is_interim(answer))) {
             return FALSE;
--- a/src/http/test_answers.c
+++ b/src/http/test_answers.c
@@ -191,6 +191,10 @@
          "", FALSE, NULL},
         {HEAD "Content-Length: 12\r\n\r\n", "", FALSE, "HEAD"},
         {HEAD "Connection: close\r\n\r\nhello", "hello", TRUE, NULL},
+        {HEAD "Via: HTTP/1.1 10.0.0.1\r\nX-Protocol: HTTP/1.1\r\nServer: an "
+              "HTTP/1.1 server\r\nUpgrade: h2c, HTTP/1.1\r\n"
+              "Content-Length: 0\r\n\r\n",
+         "", FALSE, NULL},
     };
     HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
     Server server;
