http: a status that no answer may have is replaced by 502

Cause: HttpRequest_Respond() handed any status to the HTTP library. It sends 600 and 999, sends 100 to 199 as interim answers after which callers wait on, and closes the connection for the others.

Test: /http/sent-statuses. Before: 11 of 15 statuses ended with ANSWER_LOST or, for 100 and 199, at the deadline. Now these are answered with 502.

--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -102,6 +102,8 @@
     COUNTER(ATTEMPTS_REFUSED, \
             "calls that arrived after their sender was told that they had not") \
     COUNTER(ANSWERS_TOO_LARGE, "answers cut off at the largest size") \
+    COUNTER(ANSWERS_ODD_STATUS, \
+            "answers replaced by 502 for a status that no answer may have") \
     COUNTER(ANSWERS_WITHOUT_MEMORY, \
             "answers cut off because the account lent no memory") \
     COUNTER(UPLOADS_WITHOUT_MEMORY, \
--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -128,6 +128,8 @@
         "copies of a departure given to neighbours") \
     LOG(DEPARTURE_RETURNED, 411, INFO, \
         "a departure before this process learned from a neighbour") \
+    LOG(ANSWER_ODD_STATUS, 431, ERROR, \
+        "answer replaced by 502: no answer may have its status") \
     LOG(REGION_NOT_ALLOWED, 430, INFO, \
         "request returned, not run: its regions no longer include this one")
 /* clang-format on */
--- a/src/http/http_request.c
+++ b/src/http/http_request.c
@@ -4,7 +4,10 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "base/counter.h"
+#include "base/log.h"
 #include "http/http_server_private.h"
+#include "http/http_status.h"
 
 void
 HttpAnswer_SetRefusal(HttpAnswer *answer, Result result, RunState run,
@@ -27,6 +30,18 @@
     }
 }
 
+void
+_HttpAnswer_ReplaceOddStatus(HttpAnswer *answer)
+{
+    if (!HttpStatus_IsFinal(answer->status)) {
+        Counter_Add(COUNTER_ANSWERS_ODD_STATUS, 1);
+        Log_Event(LOG_ANSWER_ODD_STATUS, "status=%d", answer->status);
+        HttpAnswer_Clear(answer);
+        HttpAnswer_SetRefusal(answer, RESULT_ANSWER_MISMATCH, RUN_UNKNOWN,
+                              NULL, NULL);
+    }
+}
+
 void
 _HttpServer_WakeWatcher(HttpServer *server)
 {
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -114,9 +114,11 @@
 queue_answer(HttpRequest *request)
 {
     HttpAnswer *answer = &request->answer;
-    struct MHD_Response *response = create_response(answer);
+    struct MHD_Response *response;
     enum MHD_Result queued;
 
+    _HttpAnswer_ReplaceOddStatus(answer);
+    response = create_response(answer);
     if (response == NULL) {
         return MHD_NO;
     }
--- a/src/http/http_server_private.h
+++ b/src/http/http_server_private.h
@@ -120,6 +120,11 @@
  * held. */
 void _HttpUpload_Watch(HttpServer *server, ClockMs now);
 
+/* Replaces an answer whose status no answer may have by 502 (maybe run). The
+ * HTTP library would send some of them, and close the connection for others.
+ */
+void _HttpAnswer_ReplaceOddStatus(HttpAnswer *answer);
+
 /* Makes the watcher check deadlines at once. */
 void _HttpServer_WakeWatcher(HttpServer *server);
 
--- a/src/http/test_http.c
+++ b/src/http/test_http.c
@@ -574,6 +574,57 @@
     HttpServer_Destroy(server);
 }
 
+/* Answers /N with the status N. */
+static void
+serve_status(void *context, HttpRequest *request)
+{
+    const char *path = HttpRequest_Path(request);
+    HttpAnswer answer = {.status = (int)g_ascii_strtoll(path + 1, NULL, 10)};
+
+    (void)context;
+    HttpAnswer_SetBody(&answer, "ok", 2);
+    HttpRequest_Respond(request, &answer);
+}
+
+/* Guards against a status that no answer may have and that the HTTP library
+ * sends nevertheless, or for which it closes the connection without an answer.
+ */
+static void
+test_sent_statuses(void)
+{
+    static const struct {
+        const char *path;
+        int status;
+    } cases[] = {{"/200", 200},  {"/299", 299},  {"/404", 404}, {"/599", 599},
+                 {"/0", 502},    {"/20", 502},   {"/99", 502},  {"/100", 502},
+                 {"/101", 502},  {"/199", 502},  {"/600", 502}, {"/999", 502},
+                 {"/1000", 502}, {"/2000", 502}, {"/-200", 502}};
+    HttpServer_desc desc = {
+        .address = loopback(0), .handler = serve_status, .worker_threads = 2};
+    HttpServer *server = HttpServer_Create(&desc, NULL);
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        HttpAnswer answer = {0};
+        gboolean sent;
+        HttpCall call = {.address = loopback(HttpServer_Port(server)),
+                         .method = "GET",
+                         .target = cases[i].path,
+                         .deadline = Clock_Now() + 1000};
+        Result result = HttpClient_Call(client, &call, &answer, &sent);
+
+        g_test_message("%s: %s %d", cases[i].path, Result_Name(result),
+                       answer.status);
+        g_assert_cmpint(result, ==, RESULT_OK);
+        g_assert_cmpint(answer.status, ==, cases[i].status);
+        g_assert_cmpint(strcmp(answer.body, "ok") == 0, ==,
+                        cases[i].status != 502);
+        HttpAnswer_Clear(&answer);
+    }
+    HttpClient_Destroy(client);
+    HttpServer_Destroy(server);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -586,6 +637,7 @@
     g_test_add_func("/http/broken-answers", test_broken_answers);
     g_test_add_func("/http/ambiguous-framing", test_ambiguous_framing);
     g_test_add_func("/http/one-answer", test_one_answer);
+    g_test_add_func("/http/sent-statuses", test_sent_statuses);
     g_test_add_func("/http/close", test_close);
     g_test_add_func("/http/full-port", test_full_port);
     return g_test_run();
