--- a/tests/process_faulty.c
+++ b/tests/process_faulty.c
@@ -1,6 +1,6 @@
 /* Tests of what callers receive from daemons in mode "platform" while one of
- * two backend servers sends answers that are cut, or an earlier refusal once
- * more. */
+ * two backend servers sends answers that are cut or have an odd status, or an
+ * earlier refusal once more. */
 #include <glib.h>
 #include <pthread.h>
 #include <string.h>
@@ -16,6 +16,9 @@
 #define REFUSAL \
     "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 #define HEAD "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nAttempt-Id: %s\r\n"
+#define ODD(status)                                                  \
+    "HTTP/1.1 " status "\r\nResponse-Signature: s\r\nAttempt-Id: %s" \
+    "\r\nContent-Length: %l\r\n\r\n%s"
 #define WARM HEAD "Content-Length: %l\r\n\r\n%s"
 
 /* What the faulty backend server sends; %s is the id of the request, %l the
@@ -233,6 +236,16 @@
         {"repeated refusal before the end", REFUSAL, TRUE, FALSE, FALSE, 502},
         {"cut refusal before the answer", "HTTP/1.1 503 Busy\r\nNot-Exec" WARM,
          TRUE, TRUE, FALSE, 502},
+        {"status 000", ODD("000 OK"), FALSE, TRUE, FALSE, 502},
+        {"status 000 as the second answer", ODD("000 OK"), TRUE, TRUE, FALSE,
+         502},
+        {"status 2000 behind an interim answer",
+         "HTTP/1.1 100 Continue\r\n\r\n" ODD("2000 OK"), TRUE, TRUE, FALSE,
+         502},
+        {"status 101 with a body", ODD("101 OK"), FALSE, TRUE, FALSE, 502},
+        {"status 000 in a cut refusal",
+         "HTTP/1.1 503 Busy\r\nNot-Executed: 1" ODD("000 OK"), TRUE, TRUE,
+         FALSE, 502},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
