--- a/soak/soak.c
+++ b/soak/soak.c
@@ -3,13 +3,14 @@
  * servers observe.
  *
  *   soak --seed=N [--mode=MODE] [--seconds=S] [--hosts=H] [--endless]
- *        [--long-runs]
+ *        [--long-runs] [--cold]
  *
  * Modes: mixed (faults of all kinds), planned (only planned work, which
  * excuses no lost request), restored (the store goes back to an older copy).
  * With --endless, one more host has a backend server that sends bytes without
  * end (soak_endless.c). With --long-runs, a few requests of mode planned take
- * far longer than the others, so that an estimate by these fails.
+ * far longer than the others, so that an estimate by these fails. With --cold,
+ * backend servers become cold (soak_cold.c).
  *
  * The seed determines the schedule; the timing of the processes is not
  * reproducible. On a violation the program prints the guarantee, keeps the
@@ -135,6 +136,9 @@
     if (soak->endless != NULL) {
         pthread_create(&soak->endless_thread, NULL, Endless_Run, soak);
     }
+    if (soak->has_cold) {
+        pthread_create(&soak->cold_thread, NULL, Cold_Run, soak);
+    }
     soak->end = Clock_Now() + (ClockMs)seconds * 1000;
     mode->run(soak);
     Checks_Recovery(soak);
@@ -145,6 +149,10 @@
     }
     pthread_join(writer, NULL);
     Checks_Refusals(soak);
+    if (soak->has_cold) {
+        pthread_join(soak->cold_thread, NULL);
+        Cold_Check(soak);
+    }
     if (soak->endless != NULL) {
         pthread_join(soak->endless_thread, NULL);
         Endless_Check(soak);
@@ -167,7 +175,9 @@
         const char *data_centre =
             mode->data_centres[(size_t)i % G_N_ELEMENTS(mode->data_centres)];
         SiteHost_desc desc = {.data_centre = data_centre,
-                              .region = data_centre[0] == 's' ? "sur" : NULL};
+                              .region = data_centre[0] == 's' ? "sur" : NULL,
+                              .settings =
+                                  soak->has_cold ? Cold_Settings() : NULL};
 
         Site_SetWorkMs(soak->site, Site_AddHost(soak->site, &desc), 20);
     }
@@ -184,6 +194,7 @@
     int hosts;
     gboolean has_endless;
     gboolean has_long_runs;
+    gboolean has_cold;
 } Options;
 
 static const Mode *
@@ -222,6 +233,9 @@
     case 'l':
         options->has_long_runs = TRUE;
         return 0;
+    case 'c':
+        options->has_cold = TRUE;
+        return 0;
     default:
         return ARGP_ERR_UNKNOWN;
     }
@@ -238,6 +252,7 @@
         {"hosts", 'n', "H", 0, "number of daemons (5)", 0},
         {"endless", 'e', NULL, 0, "a backend server sends without end", 0},
         {"long-runs", 'l', NULL, 0, "a few requests take far longer", 0},
+        {"cold", 'c', NULL, 0, "backend servers become cold", 0},
         {0}};
     static const struct argp argp = {
         argp_options,
@@ -255,6 +270,7 @@
     Rng_Seed(&soak.rng, options.seed);
     soak.seed = options.seed;
     soak.has_long_runs = options.has_long_runs;
+    soak.has_cold = options.has_cold;
     soak.hosts =
         MIN(options.hosts, SITE_MAX_HOSTS - (options.has_endless ? 1 : 0));
     start_site(&soak, options.mode, options.has_endless);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -38,6 +38,8 @@
     pthread_t endless_thread;
     ClockMs end; /* of the schedule */
     gboolean has_long_runs;
+    gboolean has_cold; /* backend servers become cold */
+    pthread_t cold_thread;
     atomic_bool stopping;
     atomic_int served;
     atomic_int refused;
@@ -112,4 +114,10 @@
 void Planned_Run(Soak *soak);
 void Restored_Run(Soak *soak);
 
+/* soak_cold.c: settings of the hosts, the injector, and the check at the end.
+ */
+const char *Cold_Settings(void);
+void *Cold_Run(void *context);
+void Cold_Check(Soak *soak);
+
 #endif
--- a/tests/site.c
+++ b/tests/site.c
@@ -41,6 +41,7 @@
     atomic_bool draining;
     atomic_bool silent; /* sends no announcements of its own */
     atomic_uint runs;
+    ColdCount *cold;
     gint64 born;
     int sequence;
     _Atomic ClockMs left; /* time of the acknowledgement, 0 if none */
@@ -151,6 +152,7 @@
         HttpHeaders_Add(&answer.headers, "Instance-Id", host->name);
     }
     else {
+        ColdCount_Arrive(host->cold);
         count_run(host, id, HttpRequest_Path(request));
         g_usleep((gulong)get_work_ms(host, HttpRequest_Path(request)) * 1000);
         end_run(host->site, id);
@@ -158,6 +160,8 @@
             answer.status = 500;
         }
         HttpHeaders_Add(&answer.headers, "Response-Signature", "s");
+        HttpHeaders_AddNumber(&answer.headers, "Cold-Start-Ms",
+                              ColdCount_LeftMs(host->cold));
         HttpHeaders_Add(&answer.headers, "Attempt-Id", id);
         HttpAnswer_SetBody(&answer, id, strlen(id));
     }
@@ -214,10 +218,10 @@
         "{\"address\":\"%s:%d\",\"born\":%" G_GINT64_FORMAT
         ",\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":\"%s\","
         "\"slots\":5},\"status\":{\"state\":\"%s\",\"seq\":%d,"
-        "\"cold_left\":\"0ms\"}}",
+        "\"cold_left\":\"%" G_GINT64_FORMAT "ms\"}}",
         host->address, BACKEND_PORT, born, host->desc.service,
         host->desc.data_centre, draining ? "draining" : "ready",
-        host->sequence++);
+        host->sequence++, ColdCount_LeftMs(host->cold));
     pthread_mutex_unlock(&host->site->lock);
     if (post_announcement(host, "heartbeat", body) && draining) {
         note_departure(host, born);
@@ -278,6 +282,7 @@
             waitpid(host->pid, NULL, 0);
         }
         HttpServer_Destroy(host->backend);
+        ColdCount_Destroy(host->cold);
         Relay_Destroy(host->store_relay);
         if (!site->keep_files) {
             (void)unlink(host->settings);
@@ -377,6 +382,7 @@
     host->desc.region = desc->region ? desc->region : "norte";
     host->born = Clock_WallMs();
     host->sequence = 1;
+    host->cold = ColdCount_Create();
     g_snprintf(host->name, sizeof(host->name), "host-%d", number);
     make_address(number, host->address, sizeof(host->address));
     host->settings = g_build_filename(site->folder, host->name, NULL);
@@ -530,39 +536,6 @@
     return Site_RequestAs(site, host, method, path, key, site->last_id);
 }
 
-/* Reads until the peer closes the connection or REQUEST_MS have passed. */
-static GString *
-read_to_end(int fd)
-{
-    struct timeval limit = {.tv_sec = REQUEST_MS / 1000};
-    GString *text = g_string_new(NULL);
-    char buffer[2000];
-    ssize_t length;
-
-    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-    while ((length = recv(fd, buffer, sizeof(buffer), 0)) > 0) {
-        g_string_append_len(text, buffer, length);
-    }
-    return text;
-}
-
-static SiteReply
-parse_reply(const char *text)
-{
-    SiteReply reply = {.result = RESULT_ANSWER_LOST};
-    const char *value = strstr(text, "Retry-After: ");
-
-    if (sscanf(text, "HTTP/1.1 %d ", &reply.status) == 1 &&
-        strstr(text, "\r\n\r\n") != NULL) {
-        reply.result = RESULT_OK;
-    }
-    reply.is_signed = strstr(text, "Response-Signature: ") != NULL;
-    if (value != NULL) {
-        (void)sscanf(value, "Retry-After: %31s", reply.retry_after);
-    }
-    return reply;
-}
-
 SiteReply
 Site_UploadSlowly(Site *site, int host, const char *path, const char *key,
                   ClockMs body_after_ms, char *id)
@@ -586,8 +559,8 @@
         (void)send(fd, head, strlen(head), MSG_NOSIGNAL);
         g_usleep((gulong)body_after_ms * 1000);
         (void)send(fd, "x", 1, MSG_NOSIGNAL);
-        text = read_to_end(fd);
-        reply = parse_reply(text->str);
+        text = _Site_ReadToEnd(fd, REQUEST_MS);
+        reply = _Site_ParseReply(text->str);
         g_string_free(text, TRUE);
     }
     close(fd);
@@ -683,6 +656,19 @@
     send_heartbeat(self, FALSE);
 }
 
+void
+Site_SetCold(Site *site, int host, ClockMs length_ms)
+{
+    ColdCount_Begin(site->hosts[host].cold, length_ms);
+    send_heartbeat(&site->hosts[host], FALSE);
+}
+
+ColdCount *
+Site_Cold(Site *site, int host)
+{
+    return site->hosts[host].cold;
+}
+
 gboolean
 Site_HasEntry(Site *site, int host)
 {
--- a/tests/site.h
+++ b/tests/site.h
@@ -23,6 +23,7 @@
 #include <sys/types.h>
 
 #include "base/clock.h"
+#include "cold_count.h"
 #include "http/http_client.h"
 #include "object_server.h"
 
@@ -68,7 +69,8 @@
 /* Writes a configuration with five routes to the service "desk": /read/ (may
  * be retried) and /issue/ (non-idempotent) need a key, /open/ (may be retried)
  * needs none. /patient/ is as /open/ and /commit/ as /issue/, but with a
- * timeout of 20 s instead of 5 s. `keys` is a JSON list. */
+ * timeout of 20 s instead of 5 s. `keys` is a JSON list. A cold backend server
+ * of the service tolerates 10 requests in a second. */
 void Site_Configure(Site *site, unsigned version, const char *keys,
                     int rate_per_s);
 
@@ -146,6 +148,13 @@
  * and announces itself. */
 void Site_Rejoin(Site *site, int host);
 
+/* The backend server of the host becomes cold for this time and announces it.
+ * Its answers state the time that is left. */
+void Site_SetCold(Site *site, int host, ClockMs length_ms);
+
+/* Requests that it got while it was cold. */
+ColdCount *Site_Cold(Site *site, int host);
+
 /* Returns whether the store contains the backend server of the host. */
 gboolean Site_HasEntry(Site *site, int host);
 
@@ -176,4 +185,8 @@
 /* Keeps logs and settings when the site is destroyed. Prints their folder. */
 void Site_KeepFiles(Site *site);
 
+/* site_reply.c */
+GString *_Site_ReadToEnd(int fd, ClockMs timeout_ms);
+SiteReply _Site_ParseReply(const char *text);
+
 #endif
--- a/tests/site_config.c
+++ b/tests/site_config.c
@@ -26,10 +26,11 @@
         make_route("/open/", "safe", TRUE, "5000ms"), "patient",
         make_route("/patient/", "safe", TRUE, "20000ms"), "commit",
         make_route("/commit/", "non_idempotent", FALSE, "20000ms"));
-    json_t *value = json_pack("{s:s, s:O, s:{s:{s:o, s:i, s:i}}}", "version",
-                              text, "routes", routes, "tenants", "crews",
-                              "api_keys", json_loads(keys, 0, NULL),
-                              "rate_per_s", rate_per_s, "burst", rate_per_s);
+    json_t *value = json_pack(
+        "{s:s, s:O, s:{s:{s:s, s:i}}, s:{s:{s:o, s:i, s:i}}}", "version", text,
+        "routes", routes, "services", "desk", "cold_start", "5s", "cold_per_s",
+        10, "tenants", "crews", "api_keys", json_loads(keys, 0, NULL),
+        "rate_per_s", rate_per_s, "burst", rate_per_s);
 
     g_assert_nonnull(value);
     if (prefix != NULL) {
