--- a/soak/soak_cold.c
+++ b/soak/soak_cold.c
@@ -1,5 +1,7 @@
 /* Injector of backend servers that become cold, one at a time or half of them
- * at once. Checked: in no second does a cold one get more than the bound.
+ * at once. Checked:
+ *  - in no second does a cold one get more than the bound;
+ *  - cold ones get requests at all.
  */
 #include <math.h>
 #include <stdio.h>
@@ -63,11 +65,14 @@
 void
 Cold_Check(Soak *soak)
 {
+    guint all = 0;
+
     for (int host = 0; host < soak->hosts; host++) {
         ColdCount *count = Site_Cold(soak->site, host);
 
         printf("cold host=%d requests=%u most=%u\n", host,
                ColdCount_All(count), ColdCount_Most(count));
+        all += ColdCount_All(count);
         if (ColdCount_Most(count) > floor(PER_S * OVERAGE + SLACK)) {
             char *details = g_strdup_printf("host=%d most=%u", host,
                                             ColdCount_Most(count));
@@ -78,4 +83,8 @@
             g_free(details);
         }
     }
+    if (all == 0) {
+        Soak_ReportViolation(soak, "cold backend servers got nothing", "-",
+                             NULL);
+    }
 }
