roster: data centres whose backend servers get no requests

Cause: an operator may evacuate a data centre; the roster had no way to leave its backend servers out while its hosts stay neighbours and candidates for quotas. Change: Roster_SetWithdrawn() marks the rows; the choice skips them, also when it takes hosts that are being avoided.

--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -33,6 +33,7 @@
 Roster_Destroy(Roster *roster)
 {
     if (roster != NULL) {
+        g_free(roster->withdrawn);
         g_ptr_array_unref(roster->neighbours);
         g_hash_table_destroy(roster->services);
         g_hash_table_destroy(roster->rows);
@@ -106,6 +107,7 @@
     row->entry = *entry;
     row->service = service;
     row->tier = tier_of(roster, entry);
+    _Roster_MarkWithdrawn(roster, row);
     g_ptr_array_add(service_rows(roster, service), row);
     if (row->tier == ROSTER_SAME_DATA_CENTRE) {
         g_ptr_array_add(roster->neighbours, row);
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -115,6 +115,11 @@
 void Roster_Retain(Roster *roster, GHashTable *names, ClockMs keep_until);
 void Roster_Expire(Roster *roster, ClockMs now);
 
+/* Sets the data centres whose backend servers get no requests, as hashes of
+ * their names. Replaces the earlier ones. */
+void Roster_SetWithdrawn(Roster *roster, const uint64_t *data_centres,
+                         uint32_t count);
+
 /* Fills the choice; FALSE if no host is left to choose from. */
 gboolean Roster_Choose(Roster *roster, const RosterQuery *query, ClockMs now,
                        RosterChoice *choice);
--- a/src/roster/roster_choice.c
+++ b/src/roster/roster_choice.c
@@ -185,7 +185,8 @@
 }
 
 /* Returns the row with the lowest cost; NULL if there is none. Skips hosts
- * that are being avoided or stop too early, unless `include_all` is set. */
+ * that are being avoided or stop too early, unless `include_all` is set, and
+ * those of withdrawn data centres always. */
 static const RosterRow *
 find_best(Roster *roster, const GPtrArray *rows, const RosterQuery *query,
           gboolean include_all, ClockMs now, RosterChoice *choice)
@@ -199,7 +200,8 @@
         const RosterRow *row = g_ptr_array_index(rows, i);
         double cost;
 
-        if (row->entry.leaving || is_excluded(query, row->host) ||
+        if (row->withdrawn || row->entry.leaving ||
+            is_excluded(query, row->host) ||
             (!include_all &&
              (now < row->avoid_until || stops_too_early(row, query, now)))) {
             continue;
--- a/src/roster/roster_internal.h
+++ b/src/roster/roster_internal.h
@@ -22,6 +22,7 @@
     ClockMs ends;     /* end of its host's process, which stops; 0: does not */
     ClockMs unreachable_since; /* 0: the last contact succeeded */
     ClockMs keep_until;        /* time of removal, unless set again; 0: none */
+    gboolean withdrawn;        /* its data centre is (roster_withdrawn.c) */
 } RosterRow;
 
 struct Roster {
@@ -32,12 +33,17 @@
     GHashTable *services;  /* service hash -> GPtrArray of RosterRow */
     GPtrArray *neighbours; /* RosterRow of this data centre's other hosts */
     double transit_ms[ROSTER_TIERS]; /* moving average for each tier */
+    uint64_t *withdrawn;             /* hashes of data centres */
+    uint32_t withdrawn_count;
     Rng rng;
 };
 
 /* roster_choice.c: whether the report is recent enough to count. */
 gboolean _Roster_IsRecent(const RosterRow *row, ClockMs now);
 
+/* roster_withdrawn.c: sets `withdrawn` of a row. Called with the lock held. */
+void _Roster_MarkWithdrawn(const Roster *roster, RosterRow *row);
+
 /* Records that the host answered. Called with the lock held. */
 void _Roster_MarkReached(RosterRow *row, ClockMs now);
 
--- a/src/roster/test_roster.c
+++ b/src/roster/test_roster.c
@@ -129,6 +129,35 @@
     }
 }
 
+/* Guards against a choice in a withdrawn data centre: as the only one left,
+ * for an entry that is set later, or after another one is withdrawn as well;
+ * and against one that stays left out. */
+static void
+test_withdrawn(void)
+{
+    uint64_t hashes[] = {Rng_HashString("dc1"), Rng_HashString("dc2")};
+    Roster *roster = make_fleet();
+    RosterQuery wanted = query();
+
+    Roster_Remove(roster, "far");
+    Roster_SetWithdrawn(roster, hashes, 1);
+    add(roster, "new", "dc1", "r1", "i4");
+    g_assert_cmpstr(choose(roster, &wanted, 1), ==, "region");
+    Roster_NoteUnreachable(roster, Rng_HashString("region"), 1);
+    g_assert_cmpstr(choose(roster, &wanted, 2), ==, "region");
+    Roster_SetWithdrawn(roster, hashes, 2);
+    g_assert_null(choose(roster, &wanted, 3));
+    g_assert_cmpuint(Roster_CountDataCentre(roster), ==, 3);
+    Roster_SetWithdrawn(roster, &hashes[1], 1);
+    Roster_Remove(roster, "new");
+    Roster_Remove(roster, "self");
+    g_assert_cmpstr(choose(roster, &wanted, 4), ==, "near");
+    Roster_SetWithdrawn(roster, NULL, 0);
+    Roster_Remove(roster, "near");
+    g_assert_cmpstr(choose(roster, &wanted, 5), ==, "region");
+    Roster_Destroy(roster);
+}
+
 /* Guards against an entry that loses a field when it is encoded and decoded,
  * and against a malformed one that is accepted. */
 static void
@@ -487,6 +516,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/roster/withdrawn", test_withdrawn);
     g_test_add_func("/roster/entry", test_entry);
     g_test_add_func("/roster/entry-ranges", test_entry_ranges);
     g_test_add_func("/roster/choice", test_choice);
