backend: a backend server that is withdrawn gets no requests

Cause: the owner has to refuse what has not been sent to its server while its data centre is evacuated, and may not let all senders fill it when that ends. Change: Backend_SetWithdrawn() refuses arriving and waiting requests as BACKEND_SERVER_LEAVING (not run); running ones end normally. On the return half of the slots are used for a second, and Backend_TreatAsCold() is called.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -123,7 +123,8 @@
         .waiting = load.waiting,
         .service_ms = load.service_ms,
         .idle_ms = load.running > 0 ? 0 : now - backend->last_sent,
-        .leaving = backend->closed || backend->state != BACKEND_READY,
+        .leaving = backend->closed || backend->withdrawn ||
+                   backend->state != BACKEND_READY,
         .stop_ms = backend->stop.begin == CLOCK_NEVER
                        ? 0
                        : MAX(backend->stop.end - now, 1),
@@ -220,6 +221,7 @@
 {
     pthread_mutex_lock(&backend->lock);
     PauseLog_Tick(&backend->pauses, Clock_Now());
+    _Backend_EndReturn(backend, Clock_Now());
     pthread_mutex_unlock(&backend->lock);
 }
 
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -27,6 +27,7 @@
  *    deadline is earlier. In the stop of this host, one of another host's
  * caller also needs the time that its sender allows for it, as a single run
  * may take far longer than all before it; so does one whose sender stops, too;
+ *  - if the backend server is withdrawn (Backend_SetWithdrawn());
  *  - if its risk of a gray failure or the expected wait for a slot exceeds the
  *    sender's limit. A request that explores an idle backend server is exempt
  *    from the limit of risk. Only the owner knows how long the backend server
@@ -177,6 +178,18 @@
 
 void Backend_Tick(Backend *backend);
 
+/* TRUE: the backend server gets no further requests, because its data centre
+ * is evacuated. What has not been sent to it, waiting requests included, is
+ * refused as BACKEND_SERVER_LEAVING; running requests end normally. FALSE: it
+ * gets requests again, at a limited rate: in the first second half of its
+ * slots are used, and Backend_TreatAsCold() applies. Returns the time since
+ * the last request was sent to it. Calls must not overlap. */
+ClockMs Backend_SetWithdrawn(Backend *backend, gboolean withdrawn);
+
+/* Treats the backend server as cold until the next announcement of it that
+ * arrives after the call. */
+void Backend_TreatAsCold(Backend *backend);
+
 /* Returns how long this process has not run since `from`. */
 ClockMs Backend_PausedMs(Backend *backend, ClockMs from);
 
--- a/src/backend/backend_announce.c
+++ b/src/backend/backend_announce.c
@@ -82,7 +82,7 @@
                   announcement->sequence);
     }
     backend->announcement = *announcement;
-    Admission_SetSlots(backend->admission, announcement->slots);
+    _Backend_SetSlots(backend, Clock_Now());
     changed = changed || backend->state != old;
     if (changed) {
         Log_Event(LOG_BACKEND_SERVER_STATE,
--- a/src/backend/backend_internal.h
+++ b/src/backend/backend_internal.h
@@ -30,8 +30,17 @@
     RetryRates rates;
     PauseLog pauses;
     Admission *admission;
+    gboolean withdrawn;     /* gets no requests */
+    ClockMs returned_until; /* end of the limited return; 0: none */
 };
 
+/* backend_withdrawn.c: sets the number of slots that may be used now. Called
+ * with the lock held. */
+void _Backend_SetSlots(Backend *backend, ClockMs now);
+
+/* Gives back the other slots after a limited return. The same. */
+void _Backend_EndReturn(Backend *backend, ClockMs now);
+
 /* backend_stop.c: which runs a graceful stop leaves time for. */
 
 /* Longest run that is expected, by the mean and these deviations, the longest
--- a/src/backend/backend_stop.c
+++ b/src/backend/backend_stop.c
@@ -111,7 +111,8 @@
 is_leaving(const Backend *backend, const BackendCall *call,
            const AdmissionTicket *ticket, ClockMs now)
 {
-    return backend->closed || backend->state != BACKEND_READY ||
+    return backend->closed || backend->withdrawn ||
+           backend->state != BACKEND_READY ||
            may_lose_run(backend, call, now) ||
            is_stop_expected(backend, call, ticket, now);
 }
