mirror, objects: kinds that are kept while the store is away

Cause: a neighbour serves its copy only while that is fresh, so a process that starts in an outage of the store learns nothing; and the host that ranks first never reads from a neighbour, so it misses all changes if it alone is cut off from the store. Change: for a kind with keeps_known, a host without a list takes one of any age from a neighbour, and after a failed call on the store the first host reads from neighbours for 3 s. ObjectSync_Retry() ends a pause; with names_only, a value that cannot be decoded is not rejected.

--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -35,6 +35,9 @@
  * short because the age of the state is unknown until the watch returns. */
 #define TAKEOVER_WAIT_MS 100
 
+/* Wait time that asks a neighbour for what it has, however old. */
+#define WAIT_ANY_AGE 0
+
 typedef struct Avoided {
     uint64_t host;
     ClockMs until;
@@ -48,6 +51,8 @@
     unsigned next_avoided;
     uint64_t source; /* host that gave the last answer; 0: the store */
     atomic_bool direct;
+    ClockMs away_until; /* the store is taken as away; 0: it is not */
+    gboolean knows;     /* a list has been read */
 };
 
 static gboolean
@@ -80,7 +85,7 @@
 }
 
 /* Finds the neighbour to read from. Returns FALSE if this host ranks before
- * every usable neighbour and so has to read the store. */
+ * every usable neighbour and so has to read the store, unless that is away. */
 static gboolean
 find_neighbour(const Mirror *mirror, const char *kind, RosterPeer *peer)
 {
@@ -91,10 +96,12 @@
 
     for (uint32_t i = 0; i < count; i++) {
         if (order[i].is_self) {
-            return FALSE;
+            if (now >= mirror->away_until) {
+                return FALSE;
+            }
         }
-        if (order[i].mirror.sin_port != 0 &&
-            !is_avoided(mirror, order[i].host, now)) {
+        else if (order[i].mirror.sin_port != 0 &&
+                 !is_avoided(mirror, order[i].host, now)) {
             *peer = order[i];
             return TRUE;
         }
@@ -191,8 +198,9 @@
 {
     char *target =
         g_strdup_printf(MIRROR_PATH "%s?generation=%" PRId64 "&since=%" PRId64
-                                    "&wait_ms=%" PRId64,
-                        kind, since.generation, since.number, wait_ms);
+                                    "&wait_ms=%" PRId64 "%s",
+                        kind, since.generation, since.number, wait_ms,
+                        wait_ms == WAIT_ANY_AGE ? MIRROR_ANY_AGE : "");
     HttpAnswer answer = {0};
     HttpCall call = {.address = peer->mirror,
                      .method = "GET",
@@ -254,6 +262,43 @@
     return FALSE;
 }
 
+/* Reads the list that some neighbour has, however old it is. Those that are
+ * avoided are asked, too: they may have been so for the age of their state. */
+static gboolean
+read_known(Mirror *mirror, const char *kind, ObjectPage *page)
+{
+    ObjectRevision all = {.generation =
+                              ObjectGeneration_Newest(mirror->desc.generation),
+                          .number = -1};
+    RosterPeer order[MAX_NEIGHBOURS];
+    uint32_t count = Roster_Rank(mirror->desc.roster, group_key(mirror, kind),
+                                 FALSE, Clock_Now(), order, MAX_NEIGHBOURS);
+    ClockMs avoid_ms;
+
+    for (uint32_t i = 0; i < count; i++) {
+        if (order[i].is_self || order[i].mirror.sin_port == 0) {
+            continue;
+        }
+        if (request_page(mirror, &order[i], kind, all, WAIT_ANY_AGE, page,
+                         &avoid_ms) == RESULT_OK) {
+            record_source(mirror, kind, order[i].host);
+            return TRUE;
+        }
+        ObjectPage_Clear(page);
+        ObjectPage_Init(page);
+    }
+    return FALSE;
+}
+
+/* Called after a failed call on the store, which may have filled the page. */
+static void
+note_away(Mirror *mirror, ObjectPage *page)
+{
+    mirror->away_until = Clock_Now() + MIRROR_AWAY_MS;
+    ObjectPage_Clear(page);
+    ObjectPage_Init(page);
+}
+
 static Result
 list(void *context, const char *kind, const char *after, ObjectPage *page)
 {
@@ -266,12 +311,20 @@
 
     if (after[0] == '\0' &&
         read_neighbour(mirror, kind, all, RESTORED_WAIT_MS, page, &result)) {
+        mirror->knows = mirror->knows || result == RESULT_OK;
         return result;
     }
     result = store->list(store->context, kind, after, page);
     if (result == RESULT_OK) {
         record_source(mirror, kind, 0);
     }
+    else if (mirror->desc.keeps_known && after[0] == '\0') {
+        note_away(mirror, page);
+        if (!mirror->knows && read_known(mirror, kind, page)) {
+            result = RESULT_OK;
+        }
+    }
+    mirror->knows = mirror->knows || result == RESULT_OK;
     return result;
 }
 
@@ -281,6 +334,7 @@
 {
     Mirror *mirror = context;
     const ObjectStore *store = mirror->desc.store;
+    ClockMs store_wait_ms = wait_ms;
     Result result;
 
     if (read_neighbour(mirror, kind, revision, wait_ms, page, &result)) {
@@ -292,15 +346,20 @@
         return RESULT_STORE_HISTORY_GONE;
     }
     if (mirror->source != 0) {
-        wait_ms = MIN(wait_ms, TAKEOVER_WAIT_MS);
+        store_wait_ms = MIN(wait_ms, TAKEOVER_WAIT_MS);
     }
     else if (Roster_CountDataCentre(mirror->desc.roster) == 1) {
-        wait_ms = MAX(wait_ms, mirror->desc.alone_wait_ms);
+        store_wait_ms = MAX(wait_ms, mirror->desc.alone_wait_ms);
     }
     /* Set before the watch returns, so that neighbours can watch this host
      * while the call is in progress. */
     record_source(mirror, kind, 0);
-    return store->watch(store->context, kind, revision, wait_ms, page);
+    result = store->watch(store->context, kind, revision, store_wait_ms, page);
+    if (result == RESULT_STORE_UNAVAILABLE && mirror->desc.keeps_known) {
+        note_away(mirror, page);
+        (void)read_neighbour(mirror, kind, revision, wait_ms, page, &result);
+    }
+    return result;
 }
 
 Mirror *
--- a/src/mirror/mirror.h
+++ b/src/mirror/mirror.h
@@ -11,6 +11,11 @@
  * store is read: it takes over the watch on the store, while the others of the
  * group wait for it.
  *
+ * A kind whose last known state counts while the store is away has
+ * `keeps_known`. After a failed call on the store, the host that ranks first
+ * reads from its neighbours for MIRROR_AWAY_MS, and a host that has no list
+ * yet takes one of any age from a neighbour.
+ *
  * Use:
  *  1. Mirror_Create() with the store and the roster.
  *  2. Pass Mirror_AsStore() to an ObjectSync; one Mirror for each kind. It
@@ -30,6 +35,7 @@
 #define MIRROR_GROUP 32
 #define MIRROR_AVOID_MS 3000
 #define MIRROR_REFUSED_MS 1000
+#define MIRROR_AWAY_MS 3000
 
 typedef struct Mirror Mirror;
 
@@ -43,6 +49,7 @@
      * that nobody reads from this host; 0: as the caller of the watch has it.
      */
     ClockMs alone_wait_ms;
+    gboolean keeps_known; /* the last known state counts in an outage */
 } Mirror_desc;
 
 Mirror *Mirror_Create(const Mirror_desc *desc);
--- a/src/mirror/mirror_port.c
+++ b/src/mirror/mirror_port.c
@@ -80,11 +80,14 @@
  * the wait, because its source may change meanwhile. */
 static Result
 read_kind(const MirrorKind *kind, ObjectRevision since, ClockMs wait_ms,
-          ObjectPage *page)
+          gboolean any_age, ObjectPage *page)
 {
     ClockMs started = Clock_Now();
     Result result;
 
+    if (kind->keeps_known && any_age) {
+        return MirrorCache_Read(kind->cache, since, page);
+    }
     if (!await_direct(kind, wait_ms)) {
         return RESULT_STORE_UNAVAILABLE;
     }
@@ -116,7 +119,7 @@
     ObjectPage_Init(&page);
     if (kind != NULL) {
         result = read_kind(kind, since, read_argument(request, "wait_ms", 0),
-                           &page);
+                           read_argument(request, "any_age", 0) != 0, &page);
     }
     if (result == RESULT_OK) {
         body = encode_page(&page);
--- a/src/mirror/mirror_port.h
+++ b/src/mirror/mirror_port.h
@@ -7,7 +7,9 @@
  * revision, or after wait_ms; since=-1 requests all objects. The status is 410
  * if the host no longer has that history, 503 if it does not watch the store
  * itself, nor begins to within a short time, or its state is older than
- * max_age_ms or from before the reader's generation. Daemons of earlier
+ * max_age_ms or from before the reader's generation. With any_age=1, a kind
+ * that is kept in outages of the store is answered at once, by any host that
+ * has it, at any age. Daemons of earlier
  * versions neither send nor expect the generation; a reader takes an answer
  * without it for generation 0.
  *
@@ -23,13 +25,15 @@
 #include "mirror/mirror_cache.h"
 
 #define MIRROR_PATH "/radishknot/mirror/"
+#define MIRROR_ANY_AGE "&any_age=1"
 
 typedef struct MirrorPort MirrorPort;
 
 typedef struct MirrorKind {
     const char *kind;
     MirrorCache *cache;
-    ClockMs max_age_ms; /* maximum age of a served state */
+    ClockMs max_age_ms;   /* maximum age of a served state */
+    gboolean keeps_known; /* any_age=1 is served */
     /* Returns whether this host watches the kind at the store itself. */
     gboolean (*is_direct)(void *context);
     void *context;
--- a/src/mirror/test_mirror.c
+++ b/src/mirror/test_mirror.c
@@ -190,6 +190,7 @@
     int lists;
     int watches;
     ClockMs wait_ms; /* of the last watch */
+    Result result;
 } FakeStore;
 
 static Result
@@ -199,7 +200,7 @@
     (void)after;
     ((FakeStore *)context)->lists++;
     page->revision.number = 50;
-    return RESULT_OK;
+    return ((FakeStore *)context)->result;
 }
 
 static Result
@@ -210,7 +211,7 @@
     ((FakeStore *)context)->watches++;
     ((FakeStore *)context)->wait_ms = wait_ms;
     page->revision = revision;
-    return RESULT_OK;
+    return ((FakeStore *)context)->result;
 }
 
 static gboolean
@@ -223,6 +224,8 @@
     MirrorCache *cache;
     MirrorPort *port;
     gboolean direct;
+    gboolean keeps_known;
+    gboolean is_first; /* the follower ranks before its neighbour */
     RosterEntry neighbour;
     Roster *roster;
     HttpClient *client;
@@ -232,7 +235,7 @@
     MirrorKind kind;
 } Fixture;
 
-/* Sets up a follower whose neighbour ranks first for the kind. */
+/* Sets up a follower whose neighbour ranks first for the kind, or second. */
 static void
 open_fixture(Fixture *fixture)
 {
@@ -245,6 +248,7 @@
     fixture->kind = (MirrorKind){.kind = "k",
                                  .cache = fixture->cache,
                                  .max_age_ms = 500,
+                                 .keeps_known = fixture->keeps_known,
                                  .is_direct = read_flag,
                                  .context = &fixture->direct};
     port.kinds = &fixture->kind;
@@ -263,7 +267,7 @@
                       .rpc_port = 1,
                       .mirror_port = MirrorPort_Port(fixture->port)};
     g_assert_true(HttpAddress_Parse("127.0.0.1:0", &fixture->neighbour.peer));
-    /* Try names until the neighbour ranks first. */
+    /* Try names until the neighbour has its rank. */
     for (int i = 0; name[0] == '\0'; i++) {
         fixture->roster = Roster_Create(
             &(Roster_desc){.host = "self", .data_centre = "d", .region = "r"});
@@ -271,7 +275,7 @@
         Roster_Set(fixture->roster, &fixture->neighbour, Clock_Now());
         Roster_Rank(fixture->roster, Rng_Mix(Rng_HashString("k"), 0), FALSE,
                     Clock_Now(), order, 2);
-        if (!order[0].is_self) {
+        if (order[0].is_self == fixture->is_first) {
             g_strlcpy(name, fixture->neighbour.host, sizeof(name));
         }
         else {
@@ -284,7 +288,8 @@
                                      .generation = fixture->generation,
                                      .roster = fixture->roster,
                                      .host = "self",
-                                     .client = fixture->client});
+                                     .client = fixture->client,
+                                     .keeps_known = fixture->keeps_known});
 }
 
 static void
@@ -704,6 +709,74 @@
     }
 }
 
+/* Guards against a kind that is kept in outages and unknown to a new process,
+ * although a neighbour has it; against an old list of another kind, or from
+ * before a restoration; and against one that replaces what is known. */
+static void
+test_list_in_outage(void)
+{
+    static const struct {
+        gboolean keeps_known;
+        int64_t generation; /* that the follower knows of */
+        Result result;
+    } cases[] = {{TRUE, 0, RESULT_OK},
+                 {TRUE, 1, RESULT_OK},
+                 {TRUE, 2, RESULT_STORE_UNAVAILABLE},
+                 {FALSE, 0, RESULT_STORE_UNAVAILABLE}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Fixture fixture = {.keeps_known = cases[i].keeps_known};
+        const ObjectStore *store;
+        ObjectPage page;
+
+        open_fixture(&fixture);
+        store = Mirror_AsStore(fixture.mirror);
+        fixture.store.result = RESULT_STORE_UNAVAILABLE;
+        fixture.direct = FALSE;
+        (void)ObjectGeneration_Note(fixture.generation, cases[i].generation);
+        change_in(fixture.cache, "a", (ObjectRevision){1, 3},
+                  (ObjectRevision){1, 5});
+        MirrorCache_Confirm(fixture.cache, Clock_Now() - 60000,
+                            (ObjectRevision){1, 5});
+        ObjectPage_Init(&page);
+        g_assert_cmpint(store->list(store->context, "k", "", &page), ==,
+                        cases[i].result);
+        if (cases[i].result == RESULT_OK) {
+            check_page(&page, 60000);
+        }
+        ObjectPage_Clear(&page);
+        ObjectPage_Init(&page);
+        g_assert_cmpint(store->list(store->context, "k", "", &page), ==,
+                        RESULT_STORE_UNAVAILABLE);
+        ObjectPage_Clear(&page);
+        close_fixture(&fixture);
+    }
+}
+
+/* Guards against a host that misses changes because it ranks first and is cut
+ * off from the store alone, and against one that then stays with its
+ * neighbour.
+ */
+static void
+test_first_cut_off(void)
+{
+    Fixture fixture = {.keeps_known = TRUE, .is_first = TRUE};
+    ObjectPage page;
+
+    open_fixture(&fixture);
+    fixture.store.result = RESULT_STORE_UNAVAILABLE;
+    MirrorCache_Confirm(fixture.cache, Clock_Now(), (ObjectRevision){1, 2});
+    change_in(fixture.cache, "a", (ObjectRevision){1, 3},
+              (ObjectRevision){1, 5});
+    MirrorCache_Confirm(fixture.cache, Clock_Now(), (ObjectRevision){1, 5});
+    ObjectPage_Init(&page);
+    g_assert_cmpint(watch(&fixture, (ObjectRevision){1, 2}, &page), ==,
+                    RESULT_OK);
+    check_page(&page, 0);
+    ObjectPage_Clear(&page);
+    close_fixture(&fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -721,5 +794,7 @@
     g_test_add_func("/mirror/odd-object", test_odd_object);
     g_test_add_func("/mirror/takeover", test_takeover);
     g_test_add_func("/mirror/alone", test_alone);
+    g_test_add_func("/mirror/outage-list", test_list_in_outage);
+    g_test_add_func("/mirror/outage-first", test_first_cut_off);
     return g_test_run();
 }
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -22,6 +22,7 @@
     pthread_mutex_t lock;
     pthread_cond_t wake;
     gboolean stopping;
+    gboolean must_retry; /* the next pause is skipped */
     atomic_bool complete;
     ObjectRevision revision; /* revision to watch from; -1: list first */
     ClockMs next_wait_ms;
@@ -42,9 +43,10 @@
     gboolean stopping;
 
     pthread_mutex_lock(&sync->lock);
-    while (!sync->stopping && milliseconds > 0 &&
+    while (!sync->stopping && !sync->must_retry && milliseconds > 0 &&
            pthread_cond_timedwait(&sync->wake, &sync->lock, &until) == 0) {
     }
+    sync->must_retry = FALSE;
     stopping = sync->stopping;
     pthread_mutex_unlock(&sync->lock);
     return stopping;
@@ -159,7 +161,8 @@
             g_hash_table_add(names, g_strdup(record->name));
         }
         if (sync->desc.changed(sync->desc.context, record, page->revision) &&
-            (record->deleted || record->value != NULL)) {
+            (record->deleted || record->value != NULL ||
+             sync->desc.names_only)) {
             g_hash_table_remove(sync->rejected, record->name);
         }
         else {
@@ -353,6 +356,15 @@
     g_free(sync);
 }
 
+void
+ObjectSync_Retry(ObjectSync *sync)
+{
+    pthread_mutex_lock(&sync->lock);
+    sync->must_retry = TRUE;
+    pthread_cond_signal(&sync->wake);
+    pthread_mutex_unlock(&sync->lock);
+}
+
 gboolean
 ObjectSync_IsComplete(const ObjectSync *sync)
 {
--- a/src/objects/object_sync.h
+++ b/src/objects/object_sync.h
@@ -37,6 +37,8 @@
     gboolean confirm_changes; /* confirm soon after each change, too */
     ClockMs pause_ms; /* pause after a watch that returned changes, so that a
                          series of changes costs few calls; zero: none */
+    gboolean names_only; /* only names count: a value that cannot be decoded is
+                            not rejected */
     ClockMs first_pause_ms; /* the same for the first one after a list */
     /* Returns FALSE if the object is malformed; its value may be NULL. */
     gboolean (*changed)(void *context, const ObjectRecord *record,
@@ -53,6 +55,10 @@
 /* Stops the callbacks and returns when the call in progress has ended. */
 void ObjectSync_Stop(ObjectSync *sync);
 
+/* Ends the pause in progress, or skips the one after the call in progress:
+ * another part of the daemon has found that the store answers. */
+void ObjectSync_Retry(ObjectSync *sync);
+
 /* Returns TRUE once the first list has been reported. */
 gboolean ObjectSync_IsComplete(const ObjectSync *sync);
 
