evacuation: the operator's evacuations of data centres are followed

Cause: nothing may be sent to the backend servers of a data centre that the operator evacuates, from evacuate_ms (5 s) after the object was written. Metrics, log events and `radishknot status` on the metrics port show the set.

--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -63,6 +63,12 @@
     COUNTER(ROUTE_CROSS_REGION, "requests sent to another region") \
     \
     \
+    /* evacuation */ \
+    COUNTER(EVACUATIONS_BEGUN, \
+            "evacuations of a data centre that this host learned of") \
+    COUNTER(EVACUATIONS_ENDED, "of these, ended") \
+    \
+    \
     /* health */ \
     COUNTER(HEALTH_EJECTIONS, "backend servers ejected") \
     COUNTER(HEALTH_PERMITS_REFUSED, "ejections refused by the floor") \
--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -101,6 +101,17 @@
     LOG(PERMIT_REFUSED, 351, WARNING, "ejection refused by the floor") \
     \
     \
+    /* evacuation 450-459 */ \
+    LOG(EVACUATION_BEGAN, 450, WARNING, \
+        "backend servers of this data centre get no more requests") \
+    LOG(EVACUATION_ENDED, 451, INFO, \
+        "backend servers of this data centre get requests again") \
+    LOG(EVACUATION_LAST_SENT, 452, INFO, \
+        "the backend server here got its last request before an evacuation") \
+    LOG(EVACUATIONS_UNKNOWN, 453, WARNING, \
+        "requests are taken before the evacuated data centres are known") \
+    \
+    \
     /* issue 380-399 */ \
     LOG(RUNS_HANDED_OVER, 380, INFO, "run table handed over") \
     LOG(RUNS_TAKEN_OVER, 381, INFO, "run table taken over") \
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -45,6 +45,9 @@
     const char *ready_path;
     const char *catalog_kind; /* the object that holds the configuration */
     const char *catalog_name;
+    const char *evacuation_kind; /* objects named after data centres whose
+                                    backend servers must get no requests; NULL:
+                                    there are none */
 
     ObjectStore *(*open_store)(const struct sockaddr_in *address);
     void (*close_store)(ObjectStore *store);
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -23,10 +23,11 @@
 #define SIDECAR_ROSTER_KIND "backend-servers"
 
 /* Kinds that neighbours may read from this host. */
-enum { SIDECAR_CATALOG, SIDECAR_ROSTER, SIDECAR_KINDS };
+enum { SIDECAR_CATALOG, SIDECAR_ROSTER, SIDECAR_EVACUATIONS, SIDECAR_KINDS };
 
 typedef struct SidecarMonitor SidecarMonitor;
 typedef struct SidecarTicker SidecarTicker;
+typedef struct SidecarEvacuation SidecarEvacuation;
 
 struct Sidecar {
     Settings *settings;
@@ -62,6 +63,7 @@
     DepartureKeeper *keeper;
     ClockMs max_catalog_age_ms; /* maximum age of a usable configuration */
     atomic_bool leaving;
+    SidecarEvacuation *evacuation; /* NULL: evacuations are not followed */
     SidecarMonitor *monitor;
     SidecarTicker *ticker;
     gboolean was_ready; /* used by the readiness port's thread only */
@@ -76,6 +78,25 @@
  * they are not. */
 gboolean _Sidecar_AwaitRoster(const Sidecar *sidecar);
 
+/* sidecar_evacuation.c: follows which data centres are evacuated. Returns
+ * FALSE if the settings do not ask for it; otherwise fills the kind that
+ * neighbours may read. The mirror is closed after the port that serves it. */
+gboolean _Sidecar_OpenEvacuation(Sidecar *sidecar, const Mirror_desc *desc,
+                                 MirrorKind *kind);
+void _Sidecar_StartEvacuation(Sidecar *sidecar);
+void _Sidecar_StopEvacuation(Sidecar *sidecar);
+void _Sidecar_CloseEvacuation(Sidecar *sidecar);
+
+/* Waits until the evacuated data centres are known, for a short time and only
+ * the first time. */
+void _Sidecar_AwaitEvacuations(Sidecar *sidecar);
+
+/* Appends gauges, if evacuations are followed. */
+void _Sidecar_WriteEvacuations(const Sidecar *sidecar, GString *out);
+
+/* Returns a new array of the names of the evacuated data centres. */
+json_t *_Sidecar_EvacuationNames(const Sidecar *sidecar);
+
 /* sidecar_monitor.c: removes the entries of neighbours that have failed. Must
  * be started before the RPC server. */
 SidecarMonitor *_Sidecar_StartMonitor(Sidecar *sidecar);
--- a/src/sidecar/sidecar_ports.c
+++ b/src/sidecar/sidecar_ports.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/counter.h"
@@ -7,6 +8,7 @@
 #include "sidecar/sidecar_internal.h"
 
 #define METRICS_PATH "/metrics"
+#define STATUS_PATH "/v1/status"
 
 static void
 answer_status(HttpRequest *request, int status, const char *json)
@@ -139,19 +141,47 @@
     answer_status(request, ready ? 200 : 503, "{}");
 }
 
+/* Fills the answer for `radishknot status`. */
+static void
+add_status(const Sidecar *sidecar, HttpAnswer *answer, GString *text)
+{
+    const Settings *settings = sidecar->settings;
+    BackendStatus backend;
+    json_t *status;
+    char *dump;
+
+    Backend_GetStatus(sidecar->backend, &backend);
+    status = json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:o}", "mode",
+                       "platform", "host", settings->host, "region",
+                       settings->region, "data_centre", settings->data_centre,
+                       "service", settings->service, "announced",
+                       Backend_StateName(backend.state), "configuration",
+                       (json_int_t)Catalog_Version(sidecar->catalog),
+                       "evacuated", _Sidecar_EvacuationNames(sidecar));
+    dump = json_dumps(status, JSON_COMPACT);
+    g_string_append(text, dump);
+    HttpHeaders_Add(&answer->headers, "Content-Type", "application/json");
+    free(dump);
+    json_decref(status);
+}
+
 static void
 serve_metrics(void *context, HttpRequest *request)
 {
+    const Sidecar *sidecar = context;
     HttpAnswer answer = {.status = 200};
     GString *text = g_string_new(NULL);
 
-    (void)context;
-    if (strcmp(HttpRequest_Path(request), METRICS_PATH) != 0) {
+    if (strcmp(HttpRequest_Path(request), STATUS_PATH) == 0) {
+        add_status(sidecar, &answer, text);
+    }
+    else if (strcmp(HttpRequest_Path(request), METRICS_PATH) != 0) {
         answer.status = 404;
     }
     else {
         Counter_Write(text);
         Memory_Write(Memory_Process(), text);
+        _Sidecar_WriteEvacuations(sidecar, text);
         HttpHeaders_Add(&answer.headers, "Content-Type",
                         "text/plain; version=0.0.4");
     }
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -43,10 +43,6 @@
 #define MAX_CATALOG_AGE_MS (CATALOG_WAIT_MS + 500)
 #define MAX_ROSTER_AGE_MS (ROSTER_WAIT_MS + 500)
 
-/* Maximum number of concurrent watches by neighbours: one for each host of the
- * group and each of the two kinds. */
-#define MIRROR_THREADS (2 * MIRROR_GROUP)
-
 static gboolean
 catalog_changed(void *context, const ObjectRecord *record,
                 ObjectRevision revision)
@@ -72,6 +68,7 @@
         Catalog_Reject(sidecar->catalog);
         return TRUE;
     }
+    _Sidecar_AwaitEvacuations(sidecar);
     version = CatalogTable_Version(table);
     if (Catalog_Publish(sidecar->catalog, table,
                         record->revision.generation)) {
@@ -255,9 +252,7 @@
                           .client = sidecar->mirror_client,
                           .alone_wait_ms =
                               sidecar->max_catalog_age_ms / ALONE_WATCHES};
-    MirrorPort_desc port = {.threads = MIRROR_THREADS,
-                            .kinds = sidecar->kinds,
-                            .kind_count = SIDECAR_KINDS};
+    MirrorPort_desc port = {.kinds = sidecar->kinds};
 
     sidecar->catalog_mirror = Mirror_Create(&mirror);
     sidecar->roster_mirror = Mirror_Create(&mirror);
@@ -273,6 +268,13 @@
                      .max_age_ms = MAX_ROSTER_AGE_MS,
                      .is_direct = Mirror_IsDirect,
                      .context = sidecar->roster_mirror};
+    port.kind_count =
+        _Sidecar_OpenEvacuation(sidecar, &mirror,
+                                &sidecar->kinds[SIDECAR_EVACUATIONS])
+            ? SIDECAR_KINDS
+            : SIDECAR_EVACUATIONS;
+    /* One watch at a time for each host of the group and each kind. */
+    port.threads = port.kind_count * MIRROR_GROUP;
     (void)HttpAddress_Parse(settings->peer_address, &port.address);
     port.address.sin_port = htons((uint16_t)settings->mirror_port);
     sidecar->mirror_port = MirrorPort_Create(&port, error);
@@ -306,6 +308,8 @@
     roster.generation = sidecar->generation;
     catalog.store = Mirror_AsStore(sidecar->catalog_mirror);
     roster.store = Mirror_AsStore(sidecar->roster_mirror);
+    /* First, because the configuration waits for it. */
+    _Sidecar_StartEvacuation(sidecar);
     sidecar->catalog_sync = ObjectSync_Start(&catalog);
     sidecar->roster_sync = ObjectSync_Start(&roster);
     return TRUE;
@@ -316,11 +320,12 @@
 {
     ObjectSync_Stop(sidecar->catalog_sync);
     ObjectSync_Stop(sidecar->roster_sync);
+    _Sidecar_StopEvacuation(sidecar);
     MirrorPort_Destroy(sidecar->mirror_port);
+    _Sidecar_CloseEvacuation(sidecar);
     Mirror_Destroy(sidecar->catalog_mirror);
     Mirror_Destroy(sidecar->roster_mirror);
-    for (int i = 0; i < SIDECAR_KINDS; i++) {
-        MirrorCache_Destroy(sidecar->kinds[i].cache);
-    }
+    MirrorCache_Destroy(sidecar->kinds[SIDECAR_CATALOG].cache);
+    MirrorCache_Destroy(sidecar->kinds[SIDECAR_ROSTER].cache);
     ObjectGeneration_Destroy(sidecar->generation);
 }
--- a/src/tool/tool_fleet.c
+++ b/src/tool/tool_fleet.c
@@ -56,6 +56,15 @@
     return all;
 }
 
+/* Number of the configuration in force: of a ticket, or in mode "platform" of
+ * the operator's object. */
+static json_int_t
+ticket_of(json_t *status)
+{
+    return MAX(number_of(json_object_get(status, "config"), "ticket"),
+               number_of(status, "configuration"));
+}
+
 static json_int_t
 newest_ticket(json_t *all)
 {
@@ -65,8 +74,7 @@
 
     json_array_foreach(all, index, status)
     {
-        newest = MAX(newest,
-                     number_of(json_object_get(status, "config"), "ticket"));
+        newest = MAX(newest, ticket_of(status));
     }
     return newest;
 }
@@ -84,8 +92,6 @@
            "ticket", "state");
     json_array_foreach(all, index, status)
     {
-        json_t *config = json_object_get(status, "config");
-
         if (json_object_get(status, "error") != NULL) {
             printf("  %-20s does not answer: %s\n", text_of(status, "admin"),
                    text_of(status, "error"));
@@ -93,8 +99,8 @@
         }
         printf("  %-20s %-10s %-12s %8" JSON_INTEGER_FORMAT " %s\n",
                text_of(status, "host"), text_of(status, "region"),
-               text_of(status, "data_centre"), number_of(config, "ticket"),
-               number_of(config, "ticket") < newest
+               text_of(status, "data_centre"), ticket_of(status),
+               ticket_of(status) < newest
                    ? "the newest ticket is not in force here yet"
                    : "up to date");
     }
@@ -221,6 +227,32 @@
     }
 }
 
+/* Only daemons in mode "platform" follow evacuations. */
+static void
+print_evacuated(json_t *all)
+{
+    json_t *status;
+    json_t *name;
+    size_t index;
+    size_t place;
+
+    json_array_foreach(all, index, status)
+    {
+        json_t *names = json_object_get(status, "evacuated");
+
+        if (names == NULL) {
+            continue;
+        }
+        printf("\nEVACUATED as %s knows it:%s", text_of(status, "host"),
+               json_array_size(names) == 0 ? " none" : "");
+        json_array_foreach(names, place, name)
+        {
+            printf(" %s", json_string_value(name));
+        }
+        printf("\n");
+    }
+}
+
 int
 Tool_Status(Tool *tool, int count, char **words)
 {
@@ -245,6 +277,7 @@
             print_servers(all);
             print_rate(all);
             print_refusals(all);
+            print_evacuated(all);
         }
         json_decref(all);
         fflush(stdout);
