--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -128,7 +128,8 @@
         .waiting = load.waiting,
         .service_ms = load.service_ms,
         .idle_ms = load.running > 0 ? 0 : now - backend->last_sent,
-        .leaving = backend->closed || backend->state != BACKEND_READY,
+        .leaving = backend->closed || backend->withdrawn ||
+                   backend->state != BACKEND_READY,
         .stop_ms = backend->stop.begin == CLOCK_NEVER
                        ? 0
                        : MAX(backend->stop.end - now, 1),
--- a/src/backend/backend_internal.h
+++ b/src/backend/backend_internal.h
@@ -33,6 +33,7 @@
     CallOrigin *origin;
     PauseLog pauses;
     Admission *admission;
+    gboolean withdrawn; /* gets no requests */
     ColdRate cold;
     BackendColdRate cold_rate; /* of the newest configuration */
     ClockMs unstated_since;    /* start of an instance that has not said how
--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -68,6 +68,12 @@
             "requests an owner returned: its region is not allowed any more") \
     \
     \
+    /* evacuation */ \
+    COUNTER(EVACUATIONS_BEGUN, \
+            "evacuations of a data centre that this host learned of") \
+    COUNTER(EVACUATIONS_ENDED, "of these, ended") \
+    \
+    \
     /* health */ \
     COUNTER(HEALTH_EJECTIONS, "backend servers ejected") \
     COUNTER(HEALTH_PERMITS_REFUSED, "ejections refused by the floor") \
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -124,6 +124,11 @@
 void Roster_Retain(Roster *roster, GHashTable *names, ClockMs keep_until);
 void Roster_Expire(Roster *roster, ClockMs now);
 
+/* Sets the data centres whose backend servers get no requests, as hashes of
+ * their names. Replaces the earlier ones. */
+void Roster_SetWithdrawn(Roster *roster, const uint64_t *data_centres,
+                         uint32_t count);
+
 /* Fills the choice; FALSE if no host is left to choose from. Then only
  * `away_ms` of the choice is set, if the request is restricted to regions that
  * have no backend server of the service, or none that is not being avoided as
