--- a/soak/soak.c
+++ b/soak/soak.c
@@ -6,7 +6,8 @@
  *        [--long-runs]
  *
  * Modes: mixed (faults of all kinds), planned (only planned work, which
- * excuses no lost request), restored (the store goes back to an older copy).
+ * excuses no lost request), restored (the store goes back to an older copy),
+ * evacuated (a data centre at a time is evacuated, beside other faults).
  * With --endless, one more host has a backend server that sends bytes without
  * end (soak_endless.c). With --long-runs, a few requests of mode planned take
  * far longer than the others, so that an estimate by these fails.
@@ -25,7 +26,8 @@
  *    announced a drain;
  *  - a graceful stop aborts no request and ends within the grace period;
  *  - after the faults every host serves again within RECOVERY_MS.
- * soak_planned.c and soak_restored.c name those of their modes.
+ * soak_planned.c, soak_restored.c and soak_evacuated.c name those of their
+ * modes.
  */
 #include "soak.h"
 
@@ -48,6 +50,7 @@
     gboolean has_probe_route;
     void (*run)(Soak *soak);
     const char *data_centres[4]; /* of the hosts, in turn */
+    const char *settings;        /* of SiteHost_desc */
 } Mode;
 
 static const Mode modes[] = {
@@ -67,6 +70,12 @@
      .has_probe_route = TRUE,
      .run = Restored_Run,
      .data_centres = {"n1", "n1", "n1", "n1"}},
+    {.name = "evacuated",
+     .call = Callers_CallRandom,
+     .callers = 6,
+     .run = Evacuated_Run,
+     .data_centres = {"n1", "n2", "n1", "n2"},
+     .settings = "\"evacuate_ms\":\"5s\","},
 };
 
 const char *const soak_keys[KEYS] = {"key-a", "key-b", "key-c", "key-d"};
@@ -167,7 +176,8 @@
         const char *data_centre =
             mode->data_centres[(size_t)i % G_N_ELEMENTS(mode->data_centres)];
         SiteHost_desc desc = {.data_centre = data_centre,
-                              .region = data_centre[0] == 's' ? "sur" : NULL};
+                              .region = data_centre[0] == 's' ? "sur" : NULL,
+                              .settings = mode->settings};
 
         Site_SetWorkMs(soak->site, Site_AddHost(soak->site, &desc), 20);
     }
@@ -232,7 +242,8 @@
 {
     static const struct argp_option argp_options[] = {
         {"seed", 's', "N", 0, "seed of the schedule", 0},
-        {"mode", 'm', "MODE", 0, "mixed (default), planned or restored", 0},
+        {"mode", 'm', "MODE", 0,
+         "mixed (default), planned, restored or evacuated", 0},
         {"seconds", 't', "S", 0, "duration of the schedule in seconds (20)",
          0},
         {"hosts", 'n', "H", 0, "number of daemons (5)", 0},
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -111,5 +111,6 @@
 void Mixed_Run(Soak *soak);
 void Planned_Run(Soak *soak);
 void Restored_Run(Soak *soak);
+void Evacuated_Run(Soak *soak);
 
 #endif
--- a/tests/process_evacuation.c
+++ b/tests/process_evacuation.c
@@ -13,6 +13,9 @@
 #define SETTINGS "\"evacuate_ms\":\"5s\","
 #define CALLERS 6
 
+/* Second port of those that start at the site's first port. */
+#define METRICS_PORT 18007
+
 /* The bound, and its extension while a part of the store is unreachable. */
 #define BOUND_MS 5000
 #define UNREACHABLE_MS 6000
@@ -213,6 +216,24 @@
     Site_Destroy(site);
 }
 
+/* `radishknot status` shows the evacuation to operators of this mode. */
+static void
+expect_status(void)
+{
+    struct sockaddr_in metrics = Site_EntryAddress(0);
+    char address[32];
+    char *arguments[] = {(char *)BINARY_DIRECTORY "/src/tool/radishknot",
+                         (char *)"--admin", address, (char *)"status", NULL};
+    char *output = NULL;
+
+    metrics.sin_port = htons(METRICS_PORT);
+    HttpAddress_Format(&metrics, address, sizeof(address));
+    g_assert_true(g_spawn_sync(NULL, arguments, NULL, G_SPAWN_DEFAULT, NULL,
+                               NULL, &output, NULL, NULL, NULL));
+    g_assert_nonnull(strstr(output, "\nEVACUATED as host-0 knows it: n1\n"));
+    g_free(output);
+}
+
 /* Guards against callers that wait for their deadline, or are not told when to
  * return, when no backend server is left outside. */
 static void
@@ -233,6 +254,7 @@
         g_assert_false(Site_HasRun(site, Site_LastId(site)));
         g_assert_true(Site_IsReady(site, i % 2));
     }
+    expect_status();
     Site_Destroy(site);
 }
 
