--- a/soak/soak.h
+++ b/soak/soak.h
@@ -116,6 +116,7 @@
 void Mixed_Run(Soak *soak);
 void Planned_Run(Soak *soak);
 void Restored_Run(Soak *soak);
+void Evacuated_Run(Soak *soak);
 
 /* soak_cold.c: settings of the hosts, the injector, and the check at the end.
  */
