roster: even_load estimates the load from old reports and own requests

Cause: an old report counted as no load, and every owner not heard of for a second as one to explore, so that choices were nearly random: the load of backend servers of equal speed varied as under random choice, slow ones got as many requests as fast ones. Change, behind Roster_desc.even_load (setting even_load): the load of an old report approaches the mean of the service, own requests under way are added (Roster_Begin(), Roster_End()), a random few candidates of equal distance, by capacity, are compared, and only gray or idle owners are explored. The replay plays up to 512 backend servers of unequal speed and reports the spread of load; it can carry reports along on calls and replies (not yet sent by the daemon).

--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -536,12 +536,14 @@
     request->call.is_retry = request->attempts > 0 || request->is_retried_call;
     set_limits(request, choice);
     set_attempt_timeout(request, choice);
+    Roster_Begin(request->gateway->desc.roster, choice->host);
     if (choice->tier == ROSTER_SAME_HOST) {
         Backend_Run(request->gateway->desc.backend, &request->call, reply);
     }
     else {
         call_owner(request, choice, reply);
     }
+    Roster_End(request->gateway->desc.roster, choice->host);
     if (choice->tier == ROSTER_OTHER_REGION) {
         Counter_Add(COUNTER_ROUTE_CROSS_REGION, 1);
     }
--- a/src/replay/replay.c
+++ b/src/replay/replay.c
@@ -46,13 +46,16 @@
     char host[ROSTER_NAME_BYTES];
 
     (void)g_snprintf(host, sizeof(host), "s%u-%u", service, index);
-    *server = (ReplayServer){.service = service,
-                             .index = index,
-                             .region = index % replay->desc.regions,
-                             .host = Rng_HashString(host),
-                             .admission = Admission_Create(),
-                             .waiting = g_ptr_array_new(),
-                             .last_sent = REPLAY_START_MS};
+    *server =
+        (ReplayServer){.service = service,
+                       .index = index,
+                       .region = index % replay->desc.regions,
+                       .host = Rng_HashString(host),
+                       .admission = Admission_Create(),
+                       .waiting = g_ptr_array_new(),
+                       .last_sent = REPLAY_START_MS,
+                       .speed = 1 + replay->desc.services[service].unequal *
+                                        ((double)(index % 3) - 1)};
     GrayFilter_Init(&server->filter, NULL, REPLAY_START_MS);
     Admission_SetSlots(server->admission,
                        replay->desc.services[service].slots);
@@ -116,7 +119,8 @@
         Roster_Create(&(Roster_desc){.host = host,
                                      .data_centre = data_centre,
                                      .region = region,
-                                     .seed = replay->desc.seed + index + 1});
+                                     .seed = replay->desc.seed + index + 1,
+                                     .even_load = replay->desc.even_load});
     fill_roster(replay, sender->roster);
     sender->budgets = g_new0(RetryBudget, replay->desc.service_count);
     for (guint i = 0; i < replay->desc.service_count; i++) {
@@ -134,6 +138,7 @@
     replay->by_host = g_hash_table_new(g_int64_hash, g_int64_equal);
     replay->active = g_ptr_array_new_with_free_func(g_free);
     replay->outcomes = g_new0(ReplayOutcome, desc->stream_count);
+    replay->spreads = g_new0(ReplaySpread, desc->service_count);
     replay->senders = g_new0(ReplaySender, replay->desc.senders);
     replay->bins = g_new0(GArray *, desc->service_count);
     Rng_Seed(&replay->rng, desc->seed + 1);
@@ -163,6 +168,7 @@
     g_hash_table_destroy(replay->by_host);
     g_free(replay->senders);
     g_free(replay->servers);
+    g_free(replay->spreads);
     g_free(replay->outcomes);
     g_free(replay);
 }
@@ -279,6 +285,7 @@
 
         if (call->parent == parent && call->state != REPLAY_DONE) {
             _Replay_LeaveOwner(replay, call, now);
+            _Replay_EndAttempt(call);
             call->state = REPLAY_DONE;
             cancel_calls(replay, call, now);
         }
@@ -351,6 +358,7 @@
     for (guint i = 0; i < replay->server_count; i++) {
         _Replay_AdvanceOwner(replay, &replay->servers[i], now);
     }
+    _Replay_Sample(replay, now);
     for (guint i = replay->active->len; i > 0; i--) {
         const ReplayRequest *request =
             g_ptr_array_index(replay->active, i - 1);
--- a/src/replay/replay.h
+++ b/src/replay/replay.h
@@ -11,7 +11,8 @@
  * Use:
  *  1. Fill a Replay_desc with tables of services, streams and phases.
  *  2. Replay_Create(), Replay_Run().
- *  3. Replay_Outcome() for each stream, Replay_BudgetUsage() for each service.
+ *  3. Replay_Outcome() for each stream, Replay_BudgetUsage() and
+ *     Replay_Spread() for each service.
  *  4. Replay_Destroy().
  *
  * The same table and seed give the same outcome.
@@ -27,14 +28,15 @@
 
 #include "base/clock.h"
 
-#define REPLAY_MAX_SERVERS 256
+#define REPLAY_MAX_SERVERS 512
 
 typedef struct Replay Replay;
 
 typedef struct ReplayService {
     const char *name;
-    guint servers; /* spread evenly over the regions */
-    guint slots;   /* of each backend server */
+    guint servers;  /* spread evenly over the regions */
+    guint slots;    /* of each backend server */
+    double unequal; /* speeds of every three: 1 - unequal, 1, 1 + unequal */
 } ReplayService;
 
 /* Requests of one kind. A stream that another one calls arrives by these calls
@@ -95,6 +97,8 @@
                               waits until its deadline */
     gboolean plain_budget; /* baseline: the limit of retries divided evenly */
     gboolean plain_return; /* baseline: refused callers return after 300 ms */
+    gboolean even_load;    /* Roster_desc.even_load */
+    guint news;            /* reports carried along on calls and replies */
     gboolean no_return;    /* refused callers do not return */
     guint64 seed;
 } Replay_desc;
@@ -109,17 +113,34 @@
     guint returned;     /* came back after a refusal */
     guint retries;      /* attempts beyond the first of each request */
     guint asks;         /* times that an owner was asked to run a request */
+    guint busy;         /* asks that were refused as busy */
+    guint risky;        /* asks that were refused for risk */
+    ClockMs served_ms;  /* sum over those served, from arrival to answer */
     guint far;          /* times that a request went to another region */
     ClockMs longest_ms; /* longest time that a request was held before it was
                            refused */
 } ReplayOutcome;
 
+/* How evenly the load of a service was spread over its backend servers. The
+ * load is the number of requests that run and wait, for each slot; a backend
+ * server that is twice as fast has the same load at twice the rate. */
+typedef struct ReplaySpread {
+    guint samples;
+    double mean;      /* load, mean of all backend servers and of time */
+    double max;       /* largest load averaged over time, by the mean */
+    double variation; /* coefficient of variation of these loads */
+    double now_max;   /* the same two at one moment, mean over time */
+    double now_variation;
+} ReplaySpread;
+
 Replay *Replay_Create(const Replay_desc *desc);
 void Replay_Destroy(Replay *replay);
 void Replay_Run(Replay *replay);
 
 const ReplayOutcome *Replay_Outcome(const Replay *replay, guint stream);
 
+ReplaySpread Replay_Spread(const Replay *replay, guint service);
+
 /* Largest share of the fleet's limit of retries that was used in any 10 s. */
 double Replay_BudgetUsage(const Replay *replay, guint service);
 
--- a/src/replay/replay_owner.c
+++ b/src/replay/replay_owner.c
@@ -4,19 +4,63 @@
 /* Time after which a sender notices that a host does not accept. */
 #define CONNECT_MS 250
 
+
+static Roster *
+owner_roster(const Replay *replay, const ReplayRequest *request)
+{
+    return replay->senders[request->server->index % replay->desc.senders]
+        .roster;
+}
+
+void
+_Replay_CarryNews(const Replay *replay, ReplayRequest *request,
+                  gboolean by_owner, ClockMs now)
+{
+    uint64_t service =
+        Rng_HashString(replay->desc.services[request->server->service].name);
+
+    request->news_count = 0;
+    if (replay->desc.news == 0)
+        return;
+    request->news_count = Roster_GetNews(
+        by_owner ? owner_roster(replay, request) : request->sender->roster,
+        service, request->server->host, now, request->news,
+        MIN(replay->desc.news, REPLAY_NEWS));
+}
+
+void
+_Replay_TakeNews(const Replay *replay, ReplayRequest *request,
+                 gboolean by_owner, ClockMs now)
+{
+    uint64_t service =
+        Rng_HashString(replay->desc.services[request->server->service].name);
+
+    Roster_AddNews(by_owner ? owner_roster(replay, request)
+                            : request->sender->roster,
+                   service, request->news, request->news_count, now);
+}
+
 /* Sends the request back to its sender with the owner's report. */
 static void
 answer(Replay *replay, ReplayRequest *request, Result result, ClockMs now)
 {
     ReplayServer *server = request->server;
-    AdmissionLoad load = Admission_Load(server->admission);
-    RetryRates rates = RetryRates_At(&server->rates, now);
     gboolean is_far = request->sender->region != server->region;
 
     request->result = result;
     request->state = REPLAY_TO_SENDER;
     request->due = now + (is_far ? replay->desc.transit_ms / 2 : 0);
-    request->report = (RosterReport){
+    request->report = _Replay_ReportOf(replay, server, now);
+    _Replay_CarryNews(replay, request, TRUE, now);
+}
+
+RosterReport
+_Replay_ReportOf(const Replay *replay, const ReplayServer *server, ClockMs now)
+{
+    AdmissionLoad load = Admission_Load(server->admission);
+    RetryRates rates = RetryRates_At(&server->rates, now);
+
+    return (RosterReport){
         .risk = GrayFilter_Risk(&server->filter, now),
         .slots = load.slots,
         .in_flight = load.running,
@@ -38,6 +82,7 @@
         request->due = now + CONNECT_MS;
         return;
     }
+    _Replay_TakeNews(replay, request, TRUE, now);
     if (GrayFilter_FailShare(&server->filter,
                              GrayFilter_Risk(&server->filter, now)) >
             request->limits.max_fail_share &&
@@ -98,7 +143,8 @@
         answer(replay, request, RESULT_BACKEND_SERVER_ERROR, now);
         return;
     }
-    request->due = now + (ClockMs)((double)stream->service_ms * MAX(slow, 1));
+    request->due = now + (ClockMs)((double)stream->service_ms * MAX(slow, 1) /
+                                   server->speed);
     request->pending = stream->calls;
     request->call_failed = FALSE;
     for (guint i = 0; i < stream->calls; i++) {
--- a/src/replay/replay_private.h
+++ b/src/replay/replay_private.h
@@ -13,6 +13,8 @@
 /* Time of the first step; some modules take 0 for "never". */
 #define REPLAY_START_MS 1000
 
+#define REPLAY_NEWS 4
+
 typedef struct ReplayServer {
     guint service;
     guint index; /* within the service */
@@ -24,6 +26,8 @@
     GrayFilter filter;
     RetryRates rates;
     ClockMs last_sent;
+    double speed;
+    double load; /* sum of the samples */
 } ReplayServer;
 
 /* A host that sends requests. */
@@ -58,8 +62,11 @@
     ClockMs arrived;  /* of this try of the caller */
     ClockMs deadline; /* of the caller */
     ReplayServer *server;
-    Result result; /* on the way to the sender */
+    gboolean is_begun; /* Roster_Begin() for the server's host */
+    Result result;     /* on the way to the sender */
     RosterReport report;
+    RosterNews news[REPLAY_NEWS]; /* carried along */
+    guint news_count;
     ClockMs backlog_ms; /* shortest wait of the owners that were full */
     guint attempts;
     guint rounds;
@@ -88,6 +95,7 @@
     GHashTable *by_host; /* &ReplayServer.host -> ReplayServer */
     GArray **bins;       /* ReplayBin for each 100 ms, one for each service */
     ReplayOutcome *outcomes;
+    ReplaySpread *spreads; /* sums, one for each service */
     Rng rng;
 };
 
@@ -110,11 +118,23 @@
 void _Replay_TakeResult(Replay *replay, ReplayRequest *request, ClockMs now);
 void _Replay_Expire(Replay *replay, ReplayRequest *request);
 
+/* Ends the attempt in the sender's roster, if one is under way. */
+void _Replay_EndAttempt(ReplayRequest *request);
+
 /* replay_owner.c */
+void _Replay_CarryNews(const Replay *replay, ReplayRequest *request,
+                       gboolean by_owner, ClockMs now);
+void _Replay_TakeNews(const Replay *replay, ReplayRequest *request,
+                      gboolean by_owner, ClockMs now);
+RosterReport _Replay_ReportOf(const Replay *replay, const ReplayServer *server,
+                              ClockMs now);
 void _Replay_Arrive(Replay *replay, ReplayRequest *request, ClockMs now);
 void _Replay_AdvanceOwner(Replay *replay, ReplayServer *server, ClockMs now);
 void _Replay_EndRun(Replay *replay, ReplayRequest *request, ClockMs now);
 
+/* replay_spread.c: called for each step. */
+void _Replay_Sample(Replay *replay, ClockMs now);
+
 /* Takes the request from its owner, whether it waits or runs. */
 void _Replay_LeaveOwner(Replay *replay, ReplayRequest *request, ClockMs now);
 
--- a/src/replay/replay_sender.c
+++ b/src/replay/replay_sender.c
@@ -10,6 +10,7 @@
 
 #define MS_PER_WINDOW 10000
 
+
 static gboolean
 is_listed(const uint64_t *hosts, guint count, uint64_t host)
 {
@@ -27,10 +28,20 @@
     return &request->sender->budgets[_Replay_Stream(replay, request)->service];
 }
 
+void
+_Replay_EndAttempt(ReplayRequest *request)
+{
+    if (request->is_begun) {
+        request->is_begun = FALSE;
+        Roster_End(request->sender->roster, request->server->host);
+    }
+}
+
 /* Ends the request, and tells the request that called it. */
 static void
 finish(ReplayRequest *request, gboolean served)
 {
+    _Replay_EndAttempt(request);
     request->state = REPLAY_DONE;
     if (request->parent != NULL) {
         request->parent->pending--;
@@ -142,6 +153,9 @@
     request->has_explored =
         request->has_explored || choice->explore_idle_ms > 0;
     _Replay_OutcomeOf(replay, request)->asks++;
+    _Replay_CarryNews(replay, request, FALSE, now);
+    Roster_Begin(request->sender->roster, choice->host);
+    request->is_begun = TRUE;
     request->ticket = (AdmissionTicket){
         .priority = request->parent != NULL ? ADMISSION_PRIORITY_NESTED
                                             : stream->priority,
@@ -178,6 +192,18 @@
         .failure_cost = Placement_FailureCost(request->can_retry),
         .relative_size = stream->relative_size > 0 ? stream->relative_size : 1,
         .time_left_ms = request->arrived + stream->target_ms - now};
+    if (replay->desc.even_load) {
+        guint self = (guint)(request->sender - replay->senders);
+
+        if (self < replay->server_count &&
+            replay->servers[self].index == self) {
+            RosterReport own =
+                _Replay_ReportOf(replay, &replay->servers[self], now);
+
+            Roster_Report(request->sender->roster, replay->servers[self].host,
+                          &own, now);
+        }
+    }
     if (request->rounds++ >= replay->desc.rounds ||
         !Roster_Choose(request->sender->roster, &request->query, now,
                        &choice)) {
@@ -198,6 +224,7 @@
         return;
     }
     Roster_Report(roster, server->host, &request->report, now);
+    _Replay_TakeNews(replay, request, FALSE, now);
     Roster_NoteTransit(roster, server->host,
                        server->region != request->sender->region
                            ? replay->desc.transit_ms
@@ -252,18 +279,24 @@
     ReplayOutcome *outcome = _Replay_OutcomeOf(replay, request);
     ClockMs took = now - request->asked;
 
+    _Replay_EndAttempt(request);
     note_report(replay, request, now);
     switch (request->result) {
     case RESULT_OK:
         outcome->in_time += took <= stream->target_ms;
         outcome->late += took > stream->target_ms && now <= request->deadline;
         outcome->expired += now > request->deadline;
+        if (now <= request->deadline) {
+            outcome->served_ms += took;
+        }
         finish(request, now <= request->deadline);
         return;
     case RESULT_BACKEND_SERVER_BUSY:
+        outcome->busy++;
         note_backlog(request);
         break;
     case RESULT_BACKEND_SERVER_EJECTED:
+        outcome->risky++;
         request->risky_owners++;
         break;
     default:
--- /dev/null
+++ b/src/replay/test_even_load.c
@@ -0,0 +1,99 @@
+/* Spread of load over the backend servers of a service, by the age of the
+ * reports that the senders choose from. */
+#include <glib.h>
+
+#include "replay/replay.h"
+
+typedef struct Fleet {
+    const char *name;
+    guint senders;
+    guint servers;
+    guint slots;
+    double unequal;
+    double use; /* share of the capacity */
+} Fleet;
+
+static const Fleet fleets[] = {
+    {"40 to 40", 40, 40, 8, 0, 0.6},
+    {"40 to 40 unequal", 40, 40, 8, 0.5, 0.6},
+    {"40 to 8", 40, 8, 8, 0, 0.7},
+    {"120 to 120", 120, 120, 8, 0, 0.6},
+    {"120 to 40 unequal", 120, 40, 15, 0.5, 0.7},
+    {"300 to 300", 300, 300, 8, 0, 0.6},
+    {"300 to 85 unequal", 300, 85, 8, 0.5, 0.8},
+};
+
+#define SERVICE_MS 400
+
+static ReplaySpread
+play(const Fleet *fleet, gboolean even_load, ReplayOutcome *outcome)
+{
+    ReplayService service = {"s", fleet->servers, fleet->slots,
+                             fleet->unequal};
+    ReplayStream stream = {.name = "a",
+                           .per_s = fleet->use * fleet->servers *
+                                    fleet->slots * 1000 / SERVICE_MS,
+                           .service_ms = SERVICE_MS,
+                           .target_ms = 2000,
+                           .deadline_ms = 8000,
+                           .priority = 1,
+                           .idempotent = TRUE};
+    Replay_desc desc = {.services = &service,
+                        .service_count = 1,
+                        .streams = &stream,
+                        .stream_count = 1,
+                        .senders = fleet->senders,
+                        .length_ms = 16000,
+                        .even_load = even_load,
+                        .seed = 7};
+    Replay *replay = Replay_Create(&desc);
+    ReplaySpread spread;
+
+    Replay_Run(replay);
+    *outcome = *Replay_Outcome(replay, 0);
+    spread = Replay_Spread(replay, 0);
+    Replay_Destroy(replay);
+    g_test_message("%-18s %d: avg max %.2f cv %.3f now max %.2f cv %.3f load "
+                   "%.2f | offers "
+                   "%.3f busy %.4f risky %.4f in time %.4f ms %.0f",
+                   fleet->name, even_load, spread.max, spread.variation,
+                   spread.now_max, spread.now_variation, spread.mean,
+                   (double)outcome->asks / outcome->asked,
+                   (double)outcome->busy / outcome->asks,
+                   (double)outcome->risky / outcome->asks,
+                   (double)outcome->in_time / outcome->asked,
+                   (double)outcome->served_ms /
+                       (outcome->in_time + outcome->late));
+    return spread;
+}
+
+/* Guards against a choice that spreads load worse than the one without
+ * even_load, refuses more offers, or makes more of them. */
+static void
+test_spread(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(fleets); i++) {
+        ReplayOutcome before;
+        ReplayOutcome after;
+        ReplaySpread spread_before = play(&fleets[i], FALSE, &before);
+        ReplaySpread spread = play(&fleets[i], TRUE, &after);
+
+        g_assert_cmpfloat(spread.now_variation, <,
+                          0.95 * spread_before.now_variation);
+        /* The random arrivals of the two runs differ. */
+        g_assert_cmpfloat((double)after.asks / after.asked, <=,
+                          (double)before.asks / before.asked);
+        g_assert_cmpfloat((double)after.busy / after.asks, <=,
+                          (double)before.busy / before.asks);
+        g_assert_cmpfloat((double)after.in_time / after.asked, >=,
+                          (double)before.in_time / before.asked);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/replay/even-load", test_spread);
+    return g_test_run();
+}
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -193,6 +193,7 @@
         GrayFilter_Set(&row->filter, report->risk, now);
         row->report = *report;
         row->reported = now;
+        row->own_before = row->own;
         _Roster_MarkReached(row, now);
         row->avoid_until = report->leaving ? now + LEAVING_AVOID_MS : 0;
         row->ends = report->stop_ms > 0 ? now + report->stop_ms : 0;
@@ -200,6 +201,33 @@
     pthread_mutex_unlock(&roster->lock);
 }
 
+void
+Roster_Begin(Roster *roster, uint64_t host)
+{
+    RosterRow *row;
+
+    pthread_mutex_lock(&roster->lock);
+    row = g_hash_table_lookup(roster->rows, &host);
+    if (row != NULL) {
+        row->own++;
+    }
+    pthread_mutex_unlock(&roster->lock);
+}
+
+void
+Roster_End(Roster *roster, uint64_t host)
+{
+    RosterRow *row;
+
+    pthread_mutex_lock(&roster->lock);
+    row = g_hash_table_lookup(roster->rows, &host);
+    /* The row may have been created anew since the attempt began. */
+    if (row != NULL && row->own > 0) {
+        row->own--;
+    }
+    pthread_mutex_unlock(&roster->lock);
+}
+
 double
 Roster_RiskAt(const Roster *roster, double fail_share)
 {
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -5,8 +5,9 @@
  *  1. Roster_Create().
  *  2. Roster_Set() and Roster_Remove() to follow the entries in the store.
  *  3. For each attempt of a request: Roster_Choose(); send the request to the
- *     owner of the chosen backend server; Roster_Report() with the load and
- *     risk that it reported, or Roster_NoteUnreachable().
+ *     owner of the chosen backend server, between Roster_Begin() and
+ *     Roster_End(); Roster_Report() with the load and risk that it reported,
+ *     or Roster_NoteUnreachable().
  *
  * The choice minimises the expected cost (roster/placement.h). A backend
  * server that has been idle for a while is explored with requests that can be
@@ -14,7 +15,8 @@
  * for long. An issuance goes to a backend server whose host stops only if
  * others cost more, and to one that would refuse it (StopPlan_LeavesTime())
  * only if no other is left. Reports age: the risk drifts to the fleet's
- * long-term mean and the weight of the load decays.
+ * long-term mean and the weight of the load decays. With even_load the load
+ * is estimated from the report's age and the own requests under way.
  *
  * Limits: ROSTER_MAX_EXCLUDED hosts can be excluded from one choice. Thread
  * safe.
@@ -37,6 +39,9 @@
  * towards the mean of its service. */
 #define ROSTER_RECENT_MS 3000
 
+/* Maximum age of a report that is passed on. */
+#define ROSTER_NEWS_MS 1000
+
 typedef struct Roster Roster;
 
 typedef struct Roster_desc {
@@ -45,7 +50,8 @@
     const char *region;
     GrayFilter_desc gray;
     Placement_desc placement;
-    uint64_t seed; /* of the random part of a choice; 0: of the process */
+    uint64_t seed;      /* of the random part of a choice; 0: of the process */
+    gboolean even_load; /* roster/load_estimate.h */
 } Roster_desc;
 
 /* Load and risk that an owner reports of its backend server. */
@@ -62,6 +68,15 @@
     double retries_per_s;
 } RosterReport;
 
+/* Report of an owner that another host passes on. */
+typedef struct RosterNews {
+    uint64_t host;
+    double risk;
+    uint32_t in_flight;
+    uint32_t waiting;
+    ClockMs age_ms;
+} RosterNews;
+
 typedef struct RosterQuery {
     uint64_t service; /* hash of the service name */
     PlacementRequest request;
@@ -121,6 +136,23 @@
 void Roster_Report(Roster *roster, uint64_t host, const RosterReport *report,
                    ClockMs now);
 
+/* Brackets each attempt at the host: it counts as an own request under way
+ * from Roster_Begin() to Roster_End(). */
+void Roster_Begin(Roster *roster, uint64_t host);
+void Roster_End(Roster *roster, uint64_t host);
+
+/* Fills the freshest reports of a service that are younger than
+ * ROSTER_NEWS_MS, without that of the host `receiver`, and returns their
+ * number. They may be passed on to other hosts. */
+uint32_t Roster_GetNews(Roster *roster, uint64_t service, uint64_t receiver,
+                        ClockMs now, RosterNews *news, uint32_t max);
+
+/* Takes over the reports of other hosts that are younger than those at hand.
+ * Ignores hosts of other services, and hosts that have been found unreachable
+ * since their report. Returns the number that was taken over. */
+uint32_t Roster_AddNews(Roster *roster, uint64_t service,
+                        const RosterNews *news, uint32_t count, ClockMs now);
+
 /* Highest risk at which this share of requests is expected to fail. */
 double Roster_RiskAt(const Roster *roster, double fail_share);
 
--- a/src/roster/roster_choice.c
+++ b/src/roster/roster_choice.c
@@ -3,6 +3,7 @@
 #include <math.h>
 
 #include "roster/exploration.h"
+#include "roster/load_estimate.h"
 #include "roster/roster_internal.h"
 #include "stop/stop_plan.h"
 
@@ -34,6 +35,11 @@
 typedef struct ServiceMean {
     double risk;
     double wait_ms;
+    /* With even_load only: */
+    double load;       /* LoadEstimate_Mean() */
+    double service_ms; /* mean service time */
+    double capacity;   /* mean of row_capacity() */
+    guint candidates[ROSTER_TIERS];
 } ServiceMean;
 
 static gboolean
@@ -57,12 +63,38 @@
     return exp(-(double)(now - row->reported) / LOAD_DECAY_MS);
 }
 
+static LoadReport
+load_report(const RosterRow *row, ClockMs now)
+{
+    return (LoadReport){
+        .slots = row->entry.slots,
+        .requests = row->report.in_flight + row->report.waiting,
+        .own_before = row->own_before,
+        .own_now = row->own,
+        .weight = row->reported > 0
+                      ? LoadEstimate_Weight(now - row->reported,
+                                            row->report.service_ms)
+                      : 0};
+}
+
+/* Requests that are expected to run and wait at the backend server. */
+static double
+expected_load(const Roster *roster, const RosterRow *row, double mean,
+              ClockMs now)
+{
+    if (roster->desc.even_load) {
+        LoadReport report = load_report(row, now);
+
+        return LoadEstimate_Load(&report, mean);
+    }
+    return (double)(row->report.in_flight + row->report.waiting) *
+           load_weight(row, now);
+}
+
 static ClockMs
-expected_wait(const RosterRow *row, ClockMs now)
+expected_wait(const RosterRow *row, double load)
 {
     double slots = MAX(row->entry.slots, 1);
-    double load = (double)(row->report.in_flight + row->report.waiting) *
-                  load_weight(row, now);
     ClockMs service_ms = row->report.service_ms > 0 ? row->report.service_ms
                                                     : INITIAL_SERVICE_MS;
 
@@ -77,29 +109,67 @@
     return row->reported > 0 && now - row->reported <= ROSTER_RECENT_MS;
 }
 
+/* Requests for each millisecond; `service_ms` is assumed if its own service
+ * time is not known. */
+static double
+row_capacity(const RosterRow *row, double service_ms)
+{
+    return row->entry.slots / (row->report.service_ms > 0
+                                   ? (double)row->report.service_ms
+                                   : service_ms);
+}
+
+/* Fills what even_load needs of the service. */
+static void
+set_load_mean(const GPtrArray *rows, ClockMs now, ServiceMean *mean)
+{
+    LoadSum sum = {0};
+    double service_ms = 0;
+    guint known = 0;
+
+    for (guint i = 0; i < rows->len; i++) {
+        const RosterRow *row = g_ptr_array_index(rows, i);
+        LoadReport report = load_report(row, now);
+
+        LoadEstimate_Add(&sum, &report);
+        service_ms += (double)row->report.service_ms;
+        known += row->report.service_ms > 0;
+        mean->candidates[row->tier]++;
+    }
+    mean->load = LoadEstimate_Mean(&sum);
+    mean->service_ms = known > 0 ? service_ms / known : INITIAL_SERVICE_MS;
+    for (guint i = 0; i < rows->len; i++) {
+        mean->capacity +=
+            row_capacity(g_ptr_array_index(rows, i), mean->service_ms) /
+            rows->len;
+    }
+}
+
 static ServiceMean
-mean_of(const GPtrArray *rows, ClockMs now)
+mean_of(const Roster *roster, const GPtrArray *rows, ClockMs now)
 {
-    double risk = 0;
-    double wait_ms = 0;
+    ServiceMean mean = {0};
     double prior = 0;
     guint count = 0;
 
+    if (roster->desc.even_load) {
+        set_load_mean(rows, now, &mean);
+    }
     for (guint i = 0; i < rows->len; i++) {
         const RosterRow *row = g_ptr_array_index(rows, i);
 
         prior = GrayFilter_LongTermRisk(&row->filter);
         if (_Roster_IsRecent(row, now)) {
-            risk += GrayFilter_Risk(&row->filter, now);
-            wait_ms += (double)expected_wait(row, now);
+            mean.risk += GrayFilter_Risk(&row->filter, now);
+            mean.wait_ms += (double)expected_wait(
+                row, expected_load(roster, row, mean.load, now));
             count++;
         }
     }
-    return (ServiceMean){
-        .risk =
-            (risk + PRIOR_RISK_REPORTS * prior) / (count + PRIOR_RISK_REPORTS),
-        .wait_ms = wait_ms / (count + PRIOR_WAIT_REPORTS),
-    };
+    mean.risk = (mean.risk + PRIOR_RISK_REPORTS * prior) /
+                (count + PRIOR_RISK_REPORTS);
+    mean.wait_ms /= count + PRIOR_WAIT_REPORTS;
+    return mean;
 }
 
 /* Whether the backend server is on a host of this data centre and has neither
@@ -112,7 +182,8 @@
 }
 
 static ClockMs
-explore_idle_ms(const RosterRow *row, const RosterQuery *query, ClockMs now)
+explore_idle_ms(const Roster *roster, const RosterRow *row,
+                const RosterQuery *query, ClockMs now)
 {
     ExplorationInput input = {.tier = row->tier,
                               .may_retry = query->may_explore,
@@ -120,6 +191,13 @@
                               .has_report = row->reported > 0,
                               .idle_ms =
                                   row->report.idle_ms + (now - row->reported)};
+    if (roster->desc.even_load && row->unreachable_since == 0 &&
+        (row->reported == 0 ||
+         row->report.risk <= GrayFilter_LongTermRisk(&row->filter))) {
+        /* Not gray: it is chosen for its cost, also if its report is old. */
+        input.is_new = FALSE;
+        input.idle_ms = row->report.idle_ms;
+    }
 
     return Exploration_IdleMs(&input);
 }
@@ -140,25 +218,52 @@
                                 query->run_allowance_ms, now);
 }
 
+/* Slots in use, 0 to 1. */
+static double
+used_share(const Roster *roster, const RosterRow *row, double load,
+           ClockMs now)
+{
+    double slots = MAX(row->entry.slots, 1);
+
+    if (roster->desc.even_load) {
+        return MIN(load / slots, 1);
+    }
+    return MIN(row->report.in_flight / slots, 1) * load_weight(row, now);
+}
+
+/* Breaks ties. */
+static double
+random_cost(Roster *roster, const RosterRow *row, const ServiceMean *mean)
+{
+    double random = Rng_Unit(&roster->rng);
+
+    if (!roster->desc.even_load) {
+        return JITTER_COST * random;
+    }
+    return LoadEstimate_RandomCost(
+        row_capacity(row, mean->service_ms) / mean->capacity,
+        mean->candidates[row->tier], Rng_Unit(&roster->rng), random);
+}
+
 static double
 cost_of(Roster *roster, const RosterRow *row, const RosterQuery *query,
         const ServiceMean *mean, ClockMs now)
 {
     gboolean recent = _Roster_IsRecent(row, now);
-    double jitter = JITTER_COST * Rng_Unit(&roster->rng);
+    double jitter = random_cost(roster, row, mean);
     double risk = GrayFilter_Risk(&row->filter, now);
-    double load = (double)row->report.in_flight / MAX(row->entry.slots, 1);
+    double load = expected_load(roster, row, mean->load, now);
     double stop =
         query->is_issuance && is_stopping(row, now) ? STOPPING_COST : 0;
     PlacementCandidate candidate = {
         .tier = row->tier,
         .is_known = recent,
-        .load = MIN(load, 1) * load_weight(row, now),
-        .wait_ms = (double)expected_wait(row, now),
+        .load = used_share(roster, row, load, now),
+        .wait_ms = (double)expected_wait(row, load),
         .service_ms = (double)row->report.service_ms,
         .transit_ms = roster->transit_ms[row->tier]};
 
-    if (explore_idle_ms(row, query, now) > 0) {
+    if (explore_idle_ms(roster, row, query, now) > 0) {
         return jitter;
     }
     if (!recent && !is_new(row)) {
@@ -172,14 +277,16 @@
 }
 
 static void
-fill_choice(const RosterRow *row, const RosterQuery *query, ClockMs now,
+fill_choice(const Roster *roster, const RosterRow *row,
+            const RosterQuery *query, double mean, ClockMs now,
             RosterChoice *choice)
 {
-    choice->explore_idle_ms = explore_idle_ms(row, query, now);
+    choice->explore_idle_ms = explore_idle_ms(roster, row, query, now);
     choice->entry = row->entry;
     choice->host = row->host;
     choice->tier = row->tier;
-    choice->wait_ms = expected_wait(row, now);
+    choice->wait_ms =
+        expected_wait(row, expected_load(roster, row, mean, now));
     choice->service_ms = row->report.service_ms;
     choice->age_ms = row->reported > 0 ? now - row->reported : CLOCK_NEVER;
 }
@@ -190,7 +297,7 @@
 find_best(Roster *roster, const GPtrArray *rows, const RosterQuery *query,
           gboolean include_all, ClockMs now, RosterChoice *choice)
 {
-    ServiceMean mean = mean_of(rows, now);
+    ServiceMean mean = mean_of(roster, rows, now);
     const RosterRow *best = NULL;
 
     choice->cost = HUGE_VAL;
@@ -233,7 +340,8 @@
         }
     }
     if (best != NULL) {
-        fill_choice(best, query, now, choice);
+        fill_choice(roster, best, query, mean_of(roster, rows, now).load, now,
+                    choice);
     }
     pthread_mutex_unlock(&roster->lock);
     return best != NULL;
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -114,7 +114,8 @@
         .data_centre = settings->data_centre,
         .region = settings->region,
         .placement = {.data_centre_cost = settings->data_centre_cost,
-                      .region_cost = settings->region_cost}};
+                      .region_cost = settings->region_cost},
+        .even_load = settings->even_load != 0};
     Backend_desc backend = {.names = sidecar->adapter->names,
                             .service = settings->service,
                             .client = sidecar->client,
