--- a/src/replay/replay.c
+++ b/src/replay/replay.c
@@ -54,7 +54,9 @@
                        .admission = Admission_Create(),
                        .waiting = g_ptr_array_new(),
                        .cold_sent = g_array_new(FALSE, FALSE, sizeof(ClockMs)),
-                       .last_sent = REPLAY_START_MS};
+                       .last_sent = REPLAY_START_MS,
+                       .speed = 1 + replay->desc.services[service].unequal *
+                                        ((double)(index % 3) - 1)};
     GrayFilter_Init(&server->filter, NULL, REPLAY_START_MS);
     ColdRate_Init(&server->cold, REPLAY_START_MS);
     Admission_SetSlots(server->admission,
@@ -73,6 +75,7 @@
 {
     guint bins = (guint)(end_of(replay) / BIN_MS) + 1;
 
+    replay->spreads = g_new0(ReplaySpread, replay->desc.service_count);
     for (guint i = 0; i < replay->desc.service_count; i++) {
         replay->bins[i] =
             g_array_sized_new(FALSE, TRUE, sizeof(ReplayBin), bins);
@@ -125,7 +128,8 @@
         Roster_Create(&(Roster_desc){.host = host,
                                      .data_centre = data_centre,
                                      .region = region,
-                                     .seed = replay->desc.seed + index + 1});
+                                     .seed = replay->desc.seed + index + 1,
+                                     .even_load = replay->desc.even_load});
     fill_roster(replay, sender->roster);
     sender->budgets = g_new0(RetryBudget, replay->desc.service_count);
     for (guint i = 0; i < replay->desc.service_count; i++) {
@@ -174,6 +178,7 @@
     g_hash_table_destroy(replay->by_host);
     g_free(replay->senders);
     g_free(replay->servers);
+    g_free(replay->spreads);
     g_free(replay->outcomes);
     g_free(replay);
 }
@@ -293,6 +298,7 @@
 
         if (call->parent == parent && call->state != REPLAY_DONE) {
             _Replay_LeaveOwner(replay, call, now);
+            _Replay_EndAttempt(call);
             call->state = REPLAY_DONE;
             cancel_calls(replay, call, now);
         }
@@ -365,6 +371,7 @@
     for (guint i = 0; i < replay->server_count; i++) {
         _Replay_AdvanceOwner(replay, &replay->servers[i], now);
     }
+    _Replay_Sample(replay, now);
     for (guint i = replay->active->len; i > 0; i--) {
         const ReplayRequest *request =
             g_ptr_array_index(replay->active, i - 1);
--- a/src/replay/replay_owner.c
+++ b/src/replay/replay_owner.c
@@ -4,19 +4,27 @@
 /* Time after which a sender notices that a host does not accept. */
 #define CONNECT_MS 250
 
+
 /* Sends the request back to its sender with the owner's report. */
 static void
 answer(Replay *replay, ReplayRequest *request, Result result, ClockMs now)
 {
     ReplayServer *server = request->server;
-    AdmissionLoad load = Admission_Load(server->admission);
-    RetryRates rates = RetryRates_At(&server->rates, now);
     gboolean is_far = request->sender->region != server->region;
 
     request->result = result;
     request->state = REPLAY_TO_SENDER;
     request->due = now + (is_far ? replay->desc.transit_ms / 2 : 0);
-    request->report = (RosterReport){
+    request->report = _Replay_ReportOf(replay, server, now);
+}
+
+RosterReport
+_Replay_ReportOf(const Replay *replay, const ReplayServer *server, ClockMs now)
+{
+    AdmissionLoad load = Admission_Load(server->admission);
+    RetryRates rates = RetryRates_At(&server->rates, now);
+
+    return (RosterReport){
         .risk = GrayFilter_Risk(&server->filter, now),
         .slots = load.slots,
         .in_flight = load.running,
@@ -116,7 +124,8 @@
         answer(replay, request, RESULT_BACKEND_SERVER_ERROR, now);
         return;
     }
-    request->due = now + (ClockMs)((double)stream->service_ms * MAX(slow, 1));
+    request->due = now + (ClockMs)((double)stream->service_ms * MAX(slow, 1) /
+                                   server->speed);
     request->pending = stream->calls;
     request->call_failed = FALSE;
     for (guint i = 0; i < stream->calls; i++) {
--- a/src/replay/replay_private.h
+++ b/src/replay/replay_private.h
@@ -31,6 +31,9 @@
     ColdRate cold;
     double cold_per_s; /* 0: warm */
     GArray *cold_sent; /* ClockMs of each request while it was cold */
+
+    double speed;
+    double load; /* sum of the samples */
 } ReplayServer;
 
 /* A host that sends requests. */
@@ -69,7 +72,8 @@
     ClockMs arrived;  /* of this try of the caller */
     ClockMs deadline; /* of the caller */
     ReplayServer *server;
-    Result result; /* on the way to the sender */
+    gboolean is_begun; /* Roster_Begin() for the server's host */
+    Result result;     /* on the way to the sender */
     RosterReport report;
     ClockMs backlog_ms; /* shortest wait of the owners that were full */
     guint attempts;
@@ -100,6 +104,7 @@
     GHashTable *by_host; /* &ReplayServer.host -> ReplayServer */
     GArray **bins;       /* ReplayBin for each 100 ms, one for each service */
     ReplayOutcome *outcomes;
+    ReplaySpread *spreads; /* sums, one for each service */
     Rng rng;
     Rng estimates; /* of what senders do not know; apart from the arrivals */
 };
@@ -123,7 +128,12 @@
 void _Replay_TakeResult(Replay *replay, ReplayRequest *request, ClockMs now);
 void _Replay_Expire(Replay *replay, ReplayRequest *request);
 
+/* Ends the attempt in the sender's roster, if one is under way. */
+void _Replay_EndAttempt(ReplayRequest *request);
+
 /* replay_owner.c */
+RosterReport _Replay_ReportOf(const Replay *replay, const ReplayServer *server,
+                              ClockMs now);
 void _Replay_Arrive(Replay *replay, ReplayRequest *request, ClockMs now);
 void _Replay_AdvanceOwner(Replay *replay, ReplayServer *server, ClockMs now);
 void _Replay_EndRun(Replay *replay, ReplayRequest *request, ClockMs now);
@@ -133,6 +143,9 @@
 void _Replay_CountCold(ReplayServer *server, ClockMs now);
 ClockMs _Replay_ColdWait(const ReplayServer *server, ClockMs now);
 
+/* replay_spread.c: called for each step. */
+void _Replay_Sample(Replay *replay, ClockMs now);
+
 /* Takes the request from its owner, whether it waits or runs. */
 void _Replay_LeaveOwner(Replay *replay, ReplayRequest *request, ClockMs now);
 
--- a/src/replay/replay_sender.c
+++ b/src/replay/replay_sender.c
@@ -30,10 +30,20 @@
     return &request->sender->budgets[_Replay_Stream(replay, request)->service];
 }
 
+void
+_Replay_EndAttempt(ReplayRequest *request)
+{
+    if (request->is_begun) {
+        request->is_begun = FALSE;
+        Roster_End(request->sender->roster, request->server->host);
+    }
+}
+
 /* Ends the request, and tells the request that called it. */
 static void
 finish(ReplayRequest *request, gboolean served)
 {
+    _Replay_EndAttempt(request);
     request->state = REPLAY_DONE;
     if (request->parent != NULL) {
         request->parent->pending--;
@@ -149,6 +159,8 @@
     request->has_explored =
         request->has_explored || choice->explore_idle_ms > 0;
     _Replay_OutcomeOf(replay, request)->asks++;
+    Roster_Begin(request->sender->roster, choice->host);
+    request->is_begun = TRUE;
     request->ticket = (AdmissionTicket){
         .priority = request->parent != NULL ? ADMISSION_PRIORITY_NESTED
                                             : stream->priority,
@@ -279,15 +291,20 @@
     ReplayOutcome *outcome = _Replay_OutcomeOf(replay, request);
     ClockMs took = now - request->asked;
 
+    _Replay_EndAttempt(request);
     note_report(replay, request, now);
     switch (request->result) {
     case RESULT_OK:
         outcome->in_time += took <= stream->target_ms;
         outcome->late += took > stream->target_ms && now <= request->deadline;
         outcome->expired += now > request->deadline;
+        if (now <= request->deadline) {
+            outcome->served_ms += took;
+        }
         finish(request, now <= request->deadline);
         return;
     case RESULT_BACKEND_SERVER_BUSY:
+        outcome->busy++;
         note_backlog(request);
         if (is_over_retry_limit(request)) {
             end_attempts(replay, request, now);
@@ -295,6 +312,7 @@
         }
         break;
     case RESULT_BACKEND_SERVER_EJECTED:
+        outcome->risky++;
         request->risky_owners++;
         break;
     default:
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -5,8 +5,9 @@
  *  1. Roster_Create().
  *  2. Roster_Set() and Roster_Remove() to follow the entries in the store.
  *  3. For each attempt of a request: Roster_Choose(); send the request to the
- *     owner of the chosen backend server; Roster_Report() with the load and
- *     risk that it reported, or Roster_NoteUnreachable().
+ *     owner of the chosen backend server, between Roster_Begin() and
+ *     Roster_End(); Roster_Report() with the load and risk that it reported,
+ *     or Roster_NoteUnreachable().
  *
  * The choice minimises the expected cost (roster/placement.h). A backend
  * server that has been idle for a while is explored with requests that can be
@@ -15,7 +16,9 @@
  * others cost more, and to one that would refuse it (StopPlan_LeavesTime())
  * only if no other is left. A request that is restricted to regions goes to no
  * host elsewhere, whatever the cost (roster_regions.c). Reports age: the risk
- * drifts to the fleet's long-term mean and the weight of the load decays.
+ * drifts to the fleet's long-term mean and the weight of the load decays. With
+ * even_load the load is estimated from the report's age and the own requests
+ * under way.
  *
  * Limits: ROSTER_MAX_EXCLUDED hosts can be excluded from one choice. Thread
  * safe.
@@ -47,7 +50,8 @@
     const char *region;
     GrayFilter_desc gray;
     Placement_desc placement;
-    uint64_t seed; /* of the random part of a choice; 0: of the process */
+    uint64_t seed;      /* of the random part of a choice; 0: of the process */
+    gboolean even_load; /* roster/load_estimate.h */
 } Roster_desc;
 
 /* Load and risk that an owner reports of its backend server. */
@@ -138,6 +142,11 @@
 void Roster_Report(Roster *roster, uint64_t host, const RosterReport *report,
                    ClockMs now);
 
+/* Brackets each attempt at the host: it counts as an own request under way
+ * from Roster_Begin() to Roster_End(). */
+void Roster_Begin(Roster *roster, uint64_t host);
+void Roster_End(Roster *roster, uint64_t host);
+
 /* Highest risk at which this share of requests is expected to fail. */
 double Roster_RiskAt(const Roster *roster, double fail_share);
 
