admission, backend: parents are refused whose calls would be

Cause: the calls of a service's runs may be refused by a service that is called more than it can serve; each refusal fails a run that has held a slot. Retries of such runs make calls that count as retries at the called service, whose own limit did not hold them back.

Change: admission/parent_gate.h. The owner counts, for each called route and priority of the parents, the runs and the calls refused for lack of room while the called service is known to be full (reports younger than 1 s). With load_by_value it refuses a share of the least urgent parents before they run if more than 0.6 of the runs fail: 0 at 0.6, 0.95 where all fail. The refusal carries Radishknot-Return, after which the sender asks no other owner and the caller gets 503 with a Retry-After. Always: retries of parents are refused from half of the called service's retry limit on, all from 0.8 on. One refusal for the retry limit ends the retries of a request, and a sender without reports does not count as one that knows the limit to be far.

--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -40,6 +40,8 @@
     backend->stop = StopPlan_None();
     backend->admission = Admission_Create();
     backend->origin = CallOrigin_Create();
+    backend->gate = ParentGate_Create();
+    Rng_Seed(&backend->rng, Rng_ProcessSeed());
     return backend;
 }
 
@@ -51,6 +53,7 @@
     }
     Admission_Destroy(backend->admission);
     CallOrigin_Destroy(backend->origin);
+    ParentGate_Destroy(backend->gate);
     pthread_cond_destroy(&backend->wake);
     pthread_mutex_destroy(&backend->lock);
     g_free(backend);
@@ -218,13 +221,17 @@
     return RESULT_OK;
 }
 
-/* Waits for a slot like wait_for_slot(), within the limit of retries. Called
- * with the lock held. */
+/* Waits for a slot like wait_for_slot(), if the request's calls are expected
+ * to succeed and the limit of retries allows it. Called with the lock held. */
 static Result
-take_slot(Backend *backend, const BackendCall *call, AdmissionTicket *ticket)
+take_slot(Backend *backend, const BackendCall *call, AdmissionTicket *ticket,
+          BackendReply *reply)
 {
-    Result result;
+    Result result = _Backend_CheckCalls(backend, call, reply);
 
+    if (result != RESULT_OK) {
+        return result;
+    }
     if (!RetryLimit_Reserve(&backend->retry_limit, call->retry, Clock_Now())) {
         Counter_Add(COUNTER_OWNER_RETRIES_REFUSED, 1);
         return RESULT_BACKEND_SERVER_BUSY;
@@ -341,14 +348,6 @@
     GrayFilter_Observe(&backend->filter, TRUE, now);
 }
 
-/* Priority of a request, or of the one that made the call; -1: unknown. */
-static int
-value_of(const BackendCall *call)
-{
-    return call->priority >= 0 ? call->priority
-                               : Admission_ParentPriority(call->priority);
-}
-
 /* Called with the lock held. */
 static void
 begin_run(Backend *backend, const BackendCall *call, ClockMs now)
@@ -359,8 +358,8 @@
     backend->running_retries += is_retry ? 1 : 0;
     RetryRates_Add(&backend->rates, is_retry, now);
     RetryLimit_Send(&backend->retry_limit, call->retry, now);
-    CallOrigin_Begin(backend->origin, call->route, value_of(call), is_retry,
-                     now);
+    CallOrigin_Begin(backend->origin, call->route, _Backend_Value(call),
+                     is_retry, now);
 }
 
 /* Called with the lock held. */
@@ -370,8 +369,9 @@
     gboolean is_retry = call->retry != RETRY_KIND_FIRST;
 
     backend->running_retries -= is_retry ? 1 : 0;
-    CallOrigin_End(backend->origin, call->route, value_of(call), is_retry,
-                   now);
+    _Backend_NoteRun(backend, call, now);
+    CallOrigin_End(backend->origin, call->route, _Backend_Value(call),
+                   is_retry, now);
 }
 
 void
@@ -388,7 +388,7 @@
 
     *reply = (BackendReply){.run = RUN_NO};
     pthread_mutex_lock(&backend->lock);
-    reply->result = take_slot(backend, call, &ticket);
+    reply->result = take_slot(backend, call, &ticket, reply);
     now = Clock_Now();
     reply->queue_ms = now - arrived;
     if (reply->result != RESULT_OK) {
@@ -442,17 +442,6 @@
     return share;
 }
 
-CallParent
-Backend_FindParent(Backend *backend, uint64_t called)
-{
-    CallParent parent;
-
-    pthread_mutex_lock(&backend->lock);
-    parent = CallOrigin_Find(backend->origin, called, Clock_Now());
-    pthread_mutex_unlock(&backend->lock);
-    return parent;
-}
-
 void
 Backend_GetReport(Backend *backend, RosterReport *report)
 {
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -56,6 +56,7 @@
 #include <netinet/in.h>
 
 #include "admission/admission.h"
+#include "admission/parent_gate.h"
 #include "backend/pause_log.h"
 #include "backend/wire_names.h"
 #include "base/clock.h"
@@ -97,6 +98,7 @@
     const char *service; /* service of the backend server on this host */
     HttpClient *client;
     GrayFilter_desc gray;
+    gboolean load_by_value; /* requests are refused whose calls would be */
     /* Called without a lock when the published entry may have changed. */
     void (*changed)(void *context);
     void *context;
@@ -155,6 +157,8 @@
     ClockMs server_ms;
     ClockMs expected_ms; /* longest run that the owner expected when it took
                             the request up; 0: it did not */
+    ClockMs return_ms;   /* above 0: no owner has room for the calls of the
+                            request, which may return after this time */
     ClockMs owner_ms;    /* time at the owner of another host; -1: unknown */
 } BackendReply;
 
@@ -209,6 +213,15 @@
  * likely parent. */
 CallParent Backend_FindParent(Backend *backend, uint64_t called);
 
+/* What this daemon knows of a service that the backend server calls, and the
+ * end of one of these calls; `priority` is the parent's. They decide with
+ * load_by_value which requests run whose runs make such calls, and always
+ * which retries do (admission/parent_gate.h). */
+void Backend_NoteCalled(Backend *backend, uint64_t called,
+                        const CalledState *state);
+void Backend_NoteCallEnd(Backend *backend, uint64_t called, int priority,
+                         Result result);
+
 void Backend_GetReport(Backend *backend, RosterReport *report);
 
 /* "unknown", "ready", "draining", "gone". */
--- a/src/backend/backend_internal.h
+++ b/src/backend/backend_internal.h
@@ -30,6 +30,8 @@
     RetryRates rates;
     RetryLimit retry_limit;
     CallOrigin *origin;
+    ParentGate *gate;
+    Rng rng;
     PauseLog pauses;
     Admission *admission;
 };
@@ -47,4 +49,18 @@
 Result _Backend_CheckStop(const Backend *backend, const BackendCall *call,
                           const AdmissionTicket *ticket, ClockMs now);
 
+/* backend_parent.c: priority of a request, or of the one that made the call;
+ * -1: unknown. */
+int _Backend_Value(const BackendCall *call);
+
+/* Counts a run that has ended, if such runs make calls. Called with the lock
+ * held. */
+void _Backend_NoteRun(Backend *backend, const BackendCall *call, ClockMs now);
+
+/* Whether the calls that a run of the request is known to make will likely be
+ * served, as far as it matters to the request. Sets reply->return_ms if not.
+ * Called with the lock held. */
+Result _Backend_CheckCalls(Backend *backend, const BackendCall *call,
+                           BackendReply *reply);
+
 #endif
--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -89,6 +89,8 @@
             "of these, sent for a fresh report of an idle backend server") \
     COUNTER(OWNER_REQUESTS, "requests received from entries") \
     COUNTER(OWNER_SENT, "requests sent to backend servers") \
+    COUNTER(OWNER_PARENTS_REFUSED, \
+            "requests refused because their runs' calls would be") \
     COUNTER(OWNER_RETRIES_REFUSED, \
             "retries refused because the service's retry limit is near") \
     COUNTER(ATTEMPTS_NOT_SEEN, \
--- a/src/gateway/call_origin.c
+++ b/src/gateway/call_origin.c
@@ -257,3 +257,22 @@
                ? origin->routes[index].calls[to] / origin->routes[index].runs
                : 0;
 }
+
+int
+CallOrigin_Called(const CallOrigin *origin, uint64_t route, double min,
+                  uint64_t *called, int max)
+{
+    int index = find_route(origin, route);
+    int count = 0;
+
+    if (index < 0 || origin->routes[index].runs < MIN_RUNS) {
+        return 0;
+    }
+    for (int i = 0; i < origin->called_count && count < max; i++) {
+        if (origin->routes[index].calls[i] >=
+            min * origin->routes[index].runs) {
+            called[count++] = origin->called[i];
+        }
+    }
+    return count;
+}
--- a/src/gateway/call_origin.h
+++ b/src/gateway/call_origin.h
@@ -60,4 +60,9 @@
 double CallOrigin_CallsPerRun(const CallOrigin *origin, uint64_t route,
                               uint64_t called);
 
+/* Fills the called routes of which a run of the route makes at least `min`
+ * calls in the mean; returns their number, at most `max`. */
+int CallOrigin_Called(const CallOrigin *origin, uint64_t route, double min,
+                      uint64_t *called, int max);
+
 #endif
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -12,10 +12,6 @@
  * count, too. */
 #define MAX_ROUNDS 12
 
-/* Maximum number of owners that are asked for a retry and refuse it because of
- * the service's retry limit. */
-#define MAX_LIMIT_REFUSALS 2
-
 /* Timeout of the first attempt at a request that can be retried: this share of
  * the route's latency target, but at least this many mean service times, plus
  * the expected wait for a slot. It leaves time for a second attempt. */
@@ -98,6 +94,24 @@
                : Backend_RetryShare(request->gateway->desc.backend);
 }
 
+/* Tells the owner of the backend server that makes the call what is known of
+ * the called service. */
+static void
+note_called(const GatewayRequest *request, double usage, ClockMs now)
+{
+    const Gateway *gateway = request->gateway;
+    RosterLoad load;
+
+    Roster_ServiceLoad(gateway->desc.roster,
+                       request->destination->service_hash, now, &load);
+    Backend_NoteCalled(gateway->desc.backend, request->route->hash,
+                       &(CalledState){.reports = load.reports,
+                                      .slots = load.slots,
+                                      .in_flight = load.in_flight,
+                                      .waiting = load.waiting,
+                                      .limit_usage = usage});
+}
+
 static void
 count_request(GatewayRequest *request)
 {
@@ -108,16 +122,20 @@
     RetryRates rates;
     double coverage = Roster_RetryRates(
         gateway->desc.roster, request->destination->service_hash, now, &rates);
-    double refill = RetryRates_Refill(
-        &rates, gateway->desc.retry_ratio,
-        coverage * gateway->desc.retry_per_minute / SECONDS_PER_MINUTE);
+    double slack =
+        coverage * gateway->desc.retry_per_minute / SECONDS_PER_MINUTE;
+    double refill =
+        RetryRates_Refill(&rates, gateway->desc.retry_ratio, slack);
+    double usage = RetryRates_Usage(&rates, gateway->desc.retry_ratio, slack);
+
+    if (request->team == NULL) {
+        note_called(request, usage, now);
+    }
 
     pthread_mutex_lock(&gateway->lock);
     budget = find_budget(gateway, request->destination->service_hash, now);
     RetryBudget_SetRefill(budget, refill, now);
-    request->is_calm = RetryRates_IsCalm(
-        &rates, gateway->desc.retry_ratio,
-        coverage * gateway->desc.retry_per_minute / SECONDS_PER_MINUTE);
+    request->is_calm = rates.per_s > 0 && usage < RETRY_CALM_USAGE;
     request->is_retried_call = Rng_Unit(&gateway->rng) < retry_share;
     RetryBudget_Request(budget, now);
     if (retry_share > 0) {
@@ -484,9 +502,9 @@
 
 /* Keeps the shortest wait among the owners that are full. */
 static void
-note_backlog(GatewayRequest *request, const RosterReport *report)
+note_backlog(GatewayRequest *request, const BackendReply *reply)
 {
-    ClockMs wait = ReturnTime_Backlog(report);
+    ClockMs wait = MAX(ReturnTime_Backlog(&reply->report), reply->return_ms);
 
     if (request->backlog_ms == 0 || wait < request->backlog_ms) {
         request->backlog_ms = wait;
@@ -529,7 +547,7 @@
     }
     if (reply->result == RESULT_BACKEND_SERVER_BUSY &&
         reply->report.slots > 0) {
-        note_backlog(request, &reply->report);
+        note_backlog(request, reply);
     }
     switch (reply->result) {
     case RESULT_BACKEND_SERVER_EJECTED:
@@ -614,19 +632,18 @@
            request->attempts < request->route->attempts;
 }
 
-/* Whether enough owners have refused a retry because of the service's retry
- * limit. Only that makes an owner with free slots busy for a retry. */
+/* Whether the owner has refused a retry because of the service's retry limit:
+ * only that makes an owner with free slots busy for a retry. Others would
+ * refuse it, too, unless the fleet is known to be below the limit, and then
+ * the owner allows more. */
 static gboolean
-is_over_retry_limit(GatewayRequest *request, const BackendReply *reply)
+is_over_retry_limit(const GatewayRequest *request, const BackendReply *reply)
 {
     const RosterReport *report = &reply->report;
 
-    if (reply->result == RESULT_BACKEND_SERVER_BUSY &&
-        request->call.retry != RETRY_KIND_FIRST && report->waiting == 0 &&
-        report->in_flight < report->slots) {
-        request->limit_refusals++;
-    }
-    return request->limit_refusals >= MAX_LIMIT_REFUSALS;
+    return reply->result == RESULT_BACKEND_SERVER_BUSY &&
+           request->call.retry != RETRY_KIND_FIRST && report->waiting == 0 &&
+           report->in_flight < report->slots;
 }
 
 /* Whether no further attempt follows the reply. */
@@ -639,6 +656,10 @@
         Clock_Now() >= request->deadline) {
         return TRUE;
     }
+    if (reply->return_ms > 0) {
+        Log_Append(request->trace, sizeof(request->trace), " final=calls");
+        return TRUE;
+    }
     if (!reply->arrived) {
         return is_over_retry_limit(request, reply);
     }
@@ -684,5 +705,10 @@
 {
     count_request(request);
     try_owners(request, reply);
+    if (request->team == NULL) {
+        Backend_NoteCallEnd(request->gateway->desc.backend,
+                            request->route->hash, request->parent.priority,
+                            reply->result);
+    }
     _Gateway_ChooseAnswer(reply, &request->failure, request->maybe_run);
 }
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -62,7 +62,6 @@
     gboolean has_explored;     /* an attempt was an exploration */
     CallParent parent;         /* of a call, as far as it is known */
     gboolean is_calm;          /* the service's retries are below the limit */
-    unsigned limit_refusals;   /* by the owners' retry limit */
     unsigned risky_owners;     /* owners that refused it for their risk */
     uint64_t excluded[ROSTER_MAX_EXCLUDED]; /* hosts that cannot serve it */
     uint32_t excluded_count;
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -7,6 +7,7 @@
 #define CALLER_HEADER "Radishknot-Caller"
 #define SERVICE_HEADER "Radishknot-Service"
 #define REPLY_HEADER "Radishknot-Reply"
+#define RETURN_HEADER "Radishknot-Return"
 
 #define LINE_BYTES 160
 
@@ -139,6 +140,10 @@
                    reply->queue_ms + reply->server_ms, report->per_s,
                    report->retries_per_s, MIN(report->stop_ms, MAX_WAIT_MS));
     HttpHeaders_Add(headers, REPLY_HEADER, line);
+    if (reply->return_ms > 0) {
+        HttpHeaders_AddNumber(headers, RETURN_HEADER,
+                              MIN(reply->return_ms, MAX_WAIT_MS));
+    }
 }
 
 /* Reads the values of the header; FALSE if one is missing or malformed. */
@@ -189,6 +194,8 @@
     gboolean may_have_run;
 
     if (line != NULL && parse_reply(line, reply)) {
+        reply->return_ms = CLAMP(
+            HttpHeaders_GetNumber(headers, RETURN_HEADER, 0), 0, MAX_WAIT_MS);
         return TRUE;
     }
     /* A daemon may have passed the request on to its backend server. */
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -27,6 +27,11 @@
  * where stop is the time until the owner's process has ended, 0 if its host
  * does not stop.
  *
+ * A request that every owner of the service is expected to refuse for now,
+ * because its run's calls are refused elsewhere, is refused with
+ *   Radishknot-Return: <ms>
+ * the time after which it may be sent again; other owners are not asked.
+ *
  * The last five fields of a call and the last four of a reply may be missing:
  * earlier versions do not send them. The headers are short because traffic
  * between regions is billed by volume.
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -89,19 +89,53 @@
     }
 }
 
-/* Guards against a retry that arrives at the owner as a first attempt. */
+/* Guards against a retry that arrives at the owner as a first attempt, and a
+ * call that arrives without its parent's priority. */
 static void
 test_retry(void)
 {
-    for (int retry = 0; retry < 2; retry++) {
-        BackendCall call = {
-            .service = "permits", .caller = "desk", .retry = retry};
+    for (int retry = 0; retry < RETRY_KINDS; retry++) {
+        BackendCall call = {.service = "permits",
+                            .caller = "desk",
+                            .priority = -1 - retry,
+                            .retry = retry};
         BackendCall decoded = {0};
         HttpHeaders headers = {0};
 
         PeerWire_EncodeCall(&call, 0, &headers);
         g_assert_true(PeerWire_DecodeCall(&headers, 0, &decoded));
         g_assert_cmpint(decoded.retry, ==, retry);
+        g_assert_cmpint(decoded.priority, ==, call.priority);
+        HttpHeaders_Clear(&headers);
+    }
+}
+
+/* Guards against a refusal for the sake of a request's calls after which other
+ * owners are asked, and against a time that is malformed. */
+static void
+test_return(void)
+{
+    static const struct {
+        const char *header; /* NULL: none */
+        ClockMs decoded;
+    } cases[] = {
+        {NULL, 0}, {"1000", 1000}, {"-5", 0}, {"99999999", 600000}, {"x", 0}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        BackendReply reply = {.return_ms = 7};
+        HttpHeaders headers = {0};
+
+        HttpHeaders_Add(&headers, "Radishknot-Reply",
+                        "0 1 1 0.1 4 1 0 300 0 0");
+        if (cases[i].header != NULL) {
+            HttpHeaders_Add(&headers, "Radishknot-Return", cases[i].header);
+        }
+        g_assert_true(PeerWire_DecodeReply(&headers, &reply));
+        g_assert_cmpint(reply.return_ms, ==, cases[i].decoded);
+        HttpHeaders_Clear(&headers);
+        PeerWire_EncodeReply(&reply, &headers);
+        g_assert_true(PeerWire_DecodeReply(&headers, &reply));
+        g_assert_cmpint(reply.return_ms, ==, cases[i].decoded);
         HttpHeaders_Clear(&headers);
     }
 }
@@ -346,6 +380,7 @@
     g_test_add_func("/peer-wire/stop", test_stop);
     g_test_add_func("/peer-wire/times", test_times);
     g_test_add_func("/peer-wire/repeat", test_retry);
+    g_test_add_func("/peer-wire/return", test_return);
     g_test_add_func("/peer-wire/attempt", test_attempt);
     g_test_add_func("/peer-wire/earlier-version", test_earlier_version);
     g_test_add_func("/peer-wire/malformed-calls", test_malformed_calls);
--- a/src/replay/replay.c
+++ b/src/replay/replay.c
@@ -51,6 +51,7 @@
                              .region = index % replay->desc.regions,
                              .host = Rng_HashString(host),
                              .admission = Admission_Create(),
+                             .gate = ParentGate_Create(),
                              .waiting = g_ptr_array_new(),
                              .last_sent = REPLAY_START_MS};
     GrayFilter_Init(&server->filter, NULL, REPLAY_START_MS);
@@ -156,6 +157,7 @@
 {
     for (guint i = 0; i < replay->server_count; i++) {
         Admission_Destroy(replay->servers[i].admission);
+        ParentGate_Destroy(replay->servers[i].gate);
         g_ptr_array_unref(replay->servers[i].waiting);
     }
     for (guint i = 0; i < replay->desc.senders; i++) {
@@ -305,9 +307,10 @@
         _Replay_FaultAt(replay, request->server, REPLAY_STALL, now) > 0 ||
         _Replay_FaultAt(replay, request->server, REPLAY_GONE, now) > 0;
 
+    _Replay_NextCall(replay, request, now);
     if (now >= request->deadline) {
         _Replay_LeaveOwner(replay, request, now);
-        _Replay_Expire(replay, request);
+        _Replay_Expire(replay, request, now);
     }
     else if (!stands && (request->call_failed ||
                          (now >= request->due && request->pending == 0))) {
@@ -340,7 +343,7 @@
     case REPLAY_WAITING:
         if (now >= request->deadline) {
             _Replay_LeaveOwner(replay, request, now);
-            _Replay_Expire(replay, request);
+            _Replay_Expire(replay, request, now);
         }
         break;
     case REPLAY_RUNNING:
--- a/src/replay/replay.h
+++ b/src/replay/replay.h
@@ -52,6 +52,8 @@
     guint senders;        /* 0: all hosts send */
     guint calls;          /* made together by each running request */
     guint called;         /* index of the stream of these calls */
+    gboolean one_by_one;  /* each call is made when the one before has ended */
+    double call_share;    /* of the requests that make calls; 0: all */
 } ReplayStream;
 
 typedef enum ReplayFault {
@@ -94,6 +96,9 @@
     gboolean plain_queue;  /* baseline: in the order of arrival, each request
                               waits until its deadline */
     gboolean plain_budget; /* baseline: the limit of retries divided evenly */
+    gboolean by_value;     /* calls have their parent's priority, and parents
+                              are refused whose calls would be */
+    gboolean no_gate;      /* baseline: all parents are admitted */
     gboolean no_limit;     /* baseline: owners keep no limit of retries */
     gboolean plain_return; /* baseline: refused callers return after 300 ms */
     gboolean no_return;    /* refused callers do not return */
@@ -111,6 +116,7 @@
     guint retries;      /* attempts beyond the first of each request */
     guint asks;         /* times that an owner was asked to run a request */
     guint far;          /* times that a request went to another region */
+    ClockMs vain_ms;    /* slot time of runs that failed with a call */
     ClockMs longest_ms; /* longest time that a request was held before it was
                            refused */
 } ReplayOutcome;
--- a/src/replay/replay_owner.c
+++ b/src/replay/replay_owner.c
@@ -53,6 +53,11 @@
     if (request->retry != RETRY_KIND_FIRST && request->is_calm) {
         request->retry = RETRY_KIND_CALM;
     }
+    request->is_gated = !_Replay_PassesGate(replay, request, now);
+    if (request->is_gated) {
+        answer(replay, request, RESULT_BACKEND_SERVER_BUSY, now);
+        return;
+    }
     if (!RetryLimit_Reserve(&server->retry_limit, request->retry, now)) {
         answer(replay, request, RESULT_BACKEND_SERVER_BUSY, now);
         return;
@@ -114,14 +119,7 @@
         return;
     }
     request->due = now + (ClockMs)((double)stream->service_ms * MAX(slow, 1));
-    request->pending = stream->calls;
-    request->call_failed = FALSE;
-    for (guint i = 0; i < stream->calls; i++) {
-        guint host = server->index % replay->desc.senders;
-
-        _Replay_AddRequest(replay, stream->called, &replay->senders[host],
-                           request, now);
-    }
+    _Replay_StartCalls(replay, request, now);
 }
 
 void
@@ -130,10 +128,14 @@
     ReplayServer *server = request->server;
     ClockMs took = now - request->ticket.started;
 
+    _Replay_NoteRun(replay, request, now);
     if (!request->call_failed) {
         GrayFilter_Observe(&server->filter, FALSE, now);
         Admission_NoteService(server->admission, &request->ticket, took, now);
     }
+    else {
+        _Replay_OutcomeOf(replay, request)->vain_ms += took;
+    }
     release(replay, request, now);
     answer(replay, request,
            request->call_failed ? RESULT_BACKEND_SERVER_ERROR : RESULT_OK,
--- a/src/replay/replay_private.h
+++ b/src/replay/replay_private.h
@@ -3,6 +3,7 @@
 #define REPLAY_REPLAY_PRIVATE_H
 
 #include "admission/admission.h"
+#include "admission/parent_gate.h"
 #include "base/result.h"
 #include "base/rng.h"
 #include "health/gray_filter.h"
@@ -26,6 +27,7 @@
     GrayFilter filter;
     RetryRates rates;
     RetryLimit retry_limit;
+    ParentGate *gate; /* of the calls that its runs make */
     ClockMs last_sent;
 } ReplayServer;
 
@@ -52,11 +54,12 @@
     ReplaySender *sender;
     ReplayRequest *parent; /* NULL: sent by a caller */
     guint pending;         /* calls that have not ended */
+    guint calls_left;      /* calls that have not begun */
+    gboolean is_gated;     /* refused because its calls would be */
     gboolean call_failed;
     gboolean is_retry;    /* call of a run that is a retry */
     gboolean seems_retry; /* the same by its sender's estimate */
     gboolean is_calm;     /* the service is below its retry limit */
-    guint limit_refusals;
     gboolean may_have_run;
     gboolean has_returned;
     ReplayState state;
@@ -114,10 +117,36 @@
 void _Replay_AddRequest(Replay *replay, guint stream, ReplaySender *sender,
                         ReplayRequest *parent, ClockMs now);
 
+/* replay_calls.c */
+
+/* Makes the first call of a run, or all of them. */
+void _Replay_StartCalls(Replay *replay, ReplayRequest *parent, ClockMs now);
+
+/* Makes the next call if those before have been served. */
+void _Replay_NextCall(Replay *replay, ReplayRequest *parent, ClockMs now);
+
+/* Priority on the way to an owner: of a request, or a call. */
+int _Replay_Priority(const Replay *replay, const ReplayRequest *request);
+
+/* Records what the sender of a call knows of the called service, and the end
+ * of a call of a running parent. */
+void _Replay_NoteCalled(Replay *replay, const ReplayRequest *call,
+                        const RetryRates *rates, double slack_per_s,
+                        ClockMs now);
+void _Replay_EndCall(Replay *replay, const ReplayRequest *call,
+                     gboolean is_refused, ClockMs now);
+
+void _Replay_NoteRun(Replay *replay, const ReplayRequest *request,
+                     ClockMs now);
+
+/* Whether the calls of the request will likely be served. */
+gboolean _Replay_PassesGate(Replay *replay, const ReplayRequest *request,
+                            ClockMs now);
+
 /* replay_sender.c */
 void _Replay_Choose(Replay *replay, ReplayRequest *request, ClockMs now);
 void _Replay_TakeResult(Replay *replay, ReplayRequest *request, ClockMs now);
-void _Replay_Expire(Replay *replay, ReplayRequest *request);
+void _Replay_Expire(Replay *replay, ReplayRequest *request, ClockMs now);
 
 /* replay_owner.c */
 void _Replay_Arrive(Replay *replay, ReplayRequest *request, ClockMs now);
--- a/src/replay/replay_sender.c
+++ b/src/replay/replay_sender.c
@@ -10,9 +10,6 @@
 
 #define MS_PER_WINDOW 10000
 
-/* As in gateway_attempt.c. */
-#define MAX_LIMIT_REFUSALS 2
-
 static gboolean
 is_listed(const uint64_t *hosts, guint count, uint64_t host)
 {
@@ -42,9 +39,10 @@
 }
 
 void
-_Replay_Expire(Replay *replay, ReplayRequest *request)
+_Replay_Expire(Replay *replay, ReplayRequest *request, ClockMs now)
 {
     _Replay_OutcomeOf(replay, request)->expired++;
+    _Replay_EndCall(replay, request, TRUE, now);
     finish(request, FALSE);
 }
 
@@ -60,7 +58,7 @@
     request->asked_count = 0;
     request->backlog_ms = 0;
     request->query.excluded_count = 0;
-    request->limit_refusals = 0;
+    request->is_gated = FALSE;
     request->may_have_run = FALSE;
 }
 
@@ -92,6 +90,7 @@
     }
     if (time == RETURN_TIME_NONE || now + time >= request->deadline) {
         outcome->refused++;
+        _Replay_EndCall(replay, request, request->backlog_ms > 0, now);
         finish(request, FALSE);
         return;
     }
@@ -118,8 +117,12 @@
                                                 coverage * slack),
                               now);
     }
-    request->is_calm =
-        RetryRates_IsCalm(&rates, replay->desc.retry_ratio, coverage * slack);
+    request->is_calm = rates.per_s > 0 &&
+                       RetryRates_Usage(&rates, replay->desc.retry_ratio,
+                                        coverage * slack) < RETRY_CALM_USAGE;
+    if (request->parent != NULL) {
+        _Replay_NoteCalled(replay, request, &rates, coverage * slack, now);
+    }
     RetryBudget_Request(budget, now);
     if (request->seems_retry) {
         RetryBudget_Debit(budget, 1, now);
@@ -149,11 +152,10 @@
     request->has_explored =
         request->has_explored || choice->explore_idle_ms > 0;
     _Replay_OutcomeOf(replay, request)->asks++;
-    request->ticket = (AdmissionTicket){
-        .priority = request->parent != NULL ? ADMISSION_PRIORITY_NESTED
-                                            : stream->priority,
-        .target = MIN(target, request->deadline),
-        .deadline = request->deadline};
+    request->ticket =
+        (AdmissionTicket){.priority = _Replay_Priority(replay, request),
+                          .target = MIN(target, request->deadline),
+                          .deadline = request->deadline};
     request->state = REPLAY_TO_OWNER;
     request->due = now + (is_far ? replay->desc.transit_ms / 2 : 0);
     if (!ask.asked_before && request->asked_count < ROSTER_MAX_EXCLUDED) {
@@ -168,7 +170,7 @@
     RosterChoice choice;
 
     if (now >= request->deadline) {
-        _Replay_Expire(replay, request);
+        _Replay_Expire(replay, request, now);
         return;
     }
     if (request->rounds == 0) {
@@ -221,14 +223,13 @@
     }
 }
 
-/* Whether enough owners have refused a retry because of the retry limit. */
+/* Whether the owner has refused a retry because of the retry limit. */
 static gboolean
-is_over_retry_limit(ReplayRequest *request)
+is_over_retry_limit(const ReplayRequest *request)
 {
-    request->limit_refusals +=
-        request->retry != RETRY_KIND_FIRST && request->report.waiting == 0 &&
-        request->report.in_flight < request->report.slots;
-    return request->limit_refusals >= MAX_LIMIT_REFUSALS;
+    return request->retry != RETRY_KIND_FIRST &&
+           request->report.waiting == 0 &&
+           request->report.in_flight < request->report.slots;
 }
 
 /* Ends the try of the caller after the last attempt. */
@@ -285,11 +286,12 @@
         outcome->in_time += took <= stream->target_ms;
         outcome->late += took > stream->target_ms && now <= request->deadline;
         outcome->expired += now > request->deadline;
+        _Replay_EndCall(replay, request, now > request->deadline, now);
         finish(request, now <= request->deadline);
         return;
     case RESULT_BACKEND_SERVER_BUSY:
         note_backlog(request);
-        if (is_over_retry_limit(request)) {
+        if (request->is_gated || is_over_retry_limit(request)) {
             end_attempts(replay, request, now);
             return;
         }
--- a/src/retry/retry.c
+++ b/src/retry/retry.c
@@ -15,10 +15,6 @@
 #define FULL_REFILL_USAGE 0.4
 #define NO_REFILL_USAGE 0.75
 
-/* Share of the fleet's limit below which single owners may exceed their part
- * of it. The senders aim at somewhat less, 0.63 if everything fails. */
-#define CALM_USAGE 0.7
-
 static const Retry_desc defaults = {
     .budget_percent = 10,
     .min_per_s = 1,
@@ -122,29 +118,23 @@
     rates->retries_per_s += is_retry ? 1 / MEASURE_TIME_CONSTANT_S : 0;
 }
 
-static double
-limit_per_s(const RetryRates *rates, double ratio, double slack_per_s)
+double
+RetryRates_Usage(const RetryRates *rates, double ratio, double slack_per_s)
 {
-    return ratio * (rates->per_s - rates->retries_per_s) + slack_per_s;
-}
+    double limit = ratio * (rates->per_s - rates->retries_per_s) + slack_per_s;
 
-gboolean
-RetryRates_IsCalm(const RetryRates *rates, double ratio, double slack_per_s)
-{
-    return rates->retries_per_s <
-           CALM_USAGE * limit_per_s(rates, ratio, slack_per_s);
+    return limit > 0 ? rates->retries_per_s / limit : 0;
 }
 
 double
 RetryRates_Refill(const RetryRates *rates, double ratio, double slack_per_s)
 {
-    double limit = limit_per_s(rates, ratio, slack_per_s);
     double left;
 
-    if (limit <= 0) {
+    if (ratio * (rates->per_s - rates->retries_per_s) + slack_per_s <= 0) {
         return 1;
     }
-    left = (NO_REFILL_USAGE - rates->retries_per_s / limit) /
+    left = (NO_REFILL_USAGE - RetryRates_Usage(rates, ratio, slack_per_s)) /
            (NO_REFILL_USAGE - FULL_REFILL_USAGE);
     return MAX_REFILL * CLAMP(left, 0, 1);
 }
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -63,6 +63,11 @@
  * traffic. */
 #define RETRY_EVEN_SHARE 0.6
 
+/* Usage of the fleet's limit below which single owners may exceed their part
+ * of it (retry/retry_limit.h). The senders aim at somewhat less, 0.63 if
+ * everything fails. */
+#define RETRY_CALM_USAGE 0.7
+
 /* Rates of requests and of retries among them, moving averages. */
 typedef struct RetryRates {
     double per_s;         /* requests that reached a backend server */
@@ -131,10 +136,10 @@
 double RetryRates_Refill(const RetryRates *rates, double ratio,
                          double slack_per_s);
 
-/* Whether the rates of a service show that the fleet is below its limit of
- * retries, with enough of it left for what happens until the next reports. */
-gboolean RetryRates_IsCalm(const RetryRates *rates, double ratio,
-                           double slack_per_s);
+/* Share of the fleet's limit of retries that these rates use; 0 if nothing is
+ * known of the service. */
+double RetryRates_Usage(const RetryRates *rates, double ratio,
+                        double slack_per_s);
 
 /* `desc` is used only if budget is NULL; otherwise the budget's settings
  * apply. */
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -231,17 +231,27 @@
     return count > 0 ? (double)reported / count : 0;
 }
 
-uint32_t
-Roster_ServiceCount(Roster *roster, uint64_t service)
+void
+Roster_ServiceLoad(Roster *roster, uint64_t service, ClockMs now,
+                   RosterLoad *load)
 {
     const GPtrArray *rows;
-    uint32_t count;
 
+    *load = (RosterLoad){0};
     pthread_mutex_lock(&roster->lock);
     rows = g_hash_table_lookup(roster->services, &service);
-    count = rows != NULL ? rows->len : 0;
+    load->servers = rows != NULL ? rows->len : 0;
+    for (uint32_t i = 0; i < load->servers; i++) {
+        const RosterRow *row = g_ptr_array_index(rows, i);
+
+        if (_Roster_IsRecent(row, now)) {
+            load->reports++;
+            load->slots += row->report.slots;
+            load->in_flight += row->report.in_flight;
+            load->waiting += row->report.waiting;
+        }
+    }
     pthread_mutex_unlock(&roster->lock);
-    return count;
 }
 
 void
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -129,8 +129,18 @@
 double Roster_RetryRates(Roster *roster, uint64_t service, ClockMs now,
                          RetryRates *rates);
 
-/* Number of known backend servers of a service. */
-uint32_t Roster_ServiceCount(Roster *roster, uint64_t service);
+/* What is known of the backend servers of a service; the last three add up
+ * those that have reported lately. */
+typedef struct RosterLoad {
+    uint32_t servers; /* known, whether or not they have reported */
+    uint32_t reports;
+    uint32_t slots;
+    uint32_t in_flight;
+    uint32_t waiting;
+} RosterLoad;
+
+void Roster_ServiceLoad(Roster *roster, uint64_t service, ClockMs now,
+                        RosterLoad *load);
 
 /* Records the time that a request to the host and its answer spent on the way,
  * without the wait for a slot and the service time. */
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -115,11 +115,14 @@
         .region = settings->region,
         .placement = {.data_centre_cost = settings->data_centre_cost,
                       .region_cost = settings->region_cost}};
-    Backend_desc backend = {.names = sidecar->adapter->names,
-                            .service = settings->service,
-                            .client = sidecar->client,
-                            .changed = _Sidecar_PublishBackend,
-                            .context = sidecar};
+    Backend_desc backend = {
+        .names = sidecar->adapter->names,
+        .service = settings->service,
+        .client = sidecar->client,
+        .load_by_value = sidecar->adapter->decode_features(&settings->features)
+                             .load_by_value,
+        .changed = _Sidecar_PublishBackend,
+        .context = sidecar};
     Quota_desc quota = {.host = Rng_HashString(settings->host),
                         .data_centres = settings->data_centres.count,
                         .window_ms = settings->quota_window_ms,
--- a/src/sidecar/sidecar_ticker.c
+++ b/src/sidecar/sidecar_ticker.c
@@ -32,12 +32,13 @@
 share_retry_limit(const Sidecar *sidecar)
 {
     const Settings *settings = sidecar->settings;
-    uint32_t owners = Roster_ServiceCount(sidecar->roster,
-                                          Rng_HashString(settings->service));
+    RosterLoad load;
 
-    if (owners > 0 && atomic_load(&sidecar->roster_known)) {
+    Roster_ServiceLoad(sidecar->roster, Rng_HashString(settings->service),
+                       Clock_Now(), &load);
+    if (load.servers > 0 && atomic_load(&sidecar->roster_known)) {
         Backend_SetRetryLimit(sidecar->backend, settings->retry_ratio,
-                              (double)settings->retry_slack / owners,
+                              (double)settings->retry_slack / load.servers,
                               settings->retry_window_ms);
     }
 }
