--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -104,6 +104,8 @@
     COUNTER(OWNER_COLD_SENT, "requests sent to a cold backend server") \
     COUNTER(OWNER_COLD_BUSY, \
             "requests refused because a cold backend server has no room") \
+    COUNTER(OWNER_PARENTS_REFUSED, \
+            "requests refused because their runs' calls would be") \
     COUNTER(OWNER_RETRIES_REFUSED, \
             "retries refused because the service's retry limit is near") \
     COUNTER(ATTEMPTS_NOT_SEEN, \
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -29,6 +29,11 @@
  * does not stop, and cold wait the time until the backend server accepts
  * another request, 0 if it is not cold.
  *
+ * A request that every owner of the service is expected to refuse for now,
+ * because its run's calls are refused elsewhere, is refused with
+ *   Radishknot-Return: <ms>
+ * the time after which it may be sent again; other owners are not asked.
+ *
  * The last five fields of a call and the last five of a reply may be missing:
  * earlier versions do not send them. The headers are short because traffic
  * between regions is billed by volume.
--- a/src/replay/replay_sender.c
+++ b/src/replay/replay_sender.c
@@ -10,9 +10,6 @@
 
 #define MS_PER_WINDOW 10000
 
-/* As in gateway_attempt.c. */
-#define MAX_LIMIT_REFUSALS 2
-
 static gboolean
 is_listed(const uint64_t *hosts, guint count, uint64_t host)
 {
@@ -52,9 +49,10 @@
 }
 
 void
-_Replay_Expire(Replay *replay, ReplayRequest *request)
+_Replay_Expire(Replay *replay, ReplayRequest *request, ClockMs now)
 {
     _Replay_OutcomeOf(replay, request)->expired++;
+    _Replay_EndCall(replay, request, TRUE, now);
     finish(request, FALSE);
 }
 
@@ -70,7 +68,7 @@
     request->asked_count = 0;
     request->backlog_ms = 0;
     request->query.excluded_count = 0;
-    request->limit_refusals = 0;
+    request->is_gated = FALSE;
     request->may_have_run = FALSE;
 }
 
@@ -102,6 +100,7 @@
     }
     if (time == RETURN_TIME_NONE || now + time >= request->deadline) {
         outcome->refused++;
+        _Replay_EndCall(replay, request, request->backlog_ms > 0, now);
         finish(request, FALSE);
         return;
     }
@@ -128,8 +127,12 @@
                                                 coverage * slack),
                               now);
     }
-    request->is_calm =
-        RetryRates_IsCalm(&rates, replay->desc.retry_ratio, coverage * slack);
+    request->is_calm = rates.per_s > 0 &&
+                       RetryRates_Usage(&rates, replay->desc.retry_ratio,
+                                        coverage * slack) < RETRY_CALM_USAGE;
+    if (request->parent != NULL) {
+        _Replay_NoteCalled(replay, request, &rates, coverage * slack, now);
+    }
     RetryBudget_Request(budget, now);
     if (request->seems_retry) {
         RetryBudget_Debit(budget, 1, now);
@@ -161,11 +164,10 @@
     _Replay_OutcomeOf(replay, request)->asks++;
     Roster_Begin(request->sender->roster, choice->host);
     request->is_begun = TRUE;
-    request->ticket = (AdmissionTicket){
-        .priority = request->parent != NULL ? ADMISSION_PRIORITY_NESTED
-                                            : stream->priority,
-        .target = MIN(target, request->deadline),
-        .deadline = request->deadline};
+    request->ticket =
+        (AdmissionTicket){.priority = _Replay_Priority(replay, request),
+                          .target = MIN(target, request->deadline),
+                          .deadline = request->deadline};
     request->state = REPLAY_TO_OWNER;
     request->due = now + (is_far ? replay->desc.transit_ms / 2 : 0);
     if (!ask.asked_before && request->asked_count < ROSTER_MAX_EXCLUDED) {
@@ -180,7 +182,7 @@
     RosterChoice choice;
 
     if (now >= request->deadline) {
-        _Replay_Expire(replay, request);
+        _Replay_Expire(replay, request, now);
         return;
     }
     if (request->rounds == 0) {
@@ -233,14 +235,13 @@
     }
 }
 
-/* Whether enough owners have refused a retry because of the retry limit. */
+/* Whether the owner has refused a retry because of the retry limit. */
 static gboolean
-is_over_retry_limit(ReplayRequest *request)
+is_over_retry_limit(const ReplayRequest *request)
 {
-    request->limit_refusals +=
-        request->retry != RETRY_KIND_FIRST && request->report.waiting == 0 &&
-        request->report.in_flight < request->report.slots;
-    return request->limit_refusals >= MAX_LIMIT_REFUSALS;
+    return request->retry != RETRY_KIND_FIRST &&
+           request->report.waiting == 0 &&
+           request->report.in_flight < request->report.slots;
 }
 
 /* Ends the try of the caller after the last attempt. */
@@ -301,12 +302,13 @@
         if (now <= request->deadline) {
             outcome->served_ms += took;
         }
+        _Replay_EndCall(replay, request, now > request->deadline, now);
         finish(request, now <= request->deadline);
         return;
     case RESULT_BACKEND_SERVER_BUSY:
         outcome->busy++;
         note_backlog(request);
-        if (is_over_retry_limit(request)) {
+        if (request->is_gated || is_over_retry_limit(request)) {
             end_attempts(replay, request, now);
             return;
         }
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -116,13 +116,16 @@
         .placement = {.data_centre_cost = settings->data_centre_cost,
                       .region_cost = settings->region_cost},
         .even_load = settings->even_load != 0};
-    Backend_desc backend = {.names = sidecar->adapter->names,
-                            .service = settings->service,
-                            .client = sidecar->client,
-                            .cold_overage = settings->cold_overage,
-                            .cold_slack = settings->cold_slack,
-                            .changed = _Sidecar_PublishBackend,
-                            .context = sidecar};
+    Backend_desc backend = {
+        .names = sidecar->adapter->names,
+        .service = settings->service,
+        .client = sidecar->client,
+        .cold_overage = settings->cold_overage,
+        .cold_slack = settings->cold_slack,
+        .load_by_value = sidecar->adapter->decode_features(&settings->features)
+                             .load_by_value,
+        .changed = _Sidecar_PublishBackend,
+        .context = sidecar};
     Quota_desc quota = {.host = Rng_HashString(settings->host),
                         .data_centres = settings->data_centres.count,
                         .window_ms = settings->quota_window_ms,
