evacuation: neighbours tell a process that starts in an outage of the store

Cause: a process that starts while the store is away knows no neighbour, so it could not read the evacuations from one; its owner took requests of senders that do not know the set. Change: a ping, which neighbours send to a host without requests after 5 s, contains the evacuated data centres. A process that has read no list adds them. Earlier versions send an empty body and ignore this one.

--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -346,8 +346,9 @@
     _Sidecar_ClosePorts(sidecar);
     _Sidecar_StopState(sidecar);
     ObjectWriter_Stop(sidecar->writer);
-    /* Its handlers use the departure. */
+    /* Its handlers use the departure and the evacuations. */
     Rpc_Stop(sidecar->rpc);
+    _Sidecar_CloseEvacuation(sidecar);
     Departure_Destroy(sidecar->departure);
     Quota_Destroy(sidecar->quota);
     Rpc_Destroy(sidecar->rpc);
--- a/src/sidecar/sidecar_evacuation.c
+++ b/src/sidecar/sidecar_evacuation.c
@@ -1,8 +1,10 @@
 #include <inttypes.h>
+#include <pthread.h>
 #include <string.h>
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "base/rng.h"
 #include "evacuation/evacuation.h"
 #include "sidecar/sidecar_internal.h"
 
@@ -27,6 +29,7 @@
     Mirror *mirror;
     MirrorCache *cache;
     ObjectSync *sync;
+    pthread_mutex_t lock; /* while the set is changed */
     ClockMs watch_ms;
     atomic_bool is_known; /* a list has been read */
     gboolean has_waited;  /* used by the configuration's thread only */
@@ -99,9 +102,11 @@
 changed(void *context, const ObjectRecord *record, ObjectRevision revision)
 {
     Sidecar *sidecar = context;
-    gboolean is_valid =
-        set_one(sidecar, record->name, !record->deleted, revision);
+    gboolean is_valid;
 
+    pthread_mutex_lock(&sidecar->evacuation->lock);
+    is_valid = set_one(sidecar, record->name, !record->deleted, revision);
+    pthread_mutex_unlock(&sidecar->evacuation->lock);
     MirrorCache_Update(sidecar->evacuation->cache, record, revision);
     return is_valid || record->deleted;
 }
@@ -113,12 +118,67 @@
     const SettingsNames *known = &sidecar->settings->data_centres;
 
     MirrorCache_Retain(sidecar->evacuation->cache, names, revision);
+    pthread_mutex_lock(&sidecar->evacuation->lock);
     for (unsigned i = 0; i < known->count; i++) {
         if (!g_hash_table_contains(names, known->items[i])) {
             (void)set_one(sidecar, known->items[i], FALSE, revision);
         }
     }
     atomic_store(&sidecar->evacuation->is_known, TRUE);
+    pthread_mutex_unlock(&sidecar->evacuation->lock);
+}
+
+GByteArray *
+_Sidecar_EncodeEvacuations(const Sidecar *sidecar)
+{
+    GByteArray *body = g_byte_array_new();
+    uint32_t count = 0;
+    uint64_t *hashes = NULL;
+
+    if (sidecar->evacuation != NULL) {
+        hashes = Evacuation_Hashes(sidecar->evacuation->set, &count);
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        uint64_t hash = GUINT64_TO_BE(hashes[i]);
+
+        g_byte_array_append(body, (const guint8 *)&hash, sizeof(hash));
+    }
+    g_free(hashes);
+    return body;
+}
+
+/* Whether the body contains the hash. */
+static gboolean
+contains_hash(const GByteArray *body, uint64_t hash)
+{
+    uint64_t item;
+
+    for (guint i = 0; i + sizeof(item) <= body->len; i += sizeof(item)) {
+        memcpy(&item, body->data + i, sizeof(item));
+        if (GUINT64_FROM_BE(item) == hash) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+void
+_Sidecar_AdoptEvacuations(Sidecar *sidecar, const GByteArray *body)
+{
+    const SettingsNames *known = &sidecar->settings->data_centres;
+    SidecarEvacuation *evacuation = sidecar->evacuation;
+
+    if (evacuation == NULL || atomic_load(&evacuation->is_known)) {
+        return;
+    }
+    pthread_mutex_lock(&evacuation->lock);
+    for (unsigned i = 0;
+         !atomic_load(&evacuation->is_known) && i < known->count; i++) {
+        if (contains_hash(body, Rng_HashString(known->items[i]))) {
+            (void)set_one(sidecar, known->items[i], TRUE, (ObjectRevision){0});
+        }
+    }
+    pthread_mutex_unlock(&evacuation->lock);
 }
 
 static void
@@ -155,6 +215,7 @@
     mirror.alone_wait_ms = 0;
     mirror.keeps_known = TRUE;
     evacuation = g_new0(SidecarEvacuation, 1);
+    pthread_mutex_init(&evacuation->lock, NULL);
     evacuation->set = create_set(sidecar->settings);
     evacuation->mirror = Mirror_Create(&mirror);
     evacuation->cache = MirrorCache_Create();
@@ -205,6 +266,7 @@
         Mirror_Destroy(evacuation->mirror);
         MirrorCache_Destroy(evacuation->cache);
         Evacuation_Destroy(evacuation->set);
+        pthread_mutex_destroy(&evacuation->lock);
         g_free(evacuation);
         sidecar->evacuation = NULL;
     }
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -63,7 +63,8 @@
     DepartureKeeper *keeper;
     ClockMs max_catalog_age_ms; /* maximum age of a usable configuration */
     atomic_bool leaving;
-    SidecarEvacuation *evacuation; /* NULL: evacuations are not followed */
+    /* NULL: evacuations are not followed; set while the monitor runs. */
+    SidecarEvacuation *_Atomic evacuation;
     SidecarMonitor *monitor;
     SidecarTicker *ticker;
     gboolean was_ready; /* used by the readiness port's thread only */
@@ -80,13 +81,22 @@
 
 /* sidecar_evacuation.c: follows which data centres are evacuated. Returns
  * FALSE if the settings do not ask for it; otherwise fills the kind that
- * neighbours may read. The mirror is closed after the port that serves it. */
+ * neighbours may read. It is closed after the port that serves the kind and
+ * the RPC server. */
 gboolean _Sidecar_OpenEvacuation(Sidecar *sidecar, const Mirror_desc *desc,
                                  MirrorKind *kind);
 void _Sidecar_StartEvacuation(Sidecar *sidecar);
 void _Sidecar_StopEvacuation(Sidecar *sidecar);
 void _Sidecar_CloseEvacuation(Sidecar *sidecar);
 
+/* Body of a ping: the hashes of the evacuated data centres that this host
+ * knows, 8 bytes each in network order. Free with g_byte_array_unref(). */
+GByteArray *_Sidecar_EncodeEvacuations(const Sidecar *sidecar);
+
+/* Takes what a neighbour knows while this process has read no list yet: it has
+ * no address of a neighbour to ask before the store has answered. */
+void _Sidecar_AdoptEvacuations(Sidecar *sidecar, const GByteArray *body);
+
 /* Waits until the evacuated data centres are known, for a short time and only
  * the first time. */
 void _Sidecar_AwaitEvacuations(Sidecar *sidecar);
--- a/src/sidecar/sidecar_monitor.c
+++ b/src/sidecar/sidecar_monitor.c
@@ -41,13 +41,15 @@
 is_silent(Sidecar *sidecar, const RosterSuspect *suspect)
 {
     RpcPeer peer = Rpc_PeerAt(&suspect->peer.rpc);
+    GByteArray *body = _Sidecar_EncodeEvacuations(sidecar);
     ClockMs began = Clock_Now();
     ClockMs now;
     Result result;
 
     peer.host = suspect->peer.host;
-    result = Rpc_Call(sidecar->rpc, &peer, RPC_KIND_PING, NULL, NULL,
+    result = Rpc_Call(sidecar->rpc, &peer, RPC_KIND_PING, body, NULL,
                       PING_TIMEOUT_MS);
+    g_byte_array_unref(body);
     now = Clock_Now();
     if (result == RESULT_RPC_TIMEOUT || result == RESULT_RPC_WRONG_RECEIVER) {
         return result == RESULT_RPC_WRONG_RECEIVER ||
@@ -148,16 +150,16 @@
 }
 
 /* Answers with the version of the configuration in force. Earlier versions of
- * the daemon answer with an empty body. */
+ * the daemon answer with an empty body, and send one. */
 static Result
 answer_ping(void *context, const RpcPeer *sender, const GByteArray *body,
             GByteArray *reply)
 {
-    const Sidecar *sidecar = context;
+    Sidecar *sidecar = context;
     uint64_t version = GUINT64_TO_BE(Catalog_Version(sidecar->catalog));
 
     (void)sender;
-    (void)body;
+    _Sidecar_AdoptEvacuations(sidecar, body);
     g_byte_array_append(reply, (const guint8 *)&version, sizeof(version));
     return RESULT_OK;
 }
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -322,7 +322,6 @@
     ObjectSync_Stop(sidecar->roster_sync);
     _Sidecar_StopEvacuation(sidecar);
     MirrorPort_Destroy(sidecar->mirror_port);
-    _Sidecar_CloseEvacuation(sidecar);
     Mirror_Destroy(sidecar->catalog_mirror);
     Mirror_Destroy(sidecar->roster_mirror);
     MirrorCache_Destroy(sidecar->kinds[SIDECAR_CATALOG].cache);
--- a/tests/process_evacuation.c
+++ b/tests/process_evacuation.c
@@ -20,6 +20,10 @@
 #define BOUND_MS 5000
 #define UNREACHABLE_MS 6000
 
+/* Time in which the neighbours of a host that gets no requests ping it, which
+ * tells it the evacuations in an outage of the store. */
+#define OUTAGE_KNOWN_MS 8000
+
 /* Time without a request after which a backend server counts as evacuated. */
 #define QUIET_MS 1500
 
@@ -146,6 +150,18 @@
     return found;
 }
 
+static void
+await_shown(Site *site, int host, ClockMs limit_ms)
+{
+    static const char line[] = "radishknot_evacuated{data_centre=\"n1\"} 1\n";
+    ClockMs end = Clock_Now() + limit_ms;
+
+    while (!shows(site, host, line) && Clock_Now() < end) {
+        g_usleep(20000);
+    }
+    g_assert_true(shows(site, host, line));
+}
+
 /* Writes the object of a data centre; `value` is JSON, NULL to remove it. */
 static ClockMs
 evacuate(Site *site, const char *data_centre, const char *value)
@@ -281,13 +297,7 @@
         g_test_message("cut %d: last request %d ms after the object", cut,
                        (int)last_ms);
         for (int i = 0; i < HOSTS; i++) {
-            ClockMs end = Clock_Now() + BOUND_MS;
-
-            while (!shows(site, i, "evacuated{data_centre=\"n1\"} 1\n") &&
-                   Clock_Now() < end) {
-                g_usleep(20000);
-            }
-            g_assert_true(shows(site, i, "evacuated{data_centre=\"n1\"} 1\n"));
+            await_shown(site, i, BOUND_MS);
         }
         stop_load(&load);
         Site_Destroy(site);
@@ -319,6 +329,7 @@
         atomic_store(&load.skipped, -1);
         g_usleep(3000000);
     }
+    await_shown(site, 0, OUTAGE_KNOWN_MS);
     g_assert_cmpuint(count_runs(site, HERE), ==, runs);
     ObjectServer_SetFault(Site_Store(site), OBJECT_FAULT_NONE);
     end = Clock_Now() + 8000;
