roster: a choice prefers one random candidate of equal distance

Change: on average one candidate of equal distance, by its capacity, is preferred unless it costs more than half a server's load; between distances the cost decides as without even_load. Reports count for two service times instead of one.

--- a/src/replay/replay.c
+++ b/src/replay/replay.c
@@ -67,6 +67,7 @@
 {
     guint bins = (guint)(end_of(replay) / BIN_MS) + 1;
 
+    replay->spreads = g_new0(ReplaySpread, replay->desc.service_count);
     for (guint i = 0; i < replay->desc.service_count; i++) {
         replay->bins[i] =
             g_array_sized_new(FALSE, TRUE, sizeof(ReplayBin), bins);
@@ -138,7 +139,6 @@
     replay->by_host = g_hash_table_new(g_int64_hash, g_int64_equal);
     replay->active = g_ptr_array_new_with_free_func(g_free);
     replay->outcomes = g_new0(ReplayOutcome, desc->stream_count);
-    replay->spreads = g_new0(ReplaySpread, desc->service_count);
     replay->senders = g_new0(ReplaySender, replay->desc.senders);
     replay->bins = g_new0(GArray *, desc->service_count);
     Rng_Seed(&replay->rng, desc->seed + 1);
--- a/src/replay/replay.h
+++ b/src/replay/replay.h
@@ -98,7 +98,6 @@
     gboolean plain_budget; /* baseline: the limit of retries divided evenly */
     gboolean plain_return; /* baseline: refused callers return after 300 ms */
     gboolean even_load;    /* Roster_desc.even_load */
-    guint news;            /* reports carried along on calls and replies */
     gboolean no_return;    /* refused callers do not return */
     guint64 seed;
 } Replay_desc;
--- a/src/replay/replay_owner.c
+++ b/src/replay/replay_owner.c
@@ -5,41 +5,6 @@
 #define CONNECT_MS 250
 
 
-static Roster *
-owner_roster(const Replay *replay, const ReplayRequest *request)
-{
-    return replay->senders[request->server->index % replay->desc.senders]
-        .roster;
-}
-
-void
-_Replay_CarryNews(const Replay *replay, ReplayRequest *request,
-                  gboolean by_owner, ClockMs now)
-{
-    uint64_t service =
-        Rng_HashString(replay->desc.services[request->server->service].name);
-
-    request->news_count = 0;
-    if (replay->desc.news == 0)
-        return;
-    request->news_count = Roster_GetNews(
-        by_owner ? owner_roster(replay, request) : request->sender->roster,
-        service, request->server->host, now, request->news,
-        MIN(replay->desc.news, REPLAY_NEWS));
-}
-
-void
-_Replay_TakeNews(const Replay *replay, ReplayRequest *request,
-                 gboolean by_owner, ClockMs now)
-{
-    uint64_t service =
-        Rng_HashString(replay->desc.services[request->server->service].name);
-
-    Roster_AddNews(by_owner ? owner_roster(replay, request)
-                            : request->sender->roster,
-                   service, request->news, request->news_count, now);
-}
-
 /* Sends the request back to its sender with the owner's report. */
 static void
 answer(Replay *replay, ReplayRequest *request, Result result, ClockMs now)
@@ -51,7 +16,6 @@
     request->state = REPLAY_TO_SENDER;
     request->due = now + (is_far ? replay->desc.transit_ms / 2 : 0);
     request->report = _Replay_ReportOf(replay, server, now);
-    _Replay_CarryNews(replay, request, TRUE, now);
 }
 
 RosterReport
@@ -82,7 +46,6 @@
         request->due = now + CONNECT_MS;
         return;
     }
-    _Replay_TakeNews(replay, request, TRUE, now);
     if (GrayFilter_FailShare(&server->filter,
                              GrayFilter_Risk(&server->filter, now)) >
             request->limits.max_fail_share &&
--- a/src/replay/replay_private.h
+++ b/src/replay/replay_private.h
@@ -13,8 +13,6 @@
 /* Time of the first step; some modules take 0 for "never". */
 #define REPLAY_START_MS 1000
 
-#define REPLAY_NEWS 4
-
 typedef struct ReplayServer {
     guint service;
     guint index; /* within the service */
@@ -65,8 +63,6 @@
     gboolean is_begun; /* Roster_Begin() for the server's host */
     Result result;     /* on the way to the sender */
     RosterReport report;
-    RosterNews news[REPLAY_NEWS]; /* carried along */
-    guint news_count;
     ClockMs backlog_ms; /* shortest wait of the owners that were full */
     guint attempts;
     guint rounds;
@@ -122,10 +118,6 @@
 void _Replay_EndAttempt(ReplayRequest *request);
 
 /* replay_owner.c */
-void _Replay_CarryNews(const Replay *replay, ReplayRequest *request,
-                       gboolean by_owner, ClockMs now);
-void _Replay_TakeNews(const Replay *replay, ReplayRequest *request,
-                      gboolean by_owner, ClockMs now);
 RosterReport _Replay_ReportOf(const Replay *replay, const ReplayServer *server,
                               ClockMs now);
 void _Replay_Arrive(Replay *replay, ReplayRequest *request, ClockMs now);
--- a/src/replay/replay_sender.c
+++ b/src/replay/replay_sender.c
@@ -153,7 +153,6 @@
     request->has_explored =
         request->has_explored || choice->explore_idle_ms > 0;
     _Replay_OutcomeOf(replay, request)->asks++;
-    _Replay_CarryNews(replay, request, FALSE, now);
     Roster_Begin(request->sender->roster, choice->host);
     request->is_begun = TRUE;
     request->ticket = (AdmissionTicket){
@@ -192,18 +191,6 @@
         .failure_cost = Placement_FailureCost(request->can_retry),
         .relative_size = stream->relative_size > 0 ? stream->relative_size : 1,
         .time_left_ms = request->arrived + stream->target_ms - now};
-    if (replay->desc.even_load) {
-        guint self = (guint)(request->sender - replay->senders);
-
-        if (self < replay->server_count &&
-            replay->servers[self].index == self) {
-            RosterReport own =
-                _Replay_ReportOf(replay, &replay->servers[self], now);
-
-            Roster_Report(request->sender->roster, replay->servers[self].host,
-                          &own, now);
-        }
-    }
     if (request->rounds++ >= replay->desc.rounds ||
         !Roster_Choose(request->sender->roster, &request->query, now,
                        &choice)) {
@@ -224,7 +211,6 @@
         return;
     }
     Roster_Report(roster, server->host, &request->report, now);
-    _Replay_TakeNews(replay, request, FALSE, now);
     Roster_NoteTransit(roster, server->host,
                        server->region != request->sender->region
                            ? replay->desc.transit_ms
--- a/src/replay/test_even_load.c
+++ b/src/replay/test_even_load.c
@@ -25,8 +25,15 @@
 
 #define SERVICE_MS 400
 
+static double
+share(guint count, const ReplayOutcome *outcome)
+{
+    return (double)count / outcome->asked;
+}
+
 static ReplaySpread
-play(const Fleet *fleet, gboolean even_load, ReplayOutcome *outcome)
+play(const Fleet *fleet, const ReplayPhase *phase, gboolean even_load,
+     ReplayOutcome *outcome)
 {
     ReplayService service = {"s", fleet->servers, fleet->slots,
                              fleet->unequal};
@@ -42,6 +49,8 @@
                         .service_count = 1,
                         .streams = &stream,
                         .stream_count = 1,
+                        .phases = phase,
+                        .phase_count = phase != NULL,
                         .senders = fleet->senders,
                         .length_ms = 16000,
                         .even_load = even_load,
@@ -75,18 +84,44 @@
     for (size_t i = 0; i < G_N_ELEMENTS(fleets); i++) {
         ReplayOutcome before;
         ReplayOutcome after;
-        ReplaySpread spread_before = play(&fleets[i], FALSE, &before);
-        ReplaySpread spread = play(&fleets[i], TRUE, &after);
+        ReplaySpread spread_before = play(&fleets[i], NULL, FALSE, &before);
+        ReplaySpread spread = play(&fleets[i], NULL, TRUE, &after);
 
         g_assert_cmpfloat(spread.now_variation, <,
                           0.95 * spread_before.now_variation);
         /* The random arrivals of the two runs differ. */
-        g_assert_cmpfloat((double)after.asks / after.asked, <=,
-                          (double)before.asks / before.asked);
+        g_assert_cmpfloat(share(after.asks, &after), <=,
+                          share(before.asks, &before));
         g_assert_cmpfloat((double)after.busy / after.asks, <=,
                           (double)before.busy / before.asks);
-        g_assert_cmpfloat((double)after.in_time / after.asked, >=,
-                          (double)before.in_time / before.asked);
+        g_assert_cmpfloat(share(after.in_time, &after), >=,
+                          share(before.in_time, &before));
+    }
+}
+
+/* Guards against senders that keep preferring hosts whose last report was good
+ * and that have died or become slow since, and against a service that counts
+ * as full because a part of it is. */
+static void
+test_faults(void)
+{
+    static const ReplayPhase phases[] = {
+        {REPLAY_GONE, 0, 6000, 10000, 0.25},
+        {REPLAY_SLOW, 0, 6000, 12000, 0.33, 6},
+        {REPLAY_FAIL, 0, 6000, 12000, 0.2, 0.75},
+    };
+    static const Fleet fleet = {"120 to 40", 120, 40, 8, 0, 0.5};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(phases); i++) {
+        ReplayOutcome before;
+        ReplayOutcome after;
+
+        (void)play(&fleet, &phases[i], FALSE, &before);
+        (void)play(&fleet, &phases[i], TRUE, &after);
+        g_assert_cmpfloat(share(after.in_time, &after), >=,
+                          share(before.in_time, &before) - 0.002);
+        g_assert_cmpfloat(share(after.asks, &after), <=,
+                          share(before.asks, &before) + 0.002);
     }
 }
 
@@ -95,5 +130,6 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/replay/even-load", test_spread);
+    g_test_add_func("/replay/even-load-faults", test_faults);
     return g_test_run();
 }
--- a/src/roster/load_estimate.c
+++ b/src/roster/load_estimate.c
@@ -2,18 +2,18 @@
 
 #include <math.h>
 
-/* Time constants of a report's weight. Half of the requests that it counted
- * have ended after about a service time. */
-#define MIN_DECAY_MS 100
-#define MAX_DECAY_MS 2000
-#define UNKNOWN_DECAY_MS 500
+/* Time constants of a report's weight. */
+#define MIN_DECAY_MS 200
+#define MAX_DECAY_MS 4000
+#define UNKNOWN_DECAY_MS 1000
 
-/* Number of candidates of equal distance whose load is compared. Many senders
- * that compare all of them would choose the same one at the same moment. */
-#define COMPARED 3
+/* Mean service times in a time constant. */
+#define DECAY_SERVICE_TIMES 2
 
-/* Extra cost of a candidate that is not compared: that of a full one. */
-#define NOT_COMPARED_COST 0.04
+/* Number of the candidates of equal distance that a choice prefers on average;
+ * in a third of the choices it is none, and the loads alone decide. With two
+ * or more, and with none at all, the measured loads were less even. */
+#define PREFERRED 1
 
 /* Bounds of a capacity relative to the mean. */
 #define MIN_CAPACITY 0.25
@@ -30,9 +30,9 @@
 double
 LoadEstimate_Weight(ClockMs age_ms, ClockMs service_ms)
 {
-    ClockMs decay_ms = service_ms > 0
-                           ? CLAMP(service_ms, MIN_DECAY_MS, MAX_DECAY_MS)
-                           : UNKNOWN_DECAY_MS;
+    ClockMs decay_ms = service_ms > 0 ? CLAMP(DECAY_SERVICE_TIMES * service_ms,
+                                              MIN_DECAY_MS, MAX_DECAY_MS)
+                                      : UNKNOWN_DECAY_MS;
 
     return exp(-(double)MAX(age_ms, 0) / (double)decay_ms);
 }
@@ -67,14 +67,21 @@
            report->own_now;
 }
 
+static double
+bounded(double capacity)
+{
+    return CLAMP(capacity, MIN_CAPACITY, MAX_CAPACITY);
+}
+
 double
-LoadEstimate_RandomCost(double capacity, guint candidates, double compared,
-                        double random)
+LoadEstimate_RandomCost(double capacity, double random)
 {
-    double share = CLAMP(capacity, MIN_CAPACITY, MAX_CAPACITY);
-    double cost = MIN(-log(1 - random) * RANDOM_COST / share, MAX_RANDOM_COST);
+    return MIN(-log(1 - random) * RANDOM_COST / bounded(capacity),
+               MAX_RANDOM_COST);
+}
 
-    return compared < COMPARED * share / MAX(candidates, 1)
-               ? cost
-               : cost + NOT_COMPARED_COST;
+gboolean
+LoadEstimate_IsPreferred(double capacity, guint candidates, double random)
+{
+    return random < PREFERRED * bounded(capacity) / MAX(candidates, 1);
 }
--- a/src/roster/load_estimate.h
+++ b/src/roster/load_estimate.h
@@ -11,10 +11,13 @@
  *    requests; with the report's age it approaches the mean of the service, as
  *    requests end and other senders choose from reports like it;
  *  - the own requests under way, which are known at any time.
+ * Because senders with the same reports would choose alike, each choice
+ * prefers a random one of the candidates, in proportion to their capacity,
+ * unless its load is much higher than that of the best.
  *
  * Use: LoadEstimate_Weight() of the report, LoadEstimate_Add() for each report
- * of the service, LoadEstimate_Mean(), then LoadEstimate_Load() for each
- * candidate.
+ * of the service, LoadEstimate_Mean(), then LoadEstimate_Load(),
+ * LoadEstimate_RandomCost() and LoadEstimate_IsPreferred() for each candidate.
  *
  * Errors and limits: none; pure functions without allocation.
  */
@@ -26,6 +29,9 @@
 
 #include "base/clock.h"
 
+/* Half of the cost of a fully loaded candidate. */
+#define LOAD_ESTIMATE_PREFERENCE 0.02
+
 typedef struct LoadReport {
     uint32_t slots;
     uint32_t requests;   /* running and waiting at the owner */
@@ -52,11 +58,14 @@
 /* Requests that are expected to run and wait at the backend server. */
 double LoadEstimate_Load(const LoadReport *report, double mean);
 
-/* Random part of a candidate's cost: small for a random few of the candidates
- * of equal distance, in proportion to their capacity. `capacity` is relative
- * to the mean of the service; `compared` and `random` are random numbers in
- * [0, 1). */
-double LoadEstimate_RandomCost(double capacity, guint candidates,
-                               double compared, double random);
+/* Random part of a candidate's cost, which decides between equal loads, more
+ * often for those with more capacity. `capacity` is relative to the mean of
+ * the service, `random` a random number in [0, 1). */
+double LoadEstimate_RandomCost(double capacity, double random);
+
+/* Whether the choice prefers the candidate to others of equal distance whose
+ * cost is lower by less than LOAD_ESTIMATE_PREFERENCE. */
+gboolean LoadEstimate_IsPreferred(double capacity, guint candidates,
+                                  double random);
 
 #endif
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -39,9 +39,6 @@
  * towards the mean of its service. */
 #define ROSTER_RECENT_MS 3000
 
-/* Maximum age of a report that is passed on. */
-#define ROSTER_NEWS_MS 1000
-
 typedef struct Roster Roster;
 
 typedef struct Roster_desc {
@@ -68,15 +65,6 @@
     double retries_per_s;
 } RosterReport;
 
-/* Report of an owner that another host passes on. */
-typedef struct RosterNews {
-    uint64_t host;
-    double risk;
-    uint32_t in_flight;
-    uint32_t waiting;
-    ClockMs age_ms;
-} RosterNews;
-
 typedef struct RosterQuery {
     uint64_t service; /* hash of the service name */
     PlacementRequest request;
@@ -141,18 +129,6 @@
 void Roster_Begin(Roster *roster, uint64_t host);
 void Roster_End(Roster *roster, uint64_t host);
 
-/* Fills the freshest reports of a service that are younger than
- * ROSTER_NEWS_MS, without that of the host `receiver`, and returns their
- * number. They may be passed on to other hosts. */
-uint32_t Roster_GetNews(Roster *roster, uint64_t service, uint64_t receiver,
-                        ClockMs now, RosterNews *news, uint32_t max);
-
-/* Takes over the reports of other hosts that are younger than those at hand.
- * Ignores hosts of other services, and hosts that have been found unreachable
- * since their report. Returns the number that was taken over. */
-uint32_t Roster_AddNews(Roster *roster, uint64_t service,
-                        const RosterNews *news, uint32_t count, ClockMs now);
-
 /* Highest risk at which this share of requests is expected to fail. */
 double Roster_RiskAt(const Roster *roster, double fail_share);
 
--- a/src/roster/roster_choice.c
+++ b/src/roster/roster_choice.c
@@ -29,6 +29,16 @@
 /* Service time assumed before the first report. */
 #define INITIAL_SERVICE_MS 500
 
+/* Candidates of nearly equal distance. */
+enum { NEAR, IN_REGION, FAR, GROUPS };
+
+/* Best candidate of a group by its rank. */
+typedef struct Preferred {
+    const RosterRow *row;
+    double rank;
+    double cost;
+} Preferred;
+
 /* Expected state of a backend server without a recent report. If the other
  * backend servers of the service fail or are slow, this one probably is, too.
  */
@@ -39,9 +49,23 @@
     double load;       /* LoadEstimate_Mean() */
     double service_ms; /* mean service time */
     double capacity;   /* mean of row_capacity() */
-    guint candidates[ROSTER_TIERS];
+    guint candidates[GROUPS];
 } ServiceMean;
 
+static guint
+group_of(const RosterRow *row)
+{
+    switch (row->tier) {
+    case ROSTER_SAME_HOST:
+    case ROSTER_SAME_DATA_CENTRE:
+        return NEAR;
+    case ROSTER_SAME_REGION:
+        return IN_REGION;
+    default:
+        return FAR;
+    }
+}
+
 static gboolean
 is_excluded(const RosterQuery *query, uint64_t host)
 {
@@ -134,7 +158,7 @@
         LoadEstimate_Add(&sum, &report);
         service_ms += (double)row->report.service_ms;
         known += row->report.service_ms > 0;
-        mean->candidates[row->tier]++;
+        mean->candidates[group_of(row)]++;
     }
     mean->load = LoadEstimate_Mean(&sum);
     mean->service_ms = known > 0 ? service_ms / known : INITIAL_SERVICE_MS;
@@ -231,18 +255,21 @@
     return MIN(row->report.in_flight / slots, 1) * load_weight(row, now);
 }
 
+static double
+relative_capacity(const RosterRow *row, const ServiceMean *mean)
+{
+    return row_capacity(row, mean->service_ms) / mean->capacity;
+}
+
 /* Breaks ties. */
 static double
 random_cost(Roster *roster, const RosterRow *row, const ServiceMean *mean)
 {
     double random = Rng_Unit(&roster->rng);
 
-    if (!roster->desc.even_load) {
-        return JITTER_COST * random;
-    }
-    return LoadEstimate_RandomCost(
-        row_capacity(row, mean->service_ms) / mean->capacity,
-        mean->candidates[row->tier], Rng_Unit(&roster->rng), random);
+    return roster->desc.even_load
+               ? LoadEstimate_RandomCost(relative_capacity(row, mean), random)
+               : JITTER_COST * random;
 }
 
 static double
@@ -291,13 +318,42 @@
     choice->age_ms = row->reported > 0 ? now - row->reported : CLOCK_NEVER;
 }
 
+/* Cost by which candidates of a group are compared with even_load. */
+static double
+rank_of(Roster *roster, const RosterRow *row, const RosterQuery *query,
+        const ServiceMean *mean, double cost, ClockMs now)
+{
+    gboolean is_preferred =
+        explore_idle_ms(roster, row, query, now) > 0 ||
+        LoadEstimate_IsPreferred(relative_capacity(row, mean),
+                                 mean->candidates[group_of(row)],
+                                 Rng_Unit(&roster->rng));
+
+    return is_preferred ? cost : cost + LOAD_ESTIMATE_PREFERENCE;
+}
+
+/* Takes the preferred candidate of the best one's group, so that distance and
+ * risk decide as without even_load. */
+static const RosterRow *
+prefer(const Preferred *preferred, const RosterRow *best, RosterChoice *choice)
+{
+    const Preferred *in_group = &preferred[group_of(best)];
+
+    if (in_group->row != best) {
+        choice->other_cost = choice->cost;
+        choice->cost = in_group->cost;
+    }
+    return in_group->row;
+}
+
 /* Returns the row with the lowest cost; NULL if there is none. Skips hosts
  * that are being avoided or stop too early, unless `include_all` is set. */
 static const RosterRow *
 find_best(Roster *roster, const GPtrArray *rows, const RosterQuery *query,
-          gboolean include_all, ClockMs now, RosterChoice *choice)
+          const ServiceMean *mean, gboolean include_all, ClockMs now,
+          RosterChoice *choice)
 {
-    ServiceMean mean = mean_of(roster, rows, now);
+    Preferred preferred[GROUPS] = {0};
     const RosterRow *best = NULL;
 
     choice->cost = HUGE_VAL;
@@ -311,7 +367,7 @@
              (now < row->avoid_until || stops_too_early(row, query, now)))) {
             continue;
         }
-        cost = cost_of(roster, row, query, &mean, now);
+        cost = cost_of(roster, row, query, mean, now);
         if (cost < choice->cost) {
             choice->other_cost = choice->cost;
             choice->cost = cost;
@@ -320,8 +376,20 @@
         else if (cost < choice->other_cost) {
             choice->other_cost = cost;
         }
+        if (roster->desc.even_load) {
+            Preferred candidate = {
+                row, rank_of(roster, row, query, mean, cost, now), cost};
+            Preferred *group = &preferred[group_of(row)];
+
+            if (group->row == NULL || candidate.rank < group->rank) {
+                *group = candidate;
+            }
+        }
+    }
+    if (!roster->desc.even_load || best == NULL) {
+        return best;
     }
-    return best;
+    return prefer(preferred, best, choice);
 }
 
 gboolean
@@ -329,19 +397,20 @@
               RosterChoice *choice)
 {
     const RosterRow *best = NULL;
+    ServiceMean mean;
     GPtrArray *rows;
 
     pthread_mutex_lock(&roster->lock);
     rows = g_hash_table_lookup(roster->services, &query->service);
     if (rows != NULL) {
-        best = find_best(roster, rows, query, FALSE, now, choice);
+        mean = mean_of(roster, rows, now);
+        best = find_best(roster, rows, query, &mean, FALSE, now, choice);
         if (best == NULL) {
-            best = find_best(roster, rows, query, TRUE, now, choice);
+            best = find_best(roster, rows, query, &mean, TRUE, now, choice);
         }
     }
     if (best != NULL) {
-        fill_choice(roster, best, query, mean_of(roster, rows, now).load, now,
-                    choice);
+        fill_choice(roster, best, query, mean.load, now, choice);
     }
     pthread_mutex_unlock(&roster->lock);
     return best != NULL;
