gateway: no repeated offers to a service that is known to be full

Cause: a request that no owner could serve was offered to up to 12 of them, each time with a limit of wait that their last reports already exceeded. Change, with even_load: if all reports younger than 0.5 s say that their owners are full, and there are three of them and of one in eight candidates, the request is offered with its whole time as the limit of wait, and after two such offers it is refused with the shortest reported wait as the time of its return. Counters OWNER_ASKS_FULL and FULL_SERVICE_REFUSALS, load= and full_ms= in the log line of a request.

--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -81,6 +81,10 @@
     COUNTER(OWNER_ASKS, "times that an owner was asked to run a request") \
     COUNTER(OWNER_ASKS_RISKY, "of these, refused for the risk") \
     COUNTER(OWNER_ASKS_BUSY, "of these, refused for lack of slots") \
+    COUNTER(OWNER_ASKS_FULL, \
+            "of these, while the service was known to be full") \
+    COUNTER(FULL_SERVICE_REFUSALS, \
+            "requests refused without a further offer, the service is full") \
     COUNTER(OWNER_ASKS_UNKNOWN, \
             "of these, at owners without a report of the last 3 s") \
     COUNTER(OWNER_EXPLORATIONS, \
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -4,6 +4,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "gateway/full_service.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/peer_wire.h"
 #include "roster/exploration.h"
@@ -216,7 +217,8 @@
         request->has_explored || choice->explore_idle_ms > 0;
     call->max_risk =
         Roster_RiskAt(request->gateway->desc.roster, limits.max_fail_share);
-    call->max_wait_ms = limits.max_wait_ms;
+    call->max_wait_ms =
+        FullService_WaitLimit(choice, limits.max_wait_ms, ask.deadline_ms);
 }
 
 static void try_owners(GatewayRequest *request, BackendReply *reply);
@@ -257,6 +259,7 @@
 {
     request->attempts = other->attempts - 1;
     request->has_explored = request->has_explored || other->has_explored;
+    request->full_offers = other->full_offers;
     request->risky_owners = other->risky_owners;
     memcpy(request->excluded, other->excluded, sizeof(request->excluded));
     request->excluded_count = other->excluded_count;
@@ -464,10 +467,8 @@
 
 /* Keeps the shortest wait among the owners that are full. */
 static void
-note_backlog(GatewayRequest *request, const RosterReport *report)
+note_backlog(GatewayRequest *request, ClockMs wait)
 {
-    ClockMs wait = ReturnTime_Backlog(report);
-
     if (request->backlog_ms == 0 || wait < request->backlog_ms) {
         request->backlog_ms = wait;
     }
@@ -482,6 +483,7 @@
     Counter_Add(COUNTER_OWNER_ASKS_BUSY,
                 reply->result == RESULT_BACKEND_SERVER_BUSY);
     Counter_Add(COUNTER_OWNER_ASKS_UNKNOWN, choice->age_ms > ROSTER_RECENT_MS);
+    Counter_Add(COUNTER_OWNER_ASKS_FULL, choice->full_wait_ms > 0);
     Counter_Add(COUNTER_OWNER_EXPLORATIONS, choice->explore_idle_ms > 0);
 }
 
@@ -509,7 +511,7 @@
     }
     if (reply->result == RESULT_BACKEND_SERVER_BUSY &&
         reply->report.slots > 0) {
-        note_backlog(request, &reply->report);
+        note_backlog(request, ReturnTime_Backlog(&reply->report));
     }
     switch (reply->result) {
     case RESULT_BACKEND_SERVER_EJECTED:
@@ -524,11 +526,24 @@
     }
 }
 
+/* Text of the expected load for the log line; empty without even_load. */
+static const char *
+describe_load(const RosterChoice *choice, char *text, size_t size)
+{
+    text[0] = '\0';
+    if (choice->load >= 0) {
+        (void)g_snprintf(text, size, " load=%.2f full_ms=%" PRId64,
+                         choice->load, choice->full_wait_ms);
+    }
+    return text;
+}
+
 static void
 attempt_once(GatewayRequest *request, const RosterChoice *choice,
              BackendReply *reply)
 {
     ClockMs began = Clock_Now();
+    char load[64];
 
     *reply = (BackendReply){.run = RUN_NO};
     request->current_host = choice->host;
@@ -553,9 +568,10 @@
     }
     note_reply(request, choice, reply, began);
     Log_Append(request->trace, sizeof(request->trace),
-               " [%s tier=%d cost=%.2f age_ms=%" PRId64
+               " [%s tier=%d cost=%.2f%s age_ms=%" PRId64
                " max_risk=%.2f risk=%.2f ms=%" PRId64 " %s run=%s%s%s]",
                choice->entry.host, (int)choice->tier, choice->cost,
+               describe_load(choice, load, sizeof(load)),
                choice->age_ms == CLOCK_NEVER ? -1 : choice->age_ms,
                request->call.max_risk, reply->report.risk,
                reply->queue_ms + reply->server_ms, Result_Name(reply->result),
@@ -609,6 +625,20 @@
     return reason != RETRY_AGAIN;
 }
 
+/* Ends the request without a further offer. */
+static void
+refuse_full(GatewayRequest *request, const RosterChoice *choice,
+            BackendReply *reply)
+{
+    Counter_Add(COUNTER_FULL_SERVICE_REFUSALS, 1);
+    note_backlog(request, choice->full_wait_ms);
+    Log_Append(request->trace, sizeof(request->trace),
+               " final=full full_ms=%" PRId64, choice->full_wait_ms);
+    if (reply->run == RUN_NO && !reply->arrived) {
+        reply->result = RESULT_BACKEND_SERVER_BUSY;
+    }
+}
+
 static void
 try_owners(GatewayRequest *request, BackendReply *reply)
 {
@@ -624,6 +654,10 @@
         if (!choose(request, &choice)) {
             break;
         }
+        if (!FullService_Decide(&choice, &request->full_offers)) {
+            refuse_full(request, &choice, reply);
+            break;
+        }
         HttpAnswer_Clear(&reply->answer);
         attempt_once(request, &choice, reply);
         if (is_final(request, reply)) {
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -60,6 +60,7 @@
     gboolean is_retried_call;  /* call of a request that is a retry */
     uint32_t attempts;         /* attempts that reached a backend server */
     gboolean has_explored;     /* an attempt was an exploration */
+    unsigned full_offers;      /* FullService_Decide() */
     unsigned risky_owners;     /* owners that refused it for their risk */
     uint64_t excluded[ROSTER_MAX_EXCLUDED]; /* hosts that cannot serve it */
     uint32_t excluded_count;
--- a/src/replay/replay_private.h
+++ b/src/replay/replay_private.h
@@ -68,6 +68,7 @@
     guint rounds;
     gboolean can_retry;
     gboolean has_explored;
+    guint full_offers;  /* FullService_Decide() */
     guint risky_owners; /* that refused it for their risk */
     PlacementLimits limits;
     ClockMs explore_idle_ms;
--- a/src/replay/replay_sender.c
+++ b/src/replay/replay_sender.c
@@ -1,6 +1,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "gateway/full_service.h"
 #include "gateway/return_time.h"
 #include "replay/replay_private.h"
 #include "roster/exploration.h"
@@ -66,6 +67,7 @@
     request->attempts = 0;
     request->rounds = 0;
     request->asked_count = 0;
+    request->full_offers = 0;
     request->backlog_ms = 0;
     request->query.excluded_count = 0;
 }
@@ -149,6 +151,8 @@
     is_far = request->server->region != request->sender->region;
     _Replay_OutcomeOf(replay, request)->far += is_far;
     request->limits = Placement_Limits(&request->query.request, &ask);
+    request->limits.max_wait_ms = FullService_WaitLimit(
+        choice, request->limits.max_wait_ms, ask.deadline_ms);
     request->explore_idle_ms = choice->explore_idle_ms;
     request->has_explored =
         request->has_explored || choice->explore_idle_ms > 0;
@@ -193,7 +197,8 @@
         .time_left_ms = request->arrived + stream->target_ms - now};
     if (request->rounds++ >= replay->desc.rounds ||
         !Roster_Choose(request->sender->roster, &request->query, now,
-                       &choice)) {
+                       &choice) ||
+        !FullService_Decide(&choice, &request->full_offers)) {
         refuse(replay, request, now);
         return;
     }
--- a/src/replay/test_even_load.c
+++ b/src/replay/test_even_load.c
@@ -125,11 +125,74 @@
     }
 }
 
+/* Plays a service of 8 with 8 slots each at `use` times its capacity. Adds up
+ * the outcome of all streams. */
+static ReplayOutcome
+play_full(double use, gboolean even_load)
+{
+    static const ReplayService service = {"s", 8, 8};
+    ReplayStream streams[] = {
+        {"urgent", 0, 48, 360, 1500, 6000, 0, TRUE},
+        {"other", 0, 0, 200, 2000, 8000, 2, TRUE},
+        {"single", 0, 0, 400, 5000, 10000, 2, FALSE},
+    };
+    double rest = (use * 8 * 8 * 1000 - 48 * 360) / 2;
+    Replay_desc desc = {.services = &service,
+                        .service_count = 1,
+                        .streams = streams,
+                        .stream_count = G_N_ELEMENTS(streams),
+                        .senders = 77,
+                        .length_ms = 20000,
+                        .even_load = even_load,
+                        .seed = 7};
+    ReplayOutcome sum = {0};
+    Replay *replay;
+
+    streams[1].per_s = rest / 200;
+    streams[2].per_s = rest / 400;
+    replay = Replay_Create(&desc);
+    Replay_Run(replay);
+    for (guint i = 0; i < G_N_ELEMENTS(streams); i++) {
+        const ReplayOutcome *outcome = Replay_Outcome(replay, i);
+
+        sum.asked += outcome->asked;
+        sum.in_time += outcome->in_time;
+        sum.expired += outcome->expired;
+        sum.asks += outcome->asks;
+    }
+    Replay_Destroy(replay);
+    return sum;
+}
+
+/* Guards against offers to owners of a service that is known to be full, and
+ * against refusals of requests that would have been served. */
+static void
+test_full(void)
+{
+    static const double uses[] = {1.3, 1.6, 2.0};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(uses); i++) {
+        ReplayOutcome before = play_full(uses[i], FALSE);
+        ReplayOutcome after = play_full(uses[i], TRUE);
+
+        g_test_message("%.1f: offers %.2f, %.2f in time %.3f, %.3f", uses[i],
+                       share(before.asks, &before), share(after.asks, &after),
+                       share(before.in_time, &before),
+                       share(after.in_time, &after));
+        g_assert_cmpfloat(share(after.asks, &after), <=,
+                          0.75 * share(before.asks, &before));
+        g_assert_cmpfloat(share(after.in_time, &after), >=,
+                          share(before.in_time, &before));
+        g_assert_cmpuint(after.expired, ==, 0);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/replay/even-load", test_spread);
     g_test_add_func("/replay/even-load-faults", test_faults);
+    g_test_add_func("/replay/full", test_full);
     return g_test_run();
 }
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -39,6 +39,9 @@
  * towards the mean of its service. */
 #define ROSTER_RECENT_MS 3000
 
+/* Maximum age of a report that says that a backend server is full. */
+#define ROSTER_FULL_MS 500
+
 typedef struct Roster Roster;
 
 typedef struct Roster_desc {
@@ -87,6 +90,11 @@
     ClockMs service_ms;      /* mean service time of a request; 0: unknown */
     ClockMs explore_idle_ms; /* above 0: chosen for a fresh report, if it has
                                 been idle for this long; 0: for its cost */
+    ClockMs full_wait_ms;    /* shortest wait for a slot if the service is
+                                known to be full; otherwise, and without
+                                even_load, 0 */
+    double load;             /* requests expected at the backend server for
+                                each slot; -1 without even_load */
     ClockMs age_ms; /* age of the last report; CLOCK_NEVER if there is none */
 } RosterChoice;
 
--- a/src/roster/roster_choice.c
+++ b/src/roster/roster_choice.c
@@ -29,6 +29,12 @@
 /* Service time assumed before the first report. */
 #define INITIAL_SERVICE_MS 500
 
+/* A service counts as full if all recent reports say so, and there are those
+ * of this many candidates, and of one in FULL_SHARE. A sender with few
+ * requests never has recent reports of all. */
+#define MIN_FULL_REPORTS 3
+#define FULL_SHARE 8
+
 /* Candidates of nearly equal distance. */
 enum { NEAR, IN_REGION, FAR, GROUPS };
 
@@ -315,9 +321,53 @@
     choice->wait_ms =
         expected_wait(row, expected_load(roster, row, mean, now));
     choice->service_ms = row->report.service_ms;
+    choice->load =
+        roster->desc.even_load
+            ? expected_load(roster, row, mean, now) / MAX(row->entry.slots, 1)
+            : -1;
     choice->age_ms = row->reported > 0 ? now - row->reported : CLOCK_NEVER;
 }
 
+/* What the candidates have lately reported. */
+typedef struct Fullness {
+    guint candidates;
+    guint reports;
+    guint full;
+    ClockMs wait_ms; /* shortest one of those that are full */
+} Fullness;
+
+static void
+add_fullness(Fullness *fullness, const RosterRow *row, ClockMs now)
+{
+    uint32_t requests = row->report.in_flight + row->report.waiting;
+
+    fullness->candidates++;
+    if (row->reported == 0 || now - row->reported > ROSTER_FULL_MS) {
+        return;
+    }
+    fullness->reports++;
+    if (requests >= row->entry.slots) {
+        ClockMs wait_ms = MAX(expected_wait(row, requests), 1);
+
+        fullness->wait_ms =
+            fullness->full == 0 ? wait_ms : MIN(fullness->wait_ms, wait_ms);
+        fullness->full++;
+    }
+}
+
+/* Shortest wait for a slot of a service that is known to be full; 0
+ * otherwise. */
+static ClockMs
+full_wait(const Fullness *fullness)
+{
+    guint enough = MAX(fullness->candidates / FULL_SHARE, MIN_FULL_REPORTS);
+
+    return fullness->full == fullness->reports &&
+                   fullness->reports >= MIN(enough, fullness->candidates)
+               ? fullness->wait_ms
+               : 0;
+}
+
 /* Cost by which candidates of a group are compared with even_load. */
 static double
 rank_of(Roster *roster, const RosterRow *row, const RosterQuery *query,
@@ -355,9 +405,11 @@
 {
     Preferred preferred[GROUPS] = {0};
     const RosterRow *best = NULL;
+    Fullness fullness = {0};
 
     choice->cost = HUGE_VAL;
     choice->other_cost = HUGE_VAL;
+    choice->full_wait_ms = 0;
     for (guint i = 0; i < rows->len; i++) {
         const RosterRow *row = g_ptr_array_index(rows, i);
         double cost;
@@ -376,6 +428,7 @@
         else if (cost < choice->other_cost) {
             choice->other_cost = cost;
         }
+        add_fullness(&fullness, row, now);
         if (roster->desc.even_load) {
             Preferred candidate = {
                 row, rank_of(roster, row, query, mean, cost, now), cost};
@@ -389,6 +442,7 @@
     if (!roster->desc.even_load || best == NULL) {
         return best;
     }
+    choice->full_wait_ms = full_wait(&fullness);
     return prefer(preferred, best, choice);
 }
 
