roster: the weight of a report is computed once for a choice

Change: with even_load each row's exponential is computed in the pass over the reports and kept for the costs; tests of the choice itself for own requests under way, reports of a host that has died, other data centres, full services.

--- a/src/roster/roster_choice.c
+++ b/src/roster/roster_choice.c
@@ -94,17 +94,14 @@
 }
 
 static LoadReport
-load_report(const RosterRow *row, ClockMs now)
+load_report(const RosterRow *row)
 {
-    return (LoadReport){
-        .slots = row->entry.slots,
-        .requests = row->report.in_flight + row->report.waiting,
-        .own_before = row->own_before,
-        .own_now = row->own,
-        .weight = row->reported > 0
-                      ? LoadEstimate_Weight(now - row->reported,
-                                            row->report.service_ms)
-                      : 0};
+    return (LoadReport){.slots = row->entry.slots,
+                        .requests =
+                            row->report.in_flight + row->report.waiting,
+                        .own_before = row->own_before,
+                        .own_now = row->own,
+                        .weight = row->estimate_weight};
 }
 
 /* Requests that are expected to run and wait at the backend server. */
@@ -113,7 +110,7 @@
               ClockMs now)
 {
     if (roster->desc.even_load) {
-        LoadReport report = load_report(row, now);
+        LoadReport report = load_report(row);
 
         return LoadEstimate_Load(&report, mean);
     }
@@ -158,9 +155,14 @@
     guint known = 0;
 
     for (guint i = 0; i < rows->len; i++) {
-        const RosterRow *row = g_ptr_array_index(rows, i);
-        LoadReport report = load_report(row, now);
-
+        RosterRow *row = g_ptr_array_index(rows, i);
+        LoadReport report;
+
+        row->estimate_weight =
+            row->reported > 0 ? LoadEstimate_Weight(now - row->reported,
+                                                    row->report.service_ms)
+                              : 0;
+        report = load_report(row);
         LoadEstimate_Add(&sum, &report);
         service_ms += (double)row->report.service_ms;
         known += row->report.service_ms > 0;
--- a/src/roster/roster_internal.h
+++ b/src/roster/roster_internal.h
@@ -14,11 +14,12 @@
     RosterTier tier;
     GrayFilter filter;
     RosterReport report;
-    ClockMs reported;    /* time of the last report; 0: none */
-    uint32_t own;        /* own requests under way */
-    uint32_t own_before; /* the same, at the last report */
-    ClockMs contacted;   /* time of the last contact or attempt; initially the
-                            row's creation */
+    double estimate_weight; /* LoadEstimate_Weight() for the present choice */
+    ClockMs reported;       /* time of the last report; 0: none */
+    uint32_t own;           /* own requests under way */
+    uint32_t own_before;    /* the same, at the last report */
+    ClockMs contacted; /* time of the last contact or attempt; initially the
+                          row's creation */
     ClockMs avoid_until;
     ClockMs avoid_ms; /* avoidance time after the last failure; 0: none */
     ClockMs ends;     /* end of its host's process, which stops; 0: does not */
--- a/src/roster/test_roster.c
+++ b/src/roster/test_roster.c
@@ -483,6 +483,100 @@
     }
 }
 
+static Roster *
+make_even_pair(void)
+{
+    Roster *roster = Roster_Create(&(Roster_desc){.host = "self",
+                                                  .data_centre = "dc1",
+                                                  .region = "r1",
+                                                  .seed = 5,
+                                                  .even_load = TRUE});
+
+    add(roster, "a", "dc1", "r1", "i0");
+    add(roster, "b", "dc1", "r1", "i1");
+    return roster;
+}
+
+static void
+report_pair(Roster *roster, uint32_t a, uint32_t b, ClockMs now)
+{
+    RosterReport report_a = report(0.1, a);
+    RosterReport report_b = report(0.1, b);
+
+    Roster_Report(roster, Rng_HashString("a"), &report_a, now);
+    Roster_Report(roster, Rng_HashString("b"), &report_b, now);
+}
+
+/* Number of 100 choices that go to the host. */
+static guint
+count_choices(Roster *roster, const char *host, ClockMs now)
+{
+    RosterQuery wanted = query();
+    guint count = 0;
+
+    for (guint i = 0; i < 100; i++) {
+        count += g_strcmp0(choose(roster, &wanted, now), host) == 0;
+    }
+    return count;
+}
+
+/* Guards against requests that are sent at the same moment to the same host,
+ * against a good report that still decides after its issuer has died, and
+ * against a preference that moves requests to another data centre. */
+static void
+test_even_load(void)
+{
+    Roster *roster = make_even_pair();
+
+    report_pair(roster, 2, 2, 1000);
+    for (guint i = 0; i < 5; i++) {
+        Roster_Begin(roster, Rng_HashString("a"));
+    }
+    g_assert_cmpuint(count_choices(roster, "a", 1000), ==, 0);
+    for (guint i = 0; i < 6; i++) {
+        Roster_End(roster, Rng_HashString("a"));
+    }
+    g_assert_cmpuint(count_choices(roster, "a", 1000), >, 25);
+    report_pair(roster, 0, 4, 2000);
+    g_assert_cmpuint(count_choices(roster, "a", 2000), >, 90);
+    g_assert_cmpuint(count_choices(roster, "a", 12000), <, 75);
+    Roster_NoteUnreachable(roster, Rng_HashString("a"), 2000);
+    g_assert_cmpuint(count_choices(roster, "a", 2010), ==, 0);
+    report_pair(roster, 2, 2, 20000);
+    add(roster, "region", "dc2", "r1", "i2");
+    g_assert_cmpuint(count_choices(roster, "region", 20000), ==, 0);
+    Roster_Destroy(roster);
+}
+
+/* Guards against a service that counts as full by old reports, or although a
+ * host has room. */
+static void
+test_full(void)
+{
+    static const struct {
+        uint32_t a;
+        uint32_t b;
+        ClockMs now;
+        gboolean full;
+    } cases[] = {
+        {5, 9, 1000, TRUE},
+        {5, 9, 1000 + ROSTER_FULL_MS, TRUE},
+        {5, 9, 1001 + ROSTER_FULL_MS, FALSE},
+        {5, 4, 1000, FALSE},
+    };
+    RosterQuery wanted = query();
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Roster *roster = make_even_pair();
+        RosterChoice choice;
+
+        report_pair(roster, cases[i].a, cases[i].b, 1000);
+        g_assert_true(Roster_Choose(roster, &wanted, cases[i].now, &choice));
+        g_assert_cmpint(choice.full_wait_ms > 0, ==, cases[i].full);
+        Roster_Destroy(roster);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -500,5 +594,7 @@
     g_test_add_func("/roster/retain-later", test_retain_later);
     g_test_add_func("/roster/lost", test_lost);
     g_test_add_func("/roster/owner-explores", test_owner_explores);
+    g_test_add_func("/roster/even-load", test_even_load);
+    g_test_add_func("/roster/full", test_full);
     return g_test_run();
 }
