--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -13,6 +13,11 @@
  * count, too. */
 #define MAX_ROUNDS 12
 
+/* Maximum number of owners that are asked for a retry and refuse it because of
+ * the service's retry limit. Each owner keeps a part of its own, so the next
+ * one may have some left. */
+#define MAX_LIMIT_REFUSALS 2
+
 /* Timeout of the first attempt at a request that can be retried: this share of
  * the route's latency target, but at least this many mean service times, plus
  * the expected wait for a slot. It leaves time for a second attempt. */
@@ -659,18 +664,18 @@
            request->attempts < request->route->attempts;
 }
 
-/* Whether the owner has refused a retry because of the service's retry limit:
- * only that makes an owner with free slots busy for a retry. Others would
- * refuse it, too, unless the fleet is known to be below the limit, and then
- * the owner allows more. */
+/* Whether enough owners have refused a retry because of the service's retry
+ * limit. Only that makes an owner with free slots busy for a retry. */
 static gboolean
-is_over_retry_limit(const GatewayRequest *request, const BackendReply *reply)
+is_over_retry_limit(GatewayRequest *request, const BackendReply *reply)
 {
     const RosterReport *report = &reply->report;
 
-    return reply->result == RESULT_BACKEND_SERVER_BUSY &&
-           request->call.retry != RETRY_KIND_FIRST && report->waiting == 0 &&
-           report->in_flight < report->slots;
+    request->limit_refusals += reply->result == RESULT_BACKEND_SERVER_BUSY &&
+                               request->call.retry != RETRY_KIND_FIRST &&
+                               report->waiting == 0 &&
+                               report->in_flight < report->slots;
+    return request->limit_refusals >= MAX_LIMIT_REFUSALS;
 }
 
 /* Whether no further attempt follows the reply. */
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -68,6 +68,7 @@
     CallParent parent;         /* of a call, as far as it is known */
     gboolean is_calm;          /* the service's retries are below the limit */
     unsigned full_offers;      /* FullService_Decide() */
+    unsigned limit_refusals;   /* owners that refused it for the retry limit */
     unsigned risky_owners;     /* owners that refused it for their risk */
     uint64_t excluded[ROSTER_MAX_EXCLUDED]; /* hosts that cannot serve it */
     uint32_t excluded_count;
--- a/src/replay/replay_private.h
+++ b/src/replay/replay_private.h
@@ -62,6 +62,7 @@
     ReplayRequest *parent; /* NULL: sent by a caller */
     guint pending;         /* calls that have not ended */
     guint calls_left;      /* calls that have not begun */
+    guint limit_refusals;
     gboolean is_gated;     /* refused because its calls would be */
     gboolean call_failed;
     gboolean is_retry;    /* call of a run that is a retry */
--- a/src/replay/replay_sender.c
+++ b/src/replay/replay_sender.c
@@ -11,6 +11,9 @@
 
 #define MS_PER_WINDOW 10000
 
+/* As in gateway_attempt.c. */
+#define MAX_LIMIT_REFUSALS 2
+
 static gboolean
 is_listed(const uint64_t *hosts, guint count, uint64_t host)
 {
@@ -71,6 +74,7 @@
     request->backlog_ms = 0;
     request->query.excluded_count = 0;
     request->is_gated = FALSE;
+    request->limit_refusals = 0;
     request->may_have_run = FALSE;
 }
 
@@ -240,13 +244,14 @@
     }
 }
 
-/* Whether the owner has refused a retry because of the retry limit. */
+/* Whether enough owners have refused a retry because of the retry limit. */
 static gboolean
-is_over_retry_limit(const ReplayRequest *request)
+is_over_retry_limit(ReplayRequest *request)
 {
-    return request->retry != RETRY_KIND_FIRST &&
-           request->report.waiting == 0 &&
-           request->report.in_flight < request->report.slots;
+    request->limit_refusals +=
+        request->retry != RETRY_KIND_FIRST && request->report.waiting == 0 &&
+        request->report.in_flight < request->report.slots;
+    return request->limit_refusals >= MAX_LIMIT_REFUSALS;
 }
 
 /* Ends the try of the caller after the last attempt. */
