roster: the retry budget counts only backend servers in use

Cause: those of an evacuated data centre report no rates, so the share of the service that the reports stand for fell, and with it the budget's fixed part. Change: Roster_RetryRates() leaves withdrawn data centres out.

--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -214,6 +214,7 @@
 {
     GPtrArray *rows;
     guint reported = 0;
+    guint in_use = 0;
     guint count = 0;
 
     *rates = (RetryRates){.updated = now};
@@ -223,6 +224,10 @@
     for (guint i = 0; i < count; i++) {
         const RosterRow *row = g_ptr_array_index(rows, i);
 
+        if (row->withdrawn) {
+            continue;
+        }
+        in_use++;
         if (_Roster_IsRecent(row, now)) {
             rates->per_s += row->report.per_s;
             rates->retries_per_s += row->report.retries_per_s;
@@ -230,7 +235,7 @@
         }
     }
     pthread_mutex_unlock(&roster->lock);
-    return count > 0 ? (double)reported / count : 0;
+    return in_use > 0 ? (double)reported / in_use : 0;
 }
 
 void
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -130,7 +130,8 @@
 double Roster_RiskAt(const Roster *roster, double fail_share);
 
 /* Sums the rates that the owners of a service have reported lately. Returns
- * the share of the service's backend servers that they stand for. */
+ * the share of the service's backend servers that they stand for, without
+ * those of withdrawn data centres. */
 double Roster_RetryRates(Roster *roster, uint64_t service, ClockMs now,
                          RetryRates *rates);
 
--- a/src/roster/test_roster.c
+++ b/src/roster/test_roster.c
@@ -131,16 +131,23 @@
 
 /* Guards against a choice in a withdrawn data centre: as the only one left,
  * for an entry that is set later, or after another one is withdrawn as well;
- * and against one that stays left out. */
+ * and against one that stays left out, or makes the retry budget shrink. */
 static void
 test_withdrawn(void)
 {
     uint64_t hashes[] = {Rng_HashString("dc1"), Rng_HashString("dc2")};
     Roster *roster = make_fleet();
     RosterQuery wanted = query();
+    RosterReport idle = report(0, 0);
+    RetryRates rates;
 
     Roster_Remove(roster, "far");
+    Roster_Report(roster, Rng_HashString("region"), &idle, 1);
+    g_assert_cmpfloat(Roster_RetryRates(roster, wanted.service, 1, &rates), <,
+                      0.5);
     Roster_SetWithdrawn(roster, hashes, 1);
+    g_assert_cmpfloat(Roster_RetryRates(roster, wanted.service, 1, &rates), ==,
+                      1);
     add(roster, "new", "dc1", "r1", "i4");
     g_assert_cmpstr(choose(roster, &wanted, 1), ==, "region");
     Roster_NoteUnreachable(roster, Rng_HashString("region"), 1);
