--- a/src/roster/load_estimate.c
+++ b/src/roster/load_estimate.c
@@ -12,7 +12,8 @@
 
 /* Number of the candidates of equal distance that a choice prefers on average;
  * in a third of the choices it is none, and the loads alone decide. With two
- * or more, and with none at all, the measured loads were less even. */
+ * the measured loads were less even; with none, single backend servers had up
+ * to 1.45 times the mean load over time. */
 #define PREFERRED 1
 
 /* Bounds of a capacity relative to the mean. */
--- a/src/roster/roster_choice.c
+++ b/src/roster/roster_choice.c
@@ -141,9 +141,9 @@
 static double
 row_capacity(const RosterRow *row, double service_ms)
 {
-    return row->entry.slots / (row->report.service_ms > 0
-                                   ? (double)row->report.service_ms
-                                   : service_ms);
+    return MAX(row->entry.slots, 1) / (row->report.service_ms > 0
+                                           ? (double)row->report.service_ms
+                                           : service_ms);
 }
 
 /* Fills what even_load needs of the service. */
@@ -223,6 +223,7 @@
                               .has_report = row->reported > 0,
                               .idle_ms =
                                   row->report.idle_ms + (now - row->reported)};
+
     if (roster->desc.even_load && row->unreachable_since == 0 &&
         (row->reported == 0 ||
          row->report.risk <= GrayFilter_LongTermRisk(&row->filter))) {
@@ -230,7 +231,6 @@
         input.is_new = FALSE;
         input.idle_ms = row->report.idle_ms;
     }
-
     return Exploration_IdleMs(&input);
 }
 
