--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -115,17 +115,15 @@
         .region = settings->region,
         .placement = {.data_centre_cost = settings->data_centre_cost,
                       .region_cost = settings->region_cost},
-        .even_load = settings->even_load != 0};
-    Backend_desc backend = {
-        .names = sidecar->adapter->names,
-        .service = settings->service,
-        .client = sidecar->client,
-        .cold_overage = settings->cold_overage,
-        .cold_slack = settings->cold_slack,
-        .load_by_value = sidecar->adapter->decode_features(&settings->features)
-                             .load_by_value,
-        .changed = _Sidecar_PublishBackend,
-        .context = sidecar};
+        .even_load = settings->even_load != 0 || sidecar->features.even_load};
+    Backend_desc backend = {.names = sidecar->adapter->names,
+                            .service = settings->service,
+                            .client = sidecar->client,
+                            .cold_overage = settings->cold_overage,
+                            .cold_slack = settings->cold_slack,
+                            .load_by_value = sidecar->features.load_by_value,
+                            .changed = _Sidecar_PublishBackend,
+                            .context = sidecar};
     Quota_desc quota = {.host = Rng_HashString(settings->host),
                         .data_centres = settings->data_centres.count,
                         .window_ms = settings->quota_window_ms,
@@ -167,8 +165,6 @@
 open_request_path(Sidecar *sidecar, GError **error)
 {
     const Settings *settings = sidecar->settings;
-    SidecarFeatures features =
-        sidecar->adapter->decode_features(&settings->features);
     PeerPort_desc peer = {.threads = (unsigned)settings->owner_threads,
                           .max_body_bytes = (size_t)settings->max_body_bytes,
                           .names = sidecar->adapter->names,
@@ -189,7 +185,7 @@
                             .client = sidecar->client,
                             .rpc = sidecar->rpc,
                             .max_catalog_age_ms = sidecar->max_catalog_age_ms,
-                            .load_by_value = features.load_by_value,
+                            .load_by_value = sidecar->features.load_by_value,
                             .retry_ratio = settings->retry_ratio,
                             .retry_per_minute =
                                 (double)settings->retry_slack * MS_PER_MINUTE /
@@ -213,6 +209,7 @@
 
     sidecar->settings = settings;
     sidecar->adapter = adapter;
+    sidecar->features = adapter->decode_features(&settings->features);
     sidecar->max_catalog_age_ms =
         MAX(settings->revocation_ms - FRESHNESS_MARGIN_MS,
             settings->revocation_ms / 2);
--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -32,6 +32,7 @@
 struct Sidecar {
     Settings *settings;
     const SidecarAdapter *adapter;
+    SidecarFeatures features;
     ObjectStore *store;
     ObjectGeneration *generation;
     HttpClient *client;
