--- a/src/replay/test_replay_parents.c
+++ b/src/replay/test_replay_parents.c
@@ -149,31 +149,21 @@
         .order = play(factor, call_share, phase, TRUE, TRUE),
         .gate = play(factor, call_share, phase, TRUE, FALSE),
     };
-    const ReplayOutcome *plain = results.plain.outcomes;
-    const ReplayOutcome *order = results.order.outcomes;
-    const ReplayOutcome *gate = results.gate.outcomes;
-
-    g_test_message(
-        "%.1f, %.1f call: worth %.3f %.3f %.3f, purchases %.2f %.2f %.2f, "
-        "closures %.2f %.2f %.2f failed %.2f %.2f %.2f refused %.2f %.2f %.2f "
-        "vain %d %d %d s",
-        factor, call_share, results.plain.worth, results.order.worth,
-        results.gate.worth,
-        share_of(plain[PURCHASE].in_time, &plain[PURCHASE]),
-        share_of(order[PURCHASE].in_time, &order[PURCHASE]),
-        share_of(gate[PURCHASE].in_time, &gate[PURCHASE]),
-        share_of(plain[CLOSURE].in_time, &plain[CLOSURE]),
-        share_of(order[CLOSURE].in_time, &order[CLOSURE]),
-        share_of(gate[CLOSURE].in_time, &gate[CLOSURE]),
-        share_of(plain[CLOSURE].failed, &plain[CLOSURE]),
-        share_of(order[CLOSURE].failed, &order[CLOSURE]),
-        share_of(gate[CLOSURE].failed, &gate[CLOSURE]),
-        share_of(plain[CLOSURE].refused, &plain[CLOSURE]),
-        share_of(order[CLOSURE].refused, &order[CLOSURE]),
-        share_of(gate[CLOSURE].refused, &gate[CLOSURE]),
-        (int)(plain[CLOSURE].vain_ms / 1000),
-        (int)(order[CLOSURE].vain_ms / 1000),
-        (int)(gate[CLOSURE].vain_ms / 1000));
+    const Result *all[] = {&results.plain, &results.order, &results.gate};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(all); i++) {
+        const ReplayOutcome *closure = &all[i]->outcomes[CLOSURE];
+        const ReplayOutcome *purchase = &all[i]->outcomes[PURCHASE];
+
+        g_test_message("%.1f, %.1f call, policy %zu: worth %.3f purchases "
+                       "%.2f closures %.2f failed %.2f refused %.2f vain %d s",
+                       factor, call_share, i, all[i]->worth,
+                       share_of(purchase->in_time, purchase),
+                       share_of(closure->in_time, closure),
+                       share_of(closure->failed, closure),
+                       share_of(closure->refused, closure),
+                       (int)(closure->vain_ms / 1000));
+    }
     return results;
 }
 
--- a/src/replay/test_replay_retries.c
+++ b/src/replay/test_replay_retries.c
@@ -89,15 +89,7 @@
 
     Replay_Run(replay);
     for (guint i = 0; i < STREAMS; i++) {
-        const ReplayOutcome *outcome = Replay_Outcome(replay, i);
-
-        result.outcomes[i] = *outcome;
-        g_test_message("%s %s: asked %u in time %u late %u refused %u failed "
-                       "%u expired %u retries %u asks %u",
-                       no_limit ? "before" : "      ", streams[i].name,
-                       outcome->asked, outcome->in_time, outcome->late,
-                       outcome->refused, outcome->failed, outcome->expired,
-                       outcome->retries, outcome->asks);
+        result.outcomes[i] = *Replay_Outcome(replay, i);
     }
     for (guint i = 0; i < SERVICES; i++) {
         result.usage[i] = Replay_BudgetUsage(replay, i);
