--- a/src/replay/replay_private.h
+++ b/src/replay/replay_private.h
@@ -63,7 +63,7 @@
     guint pending;         /* calls that have not ended */
     guint calls_left;      /* calls that have not begun */
     guint limit_refusals;
-    gboolean is_gated;     /* refused because its calls would be */
+    gboolean is_gated; /* refused because its calls would be */
     gboolean call_failed;
     gboolean is_retry;    /* call of a run that is a retry */
     gboolean seems_retry; /* the same by its sender's estimate */
