--- a/src/backend/test_backend_withdrawn.c
+++ b/src/backend/test_backend_withdrawn.c
@@ -95,6 +95,19 @@
     close_fixture(&fixture);
 }
 
+/* Waits until the backend server has got this many requests. */
+static void
+await_requests(Fixture *fixture, int count)
+{
+    ClockMs end = Clock_Now() + 5000;
+
+    while (g_atomic_int_get(&fixture->script.requests) < count &&
+           Clock_Now() < end) {
+        Backend_Tick(fixture->backend);
+        g_usleep(1000);
+    }
+}
+
 /* Guards against all slots being filled at the moment at which an evacuation
  * ends, also by way of an announcement, and against slots that stay unused. */
 static void
@@ -103,7 +116,6 @@
     Fixture fixture = {.script = {.answer = ANSWER_OK, .gated = TRUE}};
     BackendAnnouncement next;
     Run runs[CALLS];
-    ClockMs end;
 
     open_fixture(&fixture);
     (void)Backend_SetWithdrawn(fixture.backend, FALSE);
@@ -116,12 +128,7 @@
     start_runs(runs, &fixture);
     (void)await_load(&fixture, SLOTS / 2, CALLS - SLOTS / 2);
     g_assert_cmpint(g_atomic_int_get(&fixture.script.requests), <=, SLOTS / 2);
-    end = Clock_Now() + 5000;
-    while (g_atomic_int_get(&fixture.script.requests) < SLOTS &&
-           Clock_Now() < end) {
-        Backend_Tick(fixture.backend);
-        g_usleep(1000);
-    }
+    await_requests(&fixture, SLOTS);
     g_assert_false(await_load(&fixture, SLOTS, CALLS - SLOTS).leaving);
     g_atomic_int_set(&fixture.script.opened, CALLS);
     for (int i = 0; i < CALLS; i++) {
