backend: the owner says that a retry is refused for the retry limit

Cause: the sender inferred it from a busy owner with free slots, which a cold server that refuses by its rate would look like, too.

Change: the refusal carries the return time (Radishknot-Return), if the owner has room, and the sender ends the request's retries at that. The log field is final=owner.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -220,14 +220,20 @@
                : wait;
 }
 
+gboolean
+Admission_HasRoom(const Admission *admission)
+{
+    return admission->running->len < admission->slots &&
+           admission->queue->len == 0;
+}
+
 ClockMs
 Admission_ExpectedWait(const Admission *admission,
                        const AdmissionTicket *ticket, ClockMs now)
 {
     guint ahead[KINDS] = {0};
 
-    if (admission->running->len < admission->slots &&
-        admission->queue->len == 0) {
+    if (Admission_HasRoom(admission)) {
         return 0;
     }
     for (guint i = 0; i < admission->queue->len; i++) {
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -133,6 +133,9 @@
 void Admission_NoteCut(Admission *admission, const AdmissionTicket *ticket,
                        ClockMs run_ms);
 
+/* Whether a slot is free and no request waits for one. */
+gboolean Admission_HasRoom(const Admission *admission);
+
 AdmissionLoad Admission_Load(const Admission *admission);
 
 #endif
--- a/src/backend/backend.c
+++ b/src/backend/backend.c
@@ -234,6 +234,10 @@
     }
     if (!RetryLimit_Reserve(&backend->retry_limit, call->retry, Clock_Now())) {
         Counter_Add(COUNTER_OWNER_RETRIES_REFUSED, 1);
+        /* A full owner is left for another in any case, which may have retries
+         * left; only where there is room is the limit the sole reason. */
+        reply->return_ms =
+            Admission_HasRoom(backend->admission) ? BACKEND_RETURN_MS : 0;
         return RESULT_BACKEND_SERVER_BUSY;
     }
     result = wait_for_slot(backend, call, ticket);
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -157,8 +157,9 @@
     ClockMs server_ms;
     ClockMs expected_ms; /* longest run that the owner expected when it took
                             the request up; 0: it did not */
-    ClockMs return_ms;   /* above 0: no owner has room for the calls of the
-                            request, which may return after this time */
+    ClockMs return_ms;   /* above 0: other owners would refuse it, too, since
+                            its calls have no room or the retry limit is near;
+                            time after which it may return */
     ClockMs owner_ms;    /* time at the owner of another host; -1: unknown */
 } BackendReply;
 
--- a/src/backend/backend_internal.h
+++ b/src/backend/backend_internal.h
@@ -10,6 +10,11 @@
  * be repeated is expected to end. */
 #define BACKEND_LOST_RUN_DEVIATIONS 6
 
+/* Time after which a request may return that every owner is expected to
+ * refuse, because its calls would be refused or the retry limit is near: both
+ * last for seconds, and owners and senders learn of the end within less. */
+#define BACKEND_RETURN_MS 1000
+
 struct Backend {
     Backend_desc desc;
     pthread_mutex_t lock;
--- a/src/backend/backend_parent.c
+++ b/src/backend/backend_parent.c
@@ -5,11 +5,6 @@
 /* Maximum number of routes that the runs of one route call. */
 #define MAX_CALLED 8
 
-/* Time after which a request may return that was refused because its calls
- * would be: calls are refused for seconds, and the owner learns within less
- * that there is room again. */
-#define CALLS_RETURN_MS 1000
-
 int
 _Backend_Value(const BackendCall *call)
 {
@@ -79,14 +74,14 @@
         if (!is_first &&
             !ParentGate_AdmitsRetry(backend->gate, called[i], unit, now)) {
             Counter_Add(COUNTER_OWNER_RETRIES_REFUSED, 1);
-            reply->return_ms = CALLS_RETURN_MS;
+            reply->return_ms = BACKEND_RETURN_MS;
         }
         else if (is_first && backend->desc.load_by_value &&
                  call->priority >= 0 &&
                  !ParentGate_Admits(backend->gate, called[i], call->priority,
                                     unit, now)) {
             Counter_Add(COUNTER_OWNER_PARENTS_REFUSED, 1);
-            reply->return_ms = CALLS_RETURN_MS;
+            reply->return_ms = BACKEND_RETURN_MS;
         }
         if (reply->return_ms > 0) {
             return RESULT_BACKEND_SERVER_BUSY;
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -632,20 +632,6 @@
            request->attempts < request->route->attempts;
 }
 
-/* Whether the owner has refused a retry because of the service's retry limit:
- * only that makes an owner with free slots busy for a retry. Others would
- * refuse it, too, unless the fleet is known to be below the limit, and then
- * the owner allows more. */
-static gboolean
-is_over_retry_limit(const GatewayRequest *request, const BackendReply *reply)
-{
-    const RosterReport *report = &reply->report;
-
-    return reply->result == RESULT_BACKEND_SERVER_BUSY &&
-           request->call.retry != RETRY_KIND_FIRST && report->waiting == 0 &&
-           report->in_flight < report->slots;
-}
-
 /* Whether no further attempt follows the reply. */
 static gboolean
 is_final(GatewayRequest *request, const BackendReply *reply)
@@ -657,11 +643,11 @@
         return TRUE;
     }
     if (reply->return_ms > 0) {
-        Log_Append(request->trace, sizeof(request->trace), " final=calls");
+        Log_Append(request->trace, sizeof(request->trace), " final=owner");
         return TRUE;
     }
     if (!reply->arrived) {
-        return is_over_retry_limit(request, reply);
+        return FALSE;
     }
     if (is_retry_after_shutdown(request, reply)) {
         Counter_Retry(reply->result);
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -28,7 +28,8 @@
  * does not stop.
  *
  * A request that every owner of the service is expected to refuse for now,
- * because its run's calls are refused elsewhere, is refused with
+ * because its run's calls are refused elsewhere or its retry limit is near, is
+ * refused with
  *   Radishknot-Return: <ms>
  * the time after which it may be sent again; other owners are not asked.
  *
--- a/src/replay/replay_owner.c
+++ b/src/replay/replay_owner.c
@@ -54,11 +54,10 @@
         request->retry = RETRY_KIND_CALM;
     }
     request->is_gated = !_Replay_PassesGate(replay, request, now);
-    if (request->is_gated) {
-        answer(replay, request, RESULT_BACKEND_SERVER_BUSY, now);
-        return;
-    }
-    if (!RetryLimit_Reserve(&server->retry_limit, request->retry, now)) {
+    if (request->is_gated ||
+        !RetryLimit_Reserve(&server->retry_limit, request->retry, now)) {
+        request->is_gated =
+            request->is_gated || Admission_HasRoom(server->admission);
         answer(replay, request, RESULT_BACKEND_SERVER_BUSY, now);
         return;
     }
--- a/src/replay/replay_private.h
+++ b/src/replay/replay_private.h
@@ -55,7 +55,7 @@
     ReplayRequest *parent; /* NULL: sent by a caller */
     guint pending;         /* calls that have not ended */
     guint calls_left;      /* calls that have not begun */
-    gboolean is_gated;     /* refused because its calls would be */
+    gboolean is_gated;     /* other owners would refuse it, too */
     gboolean call_failed;
     gboolean is_retry;    /* call of a run that is a retry */
     gboolean seems_retry; /* the same by its sender's estimate */
--- a/src/replay/replay_sender.c
+++ b/src/replay/replay_sender.c
@@ -223,15 +223,6 @@
     }
 }
 
-/* Whether the owner has refused a retry because of the retry limit. */
-static gboolean
-is_over_retry_limit(const ReplayRequest *request)
-{
-    return request->retry != RETRY_KIND_FIRST &&
-           request->report.waiting == 0 &&
-           request->report.in_flight < request->report.slots;
-}
-
 /* Ends the try of the caller after the last attempt. */
 static void
 end_attempts(Replay *replay, ReplayRequest *request, ClockMs now)
@@ -291,7 +282,7 @@
         return;
     case RESULT_BACKEND_SERVER_BUSY:
         note_backlog(request);
-        if (request->is_gated || is_over_retry_limit(request)) {
+        if (request->is_gated) {
             end_attempts(replay, request, now);
             return;
         }
