--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -228,6 +228,13 @@
                : wait;
 }
 
+gboolean
+Admission_HasRoom(const Admission *admission)
+{
+    return admission->running->len < admission->slots &&
+           admission->queue->len == 0;
+}
+
 /* Wait by the pace alone of a ticket with this many ahead of it. */
 static ClockMs
 pace_wait(const Admission *admission, guint ahead)
@@ -268,8 +275,7 @@
 {
     guint ahead[KINDS] = {0};
 
-    if (admission->running->len < admission->slots &&
-        admission->queue->len == 0) {
+    if (Admission_HasRoom(admission)) {
         return 0;
     }
     for (guint i = 0; i < admission->queue->len; i++) {
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -664,18 +664,16 @@
            request->attempts < request->route->attempts;
 }
 
-/* Whether enough owners have refused a retry because of the service's retry
- * limit. Only that makes an owner with free slots busy for a retry. */
+/* Whether the owner's refusal stands for those of the other owners. Each keeps
+ * a part of the retry limit of its own, so the next one may have some left. */
 static gboolean
-is_over_retry_limit(GatewayRequest *request, const BackendReply *reply)
+is_refused_by_all(GatewayRequest *request, const BackendReply *reply)
 {
-    const RosterReport *report = &reply->report;
-
-    request->limit_refusals += reply->result == RESULT_BACKEND_SERVER_BUSY &&
-                               request->call.retry != RETRY_KIND_FIRST &&
-                               report->waiting == 0 &&
-                               report->in_flight < report->slots;
-    return request->limit_refusals >= MAX_LIMIT_REFUSALS;
+    if (reply->return_ms == 0) {
+        return FALSE;
+    }
+    return request->call.retry == RETRY_KIND_FIRST ||
+           ++request->limit_refusals >= MAX_LIMIT_REFUSALS;
 }
 
 /* Whether no further attempt follows the reply. */
@@ -688,12 +686,12 @@
         Clock_Now() >= request->deadline) {
         return TRUE;
     }
-    if (reply->return_ms > 0) {
-        Log_Append(request->trace, sizeof(request->trace), " final=calls");
+    if (is_refused_by_all(request, reply)) {
+        Log_Append(request->trace, sizeof(request->trace), " final=owner");
         return TRUE;
     }
     if (!reply->arrived) {
-        return is_over_retry_limit(request, reply);
+        return FALSE;
     }
     if (is_retry_after_shutdown(request, reply)) {
         Counter_Retry(reply->result);
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -30,7 +30,8 @@
  * another request, 0 if it is not cold.
  *
  * A request that every owner of the service is expected to refuse for now,
- * because its run's calls are refused elsewhere, is refused with
+ * because its run's calls are refused elsewhere or its retry limit is near, is
+ * refused with
  *   Radishknot-Return: <ms>
  * the time after which it may be sent again; other owners are not asked.
  *
--- a/src/replay/replay_sender.c
+++ b/src/replay/replay_sender.c
@@ -244,14 +244,16 @@
     }
 }
 
-/* Whether enough owners have refused a retry because of the retry limit. */
+/* Whether the owner's refusal stands for those of the others, as in
+ * gateway_attempt.c. */
 static gboolean
-is_over_retry_limit(ReplayRequest *request)
+is_refused_by_all(ReplayRequest *request)
 {
-    request->limit_refusals +=
-        request->retry != RETRY_KIND_FIRST && request->report.waiting == 0 &&
-        request->report.in_flight < request->report.slots;
-    return request->limit_refusals >= MAX_LIMIT_REFUSALS;
+    if (!request->is_gated) {
+        return FALSE;
+    }
+    return request->retry == RETRY_KIND_FIRST ||
+           ++request->limit_refusals >= MAX_LIMIT_REFUSALS;
 }
 
 /* Ends the try of the caller after the last attempt. */
@@ -318,7 +320,7 @@
     case RESULT_BACKEND_SERVER_BUSY:
         outcome->busy++;
         note_backlog(request);
-        if (request->is_gated || is_over_retry_limit(request)) {
+        if (is_refused_by_all(request)) {
             end_attempts(replay, request, now);
             return;
         }
