roster: explain a choice without making it

Nobody could ask a daemon where it would send a request, and why, without sending one.

Change: Roster_Choose() is split into _Roster_Select(), which takes the source of the random part of the costs and begins no probe, and the rest. The order of random draws in Roster_Choose() is as before.

--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -188,6 +188,18 @@
     _Roster_NoteRegionReached(row, now);
 }
 
+void
+_Roster_ApplyReport(RosterRow *row, const RosterReport *report, ClockMs now)
+{
+    GrayFilter_Set(&row->filter, report->risk, now);
+    row->report = *report;
+    row->reported = now;
+    row->own_before = row->own;
+    _Roster_MarkReached(row, now);
+    row->avoid_until = report->leaving ? now + LEAVING_AVOID_MS : 0;
+    row->ends = report->stop_ms > 0 ? now + report->stop_ms : 0;
+}
+
 void
 Roster_Report(Roster *roster, uint64_t host, const RosterReport *report,
               ClockMs now)
@@ -197,13 +209,7 @@
     pthread_mutex_lock(&roster->lock);
     row = g_hash_table_lookup(roster->rows, &host);
     if (row != NULL) {
-        GrayFilter_Set(&row->filter, report->risk, now);
-        row->report = *report;
-        row->reported = now;
-        row->own_before = row->own;
-        _Roster_MarkReached(row, now);
-        row->avoid_until = report->leaving ? now + LEAVING_AVOID_MS : 0;
-        row->ends = report->stop_ms > 0 ? now + report->stop_ms : 0;
+        _Roster_ApplyReport(row, report, now);
     }
     pthread_mutex_unlock(&roster->lock);
 }
--- a/src/roster/roster_choice.c
+++ b/src/roster/roster_choice.c
@@ -4,6 +4,7 @@
 
 #include "roster/exploration.h"
 #include "roster/load_estimate.h"
+#include "roster/roster_explain.h"
 #include "roster/roster_internal.h"
 #include "stop/stop_plan.h"
 
@@ -279,27 +280,31 @@
     return row_capacity(row, mean->service_ms) / mean->capacity;
 }
 
+static double
+random_unit(Rng *rng)
+{
+    return rng != NULL ? Rng_Unit(rng) : 0;
+}
+
 /* Breaks ties. */
 static double
-random_cost(Roster *roster, const RosterRow *row, const ServiceMean *mean)
+random_cost(const Roster *roster, const RosterRow *row,
+            const ServiceMean *mean, Rng *rng)
 {
-    double random = Rng_Unit(&roster->rng);
+    double random = random_unit(rng);
 
     return roster->desc.even_load
                ? LoadEstimate_RandomCost(relative_capacity(row, mean), random)
                : JITTER_COST * random;
 }
 
-static double
-cost_of(Roster *roster, const RosterRow *row, const RosterQuery *query,
-        const ServiceMean *mean, ClockMs now)
+static PlacementCandidate
+candidate_of(const Roster *roster, const RosterRow *row,
+             const ServiceMean *mean, ClockMs now)
 {
     gboolean recent = _Roster_IsRecent(row, now);
-    double jitter = random_cost(roster, row, mean);
     double risk = GrayFilter_Risk(&row->filter, now);
     double load = expected_load(roster, row, mean->load, now);
-    double stop =
-        query->is_issuance && is_stopping(row, now) ? STOPPING_COST : 0;
     PlacementCandidate candidate = {
         .tier = row->tier,
         .is_known = recent,
@@ -308,14 +313,27 @@
         .service_ms = (double)row->report.service_ms,
         .transit_ms = roster->transit_ms[row->tier]};
 
-    if (explore_idle_ms(roster, row, query, now) > 0) {
-        return jitter;
-    }
     if (!recent && !is_new(row)) {
         risk = MAX(risk, mean->risk);
         candidate.wait_ms = MAX(candidate.wait_ms, mean->wait_ms);
     }
     candidate.fail_share = GrayFilter_FailShare(&row->filter, risk);
+    return candidate;
+}
+
+static double
+cost_of(const Roster *roster, const RosterRow *row, const RosterQuery *query,
+        const ServiceMean *mean, Rng *rng, ClockMs now)
+{
+    double jitter = random_cost(roster, row, mean, rng);
+    double stop =
+        query->is_issuance && is_stopping(row, now) ? STOPPING_COST : 0;
+    PlacementCandidate candidate;
+
+    if (explore_idle_ms(roster, row, query, now) > 0) {
+        return jitter;
+    }
+    candidate = candidate_of(roster, row, mean, now);
     return Placement_Cost(&roster->desc.placement, &query->request,
                           &candidate) +
            stop + jitter;
@@ -382,14 +400,14 @@
 
 /* Cost by which candidates of a group are compared with even_load. */
 static double
-rank_of(Roster *roster, const RosterRow *row, const RosterQuery *query,
-        const ServiceMean *mean, double cost, ClockMs now)
+rank_of(const Roster *roster, const RosterRow *row, const RosterQuery *query,
+        const ServiceMean *mean, double cost, Rng *rng, ClockMs now)
 {
     gboolean is_preferred =
         explore_idle_ms(roster, row, query, now) > 0 ||
         LoadEstimate_IsPreferred(relative_capacity(row, mean),
                                  mean->candidates[group_of(row)],
-                                 Rng_Unit(&roster->rng));
+                                 random_unit(rng));
 
     return is_preferred ? cost : cost + LOAD_ESTIMATE_PREFERENCE;
 }
@@ -408,14 +426,36 @@
     return in_group->row;
 }
 
+static RosterExclusion
+exclusion_of(const RosterRow *row, const RosterQuery *query, ClockMs now)
+{
+    if (row->withdrawn) {
+        return ROSTER_EXCLUDED_EVACUATED;
+    }
+    if (row->entry.leaving) {
+        return ROSTER_EXCLUDED_LEAVING;
+    }
+    if (is_excluded(query, row->host)) {
+        return ROSTER_EXCLUDED_BY_QUERY;
+    }
+    if (!_Roster_IsAllowed(row, query, now)) {
+        return ROSTER_EXCLUDED_REGION;
+    }
+    if (now < row->avoid_until) {
+        return ROSTER_EXCLUDED_AVOIDED;
+    }
+    return stops_too_early(row, query, now) ? ROSTER_EXCLUDED_STOPPING
+                                            : ROSTER_NOT_EXCLUDED;
+}
+
 /* Returns the row with the lowest cost; NULL if there is none. Skips hosts
  * that are being avoided or stop too early, unless `include_all` is set. Hosts
  * outside the regions of the query and those of withdrawn data centres are
  * never chosen. */
 static const RosterRow *
-find_best(Roster *roster, const GPtrArray *rows, const RosterQuery *query,
-          const ServiceMean *mean, gboolean include_all, ClockMs now,
-          RosterChoice *choice)
+find_best(const Roster *roster, const GPtrArray *rows,
+          const RosterQuery *query, const ServiceMean *mean,
+          gboolean include_all, Rng *rng, ClockMs now, RosterChoice *choice)
 {
     Preferred preferred[GROUPS] = {0};
     const RosterRow *best = NULL;
@@ -426,16 +466,14 @@
     choice->full_wait_ms = 0;
     for (guint i = 0; i < rows->len; i++) {
         const RosterRow *row = g_ptr_array_index(rows, i);
+        RosterExclusion exclusion = exclusion_of(row, query, now);
         double cost;
 
-        if (row->withdrawn || row->entry.leaving ||
-            is_excluded(query, row->host) ||
-            !_Roster_IsAllowed(row, query, now) ||
-            (!include_all &&
-             (now < row->avoid_until || stops_too_early(row, query, now)))) {
+        if (exclusion >
+            (include_all ? ROSTER_LAST_RESORT : ROSTER_NOT_EXCLUDED)) {
             continue;
         }
-        cost = cost_of(roster, row, query, mean, now);
+        cost = cost_of(roster, row, query, mean, rng, now);
         if (cost < choice->cost) {
             choice->other_cost = choice->cost;
             choice->cost = cost;
@@ -447,7 +485,7 @@
         add_fullness(&fullness, row, now);
         if (roster->desc.even_load) {
             Preferred candidate = {
-                row, rank_of(roster, row, query, mean, cost, now), cost};
+                row, rank_of(roster, row, query, mean, cost, rng, now), cost};
             Preferred *group = &preferred[group_of(row)];
 
             if (group->row == NULL || candidate.rank < group->rank) {
@@ -462,26 +500,65 @@
     return prefer(preferred, best, choice);
 }
 
-gboolean
-Roster_Choose(Roster *roster, const RosterQuery *query, ClockMs now,
-              RosterChoice *choice)
+/* Appends each row as a RosterCandidate. */
+static void
+list_candidates(const Roster *roster, const GPtrArray *rows,
+                const RosterQuery *query, const ServiceMean *mean, ClockMs now,
+                GArray *list)
+{
+    for (guint i = 0; i < rows->len; i++) {
+        const RosterRow *row = g_ptr_array_index(rows, i);
+        PlacementCandidate placement = candidate_of(roster, row, mean, now);
+        RosterCandidate candidate = {
+            .entry = row->entry,
+            .host = row->host,
+            .tier = row->tier,
+            .exclusion = exclusion_of(row, query, now),
+            .age_ms = row->reported > 0 ? now - row->reported : CLOCK_NEVER,
+            .fail_share = placement.fail_share,
+            .load = expected_load(roster, row, mean->load, now),
+            .wait_ms = (ClockMs)placement.wait_ms,
+            .explore_idle_ms = explore_idle_ms(roster, row, query, now),
+            .cost = cost_of(roster, row, query, mean, NULL, now)};
+
+        g_array_append_val(list, candidate);
+    }
+}
+
+const RosterRow *
+_Roster_Select(const Roster *roster, const RosterQuery *query, Rng *rng,
+               ClockMs now, RosterChoice *choice, GArray *list)
 {
     const RosterRow *best = NULL;
     ServiceMean mean;
-    GPtrArray *rows;
+    GPtrArray *rows = g_hash_table_lookup(roster->services, &query->service);
 
-    pthread_mutex_lock(&roster->lock);
-    rows = g_hash_table_lookup(roster->services, &query->service);
     if (rows != NULL) {
         mean = mean_of(roster, rows, now);
-        best = find_best(roster, rows, query, &mean, FALSE, now, choice);
+        if (list != NULL) {
+            list_candidates(roster, rows, query, &mean, now, list);
+        }
+        best = find_best(roster, rows, query, &mean, FALSE, rng, now, choice);
     }
     choice->away_ms = best != NULL ? -1 : _Roster_AwayMs(rows, query, now);
     if (rows != NULL && best == NULL && choice->away_ms < 0) {
-        best = find_best(roster, rows, query, &mean, TRUE, now, choice);
+        best = find_best(roster, rows, query, &mean, TRUE, rng, now, choice);
     }
     if (best != NULL) {
         fill_choice(roster, best, query, mean.load, now, choice);
+    }
+    return best;
+}
+
+gboolean
+Roster_Choose(Roster *roster, const RosterQuery *query, ClockMs now,
+              RosterChoice *choice)
+{
+    const RosterRow *best;
+
+    pthread_mutex_lock(&roster->lock);
+    best = _Roster_Select(roster, query, &roster->rng, now, choice, NULL);
+    if (best != NULL) {
         _Roster_BeginProbe(best, query, now);
     }
     pthread_mutex_unlock(&roster->lock);
--- a/src/roster/roster_internal.h
+++ b/src/roster/roster_internal.h
@@ -6,9 +6,17 @@
 
 #include "base/rng.h"
 #include "roster/roster.h"
+#include "roster/roster_explain.h"
 
 /* State of a region, for restricted requests; roster_regions.c. */
-typedef struct RosterRegion RosterRegion;
+typedef struct RosterRegion {
+    uint64_t hash;
+    ClockMs reached;   /* time of the last answer of one of its hosts */
+    uint32_t failures; /* hosts found unreachable since then */
+    ClockMs away_ms;   /* time for which it was last avoided; 0: not away */
+    ClockMs away_until;
+    gboolean is_probed; /* a request tries it again */
+} RosterRegion;
 
 typedef struct RosterRow {
     RosterEntry entry;
@@ -50,6 +58,19 @@
 /* roster_choice.c: whether the report is recent enough to count. */
 gboolean _Roster_IsRecent(const RosterRow *row, ClockMs now);
 
+/* roster_choice.c: chooses as Roster_Choose() does, but begins no probe. `rng`
+ * is the source of the random part of the costs; NULL: there is none. `list`
+ * receives a RosterCandidate for each backend server of the service, with the
+ * cost without the random part; NULL: not wanted. Returns NULL if no host is
+ * left. Called with the lock held. */
+const RosterRow *_Roster_Select(const Roster *roster, const RosterQuery *query,
+                                Rng *rng, ClockMs now, RosterChoice *choice,
+                                GArray *list);
+
+/* roster.c: Roster_Report() for a row. Called with the lock held. */
+void _Roster_ApplyReport(RosterRow *row, const RosterReport *report,
+                         ClockMs now);
+
 /* roster_regions.c. All functions are called with the lock held. */
 
 /* Returns the region's state; adds it if it is new. */
--- a/src/roster/roster_regions.c
+++ b/src/roster/roster_regions.c
@@ -14,15 +14,6 @@
  * timeout to another region, and some more. */
 #define PROBE_MS 600
 
-struct RosterRegion {
-    uint64_t hash;
-    ClockMs reached;   /* time of the last answer of one of its hosts */
-    uint32_t failures; /* hosts found unreachable since then */
-    ClockMs away_ms;   /* time for which it was last avoided; 0: not away */
-    ClockMs away_until;
-    gboolean is_probed; /* a request tries it again */
-};
-
 RosterRegion *
 _Roster_FindRegion(Roster *roster, const char *name)
 {
