gateway, quota, sidecar: GET /explain on the metrics port

Change: the metrics port answers GET /explain with the route, team, regions, state of the quota, candidates and choice of a request that is not sent. The retry budget and the windows of the quota are read from copies. The ports close before the gateway, which the metrics port now uses.

Measured: 100 explanations leave all counters, the retry budgets and the random generator of the gateway as they were, reach no owner, and the next request goes to the explained host; six results of refusals are as for a real request. test_gateway_*, test_quota and test_retry* pass unchanged.

--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -36,10 +36,6 @@
  * this long after the request's deadline. */
 #define ANSWER_TRANSIT_MS 20
 
-/* Minimum number of hosts assumed when the fleet's budget is divided, so that
- * a host with an empty roster does not use the budget of the whole fleet. */
-#define MIN_HOSTS 12
-
 #define SECONDS_PER_MINUTE 60
 
 /* A pooled connection to an owner that was idle for longer is not used for a
@@ -71,12 +67,7 @@
 find_budget(Gateway *gateway, uint64_t service, ClockMs now)
 {
     RetryBudget *budget = g_hash_table_lookup(gateway->budgets, &service);
-    uint32_t hosts = MAX(Roster_Count(gateway->desc.roster), MIN_HOSTS);
-    Retry_desc desc = {
-        .budget_percent =
-            (uint32_t)(gateway->desc.retry_ratio * 100 * RETRY_EVEN_SHARE),
-        .min_per_minute = (uint32_t)ceil(gateway->desc.retry_per_minute *
-                                         RETRY_EVEN_SHARE / hosts)};
+    Retry_desc desc = _Gateway_BudgetDesc(gateway);
 
     if (budget == NULL) {
         budget = g_new0(RetryBudget, 1);
@@ -189,8 +180,7 @@
     ClockMs now = Clock_Now();
     gboolean available;
 
-    if (!request->route->idempotent ||
-        request->attempts + 1 >= request->route->attempts) {
+    if (!_Gateway_AllowsRetry(request)) {
         return FALSE;
     }
     pthread_mutex_lock(&gateway->lock);
@@ -200,46 +190,20 @@
     return available;
 }
 
-static double
-relative_size(GatewayRequest *request)
-{
-    Gateway *gateway = request->gateway;
-    double size;
-
-    pthread_mutex_lock(&gateway->lock);
-    size = SizeEstimate_Relative(gateway->sizes, request->route->hash,
-                                 request->call.body_bytes);
-    pthread_mutex_unlock(&gateway->lock);
-    return size;
-}
-
 static gboolean
 choose(GatewayRequest *request, RosterChoice *choice)
 {
     Gateway *gateway = request->gateway;
     ClockMs now = Clock_Now();
-    RosterQuery query = {.service = request->destination->service_hash,
-                         .request.time_left_ms = request->target_time - now,
-                         .is_issuance = !request->call.idempotent,
-                         .deadline = request->deadline,
-                         .run_allowance_ms = request->call.run_allowance_ms,
-                         .excluded_count = request->excluded_count};
+    RosterQuery query;
     RosterReport own;
 
     Counter_Add(COUNTER_ROUTE_REGIONS_CHANGED,
                 GatewayRegions_Read(&request->regions, gateway->desc.catalog,
                                     &request->regions_check.key));
-    query.route_regions = request->regions.route;
-    query.team_regions = request->regions.team;
     request->can_retry = can_retry(request);
-    query.request.failure_cost = Placement_FailureCost(request->can_retry);
-    query.request.relative_size = relative_size(request);
-    query.may_explore = Exploration_MayBegin(
-        request->can_retry, request->attempts, request->has_explored);
-    memcpy(query.excluded, request->excluded, sizeof(query.excluded));
-    Backend_GetReport(gateway->desc.backend, &own);
-    /* The request ends with this host in any case. */
-    own.stop_ms = 0;
+    _Gateway_MakeQuery(request, now, &query);
+    _Gateway_OwnReport(gateway, &own);
     Roster_Report(gateway->desc.roster, gateway->host, &own, now);
     return Roster_Choose(gateway->desc.roster, &query, now, choice);
 }
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -15,6 +15,12 @@
 
 #define GATEWAY_TRACE_BYTES 700
 
+/* Deadline of a caller that sends none. */
+#define GATEWAY_DEFAULT_DEADLINE_MS 10000
+
+/* Longest time that a caller waits, whatever it sends. */
+#define GATEWAY_MAX_DEADLINE_MS 86400000
+
 struct Gateway {
     Gateway_desc desc;
     uint64_t host; /* hash of this host's name */
@@ -81,6 +87,18 @@
 ClockMs _Gateway_CallerDeadline(const Gateway *gateway,
                                 const HttpRequest *http);
 
+/* Steps of _Gateway_Prepare() that change nothing but the request, whose table
+ * and catalog_age are set. A key of NULL is a missing one. */
+Result _Gateway_FindRoute(GatewayRequest *request, const char *host,
+                          const char *path);
+Result _Gateway_FindTeam(GatewayRequest *request, const char *key);
+void _Gateway_SetTimes(GatewayRequest *request, ClockMs caller_deadline);
+
+/* Refuses a request that a graceful stop does not take. The body may have
+ * ended long after the head arrived. */
+Result _Gateway_ApplyStop(GatewayRequest *request, const StopPlan *stop,
+                          ClockMs now);
+
 /* Checks route, team, configuration age and quota. */
 Result _Gateway_Prepare(GatewayRequest *request);
 void _Gateway_ClearRequest(GatewayRequest *request);
@@ -89,6 +107,22 @@
  * the requests. */
 void _Gateway_LimitToStop(GatewayRequest *request);
 
+/* gateway_query.c: what the next choice depends on. These change nothing. */
+
+/* Settings of this host's share of a service's retry budget. */
+Retry_desc _Gateway_BudgetDesc(const Gateway *gateway);
+
+/* Whether the route lets the request be retried after the next attempt. */
+gboolean _Gateway_AllowsRetry(const GatewayRequest *request);
+
+/* Fills the query for the next choice. `regions` and `can_retry` of the
+ * request are up to date. */
+void _Gateway_MakeQuery(const GatewayRequest *request, ClockMs now,
+                        RosterQuery *query);
+
+/* Report of this host's backend server, as the next choice takes it. */
+void _Gateway_OwnReport(const Gateway *gateway, RosterReport *own);
+
 /* gateway_attempt.c: sends the request to owners until one answers or no
  * further attempt is allowed. */
 void _Gateway_Attempt(GatewayRequest *request, BackendReply *reply);
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -4,17 +4,11 @@
 #include "gateway/gateway_internal.h"
 #include "gateway/peer_wire.h"
 
-/* Deadline of a caller that sends none. */
-#define DEFAULT_DEADLINE_MS 10000
-
 /* Share of the time that a request may take, by its route or else its caller,
  * that is allowed for a run. The rest is for waits, refusals and the caller's
  * return; hardly a run takes longer. */
 #define RUN_ALLOWANCE_SHARE 0.5
 
-/* Longest time that a caller waits, whatever it sends. */
-#define MAX_DEADLINE_MS 86400000
-
 /* Latency target of a route that has none. */
 #define DEFAULT_TARGET_MS 2000
 
@@ -62,17 +56,26 @@
     return request->catalog_age > DENY_AGE_MS ? RESULT_ISOLATED : result;
 }
 
-static Result
-find_team(GatewayRequest *request)
+Result
+_Gateway_FindRoute(GatewayRequest *request, const char *host, const char *path)
 {
-    const HttpHeaders *headers = HttpRequest_Headers(request->http);
-    const char *key =
-        HttpHeaders_Get(headers, request->gateway->desc.names->key);
+    request->route = CatalogTable_FindRoute(request->table, host, path);
+    return request->route == NULL ? deny(request, RESULT_ROUTE_UNKNOWN)
+                                  : RESULT_OK;
+}
+
+static gboolean
+needs_key(const GatewayRequest *request)
+{
+    return CatalogTable_HasTeams(request->table) && !request->route->anonymous;
+}
 
-    if (!CatalogTable_HasTeams(request->table) || request->route->anonymous) {
+Result
+_Gateway_FindTeam(GatewayRequest *request, const char *key)
+{
+    if (!needs_key(request)) {
         return RESULT_OK;
     }
-    Counter_Add(COUNTER_KEY_LOOKUPS, 1);
     if (key == NULL) {
         return RESULT_KEY_MISSING;
     }
@@ -91,21 +94,20 @@
 {
     int64_t left = HttpHeaders_GetNumber(HttpRequest_Headers(http),
                                          gateway->desc.names->time_left_ms,
-                                         DEFAULT_DEADLINE_MS);
+                                         GATEWAY_DEFAULT_DEADLINE_MS);
 
-    return HttpRequest_Arrived(http) + CLAMP(left, 0, MAX_DEADLINE_MS);
+    return HttpRequest_Arrived(http) + CLAMP(left, 0, GATEWAY_MAX_DEADLINE_MS);
 }
 
-static void
-set_times(GatewayRequest *request)
+void
+_Gateway_SetTimes(GatewayRequest *request, ClockMs caller_deadline)
 {
     const CatalogRoute *route = request->route;
     ClockMs target_ms =
         route->target_ms > 0 ? route->target_ms : DEFAULT_TARGET_MS;
 
-    request->caller_deadline =
-        _Gateway_CallerDeadline(request->gateway, request->http);
-    request->deadline = request->caller_deadline;
+    request->caller_deadline = caller_deadline;
+    request->deadline = caller_deadline;
     if (route->timeout_ms > 0) {
         request->deadline =
             MIN(request->deadline, request->arrived + route->timeout_ms);
@@ -119,10 +121,8 @@
                                : request->deadline - request->arrived));
 }
 
-/* Refuses a request that a graceful stop does not take. The body may have
- * ended long after the head arrived. */
-static Result
-apply_stop(GatewayRequest *request, const StopPlan *stop, ClockMs now)
+Result
+_Gateway_ApplyStop(GatewayRequest *request, const StopPlan *stop, ClockMs now)
 {
     if (request->arrived >= stop->begin) {
         request->stop_ms = request->arrived - stop->begin;
@@ -223,12 +223,14 @@
     if (request->table == NULL) {
         return RESULT_NOT_CONFIGURED;
     }
-    request->route = CatalogTable_FindRoute(request->table, host,
-                                            HttpRequest_Path(request->http));
-    if (request->route == NULL) {
-        return deny(request, RESULT_ROUTE_UNKNOWN);
+    result =
+        _Gateway_FindRoute(request, host, HttpRequest_Path(request->http));
+    if (result != RESULT_OK) {
+        return result;
     }
-    result = find_team(request);
+    Counter_Add(COUNTER_KEY_LOOKUPS, needs_key(request));
+    result = _Gateway_FindTeam(
+        request, HttpHeaders_Get(headers, gateway->desc.names->key));
     if (result != RESULT_OK) {
         return result;
     }
@@ -240,8 +242,9 @@
     if (request->destination == NULL) {
         return RESULT_NO_BACKEND_SERVER;
     }
-    set_times(request);
-    result = apply_stop(request, &stop, Clock_Now());
+    _Gateway_SetTimes(request,
+                      _Gateway_CallerDeadline(gateway, request->http));
+    result = _Gateway_ApplyStop(request, &stop, Clock_Now());
     if (result != RESULT_OK) {
         return result;
     }
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -298,3 +298,28 @@
     *source = QUOTA_LOCAL_SHARE;
     return _Quota_TakeLocalShare(quota, team);
 }
+
+void
+Quota_ReadState(Quota *quota, const CatalogTeam *team, QuotaState *state)
+{
+    RosterPeer order[COUNTING_HOSTS];
+    ClockMs now = Clock_Now();
+    uint32_t count;
+
+    *state = (QuotaState){.source = QUOTA_UNLIMITED,
+                          .window_ms = quota->desc.window_ms,
+                          .counted = -1};
+    if (team->rate_per_s == 0) {
+        return;
+    }
+    count = Roster_Rank(quota->desc.roster, team->hash, TRUE, now, order,
+                        COUNTING_HOSTS);
+    state->source = QUOTA_LOCAL_SHARE;
+    for (uint32_t i = count; i-- > 0;) {
+        if (order[i].is_self || order[i].is_reachable) {
+            state->source = i == 0 ? QUOTA_PRIMARY : QUOTA_BACKUP;
+        }
+    }
+    state->limit = _Quota_SteadyLimit(&quota->desc, team);
+    _Quota_ReadCounted(quota, team, count > 0 && order[0].is_self, now, state);
+}
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -72,6 +72,20 @@
  * *source receives the share that the request was counted against. */
 Result Quota_Take(Quota *quota, const CatalogTeam *team, QuotaSource *source);
 
+/* What this host knows of a team's quota without a draw. Counts are of the
+ * last window. */
+typedef struct QuotaState {
+    QuotaSource source; /* asked next; QUOTA_UNLIMITED: there is no limit */
+    ClockMs window_ms;
+    double limit;     /* requests that the data centre admits in a window */
+    int64_t admitted; /* requests of this host */
+    int64_t counted;  /* requests of the data centre; -1: another host, the
+                         primary, counts them */
+} QuotaState;
+
+/* Changes nothing and calls no other host. */
+void Quota_ReadState(Quota *quota, const CatalogTeam *team, QuotaState *state);
+
 /* "unlimited", "keeper" (primary), "deputy" (backup) or "own_part" (local
  * share). */
 const char *Quota_SourceName(QuotaSource source);
--- a/src/quota/quota_count.c
+++ b/src/quota/quota_count.c
@@ -259,6 +259,28 @@
     pthread_mutex_unlock(&quota->lock);
 }
 
+/* Requests in the window, which is a copy because counting moves it on. */
+static int64_t
+count_copy(QuotaWindow window, ClockMs now)
+{
+    return QuotaWindow_Count(&window, now);
+}
+
+void
+_Quota_ReadCounted(Quota *quota, const CatalogTeam *team, gboolean is_primary,
+                   ClockMs now, QuotaState *state)
+{
+    const TeamCount *count;
+
+    pthread_mutex_lock(&quota->lock);
+    count = g_hash_table_lookup(quota->teams, &team->hash);
+    state->admitted = count ? count_copy(count->admitted, now) : 0;
+    if (is_primary) {
+        state->counted = count ? count_copy(count->as_primary, now) : 0;
+    }
+    pthread_mutex_unlock(&quota->lock);
+}
+
 /* Whether the counts of this primary cover the last window entirely. */
 static gboolean
 covers_window(const Quota *quota, const TeamCount *count, ClockMs now)
--- a/src/quota/quota_internal.h
+++ b/src/quota/quota_internal.h
@@ -49,6 +49,10 @@
 void _Quota_MakeDraw(Quota *quota, const CatalogTeam *team, QuotaDraw *draw);
 void _Quota_CountAdmitted(Quota *quota, const CatalogTeam *team);
 
+/* Fills `admitted` and, as the primary, `counted`. */
+void _Quota_ReadCounted(Quota *quota, const CatalogTeam *team,
+                        gboolean is_primary, ClockMs now, QuotaState *state);
+
 Result _Quota_TakeAsPrimary(Quota *quota, const CatalogTeam *team,
                             const QuotaDraw *draw);
 Result _Quota_TakeBackupShare(Quota *quota, const CatalogTeam *team);
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -353,9 +353,10 @@
     }
     _Sidecar_StopMonitor(sidecar->monitor);
     _Sidecar_StopTicker(sidecar->ticker);
+    /* The metrics port uses the gateway. */
+    _Sidecar_ClosePorts(sidecar);
     Gateway_Destroy(sidecar->gateway);
     PeerPort_Destroy(sidecar->peer_port);
-    _Sidecar_ClosePorts(sidecar);
     _Sidecar_StopState(sidecar);
     ObjectWriter_Stop(sidecar->writer);
     /* Its handlers use the departure and the evacuations. */
--- a/src/sidecar/sidecar_ports.c
+++ b/src/sidecar/sidecar_ports.c
@@ -4,6 +4,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "gateway/gateway_explain.h"
 #include "memory/memory.h"
 #include "sidecar/sidecar_internal.h"
 
@@ -170,8 +171,13 @@
 {
     const Sidecar *sidecar = context;
     HttpAnswer answer = {.status = 200};
-    GString *text = g_string_new(NULL);
+    GString *text;
 
+    if (strcmp(HttpRequest_Path(request), GATEWAY_EXPLAIN_PATH) == 0) {
+        GatewayExplain_Serve(sidecar->gateway, request);
+        return;
+    }
+    text = g_string_new(NULL);
     if (strcmp(HttpRequest_Path(request), STATUS_PATH) == 0) {
         add_status(sidecar, &answer, text);
     }
