roster: list the explained candidates in the loop of the choice

Cause: the functions of the cost had a second caller since Roster_Explain(), so the compiler no longer put them into the loop of Roster_Choose().

Change: find_best() fills the list, so the cost is computed in one place.

--- a/src/roster/roster_choice.c
+++ b/src/roster/roster_choice.c
@@ -323,19 +323,18 @@
 
 static double
 cost_of(const Roster *roster, const RosterRow *row, const RosterQuery *query,
-        const ServiceMean *mean, Rng *rng, ClockMs now)
+        const ServiceMean *mean, const PlacementCandidate *candidate, Rng *rng,
+        ClockMs now)
 {
     double jitter = random_cost(roster, row, mean, rng);
     double stop =
         query->is_issuance && is_stopping(row, now) ? STOPPING_COST : 0;
-    PlacementCandidate candidate;
 
     if (explore_idle_ms(roster, row, query, now) > 0) {
         return jitter;
     }
-    candidate = candidate_of(roster, row, mean, now);
     return Placement_Cost(&roster->desc.placement, &query->request,
-                          &candidate) +
+                          candidate) +
            stop + jitter;
 }
 
@@ -448,14 +447,37 @@
                                             : ROSTER_NOT_EXCLUDED;
 }
 
+static void
+add_candidate(GArray *list, const Roster *roster, const RosterRow *row,
+              const RosterQuery *query, const PlacementCandidate *placement,
+              double load, double cost, ClockMs now)
+{
+    RosterCandidate candidate = {
+        .entry = row->entry,
+        .host = row->host,
+        .tier = row->tier,
+        .exclusion = exclusion_of(row, query, now),
+        .age_ms = row->reported > 0 ? now - row->reported : CLOCK_NEVER,
+        .fail_share = placement->fail_share,
+        .load = load,
+        .wait_ms = (ClockMs)placement->wait_ms,
+        .explore_idle_ms = explore_idle_ms(roster, row, query, now),
+        .cost = cost};
+
+    g_array_append_val(list, candidate);
+}
+
 /* Returns the row with the lowest cost; NULL if there is none. Skips hosts
  * that are being avoided or stop too early, unless `include_all` is set. Hosts
  * outside the regions of the query and those of withdrawn data centres are
- * never chosen. */
+ * never chosen. Adds each row, also a skipped one, to `list`; NULL: not
+ * wanted.
+ */
 static const RosterRow *
 find_best(const Roster *roster, const GPtrArray *rows,
           const RosterQuery *query, const ServiceMean *mean,
-          gboolean include_all, Rng *rng, ClockMs now, RosterChoice *choice)
+          gboolean include_all, Rng *rng, ClockMs now, RosterChoice *choice,
+          GArray *list)
 {
     Preferred preferred[GROUPS] = {0};
     const RosterRow *best = NULL;
@@ -466,14 +488,25 @@
     choice->full_wait_ms = 0;
     for (guint i = 0; i < rows->len; i++) {
         const RosterRow *row = g_ptr_array_index(rows, i);
-        RosterExclusion exclusion = exclusion_of(row, query, now);
+        gboolean skipped =
+            exclusion_of(row, query, now) >
+            (include_all ? ROSTER_LAST_RESORT : ROSTER_NOT_EXCLUDED);
+        PlacementCandidate candidate;
         double cost;
 
-        if (exclusion >
-            (include_all ? ROSTER_LAST_RESORT : ROSTER_NOT_EXCLUDED)) {
+        if (skipped && list == NULL) {
             continue;
         }
-        cost = cost_of(roster, row, query, mean, rng, now);
+        candidate = candidate_of(roster, row, mean, now);
+        cost = cost_of(roster, row, query, mean, &candidate, rng, now);
+        if (list != NULL) {
+            add_candidate(list, roster, row, query, &candidate,
+                          expected_load(roster, row, mean->load, now), cost,
+                          now);
+            if (skipped) {
+                continue;
+            }
+        }
         if (cost < choice->cost) {
             choice->other_cost = choice->cost;
             choice->cost = cost;
@@ -484,12 +517,12 @@
         }
         add_fullness(&fullness, row, now);
         if (roster->desc.even_load) {
-            Preferred candidate = {
+            Preferred ranked = {
                 row, rank_of(roster, row, query, mean, cost, rng, now), cost};
             Preferred *group = &preferred[group_of(row)];
 
-            if (group->row == NULL || candidate.rank < group->rank) {
-                *group = candidate;
+            if (group->row == NULL || ranked.rank < group->rank) {
+                *group = ranked;
             }
         }
     }
@@ -500,31 +533,6 @@
     return prefer(preferred, best, choice);
 }
 
-/* Appends each row as a RosterCandidate. */
-static void
-list_candidates(const Roster *roster, const GPtrArray *rows,
-                const RosterQuery *query, const ServiceMean *mean, ClockMs now,
-                GArray *list)
-{
-    for (guint i = 0; i < rows->len; i++) {
-        const RosterRow *row = g_ptr_array_index(rows, i);
-        PlacementCandidate placement = candidate_of(roster, row, mean, now);
-        RosterCandidate candidate = {
-            .entry = row->entry,
-            .host = row->host,
-            .tier = row->tier,
-            .exclusion = exclusion_of(row, query, now),
-            .age_ms = row->reported > 0 ? now - row->reported : CLOCK_NEVER,
-            .fail_share = placement.fail_share,
-            .load = expected_load(roster, row, mean->load, now),
-            .wait_ms = (ClockMs)placement.wait_ms,
-            .explore_idle_ms = explore_idle_ms(roster, row, query, now),
-            .cost = cost_of(roster, row, query, mean, NULL, now)};
-
-        g_array_append_val(list, candidate);
-    }
-}
-
 const RosterRow *
 _Roster_Select(const Roster *roster, const RosterQuery *query, Rng *rng,
                ClockMs now, RosterChoice *choice, GArray *list)
@@ -535,14 +543,13 @@
 
     if (rows != NULL) {
         mean = mean_of(roster, rows, now);
-        if (list != NULL) {
-            list_candidates(roster, rows, query, &mean, now, list);
-        }
-        best = find_best(roster, rows, query, &mean, FALSE, rng, now, choice);
+        best = find_best(roster, rows, query, &mean, FALSE, rng, now, choice,
+                         list);
     }
     choice->away_ms = best != NULL ? -1 : _Roster_AwayMs(rows, query, now);
     if (rows != NULL && best == NULL && choice->away_ms < 0) {
-        best = find_best(roster, rows, query, &mean, TRUE, rng, now, choice);
+        best = find_best(roster, rows, query, &mean, TRUE, rng, now, choice,
+                         NULL);
     }
     if (best != NULL) {
         fill_choice(roster, best, query, mean.load, now, choice);
--- a/src/roster/roster_internal.h
+++ b/src/roster/roster_internal.h
@@ -60,9 +60,9 @@
 
 /* roster_choice.c: chooses as Roster_Choose() does, but begins no probe. `rng`
  * is the source of the random part of the costs; NULL: there is none. `list`
- * receives a RosterCandidate for each backend server of the service, with the
- * cost without the random part; NULL: not wanted. Returns NULL if no host is
- * left. Called with the lock held. */
+ * receives a RosterCandidate for each backend server of the service and needs
+ * an `rng` of NULL; NULL: not wanted. Returns NULL if no host is left. Called
+ * with the lock held. */
 const RosterRow *_Roster_Select(const Roster *roster, const RosterQuery *query,
                                 Rng *rng, ClockMs now, RosterChoice *choice,
                                 GArray *list);
