--- a/src/tool/tool.c
+++ b/src/tool/tool.c
@@ -36,10 +36,11 @@
      "withdraw a key at once on all daemons given, and by a ticket", 2, 2,
      Tool_KeyWithdraw},
     {"status", "", "show the state of the daemons given", 0, 0, Tool_Status},
-    {"explain", "TEXT",
+    {"explain", "TEXT | --request HOST/PATH",
      "show recent requests that were refused, retried or failed: by request "
-     "id, team, host or backend server",
-     1, 1, Tool_Explain},
+     "id, team, host or backend server; with --request, show where a daemon "
+     "in mode \"platform\" would send this request now, and send nothing",
+     0, 1, Tool_Explain},
     {"drain", "SERVER", "drain a backend server", 1, 1, Tool_Drain},
     {"undrain", "SERVER", "end an operator's drain", 1, 1, Tool_Undrain},
     {"host retire", "HOST",
@@ -61,6 +62,15 @@
      Tool_Counters},
 };
 
+/* Options without a short form. */
+enum {
+    OPTION_REQUEST = 256,
+    OPTION_METHOD,
+    OPTION_KEY,
+    OPTION_BYTES,
+    OPTION_DEADLINE
+};
+
 static const struct argp_option argp_options[] = {
     {"store", 's', "ADDRESS", 0,
      "address:port of the platform's store, several separated by commas "
@@ -77,6 +87,13 @@
     {"dry-run", 'n', NULL, 0, "check and show, change nothing", 0},
     {"who", 'o', "NAME", 0, "who makes the change (default $USER)", 0},
     {"why", 'y', "TEXT", 0, "why the change is made", 0},
+    {"request", OPTION_REQUEST, "HOST/PATH", 0,
+     "request to explain; --admin has a daemon's metrics port", 0},
+    {"method", OPTION_METHOD, "METHOD", 0, "its method (default GET)", 0},
+    {"key", OPTION_KEY, "FILE", 0, "file with its key", 0},
+    {"bytes", OPTION_BYTES, "NUMBER", 0, "size of its body (default 0)", 0},
+    {"deadline-ms", OPTION_DEADLINE, "NUMBER", 0,
+     "time that its caller waits (default 10000)", 0},
     {0}};
 
 typedef struct Words {
@@ -85,24 +102,52 @@
     int count;
 } Words;
 
+/* Where the tool keeps the argument of an option that is a text; NULL: the
+ * option is another one. */
+static const char **
+find_text(Tool *tool, int key)
+{
+    switch (key) {
+    case 's':
+        return &tool->store;
+    case 'f':
+        return &tool->secret_file;
+    case 'o':
+        return &tool->who;
+    case 'y':
+        return &tool->why;
+    case OPTION_REQUEST:
+        return &tool->request;
+    case OPTION_METHOD:
+        return &tool->method;
+    case OPTION_KEY:
+        return &tool->key_file;
+    case OPTION_BYTES:
+        return &tool->bytes;
+    case OPTION_DEADLINE:
+        return &tool->deadline_ms;
+    default:
+        return NULL;
+    }
+}
+
 static error_t
 parse_option(int key, char *argument, struct argp_state *state)
 {
     Words *words = state->input;
     Tool *tool = words->tool;
+    const char **text = find_text(tool, key);
 
-    switch (key) {
-    case 's':
-        tool->store = argument;
+    if (text != NULL) {
+        *text = argument;
         return 0;
+    }
+    switch (key) {
     case 'a':
         if (tool->admin_count < TOOL_MAX_ADMINS) {
             tool->admins[tool->admin_count++] = argument;
         }
         return 0;
-    case 'f':
-        tool->secret_file = argument;
-        return 0;
     case 'j':
         tool->json = TRUE;
         return 0;
@@ -112,12 +157,6 @@
     case 'n':
         tool->dry_run = TRUE;
         return 0;
-    case 'o':
-        tool->who = argument;
-        return 0;
-    case 'y':
-        tool->why = argument;
-        return 0;
     case ARGP_KEY_ARG:
         if (words->count == (int)G_N_ELEMENTS(words->items)) {
             argp_usage(state);
--- a/src/tool/tool_explain.c
+++ b/src/tool/tool_explain.c
@@ -88,8 +88,8 @@
     return count;
 }
 
-int
-Tool_Explain(Tool *tool, int count, char **words)
+static int
+explain_recent(Tool *tool, char **words)
 {
     char *escaped = g_uri_escape_string(words[0], NULL, FALSE);
     char *target = g_strconcat("/v1/explain?text=", escaped, NULL);
@@ -97,7 +97,6 @@
     int code = _Tool_RequireAdmin(tool);
     unsigned found = 0;
 
-    (void)count;
     for (unsigned i = 0; i < tool->admin_count; i++) {
         HttpAnswer answer = {0};
         Result result =
@@ -123,3 +122,15 @@
     g_free(escaped);
     return code;
 }
+
+int
+Tool_Explain(Tool *tool, int count, char **words)
+{
+    if ((tool->request != NULL) == (count > 0)) {
+        return _Tool_Fail(RESULT_REQUEST_INVALID,
+                          "usage: radishknot [OPTIONS] explain TEXT, or "
+                          "explain --request HOST/PATH");
+    }
+    return tool->request != NULL ? _Tool_ExplainRequest(tool)
+                                 : explain_recent(tool, words);
+}
--- a/src/tool/tool_internal.h
+++ b/src/tool/tool_internal.h
@@ -22,6 +22,11 @@
     gboolean dry_run;
     const char *who;
     const char *why;
+    const char *request; /* HOST/PATH to explain; NULL: none */
+    const char *method;  /* of this request; NULL: the daemon's default */
+    const char *key_file;
+    const char *bytes;
+    const char *deadline_ms;
 
     char *secret;
     HttpClient *client;
@@ -39,6 +44,10 @@
 int Tool_KeyWithdraw(Tool *tool, int count, char **words);
 int Tool_Status(Tool *tool, int count, char **words);
 int Tool_Explain(Tool *tool, int count, char **words);
+
+/* The command "explain" with the option --request. */
+int _Tool_ExplainRequest(Tool *tool);
+
 int Tool_Drain(Tool *tool, int count, char **words);
 int Tool_Undrain(Tool *tool, int count, char **words);
 int Tool_HostRetire(Tool *tool, int count, char **words);
