--- a/tests/site.c
+++ b/tests/site.c
@@ -441,20 +441,6 @@
     return found;
 }
 
-/* Returns whether the host has read the entry of the other one. */
-static gboolean
-has_read_entry(Site *site, int host, int other)
-{
-    char *entry =
-        g_strdup_printf("host=%s instance=", site->hosts[other].name);
-    char *log = Site_ReadLog(site, host);
-    gboolean found = strstr(log, entry) != NULL;
-
-    g_free(entry);
-    g_free(log);
-    return found;
-}
-
 void
 Site_AwaitReady(Site *site)
 {
@@ -468,17 +454,8 @@
         }
         g_assert_true(Site_IsReady(site, i));
     }
-    for (int i = 0; i < site->host_count * site->host_count; i++) {
-        int host = i / site->host_count;
-        int other = i % site->host_count;
-
-        while (host != other && !has_read_entry(site, host, other) &&
-               Clock_Now() < end) {
-            g_usleep(20000);
-        }
-    }
-    /* Gives the watches of all hosts time to report later changes. */
-    g_usleep(1000000);
+    Site_AwaitEntries(site, site->host_count, end);
+    g_usleep(1000000); /* for later changes */
 }
 
 typedef enum Connections {
--- a/tests/site.h
+++ b/tests/site.h
@@ -84,6 +84,10 @@
 struct sockaddr_in Site_BackendAddress(int host);
 struct sockaddr_in Site_EntryAddress(int host);
 void Site_AwaitReady(Site *site);
+
+/* Waits until each of the first hosts has read the entries of the others, up
+ * to `end`. Called by Site_AwaitReady(). */
+void Site_AwaitEntries(Site *site, int hosts, ClockMs end);
 gboolean Site_IsReady(Site *site, int host);
 
 /* Sends a request with a new id to the host. A `key` of NULL sends no key. */
