--- a/tests/site.c
+++ b/tests/site.c
@@ -460,8 +460,8 @@
         }
         g_assert_true(Site_IsReady(site, i));
     }
-    /* Gives the watches of all hosts time to report all entries. */
-    g_usleep(1000000);
+    Site_AwaitEntries(site, site->host_count, end);
+    g_usleep(1000000); /* for later changes */
 }
 
 typedef enum Connections {
