--- a/tests/process_tool.c
+++ b/tests/process_tool.c
@@ -85,8 +85,9 @@
     "{\"services\":{\"meters\":{\"floor_percent\":50,\"total\":3}}}"
 
 /* Guards against a dry run that changes something, a refusal that does not
- * name the fault and its position, wrong exit codes, and accepted tickets that
- * cannot be listed and shown. */
+ * name the fault and its position, wrong exit codes, accepted tickets that
+ * cannot be listed and shown, and an option of mode "platform" that fails in
+ * the other mode without saying so. */
 static void
 test_tickets(void)
 {
@@ -140,6 +141,8 @@
            STRINGS("/nonexistent/t.json"));
     expect(fleet, STRINGS("frobnicate"), EXIT_REQUEST_INVALID,
            STRINGS("frobnicate", "--help"));
+    expect(fleet, STRINGS("--request", "h/p", "explain"), EXIT_NOT_FOUND,
+           STRINGS("in mode \"platform\""));
     expect(fleet, STRINGS("ticket", "show"), EXIT_REQUEST_INVALID,
            STRINGS("ticket show NUMBER"));
     g_free(path);
