--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -115,7 +115,7 @@
         .region = settings->region,
         .placement = {.data_centre_cost = settings->data_centre_cost,
                       .region_cost = settings->region_cost},
-        .even_load = settings->even_load != 0 || sidecar->features.even_load};
+        .even_load = settings->even_load != 0};
     Backend_desc backend = {.names = sidecar->adapter->names,
                             .service = settings->service,
                             .client = sidecar->client,
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -37,7 +37,6 @@
 typedef struct SidecarFeatures {
     gboolean load_by_value; /* room goes to urgent requests before calls of
                                less urgent ones */
-    gboolean even_load;     /* as the setting of this name */
 } SidecarFeatures;
 
 /* Translates between the daemon and a platform. */
