sidecar: evacuations are watched for a fifth of their bound again

With watches of a half or a third, process_evacuation /evacuation/partial-store failed: a host that alone lost the store learned of the evacuation only when the cut ended (11,005 to 11,205 ms, 11,000 allowed); with a fifth after 1,206 ms. The cause, in the age up to which neighbours serve the state, was not traced.

--- a/src/sidecar/sidecar_evacuation.c
+++ b/src/sidecar/sidecar_evacuation.c
@@ -9,10 +9,9 @@
 #include "sidecar/sidecar_internal.h"
 
 /* Part of the time within which an evacuation must take effect that one watch
- * may last: each watch is a call on the store, which is billed. A failed watch
- * is noticed after about one more second, and its repetition through another
- * host takes the rest. */
-#define WATCH_PART 2
+ * may last. A failed watch is noticed after about one more second, and its
+ * repetition through another host takes the rest. */
+#define WATCH_PART 5
 #define MIN_WATCH_MS 100
 
 /* Maximum age of the state that is served to neighbours, in addition to the
