--- a/src/admission/parent_gate.c
+++ b/src/admission/parent_gate.c
@@ -12,9 +12,7 @@
 #define PRIOR_RUNS 1
 
 /* Share of failed runs from which parents are refused. Where some runs make no
- * calls, each refusal also loses one that would have been answered: with 0 as
- * the limit and 3 of 10 runs without calls, 10 to 30% fewer closures were
- * answered in /replay/parents, with 0.6 as many as without a gate. */
+ * calls, each refusal also loses one that would have been answered. */
 #define MIN_FAILED 0.6
 
 /* Largest share that is refused. The others find out whether calls are served
