settings: features is a text, so that no name of a part keeps a daemon from starting

As a list of names, a part whose name has other characters than letters, digits and dashes made the settings invalid, and the daemon did not start.

--- a/src/settings/settings_list.h
+++ b/src/settings/settings_list.h
@@ -138,8 +138,8 @@
          "data centre of the region, as a share of the request's value") \
     REAL(region_cost, "share", 0, 100, 0.2, \
          "the same for another region; 0: the default, of both") \
-    NAMES(features, "1 to 31 letters, digits or dashes", \
-          "parts of the operator's terms in force; unknown ones are ignored") \
+    TEXT(features, 0, "", "names joined by commas", \
+         "parts of the operator's terms in force; unknown ones are ignored") \
     REAL(cold_overage, "factor", 0, 100, 0, \
          "factor on a service's rate for cold backend servers up to which " \
          "arrivals are tolerated; 0: cold backend servers have no bound") \
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -209,7 +209,7 @@
 
     sidecar->settings = settings;
     sidecar->adapter = adapter;
-    sidecar->features = adapter->decode_features(&settings->features);
+    sidecar->features = adapter->decode_features(settings->features);
     sidecar->max_catalog_age_ms =
         MAX(settings->revocation_ms - FRESHNESS_MARGIN_MS,
             settings->revocation_ms / 2);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -60,7 +60,7 @@
                                         BackendAnnouncement *announcement);
 
     /* Translates the setting "features". */
-    SidecarFeatures (*decode_features)(const SettingsNames *names);
+    SidecarFeatures (*decode_features)(const char *names);
 } SidecarAdapter;
 
 Sidecar *Sidecar_Create(Settings *settings, const SidecarAdapter *adapter,
