--- a/src/http/test_answers.c
+++ b/src/http/test_answers.c
@@ -95,6 +95,7 @@
     close(server->listener);
 }
 
+/* Returns when the answer before is not being sent any more. */
 static void
 set_answer(Server *server, const char *bytes, size_t length, gboolean reset,
            gboolean kept)
@@ -330,6 +331,7 @@
         g_assert_cmpint(answer.status, ==, 0);
         g_assert_cmpint(Clock_Now() - began, <, DEADLINE_MS / 2);
         HttpAnswer_Clear(&answer);
+        set_answer(&server, NULL, 0, FALSE, FALSE);
         g_free(text);
     }
     stop_server(&server);
@@ -408,6 +410,7 @@
         g_assert_cmpint(second.result, ==, cases[i].second);
         HttpAnswer_Clear(&answer);
         HttpCancel_Destroy(cancel);
+        set_answer(&servers[0], NULL, 0, FALSE, FALSE);
         g_free(text);
     }
     for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
