roster: a host whose backend server takes no requests still serves its neighbours

Cause: a report that the backend server accepts nothing made its host count as unreachable for 0.8 s, in the choice as well as for mirrors, quotas and kept departures.

Change: the choice still leaves the backend server out for that time; the host counts as unreachable only if it reports that it stops.

/roster/leaving-neighbour fails before and passes now.

--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -103,6 +103,7 @@
         GrayFilter_Init(&row->filter, &roster->desc.gray, now);
         row->reported = 0;
         row->avoid_until = 0;
+        row->leaving_until = 0;
         row->avoid_ms = 0;
         row->unreachable_since = 0;
     }
@@ -196,7 +197,10 @@
     row->reported = now;
     row->own_before = row->own;
     _Roster_MarkReached(row, now);
-    row->avoid_until = report->leaving ? now + LEAVING_AVOID_MS : 0;
+    /* Only a host that stops cannot be reached soon. Others serve their
+     * neighbours, whether or not their backend server accepts requests. */
+    row->leaving_until = report->leaving ? now + LEAVING_AVOID_MS : 0;
+    row->avoid_until = report->stop_ms > 0 ? row->leaving_until : 0;
     row->ends = report->stop_ms > 0 ? now + report->stop_ms : 0;
 }
 
--- a/src/roster/roster_choice.c
+++ b/src/roster/roster_choice.c
@@ -440,7 +440,7 @@
     if (!_Roster_IsAllowed(row, query, now)) {
         return ROSTER_EXCLUDED_REGION;
     }
-    if (now < row->avoid_until) {
+    if (now < MAX(row->avoid_until, row->leaving_until)) {
         return ROSTER_EXCLUDED_AVOIDED;
     }
     return stops_too_early(row, query, now) ? ROSTER_EXCLUDED_STOPPING
--- a/src/roster/roster_internal.h
+++ b/src/roster/roster_internal.h
@@ -31,11 +31,12 @@
     ClockMs reported;       /* time of the last report; 0: none */
     uint32_t own;           /* own requests under way */
     uint32_t own_before;    /* the same, at the last report */
-    ClockMs contacted; /* time of the last contact or attempt; initially the
-                          row's creation */
-    ClockMs avoid_until;
-    ClockMs avoid_ms; /* avoidance time after the last failure; 0: none */
-    ClockMs ends;     /* end of its host's process, which stops; 0: does not */
+    ClockMs contacted;   /* time of the last contact or attempt; initially the
+                            row's creation */
+    ClockMs avoid_until; /* the host is taken as unreachable */
+    ClockMs leaving_until; /* its backend server accepts no new requests */
+    ClockMs avoid_ms;      /* avoidance time after the last failure; 0: none */
+    ClockMs ends; /* end of its host's process, which stops; 0: does not */
     ClockMs unreachable_since; /* 0: the last contact succeeded */
     ClockMs keep_until;        /* time of removal, unless set again; 0: none */
     gboolean withdrawn;        /* its data centre is (roster_withdrawn.c) */
--- a/src/roster/test_roster.c
+++ b/src/roster/test_roster.c
@@ -747,12 +747,39 @@
     }
 }
 
+/* Guards against a host that is left out of its neighbours' mirrors and quotas
+ * because its backend server takes no requests, while the host goes on. */
+static void
+test_leaving_neighbour(void)
+{
+    static const struct {
+        ClockMs stop_ms;
+        uint32_t hosts; /* in the rank of this data centre */
+    } cases[] = {{0, 2}, {3000, 1}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Roster *roster = Roster_Create(&(Roster_desc){
+            .host = "self", .data_centre = "dc1", .region = "r1"});
+        RosterReport gone = report(0.1, 0);
+        RosterPeer peers[2];
+
+        add(roster, "a", "dc1", "r1", "i0");
+        gone.leaving = TRUE;
+        gone.stop_ms = cases[i].stop_ms;
+        Roster_Report(roster, Rng_HashString("a"), &gone, 1000);
+        g_assert_cmpuint(Roster_Rank(roster, 1, FALSE, 1001, peers, 2), ==,
+                         cases[i].hosts);
+        Roster_Destroy(roster);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/roster/withdrawn", test_withdrawn);
     g_test_add_func("/roster/entry", test_entry);
+    g_test_add_func("/roster/leaving-neighbour", test_leaving_neighbour);
     g_test_add_func("/roster/entry-ranges", test_entry_ranges);
     g_test_add_func("/roster/choice", test_choice);
     g_test_add_func("/roster/unreachable", test_unreachable);
