--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -31,8 +31,9 @@
  * restoration of the store yet. */
 #define RESTORED_WAIT_MS 500
 
-/* Duration of the first watch at the store after a neighbour has failed. It is
- * short because the age of the state is unknown until the watch returns. */
+/* Duration of the first watch at the store after a neighbour or the store has
+ * failed. It is short because the age of the state is unknown until the watch
+ * returns. */
 #define TAKEOVER_WAIT_MS 100
 
 /* Wait time that asks a neighbour for what it has, however old. */
@@ -295,6 +296,7 @@
 note_away(Mirror *mirror, ObjectPage *page)
 {
     mirror->away_until = Clock_Now() + MIRROR_AWAY_MS;
+    atomic_store(&mirror->direct, FALSE);
     ObjectPage_Clear(page);
     ObjectPage_Init(page);
 }
@@ -335,26 +337,35 @@
     Mirror *mirror = context;
     const ObjectStore *store = mirror->desc.store;
     ClockMs store_wait_ms = wait_ms;
+    gboolean is_away;
     Result result;
 
     if (read_neighbour(mirror, kind, revision, wait_ms, page, &result)) {
         return result;
     }
+    is_away = Clock_Now() < mirror->away_until;
     if (revision.generation <
         ObjectGeneration_Newest(mirror->desc.generation)) {
         /* The store has been restored while the neighbour was read. */
         return RESULT_STORE_HISTORY_GONE;
     }
-    if (mirror->source != 0) {
+    if (mirror->source != 0 || is_away) {
         store_wait_ms = MIN(wait_ms, TAKEOVER_WAIT_MS);
     }
     else if (Roster_CountDataCentre(mirror->desc.roster) == 1) {
         store_wait_ms = MAX(wait_ms, mirror->desc.alone_wait_ms);
     }
-    /* Set before the watch returns, so that neighbours can watch this host
-     * while the call is in progress. */
-    record_source(mirror, kind, 0);
+    if (!is_away) {
+        /* Set before the watch returns, so that neighbours can watch this host
+         * while the call is in progress. They must not wait for one that has
+         * just failed: each would do so until the state is too old. */
+        record_source(mirror, kind, 0);
+    }
     result = store->watch(store->context, kind, revision, store_wait_ms, page);
+    if (result == RESULT_OK && is_away) {
+        mirror->away_until = 0;
+        record_source(mirror, kind, 0);
+    }
     if (result == RESULT_STORE_UNAVAILABLE && mirror->desc.keeps_known) {
         note_away(mirror, page);
         (void)read_neighbour(mirror, kind, revision, wait_ms, page, &result);
