call_origin, parent_gate: routes that are no longer used make room for new ones

Cause: both tables took 16 routes and never dropped one. Configurations replace routes all the time, so after some versions the parents of all calls were unknown and no new called service had a gate, until the process restarted.

Change: a route without a run whose counts have decayed below 0.01, some minutes after its last run, is dropped, as is a called route; the gate takes the place of the called route whose state is oldest, if that is not recent. An end of a run that found no room at its begin is ignored.

--- a/src/admission/parent_gate.c
+++ b/src/admission/parent_gate.c
@@ -70,16 +70,26 @@
     return NULL;
 }
 
+/* Adds a called route, in place of one without recent information if there is
+ * no room. */
 static Called *
-add_called(ParentGate *gate, uint64_t route)
+add_called(ParentGate *gate, uint64_t route, ClockMs now)
 {
-    Called *called;
+    Called *called = &gate->called[0];
 
-    if (gate->count == PARENT_GATE_ROUTES) {
-        return NULL;
+    if (gate->count < PARENT_GATE_ROUTES) {
+        called = &gate->called[gate->count++];
     }
-    called = &gate->called[gate->count++];
-    called->route = route;
+    else {
+        for (guint i = 1; i < gate->count; i++) {
+            called = gate->called[i].noted < called->noted ? &gate->called[i]
+                                                           : called;
+        }
+        if (now - called->noted < RECENT_MS) {
+            return NULL;
+        }
+    }
+    *called = (Called){.route = route};
     return called;
 }
 
@@ -106,7 +116,7 @@
     if (state->reports == 0) {
         return;
     }
-    called = called != NULL ? called : add_called(gate, route);
+    called = called != NULL ? called : add_called(gate, route, now);
     if (called == NULL) {
         return;
     }
--- a/src/admission/test_parent_gate.c
+++ b/src/admission/test_parent_gate.c
@@ -115,11 +115,31 @@
     ParentGate_Destroy(gate);
 }
 
+/* Guards against a gate that is full of routes which the configuration has
+ * replaced, and against one that forgets a route in use. */
+static void
+test_replaced_routes(void)
+{
+    CalledState state = {.reports = 1, .limit_usage = 1};
+    ParentGate *gate = ParentGate_Create();
+
+    for (uint64_t route = 1; route <= 2 * PARENT_GATE_ROUTES; route++) {
+        ParentGate_NoteState(gate, route, &state, 1000);
+    }
+    g_assert_false(ParentGate_AdmitsRetry(gate, 1, 0, 1500));
+    g_assert_true(
+        ParentGate_AdmitsRetry(gate, 2 * PARENT_GATE_ROUTES, 0, 1500));
+    ParentGate_NoteState(gate, 1000, &state, 5000);
+    g_assert_false(ParentGate_AdmitsRetry(gate, 1000, 0, 5500));
+    ParentGate_Destroy(gate);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/parent-gate/shares", test_shares);
     g_test_add_func("/parent-gate/retries", test_retries);
+    g_test_add_func("/parent-gate/replaced-routes", test_replaced_routes);
     return g_test_run();
 }
--- a/src/gateway/call_origin.c
+++ b/src/gateway/call_origin.c
@@ -21,6 +21,10 @@
 /* A number of runs below which their calls are not told. */
 #define MIN_RUNS 3
 
+/* Count below which a route without a run is dropped: configurations replace
+ * routes by others all the time. */
+#define MIN_KEPT 0.01
+
 typedef struct Route {
     uint64_t hash;
     double runs;  /* ended */
@@ -59,6 +63,64 @@
     g_free(origin);
 }
 
+/* Drops a route without a run, and its classes. The last ones take the free
+ * places. */
+static void
+drop_route(CallOrigin *origin, int route)
+{
+    int last = --origin->route_count;
+
+    for (int i = origin->class_count - 1; i >= 0; i--) {
+        Class *class = &origin->classes[i];
+
+        if (class->route == route) {
+            *class = origin->classes[--origin->class_count];
+        }
+    }
+    for (int i = 0; i < origin->class_count; i++) {
+        if (origin->classes[i].route == last) {
+            origin->classes[i].route = route;
+        }
+    }
+    origin->routes[route] = origin->routes[last];
+    origin->routes[last] = (Route){0};
+}
+
+static void
+drop_called(CallOrigin *origin, int called)
+{
+    int last = --origin->called_count;
+
+    origin->called[called] = origin->called[last];
+    for (int i = 0; i < origin->route_count; i++) {
+        origin->routes[i].calls[called] = origin->routes[i].calls[last];
+        origin->routes[i].calls[last] = 0;
+    }
+}
+
+/* Drops what has not been used for a long time. */
+static void
+drop_unused(CallOrigin *origin)
+{
+    for (int i = origin->route_count - 1; i >= 0; i--) {
+        const Route *route = &origin->routes[i];
+
+        if (route->running == 0 && route->runs < MIN_KEPT) {
+            drop_route(origin, i);
+        }
+    }
+    for (int n = origin->called_count - 1; n >= 0; n--) {
+        double calls = 0;
+
+        for (int i = 0; i < origin->route_count; i++) {
+            calls += origin->routes[i].calls[n];
+        }
+        if (calls < MIN_KEPT) {
+            drop_called(origin, n);
+        }
+    }
+}
+
 static void
 decay_counts(CallOrigin *origin, ClockMs now)
 {
@@ -74,6 +136,7 @@
             route->calls[n] *= factor;
         }
     }
+    drop_unused(origin);
 }
 
 static void
@@ -101,18 +164,29 @@
     return -1;
 }
 
-/* Index of the class; -1 if there is no room for it. */
+/* Index of the class; -1 if it is not known. */
 static int
-find_class(CallOrigin *origin, uint64_t hash, int priority)
+find_class(const CallOrigin *origin, int route, int priority)
 {
-    int route = find_route(origin, hash);
-
     for (int i = 0; i < origin->class_count; i++) {
         if (origin->classes[i].route == route &&
             origin->classes[i].priority == priority) {
             return i;
         }
     }
+    return -1;
+}
+
+/* The same; adds it if there is room for it. */
+static int
+add_class(CallOrigin *origin, uint64_t hash, int priority)
+{
+    int route = find_route(origin, hash);
+    int class = find_class(origin, route, priority);
+
+    if (class >= 0) {
+        return class;
+    }
     if (origin->class_count == CALL_ORIGIN_CLASSES ||
         (route < 0 && origin->route_count == CALL_ORIGIN_ROUTES)) {
         return -1;
@@ -130,9 +204,10 @@
 CallOrigin_Begin(CallOrigin *origin, uint64_t route, int priority,
                  gboolean is_retry, ClockMs now)
 {
-    int class = find_class(origin, route, priority);
+    int class;
 
     advance(origin, now);
+    class = add_class(origin, route, priority);
     if (class >= 0) {
         origin->classes[class].running++;
         origin->classes[class].retries += is_retry ? 1 : 0;
@@ -144,12 +219,15 @@
 CallOrigin_End(CallOrigin *origin, uint64_t route, int priority,
                gboolean is_retry, ClockMs now)
 {
-    int class = find_class(origin, route, priority);
+    int class;
 
     advance(origin, now);
-    if (class >= 0) {
+    class = find_class(origin, find_route(origin, route), priority);
+    /* There may have been no room for the run when it began. */
+    if (class >= 0 && origin->classes[class].running > 0) {
         origin->classes[class].running--;
-        origin->classes[class].retries -= is_retry ? 1 : 0;
+        origin->classes[class].retries -=
+            is_retry && origin->classes[class].retries > 0 ? 1 : 0;
         origin->routes[origin->classes[class].route].running--;
         origin->routes[origin->classes[class].route].runs++;
     }
@@ -213,11 +291,12 @@
 CallOrigin_Find(CallOrigin *origin, uint64_t called_hash, ClockMs now)
 {
     CallParent parent = {.priority = -1};
-    int called = find_called(origin, called_hash);
+    int called;
     double all = 0;
     double retries = 0;
 
     advance(origin, now);
+    called = find_called(origin, called_hash);
     if (called < 0 && origin->called_count == CALL_ORIGIN_ROUTES) {
         return parent;
     }
--- a/src/gateway/call_origin.h
+++ b/src/gateway/call_origin.h
@@ -18,8 +18,9 @@
  *
  * Limits: CALL_ORIGIN_CLASSES classes and CALL_ORIGIN_ROUTES routes on each
  * side; runs and calls of others are not counted and have no known parent.
- * Counts decay in some 20 s. Decisions only; no lock, time is
- * passed in. All calls take time in proportion to these limits.
+ * Counts decay in some 20 s; what has not been used for minutes is dropped.
+ * Decisions only; no lock, time is passed in. All calls take time in
+ * proportion to these limits.
  */
 #ifndef GATEWAY_CALL_ORIGIN_H
 #define GATEWAY_CALL_ORIGIN_H
--- a/src/gateway/test_call_origin.c
+++ b/src/gateway/test_call_origin.c
@@ -150,11 +150,38 @@
     CallOrigin_Destroy(origin);
 }
 
+/* Guards against a table that is full of routes which the configuration has
+ * replaced, so that the parents of new ones stay unknown. */
+static void
+test_replaced_routes(void)
+{
+    CallOrigin *origin = CallOrigin_Create();
+    ClockMs now = 1000;
+
+    for (uint64_t version = 1; version <= 100; version++) {
+        CallParent parent;
+
+        for (int run = 0; run < 10; run++) {
+            CallOrigin_Begin(origin, version, 2, FALSE, now);
+            parent = CallOrigin_Find(origin, 1000 + version, now + 10);
+            CallOrigin_End(origin, version, 2, FALSE, now + 20);
+            now += 100;
+        }
+        g_assert_true(parent.is_known);
+        g_assert_cmpint(parent.priority, ==, 2);
+        g_assert_cmpfloat(
+            CallOrigin_CallsPerRun(origin, version, 1000 + version), >, 0.9);
+        now += 60000;
+    }
+    CallOrigin_Destroy(origin);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/call-origin/parents", test_parents);
     g_test_add_func("/call-origin/limits", test_limits);
+    g_test_add_func("/call-origin/replaced-routes", test_replaced_routes);
     return g_test_run();
 }
