http: log and count answers that are cut by a reset

Neither logs nor counters told which of these cuts it: 1. the connection is closed while a further request is unread, so the kernel resets it and drops what the caller has not acknowledged (the claim); 2. the process ends while bytes are not sent; 3. the connection is closed as idle, or at a timeout.

ANSWER_RESET (412) and the counter ANSWERS_RESET report a connection that is about to be closed with unread bytes and with unacknowledged ones. No change of logic.

--- a/src/base/counter_list.h
+++ b/src/base/counter_list.h
@@ -129,7 +129,9 @@
     COUNTER(UPLOADS_WITHOUT_MEMORY, \
             "requests refused because the account lent no memory") \
     COUNTER(IDLE_CONNECTIONS_CLOSED, \
-            "idle connections closed in favour of new ones")
+            "idle connections closed in favour of new ones") \
+    COUNTER(ANSWERS_RESET, \
+            "connections reset before the caller had received an answer")
 /* clang-format on */
 
 #endif
--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -138,6 +138,8 @@
         "answer is too large, or there is no memory for it") \
     LOG(UPLOAD_REFUSED, 409, WARNING, \
         "no memory for the body of a request") \
+    LOG(ANSWER_RESET, 412, WARNING, \
+        "connection reset before the caller had received an answer") \
     LOG(DEPARTURE_DEPOSITED, 410, INFO, \
         "copies of a departure given to neighbours") \
     LOG(DEPARTURE_RETURNED, 411, INFO, \
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -430,6 +430,7 @@
         atomic_fetch_add(&server->started, 1);
     }
     else {
+        _HttpClose_Check(connection);
         _HttpListener_Remove(server, socket_context);
         atomic_fetch_sub(&server->connections, 1);
     }
--- a/src/http/http_server_private.h
+++ b/src/http/http_server_private.h
@@ -105,6 +105,11 @@
  * server->connections. */
 unsigned _HttpListener_Pending(const HttpServer *server);
 
+/* http_close.c: reports a connection that is about to be closed while bytes of
+ * an answer are not acknowledged and bytes of the caller are not read, so that
+ * the kernel resets it and drops the rest of the answer. */
+void _HttpClose_Check(struct MHD_Connection *connection);
+
 /* http_upload.c: called when the head of a request with a body has been
  * read. */
 void _HttpUpload_Begin(HttpRequest *request);
