http: a connection is closed after its caller has closed it, too

Cause: libmicrohttpd closes a socket once the kernel has taken the answer. The kernel resets a connection that is closed with unread bytes, or that gets more afterwards, and drops what the caller has not acknowledged. The same happened when a connection ended at the caller's wish, at its idle timeout, in favour of a new one, or with the process.

Change: the server keeps its own descriptor of a connection that it ends, shuts the sending side down, drops what arrives, and closes it after the caller has, or 2 s after the caller has received all; limits in time, bytes and number. A stop waits until answers are received, for callers that go on acknowledging. An idle connection whose caller is still reading its answer gives way to a new one only after it has acknowledged nothing for a second.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -497,6 +497,10 @@
     RateService_Stop(daemon->rate, RELEASE_TIMEOUT_MS);
     successor = _Daemon_HandOverRuns(daemon);
     OwnerPort_Drain(daemon->owner_port, until);
+    /* A connection that still sends when the process ends is reset, and its
+     * caller loses what it has not received. */
+    (void)Entry_AwaitReceipt(daemon->entry, until);
+    (void)OwnerPort_AwaitReceipt(daemon->owner_port, until);
     ConfigSync_Stop(daemon->sync);
     Gossip_Leave(daemon->gossip, successor);
     Log_Event(LOG_STOPPED, "successor=%016" G_GINT64_MODIFIER "x", successor);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -495,6 +495,12 @@
     return HttpServer_Drain(entry->server, until);
 }
 
+gboolean
+Entry_AwaitReceipt(Entry *entry, ClockMs until)
+{
+    return HttpServer_AwaitReceipt(entry->server, until);
+}
+
 void
 Entry_Destroy(Entry *entry)
 {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -61,6 +61,10 @@
 /* Stops accepting requests and waits until those in flight have ended. Returns
  * FALSE if some are still in flight at `until`. */
 gboolean Entry_Drain(Entry *entry, ClockMs until);
+
+/* Waits up to `until` for callers that still receive their answers. Returns
+ * TRUE if none is left. */
+gboolean Entry_AwaitReceipt(Entry *entry, ClockMs until);
 void Entry_Destroy(Entry *entry);
 
 /* Appends the explanations of recent requests that contain the text, or that
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -216,6 +216,12 @@
     return HttpServer_Close(gateway->server, until);
 }
 
+gboolean
+Gateway_AwaitReceipt(Gateway *gateway, ClockMs until)
+{
+    return HttpServer_AwaitReceipt(gateway->server, until);
+}
+
 void
 Gateway_CancelRequests(Gateway *gateway)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,7 +12,8 @@
  *     closes its connection.
  *  3. Gateway_Drain() stops accepting connections and waits for the requests
  *     in flight.
- *  4. Gateway_Close() refuses requests that still arrive on open connections.
+ *  4. Gateway_Close() refuses requests that still arrive on open connections;
+ *     Gateway_AwaitReceipt() waits for callers that read slowly.
  *  5. Gateway_CancelRequests() ends the requests that are still in flight with
  *     their final answer. Runs on this host that may not be repeated go on.
  *  6. Gateway_CancelRuns() ends these, too.
@@ -76,6 +77,10 @@
 gboolean Gateway_Drain(Gateway *gateway, ClockMs until);
 gboolean Gateway_Close(Gateway *gateway, ClockMs until);
 
+/* Waits up to `until` for callers that still receive their answers. Returns
+ * TRUE if none is left. */
+gboolean Gateway_AwaitReceipt(Gateway *gateway, ClockMs until);
+
 void Gateway_CancelRequests(Gateway *gateway);
 void Gateway_CancelRuns(Gateway *gateway);
 unsigned Gateway_InFlight(const Gateway *gateway);
--- a/src/gateway/peer_port.c
+++ b/src/gateway/peer_port.c
@@ -204,6 +204,12 @@
     return HttpServer_Close(port->server, until);
 }
 
+gboolean
+PeerPort_AwaitReceipt(PeerPort *port, ClockMs until)
+{
+    return HttpServer_AwaitReceipt(port->server, until);
+}
+
 void
 PeerPort_CancelRequests(PeerPort *port)
 {
--- a/src/gateway/peer_port.h
+++ b/src/gateway/peer_port.h
@@ -5,7 +5,8 @@
  *  1. PeerPort_Create(), which starts to listen.
  *  2. PeerPort_Leave() when a graceful stop begins.
  *  3. PeerPort_Drain() waits for the requests in flight.
- *  4. PeerPort_Close() refuses requests that still arrive on open connections.
+ *  4. PeerPort_Close() refuses requests that still arrive on open connections;
+ *     PeerPort_AwaitReceipt() waits for daemons that read slowly.
  *  5. PeerPort_CancelRequests() cancels requests that can run elsewhere.
  *  6. PeerPort_Destroy().
  *
@@ -49,6 +50,10 @@
 gboolean PeerPort_Drain(PeerPort *port, ClockMs until);
 gboolean PeerPort_Close(PeerPort *port, ClockMs until);
 
+/* Waits up to `until` for daemons that still receive their answers. Returns
+ * TRUE if none is left. */
+gboolean PeerPort_AwaitReceipt(PeerPort *port, ClockMs until);
+
 /* Cancels requests that wait for a slot or may run more than once. Their
  * senders receive SHUTTING_DOWN and retry them elsewhere. */
 void PeerPort_CancelRequests(PeerPort *port);
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -29,6 +29,7 @@
 typedef struct Connection {
     struct MHD_Connection *connection;
     ClockMs idle_since;
+    HttpReceipt receipt;
     GList link;
     gboolean is_idle;
 } Connection;
@@ -99,12 +100,16 @@
         atomic_store(&server->added, atomic_load(&server->started));
     }
     for (unsigned i = 0; i < limit; i++) {
-        unsigned pending = _HttpListener_Pending(server);
+        unsigned used =
+            _HttpListener_Pending(server) + atomic_load(&server->connections);
 
-        if (pending + atomic_load(&server->connections) >=
-            HTTP_MAX_CONNECTIONS) {
+        if (used >= HTTP_MAX_CONNECTIONS) {
             return FALSE;
         }
+        if (used + atomic_load(&server->closing_count) >=
+            HTTP_MAX_CONNECTIONS) {
+            _HttpClose_EndOne(server);
+        }
         bytes = sizeof(peer);
         fd = accept4(server->listen_fd, (struct sockaddr *)&peer, &bytes,
                      SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -174,8 +179,31 @@
     *context = NULL;
 }
 
+static int
+descriptor_of(const Connection *self)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        self->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+    return info != NULL ? info->connect_fd : -1;
+}
+
+gboolean
+_HttpListener_AwaitsReceipt(HttpServer *server, ClockMs now)
+{
+    gboolean awaited = FALSE;
+
+    for (GList *link = server->idle.head; link != NULL; link = link->next) {
+        Connection *self = link->data;
+
+        awaited |=
+            _HttpReceipt_IsAwaited(&self->receipt, descriptor_of(self), now);
+    }
+    return awaited;
+}
+
 /* Closes the connections that have been idle longest, unless a request has
- * just arrived on them. */
+ * just arrived on them or their peer is still reading the last answer. */
 static void
 close_idle(HttpServer *server, ClockMs now)
 {
@@ -188,17 +216,19 @@
     pthread_mutex_lock(&server->lock);
     while (closed < ACCEPT_BATCH && !g_queue_is_empty(&server->idle)) {
         Connection *self = g_queue_peek_head(&server->idle);
-        const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-            self->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        int fd = descriptor_of(self);
         int unread = 0;
 
         if (now - self->idle_since < MIN_IDLE_MS) {
             break;
         }
+        if (_HttpReceipt_IsAwaited(&self->receipt, fd, now)) {
+            set_idle(server, self, TRUE);
+            continue;
+        }
         set_idle(server, self, FALSE);
-        if (info != NULL && ioctl(info->connect_fd, FIONREAD, &unread) == 0 &&
-            unread == 0) {
-            (void)shutdown(info->connect_fd, SHUT_RDWR);
+        if (ioctl(fd, FIONREAD, &unread) == 0 && unread == 0) {
+            (void)shutdown(fd, SHUT_RDWR);
             closed++;
         }
     }
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -430,7 +430,7 @@
         atomic_fetch_add(&server->started, 1);
     }
     else {
-        _HttpClose_Check(connection);
+        _HttpClose_Begin(server, connection);
         _HttpListener_Remove(server, socket_context);
         atomic_fetch_sub(&server->connections, 1);
     }
@@ -505,9 +505,19 @@
     }
 }
 
-/* Accepts connections. Checks the requests in flight when a caller disconnects
- * and, while one of them or of those being read has a deadline, every
- * WATCH_PERIOD_MS. */
+/* Time in milliseconds until the watcher's next check, -1: none is due. */
+static int
+watch_timeout(const HttpServer *server, unsigned deadlines)
+{
+    if (deadlines > 0 || server->paused) {
+        return WATCH_PERIOD_MS;
+    }
+    return atomic_load(&server->closing_count) > 0 ? HTTP_CLOSE_PERIOD_MS : -1;
+}
+
+/* Accepts connections, and reads from those that are being closed. Checks the
+ * requests in flight when a caller disconnects and, while one of them or of
+ * those being read has a deadline, every WATCH_PERIOD_MS. */
 static void *
 watch_requests(void *context)
 {
@@ -515,23 +525,29 @@
     struct epoll_event event;
     unsigned deadlines = 0;
     gboolean ready;
+    gboolean dropping;
     uint64_t wakes;
     ClockMs next_check = 0;
     ClockMs now;
 
     while (!atomic_load(&server->stopping)) {
-        int timeout = deadlines > 0 || server->paused ? WATCH_PERIOD_MS : -1;
+        gboolean found = epoll_wait(server->disconnect_epoll, &event, 1,
+                                    watch_timeout(server, deadlines)) > 0;
 
-        ready = epoll_wait(server->disconnect_epoll, &event, 1, timeout) > 0 &&
-                event.data.ptr == server;
+        ready = found && event.data.ptr == server;
+        dropping = found && !ready && event.data.ptr != NULL;
         now = Clock_Now();
-        if (ready && now < next_check) {
+        if (dropping) {
+            _HttpClose_Read(server, event.data.ptr);
+        }
+        if ((ready || dropping) && now < next_check) {
             _HttpListener_Watch(server, ready, now);
             continue;
         }
         next_check = now + WATCH_PERIOD_MS;
         (void)!read(server->watcher_wake, &wakes, sizeof(wakes));
         _HttpListener_Watch(server, ready, now);
+        _HttpClose_Watch(server, now);
         pthread_mutex_lock(&server->lock);
         for (unsigned i = 0; i < server->in_flight->len; i++) {
             watch_request(g_ptr_array_index(server->in_flight, i), now);
@@ -654,6 +670,7 @@
     server->in_flight = g_ptr_array_new();
     server->uploads = g_ptr_array_new();
     g_queue_init(&server->idle);
+    g_queue_init(&server->closing);
     server->listen_fd = -1;
     server->disconnect_epoll = -1;
     server->watcher_wake = -1;
@@ -755,6 +772,7 @@
     if (server->daemon != NULL) {
         MHD_stop_daemon(server->daemon);
     }
+    _HttpClose_EndAll(server);
     if (server->disconnect_epoll >= 0) {
         close(server->disconnect_epoll);
     }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -9,6 +9,7 @@
  *  3. HttpServer_Leave() makes every answer close its connection,
  *     HttpServer_Drain() stops accepting connections and waits for requests in
  *     flight, HttpServer_Close() refuses further requests on open connections,
+ *     HttpServer_AwaitReceipt() waits for callers that read slowly,
  *     HttpServer_Destroy() stops the server.
  *
  * If a request is answered at its deadline, its handler keeps running and the
@@ -19,8 +20,11 @@
  * does not lend enough, are refused with OVERLOADED. A request body is on
  * lease until the handler returns, the body of an answer until it has been
  * sent. A connection on which no more of an answer can be written for 30 s is
- * closed. A port holds 1,020 connections; if more arrive, those that have
- * waited longest for a request are closed, after 250 ms at the earliest.
+ * closed. A connection that the server ends stays open until its caller has
+ * closed it, too: for 2 s after the caller has received all, 60 s at most.
+ * What arrives meanwhile is dropped. A port holds 1,020 connections; ended
+ * ones make room for new ones; if more arrive, those that have waited longest
+ * for a request are closed, after 250 ms at the earliest.
  */
 #ifndef HTTP_HTTP_SERVER_H
 #define HTTP_HTTP_SERVER_H
@@ -82,6 +86,11 @@
  * at most until the given time, until every request that was read has its
  * answer sent. Returns TRUE if so. */
 gboolean HttpServer_Close(HttpServer *server, ClockMs until);
+
+/* Waits, at most until the given time, until callers have received the answers
+ * that were sent. A caller that has acknowledged nothing for a second is not
+ * waited for. Returns FALSE at that time. */
+gboolean HttpServer_AwaitReceipt(HttpServer *server, ClockMs until);
 void HttpServer_Destroy(HttpServer *server);
 
 const char *HttpRequest_Method(const HttpRequest *request);
--- a/src/http/http_server_private.h
+++ b/src/http/http_server_private.h
@@ -14,6 +14,18 @@
  * queue. */
 #define HTTP_MAX_CONNECTIONS 1020
 
+/* Interval at which connections that are being closed are checked. */
+#define HTTP_CLOSE_PERIOD_MS 100
+
+/* A peer that has acknowledged nothing for so long is no longer waited for. */
+#define HTTP_RECEIPT_STALL_MS 1000
+
+/* What the peer of a connection has not acknowledged. */
+typedef struct HttpReceipt {
+    int missing;   /* bytes */
+    ClockMs since; /* when the number last changed */
+} HttpReceipt;
+
 struct HttpRequest {
     HttpServer *server;
     struct MHD_Connection *connection;
@@ -70,13 +82,17 @@
                              (under lock) */
     atomic_bool stopping;
 
-    GQueue idle; /* connections without a request, the longest idle first
-                    (under lock) */
+    GQueue idle;    /* connections without a request, the longest idle first
+                       (under lock) */
+    GQueue closing; /* ended connections whose peers have not closed them
+                       (under lock) */
+    atomic_uint closing_count;
 
     /* Used by the watcher's thread only. */
-    int listen_fd;      /* or -1 */
-    gboolean paused;    /* no room for further connections */
-    ClockMs last_added; /* when the last connection was accepted */
+    int listen_fd;         /* or -1 */
+    gboolean paused;       /* no room for further connections */
+    ClockMs last_added;    /* when the last connection was accepted */
+    ClockMs closing_check; /* next check of the closing connections */
 };
 
 /* http_listener.c: opens the port, before the watcher starts. On failure errno
@@ -105,10 +121,27 @@
  * server->connections. */
 unsigned _HttpListener_Pending(const HttpServer *server);
 
-/* http_close.c: reports a connection that is about to be closed while bytes of
- * an answer are not acknowledged and bytes of the caller are not read, so that
- * the kernel resets it and drops the rest of the answer. */
-void _HttpClose_Check(struct MHD_Connection *connection);
+/* Whether a connection without a request awaits receipt of its last answer.
+ * Called with the lock held. */
+gboolean _HttpListener_AwaitsReceipt(HttpServer *server, ClockMs now);
+
+/* http_close.c: called with the lock held. Updates the receipt and returns
+ * whether the peer still acknowledges what was sent to it. */
+gboolean _HttpReceipt_IsAwaited(HttpReceipt *receipt, int fd, ClockMs now);
+
+/* Keeps the socket of a connection open that libmicrohttpd is about to close,
+ * until its peer has closed it, too. */
+void _HttpClose_Begin(HttpServer *server, struct MHD_Connection *connection);
+
+/* The watcher's thread calls these: when bytes have arrived on a connection
+ * that is being closed, with the context of the event; at any time; and to
+ * make room for another connection. */
+void _HttpClose_Read(HttpServer *server, void *context);
+void _HttpClose_Watch(HttpServer *server, ClockMs now);
+void _HttpClose_EndOne(HttpServer *server);
+
+/* Closes all, after the watcher has ended. */
+void _HttpClose_EndAll(HttpServer *server);
 
 /* http_upload.c: called when the head of a request with a body has been
  * read. */
--- a/src/owner/owner_port.c
+++ b/src/owner/owner_port.c
@@ -220,6 +220,12 @@
     return HttpServer_Drain(port->server, until);
 }
 
+gboolean
+OwnerPort_AwaitReceipt(OwnerPort *port, ClockMs until)
+{
+    return HttpServer_AwaitReceipt(port->server, until);
+}
+
 void
 OwnerPort_Destroy(OwnerPort *port)
 {
--- a/src/owner/owner_port.h
+++ b/src/owner/owner_port.h
@@ -50,6 +50,10 @@
 OwnerPort *OwnerPort_Create(const OwnerPort_desc *desc, GError **error);
 uint16_t OwnerPort_Number(const OwnerPort *port);
 gboolean OwnerPort_Drain(OwnerPort *port, ClockMs until);
+
+/* Waits up to `until` for entries that still receive their answers. Returns
+ * TRUE if none is left. */
+gboolean OwnerPort_AwaitReceipt(OwnerPort *port, ClockMs until);
 void OwnerPort_Destroy(OwnerPort *port);
 
 /* Returns the state of an attempt. Voids it if it has not arrived. */
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -335,6 +335,10 @@
         (void)Gateway_Close(sidecar->gateway, plan.end);
         (void)PeerPort_Close(sidecar->peer_port, plan.end);
     }
+    /* A connection that still sends when the process ends is reset, and its
+     * caller loses what it has not received. */
+    (void)Gateway_AwaitReceipt(sidecar->gateway, plan.end);
+    (void)PeerPort_AwaitReceipt(sidecar->peer_port, plan.end);
     /* Requests that met the closed port are sent elsewhere only if this
      * process still says that they did not arrive. */
     sleep_until(MIN(closed + ATTEMPT_LAST_QUESTIONS_MS, plan.end));
--- a/tests/site.h
+++ b/tests/site.h
@@ -136,8 +136,9 @@
 void Site_SetDeadline(Site *site, int milliseconds);
 
 /* Control the backend server of a host: the percentage of its requests that
- * fail, the service time of each (a path that ends in /work-N takes N ms), and
- * a drain, which it announces at once. */
+ * fail, the service time of each (a path that ends in /work-N takes N ms, one
+ * in /bytes-N has an answer of N bytes), and a drain, which it announces at
+ * once. */
 void Site_SetFailing(Site *site, int host, int percent);
 void Site_SetWorkMs(Site *site, int host, int milliseconds);
 void Site_Drain(Site *site, int host);
