sidecar: log the number of teams and keys of a configuration in force

Hypotheses: 1. a table of teams without members is taken for no table, so that no key is looked up (the claim); 2. the new configuration is not in force and the one before it goes on; 3. keys are looked up and found, in something that outlives the change.

CATALOG_IN_FORCE now has teams= and keys=. No change of logic.

--- a/src/catalog/catalog_table.c
+++ b/src/catalog/catalog_table.c
@@ -151,6 +151,18 @@
     return table->desc.version;
 }
 
+unsigned
+CatalogTable_TeamCount(const CatalogTable *table)
+{
+    return g_hash_table_size(table->teams);
+}
+
+unsigned
+CatalogTable_KeyCount(const CatalogTable *table)
+{
+    return g_hash_table_size(table->keys);
+}
+
 gboolean
 CatalogTable_HasTeams(const CatalogTable *table)
 {
--- a/src/catalog/catalog_table.h
+++ b/src/catalog/catalog_table.h
@@ -91,6 +91,8 @@
                              const CatalogService *service);
 
 uint64_t CatalogTable_Version(const CatalogTable *table);
+unsigned CatalogTable_TeamCount(const CatalogTable *table);
+unsigned CatalogTable_KeyCount(const CatalogTable *table);
 
 /* Whether there are teams. If so, every route that is not anonymous needs a
  * key. */
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -65,6 +65,8 @@
     BackendColdRate cold;
     GError *error = NULL;
     uint64_t version;
+    unsigned teams;
+    unsigned keys;
 
     MirrorCache_Update(sidecar->kinds[SIDECAR_CATALOG].cache, record,
                        revision);
@@ -84,14 +86,17 @@
     }
     _Sidecar_AwaitEvacuations(sidecar);
     version = CatalogTable_Version(table);
+    teams = CatalogTable_TeamCount(table);
+    keys = CatalogTable_KeyCount(table);
     cold = cold_rate(sidecar, table);
     if (Catalog_Publish(sidecar->catalog, table,
                         record->revision.generation)) {
         Backend_SetColdRate(sidecar->backend, &cold);
-        Log_Event(
-            LOG_CATALOG_IN_FORCE,
-            "version=%" PRIu64 " generation=%" PRId64 " revision=%" PRId64,
-            version, record->revision.generation, record->revision.number);
+        Log_Event(LOG_CATALOG_IN_FORCE,
+                  "version=%" PRIu64 " generation=%" PRId64
+                  " revision=%" PRId64 " teams=%u keys=%u",
+                  version, record->revision.generation,
+                  record->revision.number, teams, keys);
     }
     else {
         Log_Event(
