catalog: an empty table of teams lets no key in

Cause: whether keys are needed was derived from the number of teams, so that a table without members meant the same as no table.

Evidence: with version=2 teams=0 keys=0 in force, no key was looked up any more (radishknot_key_lookups_total).

Change: the configuration says whether it has a table of teams, and keys are needed if so. Without a table, no key is needed, as before; keys of one team that cannot be read still shut out that team alone.

--- a/src/catalog/catalog_table.c
+++ b/src/catalog/catalog_table.c
@@ -164,9 +164,9 @@
 }
 
 gboolean
-CatalogTable_HasTeams(const CatalogTable *table)
+CatalogTable_NeedsKeys(const CatalogTable *table)
 {
-    return g_hash_table_size(table->teams) > 0;
+    return table->desc.has_teams || g_hash_table_size(table->teams) > 0;
 }
 
 const CatalogRoute *
--- a/src/catalog/catalog_table.h
+++ b/src/catalog/catalog_table.h
@@ -8,6 +8,9 @@
  * Readers acquire a reference with Catalog_Acquire() and use the Find
  * functions.
  *
+ * Keys are needed if the configuration has a table of teams. If the table is
+ * empty, no key is valid.
+ *
  * A route is matched by host and by the longest path prefix. Prefixes end with
  * a slash.
  *
@@ -71,6 +74,8 @@
 
 typedef struct CatalogTable_desc {
     uint64_t version;
+    gboolean has_teams; /* the configuration has a table of teams, though maybe
+                           an empty one; implied by a team */
 } CatalogTable_desc;
 
 CatalogTable *CatalogTable_Create(const CatalogTable_desc *desc);
@@ -94,9 +99,8 @@
 unsigned CatalogTable_TeamCount(const CatalogTable *table);
 unsigned CatalogTable_KeyCount(const CatalogTable *table);
 
-/* Whether there are teams. If so, every route that is not anonymous needs a
- * key. */
-gboolean CatalogTable_HasTeams(const CatalogTable *table);
+/* Whether every route that is not anonymous needs a key. */
+gboolean CatalogTable_NeedsKeys(const CatalogTable *table);
 
 /* The Find functions return NULL if there is no match. Results are valid as
  * long as the caller holds a reference to the table. */
--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -67,7 +67,8 @@
 static gboolean
 needs_key(const GatewayRequest *request)
 {
-    return CatalogTable_HasTeams(request->table) && !request->route->anonymous;
+    return CatalogTable_NeedsKeys(request->table) &&
+           !request->route->anonymous;
 }
 
 Result
--- a/tests/site.h
+++ b/tests/site.h
@@ -75,6 +75,9 @@
 void Site_Configure(Site *site, unsigned version, const char *keys,
                     int rate_per_s);
 
+/* As Site_Configure(), with another table of teams in JSON; NULL for none. */
+void Site_ConfigureTeams(Site *site, unsigned version, const char *teams);
+
 /* As Site_Configure(), with one more route like /open/ below `prefix`; NULL
  * for none. */
 void Site_ConfigureRoute(Site *site, unsigned version, const char *keys,
--- a/tests/site_config.c
+++ b/tests/site_config.c
@@ -14,9 +14,10 @@
                      anonymous);
 }
 
-void
-Site_ConfigureRoute(Site *site, unsigned version, const char *keys,
-                    int rate_per_s, const char *prefix)
+/* Takes ownership of the table of teams, NULL for none. */
+static void
+write_configuration(Site *site, unsigned version, json_t *teams,
+                    const char *prefix)
 {
     char *text = g_strdup_printf("%08x", version);
     json_t *home = make_route("/home/", "safe", FALSE, "5000ms");
@@ -27,13 +28,14 @@
         make_route("/open/", "safe", TRUE, "5000ms"), "patient",
         make_route("/patient/", "safe", TRUE, "20000ms"), "commit",
         make_route("/commit/", "non_idempotent", FALSE, "20000ms"));
-    json_t *value = json_pack(
-        "{s:s, s:O, s:{s:{s:s, s:i}}, s:{s:{s:o, s:i, s:i}}}", "version", text,
-        "routes", routes, "services", "desk", "cold_start", "5s", "cold_per_s",
-        10, "tenants", "crews", "api_keys", json_loads(keys, 0, NULL),
-        "rate_per_s", rate_per_s, "burst", rate_per_s);
+    json_t *value = json_pack("{s:s, s:O, s:{s:{s:s, s:i}}}", "version", text,
+                              "routes", routes, "services", "desk",
+                              "cold_start", "5s", "cold_per_s", 10);
 
     g_assert_nonnull(value);
+    if (teams != NULL) {
+        json_object_set_new(value, "tenants", teams);
+    }
     json_object_set_new(home, "allowed_regions", json_pack("[s]", "norte"));
     if (prefix != NULL) {
         json_object_set_new(routes, "probe",
@@ -44,6 +46,25 @@
     g_free(text);
 }
 
+void
+Site_ConfigureTeams(Site *site, unsigned version, const char *teams)
+{
+    write_configuration(
+        site, version, teams ? json_loads(teams, JSON_DECODE_ANY, NULL) : NULL,
+        NULL);
+}
+
+void
+Site_ConfigureRoute(Site *site, unsigned version, const char *keys,
+                    int rate_per_s, const char *prefix)
+{
+    write_configuration(site, version,
+                        json_pack("{s:{s:o, s:i, s:i}}", "crews", "api_keys",
+                                  json_loads(keys, 0, NULL), "rate_per_s",
+                                  rate_per_s, "burst", rate_per_s),
+                        prefix);
+}
+
 void
 Site_Configure(Site *site, unsigned version, const char *keys, int rate_per_s)
 {
