gateway: an old configuration does not deny requests without a key

What callers saw: on a host that is cut off from the store, or whose store has a configuration that cannot be used, a request without a key got 401, which nobody sends again, though the newest configuration may need no key. Unknown keys and routes get 503 with a time to return there (docs/platform.md).

Cause: the refusal for a missing key did not go through deny(), which looks at the age of the configuration.

Found by /keys/unreadable, which fails before this change: 401 instead of 503 once the proof is too old. With a fresh configuration it is 401, as before (/keys/changes).

--- a/src/gateway/gateway_request.c
+++ b/src/gateway/gateway_request.c
@@ -78,7 +78,7 @@
         return RESULT_OK;
     }
     if (key == NULL) {
-        return RESULT_KEY_MISSING;
+        return deny(request, RESULT_KEY_MISSING);
     }
     request->team = CatalogTable_FindTeamByKey(request->table, key);
     if (request->team == NULL) {
