soak: callers that read slowly and send further requests

An answer that has begun, or whose request has run, has to arrive whole, also from a host that stops.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -3,7 +3,7 @@
  * servers observe.
  *
  *   soak --seed=N [--mode=MODE] [--seconds=S] [--hosts=H] [--endless]
- *        [--long-runs] [--cold]
+ *        [--long-runs] [--cold] [--readers]
  *
  * Modes: mixed (faults of all kinds), planned (only planned work, which
  * excuses no lost request), restored (the store goes back to an older copy),
@@ -11,7 +11,8 @@
  * With --endless, one more host has a backend server that sends bytes without
  * end (soak_endless.c). With --long-runs, a few requests of mode planned take
  * far longer than the others, so that an estimate by these fails. With --cold,
- * backend servers become cold (soak_cold.c).
+ * backend servers become cold (soak_cold.c). With --readers, mode planned has
+ * callers that read slowly and send on (soak_readers.c).
  *
  * The seed determines the schedule; the timing of the processes is not
  * reproducible. On a violation the program prints the guarantee, keeps the
@@ -44,6 +45,9 @@
  * arrive at once. */
 #define ENDLESS_CALLERS 32
 
+/* Of --readers. */
+#define READERS_PER_HOST 3
+
 typedef struct Mode {
     const char *name;
     void *(*call)(void *context);
@@ -131,9 +135,10 @@
 }
 
 static void
-run_soak(Soak *soak, const Mode *mode, int seconds)
+run_soak(Soak *soak, const Mode *mode, int seconds, int reader_count)
 {
     static Caller callers[MAX_CALLERS];
+    static Caller readers[READERS_PER_HOST * SITE_MAX_HOSTS];
     int count = mode->callers + mode->callers_per_host * soak->hosts +
                 (soak->endless != NULL ? ENDLESS_CALLERS : 0);
     pthread_t writer;
@@ -142,6 +147,10 @@
         callers[i] = (Caller){.soak = soak, .number = i};
         pthread_create(&callers[i].thread, NULL, mode->call, &callers[i]);
     }
+    for (int i = 0; i < reader_count; i++) {
+        readers[i] = (Caller){.soak = soak, .number = i};
+        pthread_create(&readers[i].thread, NULL, Readers_Run, &readers[i]);
+    }
     pthread_create(&writer, NULL, Writer_Run, soak);
     if (soak->endless != NULL) {
         pthread_create(&soak->endless_thread, NULL, Endless_Run, soak);
@@ -157,6 +166,9 @@
     for (int i = 0; i < count; i++) {
         pthread_join(callers[i].thread, NULL);
     }
+    for (int i = 0; i < reader_count; i++) {
+        pthread_join(readers[i].thread, NULL);
+    }
     pthread_join(writer, NULL);
     Checks_Refusals(soak);
     if (soak->has_cold) {
@@ -205,6 +217,7 @@
     gboolean has_endless;
     gboolean has_long_runs;
     gboolean has_cold;
+    gboolean has_readers;
 } Options;
 
 static const Mode *
@@ -246,6 +259,9 @@
     case 'c':
         options->has_cold = TRUE;
         return 0;
+    case 'r':
+        options->has_readers = TRUE;
+        return 0;
     default:
         return ARGP_ERR_UNKNOWN;
     }
@@ -264,6 +280,7 @@
         {"endless", 'e', NULL, 0, "a backend server sends without end", 0},
         {"long-runs", 'l', NULL, 0, "a few requests take far longer", 0},
         {"cold", 'c', NULL, 0, "backend servers become cold", 0},
+        {"readers", 'r', NULL, 0, "callers read slowly and send on", 0},
         {0}};
     static const struct argp argp = {
         argp_options,
@@ -285,7 +302,8 @@
     soak.hosts =
         MIN(options.hosts, SITE_MAX_HOSTS - (options.has_endless ? 1 : 0));
     start_site(&soak, options.mode, options.has_endless);
-    run_soak(&soak, options.mode, options.seconds);
+    run_soak(&soak, options.mode, options.seconds,
+             options.has_readers ? READERS_PER_HOST * soak.hosts : 0);
     printf("mode=%s seed=%" G_GUINT64_FORMAT
            " served=%d refused=%d failed=%d broken=%d\n",
            options.mode->name, options.seed, soak.served, soak.refused,
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -81,6 +81,9 @@
 /* Keeps to one host as long as its process runs, on open connections. */
 void *Callers_CallHome(void *context);
 
+/* Reads answers slowly and sends further requests (soak_readers.c). */
+void *Readers_Run(void *context);
+
 void Checks_Reply(Soak *soak, const SiteReply *reply, const char *id, int key,
                   ClockMs sent);
 
