http: a body that is overdue does not cut the answer before it

Bytes that arrived afterwards reset the connection, and the rest of the answer was lost.

Change: such a connection is ended after its caller has received the answer, or has acknowledged nothing of it for a second.

Test, on and now: the row "kept open, body that does not come" of /http-close/whole-answers received 36,785 of 50,000 bytes; now all.

--- a/src/http/http_server_private.h
+++ b/src/http/http_server_private.h
@@ -42,7 +42,8 @@
     ClockMs arrived;
 
     /* Protected by the server's lock. */
-    ClockMs read_until; /* the body has to be there */
+    ClockMs read_until;      /* the body has to be there */
+    HttpReceipt last_answer; /* of the request before, on its connection */
     gboolean suspended;
     gboolean answered;
     gboolean ended; /* the connection no longer needs the request */
@@ -154,8 +155,8 @@
 /* Called with the lock held when the body is there or the request ends. */
 void _HttpUpload_End(HttpRequest *request);
 
-/* Ends connections whose body has not arrived in time. Called with the lock
- * held. */
+/* Ends connections whose body has not arrived in time, after their callers
+ * have received the answer before it. Called with the lock held. */
 void _HttpUpload_Watch(HttpServer *server, ClockMs now);
 
 /* Replaces an answer whose status no answer may have by 502 (maybe run). The
--- a/src/http/http_upload.c
+++ b/src/http/http_upload.c
@@ -105,6 +105,11 @@
         if (now >= request->read_until) {
             info = MHD_get_connection_info(request->connection,
                                            MHD_CONNECTION_INFO_CONNECTION_FD);
+            if (info != NULL &&
+                _HttpReceipt_IsAwaited(&request->last_answer, info->connect_fd,
+                                       now)) {
+                continue;
+            }
             if (info != NULL) {
                 shutdown(info->connect_fd, SHUT_RDWR);
             }
--- a/src/http/test_http_close.c
+++ b/src/http/test_http_close.c
@@ -59,6 +59,7 @@
                             .max_in_flight = 2 * CALLERS,
                             .idle_timeout_s = idle_timeout_s,
                             .max_body_bytes = 100000,
+                            .time_left_header = "Time-Left",
                             .context = site};
 
     desc.address.sin_family = AF_INET;
@@ -122,7 +123,8 @@
     EXTRA_PART, /* the begin of a request */
     EXTRA_ONE,  /* a request */
     EXTRA_SEVERAL,
-    EXTRA_UPLOAD, /* a request with a body of 50,000 bytes */
+    EXTRA_UPLOAD,  /* a request with a body of 50,000 bytes */
+    EXTRA_OVERDUE, /* the same, most of whose body does not come in time */
     EXTRA_HALF_CLOSE
 } Extra;
 
@@ -156,6 +158,8 @@
     static const char one[] = GET("/7");
     static const char head[] =
         "POST /7 HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n";
+    static const char overdue[] = "POST /7 HTTP/1.1\r\nHost: h\r\nTime-Left: "
+                                  "200\r\nContent-Length: 50000\r\n\r\n";
     char *body = g_strnfill(50000, 'y');
 
     switch (extra) {
@@ -174,6 +178,9 @@
         send_all(fd, head, strlen(head));
         send_all(fd, body, 50000);
         break;
+    case EXTRA_OVERDUE:
+        send_all(fd, overdue, strlen(overdue));
+        break;
     case EXTRA_HALF_CLOSE:
         shutdown(fd, SHUT_WR);
         break;
@@ -214,6 +221,17 @@
     return NULL;
 }
 
+static int
+pause_of(const Case *item)
+{
+    if (item->cause == CAUSE_IDLE) {
+        return IDLE_PAUSE_MS;
+    }
+    return item->cause == CAUSE_STOP || item->extra == EXTRA_OVERDUE
+               ? STOP_PAUSE_MS
+               : PAUSE_MS;
+}
+
 /* Returns what was received of the body of the first answer, -1: no head. */
 static ssize_t
 read_first(int fd, const Case *item, Site *site, pthread_t *stopping)
@@ -239,10 +257,10 @@
             (i == PIECES * 3 / 4 && item->moment == MOMENT_LATE)) {
             send_extra(fd, item->extra);
         }
-        (void)poll(NULL, 0,
-                   item->cause == CAUSE_STOP   ? STOP_PAUSE_MS
-                   : item->cause == CAUSE_IDLE ? IDLE_PAUSE_MS
-                                               : PAUSE_MS);
+        if (i == PIECES * 3 / 4 && item->extra == EXTRA_OVERDUE) {
+            send_all(fd, "y", 1);
+        }
+        (void)poll(NULL, 0, pause_of(item));
     }
     if (count < 0) {
         g_test_message("%s: %s", item->name, g_strerror(errno));
@@ -337,6 +355,8 @@
          EXTRA_PART, 50000, 4096},
         {"stopped, caller that sends nothing more", CAUSE_STOP, MOMENT_NEVER,
          EXTRA_ONE, 50000, 4096},
+        {"kept open, body that does not come", CAUSE_NONE, MOMENT_DURING,
+         EXTRA_OVERDUE, 50000, 4096},
         {"kept open, further request", CAUSE_NONE, MOMENT_DURING, EXTRA_ONE,
          50000, 4096},
         {"kept open, further request late", CAUSE_NONE, MOMENT_AFTER,
