http: a closing connection is counted before the watcher can end it

The counter was raised after the lock was released, so the watcher could lower it first; a port with no other connection then looked full for a moment, and another closing connection was ended for it. By reading; test_http_close passes.

--- a/src/http/http_close.c
+++ b/src/http/http_close.c
@@ -84,6 +84,7 @@
     ClockMs now = Clock_Now();
     struct epoll_event event = {.events = EPOLLIN};
     Closing *closing;
+    gboolean is_first;
     int fd;
 
     if (info == NULL || !can_send(info->connect_fd)) {
@@ -106,9 +107,10 @@
     event.data.ptr = closing;
     pthread_mutex_lock(&server->lock);
     g_queue_push_tail_link(&server->closing, &closing->link);
+    is_first = atomic_fetch_add(&server->closing_count, 1) == 0;
     (void)epoll_ctl(server->disconnect_epoll, EPOLL_CTL_ADD, fd, &event);
     pthread_mutex_unlock(&server->lock);
-    if (atomic_fetch_add(&server->closing_count, 1) == 0) {
+    if (is_first) {
         _HttpServer_WakeWatcher(server);
     }
 }
