--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -67,6 +67,7 @@
     uint64_t version;
     unsigned teams;
     unsigned keys;
+    gboolean needs_keys;
 
     MirrorCache_Update(sidecar->kinds[SIDECAR_CATALOG].cache, record,
                        revision);
@@ -88,15 +89,16 @@
     version = CatalogTable_Version(table);
     teams = CatalogTable_TeamCount(table);
     keys = CatalogTable_KeyCount(table);
+    needs_keys = CatalogTable_NeedsKeys(table);
     cold = cold_rate(sidecar, table);
     if (Catalog_Publish(sidecar->catalog, table,
                         record->revision.generation)) {
         Backend_SetColdRate(sidecar->backend, &cold);
         Log_Event(LOG_CATALOG_IN_FORCE,
                   "version=%" PRIu64 " generation=%" PRId64
-                  " revision=%" PRId64 " teams=%u keys=%u",
+                  " revision=%" PRId64 " teams=%u keys=%u needs_keys=%d",
                   version, record->revision.generation,
-                  record->revision.number, teams, keys);
+                  record->revision.number, teams, keys, needs_keys);
     }
     else {
         Log_Event(
--- a/tests/process_keys.c
+++ b/tests/process_keys.c
@@ -126,12 +126,17 @@
         {"the other, too", "{}", {401, 401, 401, 200}},
     };
     Site *site = make_site(steps[0].teams);
+    char *log;
 
     for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
         g_test_message("%s", steps[i].name);
         Site_ConfigureTeams(site, (unsigned)i + 1, steps[i].teams);
         check_step(site, &steps[i], HOSTS);
     }
+    log = Site_ReadLog(site, 0);
+    g_assert_nonnull(strstr(log, "teams=0 keys=0 needs_keys=1"));
+    g_assert_nonnull(strstr(log, "teams=0 keys=0 needs_keys=0"));
+    g_free(log);
     Site_Destroy(site);
 }
 
