objects, mirror: log the size and the times of what is read, and of decoding

OBJECTS_READ (210) and MIRROR_FAILED (211) are new, STORE_LOST and CATALOG_IN_FORCE have further fields. No logic is changed.

--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -31,6 +31,9 @@
     LOG(OBJECT_WRITTEN, 205, INFO, "object written to the store") \
     LOG(MIRROR_CHANGED, 207, INFO, \
         "objects of this kind are watched through another source") \
+    LOG(OBJECTS_READ, 210, INFO, "changes of objects of this kind received") \
+    LOG(MIRROR_FAILED, 211, INFO, \
+        "a neighbour's answer did not arrive in time or cannot be used") \
     LOG(STORE_RESTORED, 208, WARNING, \
         "the store was restored from an older copy") \
     LOG(OBJECT_REJECTED, 206, WARNING, \
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -393,7 +393,8 @@
                                .allow_unframed = call->allow_unframed,
                                .max_body_bytes = client->desc.max_answer_bytes,
                                .memory = client->desc.memory,
-                               .sender = address_key(&call->address)};
+                               .sender = address_key(&call->address),
+                               .transfer = call->transfer};
     gboolean complete;
     Result result = send_request(connection, call, &complete);
 
--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -703,10 +703,17 @@
         return state == READ_EXPIRED ? RESULT_DEADLINE_EXPIRED
                                      : RESULT_ANSWER_LOST;
     }
+    if (options->transfer != NULL) {
+        options->transfer->head_at = Clock_Now();
+        options->transfer->expected_bytes = content_length(&answer->headers);
+    }
     *reusable = !has_connection_close(answer);
     MemoryBuffer_Init(&body.buffer, options->memory, MEMORY_ANSWERS_READ,
                       options->sender);
     result = read_body(connection, options, answer, &body, deadline, reusable);
+    if (options->transfer != NULL) {
+        options->transfer->received_bytes = body.buffer.length;
+    }
     if (result != RESULT_OK) {
         *reusable = FALSE;
         MemoryBuffer_Clear(&body.buffer);
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -44,12 +44,20 @@
     void *context;
 } HttpSoftTimeout;
 
+/* How much of an answer has arrived, also of one that was not complete. */
+typedef struct HttpTransfer {
+    ClockMs head_at;        /* arrival of the complete head; 0: none */
+    int64_t expected_bytes; /* Content-Length; negative: not known */
+    size_t received_bytes;  /* of the body */
+} HttpTransfer;
+
 typedef struct HttpReadOptions {
     gboolean no_body;        /* answer to a HEAD request */
     gboolean allow_unframed; /* accept a body that ends with the connection */
     size_t max_body_bytes;
     Memory *memory;  /* lends the block of the body; NULL: the process's */
     uint64_t sender; /* whose share of the account the body takes */
+    HttpTransfer *transfer; /* filled; may be NULL */
 } HttpReadOptions;
 
 /* Unacknowledged data, or unanswered keep-alive probes, end the connection
--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -191,6 +191,18 @@
     return !items.is_broken;
 }
 
+static void
+note_failure(const char *kind, const RosterPeer *peer, Result result,
+             int status, const ObjectTransfer *transfer)
+{
+    Log_Event(
+        LOG_MIRROR_FAILED,
+        "kind=%s source=%016" PRIx64 " result=%s status=%d head_ms=%" PRId64
+        " body_ms=%" PRId64 " bytes=%" PRId64 " of=%" PRId64,
+        kind, peer->host, Result_Name(result), status, transfer->head_ms,
+        transfer->body_ms, transfer->received_bytes, transfer->expected_bytes);
+}
+
 /* Sets `avoid_ms` to the time for which a neighbour that fails is skipped. */
 static Result
 request_page(Mirror *mirror, const RosterPeer *peer, const char *kind,
@@ -202,16 +214,22 @@
                                     "&wait_ms=%" PRId64 "%s",
                         kind, since.generation, since.number, wait_ms,
                         wait_ms == WAIT_ANY_AGE ? MIRROR_ANY_AGE : "");
+    ClockMs called = Clock_Now();
+    HttpTransfer transfer = {0};
     HttpAnswer answer = {0};
     HttpCall call = {.address = peer->mirror,
                      .method = "GET",
                      .target = target,
                      .connect_ms = CONNECT_TIMEOUT_MS,
-                     .deadline = Clock_Now() + wait_ms + ANSWER_TIMEOUT_MS};
+                     .deadline = called + wait_ms + ANSWER_TIMEOUT_MS,
+                     .transfer = &transfer};
     gboolean sent;
     Result result =
         HttpClient_Call(mirror->desc.client, &call, &answer, &sent);
 
+    page->transfer =
+        ObjectTransfer_Make(called, transfer.head_at, transfer.expected_bytes,
+                            transfer.received_bytes);
     *avoid_ms = result == RESULT_OK && answer.status == 503 ? MIRROR_REFUSED_MS
                                                             : MIRROR_AVOID_MS;
     if (result == RESULT_OK && answer.status == 410) {
@@ -220,6 +238,7 @@
     else if (result != RESULT_OK || answer.status != 200 ||
              !_Mirror_ReadPage(answer.body, answer.body_bytes, page) ||
              page->revision.generation < since.generation) {
+        note_failure(kind, peer, result, answer.status, &page->transfer);
         result = RESULT_STORE_UNAVAILABLE;
     }
     HttpAnswer_Clear(&answer);
--- a/src/objects/object_store.c
+++ b/src/objects/object_store.c
@@ -40,6 +40,19 @@
     ObjectRecord_Clear(data);
 }
 
+ObjectTransfer
+ObjectTransfer_Make(ClockMs called, ClockMs head_at, int64_t expected_bytes,
+                    size_t received_bytes)
+{
+    ClockMs now = Clock_Now();
+    ClockMs head = head_at > 0 ? head_at : now;
+
+    return (ObjectTransfer){.head_ms = head - called,
+                            .body_ms = now - head,
+                            .expected_bytes = expected_bytes,
+                            .received_bytes = (int64_t)received_bytes};
+}
+
 void
 ObjectPage_Init(ObjectPage *page)
 {
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -40,6 +40,14 @@
     json_t *value;    /* NULL if it could not be decoded */
 } ObjectRecord;
 
+/* How an answer arrived; zero for a store that does not tell. */
+typedef struct ObjectTransfer {
+    ClockMs head_ms;        /* from the call to the head of the answer */
+    ClockMs body_ms;        /* from the head to the end of the body */
+    int64_t expected_bytes; /* size of the body, negative: not known */
+    int64_t received_bytes;
+} ObjectTransfer;
+
 typedef struct ObjectPage {
     GArray *records;         /* ObjectRecord */
     unsigned unnamed;        /* objects left out: no usable name or revision */
@@ -47,6 +55,7 @@
     gboolean more;   /* a list has further objects after the last name */
     ClockMs held_ms; /* lower bound of the time from call to answer */
     ClockMs age_ms;  /* age of the state when the answer was made */
+    ObjectTransfer transfer; /* also of an answer that was not complete */
 } ObjectPage;
 
 typedef struct ObjectStore {
@@ -79,6 +88,12 @@
 /* Returns a value below, equal to or above 0. */
 int ObjectRevision_Compare(ObjectRevision a, ObjectRevision b);
 
+/* `called` and `head_at` are the times of the call and of the head of its
+ * answer, 0 without one. */
+ObjectTransfer ObjectTransfer_Make(ClockMs called, ClockMs head_at,
+                                   int64_t expected_bytes,
+                                   size_t received_bytes);
+
 void ObjectPage_Init(ObjectPage *page);
 void ObjectPage_Clear(ObjectPage *page);
 
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -31,6 +31,7 @@
     unsigned unnamed;     /* in the last page that had some */
     gboolean failing;
     ClockMs failed_since;
+    ObjectTransfer transfer; /* of the last page */
     ObjectBackoff backoff;
 };
 
@@ -59,9 +60,38 @@
         sync->failing = TRUE;
         sync->failed_since = Clock_Now();
         Log_Event(LOG_STORE_LOST,
-                  "kind=%s result=%s generation=%" PRId64 " revision=%" PRId64,
+                  "kind=%s result=%s generation=%" PRId64 " revision=%" PRId64
+                  " head_ms=%" PRId64 " body_ms=%" PRId64 " bytes=%" PRId64
+                  " of=%" PRId64,
                   sync->desc.kind, Result_Name(result),
-                  sync->revision.generation, sync->revision.number);
+                  sync->revision.generation, sync->revision.number,
+                  sync->transfer.head_ms, sync->transfer.body_ms,
+                  sync->transfer.received_bytes,
+                  sync->transfer.expected_bytes);
+    }
+}
+
+/* Logs a page with changes. `ahead` counts the objects that changed after the
+ * revision up to which the page is complete. */
+static void
+note_changes(const ObjectSync *sync, const ObjectPage *page)
+{
+    unsigned ahead = 0;
+
+    for (guint i = 0; i < page->records->len; i++) {
+        ahead +=
+            g_array_index(page->records, ObjectRecord, i).revision.number >
+            page->revision.number;
+    }
+    if (page->records->len > 0) {
+        Log_Event(LOG_OBJECTS_READ,
+                  "kind=%s generation=%" PRId64 " revision=%" PRId64
+                  " objects=%u ahead=%u bytes=%" PRId64 " head_ms=%" PRId64
+                  " body_ms=%" PRId64 " age_ms=%" PRId64,
+                  sync->desc.kind, page->revision.generation,
+                  page->revision.number, page->records->len, ahead,
+                  page->transfer.received_bytes, page->transfer.head_ms,
+                  page->transfer.body_ms, page->age_ms);
     }
 }
 
@@ -153,6 +183,7 @@
         return;
     }
     note_unnamed(sync, page);
+    note_changes(sync, page);
     for (guint i = 0; i < page->records->len; i++) {
         const ObjectRecord *record =
             &g_array_index(page->records, ObjectRecord, i);
@@ -189,6 +220,7 @@
     const ObjectStore *store = sync->desc.store;
     Result result = store->list(store->context, sync->desc.kind, after, page);
 
+    sync->transfer = page->transfer;
     if (result == RESULT_OK) {
         result = check_revision(sync, page->revision);
         if (result == RESULT_STORE_HISTORY_GONE && after[0] == '\0') {
@@ -250,6 +282,7 @@
     ObjectPage_Init(&page);
     result = store->watch(store->context, sync->desc.kind, sync->revision,
                           wait_ms, &page);
+    sync->transfer = page.transfer;
     if (result == RESULT_STORE_HISTORY_GONE) {
         Log_Event(LOG_STORE_HISTORY_GONE,
                   "kind=%s generation=%" PRId64 " revision=%" PRId64,
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -68,6 +68,8 @@
     unsigned teams;
     unsigned keys;
     gboolean needs_keys;
+    ClockMs started = Clock_Now();
+    ClockMs age;
 
     MirrorCache_Update(sidecar->kinds[SIDECAR_CATALOG].cache, record,
                        revision);
@@ -91,14 +93,17 @@
     keys = CatalogTable_KeyCount(table);
     needs_keys = CatalogTable_NeedsKeys(table);
     cold = cold_rate(sidecar, table);
+    age = Catalog_Age(sidecar->catalog, Clock_Now());
     if (Catalog_Publish(sidecar->catalog, table,
                         record->revision.generation)) {
         Backend_SetColdRate(sidecar->backend, &cold);
         Log_Event(LOG_CATALOG_IN_FORCE,
                   "version=%" PRIu64 " generation=%" PRId64
-                  " revision=%" PRId64 " teams=%u keys=%u needs_keys=%d",
+                  " revision=%" PRId64 " teams=%u keys=%u needs_keys=%d"
+                  " decoded_ms=%" PRId64 " proof_age_ms=%" PRId64,
                   version, record->revision.generation,
-                  record->revision.number, teams, keys, needs_keys);
+                  record->revision.number, teams, keys, needs_keys,
+                  Clock_Now() - started, age == CLOCK_NEVER ? -1 : age);
     }
     else {
         Log_Event(
