--- /dev/null
+++ b/src/mirror/test_mirror_large.c
@@ -0,0 +1,216 @@
+/* Tests of answers that take long because they are large or the link is slow.
+ */
+#include <glib.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/rng.h"
+#include "http/http_message.h"
+#include "mirror/mirror.h"
+
+#define HEAD                                                         \
+    "{\"generation\":1,\"revision\":5,\"held_ms\":0,\"age_ms\":0,"   \
+    "\"objects\":[{\"name\":\"a\",\"revision\":5,\"deleted\":false," \
+    "\"value\":\""
+#define TAIL "\"}]}"
+
+/* A neighbour that sends one answer piece by piece. */
+typedef struct Neighbour {
+    int listener;
+    struct sockaddr_in address;
+    pthread_t thread;
+    size_t body_bytes;
+    size_t piece_bytes;
+    int pause_ms;      /* after each piece */
+    size_t sent_limit; /* falls silent after these bytes; 0: never */
+    atomic_bool stopping;
+} Neighbour;
+
+static GString *
+make_answer(const Neighbour *neighbour)
+{
+    GString *text = g_string_new(NULL);
+    size_t filler = neighbour->body_bytes - strlen(HEAD) - strlen(TAIL);
+
+    g_string_append_printf(text,
+                           "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                           "Content-Length: %zu\r\n\r\n",
+                           neighbour->body_bytes);
+    g_string_append(text, HEAD);
+    for (size_t i = 0; i < filler; i++) {
+        g_string_append_c(text, 'x');
+    }
+    g_string_append(text, TAIL);
+    return text;
+}
+
+static void *
+serve(void *context)
+{
+    Neighbour *neighbour = context;
+    GString *answer = make_answer(neighbour);
+    size_t limit = neighbour->sent_limit ? neighbour->sent_limit : answer->len;
+    char buffer[2000];
+    int fd;
+
+    while (!atomic_load(&neighbour->stopping)) {
+        fd = accept(neighbour->listener, NULL, NULL);
+        if (fd < 0) {
+            break;
+        }
+        (void)!recv(fd, buffer, sizeof(buffer), 0);
+        for (size_t sent = 0;
+             sent < limit && !atomic_load(&neighbour->stopping);
+             sent += neighbour->piece_bytes) {
+            if (send(fd, answer->str + sent,
+                     MIN(neighbour->piece_bytes, limit - sent),
+                     MSG_NOSIGNAL) < 0) {
+                break;
+            }
+            g_usleep((gulong)neighbour->pause_ms * 1000);
+        }
+        /* Until the reader closes the connection. */
+        (void)!recv(fd, buffer, sizeof(buffer), 0);
+        close(fd);
+    }
+    g_string_free(answer, TRUE);
+    return NULL;
+}
+
+static void
+start_neighbour(Neighbour *neighbour)
+{
+    socklen_t bytes = sizeof(neighbour->address);
+
+    neighbour->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    g_assert_true(HttpAddress_Parse("127.0.0.1:0", &neighbour->address));
+    g_assert_cmpint(bind(neighbour->listener,
+                         (struct sockaddr *)&neighbour->address, bytes),
+                    ==, 0);
+    g_assert_cmpint(listen(neighbour->listener, 4), ==, 0);
+    getsockname(neighbour->listener, (struct sockaddr *)&neighbour->address,
+                &bytes);
+    pthread_create(&neighbour->thread, NULL, serve, neighbour);
+}
+
+static void
+stop_neighbour(Neighbour *neighbour)
+{
+    atomic_store(&neighbour->stopping, TRUE);
+    shutdown(neighbour->listener, SHUT_RDWR);
+    pthread_join(neighbour->thread, NULL);
+    close(neighbour->listener);
+}
+
+static Result
+watch_store(void *context, const char *kind, ObjectRevision revision,
+            ClockMs wait_ms, ObjectPage *page)
+{
+    (void)kind;
+    (void)wait_ms;
+    ++*(int *)context;
+    page->revision = revision;
+    return RESULT_OK;
+}
+
+/* Returns a roster in which the neighbour ranks before this host. */
+static Roster *
+make_roster(const struct sockaddr_in *address)
+{
+    RosterEntry entry = {.instance = "i",
+                         .service = "s",
+                         .data_centre = "d",
+                         .region = "r",
+                         .slots = 1,
+                         .rpc_port = 1,
+                         .mirror_port = ntohs(address->sin_port)};
+    RosterPeer order[2];
+
+    g_assert_true(HttpAddress_Parse("127.0.0.1:0", &entry.peer));
+    for (int i = 0;; i++) {
+        Roster *roster = Roster_Create(
+            &(Roster_desc){.host = "self", .data_centre = "d", .region = "r"});
+
+        g_snprintf(entry.host, ROSTER_NAME_BYTES, "n%d", i);
+        Roster_Set(roster, &entry, Clock_Now());
+        Roster_Rank(roster, Rng_Mix(Rng_HashString("k"), 0), FALSE,
+                    Clock_Now(), order, 2);
+        if (!order[0].is_self) {
+            return roster;
+        }
+        Roster_Destroy(roster);
+    }
+}
+
+/* Guards against an answer that is dropped and read again from its first byte
+ * because the whole of it took longer than the timeout, and against a reader
+ * that waits for a neighbour that sends nothing more. */
+static void
+test_transfer(void)
+{
+    static const struct {
+        const char *what;
+        size_t body_bytes;
+        size_t piece_bytes;
+        int pause_ms;
+        size_t sent_limit;
+        gboolean is_read; /* from the neighbour */
+        ClockMs limit_ms;
+    } cases[] = {
+        {"small and at once", 200, 1000, 0, 0, TRUE, 1000},
+        {"large over a slow link", 300000, 10000, 40, 0, TRUE, 5000},
+        {"large over a very slow link", 60000, 1500, 60, 0, TRUE, 8000},
+        {"silent in the middle", 300000, 10000, 1, 100000, FALSE, 2000},
+        {"one byte at a time", 300000, 1, 20, 0, FALSE, 2000},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Neighbour neighbour = {.body_bytes = cases[i].body_bytes,
+                               .piece_bytes = cases[i].piece_bytes,
+                               .pause_ms = cases[i].pause_ms,
+                               .sent_limit = cases[i].sent_limit};
+        int watches = 0;
+        ObjectStore store = {.context = &watches, .watch = watch_store};
+        ObjectGeneration *generation = ObjectGeneration_Create();
+        HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+        ClockMs started = Clock_Now();
+        const ObjectStore *functions;
+        Roster *roster;
+        Mirror *mirror;
+        ObjectPage page;
+
+        g_test_message("%s", cases[i].what);
+        start_neighbour(&neighbour);
+        roster = make_roster(&neighbour.address);
+        mirror = Mirror_Create(&(Mirror_desc){.store = &store,
+                                              .generation = generation,
+                                              .roster = roster,
+                                              .host = "self",
+                                              .client = client});
+        functions = Mirror_AsStore(mirror);
+        ObjectPage_Init(&page);
+        g_assert_cmpint(functions->watch(functions->context, "k",
+                                         (ObjectRevision){1, 2}, 50, &page),
+                        ==, RESULT_OK);
+        g_assert_cmpint(watches, ==, !cases[i].is_read);
+        g_assert_cmpuint(page.records->len, ==, cases[i].is_read);
+        g_assert_cmpint(Clock_Now() - started, <, cases[i].limit_ms);
+        ObjectPage_Clear(&page);
+        Mirror_Destroy(mirror);
+        stop_neighbour(&neighbour);
+        HttpClient_Destroy(client);
+        Roster_Destroy(roster);
+        ObjectGeneration_Destroy(generation);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/mirror/large", test_transfer);
+    return g_test_run();
+}
--- a/tests/relay.c
+++ b/tests/relay.c
@@ -9,6 +9,7 @@
 
 #define MAX_CONNECTIONS 256
 #define POLL_MS 20
+#define MAX_BYTES 65536
 
 typedef struct Connection {
     int caller;
@@ -23,6 +24,7 @@
     atomic_int target;
     atomic_bool stopping;
     atomic_bool all_broken;
+    atomic_int rate; /* bytes per second from the target; 0: no limit */
     pthread_mutex_t lock;
     Connection connections[MAX_CONNECTIONS];
     int count;
@@ -66,10 +68,10 @@
 /* Forwards or discards the bytes that have arrived. Returns FALSE when the
  * connection has ended. */
 static gboolean
-forward_bytes(int from, int to, gboolean discard)
+forward_bytes(int from, int to, size_t limit, gboolean discard)
 {
-    char buffer[65536];
-    ssize_t bytes = recv(from, buffer, sizeof(buffer), MSG_DONTWAIT);
+    char buffer[MAX_BYTES];
+    ssize_t bytes = recv(from, buffer, limit, MSG_DONTWAIT);
 
     if (bytes <= 0) {
         /* The end of a broken connection is not forwarded either. */
@@ -82,17 +84,21 @@
 serve_connections(Relay *relay, struct pollfd *fds)
 {
     gboolean all = atomic_load(&relay->all_broken);
+    int rate = atomic_load(&relay->rate);
+    size_t limit =
+        rate > 0 ? (size_t)MAX(rate / (1000 / POLL_MS), 1) : MAX_BYTES;
 
     for (int i = relay->count - 1; i >= 0; i--) {
         Connection *connection = &relay->connections[i];
         gboolean open = TRUE;
 
         if (fds[1 + 2 * i].revents != 0) {
-            open = forward_bytes(connection->caller, connection->target,
-                                 all || connection->discard_forward);
+            open =
+                forward_bytes(connection->caller, connection->target,
+                              MAX_BYTES, all || connection->discard_forward);
         }
         if (open && fds[2 + 2 * i].revents != 0) {
-            open = forward_bytes(connection->target, connection->caller,
+            open = forward_bytes(connection->target, connection->caller, limit,
                                  all || connection->discard_back);
         }
         if (!open) {
@@ -130,6 +136,9 @@
         if (fds[0].revents != 0) {
             accept_connection(relay);
         }
+        if (atomic_load(&relay->rate) > 0) {
+            (void)poll(NULL, 0, POLL_MS);
+        }
     }
     return NULL;
 }
@@ -186,6 +195,12 @@
     atomic_store(&relay->all_broken, broken);
 }
 
+void
+Relay_SetRate(Relay *relay, int bytes_per_s)
+{
+    atomic_store(&relay->rate, bytes_per_s);
+}
+
 void
 Relay_Destroy(Relay *relay)
 {
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -31,6 +31,10 @@
 /* Breaks all connections, including those opened later, until it is called
  * with FALSE. */
 void Relay_BreakAll(Relay *relay, gboolean broken);
+
+/* Limits what each connection gets from the target, in bytes a second; 0: no
+ * limit. */
+void Relay_SetRate(Relay *relay, int bytes_per_s);
 void Relay_Destroy(Relay *relay);
 
 #endif
--- a/tests/site.c
+++ b/tests/site.c
@@ -725,6 +725,12 @@
     send_heartbeat(&site->hosts[host], TRUE);
 }
 
+void
+Site_SlowStore(Site *site, int host, int bytes_per_s)
+{
+    Relay_SetRate(site->hosts[host].store_relay, bytes_per_s);
+}
+
 void
 Site_CutStore(Site *site, int host, gboolean cut)
 {
--- a/tests/site.h
+++ b/tests/site.h
@@ -83,6 +83,10 @@
 void Site_ConfigureRoute(Site *site, unsigned version, const char *keys,
                          int rate_per_s, const char *prefix);
 
+/* As Site_Configure(), with so many more routes that lead nowhere. */
+void Site_ConfigureSize(Site *site, unsigned version, const char *keys,
+                        int rate_per_s, int routes);
+
 /* Returns the number of the host. */
 int Site_AddHost(Site *site, const SiteHost_desc *desc);
 const char *Site_Region(const Site *site, int host);
@@ -178,6 +182,9 @@
  * new connections. */
 void Site_CutStore(Site *site, int host, gboolean cut);
 
+/* Limits what each connection of the host gets from the store; 0: no limit. */
+void Site_SlowStore(Site *site, int host, int bytes_per_s);
+
 void Site_Signal(Site *site, int host, int signal);
 
 /* Returns the process id of the daemon, 0 after it has ended. */
--- a/tests/site_config.c
+++ b/tests/site_config.c
@@ -17,7 +17,7 @@
 /* Takes ownership of the table of teams, NULL for none. */
 static void
 write_configuration(Site *site, unsigned version, json_t *teams,
-                    const char *prefix)
+                    const char *prefix, int more_routes)
 {
     char *text = g_strdup_printf("%08x", version);
     json_t *home = make_route("/home/", "safe", FALSE, "5000ms");
@@ -41,6 +41,13 @@
         json_object_set_new(routes, "probe",
                             make_route(prefix, "safe", TRUE, "5000ms"));
     }
+    for (int i = 0; i < more_routes; i++) {
+        char *more = g_strdup_printf("/more-%d/", i);
+
+        json_object_set_new(routes, more,
+                            make_route(more, "safe", TRUE, "5000ms"));
+        g_free(more);
+    }
     json_decref(routes);
     ObjectServer_Write(Site_Store(site), "config", "main", value);
     g_free(text);
@@ -51,18 +58,31 @@
 {
     write_configuration(
         site, version, teams ? json_loads(teams, JSON_DECODE_ANY, NULL) : NULL,
-        NULL);
+        NULL, 0);
+}
+
+static json_t *
+make_teams(const char *keys, int rate_per_s)
+{
+    return json_pack("{s:{s:o, s:i, s:i}}", "crews", "api_keys",
+                     json_loads(keys, 0, NULL), "rate_per_s", rate_per_s,
+                     "burst", rate_per_s);
 }
 
 void
 Site_ConfigureRoute(Site *site, unsigned version, const char *keys,
                     int rate_per_s, const char *prefix)
 {
-    write_configuration(site, version,
-                        json_pack("{s:{s:o, s:i, s:i}}", "crews", "api_keys",
-                                  json_loads(keys, 0, NULL), "rate_per_s",
-                                  rate_per_s, "burst", rate_per_s),
-                        prefix);
+    write_configuration(site, version, make_teams(keys, rate_per_s), prefix,
+                        0);
+}
+
+void
+Site_ConfigureSize(Site *site, unsigned version, const char *keys,
+                   int rate_per_s, int routes)
+{
+    write_configuration(site, version, make_teams(keys, rate_per_s), NULL,
+                        routes);
 }
 
 void
