mirror: a page never names a revision and lacks a change below it

Withdrawn keys would have been accepted, too, until the next change.

Cause: MirrorCache_Update() and MirrorCache_Confirm() are two steps, and a change was filed under the revision of the answer. A neighbour that read between them got the change under the old revision and filed it there; when it came again with the new one, it was ignored as known, and the cache was raised. A third host that then turned to this neighbour got an empty page and the new revision: it had skipped the change, and each quiet watch confirmed that.

Change: updates are staged, and the confirmation publishes them together with the revision. A change is filed under the object's own revision, which no order of steps and no source can lower; a deletion, which has none, under that of the answer. A state of an object never replaces a later one. Found by the random orders of the test: - a source that has just listed takes readers from one revision before, although a deletion at its own is unknown to it: they list now; - a list from a neighbour that is behind put older states into the cache of a host under its newer revision: it is dropped there, and Mirror skips such a neighbour for a list (/mirror/list-behind). The cache is the same for the configuration, the backend servers and evacuations.

--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -52,8 +52,9 @@
     unsigned next_avoided;
     uint64_t source; /* host that gave the last answer; 0: the store */
     atomic_bool direct;
-    ClockMs away_until; /* the store is taken as away; 0: it is not */
-    gboolean knows;     /* a list has been read */
+    ObjectRevision reached; /* newest one of an answer */
+    ClockMs away_until;     /* the store is taken as away; 0: it is not */
+    gboolean knows;         /* a list has been read */
 };
 
 static gboolean
@@ -203,6 +204,24 @@
         transfer->body_ms, transfer->received_bytes, transfer->expected_bytes);
 }
 
+/* Whether an answer is older than what the reader has, or must have. A list
+ * replaces the reader's state, so it must not take that back. */
+static gboolean
+is_behind(const Mirror *mirror, ObjectRevision since, const ObjectPage *page)
+{
+    return page->revision.generation < since.generation ||
+           (since.number < 0 &&
+            ObjectRevision_Compare(page->revision, mirror->reached) < 0);
+}
+
+void
+_Mirror_NoteReached(Mirror *mirror, ObjectRevision revision)
+{
+    if (ObjectRevision_Compare(revision, mirror->reached) > 0) {
+        mirror->reached = revision;
+    }
+}
+
 /* Sets `avoid_ms` to the time for which a neighbour that fails is skipped. */
 static Result
 request_page(Mirror *mirror, const RosterPeer *peer, const char *kind,
@@ -237,10 +256,13 @@
     }
     else if (result != RESULT_OK || answer.status != 200 ||
              !_Mirror_ReadPage(answer.body, answer.body_bytes, page) ||
-             page->revision.generation < since.generation) {
+             is_behind(mirror, since, page)) {
         note_failure(kind, peer, result, answer.status, &page->transfer);
         result = RESULT_STORE_UNAVAILABLE;
     }
+    else {
+        _Mirror_NoteReached(mirror, page->revision);
+    }
     HttpAnswer_Clear(&answer);
     g_free(target);
     return result;
@@ -337,6 +359,7 @@
     }
     result = store->list(store->context, kind, after, page);
     if (result == RESULT_OK) {
+        _Mirror_NoteReached(mirror, page->revision);
         record_source(mirror, kind, 0);
     }
     else if (mirror->desc.keeps_known && after[0] == '\0') {
@@ -381,6 +404,9 @@
         record_source(mirror, kind, 0);
     }
     result = store->watch(store->context, kind, revision, store_wait_ms, page);
+    if (result == RESULT_OK) {
+        _Mirror_NoteReached(mirror, page->revision);
+    }
     if (result == RESULT_OK && is_away) {
         mirror->away_until = 0;
         record_source(mirror, kind, 0);
--- a/src/mirror/mirror.h
+++ b/src/mirror/mirror.h
@@ -5,8 +5,9 @@
  * the store and traffic between regions are billed, traffic inside a data
  * centre is not. The leader is the first host in the rendezvous order of kind
  * and group. A neighbour that fails, that does not watch the store itself or
- * whose state is too old, or from before a restoration of the store that this
- * daemon knows of, is skipped for MIRROR_AVOID_MS, one that answers but cannot
+ * whose state is too old, from before a restoration of the store that this
+ * daemon knows of, or, in a list, older than what this daemon has read before,
+ * is skipped for MIRROR_AVOID_MS, one that answers but cannot
  * serve for MIRROR_REFUSED_MS. The next one in the order is asked before the
  * store is read: it takes over the watch on the store, while the others of the
  * group wait for it.
@@ -57,6 +58,9 @@
 const ObjectStore *Mirror_AsStore(Mirror *mirror);
 gboolean Mirror_IsDirect(void *mirror);
 
+/* States that the reader has had the state at this revision. */
+void _Mirror_NoteReached(Mirror *mirror, ObjectRevision revision);
+
 /* Reads the answer of a neighbour. An object that cannot be read affects no
  * others. Returns FALSE if the answer as a whole is malformed. */
 gboolean _Mirror_ReadPage(const char *body, size_t bytes, ObjectPage *page);
--- a/src/mirror/mirror_cache.c
+++ b/src/mirror/mirror_cache.c
@@ -7,14 +7,16 @@
 
 typedef struct Entry {
     ObjectRecord record;
-    int64_t answer_revision; /* revision of the answer with this change */
-    ClockMs updated;         /* local time of the update */
+    int64_t filed;   /* revision under which readers find this change */
+    ClockMs updated; /* local time of the update */
 } Entry;
 
 struct MirrorCache {
     pthread_mutex_t lock;
     pthread_cond_t changed;
-    GHashTable *entries;     /* name -> Entry */
+    GHashTable *entries; /* name -> Entry */
+    GHashTable *staged;  /* the same, not confirmed yet */
+    int64_t staged_generation;
     ObjectRevision revision; /* all changes up to it are present; number -1:
                                 none yet in this generation */
     int64_t newest;          /* revision of the last change */
@@ -41,6 +43,8 @@
     Condition_Init(&cache->changed);
     cache->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
+    cache->staged =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
     cache->revision.number = -1;
     return cache;
 }
@@ -50,31 +54,17 @@
 {
     if (cache != NULL) {
         g_hash_table_destroy(cache->entries);
+        g_hash_table_destroy(cache->staged);
         pthread_cond_destroy(&cache->changed);
         pthread_mutex_destroy(&cache->lock);
         g_free(cache);
     }
 }
 
-/* Discards the state of an earlier generation. Returns FALSE if the revision
- * is of an earlier generation itself. Called with the lock held. */
-static gboolean
-enter_generation(MirrorCache *cache, ObjectRevision revision)
-{
-    if (revision.generation > cache->revision.generation) {
-        g_hash_table_remove_all(cache->entries);
-        cache->revision =
-            (ObjectRevision){.generation = revision.generation, .number = -1};
-        cache->newest = 0;
-        cache->discarded = 0;
-    }
-    return revision.generation == cache->revision.generation;
-}
-
-/* Called with the lock held. */
-static void
-put_entry(MirrorCache *cache, const ObjectRecord *record,
-          ObjectRevision revision)
+/* Creates the entry of a state that the host has read. A deletion is filed
+ * under the revision of the answer, because its own is not known. */
+static Entry *
+create_entry(const ObjectRecord *record, ObjectRevision revision)
 {
     Entry *entry = g_new0(Entry, 1);
 
@@ -83,52 +73,119 @@
     /* A deep copy, because jansson's reference counts are not shared between
      * threads. */
     entry->record.value = json_deep_copy(record->value);
-    entry->answer_revision = revision.number;
+    entry->filed = record->deleted ? revision.number : record->revision.number;
     entry->updated = Clock_Now();
-    g_hash_table_replace(cache->entries, entry->record.name, entry);
-    cache->newest = MAX(cache->newest, revision.number);
+    return entry;
+}
+
+/* Whether the entry is a later state of the object than the one before. */
+static gboolean
+is_later(const Entry *entry, const Entry *before)
+{
+    return before == NULL || entry->filed > before->filed ||
+           (entry->record.deleted && entry->filed == before->filed);
+}
+
+static void
+put_entry(GHashTable *entries, Entry *entry)
+{
+    if (is_later(entry, g_hash_table_lookup(entries, entry->record.name))) {
+        g_hash_table_replace(entries, entry->record.name, entry);
+    }
+    else {
+        free_entry(entry);
+    }
+}
+
+/* Discards what was staged in an earlier generation. Returns FALSE if the
+ * revision is of an earlier generation itself. Called with the lock held. */
+static gboolean
+enter_staging(MirrorCache *cache, ObjectRevision revision)
+{
+    if (revision.generation > cache->staged_generation) {
+        g_hash_table_remove_all(cache->staged);
+        cache->staged_generation = revision.generation;
+    }
+    return revision.generation == cache->staged_generation;
 }
 
 void
 MirrorCache_Update(MirrorCache *cache, const ObjectRecord *record,
                    ObjectRevision revision)
 {
-    const Entry *entry;
-
     pthread_mutex_lock(&cache->lock);
-    if (enter_generation(cache, revision)) {
-        entry = g_hash_table_lookup(cache->entries, record->name);
-        if (entry == NULL || record->deleted || entry->record.deleted ||
-            entry->record.revision.number != record->revision.number) {
-            put_entry(cache, record, revision);
-        }
+    if (enter_staging(cache, revision)) {
+        put_entry(cache->staged, create_entry(record, revision));
     }
     pthread_mutex_unlock(&cache->lock);
 }
 
-void
-MirrorCache_Retain(MirrorCache *cache, GHashTable *names,
-                   ObjectRevision revision)
+/* Stages the deletion of the entries that are not among the names. Called with
+ * the lock held. */
+static void
+stage_deletions(MirrorCache *cache, GHashTable *entries, GHashTable *names,
+                ObjectRevision revision)
 {
-    GList *values = NULL;
+    GList *values = g_hash_table_get_values(entries);
 
-    pthread_mutex_lock(&cache->lock);
-    if (enter_generation(cache, revision)) {
-        values = g_hash_table_get_values(cache->entries);
-    }
     for (GList *item = values; item != NULL; item = item->next) {
-        Entry *entry = item->data;
+        const Entry *entry = item->data;
         ObjectRecord deletion = {.name = entry->record.name, .deleted = TRUE};
 
         if (!entry->record.deleted &&
             !g_hash_table_contains(names, entry->record.name)) {
-            put_entry(cache, &deletion, revision);
+            put_entry(cache->staged, create_entry(&deletion, revision));
         }
     }
     g_list_free(values);
+}
+
+void
+MirrorCache_Retain(MirrorCache *cache, GHashTable *names,
+                   ObjectRevision revision)
+{
+    pthread_mutex_lock(&cache->lock);
+    if (enter_staging(cache, revision)) {
+        stage_deletions(cache, cache->staged, names, revision);
+        if (revision.generation == cache->revision.generation) {
+            stage_deletions(cache, cache->entries, names, revision);
+        }
+    }
     pthread_mutex_unlock(&cache->lock);
 }
 
+/* Discards the state of an earlier generation. Returns FALSE if the revision
+ * is of an earlier generation itself. Called with the lock held. */
+static gboolean
+enter_generation(MirrorCache *cache, ObjectRevision revision)
+{
+    if (revision.generation > cache->revision.generation) {
+        g_hash_table_remove_all(cache->entries);
+        cache->revision =
+            (ObjectRevision){.generation = revision.generation, .number = -1};
+        cache->newest = 0;
+        cache->discarded = 0;
+    }
+    return revision.generation == cache->revision.generation;
+}
+
+/* Called with the lock held. */
+static void
+publish_staged(MirrorCache *cache)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, cache->staged);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        Entry *entry = value;
+
+        g_hash_table_iter_steal(&iterator);
+        cache->newest = MAX(cache->newest, entry->filed);
+        put_entry(cache->entries, entry);
+    }
+}
+
 /* Discards deletions older than MIRROR_DELETION_MS. Called with the lock held.
  */
 static void
@@ -143,7 +200,7 @@
 
         if (entry->record.deleted &&
             now - entry->updated > MIRROR_DELETION_MS) {
-            cache->discarded = MAX(cache->discarded, entry->answer_revision);
+            cache->discarded = MAX(cache->discarded, entry->filed);
             g_hash_table_iter_remove(&iterator);
         }
     }
@@ -154,9 +211,16 @@
 {
     pthread_mutex_lock(&cache->lock);
     if (enter_generation(cache, revision)) {
+        if (revision.number < cache->revision.number) {
+            /* A list from a source that is behind. */
+            g_hash_table_remove_all(cache->staged);
+        }
+        else if (cache->staged_generation == revision.generation) {
+            publish_staged(cache);
+        }
         if (cache->revision.number < 0) {
-            /* Deletions before the first list are unknown. */
-            cache->discarded = revision.number - 1;
+            /* Deletions up to the first list are unknown. */
+            cache->discarded = revision.number;
         }
         cache->revision.number = MAX(cache->revision.number, revision.number);
         cache->confirmed = MAX(cache->confirmed, as_of);
@@ -210,8 +274,7 @@
         const Entry *entry = value;
         ObjectRecord copy = entry->record;
 
-        if (entry->answer_revision <= revision ||
-            (revision < 0 && copy.deleted)) {
+        if (entry->filed <= revision || (revision < 0 && copy.deleted)) {
             continue;
         }
         copy.name = g_strdup(copy.name);
--- a/src/mirror/mirror_cache.h
+++ b/src/mirror/mirror_cache.h
@@ -7,10 +7,13 @@
  *  3. Readers call MirrorCache_Wait() until there is a change after their
  *     revision, then MirrorCache_Read().
  *
- * A change is stored under the store revision of the answer that contained it,
- * which is never below the object's own revision. So a reader that has all
- * changes up to some revision, from any source, misses none. Deletions are
- * kept for MIRROR_DELETION_MS.
+ * Updates are staged until they are confirmed, then all become visible in one
+ * step together with the revision, so that no page names a revision and lacks
+ * a change below it. A change is filed under the object's own revision, a
+ * deletion, which has none, under that of the answer. So a reader that has all
+ * changes up to some revision, from any source, misses none. A state of an
+ * object never replaces a later one. Deletions are kept for
+ * MIRROR_DELETION_MS.
  *
  * The cache holds one generation of the store. The first update of a newer one
  * discards it, and updates of an earlier one are ignored. A reader of an
@@ -31,15 +34,16 @@
 MirrorCache *MirrorCache_Create(void);
 void MirrorCache_Destroy(MirrorCache *cache);
 
+/* Stages a change; the revision is that of the answer that contained it. */
 void MirrorCache_Update(MirrorCache *cache, const ObjectRecord *record,
                         ObjectRevision revision);
 
-/* Marks all objects that are not among the names as deleted. */
+/* Stages the deletion of all objects that are not among the names. */
 void MirrorCache_Retain(MirrorCache *cache, GHashTable *names,
                         ObjectRevision revision);
 
-/* States that the cache has all changes up to the revision, and that this was
- * the newest state at the time as_of. */
+/* Publishes what was staged, and states that the cache then has all changes up
+ * to the revision and that this was the newest state at the time as_of. */
 void MirrorCache_Confirm(MirrorCache *cache, ClockMs as_of,
                          ObjectRevision revision);
 
--- a/src/mirror/test_mirror_large.c
+++ b/src/mirror/test_mirror_large.c
@@ -116,6 +116,17 @@
     return RESULT_OK;
 }
 
+static Result
+list_store(void *context, const char *kind, const char *after,
+           ObjectPage *page)
+{
+    (void)kind;
+    (void)after;
+    ++*(int *)context;
+    page->revision = (ObjectRevision){1, 9};
+    return RESULT_OK;
+}
+
 /* Returns a roster in which the neighbour ranks before this host. */
 static Roster *
 make_roster(const struct sockaddr_in *address)
@@ -207,10 +218,63 @@
     }
 }
 
+/* Guards against a list that takes a host back to a state before the one that
+ * it has, because it reads from a neighbour that is behind. */
+static void
+test_list_behind(void)
+{
+    static const struct {
+        const char *what;
+        ObjectRevision reached; /* by this host; the neighbour has {1, 5} */
+        int lists;              /* at the store */
+    } cases[] = {
+        {"nothing read yet", {1, 0}, 0},
+        {"as far", {1, 5}, 0},
+        {"further", {1, 6}, 1},
+        {"as far, in an earlier generation", {0, 6}, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Neighbour neighbour = {.body_bytes = 200, .piece_bytes = 1000};
+        int calls = 0;
+        ObjectStore store = {
+            .context = &calls, .watch = watch_store, .list = list_store};
+        ObjectGeneration *generation = ObjectGeneration_Create();
+        HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+        const ObjectStore *functions;
+        Roster *roster;
+        Mirror *mirror;
+        ObjectPage page;
+
+        g_test_message("%s", cases[i].what);
+        start_neighbour(&neighbour);
+        roster = make_roster(&neighbour.address);
+        mirror = Mirror_Create(&(Mirror_desc){.store = &store,
+                                              .generation = generation,
+                                              .roster = roster,
+                                              .host = "self",
+                                              .client = client});
+        functions = Mirror_AsStore(mirror);
+        _Mirror_NoteReached(mirror, cases[i].reached);
+        ObjectPage_Init(&page);
+        g_assert_cmpint(functions->list(functions->context, "k", "", &page),
+                        ==, RESULT_OK);
+        g_assert_cmpint(calls, ==, cases[i].lists);
+        g_assert_cmpint(page.revision.number, ==, cases[i].lists == 0 ? 5 : 9);
+        ObjectPage_Clear(&page);
+        Mirror_Destroy(mirror);
+        stop_neighbour(&neighbour);
+        HttpClient_Destroy(client);
+        Roster_Destroy(roster);
+        ObjectGeneration_Destroy(generation);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/mirror/large", test_transfer);
+    g_test_add_func("/mirror/list-behind", test_list_behind);
     return g_test_run();
 }
