catalog: a table of many routes is built and searched in linear time

Cause: CatalogTable_AddRoute() sorted all routes of the host name after each one, and each request was compared with all of them. Here all routes have one host name. A host is busy for as long for a change of one weight as for a new configuration.

Change: the prefixes of a host name are a hash table with a list of the lengths that occur, and a path is looked up once for each length, the longest first.

--- a/src/catalog/catalog_table.c
+++ b/src/catalog/catalog_table.c
@@ -3,12 +3,25 @@
 #include <stdatomic.h>
 #include <string.h>
 
+/* The beginning of a path; the text is not terminated. */
+typedef struct Prefix {
+    const char *text;
+    size_t bytes;
+} Prefix;
+
+/* The routes of one host. */
+typedef struct HostRoutes {
+    GPtrArray *routes;
+    GHashTable *prefixes; /* Prefix -> CatalogRoute */
+    GArray *lengths;      /* size_t, those of the prefixes, descending */
+} HostRoutes;
+
 struct CatalogTable {
     _Atomic int references;
     CatalogTable_desc desc;
-    GHashTable *hosts; /* host -> GPtrArray of routes, longest prefix first */
-    GHashTable *keys;  /* key -> CatalogTeam */
-    GHashTable *teams; /* &CatalogTeam.hash -> CatalogTeam */
+    GHashTable *hosts;    /* host -> HostRoutes */
+    GHashTable *keys;     /* key -> CatalogTeam */
+    GHashTable *teams;    /* &CatalogTeam.hash -> CatalogTeam */
     GHashTable *services; /* CatalogService.name -> CatalogService */
 };
 
@@ -27,10 +40,45 @@
     g_free(route);
 }
 
+static guint
+hash_prefix(gconstpointer key)
+{
+    const Prefix *prefix = key;
+
+    return (guint)Rng_Hash(prefix->text, prefix->bytes);
+}
+
+static gboolean
+equal_prefix(gconstpointer a, gconstpointer b)
+{
+    const Prefix *left = a;
+    const Prefix *right = b;
+
+    return left->bytes == right->bytes &&
+           memcmp(left->text, right->text, left->bytes) == 0;
+}
+
+static HostRoutes *
+create_routes(void)
+{
+    HostRoutes *routes = g_new0(HostRoutes, 1);
+
+    routes->routes = g_ptr_array_new_with_free_func(free_route);
+    routes->prefixes =
+        g_hash_table_new_full(hash_prefix, equal_prefix, g_free, NULL);
+    routes->lengths = g_array_new(FALSE, FALSE, sizeof(size_t));
+    return routes;
+}
+
 static void
 free_routes(gpointer data)
 {
-    g_ptr_array_free(data, TRUE);
+    HostRoutes *routes = data;
+
+    g_hash_table_destroy(routes->prefixes);
+    g_ptr_array_free(routes->routes, TRUE);
+    g_array_free(routes->lengths, TRUE);
+    g_free(routes);
 }
 
 static void
@@ -106,22 +154,26 @@
     g_hash_table_insert(table->keys, g_strdup(key), (gpointer)team);
 }
 
-static gint
-compare_prefixes(gconstpointer a, gconstpointer b)
+/* Few lengths occur, so a request is looked up once for each of them. */
+static void
+add_length(GArray *lengths, size_t length)
 {
-    const CatalogRoute *left = *(CatalogRoute *const *)a;
-    const CatalogRoute *right = *(CatalogRoute *const *)b;
-    size_t left_length = strlen(left->prefix);
-    size_t right_length = strlen(right->prefix);
+    guint at = 0;
 
-    return (left_length < right_length) - (left_length > right_length);
+    while (at < lengths->len && g_array_index(lengths, size_t, at) > length) {
+        at++;
+    }
+    if (at == lengths->len || g_array_index(lengths, size_t, at) != length) {
+        g_array_insert_val(lengths, at, length);
+    }
 }
 
 void
 CatalogTable_AddRoute(CatalogTable *table, const CatalogRoute *route)
 {
     CatalogRoute *copy = g_memdup2(route, sizeof(*route));
-    GPtrArray *routes = g_hash_table_lookup(table->hosts, copy->host);
+    HostRoutes *routes = g_hash_table_lookup(table->hosts, copy->host);
+    Prefix prefix = {.text = copy->prefix, .bytes = strlen(copy->prefix)};
 
     copy->hash = Rng_HashString(copy->name);
     for (uint32_t i = 0; i < copy->destination_count; i++) {
@@ -129,11 +181,16 @@
             Rng_HashString(copy->destinations[i].service);
     }
     if (routes == NULL) {
-        routes = g_ptr_array_new_with_free_func(free_route);
+        routes = create_routes();
         g_hash_table_insert(table->hosts, g_strdup(copy->host), routes);
     }
-    g_ptr_array_add(routes, copy);
-    g_ptr_array_sort(routes, compare_prefixes);
+    g_ptr_array_add(routes->routes, copy);
+    /* Of several routes with one prefix, the first one counts. */
+    if (!g_hash_table_contains(routes->prefixes, &prefix)) {
+        g_hash_table_insert(routes->prefixes,
+                            g_memdup2(&prefix, sizeof(prefix)), copy);
+        add_length(routes->lengths, prefix.bytes);
+    }
 }
 
 void
@@ -173,12 +230,18 @@
 CatalogTable_FindRoute(const CatalogTable *table, const char *host,
                        const char *path)
 {
-    GPtrArray *routes = g_hash_table_lookup(table->hosts, host);
-
-    for (guint i = 0; routes != NULL && i < routes->len; i++) {
-        const CatalogRoute *route = g_ptr_array_index(routes, i);
-
-        if (g_str_has_prefix(path, route->prefix)) {
+    const HostRoutes *routes = g_hash_table_lookup(table->hosts, host);
+    size_t path_bytes = strlen(path);
+
+    for (guint i = 0; routes != NULL && i < routes->lengths->len; i++) {
+        Prefix prefix = {.text = path,
+                         .bytes = g_array_index(routes->lengths, size_t, i)};
+        const CatalogRoute *route =
+            prefix.bytes <= path_bytes
+                ? g_hash_table_lookup(routes->prefixes, &prefix)
+                : NULL;
+
+        if (route != NULL) {
             return route;
         }
     }
