mirror: an object is encoded and compressed once, not for each reader

What callers saw: a change that adds many routes reached most hosts seconds late, and they read it from the store, since neighbours did not answer in time.

Cause: for each of up to 31 readers the leader copied the decoded object, encoded it and sent all of it. With 4,200 routes that is some 20 ms of processor time and 0.8 MB for each reader, 6 s on a host with a tenth of a core and 20 s on a link of 10 Mbit/s.

Frames can be joined, so an answer consists of such texts and of small frames around them. A reader says that it accepts them; one of an earlier version gets the text as before, and a neighbour of an earlier version sends it.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PACKAGES = build-essential cmake pkg-config clang clang-format clang-tidy \
 	libclang-rt-14-dev libmicrohttpd-dev libneon27-gnutls-dev \
 	libtirpc-dev liburcu-dev libglib2.0-dev libjansson-dev \
-	libgnutls28-dev gnutls-bin rpcsvc-proto gnuplot-nox
+	libgnutls28-dev libzstd-dev gnutls-bin rpcsvc-proto gnuplot-nox
 SUDO = $(shell [ "$$(id -u)" = 0 ] || echo sudo)
 JOBS ?= $(shell nproc)
 GENERATED = ! -name '*_xdr.c' ! -name '*_xdr.h' ! -name '*_wire.h'
--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/rng.h"
 #include "mirror/mirror_port.h"
+#include "pack/pack.h"
 #include "json/json_text.h"
 
 /* Number of hosts examined in rendezvous order, and number of neighbours that
@@ -36,6 +37,9 @@
  * returns. */
 #define TAKEOVER_WAIT_MS 100
 
+/* Maximum size of a neighbour's answer. */
+#define MAX_PAGE_BYTES ((size_t)16 << 20)
+
 /* Wait time that asks a neighbour for what it has, however old. */
 #define WAIT_ANY_AGE 0
 
@@ -154,6 +158,9 @@
     if (json_is_null(record->value)) {
         record->value = NULL;
     }
+    if (record->value != NULL) {
+        record->text = g_bytes_new(text.start, text.bytes);
+    }
     json_decref(name);
     json_decref(deleted);
     return valid;
@@ -192,6 +199,28 @@
     return !items.is_broken;
 }
 
+/* Reads the body of an answer, which may be compressed. */
+static gboolean
+read_body(const HttpAnswer *answer, const RosterPeer *peer, ObjectPage *page)
+{
+    const char *encoding =
+        HttpHeaders_Get(&answer->headers, "Content-Encoding");
+    MemoryBuffer text;
+    gboolean valid;
+
+    if (encoding == NULL) {
+        return _Mirror_ReadPage(answer->body, answer->body_bytes, page);
+    }
+    MemoryBuffer_Init(&text, Memory_Control(), MEMORY_ANSWERS_READ,
+                      peer->host);
+    valid = strcmp(encoding, PACK_ENCODING) == 0 &&
+            Pack_Decompress(answer->body, answer->body_bytes, MAX_PAGE_BYTES,
+                            &text) == RESULT_OK &&
+            _Mirror_ReadPage(text.bytes, text.length, page);
+    MemoryBuffer_Clear(&text);
+    return valid;
+}
+
 static void
 note_failure(const char *kind, const RosterPeer *peer, Result result,
              int status, const ObjectTransfer *transfer)
@@ -236,9 +265,12 @@
     ClockMs called = Clock_Now();
     HttpTransfer transfer = {0};
     HttpAnswer answer = {0};
+    HttpHeader accept = {.name = "Accept-Encoding", .value = PACK_ENCODING};
+    HttpHeaders headers = {.items = &accept, .count = 1};
     HttpCall call = {.address = peer->mirror,
                      .method = "GET",
                      .target = target,
+                     .headers = &headers,
                      .connect_ms = CONNECT_TIMEOUT_MS,
                      .deadline = called + wait_ms + ANSWER_TIMEOUT_MS,
                      .transfer = &transfer};
@@ -255,7 +287,7 @@
         result = RESULT_STORE_HISTORY_GONE;
     }
     else if (result != RESULT_OK || answer.status != 200 ||
-             !_Mirror_ReadPage(answer.body, answer.body_bytes, page) ||
+             !read_body(&answer, peer, page) ||
              is_behind(mirror, since, page)) {
         note_failure(kind, peer, result, answer.status, &page->transfer);
         result = RESULT_STORE_UNAVAILABLE;
--- a/src/mirror/mirror_cache.c
+++ b/src/mirror/mirror_cache.c
@@ -1,9 +1,14 @@
 #include "mirror/mirror_cache.h"
 
 #include <pthread.h>
+#include <string.h>
 #include <time.h>
 
 #include "base/condition.h"
+#include "pack/pack.h"
+
+/* Smallest text of a value that is kept compressed. */
+#define MIN_PACKED_BYTES 4096
 
 typedef struct Entry {
     ObjectRecord record;
@@ -61,6 +66,33 @@
     }
 }
 
+/* Returns the text of a value. A large one is compressed here, once for all
+ * readers. */
+static GBytes *
+encode_value(const ObjectRecord *record, gboolean *is_packed)
+{
+    GBytes *text = record->text ? g_bytes_ref(record->text) : NULL;
+    GBytes *packed;
+    char *dump;
+
+    if (text == NULL) {
+        dump = record->value != NULL
+                   ? json_dumps(record->value, JSON_COMPACT | JSON_ENCODE_ANY)
+                   : NULL;
+        text = dump != NULL ? g_bytes_new(dump, strlen(dump))
+                            : g_bytes_new_static("null", strlen("null"));
+        free(dump);
+    }
+    *is_packed = g_bytes_get_size(text) >= MIN_PACKED_BYTES;
+    if (*is_packed) {
+        packed = Pack_Compress(g_bytes_get_data(text, NULL),
+                               g_bytes_get_size(text));
+        g_bytes_unref(text);
+        text = packed;
+    }
+    return text;
+}
+
 /* Creates the entry of a state that the host has read. A deletion is filed
  * under the revision of the answer, because its own is not known. */
 static Entry *
@@ -68,11 +100,10 @@
 {
     Entry *entry = g_new0(Entry, 1);
 
-    entry->record = *record;
-    entry->record.name = g_strdup(record->name);
-    /* A deep copy, because jansson's reference counts are not shared between
-     * threads. */
-    entry->record.value = json_deep_copy(record->value);
+    entry->record = (ObjectRecord){.name = g_strdup(record->name),
+                                   .revision = record->revision,
+                                   .deleted = record->deleted};
+    entry->record.text = encode_value(record, &entry->record.is_packed);
     entry->filed = record->deleted ? revision.number : record->revision.number;
     entry->updated = Clock_Now();
     return entry;
@@ -278,7 +309,7 @@
             continue;
         }
         copy.name = g_strdup(copy.name);
-        copy.value = json_deep_copy(copy.value);
+        copy.text = g_bytes_ref(copy.text);
         g_array_append_val(page->records, copy);
     }
 }
--- a/src/mirror/mirror_cache.h
+++ b/src/mirror/mirror_cache.h
@@ -20,6 +20,9 @@
  * earlier generation has to read all objects; one of a newer generation gets
  * nothing, so it is never taken back.
  *
+ * It keeps the text of each value, compressed if it is large, instead of the
+ * value: many readers get the same bytes.
+ *
  * Limits: thread safe.
  */
 #ifndef MIRROR_MIRROR_CACHE_H
@@ -54,11 +57,11 @@
                       ClockMs wait_ms);
 
 /* Fills the page with all changes after the revision, or with all objects if
- * its number is negative. Returns RESULT_STORE_HISTORY_GONE if the revision is
- * of an earlier generation or deletions after it have been discarded,
- * RESULT_STORE_UNAVAILABLE if there is no complete state yet or the reader's
- * generation is newer. A reader of unknown generation, -1, must not be ahead
- * of the cache. */
+ * its number is negative; the records have texts, but no values. Returns
+ * RESULT_STORE_HISTORY_GONE if the revision is of an earlier generation or
+ * deletions after it have been discarded, RESULT_STORE_UNAVAILABLE if there is
+ * no complete state yet or the reader's generation is newer. A reader of
+ * unknown generation, -1, must not be ahead of the cache. */
 Result MirrorCache_Read(MirrorCache *cache, ObjectRevision revision,
                         ObjectPage *page);
 
--- a/src/mirror/mirror_port.c
+++ b/src/mirror/mirror_port.c
@@ -1,8 +1,13 @@
 #include "mirror/mirror_port.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "http/http_server.h"
+#include "pack/pack.h"
+
+/* Smallest sum of texts that is compressed in an answer. */
+#define MIN_PACKED_BYTES 4096
 
 /* Upper bound of the wait_ms argument. */
 #define MAX_WAIT_MS 30000
@@ -41,26 +46,145 @@
     return value;
 }
 
-static json_t *
-encode_page(const ObjectPage *page)
+/* A body that is being written. In a compressed one the parts become frames.
+ */
+typedef struct Body {
+    gboolean is_packed;
+    GByteArray *bytes;
+    GString *pending; /* text that has not been compressed yet */
+} Body;
+
+static void
+append_bytes(Body *body, GBytes *bytes)
+{
+    g_byte_array_append(body->bytes, g_bytes_get_data(bytes, NULL),
+                        (guint)g_bytes_get_size(bytes));
+}
+
+/* Writes the text that is pending, as a frame in a compressed body. */
+static void
+flush_pending(Body *body)
+{
+    GBytes *frame;
+
+    if (body->is_packed) {
+        frame = Pack_Compress(body->pending->str, body->pending->len);
+        append_bytes(body, frame);
+        g_bytes_unref(frame);
+    }
+    else {
+        g_byte_array_append(body->bytes, (const guint8 *)body->pending->str,
+                            (guint)body->pending->len);
+    }
+    g_string_truncate(body->pending, 0);
+}
+
+/* Appends the value's text, which may be compressed already. Returns FALSE if
+ * there is no memory to decompress it. */
+static gboolean
+append_value(Body *body, const ObjectRecord *record)
+{
+    gsize bytes;
+    const char *data = g_bytes_get_data(record->text, &bytes);
+    MemoryBuffer text;
+    gboolean done = TRUE;
+
+    if (!record->is_packed) {
+        g_string_append_len(body->pending, data, (gssize)bytes);
+    }
+    else if (body->is_packed) {
+        flush_pending(body);
+        append_bytes(body, record->text);
+    }
+    else {
+        MemoryBuffer_Init(&text, Memory_Control(), MEMORY_ANSWERS_READ, 0);
+        done = Pack_Decompress(data, bytes, G_MAXUINT32, &text) == RESULT_OK;
+        g_string_append_len(body->pending, text.bytes, (gssize)text.length);
+        MemoryBuffer_Clear(&text);
+    }
+    return done;
+}
+
+/* Returns FALSE if there is not enough memory. */
+static gboolean
+append_objects(Body *body, const ObjectPage *page)
+{
+    gboolean done = TRUE;
+
+    for (guint i = 0; done && i < page->records->len; i++) {
+        const ObjectRecord *record =
+            &g_array_index(page->records, ObjectRecord, i);
+        json_t *name = json_string(record->name);
+        char *text = json_dumps(name, JSON_ENCODE_ANY);
+
+        g_string_append_printf(body->pending,
+                               "%s{\"name\":%s,\"revision\":%" PRId64
+                               ",\"deleted\":%s,\"value\":",
+                               i > 0 ? "," : "", text, record->revision.number,
+                               record->deleted ? "true" : "false");
+        done = append_value(body, record);
+        g_string_append_c(body->pending, '}');
+        free(text);
+        json_decref(name);
+    }
+    return done;
+}
+
+/* Sets the answer, or leaves it clear if there is not enough memory. */
+static void
+set_page(HttpAnswer *answer, const ObjectPage *page, gboolean is_packed)
+{
+    Body body = {.is_packed = is_packed,
+                 .bytes = g_byte_array_new(),
+                 .pending = g_string_new(NULL)};
+
+    g_string_append_printf(body.pending,
+                           "{\"generation\":%" PRId64 ",\"revision\":%" PRId64
+                           ",\"held_ms\":%" PRId64 ",\"age_ms\":%" PRId64
+                           ",\"objects\":[",
+                           page->revision.generation, page->revision.number,
+                           page->held_ms, page->age_ms);
+    if (append_objects(&body, page)) {
+        g_string_append(body.pending, "]}");
+        flush_pending(&body);
+        answer->status = 200;
+        HttpHeaders_Add(&answer->headers, "Content-Type", "application/json");
+        if (is_packed) {
+            HttpHeaders_Add(&answer->headers, "Content-Encoding",
+                            PACK_ENCODING);
+        }
+        HttpAnswer_SetBody(answer, body.bytes->data, body.bytes->len);
+    }
+    g_byte_array_unref(body.bytes);
+    g_string_free(body.pending, TRUE);
+}
+
+/* Whether the page is compressed for a reader that accepts that: it has an
+ * object that is, or many small ones. */
+static gboolean
+is_worth_packing(const ObjectPage *page)
 {
-    json_t *objects = json_array();
+    size_t bytes = 0;
 
     for (guint i = 0; i < page->records->len; i++) {
         const ObjectRecord *record =
             &g_array_index(page->records, ObjectRecord, i);
 
-        json_array_append_new(
-            objects,
-            json_pack("{s:s, s:I, s:b, s:O?}", "name", record->name,
-                      "revision", (json_int_t)record->revision.number,
-                      "deleted", record->deleted, "value", record->value));
-    }
-    return json_pack("{s:I, s:I, s:I, s:I, s:o}", "generation",
-                     (json_int_t)page->revision.generation, "revision",
-                     (json_int_t)page->revision.number, "held_ms",
-                     (json_int_t)page->held_ms, "age_ms",
-                     (json_int_t)page->age_ms, "objects", objects);
+        bytes += g_bytes_get_size(record->text);
+        if (record->is_packed || bytes >= MIN_PACKED_BYTES) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+static gboolean
+accepts_packed(const HttpRequest *request)
+{
+    const char *accepted =
+        HttpHeaders_Get(HttpRequest_Headers(request), "Accept-Encoding");
+
+    return accepted != NULL && strcmp(accepted, PACK_ENCODING) == 0;
 }
 
 /* Waits until the host watches the kind at the store, for a short time: it may
@@ -114,7 +238,6 @@
                             .number = read_argument(request, "since", 0)};
     ObjectPage page;
     Result result = RESULT_NOT_FOUND;
-    json_t *body;
 
     ObjectPage_Init(&page);
     if (kind != NULL) {
@@ -122,11 +245,11 @@
                            read_argument(request, "any_age", 0) != 0, &page);
     }
     if (result == RESULT_OK) {
-        body = encode_page(&page);
-        HttpAnswer_SetJson(&answer, 200, json_dumps(body, JSON_COMPACT));
-        json_decref(body);
+        set_page(&answer, &page,
+                 accepts_packed(request) && is_worth_packing(&page));
+        result = answer.status == 200 ? RESULT_OK : RESULT_OVERLOADED;
     }
-    else {
+    if (result != RESULT_OK) {
         HttpAnswer_SetRefusal(&answer, result, RUN_NO, NULL, NULL);
     }
     ObjectPage_Clear(&page);
--- a/src/mirror/mirror_port.h
+++ b/src/mirror/mirror_port.h
@@ -4,7 +4,8 @@
  *   GET /radishknot/mirror/<kind>?generation=<n>&since=<revision>&wait_ms=<ms>
  * answers {"generation", "revision", "held_ms", "age_ms", "objects": [{"name",
  * "revision", "deleted", "value"}]} as soon as there is a change after the
- * revision, or after wait_ms; since=-1 requests all objects. The status is 410
+ * revision, or after wait_ms; since=-1 requests all objects. With the header
+ * "Accept-Encoding: zstd" a large answer is compressed. The status is 410
  * if the host no longer has that history, 503 if it does not watch the store
  * itself, nor begins to within a short time, or its state is older than
  * max_age_ms or from before the reader's generation. With any_age=1, a kind
--- a/src/objects/object_store.c
+++ b/src/objects/object_store.c
@@ -31,6 +31,7 @@
 {
     g_free(record->name);
     json_decref(record->value);
+    g_clear_pointer(&record->text, g_bytes_unref);
     *record = (ObjectRecord){0};
 }
 
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -36,8 +36,10 @@
 typedef struct ObjectRecord {
     char *name;
     ObjectRevision revision;
-    gboolean deleted; /* in a watch: the object was deleted */
-    json_t *value;    /* NULL if it could not be decoded */
+    gboolean deleted;   /* in a watch: the object was deleted */
+    json_t *value;      /* NULL if it could not be decoded */
+    GBytes *text;       /* the value as JSON text; NULL: not kept */
+    gboolean is_packed; /* the text is compressed (pack/pack.h) */
 } ObjectRecord;
 
 /* How an answer arrived; zero for a store that does not tell. */
