http: a transfer that makes progress is not cut by the time for an answer

Cause: a neighbour's whole answer had the wait time and 300 ms, the store's 1,000 ms, whatever its size. 0.3 to 0.9 MB take 0.24 to 0.7 s alone on a link of 10 Mbit/s, and 31 readers share the one of their leader.

Change: HttpCall.stall_ms. A source that falls silent or sends a few bytes at a time is given up as before.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -394,7 +394,8 @@
                                .max_body_bytes = client->desc.max_answer_bytes,
                                .memory = client->desc.memory,
                                .sender = address_key(&call->address),
-                               .transfer = call->transfer};
+                               .transfer = call->transfer,
+                               .stall_ms = call->stall_ms};
     gboolean complete;
     Result result = send_request(connection, call, &complete);
 
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -63,6 +63,9 @@
     const void *body;
     size_t body_bytes;
     ClockMs deadline;
+    ClockMs stall_ms; /* 0: the deadline holds for the whole answer. Otherwise
+                         only for its head, and the body may take longer while
+                         it makes progress (HttpReadOptions) */
     ClockMs connect_ms;        /* connect timeout; 0: the client's */
     ClockMs max_idle_ms;       /* idle limit of a pooled connection to be
                                   used; 0: the client's */
--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -449,8 +449,27 @@
 typedef struct Body {
     MemoryBuffer buffer;
     size_t max_bytes;
+    ClockMs deadline;
+    ClockMs stall_ms;       /* see HttpReadOptions */
+    ClockMs progress_until; /* end of the present period */
+    size_t progress_from;   /* length at its begin */
 } Body;
 
+/* Returns the time until which the next bytes of the body have to arrive. */
+static ClockMs
+next_deadline(Body *body)
+{
+    if (body->stall_ms == 0) {
+        return body->deadline;
+    }
+    if (body->progress_until == 0 ||
+        body->buffer.length >= body->progress_from + HTTP_PROGRESS_BYTES) {
+        body->progress_from = body->buffer.length;
+        body->progress_until = Clock_Now() + body->stall_ms;
+    }
+    return MAX(body->deadline, body->progress_until);
+}
+
 /* Moves up to `bytes` unread bytes into the body. */
 static Result
 take_unread(HttpConnection *connection, Body *body, size_t bytes)
@@ -477,15 +496,14 @@
 }
 
 static Result
-read_bytes(HttpConnection *connection, Body *body, size_t bytes,
-           ClockMs deadline)
+read_bytes(HttpConnection *connection, Body *body, size_t bytes)
 {
     size_t wanted = body->buffer.length + bytes;
     Result result = take_unread(connection, body, bytes);
     ReadState state;
 
     while (result == RESULT_OK && body->buffer.length < wanted) {
-        state = fill(connection, deadline);
+        state = fill(connection, next_deadline(body));
         result = state == READ_DATA ? take_unread(connection, body,
                                                   wanted - body->buffer.length)
                                     : body_error(state);
@@ -507,7 +525,7 @@
 }
 
 static Result
-read_chunks(HttpConnection *connection, Body *body, ClockMs deadline)
+read_chunks(HttpConnection *connection, Body *body)
 {
     HttpHeaders trailers = {0};
     Result result;
@@ -516,7 +534,7 @@
     char *line;
 
     do {
-        state = read_line(connection, deadline, &line);
+        state = read_line(connection, next_deadline(body), &line);
         if (state != READ_DATA) {
             return body_error(state);
         }
@@ -527,17 +545,17 @@
             return RESULT_TOO_LARGE;
         }
         if (bytes > 0) {
-            result = read_bytes(connection, body, bytes, deadline);
+            result = read_bytes(connection, body, bytes);
             if (result != RESULT_OK) {
                 return result;
             }
-            state = read_line(connection, deadline, &line);
+            state = read_line(connection, next_deadline(body), &line);
             if (state != READ_DATA || line[0] != '\0') {
                 return body_error(state);
             }
         }
     } while (bytes > 0);
-    if (!read_headers(connection, deadline, &trailers, &state)) {
+    if (!read_headers(connection, next_deadline(body), &trailers, &state)) {
         HttpHeaders_Clear(&trailers);
         return body_error(state);
     }
@@ -546,13 +564,13 @@
 }
 
 static Result
-read_to_end(HttpConnection *connection, Body *body, ClockMs deadline)
+read_to_end(HttpConnection *connection, Body *body)
 {
     ReadState state = READ_DATA;
     Result result = take_unread(connection, body, G_MAXSIZE);
 
     while (result == RESULT_OK) {
-        state = fill(connection, deadline);
+        state = fill(connection, next_deadline(body));
         if (state != READ_DATA) {
             connection->ended_body = state == READ_CLOSED;
             return state == READ_CLOSED ? RESULT_OK : body_error(state);
@@ -600,11 +618,11 @@
  * bodies that are being read or held; meanwhile the sender's bytes fill its
  * connection and then stop. */
 static Result
-reserve(HttpConnection *connection, Body *body, size_t length,
-        ClockMs deadline)
+reserve(HttpConnection *connection, Body *body, size_t length)
 {
     ClockMs now = Clock_Now();
-    ClockMs until = MIN(deadline, now + MEMORY_WAIT_MS);
+    ClockMs until = MIN(next_deadline(body), now + MEMORY_WAIT_MS);
+    ClockMs deadline;
     int events;
 
     if (connection->soft_timeout != NULL) {
@@ -629,8 +647,7 @@
 
 static Result
 read_body(HttpConnection *connection, const HttpReadOptions *options,
-          const HttpAnswer *answer, Body *body, ClockMs deadline,
-          gboolean *reusable)
+          const HttpAnswer *answer, Body *body, gboolean *reusable)
 {
     const char *encoding =
         HttpHeaders_Get(&answer->headers, "Transfer-Encoding");
@@ -647,22 +664,20 @@
         return g_ascii_strcasecmp(encoding, "chunked") == 0 &&
                        count_headers(&answer->headers, "Transfer-Encoding") ==
                            1
-                   ? read_chunks(connection, body, deadline)
+                   ? read_chunks(connection, body)
                    : RESULT_ANSWER_TRUNCATED;
     }
     if (length < 0) {
         *reusable = FALSE;
-        return options->allow_unframed
-                   ? read_to_end(connection, body, deadline)
-                   : RESULT_ANSWER_TRUNCATED;
+        return options->allow_unframed ? read_to_end(connection, body)
+                                       : RESULT_ANSWER_TRUNCATED;
     }
     if ((uint64_t)length > options->max_body_bytes) {
         return RESULT_TOO_LARGE;
     }
-    result = reserve(connection, body, (size_t)length, deadline);
-    return result == RESULT_OK
-               ? read_bytes(connection, body, (size_t)length, deadline)
-               : result;
+    result = reserve(connection, body, (size_t)length);
+    return result == RESULT_OK ? read_bytes(connection, body, (size_t)length)
+                               : result;
 }
 
 /* Whether a Connection header has "close" among its options. */
@@ -695,7 +710,9 @@
                           HttpAnswer *answer, gboolean *reusable)
 {
     ReadState state = READ_DATA;
-    Body body = {.max_bytes = options->max_body_bytes};
+    Body body = {.max_bytes = options->max_body_bytes,
+                 .deadline = deadline,
+                 .stall_ms = options->stall_ms};
     Result result;
 
     *reusable = FALSE;
@@ -710,7 +727,7 @@
     *reusable = !has_connection_close(answer);
     MemoryBuffer_Init(&body.buffer, options->memory, MEMORY_ANSWERS_READ,
                       options->sender);
-    result = read_body(connection, options, answer, &body, deadline, reusable);
+    result = read_body(connection, options, answer, &body, reusable);
     if (options->transfer != NULL) {
         options->transfer->received_bytes = body.buffer.length;
     }
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -51,6 +51,8 @@
     size_t received_bytes;  /* of the body */
 } HttpTransfer;
 
+#define HTTP_PROGRESS_BYTES 4096
+
 typedef struct HttpReadOptions {
     gboolean no_body;        /* answer to a HEAD request */
     gboolean allow_unframed; /* accept a body that ends with the connection */
@@ -58,6 +60,9 @@
     Memory *memory;  /* lends the block of the body; NULL: the process's */
     uint64_t sender; /* whose share of the account the body takes */
     HttpTransfer *transfer; /* filled; may be NULL */
+    ClockMs stall_ms; /* 0: the deadline holds for the body, too. Otherwise the
+                         body may take longer, as long as HTTP_PROGRESS_BYTES
+                         or its end arrive within each period of this length */
 } HttpReadOptions;
 
 /* Unacknowledged data, or unanswered keep-alive probes, end the connection
--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -14,7 +14,8 @@
  * can be skipped at a time. */
 #define MAX_NEIGHBOURS 3
 
-/* Timeout of a neighbour's answer, in addition to the wait time of a watch. */
+/* Timeout of the head of a neighbour's answer, in addition to the wait time of
+ * a watch, and of progress in its body. */
 #define ANSWER_TIMEOUT_MS 300
 #define CONNECT_TIMEOUT_MS 250
 
@@ -273,6 +274,7 @@
                      .headers = &headers,
                      .connect_ms = CONNECT_TIMEOUT_MS,
                      .deadline = called + wait_ms + ANSWER_TIMEOUT_MS,
+                     .stall_ms = ANSWER_TIMEOUT_MS,
                      .transfer = &transfer};
     gboolean sent;
     Result result =
