sidecar: a configuration is passed on before it is decoded

Change: the callback for a change files it for the neighbours and keeps it; the confirmation publishes it to them, and then it is decoded and put in force.

Result: process_sidecar and process_transfer pass.

--- a/src/sidecar/sidecar_internal.h
+++ b/src/sidecar/sidecar_internal.h
@@ -53,6 +53,8 @@
     Mirror *catalog_mirror;
     Mirror *roster_mirror;
     ObjectSync *catalog_sync;
+    ObjectRecord read_catalog; /* to be put in force; used by the thread of
+                                  catalog_sync only; no name: none */
     ObjectSync *roster_sync;
     int64_t roster_generation; /* of the last list of backend servers */
     atomic_bool roster_known;  /* the backend servers have been listed */
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -56,11 +56,11 @@
                                    .start_ms = service->cold_start_ms};
 }
 
-static gboolean
-catalog_changed(void *context, const ObjectRecord *record,
-                ObjectRevision revision)
+/* Puts the configuration in force that was read last, if there is one. */
+static void
+apply_catalog(Sidecar *sidecar)
 {
-    Sidecar *sidecar = context;
+    ObjectRecord *record = &sidecar->read_catalog;
     CatalogTable *table;
     BackendColdRate cold;
     GError *error = NULL;
@@ -71,11 +71,8 @@
     ClockMs started = Clock_Now();
     ClockMs age;
 
-    MirrorCache_Update(sidecar->kinds[SIDECAR_CATALOG].cache, record,
-                       revision);
-    if (record->deleted ||
-        strcmp(record->name, sidecar->adapter->catalog_name) != 0) {
-        return TRUE;
+    if (record->name == NULL) {
+        return;
     }
     table = sidecar->adapter->decode_catalog(record->value, &error);
     if (table == NULL) {
@@ -85,7 +82,8 @@
                   error->message);
         g_error_free(error);
         Catalog_Reject(sidecar->catalog);
-        return TRUE;
+        ObjectRecord_Clear(record);
+        return;
     }
     _Sidecar_AwaitEvacuations(sidecar);
     version = CatalogTable_Version(table);
@@ -111,6 +109,27 @@
             "version=%" PRIu64 " generation=%" PRId64 " revision=%" PRId64,
             version, record->revision.generation, record->revision.number);
     }
+    ObjectRecord_Clear(record);
+}
+
+/* Keeps the configuration until the answer is confirmed: neighbours get it
+ * first, since decoding it takes long if it is large. */
+static gboolean
+catalog_changed(void *context, const ObjectRecord *record,
+                ObjectRevision revision)
+{
+    Sidecar *sidecar = context;
+
+    MirrorCache_Update(sidecar->kinds[SIDECAR_CATALOG].cache, record,
+                       revision);
+    if (!record->deleted &&
+        strcmp(record->name, sidecar->adapter->catalog_name) == 0) {
+        ObjectRecord_Clear(&sidecar->read_catalog);
+        sidecar->read_catalog =
+            (ObjectRecord){.name = g_strdup(record->name),
+                           .revision = record->revision,
+                           .value = json_incref(record->value)};
+    }
     return TRUE;
 }
 
@@ -168,10 +187,11 @@
 {
     Sidecar *sidecar = context;
 
-    enter_generation(sidecar, revision.generation);
-    Catalog_Confirm(sidecar->catalog, as_of, revision.generation);
     MirrorCache_Confirm(sidecar->kinds[SIDECAR_CATALOG].cache, as_of,
                         revision);
+    apply_catalog(sidecar);
+    enter_generation(sidecar, revision.generation);
+    Catalog_Confirm(sidecar->catalog, as_of, revision.generation);
 }
 
 static gboolean
@@ -363,5 +383,6 @@
     Mirror_Destroy(sidecar->roster_mirror);
     MirrorCache_Destroy(sidecar->kinds[SIDECAR_CATALOG].cache);
     MirrorCache_Destroy(sidecar->kinds[SIDECAR_ROSTER].cache);
+    ObjectRecord_Clear(&sidecar->read_catalog);
     ObjectGeneration_Destroy(sidecar->generation);
 }
