--- a/src/mirror/test_mirror_large.c
+++ b/src/mirror/test_mirror_large.c
@@ -10,6 +10,8 @@
 #include "base/rng.h"
 #include "http/http_message.h"
 #include "mirror/mirror.h"
+#include "mirror/mirror_port.h"
+#include "pack/pack.h"
 
 #define HEAD                                                         \
     "{\"generation\":1,\"revision\":5,\"held_ms\":0,\"age_ms\":0,"   \
@@ -270,11 +272,133 @@
     }
 }
 
+/* Returns the value "v" of each object of the answer, in the order of names.
+ */
+static char *
+describe_answer(const HttpAnswer *answer)
+{
+    const char *encoding =
+        HttpHeaders_Get(&answer->headers, "Content-Encoding");
+    GString *text = g_string_new(encoding ? encoding : "plain");
+    MemoryBuffer body;
+    ObjectPage page;
+
+    ObjectPage_Init(&page);
+    MemoryBuffer_Init(&body, Memory_Control(), MEMORY_ANSWERS_READ, 1);
+    if (encoding != NULL) {
+        g_assert_cmpint(
+            Pack_Decompress(answer->body, answer->body_bytes, 1 << 20, &body),
+            ==, RESULT_OK);
+        g_assert_true(_Mirror_ReadPage(body.bytes, body.length, &page));
+    }
+    else {
+        g_assert_true(
+            _Mirror_ReadPage(answer->body, answer->body_bytes, &page));
+    }
+    for (char name = 'a'; name <= 'c'; name++) {
+        for (guint i = 0; i < page.records->len; i++) {
+            const ObjectRecord *record =
+                &g_array_index(page.records, ObjectRecord, i);
+            json_t *value = json_object_get(record->value, "v");
+
+            if (record->name[0] == name) {
+                g_string_append_printf(text, " %c%d:%zu", name,
+                                       (int)record->revision.number,
+                                       strlen(json_string_value(value)));
+            }
+        }
+    }
+    ObjectPage_Clear(&page);
+    MemoryBuffer_Clear(&body);
+    return g_string_free(text, FALSE);
+}
+
+static gboolean
+is_always_direct(void *context)
+{
+    (void)context;
+    return TRUE;
+}
+
+/* Guards against an answer that a daemon of an earlier version cannot read,
+ * and against one that differs by how it is sent. */
+static void
+test_packed(void)
+{
+    static const struct {
+        const char *accepted;
+        int64_t since;
+        const char *answer;
+    } cases[] = {
+        {NULL, 0, "plain a1:5000 b2:3 c3:9000"},
+        {"zstd", 0, "zstd a1:5000 b2:3 c3:9000"},
+        {"gzip", 0, "plain a1:5000 b2:3 c3:9000"},
+        {"zstd", 1, "zstd b2:3 c3:9000"},
+    };
+    static const size_t sizes[] = {5000, 3, 9000};
+    MirrorCache *cache = MirrorCache_Create();
+    MirrorKind kind = {.kind = "k",
+                       .cache = cache,
+                       .max_age_ms = 60000,
+                       .is_direct = is_always_direct};
+    MirrorPort_desc desc = {.threads = 1, .kinds = &kind, .kind_count = 1};
+    HttpClient *client = HttpClient_Create(&(HttpClient_desc){0});
+    MirrorPort *port;
+
+    MirrorCache_Confirm(cache, Clock_Now(), (ObjectRevision){0});
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        char name[] = {(char)('a' + i), '\0'};
+        char *text = g_strnfill(sizes[i], 'x');
+        ObjectRecord record = {.name = name,
+                               .revision.number = (int64_t)i + 1,
+                               .value = json_pack("{s:s}", "v", text)};
+
+        MirrorCache_Update(cache, &record,
+                           (ObjectRevision){.number = (int64_t)i + 1});
+        json_decref(record.value);
+        g_free(text);
+    }
+    MirrorCache_Confirm(cache, Clock_Now(), (ObjectRevision){.number = 3});
+    g_assert_true(HttpAddress_Parse("127.0.0.1:0", &desc.address));
+    port = MirrorPort_Create(&desc, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *target =
+            g_strdup_printf(MIRROR_PATH "k?generation=0&since=%d&wait_ms=10",
+                            (int)cases[i].since);
+        HttpHeaders headers = {0};
+        HttpCall call = {.address = desc.address,
+                         .method = "GET",
+                         .target = target,
+                         .headers = &headers,
+                         .deadline = Clock_Now() + 5000};
+        HttpAnswer answer = {0};
+        char *found;
+        gboolean sent;
+
+        call.address.sin_port = htons(MirrorPort_Port(port));
+        if (cases[i].accepted != NULL) {
+            HttpHeaders_Add(&headers, "Accept-Encoding", cases[i].accepted);
+        }
+        g_assert_cmpint(HttpClient_Call(client, &call, &answer, &sent), ==,
+                        RESULT_OK);
+        found = describe_answer(&answer);
+        g_assert_cmpstr(found, ==, cases[i].answer);
+        g_free(found);
+        HttpAnswer_Clear(&answer);
+        HttpHeaders_Clear(&headers);
+        g_free(target);
+    }
+    HttpClient_Destroy(client);
+    MirrorPort_Destroy(port);
+    MirrorCache_Destroy(cache);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/mirror/large", test_transfer);
     g_test_add_func("/mirror/list-behind", test_list_behind);
+    g_test_add_func("/mirror/packed", test_packed);
     return g_test_run();
 }
