mirror: after a list, readers that were not as far list, too

Backend servers and evacuations are concerned, not the configuration, which is one object.

Change: the cache answers such a reader that its history is gone, and it lists, as it does for deletions that have been discarded. Readers of readers are covered, too, since each list does the same.

Lists are rare, after the store has dropped its history or was restored.

--- a/src/mirror/mirror_cache.c
+++ b/src/mirror/mirror_cache.c
@@ -22,10 +22,11 @@
     GHashTable *entries; /* name -> Entry */
     GHashTable *staged;  /* the same, not confirmed yet */
     int64_t staged_generation;
+    gboolean staged_list;    /* the whole kind has been listed */
     ObjectRevision revision; /* all changes up to it are present; number -1:
                                 none yet in this generation */
     int64_t newest;          /* revision of the last change */
-    int64_t discarded;       /* deletions up to it have been discarded */
+    int64_t discarded;       /* deletions up to it are unknown */
     ClockMs confirmed;
     uint64_t confirmations;
 };
@@ -135,6 +136,7 @@
 {
     if (revision.generation > cache->staged_generation) {
         g_hash_table_remove_all(cache->staged);
+        cache->staged_list = FALSE;
         cache->staged_generation = revision.generation;
     }
     return revision.generation == cache->staged_generation;
@@ -177,6 +179,7 @@
 {
     pthread_mutex_lock(&cache->lock);
     if (enter_staging(cache, revision)) {
+        cache->staged_list = TRUE;
         stage_deletions(cache, cache->staged, names, revision);
         if (revision.generation == cache->revision.generation) {
             stage_deletions(cache, cache->entries, names, revision);
@@ -202,11 +205,17 @@
 
 /* Called with the lock held. */
 static void
-publish_staged(MirrorCache *cache)
+publish_staged(MirrorCache *cache, int64_t revision)
 {
     GHashTableIter iterator;
     gpointer value;
 
+    if (cache->staged_list || cache->revision.number < 0) {
+        /* An object that was created and deleted since the state before is
+         * unknown, so a reader that may have it has to list, too. */
+        cache->discarded = MAX(cache->discarded, revision);
+    }
+    cache->staged_list = FALSE;
     g_hash_table_iter_init(&iterator, cache->staged);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         Entry *entry = value;
@@ -242,17 +251,14 @@
 {
     pthread_mutex_lock(&cache->lock);
     if (enter_generation(cache, revision)) {
-        if (revision.number < cache->revision.number) {
-            /* A list from a source that is behind. */
+        if (cache->staged_generation != revision.generation ||
+            revision.number < cache->revision.number) {
+            /* Of an earlier generation, or a list of a source that is behind.
+             */
             g_hash_table_remove_all(cache->staged);
+            cache->staged_list = FALSE;
         }
-        else if (cache->staged_generation == revision.generation) {
-            publish_staged(cache);
-        }
-        if (cache->revision.number < 0) {
-            /* Deletions up to the first list are unknown. */
-            cache->discarded = revision.number;
-        }
+        publish_staged(cache, revision.number);
         cache->revision.number = MAX(cache->revision.number, revision.number);
         cache->confirmed = MAX(cache->confirmed, as_of);
         cache->confirmations++;
--- a/src/mirror/mirror_cache.h
+++ b/src/mirror/mirror_cache.h
@@ -13,7 +13,8 @@
  * deletion, which has none, under that of the answer. So a reader that has all
  * changes up to some revision, from any source, misses none. A state of an
  * object never replaces a later one. Deletions are kept for
- * MIRROR_DELETION_MS.
+ * MIRROR_DELETION_MS; those before a list are unknown, so readers that were
+ * not as far have to list, too.
  *
  * The cache holds one generation of the store. The first update of a newer one
  * discards it, and updates of an earlier one are ignored. A reader of an
--- a/src/mirror/test_mirror_skipped.c
+++ b/src/mirror/test_mirror_skipped.c
@@ -223,9 +223,15 @@
     ObjectPage_Clear(&page);
 }
 
+/* Deleting an object that does not exist changes nothing. */
 static void
 change(World *world, int object, gboolean deleted)
 {
+    int64_t last = last_change(&world->store, object, MAX_CHANGES);
+
+    if (deleted && world->store.changes[last - 1].deleted) {
+        return;
+    }
     world->store.changes[world->store.count++] =
         (Change){.object = object, .deleted = deleted};
 }
@@ -302,6 +308,9 @@
          "LS L. RL R. 2S Ca 2. LS 2L L. 2. 2L 2. R2 R."},
         {"a deletion just before the first list of a source",
          "LS L. RL R. Da 2S 2. R2 R."},
+        {"an object that was created and deleted before a list",
+         "LS L. Da 2S 2. Ca LS L. RS R. Cb RL 2R RS RL Da Cb 2S 2. LR L. RL "
+         "R. L2 L. R2 R."},
         {"a list from a source that is behind",
          "LS L. 2S 2. Ca 2S 2. RL R. R2 R."},
         {"two changes close together, the second while the first is read",
