--- a/soak/soak.c
+++ b/soak/soak.c
@@ -113,8 +113,9 @@
     }
     g_string_append(text, "]");
     prefix = g_strdup_printf("/v%u/", soak->version);
-    Site_ConfigureRoute(soak->site, soak->version, text->str, 0,
-                        soak->has_probe_route ? prefix : NULL);
+    Site_ConfigureSize(soak->site, soak->version, text->str, 0,
+                       soak->has_probe_route ? prefix : NULL,
+                       soak->more_routes);
     g_free(prefix);
     g_string_free(text, TRUE);
 }
@@ -184,6 +185,9 @@
 static void
 start_site(Soak *soak, const Mode *mode, gboolean has_endless)
 {
+    Rng rng; /* not that of the schedule */
+
+    Rng_Seed(&rng, soak->seed);
     soak->site = Site_Create();
     soak->has_probe_route = mode->has_probe_route;
     soak->refused_ids = g_ptr_array_new_with_free_func(g_free);
@@ -202,6 +206,11 @@
                                                          : mode->settings};
 
         Site_SetWorkMs(soak->site, Site_AddHost(soak->site, &desc), 20);
+        if (soak->more_routes > 0) {
+            Site_SlowStore(soak->site, i,
+                           MIN_LINK_BYTES_PER_S +
+                               (int)Rng_Below(&rng, MIN_LINK_BYTES_PER_S));
+        }
     }
     if (has_endless) {
         Endless_AddHost(soak);
@@ -218,6 +227,7 @@
     gboolean has_long_runs;
     gboolean has_cold;
     gboolean has_readers;
+    gboolean is_large;
 } Options;
 
 static const Mode *
@@ -262,6 +272,9 @@
     case 'r':
         options->has_readers = TRUE;
         return 0;
+    case 'g':
+        options->is_large = TRUE;
+        return 0;
     default:
         return ARGP_ERR_UNKNOWN;
     }
@@ -281,6 +294,8 @@
         {"long-runs", 'l', NULL, 0, "a few requests take far longer", 0},
         {"cold", 'c', NULL, 0, "backend servers become cold", 0},
         {"readers", 'r', NULL, 0, "callers read slowly and send on", 0},
+        {"large", 'g', NULL, 0,
+         "a configuration of many routes, over slow links to the store", 0},
         {0}};
     static const struct argp argp = {
         argp_options,
@@ -299,6 +314,7 @@
     soak.seed = options.seed;
     soak.has_long_runs = options.has_long_runs;
     soak.has_cold = options.has_cold;
+    soak.more_routes = options.is_large ? MORE_ROUTES : 0;
     soak.hosts =
         MIN(options.hosts, SITE_MAX_HOSTS - (options.has_endless ? 1 : 0));
     start_site(&soak, options.mode, options.has_endless);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -27,6 +27,11 @@
 /* Time allowed for requests that were in flight at the end of DRAIN_MS. */
 #define IN_FLIGHT_MS 300
 
+/* With large configurations: 1,400 routes are some 330 kB, and each host gets
+ * them from the store within 0.5 to 1 s. */
+#define MORE_ROUTES 1400
+#define MIN_LINK_BYTES_PER_S 350000
+
 #define KEYS 4
 
 typedef struct Soak {
@@ -48,6 +53,7 @@
     pthread_mutex_t lock;
     GPtrArray *refused_ids;
     unsigned version;
+    int more_routes;                 /* in the configuration */
     gboolean has_probe_route;        /* versions have a route of their own */
     gboolean configured[KEYS];       /* the key is in the configuration */
     _Atomic ClockMs withdrawn[KEYS]; /* time, or CLOCK_NEVER */
--- a/src/mirror/test_mirror_large.c
+++ b/src/mirror/test_mirror_large.c
@@ -295,7 +295,7 @@
         g_assert_true(
             _Mirror_ReadPage(answer->body, answer->body_bytes, &page));
     }
-    for (char name = 'a'; name <= 'c'; name++) {
+    for (int name = 'a'; name <= 'c'; name++) {
         for (guint i = 0; i < page.records->len; i++) {
             const ObjectRecord *record =
                 &g_array_index(page.records, ObjectRecord, i);
--- a/src/mirror/test_mirror_skipped.c
+++ b/src/mirror/test_mirror_skipped.c
@@ -38,17 +38,18 @@
     Host hosts[HOSTS];
 } World;
 
-static const char *const NAMES[OBJECTS] = {"a", "b", "c"};
+static const char *const object_names[OBJECTS] = {"a", "b", "c"};
 
 static int
 find_object(const char *name)
 {
-    int object = 0;
-
-    while (strcmp(NAMES[object], name) != 0) {
-        object++;
+    for (int object = 0; object < OBJECTS; object++) {
+        if (strcmp(object_names[object], name) == 0) {
+            return object;
+        }
     }
-    return object;
+    g_error("no object %s", name);
+    return -1;
 }
 
 /* Returns the revision of the last change of the object up to `until`. */
@@ -70,7 +71,7 @@
 {
     int64_t last = last_change(store, object, store->count);
     gboolean deleted = last > 0 && store->changes[last - 1].deleted;
-    ObjectRecord record = {.name = g_strdup(NAMES[object]),
+    ObjectRecord record = {.name = g_strdup(object_names[object]),
                            .revision.number =
                                deleted ? last_change(store, object, last - 1)
                                        : last,
@@ -107,7 +108,7 @@
             names, g_array_index(host->page.records, ObjectRecord, i).name);
     }
     for (int object = 0; object < OBJECTS; object++) {
-        if (!g_hash_table_contains(names, NAMES[object])) {
+        if (!g_hash_table_contains(names, object_names[object])) {
             host->is_deleted[object] = TRUE;
             host->known[object] =
                 last_change(&world->store, object, MAX_CHANGES);
@@ -186,7 +187,7 @@
             (known[object] == last && is_deleted[object] != deleted &&
              last > 0)) {
             g_error("%s: holds revision %d of %s, of %d", what,
-                    (int)known[object], NAMES[object], (int)last);
+                    (int)known[object], object_names[object], (int)last);
         }
     }
 }
--- a/tests/process_transfer.c
+++ b/tests/process_transfer.c
@@ -51,7 +51,7 @@
         Site_AddHost(site, &(SiteHost_desc){0});
         Site_AwaitReady(site);
         Site_SlowStore(site, 0, cases[i].bytes_per_s);
-        Site_ConfigureSize(site, 2, KEYS, RATE, MORE_ROUTES);
+        Site_ConfigureSize(site, 2, KEYS, RATE, NULL, MORE_ROUTES);
         acknowledged = Clock_Now();
         do {
             sent = Clock_Now();
@@ -136,7 +136,7 @@
             }
             version++;
             /* Each version has one route more. */
-            Site_ConfigureSize(site, version, KEYS, RATE, (int)version);
+            Site_ConfigureSize(site, version, KEYS, RATE, NULL, (int)version);
             acknowledged = Clock_Now();
             for (int host = 0; host < HOSTS; host++) {
                 if (host != source || cases[i].signal == 0) {
--- a/tests/site.h
+++ b/tests/site.h
@@ -83,9 +83,9 @@
 void Site_ConfigureRoute(Site *site, unsigned version, const char *keys,
                          int rate_per_s, const char *prefix);
 
-/* As Site_Configure(), with so many more routes that lead nowhere. */
+/* As Site_ConfigureRoute(), with so many more routes like it, "/more-<n>/". */
 void Site_ConfigureSize(Site *site, unsigned version, const char *keys,
-                        int rate_per_s, int routes);
+                        int rate_per_s, const char *prefix, int routes);
 
 /* Returns the number of the host. */
 int Site_AddHost(Site *site, const SiteHost_desc *desc);
--- a/tests/site_config.c
+++ b/tests/site_config.c
@@ -70,19 +70,18 @@
 }
 
 void
-Site_ConfigureRoute(Site *site, unsigned version, const char *keys,
-                    int rate_per_s, const char *prefix)
+Site_ConfigureSize(Site *site, unsigned version, const char *keys,
+                   int rate_per_s, const char *prefix, int routes)
 {
     write_configuration(site, version, make_teams(keys, rate_per_s), prefix,
-                        0);
+                        routes);
 }
 
 void
-Site_ConfigureSize(Site *site, unsigned version, const char *keys,
-                   int rate_per_s, int routes)
+Site_ConfigureRoute(Site *site, unsigned version, const char *keys,
+                    int rate_per_s, const char *prefix)
 {
-    write_configuration(site, version, make_teams(keys, rate_per_s), NULL,
-                        routes);
+    Site_ConfigureSize(site, version, keys, rate_per_s, prefix, 0);
 }
 
 void
