--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -86,8 +86,8 @@
                                   the id, ends the call and the connection */
     const HttpSoftTimeout *soft_timeout; /* NULL: none */
     HttpCancel *cancel;                  /* NULL: cannot be cancelled */
-    HttpTransfer *transfer; /* zeroed by the caller; filled also if the call
-                               fails; may be NULL */
+    HttpTransfer *transfer; /* its results are zeroed by the caller and filled
+                               also if the call fails; may be NULL */
 } HttpCall;
 
 HttpClient *HttpClient_Create(const HttpClient_desc *desc);
--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -57,7 +57,7 @@
     unsigned next_avoided;
     uint64_t source; /* host that gave the last answer; 0: the store */
     atomic_bool direct;
-    ObjectRevision reached; /* newest one of an answer */
+    ObjectRevision reached; /* newest one of an answer, for the same thread */
     ClockMs away_until;     /* the store is taken as away; 0: it is not */
     gboolean knows;         /* a list has been read */
 };
--- a/src/mirror/mirror_cache.c
+++ b/src/mirror/mirror_cache.c
@@ -7,9 +7,6 @@
 #include "base/condition.h"
 #include "pack/pack.h"
 
-/* Smallest text of a value that is kept compressed. */
-#define MIN_PACKED_BYTES 4096
-
 typedef struct Entry {
     ObjectRecord record;
     int64_t filed;   /* revision under which readers find this change */
@@ -84,7 +81,7 @@
                             : g_bytes_new_static("null", strlen("null"));
         free(dump);
     }
-    *is_packed = g_bytes_get_size(text) >= MIN_PACKED_BYTES;
+    *is_packed = g_bytes_get_size(text) >= _MIRROR_MIN_PACKED_BYTES;
     if (*is_packed) {
         packed = Pack_Compress(g_bytes_get_data(text, NULL),
                                g_bytes_get_size(text));
@@ -146,9 +143,15 @@
 MirrorCache_Update(MirrorCache *cache, const ObjectRecord *record,
                    ObjectRevision revision)
 {
+    /* Compressing a large value takes a while, so readers are not blocked. */
+    Entry *entry = create_entry(record, revision);
+
     pthread_mutex_lock(&cache->lock);
     if (enter_staging(cache, revision)) {
-        put_entry(cache->staged, create_entry(record, revision));
+        put_entry(cache->staged, entry);
+    }
+    else {
+        free_entry(entry);
     }
     pthread_mutex_unlock(&cache->lock);
 }
--- a/src/mirror/mirror_cache.h
+++ b/src/mirror/mirror_cache.h
@@ -66,4 +66,8 @@
 Result MirrorCache_Read(MirrorCache *cache, ObjectRevision revision,
                         ObjectPage *page);
 
+/* Smallest text that is compressed: that of a value in the cache, or all of an
+ * answer. */
+#define _MIRROR_MIN_PACKED_BYTES 4096
+
 #endif
--- a/src/mirror/mirror_port.c
+++ b/src/mirror/mirror_port.c
@@ -6,9 +6,6 @@
 #include "http/http_server.h"
 #include "pack/pack.h"
 
-/* Smallest sum of texts that is compressed in an answer. */
-#define MIN_PACKED_BYTES 4096
-
 /* Upper bound of the wait_ms argument. */
 #define MAX_WAIT_MS 30000
 
@@ -171,7 +168,7 @@
             &g_array_index(page->records, ObjectRecord, i);
 
         bytes += g_bytes_get_size(record->text);
-        if (record->is_packed || bytes >= MIN_PACKED_BYTES) {
+        if (record->is_packed || bytes >= _MIRROR_MIN_PACKED_BYTES) {
             return TRUE;
         }
     }
