gateway: requests without a key go on when a transfer has failed and the store is away

Found by reading the change again: refused every request from config_apply_ms on as soon as a newer configuration had begun to arrive, until it was in force. If the store went away in that moment, callers without a key were refused for the whole outage, who were served before.

Change: a call that failed at every source takes the announcement back, and the next head of an answer makes it again. A transfer that makes progress counts as before.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -13,7 +13,7 @@
  *
  * A large configuration may take longer to arrive than a change may take to be
  * in force. A daemon that knows of one stops to use the one before in time
- * (Catalog_IsOutdated()). One that knows of none, because the store is away,
+ * (Catalog_IsOutdated()). One that receives none, because the store is away,
  * goes on with requests that need no key.
  *
  * A pending watch does not confirm the configuration, since its connection may
@@ -47,12 +47,13 @@
  * store at the time as_of. */
 void Catalog_Confirm(Catalog *catalog, ClockMs as_of, int64_t generation);
 
-/* States that a newer configuration has begun to arrive. This holds until a
- * table is published, or confirmed as of a later time. */
+/* States that a newer configuration has begun to arrive, or with 0 that it no
+ * longer does. The former holds until a table is published, or confirmed as of
+ * a later time. */
 void Catalog_Announce(Catalog *catalog, ClockMs now);
 
-/* Whether a newer configuration is known to exist and the one in force was
- * last known to be the newest more than apply_ms ago: it must not be used. */
+/* Whether a newer configuration is arriving and the one in force was last
+ * known to be the newest more than apply_ms ago: it must not be used. */
 gboolean Catalog_IsOutdated(const Catalog *catalog, ClockMs now,
                             ClockMs apply_ms);
 
--- a/src/catalog/test_catalog.c
+++ b/src/catalog/test_catalog.c
@@ -212,7 +212,8 @@
 {
     static const struct {
         const char *what;
-        ClockMs announced; /* 0: no newer one is known */
+        ClockMs announced; /* 0: no newer one is known; -1: its transfer has
+                              failed */
         ClockMs confirmed; /* after it; 0: not */
         gboolean published;
         ClockMs now;
@@ -222,6 +223,7 @@
         {"known, within the time", 1500, 0, FALSE, 4000, FALSE},
         {"known, at the end of the time", 3900, 0, FALSE, 4001, TRUE},
         {"in force", 1500, 0, TRUE, 4001, FALSE},
+        {"no longer arriving", -1, 0, FALSE, 9000, FALSE},
         {"confirmed by an older proof", 1500, 1200, FALSE, 4201, TRUE},
         {"confirmed by a newer proof", 1500, 1600, FALSE, 9000, FALSE},
     };
@@ -232,8 +234,11 @@
         g_test_message("%s", cases[i].what);
         g_assert_true(Catalog_Publish(catalog, make_table(8), 1));
         Catalog_Confirm(catalog, 1000, 1);
-        if (cases[i].announced > 0) {
-            Catalog_Announce(catalog, cases[i].announced);
+        if (cases[i].announced != 0) {
+            Catalog_Announce(catalog, ABS(cases[i].announced));
+        }
+        if (cases[i].announced < 0) {
+            Catalog_Announce(catalog, 0);
         }
         if (cases[i].published) {
             g_assert_true(Catalog_Publish(catalog, make_table(9), 1));
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -56,6 +56,9 @@
 static void
 note_failure(ObjectSync *sync, Result result)
 {
+    if (sync->desc.announced != NULL) {
+        sync->desc.announced(sync->desc.context, FALSE);
+    }
     if (!sync->failing) {
         sync->failing = TRUE;
         sync->failed_since = Clock_Now();
@@ -269,6 +272,16 @@
     return result;
 }
 
+static void
+note_begun(void *context)
+{
+    const ObjectSync *sync = context;
+
+    if (sync->desc.announced != NULL) {
+        sync->desc.announced(sync->desc.context, TRUE);
+    }
+}
+
 static Result
 watch_once(ObjectSync *sync, gboolean *changed)
 {
@@ -280,8 +293,8 @@
     Result result;
 
     ObjectPage_Init(&page);
-    page.begun = sync->desc.announced;
-    page.context = sync->desc.context;
+    page.begun = note_begun;
+    page.context = sync;
     result = store->watch(store->context, sync->desc.kind, sync->revision,
                           wait_ms, &page);
     sync->transfer = page.transfer;
--- a/src/objects/object_sync.h
+++ b/src/objects/object_sync.h
@@ -15,8 +15,9 @@
  * decoded or that `changed` does not accept is logged and counted once for
  * each of its revisions, by name for up to OBJECT_SYNC_REJECTED names. After a
  * full list `listed` receives the names that exist, so that all others can be
- * removed. `announced` is called when a large answer with changes begins to
- * arrive, before they are reported. `confirmed` receives a time at which the
+ * removed. `announced` is called with TRUE when a large answer with changes
+ * begins to arrive, before they are reported, and with FALSE after a call that
+ * failed: nothing is arriving. `confirmed` receives a time at which the
  * state reported so far was the newest one.
  */
 #ifndef OBJECTS_OBJECT_SYNC_H
@@ -47,8 +48,8 @@
     void (*listed)(void *context, GHashTable *names,
                    ObjectRevision revision); /* may be NULL */
     void (*confirmed)(void *context, ClockMs as_of,
-                      ObjectRevision revision); /* may be NULL */
-    void (*announced)(void *context);           /* may be NULL */
+                      ObjectRevision revision);             /* may be NULL */
+    void (*announced)(void *context, gboolean is_arriving); /* may be NULL */
     void *context;
 } ObjectSync_desc;
 
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -134,11 +134,11 @@
 }
 
 static void
-catalog_announced(void *context)
+catalog_announced(void *context, gboolean is_arriving)
 {
     const Sidecar *sidecar = context;
 
-    Catalog_Announce(sidecar->catalog, Clock_Now());
+    Catalog_Announce(sidecar->catalog, is_arriving ? Clock_Now() : 0);
 }
 
 static void
--- a/tests/process_transfer.c
+++ b/tests/process_transfer.c
@@ -76,24 +76,44 @@
 }
 
 /* Guards against requests that are refused because the store is away, although
- * no newer configuration is known. */
+ * no newer configuration is known, or none arrives any more. */
 static void
 test_store_away(void)
 {
-    Site *site = Site_Create();
-    ClockMs started;
+    static const struct {
+        const char *what;
+        gboolean is_changed; /* a change has begun to arrive */
+        ClockMs refused_ms;  /* requests may be refused for so long */
+    } cases[] = {
+        {"no change", FALSE, 0},
+        {"a change has begun to arrive", TRUE, 2500},
+    };
 
-    Site_ConfigureRoute(site, 1, KEYS, RATE, "/probe/");
-    Site_AddHost(site, &(SiteHost_desc){0});
-    Site_AwaitReady(site);
-    Site_CutStore(site, 0, TRUE);
-    started = Clock_Now();
-    while (Clock_Now() - started < 2 * APPLY_MS) {
-        g_assert_cmpint(Site_Request(site, 0, "GET", "/probe/1", NULL).status,
-                        ==, 200);
-        g_usleep(POLL_MS * 1000);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Site *site = Site_Create();
+        ClockMs started;
+
+        g_test_message("%s", cases[i].what);
+        Site_ConfigureRoute(site, 1, KEYS, RATE, "/probe/");
+        Site_AddHost(site, &(SiteHost_desc){0});
+        Site_AwaitReady(site);
+        if (cases[i].is_changed) {
+            Site_SlowStore(site, 0, 60000);
+            Site_ConfigureSize(site, 2, KEYS, RATE, NULL, MORE_ROUTES);
+            g_usleep(CUT_AFTER_MS * 1000);
+        }
+        Site_CutStore(site, 0, TRUE);
+        started = Clock_Now();
+        while (Clock_Now() - started < 2 * APPLY_MS) {
+            int status = Site_Request(site, 0, "GET", "/probe/1", NULL).status;
+
+            if (Clock_Now() - started > cases[i].refused_ms) {
+                g_assert_cmpint(status, ==, 200);
+            }
+            g_usleep(POLL_MS * 1000);
+        }
+        Site_Destroy(site);
     }
-    Site_Destroy(site);
 }
 
 /* Waits until the host knows the path in its version of the configuration,
