--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -11,6 +11,8 @@
 /* Time left of a caller whose deadline is not known. */
 #define DEFAULT_LEFT_MS 3000
 
+#define DEFAULT_CONFIG_APPLY_MS 3000
+
 static void
 add_retry_after(Gateway *gateway, const GatewayRequest *request, Result result,
                 HttpAnswer *answer)
@@ -173,6 +175,9 @@
                               .context = gateway};
 
     gateway->desc = *desc;
+    if (desc->config_apply_ms == 0) {
+        gateway->desc.config_apply_ms = DEFAULT_CONFIG_APPLY_MS;
+    }
     gateway->host = Rng_HashString(desc->host);
     pthread_mutex_init(&gateway->lock, NULL);
     gateway->budgets =
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -64,7 +64,8 @@
     ClockMs max_catalog_age_ms; /* maximum age of a configuration that admits
                                    a key */
     ClockMs config_apply_ms;    /* maximum age of one that denies a request, or
-                                   that is known to be outdated */
+                                   that is known to be outdated; default 3,000
+                                 */
     double retry_ratio;         /* maximum retries as a share of requests */
     gboolean load_by_value;     /* calls have their parent's priority */
     double retry_per_minute;    /* fleet's retries allowed at any traffic */
