mirror: a reader that has to list is told at once

Found by reading again: a reader that a list of its source obliges to list was held until the next change or confirmation, up to 25 s for backend servers. Until then it kept an entry that it does not know to be deleted.

Change: MirrorCache_Wait() ends at once for such a reader.

Result: /mirror/skipped/list-wait waited 5,000 ms before and passes; the other tests of src/mirror and test_model_restore pass.

--- a/src/mirror/mirror_cache.c
+++ b/src/mirror/mirror_cache.c
@@ -282,6 +282,7 @@
     return since.number < 0 ||
            (since.generation >= 0 &&
             since.generation < cache->revision.generation) ||
+           since.number < cache->discarded ||
            MIN(cache->newest, cache->revision.number) > since.number;
 }
 
--- a/src/mirror/mirror_cache.h
+++ b/src/mirror/mirror_cache.h
@@ -51,9 +51,9 @@
 void MirrorCache_Confirm(MirrorCache *cache, ClockMs as_of,
                          ObjectRevision revision);
 
-/* Blocks until there is a change after the revision, until the next
- * confirmation or for wait_ms, whichever comes first. If the cache does not
- * have the reader's generation yet, it waits for that. */
+/* Blocks until there is a change after the revision or the reader has to list,
+ * until the next confirmation or for wait_ms, whichever comes first. If the
+ * cache does not have the reader's generation yet, it waits for that. */
 void MirrorCache_Wait(MirrorCache *cache, ObjectRevision revision,
                       ClockMs wait_ms);
 
--- a/src/mirror/test_mirror_skipped.c
+++ b/src/mirror/test_mirror_skipped.c
@@ -368,11 +368,52 @@
     }
 }
 
+/* Guards against a reader that waits for the next change although it has to
+ * list, which keeps what it does not know to be deleted until then. */
+static void
+test_list_wait(void)
+{
+    enum { WAIT_MS = 5000 };
+    static const struct {
+        int64_t since;
+        gboolean waits;
+        Result result;
+    } cases[] = {{7, FALSE, RESULT_STORE_HISTORY_GONE}, {9, TRUE, RESULT_OK}};
+    MirrorCache *cache = MirrorCache_Create();
+    ObjectRecord record = {.name = "a", .revision.number = 1};
+    GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+
+    g_hash_table_add(names, "a");
+    for (int64_t listed = 5; listed <= 9; listed += 4) {
+        MirrorCache_Update(cache, &record, (ObjectRevision){.number = listed});
+        MirrorCache_Retain(cache, names, (ObjectRevision){.number = listed});
+        MirrorCache_Confirm(cache, Clock_Now(),
+                            (ObjectRevision){.number = listed});
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        ObjectRevision since = {.number = cases[i].since};
+        ClockMs wait_ms = cases[i].waits ? 10 : WAIT_MS;
+        ClockMs started = Clock_Now();
+        ObjectPage page;
+
+        MirrorCache_Wait(cache, since, wait_ms);
+        g_assert_cmpint(Clock_Now() - started, <, WAIT_MS);
+        g_assert_cmpint(Clock_Now() - started >= wait_ms, ==, cases[i].waits);
+        ObjectPage_Init(&page);
+        g_assert_cmpint(MirrorCache_Read(cache, since, &page), ==,
+                        cases[i].result);
+        ObjectPage_Clear(&page);
+    }
+    g_hash_table_destroy(names);
+    MirrorCache_Destroy(cache);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/mirror/skipped/orders", test_orders);
     g_test_add_func("/mirror/skipped/any-order", test_any_order);
+    g_test_add_func("/mirror/skipped/list-wait", test_list_wait);
     return g_test_run();
 }
