--- a/tests/site.c
+++ b/tests/site.c
@@ -131,19 +131,6 @@
     return work ? atoi(work + strlen("/work-")) : atomic_load(&host->work_ms);
 }
 
-/* The body is the id, followed by spaces up to N bytes for a path that ends in
- * /bytes-N. */
-static void
-set_body(HttpAnswer *answer, const char *id, const char *path)
-{
-    const char *bytes = strstr(path, "/bytes-");
-    int count = bytes ? atoi(bytes + strlen("/bytes-")) : 0;
-    char *body = g_strdup_printf("%-*s", count, id);
-
-    HttpAnswer_SetBody(answer, body, strlen(body));
-    g_free(body);
-}
-
 /* Handler of the backend server. Refuses requests for another instance, fails
  * the configured share of requests, and answers with the id of the request. */
 static void
@@ -176,7 +163,7 @@
         HttpHeaders_AddNumber(&answer.headers, "Cold-Start-Ms",
                               ColdCount_LeftMs(host->cold));
         HttpHeaders_Add(&answer.headers, "Attempt-Id", id);
-        set_body(&answer, id, HttpRequest_Path(request));
+        _Site_SetBody(&answer, id, HttpRequest_Path(request));
     }
     HttpRequest_Respond(request, &answer);
 }
--- a/tests/site.h
+++ b/tests/site.h
@@ -206,4 +206,8 @@
 GString *_Site_ReadToEnd(int fd, ClockMs timeout_ms);
 SiteReply _Site_ParseReply(const char *text);
 
+/* The body of a backend server is the id, followed by spaces up to N bytes for
+ * a path that ends in /bytes-N. */
+void _Site_SetBody(HttpAnswer *answer, const char *id, const char *path);
+
 #endif
--- a/tests/site_reply.c
+++ b/tests/site_reply.c
@@ -36,3 +36,14 @@
     }
     return reply;
 }
+
+void
+_Site_SetBody(HttpAnswer *answer, const char *id, const char *path)
+{
+    const char *bytes = strstr(path, "/bytes-");
+    int count = bytes ? atoi(bytes + strlen("/bytes-")) : 0;
+    char *body = g_strdup_printf("%-*s", count, id);
+
+    HttpAnswer_SetBody(answer, body, strlen(body));
+    g_free(body);
+}
