--- a/tests/site_reply.c
+++ b/tests/site_reply.c
@@ -1,4 +1,5 @@
-/* What a caller of a site reads from a connection. */
+/* Answers of a site: the body that a backend server sends, and what a caller
+ * reads from a connection. */
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
