--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -34,6 +34,8 @@
     LOG(OBJECTS_READ, 210, INFO, "changes of objects of this kind received") \
     LOG(MIRROR_FAILED, 211, INFO, \
         "a neighbour's answer did not arrive in time or cannot be used") \
+    LOG(MIRROR_REFUSED, 212, INFO, "a neighbour's read was refused") \
+    LOG(OBJECTS_FAILED, 213, INFO, "objects of this kind could not be read") \
     LOG(STORE_RESTORED, 208, WARNING, \
         "the store was restored from an older copy") \
     LOG(OBJECT_REJECTED, 206, WARNING, \
@@ -52,6 +54,10 @@
     LOG(CATALOG_IN_FORCE, 228, INFO, "configuration of the store is in force") \
     LOG(CATALOG_OLDER, 231, WARNING, \
         "the store holds an older configuration than the one in force") \
+    LOG(CATALOG_ANNOUNCED, 232, INFO, \
+        "a newer configuration than the one in force exists") \
+    LOG(CATALOG_RETRACTED, 233, INFO, \
+        "a newer configuration is no longer taken to exist") \
     LOG(CATALOG_REJECTED, 229, ERROR, \
         "configuration of the store is not used; the one in force stays") \
     LOG(ROUTE_KIND_UNKNOWN, 230, WARNING, \
--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -78,10 +78,12 @@
     }
 }
 
-void
+gboolean
 Catalog_Announce(Catalog *catalog, ClockMs now)
 {
-    atomic_store(&catalog->announced, now);
+    ClockMs before = atomic_exchange(&catalog->announced, now);
+
+    return (before == 0) != (now == 0);
 }
 
 gboolean
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -49,8 +49,8 @@
 
 /* States that a newer configuration has begun to arrive, or with 0 that it no
  * longer does. The former holds until a table is published, or confirmed as of
- * a later time. */
-void Catalog_Announce(Catalog *catalog, ClockMs now);
+ * a later time. Returns whether this is new. */
+gboolean Catalog_Announce(Catalog *catalog, ClockMs now);
 
 /* Whether a newer configuration is arriving and the one in force was last
  * known to be the newest more than apply_ms ago: it must not be used. */
--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -296,6 +296,7 @@
     }
     else {
         _Mirror_NoteReached(mirror, page->revision);
+        page->source = peer->host;
     }
     HttpAnswer_Clear(&answer);
     g_free(target);
--- a/src/mirror/mirror_cache.c
+++ b/src/mirror/mirror_cache.c
@@ -362,3 +362,14 @@
     pthread_mutex_unlock(&cache->lock);
     return result;
 }
+
+ObjectRevision
+MirrorCache_Revision(MirrorCache *cache)
+{
+    ObjectRevision revision;
+
+    pthread_mutex_lock(&cache->lock);
+    revision = cache->revision;
+    pthread_mutex_unlock(&cache->lock);
+    return revision;
+}
--- a/src/mirror/mirror_cache.h
+++ b/src/mirror/mirror_cache.h
@@ -66,6 +66,9 @@
 Result MirrorCache_Read(MirrorCache *cache, ObjectRevision revision,
                         ObjectPage *page);
 
+/* Returns the revision up to which the cache has all changes. */
+ObjectRevision MirrorCache_Revision(MirrorCache *cache);
+
 /* Smallest text that is compressed: that of a value in the cache, or all of an
  * answer. */
 #define _MIRROR_MIN_PACKED_BYTES 4096
--- a/src/mirror/mirror_port.c
+++ b/src/mirror/mirror_port.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "base/log.h"
 #include "http/http_server.h"
 #include "pack/pack.h"
 
@@ -210,6 +211,8 @@
         return MirrorCache_Read(kind->cache, since, page);
     }
     if (!await_direct(kind, wait_ms)) {
+        page->revision = MirrorCache_Revision(kind->cache);
+        page->held_ms = Clock_Now() - started;
         return RESULT_STORE_UNAVAILABLE;
     }
     if (since.number >= 0 || since.generation > 0) {
@@ -224,6 +227,19 @@
     return result;
 }
 
+static void
+note_refusal(const MirrorKind *kind, ObjectRevision since,
+             const ObjectPage *page, Result result)
+{
+    Log_Event(LOG_MIRROR_REFUSED,
+              "kind=%s result=%s generation=%" PRId64 " since=%" PRId64
+              " own_generation=%" PRId64 " own_revision=%" PRId64
+              " direct=%d age_ms=%" PRId64 " held_ms=%" PRId64,
+              kind->kind, Result_Name(result), since.generation, since.number,
+              page->revision.generation, page->revision.number,
+              kind->is_direct(kind->context), page->age_ms, page->held_ms);
+}
+
 static void
 serve(void *context, HttpRequest *request)
 {
@@ -246,6 +262,9 @@
                  accepts_packed(request) && is_worth_packing(&page));
         result = answer.status == 200 ? RESULT_OK : RESULT_OVERLOADED;
     }
+    if (result != RESULT_OK && kind != NULL) {
+        note_refusal(kind, since, &page, result);
+    }
     if (result != RESULT_OK) {
         HttpAnswer_SetRefusal(&answer, result, RUN_NO, NULL, NULL);
     }
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -59,18 +59,17 @@
     if (sync->desc.announced != NULL) {
         sync->desc.announced(sync->desc.context, FALSE);
     }
+    Log_Event(sync->failing ? LOG_OBJECTS_FAILED : LOG_STORE_LOST,
+              "kind=%s result=%s generation=%" PRId64 " revision=%" PRId64
+              " head_ms=%" PRId64 " body_ms=%" PRId64 " bytes=%" PRId64
+              " of=%" PRId64,
+              sync->desc.kind, Result_Name(result), sync->revision.generation,
+              sync->revision.number, sync->transfer.head_ms,
+              sync->transfer.body_ms, sync->transfer.received_bytes,
+              sync->transfer.expected_bytes);
     if (!sync->failing) {
         sync->failing = TRUE;
         sync->failed_since = Clock_Now();
-        Log_Event(LOG_STORE_LOST,
-                  "kind=%s result=%s generation=%" PRId64 " revision=%" PRId64
-                  " head_ms=%" PRId64 " body_ms=%" PRId64 " bytes=%" PRId64
-                  " of=%" PRId64,
-                  sync->desc.kind, Result_Name(result),
-                  sync->revision.generation, sync->revision.number,
-                  sync->transfer.head_ms, sync->transfer.body_ms,
-                  sync->transfer.received_bytes,
-                  sync->transfer.expected_bytes);
     }
 }
 
@@ -90,11 +89,11 @@
         Log_Event(LOG_OBJECTS_READ,
                   "kind=%s generation=%" PRId64 " revision=%" PRId64
                   " objects=%u ahead=%u bytes=%" PRId64 " head_ms=%" PRId64
-                  " body_ms=%" PRId64 " age_ms=%" PRId64,
+                  " body_ms=%" PRId64 " age_ms=%" PRId64 " source=%016" PRIx64,
                   sync->desc.kind, page->revision.generation,
                   page->revision.number, page->records->len, ahead,
                   page->transfer.received_bytes, page->transfer.head_ms,
-                  page->transfer.body_ms, page->age_ms);
+                  page->transfer.body_ms, page->age_ms, page->source);
     }
 }
 
--- a/src/objects/object_sync.h
+++ b/src/objects/object_sync.h
@@ -8,7 +8,8 @@
  * again when a change has no usable name, and when the store no longer has
  * that history or has been restored from an older copy; answers from before a
  * restoration are dropped. A failed call is retried after a growing, jittered
- * pause; the loss and the recovery of the store are logged once each.
+ * pause; the loss and the recovery of the store are logged once each, and each
+ * further failure by itself.
  *
  * Callbacks run on the thread, each with the store revision of the answer.
  * `changed` receives each object and each deletion. An object that cannot be
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -137,8 +137,16 @@
 catalog_announced(void *context, gboolean is_arriving)
 {
     const Sidecar *sidecar = context;
+    ClockMs now = Clock_Now();
+    ClockMs age;
 
-    Catalog_Announce(sidecar->catalog, is_arriving ? Clock_Now() : 0);
+    if (Catalog_Announce(sidecar->catalog, is_arriving ? now : 0)) {
+        age = Catalog_Age(sidecar->catalog, now);
+        Log_Event(is_arriving ? LOG_CATALOG_ANNOUNCED : LOG_CATALOG_RETRACTED,
+                  "version=%" PRIu64 " proof_age_ms=%" PRId64,
+                  Catalog_Version(sidecar->catalog),
+                  age == CLOCK_NEVER ? -1 : age);
+    }
 }
 
 static void
