--- a/tests/relay.c
+++ b/tests/relay.c
@@ -16,6 +16,7 @@
     int target;
     gboolean discard_forward;
     gboolean discard_back;
+    int received; /* bytes from the target */
 } Connection;
 
 struct Relay {
@@ -24,7 +25,9 @@
     atomic_int target;
     atomic_bool stopping;
     atomic_bool all_broken;
-    atomic_int rate; /* bytes per second from the target; 0: no limit */
+    atomic_int rate;       /* bytes per second from the target; 0: no limit */
+    atomic_int total_rate; /* the same for all connections together */
+    atomic_int end_after;  /* bytes; 0: connections do not end */
     pthread_mutex_t lock;
     Connection connections[MAX_CONNECTIONS];
     int count;
@@ -65,14 +68,16 @@
     }
 }
 
-/* Forwards or discards the bytes that have arrived. Returns FALSE when the
- * connection has ended. */
+/* Forwards or discards the bytes that have arrived, and counts them. Returns
+ * FALSE when the connection has ended. */
 static gboolean
-forward_bytes(int from, int to, size_t limit, gboolean discard)
+forward_bytes(int from, int to, size_t limit, gboolean discard, int *count)
 {
     char buffer[MAX_BYTES];
     ssize_t bytes = recv(from, buffer, limit, MSG_DONTWAIT);
 
+    *count += (int)MAX(bytes, 0);
+
     if (bytes <= 0) {
         /* The end of a broken connection is not forwarded either. */
         return discard;
@@ -80,26 +85,48 @@
     return discard || send(to, buffer, (size_t)bytes, MSG_NOSIGNAL) == bytes;
 }
 
+/* Returns how much a connection may get now. */
+static size_t
+find_limit(const Relay *relay, const struct pollfd *fds)
+{
+    int rate = atomic_load(&relay->rate);
+    int total = atomic_load(&relay->total_rate);
+    int sending = 0;
+
+    for (int i = 0; i < relay->count; i++) {
+        sending += fds[2 + 2 * i].revents != 0;
+    }
+    if (total > 0) {
+        rate = total / MAX(sending, 1);
+    }
+    return rate > 0 ? (size_t)CLAMP(rate / (1000 / POLL_MS), 1, MAX_BYTES)
+                    : MAX_BYTES;
+}
+
 static void
 serve_connections(Relay *relay, struct pollfd *fds)
 {
     gboolean all = atomic_load(&relay->all_broken);
-    int rate = atomic_load(&relay->rate);
-    size_t limit =
-        rate > 0 ? (size_t)MAX(rate / (1000 / POLL_MS), 1) : MAX_BYTES;
+    int end_after = atomic_load(&relay->end_after);
+    size_t limit = find_limit(relay, fds);
 
     for (int i = relay->count - 1; i >= 0; i--) {
         Connection *connection = &relay->connections[i];
         gboolean open = TRUE;
+        int sent = 0;
 
         if (fds[1 + 2 * i].revents != 0) {
-            open =
-                forward_bytes(connection->caller, connection->target,
-                              MAX_BYTES, all || connection->discard_forward);
+            open = forward_bytes(connection->caller, connection->target,
+                                 MAX_BYTES, all || connection->discard_forward,
+                                 &sent);
         }
         if (open && fds[2 + 2 * i].revents != 0) {
             open = forward_bytes(connection->target, connection->caller, limit,
-                                 all || connection->discard_back);
+                                 all || connection->discard_back,
+                                 &connection->received);
+        }
+        if (end_after > 0 && connection->received >= end_after) {
+            open = FALSE;
         }
         if (!open) {
             close(connection->caller);
@@ -136,7 +163,8 @@
         if (fds[0].revents != 0) {
             accept_connection(relay);
         }
-        if (atomic_load(&relay->rate) > 0) {
+        if (atomic_load(&relay->rate) > 0 ||
+            atomic_load(&relay->total_rate) > 0) {
             (void)poll(NULL, 0, POLL_MS);
         }
     }
@@ -201,6 +229,18 @@
     atomic_store(&relay->rate, bytes_per_s);
 }
 
+void
+Relay_SetTotalRate(Relay *relay, int bytes_per_s)
+{
+    atomic_store(&relay->total_rate, bytes_per_s);
+}
+
+void
+Relay_EndAfter(Relay *relay, int bytes)
+{
+    atomic_store(&relay->end_after, bytes);
+}
+
 void
 Relay_Destroy(Relay *relay)
 {
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -35,6 +35,12 @@
 /* Limits what each connection gets from the target, in bytes a second; 0: no
  * limit. */
 void Relay_SetRate(Relay *relay, int bytes_per_s);
+
+/* Limits what all connections together get, in equal parts; 0: no limit. */
+void Relay_SetTotalRate(Relay *relay, int bytes_per_s);
+
+/* Ends each connection that has got so many bytes from the target; 0: none. */
+void Relay_EndAfter(Relay *relay, int bytes);
 void Relay_Destroy(Relay *relay);
 
 #endif
--- a/tests/site.c
+++ b/tests/site.c
@@ -718,6 +718,12 @@
     Relay_SetRate(site->hosts[host].store_relay, bytes_per_s);
 }
 
+void
+Site_BreakOffStore(Site *site, int host, int bytes)
+{
+    Relay_EndAfter(site->hosts[host].store_relay, bytes);
+}
+
 void
 Site_CutStore(Site *site, int host, gboolean cut)
 {
--- a/tests/site.h
+++ b/tests/site.h
@@ -185,6 +185,10 @@
 /* Limits what each connection of the host gets from the store; 0: no limit. */
 void Site_SlowStore(Site *site, int host, int bytes_per_s);
 
+/* Ends each connection of the host that has got so many bytes from the store;
+ * 0: none. */
+void Site_BreakOffStore(Site *site, int host, int bytes);
+
 void Site_Signal(Site *site, int host, int signal);
 
 /* Returns the process id of the daemon, 0 after it has ended. */
