mirror: a host that has a change passes it on whatever its own source

What callers saw: requests run by versions that most hosts of the data centre had replaced. Cause: a host that does not watch the store itself refused its readers (503) even when it had what they lacked; after two refusals of 400 ms each a reader went to the store, and with it all others whose source was slow.

Change: a host with changes after the reader's revision answers with them at once. They are newer than what the reader has, whatever their age, which the answer states. A proof that there is no change still needs a host that watches the store.

--- a/src/mirror/mirror_cache.c
+++ b/src/mirror/mirror_cache.c
@@ -363,6 +363,20 @@
     return result;
 }
 
+gboolean
+MirrorCache_IsAhead(MirrorCache *cache, ObjectRevision revision)
+{
+    gboolean result;
+
+    pthread_mutex_lock(&cache->lock);
+    result = revision.number >= 0 &&
+             revision.generation == cache->revision.generation &&
+             check_reader(cache, revision) == RESULT_OK &&
+             has_news(cache, revision);
+    pthread_mutex_unlock(&cache->lock);
+    return result;
+}
+
 ObjectRevision
 MirrorCache_Revision(MirrorCache *cache)
 {
--- a/src/mirror/mirror_cache.h
+++ b/src/mirror/mirror_cache.h
@@ -66,6 +66,10 @@
 Result MirrorCache_Read(MirrorCache *cache, ObjectRevision revision,
                         ObjectPage *page);
 
+/* Whether MirrorCache_Read() returns changes after the revision, which is one
+ * of the cache's generation. */
+gboolean MirrorCache_IsAhead(MirrorCache *cache, ObjectRevision revision);
+
 /* Returns the revision up to which the cache has all changes. */
 ObjectRevision MirrorCache_Revision(MirrorCache *cache);
 
--- a/src/mirror/mirror_port.c
+++ b/src/mirror/mirror_port.c
@@ -186,31 +186,42 @@
 }
 
 /* Waits until the host watches the kind at the store, for a short time: it may
- * be about to take over from a neighbour that failed. */
+ * be about to take over from a neighbour that failed. A host that has changes
+ * which the reader lacks needs no source of its own. Returns FALSE if it has
+ * neither. */
 static gboolean
-await_direct(const MirrorKind *kind, ClockMs wait_ms)
+await_state(const MirrorKind *kind, ObjectRevision since, ClockMs wait_ms)
 {
     ClockMs end = Clock_Now() + MIN(wait_ms, MAX_TAKEOVER_MS);
-
-    while (!kind->is_direct(kind->context) && Clock_Now() < end) {
-        g_usleep(TAKEOVER_POLL_MS * 1000);
+    gboolean result = FALSE;
+    gboolean is_over = FALSE;
+
+    while (!result && !is_over) {
+        is_over = Clock_Now() >= end;
+        result = kind->is_direct(kind->context) ||
+                 MirrorCache_IsAhead(kind->cache, since);
+        if (!result && !is_over) {
+            g_usleep(TAKEOVER_POLL_MS * 1000);
+        }
     }
-    return kind->is_direct(kind->context);
+    return result;
 }
 
-/* Waits for a change and reads it. The host must be direct before and after
- * the wait, because its source may change meanwhile. */
+/* Waits for a change and reads it. To prove that there is none, the host must
+ * be direct before and after the wait, because its source may change
+ * meanwhile. A change is newer than what the reader has, whatever its age. */
 static Result
 read_kind(const MirrorKind *kind, ObjectRevision since, ClockMs wait_ms,
           gboolean any_age, ObjectPage *page)
 {
     ClockMs started = Clock_Now();
+    gboolean has_changes;
     Result result;
 
     if (kind->keeps_known && any_age) {
         return MirrorCache_Read(kind->cache, since, page);
     }
-    if (!await_direct(kind, wait_ms)) {
+    if (!await_state(kind, since, wait_ms)) {
         page->revision = MirrorCache_Revision(kind->cache);
         page->held_ms = Clock_Now() - started;
         return RESULT_STORE_UNAVAILABLE;
@@ -220,7 +231,8 @@
     }
     result = MirrorCache_Read(kind->cache, since, page);
     page->held_ms = Clock_Now() - started;
-    if (result == RESULT_OK &&
+    has_changes = since.number >= 0 && page->records->len > 0;
+    if (result == RESULT_OK && !has_changes &&
         (page->age_ms > kind->max_age_ms || !kind->is_direct(kind->context))) {
         result = RESULT_STORE_UNAVAILABLE;
     }
