mirror, objects: a host that has missed several versions reads the last one only

What callers saw: hosts 7 to 16 s behind a store that is well. Cause: a watch returns each version that was missed, whole: 1.13 MB for four versions of a configuration of 283 kB. A host that is late reads more, takes longer, and is later still; hundreds of such answers share the links between regions, and each is given up without progress for 1 s and begun again.

Change: the head of a watch's answer tells its size. One that is larger than a list of the kind would be, as far as this host knows, is not read; the host lists. A reader that has to list, because its source has, states what it has had before, and is served by any host that is further.

Test: /group/held-back, 16 changes of 300 kB missed: 8 of 8 hosts behind after 3 s before, all level and at most one object for each host from the store now.

--- a/src/base/log_list.h
+++ b/src/base/log_list.h
@@ -27,7 +27,8 @@
     LOG(STORE_LOST, 202, WARNING, "objects of this kind cannot be watched") \
     LOG(STORE_REGAINED, 203, INFO, "objects of this kind are watched again") \
     LOG(STORE_HISTORY_GONE, 204, INFO, \
-        "the store no longer has the revision; listing again") \
+        "the store no longer has the revision, or lists for less; listing " \
+        "again") \
     LOG(OBJECT_WRITTEN, 205, INFO, "object written to the store") \
     LOG(MIRROR_CHANGED, 207, INFO, \
         "objects of this kind are watched through another source") \
--- a/src/http/http_connection.c
+++ b/src/http/http_connection.c
@@ -723,10 +723,11 @@
     if (options->transfer != NULL) {
         options->transfer->head_at = Clock_Now();
         options->transfer->expected_bytes = content_length(&answer->headers);
-        if (options->transfer->begun != NULL) {
-            options->transfer->begun(options->transfer->context,
-                                     answer->status,
-                                     options->transfer->expected_bytes);
+        if (options->transfer->begun != NULL &&
+            !options->transfer->begun(options->transfer->context,
+                                      answer->status,
+                                      options->transfer->expected_bytes)) {
+            return RESULT_TOO_LARGE;
         }
     }
     *reusable = !has_connection_close(answer);
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -49,8 +49,9 @@
     ClockMs head_at;        /* arrival of the complete head; 0: none */
     int64_t expected_bytes; /* Content-Length; negative: not known */
     size_t received_bytes;  /* of the body */
-    /* Called with the complete head, before the body is read; may be NULL. */
-    void (*begun)(void *context, int status, int64_t expected_bytes);
+    /* Called with the complete head, before the body is read; may be NULL. If
+     * it returns FALSE the call ends with TOO_LARGE. */
+    gboolean (*begun)(void *context, int status, int64_t expected_bytes);
     void *context;
 } HttpTransfer;
 
--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -252,17 +252,33 @@
     }
 }
 
+/* Returns the target of a call that reads a neighbour's state. */
+static char *
+make_target(const Mirror *mirror, const char *kind, ObjectRevision since,
+            ClockMs wait_ms)
+{
+    GString *target = g_string_new(NULL);
+
+    g_string_printf(target,
+                    MIRROR_PATH "%s?generation=%" PRId64 "&since=%" PRId64
+                                "&wait_ms=%" PRId64 "%s",
+                    kind, since.generation, since.number, wait_ms,
+                    wait_ms == WAIT_ANY_AGE ? MIRROR_ANY_AGE : "");
+    if (since.number < 0 && mirror->reached.number > 0 &&
+        mirror->reached.generation == since.generation) {
+        g_string_append_printf(target, "&reached=%" PRId64,
+                               mirror->reached.number);
+    }
+    return g_string_free(target, FALSE);
+}
+
 /* Sets `avoid_ms` to the time for which a neighbour that fails is skipped. */
 static Result
 request_page(Mirror *mirror, const RosterPeer *peer, const char *kind,
              ObjectRevision since, ClockMs wait_ms, ObjectPage *page,
              ClockMs *avoid_ms)
 {
-    char *target =
-        g_strdup_printf(MIRROR_PATH "%s?generation=%" PRId64 "&since=%" PRId64
-                                    "&wait_ms=%" PRId64 "%s",
-                        kind, since.generation, since.number, wait_ms,
-                        wait_ms == WAIT_ANY_AGE ? MIRROR_ANY_AGE : "");
+    char *target = make_target(mirror, kind, since, wait_ms);
     ClockMs called = Clock_Now();
     HttpTransfer transfer = {.begun = ObjectPage_Begin, .context = page};
     HttpAnswer answer = {0};
@@ -404,6 +420,17 @@
     return result;
 }
 
+/* Size of a watch's answer above which a list of the kind is smaller: a watch
+ * returns each state of an object that was missed, a list the last one. */
+static int64_t
+max_watch_bytes(const Mirror *mirror)
+{
+    size_t whole =
+        mirror->desc.cache ? MirrorCache_Bytes(mirror->desc.cache) : 0;
+
+    return whole > 0 ? (int64_t)(whole + whole / 2) + OBJECT_CHANGES_BYTES : 0;
+}
+
 static Result
 watch(void *context, const char *kind, ObjectRevision revision,
       ClockMs wait_ms, ObjectPage *page)
@@ -435,6 +462,7 @@
          * just failed: each would do so until the state is too old. */
         record_source(mirror, kind, 0);
     }
+    page->max_bytes = max_watch_bytes(mirror);
     result = store->watch(store->context, kind, revision, store_wait_ms, page);
     if (result == RESULT_OK) {
         _Mirror_NoteReached(mirror, page->revision);
--- a/src/mirror/mirror.h
+++ b/src/mirror/mirror.h
@@ -29,6 +29,7 @@
 #define MIRROR_MIRROR_H
 
 #include "http/http_client.h"
+#include "mirror/mirror_cache.h"
 #include "objects/object_generation.h"
 #include "objects/object_store.h"
 #include "roster/roster.h"
@@ -46,6 +47,8 @@
     Roster *roster;
     const char *host; /* name of this host */
     HttpClient *client;
+    MirrorCache *cache; /* what this host has, to weigh a watch at the store
+                           against a list; NULL: always a watch */
     /* Minimum duration of a watch at the store while no neighbour is known, so
      * that nobody reads from this host; 0: as the caller of the watch has it.
      */
--- a/src/mirror/mirror_cache.c
+++ b/src/mirror/mirror_cache.c
@@ -9,6 +9,7 @@
 
 typedef struct Entry {
     ObjectRecord record;
+    size_t bytes;    /* of the text, before it was compressed */
     int64_t filed;   /* revision under which readers find this change */
     ClockMs updated; /* local time of the update */
 } Entry;
@@ -67,7 +68,7 @@
 /* Returns the text of a value. A large one is compressed here, once for all
  * readers. */
 static GBytes *
-encode_value(const ObjectRecord *record, gboolean *is_packed)
+encode_value(const ObjectRecord *record, gboolean *is_packed, size_t *bytes)
 {
     GBytes *text = record->text ? g_bytes_ref(record->text) : NULL;
     GBytes *packed;
@@ -81,7 +82,8 @@
                             : g_bytes_new_static("null", strlen("null"));
         free(dump);
     }
-    *is_packed = g_bytes_get_size(text) >= _MIRROR_MIN_PACKED_BYTES;
+    *bytes = g_bytes_get_size(text);
+    *is_packed = *bytes >= _MIRROR_MIN_PACKED_BYTES;
     if (*is_packed) {
         packed = Pack_Compress(g_bytes_get_data(text, NULL),
                                g_bytes_get_size(text));
@@ -101,7 +103,8 @@
     entry->record = (ObjectRecord){.name = g_strdup(record->name),
                                    .revision = record->revision,
                                    .deleted = record->deleted};
-    entry->record.text = encode_value(record, &entry->record.is_packed);
+    entry->record.text =
+        encode_value(record, &entry->record.is_packed, &entry->bytes);
     entry->filed = record->deleted ? revision.number : record->revision.number;
     entry->updated = Clock_Now();
     return entry;
@@ -371,12 +374,28 @@
     pthread_mutex_lock(&cache->lock);
     result = revision.number >= 0 &&
              revision.generation == cache->revision.generation &&
-             check_reader(cache, revision) == RESULT_OK &&
+             cache->revision.number > revision.number &&
              has_news(cache, revision);
     pthread_mutex_unlock(&cache->lock);
     return result;
 }
 
+size_t
+MirrorCache_Bytes(MirrorCache *cache)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    size_t bytes = 0;
+
+    pthread_mutex_lock(&cache->lock);
+    g_hash_table_iter_init(&iterator, cache->entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        bytes += ((const Entry *)value)->bytes;
+    }
+    pthread_mutex_unlock(&cache->lock);
+    return bytes;
+}
+
 ObjectRevision
 MirrorCache_Revision(MirrorCache *cache)
 {
--- a/src/mirror/mirror_cache.h
+++ b/src/mirror/mirror_cache.h
@@ -66,10 +66,12 @@
 Result MirrorCache_Read(MirrorCache *cache, ObjectRevision revision,
                         ObjectPage *page);
 
-/* Whether MirrorCache_Read() returns changes after the revision, which is one
- * of the cache's generation. */
+/* Whether there are changes after the revision, in its generation. */
 gboolean MirrorCache_IsAhead(MirrorCache *cache, ObjectRevision revision);
 
+/* Returns the size of the texts of all objects together. */
+size_t MirrorCache_Bytes(MirrorCache *cache);
+
 /* Returns the revision up to which the cache has all changes. */
 ObjectRevision MirrorCache_Revision(MirrorCache *cache);
 
--- a/src/mirror/mirror_port.c
+++ b/src/mirror/mirror_port.c
@@ -185,21 +185,29 @@
     return accepted != NULL && strcmp(accepted, PACK_ENCODING) == 0;
 }
 
+/* What a reader asks for. */
+typedef struct Question {
+    ObjectRevision since;   /* number -1: all objects */
+    ObjectRevision reached; /* newest state that the reader has had */
+    ClockMs wait_ms;
+    gboolean any_age;
+} Question;
+
 /* Waits until the host watches the kind at the store, for a short time: it may
  * be about to take over from a neighbour that failed. A host that has changes
  * which the reader lacks needs no source of its own. Returns FALSE if it has
  * neither. */
 static gboolean
-await_state(const MirrorKind *kind, ObjectRevision since, ClockMs wait_ms)
+await_state(const MirrorKind *kind, const Question *question)
 {
-    ClockMs end = Clock_Now() + MIN(wait_ms, MAX_TAKEOVER_MS);
+    ClockMs end = Clock_Now() + MIN(question->wait_ms, MAX_TAKEOVER_MS);
     gboolean result = FALSE;
     gboolean is_over = FALSE;
 
     while (!result && !is_over) {
         is_over = Clock_Now() >= end;
         result = kind->is_direct(kind->context) ||
-                 MirrorCache_IsAhead(kind->cache, since);
+                 MirrorCache_IsAhead(kind->cache, question->reached);
         if (!result && !is_over) {
             g_usleep(TAKEOVER_POLL_MS * 1000);
         }
@@ -209,36 +217,51 @@
 
 /* Waits for a change and reads it. To prove that there is none, the host must
  * be direct before and after the wait, because its source may change
- * meanwhile. A change is newer than what the reader has, whatever its age. */
+ * meanwhile. A state that is ahead of the reader's is newer, whatever its age.
+ */
 static Result
-read_kind(const MirrorKind *kind, ObjectRevision since, ClockMs wait_ms,
-          gboolean any_age, ObjectPage *page)
+read_kind(const MirrorKind *kind, const Question *question, ObjectPage *page)
 {
+    ObjectRevision since = question->since;
     ClockMs started = Clock_Now();
-    gboolean has_changes;
     Result result;
 
-    if (kind->keeps_known && any_age) {
+    if (kind->keeps_known && question->any_age) {
         return MirrorCache_Read(kind->cache, since, page);
     }
-    if (!await_state(kind, since, wait_ms)) {
+    if (!await_state(kind, question)) {
         page->revision = MirrorCache_Revision(kind->cache);
         page->held_ms = Clock_Now() - started;
         return RESULT_STORE_UNAVAILABLE;
     }
     if (since.number >= 0 || since.generation > 0) {
-        MirrorCache_Wait(kind->cache, since, CLAMP(wait_ms, 0, MAX_WAIT_MS));
+        MirrorCache_Wait(kind->cache, since,
+                         CLAMP(question->wait_ms, 0, MAX_WAIT_MS));
     }
     result = MirrorCache_Read(kind->cache, since, page);
     page->held_ms = Clock_Now() - started;
-    has_changes = since.number >= 0 && page->records->len > 0;
-    if (result == RESULT_OK && !has_changes &&
-        (page->age_ms > kind->max_age_ms || !kind->is_direct(kind->context))) {
+    if (result == RESULT_OK &&
+        (page->age_ms > kind->max_age_ms || !kind->is_direct(kind->context)) &&
+        !MirrorCache_IsAhead(kind->cache, question->reached)) {
         result = RESULT_STORE_UNAVAILABLE;
     }
     return result;
 }
 
+static void
+read_question(const HttpRequest *request, Question *question)
+{
+    *question = (Question){
+        .since = {.generation = read_argument(request, "generation", -1),
+                  .number = read_argument(request, "since", 0)},
+        .wait_ms = read_argument(request, "wait_ms", 0),
+        .any_age = read_argument(request, "any_age", 0) != 0};
+    question->reached = question->since;
+    if (question->since.number < 0) {
+        question->reached.number = read_argument(request, "reached", -1);
+    }
+}
+
 static void
 note_refusal(const MirrorKind *kind, ObjectRevision since,
              const ObjectPage *page, Result result)
@@ -258,16 +281,14 @@
     const MirrorPort *port = context;
     const MirrorKind *kind = find_kind(port, HttpRequest_Path(request));
     HttpAnswer answer = {0};
-    ObjectRevision since = {.generation =
-                                read_argument(request, "generation", -1),
-                            .number = read_argument(request, "since", 0)};
+    Question question;
     ObjectPage page;
     Result result = RESULT_NOT_FOUND;
 
     ObjectPage_Init(&page);
+    read_question(request, &question);
     if (kind != NULL) {
-        result = read_kind(kind, since, read_argument(request, "wait_ms", 0),
-                           read_argument(request, "any_age", 0) != 0, &page);
+        result = read_kind(kind, &question, &page);
     }
     if (result == RESULT_OK) {
         set_page(&answer, &page,
@@ -275,7 +296,7 @@
         result = answer.status == 200 ? RESULT_OK : RESULT_OVERLOADED;
     }
     if (result != RESULT_OK && kind != NULL) {
-        note_refusal(kind, since, &page, result);
+        note_refusal(kind, question.since, &page, result);
     }
     if (result != RESULT_OK) {
         HttpAnswer_SetRefusal(&answer, result, RUN_NO, NULL, NULL);
--- a/src/mirror/mirror_port.h
+++ b/src/mirror/mirror_port.h
@@ -7,13 +7,13 @@
  * revision, or after wait_ms; since=-1 requests all objects. With the header
  * "Accept-Encoding: zstd" a large answer is compressed. The status is 410
  * if the host no longer has that history. A host that has changes after the
- * revision answers with them. Without any, the status is 503 if it does not
- * watch the store itself, nor begins to within a short time, or its state is
- * older than max_age_ms or from before the reader's generation. With
- * any_age=1, a kind that is kept in outages of the store is answered at once,
- * by any host that has it, at any age. Daemons of earlier versions neither
- * send nor expect the generation; a reader takes an answer without it for
- * generation 0.
+ * revision, or with since=-1&reached=<revision> after that one, answers with
+ * them. Without any, the status is 503 if it does not watch the store itself,
+ * nor begins to within a short time, or its state is older than max_age_ms or
+ * from before the reader's generation. With any_age=1, a kind that is kept in
+ * outages of the store is answered at once, by any host that has it, at any
+ * age. Daemons of earlier versions neither send nor expect the generation; a
+ * reader takes an answer without it for generation 0.
  *
  * Use: MirrorPort_Create() with the caches, MirrorPort_Destroy().
  *
--- a/src/mirror/test_mirror_group.c
+++ b/src/mirror/test_mirror_group.c
@@ -117,7 +117,7 @@
     return bytes;
 }
 
-/* Lets the bytes of an answer arrive. */
+/* Lets the bytes of an answer arrive, if the reader wants them. */
 static Result
 transfer(Host *host, size_t bytes, ObjectPage *page)
 {
@@ -125,7 +125,9 @@
     double left = (double)bytes;
     int rate = atomic_load(&host->store_rate);
 
-    ObjectPage_Begin(page, 200, (int64_t)bytes);
+    if (!ObjectPage_Begin(page, 200, (int64_t)bytes)) {
+        return RESULT_STORE_HISTORY_GONE;
+    }
     atomic_fetch_add(&host->store_reads, 1);
     while (left > 0) {
         if (atomic_load(&host->group->is_cut)) {
@@ -242,7 +244,8 @@
                                                 .generation = host->generation,
                                                 .roster = host->roster,
                                                 .host = host->name,
-                                                .client = host->client});
+                                                .client = host->client,
+                                                .cache = host->cache});
     host->kind = (MirrorKind){.kind = KIND,
                               .cache = host->cache,
                               .max_age_ms = MAX_AGE_MS,
--- a/src/objects/object_store.c
+++ b/src/objects/object_store.c
@@ -99,15 +99,19 @@
     ObjectPage_Init(page);
     page->begun = kept.begun;
     page->context = kept.context;
+    page->max_bytes = kept.max_bytes;
 }
 
-void
+gboolean
 ObjectPage_Begin(void *context, int status, int64_t expected_bytes)
 {
-    const ObjectPage *page = context;
+    ObjectPage *page = context;
 
     if (page->begun != NULL && status == 200 &&
         expected_bytes >= OBJECT_CHANGES_BYTES) {
         page->begun(page->context);
     }
+    page->is_too_large = status == 200 && page->max_bytes > 0 &&
+                         expected_bytes > page->max_bytes;
+    return !page->is_too_large;
 }
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -64,6 +64,10 @@
      * needed. */
     void (*begun)(void *context);
     void *context;
+    /* Of a watch; 0: none. A larger answer is not read: the store returns
+     * HISTORY_GONE, as a list is cheaper. */
+    int64_t max_bytes;
+    gboolean is_too_large; /* the answer was above max_bytes */
 } ObjectPage;
 
 /* Smallest answer that has objects for certain. */
@@ -111,8 +115,9 @@
 /* Makes the page as it was after ObjectPage_Init(), with the same callback. */
 void ObjectPage_Reset(ObjectPage *page);
 
-/* Called with the head of an answer, `context` is the page that it fills. */
-void ObjectPage_Begin(void *context, int status, int64_t expected_bytes);
+/* Called with the head of an answer, `context` is the page that it fills.
+ * Returns FALSE if the answer must not be read. */
+gboolean ObjectPage_Begin(void *context, int status, int64_t expected_bytes);
 
 /* Moves `after`, the name after which the page of a list starts, to that of
  * the next page. Sets `more` if there is one. Returns RESULT_STORE_UNAVAILABLE
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -299,9 +299,11 @@
     sync->transfer = page.transfer;
     if (result == RESULT_STORE_HISTORY_GONE) {
         Log_Event(LOG_STORE_HISTORY_GONE,
-                  "kind=%s generation=%" PRId64 " revision=%" PRId64,
+                  "kind=%s generation=%" PRId64 " revision=%" PRId64
+                  " too_large=%d of=%" PRId64,
                   sync->desc.kind, sync->revision.generation,
-                  sync->revision.number);
+                  sync->revision.number, page.is_too_large,
+                  page.transfer.expected_bytes);
         sync->revision.number = -1;
     }
     else if (result == RESULT_OK) {
--- a/src/sidecar/sidecar_evacuation.c
+++ b/src/sidecar/sidecar_evacuation.c
@@ -217,8 +217,9 @@
     evacuation = g_new0(SidecarEvacuation, 1);
     pthread_mutex_init(&evacuation->lock, NULL);
     evacuation->set = create_set(sidecar->settings);
-    evacuation->mirror = Mirror_Create(&mirror);
     evacuation->cache = MirrorCache_Create();
+    mirror.cache = evacuation->cache;
+    evacuation->mirror = Mirror_Create(&mirror);
     evacuation->watch_ms = MAX(evacuate_ms / WATCH_PART, MIN_WATCH_MS);
     *kind = (MirrorKind){.kind = sidecar->adapter->evacuation_kind,
                          .cache = evacuation->cache,
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -317,18 +317,24 @@
                           .alone_wait_ms =
                               sidecar->max_catalog_age_ms / ALONE_WATCHES};
     MirrorPort_desc port = {.kinds = sidecar->kinds};
+    MirrorCache *catalog_cache;
+    MirrorCache *roster_cache;
 
+    catalog_cache = MirrorCache_Create();
+    roster_cache = MirrorCache_Create();
+    mirror.cache = catalog_cache;
     sidecar->catalog_mirror = Mirror_Create(&mirror);
+    mirror.cache = roster_cache;
     sidecar->roster_mirror = Mirror_Create(&mirror);
     sidecar->kinds[SIDECAR_CATALOG] =
         (MirrorKind){.kind = sidecar->adapter->catalog_kind,
-                     .cache = MirrorCache_Create(),
+                     .cache = catalog_cache,
                      .max_age_ms = MAX_CATALOG_AGE_MS,
                      .is_direct = Mirror_IsDirect,
                      .context = sidecar->catalog_mirror};
     sidecar->kinds[SIDECAR_ROSTER] =
         (MirrorKind){.kind = SIDECAR_ROSTER_KIND,
-                     .cache = MirrorCache_Create(),
+                     .cache = roster_cache,
                      .max_age_ms = MAX_ROSTER_AGE_MS,
                      .is_direct = Mirror_IsDirect,
                      .context = sidecar->roster_mirror};
