objects: an answer that breaks off does not take back that a newer version exists

Cause: retracts the announcement of a newer version after any call that failed at every source, so that callers are served when the store goes away in that moment. A store that answers and whose transfer breaks off is not away: what the host knew stays true.

Change: only a call that no source has begun to answer retracts it. A host cannot tell a store that is away from one that it cannot reach; in both nobody in its reach has the newer version, and callers without a key are served as before.

--- a/src/objects/object_store.c
+++ b/src/objects/object_store.c
@@ -107,6 +107,7 @@
 {
     ObjectPage *page = context;
 
+    page->has_begun = status == 200;
     if (page->begun != NULL && status == 200 &&
         expected_bytes >= OBJECT_CHANGES_BYTES) {
         page->begun(page->context);
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -68,6 +68,7 @@
      * HISTORY_GONE, as a list is cheaper. */
     int64_t max_bytes;
     gboolean is_too_large; /* the answer was above max_bytes */
+    gboolean has_begun;    /* the head of an answer with a page arrived */
 } ObjectPage;
 
 /* Smallest answer that has objects for certain. */
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -32,6 +32,7 @@
     gboolean failing;
     ClockMs failed_since;
     ObjectTransfer transfer; /* of the last page */
+    gboolean has_answered;   /* its head has arrived */
     ObjectBackoff backoff;
 };
 
@@ -56,7 +57,7 @@
 static void
 note_failure(ObjectSync *sync, Result result)
 {
-    if (sync->desc.announced != NULL) {
+    if (sync->desc.announced != NULL && !sync->has_answered) {
         sync->desc.announced(sync->desc.context, FALSE);
     }
     Log_Event(sync->failing ? LOG_OBJECTS_FAILED : LOG_STORE_LOST,
@@ -223,6 +224,7 @@
     Result result = store->list(store->context, sync->desc.kind, after, page);
 
     sync->transfer = page->transfer;
+    sync->has_answered = page->has_begun;
     if (result == RESULT_OK) {
         result = check_revision(sync, page->revision);
         if (result == RESULT_STORE_HISTORY_GONE && after[0] == '\0') {
@@ -297,6 +299,7 @@
     result = store->watch(store->context, sync->desc.kind, sync->revision,
                           wait_ms, &page);
     sync->transfer = page.transfer;
+    sync->has_answered = page.has_begun;
     if (result == RESULT_STORE_HISTORY_GONE) {
         Log_Event(LOG_STORE_HISTORY_GONE,
                   "kind=%s generation=%" PRId64 " revision=%" PRId64
--- a/src/objects/object_sync.h
+++ b/src/objects/object_sync.h
@@ -16,10 +16,12 @@
  * decoded or that `changed` does not accept is logged and counted once for
  * each of its revisions, by name for up to OBJECT_SYNC_REJECTED names. After a
  * full list `listed` receives the names that exist, so that all others can be
- * removed. `announced` is called with TRUE when a large answer with changes
- * begins to arrive, before they are reported, and with FALSE after a call that
- * failed: nothing is arriving. `confirmed` receives a time at which the
- * state reported so far was the newest one.
+ * removed. `announced` is called with TRUE when a large answer with
+ * changes begins to arrive, before they are reported, and with FALSE after a
+ * call that no source has begun to answer: as far as this host can tell, nobody
+ * can read or write now. An answer that breaks off takes nothing back.
+ * `confirmed` receives a time at which the state reported so far was the newest
+ * one.
  */
 #ifndef OBJECTS_OBJECT_SYNC_H
 #define OBJECTS_OBJECT_SYNC_H
