mirror: a large change spreads through its readers, which wait for a source that reads it

What callers saw: hosts 7 to 16 s behind, after no fault at all. Its readers went to the store all at once, 29 MB over a link between regions of 60 Mbit/s, whose queue was longer than the 1 s after which a transfer without progress is given up: each attempt lost, and all of them at once again.

Change: a large change is sent to five readers; each further one is referred to an earlier one, so that the readers form a tree and no link carries it more than five times (MirrorSpread). One that asks again is served, since what it was referred to has failed. A source to which a change is arriving says so instead of refusing; its readers know of the newer version and stay, for 2 s. Earlier daemons are served as before.

--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -29,6 +29,9 @@
 #define MAX_ASKED 2
 #define NEXT_WAIT_MS 400
 
+/* Number of hosts to which a read is referred, one by the other. */
+#define MAX_HOPS 4
+
 /* Maximum time for which a list waits for a neighbour that has not noticed a
  * restoration of the store yet. */
 #define RESTORED_WAIT_MS 500
@@ -52,12 +55,14 @@
 struct Mirror {
     Mirror_desc desc;
     ObjectStore functions;
-    uint64_t group_seed;
+    uint64_t host;                   /* hash of this host's name */
     Avoided avoided[MAX_NEIGHBOURS]; /* used by the ObjectSync thread only */
     unsigned next_avoided;
     uint64_t source; /* host that gave the last answer; 0: the store */
     atomic_bool direct;
     ObjectRevision reached; /* newest one of an answer, for the same thread */
+    ClockMs arriving_since; /* the source reads changes itself; 0: it does not
+                             */
     ClockMs away_until;     /* the store is taken as away; 0: it is not */
     gboolean knows;         /* a list has been read */
 };
@@ -88,7 +93,7 @@
     uint32_t hosts = Roster_CountDataCentre(mirror->desc.roster);
     uint32_t groups = (hosts + MIRROR_GROUP - 1) / MIRROR_GROUP;
 
-    return Rng_Mix(Rng_HashString(kind), mirror->group_seed % MAX(groups, 1));
+    return Rng_Mix(Rng_HashString(kind), mirror->host % MAX(groups, 1));
 }
 
 /* Finds the neighbour to read from. Returns FALSE if this host ranks before
@@ -132,6 +137,39 @@
     return valid;
 }
 
+static gboolean
+read_flag(JsonText object, const char *name)
+{
+    JsonText text;
+    json_t *value = NULL;
+    gboolean result;
+
+    if (JsonText_Member(object, name, &text)) {
+        value = JsonText_Decode(text);
+    }
+    result = json_is_true(value);
+    json_decref(value);
+    return result;
+}
+
+/* Returns 0 if there is none. */
+static uint64_t
+read_host(JsonText object, const char *name)
+{
+    JsonText text;
+    json_t *value = NULL;
+    const char *digits;
+    uint64_t host;
+
+    if (JsonText_Member(object, name, &text)) {
+        value = JsonText_Decode(text);
+    }
+    digits = json_string_value(value);
+    host = digits != NULL ? g_ascii_strtoull(digits, NULL, 16) : 0;
+    json_decref(value);
+    return host;
+}
+
 /* Reads an object of a page. Returns FALSE if its name or revision cannot be
  * used; a value that cannot be decoded is NULL. */
 static gboolean
@@ -185,6 +223,8 @@
         return FALSE;
     }
     (void)read_integer(root, "generation", 0, &revision.generation);
+    page->is_arriving = read_flag(root, "arriving");
+    page->referred = read_host(root, "referred");
     JsonTextItems_Init(&items, objects);
     while (JsonTextItems_Next(&items, &item)) {
         ObjectRecord record;
@@ -234,14 +274,32 @@
         transfer->body_ms, transfer->received_bytes, transfer->expected_bytes);
 }
 
+/* What is asked of a neighbour. */
+typedef struct Question {
+    const char *kind;
+    ObjectRevision since;
+    ClockMs wait_ms;
+    int64_t at_least; /* revision from which on the neighbour need not watch
+                         the store itself; -1: it must */
+} Question;
+
 /* Whether an answer is older than what the reader has, or must have. A list
- * replaces the reader's state, so it must not take that back. */
+ * replaces the reader's state, so it must not take that back, nor be a notice
+ * that has no objects. */
 static gboolean
-is_behind(const Mirror *mirror, ObjectRevision since, const ObjectPage *page)
+is_behind(const Mirror *mirror, const Question *question,
+          const ObjectPage *page)
 {
+    ObjectRevision since = question->since;
+
+    if (page->referred != 0 ||
+        (page->is_arriving && question->at_least >= 0)) {
+        return FALSE;
+    }
     return page->revision.generation < since.generation ||
            (since.number < 0 &&
-            ObjectRevision_Compare(page->revision, mirror->reached) < 0);
+            (page->is_arriving ||
+             ObjectRevision_Compare(page->revision, mirror->reached) < 0));
 }
 
 void
@@ -254,31 +312,35 @@
 
 /* Returns the target of a call that reads a neighbour's state. */
 static char *
-make_target(const Mirror *mirror, const char *kind, ObjectRevision since,
-            ClockMs wait_ms)
+make_target(const Mirror *mirror, const Question *question)
 {
+    ObjectRevision since = question->since;
     GString *target = g_string_new(NULL);
 
-    g_string_printf(target,
-                    MIRROR_PATH "%s?generation=%" PRId64 "&since=%" PRId64
-                                "&wait_ms=%" PRId64 "%s",
-                    kind, since.generation, since.number, wait_ms,
-                    wait_ms == WAIT_ANY_AGE ? MIRROR_ANY_AGE : "");
+    g_string_printf(
+        target,
+        MIRROR_PATH "%s?generation=%" PRId64 "&since=%" PRId64
+                    "&wait_ms=%" PRId64 "&notice=1&reader=%016" PRIx64 "%s",
+        question->kind, since.generation, since.number, question->wait_ms,
+        mirror->host, question->wait_ms == WAIT_ANY_AGE ? MIRROR_ANY_AGE : "");
     if (since.number < 0 && mirror->reached.number > 0 &&
         mirror->reached.generation == since.generation) {
         g_string_append_printf(target, "&reached=%" PRId64,
                                mirror->reached.number);
     }
+    if (question->at_least >= 0) {
+        g_string_append_printf(target, "&at_least=%" PRId64,
+                               question->at_least);
+    }
     return g_string_free(target, FALSE);
 }
 
 /* Sets `avoid_ms` to the time for which a neighbour that fails is skipped. */
 static Result
-request_page(Mirror *mirror, const RosterPeer *peer, const char *kind,
-             ObjectRevision since, ClockMs wait_ms, ObjectPage *page,
-             ClockMs *avoid_ms)
+request_page(Mirror *mirror, const RosterPeer *peer, const Question *question,
+             ObjectPage *page, ClockMs *avoid_ms)
 {
-    char *target = make_target(mirror, kind, since, wait_ms);
+    char *target = make_target(mirror, question);
     ClockMs called = Clock_Now();
     HttpTransfer transfer = {.begun = ObjectPage_Begin, .context = page};
     HttpAnswer answer = {0};
@@ -289,7 +351,8 @@
                      .target = target,
                      .headers = &headers,
                      .connect_ms = CONNECT_TIMEOUT_MS,
-                     .deadline = called + wait_ms + ANSWER_TIMEOUT_MS,
+                     .deadline =
+                         called + question->wait_ms + ANSWER_TIMEOUT_MS,
                      .stall_ms = ANSWER_TIMEOUT_MS,
                      .transfer = &transfer};
     gboolean sent;
@@ -306,12 +369,15 @@
     }
     else if (result != RESULT_OK || answer.status != 200 ||
              !read_body(&answer, peer, page) ||
-             is_behind(mirror, since, page)) {
-        note_failure(kind, peer, result, answer.status, &page->transfer);
+             is_behind(mirror, question, page)) {
+        note_failure(question->kind, peer, result, answer.status,
+                     &page->transfer);
         result = RESULT_STORE_UNAVAILABLE;
     }
     else {
-        _Mirror_NoteReached(mirror, page->revision);
+        if (!page->is_arriving) {
+            _Mirror_NoteReached(mirror, page->revision);
+        }
         page->source = peer->host;
     }
     HttpAnswer_Clear(&answer);
@@ -330,26 +396,84 @@
     atomic_store(&mirror->direct, neighbour == 0);
 }
 
+/* Whether a neighbour that is reading changes itself has done so for too long.
+ */
+static gboolean
+is_stuck(Mirror *mirror, const ObjectPage *page, ClockMs now)
+{
+    if (!page->is_arriving) {
+        mirror->arriving_since = 0;
+        return FALSE;
+    }
+    if (mirror->arriving_since == 0) {
+        mirror->arriving_since = now;
+    }
+    return now - mirror->arriving_since > MIRROR_ARRIVING_MS;
+}
+
+/* Reads from the host to which the neighbour has referred this one, which may
+ * be reading itself, and again from the neighbour, which then serves it, if
+ * that fails. */
+static Result
+follow(Mirror *mirror, const RosterPeer *neighbour, Question question,
+       ObjectPage *page, ClockMs *avoid_ms)
+{
+    ClockMs end = Clock_Now() + MIRROR_ARRIVING_MS;
+    Result result = RESULT_OK;
+    ClockMs ignored_ms;
+    RosterPeer peer;
+
+    question.wait_ms = MIN(question.wait_ms, NEXT_WAIT_MS);
+    for (int hop = 0; result == RESULT_OK && page->is_arriving &&
+                      hop < MAX_HOPS && Clock_Now() < end;) {
+        if (page->referred != 0) {
+            hop++;
+            question.at_least = MAX(question.at_least, page->revision.number);
+            if (!Roster_FindPeer(mirror->desc.roster, page->referred,
+                                 Clock_Now(), &peer)) {
+                break;
+            }
+        }
+        ObjectPage_Reset(page);
+        result = request_page(mirror, &peer, &question, page, &ignored_ms);
+    }
+    if (result == RESULT_STORE_UNAVAILABLE || page->is_arriving) {
+        ObjectPage_Reset(page);
+        question.at_least = -1;
+        result = request_page(mirror, neighbour, &question, page, avoid_ms);
+    }
+    return page->referred != 0 ? RESULT_STORE_UNAVAILABLE : result;
+}
+
 /* Reads from a neighbour. Returns FALSE if the store has to be read. */
 static gboolean
 read_neighbour(Mirror *mirror, const char *kind, ObjectRevision since,
                ClockMs wait_ms, ObjectPage *page, Result *result)
 {
+    Question question = {
+        .kind = kind, .since = since, .wait_ms = wait_ms, .at_least = -1};
     RosterPeer peer;
     ClockMs avoid_ms;
 
-    wait_ms = MIN(wait_ms, MAX_WAIT_MS);
+    question.wait_ms = MIN(wait_ms, MAX_WAIT_MS);
     for (int asked = 0;
          asked < MAX_ASKED && find_neighbour(mirror, kind, &peer); asked++) {
-        *result =
-            request_page(mirror, &peer, kind, since, wait_ms, page, &avoid_ms);
-        if (*result != RESULT_STORE_UNAVAILABLE) {
+        *result = request_page(mirror, &peer, &question, page, &avoid_ms);
+        if (page->is_arriving && page->begun != NULL) {
+            page->begun(page->context);
+        }
+        if (*result == RESULT_OK && page->referred != 0) {
+            *result = follow(mirror, &peer, question, page, &avoid_ms);
+        }
+        if (*result != RESULT_STORE_UNAVAILABLE &&
+            !is_stuck(mirror, page, Clock_Now())) {
             record_source(mirror, kind, peer.host);
             return TRUE;
         }
+        mirror->arriving_since = 0;
         avoid(mirror, peer.host, Clock_Now() + avoid_ms);
         ObjectPage_Reset(page);
-        wait_ms = MIN(wait_ms, NEXT_WAIT_MS);
+        question.wait_ms = MIN(question.wait_ms, NEXT_WAIT_MS);
     }
     return FALSE;
 }
@@ -362,6 +486,8 @@
     ObjectRevision all = {.generation =
                               ObjectGeneration_Newest(mirror->desc.generation),
                           .number = -1};
+    Question question = {
+        .kind = kind, .since = all, .wait_ms = WAIT_ANY_AGE, .at_least = -1};
     RosterPeer order[MAX_NEIGHBOURS];
     uint32_t count = Roster_Rank(mirror->desc.roster, group_key(mirror, kind),
                                  FALSE, Clock_Now(), order, MAX_NEIGHBOURS);
@@ -371,8 +497,9 @@
         if (order[i].is_self || order[i].mirror.sin_port == 0) {
             continue;
         }
-        if (request_page(mirror, &order[i], kind, all, WAIT_ANY_AGE, page,
-                         &avoid_ms) == RESULT_OK) {
+        if (request_page(mirror, &order[i], &question, page, &avoid_ms) ==
+                RESULT_OK &&
+            page->referred == 0) {
             record_source(mirror, kind, order[i].host);
             return TRUE;
         }
@@ -486,7 +613,7 @@
     mirror->desc = *desc;
     mirror->functions =
         (ObjectStore){.context = mirror, .list = list, .watch = watch};
-    mirror->group_seed = Rng_HashString(desc->host);
+    mirror->host = Rng_HashString(desc->host);
     return mirror;
 }
 
--- a/src/mirror/mirror.h
+++ b/src/mirror/mirror.h
@@ -10,7 +10,8 @@
  * is skipped for MIRROR_AVOID_MS, one that answers but cannot
  * serve for MIRROR_REFUSED_MS. The next one in the order is asked before the
  * store is read: it takes over the watch on the store, while the others of the
- * group wait for it.
+ * group wait for it. One that is reading a change itself is waited for, for
+ * MIRROR_ARRIVING_MS.
  *
  * A kind whose last known state counts while the store is away has
  * `keeps_known`. After a failed call on the store, the host that ranks first
@@ -38,6 +39,7 @@
 #define MIRROR_AVOID_MS 3000
 #define MIRROR_REFUSED_MS 1000
 #define MIRROR_AWAY_MS 3000
+#define MIRROR_ARRIVING_MS 2000
 
 typedef struct Mirror Mirror;
 
--- a/src/mirror/mirror_cache.c
+++ b/src/mirror/mirror_cache.c
@@ -27,6 +27,7 @@
     int64_t discarded;       /* deletions up to it are unknown */
     ClockMs confirmed;
     uint64_t confirmations;
+    gboolean is_arriving; /* MirrorCache_Announce() */
 };
 
 static void
@@ -268,12 +269,32 @@
         cache->revision.number = MAX(cache->revision.number, revision.number);
         cache->confirmed = MAX(cache->confirmed, as_of);
         cache->confirmations++;
+        cache->is_arriving = FALSE;
         pthread_cond_broadcast(&cache->changed);
         discard_deletions(cache, Clock_Now());
     }
     pthread_mutex_unlock(&cache->lock);
 }
 
+void
+MirrorCache_Announce(MirrorCache *cache, gboolean is_arriving)
+{
+    pthread_mutex_lock(&cache->lock);
+    cache->is_arriving = is_arriving;
+    pthread_mutex_unlock(&cache->lock);
+}
+
+gboolean
+MirrorCache_IsArriving(MirrorCache *cache)
+{
+    gboolean is_arriving;
+
+    pthread_mutex_lock(&cache->lock);
+    is_arriving = cache->is_arriving;
+    pthread_mutex_unlock(&cache->lock);
+    return is_arriving;
+}
+
 /* Called with the lock held. */
 static gboolean
 has_news(const MirrorCache *cache, ObjectRevision since)
@@ -306,6 +327,23 @@
     pthread_mutex_unlock(&cache->lock);
 }
 
+gboolean
+MirrorCache_AwaitRevision(MirrorCache *cache, ObjectRevision revision,
+                          ClockMs wait_ms)
+{
+    struct timespec until = Condition_After(wait_ms);
+    gboolean reached;
+
+    pthread_mutex_lock(&cache->lock);
+    while (ObjectRevision_Compare(cache->revision, revision) < 0 &&
+           pthread_cond_timedwait(&cache->changed, &cache->lock, &until) ==
+               0) {
+    }
+    reached = ObjectRevision_Compare(cache->revision, revision) >= 0;
+    pthread_mutex_unlock(&cache->lock);
+    return reached;
+}
+
 /* Called with the lock held. */
 static void
 copy_entries(MirrorCache *cache, int64_t revision, ObjectPage *page)
--- a/src/mirror/mirror_cache.h
+++ b/src/mirror/mirror_cache.h
@@ -51,6 +51,11 @@
 void MirrorCache_Confirm(MirrorCache *cache, ClockMs as_of,
                          ObjectRevision revision);
 
+/* States that changes have begun to arrive, which the next confirmation
+ * contains, or that they no longer do. */
+void MirrorCache_Announce(MirrorCache *cache, gboolean is_arriving);
+gboolean MirrorCache_IsArriving(MirrorCache *cache);
+
 /* Blocks until there is a change after the revision or the reader has to list,
  * until the next confirmation or for wait_ms, whichever comes first. If the
  * cache does not have the reader's generation yet, it waits for that. */
@@ -66,6 +71,11 @@
 Result MirrorCache_Read(MirrorCache *cache, ObjectRevision revision,
                         ObjectPage *page);
 
+/* Blocks until the cache has the state at the revision, for wait_ms. Returns
+ * FALSE if it has not. */
+gboolean MirrorCache_AwaitRevision(MirrorCache *cache, ObjectRevision revision,
+                                   ClockMs wait_ms);
+
 /* Whether there are changes after the revision, in its generation. */
 gboolean MirrorCache_IsAhead(MirrorCache *cache, ObjectRevision revision);
 
--- a/src/mirror/mirror_port.c
+++ b/src/mirror/mirror_port.c
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "http/http_server.h"
+#include "mirror/mirror_spread.h"
 #include "pack/pack.h"
 
 /* Upper bound of the wait_ms argument. */
@@ -14,9 +15,12 @@
 #define MAX_TAKEOVER_MS 400
 #define TAKEOVER_POLL_MS 20
 
+#define MAX_KINDS 8
+
 struct MirrorPort {
     MirrorPort_desc desc;
     HttpServer *server;
+    MirrorSpread *spreads[MAX_KINDS]; /* of each kind */
 };
 
 static const MirrorKind *
@@ -34,6 +38,16 @@
     return NULL;
 }
 
+static uint64_t
+read_host(const HttpRequest *request, const char *name)
+{
+    char *text = HttpRequest_Argument(request, name);
+    uint64_t host = text ? g_ascii_strtoull(text, NULL, 16) : 0;
+
+    g_free(text);
+    return host;
+}
+
 static int64_t
 read_argument(const HttpRequest *request, const char *name, int64_t fallback)
 {
@@ -138,10 +152,15 @@
 
     g_string_append_printf(body.pending,
                            "{\"generation\":%" PRId64 ",\"revision\":%" PRId64
-                           ",\"held_ms\":%" PRId64 ",\"age_ms\":%" PRId64
-                           ",\"objects\":[",
+                           ",\"held_ms\":%" PRId64 ",\"age_ms\":%" PRId64 "%s",
                            page->revision.generation, page->revision.number,
-                           page->held_ms, page->age_ms);
+                           page->held_ms, page->age_ms,
+                           page->is_arriving ? ",\"arriving\":true" : "");
+    if (page->referred != 0) {
+        g_string_append_printf(
+            body.pending, ",\"referred\":\"%016" PRIx64 "\"", page->referred);
+    }
+    g_string_append(body.pending, ",\"objects\":[");
     if (append_objects(&body, page)) {
         g_string_append(body.pending, "]}");
         flush_pending(&body);
@@ -191,12 +210,16 @@
     ObjectRevision reached; /* newest state that the reader has had */
     ClockMs wait_ms;
     gboolean any_age;
+    gboolean takes_notice; /* that changes are arriving */
+    int64_t at_least;      /* revision that this host must have reached, with
+                              whatever source; -1: it must be direct */
+    uint64_t reader;       /* hash of its host; 0: it cannot be referred */
 } Question;
 
 /* Waits until the host watches the kind at the store, for a short time: it may
  * be about to take over from a neighbour that failed. A host that has changes
  * which the reader lacks needs no source of its own. Returns FALSE if it has
- * neither. */
+ * neither, or has not reached the revision that the reader names. */
 static gboolean
 await_state(const MirrorKind *kind, const Question *question)
 {
@@ -204,6 +227,13 @@
     gboolean result = FALSE;
     gboolean is_over = FALSE;
 
+    if (question->at_least >= 0) {
+        return MirrorCache_AwaitRevision(
+            kind->cache,
+            (ObjectRevision){.generation = question->since.generation,
+                             .number = question->at_least},
+            CLAMP(question->wait_ms, 0, MAX_WAIT_MS));
+    }
     while (!result && !is_over) {
         is_over = Clock_Now() >= end;
         result = kind->is_direct(kind->context) ||
@@ -215,6 +245,25 @@
     return result;
 }
 
+/* Whether the reader can be told that it gets changes from here soon. */
+static gboolean
+gives_notice(const MirrorKind *kind, const Question *question)
+{
+    return question->takes_notice &&
+           (question->since.number >= 0 || question->at_least >= 0) &&
+           MirrorCache_IsArriving(kind->cache);
+}
+
+/* Whether the page was the newest state lately, as far as the reader demands.
+ */
+static gboolean
+proves_state(const MirrorKind *kind, const Question *question,
+             const ObjectPage *page)
+{
+    return page->age_ms <= kind->max_age_ms &&
+           (question->at_least >= 0 || kind->is_direct(kind->context));
+}
+
 /* Waits for a change and reads it. To prove that there is none, the host must
  * be direct before and after the wait, because its source may change
  * meanwhile. A state that is ahead of the reader's is newer, whatever its age.
@@ -224,24 +273,32 @@
 {
     ObjectRevision since = question->since;
     ClockMs started = Clock_Now();
+    gboolean is_there;
     Result result;
 
     if (kind->keeps_known && question->any_age) {
         return MirrorCache_Read(kind->cache, since, page);
     }
-    if (!await_state(kind, question)) {
+    is_there = await_state(kind, question);
+    if (!is_there && !gives_notice(kind, question)) {
         page->revision = MirrorCache_Revision(kind->cache);
         page->held_ms = Clock_Now() - started;
         return RESULT_STORE_UNAVAILABLE;
     }
     if (since.number >= 0 || since.generation > 0) {
-        MirrorCache_Wait(kind->cache, since,
-                         CLAMP(question->wait_ms, 0, MAX_WAIT_MS));
+        MirrorCache_Wait(
+            kind->cache, since,
+            CLAMP(started + question->wait_ms - Clock_Now(), 0, MAX_WAIT_MS));
     }
     result = MirrorCache_Read(kind->cache, since, page);
     page->held_ms = Clock_Now() - started;
-    if (result == RESULT_OK &&
-        (page->age_ms > kind->max_age_ms || !kind->is_direct(kind->context)) &&
+    if (!is_there && question->at_least >= 0) {
+        g_array_set_size(page->records, 0);
+    }
+    page->is_arriving =
+        page->records->len == 0 && gives_notice(kind, question);
+    if (result == RESULT_OK && !page->is_arriving &&
+        !proves_state(kind, question, page) &&
         !MirrorCache_IsAhead(kind->cache, question->reached)) {
         result = RESULT_STORE_UNAVAILABLE;
     }
@@ -255,7 +312,10 @@
         .since = {.generation = read_argument(request, "generation", -1),
                   .number = read_argument(request, "since", 0)},
         .wait_ms = read_argument(request, "wait_ms", 0),
-        .any_age = read_argument(request, "any_age", 0) != 0};
+        .any_age = read_argument(request, "any_age", 0) != 0,
+        .takes_notice = read_argument(request, "notice", 0) != 0,
+        .at_least = read_argument(request, "at_least", -1),
+        .reader = read_host(request, "reader")};
     question->reached = question->since;
     if (question->since.number < 0) {
         question->reached.number = read_argument(request, "reached", -1);
@@ -275,10 +335,33 @@
               kind->is_direct(kind->context), page->age_ms, page->held_ms);
 }
 
+/* Refers the reader of a large page to an earlier reader, if this host has
+ * served enough of them. */
+static void
+refer_reader(MirrorPort *port, const MirrorKind *kind,
+             const Question *question, ObjectPage *page)
+{
+    size_t bytes = 0;
+
+    for (guint i = 0; i < page->records->len; i++) {
+        bytes += g_bytes_get_size(
+            g_array_index(page->records, ObjectRecord, i).text);
+    }
+    if (question->reader != 0 && bytes >= _MIRROR_MIN_PACKED_BYTES) {
+        page->referred =
+            MirrorSpread_Refer(port->spreads[kind - port->desc.kinds],
+                               page->revision, question->reader);
+    }
+    if (page->referred != 0) {
+        g_array_set_size(page->records, 0);
+        page->is_arriving = TRUE;
+    }
+}
+
 static void
 serve(void *context, HttpRequest *request)
 {
-    const MirrorPort *port = context;
+    MirrorPort *port = context;
     const MirrorKind *kind = find_kind(port, HttpRequest_Path(request));
     HttpAnswer answer = {0};
     Question question;
@@ -291,6 +374,7 @@
         result = read_kind(kind, &question, &page);
     }
     if (result == RESULT_OK) {
+        refer_reader(port, kind, &question, &page);
         set_page(&answer, &page,
                  accepts_packed(request) && is_worth_packing(&page));
         result = answer.status == 200 ? RESULT_OK : RESULT_OVERLOADED;
@@ -316,10 +400,14 @@
                               .handler = serve,
                               .context = port};
 
+    g_assert(desc->kind_count <= MAX_KINDS);
     port->desc = *desc;
+    for (unsigned i = 0; i < desc->kind_count; i++) {
+        port->spreads[i] = MirrorSpread_Create();
+    }
     port->server = HttpServer_Create(&server, error);
     if (port->server == NULL) {
-        g_free(port);
+        MirrorPort_Destroy(port);
         return NULL;
     }
     return port;
@@ -336,6 +424,9 @@
 {
     if (port != NULL) {
         HttpServer_Destroy(port->server);
+        for (unsigned i = 0; i < port->desc.kind_count; i++) {
+            MirrorSpread_Destroy(port->spreads[i]);
+        }
         g_free(port);
     }
 }
--- a/src/mirror/mirror_port.h
+++ b/src/mirror/mirror_port.h
@@ -5,15 +5,28 @@
  * answers {"generation", "revision", "held_ms", "age_ms", "objects": [{"name",
  * "revision", "deleted", "value"}]} as soon as there is a change after the
  * revision, or after wait_ms; since=-1 requests all objects. With the header
- * "Accept-Encoding: zstd" a large answer is compressed. The status is 410
- * if the host no longer has that history. A host that has changes after the
- * revision, or with since=-1&reached=<revision> after that one, answers with
- * them. Without any, the status is 503 if it does not watch the store itself,
- * nor begins to within a short time, or its state is older than max_age_ms or
- * from before the reader's generation. With any_age=1, a kind that is kept in
- * outages of the store is answered at once, by any host that has it, at any
- * age. Daemons of earlier versions neither send nor expect the generation; a
- * reader takes an answer without it for generation 0.
+ * "Accept-Encoding: zstd" a large answer is compressed. Further arguments:
+ *   notice=1             the reader takes notices, see below
+ *   reader=<host>        hash of the reader's host: it can be referred
+ *   reached=<revision>   newest state that a reader of all objects has had
+ *   at_least=<revision>  this host need not watch the store itself if it has
+ *                        reached the revision
+ *   any_age=1            a kind that is kept in outages of the store is
+ *                        answered at once, by any host that has it
+ *
+ * A host that has changes after the reader's revision answers with them. The
+ * status is 410 if it no longer has that history. Without changes it is 503 if
+ * the host does not watch the store itself, nor begins to within a short time,
+ * or its state is older than max_age_ms or from before the reader's
+ * generation.
+ *
+ * A notice has "arriving": true and no objects: a change is on its way to this
+ * host, so its readers stay with it. With "referred": <host> the reader gets
+ * the change from that host, at_least=<revision> (mirror/mirror_spread.h).
+ *
+ * Daemons of earlier versions send none of the further arguments and get no
+ * notice; they neither send nor expect the generation; a reader takes an
+ * answer without it for generation 0.
  *
  * Use: MirrorPort_Create() with the caches, MirrorPort_Destroy().
  *
--- a/src/mirror/test_mirror_group.c
+++ b/src/mirror/test_mirror_group.c
@@ -225,6 +225,12 @@
     atomic_store(&host->revision, revision.number);
 }
 
+static void
+note_receiving(void *context, gboolean is_arriving)
+{
+    MirrorCache_Announce(((Host *)context)->cache, is_arriving);
+}
+
 static void
 open_host(Group *group, Host *host, int number)
 {
@@ -343,6 +349,7 @@
                                .changed = note_change,
                                .listed = note_list,
                                .confirmed = note_confirmed,
+                               .receiving = note_receiving,
                                .context = host});
     }
     await_level(group, Clock_Now() + 4 * APPLY_MS);
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -58,6 +58,9 @@
     ClockMs held_ms; /* lower bound of the time from call to answer */
     ClockMs age_ms;  /* age of the state when the answer was made */
     ObjectTransfer transfer; /* also of an answer that was not complete */
+    gboolean is_arriving;    /* the source is reading changes itself, or has
+                                referred the reader */
+    uint64_t referred;       /* hash of the host to read from; 0: none */
     uint64_t source;         /* hash of the host that answered; 0: the store */
     /* Set by the caller of a watch: called as soon as it is known that the
      * answer has changes, which may be long before it is complete; NULL: not
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -60,6 +60,9 @@
     if (sync->desc.announced != NULL && !sync->has_answered) {
         sync->desc.announced(sync->desc.context, FALSE);
     }
+    if (sync->desc.receiving != NULL) {
+        sync->desc.receiving(sync->desc.context, FALSE);
+    }
     Log_Event(sync->failing ? LOG_OBJECTS_FAILED : LOG_STORE_LOST,
               "kind=%s result=%s generation=%" PRId64 " revision=%" PRId64
               " head_ms=%" PRId64 " body_ms=%" PRId64 " bytes=%" PRId64
@@ -216,13 +219,37 @@
     }
 }
 
+static void
+note_receiving(void *context)
+{
+    const ObjectSync *sync = context;
+
+    if (sync->desc.receiving != NULL) {
+        sync->desc.receiving(sync->desc.context, TRUE);
+    }
+}
+
+static void
+note_begun(void *context)
+{
+    const ObjectSync *sync = context;
+
+    note_receiving(context);
+    if (sync->desc.announced != NULL) {
+        sync->desc.announced(sync->desc.context, TRUE);
+    }
+}
+
 /* Reads one page of a list. The first one may begin a new generation. */
 static Result
 list_page(ObjectSync *sync, const char *after, ObjectPage *page)
 {
     const ObjectStore *store = sync->desc.store;
-    Result result = store->list(store->context, sync->desc.kind, after, page);
+    Result result;
 
+    page->begun = note_receiving;
+    page->context = sync;
+    result = store->list(store->context, sync->desc.kind, after, page);
     sync->transfer = page->transfer;
     sync->has_answered = page->has_begun;
     if (result == RESULT_OK) {
@@ -273,16 +300,6 @@
     return result;
 }
 
-static void
-note_begun(void *context)
-{
-    const ObjectSync *sync = context;
-
-    if (sync->desc.announced != NULL) {
-        sync->desc.announced(sync->desc.context, TRUE);
-    }
-}
-
 static Result
 watch_once(ObjectSync *sync, gboolean *changed)
 {
@@ -322,7 +339,9 @@
         else {
             sync->revision.number =
                 MAX(sync->revision.number, page.revision.number);
-            report_confirmation(sync, started, &page);
+            if (!page.is_arriving) {
+                report_confirmation(sync, started, &page);
+            }
         }
         sync->next_wait_ms = *changed ? CONFIRM_WAIT_MS : sync->desc.wait_ms;
     }
--- a/src/objects/object_sync.h
+++ b/src/objects/object_sync.h
@@ -17,11 +17,13 @@
  * each of its revisions, by name for up to OBJECT_SYNC_REJECTED names. After a
  * full list `listed` receives the names that exist, so that all others can be
  * removed. `announced` is called with TRUE when a large answer with
- * changes begins to arrive, before they are reported, and with FALSE after a
- * call that no source has begun to answer: as far as this host can tell, nobody
- * can read or write now. An answer that breaks off takes nothing back.
- * `confirmed` receives a time at which the state reported so far was the newest
- * one.
+ * changes begins to arrive, here or at the source, before they are reported,
+ * and with FALSE after a call that no source has begun to answer: as far as
+ * this host can tell, nobody can read or write now. An answer that breaks off
+ * takes nothing back. `receiving` is called with TRUE when any large answer
+ * begins to arrive, a list too, and with FALSE after a call that failed.
+ * `confirmed` receives a time at which the state reported so far was the
+ * newest one.
  */
 #ifndef OBJECTS_OBJECT_SYNC_H
 #define OBJECTS_OBJECT_SYNC_H
@@ -53,6 +55,7 @@
     void (*confirmed)(void *context, ClockMs as_of,
                       ObjectRevision revision);             /* may be NULL */
     void (*announced)(void *context, gboolean is_arriving); /* may be NULL */
+    void (*receiving)(void *context, gboolean is_arriving); /* may be NULL */
     void *context;
 } ObjectSync_desc;
 
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -194,6 +194,11 @@
 uint32_t Roster_Rank(Roster *roster, uint64_t key, gboolean all, ClockMs now,
                      RosterPeer *peers, uint32_t max);
 
+/* Fills the host of this data centre with the hash. Returns FALSE if there is
+ * none, or it is this host. */
+gboolean Roster_FindPeer(Roster *roster, uint64_t host, ClockMs now,
+                         RosterPeer *peer);
+
 /* Fills the hosts of this data centre that have been unreachable for `lost_ms`
  * and whose entries this host has to remove, and returns their number. The
  * entry of a lost host is removed by the first host in the lost host's
--- a/src/roster/roster_neighbours.c
+++ b/src/roster/roster_neighbours.c
@@ -94,6 +94,24 @@
     return count;
 }
 
+gboolean
+Roster_FindPeer(Roster *roster, uint64_t host, ClockMs now, RosterPeer *peer)
+{
+    gboolean found = FALSE;
+
+    pthread_mutex_lock(&roster->lock);
+    for (guint i = 0; !found && i < roster->neighbours->len; i++) {
+        const RosterRow *row = g_ptr_array_index(roster->neighbours, i);
+
+        found = row->host == host && row->host != roster->self;
+        if (found) {
+            fill_peer(row, now, peer);
+        }
+    }
+    pthread_mutex_unlock(&roster->lock);
+    return found;
+}
+
 /* Whether this host is the first in the rendezvous order of a lost host, whose
  * hash is the key, among the other hosts of the data centre that it reaches.
  * Called with the lock held. */
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -149,6 +149,14 @@
     }
 }
 
+static void
+catalog_receiving(void *context, gboolean is_arriving)
+{
+    const Sidecar *sidecar = context;
+
+    MirrorCache_Announce(sidecar->kinds[SIDECAR_CATALOG].cache, is_arriving);
+}
+
 static void
 catalog_listed(void *context, GHashTable *names, ObjectRevision revision)
 {
@@ -361,6 +369,7 @@
                                .listed = catalog_listed,
                                .confirmed = catalog_confirmed,
                                .announced = catalog_announced,
+                               .receiving = catalog_receiving,
                                .context = sidecar};
     ObjectSync_desc roster = {.kind = SIDECAR_ROSTER_KIND,
                               .wait_ms = ROSTER_WAIT_MS,
