mirror: a host that has lost the store reads from any neighbour that is as far

What callers saw: requests handled by an outdated version, for as long as it lasts, at the host that ranks first in its group when it alone is cut off from the store; and at all that are cut off together with those that rank first. Cause: the host that ranks first reads the store only, and others ask the first three hosts only.

Change: after a call that the store has not begun to answer, a host reads from a neighbour drawn at random, whatever that one's own source is, if it has reached the host's own state.

--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -29,6 +29,10 @@
 #define MAX_ASKED 2
 #define NEXT_WAIT_MS 400
 
+/* Duration of a watch at any neighbour. It is short because the store may be
+ * back meanwhile. */
+#define ANY_WAIT_MS 50
+
 /* Number of hosts to which a read is referred, one by the other. */
 #define MAX_HOPS 4
 
@@ -61,6 +65,7 @@
     uint64_t source; /* host that gave the last answer; 0: the store */
     atomic_bool direct;
     ObjectRevision reached; /* newest one of an answer, for the same thread */
+    Rng rng;                /* for the same thread */
     ClockMs arriving_since; /* the source reads changes itself; 0: it does not
                              */
     ClockMs away_until;     /* the store is taken as away; 0: it is not */
@@ -508,6 +513,41 @@
     return FALSE;
 }
 
+/* Reads from a neighbour drawn at random, whatever its own source: this host
+ * has lost the store, and those that rank first may have, too. */
+static Result
+read_any(Mirror *mirror, const char *kind, ObjectRevision since,
+         ObjectPage *page)
+{
+    Question question = {.kind = kind,
+                         .since = since,
+                         .wait_ms = ANY_WAIT_MS,
+                         .at_least = MAX(since.number, 0)};
+    RosterPeer order[2];
+    uint32_t count =
+        Roster_Rank(mirror->desc.roster, Rng_Next(&mirror->rng), FALSE,
+                    Clock_Now(), order, G_N_ELEMENTS(order));
+    ClockMs ignored_ms;
+    Result result = RESULT_STORE_UNAVAILABLE;
+
+    for (uint32_t i = 0; i < count; i++) {
+        if (!order[i].is_self && order[i].mirror.sin_port != 0) {
+            result =
+                request_page(mirror, &order[i], &question, page, &ignored_ms);
+            if (result == RESULT_OK && page->referred != 0) {
+                result =
+                    follow(mirror, &order[i], question, page, &ignored_ms);
+            }
+            if (result != RESULT_STORE_UNAVAILABLE) {
+                record_source(mirror, kind, order[i].host);
+                mirror->away_until = Clock_Now() + MIRROR_AWAY_MS;
+            }
+            break;
+        }
+    }
+    return result;
+}
+
 /* Called after a failed call on the store, which may have filled the page. */
 static void
 note_away(Mirror *mirror, ObjectPage *page)
@@ -602,6 +642,10 @@
         note_away(mirror, page);
         (void)read_neighbour(mirror, kind, revision, wait_ms, page, &result);
     }
+    if (result == RESULT_STORE_UNAVAILABLE && !page->has_begun) {
+        ObjectPage_Reset(page);
+        result = read_any(mirror, kind, revision, page);
+    }
     return result;
 }
 
@@ -614,6 +658,7 @@
     mirror->functions =
         (ObjectStore){.context = mirror, .list = list, .watch = watch};
     mirror->host = Rng_HashString(desc->host);
+    Rng_Seed(&mirror->rng, Rng_ProcessSeed() ^ mirror->host);
     return mirror;
 }
 
--- a/src/mirror/mirror.h
+++ b/src/mirror/mirror.h
@@ -13,6 +13,9 @@
  * group wait for it. One that is reading a change itself is waited for, for
  * MIRROR_ARRIVING_MS.
  *
+ * A host that cannot read the store reads from any neighbour that has reached
+ * its own state, for MIRROR_AWAY_MS if that answers.
+ *
  * A kind whose last known state counts while the store is away has
  * `keeps_known`. After a failed call on the store, the host that ranks first
  * reads from its neighbours for MIRROR_AWAY_MS, and a host that has no list
