gateway, catalog: an owner's answer names the version that it has in force

What callers saw: a host that reads nothing of a newer configuration handled requests without a key by its own at any age, though the answers of other hosts came from hosts that had the newer one. What a host could know, it did not.

Change: the reply of an owner carries its version (up to 21 bytes). A host that hears of a newer one than its own stops to use its own when the last proof is older than config_apply_ms, until the newer one is in force or a proof of a later time says that there is none. A failed call does not take this back. Daemons of earlier versions send no version and ignore it.

--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -183,6 +183,8 @@
                             its calls have no room or the retry limit is near;
                             time after which it may return */
     ClockMs owner_ms;    /* time at the owner of another host; -1: unknown */
+    uint64_t catalog_version; /* of the configuration that the owner of another
+                                 host has in force; 0: unknown */
 } BackendReply;
 
 typedef struct BackendStatus {
--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -16,6 +16,8 @@
     _Atomic uint64_t required; /* newest version known of another host */
     _Atomic ClockMs confirmed;
     _Atomic ClockMs announced; /* arrival of a newer one; 0: none */
+    _Atomic uint64_t heard;    /* newest version of another host */
+    _Atomic ClockMs heard_at;  /* when it was heard of first; 0: not */
 };
 
 Catalog *
@@ -50,6 +52,9 @@
     catalog->is_rejected = FALSE;
     atomic_store(&catalog->version, CatalogTable_Version(table));
     atomic_store(&catalog->announced, 0);
+    if (CatalogTable_Version(table) >= atomic_load(&catalog->heard)) {
+        atomic_store(&catalog->heard_at, 0);
+    }
     rcu_assign_pointer(catalog->table, table);
     /* Afterwards all readers that loaded the old pointer hold a reference. */
     synchronize_rcu();
@@ -76,6 +81,9 @@
     if (as_of > atomic_load(&catalog->announced)) {
         atomic_store(&catalog->announced, 0);
     }
+    if (as_of > atomic_load(&catalog->heard_at)) {
+        atomic_store(&catalog->heard_at, 0);
+    }
 }
 
 gboolean
@@ -86,12 +94,35 @@
     return (before == 0) != (now == 0);
 }
 
+gboolean
+Catalog_Hear(Catalog *catalog, uint64_t version, ClockMs now)
+{
+    ClockMs unknown = 0;
+
+    if (version <= atomic_load(&catalog->version)) {
+        return FALSE;
+    }
+    /* Two threads may hear of two versions: either one is newer than that in
+     * force. */
+    atomic_store(&catalog->heard, version);
+    return atomic_compare_exchange_strong(&catalog->heard_at, &unknown, now);
+}
+
+/* Whether a newer version than the one in force is known. */
+static gboolean
+knows_newer(const Catalog *catalog)
+{
+    return atomic_load(&catalog->announced) != 0 ||
+           (atomic_load(&catalog->heard_at) != 0 &&
+            atomic_load(&catalog->heard) > atomic_load(&catalog->version));
+}
+
 gboolean
 Catalog_IsOutdated(const Catalog *catalog, ClockMs now, ClockMs apply_ms)
 {
     ClockMs confirmed = atomic_load(&catalog->confirmed);
 
-    return atomic_load(&catalog->announced) != 0 &&
+    return knows_newer(catalog) &&
            (confirmed == UNCONFIRMED || now - confirmed > apply_ms);
 }
 
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -12,9 +12,9 @@
  *     operation that must not rely on a revoked key.
  *
  * A large configuration may take longer to arrive than a change may take to be
- * in force. A daemon that knows of one stops to use the one before in time
- * (Catalog_IsOutdated()). One that receives none, because the store is away,
- * goes on with requests that need no key.
+ * in force. A daemon that knows of one, or hears that another has it, stops to
+ * use the one before in time (Catalog_IsOutdated()). One that receives none,
+ * because the store is away, goes on with requests that need no key.
  *
  * A pending watch does not confirm the configuration, since its connection may
  * be cut off. The age counts from a time at which the store's state is known.
@@ -52,7 +52,12 @@
  * a later time. Returns whether this is new. */
 gboolean Catalog_Announce(Catalog *catalog, ClockMs now);
 
-/* Whether a newer configuration is arriving and the one in force was last
+/* States that another host has this version in force. If it is newer than the
+ * one in force, it is known until it is in force here, or a proof of a later
+ * time says otherwise. Returns whether this is new. */
+gboolean Catalog_Hear(Catalog *catalog, uint64_t version, ClockMs now);
+
+/* Whether a newer configuration is known and the one in force was last
  * known to be the newest more than apply_ms ago: it must not be used. */
 gboolean Catalog_IsOutdated(const Catalog *catalog, ClockMs now,
                             ClockMs apply_ms);
--- a/src/catalog/test_catalog.c
+++ b/src/catalog/test_catalog.c
@@ -214,18 +214,28 @@
         const char *what;
         ClockMs announced; /* 0: no newer one is known; -1: its transfer has
                               failed */
+        uint64_t heard;    /* version of another host, at 1500 ms */
         ClockMs confirmed; /* after it; 0: not */
         gboolean published;
         ClockMs now;
         gboolean outdated;
     } cases[] = {
-        {"none known, and no proof for long", 0, 0, FALSE, 99000, FALSE},
-        {"known, within the time", 1500, 0, FALSE, 4000, FALSE},
-        {"known, at the end of the time", 3900, 0, FALSE, 4001, TRUE},
-        {"in force", 1500, 0, TRUE, 4001, FALSE},
-        {"no longer arriving", -1, 0, FALSE, 9000, FALSE},
-        {"confirmed by an older proof", 1500, 1200, FALSE, 4201, TRUE},
-        {"confirmed by a newer proof", 1500, 1600, FALSE, 9000, FALSE},
+        {"none known, and no proof for long", 0, 0, 0, FALSE, 99000, FALSE},
+        {"known, within the time", 1500, 0, 0, FALSE, 4000, FALSE},
+        {"known, at the end of the time", 3900, 0, 0, FALSE, 4001, TRUE},
+        {"in force", 1500, 0, 0, TRUE, 4001, FALSE},
+        {"no longer arriving", -1, 0, 0, FALSE, 9000, FALSE},
+        {"confirmed by an older proof", 1500, 0, 1200, FALSE, 4201, TRUE},
+        {"confirmed by a newer proof", 1500, 0, 1600, FALSE, 9000, FALSE},
+        {"heard of the same", 0, 8, 0, FALSE, 9000, FALSE},
+        {"heard of an older one", 0, 7, 0, FALSE, 9000, FALSE},
+        {"heard of a newer one, within the time", 0, 9, 0, FALSE, 4000, FALSE},
+        {"heard of a newer one", 0, 9, 0, FALSE, 4001, TRUE},
+        {"heard of a newer one, not arriving", -1, 9, 0, FALSE, 4001, TRUE},
+        {"heard of, and in force", 0, 9, 0, TRUE, 4001, FALSE},
+        {"heard of one after that in force", 0, 10, 0, TRUE, 4001, TRUE},
+        {"heard of, older proof", 0, 9, 1200, FALSE, 4201, TRUE},
+        {"heard of, newer proof", 0, 9, 1600, FALSE, 9000, FALSE},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -240,6 +250,7 @@
         if (cases[i].announced < 0) {
             Catalog_Announce(catalog, 0);
         }
+        (void)Catalog_Hear(catalog, cases[i].heard, 1500);
         if (cases[i].published) {
             g_assert_true(Catalog_Publish(catalog, make_table(9), 1));
         }
--- a/src/gateway/gateway_attempt.c
+++ b/src/gateway/gateway_attempt.c
@@ -405,6 +405,20 @@
     }
 }
 
+/* Notes the version of the configuration that an owner has in force. */
+static void
+hear_version(const GatewayRequest *request, const RosterChoice *choice,
+             uint64_t version)
+{
+    Catalog *catalog = request->gateway->desc.catalog;
+
+    if (Catalog_Hear(catalog, version, Clock_Now())) {
+        Log_Event(LOG_CATALOG_ANNOUNCED,
+                  "version=%" PRIu64 " newer=%" PRIu64 " host=%s",
+                  Catalog_Version(catalog), version, choice->entry.host);
+    }
+}
+
 static void
 call_owner(GatewayRequest *request, const RosterChoice *choice,
            BackendReply *reply)
@@ -444,6 +458,9 @@
         if (!PeerWire_DecodeReply(&reply->answer.headers, reply)) {
             HttpAnswer_Clear(&reply->answer);
         }
+        else {
+            hear_version(request, choice, reply->catalog_version);
+        }
         return;
     }
     reply->run = sent ? RUN_UNKNOWN : RUN_NO;
--- a/src/gateway/peer_port.c
+++ b/src/gateway/peer_port.c
@@ -152,6 +152,9 @@
             HttpCancelSet_IsTriggered(port->cancels)) {
             reply.result = RESULT_SHUTTING_DOWN;
         }
+        if (port->desc.catalog != NULL) {
+            reply.catalog_version = Catalog_Version(port->desc.catalog);
+        }
         log_call(port, request, &call, &reply);
         fill_answer(&reply, &answer);
     }
--- a/src/gateway/peer_wire.c
+++ b/src/gateway/peer_wire.c
@@ -130,16 +130,16 @@
     const RosterReport *report = &reply->report;
     char line[LINE_BYTES];
 
-    (void)snprintf(line, sizeof(line),
-                   "%d %d %d %.3f %u %u %u %" PRId64 " %" PRId64 " %d %" PRId64
-                   " %.2f %.2f %" PRId64 " %" PRId64,
-                   (int)reply->result, (int)reply->run, reply->arrived,
-                   report->risk, report->slots, report->in_flight,
-                   report->waiting, report->service_ms,
-                   MAX(report->idle_ms, 0), report->leaving,
-                   reply->queue_ms + reply->server_ms, report->per_s,
-                   report->retries_per_s, MIN(report->stop_ms, MAX_WAIT_MS),
-                   CLAMP(report->cold_wait_ms, 0, MAX_WAIT_MS));
+    (void)snprintf(
+        line, sizeof(line),
+        "%d %d %d %.3f %u %u %u %" PRId64 " %" PRId64 " %d %" PRId64
+        " %.2f %.2f %" PRId64 " %" PRId64 " %" PRIu64,
+        (int)reply->result, (int)reply->run, reply->arrived, report->risk,
+        report->slots, report->in_flight, report->waiting, report->service_ms,
+        MAX(report->idle_ms, 0), report->leaving,
+        reply->queue_ms + reply->server_ms, report->per_s,
+        report->retries_per_s, MIN(report->stop_ms, MAX_WAIT_MS),
+        CLAMP(report->cold_wait_ms, 0, MAX_WAIT_MS), reply->catalog_version);
     HttpHeaders_Add(headers, REPLY_HEADER, line);
     if (reply->return_ms > 0) {
         HttpHeaders_AddNumber(headers, RETURN_HEADER,
@@ -152,6 +152,7 @@
 parse_reply(const char *line, BackendReply *reply)
 {
     RosterReport report = {0};
+    uint64_t version = 0;
     ClockMs owner_ms = -1; /* earlier versions do not send it */
     gboolean arrived;
     Result known;
@@ -160,12 +161,12 @@
 
     if (sscanf(line,
                "%d %d %d %lf %u %u %u %" SCNd64 " %" SCNd64 " %d %" SCNd64
-               " %lf %lf %" SCNd64 " %" SCNd64,
+               " %lf %lf %" SCNd64 " %" SCNd64 " %" SCNu64,
                &result, &run, &arrived, &report.risk, &report.slots,
                &report.in_flight, &report.waiting, &report.service_ms,
                &report.idle_ms, &report.leaving, &owner_ms, &report.per_s,
-               &report.retries_per_s, &report.stop_ms,
-               &report.cold_wait_ms) < 10 ||
+               &report.retries_per_s, &report.stop_ms, &report.cold_wait_ms,
+               &version) < 10 ||
         run < RUN_NO || run > RUN_UNKNOWN || !is_share(report.risk) ||
         !is_rate(report.per_s) || !is_rate(report.retries_per_s) ||
         !is_time(report.service_ms) || !is_time(report.stop_ms) ||
@@ -178,6 +179,7 @@
     reply->arrived = arrived;
     reply->report = report;
     reply->owner_ms = owner_ms;
+    reply->catalog_version = version;
     return TRUE;
 }
 
--- a/src/gateway/peer_wire.h
+++ b/src/gateway/peer_wire.h
@@ -23,11 +23,12 @@
  *   Radishknot-Reply: <result> <run> <arrived> <risk> <slots> <in flight>
  *                     <waiting> <service ms> <idle ms> <leaving> <owner ms>
  *                     <requests per s> <retries per s> <stop ms>
- *                     <cold wait ms>
+ *                     <cold wait ms> <version>
  *
  * where stop is the time until the owner's process has ended, 0 if its host
  * does not stop, and cold wait the time until the backend server accepts
- * another request, 0 if it is not cold.
+ * another request, 0 if it is not cold. The version is that of the owner's
+ * configuration, 0 without one.
  *
  * A request that every owner of the service is expected to refuse for now,
  * because its run's calls are refused elsewhere or its retry limit is near, is
@@ -35,7 +36,7 @@
  *   Radishknot-Return: <ms>
  * the time after which it may be sent again; other owners are not asked.
  *
- * The last five fields of a call and the last five of a reply may be missing:
+ * The last five fields of a call and the last six of a reply may be missing:
  * earlier versions do not send them. The headers are short because traffic
  * between regions is billed by volume.
  *
--- a/src/gateway/test_peer_wire.c
+++ b/src/gateway/test_peer_wire.c
@@ -207,7 +207,7 @@
     HttpHeaders headers = {0};
     BackendCall call = {
         .explore_idle_ms = 7, .ends_by_stop = TRUE, .attempt_id = 9};
-    BackendReply reply = {0};
+    BackendReply reply = {.catalog_version = 9};
 
     HttpHeaders_Add(&headers, "Radishknot-Call", "5000 i 0 0.1 5 0");
     HttpHeaders_Add(&headers, "Radishknot-Caller", "desk");
@@ -219,6 +219,7 @@
     HttpHeaders_Add(&headers, "Radishknot-Reply", "0 1 1 0.1 4 1 0 300 0 0");
     g_assert_true(PeerWire_DecodeReply(&headers, &reply));
     g_assert_cmpint(reply.owner_ms, ==, -1);
+    g_assert_cmpuint(reply.catalog_version, ==, 0);
     g_assert_cmpint(reply.report.cold_wait_ms, ==, 0);
     HttpHeaders_Clear(&headers);
 }
@@ -259,6 +260,7 @@
                           .arrived = TRUE,
                           .queue_ms = 40,
                           .server_ms = 200,
+                          .catalog_version = UINT64_MAX,
                           .report = {.risk = 0.5,
                                      .slots = 5,
                                      .in_flight = 4,
@@ -279,6 +281,7 @@
     g_assert_cmpmem(&decoded.report, sizeof(decoded.report), &reply.report,
                     sizeof(reply.report));
     g_assert_cmpint(decoded.owner_ms, ==, 240);
+    g_assert_cmpuint(decoded.catalog_version, ==, UINT64_MAX);
     HttpHeaders_Clear(&headers);
 }
 
