mirror, objects: hosts that start together wait for the one that reads the store

Each host listed the configuration before it knew its neighbours, or was refused by those that had just begun; with 4,200 routes (0.82 MB, 20 kB compressed) the answers shared 60 Mbit/s between regions, were given up after 1 s without progress, and began again.

A host that lists tells its readers, who wait as for a change. A list may be 2.5 s old instead of 1.3 s: its reader has nothing, and the source may be busy. An answer that has begun and broken off is given twice the time for progress in the next attempt, up to 8 s. A list that fails at the store is asked of any neighbour, too.

--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -288,23 +288,21 @@
                          the store itself; -1: it must */
 } Question;
 
-/* Whether an answer is older than what the reader has, or must have. A list
- * replaces the reader's state, so it must not take that back, nor be a notice
- * that has no objects. */
+/* Whether an answer that is no notice is older than what the reader has, or
+ * must have. A list replaces the reader's state, so it must not take that
+ * back. */
 static gboolean
 is_behind(const Mirror *mirror, const Question *question,
           const ObjectPage *page)
 {
     ObjectRevision since = question->since;
 
-    if (page->referred != 0 ||
-        (page->is_arriving && question->at_least >= 0)) {
+    if (page->is_arriving) {
         return FALSE;
     }
     return page->revision.generation < since.generation ||
            (since.number < 0 &&
-            (page->is_arriving ||
-             ObjectRevision_Compare(page->revision, mirror->reached) < 0));
+            ObjectRevision_Compare(page->revision, mirror->reached) < 0);
 }
 
 void
@@ -450,6 +448,30 @@
     return page->referred != 0 ? RESULT_STORE_UNAVAILABLE : result;
 }
 
+/* Reads from a neighbour, and from where it refers this host. A notice is an
+ * answer to a watch; a list is asked for again until it is there. */
+static Result
+ask(Mirror *mirror, const RosterPeer *peer, const Question *question,
+    ObjectPage *page, ClockMs *avoid_ms)
+{
+    Result result;
+    gboolean stuck;
+
+    do {
+        ObjectPage_Reset(page);
+        result = request_page(mirror, peer, question, page, avoid_ms);
+        if (page->is_arriving && page->begun != NULL) {
+            page->begun(page->context);
+        }
+        if (result == RESULT_OK && page->referred != 0) {
+            result = follow(mirror, peer, *question, page, avoid_ms);
+        }
+        stuck = is_stuck(mirror, page, Clock_Now());
+    } while (result == RESULT_OK && !stuck && page->is_arriving &&
+             question->since.number < 0);
+    return stuck ? RESULT_STORE_UNAVAILABLE : result;
+}
+
 /* Reads from a neighbour. Returns FALSE if the store has to be read. */
 static gboolean
 read_neighbour(Mirror *mirror, const char *kind, ObjectRevision since,
@@ -463,15 +485,8 @@
     question.wait_ms = MIN(wait_ms, MAX_WAIT_MS);
     for (int asked = 0;
          asked < MAX_ASKED && find_neighbour(mirror, kind, &peer); asked++) {
-        *result = request_page(mirror, &peer, &question, page, &avoid_ms);
-        if (page->is_arriving && page->begun != NULL) {
-            page->begun(page->context);
-        }
-        if (*result == RESULT_OK && page->referred != 0) {
-            *result = follow(mirror, &peer, question, page, &avoid_ms);
-        }
-        if (*result != RESULT_STORE_UNAVAILABLE &&
-            !is_stuck(mirror, page, Clock_Now())) {
+        *result = ask(mirror, &peer, &question, page, &avoid_ms);
+        if (*result != RESULT_STORE_UNAVAILABLE) {
             record_source(mirror, kind, peer.host);
             return TRUE;
         }
@@ -514,7 +529,8 @@
 }
 
 /* Reads from a neighbour drawn at random, whatever its own source: this host
- * has lost the store, and those that rank first may have, too. */
+ * has lost the store, and those that rank first may have, too. If that fails,
+ * the page states how the call on the store did. */
 static Result
 read_any(Mirror *mirror, const char *kind, ObjectRevision since,
          ObjectPage *page)
@@ -523,27 +539,27 @@
                          .since = since,
                          .wait_ms = ANY_WAIT_MS,
                          .at_least = MAX(since.number, 0)};
+    ObjectTransfer transfer = page->transfer;
+    gboolean has_begun = page->has_begun;
     RosterPeer order[2];
     uint32_t count =
         Roster_Rank(mirror->desc.roster, Rng_Next(&mirror->rng), FALSE,
                     Clock_Now(), order, G_N_ELEMENTS(order));
+    uint32_t chosen = count > 1 && order[0].is_self;
     ClockMs ignored_ms;
     Result result = RESULT_STORE_UNAVAILABLE;
 
-    for (uint32_t i = 0; i < count; i++) {
-        if (!order[i].is_self && order[i].mirror.sin_port != 0) {
-            result =
-                request_page(mirror, &order[i], &question, page, &ignored_ms);
-            if (result == RESULT_OK && page->referred != 0) {
-                result =
-                    follow(mirror, &order[i], question, page, &ignored_ms);
-            }
-            if (result != RESULT_STORE_UNAVAILABLE) {
-                record_source(mirror, kind, order[i].host);
-                mirror->away_until = Clock_Now() + MIRROR_AWAY_MS;
-            }
-            break;
-        }
+    if (count > 1 && order[chosen].mirror.sin_port != 0) {
+        result = ask(mirror, &order[chosen], &question, page, &ignored_ms);
+    }
+    if (result == RESULT_STORE_UNAVAILABLE) {
+        ObjectPage_Reset(page);
+        page->transfer = transfer;
+        page->has_begun = has_begun;
+    }
+    else {
+        record_source(mirror, kind, order[chosen].host);
+        mirror->away_until = Clock_Now() + MIRROR_AWAY_MS;
     }
     return result;
 }
@@ -567,11 +583,19 @@
                           .number = -1};
     Result result;
 
+    if (after[0] == '\0' && !mirror->knows &&
+        mirror->desc.await_roster != NULL) {
+        mirror->desc.await_roster(mirror->desc.context);
+    }
     if (after[0] == '\0' &&
         read_neighbour(mirror, kind, all, RESTORED_WAIT_MS, page, &result)) {
         mirror->knows = mirror->knows || result == RESULT_OK;
         return result;
     }
+    if (page->begun != NULL) {
+        /* Neighbours that start, too, wait for the list. */
+        page->begun(page->context);
+    }
     result = store->list(store->context, kind, after, page);
     if (result == RESULT_OK) {
         _Mirror_NoteReached(mirror, page->revision);
@@ -583,6 +607,9 @@
             result = RESULT_OK;
         }
     }
+    if (result == RESULT_STORE_UNAVAILABLE && after[0] == '\0') {
+        result = read_any(mirror, kind, all, page);
+    }
     mirror->knows = mirror->knows || result == RESULT_OK;
     return result;
 }
@@ -642,8 +669,7 @@
         note_away(mirror, page);
         (void)read_neighbour(mirror, kind, revision, wait_ms, page, &result);
     }
-    if (result == RESULT_STORE_UNAVAILABLE && !page->has_begun) {
-        ObjectPage_Reset(page);
+    if (result == RESULT_STORE_UNAVAILABLE) {
         result = read_any(mirror, kind, revision, page);
     }
     return result;
--- a/src/mirror/mirror.h
+++ b/src/mirror/mirror.h
@@ -59,6 +59,11 @@
      */
     ClockMs alone_wait_ms;
     gboolean keeps_known; /* the last known state counts in an outage */
+    /* Called before the first list: waits for a short time until neighbours
+     * are known, from which it is read for less. NULL: nothing is waited for.
+     */
+    void (*await_roster)(void *context);
+    void *context;
 } Mirror_desc;
 
 Mirror *Mirror_Create(const Mirror_desc *desc);
--- a/src/mirror/mirror_port.c
+++ b/src/mirror/mirror_port.c
@@ -15,6 +15,10 @@
 #define MAX_TAKEOVER_MS 400
 #define TAKEOVER_POLL_MS 20
 
+/* Maximum age of a list. A reader that starts has nothing yet, and the host
+ * that it asks may be busy with a large change. */
+#define MAX_LIST_AGE_MS 2500
+
 #define MAX_KINDS 8
 
 struct MirrorPort {
@@ -249,9 +253,7 @@
 static gboolean
 gives_notice(const MirrorKind *kind, const Question *question)
 {
-    return question->takes_notice &&
-           (question->since.number >= 0 || question->at_least >= 0) &&
-           MirrorCache_IsArriving(kind->cache);
+    return question->takes_notice && MirrorCache_IsArriving(kind->cache);
 }
 
 /* Whether the page was the newest state lately, as far as the reader demands.
@@ -260,7 +262,12 @@
 proves_state(const MirrorKind *kind, const Question *question,
              const ObjectPage *page)
 {
-    return page->age_ms <= kind->max_age_ms &&
+    ClockMs max_age_ms = kind->max_age_ms;
+
+    if (question->since.number < 0) {
+        max_age_ms = MAX(max_age_ms, MAX_LIST_AGE_MS);
+    }
+    return page->age_ms <= max_age_ms &&
            (question->at_least >= 0 || kind->is_direct(kind->context));
 }
 
@@ -292,11 +299,13 @@
     }
     result = MirrorCache_Read(kind->cache, since, page);
     page->held_ms = Clock_Now() - started;
-    if (!is_there && question->at_least >= 0) {
+    page->is_arriving =
+        (!is_there || page->records->len == 0) && gives_notice(kind, question);
+    if (page->is_arriving) {
+        /* There may be no complete state yet. */
         g_array_set_size(page->records, 0);
+        result = RESULT_OK;
     }
-    page->is_arriving =
-        page->records->len == 0 && gives_notice(kind, question);
     if (result == RESULT_OK && !page->is_arriving &&
         !proves_state(kind, question, page) &&
         !MirrorCache_IsAhead(kind->cache, question->reached)) {
--- a/src/mirror/mirror_port.h
+++ b/src/mirror/mirror_port.h
@@ -17,8 +17,8 @@
  * A host that has changes after the reader's revision answers with them. The
  * status is 410 if it no longer has that history. Without changes it is 503 if
  * the host does not watch the store itself, nor begins to within a short time,
- * or its state is older than max_age_ms or from before the reader's
- * generation.
+ * or its state is older than max_age_ms, 2.5 s at least for all objects, or
+ * from before the reader's generation.
  *
  * A notice has "arriving": true and no objects: a change is on its way to this
  * host, so its readers stay with it. With "referred": <host> the reader gets
--- a/src/mirror/test_mirror.c
+++ b/src/mirror/test_mirror.c
@@ -405,6 +405,47 @@
     }
 }
 
+/* Guards against a host that starts and reads the store although a neighbour
+ * has a state that may be used, and against one that starts with an older one.
+ */
+static void
+test_list_age(void)
+{
+    static const struct {
+        const char *what;
+        ClockMs age_ms;
+        gboolean direct;
+        gboolean through_store;
+    } cases[] = {
+        {"fresh", 100, TRUE, FALSE},
+        {"a busy neighbour", 2000, TRUE, FALSE},
+        {"too old", 3000, TRUE, TRUE},
+        {"not direct", 100, FALSE, TRUE},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        Fixture fixture = {0};
+        const ObjectStore *store;
+        ObjectPage page;
+
+        g_test_message("%s", cases[i].what);
+        open_fixture(&fixture);
+        store = Mirror_AsStore(fixture.mirror);
+        MirrorCache_Confirm(fixture.cache, Clock_Now() - cases[i].age_ms,
+                            (ObjectRevision){1, 9});
+        fixture.direct = cases[i].direct;
+        ObjectPage_Init(&page);
+        g_assert_cmpint(store->list(store->context, "k", "", &page), ==,
+                        RESULT_OK);
+        g_assert_cmpint(fixture.store.lists, ==, cases[i].through_store);
+        if (!cases[i].through_store) {
+            g_assert_cmpint(page.age_ms, >=, cases[i].age_ms);
+        }
+        ObjectPage_Clear(&page);
+        close_fixture(&fixture);
+    }
+}
+
 /* Guards against a list that goes to the store because the neighbour has not
  * noticed a restoration yet. */
 static void
@@ -788,6 +829,7 @@
     g_test_add_func("/mirror/restored-cache", test_restored_cache);
     g_test_add_func("/mirror/list", test_list);
     g_test_add_func("/mirror/follower", test_follower);
+    g_test_add_func("/mirror/list-age", test_list_age);
     g_test_add_func("/mirror/list-after-restoration",
                     test_list_after_restoration);
     g_test_add_func("/mirror/watch-after-restoration",
--- a/src/objects/object_store.c
+++ b/src/objects/object_store.c
@@ -100,6 +100,7 @@
     page->begun = kept.begun;
     page->context = kept.context;
     page->max_bytes = kept.max_bytes;
+    page->stall_ms = kept.stall_ms;
 }
 
 gboolean
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -70,6 +70,8 @@
     /* Of a watch; 0: none. A larger answer is not read: the store returns
      * HISTORY_GONE, as a list is cheaper. */
     int64_t max_bytes;
+    ClockMs stall_ms;      /* set by the caller: wait for progress in the body
+                              for at least so long */
     gboolean is_too_large; /* the answer was above max_bytes */
     gboolean has_begun;    /* the head of an answer with a page arrived */
 } ObjectPage;
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -16,6 +16,13 @@
  * returns a change confirms only the state at its own start. */
 #define CONFIRM_WAIT_MS 400
 
+/* Longest wait for progress in an answer. It is doubled, beginning with the
+ * shortest, each time an answer has begun and broken off: on a link that is
+ * full, one that is given up too soon is sent again from its first byte, and
+ * keeps the link full. */
+#define MIN_STALL_MS 1000
+#define MAX_STALL_MS 8000
+
 struct ObjectSync {
     ObjectSync_desc desc;
     pthread_t thread;
@@ -33,6 +40,7 @@
     ClockMs failed_since;
     ObjectTransfer transfer; /* of the last page */
     gboolean has_answered;   /* its head has arrived */
+    ClockMs stall_ms;        /* longest wait for progress in an answer */
     ObjectBackoff backoff;
 };
 
@@ -57,6 +65,9 @@
 static void
 note_failure(ObjectSync *sync, Result result)
 {
+    if (sync->has_answered) {
+        sync->stall_ms = MIN(2 * sync->stall_ms, MAX_STALL_MS);
+    }
     if (sync->desc.announced != NULL && !sync->has_answered) {
         sync->desc.announced(sync->desc.context, FALSE);
     }
@@ -105,6 +116,7 @@
 note_success(ObjectSync *sync)
 {
     ObjectBackoff_Reset(&sync->backoff);
+    sync->stall_ms = MIN_STALL_MS;
     if (sync->failing) {
         sync->failing = FALSE;
         Log_Event(LOG_STORE_REGAINED,
@@ -247,6 +259,7 @@
     const ObjectStore *store = sync->desc.store;
     Result result;
 
+    page->stall_ms = sync->stall_ms;
     page->begun = note_receiving;
     page->context = sync;
     result = store->list(store->context, sync->desc.kind, after, page);
@@ -311,6 +324,7 @@
     Result result;
 
     ObjectPage_Init(&page);
+    page.stall_ms = sync->stall_ms;
     page.begun = note_begun;
     page.context = sync;
     result = store->watch(store->context, sync->desc.kind, sync->revision,
@@ -401,6 +415,7 @@
     }
     sync->next_wait_ms = sync->desc.wait_ms;
     sync->revision.number = -1;
+    sync->stall_ms = MIN_STALL_MS;
     sync->rejected =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     ObjectBackoff_Init(&sync->backoff);
--- a/src/sidecar/sidecar_state.c
+++ b/src/sidecar/sidecar_state.c
@@ -312,6 +312,12 @@
     }
 }
 
+static void
+await_roster(void *context)
+{
+    (void)_Sidecar_AwaitRoster(context);
+}
+
 /* Opens the port from which neighbours read the state. */
 static gboolean
 open_mirror(Sidecar *sidecar, GError **error)
@@ -331,7 +337,10 @@
     catalog_cache = MirrorCache_Create();
     roster_cache = MirrorCache_Create();
     mirror.cache = catalog_cache;
+    mirror.await_roster = await_roster;
+    mirror.context = sidecar;
     sidecar->catalog_mirror = Mirror_Create(&mirror);
+    mirror.await_roster = NULL;
     mirror.cache = roster_cache;
     sidecar->roster_mirror = Mirror_Create(&mirror);
     sidecar->kinds[SIDECAR_CATALOG] =
