mirror: notices keep to the generation of the store; a bound for watches does not bind neighbours

Found by reading the change: a notice of a host that does not know of a restoration yet was taken, and the check that follows failed without skipping that host; a notice of a host without a complete state named no revision; the bound on a watch's answer at the store stayed in force for the read of a neighbour after it.

Also: daemons of earlier versions are never referred, a row of /mirror/packed.

--- a/src/mirror/mirror.c
+++ b/src/mirror/mirror.c
@@ -297,11 +297,8 @@
 {
     ObjectRevision since = question->since;
 
-    if (page->is_arriving) {
-        return FALSE;
-    }
     return page->revision.generation < since.generation ||
-           (since.number < 0 &&
+           (since.number < 0 && !page->is_arriving &&
             ObjectRevision_Compare(page->revision, mirror->reached) < 0);
 }
 
@@ -658,6 +655,7 @@
     }
     page->max_bytes = max_watch_bytes(mirror);
     result = store->watch(store->context, kind, revision, store_wait_ms, page);
+    page->max_bytes = 0;
     if (result == RESULT_OK) {
         _Mirror_NoteReached(mirror, page->revision);
     }
--- a/src/mirror/test_mirror_large.c
+++ b/src/mirror/test_mirror_large.c
@@ -11,6 +11,7 @@
 #include "http/http_message.h"
 #include "mirror/mirror.h"
 #include "mirror/mirror_port.h"
+#include "mirror/mirror_spread.h"
 #include "pack/pack.h"
 
 #define HEAD                                                         \
@@ -321,7 +322,8 @@
 }
 
 /* Guards against an answer that a daemon of an earlier version cannot read,
- * and against one that differs by how it is sent. */
+ * also when more of them read a large change than a host serves, and against
+ * one that differs by how it is sent. */
 static void
 test_packed(void)
 {
@@ -361,7 +363,8 @@
     MirrorCache_Confirm(cache, Clock_Now(), (ObjectRevision){.number = 3});
     g_assert_true(HttpAddress_Parse("127.0.0.1:0", &desc.address));
     port = MirrorPort_Create(&desc, NULL);
-    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+    for (size_t call_count = 0; call_count < 2 * MIRROR_FANOUT; call_count++) {
+        size_t i = call_count % G_N_ELEMENTS(cases);
         char *target =
             g_strdup_printf(MIRROR_PATH "k?generation=0&since=%d&wait_ms=10",
                             (int)cases[i].since);
