objects: a notice does not advance the revision that a host watches from

Cause, by reading: a host took the revision that a notice names as its own, and the notice of a source that has just finished reading could name the revision of the change, which it does not contain. The window was there twice: the source read its revision after its changes, and the reader believed it.

Change: a notice moves nothing at the reader, and the source names the revision of what it has read.

Result: a row of /objects/generations fails before and passes.

--- a/src/mirror/mirror_port.c
+++ b/src/mirror/mirror_port.c
@@ -304,7 +304,9 @@
     if (page->is_arriving) {
         /* There may be no complete state yet. */
         g_array_set_size(page->records, 0);
-        page->revision = MirrorCache_Revision(kind->cache);
+        if (result != RESULT_OK) {
+            page->revision = MirrorCache_Revision(kind->cache);
+        }
         result = RESULT_OK;
     }
     if (result == RESULT_OK && !page->is_arriving &&
--- a/src/objects/object_sync.c
+++ b/src/objects/object_sync.c
@@ -350,12 +350,10 @@
             /* Which objects have changed is found in a list only. */
             sync->revision.number = -1;
         }
-        else {
+        else if (!page.is_arriving) {
             sync->revision.number =
                 MAX(sync->revision.number, page.revision.number);
-            if (!page.is_arriving) {
-                report_confirmation(sync, started, &page);
-            }
+            report_confirmation(sync, started, &page);
         }
         sync->next_wait_ms = *changed ? CONFIRM_WAIT_MS : sync->desc.wait_ms;
     }
--- a/src/objects/test_objects.c
+++ b/src/objects/test_objects.c
@@ -16,7 +16,9 @@
 typedef struct Answer {
     CallKind call; /* the call that is expected */
     ObjectRevision revision;
-    int number; /* value of the object; 0: none in the answer */
+    int number;         /* value of the object; 0: none in the answer */
+    gboolean is_notice; /* the source is reading a change */
+    int64_t since;      /* revision that a watch starts from; 0: any */
 } Answer;
 
 typedef struct Script {
@@ -33,7 +35,7 @@
 
 /* Answers as scripted, then as unavailable. */
 static Result
-answer(Script *script, CallKind call, ObjectPage *page)
+answer(Script *script, CallKind call, int64_t since, ObjectPage *page)
 {
     Result result = RESULT_STORE_UNAVAILABLE;
 
@@ -41,7 +43,9 @@
     if (script->next < script->count) {
         const Answer *next = &script->answers[script->next++];
 
-        script->mismatch |= next->call != call;
+        script->mismatch |=
+            next->call != call || (next->since > 0 && next->since != since);
+        page->is_arriving = next->is_notice;
         page->revision = next->revision;
         if (next->number > 0) {
             ObjectRecord record = {.name = g_strdup("a"),
@@ -61,7 +65,7 @@
 {
     (void)kind;
     (void)after;
-    return answer(context, CALL_LIST, page);
+    return answer(context, CALL_LIST, -1, page);
 }
 
 static Result
@@ -69,9 +73,8 @@
       ClockMs wait_ms, ObjectPage *page)
 {
     (void)kind;
-    (void)revision;
     (void)wait_ms;
-    return answer(context, CALL_WATCH, page);
+    return answer(context, CALL_WATCH, revision.number, page);
 }
 
 static gboolean
@@ -157,6 +160,15 @@
      3,
      2,
      {2, 41}},
+    {"a notice of a source that is further",
+     {{CALL_LIST, {1, 40}, 1},
+      {CALL_WATCH, {1, 45}, 0, TRUE},
+      {CALL_WATCH, {1, 45}, 2, FALSE, 40}},
+     3,
+     0,
+     2,
+     2,
+     {1, 45}},
     {"a late list of an earlier generation",
      {{CALL_LIST, {1, 60}, 1}, {CALL_LIST, {2, 40}, 2}},
      2,
@@ -203,7 +215,8 @@
 
 /* Guards against a watch that goes on from a revision of an earlier
  * generation, that takes a late answer of one for new, or that confirms a
- * state with either. */
+ * state with either; and against one that skips a change because a source that
+ * is reading it names the revision. */
 static void
 test_generations(void)
 {
